--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Both README commands work on a bare machine with python3 (3.11 or newer).
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+
+.PHONY: install test lint format demo bench bench-budget bench-load bench-slopes
+
+$(VENV)/.installed: pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+install: $(VENV)/.installed
+
+test: install
+	$(BIN)/python -m pytest tests
+
+lint: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: install
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+demo: install
+	$(BIN)/python -m examples.demo
+
+bench: bench-budget bench-load bench-slopes
+
+bench-budget: install
+	$(BIN)/python -m benchmarks.budget_schemes
+
+bench-load: install
+	$(BIN)/python -m benchmarks.load_policies
+
+bench-slopes: install
+	$(BIN)/python -m benchmarks.slopes
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: models, schemes and slopes; figures, never verdicts."""
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples that run."""
--- /dev/null
+++ b/src/ragwortkeel/budget/__init__.py
@@ -0,0 +1,1 @@
+"""Prepaid budgets: ledger, slices, seals, receipts, without I/O."""
--- /dev/null
+++ b/src/ragwortkeel/exceptions.py
@@ -0,0 +1,100 @@
+"""Public errors: a shallow tree under one base.
+
+Each layer raises its own branch and turns the errors of the layer below into
+it, so a caller never has to know a lower layer.  Every error carries what its
+receiver needs to act.
+"""
+
+
+class RagwortkeelError(Exception):
+    """Base of every error this package raises on purpose."""
+
+
+class SettingsError(RagwortkeelError):
+    """A settings file cannot be used.
+
+    Attributes
+    ----------
+    path : str
+        JSON path of the field, such as ``$.platform.port``.
+    found : str
+        What the file holds there.
+    allowed : str
+        What may stand there.
+    """
+
+    def __init__(self, *, path: str, found: str, allowed: str) -> None:
+        super().__init__(f"{path}: found {found}; allowed: {allowed}")
+        self.path = path
+        self.found = found
+        self.allowed = allowed
+
+
+class HttpError(RagwortkeelError):
+    """Base of the errors of the HTTP layer."""
+
+
+class BadRequest(HttpError):
+    """A peer sent something that is no acceptable HTTP request.
+
+    Attributes
+    ----------
+    status : int
+        The 4xx status to answer with.
+    reason : str
+        A short machine-readable reason, such as ``body_too_large``.
+    """
+
+    def __init__(self, *, status: int, reason: str, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+        self.reason = reason
+        self.detail = detail
+
+
+class ConnectFailed(HttpError):
+    """No connection came about, so the request was certainly not sent."""
+
+
+class ExchangeBroken(HttpError):
+    """The connection failed after the request may have reached the peer."""
+
+
+class PlatformError(RagwortkeelError):
+    """Base of the errors of the platform client."""
+
+
+class PlatformUnavailable(PlatformError):
+    """The platform did not take the call; nothing was changed by it."""
+
+
+class OutcomeUnknown(PlatformError):
+    """A write was sent and its answer lost; it may have taken effect."""
+
+
+class AlreadyExists(PlatformError):
+    """A create found an object of that name."""
+
+
+class VersionConflict(PlatformError):
+    """A conditional write found another version than the one it named."""
+
+
+class ObjectNotFound(PlatformError):
+    """A conditional write named an object that is not there."""
+
+
+class LinkError(RagwortkeelError):
+    """Base of the errors of links between the system's own processes."""
+
+
+class LinkLost(LinkError):
+    """The peer went silent or away; sent messages may or may not have arrived."""
+
+
+class BudgetError(RagwortkeelError):
+    """Base of the errors of budgets, slices and bills."""
+
+
+class RunError(RagwortkeelError):
+    """Base of the errors of intents, journals and answers."""
--- /dev/null
+++ b/src/ragwortkeel/messages.py
@@ -0,0 +1,291 @@
+"""Messages between the system's own processes.
+
+Every message travels in an `Envelope` with its sender's incarnation and the
+highest configuration revision that the sender has in force.  The codec is
+msgpack through msgspec; an unknown tag is refused by the decoder.
+"""
+
+from enum import StrEnum
+
+import msgspec
+
+
+class Message(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Base of all messages; the tag is the class name."""
+
+
+class VersionedObject(msgspec.Struct, frozen=True, kw_only=True):
+    """One configuration object with its platform version."""
+
+    kind: str
+    name: str
+    version: int
+    value: bytes
+
+
+class RefusalReason(StrEnum):
+    """Why a sidecar did not run a dispatch; it certainly did not run."""
+
+    DRAINING = "draining"
+    STOPPING = "stopping"
+    SEALED = "sealed"
+    STALE_CONFIGURATION = "stale_configuration"
+    WRONG_INCARNATION = "wrong_incarnation"
+    TOMBSTONED = "tombstoned"
+    NOT_ADMITTED = "not_admitted"
+    OVERLOADED = "overloaded"
+    UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    QUARANTINED = "quarantined"
+    DEADLINE = "deadline"
+    DUPLICATE = "duplicate"
+
+
+class RunState(StrEnum):
+    """What a sidecar knows of a run."""
+
+    UNSEEN = "unseen"
+    RUNNING = "running"
+    FINISHED = "finished"
+    FAILED = "failed"
+    TOMBSTONED = "tombstoned"
+
+
+class Dispatch(Message):
+    """Run this request at your upstream, within the reservation.
+
+    `nonce` names this attempt; `reservation` is in tokens; `budget_seconds`
+    is the time left until the caller's deadline.
+    """
+
+    request_id: str
+    nonce: str
+    profile: str
+    profile_version: int
+    upstream_version: int
+    sidecar: str
+    reservation: int
+    idempotent: bool
+    target: str
+    body: bytes
+    stream: bool
+    budget_seconds: float
+    priority: int
+    traceparent: str
+    prefix: str = ""
+
+
+class Refused(Message):
+    """The dispatch did not run and never will under this nonce."""
+
+    nonce: str
+    reason: RefusalReason
+    retry_after_seconds: float = 0.0
+    newer: tuple[VersionedObject, ...] = ()
+
+
+class Started(Message):
+    """The upstream has accepted the run; status and content type of the answer."""
+
+    nonce: str
+    status: int
+    content_type: str
+
+
+class Chunk(Message):
+    """Bytes of the answer from `offset` on."""
+
+    nonce: str
+    offset: int
+    data: bytes
+
+
+class Finished(Message):
+    """The answer is whole at `length` bytes and cost `tokens`."""
+
+    nonce: str
+    status: int
+    content_type: str
+    length: int
+    tokens: int
+
+
+class Failed(Message):
+    """The run ended without a whole answer, after `tokens` were spent."""
+
+    nonce: str
+    reason: str
+    tokens: int
+    may_have_run: bool
+
+
+class Cancel(Message):
+    """The caller is gone or was answered otherwise; stop the run."""
+
+    nonce: str
+
+
+class Locate(Message):
+    """Ask whether a run of this request exists here."""
+
+    profile: str
+    request_id: str
+
+
+class Located(Message):
+    """Answer to `Locate`; `nonce` names the run to resume."""
+
+    profile: str
+    request_id: str
+    state: RunState
+    nonce: str = ""
+    tokens: int = 0
+
+
+class Resume(Message):
+    """Replay the answer of a run from `offset`, then follow it."""
+
+    nonce: str
+    offset: int
+
+
+class Tombstone(Message):
+    """Promise never to run this nonce, unless it already ran."""
+
+    nonce: str
+
+
+class TombstoneResult(Message):
+    """What the sidecar knew of the nonce; `TOMBSTONED` means it never ran."""
+
+    nonce: str
+    state: RunState
+
+
+class Seal(Message):
+    """Refuse this router incarnation from now on, and report what it ran."""
+
+    router: str
+
+
+class RunReceipt(msgspec.Struct, frozen=True, kw_only=True):
+    """What one run cost; the bill is the set of these by profile and request."""
+
+    profile: str
+    request_id: str
+    nonce: str
+    router: str
+    sidecar: str
+    tokens: int
+    billable: bool = True
+
+
+class Sealed(Message):
+    """The seal is in force here; `ran` is the cumulative tokens by profile."""
+
+    router: str
+    sidecar: str
+    ran: dict[str, int]
+    receipts: tuple[RunReceipt, ...]
+
+
+class ReceiptsDurable(Message):
+    """The receipts of these nonces are in the platform; drop them."""
+
+    nonces: tuple[str, ...]
+
+
+class Heartbeat(Message):
+    """I am alive; a sidecar also reports its load, a router sends zeros."""
+
+    running: int = 0
+    waiting: int = 0
+    limit: int = 0
+    leaving: bool = False
+
+
+class ConfigurationDigest(Message):
+    """Version by ``kind/name`` of what the sender has in force."""
+
+    versions: dict[str, int]
+
+
+class ConfigurationPush(Message):
+    """Objects the receiver may not have yet."""
+
+    objects: tuple[VersionedObject, ...]
+
+
+class ConfigurationPull(Message):
+    """Please push these ``kind/name`` keys."""
+
+    keys: tuple[str, ...]
+
+
+class SliceRequest(Message):
+    """A router short of tokens asks another to give part of its slice."""
+
+    profile: str
+    tokens: int
+    transfer_id: str
+
+
+class SliceTransfer(Message):
+    """Tokens already taken off the sender's slice; resent until acknowledged."""
+
+    profile: str
+    tokens: int
+    transfer_id: str
+
+
+class SliceTransferred(Message):
+    """The transfer is recorded; the sender may forget it."""
+
+    transfer_id: str
+
+
+AnyMessage = (
+    Dispatch
+    | Refused
+    | Started
+    | Chunk
+    | Finished
+    | Failed
+    | Cancel
+    | Locate
+    | Located
+    | Resume
+    | Tombstone
+    | TombstoneResult
+    | Seal
+    | Sealed
+    | ReceiptsDurable
+    | Heartbeat
+    | ConfigurationDigest
+    | ConfigurationPush
+    | ConfigurationPull
+    | SliceRequest
+    | SliceTransfer
+    | SliceTransferred
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, kw_only=True):
+    """A message with who sent it and how new its configuration is."""
+
+    sender: str
+    revision: int
+    message: AnyMessage
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the wire form."""
+    return _encoder.encode(envelope)
+
+
+def decode(data: bytes) -> Envelope:
+    """Return the envelope; `msgspec.DecodeError` where it is not one."""
+    return _decoder.decode(data)
--- /dev/null
+++ b/src/ragwortkeel/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: pure functions and small state, the clock passed in."""
--- /dev/null
+++ b/src/ragwortkeel/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router daemon: callers in front, sidecars behind."""
--- /dev/null
+++ b/src/ragwortkeel/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar daemon: the only way to its upstream."""
