--- a/src/ragwortkeel/exceptions.py
+++ b/src/ragwortkeel/exceptions.py
@@ -84,6 +84,10 @@
     """A conditional write named an object that is not there."""
 
 
+class ValueRefused(PlatformError):
+    """The platform takes no such value, such as one that is too large."""
+
+
 class LinkError(RagwortkeelError):
     """Base of the errors of links between the system's own processes."""
 
--- /dev/null
+++ b/src/ragwortkeel/platform_client.py
@@ -0,0 +1,195 @@
+"""The platform's HTTP interface behind the narrow `Platform` protocol.
+
+Each failure is turned into what the caller may conclude from it: certainly
+nothing changed (`PlatformUnavailable`), somebody else's write came first
+(`VersionConflict`, `AlreadyExists`, `ObjectNotFound`), or nobody knows
+(`OutcomeUnknown`).
+"""
+
+from typing import TypeVar
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from ragwortkeel.exceptions import (
+    AlreadyExists,
+    ConnectFailed,
+    ExchangeBroken,
+    ObjectNotFound,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    ValueRefused,
+    VersionConflict,
+)
+from ragwortkeel.httpio import HttpClient, Response
+from ragwortkeel.platform import MAX_VALUE_BYTES, Changes, Instance, Listing, Stored
+from ragwortkeel.platform_wire import (
+    IF_MATCH_HEADER,
+    PAGE_LIMIT,
+    VERSION_HEADER,
+    ChangesBody,
+    ListPage,
+    LiveBody,
+    Written,
+)
+from ragwortkeel.settings import Address
+
+CALL_SECONDS = 2.0
+"""The platform answers in milliseconds; by then it is down or cut off."""
+
+_NOT_TAKEN = frozenset({429, 503})
+"""Refused at the door, so nothing changed."""
+
+Body = TypeVar("Body")
+
+
+class HttpPlatform:
+    """The platform at one address.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the object service.
+    timeout : float
+        Seconds for one call; a watch has its own wait on top.
+    """
+
+    def __init__(self, *, address: str, timeout: float = CALL_SECONDS) -> None:
+        where = Address.parse(address)
+        self._client = HttpClient(host=where.host, port=where.port)
+        self._timeout = timeout
+
+    async def get(self, kind: str, name: str) -> Stored | None:
+        """Return the object, or None where there is none."""
+        response = await self._read(_target(kind, name))
+        if response.status == 404:
+            return None
+        try:
+            version = int(response.headers[VERSION_HEADER])
+        except (KeyError, ValueError) as exc:
+            raise PlatformUnavailable("an object without a version") from exc
+        return Stored(kind=kind, name=name, value=response.body, version=version)
+
+    async def list(self, kind: str, prefix: str = "") -> Listing:
+        """Return all objects of a kind whose names start with `prefix`."""
+        by_name: dict[str, Stored] = {}
+        revision = None
+        after = ""
+        while True:
+            page = await self._page(kind, prefix, after)
+            by_name |= {one.name: one.stored(kind) for one in page.objects}
+            # The first page's revision: what changes behind a page already
+            # read has a higher one, so the watch that follows shows it.
+            revision = page.revision if revision is None else revision
+            if not page.more or not page.objects:
+                return Listing(by_name=by_name, revision=revision)
+            after = page.objects[-1].name
+
+    async def create(self, kind: str, name: str, value: bytes) -> int:
+        """Create the object and return its version; else `AlreadyExists`."""
+        response = await self._write("POST", kind, name, value, None)
+        if response.status == 409:
+            raise AlreadyExists(f"{kind}/{name} exists")
+        return self._version(response)
+
+    async def update(self, kind: str, name: str, value: bytes, version: int) -> int:
+        """Replace the object at `version`; else `VersionConflict`."""
+        response = await self._write("PUT", kind, name, value, version)
+        return self._version(_conditional(response, kind, name))
+
+    async def delete(self, kind: str, name: str, version: int) -> None:
+        """Delete the object at `version`; else `VersionConflict`."""
+        response = await self._write("DELETE", kind, name, b"", version)
+        self._version(_conditional(response, kind, name))
+
+    async def watch(self, kind: str, revision: int, timeout: float) -> Changes:
+        """Wait at most `timeout` seconds for changes after `revision`."""
+        query = urlencode({"revision": revision, "timeout": timeout})
+        target = f"/v1/watch/{quote(kind, safe='')}?{query}"
+        response = await self._read(target, wait=timeout)
+        body = _decoded(response, ChangesBody)
+        return Changes(
+            changes=tuple(one.change(kind) for one in body.changes),
+            revision=body.revision,
+            gap=body.gap,
+        )
+
+    async def live(self) -> dict[str, Instance]:
+        """Return the lagging list of live and leaving instances, by name."""
+        body = _decoded(await self._read("/v1/live"), LiveBody)
+        return {one.name: one for one in body.instances}
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        await self._client.close()
+
+    async def _page(self, kind: str, prefix: str, after: str) -> ListPage:
+        query = urlencode({"prefix": prefix, "after": after, "limit": PAGE_LIMIT})
+        target = f"/v1/objects/{quote(kind, safe='')}?{query}"
+        return _decoded(await self._read(target), ListPage)
+
+    async def _read(self, target: str, *, wait: float = 0.0) -> Response:
+        try:
+            response = await self._client.request(
+                "GET", target, timeout=self._timeout + wait
+            )
+        except (ConnectFailed, ExchangeBroken) as exc:
+            raise PlatformUnavailable(str(exc)) from exc
+        if response.status not in (200, 404):
+            raise PlatformUnavailable(f"status {response.status}")
+        return response
+
+    async def _write(
+        self, method: str, kind: str, name: str, value: bytes, version: int | None
+    ) -> Response:
+        if len(value) > MAX_VALUE_BYTES:
+            raise ValueRefused(f"{kind}/{name}: more than {MAX_VALUE_BYTES} bytes")
+        headers = {} if version is None else {IF_MATCH_HEADER: str(version)}
+        try:
+            response = await self._client.request(
+                method,
+                _target(kind, name),
+                body=value,
+                headers=headers,
+                timeout=self._timeout,
+            )
+        except ConnectFailed as exc:
+            raise PlatformUnavailable(str(exc)) from exc
+        except ExchangeBroken as exc:
+            # The write may have been done before its answer was lost; the
+            # caller re-reads, for only the platform's object can tell.
+            raise OutcomeUnknown(str(exc)) from exc
+        if response.status in _NOT_TAKEN:
+            raise PlatformUnavailable(f"status {response.status}")
+        if response.status in (400, 413):
+            raise ValueRefused(f"{kind}/{name}: status {response.status}")
+        return response
+
+    def _version(self, response: Response) -> int:
+        if response.status not in (200, 201):
+            raise OutcomeUnknown(f"status {response.status}")
+        try:
+            return msgspec.json.decode(response.body, type=Written).version
+        except msgspec.DecodeError as exc:
+            raise OutcomeUnknown(f"answer without a version: {exc}") from exc
+
+
+def _target(kind: str, name: str) -> str:
+    return f"/v1/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
+
+
+def _conditional(response: Response, kind: str, name: str) -> Response:
+    if response.status == 404:
+        raise ObjectNotFound(f"{kind}/{name} is not there")
+    if response.status == 409:
+        raise VersionConflict(f"{kind}/{name} was changed meanwhile")
+    return response
+
+
+def _decoded(response: Response, cls: type[Body]) -> Body:
+    if response.status != 200:
+        raise PlatformUnavailable(f"status {response.status}")
+    try:
+        return msgspec.json.decode(response.body, type=cls)
+    except msgspec.DecodeError as exc:
+        raise PlatformUnavailable(f"an answer that makes no sense: {exc}") from exc
--- /dev/null
+++ b/src/ragwortkeel/standins/local_platform.py
@@ -0,0 +1,230 @@
+"""The platform's object service in memory, with switches for its failures.
+
+It keeps what the interface promises and nothing more: one revision counts all
+writes, an object's version is the revision of its last write, and the history
+for watches is bounded, so that a watcher too far behind is told of a gap.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import curio
+import msgspec
+
+from ragwortkeel.exceptions import (
+    AlreadyExists,
+    ObjectNotFound,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    VersionConflict,
+)
+from ragwortkeel.platform import Change, Changes, Instance, Listing, Stored
+
+HISTORY_LIMIT = 10_000
+"""Changes kept for watches; a third of a day at the size to design for."""
+
+
+class Switches(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """The failures a test can turn on; all off by default.
+
+    Attributes
+    ----------
+    down : bool
+        Refuse every call.
+    slow_seconds : float
+        Delay before each call is looked at.
+    lost_answers : int
+        So many of the next writes take effect and lose their answer.
+    watch_late_seconds : float
+        Delay before a watch reports what it saw.
+    watch_skips : int
+        So many of the next changes are never shown to a watch.
+    watch_gaps : bool
+        Every watch reports a gap.
+    live_frozen : bool
+        The list of instances stays as it is.
+    """
+
+    down: bool = False
+    slow_seconds: float = 0.0
+    lost_answers: int = 0
+    watch_late_seconds: float = 0.0
+    watch_skips: int = 0
+    watch_gaps: bool = False
+    live_frozen: bool = False
+
+
+class Counts(msgspec.Struct, kw_only=True):
+    """Calls so far, and the watches waiting now."""
+
+    reads: int = 0
+    writes: int = 0
+    watches: int = 0
+    open_watches: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Event:
+    revision: int
+    kind: str
+    change: Change
+    hidden: bool
+
+
+class LocalPlatform:
+    """A `Platform` in one process; shared by the tasks of a test.
+
+    Attributes
+    ----------
+    switches : Switches
+        Assign or change at any moment.
+    counts : Counts
+        What the platform would count against the caller's rate.
+    """
+
+    def __init__(self, *, history_limit: int = HISTORY_LIMIT) -> None:
+        self.switches = Switches()
+        self.counts = Counts()
+        self.revision = 0
+        self._by_name_by_kind: dict[str, dict[str, Stored]] = {}
+        self._history: deque[_Event] = deque()
+        self._history_limit = history_limit
+        self._forgotten = 0
+        self._changed = curio.Condition()
+        self._instances_by_name: dict[str, Instance] = {}
+        self._shown_by_name: dict[str, Instance] = {}
+
+    async def get(self, kind: str, name: str) -> Stored | None:
+        """Return the object, or None where there is none."""
+        self.counts.reads += 1
+        await self._call()
+        return self._objects(kind).get(name)
+
+    async def list(self, kind: str, prefix: str = "") -> Listing:
+        """Return all objects of a kind whose names start with `prefix`."""
+        self.counts.reads += 1
+        await self._call()
+        by_name = {
+            name: stored
+            for name, stored in self._objects(kind).items()
+            if name.startswith(prefix)
+        }
+        return Listing(by_name=by_name, revision=self.revision)
+
+    async def create(self, kind: str, name: str, value: bytes) -> int:
+        """Create the object and return its version; else `AlreadyExists`."""
+        self.counts.writes += 1
+        await self._call()
+        if name in self._objects(kind):
+            raise AlreadyExists(f"{kind}/{name}")
+        return await self._store(kind, name, value)
+
+    async def update(self, kind: str, name: str, value: bytes, version: int) -> int:
+        """Replace the object at `version`; else `VersionConflict`."""
+        self.counts.writes += 1
+        await self._call()
+        self._check(kind, name, version)
+        return await self._store(kind, name, value)
+
+    async def delete(self, kind: str, name: str, version: int) -> None:
+        """Delete the object at `version`; else `VersionConflict`."""
+        self.counts.writes += 1
+        await self._call()
+        self._check(kind, name, version)
+        del self._objects(kind)[name]
+        await self._record(kind, name, None)
+
+    async def watch(self, kind: str, revision: int, timeout: float) -> Changes:
+        """Wait at most `timeout` seconds for changes after `revision`."""
+        self.counts.watches += 1
+        self.counts.open_watches += 1
+        try:
+            await self._call()
+            async with curio.ignore_after(timeout):
+                await self._wait(kind, revision)
+            if self.switches.watch_late_seconds:
+                await curio.sleep(self.switches.watch_late_seconds)
+            # An outage that began while the watch waited breaks it off.
+            self._refuse_if_down()
+            return self._changes(kind, revision)
+        finally:
+            self.counts.open_watches -= 1
+
+    async def live(self) -> dict[str, Instance]:
+        """Return the lagging list of live and leaving instances, by name."""
+        self.counts.reads += 1
+        await self._call()
+        if not self.switches.live_frozen:
+            self._shown_by_name = dict(self._instances_by_name)
+        return dict(self._shown_by_name)
+
+    def set_live(self, instances: Iterable[Instance]) -> None:
+        """Replace what the list will show, unless it is frozen."""
+        self._instances_by_name = {one.name: one for one in instances}
+        if not self.switches.live_frozen:
+            self._shown_by_name = self._instances_by_name
+
+    def _objects(self, kind: str) -> dict[str, Stored]:
+        return self._by_name_by_kind.setdefault(kind, {})
+
+    async def _call(self) -> None:
+        if self.switches.slow_seconds:
+            await curio.sleep(self.switches.slow_seconds)
+        self._refuse_if_down()
+
+    def _refuse_if_down(self) -> None:
+        if self.switches.down:
+            raise PlatformUnavailable("the platform is down")
+
+    def _check(self, kind: str, name: str, version: int) -> None:
+        found = self._objects(kind).get(name)
+        if found is None:
+            raise ObjectNotFound(f"{kind}/{name}")
+        if found.version != version:
+            raise VersionConflict(f"{kind}/{name}: {found.version} is not {version}")
+
+    async def _store(self, kind: str, name: str, value: bytes) -> int:
+        stored = Stored(kind=kind, name=name, value=value, version=self.revision + 1)
+        self._objects(kind)[name] = stored
+        await self._record(kind, name, stored)
+        return stored.version
+
+    async def _record(self, kind: str, name: str, stored: Stored | None) -> None:
+        self.revision += 1
+        hidden = self.switches.watch_skips > 0
+        if hidden:
+            self.switches.watch_skips -= 1
+        change = Change(name=name, version=self.revision, stored=stored)
+        self._history.append(
+            _Event(revision=self.revision, kind=kind, change=change, hidden=hidden)
+        )
+        if len(self._history) > self._history_limit:
+            self._forgotten = self._history.popleft().revision
+        lost = self.switches.lost_answers > 0
+        if lost:
+            self.switches.lost_answers -= 1
+        async with self._changed:
+            await self._changed.notify_all()
+        if lost:
+            raise OutcomeUnknown("the answer was lost")
+
+    async def _wait(self, kind: str, revision: int) -> None:
+        async with self._changed:
+            while not self._changes(kind, revision).changes:
+                if self._gap(revision):
+                    return
+                await self._changed.wait()
+
+    def _gap(self, revision: int) -> bool:
+        return self.switches.watch_gaps or revision < self._forgotten
+
+    def _changes(self, kind: str, revision: int) -> Changes:
+        if self._gap(revision):
+            return Changes(changes=(), revision=self.revision, gap=True)
+        seen = tuple(
+            event.change
+            for event in self._history
+            if event.revision > revision and event.kind == kind and not event.hidden
+        )
+        return Changes(changes=seen, revision=self.revision, gap=False)
