Configuration that converges and never reverts: store, exchange, gossip

Missing: nothing kept the configuration of a node; each would have listed the platform alone and stood still while it is down.

Store: rank (gone before live, then version) decides, so order, delay and repetition cannot revert an object; values stay packed bytes in the leaves of a hash tree. Exchange: new objects are pushed to 3 partners for 3 rounds; one digest a second finds what differs in two steps of the tree. Schedule: two watchers a zone, the rest learn from peers and look once a minute.

Ruled out: a log of recent changes against the peer's revision (needs one revision order over kinds and says nothing to a node that starts empty; the tree does both); a full map of versions as digest (250,000 names a second); tombstones with an expiry (an old copy from a cut-off peer outlives it); deleting operators' objects that a list lacks (a platform in trouble would take every profile out of force).

--- /dev/null
+++ b/src/ragwortkeel/configuration_exchange.py
@@ -0,0 +1,307 @@
+"""How stores converge: decisions about messages between peers, without I/O.
+
+A change that is new to a node is pushed on to a few partners for a few rounds
+(it reaches all in about a second), and each round one partner is sent a digest.
+Stores that differ walk down their hash trees, two steps, and move only what
+differs; so an exchange repairs whatever lost pushes, cut links or a start with
+an empty store left out, and costs one small message where nothing is missing.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from ragwortkeel.configuration_store import (
+    BRANCHES,
+    LEAVES,
+    LEAVES_PER_BRANCH,
+    ConfigurationStore,
+    Rank,
+)
+from ragwortkeel.messages import (
+    AnyMessage,
+    ConfigurationBranches,
+    ConfigurationDigest,
+    ConfigurationLeaves,
+    ConfigurationPull,
+    ConfigurationPush,
+    ConfigurationRanks,
+    VersionedObject,
+)
+
+PUSH_BYTES = 64 * 1024
+"""One message; the receiver asks for the next, so it is never flooded."""
+
+PUSH_ROUNDS = 3
+PUSH_PARTNERS = 3
+"""With these a push reaches all but about one in 1,000 nodes; the digests of
+the same second reach the rest."""
+
+SPREAD_AT_ONCE = 100
+"""Larger batches come from a list or a long cut: the digests carry those, or a
+node that starts empty would push the whole configuration to its partners."""
+
+BRANCHES_AT_ONCE = 8
+"""Branches walked at once by one exchange; keeps the answers to a few pushes."""
+
+UNKNOWN = -1
+"""Below any revision: not even an empty list was read."""
+
+Ranks = dict[str, tuple[bool, int]]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Send:
+    """A message for a peer: a partner's address, or who sent what is answered."""
+
+    peer: str
+    message: AnyMessage
+
+
+class Exchange:
+    """One node's part in the convergence of all stores.
+
+    Parameters
+    ----------
+    store : ConfigurationStore
+        What is exchanged; nobody else writes to it.
+    random : random.Random
+        Chooses partners and branches.
+
+    Attributes
+    ----------
+    partners : sequence of str
+        Addresses of the peers to exchange with; set anew as members change.
+    complete_by_kind : dict
+        The platform's revision up to which the store has seen every change,
+        as far as lists and watches tell; `UNKNOWN` at first.
+    """
+
+    def __init__(self, *, store: ConfigurationStore, random: Random) -> None:
+        self.store = store
+        self.partners: Sequence[str] = ()
+        self.complete_by_kind = dict.fromkeys(store.kinds, UNKNOWN)
+        self._random = random
+        self._rounds_by_key: dict[tuple[str, str], int] = {}
+        self._asked: set[str] = set()
+        self._unfinished: set[str] = set()
+        self._fresh: list[VersionedObject] = []
+
+    def learn(self, objects: Iterable[VersionedObject]) -> list[VersionedObject]:
+        """Take in objects from any source; return and spread what was new."""
+        fresh = self.store.merge(objects)
+        self._fresh += fresh
+        if len(fresh) <= SPREAD_AT_ONCE:
+            for one in fresh:
+                self._rounds_by_key[one.kind, one.name] = PUSH_ROUNDS
+        return fresh
+
+    def take_fresh(self) -> list[VersionedObject]:
+        """Return what was new since the last call, for whoever acts on it."""
+        fresh, self._fresh = self._fresh, []
+        return fresh
+
+    def completed(self, kind: str, revision: int) -> None:
+        """Note that every change of a kind up to `revision` is in the store."""
+        held = self.complete_by_kind[kind]
+        self.complete_by_kind[kind] = max(held, revision)
+
+    def spread(self) -> list[Send]:
+        """Return the pushes of this round: what is fresh, to a few partners."""
+        push = self._fresh_push()
+        if push is None:
+            return []
+        count = min(PUSH_PARTNERS, len(self.partners))
+        chosen = self._random.sample(list(self.partners), count)
+        return [Send(peer=peer, message=push) for peer in chosen]
+
+    def compare(self) -> list[Send]:
+        """Return what asks one partner for all that may be missing here."""
+        self._asked.clear()
+        self._unfinished.intersection_update(self.partners)
+        if not self.partners:
+            return []
+        messages = [self.digest()]
+        messages += [self.pull(kind, names) for kind, names in self.store.only.items()]
+        peer = self._random.choice(self.partners)
+        return [Send(peer=peer, message=message) for message in messages]
+
+    def hint(self, peer: str, revision: int) -> list[Send]:
+        """Ask a peer that has a newer revision in force, once a round."""
+        if revision <= self.store.revision:
+            return []
+        return [Send(peer=peer, message=one) for one in self._ask(peer)]
+
+    def pull(self, kind: str, names: Iterable[str]) -> ConfigurationPull:
+        """Return the message that asks for what is newer of some objects."""
+        ranks = {name: self.store.rank(kind, name) for name in names}
+        known = {name: rank or Rank(False, -1) for name, rank in ranks.items()}
+        return ConfigurationPull(kind=kind, ranks=_plain(known))
+
+    def digest(self) -> ConfigurationDigest:
+        """Return the message that starts an exchange."""
+        return ConfigurationDigest(
+            roots={kind: self.store.root(kind) for kind in self.store.whole_kinds},
+            complete=dict(self.complete_by_kind),
+        )
+
+    def receive(self, peer: str, message: AnyMessage) -> list[Send]:
+        """Return the answers to a message; none where it asks for nothing."""
+        answers: list[AnyMessage] = []
+        match message:
+            case ConfigurationDigest():
+                answers = self._compare_roots(message)
+            case ConfigurationBranches():
+                answers = self._compare_branches(peer, message)
+            case ConfigurationLeaves():
+                answers = self._compare_leaves(message)
+            case ConfigurationRanks():
+                answers = self._compare_ranks(peer, message)
+            case ConfigurationPull():
+                newer = self._newer(message.kind, message.ranks)
+                answers = self._push(newer, more=False)
+            case ConfigurationPush():
+                fresh = self.learn(message.objects)
+                if fresh and (message.more or peer in self._unfinished):
+                    answers = self._ask(peer)
+        return [Send(peer=peer, message=answer) for answer in answers]
+
+    def _ask(self, peer: str) -> list[AnyMessage]:
+        """Return a digest, unless the peer still owes the answer to one.
+
+        Each push asks for the next; without this bound several pushes at once
+        would start as many walks, each of which brings several pushes.
+        """
+        if peer in self._asked:
+            return []
+        self._asked.add(peer)
+        return [self.digest()]
+
+    def _fresh_push(self) -> ConfigurationPush | None:
+        objects = []
+        size = 0
+        for key in list(self._rounds_by_key):
+            one = self.store.get(*key)
+            size += len(one.value)
+            if objects and size > PUSH_BYTES:
+                break
+            objects.append(one)
+            self._rounds_by_key[key] -= 1
+            if not self._rounds_by_key[key]:
+                del self._rounds_by_key[key]
+        return ConfigurationPush(objects=tuple(objects)) if objects else None
+
+    def _compare_roots(self, message: ConfigurationDigest) -> list[AnyMessage]:
+        answers = []
+        for kind, root in message.roots.items():
+            if not self._holds(kind):
+                continue
+            if root == self.store.root(kind):
+                # Equal content: what the peer knows to be whole is whole here.
+                self.completed(kind, message.complete.get(kind, UNKNOWN))
+                continue
+            hashes = self.store.branch_hashes(kind)
+            answers.append(ConfigurationBranches(kind=kind, hashes=hashes))
+        return answers
+
+    def _compare_branches(
+        self, peer: str, message: ConfigurationBranches
+    ) -> list[AnyMessage]:
+        self._asked.discard(peer)
+        if not self._holds(message.kind) or len(message.hashes) != BRANCHES:
+            return []
+        own = self.store.branch_hashes(message.kind)
+        differing = _differing(own, message.hashes)
+        self._random.shuffle(differing)
+        if len(differing) > BRANCHES_AT_ONCE:
+            self._unfinished.add(peer)
+        else:
+            self._unfinished.discard(peer)
+        return [
+            ConfigurationLeaves(
+                kind=message.kind,
+                branch=branch,
+                hashes=self.store.leaf_hashes(message.kind, branch),
+            )
+            for branch in differing[:BRANCHES_AT_ONCE]
+        ]
+
+    def _compare_leaves(self, message: ConfigurationLeaves) -> list[AnyMessage]:
+        if not self._holds(message.kind) or not 0 <= message.branch < BRANCHES:
+            return []
+        if len(message.hashes) != LEAVES_PER_BRANCH:
+            return []
+        start = message.branch * LEAVES_PER_BRANCH
+        own = self.store.leaf_hashes(message.kind, message.branch)
+        leaves = [start + leaf for leaf in _differing(own, message.hashes)]
+        ranks: Ranks = {}
+        for leaf in leaves:
+            ranks |= _plain(self.store.leaf_ranks(message.kind, leaf))
+        return [
+            ConfigurationRanks(kind=message.kind, leaves=tuple(leaves), ranks=ranks)
+        ]
+
+    def _compare_ranks(
+        self, peer: str, message: ConfigurationRanks
+    ) -> list[AnyMessage]:
+        if not self._holds(message.kind):
+            return []
+        own: Ranks = {}
+        for leaf in message.leaves:
+            if 0 <= leaf < LEAVES:
+                own |= _plain(self.store.leaf_ranks(message.kind, leaf))
+        theirs = message.ranks
+        newer = [
+            self.store.get(message.kind, name)
+            for name, rank in own.items()
+            if _outranks(rank, theirs.get(name))
+        ]
+        wanted = {
+            name: own.get(name, (False, -1))
+            for name, rank in theirs.items()
+            if _outranks(rank, own.get(name))
+        }
+        answers: list[AnyMessage] = self._push(newer, more=peer in self._unfinished)
+        if wanted:
+            answers.append(ConfigurationPull(kind=message.kind, ranks=wanted))
+        return answers
+
+    def _newer(self, kind: str, ranks: Ranks) -> list[VersionedObject]:
+        if not self._holds(kind):
+            return []
+        held = ((self.store.get(kind, name), rank) for name, rank in ranks.items())
+        return [
+            one
+            for one, rank in held
+            if one and _outranks((one.gone, one.version), rank)
+        ]
+
+    def _push(self, objects: list[VersionedObject], *, more: bool) -> list[AnyMessage]:
+        """Return one push, cut to size; the receiver's next digest brings more."""
+        chosen = []
+        size = 0
+        for one in objects:
+            size += len(one.value) + len(one.name)
+            if chosen and size > PUSH_BYTES:
+                break
+            chosen.append(one)
+        if not chosen:
+            return []
+        more = more or len(chosen) < len(objects)
+        return [ConfigurationPush(objects=tuple(chosen), more=more)]
+
+    def _holds(self, kind: str) -> bool:
+        return kind in self.store.whole_kinds
+
+
+def _differing(own: Sequence[int], theirs: Sequence[int]) -> list[int]:
+    pairs = enumerate(zip(own, theirs, strict=True))
+    return [index for index, (one, other) in pairs if one != other]
+
+
+def _plain(ranks: dict[str, Rank]) -> Ranks:
+    return {name: (rank.gone, rank.version) for name, rank in ranks.items()}
+
+
+def _outranks(rank: tuple[bool, int], other: tuple[bool, int] | None) -> bool:
+    return other is None or rank > other
--- /dev/null
+++ b/src/ragwortkeel/configuration_schedule.py
@@ -0,0 +1,165 @@
+"""When a node asks the platform, and which nodes do: decisions without I/O.
+
+The platform counts each call, a waiting watch as one, and its rates grow more
+slowly than the fleet.  So a few nodes in each zone watch; the others learn from
+them, and look for themselves now and then, in case the watchers are cut off.
+Watches are hints: what they skip is found by the lists of the watchers.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from hashlib import blake2b
+from random import Random
+
+from ragwortkeel.configuration_exchange import UNKNOWN
+
+WATCHERS_PER_ZONE = 2
+"""One may die or be cut off at any moment; a third would only cost calls."""
+
+WATCH_SECONDS = 20.0
+"""How long one watch waits; shorter costs calls, longer finds a lost one late."""
+
+POLL_SECONDS = 60.0
+"""How often one that does not watch looks; 40 in a zone make it 1.5 s between
+two looks of the zone, and 950 in all cost some 60 calls a second."""
+
+LIST_BYTES_PER_SECOND = 2_000
+"""A sixth of what a node may spend on control."""
+
+MIN_LIST_SECONDS = 4.0
+MAX_LIST_SECONDS = 6 * 3_600.0
+
+LEARN_SECONDS = 5.0
+"""How long one that does not watch waits for its peers before it lists."""
+
+RETRY_SECONDS = 0.25
+MAX_RETRY_SECONDS = 5.0
+"""Ten nodes' calls at this pace do not hold down a platform that comes back."""
+
+REST_SECONDS = 1.0
+"""The longest rest: by then peers, roles or the clock may ask for a call."""
+
+
+def rendezvous(key: str, members: Iterable[str], count: int) -> list[str]:
+    """Return the `count` members that come first for `key`.
+
+    All that know the same members agree, and one that leaves moves only what
+    was its own.
+    """
+
+    def weight(member: str) -> bytes:
+        return blake2b(f"{key}\0{member}".encode(), digest_size=8).digest()
+
+    return sorted(members, key=weight, reverse=True)[:count]
+
+
+def list_seconds(value_bytes: int) -> float:
+    """Return the seconds between two lists of a kind of this size."""
+    seconds = value_bytes / LIST_BYTES_PER_SECOND
+    return min(max(seconds, MIN_LIST_SECONDS), MAX_LIST_SECONDS)
+
+
+@dataclass(frozen=True, kw_only=True)
+class ListAll:
+    """List the kind now."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Watch:
+    """Watch from `revision` for at most `seconds`; 0 only looks."""
+
+    revision: int
+    seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Rest:
+    """Ask nothing for `seconds`."""
+
+    seconds: float
+
+
+Step = ListAll | Watch | Rest
+
+
+class FollowSchedule:
+    """The next call to the platform for one kind.
+
+    Parameters
+    ----------
+    now : float
+        Monotonic seconds.
+    random : random.Random
+        Spreads the calls of many nodes.
+    """
+
+    def __init__(self, *, now: float, random: Random) -> None:
+        self._random = random
+        self._list_at = now
+        self._poll_at = now
+        self._retry_at = now
+        self._failures = 0
+        self._incomplete_to = UNKNOWN
+        self._learn_until = now + LEARN_SECONDS
+
+    def next(
+        self, *, now: float, watching: bool, complete: int, peers_heard: bool
+    ) -> Step:
+        """Return what to do.
+
+        Parameters
+        ----------
+        watching : bool
+            Whether this node is one of its zone's watchers.
+        complete : int
+            Revision up to which the store is complete, or `UNKNOWN`.
+        peers_heard : bool
+            Whether peers answer, from whom to learn instead.
+        """
+        if now < self._retry_at:
+            return _rest(self._retry_at - now)
+        incomplete = complete <= self._incomplete_to
+        if watching and (incomplete or now >= self._list_at):
+            return ListAll()
+        if watching:
+            seconds = min(WATCH_SECONDS, self._list_at - now)
+            return Watch(revision=complete, seconds=seconds)
+        if incomplete and (not peers_heard or now >= self._learn_until):
+            return ListAll()
+        if incomplete:
+            return _rest(self._learn_until - now)
+        if now >= self._poll_at:
+            return Watch(revision=complete, seconds=0.0)
+        return _rest(self._poll_at - now)
+
+    def listed(self, *, now: float, value_bytes: int) -> None:
+        """Note a list that was read whole."""
+        self._succeeded(now)
+        self._incomplete_to = UNKNOWN - 1
+        self._list_at = now + list_seconds(value_bytes) * self._spread()
+
+    def watched(self, *, now: float, gap: bool, complete: int) -> None:
+        """Note the end of a watch."""
+        self._succeeded(now)
+        if gap:
+            # What the platform forgot to tell is in no later watch either:
+            # only a list, or a peer that is complete beyond it, makes it good.
+            self._incomplete_to = complete
+            self._learn_until = now + LEARN_SECONDS * self._spread()
+
+    def failed(self, *, now: float) -> None:
+        """Note a call that failed; the next waits longer, up to a bound."""
+        seconds = min(RETRY_SECONDS * 2**self._failures, MAX_RETRY_SECONDS)
+        self._failures = min(self._failures + 1, 10)
+        self._retry_at = now + seconds * self._spread()
+
+    def _succeeded(self, now: float) -> None:
+        self._failures = 0
+        self._poll_at = now + POLL_SECONDS * self._spread()
+
+    def _spread(self) -> float:
+        return self._random.uniform(0.5, 1.5)
+
+
+def _rest(seconds: float) -> Rest:
+    return Rest(seconds=min(seconds, REST_SECONDS))
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -15,12 +15,16 @@
 
 
 class VersionedObject(msgspec.Struct, frozen=True, kw_only=True):
-    """One configuration object with its platform version."""
+    """One configuration object with its platform version.
+
+    `gone` says that it was deleted or retired, which no version undoes.
+    """
 
     kind: str
     name: str
     version: int
     value: bytes
+    gone: bool = False
 
 
 class RefusalReason(StrEnum):
@@ -204,21 +208,51 @@
 
 
 class ConfigurationDigest(Message):
-    """Version by ``kind/name`` of what the sender has in force."""
+    """Hash by kind over all that the sender holds, and how far it is complete.
+
+    `complete` is, by kind, the platform's revision up to which the sender has
+    seen every change.
+    """
+
+    roots: dict[str, int]
+    complete: dict[str, int]
+
+
+class ConfigurationBranches(Message):
+    """Hash of each branch of a kind, for a peer whose digest differs."""
+
+    kind: str
+    hashes: tuple[int, ...]
 
-    versions: dict[str, int]
+
+class ConfigurationLeaves(Message):
+    """Hash of each leaf of one branch that differs."""
+
+    kind: str
+    branch: int
+    hashes: tuple[int, ...]
+
+
+class ConfigurationRanks(Message):
+    """What the sender holds in some leaves, as ``(gone, version)`` by name."""
+
+    kind: str
+    leaves: tuple[int, ...]
+    ranks: dict[str, tuple[bool, int]]
 
 
 class ConfigurationPush(Message):
-    """Objects the receiver may not have yet."""
+    """Objects the receiver may not have yet; where `more`, ask again."""
 
     objects: tuple[VersionedObject, ...]
+    more: bool = False
 
 
 class ConfigurationPull(Message):
-    """Please push these ``kind/name`` keys."""
+    """Please push these objects of a kind where they outrank these ranks."""
 
-    keys: tuple[str, ...]
+    kind: str
+    ranks: dict[str, tuple[bool, int]]
 
 
 class SliceRequest(Message):
@@ -261,6 +295,9 @@
     | ReceiptsDurable
     | Heartbeat
     | ConfigurationDigest
+    | ConfigurationBranches
+    | ConfigurationLeaves
+    | ConfigurationRanks
     | ConfigurationPush
     | ConfigurationPull
     | SliceRequest
--- a/src/ragwortkeel/standins/local_platform.py
+++ b/src/ragwortkeel/standins/local_platform.py
@@ -141,8 +141,9 @@
         self.counts.open_watches += 1
         try:
             await self._call()
-            async with curio.ignore_after(timeout):
-                await self._wait(kind, revision)
+            if timeout > 0:
+                async with curio.ignore_after(timeout):
+                    await self._wait(kind, revision)
             if self.switches.watch_late_seconds:
                 await curio.sleep(self.switches.watch_late_seconds)
             # An outage that began while the watch waited breaks it off.
--- /dev/null
+++ b/tests/test_configuration_schedule.py
@@ -0,0 +1,106 @@
+"""Who asks the platform, and when."""
+
+from random import Random
+
+import pytest
+
+from ragwortkeel.configuration_exchange import UNKNOWN
+from ragwortkeel.configuration_schedule import (
+    LEARN_SECONDS,
+    MAX_LIST_SECONDS,
+    MAX_RETRY_SECONDS,
+    MIN_LIST_SECONDS,
+    WATCHERS_PER_ZONE,
+    FollowSchedule,
+    ListAll,
+    Rest,
+    Watch,
+    list_seconds,
+    rendezvous,
+)
+
+
+def schedule():
+    return FollowSchedule(now=0.0, random=Random(1))
+
+
+def step(one, now, *, watching=True, complete=UNKNOWN, peers_heard=False):
+    return one.next(
+        now=now, watching=watching, complete=complete, peers_heard=peers_heard
+    )
+
+
+class TestWhoWatches:
+    def test_a_leaver_moves_only_its_own_part(self):
+        members = [f"r{i}" for i in range(40)]
+        before = rendezvous("a", members, WATCHERS_PER_ZONE)
+        others = [one for one in members if one not in before]
+        assert rendezvous("a", members[::-1], WATCHERS_PER_ZONE) == before
+        assert rendezvous("a", others[1:] + before, WATCHERS_PER_ZONE) == before
+        after = rendezvous("a", [one for one in members if one != before[0]], 2)
+        assert before[1] in after
+
+    @pytest.mark.parametrize("count", [0, 1])
+    def test_few_members(self, count):
+        assert rendezvous("a", ["r"][:count], 2) == ["r"][:count]
+
+
+class TestSteps:
+    def test_a_watcher_lists_then_watches_then_lists(self):
+        one = schedule()
+        assert step(one, 0.0) == ListAll()
+        one.listed(now=0.0, value_bytes=0)
+        watch = step(one, 0.1, complete=0)
+        assert isinstance(watch, Watch) and watch.revision == 0
+        assert 0 < watch.seconds <= MIN_LIST_SECONDS * 1.5
+        assert step(one, MIN_LIST_SECONDS * 1.6, complete=0) == ListAll()
+
+    def test_others_learn_from_peers_first_and_look_now_and_then(self):
+        one = schedule()
+        first = step(one, 0.0, watching=False, peers_heard=True)
+        assert isinstance(first, Rest)
+        assert step(one, 0.0, watching=False) == ListAll()
+        late = step(one, LEARN_SECONDS, watching=False, peers_heard=True)
+        assert late == ListAll()
+        look = step(one, 1.0, watching=False, peers_heard=True, complete=7)
+        assert look == Watch(revision=7, seconds=0.0)
+        one.watched(now=1.0, gap=False, complete=7)
+        rest = step(one, 2.0, watching=False, peers_heard=True, complete=7)
+        assert isinstance(rest, Rest)
+
+    @pytest.mark.parametrize(
+        ("watching", "complete", "expected"),
+        [(True, 5, ListAll), (False, 5, Rest), (True, 9, Watch)],
+    )
+    def test_after_a_gap(self, watching, complete, expected):
+        """A node falls behind the platform's bounded history of changes.
+
+        The watch says so and shows nothing; whoever went on watching from
+        there would never see what was forgotten.
+        """
+        one = schedule()
+        one.listed(now=0.0, value_bytes=10**9)
+        one.watched(now=1.0, gap=True, complete=5)
+        got = step(one, 1.1, watching=watching, complete=complete, peers_heard=True)
+        assert isinstance(got, expected)
+
+    def test_failures_wait_longer_up_to_a_bound(self):
+        one = schedule()
+        rests = []
+        now = 0.0
+        for _ in range(12):
+            one.failed(now=now)
+            start = now
+            while isinstance(rest := step(one, now), Rest):
+                now += rest.seconds + 1e-6
+            rests.append(now - start)
+        assert rests[0] < 1.0
+        assert max(rests) <= MAX_RETRY_SECONDS * 1.5 + 0.1
+        assert min(rests[6:]) > MAX_RETRY_SECONDS * 0.4
+
+    @pytest.mark.parametrize(
+        ("size", "seconds"),
+        [(0, MIN_LIST_SECONDS), (20_000, 10.0), (10**9, MAX_LIST_SECONDS)],
+    )
+    def test_lists_cost_a_bounded_rate(self, size, seconds):
+        assert list_seconds(size) == seconds
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,252 @@
+"""The gossip tasks over an in-memory platform and in-memory links."""
+
+from contextlib import asynccontextmanager
+from random import Random
+
+import curio
+import msgspec
+import pytest
+
+from ragwortkeel.configuration import NODES, PROFILES, SEALS, UPSTREAMS
+from ragwortkeel.configuration_exchange import PUSH_BYTES, UNKNOWN, Exchange
+from ragwortkeel.configuration_store import KINDS, ConfigurationStore
+from ragwortkeel.exceptions import LinkLost
+from ragwortkeel.gossip import FromPeer, Gossip, Partners, Watched
+from ragwortkeel.messages import ConfigurationPush, VersionedObject
+from ragwortkeel.platform import Changes
+from ragwortkeel.standins.local_platform import LocalPlatform
+
+IN_FORCE_SECONDS = 20.0
+"""A bound against hanging, not a measure."""
+
+
+class Fleet:
+    """Gossips by name, each with all others as partners."""
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.gossip_by_name = {}
+        self.tasks = {}
+        self.cut = set()
+
+    async def start(self, name, zone="a", **options):
+        store = options.pop("store", None) or ConfigurationStore()
+
+        async def send(peer, message):
+            if name in self.cut or peer in self.cut or peer not in self.gossip_by_name:
+                raise LinkLost(peer)
+            envelope = FromPeer(peer=name, revision=store.revision, message=message)
+            await self.gossip_by_name[peer].inbox.put(envelope)
+
+        gossip = Gossip(
+            name=name,
+            zone=zone,
+            platform=self.platform,
+            store=store,
+            send=send,
+            random=Random(name),
+            **options,
+        )
+        self.gossip_by_name[name] = gossip
+        self.tasks[name] = await curio.spawn(gossip.run)
+        await self.tell_partners()
+        return store
+
+    async def tell_partners(self):
+        for name, gossip in self.gossip_by_name.items():
+            others = tuple(one for one in self.gossip_by_name if one != name)
+            partners = Partners(addresses=others, zone_members=others)
+            await gossip.inbox.put(partners)
+
+    async def stop(self):
+        for task in self.tasks.values():
+            await task.cancel()
+
+
+@asynccontextmanager
+async def fleet():
+    one = Fleet(LocalPlatform())
+    try:
+        yield one
+    finally:
+        await one.stop()
+
+
+async def until(condition):
+    async with curio.timeout_after(IN_FORCE_SECONDS):
+        while not condition():
+            await curio.sleep(0.02)
+
+
+def run(scenario):
+    async def main():
+        async with fleet() as one:
+            await scenario(one)
+
+    curio.run(main)
+
+
+class TestInForce:
+    def test_change_reaches_all_and_few_watch(self):
+        async def scenario(fleet):
+            stores = [await fleet.start(f"r{i}") for i in range(5)]
+            version = await fleet.platform.create(PROFILES, "chat", b"{}")
+            await until(lambda: all(one.rank(PROFILES, "chat") for one in stores))
+            assert {one.rank(PROFILES, "chat").version for one in stores} == {version}
+            await until(lambda: fleet.platform.counts.open_watches == 2 * len(KINDS))
+            assert all(one.complete() for one in fleet.gossip_by_name.values())
+
+        run(scenario)
+
+    def test_start_while_the_platform_is_down(self):
+        """A router is replaced during an outage of the platform.
+
+        Its callers name profiles it has never seen; it has no disk, and the
+        platform does not answer.  It must learn them from the other routers.
+        """
+
+        async def scenario(fleet):
+            await fleet.platform.create(PROFILES, "chat", b"{}")
+            old = await fleet.start("old")
+            await until(lambda: old.size(PROFILES) == 1)
+            fleet.platform.switches.down = True
+            new = await fleet.start("new")
+            await until(lambda: new.size(PROFILES) == 1)
+            await until(fleet.gossip_by_name["new"].complete)
+
+        run(scenario)
+
+    def test_cut_off_node_catches_up(self):
+        async def scenario(fleet):
+            ahead = await fleet.start("r1")
+            behind = await fleet.start("r2", follows=False)
+            await until(lambda: fleet.gossip_by_name["r2"].complete())
+            fleet.cut.add("r2")
+            for i in range(300):
+                await fleet.platform.create(PROFILES, f"p{i}", b"{}")
+            await until(lambda: ahead.size(PROFILES) == 300)
+            fleet.platform.switches.down = True
+            assert behind.size(PROFILES) < 300
+            fleet.cut.clear()
+            await until(lambda: behind.size(PROFILES) == 300)
+
+        run(scenario)
+
+    def test_listener_is_told_once(self):
+        async def scenario(fleet):
+            told = []
+
+            async def listener(objects):
+                told.extend(one.name for one in objects)
+
+            await fleet.start("r1")
+            store = await fleet.start("r2", listener=listener)
+            await fleet.platform.create(PROFILES, "chat", b"{}")
+            await until(lambda: store.size(PROFILES) == 1)
+            await curio.sleep(0.5)
+            assert told == ["chat"]
+
+        run(scenario)
+
+
+class TestDeletions:
+    @pytest.mark.parametrize(
+        ("kind", "gone"), [(NODES, True), (SEALS, True), (PROFILES, False)]
+    )
+    @pytest.mark.parametrize("skips", [0, 1])
+    def test_only_what_is_no_operators_is_deleted(self, kind, gone, skips):
+        async def scenario(fleet):
+            store = await fleet.start("r1")
+            version = await fleet.platform.create(kind, "x", b"{}")
+            await until(lambda: store.rank(kind, "x"))
+            fleet.platform.switches.watch_skips = skips
+            await fleet.platform.delete(kind, "x", version)
+            if gone:
+                await until(lambda: store.rank(kind, "x").gone)
+            else:
+                await curio.sleep(0.3)
+                assert not store.rank(kind, "x").gone
+
+        run(scenario)
+
+
+class TestSidecar:
+    def test_learns_its_upstream_and_the_seals_from_a_router(self):
+        async def scenario(fleet):
+            await fleet.start("r1")
+            only = ConfigurationStore(
+                kinds=(UPSTREAMS, SEALS), only={UPSTREAMS: frozenset({"own"})}
+            )
+            version = await fleet.platform.create(UPSTREAMS, "own", b"{}")
+            await fleet.platform.create(UPSTREAMS, "other", b"{}")
+            await fleet.start("s1", store=only, follows=False)
+            await until(lambda: only.rank(UPSTREAMS, "own"))
+            draining = msgspec.json.encode({"state": "draining"})
+            await fleet.platform.update(UPSTREAMS, "own", draining, version)
+            await fleet.platform.create(SEALS, "r9", b"{}")
+            await until(lambda: only.get(UPSTREAMS, "own").value == draining)
+            await until(lambda: only.rank(SEALS, "r9"))
+            assert only.size(UPSTREAMS) == 1
+
+        run(scenario)
+
+    def test_refresh_is_bounded(self):
+        async def scenario(fleet):
+            store = await fleet.start("r1", follows=False)
+            await fleet.platform.create(PROFILES, "new", b"{}")
+            gossip = fleet.gossip_by_name["r1"]
+            assert await gossip.refresh(PROFILES, "new")
+            assert store.rank(PROFILES, "new")
+            reads = fleet.platform.counts.reads
+            assert not await gossip.refresh(PROFILES, "no-such")
+            assert fleet.platform.counts.reads == reads
+
+        run(scenario)
+
+
+class TestPages:
+    def test_an_empty_store_is_filled_page_by_page(self):
+        value = b'{"pad":"%s"}' % (b"x" * 1000)
+        full = Exchange(store=ConfigurationStore(), random=Random(1))
+        full.store.merge(
+            VersionedObject(kind=PROFILES, name=f"p{i}", version=i, value=value)
+            for i in range(500)
+        )
+        empty = Exchange(store=ConfigurationStore(), random=Random(2))
+        empty.partners = ("full",)
+        largest = 0
+        for _ in range(2_000):
+            flying = [("full", one.message) for one in empty.compare()]
+            while flying:
+                to, message = flying.pop()
+                if isinstance(message, ConfigurationPush):
+                    size = sum(len(one.value) for one in message.objects)
+                    largest = max(largest, size)
+                target = full if to == "full" else empty
+                back = "empty" if to == "full" else "full"
+                flying += [(back, one.message) for one in target.receive(to, message)]
+            if empty.store.root(PROFILES) == full.store.root(PROFILES):
+                break
+        assert empty.store.size(PROFILES) == 500
+        assert largest <= PUSH_BYTES
+
+
+class TestGaps:
+    def test_a_gap_makes_nothing_complete(self):
+        """The platform forgot changes and says so in a watch.
+
+        A node that took itself for complete all the same would tell its peers,
+        and none of them would ever list what was forgotten.
+        """
+
+        async def scenario(fleet):
+            fleet.platform.switches.down = True
+            await fleet.start("r1")
+            gossip = fleet.gossip_by_name["r1"]
+            gap = Changes(changes=(), revision=9, gap=True)
+            event = Watched(kind=PROFILES, changes=gap)
+            await gossip.inbox.put(event)
+            await event.taken.wait()
+            assert gossip.exchange.complete_by_kind[PROFILES] == UNKNOWN
+
+        run(scenario)
