Add the sidecar, thin but whole: one request served over a link

Cause: nothing stood between routers and an upstream yet. Messages gain Dispatch.epoch and Heartbeat.epoch (a dispatch that must not repeat is refused without the epoch of the sidecar's last heartbeat), OutcomeDurable, and the refusal reason stale_epoch; configuration gains the kind FENCES (the fencing counter of each upstream). Ruled out: sidecar heartbeats on a timer of its own; it answers each heartbeat of a link, which is what the link counts.

--- a/src/ragwortkeel/configuration.py
+++ b/src/ragwortkeel/configuration.py
@@ -16,6 +16,7 @@
 LEDGERS = "ledgers"
 INTENTS = "intents"
 RECEIPTS = "receipts"
+FENCES = "fences"
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -38,6 +38,7 @@
     QUARANTINED = "quarantined"
     DEADLINE = "deadline"
     DUPLICATE = "duplicate"
+    STALE_EPOCH = "stale_epoch"
 
 
 class RunState(StrEnum):
@@ -54,7 +55,9 @@
     """Run this request at your upstream, within the reservation.
 
     `nonce` names this attempt; `reservation` is in tokens; `budget_seconds`
-    is the time left until the caller's deadline.
+    is the time left until the caller's deadline.  `epoch` is the one of the
+    sidecar's last heartbeat when the nonce was minted; a request that must not
+    repeat is refused without it (docs/design/runs.md).
     """
 
     request_id: str
@@ -72,6 +75,7 @@
     priority: int
     traceparent: str
     prefix: str = ""
+    epoch: int = 0
 
 
 class Refused(Message):
@@ -194,13 +198,23 @@
     nonces: tuple[str, ...]
 
 
+class OutcomeDurable(Message):
+    """The intents of these must-not-repeat nonces hold their outcomes."""
+
+    nonces: tuple[str, ...]
+
+
 class Heartbeat(Message):
-    """I am alive; a sidecar also reports its load, a router sends zeros."""
+    """I am alive; a sidecar also reports its load, a router sends zeros.
+
+    `epoch` is what dispatches minted from now on carry.
+    """
 
     running: int = 0
     waiting: int = 0
     limit: int = 0
     leaving: bool = False
+    epoch: int = 0
 
 
 class ConfigurationDigest(Message):
@@ -259,6 +273,7 @@
     | Seal
     | Sealed
     | ReceiptsDurable
+    | OutcomeDurable
     | Heartbeat
     | ConfigurationDigest
     | ConfigurationPush
--- a/src/ragwortkeel/sidecar/__init__.py
+++ b/src/ragwortkeel/sidecar/__init__.py
@@ -1,1 +1,1 @@
-"""The sidecar daemon: the only way to its upstream."""
+"""The process beside each upstream: the only way to it, and the memory of its runs."""
--- /dev/null
+++ b/src/ragwortkeel/sidecar/admission.py
@@ -0,0 +1,93 @@
+"""Whether a sidecar takes work at all: registration, state, versions, limit."""
+
+from ragwortkeel.configuration import PROFILES, UPSTREAMS
+from ragwortkeel.messages import Dispatch, RefusalReason, VersionedObject
+
+RETRY_SOON_SECONDS = 1.0
+"""For reasons that pass by themselves, such as a full upstream."""
+
+RETRY_LATER_SECONDS = 10.0
+"""For reasons that wait for an operator or the platform."""
+
+_LATER = {RefusalReason.NOT_ADMITTED, RefusalReason.QUARANTINED}
+_SOON = {RefusalReason.OVERLOADED, RefusalReason.UPSTREAM_UNREACHABLE}
+
+
+class Admission:
+    """What decides on new work besides the journal.
+
+    Parameters
+    ----------
+    upstream
+        Name of the upstream beside this sidecar.
+    max_running
+        Runs at once beyond which dispatches are refused; the routers' adaptive
+        limits normally stay below, so this only guards the process's memory.
+
+    Attributes
+    ----------
+    admitted : bool
+        Set once the sidecar is registered and has read the seals.
+    draining, stopping : bool
+        Leaving by an operator's wish, or by a planned stop.
+    """
+
+    def __init__(self, *, upstream: str, max_running: int = 256) -> None:
+        self.upstream = upstream
+        self.max_running = max_running
+        self.admitted = False
+        self.draining = False
+        self.stopping = False
+        self._objects_by_key: dict[tuple[str, str], VersionedObject] = {}
+
+    @property
+    def leaving(self) -> bool:
+        """Whether routers should send new work elsewhere."""
+        return self.draining or self.stopping
+
+    def learn(self, thing: VersionedObject) -> bool:
+        """Keep the newest version of an object; return whether it was news."""
+        key = (thing.kind, thing.name)
+        known = self._objects_by_key.get(key)
+        if known is not None and known.version >= thing.version:
+            return False
+        self._objects_by_key[key] = thing
+        return True
+
+    def reason_to_refuse(
+        self, dispatch: Dispatch, running: int
+    ) -> RefusalReason | None:
+        """Return why the dispatch is not let in, or None."""
+        if self.stopping:
+            return RefusalReason.STOPPING
+        if not self.admitted:
+            # Failure: a sidecar that starts after a seal lets the sealed
+            # router in.  Registered first and the seals read after, either the
+            # sealer finds this sidecar or this sidecar finds the seal.
+            return RefusalReason.NOT_ADMITTED
+        if self.newer_than(dispatch):
+            return RefusalReason.STALE_CONFIGURATION
+        if self.draining:
+            return RefusalReason.DRAINING
+        if running >= self.max_running:
+            return RefusalReason.OVERLOADED
+        return None
+
+    def newer_than(self, dispatch: Dispatch) -> tuple[VersionedObject, ...]:
+        """Return the objects that the sender of the dispatch has yet to learn."""
+        versions_by_key = {
+            (PROFILES, dispatch.profile): dispatch.profile_version,
+            (UPSTREAMS, self.upstream): dispatch.upstream_version,
+        }
+        return tuple(
+            self._objects_by_key[key]
+            for key, version in versions_by_key.items()
+            if key in self._objects_by_key
+            and self._objects_by_key[key].version > version
+        )
+
+    def retry_after(self, reason: RefusalReason) -> float:
+        """Return the seconds after which coming back here may help, else 0."""
+        if reason in _SOON:
+            return RETRY_SOON_SECONDS
+        return RETRY_LATER_SECONDS if reason in _LATER else 0.0
--- /dev/null
+++ b/src/ragwortkeel/sidecar/core.py
@@ -0,0 +1,349 @@
+"""The sidecar's decisions: messages in, messages and effects out, no I/O.
+
+One task owns a `SidecarCore`.  It lets dispatches in or refuses them, keeps the
+journal and the answers, and tells followers how runs go on.
+"""
+
+from collections import defaultdict
+
+from ragwortkeel.messages import (
+    AnyMessage,
+    Cancel,
+    Dispatch,
+    Failed,
+    Finished,
+    Heartbeat,
+    Locate,
+    Located,
+    OutcomeDurable,
+    ReceiptsDurable,
+    RefusalReason,
+    Refused,
+    Resume,
+    RunState,
+    Seal,
+    Sealed,
+    Started,
+    Tombstone,
+    TombstoneResult,
+    VersionedObject,
+)
+from ragwortkeel.runs.answer import AnswerStore, AnswerTooLarge
+from ragwortkeel.runs.journal import Journal, Run
+from ragwortkeel.sidecar.admission import Admission
+from ragwortkeel.sidecar.effects import (
+    AnswerBegun,
+    AnswerEnded,
+    AnswerPiece,
+    Effect,
+    Peer,
+    RunBroken,
+    RunDeclined,
+    Send,
+    StartRun,
+    StopRun,
+    UpstreamEvent,
+)
+from ragwortkeel.sidecar.outlet import Outlet, answer_lost
+
+
+class SidecarCore:
+    """Journal, answers and followers of one sidecar incarnation.
+
+    Parameters
+    ----------
+    incarnation
+        Of this sidecar; orders to another are refused.
+    admission
+        Whether work is let in at all, and in which version.
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        admission: Admission,
+        journal: Journal | None = None,
+        answers: AnswerStore | None = None,
+    ) -> None:
+        self.incarnation = incarnation
+        self.admission = admission
+        self.journal = journal or Journal(sidecar=incarnation)
+        self.outlet = Outlet(answers=answers or AnswerStore())
+        self._sealers_by_router: dict[str, set[Peer]] = defaultdict(set)
+
+    def on_message(
+        self, peer: Peer, sender: str, message: AnyMessage, now: float
+    ) -> list[Effect]:
+        """Take a message from a peer whose incarnation is `sender`."""
+        match message:
+            case Dispatch():
+                return self._on_dispatch(peer, sender, message)
+            case Cancel(nonce=nonce):
+                return self._on_cancel(nonce, now)
+            case Resume(nonce=nonce, offset=offset):
+                return self._attach(peer, nonce, offset)
+            case Locate():
+                return [Send(peer=peer, message=self._locate(message))]
+            case Tombstone(nonce=nonce):
+                state = self.journal.tombstone(nonce)
+                self.outlet.forget(self.journal.relieve())
+                result = TombstoneResult(nonce=nonce, state=state)
+                return [Send(peer=peer, message=result)]
+            case Seal(router=router):
+                return self._on_seal(peer, router)
+            case ReceiptsDurable(nonces=nonces):
+                self.journal.settle(nonces)
+            case OutcomeDurable(nonces=nonces):
+                self.on_outcomes_durable(nonces)
+            case Heartbeat():
+                return [Send(peer=peer, message=self.heartbeat())]
+        return []
+
+    def on_upstream(self, event: UpstreamEvent, now: float) -> list[Effect]:
+        """Take what the upstream did; events of ended runs change nothing."""
+        if self.journal.state(event.nonce) is not RunState.RUNNING:
+            return []
+        match event:
+            case AnswerBegun():
+                return self._on_begun(event)
+            case AnswerPiece():
+                return self._on_piece(event, now)
+            case AnswerEnded(nonce=nonce, tokens=tokens):
+                return self._finish(nonce, tokens, now)
+            case RunDeclined():
+                return self._on_declined(event)
+            case RunBroken(nonce=nonce, reason=reason, tokens=tokens):
+                return self._fail(nonce, reason, tokens, now)
+
+    def on_epoch(self) -> None:
+        """Begin the next epoch and forget what has become safe to forget."""
+        self.outlet.forget(self.journal.next_epoch())
+
+    def on_outcomes_durable(self, nonces: tuple[str, ...]) -> None:
+        """Let go of must-not-repeat runs whose intents hold their outcomes."""
+        for nonce in nonces:
+            self.journal.outcome_durable(nonce)
+            self.outlet.answers.unpin(nonce)
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the load report for routers."""
+        return Heartbeat(
+            running=self.journal.running,
+            limit=self.admission.max_running,
+            leaving=self.admission.leaving,
+            epoch=self.journal.epoch,
+        )
+
+    def _on_dispatch(self, peer: Peer, sender: str, dispatch: Dispatch) -> list[Effect]:
+        nonce = dispatch.nonce
+        match self.journal.state(nonce):
+            case RunState.RUNNING | RunState.FINISHED | RunState.FAILED:
+                return self._attach(peer, nonce, 0)
+            case RunState.TOMBSTONED:
+                return self._refuse(peer, nonce, RefusalReason.TOMBSTONED)
+        reason = self._reason_to_refuse(sender, dispatch)
+        if reason is not None:
+            return self._refuse_for_good(peer, dispatch, reason)
+        run = Run(
+            nonce=nonce,
+            router=sender,
+            profile=dispatch.profile,
+            request_id=dispatch.request_id,
+            reservation=dispatch.reservation,
+            idempotent=dispatch.idempotent,
+        )
+        self.journal.admit(run)
+        self.outlet.follow(peer, nonce)
+        return [StartRun(dispatch=dispatch)]
+
+    def _reason_to_refuse(
+        self, sender: str, dispatch: Dispatch
+    ) -> RefusalReason | None:
+        if dispatch.sidecar != self.incarnation:
+            # Failure: a router's order to this sidecar's predecessor, whose
+            # journal is gone, would run here what may have run there.
+            return RefusalReason.WRONG_INCARNATION
+        if self.journal.is_sealed(sender):
+            # Failure: a paused router wakes and spends a slice that has been
+            # given back meanwhile.
+            return RefusalReason.SEALED
+        if not self._is_fresh(dispatch):
+            return RefusalReason.STALE_EPOCH
+        if not dispatch.idempotent and self._runs_already(dispatch):
+            return RefusalReason.DUPLICATE
+        if self.journal.full:
+            return RefusalReason.OVERLOADED
+        return self.admission.reason_to_refuse(dispatch, self.journal.running)
+
+    def _is_fresh(self, dispatch: Dispatch) -> bool:
+        if dispatch.idempotent and dispatch.epoch == 0:
+            # A router that sends each dispatch only once needs no epoch here.
+            return True
+        return self.journal.is_fresh(dispatch.epoch)
+
+    def _runs_already(self, dispatch: Dispatch) -> bool:
+        # The intent keeps two attempts apart; this holds even if it is lost.
+        found = self.journal.find(dispatch.profile, dispatch.request_id)
+        return found is not None
+
+    def _refuse_for_good(
+        self, peer: Peer, dispatch: Dispatch, reason: RefusalReason
+    ) -> list[Effect]:
+        # A refusal promises that the nonce never runs: a second copy of the
+        # dispatch may come once the reason has passed.
+        self.journal.tombstone(dispatch.nonce)
+        self.outlet.forget(self.journal.relieve())
+        newer: tuple[VersionedObject, ...] = ()
+        if reason is RefusalReason.STALE_CONFIGURATION:
+            newer = self.admission.newer_than(dispatch)
+        rv = self._refuse(peer, dispatch.nonce, reason, newer=newer)
+        if reason is RefusalReason.STALE_EPOCH:
+            rv.append(Send(peer=peer, message=self.heartbeat()))
+        return rv
+
+    def _refuse(
+        self,
+        peer: Peer,
+        nonce: str,
+        reason: RefusalReason,
+        newer: tuple[VersionedObject, ...] = (),
+    ) -> list[Effect]:
+        refused = Refused(
+            nonce=nonce,
+            reason=reason,
+            newer=newer,
+            retry_after_seconds=self.admission.retry_after(reason),
+        )
+        return [Send(peer=peer, message=refused)]
+
+    def _attach(self, peer: Peer, nonce: str, offset: int) -> list[Effect]:
+        """Replay a run to a peer from `offset`, and let it follow."""
+        state = self.journal.state(nonce)
+        if state is RunState.TOMBSTONED:
+            return self._refuse(peer, nonce, RefusalReason.TOMBSTONED)
+        if state is RunState.UNSEEN:
+            return [Send(peer=peer, message=answer_lost(nonce, tokens=0))]
+        if state is RunState.RUNNING:
+            self.outlet.follow(peer, nonce)
+        tokens = self.journal.tokens(nonce)
+        messages = self.outlet.replay(nonce, offset, tokens=tokens)
+        return [Send(peer=peer, message=message) for message in messages]
+
+    def _locate(self, locate: Locate) -> Located:
+        nonce = self.journal.find(locate.profile, locate.request_id)
+        if nonce is None:
+            return Located(
+                profile=locate.profile,
+                request_id=locate.request_id,
+                state=RunState.UNSEEN,
+            )
+        return Located(
+            profile=locate.profile,
+            request_id=locate.request_id,
+            state=self.journal.state(nonce),
+            nonce=nonce,
+            tokens=self.journal.tokens(nonce),
+        )
+
+    def _on_seal(self, peer: Peer, router: str) -> list[Effect]:
+        self.journal.seal(router)
+        if self.journal.running_of(router):
+            self._sealers_by_router[router].add(peer)
+        return [Send(peer=peer, message=self._seal_report(router))]
+
+    def _seal_report(self, router: str) -> Sealed:
+        return Sealed(
+            router=router,
+            sidecar=self.incarnation,
+            ran=self.journal.ran(router),
+            receipts=self.journal.receipts_of(router),
+        )
+
+    def _on_cancel(self, nonce: str, now: float) -> list[Effect]:
+        if self.journal.state(nonce) is not RunState.RUNNING:
+            return []
+        run = self.journal.run(nonce)
+        if not run.idempotent:
+            # Failure: the caller of a filing hangs up, the filing is cut off
+            # half done, and nobody knows whether it took effect.  It costs
+            # little to let it end, and a retry then finds its answer.
+            return []
+        tokens = self.journal.tokens(nonce) or run.reservation
+        return self._fail(nonce, "cancelled", tokens, now, billable=True)
+
+    def _on_begun(self, event: AnswerBegun) -> list[Effect]:
+        started = Started(
+            nonce=event.nonce, status=event.status, content_type=event.content_type
+        )
+        return self.outlet.begin(started)
+
+    def _on_piece(self, event: AnswerPiece, now: float) -> list[Effect]:
+        outrun = self.journal.progress(event.nonce, event.tokens)
+        if outrun:
+            # Failure: an engine ignores its limit and spends past what the
+            # budget has set aside; the run ends at the reservation.
+            return self._fail(event.nonce, "reservation_outrun", event.tokens, now)
+        try:
+            return self.outlet.add(event.nonce, event.data)
+        except AnswerTooLarge:
+            return self._fail(event.nonce, "answer_too_large", event.tokens, now)
+
+    def _finish(self, nonce: str, tokens: int, now: float) -> list[Effect]:
+        receipt = self.journal.end(
+            nonce, RunState.FINISHED, tokens=tokens, billable=True, now=now
+        )
+        answer = self.outlet.answers.get(nonce)
+        finished = Finished(
+            nonce=nonce,
+            status=answer.status,
+            content_type=answer.content_type,
+            length=len(answer.data),
+            tokens=receipt.tokens,
+        )
+        return self._end(nonce, finished)
+
+    def _fail(
+        self,
+        nonce: str,
+        reason: str,
+        tokens: int,
+        now: float,
+        *,
+        billable: bool = False,
+    ) -> list[Effect]:
+        receipt = self.journal.end(
+            nonce, RunState.FAILED, tokens=tokens, billable=billable, now=now
+        )
+        failed = Failed(
+            nonce=nonce, reason=reason, tokens=receipt.tokens, may_have_run=True
+        )
+        run = self.journal.run(nonce)
+        stop = StopRun(nonce=nonce, request_id=run.request_id)
+        return [*self._end(nonce, failed), stop]
+
+    def _on_declined(self, event: RunDeclined) -> list[Effect]:
+        router = self.journal.run(event.nonce).router
+        self.journal.retract(event.nonce)
+        self.outlet.forget(self.journal.relieve())
+        refused = Refused(
+            nonce=event.nonce,
+            reason=event.reason,
+            retry_after_seconds=event.retry_after_seconds,
+        )
+        effects = self.outlet.dismiss(event.nonce, refused)
+        return effects + self._report_last_run(router)
+
+    def _end(self, nonce: str, message: Finished | Failed) -> list[Effect]:
+        run = self.journal.run(nonce)
+        effects = self.outlet.end(message, pinned=not run.idempotent)
+        self.outlet.forget(self.journal.relieve())
+        return effects + self._report_last_run(run.router)
+
+    def _report_last_run(self, router: str) -> list[Effect]:
+        """Send the true figures once a sealed router's last run has ended."""
+        if router not in self._sealers_by_router or self.journal.running_of(router):
+            return []
+        report = self._seal_report(router)
+        sealers = self._sealers_by_router.pop(router)
+        return [Send(peer=peer, message=report) for peer in sealers]
--- /dev/null
+++ b/src/ragwortkeel/sidecar/effects.py
@@ -0,0 +1,81 @@
+"""What the sidecar's core asks of its tasks, and what the upstream tells it."""
+
+from dataclasses import dataclass
+
+from ragwortkeel.messages import AnyMessage, Dispatch, RefusalReason
+
+Peer = str
+"""Identity of a router's link, as the endpoint names it."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Send:
+    """Send a message to a peer; a peer that is gone is no error."""
+
+    peer: Peer
+    message: AnyMessage
+
+
+@dataclass(frozen=True, kw_only=True)
+class StartRun:
+    """Send this request to the upstream and report `UpstreamEvent`s."""
+
+    dispatch: Dispatch
+
+
+@dataclass(frozen=True, kw_only=True)
+class StopRun:
+    """Stop a run at the upstream; it has ended already as far as the core goes."""
+
+    nonce: str
+    request_id: str
+
+
+Effect = Send | StartRun | StopRun
+
+
+@dataclass(frozen=True, kw_only=True)
+class AnswerBegun:
+    """The upstream has sent the head of its answer."""
+
+    nonce: str
+    status: int
+    content_type: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class AnswerPiece:
+    """Bytes of the answer; `tokens` is the most that may be spent so far."""
+
+    nonce: str
+    data: bytes
+    tokens: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class AnswerEnded:
+    """The answer is whole and cost `tokens`."""
+
+    nonce: str
+    tokens: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunDeclined:
+    """The upstream certainly did not run the request."""
+
+    nonce: str
+    reason: RefusalReason
+    retry_after_seconds: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunBroken:
+    """The upstream failed after it may have begun; `tokens` is a bound."""
+
+    nonce: str
+    reason: str
+    tokens: int
+
+
+UpstreamEvent = AnswerBegun | AnswerPiece | AnswerEnded | RunDeclined | RunBroken
--- /dev/null
+++ b/src/ragwortkeel/sidecar/sidecar.py
@@ -0,0 +1,370 @@
+"""The sidecar's tasks: sockets in, the core's decisions, effects out.
+
+The main task alone owns the core; the endpoint's reader, the runs, the recorder
+and the registrar talk to it through one inbox.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from time import monotonic
+
+import curio
+
+from ragwortkeel.configuration import Node
+from ragwortkeel.exceptions import LinkLost, PlatformError, RagwortkeelError
+from ragwortkeel.httpio import HttpClient
+from ragwortkeel.links import Endpoint, Received
+from ragwortkeel.messages import (
+    AnyMessage,
+    ConfigurationDigest,
+    ConfigurationPull,
+    ConfigurationPush,
+    OutcomeDurable,
+    ReceiptsDurable,
+    VersionedObject,
+)
+from ragwortkeel.platform import Platform
+from ragwortkeel.settings import Address, SidecarSettings
+from ragwortkeel.sidecar.admission import Admission
+from ragwortkeel.sidecar.core import SidecarCore
+from ragwortkeel.sidecar.duties import next_job
+from ragwortkeel.sidecar.effects import (
+    AnswerBegun,
+    AnswerEnded,
+    AnswerPiece,
+    Effect,
+    RunBroken,
+    RunDeclined,
+    Send,
+    StartRun,
+    StopRun,
+)
+from ragwortkeel.sidecar.recorder import Recorder, WriteFailed
+from ragwortkeel.sidecar.registration import (
+    Registration,
+    deregister,
+    read_seals,
+    register,
+)
+from ragwortkeel.sidecar.runner import Runner
+
+TICK_SECONDS = 0.25
+EPOCH_SECONDS = 30.0
+"""Many heartbeats long, so that a router that is heard never falls behind."""
+
+REGISTER_RETRY_SECONDS = 1.0
+SEALS_SECONDS = 30.0
+"""Only a second line: a sealer tells each registered sidecar itself."""
+
+
+class SidecarBroken(RagwortkeelError):
+    """A task of the sidecar ended by a fault; the process has to start anew."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Tick:
+    """Time to look at what is due."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Registered:
+    registration: Registration
+
+
+@dataclass(frozen=True, kw_only=True)
+class _SealsRead:
+    routers: frozenset[str]
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Learned:
+    objects: tuple[VersionedObject, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Drain:
+    draining: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Stop:
+    """Refuse new work and end once nothing is left in flight."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Crashed:
+    error: Exception
+
+
+@dataclass(frozen=True, kw_only=True)
+class Leftover:
+    """What a planned stop left undone at its deadline; zeros are a clean stop."""
+
+    running: int
+    receipts: int
+    outcomes: int
+    registered: bool
+
+
+class Sidecar:
+    """One sidecar: the only way to the upstream beside it.
+
+    Parameters
+    ----------
+    settings
+        Names and addresses.
+    incarnation
+        Unique to this start of the process.
+    platform
+        The platform's client.
+    revision
+        The configuration revision in force, sent with every message.
+    configuration_inbox
+        Where configuration messages of peers go, as `Received`.
+    address
+        Where to listen instead of the settings' address; port 0 takes a free one.
+
+    Examples
+    --------
+    >>> sidecar = Sidecar(settings=settings, incarnation="s1-7f3a", platform=platform)
+    >>> sidecar.open()
+    >>> task = await curio.spawn(sidecar.run)
+    >>> await sidecar.stop()
+    >>> leftover = await task.join()
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: SidecarSettings,
+        incarnation: str,
+        platform: Platform,
+        revision: Callable[[], int] = int,
+        configuration_inbox: curio.Queue | None = None,
+        address: str = "",
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        self.incarnation = incarnation
+        self._settings = settings
+        self._platform = platform
+        self._configuration_inbox = configuration_inbox
+        self._clock = clock
+        self._inbox: curio.Queue = curio.Queue()
+        self._endpoint = Endpoint(
+            address=address or settings.address,
+            incarnation=incarnation,
+            revision=revision,
+        )
+        self._core = SidecarCore(
+            incarnation=incarnation, admission=Admission(upstream=settings.upstream)
+        )
+        upstream = Address.parse(settings.upstream_address)
+        self._client = HttpClient(host=upstream.host, port=upstream.port)
+        self._runner = Runner(client=self._client, report=self._inbox.put)
+        self._recorder = Recorder(
+            platform=platform, sidecar=incarnation, inbox=self._inbox
+        )
+        self._recorder_busy = False
+        self._next_epoch_at = 0.0
+        self._stop_by: float | None = None
+
+    @property
+    def address(self) -> str:
+        """Where routers connect, once `open` was called."""
+        return self._endpoint.address
+
+    @property
+    def admitted(self) -> bool:
+        """Whether work may be let in: registered, and the seals are read."""
+        return self._core.admission.admitted
+
+    def open(self) -> None:
+        """Bind the endpoint."""
+        self._endpoint.open()
+
+    async def run(self) -> Leftover:
+        """Serve until `stop`, and return what was left undone.
+
+        Raises
+        ------
+        SidecarBroken
+            A task failed by a fault of the program.
+        """
+        self._next_epoch_at = self._clock() + EPOCH_SECONDS
+        jobs = (self._read_endpoint, self._tick, self._register, self._recorder.run)
+        tasks = [await curio.spawn(self._guard, job, daemon=True) for job in jobs]
+        try:
+            while not self._is_over():
+                item = await self._inbox.get()
+                for effect in await self._take(item):
+                    await self._apply(effect)
+            return await self._leave()
+        finally:
+            for task in tasks:
+                await task.cancel()
+            await self._runner.stop_all()
+            await self._endpoint.close()
+            await self._client.close()
+
+    async def stop(self) -> None:
+        """Begin a planned stop; `run` returns when it is over."""
+        await self._inbox.put(_Stop())
+
+    async def drain(self, draining: bool) -> None:
+        """Refuse new work, or take it again."""
+        await self._inbox.put(_Drain(draining=draining))
+
+    async def learn(self, objects: tuple[VersionedObject, ...]) -> None:
+        """Take in configuration objects; older ones than known change nothing."""
+        await self._inbox.put(_Learned(objects=objects))
+
+    async def send(self, peer: str, message: AnyMessage) -> None:
+        """Send to a peer; one that is gone is no error."""
+        try:
+            await self._endpoint.send(peer, message)
+        except LinkLost:
+            self._core.outlet.peer_lost(peer)
+
+    def _is_over(self) -> bool:
+        if self._stop_by is None:
+            return False
+        if self._clock() >= self._stop_by:
+            return True
+        journal = self._core.journal
+        return not (journal.running or journal.owed or journal.undecided)
+
+    async def _take(self, item: object) -> list[Effect]:
+        now = self._clock()
+        match item:
+            case Received():
+                return await self._on_received(item, now)
+            case (
+                AnswerBegun()
+                | AnswerPiece()
+                | AnswerEnded()
+                | RunDeclined()
+                | RunBroken()
+            ):
+                return self._core.on_upstream(item, now)
+            case _Tick():
+                await self._on_tick(now)
+            case ReceiptsDurable() | OutcomeDurable():
+                self._recorder_busy = False
+                return self._core.on_message("", self.incarnation, item, now)
+            case WriteFailed():
+                self._recorder_busy = False
+            case _Crashed(error=error):
+                raise SidecarBroken("a task failed") from error
+            case _:
+                self._on_control(item, now)
+        return []
+
+    def _on_control(self, item: object, now: float) -> None:
+        admission = self._core.admission
+        match item:
+            case _Registered(registration=registration):
+                self._runner.fencing_number = registration.fencing_number
+                self._core.journal.seal(*registration.sealed)
+                admission.admitted = True
+            case _SealsRead(routers=routers):
+                self._core.journal.seal(*routers)
+            case _Learned(objects=objects):
+                for thing in objects:
+                    admission.learn(thing)
+            case _Drain(draining=draining):
+                admission.draining = draining
+            case _Stop():
+                admission.stopping = True
+                self._stop_by = now + self._settings.stop_deadline_seconds
+
+    async def _on_received(self, received: Received, now: float) -> list[Effect]:
+        message = received.envelope.message
+        match message:
+            case ConfigurationDigest() | ConfigurationPush() | ConfigurationPull():
+                if self._configuration_inbox is not None:
+                    await self._configuration_inbox.put(received)
+                return []
+        sender = received.envelope.sender
+        return self._core.on_message(received.peer, sender, message, now)
+
+    async def _on_tick(self, now: float) -> None:
+        if now >= self._next_epoch_at:
+            self._next_epoch_at = now + EPOCH_SECONDS
+            self._core.on_epoch()
+        if self._recorder_busy:
+            return
+        job = next_job(self._core, now)
+        if job is not None:
+            self._recorder_busy = True
+            await self._recorder.jobs.put(job)
+
+    async def _apply(self, effect: Effect) -> None:
+        match effect:
+            case Send(peer=peer, message=message):
+                await self.send(peer, message)
+            case StartRun(dispatch=dispatch):
+                await self._runner.start(dispatch)
+            case StopRun(nonce=nonce, request_id=request_id):
+                await self._runner.stop(nonce, request_id)
+
+    async def _guard(self, job: Callable[[], Awaitable[None]]) -> None:
+        # Failure: a task dies of a fault and the rest goes on without it, a
+        # sidecar that looks alive and is deaf.  So its death ends the process.
+        try:
+            await job()
+        except Exception as exc:
+            await self._inbox.put(_Crashed(error=exc))
+
+    async def _read_endpoint(self) -> None:
+        while True:
+            await self._inbox.put(await self._endpoint.receive())
+
+    async def _tick(self) -> None:
+        while True:
+            await curio.sleep(TICK_SECONDS)
+            await self._inbox.put(_Tick())
+
+    async def _register(self) -> None:
+        while True:
+            try:
+                registration = await register(self._platform, self._node())
+                break
+            except PlatformError:
+                await curio.sleep(REGISTER_RETRY_SECONDS)
+        await self._inbox.put(_Registered(registration=registration))
+        while True:
+            await curio.sleep(SEALS_SECONDS)
+            try:
+                routers = await read_seals(self._platform)
+            except PlatformError:
+                continue
+            await self._inbox.put(_SealsRead(routers=routers))
+
+    async def _leave(self) -> Leftover:
+        journal = self._core.journal
+        registered = self.admitted
+        if registered and not (journal.running or journal.owed or journal.undecided):
+            try:
+                await deregister(self._platform, self._node())
+                registered = False
+            except PlatformError:
+                pass
+        return Leftover(
+            running=journal.running,
+            receipts=journal.owed,
+            outcomes=journal.undecided,
+            registered=registered,
+        )
+
+    def _node(self) -> Node:
+        settings = self._settings
+        return Node(
+            incarnation=self.incarnation,
+            role="sidecar",
+            zone=settings.zone,
+            address=self.address,
+            http_address=settings.metrics,
+            upstream=settings.upstream,
+        )
