Add filings: the steps of one must-not-repeat attempt, and a state machine over them

Cause: the decisions of a retry stood alone; nothing drove them through losses. Found by the machine: a filing that was sent twice, the second time to a sidecar that had restarted in between, was refused (wrong_incarnation) and shown as not_run although the first copy had run. Change: Filing counts what it sent and takes that refusal as proof only after a single send; NOT_RUN is written over the version held before it is said; Tombstone names the incarnation it asks, any other promises nothing. An UNRESOLVED intent whose sidecar was out of reach is asked again. Also: answers have a hard total bound; own upstream object decides draining.

--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -153,9 +153,14 @@
 
 
 class Tombstone(Message):
-    """Promise never to run this nonce, unless it already ran."""
+    """Promise never to run this nonce, unless it already ran.
+
+    `sidecar` is the incarnation that was to run it; any other answers `UNSEEN`,
+    which promises nothing.
+    """
 
     nonce: str
+    sidecar: str = ""
 
 
 class TombstoneResult(Message):
--- a/src/ragwortkeel/runs/answer.py
+++ b/src/ragwortkeel/runs/answer.py
@@ -20,8 +20,13 @@
 """One message of a replay; small enough not to delay other answers' tokens."""
 
 
+CROWDED_SHARE = 0.75
+"""Share of the store held by answers that can't be dropped, beyond which no new
+run should begin; the rest is room for those that run."""
+
+
 class AnswerTooLarge(RunError):
-    """An answer outgrew `MAX_ANSWER_BYTES`."""
+    """An answer outgrew `MAX_ANSWER_BYTES`, or all of them their store."""
 
 
 @dataclass(kw_only=True)
@@ -58,6 +63,7 @@
         self._by_nonce: dict[str, Answer] = {}
         self._finished: dict[str, None] = {}
         self._bytes = 0
+        self._droppable_bytes = 0
 
     def __len__(self) -> int:
         return len(self._by_nonce)
@@ -67,6 +73,12 @@
         """Bytes held in all answers together."""
         return self._bytes
 
+    @property
+    def crowded(self) -> bool:
+        """Whether a new run should not begin for want of memory."""
+        kept = self._bytes - self._droppable_bytes
+        return kept > CROWDED_SHARE * self._max_bytes
+
     def get(self, nonce: str) -> Answer | None:
         """Return the answer, or None where it has no head yet or was dropped."""
         return self._by_nonce.get(nonce)
@@ -87,9 +99,9 @@
         offset = len(answer.data)
         if offset + len(data) > self._max_answer_bytes:
             raise AnswerTooLarge(f"more than {self._max_answer_bytes} bytes")
+        self._make_room(len(data))
         answer.data += data
         self._bytes += len(data)
-        self._drop_oldest()
         return offset
 
     def finish(self, nonce: str, *, pinned: bool = False) -> None:
@@ -99,17 +111,23 @@
 
     def unpin(self, nonce: str) -> None:
         """Let a finished answer be dropped when memory is short."""
-        if nonce in self._by_nonce:
+        answer = self._by_nonce.get(nonce)
+        if answer is not None and nonce not in self._finished:
             self._finished[nonce] = None
-            self._drop_oldest()
+            self._droppable_bytes += len(answer.data)
 
     def drop(self, nonce: str) -> None:
         """Forget an answer; harmless where there is none."""
         answer = self._by_nonce.pop(nonce, None)
-        self._finished.pop(nonce, None)
-        if answer is not None:
-            self._bytes -= len(answer.data)
-
-    def _drop_oldest(self) -> None:
-        while self._bytes > self._max_bytes and self._finished:
+        if answer is None:
+            return
+        self._bytes -= len(answer.data)
+        if nonce in self._finished:
+            del self._finished[nonce]
+            self._droppable_bytes -= len(answer.data)
+
+    def _make_room(self, size: int) -> None:
+        while self._bytes + size > self._max_bytes:
+            if not self._finished:
+                raise AnswerTooLarge("no room beside the answers still needed")
             self.drop(next(iter(self._finished)))
--- /dev/null
+++ b/src/ragwortkeel/runs/filing.py
@@ -0,0 +1,173 @@
+"""One attempt at a request that must not repeat, as steps without I/O.
+
+The router carries out the step it is given and hands the result back, until the
+step is `Answer`, `Refuse` or `Follow`.  At `Go` it calls `on_sent` and dispatches;
+then come `on_refused` or `on_lost`, or the answer.
+"""
+
+from dataclasses import dataclass
+
+from ragwortkeel.messages import RefusalReason, RunState
+from ragwortkeel.runs.intent import (
+    MAX_ROUNDS,
+    Answer,
+    AskSidecar,
+    Create,
+    Decision,
+    Follow,
+    Go,
+    Held,
+    Intent,
+    ReadAgain,
+    Refuse,
+    TakeOver,
+    WriteResult,
+    after_read,
+    after_refusal,
+    after_tombstone,
+    after_write,
+    without_platform,
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Read:
+    """Read the intent under the key, then `on_read` or `on_unreadable`."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Release:
+    """Replace the intent at `version` by this `NOT_RUN` one, then `on_release`."""
+
+    intent: Intent
+    version: int
+
+
+Step = Read | Create | TakeOver | AskSidecar | Go | Release | Follow | Answer | Refuse
+
+FINAL = (Follow, Answer, Refuse)
+"""Steps after which the filing has nothing left to decide."""
+
+
+class Filing:
+    """The steps of one attempt.
+
+    Parameters
+    ----------
+    wanted
+        The intent of this attempt; its nonce is used by no other.
+    first
+        Whether no other attempt under this key can exist, as when the router
+        minted the key itself.
+
+    Attributes
+    ----------
+    step : Step
+        What to do next.
+    held : Held or None
+        The intent as last read or written.
+    """
+
+    def __init__(self, *, wanted: Intent, first: bool) -> None:
+        self.wanted = wanted
+        self.step: Step = Read()
+        self.held: Held | None = None
+        self._first = first
+        self._rounds = 0
+        self._sends = 0
+
+    @property
+    def is_final(self) -> bool:
+        """Whether nothing is left to decide."""
+        return isinstance(self.step, FINAL)
+
+    def on_read(self, held: Held | None) -> None:
+        """Take what the platform holds under the key."""
+        self.held = held
+        self._go_on(after_read(self.wanted, held))
+
+    def on_unreadable(self) -> None:
+        """Take it that the platform can't be read."""
+        self._go_on(without_platform(first=self._first))
+
+    def on_tombstone(self, state: RunState | None) -> None:
+        """Take the sidecar's answer, None where it is gone or out of reach."""
+        self._go_on(after_tombstone(self.wanted, self.held, state))
+
+    def on_write(self, result: WriteResult, version: int = 0) -> None:
+        """Take how the write of the intent ended, and its new version."""
+        self._rounds += 1
+        if result is WriteResult.WRITTEN:
+            self.held = Held(intent=self.wanted, version=version)
+        self._go_on(
+            after_write(self.wanted, result, first=self._first, rounds=self._rounds)
+        )
+
+    def on_sent(self) -> None:
+        """Take it that the dispatch goes out, for the first time or again."""
+        self._sends += 1
+        if self._sends > 1:
+            # An earlier copy may have run, so that only the platform can tell.
+            self._first = False
+
+    def on_refused(self, reason: RefusalReason, other: Intent | None) -> None:
+        """Take it that the sidecar refused the dispatch.
+
+        Parameters
+        ----------
+        reason
+            As in `Refused`.
+        other
+            An intent with a new nonce for another sidecar, or None where the
+            request is to be refused.
+        """
+        if reason is RefusalReason.WRONG_INCARNATION and self._sends > 1:
+            # Failure: the first copy ran at a sidecar that restarted since, and
+            # its successor refuses the second; that proves nothing of the first.
+            self._go_on(after_tombstone(self.wanted, self.held, None))
+            return
+        if other is None:
+            self.step = Release(
+                intent=after_refusal(self.held.intent), version=self.held.version
+            )
+            return
+        self._want(other)
+        self.step = TakeOver(intent=other, version=self.held.version)
+
+    def on_release(self, result: WriteResult) -> None:
+        """Take how the write of `NOT_RUN` ended.
+
+        Failure: between the sidecar's refusal and our answer a retry takes the
+        intent over and runs, and `not_run` would be a lie.  Written over the
+        version that was ours, `NOT_RUN` shows that nobody did.
+        """
+        self._rounds += 1
+        if result is WriteResult.CONFLICT and self._rounds < MAX_ROUNDS:
+            self.step = Read()
+            return
+        is_sure = result is WriteResult.WRITTEN or self._first
+        self.step = Refuse(
+            status=503,
+            outcome="not_run" if is_sure else "unknown",
+            reason="refused_by_upstream",
+        )
+
+    def on_lost(self, wanted: Intent) -> None:
+        """Take it that the dispatched sidecar went silent without an answer.
+
+        `wanted` is an intent with a new nonce, in case the old one never ran.
+        """
+        lost = self.held.intent
+        # Failure: it ran, its outcome is durable and the sidecar has let go of
+        # it, so it answers `TOMBSTONED`; with the platform gone by then,
+        # `not_run` would be a lie.  Only the conditional update tells.
+        self._first = False
+        self._want(wanted)
+        self.step = AskSidecar(sidecar=lost.sidecar, nonce=lost.nonce)
+
+    def _want(self, intent: Intent) -> None:
+        self.wanted = intent
+        self._sends = 0
+
+    def _go_on(self, decision: Decision) -> None:
+        self.step = Read() if isinstance(decision, ReadAgain) else decision
--- a/src/ragwortkeel/runs/intent.py
+++ b/src/ragwortkeel/runs/intent.py
@@ -21,6 +21,9 @@
 MAX_ROUNDS = 4
 """Writes lost to other retries of one key before the caller is told to return."""
 
+SIDECAR_GONE = "sidecar_gone"
+"""Reason of an `UNRESOLVED` outcome that the sidecar itself may still settle."""
+
 
 class IntentUnreadable(RunError):
     """The platform holds bytes under an intent's name that are no intent."""
@@ -206,6 +209,9 @@
             return Refuse(status=502, outcome="failed", reason="answer_lost")
         case Verdict.NOT_RUN:
             return TakeOver(intent=wanted, version=held.version)
+        case Verdict.UNRESOLVED if outcome.reason == SIDECAR_GONE:
+            # It was perhaps only cut off; back in reach it knows the truth.
+            return AskSidecar(sidecar=held.intent.sidecar, nonce=held.intent.nonce)
         case Verdict.UNRESOLVED:
             return Refuse(status=409, outcome="unknown", reason="awaits_operator")
 
@@ -278,6 +284,22 @@
     return msgspec.structs.replace(intent, outcome=Outcome(verdict=Verdict.NOT_RUN))
 
 
+def unresolved(held: Held, reason: str) -> Intent:
+    """Return the intent to write at `held.version` to list it for operators."""
+    outcome = Outcome(verdict=Verdict.UNRESOLVED, reason=reason)
+    return msgspec.structs.replace(held.intent, outcome=outcome)
+
+
+def may_settle(found: Intent, nonce: str) -> bool:
+    """Whether the sidecar that ran `nonce` may still write its outcome."""
+    if found.nonce != nonce:
+        return False
+    outcome = found.outcome
+    return outcome is None or (
+        outcome.verdict is Verdict.UNRESOLVED and outcome.reason == SIDECAR_GONE
+    )
+
+
 def with_outcome(intent: Intent, outcome: Outcome) -> Intent:
     """Return the intent with how its run ended; large answers are left out."""
     if len(outcome.body) > MAX_STORED_ANSWER_BYTES:
--- a/src/ragwortkeel/sidecar/admission.py
+++ b/src/ragwortkeel/sidecar/admission.py
@@ -1,6 +1,8 @@
 """Whether a sidecar takes work at all: registration, state, versions, limit."""
 
-from ragwortkeel.configuration import PROFILES, UPSTREAMS
+import msgspec
+
+from ragwortkeel.configuration import PROFILES, UPSTREAMS, Upstream, UpstreamState
 from ragwortkeel.messages import Dispatch, RefusalReason, VersionedObject
 
 RETRY_SOON_SECONDS = 1.0
@@ -52,6 +54,10 @@
         if known is not None and known.version >= thing.version:
             return False
         self._objects_by_key[key] = thing
+        if key == (UPSTREAMS, self.upstream):
+            upstream = msgspec.json.decode(thing.value, type=Upstream)
+            is_serving = upstream.state is UpstreamState.SERVING
+            self.draining = upstream.retired or not is_serving
         return True
 
     def reason_to_refuse(
--- a/src/ragwortkeel/sidecar/core.py
+++ b/src/ragwortkeel/sidecar/core.py
@@ -46,6 +46,9 @@
 )
 from ragwortkeel.sidecar.outlet import Outlet, answer_lost
 
+MAX_SEALED_RECEIPTS = 2_000
+"""In one report, about half a megabyte; this sidecar writes the rest itself."""
+
 
 class SidecarCore:
     """Journal, answers and followers of one sidecar incarnation.
@@ -85,11 +88,8 @@
                 return self._attach(peer, nonce, offset)
             case Locate():
                 return [Send(peer=peer, message=self._locate(message))]
-            case Tombstone(nonce=nonce):
-                state = self.journal.tombstone(nonce)
-                self.outlet.forget(self.journal.relieve())
-                result = TombstoneResult(nonce=nonce, state=state)
-                return [Send(peer=peer, message=result)]
+            case Tombstone():
+                return [Send(peer=peer, message=self._tombstone(message))]
             case Seal(router=router):
                 return self._on_seal(peer, router)
             case ReceiptsDurable(nonces=nonces):
@@ -172,7 +172,7 @@
             return RefusalReason.STALE_EPOCH
         if not dispatch.idempotent and self._runs_already(dispatch):
             return RefusalReason.DUPLICATE
-        if self.journal.full:
+        if self.journal.full or self.outlet.answers.crowded:
             return RefusalReason.OVERLOADED
         return self.admission.reason_to_refuse(dispatch, self.journal.running)
 
@@ -230,6 +230,16 @@
         messages = self.outlet.replay(nonce, offset, tokens=tokens)
         return [Send(peer=peer, message=message) for message in messages]
 
+    def _tombstone(self, message: Tombstone) -> TombstoneResult:
+        nonce = message.nonce
+        if message.sidecar != self.incarnation:
+            # Failure: a restarted sidecar promises for its predecessor, whose
+            # run of this nonce it can't know of.
+            return TombstoneResult(nonce=nonce, state=RunState.UNSEEN)
+        state = self.journal.tombstone(nonce)
+        self.outlet.forget(self.journal.relieve())
+        return TombstoneResult(nonce=nonce, state=state)
+
     def _locate(self, locate: Locate) -> Located:
         nonce = self.journal.find(locate.profile, locate.request_id)
         if nonce is None:
@@ -257,7 +267,7 @@
             router=router,
             sidecar=self.incarnation,
             ran=self.journal.ran(router),
-            receipts=self.journal.receipts_of(router),
+            receipts=self.journal.receipts_of(router)[:MAX_SEALED_RECEIPTS],
         )
 
     def _on_cancel(self, nonce: str, now: float) -> list[Effect]:
--- a/src/ragwortkeel/sidecar/recorder.py
+++ b/src/ragwortkeel/sidecar/recorder.py
@@ -101,7 +101,7 @@
             if stored is None:
                 return
             held = intents.decode(stored.value)
-            if held.nonce != run.nonce or held.outcome is not None:
+            if not intents.may_settle(held, run.nonce):
                 return
             value = intents.encode(intents.with_outcome(held, outcome))
             try:
--- a/src/ragwortkeel/sidecar/sidecar.py
+++ b/src/ragwortkeel/sidecar/sidecar.py
@@ -81,11 +81,6 @@
     objects: tuple[VersionedObject, ...]
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Drain:
-    draining: bool
-
-
 @dataclass(frozen=True, kw_only=True)
 class _Stop:
     """Refuse new work and end once nothing is left in flight."""
@@ -212,12 +207,11 @@
         """Begin a planned stop; `run` returns when it is over."""
         await self._inbox.put(_Stop())
 
-    async def drain(self, draining: bool) -> None:
-        """Refuse new work, or take it again."""
-        await self._inbox.put(_Drain(draining=draining))
-
     async def learn(self, objects: tuple[VersionedObject, ...]) -> None:
-        """Take in configuration objects; older ones than known change nothing."""
+        """Take in configuration objects; older ones than known change nothing.
+
+        The upstream's own object decides whether this sidecar is draining.
+        """
         await self._inbox.put(_Learned(objects=objects))
 
     async def send(self, peer: str, message: AnyMessage) -> None:
@@ -273,8 +267,6 @@
             case _Learned(objects=objects):
                 for thing in objects:
                     admission.learn(thing)
-            case _Drain(draining=draining):
-                admission.draining = draining
             case _Stop():
                 admission.stopping = True
                 self._stop_by = now + self._settings.stop_deadline_seconds
--- a/src/ragwortkeel/sidecar/usage.py
+++ b/src/ragwortkeel/sidecar/usage.py
@@ -14,6 +14,19 @@
     usage: _Usage | None = None
 
 
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta | None = None
+
+
+class _Event(msgspec.Struct):
+    usage: _Usage | None = None
+    choices: tuple[_Choice, ...] = ()
+
+
 class _Limits(msgspec.Struct):
     max_tokens: int = 0
 
@@ -46,7 +59,7 @@
     Attributes
     ----------
     events : int
-        Data events so far; an engine sends one a token.
+        Events with content so far; an engine sends one a token.
     total : int or None
         Tokens by the stream's own usage, once it came.
     done : bool
@@ -72,8 +85,14 @@
         if payload == DONE:
             self.done = True
             return
-        usage = usage_of(payload) if b'"usage"' in payload else None
-        if usage is None:
+        try:
+            event = msgspec.json.decode(payload, type=_Event)
+        except msgspec.DecodeError:
+            # Counted, because too many is the safe side.
+            self.events += 1
+            return
+        if event.usage is not None:
+            self.total = event.usage.total_tokens
+        # Events that only name a role or an end carry no token.
+        if any(c.delta is not None and c.delta.content for c in event.choices):
             self.events += 1
-        else:
-            self.total = usage
