Add the decisions under load and the router's scheduler

Ruled out: one module for all (could not be read or left out one by one); switches for each mechanism in the code (thresholds in SchedulerSettings do that).

Change: policy/ with one pure module for each decision, and Scheduler, which ties them for one router. messages.py gains Dispatch.alone and CrashSeen, both for the quarantine; existing fields are as they were.

--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -54,7 +54,8 @@
     """Run this request at your upstream, within the reservation.
 
     `nonce` names this attempt; `reservation` is in tokens; `budget_seconds`
-    is the time left until the caller's deadline.
+    is the time left until the caller's deadline.  With `alone` the sidecar first
+    lets what runs there end, and starts nothing beside it.
     """
 
     request_id: str
@@ -72,6 +73,7 @@
     priority: int
     traceparent: str
     prefix: str = ""
+    alone: bool = False
 
 
 class Refused(Message):
@@ -221,6 +223,14 @@
     keys: tuple[str, ...]
 
 
+class CrashSeen(Message):
+    """An upstream crashed with these bodies on it; passed on by who hears it first."""
+
+    crash_id: str
+    fingerprints: tuple[str, ...]
+    alone: bool = False
+
+
 class SliceRequest(Message):
     """A router short of tokens asks another to give part of its slice."""
 
@@ -263,6 +273,7 @@
     | ConfigurationDigest
     | ConfigurationPush
     | ConfigurationPull
+    | CrashSeen
     | SliceRequest
     | SliceTransfer
     | SliceTransferred
--- /dev/null
+++ b/src/ragwortkeel/policy/admission.py
@@ -0,0 +1,131 @@
+"""Admission: whether a request can still be served in time if it waits.
+
+Pattern of load: saturation, and the first seconds of a burst.  Without this
+check everything is taken in, each answer comes later than the last, and in the
+end all work done is for callers who have hung up.  Refusing at the door costs
+one message and leaves the caller time to come back.
+
+The estimate is by Little's law: own work in flight divided by how long such
+work takes is the rate at which places come free, and the requests ahead divided
+by that rate is the wait.  It needs no knowledge of the engines.
+
+A refusal is final and given at once.
+"""
+
+from dataclasses import dataclass
+from random import Random
+
+from ragwortkeel.configuration import ServiceClass
+from ragwortkeel.policy.facts import Reason, RequestFacts
+
+SMOOTHING = 0.1
+"""Weight of one more sample: about the last ten requests of a profile count, so
+an estimate follows a slowdown within a second or two at the usual rates."""
+
+SHORTEST_RETRY_SECONDS = 0.5
+LONGEST_RETRY_SECONDS = 30.0
+"""Longer forecasts of a queue are guesses."""
+
+RETRY_SPREAD = 0.25
+"""Callers refused together come back spread over a quarter of the wait, or the
+burst would return as a burst."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Times:
+    """Smoothed seconds from dispatch to the first token, and to the end."""
+
+    first_token: float
+    total: float
+
+
+class ServiceTimes:
+    """How long the requests of each profile, and of a set of back ends, take."""
+
+    def __init__(self) -> None:
+        self._by_profile: dict[str, Times] = {}
+        self._seconds_by_pool: dict[tuple[str, ...], float] = {}
+
+    def first_token(self, request: RequestFacts, seconds: float) -> None:
+        """Take in one time to the first token."""
+        known = self._by_profile.get(request.profile)
+        if known is None:
+            known = Times(first_token=seconds, total=seconds)
+        else:
+            known = Times(
+                first_token=_smooth(known.first_token, seconds), total=known.total
+            )
+        self._by_profile[request.profile] = known
+
+    def finished(self, request: RequestFacts, seconds: float) -> None:
+        """Take in one whole run's time."""
+        known = self._by_profile.get(request.profile)
+        if known is None:
+            known = Times(first_token=seconds, total=seconds)
+        else:
+            known = Times(
+                first_token=known.first_token, total=_smooth(known.total, seconds)
+            )
+        self._by_profile[request.profile] = known
+        pool_seconds = self._seconds_by_pool.get(request.back_ends, seconds)
+        self._seconds_by_pool[request.back_ends] = _smooth(pool_seconds, seconds)
+
+    def times(self, request: RequestFacts) -> Times:
+        """Return the estimate; zeros, which refuse nothing, when none is known."""
+        return self._by_profile.get(request.profile, Times(first_token=0.0, total=0.0))
+
+    def wait_seconds(
+        self, back_ends: tuple[str, ...], ahead: float, in_flight: int
+    ) -> float:
+        """Return the wait behind `ahead` requests with `in_flight` running."""
+        seconds = self._seconds_by_pool.get(back_ends, 0.0)
+        return (ahead + 1.0) * seconds / max(1, in_flight)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Wait:
+    """It may wait, and must be dispatched by `latest_start`."""
+
+    latest_start: float
+    estimated_seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class TooLate:
+    """It could not be served in time; `excess_seconds` too late."""
+
+    reason: Reason
+    excess_seconds: float
+
+
+def latest_start(request: RequestFacts, times: Times) -> tuple[float, Reason]:
+    """Return when the request must be dispatched, and the promise that binds."""
+    by_deadline = request.deadline - times.total
+    if request.service is not ServiceClass.INTERACTIVE:
+        return by_deadline, Reason.DEADLINE
+    by_first_token = request.first_token_by - times.first_token
+    if by_first_token < by_deadline:
+        return by_first_token, Reason.FIRST_TOKEN
+    return by_deadline, Reason.DEADLINE
+
+
+def admit(
+    request: RequestFacts, *, times: Times, wait_seconds: float, now: float
+) -> Wait | TooLate:
+    """Say whether the request may wait for about `wait_seconds`."""
+    latest, reason = latest_start(request, times)
+    excess = now + wait_seconds - latest
+    if excess > 0.0:
+        return TooLate(reason=reason, excess_seconds=excess)
+    return Wait(latest_start=latest, estimated_seconds=wait_seconds)
+
+
+def retry_after(excess_seconds: float, random: Random) -> float:
+    """Return when the line should be short enough, spread at random."""
+    seconds = max(SHORTEST_RETRY_SECONDS, excess_seconds)
+    seconds *= 1.0 + RETRY_SPREAD * random.random()
+    return min(LONGEST_RETRY_SECONDS, seconds)
+
+
+def _smooth(known: float, sample: float) -> float:
+    return known + SMOOTHING * (sample - known)
--- /dev/null
+++ b/src/ragwortkeel/policy/choice.py
@@ -0,0 +1,167 @@
+"""Choice of an upstream: few candidates, least loaded of two, prefix affinity.
+
+Patterns of load: many routers with lagged load reports, a few prompt prefixes
+that take most of the load, and callers that ask again at another router.
+
+- Candidates are the first few upstreams in rendezvous order of the prefix (or
+  of the request id).  Without that, a retry at another router could not know
+  which sidecars may hold its run, and a prefix would be cold everywhere.
+- Among them the less loaded of two drawn at random.  Taking the least loaded of
+  all makes every router run to the one upstream that looked idle in the last
+  report; round robin keeps feeding a slow one.
+- A prefix goes to its first candidate while that is within `LOAD_BOUND` of the
+  mean.  Without the bound one hot prefix overloads one upstream.
+- Reports lag, so a router replaces its own part of a report by what it knows
+  now (`LoadEstimate`).  Without that it sends a whole burst to one upstream
+  before the next report comes.
+- The own zone only breaks ties: zones are well under a millisecond apart, so
+  equal load is worth more than a near upstream.
+"""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+from random import Random
+
+CANDIDATES = 3
+"""Few enough to ask them all on a retry, enough to lose one and draw two."""
+
+LOAD_BOUND = 1.25
+"""A prefix's first upstream may be this much busier than the mean: about what
+a prefix hit saves (a cached prefix spares most of a prompt's prefill)."""
+
+TIE = 0.05
+"""Loads closer than this share of the limit are equal: less than one request
+on a limit of 16, and less than what a report can be off by."""
+
+HISTORY_SECONDS = 10.0
+"""Reports older than this come from a link that is about to be given up."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Candidate:
+    """One upstream as the choice sees it; load and room in requests."""
+
+    name: str
+    zone: str
+    load: float
+    room: float
+
+    @property
+    def has_room(self) -> bool:
+        """Whether one more request fits."""
+        return self.load + 1.0 <= self.room
+
+    @property
+    def utilisation(self) -> float:
+        """Load as a share of the room, the request to place included."""
+        return (self.load + 1.0) / max(self.room, 1e-9)
+
+
+class LoadEstimate:
+    """One upstream's load: the last report, corrected by own work since.
+
+    A report counts own and other routers' work as it was some time ago.  What
+    the own part was then and is now is known exactly, so only the rest is taken
+    from the report.
+    """
+
+    def __init__(self) -> None:
+        self.own = 0
+        self._others = 0.0
+        self._changes: deque[tuple[float, int]] = deque()
+
+    def started(self, now: float) -> None:
+        """Count one more request of one's own there."""
+        self._change(1, now)
+
+    def ended(self, now: float) -> None:
+        """Count one less."""
+        self._change(-1, now)
+
+    def report(self, total: int, taken_at: float) -> None:
+        """Take over a report of `total` requests there at `taken_at`."""
+        while len(self._changes) > 1 and self._changes[1][0] <= taken_at:
+            self._changes.popleft()
+        own_then = 0
+        if self._changes and self._changes[0][0] <= taken_at:
+            own_then = self._changes[0][1]
+        self._others = float(max(0, total - own_then))
+
+    def full(self, room: float) -> None:
+        """Believe that there is no room until the next report."""
+        self._others = max(self._others, room - self.own)
+
+    @property
+    def load(self) -> float:
+        """Requests running or waiting there, own and others'."""
+        return self._others + self.own
+
+    def _change(self, step: int, now: float) -> None:
+        self.own += step
+        self._changes.append((now, self.own))
+        while self._changes[0][0] < now - HISTORY_SECONDS and len(self._changes) > 1:
+            self._changes.popleft()
+
+
+def rendezvous(key: str, names: Sequence[str]) -> list[str]:
+    """Return `names` in the order in which `key` prefers them.
+
+    Every router computes the same order, and an upstream that joins or leaves
+    moves only the keys that it wins or held.
+    """
+    salt = blake2b(key.encode(), digest_size=16).digest()
+
+    def rank(name: str) -> bytes:
+        return blake2b(name.encode(), digest_size=8, key=salt).digest()
+
+    return sorted(names, key=rank)
+
+
+def choose(
+    *,
+    ordered: Sequence[Candidate],
+    prefix: str,
+    zone: str,
+    random: Random,
+    width: int = CANDIDATES,
+    bound: float = LOAD_BOUND,
+) -> Candidate | None:
+    """Return the upstream for one request, or None where none has room.
+
+    Parameters
+    ----------
+    ordered : sequence of Candidate
+        All usable upstreams in rendezvous order of the request.
+    prefix : str
+        Empty for a request without a prefix worth keeping together.
+    zone : str
+        The router's own zone.
+    random : random.Random
+        Draws the two.
+    width, bound : int, float
+        See `CANDIDATES` and `LOAD_BOUND`.
+    """
+    near = [candidate for candidate in ordered[:width] if candidate.has_room]
+    if not near:
+        # All of the few are full: a run elsewhere beats a refusal.
+        near = [candidate for candidate in ordered[width:] if candidate.has_room]
+    if not near:
+        return None
+    if prefix and _within(near[0], ordered, bound):
+        return near[0]
+    pair = near if len(near) <= 2 else random.sample(near, 2)
+    return _less_loaded(pair, zone)
+
+
+def _within(home: Candidate, ordered: Sequence[Candidate], bound: float) -> bool:
+    """Tell whether the first choice is busy within the bound of the mean."""
+    mean = sum(candidate.utilisation for candidate in ordered) / len(ordered)
+    return home.utilisation <= bound * mean + TIE
+
+
+def _less_loaded(pair: Sequence[Candidate], zone: str) -> Candidate:
+    lowest = min(candidate.utilisation for candidate in pair)
+    equal = [c for c in pair if c.utilisation <= lowest + TIE]
+    return min(equal, key=lambda c: (c.zone != zone, c.utilisation))
--- /dev/null
+++ b/src/ragwortkeel/policy/retries.py
@@ -0,0 +1,54 @@
+"""Retry budget: how much extra work failures may cause.
+
+Pattern of load: an upstream (or a zone) fails while the fleet is busy.  Without
+a budget each request is tried several times just when capacity is short; the
+retries push the rest over the edge, which causes more retries, and the overload
+outlives the failure.
+
+The budget is a share of first attempts.  A share adds up: when each router
+keeps retries under 10% of its own first attempts, so does the fleet, with no
+messages between them.  What must not repeat is never retried once it may have
+run.  An attempt that certainly did not run costs the upstreams nothing, so it
+takes nothing from the budget; `MAX_ATTEMPTS` bounds it.
+"""
+
+RETRY_SHARE = 0.1
+"""Ten retries to a hundred requests: losing one upstream of ten at once needs
+about as many, and the others can carry it at 90% load."""
+
+RESERVE = 5.0
+"""Retries saved up at the most by a quiet router: the failure of one upstream
+leaves a handful of requests to run again."""
+
+MAX_ATTEMPTS = 3
+"""Three independent upstreams failing one request point at the request."""
+
+
+class RetryBudget:
+    """Tokens earned by first attempts and spent by retries.
+
+    Examples
+    --------
+    >>> budget = RetryBudget(share=0.5, reserve=1.0)
+    >>> budget.take(), budget.take()
+    (True, False)
+    >>> budget.earn(); budget.earn()
+    >>> budget.take()
+    True
+    """
+
+    def __init__(self, *, share: float = RETRY_SHARE, reserve: float = RESERVE) -> None:
+        self._share = share
+        self._reserve = reserve
+        self._tokens = reserve
+
+    def earn(self) -> None:
+        """Count one first attempt."""
+        self._tokens = min(self._reserve, self._tokens + self._share)
+
+    def take(self) -> bool:
+        """Spend one retry if there is one."""
+        if self._tokens < 1.0 - 1e-9:
+            return False
+        self._tokens -= 1.0
+        return True
--- /dev/null
+++ b/src/ragwortkeel/policy/scheduler.py
@@ -0,0 +1,390 @@
+"""The decisions of one router, tied together in one pure object.
+
+The router's task tells it what happened and does what it answers; it owns no
+socket, task or clock.  The parts are described in their modules: `quarantine`,
+`admission`, `queueing`, `upstreams` and `retries`.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from random import Random
+
+from ragwortkeel.configuration import ServiceClass
+from ragwortkeel.policy.admission import ServiceTimes, TooLate, admit, retry_after
+from ragwortkeel.policy.facts import (
+    Assignment,
+    Decision,
+    Failure,
+    LoadReport,
+    Queued,
+    Reason,
+    Refusal,
+    RequestFacts,
+    UpstreamFacts,
+)
+from ragwortkeel.policy.quarantine import Crash, Quarantine, Verdict
+from ragwortkeel.policy.queueing import FairQueue, Waiting
+from ragwortkeel.policy.retries import MAX_ATTEMPTS, RetryBudget
+from ragwortkeel.policy.settings import SchedulerSettings
+from ragwortkeel.policy.upstreams import UpstreamTable
+
+NO_UPSTREAM_RETRY_SECONDS = 2.0
+"""About how long a restarted upstream takes to be seen again."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Running:
+    """A request that was dispatched and has not ended."""
+
+    assignment: Assignment
+    dispatched_at: float
+    tried: frozenset[str]
+    first_token_seen: bool = False
+
+
+class Scheduler:
+    """What one router admits, queues, refuses, and sends where.
+
+    After each call that may free a place or displace a request (all but
+    `first_token` and `next_wake`) the router calls `next` and does what it says,
+    and again at `next_wake`.
+
+    Parameters
+    ----------
+    zone : str
+        The router's own zone.
+    random : random.Random
+        Seeded by the caller.
+    settings : SchedulerSettings, optional
+        Other thresholds than the defaults.
+
+    Examples
+    --------
+    >>> scheduler = Scheduler(zone="a", random=Random(1))
+    >>> upstream = UpstreamFacts(name="m1", back_end="model", zone="a")
+    >>> scheduler.upstreams_changed([upstream], now=0.0)
+    >>> request = RequestFacts(
+    ...     request_id="r1",
+    ...     profile="chat",
+    ...     customer="coop",
+    ...     service=ServiceClass.INTERACTIVE,
+    ...     back_ends=("model",),
+    ...     deadline=20.0,
+    ...     first_token_by=1.5,
+    ...     cost=400,
+    ... )
+    >>> scheduler.offer(request, now=0.0).upstream
+    'm1'
+    >>> scheduler.first_token("r1", now=0.4)
+    >>> scheduler.finished("r1", now=3.0)
+    >>> scheduler.next(now=3.0)
+    ()
+    """
+
+    def __init__(
+        self,
+        *,
+        zone: str,
+        random: Random,
+        settings: SchedulerSettings | None = None,
+    ) -> None:
+        self._settings = settings or SchedulerSettings()
+        self._random = random
+        self._upstreams = UpstreamTable(
+            zone=zone, random=random, settings=self._settings
+        )
+        self._queues_by_pool: dict[tuple[str, ...], FairQueue] = {}
+        self._alone_by_id: dict[str, Waiting] = {}
+        self._running_by_id: dict[str, _Running] = {}
+        self._in_flight_by_pool: dict[tuple[str, ...], int] = {}
+        self._refusals: list[Refusal] = []
+        self._retry_budget = RetryBudget(share=self._settings.retry_share)
+        self._quarantine = Quarantine()
+        self._times = ServiceTimes()
+
+    def upstreams_changed(self, upstreams: Iterable[UpstreamFacts], now: float) -> None:
+        """Take over the upstreams that may be given new work from now on."""
+        self._upstreams.changed(upstreams, now)
+
+    def report(self, report: LoadReport, now: float) -> None:
+        """Take in what a sidecar says of its upstream's load."""
+        self._upstreams.report(report, now)
+
+    def crashed(self, crash: Crash, now: float) -> bool:
+        """Take in an upstream's crash; return whether it was news to pass on."""
+        return self._quarantine.crashed(crash, now)
+
+    def offer(self, request: RequestFacts, now: float) -> Decision:
+        """Decide on a new request; `Queued` is followed up by `next`."""
+        self._retry_budget.earn()
+        return self._consider(request, attempt=1, tried=frozenset(), now=now)
+
+    def next(self, now: float) -> tuple[Assignment | Refusal, ...]:
+        """Return what is to be dispatched or refused now."""
+        out: list[Assignment | Refusal] = []
+        for back_ends, queue in self._queues_by_pool.items():
+            self._refusals += [self._refuse_late(w, now) for w in queue.expired(now)]
+            if len(queue) and not self._upstreams.serving(back_ends):
+                self._refusals += [_no_upstream(w.request) for w in queue.clear()]
+            out += self._dispatch_from(queue, now)
+        out += self._dispatch_alone(now)
+        out += self._refusals
+        self._refusals = []
+        return tuple(out)
+
+    def next_wake(self) -> float | None:
+        """Return when `next` must be called at the latest; None if never."""
+        times = [queue.next_expiry() for queue in self._queues_by_pool.values()]
+        times += [waiting.latest_start for waiting in self._alone_by_id.values()]
+        return min((each for each in times if each is not None), default=None)
+
+    def first_token(self, request_id: str, now: float) -> None:
+        """Note the first token (or the whole answer) of a running request."""
+        running = self._running_by_id.get(request_id)
+        if running is None or running.first_token_seen:
+            return
+        self._running_by_id[request_id] = replace(running, first_token_seen=True)
+        seconds = now - running.dispatched_at
+        self._times.first_token(running.assignment.request, seconds)
+        self._upstreams.succeeded(running.assignment.upstream, now)
+
+    def finished(self, request_id: str, now: float) -> None:
+        """Note that a request ended with its whole answer."""
+        self.first_token(request_id, now)
+        running = self._end(request_id, now)
+        if running is None:
+            return
+        request = running.assignment.request
+        self._times.finished(request, now - running.dispatched_at)
+        self._quarantine.finished(request.fingerprint)
+
+    def left(self, request_id: str, now: float) -> str | None:
+        """Note that the caller is gone; return the upstream to cancel at."""
+        if self._alone_by_id.pop(request_id, None):
+            return None
+        if any(queue.remove(request_id) for queue in self._queues_by_pool.values()):
+            return None
+        running = self._end(request_id, now)
+        if running is None:
+            return None
+        self._upstreams.given_up(running.assignment.upstream, now)
+        return running.assignment.upstream
+
+    def failed(self, request_id: str, failure: Failure, now: float) -> Decision | None:
+        """Note a failed attempt; decide whether the request gets another.
+
+        Report an upstream's crash by `crashed` first, so that a suspect is not
+        sent on unseen.
+
+        Returns
+        -------
+        Decision or None
+            None where the request is not running (its caller left).
+        """
+        running = self._end(request_id, now)
+        if running is None:
+            return None
+        self._upstreams.failed(running.assignment.upstream, failure, now)
+        return self._after_failure(running, failure, now)
+
+    def _after_failure(
+        self, running: _Running, failure: Failure, now: float
+    ) -> Decision:
+        request = running.assignment.request
+        attempt = running.assignment.attempt
+        tried = running.tried | {running.assignment.upstream}
+        may_have_run = failure not in (Failure.OVERLOADED, Failure.TURNED_AWAY)
+        if failure is Failure.OVERLOADED:
+            return self._consider(request, attempt=attempt, tried=tried, now=now)
+        if may_have_run and not request.repeatable:
+            return _final(request, Reason.MUST_NOT_REPEAT, may_have_run=True)
+        if attempt >= MAX_ATTEMPTS:
+            return _final(request, Reason.ATTEMPTS, may_have_run=may_have_run)
+        if may_have_run and not self._retry_budget.take():
+            return _final(
+                request,
+                Reason.RETRY_BUDGET,
+                may_have_run=True,
+                retry_after_seconds=retry_after(1.0, self._random),
+            )
+        return self._consider(request, attempt=attempt + 1, tried=tried, now=now)
+
+    def _consider(
+        self, request: RequestFacts, *, attempt: int, tried: frozenset[str], now: float
+    ) -> Decision:
+        verdict = self._quarantine.verdict(request.fingerprint)
+        if verdict is Verdict.REFUSE:
+            return _final(request, Reason.QUARANTINED)
+        if not self._upstreams.serving(request.back_ends):
+            return _no_upstream(request)
+        times = self._times.times(request)
+        decided = admit(request, times=times, wait_seconds=0.0, now=now)
+        if isinstance(decided, TooLate):
+            return self._refuse_too_late(request, decided)
+        waiting = Waiting(
+            request=request,
+            attempt=attempt,
+            latest_start=decided.latest_start,
+            tried=tried,
+        )
+        if verdict is Verdict.ALONE:
+            self._alone_by_id[request.request_id] = waiting
+            return Queued(request=request, estimated_wait_seconds=0.0)
+        queue = self._queue(request.back_ends)
+        if not queue.waiting(request.service):
+            assignment = self._place(waiting, now)
+            if assignment:
+                return assignment
+        return self._enqueue(queue, waiting, now)
+
+    def _enqueue(self, queue: FairQueue, waiting: Waiting, now: float) -> Decision:
+        request = waiting.request
+        wait_seconds = self._times.wait_seconds(
+            request.back_ends,
+            queue.ahead(request),
+            self._in_flight_by_pool.get(request.back_ends, 0),
+        )
+        times = self._times.times(request)
+        decided = admit(request, times=times, wait_seconds=wait_seconds, now=now)
+        if isinstance(decided, TooLate):
+            return self._refuse_too_late(request, decided)
+        displaced = queue.push(waiting)
+        if displaced is waiting:
+            return self._refuse_displaced(waiting, Reason.QUEUE_FULL, wait_seconds)
+        if displaced:
+            self._refusals.append(
+                self._refuse_displaced(displaced, Reason.FAIR_SHARE, wait_seconds)
+            )
+        return Queued(request=request, estimated_wait_seconds=wait_seconds)
+
+    def _dispatch_from(self, queue: FairQueue, now: float) -> list[Assignment]:
+        """Place what is next in each class until a class finds no room."""
+        out: list[Assignment] = []
+        open_services = {s for s in ServiceClass if queue.waiting(s)}
+        while open_services:
+            waiting = queue.peek(open_services)
+            if waiting is None:
+                break
+            assignment = self._place(waiting, now)
+            if assignment is None:
+                open_services.discard(waiting.request.service)
+                continue
+            queue.take(waiting)
+            out.append(assignment)
+        return out
+
+    def _dispatch_alone(self, now: float) -> list[Assignment]:
+        out: list[Assignment] = []
+        for request_id, waiting in list(self._alone_by_id.items()):
+            if waiting.latest_start < now:
+                del self._alone_by_id[request_id]
+                self._refusals.append(self._refuse_late(waiting, now))
+                continue
+            upstream = self._upstreams.place_alone(waiting.request, now)
+            if upstream is None:
+                continue
+            del self._alone_by_id[request_id]
+            out.append(self._start(waiting, upstream, alone=True, now=now))
+        return out
+
+    def _place(self, waiting: Waiting, now: float) -> Assignment | None:
+        request = waiting.request
+        avoid = waiting.tried
+        if self._quarantine.verdict(request.fingerprint) is Verdict.SUSPECT:
+            avoid |= self._upstreams_with_suspects()
+        upstream = self._upstreams.place(request, avoid=avoid, now=now)
+        if upstream is None:
+            return None
+        return self._start(waiting, upstream, alone=False, now=now)
+
+    def _upstreams_with_suspects(self) -> frozenset[str]:
+        """Return where suspects run.
+
+        Two suspects of one crash on one upstream would, if it crashes too, both
+        have run at two crashes, though only one is to blame.
+        """
+        return frozenset(
+            running.assignment.upstream
+            for running in self._running_by_id.values()
+            if self._quarantine.verdict(running.assignment.request.fingerprint)
+            is Verdict.SUSPECT
+        )
+
+    def _start(
+        self, waiting: Waiting, upstream: str, *, alone: bool, now: float
+    ) -> Assignment:
+        request = waiting.request
+        assignment = Assignment(
+            request=request, upstream=upstream, attempt=waiting.attempt, alone=alone
+        )
+        self._running_by_id[request.request_id] = _Running(
+            assignment=assignment, dispatched_at=now, tried=waiting.tried
+        )
+        in_flight = self._in_flight_by_pool.get(request.back_ends, 0)
+        self._in_flight_by_pool[request.back_ends] = in_flight + 1
+        self._upstreams.started(request.request_id, upstream, alone=alone, now=now)
+        return assignment
+
+    def _end(self, request_id: str, now: float) -> _Running | None:
+        running = self._running_by_id.pop(request_id, None)
+        if running is None:
+            return None
+        self._in_flight_by_pool[running.assignment.request.back_ends] -= 1
+        self._upstreams.ended(request_id, running.assignment.upstream, now)
+        return running
+
+    def _queue(self, back_ends: tuple[str, ...]) -> FairQueue:
+        queue = self._queues_by_pool.get(back_ends)
+        if queue is None:
+            queue = FairQueue(
+                max_waiting=self._settings.max_waiting, fair=self._settings.fair
+            )
+            self._queues_by_pool[back_ends] = queue
+        return queue
+
+    def _refuse_late(self, waiting: Waiting, now: float) -> Refusal:
+        times = self._times.times(waiting.request)
+        decided = admit(waiting.request, times=times, wait_seconds=0.0, now=now)
+        reason = decided.reason if isinstance(decided, TooLate) else Reason.DEADLINE
+        return _final(
+            waiting.request,
+            reason,
+            retry_after_seconds=retry_after(0.0, self._random),
+        )
+
+    def _refuse_too_late(self, request: RequestFacts, late: TooLate) -> Refusal:
+        return _final(
+            request,
+            late.reason,
+            retry_after_seconds=retry_after(late.excess_seconds, self._random),
+        )
+
+    def _refuse_displaced(
+        self, waiting: Waiting, reason: Reason, wait_seconds: float
+    ) -> Refusal:
+        return _final(
+            waiting.request,
+            reason,
+            retry_after_seconds=retry_after(wait_seconds, self._random),
+        )
+
+
+def _final(
+    request: RequestFacts,
+    reason: Reason,
+    *,
+    may_have_run: bool = False,
+    retry_after_seconds: float = 0.0,
+) -> Refusal:
+    return Refusal(
+        request=request,
+        reason=reason,
+        retry_after_seconds=retry_after_seconds,
+        may_have_run=may_have_run,
+    )
+
+
+def _no_upstream(request: RequestFacts) -> Refusal:
+    return _final(
+        request, Reason.NO_UPSTREAM, retry_after_seconds=NO_UPSTREAM_RETRY_SECONDS
+    )
--- /dev/null
+++ b/src/ragwortkeel/policy/upstreams.py
@@ -0,0 +1,162 @@
+"""What one router knows of its upstreams, and where it puts a request.
+
+Ties `choice`, `ejection` and `shifting` together; the limits come from the
+sidecars' reports (see `limits`).
+"""
+
+from collections.abc import Iterable, Sequence
+from random import Random
+
+from ragwortkeel.configuration import ServiceClass
+from ragwortkeel.policy.choice import Candidate, LoadEstimate, choose, rendezvous
+from ragwortkeel.policy.ejection import Ejections
+from ragwortkeel.policy.facts import Failure, LoadReport, RequestFacts, UpstreamFacts
+from ragwortkeel.policy.settings import SchedulerSettings
+from ragwortkeel.policy.shifting import Shares
+
+
+class UpstreamTable:
+    """Load, limit, health and share of each upstream, by name."""
+
+    def __init__(
+        self, *, zone: str, random: Random, settings: SchedulerSettings
+    ) -> None:
+        self._zone = zone
+        self._random = random
+        self._settings = settings
+        self._facts_by_name: dict[str, UpstreamFacts] = {}
+        self._loads_by_name: dict[str, LoadEstimate] = {}
+        self._limits_by_name: dict[str, int] = {}
+        self._alone_by_name: dict[str, str] = {}
+        self._ejections = Ejections(failures_to_eject=settings.failures_to_eject)
+        self._shares = Shares(rise_per_second=settings.rise_per_second)
+
+    def changed(self, upstreams: Iterable[UpstreamFacts], now: float) -> None:
+        """Take over the upstreams that may be given new work from now on."""
+        self._facts_by_name = {facts.name: facts for facts in upstreams}
+        names = set(self._facts_by_name)
+        self._shares.keep(names, now)
+        self._ejections.keep(names)
+        for name in names - self._loads_by_name.keys():
+            self._loads_by_name[name] = LoadEstimate()
+        for name in self._loads_by_name.keys() - names:
+            self._forget_if_idle(name)
+
+    def report(self, report: LoadReport, now: float) -> None:
+        """Take in what a sidecar says of its upstream's load."""
+        load = self._loads_by_name.get(report.upstream)
+        if load is None:
+            return
+        taken_at = now - self._settings.report_lag_seconds
+        load.report(report.running + report.waiting, taken_at)
+        if report.limit:
+            self._limits_by_name[report.upstream] = report.limit
+
+    def serving(self, back_ends: Sequence[str]) -> list[str]:
+        """Return the upstreams of these back ends."""
+        return [
+            name
+            for name, facts in self._facts_by_name.items()
+            if facts.back_end in back_ends
+        ]
+
+    def place(
+        self,
+        request: RequestFacts,
+        *,
+        avoid: frozenset[str],
+        now: float,
+    ) -> str | None:
+        """Return where the request may run now, or None where there is no room.
+
+        Upstreams in `avoid` are used only where no other is left.
+        """
+        names = self._open(request, now)
+        names = [name for name in names if name not in avoid] or names
+        key = request.prefix or request.request_id
+        chosen = choose(
+            ordered=[
+                self._candidate(name, request.service, now)
+                for name in rendezvous(key, names)
+            ],
+            prefix=request.prefix,
+            zone=self._zone,
+            random=self._random,
+            width=self._settings.candidates,
+            bound=self._settings.load_bound,
+        )
+        return chosen.name if chosen else None
+
+    def place_alone(self, request: RequestFacts, now: float) -> str | None:
+        """Return where the request may run alone, or None.
+
+        One upstream of a back end at a time: a suspect must not be able to take
+        the back end away from everybody.
+        """
+        pool = self.serving(request.back_ends)
+        if any(name in self._alone_by_name for name in pool):
+            return None
+        usable = self._ejections.usable(pool, now)
+        steady = [name for name, probe in usable.items() if not probe]
+        return min(
+            steady, key=lambda name: self._loads_by_name[name].load, default=None
+        )
+
+    def started(self, request_id: str, name: str, *, alone: bool, now: float) -> None:
+        """Count a dispatched request."""
+        self._loads_by_name[name].started(now)
+        self._ejections.assigned(name, now)
+        if alone:
+            self._alone_by_name[name] = request_id
+
+    def ended(self, request_id: str, name: str, now: float) -> None:
+        """Count a request that runs there no more."""
+        self._loads_by_name[name].ended(now)
+        if self._alone_by_name.get(name) == request_id:
+            del self._alone_by_name[name]
+        if name not in self._facts_by_name:
+            self._forget_if_idle(name)
+
+    def succeeded(self, name: str, now: float) -> None:
+        """Note an answer, or its first token."""
+        if self._ejections.succeeded(name):
+            self._shares.drop(name, now)
+
+    def given_up(self, name: str, now: float) -> None:
+        """Note work that left without a verdict on the upstream."""
+        self._ejections.given_up(name, now)
+
+    def failed(self, name: str, failure: Failure, now: float) -> None:
+        """Note a failed attempt."""
+        if failure is Failure.OVERLOADED and name in self._loads_by_name:
+            self._loads_by_name[name].full(self._limit(name))
+        if self._ejections.failed(name, failure, now):
+            self._shares.drop(name, now)
+
+    def _open(self, request: RequestFacts, now: float) -> list[str]:
+        """Return the usable upstreams; no probes with what must not repeat."""
+        pool = self.serving(request.back_ends)
+        usable = self._ejections.usable(pool, now)
+        names = [name for name in usable if name not in self._alone_by_name]
+        if request.repeatable:
+            return names
+        return [name for name in names if not usable[name]] or names
+
+    def _limit(self, name: str) -> float:
+        return float(self._limits_by_name.get(name, self._settings.first_limit))
+
+    def _candidate(self, name: str, service: ServiceClass, now: float) -> Candidate:
+        room = self._limit(name) * self._shares.share(name, now)
+        if service is ServiceClass.BATCH:
+            room *= self._settings.batch_share
+        return Candidate(
+            name=name,
+            zone=self._facts_by_name[name].zone,
+            load=self._loads_by_name[name].load,
+            room=max(1.0, room),
+        )
+
+    def _forget_if_idle(self, name: str) -> None:
+        if self._loads_by_name[name].own == 0:
+            del self._loads_by_name[name]
+            self._limits_by_name.pop(name, None)
--- /dev/null
+++ b/tests/policy/test_choice.py
@@ -0,0 +1,108 @@
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ragwortkeel.policy.choice import (
+    CANDIDATES,
+    Candidate,
+    LoadEstimate,
+    choose,
+    rendezvous,
+)
+
+
+def candidates(*loads: float, room: float = 10.0, zones: str = "aaaaaaaaaa"):
+    return [
+        Candidate(name=f"m{i}", zone=zones[i], load=load, room=room)
+        for i, load in enumerate(loads)
+    ]
+
+
+def pick(ordered, prefix="", seed=1, zone="a", **kwargs):
+    chosen = choose(
+        ordered=ordered, prefix=prefix, zone=zone, random=Random(seed), **kwargs
+    )
+    return chosen.name if chosen else None
+
+
+class TestRendezvous:
+    @given(st.text(max_size=20), st.integers(2, 12))
+    def test_leaving_upstream_moves_only_its_own_keys(self, key, count):
+        names = [f"m{i}" for i in range(count)]
+        order = rendezvous(key, names)
+        assert sorted(order) == sorted(names)
+        without = rendezvous(key, [n for n in names if n != order[0]])
+        assert without == order[1:]
+
+    def test_keys_spread(self):
+        names = [f"m{i}" for i in range(5)]
+        firsts = Counter(rendezvous(f"k{i}", names)[0] for i in range(1000))
+        assert set(firsts) == set(names)
+        assert min(firsts.values()) > 150
+
+
+class TestChoice:
+    def test_all_full_gives_none(self):
+        assert pick(candidates(10, 10, 9.5)) is None
+
+    @pytest.mark.parametrize("seed", range(8))
+    def test_never_the_busiest_of_the_candidates(self, seed):
+        assert pick(candidates(1, 5, 9), seed=seed) != "m2"
+
+    @pytest.mark.parametrize("seed", range(8))
+    def test_stays_among_the_first_few_while_they_have_room(self, seed):
+        ordered = candidates(8, 8, 8, 0, 0)
+        assert pick(ordered, seed=seed) in {"m0", "m1", "m2"}
+
+    def test_goes_beyond_the_few_rather_than_refuse(self):
+        assert pick(candidates(*[10] * CANDIDATES, 3)) == f"m{CANDIDATES}"
+
+    def test_own_zone_breaks_ties_only(self):
+        assert pick(candidates(2, 2, zones="bc"), zone="c") == "m1"
+        assert pick(candidates(2, 5, zones="bc"), zone="c") == "m0"
+
+
+class TestPrefixAffinity:
+    @pytest.mark.parametrize("seed", range(8))
+    def test_prefix_goes_to_its_first_upstream(self, seed):
+        assert pick(candidates(3, 2, 2), prefix="p", seed=seed) == "m0"
+
+    def test_hot_prefix_is_spread_beyond_the_bound(self):
+        """One mailbox's long thread is asked about by a whole office.
+
+        All its requests share a prefix; without the bound its first upstream
+        takes them all and answers late, while the others idle.
+        """
+        assert pick(candidates(9, 0, 0), prefix="p") in {"m1", "m2"}
+
+
+class TestLoadEstimate:
+    def test_own_work_since_the_report_counts(self):
+        load = LoadEstimate()
+        for second in range(3):
+            load.started(now=float(second))
+        load.report(10, taken_at=1.5)
+        assert load.load == 8 + 3
+        load.ended(now=3.0)
+        assert load.load == 8 + 2
+
+    def test_full_until_the_next_report(self):
+        load = LoadEstimate()
+        load.full(room=16.0)
+        assert load.load == 16
+        load.report(4, taken_at=1.0)
+        assert load.load == 4
+
+    @given(st.lists(st.integers(0, 1), max_size=40), st.integers(0, 30))
+    def test_never_below_own_work(self, steps, total):
+        load = LoadEstimate()
+        for at, step in enumerate(steps):
+            if step or not load.own:
+                load.started(float(at))
+            else:
+                load.ended(float(at))
+        load.report(total, taken_at=len(steps) / 2)
+        assert load.load >= load.own >= 0
--- /dev/null
+++ b/tests/policy/test_scheduler.py
@@ -0,0 +1,189 @@
+import pytest
+from tests.policy.helpers import batch, filing, request, scheduler, upstreams
+
+from ragwortkeel.policy.facts import (
+    Assignment,
+    Failure,
+    LoadReport,
+    Queued,
+    Reason,
+    Refusal,
+)
+from ragwortkeel.policy.quarantine import Crash
+from ragwortkeel.policy.retries import MAX_ATTEMPTS
+
+
+def learn(made, seconds=1.0, first_token=0.2):
+    """Let the scheduler see one request through, so that it has estimates."""
+    made.offer(request("learn"), now=0.0)
+    made.first_token("learn", now=first_token)
+    made.finished("learn", now=seconds)
+
+
+class TestOffering:
+    def test_room_means_dispatch(self):
+        assert isinstance(scheduler().offer(request("r1"), now=0.0), Assignment)
+
+    def test_no_upstream_is_refused_at_once_with_when_to_come_back(self):
+        refusal = scheduler(0).offer(request("r1"), now=0.0)
+        assert refusal.reason is Reason.NO_UPSTREAM
+        assert refusal.retry_after_seconds > 0
+
+    def test_full_means_queue_and_then_dispatch_on_a_free_place(self):
+        made = scheduler(1, first_limit=1)
+        made.offer(request("r1"), now=0.0)
+        assert isinstance(made.offer(request("r2"), now=0.1), Queued)
+        assert made.next(now=0.2) == ()
+        made.finished("r1", now=0.5)
+        (assignment,) = made.next(now=0.5)
+        assert assignment.request.request_id == "r2"
+
+    def test_batch_leaves_places_for_interactive(self):
+        made = scheduler(1, first_limit=10)
+        answers = [made.offer(batch(f"b{i}"), now=0.0) for i in range(12)]
+        assert sum(isinstance(each, Assignment) for each in answers) == 8
+        assert isinstance(made.offer(request("chat"), now=0.0), Assignment)
+
+
+class TestFinalAtOnce:
+    """Nothing that is given up on is held back."""
+
+    def test_wait_too_long_is_refused_when_offered(self):
+        made = scheduler(1, first_limit=1)
+        learn(made, seconds=2.0)
+        made.offer(request("r1", deadline=30.0, first_token_by=30.0), now=1.0)
+        refusal = made.offer(request("r2", first_token_by=2.5), now=1.0)
+        assert isinstance(refusal, Refusal)
+        assert refusal.reason is Reason.FIRST_TOKEN
+        assert refusal.retry_after_seconds > 0
+        assert not refusal.may_have_run
+
+    def test_queued_request_is_refused_the_moment_it_cannot_make_it(self):
+        made = scheduler(1, first_limit=1)
+        made.offer(request("r1", deadline=90.0, first_token_by=90.0), now=0.0)
+        assert isinstance(made.offer(request("r2", first_token_by=1.5), 0.0), Queued)
+        assert made.next_wake() == 1.5
+        assert made.next(now=1.5) == ()
+        (refusal,) = made.next(now=1.5001)
+        assert refusal.request.request_id == "r2"
+        assert made.next_wake() is None
+
+    def test_displaced_request_is_answered_by_the_same_next(self):
+        """A large customer's flood fills the queue; a small one comes."""
+        made = scheduler(1, first_limit=1, max_waiting=4)
+        made.offer(batch("first"), now=0.0)
+        for i in range(4):
+            made.offer(batch(f"flood{i}", customer="large"), now=0.0)
+        assert isinstance(made.offer(batch("s", customer="small"), now=0.0), Queued)
+        (refusal,) = made.next(now=0.0)
+        assert refusal.request.customer == "large"
+        assert refusal.reason is Reason.FAIR_SHARE
+
+    def test_upstreams_gone_refuses_what_waits(self):
+        made = scheduler(1, first_limit=1)
+        made.offer(request("r1"), now=0.0)
+        made.offer(request("r2"), now=0.0)
+        made.upstreams_changed([], now=0.1)
+        (refusal,) = made.next(now=0.1)
+        assert refusal.reason is Reason.NO_UPSTREAM
+
+
+class TestFailures:
+    def test_retry_goes_elsewhere(self):
+        made = scheduler()
+        first = made.offer(request("r1"), now=0.0)
+        second = made.failed("r1", Failure.UNREACHABLE, now=0.1)
+        assert second.attempt == 2
+        assert second.upstream != first.upstream
+
+    def test_what_must_not_repeat_is_not_retried_once_it_may_have_run(self):
+        made = scheduler()
+        made.offer(filing("f1"), now=0.0)
+        refusal = made.failed("f1", Failure.UNREACHABLE, now=0.1)
+        assert refusal.reason is Reason.MUST_NOT_REPEAT
+        assert refusal.may_have_run
+
+    @pytest.mark.parametrize("failure", [Failure.OVERLOADED, Failure.TURNED_AWAY])
+    def test_what_did_not_run_goes_elsewhere_though_it_must_not_repeat(self, failure):
+        made = scheduler()
+        first = made.offer(filing("f1"), now=0.0)
+        second = made.failed("f1", failure, now=0.1)
+        assert isinstance(second, Assignment)
+        assert second.upstream != first.upstream
+
+    def test_attempts_are_bounded(self):
+        made = scheduler(9)
+        made.offer(request("r1"), now=0.0)
+        answers = [
+            made.failed("r1", Failure.ERROR, now=0.1) for _ in range(MAX_ATTEMPTS)
+        ]
+        assert answers[-1].reason is Reason.ATTEMPTS
+
+    def test_retry_budget_bounds_the_extra_work(self):
+        """A zone is lost under load: each request fails, none may storm."""
+        made = scheduler(9)
+        for i in range(100):
+            made.offer(request(f"r{i}"), now=0.0)
+        answers = [made.failed(f"r{i}", Failure.ERROR, now=0.1) for i in range(100)]
+        spent = [a for a in answers if isinstance(a, Refusal)]
+        assert sum(isinstance(a, Assignment | Queued) for a in answers) <= 15
+        assert {refusal.reason for refusal in spent} == {Reason.RETRY_BUDGET}
+
+    def test_left_caller_frees_its_place(self):
+        made = scheduler(1, first_limit=1)
+        made.offer(request("r1"), now=0.0)
+        made.offer(request("r2"), now=0.0)
+        assert made.left("r1", now=0.1) == "m0"
+        assert [a.request.request_id for a in made.next(now=0.1)] == ["r2"]
+        assert made.left("r2", now=0.2) == "m0"
+        assert made.failed("r2", Failure.ERROR, now=0.3) is None
+
+
+class TestReports:
+    def test_reported_limit_binds(self):
+        made = scheduler(1)
+        made.report(LoadReport(upstream="m0", running=0, waiting=0, limit=2), now=0.0)
+        answers = [made.offer(request(f"r{i}"), now=0.0) for i in range(3)]
+        assert [type(a) for a in answers] == [Assignment, Assignment, Queued]
+
+    def test_others_work_counts(self):
+        made = scheduler(1, first_limit=4)
+        made.report(LoadReport(upstream="m0", running=3, waiting=1, limit=0), now=0.0)
+        assert isinstance(made.offer(request("r1"), now=0.0), Queued)
+
+    def test_joining_upstream_starts_small(self):
+        made = scheduler(2, first_limit=10)
+        made.upstreams_changed(upstreams(3), now=1.0)
+        answers = [made.offer(request(f"r{i}"), now=1.0) for i in range(21)]
+        taken = [a.upstream for a in answers if isinstance(a, Assignment)]
+        assert taken.count("m2") == 1
+
+
+class TestQuarantine:
+    def crash(self, made, crash_id, *names):
+        prints = frozenset(f"body-{name}" for name in names)
+        made.crashed(Crash(crash_id=crash_id, fingerprints=prints), now=0.0)
+
+    def test_suspects_of_one_crash_are_kept_apart(self):
+        made = scheduler(3)
+        self.crash(made, "c1", "a", "b", "c")
+        places = [made.offer(request(name), now=0.0).upstream for name in "abc"]
+        assert len(set(places)) == 3
+
+    def test_runs_alone_then_refused(self):
+        made = scheduler(2)
+        self.crash(made, "c1", "poison")
+        self.crash(made, "c2", "poison")
+        assert isinstance(made.offer(request("poison"), now=0.0), Queued)
+        (alone,) = made.next(now=0.0)
+        assert alone.alone
+        others = [made.offer(request(f"r{i}"), now=0.0).upstream for i in range(5)]
+        assert alone.upstream not in others
+        made.crashed(
+            Crash(crash_id="c3", fingerprints=frozenset(["body-poison"]), alone=True),
+            now=0.5,
+        )
+        refusal = made.failed("poison", Failure.CRASHED, now=0.5)
+        assert refusal.reason is Reason.QUARANTINED
+        again = made.offer(request("new-key", fingerprint="body-poison"), now=0.6)
+        assert again.reason is Reason.QUARANTINED
