--- a/src/ragwortkeel/configuration.py
+++ b/src/ragwortkeel/configuration.py
@@ -76,13 +76,17 @@
 
 
 class Upstream(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """One instance of a back end, and the address of the sidecar beside it."""
+    """One instance of a back end, and the address of the sidecar beside it.
+
+    `resumes` says that its engine can go on after tokens already produced.
+    """
 
     name: Name
     back_end: Name
     kind: UpstreamKind
     sidecar_address: str
     zone: str
+    resumes: bool = False
     state: UpstreamState = UpstreamState.SERVING
     retired: bool = False
 
--- a/src/ragwortkeel/links.py
+++ b/src/ragwortkeel/links.py
@@ -221,7 +221,7 @@
         self.name = name
         self.address = address
         self.up = False
-        self._incarnation = incarnation
+        self.incarnation = incarnation
         self._revision = revision
         self._inbox = inbox
         self._heartbeat_seconds = heartbeat_seconds
@@ -243,12 +243,12 @@
         if self._channel is None:
             raise LinkLost(f"{self.name} is not connected")
         envelope = Envelope(
-            sender=self._incarnation, revision=self._revision(), message=message
+            sender=self.incarnation, revision=self._revision(), message=message
         )
         await self._channel.send([encode(envelope)])
 
     async def _one_connection(self) -> None:
-        identity = f"{self._incarnation}/{next(_serials)}"
+        identity = f"{self.incarnation}/{next(_serials)}"
         socket = _new_socket(zmq.DEALER, identity)
         socket.connect(f"tcp://{self.address}")
         self._channel = _Channel(socket)
--- /dev/null
+++ b/src/ragwortkeel/router/closing.py
@@ -0,0 +1,88 @@
+"""Runs that a request has given up on, followed until their cost is known.
+
+A reservation may be replaced by a figure only on evidence: the sidecar says
+what the run cost, or promises that it never runs, or is gone for good.  Until
+then the tokens stay set aside, because the run may still be spending them.
+"""
+
+from math import inf
+
+import curio
+
+from ragwortkeel.budget.slice import Reservation
+from ragwortkeel.messages import RunReceipt
+from ragwortkeel.router.attempt import (
+    Attempt,
+    AttemptEnd,
+    Broken,
+    Completed,
+    Declined,
+    Lost,
+)
+
+
+class Closing:
+    """Settles attempts, at once where their end is known and later where not.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, *, budgets, receipts) -> None:
+        self._budgets = budgets
+        self._receipts = receipts
+        self._tasks = curio.TaskGroup(wait=all)
+        self.open_runs = 0
+
+    async def settle(
+        self, reservation: Reservation, attempt: Attempt, end: AttemptEnd, request
+    ) -> None:
+        """Settle an attempt that has ended.
+
+        Parameters
+        ----------
+        request
+            The `Call` that the attempt ran for.
+        """
+        match end:
+            case Completed(tokens=tokens):
+                await self._charge(reservation, attempt, request, tokens, True)
+            case Broken(tokens=tokens):
+                await self._charge(reservation, attempt, request, tokens, False)
+            case Declined():
+                await self._budgets.settle(reservation, 0)
+            case Lost():
+                # Another incarnation answers, so the run died with the old one;
+                # how far it came nobody knows: the bound is charged.
+                await self._budgets.settle(reservation, reservation.tokens)
+        attempt.close()
+
+    async def abandon(
+        self, reservation: Reservation, attempt: Attempt, request, *, cancel: bool
+    ) -> None:
+        """Follow an open attempt to its end in the background."""
+        if cancel:
+            await attempt.cancel()
+        self.open_runs += 1
+        await curio.spawn(self._follow, reservation, attempt, request, daemon=True)
+
+    async def _follow(self, reservation, attempt, request) -> None:
+        try:
+            end = await attempt.follow(relink_seconds=inf)
+            await self.settle(reservation, attempt, end, request)
+        finally:
+            self.open_runs -= 1
+
+    async def _charge(self, reservation, attempt, request, tokens, billable) -> None:
+        await self._budgets.settle(reservation, tokens)
+        if not tokens:
+            return
+        receipt = RunReceipt(
+            profile=request.profile,
+            request_id=request.request_id,
+            nonce=attempt.nonce,
+            router=reservation.router,
+            sidecar=attempt.sidecar,
+            tokens=tokens,
+            billable=billable,
+        )
+        await self._receipts.add(receipt)
--- /dev/null
+++ b/src/ragwortkeel/router/gateway.py
@@ -0,0 +1,139 @@
+"""The callers' side: HTTP requests in, whole answers or refusals out."""
+
+from itertools import count
+
+import curio
+
+from ragwortkeel.configuration import Profile, ServiceClass
+from ragwortkeel.exceptions import BadRequest
+from ragwortkeel.httpio import Request, Responder
+from ragwortkeel.policy.facts import RequestFacts
+from ragwortkeel.router.calls import Call, ChatCall, parse_call, profile_of
+from ragwortkeel.router.exchange import Exchange
+from ragwortkeel.router.filings import Filing
+from ragwortkeel.router.parts import Parts
+from ragwortkeel.router.refusals import Outcome, Reason, Refusal
+from ragwortkeel.router.sinks import Sink, StreamSink, WholeSink
+
+STOPPING_RETRY_SECONDS = 1.0
+"""The balancer has another entry instance; it need only be asked again."""
+
+
+class Gateway:
+    """Serves callers' HTTP requests.
+
+    Attributes
+    ----------
+    stopping : bool
+        Set on a planned stop; requests on kept connections are then refused.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, *, parts: Parts, observe) -> None:
+        self.stopping = False
+        self._parts = parts
+        self._observe = observe
+        self._serials = count(1)
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one request; the handler of an `HttpServer`."""
+        started = self._parts.clock()
+        try:
+            found = self._find(request)
+        except BadRequest as exc:
+            refusal = _refusal_of_bad(exc)
+            await WholeSink(responder=responder, request_id="").refuse(refusal)
+            return
+        if isinstance(found, Refusal):
+            await WholeSink(responder=responder, request_id="").refuse(found)
+            return
+        call, profile, version = found
+        sink = _new_sink(call, responder)
+        served = self._new_server(call, profile, version, sink)
+        refusal = await self._serve(served, profile, responder)
+        if refusal is not None:
+            await sink.refuse(refusal)
+        self._observe(call, profile, refusal, self._parts.clock() - started)
+
+    def _find(self, request: Request) -> tuple[Call, Profile, int] | Refusal:
+        name = profile_of(request)
+        if self.stopping:
+            return Refusal(
+                outcome=Outcome.NOT_RUN,
+                reason=Reason.STOPPING,
+                retry_after_seconds=STOPPING_RETRY_SECONDS,
+            )
+        found = self._parts.directory.profile(name)
+        if found is None:
+            return Refusal(outcome=Outcome.NOT_RUN, reason=Reason.UNKNOWN_PROFILE)
+        profile, version = found
+        if profile.retired:
+            return Refusal(outcome=Outcome.NOT_RUN, reason=Reason.RETIRED_PROFILE)
+        return parse_call(request, profile), profile, version
+
+    def _new_server(
+        self, call: Call, profile: Profile, version: int, sink: Sink
+    ) -> Exchange | Filing:
+        must_not_repeat = profile.service is ServiceClass.MUST_NOT_REPEAT
+        cls = Filing if must_not_repeat else Exchange
+        return cls(
+            call=call,
+            profile=profile,
+            version=version,
+            facts=self._facts(call, profile),
+            parts=self._parts,
+            sink=sink,
+        )
+
+    def _facts(self, call: Call, profile: Profile) -> RequestFacts:
+        now = self._parts.clock()
+        return RequestFacts(
+            request_id=f"{call.request_id}#{next(self._serials)}",
+            profile=profile.name,
+            customer=profile.customer,
+            service=profile.service,
+            back_ends=profile.back_ends,
+            deadline=now + profile.deadline_seconds,
+            first_token_by=now + profile.first_token_seconds,
+            cost=call.bound,
+            prefix=call.kind.prefix if isinstance(call.kind, ChatCall) else "",
+            fingerprint=call.fingerprint,
+        )
+
+    async def _serve(
+        self, served: Exchange | Filing, profile: Profile, responder: Responder
+    ) -> Refusal | None:
+        """Run the request until it ends, its deadline passes or its caller leaves."""
+        try:
+            async with curio.timeout_after(profile.deadline_seconds):
+                async with curio.TaskGroup(wait=any) as group:
+                    serving = await group.spawn(served.run)
+                    await group.spawn(responder.gone.wait)
+        except curio.TaskTimeout:
+            return _stopped(served, Reason.DEADLINE)
+        if group.completed is not serving:
+            return None
+        if serving.exception is not None:
+            return _stopped(served, Reason.INTERNAL)
+        return serving.result
+
+
+def _new_sink(call: Call, responder: Responder) -> Sink:
+    cls = StreamSink if call.stream else WholeSink
+    return cls(responder=responder, request_id=call.request_id)
+
+
+def _stopped(served: Exchange | Filing, reason: Reason) -> Refusal:
+    """Return the refusal of a request that was cut short while it was served."""
+    outcome = Outcome.UNKNOWN if served.may_have_run else Outcome.NOT_RUN
+    return Refusal(outcome=outcome, reason=reason, retry_after_seconds=1.0)
+
+
+def _refusal_of_bad(exc: BadRequest) -> Refusal:
+    return Refusal(
+        outcome=Outcome.NOT_RUN,
+        reason=Reason.BAD_REQUEST,
+        detail=f"{exc.reason}: {exc.detail}",
+        status=exc.status,
+    )
--- /dev/null
+++ b/src/ragwortkeel/router/sidecars.py
@@ -0,0 +1,214 @@
+"""The links from a router to the sidecars of the configured upstreams.
+
+One task owns the inbox of all links and hands each message to the exchange
+whose nonce it names; what names none goes to `others`.
+"""
+
+from dataclasses import dataclass, field
+from time import monotonic
+
+import curio
+
+from ragwortkeel.configuration import Upstream
+from ragwortkeel.exceptions import LinkLost
+from ragwortkeel.links import Link, LinkDown, LinkEvent, LinkUp, Received
+from ragwortkeel.messages import (
+    AnyMessage,
+    Chunk,
+    Failed,
+    Finished,
+    Heartbeat,
+    Locate,
+    Located,
+    Refused,
+    Started,
+    TombstoneResult,
+)
+
+LOCATE_SECONDS = 1.0
+"""A sidecar that is up answers in well under a millisecond."""
+
+RunEvent = (
+    Started | Chunk | Finished | Failed | Refused | TombstoneResult | LinkUp | LinkDown
+)
+
+
+@dataclass(kw_only=True)
+class SidecarView:
+    """What the router last heard of one sidecar."""
+
+    upstream: str
+    link: Link
+    task: curio.Task
+    incarnation: str = ""
+    load: Heartbeat = field(default_factory=Heartbeat)
+    heard_at: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Subscription:
+    """One reader of one run; a retry may read along with the first caller."""
+
+    nonce: str
+    upstream: str
+    queue: curio.Queue
+
+
+class SidecarPool:
+    """Links to the sidecars of all configured upstreams.
+
+    Parameters
+    ----------
+    incarnation, revision
+        As for `Link`.
+
+    Attributes
+    ----------
+    views_by_upstream : dict of str to SidecarView
+    others : curio.Queue
+        `Received` events that belong to no run, and every link's up and down.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, *, incarnation, revision) -> None:
+        self.views_by_upstream: dict[str, SidecarView] = {}
+        self.others: curio.Queue = curio.Queue()
+        self._incarnation = incarnation
+        self._revision = revision
+        self._inbox: curio.Queue = curio.Queue()
+        self._subscriptions_by_nonce: dict[str, list[Subscription]] = {}
+        self._locating: dict[tuple[str, str, str], curio.Queue] = {}
+
+    async def follow(self, upstreams_by_name: dict[str, Upstream]) -> None:
+        """Open links to new upstreams and close those to removed ones."""
+        for name, view in list(self.views_by_upstream.items()):
+            wanted = upstreams_by_name.get(name)
+            if wanted is None or wanted.sidecar_address != view.link.address:
+                await self._drop(name)
+        for name, upstream in upstreams_by_name.items():
+            if name not in self.views_by_upstream:
+                await self._add(name, upstream.sidecar_address)
+
+    def is_up(self, upstream: str) -> bool:
+        """Return whether the sidecar is connected and known by incarnation."""
+        view = self.views_by_upstream.get(upstream)
+        return view is not None and view.link.up and bool(view.incarnation)
+
+    async def send(self, upstream: str, message: AnyMessage) -> None:
+        """Send to an upstream's sidecar; `LinkLost` when that cannot be."""
+        view = self.views_by_upstream.get(upstream)
+        if view is None:
+            raise LinkLost(f"no link to {upstream}")
+        await view.link.send(message)
+
+    def subscribe(self, nonce: str, upstream: str) -> Subscription:
+        """Return a subscription whose queue gets everything about a run."""
+        rv = Subscription(nonce=nonce, upstream=upstream, queue=curio.Queue())
+        self._subscriptions_by_nonce.setdefault(nonce, []).append(rv)
+        return rv
+
+    def unsubscribe(self, subscription: Subscription) -> None:
+        """Forget a reader; later messages for it are dropped."""
+        readers = self._subscriptions_by_nonce.get(subscription.nonce, [])
+        if subscription in readers:
+            readers.remove(subscription)
+        if not readers:
+            self._subscriptions_by_nonce.pop(subscription.nonce, None)
+
+    def upstream_of(self, incarnation: str) -> str | None:
+        """Return the upstream whose connected sidecar has this incarnation."""
+        for name, view in self.views_by_upstream.items():
+            if view.incarnation == incarnation and view.link.up:
+                return name
+        return None
+
+    async def locate(
+        self, upstream: str, profile: str, request_id: str
+    ) -> Located | None:
+        """Ask a sidecar for a run of a request; None when it does not answer."""
+        key = (upstream, profile, request_id)
+        queue = self._locating.setdefault(key, curio.Queue())
+        try:
+            await self.send(upstream, Locate(profile=profile, request_id=request_id))
+            async with curio.timeout_after(LOCATE_SECONDS):
+                return await queue.get()
+        except (LinkLost, curio.TaskTimeout):
+            return None
+        finally:
+            self._locating.pop(key, None)
+
+    def reincarnate(self) -> None:
+        """Send under the router's new incarnation from now on."""
+        for view in self.views_by_upstream.values():
+            view.link.incarnation = self._incarnation()
+
+    async def run(self) -> None:
+        """Hand out what arrives until cancelled."""
+        while True:
+            await self._hand_out(await self._inbox.get())
+
+    async def close(self) -> None:
+        """Close all links."""
+        for name in list(self.views_by_upstream):
+            await self._drop(name)
+
+    async def _add(self, name: str, address: str) -> None:
+        link = Link(
+            name=name,
+            address=address,
+            incarnation=self._incarnation(),
+            revision=self._revision,
+            inbox=self._inbox,
+        )
+        task = await curio.spawn(link.run, daemon=True)
+        self.views_by_upstream[name] = SidecarView(upstream=name, link=link, task=task)
+
+    async def _drop(self, name: str) -> None:
+        view = self.views_by_upstream.pop(name)
+        await view.task.cancel()
+        await self._tell_runs(name, LinkDown(peer=name))
+
+    async def _hand_out(self, event: LinkEvent) -> None:
+        match event:
+            case Received(peer=peer, envelope=envelope):
+                self._note_sender(peer, envelope.sender)
+                await self._hand_out_message(event, envelope.message)
+            case LinkUp() | LinkDown():
+                await self._tell_runs(event.peer, event)
+                await self.others.put(event)
+
+    async def _hand_out_message(self, event: Received, message: AnyMessage) -> None:
+        match message:
+            case Heartbeat():
+                self._note_load(event.peer, message)
+                await self.others.put(event)
+            case Located(profile=profile, request_id=request_id):
+                queue = self._locating.get((event.peer, profile, request_id))
+                if queue is not None:
+                    await queue.put(message)
+            case (
+                Started() | Chunk() | Finished() | Failed()
+                | Refused() | TombstoneResult()
+            ):  # fmt: skip
+                for reader in self._subscriptions_by_nonce.get(message.nonce, ()):
+                    await reader.queue.put(message)
+            case _:
+                await self.others.put(event)
+
+    async def _tell_runs(self, upstream: str, event: LinkUp | LinkDown) -> None:
+        for readers in list(self._subscriptions_by_nonce.values()):
+            for reader in readers:
+                if reader.upstream == upstream:
+                    await reader.queue.put(event)
+
+    def _note_sender(self, peer: str, incarnation: str) -> None:
+        view = self.views_by_upstream.get(peer)
+        if view is not None:
+            view.incarnation = incarnation
+            view.heard_at = monotonic()
+
+    def _note_load(self, peer: str, load: Heartbeat) -> None:
+        view = self.views_by_upstream.get(peer)
+        if view is not None:
+            view.load = load
--- /dev/null
+++ b/src/ragwortkeel/router/sinks.py
@@ -0,0 +1,159 @@
+"""Where an answer goes: a stream to the caller, or a whole body at the end.
+
+A stream passes on only whole events, so that a run which breaks off can be
+continued by another upstream without a torn event in between, and an answer
+that cannot be continued ends with an explicit error event, never by just
+stopping.
+"""
+
+from contextlib import suppress
+
+from ragwortkeel.exceptions import ExchangeBroken
+from ragwortkeel.httpio import Responder
+from ragwortkeel.router.refusals import (
+    Refusal,
+    problem_body,
+    problem_headers,
+    status_of,
+)
+
+EVENT_STREAM = "text/event-stream"
+EVENT_END = b"\n\n"
+TOKEN_MARK = b'"content"'
+"""Stands in each event that carries a token, and in no other."""
+
+HEADER_REQUEST_ID = "idempotency-key"
+
+
+class EventSplitter:
+    """Cuts a byte stream into whole server-sent events and counts tokens."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self.tokens = 0
+
+    def add(self, data: bytes) -> bytes:
+        """Return what is whole now; the torn rest waits."""
+        whole, mark, self._rest = (self._rest + data).rpartition(EVENT_END)
+        self.tokens += whole.count(TOKEN_MARK)
+        return whole + mark
+
+    def drop_rest(self) -> None:
+        """Forget a torn event: its run will not go on."""
+        self._rest = b""
+
+
+class StreamSink:
+    """Streams an answer to the caller as it comes."""
+
+    def __init__(self, *, responder: Responder, request_id: str) -> None:
+        self.begun = False
+        self._responder = responder
+        self._request_id = request_id
+        self._splitter = EventSplitter()
+        self._plain: list[bytes] = []
+
+    @property
+    def tokens(self) -> int:
+        """Tokens passed on so far."""
+        return self._splitter.tokens
+
+    async def write(self, data: bytes, content_type: str) -> None:
+        """Pass on what is whole."""
+        if not content_type.startswith(EVENT_STREAM):
+            # An engine refuses a stream request by a plain answer.
+            self._plain.append(data)
+            return
+        whole = self._splitter.add(data)
+        if not whole:
+            return
+        if not self.begun:
+            self.begun = True
+            headers = {
+                "content-type": EVENT_STREAM,
+                "cache-control": "no-store",
+                HEADER_REQUEST_ID: self._request_id,
+            }
+            await self._send(self._responder.start(200, headers))
+        await self._send(self._responder.send(whole))
+
+    def restart(self) -> None:
+        """Expect a run that goes on after the tokens already passed on."""
+        self._splitter.drop_rest()
+        self._plain.clear()
+
+    async def finish(self, status: int, content_type: str) -> None:
+        """End the answer, which is whole."""
+        if not self.begun:
+            headers = {
+                "content-type": content_type,
+                HEADER_REQUEST_ID: self._request_id,
+            }
+            body = b"".join(self._plain)
+            await self._send(self._responder.respond(status, body, headers))
+            return
+        await self._send(self._responder.finish())
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """End the answer by a refusal, or by an error event once begun."""
+        if not self.begun:
+            await _respond_problem(self._responder, refusal, self._request_id)
+            return
+        problem = problem_body(refusal, self._request_id)
+        await self._send(self._responder.send(b"event: error\ndata: " + problem))
+        await self._send(self._responder.send(EVENT_END))
+        await self._send(self._responder.finish())
+
+    async def _send(self, sending) -> None:
+        # The caller may be gone while its run goes on for a later retry.
+        with suppress(ExchangeBroken):
+            await sending
+
+
+class WholeSink:
+    """Collects an answer and sends it once it is whole."""
+
+    def __init__(self, *, responder: Responder, request_id: str) -> None:
+        self.begun = False
+        self.tokens = 0
+        self._responder = responder
+        self._request_id = request_id
+        self._pieces: list[bytes] = []
+
+    async def write(self, data: bytes, content_type: str) -> None:
+        """Keep a piece."""
+        self._pieces.append(data)
+
+    def restart(self) -> None:
+        """Forget the pieces of a run that broke off."""
+        self._pieces.clear()
+
+    @property
+    def body(self) -> bytes:
+        """What has been collected."""
+        return b"".join(self._pieces)
+
+    async def finish(self, status: int, content_type: str) -> None:
+        """Send the answer."""
+        headers = {
+            "content-type": content_type,
+            HEADER_REQUEST_ID: self._request_id,
+        }
+        with suppress(ExchangeBroken):
+            await self._responder.respond(status, self.body, headers)
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Send a refusal instead."""
+        await _respond_problem(self._responder, refusal, self._request_id)
+
+
+Sink = StreamSink | WholeSink
+
+
+async def _respond_problem(
+    responder: Responder, refusal: Refusal, request_id: str
+) -> None:
+    body = problem_body(refusal, request_id)
+    headers = problem_headers(refusal, request_id)
+    with suppress(ExchangeBroken):
+        await responder.respond(status_of(refusal), body, headers)
