Stand-ins for engines and plain services, and key=value logs

Cause: nothing stood in for an upstream, so no request could be answered; and events had no form in the log. Ruled out: answers from a random source (a test could not tell its own answer from another's); writing the log with a blocking write (a stuck reader of the pipe would stop the kernel); O_NONBLOCK on stderr (it is shared with whoever started us).

--- /dev/null
+++ b/src/ragwortkeel/logs.py
@@ -0,0 +1,155 @@
+"""Logs by eliot: one line of key=value pairs for each event, on standard error.
+
+A reader of the log that stops reading must not stop the daemon: lines that do
+not fit into the pipe are dropped and counted, and the count is logged once
+there is room again.
+"""
+
+import os
+import select
+from collections.abc import Mapping
+from enum import IntEnum
+
+import eliot
+import msgspec
+
+MAX_LINE_BYTES = 4096
+"""PIPE_BUF: a pipe that polls as writable takes this much without blocking."""
+
+STANDARD_ERROR = 2
+_CUT_MARK = b"...\n"
+_NEEDS_QUOTES = frozenset(' "=\\')
+_FIRST_KEYS = ("timestamp", "level", "event")
+_OWN_KEYS = frozenset((*_FIRST_KEYS, "message_type", "task_level", "task_uuid"))
+
+
+class Level(IntEnum):
+    """How much an event matters."""
+
+    DEBUG = 10
+    INFO = 20
+    WARNING = 30
+    ERROR = 40
+
+
+class LineDestination:
+    """An eliot destination that writes lines without ever blocking.
+
+    Parameters
+    ----------
+    fd
+        The file descriptor to write to.
+    level
+        Events below are not written.
+    """
+
+    def __init__(self, *, fd: int = STANDARD_ERROR, level: Level = Level.INFO) -> None:
+        self.level = level
+        self.dropped = 0
+        self._fd = fd
+        self._poll = select.poll()
+        self._poll.register(fd, select.POLLOUT)
+
+    def __call__(self, message: Mapping[str, object]) -> None:
+        """Write one event, or count it as dropped."""
+        if message.get("level", Level.INFO) < self.level:
+            return
+        if self.dropped and self._write(_dropped_line(self.dropped)):
+            self.dropped = 0
+        if not self._write(render(message)):
+            self.dropped += 1
+
+    def _write(self, line: bytes) -> bool:
+        # A full pipe would block the whole kernel, and with it every request of
+        # this process.  Up to PIPE_BUF bytes a pipe that polls as writable takes
+        # at once, so this write cannot block.
+        if not any(event & select.POLLOUT for _, event in self._poll.poll(0)):
+            return False
+        try:
+            os.write(self._fd, line)
+        except OSError:
+            return False
+        return True
+
+
+def render(message: Mapping[str, object]) -> bytes:
+    """Return an eliot message as one line, cut to `MAX_LINE_BYTES`."""
+    event = message.get("message_type") or message.get("action_type") or "event"
+    level = Level(message.get("level", Level.INFO)).name.lower()
+    timestamp = f"{message.get('timestamp', 0.0):.6f}"
+    pairs = [("timestamp", timestamp), ("level", level), ("event", event)]
+    pairs += [(k, v) for k, v in message.items() if k not in _OWN_KEYS]
+    text = " ".join(f"{_key(key)}={_value(value)}" for key, value in pairs)
+    line = text.encode("utf-8", "backslashreplace") + b"\n"
+    if len(line) > MAX_LINE_BYTES:
+        line = line[: MAX_LINE_BYTES - len(_CUT_MARK)] + _CUT_MARK
+    return line
+
+
+def _dropped_line(count: int) -> bytes:
+    return b"level=warning event=log_lines_dropped count=%d\n" % count
+
+
+def _key(key: str) -> str:
+    return "".join("_" if c in _NEEDS_QUOTES or not c.isprintable() else c for c in key)
+
+
+def _value(value: object) -> str:
+    match value:
+        case None:
+            return "-"
+        case bool():
+            return "true" if value else "false"
+        case float():
+            return f"{value:.6g}"
+        case bytes():
+            return _quoted(value.decode("utf-8", "backslashreplace"))
+        case str() | int():
+            return _quoted(str(value))
+        case _:
+            return _quoted(_encoded(value))
+
+
+def _encoded(value: object) -> str:
+    try:
+        return msgspec.json.encode(value).decode()
+    except (TypeError, ValueError):
+        return repr(value)
+
+
+def _quoted(text: str) -> str:
+    plain = text.isprintable() and not _NEEDS_QUOTES.intersection(text)
+    if text and plain:
+        return text
+    # A lone surrogate, as in an undecodable path, is no valid JSON text.
+    encodable = text.encode("utf-8", "backslashreplace").decode()
+    return msgspec.json.encode(encodable).decode()
+
+
+def configure_logs(
+    *, level: Level = Level.INFO, fd: int = STANDARD_ERROR
+) -> LineDestination:
+    """Send all events of this process to `fd`; call once on start."""
+    destination = LineDestination(fd=fd, level=level)
+    eliot.add_destinations(destination)
+    return destination
+
+
+def log_debug(event: str, **fields: object) -> None:
+    """Log what only helps to trace a fault."""
+    eliot.log_message(event, level=Level.DEBUG, **fields)
+
+
+def log_info(event: str, **fields: object) -> None:
+    """Log what an operator may want to see on an ordinary day."""
+    eliot.log_message(event, level=Level.INFO, **fields)
+
+
+def log_warning(event: str, **fields: object) -> None:
+    """Log what an operator should look at when it goes on."""
+    eliot.log_message(event, level=Level.WARNING, **fields)
+
+
+def log_error(event: str, **fields: object) -> None:
+    """Log what went wrong in this process itself."""
+    eliot.log_message(event, level=Level.ERROR, **fields)
--- /dev/null
+++ b/src/ragwortkeel/standins/engine.py
@@ -0,0 +1,279 @@
+"""A stand-in for a model engine: chat completions over HTTP, with fault switches.
+
+``POST /v1/chat/completions`` answers whole or as server-sent events, one token
+an event; ``POST /v1/cancel/{request id}`` stops a run; ``GET /load`` reports
+the load with a lag; ``GET`` and ``POST /switches`` show and set the faults;
+``GET /executions`` counts the runs begun, by request id.
+"""
+
+import os
+from collections import Counter
+from uuid import uuid4
+
+import curio
+import msgspec
+
+from ragwortkeel.httpio import HttpServer, Request, Responder
+from ragwortkeel.standins.engine_answers import (
+    ChatRequest,
+    answer_tokens,
+    natural_length,
+    usage_of,
+)
+from ragwortkeel.standins.engine_batch import Batch, BatchSpeed, Generation, Load
+
+LOAD_LAG_SECONDS = 0.5
+OVERRUN_FACTOR = 4
+"""How far past its limit the engine runs that ignores limits."""
+
+CRASH_EXIT = 70
+JSON_TYPE = {"content-type": "application/json"}
+STREAM_TYPE = {"content-type": "text/event-stream"}
+CHAT_PATH = "/v1/chat/completions"
+CANCEL_PREFIX = "/v1/cancel/"
+
+
+class EngineSwitches(msgspec.Struct, frozen=True, kw_only=True):
+    """Faults that a test can switch on.
+
+    `crash_on` is a text that kills the process where a body holds it; `slow`
+    a factor on the time of a step; `silent` takes requests and never answers;
+    `die_after_tokens` kills the process once a stream has so many tokens;
+    `truncate` ends a stream early as if it were whole, without usage or end.
+    """
+
+    crash_on: str = ""
+    slow: float = 1.0
+    silent: bool = False
+    die_after_tokens: int = 0
+    truncate: int = 0
+    ignore_max_tokens: bool = False
+    check_fencing: bool = False
+    can_resume: bool = True
+
+
+class Engine:
+    """One engine: a batch, its switches and what it has executed."""
+
+    def __init__(self, *, speed: BatchSpeed, load_lag: float = LOAD_LAG_SECONDS):
+        self.batch = Batch(speed=speed)
+        self.switches = EngineSwitches()
+        self._load_lag = load_lag
+        self._reported = Load(limit=speed.max_running)
+        self._executions: Counter[str] = Counter()
+        self._running_by_id: dict[str, list[Generation]] = {}
+        self._highest_fencing_number = 0
+
+    async def run(self) -> None:
+        """Step the batch and refresh the lagging load report, for ever."""
+        async with curio.TaskGroup() as group:
+            await group.spawn(self.batch.run)
+            await group.spawn(self._report_load)
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one HTTP request."""
+        match request.method, request.path:
+            case "POST", path if path == CHAT_PATH:
+                await self._complete(request, responder)
+            case "POST", path if path.startswith(CANCEL_PREFIX):
+                await self._cancel(path.removeprefix(CANCEL_PREFIX), responder)
+            case "GET", "/load":
+                await _reply(responder, 200, self._reported)
+            case "GET", "/executions":
+                await _reply(responder, 200, self._executions)
+            case "GET", "/switches":
+                await _reply(responder, 200, self.switches)
+            case "POST", "/switches":
+                self.switches = changed_switches(self.switches, request.body)
+                self.batch.slowdown = self.switches.slow
+                await _reply(responder, 200, self.switches)
+            case _:
+                await _refuse(responder, 404, "not_found")
+
+    async def _report_load(self) -> None:
+        while True:
+            await curio.sleep(self._load_lag)
+            self._reported = self.batch.load
+
+    async def _cancel(self, request_id: str, responder: Responder) -> None:
+        generations = self._running_by_id.get(request_id, [])
+        for generation in generations:
+            generation.cancelled = True
+        await _reply(responder, 200 if generations else 404, {})
+
+    async def _complete(self, request: Request, responder: Responder) -> None:
+        if self._is_stale(request.headers.get("x-fencing-number", "")):
+            await _refuse(responder, 409, "stale_fencing_number")
+            return
+        try:
+            chat = msgspec.json.decode(request.body, type=ChatRequest)
+        except msgspec.DecodeError:
+            await _refuse(responder, 400, "bad_request")
+            return
+        self._crash_on_marker(request.body)
+        request_id = request.headers.get("x-request-id") or uuid4().hex
+        self._executions[request_id] += 1
+        if self.switches.silent:
+            await responder.gone.wait()
+            return
+        start, end = self._range_of(chat)
+        generation = Generation(
+            request_id=request_id,
+            remaining=end - start,
+            priority=int(request.headers.get("x-priority", "0")),
+        )
+        answer = _Answer(chat=chat, request_id=request_id, start=start, end=end)
+        self._running_by_id.setdefault(request_id, []).append(generation)
+        watcher = await curio.spawn(_cancel_when_gone, responder, generation)
+        try:
+            await self.batch.submit(generation)
+            if chat.stream:
+                await self._stream(answer, generation, responder)
+            else:
+                await self._answer_whole(answer, generation, responder)
+        finally:
+            generation.cancelled = True
+            self._forget(generation)
+            await watcher.cancel()
+
+    def _is_stale(self, number: str) -> bool:
+        """Note an order number; whether it is older than one seen before."""
+        if not number.isdigit():
+            return False
+        stale = int(number) < self._highest_fencing_number
+        self._highest_fencing_number = max(self._highest_fencing_number, int(number))
+        return stale and self.switches.check_fencing
+
+    def _crash_on_marker(self, body: bytes) -> None:
+        marker = self.switches.crash_on.encode()
+        if marker and marker in body:
+            os._exit(CRASH_EXIT)
+
+    def _range_of(self, chat: ChatRequest) -> tuple[int, int]:
+        """Return from which token to which the answer runs."""
+        end = min(natural_length(chat.prompt), chat.max_tokens)
+        if self.switches.ignore_max_tokens:
+            end = chat.max_tokens * OVERRUN_FACTOR
+        start = chat.resume_from_tokens if self.switches.can_resume else 0
+        return min(start, end), end
+
+    def _forget(self, generation: Generation) -> None:
+        generations = self._running_by_id[generation.request_id]
+        generations.remove(generation)
+        if not generations:
+            del self._running_by_id[generation.request_id]
+
+    async def _stream(
+        self, answer: "_Answer", generation: Generation, responder: Responder
+    ) -> None:
+        await responder.start(200, STREAM_TYPE)
+        sent = 0
+        for token in answer_tokens(answer.chat.prompt, answer.start, answer.end):
+            if not await generation.ready.get():
+                break
+            sent += 1
+            await responder.send(answer.event(token))
+            if sent == self.switches.die_after_tokens:
+                os._exit(CRASH_EXIT)
+            if sent == self.switches.truncate:
+                await responder.finish()
+                return
+        await responder.send(answer.last_event(sent, generation.cancelled))
+        await responder.send(b"data: [DONE]\n\n")
+        await responder.finish()
+
+    async def _answer_whole(
+        self, answer: "_Answer", generation: Generation, responder: Responder
+    ) -> None:
+        tokens = []
+        for token in answer_tokens(answer.chat.prompt, answer.start, answer.end):
+            if not await generation.ready.get():
+                break
+            tokens.append(token)
+            if len(tokens) == self.switches.die_after_tokens:
+                os._exit(CRASH_EXIT)
+        body = answer.whole("".join(tokens), len(tokens), generation.cancelled)
+        await responder.respond(200, body, JSON_TYPE)
+
+
+class _Answer(msgspec.Struct, frozen=True, kw_only=True):
+    """The wire form of one answer."""
+
+    chat: ChatRequest
+    request_id: str
+    start: int
+    end: int
+
+    def event(self, token: str) -> bytes:
+        """Return the event of one token."""
+        choice = {"index": 0, "delta": {"content": token}, "finish_reason": None}
+        return _event(self._frame("chat.completion.chunk", choice))
+
+    def last_event(self, sent: int, cancelled: bool) -> bytes:
+        """Return the event that carries the usage."""
+        reason = self._finish_reason(cancelled)
+        choice = {"index": 0, "delta": {}, "finish_reason": reason}
+        frame = self._frame("chat.completion.chunk", choice)
+        usage = usage_of(self.chat.prompt, self.start + sent)
+        return _event(frame | {"usage": usage})
+
+    def whole(self, text: str, sent: int, cancelled: bool) -> bytes:
+        """Return the whole answer as one JSON document."""
+        message = {"role": "assistant", "content": text}
+        reason = self._finish_reason(cancelled)
+        choice = {"index": 0, "message": message, "finish_reason": reason}
+        frame = self._frame("chat.completion", choice)
+        usage = usage_of(self.chat.prompt, self.start + sent)
+        return msgspec.json.encode(frame | {"usage": usage})
+
+    def _frame(self, kind: str, choice: dict) -> dict:
+        return {
+            "id": self.request_id,
+            "object": kind,
+            "model": self.chat.model,
+            "choices": [choice],
+        }
+
+    def _finish_reason(self, cancelled: bool) -> str:
+        if cancelled:
+            return "cancelled"
+        return "stop" if self.end == natural_length(self.chat.prompt) else "length"
+
+
+def changed_switches(switches: msgspec.Struct, body: bytes) -> msgspec.Struct:
+    """Return switches with the fields of a JSON object replaced."""
+    fields = msgspec.structs.asdict(switches) | msgspec.json.decode(body, type=dict)
+    return msgspec.convert(fields, type=type(switches))
+
+
+async def _cancel_when_gone(responder: Responder, generation: Generation) -> None:
+    await responder.gone.wait()
+    generation.cancelled = True
+
+
+def _event(frame: dict) -> bytes:
+    return b"data: " + msgspec.json.encode(frame) + b"\n\n"
+
+
+async def _reply(responder: Responder, status: int, value) -> None:
+    await responder.respond(status, msgspec.json.encode(value), JSON_TYPE)
+
+
+async def _refuse(responder: Responder, status: int, kind: str) -> None:
+    await _reply(responder, status, {"error": {"type": kind}})
+
+
+async def serve(
+    host: str,
+    port: int,
+    *,
+    speed: BatchSpeed | None = None,
+    load_lag: float = LOAD_LAG_SECONDS,
+) -> None:
+    """Serve one engine until cancelled."""
+    engine = Engine(speed=speed or BatchSpeed(), load_lag=load_lag)
+    server = HttpServer(host=host, port=port, handler=engine.handle)
+    server.open()
+    async with curio.TaskGroup() as group:
+        await group.spawn(engine.run)
+        await group.spawn(server.serve)
--- /dev/null
+++ b/src/ragwortkeel/standins/service.py
@@ -0,0 +1,117 @@
+"""A stand-in for a plain service, some of whose calls may not be repeated.
+
+``POST /calls`` executes once for each HTTP request, whatever it is named, and
+records it: a call that comes twice is seen twice at ``GET /executions``.
+"""
+
+import time
+from collections import Counter
+from uuid import uuid4
+
+import curio
+import msgspec
+
+from ragwortkeel.httpio import HttpServer, Request, Responder
+from ragwortkeel.standins.engine import JSON_TYPE, changed_switches
+
+
+class ServiceSwitches(msgspec.Struct, frozen=True, kw_only=True):
+    """Faults that a test can switch on.
+
+    `slow` is in seconds for each call; `answer_lost` executes, then drops the
+    connection; `down` drops it before anything is executed.
+    """
+
+    slow: float = 0.0
+    answer_lost: bool = False
+    down: bool = False
+
+
+class Execution(msgspec.Struct, frozen=True, kw_only=True):
+    """One call that took effect; `at` is on the monotonic clock."""
+
+    request_id: str
+    number: int
+    at: float
+    body: msgspec.Raw
+
+
+class Executions(msgspec.Struct, frozen=True, kw_only=True):
+    """All calls that took effect, and how often each request id did."""
+
+    executions: list[Execution]
+    count_by_request_id: dict[str, int]
+
+
+class CallResult(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to a call."""
+
+    request_id: str
+    number: int
+    accepted: bool = True
+
+
+class Service:
+    """One service and what it has executed."""
+
+    def __init__(self) -> None:
+        self.switches = ServiceSwitches()
+        self._executions: list[Execution] = []
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one HTTP request."""
+        match request.method, request.path:
+            case "POST", "/calls":
+                await self._call(request, responder)
+            case "GET", "/executions":
+                await _reply(responder, 200, self._executed())
+            case "GET", "/switches":
+                await _reply(responder, 200, self.switches)
+            case "POST", "/switches":
+                self.switches = changed_switches(self.switches, request.body)
+                await _reply(responder, 200, self.switches)
+            case _:
+                await _reply(responder, 404, {"error": "not_found"})
+
+    def _executed(self) -> Executions:
+        counts = Counter(execution.request_id for execution in self._executions)
+        return Executions(executions=self._executions, count_by_request_id=counts)
+
+    async def _call(self, request: Request, responder: Responder) -> None:
+        if self.switches.down:
+            await responder.abort()
+            return
+        try:
+            body = msgspec.json.decode(request.body, type=msgspec.Raw)
+        except msgspec.DecodeError:
+            await _reply(responder, 400, {"error": "bad_request"})
+            return
+        if self.switches.slow:
+            await curio.sleep(self.switches.slow)
+        result = self._execute(request, body)
+        if self.switches.answer_lost:
+            await responder.abort()
+            return
+        await _reply(responder, 200, result)
+
+    def _execute(self, request: Request, body: msgspec.Raw) -> CallResult:
+        execution = Execution(
+            request_id=request.headers.get("x-request-id") or uuid4().hex,
+            number=len(self._executions) + 1,
+            at=time.monotonic(),
+            body=body,
+        )
+        self._executions.append(execution)
+        return CallResult(request_id=execution.request_id, number=execution.number)
+
+
+async def _reply(responder: Responder, status: int, value) -> None:
+    await responder.respond(status, msgspec.json.encode(value), JSON_TYPE)
+
+
+async def serve(host: str, port: int) -> None:
+    """Serve one plain service until cancelled."""
+    service = Service()
+    server = HttpServer(host=host, port=port, handler=service.handle)
+    server.open()
+    await server.serve()
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,72 @@
+"""One line of key=value pairs for each event, and never a blocked kernel."""
+
+import os
+
+import pytest
+
+from ragwortkeel.logs import MAX_LINE_BYTES, Level, LineDestination, render
+
+
+class TestRendering:
+    @pytest.mark.parametrize(
+        ("value", "text"),
+        [
+            ("plain", "plain"),
+            ("two words", '"two words"'),
+            ("a=b", '"a=b"'),
+            ('say "x"', '"say \\"x\\""'),
+            ("line\nbreak", '"line\\nbreak"'),
+            ("", '""'),
+            ("สวัสดี", "สวัสดี"),
+            (b"\xff", '"\\\\xff"'),
+            (None, "-"),
+            (True, "true"),
+            (0.25, "0.25"),
+            (7, "7"),
+            ({"a": 1}, '"{\\"a\\":1}"'),
+        ],
+    )
+    def test_value(self, value, text):
+        line = render({"message_type": "event", "timestamp": 1.5, "key": value})
+        head = "timestamp=1.500000 level=info event=event key="
+        assert line.decode() == f"{head}{text}\n"
+
+    @pytest.mark.parametrize("value", ["x" * 100_000, "ก" * 100_000, "\ud800\n"])
+    def test_line_is_bounded_and_one(self, value):
+        line = render({"message_type": "event", "key": value})
+        assert len(line) <= MAX_LINE_BYTES
+        assert line.count(b"\n") == 1
+        assert line.endswith(b"\n")
+
+
+class TestDestination:
+    def test_reader_that_stops_reading_blocks_nothing(self):
+        """A stuck log collector must not stop the daemon.
+
+        The pipe fills up; further lines are dropped at once instead of blocking
+        the process, and the first line after the reader came back tells how many.
+        """
+        reading, writing = os.pipe()
+        destination = LineDestination(fd=writing)
+        for _ in range(200):
+            destination({"message_type": "event", "key": "x" * 1000})
+        dropped = destination.dropped
+        assert dropped > 0
+        os.read(reading, 1_000_000)
+        destination({"message_type": "back"})
+        text = os.read(reading, 1_000_000).decode()
+        assert f"event=log_lines_dropped count={dropped}\n" in text
+        assert "event=back" in text
+        os.close(reading)
+        destination({"message_type": "nobody listens"})
+        assert destination.dropped == 1
+        os.close(writing)
+
+    def test_level_filters(self):
+        reading, writing = os.pipe()
+        destination = LineDestination(fd=writing, level=Level.WARNING)
+        destination({"message_type": "quiet", "level": Level.INFO})
+        destination({"message_type": "loud", "level": Level.ERROR})
+        assert os.read(reading, 10_000).count(b"event=") == 1
+        os.close(reading)
+        os.close(writing)
