--- a/src/ragwortkeel/router/gateway.py
+++ b/src/ragwortkeel/router/gateway.py
@@ -106,10 +106,12 @@
     ) -> Refusal | None:
         """Run the request until it ends, its deadline passes or its caller leaves."""
         try:
-            async with curio.timeout_after(profile.deadline_seconds):
-                async with curio.TaskGroup(wait=any) as group:
-                    serving = await group.spawn(served.run)
-                    await group.spawn(responder.gone.wait)
+            async with (
+                curio.timeout_after(profile.deadline_seconds),
+                curio.TaskGroup(wait=any) as group,
+            ):
+                serving = await group.spawn(served.run)
+                await group.spawn(responder.gone.wait)
         except curio.TaskTimeout:
             return _stopped(served, Reason.DEADLINE)
         if group.completed is not serving:
--- a/src/ragwortkeel/router/parts.py
+++ b/src/ragwortkeel/router/parts.py
@@ -7,9 +7,9 @@
 from ragwortkeel.budget.slice import Reservation
 from ragwortkeel.configuration import Profile, Upstream
 from ragwortkeel.messages import RunReceipt
-from ragwortkeel.platform import Platform
 from ragwortkeel.router.closing import Closing
 from ragwortkeel.router.dispatcher import Dispatcher
+from ragwortkeel.router.intents import IntentStore
 from ragwortkeel.router.sidecars import SidecarPool
 
 
@@ -57,7 +57,7 @@
 
     incarnation: Callable[[], str]
     clock: Callable[[], float]
-    platform: Platform
+    intents: IntentStore
     directory: Directory
     dispatcher: Dispatcher
     pool: SidecarPool
