--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -58,6 +58,8 @@
     is the time left until the caller's deadline.  `epoch` is the one of the
     sidecar's last heartbeat when the nonce was minted; a request that must not
     repeat is refused without it (docs/design/runs.md).
+    With `alone` the sidecar first lets what runs there end, and starts nothing
+    beside it.
     """
 
     request_id: str
@@ -76,6 +78,7 @@
     traceparent: str
     prefix: str = ""
     epoch: int = 0
+    alone: bool = False
 
 
 class Refused(Message):
@@ -240,6 +243,14 @@
     keys: tuple[str, ...]
 
 
+class CrashSeen(Message):
+    """An upstream crashed with these bodies on it; passed on by who hears it first."""
+
+    crash_id: str
+    fingerprints: tuple[str, ...]
+    alone: bool = False
+
+
 class SliceRequest(Message):
     """A router short of tokens asks another to give part of its slice."""
 
@@ -283,6 +294,7 @@
     | ConfigurationDigest
     | ConfigurationPush
     | ConfigurationPull
+    | CrashSeen
     | SliceRequest
     | SliceTransfer
     | SliceTransferred
