Name why runs fail, and end cancelled runs at their true cost

Cause: failure reasons were loose strings; a cancelled run was cut off and charged at its bound; an engine that ends a cancelled stream in good order (usage, end marker, finish_reason cancelled) would have been shown as whole.

--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -41,6 +41,20 @@
     STALE_EPOCH = "stale_epoch"
 
 
+class FailureReason(StrEnum):
+    """Why a run ended without a whole answer; it may have taken effect."""
+
+    CRASHED = "crashed"
+    TRUNCATED = "truncated"
+    SILENT = "silent"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+    UPSTREAM_ERROR = "upstream_error"
+    RESERVATION_OUTRUN = "reservation_outrun"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    ANSWER_LOST = "answer_lost"
+
+
 class RunState(StrEnum):
     """What a sidecar knows of a run."""
 
@@ -117,7 +131,10 @@
 
 
 class Failed(Message):
-    """The run ended without a whole answer, after `tokens` were spent."""
+    """The run ended without a whole answer, after `tokens` were spent.
+
+    `reason` is a `FailureReason`.
+    """
 
     nonce: str
     reason: str
@@ -159,7 +176,7 @@
     """Promise never to run this nonce, unless it already ran.
 
     `sidecar` is the incarnation that was to run it; any other answers `UNSEEN`,
-    which promises nothing.
+    which promises nothing.  Left empty, the asker has to check who answers.
     """
 
     nonce: str
--- a/src/ragwortkeel/runs/journal.py
+++ b/src/ragwortkeel/runs/journal.py
@@ -164,7 +164,8 @@
             tokens=entry.tokens,
             billable=billable,
         )
-        self._owed_by_nonce[nonce] = _Owed(receipt=receipt, since=now)
+        if receipt.tokens:
+            self._owed_by_nonce[nonce] = _Owed(receipt=receipt, since=now)
         if run.idempotent:
             self._remember(nonce, entry)
         else:
--- a/src/ragwortkeel/sidecar/core.py
+++ b/src/ragwortkeel/sidecar/core.py
@@ -11,6 +11,7 @@
     Cancel,
     Dispatch,
     Failed,
+    FailureReason,
     Finished,
     Heartbeat,
     Locate,
@@ -35,6 +36,7 @@
     AnswerBegun,
     AnswerEnded,
     AnswerPiece,
+    CancelRun,
     Effect,
     Peer,
     RunBroken,
@@ -83,7 +85,7 @@
             case Dispatch():
                 return self._on_dispatch(peer, sender, message)
             case Cancel(nonce=nonce):
-                return self._on_cancel(nonce, now)
+                return self._on_cancel(nonce)
             case Resume(nonce=nonce, offset=offset):
                 return self._attach(peer, nonce, offset)
             case Locate():
@@ -232,7 +234,7 @@
 
     def _tombstone(self, message: Tombstone) -> TombstoneResult:
         nonce = message.nonce
-        if message.sidecar != self.incarnation:
+        if message.sidecar not in ("", self.incarnation):
             # Failure: a restarted sidecar promises for its predecessor, whose
             # run of this nonce it can't know of.
             return TombstoneResult(nonce=nonce, state=RunState.UNSEEN)
@@ -270,7 +272,7 @@
             receipts=self.journal.receipts_of(router)[:MAX_SEALED_RECEIPTS],
         )
 
-    def _on_cancel(self, nonce: str, now: float) -> list[Effect]:
+    def _on_cancel(self, nonce: str) -> list[Effect]:
         if self.journal.state(nonce) is not RunState.RUNNING:
             return []
         run = self.journal.run(nonce)
@@ -279,8 +281,7 @@
             # half done, and nobody knows whether it took effect.  It costs
             # little to let it end, and a retry then finds its answer.
             return []
-        tokens = self.journal.tokens(nonce) or run.reservation
-        return self._fail(nonce, "cancelled", tokens, now, billable=True)
+        return [CancelRun(nonce=nonce, request_id=run.request_id)]
 
     def _on_begun(self, event: AnswerBegun) -> list[Effect]:
         started = Started(
@@ -293,11 +294,15 @@
         if outrun:
             # Failure: an engine ignores its limit and spends past what the
             # budget has set aside; the run ends at the reservation.
-            return self._fail(event.nonce, "reservation_outrun", event.tokens, now)
+            return self._fail(
+                event.nonce, FailureReason.RESERVATION_OUTRUN, event.tokens, now
+            )
         try:
             return self.outlet.add(event.nonce, event.data)
         except AnswerTooLarge:
-            return self._fail(event.nonce, "answer_too_large", event.tokens, now)
+            return self._fail(
+                event.nonce, FailureReason.ANSWER_TOO_LARGE, event.tokens, now
+            )
 
     def _finish(self, nonce: str, tokens: int, now: float) -> list[Effect]:
         receipt = self.journal.end(
@@ -314,16 +319,10 @@
         return self._end(nonce, finished)
 
     def _fail(
-        self,
-        nonce: str,
-        reason: str,
-        tokens: int,
-        now: float,
-        *,
-        billable: bool = False,
+        self, nonce: str, reason: FailureReason, tokens: int, now: float
     ) -> list[Effect]:
         receipt = self.journal.end(
-            nonce, RunState.FAILED, tokens=tokens, billable=billable, now=now
+            nonce, RunState.FAILED, tokens=tokens, billable=False, now=now
         )
         failed = Failed(
             nonce=nonce, reason=reason, tokens=receipt.tokens, may_have_run=True
--- a/src/ragwortkeel/sidecar/effects.py
+++ b/src/ragwortkeel/sidecar/effects.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ragwortkeel.messages import AnyMessage, Dispatch, RefusalReason
+from ragwortkeel.messages import AnyMessage, Dispatch, FailureReason, RefusalReason
 
 Peer = str
 """Identity of a router's link, as the endpoint names it."""
@@ -23,15 +23,23 @@
     dispatch: Dispatch
 
 
+@dataclass(frozen=True, kw_only=True)
+class CancelRun:
+    """Ask the upstream to stop a run; its end is reported like any other."""
+
+    nonce: str
+    request_id: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class StopRun:
-    """Stop a run at the upstream; it has ended already as far as the core goes."""
+    """Cut a run off; it has ended already as far as the core goes."""
 
     nonce: str
     request_id: str
 
 
-Effect = Send | StartRun | StopRun
+Effect = Send | StartRun | CancelRun | StopRun
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -74,7 +82,7 @@
     """The upstream failed after it may have begun; `tokens` is a bound."""
 
     nonce: str
-    reason: str
+    reason: FailureReason
     tokens: int
 
 
--- a/src/ragwortkeel/sidecar/outlet.py
+++ b/src/ragwortkeel/sidecar/outlet.py
@@ -2,7 +2,14 @@
 
 from collections import defaultdict
 
-from ragwortkeel.messages import AnyMessage, Chunk, Failed, Finished, Started
+from ragwortkeel.messages import (
+    AnyMessage,
+    Chunk,
+    Failed,
+    FailureReason,
+    Finished,
+    Started,
+)
 from ragwortkeel.runs.answer import AnswerStore
 from ragwortkeel.sidecar.effects import Peer, Send
 
@@ -87,4 +94,9 @@
 
 def answer_lost(nonce: str, *, tokens: int) -> Failed:
     """Return the truth about a run whose answer is not here (any more)."""
-    return Failed(nonce=nonce, reason="answer_lost", tokens=tokens, may_have_run=True)
+    return Failed(
+        nonce=nonce,
+        reason=FailureReason.ANSWER_LOST,
+        tokens=tokens,
+        may_have_run=True,
+    )
--- a/src/ragwortkeel/sidecar/runner.py
+++ b/src/ragwortkeel/sidecar/runner.py
@@ -1,14 +1,22 @@
 """The tasks of runs in flight at the upstream, by nonce."""
 
+from dataclasses import dataclass
+
 import curio
 
 from ragwortkeel.httpio import HttpClient
-from ragwortkeel.messages import Dispatch
-from ragwortkeel.sidecar.upstream import Report, UpstreamRun, cancel_at
+from ragwortkeel.messages import Dispatch, FailureReason
+from ragwortkeel.sidecar.upstream import CANCEL_SECONDS, Report, UpstreamRun, cancel_at
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Running:
+    run: UpstreamRun
+    task: curio.Task
 
 
 class Runner:
-    """Starts, stops and counts runs.
+    """Starts, cancels and stops runs.
 
     Parameters
     ----------
@@ -26,7 +34,7 @@
     def __init__(self, *, client: HttpClient, report: Report) -> None:
         self._client = client
         self._report = report
-        self._tasks_by_nonce: dict[str, curio.Task] = {}
+        self._running_by_nonce: dict[str, _Running] = {}
         self.fencing_number = 0
 
     async def start(self, dispatch: Dispatch) -> None:
@@ -38,24 +46,39 @@
             report=self._report,
         )
         task = await curio.spawn(self._run, run, dispatch.nonce, daemon=True)
-        self._tasks_by_nonce[dispatch.nonce] = task
+        self._running_by_nonce[dispatch.nonce] = _Running(run=run, task=task)
+
+    async def cancel(self, nonce: str, request_id: str) -> None:
+        """Ask the upstream to end a run, so that it says what it cost."""
+        if nonce in self._running_by_nonce:
+            await curio.spawn(self._cancel, nonce, request_id, daemon=True)
 
     async def stop(self, nonce: str, request_id: str) -> None:
         """Close the run's connection and tell the upstream to stop."""
-        task = self._tasks_by_nonce.pop(nonce, None)
-        if task is not None:
-            await task.cancel(blocking=False)
+        running = self._running_by_nonce.pop(nonce, None)
+        if running is None:
+            return
+        await running.task.cancel(blocking=False)
         await curio.spawn(
             cancel_at, self._client, request_id, self.fencing_number, daemon=True
         )
 
     async def stop_all(self) -> None:
         """Close every connection."""
-        for task in list(self._tasks_by_nonce.values()):
-            await task.cancel()
+        for running in list(self._running_by_nonce.values()):
+            await running.task.cancel()
+
+    async def _cancel(self, nonce: str, request_id: str) -> None:
+        await cancel_at(self._client, request_id, self.fencing_number)
+        await curio.sleep(CANCEL_SECONDS)
+        running = self._running_by_nonce.pop(nonce, None)
+        if running is not None:
+            # The engine goes on all the same: cut off, at the most it can cost.
+            await running.task.cancel()
+            await running.run.broken(FailureReason.CANCELLED)
 
     async def _run(self, run: UpstreamRun, nonce: str) -> None:
         try:
             await run.run()
         finally:
-            self._tasks_by_nonce.pop(nonce, None)
+            self._running_by_nonce.pop(nonce, None)
--- a/src/ragwortkeel/sidecar/sidecar.py
+++ b/src/ragwortkeel/sidecar/sidecar.py
@@ -32,6 +32,7 @@
     AnswerBegun,
     AnswerEnded,
     AnswerPiece,
+    CancelRun,
     Effect,
     RunBroken,
     RunDeclined,
@@ -298,6 +299,8 @@
                 await self.send(peer, message)
             case StartRun(dispatch=dispatch):
                 await self._runner.start(dispatch)
+            case CancelRun(nonce=nonce, request_id=request_id):
+                await self._runner.cancel(nonce, request_id)
             case StopRun(nonce=nonce, request_id=request_id):
                 await self._runner.stop(nonce, request_id)
 
--- a/src/ragwortkeel/sidecar/usage.py
+++ b/src/ragwortkeel/sidecar/usage.py
@@ -4,40 +4,74 @@
 
 DATA_PREFIX = b"data:"
 DONE = b"[DONE]"
+CANCELLED = "cancelled"
+STALE_FENCING_NUMBER = "stale_fencing_number"
 
 
 class _Usage(msgspec.Struct):
     total_tokens: int
 
 
-class _Answer(msgspec.Struct):
-    usage: _Usage | None = None
-
-
 class _Delta(msgspec.Struct):
     content: str | None = None
 
 
 class _Choice(msgspec.Struct):
     delta: _Delta | None = None
+    finish_reason: str | None = None
+
 
+class _Answer(msgspec.Struct):
+    """What is looked at of a whole answer or of one event of a stream."""
 
-class _Event(msgspec.Struct):
     usage: _Usage | None = None
     choices: tuple[_Choice, ...] = ()
 
+    @property
+    def cancelled(self) -> bool:
+        """Whether the engine stopped because it was told to."""
+        return any(choice.finish_reason == CANCELLED for choice in self.choices)
+
+
+class _Error(msgspec.Struct):
+    type: str = ""
+
+
+class _Refusal(msgspec.Struct):
+    error: _Error
+
 
 class _Limits(msgspec.Struct):
     max_tokens: int = 0
 
 
-def usage_of(body: bytes) -> int | None:
-    """Return the tokens that a JSON answer says it cost, None where it does not."""
+class WholeUsage:
+    """Tokens and end of an answer that comes as one JSON document.
+
+    Attributes
+    ----------
+    total : int or None
+        Tokens by the answer's own usage, None where it has none.
+    cancelled : bool
+        Whether it was cut short on request: never to be shown as whole.
+    """
+
+    def __init__(self, body: bytes) -> None:
+        try:
+            answer = msgspec.json.decode(body, type=_Answer)
+        except msgspec.DecodeError:
+            answer = _Answer()
+        self.total = None if answer.usage is None else answer.usage.total_tokens
+        self.cancelled = answer.cancelled
+
+
+def is_fenced_off(body: bytes) -> bool:
+    """Whether an engine's refusal says that the fencing number is old."""
     try:
-        answer = msgspec.json.decode(body, type=_Answer)
+        refusal = msgspec.json.decode(body, type=_Refusal)
     except msgspec.DecodeError:
-        return None
-    return None if answer.usage is None else answer.usage.total_tokens
+        return False
+    return refusal.error.type == STALE_FENCING_NUMBER
 
 
 def prompt_bound_of(body: bytes, reservation: int) -> int:
@@ -64,12 +98,15 @@
         Tokens by the stream's own usage, once it came.
     done : bool
         Whether the end marker came; without it the answer is truncated.
+    cancelled : bool
+        Whether it was cut short on request: never to be shown as whole.
     """
 
     def __init__(self) -> None:
         self.events = 0
         self.total: int | None = None
         self.done = False
+        self.cancelled = False
         self._line = b""
 
     def feed(self, data: bytes) -> None:
@@ -86,11 +123,12 @@
             self.done = True
             return
         try:
-            event = msgspec.json.decode(payload, type=_Event)
+            event = msgspec.json.decode(payload, type=_Answer)
         except msgspec.DecodeError:
             # Counted, because too many is the safe side.
             self.events += 1
             return
+        self.cancelled = self.cancelled or event.cancelled
         if event.usage is not None:
             self.total = event.usage.total_tokens
         # Events that only name a role or an end carry no token.
--- a/tests/sidecar/runs_world.py
+++ b/tests/sidecar/runs_world.py
@@ -10,6 +10,7 @@
     Chunk,
     Dispatch,
     Failed,
+    FailureReason,
     Finished,
     OutcomeDurable,
     ReceiptsDurable,
@@ -343,7 +344,9 @@
             events = [AnswerBegun(nonce=run.nonce, status=200, content_type="t")]
         elif broken:
             run.over = True
-            events = [RunBroken(nonce=run.nonce, reason="broke", tokens=10)]
+            events = [
+                RunBroken(nonce=run.nonce, reason=FailureReason.CRASHED, tokens=10)
+            ]
         elif run.sent < len(pieces):
             events = [AnswerPiece(nonce=run.nonce, data=pieces[run.sent], tokens=5)]
             run.sent += 1
