Sidecar hears the upstream's load, and joins again when struck off the list

Cause: heartbeats told nothing of what waits in the engine; a sidecar taken for dead and struck off would have let sealed routers in once it was back.

--- a/src/ragwortkeel/sidecar/core.py
+++ b/src/ragwortkeel/sidecar/core.py
@@ -46,6 +46,7 @@
     StopRun,
     UpstreamEvent,
 )
+from ragwortkeel.sidecar.load import LoadReport
 from ragwortkeel.sidecar.outlet import Outlet, answer_lost
 
 MAX_SEALED_RECEIPTS = 2_000
@@ -61,6 +62,11 @@
         Of this sidecar; orders to another are refused.
     admission
         Whether work is let in at all, and in which version.
+
+    Attributes
+    ----------
+    load : LoadReport
+        The upstream's last word on itself.
     """
 
     def __init__(
@@ -74,6 +80,7 @@
         self.incarnation = incarnation
         self.admission = admission
         self.journal = journal or Journal(sidecar=incarnation)
+        self.load = LoadReport()
         self.outlet = Outlet(answers=answers or AnswerStore())
         self._sealers_by_router: dict[str, set[Peer]] = defaultdict(set)
 
@@ -132,7 +139,8 @@
         """Return the load report for routers."""
         return Heartbeat(
             running=self.journal.running,
-            limit=self.admission.max_running,
+            waiting=self.load.waiting,
+            limit=self.load.limit or self.admission.max_running,
             leaving=self.admission.leaving,
             epoch=self.journal.epoch,
         )
--- /dev/null
+++ b/src/ragwortkeel/sidecar/load.py
@@ -0,0 +1,50 @@
+"""Reading the upstream's own load report, which routers hear in heartbeats."""
+
+from dataclasses import dataclass
+
+import curio
+import msgspec
+
+from ragwortkeel.exceptions import ConnectFailed, ExchangeBroken
+from ragwortkeel.httpio import HttpClient
+
+POLL_SECONDS = 0.5
+"""Engines report with a lag of this order; asking more often tells nothing new."""
+
+ANSWER_SECONDS = 2.0
+OK = 200
+
+
+class _Load(msgspec.Struct):
+    running: int = 0
+    waiting: int = 0
+    limit: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class LoadReport:
+    """What the upstream says of itself, a while ago; zeros where it says nothing."""
+
+    waiting: int = 0
+    limit: int = 0
+
+
+async def watch_load(client: HttpClient, inbox: curio.Queue) -> None:
+    """Put a `LoadReport` on the inbox now and then, until cancelled."""
+    while True:
+        report = await read_load(client)
+        if report is not None:
+            await inbox.put(report)
+        await curio.sleep(POLL_SECONDS)
+
+
+async def read_load(client: HttpClient) -> LoadReport | None:
+    """Return the upstream's report, None where it gives none."""
+    try:
+        response = await client.request("GET", "/load", timeout=ANSWER_SECONDS)
+        if response.status != OK:
+            return None
+        load = msgspec.json.decode(response.body, type=_Load)
+    except (ConnectFailed, ExchangeBroken, msgspec.DecodeError):
+        return None
+    return LoadReport(waiting=load.waiting, limit=load.limit)
--- a/src/ragwortkeel/sidecar/registration.py
+++ b/src/ragwortkeel/sidecar/registration.py
@@ -5,14 +5,25 @@
 after.  Whichever came first, one of them sees the other.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
+import curio
 import msgspec
 
 from ragwortkeel.configuration import FENCES, NODES, SEALS, Node
-from ragwortkeel.exceptions import AlreadyExists, OutcomeUnknown, VersionConflict
+from ragwortkeel.exceptions import (
+    AlreadyExists,
+    OutcomeUnknown,
+    PlatformError,
+    VersionConflict,
+)
 from ragwortkeel.platform import Platform
 
+RETRY_SECONDS = 1.0
+SEALS_SECONDS = 30.0
+"""Only a second line: a sealer tells each registered sidecar itself."""
+
 
 class _Fence(msgspec.Struct, frozen=True, kw_only=True):
     """The highest fencing number given out for an upstream, and to whom."""
@@ -33,6 +44,70 @@
     sealed: frozenset[str]
 
 
+@dataclass(frozen=True, kw_only=True)
+class SealsRead:
+    """The router incarnations that were sealed when last looked."""
+
+    routers: frozenset[str]
+
+
+@dataclass(frozen=True, kw_only=True)
+class StruckOff:
+    """Another process took this sidecar off the list; it has to join again."""
+
+
+class Registrar:
+    """The task that keeps a sidecar registered and reads the seals.
+
+    Parameters
+    ----------
+    node
+        Returns what to register; called once the address is known.
+    inbox
+        Takes `Registration`, `SealsRead` and `StruckOff`.
+    """
+
+    def __init__(
+        self, *, platform: Platform, node: Callable[[], Node], inbox: curio.Queue
+    ) -> None:
+        self._platform = platform
+        self._node = node
+        self._inbox = inbox
+
+    async def run(self) -> None:
+        """Register, and again once struck off, until cancelled."""
+        while True:
+            try:
+                registration = await register(self._platform, self._node())
+            except PlatformError:
+                await curio.sleep(RETRY_SECONDS)
+                continue
+            await self._inbox.put(registration)
+            await self._stay()
+            await self._inbox.put(StruckOff())
+
+    async def deregister(self) -> bool:
+        """Take the sidecar off the list; return whether that is sure."""
+        try:
+            await deregister(self._platform, self._node())
+        except PlatformError:
+            return False
+        return True
+
+    async def _stay(self) -> None:
+        """Read the seals now and then; return once struck off."""
+        while True:
+            await curio.sleep(SEALS_SECONDS)
+            try:
+                routers = await read_seals(self._platform)
+                on_list = await is_registered(self._platform, self._node())
+            except PlatformError:
+                continue
+            if not on_list:
+                return
+            await self._inbox.put(SealsRead(routers=routers))
+
+
 async def register(platform: Platform, node: Node) -> Registration:
     """Register, then read the seals.
 
@@ -54,6 +129,15 @@
     return frozenset(listing.by_name)
 
 
+async def is_registered(platform: Platform, node: Node) -> bool:
+    """Whether the sidecar is still on the list.
+
+    Failure: it was taken for dead and struck off while it was only cut off; a
+    sealer does not find it any more and it would let sealed routers in.
+    """
+    return await platform.get(NODES, node.incarnation) is not None
+
+
 async def deregister(platform: Platform, node: Node) -> None:
     """Take the sidecar off the list; harmless where it is off already.
 
--- a/src/ragwortkeel/sidecar/sidecar.py
+++ b/src/ragwortkeel/sidecar/sidecar.py
@@ -10,8 +10,8 @@
 
 import curio
 
-from ragwortkeel.configuration import Node
-from ragwortkeel.exceptions import LinkLost, PlatformError, RagwortkeelError
+from ragwortkeel.configuration import Node, UpstreamKind
+from ragwortkeel.exceptions import LinkLost, RagwortkeelError
 from ragwortkeel.httpio import HttpClient
 from ragwortkeel.links import Endpoint, Received
 from ragwortkeel.messages import (
@@ -40,12 +40,13 @@
     StartRun,
     StopRun,
 )
+from ragwortkeel.sidecar.load import LoadReport, watch_load
 from ragwortkeel.sidecar.recorder import Recorder, WriteFailed
 from ragwortkeel.sidecar.registration import (
+    Registrar,
     Registration,
-    deregister,
-    read_seals,
-    register,
+    SealsRead,
+    StruckOff,
 )
 from ragwortkeel.sidecar.runner import Runner
 
@@ -53,10 +54,6 @@
 EPOCH_SECONDS = 30.0
 """Many heartbeats long, so that a router that is heard never falls behind."""
 
-REGISTER_RETRY_SECONDS = 1.0
-SEALS_SECONDS = 30.0
-"""Only a second line: a sealer tells each registered sidecar itself."""
-
 
 class SidecarBroken(RagwortkeelError):
     """A task of the sidecar ended by a fault; the process has to start anew."""
@@ -67,16 +64,6 @@
     """Time to look at what is due."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Registered:
-    registration: Registration
-
-
-@dataclass(frozen=True, kw_only=True)
-class _SealsRead:
-    routers: frozenset[str]
-
-
 @dataclass(frozen=True, kw_only=True)
 class _Learned:
     objects: tuple[VersionedObject, ...]
@@ -144,7 +131,6 @@
     ) -> None:
         self.incarnation = incarnation
         self._settings = settings
-        self._platform = platform
         self._configuration_inbox = configuration_inbox
         self._clock = clock
         self._inbox: curio.Queue = curio.Queue()
@@ -162,6 +148,9 @@
         self._recorder = Recorder(
             platform=platform, sidecar=incarnation, inbox=self._inbox
         )
+        self._registrar = Registrar(
+            platform=platform, node=self._node, inbox=self._inbox
+        )
         self._recorder_busy = False
         self._next_epoch_at = 0.0
         self._stop_by: float | None = None
@@ -189,7 +178,14 @@
             A task failed by a fault of the program.
         """
         self._next_epoch_at = self._clock() + EPOCH_SECONDS
-        jobs = (self._read_endpoint, self._tick, self._register, self._recorder.run)
+        jobs = [
+            self._read_endpoint,
+            self._tick,
+            self._registrar.run,
+            self._recorder.run,
+        ]
+        if self._settings.upstream_kind is UpstreamKind.MODEL:
+            jobs.append(self._watch_load)
         tasks = [await curio.spawn(self._guard, job, daemon=True) for job in jobs]
         try:
             while not self._is_over():
@@ -259,12 +255,16 @@
     def _on_control(self, item: object, now: float) -> None:
         admission = self._core.admission
         match item:
-            case _Registered(registration=registration):
-                self._runner.fencing_number = registration.fencing_number
-                self._core.journal.seal(*registration.sealed)
+            case Registration(fencing_number=number, sealed=sealed):
+                self._runner.fencing_number = number
+                self._core.journal.seal(*sealed)
                 admission.admitted = True
-            case _SealsRead(routers=routers):
+            case StruckOff():
+                admission.admitted = False
+            case SealsRead(routers=routers):
                 self._core.journal.seal(*routers)
+            case LoadReport():
+                self._core.load = item
             case _Learned(objects=objects):
                 for thing in objects:
                     admission.learn(thing)
@@ -316,36 +316,19 @@
         while True:
             await self._inbox.put(await self._endpoint.receive())
 
+    async def _watch_load(self) -> None:
+        await watch_load(self._client, self._inbox)
+
     async def _tick(self) -> None:
         while True:
             await curio.sleep(TICK_SECONDS)
             await self._inbox.put(_Tick())
 
-    async def _register(self) -> None:
-        while True:
-            try:
-                registration = await register(self._platform, self._node())
-                break
-            except PlatformError:
-                await curio.sleep(REGISTER_RETRY_SECONDS)
-        await self._inbox.put(_Registered(registration=registration))
-        while True:
-            await curio.sleep(SEALS_SECONDS)
-            try:
-                routers = await read_seals(self._platform)
-            except PlatformError:
-                continue
-            await self._inbox.put(_SealsRead(routers=routers))
-
     async def _leave(self) -> Leftover:
         journal = self._core.journal
         registered = self.admitted
         if registered and not (journal.running or journal.owed or journal.undecided):
-            try:
-                await deregister(self._platform, self._node())
-                registered = False
-            except PlatformError:
-                pass
+            registered = not await self._registrar.deregister()
         return Leftover(
             running=journal.running,
             receipts=journal.owed,
