--- a/src/ragwortkeel/router/filings.py
+++ b/src/ragwortkeel/router/filings.py
@@ -7,7 +7,6 @@
 """
 
 from contextlib import suppress
-from dataclasses import dataclass
 from uuid import uuid4
 
 import curio
@@ -40,52 +39,41 @@
 from ragwortkeel.router.refusals import Outcome as CallerOutcome
 from ragwortkeel.router.refusals import Reason, Refusal
 from ragwortkeel.router.sinks import WholeSink
+from ragwortkeel.runs.filing import Filing, Read, Release
 from ragwortkeel.runs.intent import (
     Answer,
     AskSidecar,
     Create,
-    Decision,
     Follow,
     Go,
     Held,
     Intent,
     Outcome,
-    ReadAgain,
     Refuse,
     TakeOver,
     Verdict,
     WriteResult,
-    after_read,
     after_refusal,
-    after_tombstone,
-    after_write,
     fingerprint_of,
     with_outcome,
-    without_platform,
 )
 
 ASK_SECONDS = 1.0
 """A sidecar that is up answers in well under a millisecond."""
 
-CONTENDED_RETRY_SECONDS = 1.0
+SOON_SECONDS = 1.0
 """By then the other attempt of the key has ended or is found running."""
 
 RETRY_SECONDS_BY_REASON = {
     Reason.PLATFORM_UNAVAILABLE: 10.0,
-    Reason.CONTENDED: CONTENDED_RETRY_SECONDS,
+    Reason.CONTENDED: SOON_SECONDS,
+    Reason.REFUSED_BY_UPSTREAM: SOON_SECONDS,
     Reason.SIDECAR_GONE: 10.0,
 }
 """Where coming back helps; an operator has to decide the rest."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Ended:
-    """The caller has its answer, or gets this refusal."""
-
-    refusal: Refusal | None = None
-
-
-class Filing:
+class FilingExchange:
     """Serves one call that must not repeat into a sink.
 
     `run` returns None once the answer is sent, else the final refusal.
@@ -115,16 +103,18 @@
         self._parts = parts
         self._intents = parts.intents
         self._sink = sink
-        self._held: Held | None = None
-        self._written: Intent | None = None
-        self._rounds = 0
+        self._filing = Filing(wanted=self._new_intent(), first=not call.key_given)
+        if not call.key_given:
+            # Nobody else knows a key minted here, so there is nothing to read.
+            self._filing.on_read(None)
+        self._wrote = False
         self._assignment: Assignment | None = None
         self._reservation: Reservation | None = None
 
     async def run(self) -> Refusal | None:
         """Serve the call."""
         try:
-            refusal = (await self._decide()).refusal
+            refusal = await self._decide()
             if refusal is not None and refusal.outcome is CallerOutcome.NOT_RUN:
                 return await self._make_sure(refusal)
             return refusal
@@ -133,37 +123,46 @@
                 await self._parts.budgets.settle(self._reservation, 0)
             await self._parts.dispatcher.left(self._facts.request_id)
 
-    async def _decide(self) -> _Ended:
-        step: Decision | _Ended = Create(intent=self._wanted())
-        if self._call.key_given:
-            step = ReadAgain()
-        while not isinstance(step, _Ended):
-            step = await self._take(step)
-        return step
-
-    async def _take(self, decision: Decision) -> Decision | _Ended:
-        match decision:
-            case Create(intent=intent):
-                return await self._write(intent, None)
-            case TakeOver(intent=intent, version=version):
-                return await self._write(intent, version)
-            case ReadAgain():
-                return await self._read()
+    async def _decide(self) -> Refusal | None:
+        while True:
+            match self._filing.step:
+                case Answer(outcome=outcome):
+                    return await self._answer(outcome)
+                case Follow() as step:
+                    return await self._follow(step)
+                case Refuse() as step:
+                    await self._list_if_asked(step)
+                    return _refusal(step)
+                case Go() as step:
+                    end = await self._go(step.intent)
+                    if isinstance(end, Completed):
+                        return await self._finish(end)
+                    refusal = await self._after(end)
+                case step:
+                    refusal = await self._take(step)
+            if refusal is not None:
+                return refusal
+
+    async def _take(
+        self, step: Read | Create | TakeOver | AskSidecar | Release
+    ) -> Refusal | None:
+        """Carry out one step; return a refusal that the steps do not know of."""
+        match step:
+            case Read():
+                await self._read()
+            case Create():
+                return await self._write(None)
+            case TakeOver(version=version):
+                return await self._write(version)
             case AskSidecar():
-                state = await self._ask(decision)
-                return after_tombstone(self._wanted(), self._held, state)
-            case Go(intent=intent):
-                return await self._go(intent)
-            case Follow():
-                return await self._follow(decision)
-            case Answer(outcome=outcome):
-                return await self._answer(outcome)
-            case Refuse():
-                await self._list_if_asked(decision)
-                return _ended(decision)
-
-    def _wanted(self) -> Intent:
-        """Return the intent of this attempt; its sidecar is chosen when written."""
+                self._filing.on_tombstone(await self._ask(step))
+            case Release(intent=intent, version=version):
+                result, _ = await self._intents.write(intent, version)
+                self._filing.on_release(result)
+        return None
+
+    def _new_intent(self) -> Intent:
+        """Return an intent for this attempt; its sidecar is chosen when written."""
         return Intent(
             profile=self._call.profile,
             request_id=self._call.request_id,
@@ -174,19 +173,13 @@
             router=self._parts.incarnation(),
         )
 
-    async def _read(self) -> Decision | _Ended:
+    async def _read(self) -> None:
         try:
-            self._held = await self._intents.read(
-                self._call.profile, self._call.request_id
-            )
+            held = await self._intents.read(self._call.profile, self._call.request_id)
         except PlatformError:
-            return without_platform(first=not self._call.key_given)
-        rv = after_read(self._written or self._wanted(), self._held)
-        if self._rounds and isinstance(rv, TakeOver):
-            # Since this attempt began, another one of the same key was told
-            # `not_run`; running now would make that a lie.
-            return _not_run(Reason.CONTENDED, CONTENDED_RETRY_SECONDS)
-        return rv
+            self._filing.on_unreadable()
+            return
+        self._filing.on_read(held)
 
     async def _make_sure(self, refusal: Refusal) -> Refusal:
         """Return `not_run` only once no other attempt of the key can run.
@@ -196,55 +189,57 @@
         the slow router then runs the first.  The record written here makes the
         slow router's create or update fail, and it finds the refusal.
         """
-        if not self._call.key_given:
-            return refusal
-        if refusal.reason in (Reason.KEY_REUSED, Reason.CONTENDED):
+        if not self._call.key_given or refusal.reason in _ALREADY_SURE:
             return refusal
-        base = self._held.intent if self._held else self._wanted()
-        version = self._held.version if self._held else None
+        held = self._filing.held
+        base = held.intent if held else self._new_intent()
         fresh = replace(base, nonce=uuid4().hex)
-        result, _ = await self._intents.write(after_refusal(fresh), version)
+        result, _ = await self._intents.write(
+            after_refusal(fresh), held.version if held else None
+        )
         if result is WriteResult.WRITTEN:
             return refusal
         return Refusal(
             outcome=CallerOutcome.UNKNOWN,
             reason=refusal.reason,
-            retry_after_seconds=max(
-                refusal.retry_after_seconds, CONTENDED_RETRY_SECONDS
-            ),
+            retry_after_seconds=max(refusal.retry_after_seconds, SOON_SECONDS),
         )
 
-    async def _write(self, intent: Intent, version: int | None) -> Decision | _Ended:
+    async def _write(self, version: int | None) -> Refusal | None:
         """Choose a sidecar, then write the intent that names it."""
-        refused = await self._prepare()
-        if refused is not None:
-            return refused
-        intent = replace(
-            intent,
-            nonce=uuid4().hex,
+        if version is not None and self._wrote and self._found_released():
+            # Since this attempt began, another one of the same key was told
+            # `not_run`; running now would make that a lie.
+            return _not_run(Reason.CONTENDED, SOON_SECONDS)
+        refusal = await self._prepare()
+        if refusal is not None:
+            return refusal
+        self._filing.wanted = replace(
+            self._filing.wanted,
             sidecar=self._reservation.sidecar,
             upstream=self._assignment.upstream,
         )
-        self._written = intent
-        self._rounds += 1
-        result, new_version = await self._intents.write(intent, version)
-        if result is WriteResult.WRITTEN:
-            self._held = Held(intent=intent, version=new_version)
-        first = not self._call.key_given
-        return after_write(intent, result, first=first, rounds=self._rounds)
+        self._wrote = True
+        result, new_version = await self._intents.write(self._filing.wanted, version)
+        self._filing.on_write(result, new_version)
+        return None
 
-    async def _prepare(self) -> _Ended | None:
+    def _found_released(self) -> bool:
+        outcome = self._filing.held.intent.outcome
+        return outcome is not None and outcome.verdict is Verdict.NOT_RUN
+
+    async def _prepare(self) -> Refusal | None:
         """Be admitted to an upstream and set its tokens aside."""
         if self._assignment is None:
             decision = await self._parts.dispatcher.admit(self._facts)
             if not isinstance(decision, Assignment):
-                return _Ended(refusal=refusal_of(decision, may_have_run=False))
+                return refusal_of(decision, may_have_run=False)
             self._assignment = decision
         if self._reservation is not None:
             return None
         view = self._parts.pool.views_by_upstream.get(self._assignment.upstream)
         if view is None:
-            return _not_run(Reason.NO_UPSTREAM, CONTENDED_RETRY_SECONDS)
+            return _not_run(Reason.NO_UPSTREAM, SOON_SECONDS)
         try:
             self._reservation = await self._parts.budgets.reserve(
                 self._call.profile, self._call.bound, view.incarnation
@@ -253,14 +248,14 @@
             return _not_run(Reason(exc.reason), exc.retry_after_seconds)
         return None
 
-    async def _ask(self, decision: AskSidecar) -> RunState | None:
+    async def _ask(self, step: AskSidecar) -> RunState | None:
         """Have the sidecar promise never to run a nonce, unless it ran."""
-        upstream = self._parts.pool.upstream_of(decision.sidecar)
+        upstream = self._parts.pool.upstream_of(step.sidecar)
         if upstream is None:
             return None
-        reader = self._parts.pool.subscribe(decision.nonce, upstream)
+        reader = self._parts.pool.subscribe(step.nonce, upstream)
         try:
-            await self._parts.pool.send(upstream, Tombstone(nonce=decision.nonce))
+            await self._parts.pool.send(upstream, Tombstone(nonce=step.nonce))
             async with curio.timeout_after(ASK_SECONDS):
                 while True:
                     event = await reader.queue.get()
@@ -271,23 +266,16 @@
         finally:
             self._parts.pool.unsubscribe(reader)
 
-    async def _go(self, intent: Intent) -> Decision | _Ended:
+    async def _go(self, intent: Intent) -> AttemptEnd:
         """Dispatch, once; the run outlives this request."""
         self.may_have_run = True
+        self._filing.on_sent()
         reservation, self._reservation = self._reservation, None
         attempt = self._attempt(intent.upstream, intent.nonce, intent.sidecar)
         running = await curio.spawn(
-            self._run_to_outcome, attempt, reservation, self._held, daemon=True
+            self._run_to_outcome, attempt, reservation, self._filing.held, daemon=True
         )
-        end = await running.join()
-        match end:
-            case Completed():
-                await self._parts.dispatcher.finished(self._facts.request_id)
-                await self._sink.finish(end.status, end.content_type)
-                return _Ended()
-            case Declined() | Broken(may_have_run=False):
-                return await self._elsewhere(end)
-        return _unknown_after(end)
+        return await running.join()
 
     async def _run_to_outcome(
         self, attempt: Attempt, reservation: Reservation, held: Held
@@ -314,6 +302,35 @@
         await self._start_recording(end, held, attempt)
         return end
 
+    async def _finish(self, end: Completed) -> None:
+        await self._parts.dispatcher.finished(self._facts.request_id)
+        await self._sink.finish(end.status, end.content_type)
+
+    async def _after(self, end: Declined | Broken | Lost) -> Refusal | None:
+        match end:
+            case Declined(reason=reason):
+                other = await self._elsewhere(end)
+                self._filing.on_refused(reason, other)
+            case Broken(may_have_run=False):
+                other = await self._elsewhere(end)
+                self._filing.on_refused(RefusalReason.UPSTREAM_UNREACHABLE, other)
+            case Lost():
+                self._filing.on_lost(self._new_intent())
+            case Broken():
+                return _unknown(Reason.RUN_FAILED)
+        return None
+
+    async def _elsewhere(self, end: Declined | Broken) -> Intent | None:
+        """Be admitted to another upstream; this one will never run the nonce."""
+        self.may_have_run = self._call.key_given
+        decision = await self._parts.dispatcher.retry(
+            self._facts.request_id, failure_of(end)
+        )
+        if not isinstance(decision, Assignment):
+            return None
+        self._assignment = decision
+        return self._new_intent()
+
     async def _start_recording(
         self, end: AttemptEnd, held: Held, attempt: Attempt
     ) -> None:
@@ -341,45 +358,31 @@
                 )
             case Broken(may_have_run=True, reason=reason, tokens=tokens):
                 return Outcome(verdict=Verdict.UNRESOLVED, reason=reason, tokens=tokens)
-            case Lost():
-                return Outcome(verdict=Verdict.UNRESOLVED, reason=Reason.SIDECAR_GONE)
         return None
 
-    async def _elsewhere(self, end: Declined | Broken) -> Decision | _Ended:
-        """Take the intent over for another sidecar: this one will never run it."""
-        self.may_have_run = self._call.key_given
-        decision = await self._parts.dispatcher.retry(
-            self._facts.request_id, failure_of(end)
-        )
-        if decision is None:
-            return _not_run(Reason.NO_UPSTREAM, CONTENDED_RETRY_SECONDS)
-        if not isinstance(decision, Assignment):
-            return _Ended(refusal=refusal_of(decision, may_have_run=False))
-        self._assignment = decision
-        return TakeOver(intent=self._held.intent, version=self._held.version)
-
-    async def _follow(self, decision: Follow) -> _Ended:
+    async def _follow(self, step: Follow) -> Refusal | None:
         """Give the caller the answer of a run that an earlier attempt started."""
-        upstream = self._parts.pool.upstream_of(decision.sidecar)
+        upstream = self._parts.pool.upstream_of(step.sidecar)
         if upstream is None:
-            return _unknown_after(Lost())
-        attempt = self._attempt(upstream, decision.nonce, decision.sidecar)
-        if not await attempt.open(Resume(nonce=decision.nonce, offset=0)):
-            return _unknown_after(Lost())
+            return _unknown(Reason.SIDECAR_GONE)
+        attempt = self._attempt(upstream, step.nonce, step.sidecar)
+        if not await attempt.open(Resume(nonce=step.nonce, offset=0)):
+            return _unknown(Reason.SIDECAR_GONE)
         try:
             end = await attempt.follow()
         finally:
             attempt.close()
         if not isinstance(end, Completed):
-            return _unknown_after(end)
-        await self._start_recording(end, self._held, attempt)
+            return _unknown(Reason.RUN_FAILED)
+        await self._start_recording(end, self._filing.held, attempt)
         await self._sink.finish(end.status, end.content_type)
-        return _Ended()
+        return None
 
     def _attempt(self, upstream: str, nonce: str, sidecar: str) -> Attempt:
         async def emit(data: bytes) -> None:
             await self._sink.write(data, rv.content_type)
 
+        self._sink.restart()
         rv = Attempt(
             nonce=nonce,
             upstream=upstream,
@@ -389,39 +392,40 @@
         )
         return rv
 
-    async def _answer(self, outcome: Outcome) -> _Ended:
+    async def _answer(self, outcome: Outcome) -> None:
         await self._sink.write(outcome.body, outcome.content_type)
         await self._sink.finish(outcome.status, outcome.content_type)
-        return _Ended()
 
-    async def _list_if_asked(self, decision: Refuse) -> None:
-        if not decision.list_for_operators or self._held is None:
+    async def _list_if_asked(self, step: Refuse) -> None:
+        held = self._filing.held
+        if not step.list_for_operators or held is None:
             return
-        outcome = Outcome(verdict=Verdict.UNRESOLVED, reason=decision.reason)
-        listed = with_outcome(self._held.intent, outcome)
-        await self._intents.write(listed, self._held.version)
+        outcome = Outcome(verdict=Verdict.UNRESOLVED, reason=step.reason)
+        await self._intents.write(with_outcome(held.intent, outcome), held.version)
+
+
+_ALREADY_SURE = (Reason.KEY_REUSED, Reason.CONTENDED, Reason.REFUSED_BY_UPSTREAM)
+"""Refusals that rest on a record in the platform, or on another caller's body."""
 
 
-def _not_run(reason: Reason, retry_after_seconds: float) -> _Ended:
-    refusal = Refusal(
+def _not_run(reason: Reason, retry_after_seconds: float) -> Refusal:
+    return Refusal(
         outcome=CallerOutcome.NOT_RUN,
         reason=reason,
         retry_after_seconds=retry_after_seconds,
     )
-    return _Ended(refusal=refusal)
 
 
-def _unknown_after(end: AttemptEnd) -> _Ended:
-    reason = Reason.RUN_FAILED if isinstance(end, Broken) else Reason.SIDECAR_GONE
-    return _ended(Refuse(status=409, outcome=CallerOutcome.UNKNOWN, reason=reason))
+def _unknown(reason: Reason) -> Refusal:
+    refuse = Refuse(status=409, outcome=CallerOutcome.UNKNOWN, reason=reason)
+    return _refusal(refuse)
 
 
-def _ended(decision: Refuse) -> _Ended:
-    reason = Reason(decision.reason)
-    refusal = Refusal(
-        outcome=CallerOutcome(decision.outcome),
+def _refusal(step: Refuse) -> Refusal:
+    reason = Reason(step.reason)
+    return Refusal(
+        outcome=CallerOutcome(step.outcome),
         reason=reason,
         retry_after_seconds=RETRY_SECONDS_BY_REASON.get(reason, 0.0),
-        status=decision.status,
+        status=step.status,
     )
-    return _Ended(refusal=refusal)
--- a/src/ragwortkeel/router/gateway.py
+++ b/src/ragwortkeel/router/gateway.py
@@ -10,7 +10,7 @@
 from ragwortkeel.policy.facts import RequestFacts
 from ragwortkeel.router.calls import Call, ChatCall, parse_call, profile_of
 from ragwortkeel.router.exchange import Exchange
-from ragwortkeel.router.filings import Filing
+from ragwortkeel.router.filings import FilingExchange
 from ragwortkeel.router.parts import Parts
 from ragwortkeel.router.refusals import Outcome, Reason, Refusal
 from ragwortkeel.router.sinks import Sink, StreamSink, WholeSink
@@ -74,9 +74,9 @@
 
     def _new_server(
         self, call: Call, profile: Profile, version: int, sink: Sink
-    ) -> Exchange | Filing:
+    ) -> Exchange | FilingExchange:
         must_not_repeat = profile.service is ServiceClass.MUST_NOT_REPEAT
-        cls = Filing if must_not_repeat else Exchange
+        cls = FilingExchange if must_not_repeat else Exchange
         return cls(
             call=call,
             profile=profile,
@@ -102,7 +102,7 @@
         )
 
     async def _serve(
-        self, served: Exchange | Filing, profile: Profile, responder: Responder
+        self, served: Exchange | FilingExchange, profile: Profile, responder: Responder
     ) -> Refusal | None:
         """Run the request until it ends, its deadline passes or its caller leaves."""
         try:
@@ -126,7 +126,7 @@
     return cls(responder=responder, request_id=call.request_id)
 
 
-def _stopped(served: Exchange | Filing, reason: Reason) -> Refusal:
+def _stopped(served: Exchange | FilingExchange, reason: Reason) -> Refusal:
     """Return the refusal of a request that was cut short while it was served."""
     outcome = Outcome.UNKNOWN if served.may_have_run else Outcome.NOT_RUN
     return Refusal(outcome=outcome, reason=reason, retry_after_seconds=1.0)
--- a/src/ragwortkeel/router/refusals.py
+++ b/src/ragwortkeel/router/refusals.py
@@ -45,6 +45,7 @@
     STOPPING = "stopping"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     CONTENDED = "contended"
+    REFUSED_BY_UPSTREAM = "refused_by_upstream"
     ANSWER_LOST = "answer_lost"
     AWAITS_OPERATOR = "awaits_operator"
     RUN_FAILED = "run_failed"
