--- a/tests/sidecar/sidecar_setup.py
+++ b/tests/sidecar/sidecar_setup.py
@@ -46,6 +46,9 @@
             self.cancels.append(request.path.rpartition("/")[2])
             await responder.respond(200, b"{}")
             return
+        if request.path == "/load":
+            await responder.respond(200, b'{"running": 1, "waiting": 3, "limit": 9}')
+            return
         self.runs.append(request)
         try:
             await self.behave(self, request, responder)
@@ -133,7 +136,7 @@
     """Yield (sidecar, its task, platform)."""
     platform = platform or LocalPlatform()
     upstream.server.open()
-    await curio.spawn(upstream.server.serve, daemon=True)
+    server = await curio.spawn(upstream.server.serve, daemon=True)
     sidecar = Sidecar(
         settings=SidecarSettings(
             name="s1",
@@ -158,4 +161,4 @@
         yield sidecar, task, platform
     finally:
         await task.cancel()
-        await upstream.server.stop_accepting()
+        await server.cancel()
