--- /dev/null
+++ b/tests/runs/test_journal.py
@@ -0,0 +1,150 @@
+"""The journal: what may still run, what was spent, what is kept how long."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ragwortkeel.messages import RunState
+from ragwortkeel.runs.journal import KEPT_EPOCHS, Journal, Run, UnknownRun
+
+
+def a_run(nonce="n", router="a", profile="p", *, reservation=10, idempotent=True):
+    return Run(
+        nonce=nonce,
+        router=router,
+        profile=profile,
+        request_id=f"r-{nonce}",
+        reservation=reservation,
+        idempotent=idempotent,
+    )
+
+
+def end(journal, nonce, tokens=4, state=RunState.FINISHED):
+    return journal.end(nonce, state, tokens=tokens, billable=True, now=0.0)
+
+
+@pytest.fixture
+def journal():
+    return Journal(sidecar="s")
+
+
+class TestTombstones:
+    @pytest.mark.parametrize(
+        ("before", "after"),
+        [
+            ("unseen", RunState.TOMBSTONED),
+            ("running", RunState.RUNNING),
+            ("finished", RunState.FINISHED),
+            ("retracted", RunState.TOMBSTONED),
+        ],
+    )
+    def test_promise_is_given_only_for_what_never_ran(self, journal, before, after):
+        if before != "unseen":
+            journal.admit(a_run())
+        if before == "finished":
+            end(journal, "n")
+        if before == "retracted":
+            journal.retract("n")
+        assert journal.tombstone("n") is after
+
+    def test_paused_dispatch_never_outlives_its_tombstone(self, journal):
+        """A router is paused with a filing in hand; a retry files it elsewhere.
+
+        Hours later the router wakes and sends.  The tombstone is forgotten by
+        then; were the dispatch taken, the farmer's claim would be filed twice.
+        """
+        minted = journal.epoch
+        journal.tombstone("n")
+        while journal.state("n") is RunState.TOMBSTONED:
+            assert journal.is_fresh(minted) or journal.epoch > minted + KEPT_EPOCHS
+            journal.next_epoch()
+        assert not journal.is_fresh(minted)
+
+    def test_flood_moves_the_floor_instead_of_breaking_promises(self):
+        journal = Journal(sidecar="s", max_ended=50)
+        minted = journal.epoch
+        for index in range(200):
+            journal.tombstone(f"n{index}")
+            journal.relieve()
+            forgotten = journal.state("n0") is RunState.UNSEEN
+            assert not (forgotten and journal.is_fresh(minted))
+        assert journal.is_fresh(journal.epoch)
+
+
+class TestMustNotRepeat:
+    def test_run_is_kept_until_its_outcome_is_durable(self, journal):
+        """A filing ran and its router died before writing the outcome.
+
+        If the sidecar forgot it after a while, a retry would hear "never ran"
+        and file the claim a second time.
+        """
+        journal.admit(a_run(idempotent=False))
+        end(journal, "n")
+        for _ in range(10 * KEPT_EPOCHS):
+            journal.next_epoch()
+        assert journal.tombstone("n") is RunState.FINISHED
+        journal.outcome_durable("n")
+        for _ in range(KEPT_EPOCHS + 1):
+            journal.next_epoch()
+        assert journal.state("n") is RunState.UNSEEN
+
+
+class TestSeal:
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 9), st.booleans(), st.booleans()), max_size=12
+        )
+    )
+    def test_figure_covers_what_runs_cost_and_only_falls(self, cases):
+        journal = Journal(sidecar="s")
+        for index, (_, ended, _) in enumerate(cases):
+            journal.admit(a_run(f"n{index}"))
+            if ended:
+                end(journal, f"n{index}", cases[index][0])
+        journal.seal("a")
+        figure = journal.ran("a").get("p", 0)
+        truth = sum(tokens for tokens, *_ in cases)
+        assert figure >= truth
+        for index, (tokens, ended, retracted) in enumerate(cases):
+            if ended:
+                continue
+            if retracted:
+                truth -= tokens
+                journal.retract(f"n{index}")
+            else:
+                end(journal, f"n{index}", tokens)
+            assert truth <= journal.ran("a").get("p", 0) <= figure
+            figure = journal.ran("a").get("p", 0)
+        assert journal.ran("a").get("p", 0) == truth
+        assert journal.is_sealed("a")
+
+
+class TestReceipts:
+    def test_one_receipt_for_a_run_however_often_it_ends(self, journal):
+        journal.admit(a_run())
+        assert end(journal, "n", 4).tokens == 4
+        assert end(journal, "n", 7) is None
+        assert [r.tokens for r in journal.receipts_of("a")] == [4]
+        journal.settle(("n", "stranger"))
+        assert journal.owed == 0
+
+    def test_charge_never_exceeds_the_reservation(self, journal):
+        journal.admit(a_run(reservation=10))
+        assert not journal.progress("n", 10)
+        assert journal.progress("n", 11)
+        assert end(journal, "n", 99).tokens == 10
+
+    def test_long_outage_refuses_work_rather_than_drop_bills(self, monkeypatch):
+        monkeypatch.setattr("ragwortkeel.runs.journal.MAX_RECEIPTS", 2)
+        journal = Journal(sidecar="s")
+        for nonce in "xy":
+            assert not journal.full
+            journal.admit(a_run(nonce))
+            end(journal, nonce)
+        assert journal.full
+        assert journal.owed == 2
+
+    def test_unknown_run_is_an_error(self, journal):
+        journal.tombstone("n")
+        with pytest.raises(UnknownRun):
+            journal.run("n")
