--- a/tests/sidecar/test_sidecar.py
+++ b/tests/sidecar/test_sidecar.py
@@ -1,8 +1,65 @@
 """The whole sidecar: link in front, upstream behind, platform beside."""
 
-from sidecar_setup import Router, Upstream, dispatch, run, sidecar_beside
+import curio
+import pytest
+from sidecar_setup import (
+    DONE,
+    SSE,
+    USAGE,
+    Router,
+    Upstream,
+    dispatch,
+    event,
+    run,
+    sidecar_beside,
+)
 
-from ragwortkeel.messages import Chunk, Finished, Started
+from ragwortkeel.configuration import INTENTS, NODES, RECEIPTS, SEALS
+from ragwortkeel.messages import (
+    Cancel,
+    Chunk,
+    Failed,
+    FailureReason,
+    Finished,
+    Heartbeat,
+    Locate,
+    Located,
+    RefusalReason,
+    Refused,
+    Resume,
+    Seal,
+    Sealed,
+    Started,
+)
+from ragwortkeel.runs import intent as intents
+from ragwortkeel.runs.intent import Intent, Verdict
+from ragwortkeel.sidecar import duties
+from ragwortkeel.standins.local_platform import LocalPlatform
+
+
+async def hold(upstream, request, responder):
+    """Stream a token, wait for `release`, then end in good order."""
+    await responder.start(200, SSE)
+    await responder.send(event("al"))
+    await upstream.release.wait()
+    await responder.send(event("pha") + USAGE + DONE)
+    await responder.finish()
+
+
+async def router_of(sidecar, name="router-1"):
+    rv = Router(address=sidecar.address, incarnation=name)
+    await rv.open()
+    return rv
+
+
+def body_of(messages):
+    return b"".join(m.data for m in messages if isinstance(m, Chunk))
+
+
+@pytest.fixture
+def no_grace(monkeypatch):
+    monkeypatch.setattr(duties, "RECEIPT_GRACE_SECONDS", 0.0)
+    monkeypatch.setattr(duties, "OUTCOME_GRACE_SECONDS", 0.0)
 
 
 class TestServing:
@@ -10,14 +67,182 @@
         async def main():
             upstream = Upstream()
             async with sidecar_beside(upstream) as (sidecar, _, _):
-                router = Router(address=sidecar.address)
-                await router.open()
+                router = await router_of(sidecar)
                 return upstream, await router.ask(dispatch(), Finished)
 
         upstream, messages = run(main)
-        body = b"".join(m.data for m in messages if isinstance(m, Chunk))
+        body = body_of(messages)
         assert isinstance(messages[0], Started)
-        assert body.endswith(b"data: [DONE]\n\n")
+        assert body.endswith(DONE)
         assert messages[-1].length == len(body)
         assert messages[-1].tokens == 14
         assert upstream.runs[0].headers["x-fencing-number"] == "1"
+
+    def test_heartbeats_carry_the_engines_load(self):
+        async def main():
+            async with sidecar_beside(Upstream()) as (sidecar, _, _):
+                router = await router_of(sidecar)
+                async with curio.timeout_after(5):
+                    while True:
+                        message = await router.next()
+                        if isinstance(message, Heartbeat) and message.limit == 9:
+                            return message.waiting
+
+        assert run(main) == 3
+
+    def test_cancelled_run_is_told_to_the_engine_and_costs_what_it_says(self):
+        async def main():
+            upstream = Upstream(hold)
+            async with sidecar_beside(upstream) as (sidecar, _, _):
+                router = await router_of(sidecar)
+                await router.ask(dispatch(), Chunk)
+                await router.link.send(Cancel(nonce="n1"))
+                (failed,) = (await router.until(Failed))[-1:]
+                return upstream.cancels, failed
+
+        cancels, failed = run(main)
+        assert cancels[:1] == ["r1"]
+        assert (failed.reason, failed.tokens) == (FailureReason.CANCELLED, 11)
+
+
+class TestRouterDeaths:
+    def test_retry_at_another_router_gets_the_whole_answer_of_the_one_run(self):
+        """A stream is open when its router is killed; the caller comes again.
+
+        At the other router the retry finds the run, replays it from the start
+        and follows it to its end.  The engine has run once.
+        """
+
+        async def main():
+            upstream = Upstream(hold)
+            async with sidecar_beside(upstream) as (sidecar, _, _):
+                dying = await router_of(sidecar)
+                await dying.ask(dispatch(), Chunk)
+                router = await router_of(sidecar, "router-2")
+                located = await router.ask(
+                    Locate(profile="chat", request_id="r1"), Located
+                )
+                resume = Resume(nonce=located[-1].nonce, offset=0)
+                messages = await router.ask(resume, Chunk)
+                await upstream.release.set()
+                return upstream, messages + await router.until(Finished)
+
+        upstream, messages = run(main)
+        assert body_of(messages) == event("al") + event("pha") + USAGE + DONE
+        assert messages[-1].length == len(body_of(messages))
+        assert len(upstream.runs) == 1
+
+    def test_receipt_and_outcome_are_written_without_the_router(self, no_grace):
+        """A filing ran; its router is killed before it writes anything.
+
+        Were the sidecar to wait for it, the call would never be billed and a
+        retry after the sidecar's own death would end as unknown.
+        """
+
+        async def main():
+            platform = LocalPlatform()
+            name = intents.name_of("chat", "r1")
+            intent = Intent(
+                profile="chat",
+                request_id="r1",
+                fingerprint="f",
+                nonce="n1",
+                sidecar="s1-a",
+                upstream="u1",
+                router="router-1",
+            )
+            await platform.create(INTENTS, name, intents.encode(intent))
+            async with sidecar_beside(Upstream(), platform=platform) as (sidecar, *_):
+                router = await router_of(sidecar)
+                await router.ask(dispatch(idempotent=False), Finished)
+                async with curio.timeout_after(10):
+                    while not (await platform.list(RECEIPTS)).by_name:
+                        await curio.sleep(0.05)
+            stored = await platform.get(INTENTS, name)
+            return intents.decode(stored.value).outcome
+
+        outcome = run(main)
+        assert outcome.verdict is Verdict.ANSWERED
+        assert outcome.body.endswith(DONE)
+
+
+class TestAdmission:
+    def test_started_in_an_outage_it_refuses_until_it_has_read_the_seals(self):
+        """A sidecar starts while the platform is down; a router was sealed before.
+
+        It can't know the seals, so it refuses as `not_admitted`; once the
+        platform is back it refuses the sealed router and serves the others.
+        """
+
+        async def main():
+            platform = LocalPlatform()
+            await platform.create(SEALS, "router-1", b"{}")
+            platform.switches.down = True
+            beside = sidecar_beside(Upstream(), platform=platform, admitted=False)
+            async with beside as (sidecar, *_):
+                sealed = await router_of(sidecar)
+                other = await router_of(sidecar, "router-2")
+                early = await sealed.ask(dispatch("n0"), Refused)
+                platform.switches.down = False
+                while not sidecar.admitted:
+                    await curio.sleep(0.05)
+                late = await sealed.ask(dispatch("n1"), Refused)
+                served = await other.ask(dispatch("n2"), Finished)
+                return early[-1].reason, late[-1].reason, served[-1].tokens
+
+        assert run(main) == (RefusalReason.NOT_ADMITTED, RefusalReason.SEALED, 14)
+
+    def test_seal_refuses_a_router_that_wakes(self):
+        async def main():
+            async with sidecar_beside(Upstream()) as (sidecar, *_):
+                paused = await router_of(sidecar)
+                await paused.ask(dispatch("n1"), Finished)
+                sealer = await router_of(sidecar, "router-2")
+                sealed = await sealer.ask(Seal(router="router-1"), Sealed)
+                refused = await paused.ask(dispatch("n2"), Refused)
+                return sealed[-1].ran, refused[-1].reason
+
+        assert run(main) == ({"chat": 14}, RefusalReason.SEALED)
+
+
+class TestPlannedStop:
+    def test_stop_refuses_new_work_and_cuts_off_nothing(self):
+        """An operator stops a sidecar in the middle of an answer.
+
+        The answer ends whole, new work is refused, the receipt is durable, and
+        the sidecar is off the list before it exits.
+        """
+
+        async def main():
+            upstream = Upstream(hold)
+            async with sidecar_beside(upstream) as (sidecar, task, platform):
+                router = await router_of(sidecar)
+                await router.ask(dispatch(), Chunk)
+                await sidecar.stop()
+                refused = await router.ask(dispatch("n2"), Refused)
+                await upstream.release.set()
+                messages = await router.until(Finished)
+                leftover = await task.join()
+                nodes = (await platform.list(NODES)).by_name
+                segments = (await platform.list(RECEIPTS)).by_name
+                return refused[-1].reason, messages, leftover, nodes, segments
+
+        reason, messages, leftover, nodes, segments = run(main)
+        assert reason is RefusalReason.STOPPING
+        assert messages[-1].tokens == 14
+        assert (leftover.running, leftover.receipts, leftover.registered) == (0, 0, 0)
+        assert nodes == {}
+        assert len(segments) == 1
+
+    def test_stop_in_an_outage_says_what_it_leaves(self):
+        async def main():
+            beside = sidecar_beside(Upstream(), stop_deadline=0.5)
+            async with beside as (sidecar, task, platform):
+                router = await router_of(sidecar)
+                await router.ask(dispatch(), Finished)
+                platform.switches.down = True
+                await sidecar.stop()
+                return await task.join()
+
+        leftover = run(main)
+        assert (leftover.receipts, leftover.registered) == (1, True)
