Router: the central object, promises only from the incarnation asked

Cause: UNSEEN was taken for a promise not to run; another incarnation says it too. Change: only TOMBSTONED declines; Tombstone names the incarnation. Router object ties the parts.

--- a/src/ragwortkeel/router/attempt.py
+++ b/src/ragwortkeel/router/attempt.py
@@ -205,7 +205,8 @@
             await self._resume()
             return
         with suppress(LinkLost):
-            await self._pool.send(self.upstream, Tombstone(nonce=self.nonce))
+            question = Tombstone(nonce=self.nonce, sidecar=self.sidecar)
+            await self._pool.send(self.upstream, question)
 
     async def _resume(self) -> None:
         message = Resume(nonce=self.nonce, offset=self.assembly.length)
@@ -213,8 +214,11 @@
             await self._pool.send(self.upstream, message)
 
     async def _after_tombstone(self, state: RunState) -> AttemptEnd | None:
-        if state in (RunState.TOMBSTONED, RunState.UNSEEN):
+        if state is RunState.TOMBSTONED:
             return Declined(reason=RefusalReason.TOMBSTONED)
+        if state is RunState.UNSEEN:
+            # Another incarnation answered, which can promise nothing.
+            return Lost()
         self._heard = True
         await self._resume()
         return None
--- a/src/ragwortkeel/router/filings.py
+++ b/src/ragwortkeel/router/filings.py
@@ -255,7 +255,8 @@
             return None
         reader = self._parts.pool.subscribe(step.nonce, upstream)
         try:
-            await self._parts.pool.send(upstream, Tombstone(nonce=step.nonce))
+            question = Tombstone(nonce=step.nonce, sidecar=step.sidecar)
+            await self._parts.pool.send(upstream, question)
             async with curio.timeout_after(ASK_SECONDS):
                 while True:
                     event = await reader.queue.get()
--- /dev/null
+++ b/src/ragwortkeel/router/router.py
@@ -0,0 +1,258 @@
+"""The central object of the router daemon; it ties the parts and their tasks."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+from time import monotonic
+
+import curio
+
+from ragwortkeel.configuration import UPSTREAMS, UpstreamState
+from ragwortkeel.configuration_store import ConfigurationStore
+from ragwortkeel.gossip import FromPeer, Gossip, Learn
+from ragwortkeel.httpio import HttpServer
+from ragwortkeel.links import LinkDown, LinkUp, Received
+from ragwortkeel.messages import AnyMessage, Heartbeat, Refused, VersionedObject
+from ragwortkeel.platform import Platform
+from ragwortkeel.policy.facts import LoadReport, UpstreamFacts
+from ragwortkeel.policy.scheduler import Scheduler
+from ragwortkeel.router.closing import Closing
+from ragwortkeel.router.directory import Directory
+from ragwortkeel.router.dispatcher import Dispatcher
+from ragwortkeel.router.gateway import Gateway
+from ragwortkeel.router.intents import IntentStore
+from ragwortkeel.router.parts import Budgets, Parts, Receipts
+from ragwortkeel.router.peers import PeerLinks
+from ragwortkeel.router.sidecars import SidecarPool
+from ragwortkeel.settings import Address, RouterSettings
+
+BALANCER_SECONDS = 1.0
+"""A planned stop says so this long before it refuses connections, so that the
+balancer looks once and sends callers elsewhere."""
+
+DRAIN_LOOK_SECONDS = 0.05
+
+SIDECAR_PREFIX = "sidecar:"
+"""Marks a gossip peer that is reached through the sidecars' links."""
+
+
+class Router:
+    """One router: callers in front, sidecars behind, other routers beside.
+
+    Parameters
+    ----------
+    settings
+        Names and addresses.
+    incarnation
+        Unique to this start of the process.
+    platform
+        The platform's client.
+    budgets, receipts
+        Where tokens are reserved and receipts go.
+    observe
+        Called with each request's call, profile, refusal and seconds.
+
+    Examples
+    --------
+    >>> router = Router(settings=settings, incarnation="r1-7f3a", ...)
+    >>> router.open()
+    >>> task = await curio.spawn(router.run)
+    >>> await router.stop()
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: RouterSettings,
+        incarnation: str,
+        platform: Platform,
+        budgets: Budgets,
+        receipts: Receipts,
+        observe: Callable[..., None],
+        random: Random,
+    ) -> None:
+        self.settings = settings
+        self.incarnation = incarnation
+        self.store = ConfigurationStore()
+        self.directory = Directory(store=self.store)
+        self.pool = SidecarPool(
+            incarnation=lambda: self.incarnation, revision=self.revision
+        )
+        self.peers = PeerLinks(
+            address=settings.address, incarnation=incarnation, revision=self.revision
+        )
+        self.gossip = Gossip(
+            name=settings.address,
+            zone=settings.zone,
+            platform=platform,
+            store=self.store,
+            send=self._send,
+            random=random,
+            listener=self._on_fresh,
+        )
+        self.dispatcher = Dispatcher(
+            scheduler=Scheduler(zone=settings.zone, random=random)
+        )
+        self.closing = Closing(budgets=budgets, receipts=receipts)
+        self.parts = Parts(
+            incarnation=lambda: self.incarnation,
+            clock=monotonic,
+            intents=IntentStore(platform=platform),
+            directory=self.directory,
+            dispatcher=self.dispatcher,
+            pool=self.pool,
+            budgets=budgets,
+            receipts=receipts,
+            closing=self.closing,
+        )
+        self.gateway = Gateway(parts=self.parts, observe=observe)
+        self.stopping = False
+        self._state_by_upstream: dict[str, tuple[str, bool]] = {}
+        where = Address.parse(settings.http)
+        self._server = HttpServer(
+            host=where.host, port=where.port, handler=self.gateway.handle
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return not self.stopping and self.gossip.complete()
+
+    def revision(self) -> int:
+        """Return the configuration revision in force."""
+        return self.store.revision
+
+    def open(self) -> None:
+        """Bind the sockets."""
+        self.peers.open()
+        self._server.open()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        jobs: tuple[Callable[[], Awaitable[None]], ...] = (
+            self.peers.run,
+            self.pool.run,
+            self.gossip.run,
+            self.dispatcher.run,
+            self._server.serve,
+            self._read_sidecars,
+            self._read_peers,
+        )
+        async with curio.TaskGroup(wait=any) as group:
+            for job in jobs:
+                await group.spawn(job)
+
+    async def drain(self) -> int:
+        """Stop taking callers and wait for open requests; return how many were cut.
+
+        A request in flight is never cut off before the settings' deadline.
+        """
+        self.stopping = True
+        await curio.sleep(BALANCER_SECONDS)
+        self.gateway.stopping = True
+        await self._server.stop_accepting()
+        try:
+            async with curio.timeout_after(self.settings.stop_deadline_seconds):
+                while self._open():
+                    await curio.sleep(DRAIN_LOOK_SECONDS)
+        except curio.TaskTimeout:
+            return self._open()
+        return 0
+
+    def _open(self) -> int:
+        return self._server.open_exchanges + self.closing.open_runs
+
+    async def close(self) -> None:
+        """Close the links."""
+        await self.pool.close()
+        await self.peers.close()
+
+    async def reincarnate(self, incarnation: str) -> None:
+        """Go on under another incarnation; the old one is sealed."""
+        self.incarnation = incarnation
+        self.peers.reincarnate(incarnation)
+        self.pool.reincarnate()
+
+    async def _on_fresh(self, fresh: list[VersionedObject]) -> None:
+        if any(one.kind == UPSTREAMS for one in fresh):
+            await self._follow_upstreams()
+
+    async def _follow_upstreams(self) -> None:
+        upstreams = {
+            name: upstream
+            for name, (upstream, _) in self.directory.upstreams().items()
+            if not upstream.retired
+        }
+        await self.pool.follow(upstreams)
+        await self._offer_upstreams()
+
+    async def _offer_upstreams(self) -> None:
+        """Tell the scheduler which upstreams may be given work."""
+        usable = []
+        for name, (upstream, _) in self.directory.upstreams().items():
+            serving = upstream.state is UpstreamState.SERVING and not upstream.retired
+            view = self.pool.views_by_upstream.get(name)
+            if serving and self.pool.is_up(name) and not view.load.leaving:
+                usable.append(
+                    UpstreamFacts(
+                        name=name, back_end=upstream.back_end, zone=upstream.zone
+                    )
+                )
+        await self.dispatcher.upstreams_changed(usable)
+
+    async def _read_sidecars(self) -> None:
+        while True:
+            event = await self.pool.others.get()
+            match event:
+                case LinkUp() | LinkDown():
+                    await self._offer_upstreams()
+                case Received(peer=peer, envelope=envelope):
+                    await self._take_from_sidecar(peer, envelope)
+
+    async def _take_from_sidecar(self, upstream: str, envelope) -> None:
+        peer = SIDECAR_PREFIX + upstream
+        match envelope.message:
+            case Heartbeat() as load:
+                await self._take_load(upstream, envelope.sender, load)
+                await self._to_gossip(peer, envelope.revision, None)
+            case Refused(newer=newer):
+                await self.gossip.inbox.put(Learn(objects=newer))
+            case message:
+                await self._to_gossip(peer, envelope.revision, message)
+
+    async def _take_load(self, upstream: str, sender: str, load: Heartbeat) -> None:
+        state = (sender, load.leaving)
+        if self._state_by_upstream.get(upstream) != state:
+            self._state_by_upstream[upstream] = state
+            await self._offer_upstreams()
+        report = LoadReport(
+            upstream=upstream,
+            running=load.running,
+            waiting=load.waiting,
+            limit=load.limit,
+        )
+        await self.dispatcher.report(report)
+
+    async def _read_peers(self) -> None:
+        while True:
+            event = await self.peers.inbox.get()
+            if not isinstance(event, Received):
+                continue
+            envelope = event.envelope
+            message = envelope.message
+            if isinstance(message, Heartbeat):
+                message = None
+            await self._to_gossip(event.peer, envelope.revision, message)
+
+    async def _to_gossip(
+        self, peer: str, revision: int, message: AnyMessage | None
+    ) -> None:
+        event = FromPeer(peer=peer, revision=revision, message=message)
+        await self.gossip.inbox.put(event)
+
+    async def _send(self, peer: str, message: AnyMessage) -> None:
+        if peer.startswith(SIDECAR_PREFIX):
+            await self.pool.send(peer.removeprefix(SIDECAR_PREFIX), message)
+            return
+        await self.peers.send(peer, message)
--- a/src/ragwortkeel/router/sidecars.py
+++ b/src/ragwortkeel/router/sidecars.py
@@ -193,6 +193,8 @@
             ):  # fmt: skip
                 for reader in self._subscriptions_by_nonce.get(message.nonce, ()):
                     await reader.queue.put(message)
+                if isinstance(message, Refused) and message.newer:
+                    await self.others.put(event)
             case _:
                 await self.others.put(event)
 
