--- /dev/null
+++ b/benchmarks/load/__init__.py
@@ -0,0 +1,1 @@
+"""A deterministic model of upstreams, callers and routers under load."""
--- /dev/null
+++ b/benchmarks/load/schemes.py
@@ -0,0 +1,295 @@
+"""Routers under comparison: ours, and three that are common elsewhere."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Protocol
+
+from ragwortkeel.configuration import ServiceClass
+from ragwortkeel.policy.facts import (
+    Assignment,
+    Decision,
+    Failure,
+    LoadReport,
+    Queued,
+    Reason,
+    Refusal,
+    RequestFacts,
+    UpstreamFacts,
+)
+from ragwortkeel.policy.scheduler import Scheduler
+from ragwortkeel.policy.settings import SchedulerSettings
+
+Step = Assignment | Refusal
+
+
+class Router(Protocol):
+    """What the fleet model asks of one router."""
+
+    def offer(self, request: RequestFacts, now: float) -> list[Step]:
+        """Take a new request."""
+
+    def report(self, report: LoadReport, now: float) -> list[Step]:
+        """Take a load report."""
+
+    def first_token(self, request_id: str, now: float) -> None:
+        """Note a first token."""
+
+    def finished(self, request_id: str, now: float) -> list[Step]:
+        """Note an end."""
+
+    def failed(self, request_id: str, failure: Failure, now: float) -> list[Step]:
+        """Note a failed attempt."""
+
+    def left(self, request_id: str, now: float) -> tuple[str | None, list[Step]]:
+        """Note a caller that hung up; the first is where to cancel."""
+
+    def tick(self, now: float) -> list[Step]:
+        """Do what time brings."""
+
+    def next_wake(self) -> float | None:
+        """Return when to tick next."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Scheme:
+    """A kind of router, and what it has its sidecars and engines do."""
+
+    name: str
+    router: Callable[[list[UpstreamFacts], str, Random], Router]
+    sidecar_limit: int = 0
+    adaptive: bool = False
+    priorities: bool = False
+
+
+class Ours:
+    """The scheduler of the product, with its calls in the right order."""
+
+    def __init__(self, scheduler: Scheduler, *, cancels: bool = True) -> None:
+        self._scheduler = scheduler
+        self._cancels = cancels
+
+    def offer(self, request: RequestFacts, now: float) -> list[Step]:
+        """Offer, and hand out what that decides."""
+        return self._steps(self._scheduler.offer(request, now), now)
+
+    def report(self, report: LoadReport, now: float) -> list[Step]:
+        """Report, and hand out what there is room for."""
+        self._scheduler.report(report, now)
+        return self.tick(now)
+
+    def first_token(self, request_id: str, now: float) -> None:
+        """Pass it on."""
+        self._scheduler.first_token(request_id, now)
+
+    def finished(self, request_id: str, now: float) -> list[Step]:
+        """Pass it on, and fill the place."""
+        self._scheduler.finished(request_id, now)
+        return self.tick(now)
+
+    def failed(self, request_id: str, failure: Failure, now: float) -> list[Step]:
+        """Pass it on, and hand out what that decides."""
+        return self._steps(self._scheduler.failed(request_id, failure, now), now)
+
+    def left(self, request_id: str, now: float) -> tuple[str | None, list[Step]]:
+        """Pass it on, and fill the place."""
+        if not self._cancels:
+            return None, []
+        upstream = self._scheduler.left(request_id, now)
+        return upstream, self.tick(now)
+
+    def tick(self, now: float) -> list[Step]:
+        """Hand out what is due."""
+        return list(self._scheduler.next(now))
+
+    def next_wake(self) -> float | None:
+        """Pass it on."""
+        return self._scheduler.next_wake()
+
+    def _steps(self, decision: Decision | None, now: float) -> list[Step]:
+        out = self.tick(now)
+        match decision:
+            case None | Queued():
+                return out
+            case _:
+                return [decision, *out]
+
+
+def ours(name: str = "ours", **settings: object) -> Scheme:
+    """Return our scheme; `settings` leave a mechanism out."""
+    adaptive = bool(settings.pop("adaptive", True))
+    priorities = bool(settings.pop("priorities", True))
+    cancels = bool(settings.pop("cancels", True))
+    sidecar_limit = int(settings.pop("sidecar_limit", 0))
+
+    def router(upstreams: list[UpstreamFacts], zone: str, random: Random) -> Ours:
+        scheduler = Scheduler(
+            zone=zone, random=random, settings=SchedulerSettings(**settings)
+        )
+        scheduler.upstreams_changed(upstreams, 0.0)
+        return Ours(scheduler, cancels=cancels)
+
+    return Scheme(
+        name=name,
+        router=router,
+        adaptive=adaptive,
+        priorities=priorities,
+        sidecar_limit=sidecar_limit,
+    )
+
+
+@dataclass(kw_only=True)
+class _Open:
+    """A request that a plain router has in flight."""
+
+    request: RequestFacts
+    upstream: str
+    attempt: int
+
+
+@dataclass(kw_only=True)
+class Plain:
+    """Round robin or least connections, with or without a fixed limit.
+
+    With a limit the rest waits first in, first out, until the caller hangs up;
+    a full line refuses.  A failed repeatable request is
+    tried up to three times.
+    """
+
+    upstreams: list[UpstreamFacts]
+    least: bool
+    limit: int = 0
+    cancels: bool = True
+    open_by_id: dict[str, _Open] = field(default_factory=dict)
+    in_flight: dict[str, int] = field(default_factory=dict)
+    lines_by_pool: dict[tuple[str, ...], deque[RequestFacts]] = field(
+        default_factory=dict
+    )
+    turn: int = 0
+
+    def offer(self, request: RequestFacts, now: float) -> list[Step]:
+        """Dispatch, or append to the line."""
+        line = self.lines_by_pool.setdefault(request.back_ends, deque())
+        if self.limit and len(line) >= MAX_LINE:
+            return [_refusal(request, Reason.QUEUE_FULL)]
+        line.append(request)
+        return self.tick(now)
+
+    def report(self, report: LoadReport, now: float) -> list[Step]:
+        """Ignore it: none of these uses reports."""
+        return []
+
+    def first_token(self, request_id: str, now: float) -> None:
+        """Ignore it."""
+
+    def finished(self, request_id: str, now: float) -> list[Step]:
+        """Free the place."""
+        self._end(request_id)
+        return self.tick(now)
+
+    def failed(self, request_id: str, failure: Failure, now: float) -> list[Step]:
+        """Try again elsewhere, whatever the load."""
+        ended = self._end(request_id)
+        if ended is None:
+            return []
+        request = ended.request
+        if request.service is ServiceClass.MUST_NOT_REPEAT or ended.attempt >= 3:
+            return [_refusal(request, Reason.ATTEMPTS, may_have_run=True)]
+        return [self._send(request, ended.attempt + 1)]
+
+    def left(self, request_id: str, now: float) -> tuple[str | None, list[Step]]:
+        """Cancel where that is done."""
+        for pool, line in self.lines_by_pool.items():
+            kept = deque(r for r in line if r.request_id != request_id)
+            self.lines_by_pool[pool] = kept
+        if not self.cancels:
+            return None, []
+        ended = self._end(request_id)
+        return (ended.upstream if ended else None), self.tick(now)
+
+    def tick(self, now: float) -> list[Step]:
+        """Send what there is room for, in order of arrival."""
+        out: list[Step] = []
+        for line in self.lines_by_pool.values():
+            while line and self._has_room(line[0]):
+                out.append(self._send(line.popleft(), 1))
+        return out
+
+    def next_wake(self) -> float | None:
+        """Return None: those in the line hang up at their deadline."""
+        return None
+
+    def _pool(self, request: RequestFacts) -> list[str]:
+        return [u.name for u in self.upstreams if u.back_end in request.back_ends]
+
+    def _has_room(self, request: RequestFacts) -> bool:
+        if not self.limit:
+            return True
+        loads = (self.in_flight.get(name, 0) for name in self._pool(request))
+        return min(loads) < self.limit
+
+    def _send(self, request: RequestFacts, attempt: int) -> Assignment:
+        pool = self._pool(request)
+        self.turn += 1
+        turned = pool[self.turn % len(pool) :] + pool[: self.turn % len(pool)]
+        name = turned[0]
+        if self.least:
+            name = min(turned, key=lambda each: self.in_flight.get(each, 0))
+        self.in_flight[name] = self.in_flight.get(name, 0) + 1
+        self.open_by_id[request.request_id] = _Open(
+            request=request, upstream=name, attempt=attempt
+        )
+        return Assignment(request=request, upstream=name, attempt=attempt)
+
+    def _end(self, request_id: str) -> _Open | None:
+        ended = self.open_by_id.pop(request_id, None)
+        if ended:
+            self.in_flight[ended.upstream] -= 1
+        return ended
+
+
+MAX_LINE = 200
+"""A common default for a router's queue."""
+
+FIXED_LIMIT = 8
+"""In flight at each upstream from each of three routers: 24 of 32 slots."""
+
+
+def round_robin() -> Scheme:
+    """First in, first out, round robin, no limit, nothing cancelled."""
+    return Scheme(
+        name="fifo_round_robin",
+        router=lambda upstreams, zone, random: Plain(
+            upstreams=upstreams, least=False, cancels=False
+        ),
+    )
+
+
+def least_connections() -> Scheme:
+    """Fewest of one's own in flight, no limit."""
+    return Scheme(
+        name="least_connections",
+        router=lambda upstreams, zone, random: Plain(upstreams=upstreams, least=True),
+    )
+
+
+def fixed_limits() -> Scheme:
+    """Least connections within a fixed limit, and a line behind it."""
+    return Scheme(
+        name="fixed_limits",
+        router=lambda upstreams, zone, random: Plain(
+            upstreams=upstreams, least=True, limit=FIXED_LIMIT
+        ),
+    )
+
+
+def _refusal(
+    request: RequestFacts, reason: Reason, *, may_have_run: bool = False
+) -> Refusal:
+    return Refusal(
+        request=request,
+        reason=reason,
+        retry_after_seconds=0.0,
+        may_have_run=may_have_run,
+    )
--- a/src/ragwortkeel/policy/admission.py
+++ b/src/ragwortkeel/policy/admission.py
@@ -9,6 +9,11 @@
 work takes is the rate at which places come free, and the requests ahead divided
 by that rate is the wait.  It needs no knowledge of the engines.
 
+The estimate decides only on requests that find no place.  One that finds a place
+is dispatched: were it refused because the last ones were slow, no new sample
+would come, and the refusals would never end (tried; a fleet at 70% load refused
+half of its chats for good).
+
 A refusal is final and given at once.
 """
 
@@ -39,6 +44,10 @@
     total: float
 
 
+UNKNOWN = Times(first_token=0.0, total=0.0)
+"""Before the first sample nothing is refused."""
+
+
 class ServiceTimes:
     """How long the requests of each profile, and of a set of back ends, take."""
 
@@ -70,9 +79,16 @@
         pool_seconds = self._seconds_by_pool.get(request.back_ends, seconds)
         self._seconds_by_pool[request.back_ends] = _smooth(pool_seconds, seconds)
 
-    def times(self, request: RequestFacts) -> Times:
-        """Return the estimate; zeros, which refuse nothing, when none is known."""
-        return self._by_profile.get(request.profile, Times(first_token=0.0, total=0.0))
+    def latest_start(self, request: RequestFacts) -> tuple[float, Reason]:
+        """Return when the request must be dispatched, and the promise that binds."""
+        times = self._by_profile.get(request.profile, UNKNOWN)
+        by_deadline = request.deadline - times.total
+        if request.service is not ServiceClass.INTERACTIVE:
+            return by_deadline, Reason.DEADLINE
+        by_first_token = request.first_token_by - times.first_token
+        if by_first_token < by_deadline:
+            return by_first_token, Reason.FIRST_TOKEN
+        return by_deadline, Reason.DEADLINE
 
     def wait_seconds(
         self, back_ends: tuple[str, ...], ahead: float, in_flight: int
@@ -82,44 +98,6 @@
         return (ahead + 1.0) * seconds / max(1, in_flight)
 
 
-@dataclass(frozen=True, kw_only=True)
-class Wait:
-    """It may wait, and must be dispatched by `latest_start`."""
-
-    latest_start: float
-    estimated_seconds: float
-
-
-@dataclass(frozen=True, kw_only=True)
-class TooLate:
-    """It could not be served in time; `excess_seconds` too late."""
-
-    reason: Reason
-    excess_seconds: float
-
-
-def latest_start(request: RequestFacts, times: Times) -> tuple[float, Reason]:
-    """Return when the request must be dispatched, and the promise that binds."""
-    by_deadline = request.deadline - times.total
-    if request.service is not ServiceClass.INTERACTIVE:
-        return by_deadline, Reason.DEADLINE
-    by_first_token = request.first_token_by - times.first_token
-    if by_first_token < by_deadline:
-        return by_first_token, Reason.FIRST_TOKEN
-    return by_deadline, Reason.DEADLINE
-
-
-def admit(
-    request: RequestFacts, *, times: Times, wait_seconds: float, now: float
-) -> Wait | TooLate:
-    """Say whether the request may wait for about `wait_seconds`."""
-    latest, reason = latest_start(request, times)
-    excess = now + wait_seconds - latest
-    if excess > 0.0:
-        return TooLate(reason=reason, excess_seconds=excess)
-    return Wait(latest_start=latest, estimated_seconds=wait_seconds)
-
-
 def retry_after(excess_seconds: float, random: Random) -> float:
     """Return when the line should be short enough, spread at random."""
     seconds = max(SHORTEST_RETRY_SECONDS, excess_seconds)
--- a/src/ragwortkeel/policy/scheduler.py
+++ b/src/ragwortkeel/policy/scheduler.py
@@ -10,7 +10,7 @@
 from random import Random
 
 from ragwortkeel.configuration import ServiceClass
-from ragwortkeel.policy.admission import ServiceTimes, TooLate, admit, retry_after
+from ragwortkeel.policy.admission import ServiceTimes, retry_after
 from ragwortkeel.policy.facts import (
     Assignment,
     Decision,
@@ -123,7 +123,7 @@
         """Return what is to be dispatched or refused now."""
         out: list[Assignment | Refusal] = []
         for back_ends, queue in self._queues_by_pool.items():
-            self._refusals += [self._refuse_late(w, now) for w in queue.expired(now)]
+            self._refusals += [self._refuse_late(w) for w in queue.expired(now)]
             if len(queue) and not self._upstreams.serving(back_ends):
                 self._refusals += [_no_upstream(w.request) for w in queue.clear()]
             out += self._dispatch_from(queue, now)
@@ -217,14 +217,13 @@
             return _final(request, Reason.QUARANTINED)
         if not self._upstreams.serving(request.back_ends):
             return _no_upstream(request)
-        times = self._times.times(request)
-        decided = admit(request, times=times, wait_seconds=0.0, now=now)
-        if isinstance(decided, TooLate):
-            return self._refuse_too_late(request, decided)
+        if now > request.deadline:
+            return _final(request, Reason.DEADLINE)
+        latest_start, _ = self._times.latest_start(request)
         waiting = Waiting(
             request=request,
             attempt=attempt,
-            latest_start=decided.latest_start,
+            latest_start=latest_start,
             tried=tried,
         )
         if verdict is Verdict.ALONE:
@@ -244,16 +243,18 @@
             queue.ahead(request),
             self._in_flight_by_pool.get(request.back_ends, 0),
         )
-        times = self._times.times(request)
-        decided = admit(request, times=times, wait_seconds=wait_seconds, now=now)
-        if isinstance(decided, TooLate):
-            return self._refuse_too_late(request, decided)
+        if not self._settings.estimate:
+            wait_seconds = 0.0
+        latest_start, reason = self._times.latest_start(request)
+        excess_seconds = now + wait_seconds - latest_start
+        if excess_seconds > 0.0:
+            return self._refuse(request, reason, excess_seconds)
         displaced = queue.push(waiting)
         if displaced is waiting:
-            return self._refuse_displaced(waiting, Reason.QUEUE_FULL, wait_seconds)
+            return self._refuse(request, Reason.QUEUE_FULL, wait_seconds)
         if displaced:
             self._refusals.append(
-                self._refuse_displaced(displaced, Reason.FAIR_SHARE, wait_seconds)
+                self._refuse(displaced.request, Reason.FAIR_SHARE, wait_seconds)
             )
         return Queued(request=request, estimated_wait_seconds=wait_seconds)
 
@@ -278,7 +279,7 @@
         for request_id, waiting in list(self._alone_by_id.items()):
             if waiting.latest_start < now:
                 del self._alone_by_id[request_id]
-                self._refusals.append(self._refuse_late(waiting, now))
+                self._refusals.append(self._refuse_late(waiting))
                 continue
             upstream = self._upstreams.place_alone(waiting.request, now)
             if upstream is None:
@@ -342,28 +343,15 @@
             self._queues_by_pool[back_ends] = queue
         return queue
 
-    def _refuse_late(self, waiting: Waiting, now: float) -> Refusal:
-        times = self._times.times(waiting.request)
-        decided = admit(waiting.request, times=times, wait_seconds=0.0, now=now)
-        reason = decided.reason if isinstance(decided, TooLate) else Reason.DEADLINE
-        return _final(
-            waiting.request,
-            reason,
-            retry_after_seconds=retry_after(0.0, self._random),
-        )
-
-    def _refuse_too_late(self, request: RequestFacts, late: TooLate) -> Refusal:
-        return _final(
-            request,
-            late.reason,
-            retry_after_seconds=retry_after(late.excess_seconds, self._random),
-        )
+    def _refuse_late(self, waiting: Waiting) -> Refusal:
+        _, reason = self._times.latest_start(waiting.request)
+        return self._refuse(waiting.request, reason, 0.0)
 
-    def _refuse_displaced(
-        self, waiting: Waiting, reason: Reason, wait_seconds: float
+    def _refuse(
+        self, request: RequestFacts, reason: Reason, wait_seconds: float
     ) -> Refusal:
         return _final(
-            waiting.request,
+            request,
             reason,
             retry_after_seconds=retry_after(wait_seconds, self._random),
         )
--- a/src/ragwortkeel/policy/upstreams.py
+++ b/src/ragwortkeel/policy/upstreams.py
@@ -73,12 +73,12 @@
         """
         names = self._open(request, now)
         names = [name for name in names if name not in avoid] or names
+        by_name = {n: self._candidate(n, request.service, now) for n in names}
+        if not any(candidate.has_room for candidate in by_name.values()):
+            return None
         key = request.prefix or request.request_id
         chosen = choose(
-            ordered=[
-                self._candidate(name, request.service, now)
-                for name in rendezvous(key, names)
-            ],
+            ordered=[by_name[name] for name in rendezvous(key, names)],
             prefix=request.prefix,
             zone=self._zone,
             random=self._random,
