Hold HTTP peers to their bounds and stop without cutting anyone off

Ruled out: closing from the aborting task with curio's release (it releases only the caller's own wait).

--- /dev/null
+++ b/src/ragwortkeel/http_client.py
@@ -0,0 +1,194 @@
+"""The HTTP client: tells a request surely not sent from one that may have been."""
+
+import socket as _socket
+from collections import deque
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import curio
+import h11
+
+from ragwortkeel.exceptions import ConnectFailed, ExchangeBroken
+from ragwortkeel.http_events import joined_headers, next_event
+
+CONNECT_SECONDS = 2.0
+MAX_IDLE_CONNECTIONS = 32
+
+
+@dataclass(frozen=True, kw_only=True)
+class Response:
+    """One whole response as a client sees it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class BodyPieces:
+    """Iterates a body; no generator, so a reader may stop early at no cost."""
+
+    def __init__(self, *, sock, conn: h11.Connection) -> None:
+        self._sock = sock
+        self._conn = conn
+
+    def __aiter__(self) -> "BodyPieces":
+        return self
+
+    async def __anext__(self) -> bytes:
+        match await next_event(self._sock, self._conn):
+            case h11.Data(data=data):
+                return bytes(data)
+            case h11.EndOfMessage():
+                raise StopAsyncIteration
+            case _:
+                raise ExchangeBroken("the answer broke off")
+
+
+@dataclass(kw_only=True)
+class StreamedResponse:
+    """A response whose body is read piece by piece.
+
+    Iterating ends only at the peer's end marker; a body that breaks off raises
+    `ExchangeBroken`, so a truncated answer is never taken for a whole one.
+    """
+
+    status: int
+    headers: dict[str, str]
+    _sock: object = field(repr=False)
+    _conn: h11.Connection = field(repr=False)
+
+    def pieces(self) -> BodyPieces:
+        """Return an iterator over the body as it comes."""
+        return BodyPieces(sock=self._sock, conn=self._conn)
+
+
+class HttpClient:
+    """A client of one server, with a small pool of kept connections.
+
+    Errors are `ConnectFailed`, where the request certainly was not sent, and
+    `ExchangeBroken`, where it may have been.
+
+    Parameters
+    ----------
+    host
+        An IP number: a name would have to be resolved, which blocks.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self, *, host: str, port: int, connect_seconds: float = CONNECT_SECONDS
+    ) -> None:
+        self.host = host
+        self.port = port
+        self._connect_seconds = connect_seconds
+        self._idle: deque = deque()
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        *,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout: float,
+    ) -> Response:
+        """Send a request and return its whole response.
+
+        Raises
+        ------
+        ConnectFailed, ExchangeBroken
+            A timeout counts as `ExchangeBroken`.
+        """
+        try:
+            async with curio.timeout_after(timeout):
+                stream = self.stream(method, target, body=body, headers=headers)
+                async with stream as rv:
+                    pieces = [piece async for piece in rv.pieces()]
+        except curio.TaskTimeout as exc:
+            raise ExchangeBroken(f"no answer within {timeout} s") from exc
+        return Response(status=rv.status, headers=rv.headers, body=b"".join(pieces))
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        method: str,
+        target: str,
+        *,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ):
+        """Send a request; yield its `StreamedResponse` once the head is there."""
+        sock = await self._take_idle() or await self._connect()
+        conn = h11.Connection(h11.CLIENT)
+        kept = False
+        try:
+            await self._send(sock, conn, method, target, body, headers or {})
+            yield await self._read_head(sock, conn)
+            kept = conn.our_state is h11.DONE and conn.their_state is h11.DONE
+        finally:
+            if kept and len(self._idle) < MAX_IDLE_CONNECTIONS:
+                self._idle.append(sock)
+            else:
+                await sock.close()
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        while self._idle:
+            await self._idle.pop().close()
+
+    async def _connect(self):
+        # curio.open_connection would resolve the host in a thread, each time.
+        family = _socket.AF_INET6 if ":" in self.host else _socket.AF_INET
+        sock = curio.socket.socket(family, _socket.SOCK_STREAM)
+        connected = False
+        try:
+            async with curio.timeout_after(self._connect_seconds):
+                await sock.connect((self.host, self.port))
+            sock.setsockopt(_socket.IPPROTO_TCP, _socket.TCP_NODELAY, 1)
+            connected = True
+        except (OSError, curio.TaskTimeout) as exc:
+            raise ConnectFailed(f"{self.host}:{self.port}: {exc!r}") from exc
+        finally:
+            if not connected:
+                await sock.close()
+        return sock
+
+    async def _take_idle(self):
+        while self._idle:
+            sock = self._idle.pop()
+            # A kept connection the server has closed meanwhile reads as ended;
+            # sending on it would turn a sure failure into an unknown one.
+            try:
+                sock._socket.recv(1, _socket.MSG_PEEK | _socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                return sock
+            except OSError:
+                pass
+            await sock.close()
+        return None
+
+    async def _send(self, sock, conn, method, target, body, headers) -> None:
+        fields = {
+            "host": f"{self.host}:{self.port}",
+            "content-length": str(len(body)),
+        } | headers
+        head = h11.Request(method=method, target=target, headers=list(fields.items()))
+        data = conn.send(head)
+        data += conn.send(h11.Data(data=body))
+        data += conn.send(h11.EndOfMessage())
+        try:
+            await sock.sendall(data)
+        except OSError as exc:
+            raise ExchangeBroken(str(exc)) from exc
+
+    async def _read_head(self, sock, conn) -> StreamedResponse:
+        event = await next_event(sock, conn)
+        while isinstance(event, h11.InformationalResponse):
+            event = await next_event(sock, conn)
+        if not isinstance(event, h11.Response):
+            raise ExchangeBroken("the server closed without an answer")
+        headers = joined_headers(event.headers)
+        return StreamedResponse(
+            status=event.status_code, headers=headers, _sock=sock, _conn=conn
+        )
--- /dev/null
+++ b/src/ragwortkeel/http_events.py
@@ -0,0 +1,50 @@
+"""Reading h11 events from a curio socket, on either side."""
+
+import h11
+
+from ragwortkeel.exceptions import BadRequest, ExchangeBroken
+
+READ_CHUNK_BYTES = 64 * 1024
+
+
+async def next_event(sock, conn: h11.Connection):
+    """Return the next h11 event, reading as needed.
+
+    Raises
+    ------
+    BadRequest
+        On the server's side, where the peer does not speak HTTP.
+    ExchangeBroken
+        On the client's side likewise, and where the connection fails.
+    """
+    while True:
+        try:
+            event = conn.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise _protocol_error(conn, exc) from exc
+        if event is not h11.NEED_DATA:
+            return event
+        if conn.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await sock.sendall(conn.send(go_on))
+        try:
+            data = await sock.recv(READ_CHUNK_BYTES)
+        except OSError as exc:
+            raise ExchangeBroken(str(exc)) from exc
+        conn.receive_data(data)
+
+
+def _protocol_error(conn: h11.Connection, exc: h11.RemoteProtocolError) -> Exception:
+    if conn.our_role is h11.CLIENT:
+        return ExchangeBroken(str(exc))
+    status = exc.error_status_hint or 400
+    return BadRequest(status=status, reason="bad_http", detail=str(exc))
+
+
+def joined_headers(headers) -> dict[str, str]:
+    """Return headers by name; a repeated one is joined, never chosen from."""
+    by_name: dict[str, str] = {}
+    for raw_name, raw_value in headers:
+        name, value = raw_name.decode("latin-1"), raw_value.decode("latin-1")
+        by_name[name] = f"{by_name[name]}, {value}" if name in by_name else value
+    return by_name
--- /dev/null
+++ b/src/ragwortkeel/http_responder.py
@@ -0,0 +1,90 @@
+"""One HTTP exchange as a handler sees it: the request, and a way to answer."""
+
+import socket as _socket
+from contextlib import suppress
+from dataclasses import dataclass
+
+import curio
+import h11
+
+from ragwortkeel.exceptions import ExchangeBroken
+
+
+@dataclass(frozen=True, kw_only=True)
+class Request:
+    """One whole request as a handler sees it."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+class Responder:
+    """What a handler answers through; it owns the connection meanwhile.
+
+    Attributes
+    ----------
+    gone : curio.Event
+        Set once the peer has closed its side: nobody waits for the answer.
+    started : bool
+        Whether the head of the answer was sent.
+    bodiless : bool
+        Whether the request was a HEAD, whose answer has no body.
+    closing : bool
+        Whether the answer tells the peer that no other request may follow.
+    """
+
+    def __init__(self, *, sock, conn: h11.Connection) -> None:
+        self._sock = sock
+        self._conn = conn
+        self.bodiless = False
+        self.gone = curio.Event()
+        self.started = False
+        self.closing = False
+
+    async def respond(
+        self, status: int, body: bytes, headers: dict[str, str] | None = None
+    ) -> None:
+        """Send a whole response."""
+        fields = {"content-length": str(len(body))} | (headers or {})
+        await self.start(status, fields)
+        await self.send(body)
+        await self.finish()
+
+    async def start(self, status: int, headers: dict[str, str]) -> None:
+        """Send status and headers; without a length the body is chunked."""
+        self.started = True
+        if self.closing:
+            headers = headers | {"connection": "close"}
+        fields = [(k.encode(), v.encode("latin-1")) for k, v in headers.items()]
+        await self._write(h11.Response(status_code=status, headers=fields))
+
+    async def send(self, data: bytes) -> None:
+        """Send a piece of the body; nothing in answer to a HEAD request."""
+        if data and not self.bodiless:
+            await self._write(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """Mark the end of the body, which tells the peer it has it whole."""
+        await self._write(h11.EndOfMessage())
+
+    async def abort(self) -> None:
+        """Close without the end marker, so that the peer sees a broken body."""
+        self._conn.send_failed()
+        # Closing here would free the descriptor while the task that watches the
+        # peer waits on it: the next connection gets the same number, and curio
+        # wakes the wrong task or none.  Shut down, the watcher ends by itself and
+        # the connection's own task closes.
+        with suppress(OSError):
+            await self._sock.shutdown(_socket.SHUT_RDWR)
+
+    async def _write(self, event) -> None:
+        data = self._conn.send(event)
+        if data:
+            try:
+                await self._sock.sendall(data)
+            except OSError as exc:
+                await self.gone.set()
+                raise ExchangeBroken(str(exc)) from exc
--- /dev/null
+++ b/src/ragwortkeel/http_server.py
@@ -0,0 +1,316 @@
+"""The HTTP server: whole requests in, answers out, peers held to bounds."""
+
+import socket as _socket
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from urllib.parse import parse_qsl, urlsplit
+
+import curio
+import h11
+
+from ragwortkeel.exceptions import BadRequest, ExchangeBroken
+from ragwortkeel.http_events import READ_CHUNK_BYTES, joined_headers, next_event
+from ragwortkeel.http_responder import Request, Responder
+from ragwortkeel.logs import log_error, log_warning
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+"""A season's dossier fits with room to spare; more is refused with 413."""
+
+REQUEST_READ_SECONDS = 20.0
+"""A request that is not whole by then is refused with 408."""
+
+KEEP_ALIVE_SECONDS = 60.0
+LISTEN_BACKLOG = 1024
+MAX_PIPELINED_BYTES = 64 * 1024
+"""Bytes of later requests read while one runs; the rest waits in the socket."""
+
+LINGER_SECONDS = 2.0
+"""How long a refused peer may go on sending before its connection is closed."""
+
+ACCEPT_PAUSE_SECONDS = 0.1
+DRAIN_POLL_SECONDS = 0.02
+NEWCOMER_SECONDS = 1.0
+"""How long a stop waits for requests on connections just accepted."""
+
+PROBLEM_TYPE = "application/problem+json"
+
+
+Handler = Callable[[Request, Responder], Awaitable[None]]
+
+
+class HttpServer:
+    """A server whose accepting and whose open exchanges end separately.
+
+    Parameters
+    ----------
+    host, port
+        Where to listen; port 0 takes a free one, found in `port` after `open`.
+    handler
+        Called once a request is whole; may answer in pieces.
+    max_body_bytes
+        Larger bodies are refused with 413 and never reach the handler.
+    read_seconds
+        How long the body of a request may take, in seconds.
+    keep_alive_seconds
+        How long a connection may wait for the head of the next request.
+
+    Attributes
+    ----------
+    open_exchanges : int
+        Requests begun and not yet answered.
+
+    Examples
+    --------
+    >>> server = HttpServer(host="127.0.0.1", port=0, handler=handler)
+    >>> server.open()
+    >>> task = await curio.spawn(server.serve)
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        handler: Handler,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        read_seconds: float = REQUEST_READ_SECONDS,
+        keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.open_exchanges = 0
+        self._handler = handler
+        self._max_body_bytes = max_body_bytes
+        self._read_seconds = read_seconds
+        self._keep_alive_seconds = keep_alive_seconds
+        self._newcomers = 0
+        self._listener = None
+        self._acceptor = None
+        self._connections = curio.TaskGroup(wait=None)
+        self._stopping = curio.Event()
+
+    def open(self) -> None:
+        """Bind the listening socket."""
+        self._listener = curio.network.tcp_server_socket(
+            self.host, self.port, backlog=LISTEN_BACKLOG
+        )
+        self.port = self._listener.getsockname()[1]
+
+    async def serve(self) -> None:
+        """Serve until `stop_accepting`, and then until the last open exchange ends.
+
+        Each connection is a task of its own; cancelling this call ends them all.
+        """
+        async with self._connections:
+            self._acceptor = await curio.spawn(self._accept)
+            try:
+                await self._stopping.wait()
+                await self._drain()
+            finally:
+                await self.stop_accepting()
+
+    async def stop_accepting(self) -> None:
+        """Refuse new connections; open exchanges go on."""
+        # The accepting task has to be out of its wait before the listener is
+        # closed; closed under it, it would wait for ever on a freed descriptor.
+        if self._acceptor is not None:
+            await self._acceptor.cancel()
+        if self._listener is not None:
+            await self._take_pending()
+            await self._listener.close()
+            self._listener = None
+        await self._stopping.set()
+
+    async def _drain(self) -> None:
+        waited = 0.0
+        while self.open_exchanges or (self._newcomers and waited < NEWCOMER_SECONDS):
+            await curio.sleep(DRAIN_POLL_SECONDS)
+            waited += DRAIN_POLL_SECONDS
+
+    async def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = await self._listener.accept()
+            except OSError as exc:
+                # Out of descriptors, or a peer gone before it was accepted: one
+                # such error must not end the accepting for good.
+                log_warning("accept_failed", error=str(exc))
+                await curio.sleep(ACCEPT_PAUSE_SECONDS)
+                continue
+            await self._welcome(sock)
+
+    async def _take_pending(self) -> None:
+        """Accept what the system has already accepted for this process."""
+        # Closing the listener resets the connections in its backlog, requests
+        # sent on them included: their callers would not know whether they ran.
+        with suppress(OSError):
+            while True:
+                sock, _ = self._listener._socket.accept()
+                await self._welcome(curio.io.Socket(sock))
+
+    async def _welcome(self, sock) -> None:
+        with suppress(OSError):
+            sock.setsockopt(_socket.IPPROTO_TCP, _socket.TCP_NODELAY, 1)
+        self._newcomers += 1
+        await self._connections.spawn(self._connection, sock, daemon=True)
+
+    async def _connection(self, sock) -> None:
+        conn = h11.Connection(h11.SERVER)
+        try:
+            head = await self._read_first_head(sock, conn)
+            while head and await self._exchange(sock, conn, head):
+                conn.start_next_cycle()
+                head = await self._read_head(sock, conn)
+        except BadRequest as exc:
+            with suppress(OSError, ExchangeBroken):
+                await _refuse(sock, Responder(sock=sock, conn=conn), exc)
+        except (OSError, ExchangeBroken, h11.LocalProtocolError):
+            pass
+        finally:
+            await sock.close()
+
+    async def _read_first_head(self, sock, conn) -> h11.Request | None:
+        try:
+            return await self._read_head(sock, conn)
+        finally:
+            self._newcomers -= 1
+
+    async def _exchange(self, sock, conn, head: h11.Request) -> bool:
+        """Serve one request; return whether another may follow."""
+        responder = Responder(sock=sock, conn=conn)
+        self.open_exchanges += 1
+        try:
+            request = await self._read_request(sock, conn, head)
+            await self._answer(sock, conn, request, responder)
+        finally:
+            self.open_exchanges -= 1
+        reusable = conn.our_state is h11.DONE and conn.their_state is h11.DONE
+        return reusable and not responder.gone.is_set()
+
+    async def _answer(self, sock, conn, request: Request, responder: Responder) -> None:
+        responder.bodiless = request.method == "HEAD"
+        responder.closing = self._stopping.is_set()
+        watcher = await curio.spawn(_watch_peer, sock, conn, responder, daemon=True)
+        try:
+            await self._handler(request, responder)
+        except (OSError, ExchangeBroken):
+            raise
+        except Exception as exc:
+            # A fault in a handler must reach its caller as an error, never as an
+            # answer that looks whole, and must not harm other connections.
+            log_error("handler_failed", path=request.path, error=repr(exc))
+            await _report_fault(responder)
+        finally:
+            await watcher.cancel()
+
+    async def _read_head(self, sock, conn) -> h11.Request | None:
+        """Return the head of the next request; None where the peer is done."""
+        try:
+            async with curio.timeout_after(self._keep_alive_seconds):
+                event = await next_event(sock, conn)
+        except curio.TaskTimeout:
+            if not conn.trailing_data[0]:
+                return None
+            raise BadRequest(
+                status=408, reason="head_too_slow", detail="the head came too slowly"
+            ) from None
+        except ExchangeBroken:
+            return None
+        return event if isinstance(event, h11.Request) else None
+
+    async def _read_request(self, sock, conn, head: h11.Request) -> Request:
+        parts = _split_target(head)
+        headers = joined_headers(head.headers)
+        self._check_length(int(headers.get("content-length", "0")))
+        try:
+            async with curio.timeout_after(self._read_seconds):
+                body = await self._read_body(sock, conn)
+        except curio.TaskTimeout:
+            raise BadRequest(
+                status=408, reason="body_too_slow", detail="the body came too slowly"
+            ) from None
+        return Request(
+            method=head.method.decode("latin-1"),
+            path=parts.path,
+            query=dict(parse_qsl(parts.query)),
+            headers=headers,
+            body=body,
+        )
+
+    async def _read_body(self, sock, conn) -> bytes:
+        pieces = []
+        size = 0
+        while True:
+            event = await next_event(sock, conn)
+            match event:
+                case h11.Data(data=data):
+                    size += len(data)
+                    self._check_length(size)
+                    pieces.append(bytes(data))
+                case h11.EndOfMessage():
+                    return b"".join(pieces)
+                case _:
+                    raise BadRequest(
+                        status=400, reason="body_cut_off", detail="the body ended early"
+                    )
+
+    def _check_length(self, length: int) -> None:
+        if length > self._max_body_bytes:
+            raise BadRequest(
+                status=413,
+                reason="body_too_large",
+                detail=f"at most {self._max_body_bytes} bytes",
+            )
+
+
+def _split_target(head: h11.Request):
+    try:
+        return urlsplit(head.target.decode("latin-1"))
+    except ValueError as exc:
+        raise BadRequest(status=400, reason="bad_target", detail=str(exc)) from exc
+
+
+async def _refuse(sock, responder: Responder, exc: BadRequest) -> None:
+    body = b'{"outcome":"not_run","reason":"%s","status":%d,"title":"Bad request"}' % (
+        exc.reason.encode(),
+        exc.status,
+    )
+    headers = {"content-type": PROBLEM_TYPE, "connection": "close"}
+    await responder.respond(exc.status, body, headers)
+    await _linger(sock)
+
+
+async def _linger(sock) -> None:
+    """Read and drop what the peer still sends, for a while."""
+    # Closing with unread bytes resets the connection, and the reset can overtake
+    # the refusal: the caller would see a broken connection without a reason.
+    await sock.shutdown(_socket.SHUT_WR)
+    try:
+        async with curio.timeout_after(LINGER_SECONDS):
+            while await sock.recv(READ_CHUNK_BYTES):
+                pass
+    except curio.TaskTimeout:
+        pass
+
+
+async def _report_fault(responder: Responder) -> None:
+    if responder.started:
+        await responder.abort()
+        return
+    body = b'{"outcome":"unknown","reason":"internal_error","status":500}'
+    await responder.respond(500, body, {"content-type": PROBLEM_TYPE})
+
+
+async def _watch_peer(sock, conn: h11.Connection, responder: Responder) -> None:
+    """Notice a peer that leaves while its request runs."""
+    try:
+        while data := await sock.recv(READ_CHUNK_BYTES):
+            # A pipelined request: h11 keeps it until the next cycle.
+            conn.receive_data(data)
+            if len(conn.trailing_data[0]) > MAX_PIPELINED_BYTES:
+                return
+    except OSError:
+        pass
+    await responder.gone.set()
--- /dev/null
+++ b/tests/test_httpio.py
@@ -0,0 +1,451 @@
+"""HTTP on curio: what peers do wrong, and what the others must not notice."""
+
+import socket
+
+import curio
+import pytest
+from curio.task import ContextTask
+
+from ragwortkeel.exceptions import ConnectFailed, ExchangeBroken
+from ragwortkeel.httpio import HttpClient, HttpServer
+
+MAX_BODY = 10_000
+PATIENCE = 20
+
+
+async def echo(request, responder):
+    match request.path:
+        case "/crash":
+            raise RuntimeError("a fault in the handler")
+        case "/half-crash":
+            await responder.start(200, {})
+            await responder.send(b"half")
+            raise RuntimeError("a fault in the handler")
+        case "/abort":
+            await responder.start(200, {})
+            await responder.send(b"half")
+            await responder.abort()
+        case "/wait":
+            await responder.gone.wait()
+        case "/slow":
+            await responder.start(200, {})
+            for _ in range(10):
+                await curio.sleep(0.02)
+                await responder.send(b"piece ")
+            await responder.finish()
+        case "/headers":
+            await responder.respond(200, repr(sorted(request.headers.items())).encode())
+        case _:
+            await responder.respond(200, request.body or b"empty")
+
+
+def run(main):
+    async def bounded():
+        async with curio.timeout_after(PATIENCE):
+            return await main()
+
+    with curio.Kernel(taskcls=ContextTask) as kernel:
+        return kernel.run(bounded)
+
+
+def with_server(scenario, handler=echo, **settings):
+    """Run `scenario(server, client)` against a server in this process."""
+
+    async def main():
+        server = HttpServer(
+            host="127.0.0.1",
+            port=0,
+            handler=handler,
+            max_body_bytes=MAX_BODY,
+            **settings,
+        )
+        server.open()
+        client = HttpClient(host="127.0.0.1", port=server.port)
+        async with curio.TaskGroup(wait=None) as group:
+            await group.spawn(server.serve)
+            result = await scenario(server, client)
+            # Whatever the peer did, the server still serves the others.
+            assert (await client.request("GET", "/", timeout=5)).body == b"empty"
+            await client.close()
+            return result
+
+    return run(main)
+
+
+async def exchange(port, sent, *, half_close=False):
+    """Send raw bytes and return all that comes back."""
+    sock = await curio.open_connection("127.0.0.1", port)
+    received = b""
+    try:
+        await sock.sendall(sent)
+        if half_close:
+            await sock.shutdown(socket.SHUT_WR)
+        while data := await sock.recv(65536):
+            received += data
+    except OSError:
+        received += b"RESET"
+    await sock.close()
+    return received
+
+
+def post(body, *fields, target="/", length=None):
+    length = len(body) if length is None else length
+    lines = [f"POST {target} HTTP/1.1", "Host: x", f"Content-Length: {length}", *fields]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class TestBadRequests:
+    @pytest.mark.parametrize(
+        ("sent", "status", "reason"),
+        [
+            (b"nonsense\r\n\r\n", b"400", b"bad_http"),
+            (b"GET / HTTP/1.1\r\n\r\n", b"400", b"bad_http"),
+            (b"GET / HTTP/1.1\r\nHost x\r\n\r\n", b"400", b"bad_http"),
+            (b"GET /\x00 HTTP/1.1\r\nHost: x\r\n\r\n", b"400", b"bad_http"),
+            (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n", b"400", b"bad_http"),
+            (b"GET //[ HTTP/1.1\r\nHost: x\r\n\r\n", b"400", b"bad_target"),
+            (post(b"x", length="-1"), b"400", b"bad_http"),
+            (post(b"x", length="one"), b"400", b"bad_http"),
+            (post(b"x", "Content-Length: 2"), b"400", b"bad_http"),
+            (post(b"", "X: " + "x" * 100_000), b"431", b"bad_http"),
+            (post(b"x" * (MAX_BODY + 1)), b"413", b"body_too_large"),
+            (post(b"", length=10**12), b"413", b"body_too_large"),
+            (post(b"x" * 2_000_000), b"413", b"body_too_large"),
+        ],
+    )
+    def test_is_refused_with_a_clear_status(self, sent, status, reason):
+        async def scenario(server, _):
+            return await exchange(server.port, sent)
+
+        answer = with_server(scenario)
+        assert answer.startswith(b"HTTP/1.1 " + status)
+        assert b'"reason":"' + reason + b'"' in answer
+        assert b'"outcome":"not_run"' in answer
+        assert b"RESET" not in answer
+
+    @pytest.mark.parametrize(
+        "sent",
+        [
+            post(b"abc", length=100),
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+            b"GET / HT",
+            b"",
+        ],
+    )
+    def test_body_or_head_cut_off_reaches_no_handler(self, sent):
+        seen = []
+
+        async def handler(request, responder):
+            if request.method == "POST":
+                seen.append(request)
+            await echo(request, responder)
+
+        async def scenario(server, _):
+            return await exchange(server.port, sent, half_close=True)
+
+        answer = with_server(scenario, handler)
+        assert answer == b"" or answer.startswith(b"HTTP/1.1 400")
+        assert seen == []
+
+    def test_slow_body_is_refused_and_holds_nobody_up(self):
+        async def scenario(server, _):
+            return await exchange(server.port, post(b"abc", length=100))
+
+        answer = with_server(scenario, read_seconds=0.1)
+        assert answer.startswith(b"HTTP/1.1 408")
+        assert b"body_too_slow" in answer
+
+    def test_slow_head_is_refused(self):
+        async def scenario(server, _):
+            return await exchange(server.port, b"POST / HTTP/1.1\r\nHo")
+
+        answer = with_server(scenario, keep_alive_seconds=0.1)
+        assert answer.startswith(b"HTTP/1.1 408")
+
+    def test_idle_connection_is_closed_without_a_word(self):
+        async def scenario(server, _):
+            return await exchange(server.port, b"")
+
+        assert with_server(scenario, keep_alive_seconds=0.1) == b""
+
+
+class TestGoodRequests:
+    def test_pipelined_requests_are_answered_in_order(self):
+        async def scenario(server, _):
+            sent = post(b"one") + post(b"two") + post(b"three", "Connection: close")
+            return await exchange(server.port, sent)
+
+        answer = with_server(scenario)
+        assert answer.count(b"HTTP/1.1 200") == 3
+        assert answer.index(b"one") < answer.index(b"two") < answer.index(b"three")
+
+    def test_flood_of_pipelined_bytes_stays_in_the_socket(self):
+        """A caller streams without end behind a request that runs for long.
+
+        Its bytes must not pile up in the router's memory: they stay in the
+        socket, whose buffers are bounded, so its sending stalls.
+        """
+
+        async def scenario(server, _):
+            sock = await curio.open_connection("127.0.0.1", server.port)
+            await sock.sendall(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+            sent = 0
+            try:
+                async with curio.timeout_after(1):
+                    while sent < 64_000_000:
+                        sent += await sock.send(b"x" * 1_000_000)
+            except curio.TaskTimeout:
+                pass
+            await sock.close()
+            return sent
+
+        assert with_server(scenario) < 64_000_000
+
+    def test_expected_continue_is_sent(self):
+        async def scenario(server, _):
+            fields = ("Expect: 100-continue", "Connection: close")
+            return await exchange(server.port, post(b"body", *fields))
+
+        answer = with_server(scenario)
+        assert b"HTTP/1.1 200" in answer
+        assert answer.endswith(b"body")
+
+    def test_head_request_gets_no_body(self):
+        async def scenario(server, _):
+            sent = b"HEAD / HTTP/1.1\r\nHost: x\r\n\r\n"
+            last = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+            return await exchange(server.port, sent + last)
+
+        answer = with_server(scenario)
+        assert answer.count(b"HTTP/1.1 200") == 2
+        assert answer.count(b"\r\n\r\nempty") == 1
+
+    def test_repeated_header_is_joined_rather_than_chosen_from(self):
+        async def scenario(server, _):
+            fields = ("X-A: 1", "X-A: 2", "Connection: close")
+            return await exchange(server.port, post(b"", *fields, target="/headers"))
+
+        assert b"('x-a', '1, 2')" in with_server(scenario)
+
+
+class TestHandlers:
+    def test_fault_before_the_answer_gives_500(self):
+        async def scenario(_, client):
+            return await client.request("GET", "/crash", timeout=5)
+
+        response = with_server(scenario)
+        assert response.status == 500
+        assert b'"outcome":"unknown"' in response.body
+
+    @pytest.mark.parametrize("path", ["/half-crash", "/abort"])
+    def test_fault_in_the_answer_shows_as_broken(self, path):
+        """Half an answer must never look like a whole one.
+
+        The handler fails after it sent a part; the connection has to end
+        without the end marker of the body.
+        """
+
+        async def scenario(_, client):
+            with pytest.raises(ExchangeBroken):
+                await client.request("GET", path, timeout=5)
+
+        with_server(scenario)
+
+    def test_aborts_do_not_harm_connections_that_reuse_their_descriptor(self):
+        """Other requests hang or fail after some exchange was aborted.
+
+        An abort frees a descriptor while a task still waits on it; the next
+        connection gets the same number, and the kernel mixes up the two.
+        """
+
+        async def scenario(_, client):
+            async def many(path):
+                for _ in range(50):
+                    try:
+                        await client.request("POST", path, body=b"x", timeout=5)
+                    except ExchangeBroken:
+                        assert path == "/abort"
+
+            async with curio.TaskGroup() as group:
+                for path in ("/abort", "/echo", "/abort", "/echo"):
+                    await group.spawn(many, path)
+            return [task.result for task in group.tasks]
+
+        with_server(scenario)
+
+    def test_peer_that_leaves_is_noticed(self):
+        left = curio.Event()
+
+        async def handler(request, responder):
+            await echo(request, responder)
+            if request.path == "/wait":
+                await left.set()
+
+        async def scenario(server, _):
+            sock = await curio.open_connection("127.0.0.1", server.port)
+            await sock.sendall(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+            await curio.sleep(0.05)
+            await sock.close()
+            await left.wait()
+
+        with_server(scenario, handler)
+
+
+class TestStop:
+    def test_open_exchange_ends_whole_and_new_connections_are_refused(self):
+        """A planned stop comes while an answer streams.
+
+        The answer has to end whole, `serve` must not return before, and a
+        caller that connects meanwhile is turned away at once.
+        """
+
+        async def main():
+            server = HttpServer(host="127.0.0.1", port=0, handler=echo)
+            server.open()
+            client = HttpClient(host="127.0.0.1", port=server.port)
+            serving = await curio.spawn(server.serve)
+            kept = HttpClient(host="127.0.0.1", port=server.port)
+            await kept.request("GET", "/", timeout=5)
+            asking = await curio.spawn(_ask_slow, client)
+            while not server.open_exchanges:
+                await curio.sleep(0.001)
+            await server.stop_accepting()
+            late = HttpClient(host="127.0.0.1", port=server.port)
+            with pytest.raises(ConnectFailed):
+                await late.request("GET", "/", timeout=5)
+            on_kept = await kept.request("GET", "/", timeout=5)
+            assert on_kept.headers["connection"] == "close"
+            response = await asking.join()
+            await serving.join()
+            return response
+
+        assert run(main).body == b"piece " * 10
+
+    def test_request_waiting_to_be_accepted_is_served(self):
+        """A caller sent its request just before the stop and gets a reset.
+
+        The system had accepted its connection, the server not yet; closing the
+        listener throws such connections away with what was sent on them.
+        """
+
+        async def main():
+            server = HttpServer(host="127.0.0.1", port=0, handler=echo)
+            server.open()
+            serving = await curio.spawn(server.serve)
+            await curio.sleep(0)
+            raws = []
+            for _ in range(20):
+                raws.append(socket.create_connection(("127.0.0.1", server.port)))
+                raws[-1].sendall(post(b"early"))
+            await server.stop_accepting()
+            socks = [curio.io.Socket(raw) for raw in raws]
+            answers = [await sock.recv(65536) for sock in socks]
+            await serving.join()
+            for sock in socks:
+                await sock.close()
+            return answers
+
+        assert all(a.startswith(b"HTTP/1.1 200") for a in run(main))
+
+    def test_request_whose_body_is_still_coming_counts_as_open(self):
+        async def main():
+            server = HttpServer(host="127.0.0.1", port=0, handler=echo)
+            server.open()
+            serving = await curio.spawn(server.serve)
+            sock = await curio.open_connection("127.0.0.1", server.port)
+            await sock.sendall(post(b"ab", length=4))
+            while not server.open_exchanges:
+                await curio.sleep(0.001)
+            await server.stop_accepting()
+            await sock.sendall(b"cd")
+            answer = b""
+            while data := await sock.recv(65536):
+                answer += data
+            await serving.join()
+            await sock.close()
+            return answer
+
+        assert run(main).endswith(b"abcd")
+
+
+async def _ask_slow(client):
+    return await client.request("GET", "/slow", timeout=10)
+
+
+def with_raw_server(scenario, answer):
+    """Run `scenario(client)` against a server that answers with these bytes."""
+
+    async def serve_one(sock, _):
+        await sock.recv(65536)
+        await sock.sendall(answer)
+        await sock.close()
+
+    async def main():
+        listener = curio.network.tcp_server_socket("127.0.0.1", 0)
+        port = listener.getsockname()[1]
+        client = HttpClient(host="127.0.0.1", port=port)
+        async with curio.TaskGroup(wait=None) as group:
+            await group.spawn(curio.network.run_server, listener, serve_one)
+            return await scenario(client)
+
+    return run(main)
+
+
+class TestClient:
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            b"",
+            b"nonsense\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        ],
+    )
+    def test_answer_that_is_not_whole_is_broken(self, answer):
+        async def scenario(client):
+            with pytest.raises(ExchangeBroken):
+                await client.request("GET", "/", timeout=5)
+
+        with_raw_server(scenario, answer)
+
+    def test_informational_answers_are_skipped(self):
+        async def scenario(client):
+            return await client.request("GET", "/", timeout=5)
+
+        head = b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n"
+        answer = with_raw_server(scenario, head + b"Content-Length: 2\r\n\r\nok")
+        assert answer.body == b"ok"
+
+    def test_nobody_listening_means_surely_not_sent(self):
+        async def main():
+            client = HttpClient(host="127.0.0.1", port=1)
+            with pytest.raises(ConnectFailed):
+                await client.request("GET", "/", timeout=5)
+
+        run(main)
+
+    def test_silence_is_broken_after_the_timeout(self):
+        async def scenario(_, client):
+            with pytest.raises(ExchangeBroken):
+                await client.request("GET", "/wait", timeout=0.1)
+
+        with_server(scenario)
+
+    def test_kept_connection_that_the_server_closed_is_not_used_again(self):
+        async def scenario(_, client):
+            assert (await client.request("GET", "/", timeout=5)).status == 200
+            await curio.sleep(0.3)
+            assert (await client.request("GET", "/", timeout=5)).status == 200
+
+        with_server(scenario, keep_alive_seconds=0.1)
+
+    def test_reader_that_stops_early_leaves_no_half_read_connection(self):
+        async def scenario(_, client):
+            async with client.stream("GET", "/slow") as answer:
+                async for _ in answer.pieces():
+                    break
+            assert (await client.request("GET", "/", timeout=5)).body == b"empty"
+
+        with_server(scenario)
