--- /dev/null
+++ b/src/ragwortkeel/router/filings.py
@@ -0,0 +1,431 @@
+"""A request that must not repeat, such as a claim filing or a mailbox hold.
+
+An intent is durable in the platform before anything is dispatched, and its
+outcome after; `ragwortkeel.runs.intent` decides every step.  A run that has
+been dispatched is never cut off: if the caller leaves or its deadline passes,
+the run is followed to its end in the background and its outcome recorded.
+"""
+
+from contextlib import suppress
+from uuid import uuid4
+
+import curio
+from msgspec.structs import replace
+
+from ragwortkeel.budget.slice import Reservation
+from ragwortkeel.configuration import Profile
+from ragwortkeel.exceptions import BudgetRefused, LinkLost, PlatformError
+from ragwortkeel.messages import (
+    OutcomeDurable,
+    RefusalReason,
+    Resume,
+    RunState,
+    Tombstone,
+    TombstoneResult,
+)
+from ragwortkeel.policy.facts import Assignment, RequestFacts
+from ragwortkeel.router.attempt import (
+    Attempt,
+    AttemptEnd,
+    Broken,
+    Completed,
+    Declined,
+    Lost,
+)
+from ragwortkeel.router.calls import Call
+from ragwortkeel.router.dispatches import build_dispatch
+from ragwortkeel.router.exchange import failure_of, refusal_of
+from ragwortkeel.router.parts import Parts
+from ragwortkeel.router.refusals import Outcome as CallerOutcome
+from ragwortkeel.router.refusals import Reason, Refusal
+from ragwortkeel.router.sinks import WholeSink
+from ragwortkeel.runs.filing import Filing, Read, Release
+from ragwortkeel.runs.intent import (
+    Answer,
+    AskSidecar,
+    Create,
+    Follow,
+    Go,
+    Held,
+    Intent,
+    Outcome,
+    Refuse,
+    TakeOver,
+    Verdict,
+    WriteResult,
+    after_refusal,
+    fingerprint_of,
+    with_outcome,
+)
+
+ASK_SECONDS = 1.0
+"""A sidecar that is up answers in well under a millisecond."""
+
+SOON_SECONDS = 1.0
+"""By then the other attempt of the key has ended or is found running."""
+
+RETRY_SECONDS_BY_REASON = {
+    Reason.PLATFORM_UNAVAILABLE: 10.0,
+    Reason.CONTENDED: SOON_SECONDS,
+    Reason.REFUSED_BY_UPSTREAM: SOON_SECONDS,
+    Reason.SIDECAR_GONE: 10.0,
+}
+"""Where coming back helps; an operator has to decide the rest."""
+
+
+class FilingExchange:
+    """Serves one call that must not repeat into a sink.
+
+    `run` returns None once the answer is sent, else the final refusal.
+
+    Attributes
+    ----------
+    may_have_run : bool
+        Whether `not_run` could be a lie: something was dispatched, or the
+        caller named the request and another attempt of it may be under way.
+    """
+
+    def __init__(
+        self,
+        *,
+        call: Call,
+        profile: Profile,
+        version: int,
+        facts: RequestFacts,
+        parts: Parts,
+        sink: WholeSink,
+    ) -> None:
+        self.may_have_run = call.key_given
+        self._call = call
+        self._profile = profile
+        self._version = version
+        self._facts = facts
+        self._parts = parts
+        self._intents = parts.intents
+        self._sink = sink
+        self._filing = Filing(wanted=self._new_intent(), first=not call.key_given)
+        if not call.key_given:
+            # Nobody else knows a key minted here, so there is nothing to read.
+            self._filing.on_read(None)
+        self._wrote = False
+        self._assignment: Assignment | None = None
+        self._reservation: Reservation | None = None
+
+    async def run(self) -> Refusal | None:
+        """Serve the call."""
+        try:
+            refusal = await self._decide()
+            if refusal is not None and refusal.outcome is CallerOutcome.NOT_RUN:
+                return await self._make_sure(refusal)
+            return refusal
+        finally:
+            if self._reservation is not None:
+                await self._parts.budgets.settle(self._reservation, 0)
+            await self._parts.dispatcher.left(self._facts.request_id)
+
+    async def _decide(self) -> Refusal | None:
+        while True:
+            match self._filing.step:
+                case Answer(outcome=outcome):
+                    return await self._answer(outcome)
+                case Follow() as step:
+                    return await self._follow(step)
+                case Refuse() as step:
+                    await self._list_if_asked(step)
+                    return _refusal(step)
+                case Go() as step:
+                    end = await self._go(step.intent)
+                    if isinstance(end, Completed):
+                        return await self._finish(end)
+                    refusal = await self._after(end)
+                case step:
+                    refusal = await self._take(step)
+            if refusal is not None:
+                return refusal
+
+    async def _take(
+        self, step: Read | Create | TakeOver | AskSidecar | Release
+    ) -> Refusal | None:
+        """Carry out one step; return a refusal that the steps do not know of."""
+        match step:
+            case Read():
+                await self._read()
+            case Create():
+                return await self._write(None)
+            case TakeOver(version=version):
+                return await self._write(version)
+            case AskSidecar():
+                self._filing.on_tombstone(await self._ask(step))
+            case Release(intent=intent, version=version):
+                result, _ = await self._intents.write(intent, version)
+                self._filing.on_release(result)
+        return None
+
+    def _new_intent(self) -> Intent:
+        """Return an intent for this attempt; its sidecar is chosen when written."""
+        return Intent(
+            profile=self._call.profile,
+            request_id=self._call.request_id,
+            fingerprint=fingerprint_of(self._call.target, self._call.body),
+            nonce=uuid4().hex,
+            sidecar="",
+            upstream="",
+            router=self._parts.incarnation(),
+        )
+
+    async def _read(self) -> None:
+        try:
+            held = await self._intents.read(self._call.profile, self._call.request_id)
+        except PlatformError:
+            self._filing.on_unreadable()
+            return
+        self._filing.on_read(held)
+
+    async def _make_sure(self, refusal: Refusal) -> Refusal:
+        """Return `not_run` only once no other attempt of the key can run.
+
+        Failure: a caller gives up on a slow router and tries another, which is
+        full and says `not_run`; the caller files anew under another key, and
+        the slow router then runs the first.  The record written here makes the
+        slow router's create or update fail, and it finds the refusal.
+        """
+        if not self._call.key_given or refusal.reason in _ALREADY_SURE:
+            return refusal
+        held = self._filing.held
+        base = held.intent if held else self._new_intent()
+        fresh = replace(base, nonce=uuid4().hex)
+        result, _ = await self._intents.write(
+            after_refusal(fresh), held.version if held else None
+        )
+        if result is WriteResult.WRITTEN:
+            return refusal
+        return Refusal(
+            outcome=CallerOutcome.UNKNOWN,
+            reason=refusal.reason,
+            retry_after_seconds=max(refusal.retry_after_seconds, SOON_SECONDS),
+        )
+
+    async def _write(self, version: int | None) -> Refusal | None:
+        """Choose a sidecar, then write the intent that names it."""
+        if version is not None and self._wrote and self._found_released():
+            # Since this attempt began, another one of the same key was told
+            # `not_run`; running now would make that a lie.
+            return _not_run(Reason.CONTENDED, SOON_SECONDS)
+        refusal = await self._prepare()
+        if refusal is not None:
+            return refusal
+        self._filing.wanted = replace(
+            self._filing.wanted,
+            sidecar=self._reservation.sidecar,
+            upstream=self._assignment.upstream,
+        )
+        self._wrote = True
+        result, new_version = await self._intents.write(self._filing.wanted, version)
+        self._filing.on_write(result, new_version)
+        return None
+
+    def _found_released(self) -> bool:
+        outcome = self._filing.held.intent.outcome
+        return outcome is not None and outcome.verdict is Verdict.NOT_RUN
+
+    async def _prepare(self) -> Refusal | None:
+        """Be admitted to an upstream and set its tokens aside."""
+        if self._assignment is None:
+            decision = await self._parts.dispatcher.admit(self._facts)
+            if not isinstance(decision, Assignment):
+                return refusal_of(decision, may_have_run=False)
+            self._assignment = decision
+        if self._reservation is not None:
+            return None
+        view = self._parts.pool.views_by_upstream.get(self._assignment.upstream)
+        if view is None:
+            return _not_run(Reason.NO_UPSTREAM, SOON_SECONDS)
+        try:
+            self._reservation = await self._parts.budgets.reserve(
+                self._call.profile, self._call.bound, view.incarnation
+            )
+        except BudgetRefused as exc:
+            return _not_run(Reason(exc.reason), exc.retry_after_seconds)
+        return None
+
+    async def _ask(self, step: AskSidecar) -> RunState | None:
+        """Have the sidecar promise never to run a nonce, unless it ran."""
+        upstream = self._parts.pool.upstream_of(step.sidecar)
+        if upstream is None:
+            return None
+        reader = self._parts.pool.subscribe(step.nonce, upstream)
+        try:
+            await self._parts.pool.send(upstream, Tombstone(nonce=step.nonce))
+            async with curio.timeout_after(ASK_SECONDS):
+                while True:
+                    event = await reader.queue.get()
+                    if isinstance(event, TombstoneResult):
+                        return event.state
+        except (LinkLost, curio.TaskTimeout):
+            return None
+        finally:
+            self._parts.pool.unsubscribe(reader)
+
+    async def _go(self, intent: Intent) -> AttemptEnd:
+        """Dispatch, once; the run outlives this request."""
+        self.may_have_run = True
+        self._filing.on_sent()
+        reservation, self._reservation = self._reservation, None
+        attempt = self._attempt(intent.upstream, intent.nonce, intent.sidecar)
+        running = await curio.spawn(
+            self._run_to_outcome, attempt, reservation, self._filing.held, daemon=True
+        )
+        return await running.join()
+
+    async def _run_to_outcome(
+        self, attempt: Attempt, reservation: Reservation, held: Held
+    ) -> AttemptEnd:
+        order = build_dispatch(
+            call=self._call,
+            body=self._call.body,
+            idempotent=False,
+            version=self._version,
+            facts=self._facts,
+            attempt=attempt,
+            reservation=reservation,
+            parts=self._parts,
+        )
+        end = Declined(reason=RefusalReason.UPSTREAM_UNREACHABLE)
+        if await attempt.open(order):
+            end = await attempt.follow()
+        if isinstance(end, Lost) and attempt.may_go_on:
+            await self._parts.closing.abandon(
+                reservation, attempt, self._call, cancel=False
+            )
+            return end
+        await self._parts.closing.settle(reservation, attempt, end, self._call)
+        await self._start_recording(end, held, attempt)
+        return end
+
+    async def _finish(self, end: Completed) -> None:
+        await self._parts.dispatcher.finished(self._facts.request_id)
+        await self._sink.finish(end.status, end.content_type)
+
+    async def _after(self, end: Declined | Broken | Lost) -> Refusal | None:
+        match end:
+            case Declined(reason=reason):
+                other = await self._elsewhere(end)
+                self._filing.on_refused(reason, other)
+            case Broken(may_have_run=False):
+                other = await self._elsewhere(end)
+                self._filing.on_refused(RefusalReason.UPSTREAM_UNREACHABLE, other)
+            case Lost():
+                self._filing.on_lost(self._new_intent())
+            case Broken():
+                return _unknown(Reason.RUN_FAILED)
+        return None
+
+    async def _elsewhere(self, end: Declined | Broken) -> Intent | None:
+        """Be admitted to another upstream; this one will never run the nonce."""
+        self.may_have_run = self._call.key_given
+        decision = await self._parts.dispatcher.retry(
+            self._facts.request_id, failure_of(end)
+        )
+        if not isinstance(decision, Assignment):
+            return None
+        self._assignment = decision
+        return self._new_intent()
+
+    async def _start_recording(
+        self, end: AttemptEnd, held: Held, attempt: Attempt
+    ) -> None:
+        outcome = self._outcome(end)
+        if outcome is not None:
+            done = with_outcome(held.intent, outcome)
+            await curio.spawn(self._record, done, held.version, attempt, daemon=True)
+
+    async def _record(self, done: Intent, version: int, attempt: Attempt) -> None:
+        """Make an outcome durable and tell the sidecar, which then may forget."""
+        if await self._intents.record(done, version):
+            message = OutcomeDurable(nonces=(done.nonce,))
+            with suppress(LinkLost):
+                await self._parts.pool.send(attempt.upstream, message)
+
+    def _outcome(self, end: AttemptEnd) -> Outcome | None:
+        match end:
+            case Completed(status=status, content_type=content_type, tokens=tokens):
+                return Outcome(
+                    verdict=Verdict.ANSWERED,
+                    status=status,
+                    content_type=content_type,
+                    body=self._sink.body,
+                    tokens=tokens,
+                )
+            case Broken(may_have_run=True, reason=reason, tokens=tokens):
+                return Outcome(verdict=Verdict.UNRESOLVED, reason=reason, tokens=tokens)
+        return None
+
+    async def _follow(self, step: Follow) -> Refusal | None:
+        """Give the caller the answer of a run that an earlier attempt started."""
+        upstream = self._parts.pool.upstream_of(step.sidecar)
+        if upstream is None:
+            return _unknown(Reason.SIDECAR_GONE)
+        attempt = self._attempt(upstream, step.nonce, step.sidecar)
+        if not await attempt.open(Resume(nonce=step.nonce, offset=0)):
+            return _unknown(Reason.SIDECAR_GONE)
+        try:
+            end = await attempt.follow()
+        finally:
+            attempt.close()
+        if not isinstance(end, Completed):
+            return _unknown(Reason.RUN_FAILED)
+        await self._start_recording(end, self._filing.held, attempt)
+        await self._sink.finish(end.status, end.content_type)
+        return None
+
+    def _attempt(self, upstream: str, nonce: str, sidecar: str) -> Attempt:
+        async def emit(data: bytes) -> None:
+            await self._sink.write(data, rv.content_type)
+
+        self._sink.restart()
+        rv = Attempt(
+            nonce=nonce,
+            upstream=upstream,
+            sidecar=sidecar,
+            pool=self._parts.pool,
+            emit=emit,
+        )
+        return rv
+
+    async def _answer(self, outcome: Outcome) -> None:
+        await self._sink.write(outcome.body, outcome.content_type)
+        await self._sink.finish(outcome.status, outcome.content_type)
+
+    async def _list_if_asked(self, step: Refuse) -> None:
+        held = self._filing.held
+        if not step.list_for_operators or held is None:
+            return
+        outcome = Outcome(verdict=Verdict.UNRESOLVED, reason=step.reason)
+        await self._intents.write(with_outcome(held.intent, outcome), held.version)
+
+
+_ALREADY_SURE = (Reason.KEY_REUSED, Reason.CONTENDED, Reason.REFUSED_BY_UPSTREAM)
+"""Refusals that rest on a record in the platform, or on another caller's body."""
+
+
+def _not_run(reason: Reason, retry_after_seconds: float) -> Refusal:
+    return Refusal(
+        outcome=CallerOutcome.NOT_RUN,
+        reason=reason,
+        retry_after_seconds=retry_after_seconds,
+    )
+
+
+def _unknown(reason: Reason) -> Refusal:
+    refuse = Refuse(status=409, outcome=CallerOutcome.UNKNOWN, reason=reason)
+    return _refusal(refuse)
+
+
+def _refusal(step: Refuse) -> Refusal:
+    reason = Reason(step.reason)
+    return Refusal(
+        outcome=CallerOutcome(step.outcome),
+        reason=reason,
+        retry_after_seconds=RETRY_SECONDS_BY_REASON.get(reason, 0.0),
+        status=step.status,
+    )
--- a/src/ragwortkeel/sidecar/core.py
+++ b/src/ragwortkeel/sidecar/core.py
@@ -11,6 +11,7 @@
     Cancel,
     Dispatch,
     Failed,
+    FailureReason,
     Finished,
     Heartbeat,
     Locate,
@@ -35,6 +36,7 @@
     AnswerBegun,
     AnswerEnded,
     AnswerPiece,
+    CancelRun,
     Effect,
     Peer,
     RunBroken,
@@ -44,8 +46,12 @@
     StopRun,
     UpstreamEvent,
 )
+from ragwortkeel.sidecar.load import LoadReport
 from ragwortkeel.sidecar.outlet import Outlet, answer_lost
 
+MAX_SEALED_RECEIPTS = 2_000
+"""In one report, about half a megabyte; this sidecar writes the rest itself."""
+
 
 class SidecarCore:
     """Journal, answers and followers of one sidecar incarnation.
@@ -56,6 +62,11 @@
         Of this sidecar; orders to another are refused.
     admission
         Whether work is let in at all, and in which version.
+
+    Attributes
+    ----------
+    load : LoadReport
+        The upstream's last word on itself.
     """
 
     def __init__(
@@ -69,6 +80,7 @@
         self.incarnation = incarnation
         self.admission = admission
         self.journal = journal or Journal(sidecar=incarnation)
+        self.load = LoadReport()
         self.outlet = Outlet(answers=answers or AnswerStore())
         self._sealers_by_router: dict[str, set[Peer]] = defaultdict(set)
 
@@ -80,16 +92,13 @@
             case Dispatch():
                 return self._on_dispatch(peer, sender, message)
             case Cancel(nonce=nonce):
-                return self._on_cancel(nonce, now)
+                return self._on_cancel(nonce)
             case Resume(nonce=nonce, offset=offset):
                 return self._attach(peer, nonce, offset)
             case Locate():
                 return [Send(peer=peer, message=self._locate(message))]
-            case Tombstone(nonce=nonce):
-                state = self.journal.tombstone(nonce)
-                self.outlet.forget(self.journal.relieve())
-                result = TombstoneResult(nonce=nonce, state=state)
-                return [Send(peer=peer, message=result)]
+            case Tombstone():
+                return [Send(peer=peer, message=self._tombstone(message))]
             case Seal(router=router):
                 return self._on_seal(peer, router)
             case ReceiptsDurable(nonces=nonces):
@@ -130,7 +139,8 @@
         """Return the load report for routers."""
         return Heartbeat(
             running=self.journal.running,
-            limit=self.admission.max_running,
+            waiting=self.load.waiting,
+            limit=self.load.limit or self.admission.max_running,
             leaving=self.admission.leaving,
             epoch=self.journal.epoch,
         )
@@ -172,7 +182,7 @@
             return RefusalReason.STALE_EPOCH
         if not dispatch.idempotent and self._runs_already(dispatch):
             return RefusalReason.DUPLICATE
-        if self.journal.full:
+        if self.journal.full or self.outlet.answers.crowded:
             return RefusalReason.OVERLOADED
         return self.admission.reason_to_refuse(dispatch, self.journal.running)
 
@@ -230,6 +240,16 @@
         messages = self.outlet.replay(nonce, offset, tokens=tokens)
         return [Send(peer=peer, message=message) for message in messages]
 
+    def _tombstone(self, message: Tombstone) -> TombstoneResult:
+        nonce = message.nonce
+        if message.sidecar not in ("", self.incarnation):
+            # Failure: a restarted sidecar promises for its predecessor, whose
+            # run of this nonce it can't know of.
+            return TombstoneResult(nonce=nonce, state=RunState.UNSEEN)
+        state = self.journal.tombstone(nonce)
+        self.outlet.forget(self.journal.relieve())
+        return TombstoneResult(nonce=nonce, state=state)
+
     def _locate(self, locate: Locate) -> Located:
         nonce = self.journal.find(locate.profile, locate.request_id)
         if nonce is None:
@@ -257,10 +277,10 @@
             router=router,
             sidecar=self.incarnation,
             ran=self.journal.ran(router),
-            receipts=self.journal.receipts_of(router),
+            receipts=self.journal.receipts_of(router)[:MAX_SEALED_RECEIPTS],
         )
 
-    def _on_cancel(self, nonce: str, now: float) -> list[Effect]:
+    def _on_cancel(self, nonce: str) -> list[Effect]:
         if self.journal.state(nonce) is not RunState.RUNNING:
             return []
         run = self.journal.run(nonce)
@@ -269,8 +289,7 @@
             # half done, and nobody knows whether it took effect.  It costs
             # little to let it end, and a retry then finds its answer.
             return []
-        tokens = self.journal.tokens(nonce) or run.reservation
-        return self._fail(nonce, "cancelled", tokens, now, billable=True)
+        return [CancelRun(nonce=nonce, request_id=run.request_id)]
 
     def _on_begun(self, event: AnswerBegun) -> list[Effect]:
         started = Started(
@@ -283,11 +302,15 @@
         if outrun:
             # Failure: an engine ignores its limit and spends past what the
             # budget has set aside; the run ends at the reservation.
-            return self._fail(event.nonce, "reservation_outrun", event.tokens, now)
+            return self._fail(
+                event.nonce, FailureReason.RESERVATION_OUTRUN, event.tokens, now
+            )
         try:
             return self.outlet.add(event.nonce, event.data)
         except AnswerTooLarge:
-            return self._fail(event.nonce, "answer_too_large", event.tokens, now)
+            return self._fail(
+                event.nonce, FailureReason.ANSWER_TOO_LARGE, event.tokens, now
+            )
 
     def _finish(self, nonce: str, tokens: int, now: float) -> list[Effect]:
         receipt = self.journal.end(
@@ -304,16 +327,10 @@
         return self._end(nonce, finished)
 
     def _fail(
-        self,
-        nonce: str,
-        reason: str,
-        tokens: int,
-        now: float,
-        *,
-        billable: bool = False,
+        self, nonce: str, reason: FailureReason, tokens: int, now: float
     ) -> list[Effect]:
         receipt = self.journal.end(
-            nonce, RunState.FAILED, tokens=tokens, billable=billable, now=now
+            nonce, RunState.FAILED, tokens=tokens, billable=False, now=now
         )
         failed = Failed(
             nonce=nonce, reason=reason, tokens=receipt.tokens, may_have_run=True
