--- a/tests/test_httpio.py
+++ b/tests/test_httpio.py
@@ -332,7 +332,8 @@
             server = HttpServer(host="127.0.0.1", port=0, handler=echo)
             server.open()
             serving = await curio.spawn(server.serve)
-            await curio.sleep(0)
+            while server._acceptor is None or server._acceptor.state != "READ_WAIT":
+                await curio.sleep(0.001)
             raws = []
             for _ in range(20):
                 raws.append(socket.create_connection(("127.0.0.1", server.port)))
