Traces, metrics, probes and state charts for the daemons

Cause: a request could not be followed over its hops, a daemon showed nothing of itself, and lifecycles stood nowhere that a reader could look up. Ruled out: exporters (threads); ambient contexts (they bleed between requests); profiles or request ids as labels (a quarter of a million series); attaching a machine to each object (transitions keeps a list of them all). Change: spans with explicit W3C parents into a bounded ring, one registry a daemon, the probes' small server, charts in JSON files run by transitions; the engine stand-in shows its own span.

--- a/src/ragwortkeel/exceptions.py
+++ b/src/ragwortkeel/exceptions.py
@@ -102,3 +102,19 @@
 
 class RunError(RagwortkeelError):
     """Base of the errors of intents, journals and answers."""
+
+
+class LifecycleError(RagwortkeelError):
+    """An event came that the state chart has no transition for.
+
+    Attributes
+    ----------
+    chart, state, event : str
+        Which chart, in which state, and the event.
+    """
+
+    def __init__(self, *, chart: str, state: str, event: str) -> None:
+        super().__init__(f"{chart}: no event {event!r} in state {state!r}")
+        self.chart = chart
+        self.state = state
+        self.event = event
--- /dev/null
+++ b/src/ragwortkeel/metrics.py
@@ -0,0 +1,159 @@
+"""Metrics by prometheus_client: one registry for each daemon.
+
+Labels come from small closed sets.  Profiles, customers and request ids are
+never labels: a quarter of a million time series would outweigh the daemon.
+"""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    generate_latest,
+)
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+FIRST_TOKEN_BUCKETS = (0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0)
+"""Around the promise of 1.5 s for the first token."""
+
+QUEUE_WAIT_BUCKETS = (0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0)
+
+
+class Metrics:
+    """What one daemon counts.
+
+    Examples
+    --------
+    >>> metrics = Metrics()
+    >>> metrics.request_ended(service="interactive", outcome="ok", reason="")
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
+        self._requests = self._counter(
+            "ragwortkeel_requests_total",
+            "Requests answered, by service class, outcome and reason.",
+            ("service", "outcome", "reason"),
+        )
+        self._decisions = self._counter(
+            "ragwortkeel_decisions_total",
+            "Decisions under load, by kind and reason.",
+            ("decision", "reason"),
+        )
+        self._tokens = self._counter(
+            "ragwortkeel_tokens_spent_total",
+            "Tokens billed, by service class.",
+            ("service",),
+        )
+        self._slices = self._counter(
+            "ragwortkeel_slice_operations_total",
+            "Operations on budget slices, by kind and outcome.",
+            ("operation", "outcome"),
+        )
+        self._receipts = self._counter(
+            "ragwortkeel_receipts_total",
+            "Receipts, by whether they were made or became durable.",
+            ("state",),
+        )
+        self._links_lost = self._counter(
+            "ragwortkeel_links_lost_total",
+            "Links whose peer went silent, by the peer's role.",
+            ("peer",),
+        )
+        self._platform_errors = self._counter(
+            "ragwortkeel_platform_errors_total",
+            "Calls to the platform that failed, by error.",
+            ("error",),
+        )
+        self._revision = self._gauge(
+            "ragwortkeel_configuration_revision",
+            "Highest configuration revision in force here.",
+        )
+        self._open_requests = self._gauge(
+            "ragwortkeel_open_requests", "Requests begun and not yet answered."
+        )
+        self._queued_requests = self._gauge(
+            "ragwortkeel_queued_requests", "Requests that wait for an upstream."
+        )
+        self._held_tokens = self._gauge(
+            "ragwortkeel_slice_tokens", "Tokens of budget slices held and not spent."
+        )
+        self._queue_wait = self._histogram(
+            "ragwortkeel_queue_wait_seconds",
+            "Time from a request's arrival to its dispatch.",
+            QUEUE_WAIT_BUCKETS,
+        )
+        self._first_token = self._histogram(
+            "ragwortkeel_first_token_seconds",
+            "Time from a request's arrival to the first token to its caller.",
+            FIRST_TOKEN_BUCKETS,
+        )
+
+    def request_ended(self, *, service: str, outcome: str, reason: str) -> None:
+        """Count one final answer."""
+        self._requests.labels(service, outcome, reason).inc()
+
+    def decided(self, *, decision: str, reason: str) -> None:
+        """Count one decision under load."""
+        self._decisions.labels(decision, reason).inc()
+
+    def tokens_spent(self, *, service: str, tokens: int) -> None:
+        """Add tokens that were billed."""
+        self._tokens.labels(service).inc(tokens)
+
+    def slice_operation(self, *, operation: str, outcome: str) -> None:
+        """Count one take, return, settle or transfer of a slice."""
+        self._slices.labels(operation, outcome).inc()
+
+    def receipts(self, *, state: str, count: int = 1) -> None:
+        """Count receipts that were made or became durable."""
+        self._receipts.labels(state).inc(count)
+
+    def link_lost(self, *, peer: str) -> None:
+        """Count a link whose peer, of that role, went silent."""
+        self._links_lost.labels(peer).inc()
+
+    def platform_failed(self, *, error: str) -> None:
+        """Count a failed call to the platform."""
+        self._platform_errors.labels(error).inc()
+
+    def configuration_in_force(self, *, revision: int) -> None:
+        """Note the highest revision in force."""
+        self._revision.set(revision)
+
+    def load(self, *, running: int, queued: int) -> None:
+        """Note how many requests are open and how many of them wait."""
+        self._open_requests.set(running)
+        self._queued_requests.set(queued)
+
+    def slice_tokens(self, *, tokens: int) -> None:
+        """Note the tokens held in slices."""
+        self._held_tokens.set(tokens)
+
+    def queue_waited(self, *, service: str, seconds: float) -> None:
+        """Note how long a request waited."""
+        self._queue_wait.labels(service).observe(seconds)
+
+    def first_token(self, *, service: str, seconds: float) -> None:
+        """Note how long the first token took."""
+        self._first_token.labels(service).observe(seconds)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self.registry)
+
+    def _counter(self, name: str, help: str, labels: tuple[str, ...]) -> Counter:
+        return Counter(name, help, labels, registry=self.registry)
+
+    def _gauge(self, name: str, help: str) -> Gauge:
+        return Gauge(name, help, registry=self.registry)
+
+    def _histogram(self, name: str, help: str, buckets: tuple[float, ...]) -> Histogram:
+        return Histogram(
+            name, help, ("service",), registry=self.registry, buckets=buckets
+        )
--- /dev/null
+++ b/src/ragwortkeel/probes.py
@@ -0,0 +1,96 @@
+"""What a daemon shows on its metrics port: health, metrics, traces, configuration.
+
+``/healthz`` answers while the process answers at all; ``/readyz`` says whether
+the balancer should send callers here, and turns to 503 as soon as a planned
+stop begins.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from ragwortkeel.httpio import HttpServer, Request, Responder
+from ragwortkeel.metrics import CONTENT_TYPE, Metrics
+from ragwortkeel.traces import Tracing
+
+JSON_TYPE = "application/json"
+TRACES_PREFIX = "/traces/"
+MAX_BODY_BYTES = 1024
+"""Nothing here takes a body."""
+
+
+class Readiness(msgspec.Struct, frozen=True, kw_only=True):
+    """Whether this daemon takes work, and the state of its lifecycle."""
+
+    ready: bool
+    state: str
+
+
+class Problem(msgspec.Struct, frozen=True, kw_only=True):
+    """Why a probe got nothing."""
+
+    status: int
+    title: str
+
+
+class Probes:
+    """Answers the probes of one daemon.
+
+    Parameters
+    ----------
+    readiness
+        Called for each ``/readyz``.
+    in_force
+        Called for each ``/in-force``: the configuration in force here, as an
+        encodable value.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        *,
+        metrics: Metrics,
+        tracing: Tracing,
+        readiness: Callable[[], Readiness],
+        in_force: Callable[[], object],
+    ) -> None:
+        self._metrics = metrics
+        self._tracing = tracing
+        self._readiness = readiness
+        self._in_force = in_force
+
+    def server(self, *, host: str, port: int) -> HttpServer:
+        """Return a server of these probes, not yet open."""
+        return HttpServer(
+            host=host, port=port, handler=self.handle, max_body_bytes=MAX_BODY_BYTES
+        )
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one HTTP request."""
+        if request.method not in ("GET", "HEAD"):
+            await _reply(
+                responder, 405, Problem(status=405, title="only GET is served")
+            )
+            return
+        match request.path:
+            case "/metrics":
+                headers = {"content-type": CONTENT_TYPE}
+                await responder.respond(200, self._metrics.render(), headers)
+            case "/healthz":
+                await _reply(responder, 200, {"alive": True})
+            case "/readyz":
+                readiness = self._readiness()
+                await _reply(responder, 200 if readiness.ready else 503, readiness)
+            case "/in-force":
+                await _reply(responder, 200, self._in_force())
+            case path if path.startswith(TRACES_PREFIX):
+                report = self._tracing.ring.report(path.removeprefix(TRACES_PREFIX))
+                await _reply(responder, 200 if report.spans else 404, report)
+            case _:
+                await _reply(responder, 404, Problem(status=404, title="no such page"))
+
+
+async def _reply(responder: Responder, status: int, value: object) -> None:
+    body = msgspec.json.encode(value)
+    await responder.respond(status, body, {"content-type": JSON_TYPE})
--- a/src/ragwortkeel/standins/engine.py
+++ b/src/ragwortkeel/standins/engine.py
@@ -3,7 +3,8 @@
 ``POST /v1/chat/completions`` answers whole or as server-sent events, one token
 an event; ``POST /v1/cancel/{request id}`` stops a run; ``GET /load`` reports
 the load with a lag; ``GET`` and ``POST /switches`` show and set the faults;
-``GET /executions`` counts the runs begun, by request id.
+``GET /executions`` counts the runs begun, by request id; ``GET /traces/{trace
+id}`` shows the engine's spans.
 """
 
 import os
@@ -21,6 +22,7 @@
     usage_of,
 )
 from ragwortkeel.standins.engine_batch import Batch, BatchSpeed, Generation, Load
+from ragwortkeel.traces import Tracing
 
 LOAD_LAG_SECONDS = 0.5
 OVERRUN_FACTOR = 4
@@ -31,6 +33,7 @@
 STREAM_TYPE = {"content-type": "text/event-stream"}
 CHAT_PATH = "/v1/chat/completions"
 CANCEL_PREFIX = "/v1/cancel/"
+TRACES_PREFIX = "/traces/"
 
 
 class EngineSwitches(msgspec.Struct, frozen=True, kw_only=True):
@@ -63,6 +66,7 @@
         self._executions: Counter[str] = Counter()
         self._running_by_id: dict[str, list[Generation]] = {}
         self._highest_fencing_number = 0
+        self._tracing = Tracing(node="engine")
 
     async def run(self) -> None:
         """Step the batch and refresh the lagging load report, for ever."""
@@ -87,6 +91,9 @@
                 self.switches = changed_switches(self.switches, request.body)
                 self.batch.slowdown = self.switches.slow
                 await _reply(responder, 200, self.switches)
+            case "GET", path if path.startswith(TRACES_PREFIX):
+                report = self._tracing.ring.report(path.removeprefix(TRACES_PREFIX))
+                await _reply(responder, 200, report)
             case _:
                 await _refuse(responder, 404, "not_found")
 
@@ -123,11 +130,18 @@
             priority=int(request.headers.get("x-priority", "0")),
         )
         answer = _Answer(chat=chat, request_id=request_id, start=start, end=end)
-        self._running_by_id.setdefault(request_id, []).append(generation)
+        parent = request.headers.get("traceparent", "")
+        with self._tracing.span("engine", parent=parent, request_id=request_id):
+            await self._generate(answer, generation, responder)
+
+    async def _generate(
+        self, answer: "_Answer", generation: Generation, responder: Responder
+    ) -> None:
+        self._running_by_id.setdefault(generation.request_id, []).append(generation)
         watcher = await curio.spawn(_cancel_when_gone, responder, generation)
         try:
             await self.batch.submit(generation)
-            if chat.stream:
+            if answer.chat.stream:
                 await self._stream(answer, generation, responder)
             else:
                 await self._answer_whole(answer, generation, responder)
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,74 @@
+"""The named metrics, each with the label values that operators search for."""
+
+import pytest
+
+from ragwortkeel.metrics import Metrics
+
+
+class TestMetrics:
+    @pytest.mark.parametrize(
+        ("call", "line"),
+        [
+            (
+                lambda m: m.request_ended(
+                    service="batch", outcome="not_run", reason="deadline"
+                ),
+                "ragwortkeel_requests_total"
+                '{outcome="not_run",reason="deadline",service="batch"} 1.0',
+            ),
+            (
+                lambda m: m.decided(decision="refuse", reason="burst"),
+                'ragwortkeel_decisions_total{decision="refuse",reason="burst"} 1.0',
+            ),
+            (
+                lambda m: m.tokens_spent(service="batch", tokens=17),
+                'ragwortkeel_tokens_spent_total{service="batch"} 17.0',
+            ),
+            (
+                lambda m: m.slice_operation(operation="take", outcome="granted"),
+                "ragwortkeel_slice_operations_total"
+                '{operation="take",outcome="granted"} 1.0',
+            ),
+            (
+                lambda m: m.receipts(state="durable", count=3),
+                'ragwortkeel_receipts_total{state="durable"} 3.0',
+            ),
+            (
+                lambda m: m.link_lost(peer="sidecar"),
+                'ragwortkeel_links_lost_total{peer="sidecar"} 1.0',
+            ),
+            (
+                lambda m: m.platform_failed(error="unavailable"),
+                'ragwortkeel_platform_errors_total{error="unavailable"} 1.0',
+            ),
+            (
+                lambda m: m.configuration_in_force(revision=9),
+                "ragwortkeel_configuration_revision 9.0",
+            ),
+            (
+                lambda m: m.load(running=4, queued=2),
+                "ragwortkeel_queued_requests 2.0",
+            ),
+            (
+                lambda m: m.slice_tokens(tokens=500),
+                "ragwortkeel_slice_tokens 500.0",
+            ),
+            (
+                lambda m: m.queue_waited(service="batch", seconds=0.03),
+                'ragwortkeel_queue_wait_seconds_bucket{le="0.05",service="batch"} 1.0',
+            ),
+            (
+                lambda m: m.first_token(service="batch", seconds=1.4),
+                'ragwortkeel_first_token_seconds_bucket{le="1.5",service="batch"} 1.0',
+            ),
+        ],
+    )
+    def test_what_is_noted_is_shown(self, call, line):
+        metrics = Metrics()
+        call(metrics)
+        assert line in metrics.render().decode().splitlines()
+
+    def test_daemons_of_one_process_count_apart(self):
+        first, second = Metrics(), Metrics()
+        first.link_lost(peer="router")
+        assert b'peer="router"' not in second.render()
