Let an HTTP server serve until cancelled, and stop with nothing half begun

Cause: `serve` returned once its exchanges had ended, and a caller that waits for any of its jobs would have ended the others, whose work may go on longer. Change: a stop refuses new connections and returns once the requests on those accepted before have begun; whoever stops waits for the open exchanges.

--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -28,7 +28,7 @@
 """How long a refused peer may go on sending before its connection is closed."""
 
 ACCEPT_PAUSE_SECONDS = 0.1
-DRAIN_POLL_SECONDS = 0.02
+STOP_POLL_SECONDS = 0.02
 NEWCOMER_SECONDS = 1.0
 """How long a stop waits for requests on connections just accepted."""
 
@@ -89,7 +89,7 @@
         self._listener = None
         self._acceptor = None
         self._connections = curio.TaskGroup(wait=None)
-        self._stopping = curio.Event()
+        self._stopping = False
 
     def open(self) -> None:
         """Bind the listening socket."""
@@ -99,20 +99,32 @@
         self.port = self._listener.getsockname()[1]
 
     async def serve(self) -> None:
-        """Serve until `stop_accepting`, and then until the last open exchange ends.
+        """Serve until cancelled, which ends the exchanges that are still open.
 
-        Each connection is a task of its own; cancelling this call ends them all.
+        A planned stop first calls `stop_accepting`, then waits until there are
+        no `open_exchanges`.
         """
         async with self._connections:
             self._acceptor = await curio.spawn(self._accept)
             try:
-                await self._stopping.wait()
-                await self._drain()
+                await curio.Event().wait()
             finally:
-                await self.stop_accepting()
+                await self._close_listener()
 
     async def stop_accepting(self) -> None:
-        """Refuse new connections; open exchanges go on."""
+        """Refuse new connections; open exchanges go on.
+
+        On return the requests of all connections accepted before have begun, or
+        their peers have let `NEWCOMER_SECONDS` pass.
+        """
+        self._stopping = True
+        await self._close_listener()
+        waited = 0.0
+        while self._newcomers and waited < NEWCOMER_SECONDS:
+            await curio.sleep(STOP_POLL_SECONDS)
+            waited += STOP_POLL_SECONDS
+
+    async def _close_listener(self) -> None:
         # The accepting task has to be out of its wait before the listener is
         # closed; closed under it, it would wait for ever on a freed descriptor.
         if self._acceptor is not None:
@@ -121,13 +133,6 @@
             await self._take_pending()
             await self._listener.close()
             self._listener = None
-        await self._stopping.set()
-
-    async def _drain(self) -> None:
-        waited = 0.0
-        while self.open_exchanges or (self._newcomers and waited < NEWCOMER_SECONDS):
-            await curio.sleep(DRAIN_POLL_SECONDS)
-            waited += DRAIN_POLL_SECONDS
 
     async def _accept(self) -> None:
         while True:
@@ -191,7 +196,7 @@
 
     async def _answer(self, sock, conn, request: Request, responder: Responder) -> None:
         responder.bodiless = request.method == "HEAD"
-        responder.closing = self._stopping.is_set()
+        responder.closing = self._stopping
         watcher = await curio.spawn(_watch_peer, sock, conn, responder, daemon=True)
         try:
             await self._handler(request, responder)
