Daemons: process frame, workers, spans for request, dispatch and run

Cause: routers and sidecars had no process around them. Change: process.py drives lifecycle, probes, signals and exit codes; workers tie the parts; spans on each hop.

--- a/src/ragwortkeel/probes.py
+++ b/src/ragwortkeel/probes.py
@@ -41,8 +41,8 @@
     readiness
         Called for each ``/readyz``.
     in_force
-        Called for each ``/in-force``: the configuration in force here, as an
-        encodable value.
+        Called for each ``/in-force`` with the ``kind`` and ``name`` asked for,
+        maybe empty: what is in force here, as an encodable value.
 
     .. versionadded:: 0.1
     """
@@ -53,7 +53,7 @@
         metrics: Metrics,
         tracing: Tracing,
         readiness: Callable[[], Readiness],
-        in_force: Callable[[], object],
+        in_force: Callable[[str, str], object],
     ) -> None:
         self._metrics = metrics
         self._tracing = tracing
@@ -83,7 +83,8 @@
                 readiness = self._readiness()
                 await _reply(responder, 200 if readiness.ready else 503, readiness)
             case "/in-force":
-                await _reply(responder, 200, self._in_force())
+                asked = request.query.get("kind", ""), request.query.get("name", "")
+                await _reply(responder, 200, self._in_force(*asked))
             case path if path.startswith(TRACES_PREFIX):
                 report = self._tracing.ring.report(path.removeprefix(TRACES_PREFIX))
                 await _reply(responder, 200 if report.spans else 404, report)
--- /dev/null
+++ b/src/ragwortkeel/process.py
@@ -0,0 +1,177 @@
+"""What every daemon of the fleet does around its work: start, probes, stop.
+
+A TERM begins a planned stop: not ready, finish what is in flight, make durable
+what must last, exit 0.  A second signal, or the deadline, ends it at once; what
+was cut off is logged and the exit code is 1.
+"""
+
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import curio
+from curio.task import ContextTask
+
+from ragwortkeel.lifecycle import ChartName, Lifecycle
+from ragwortkeel.logs import Level, configure_logs, log_error, log_info, log_warning
+from ragwortkeel.metrics import Metrics
+from ragwortkeel.probes import Probes, Readiness
+from ragwortkeel.settings import Address, LogLevel
+from ragwortkeel.traces import Tracing
+
+EXIT_CLEAN = 0
+EXIT_FAILED = 1
+
+READY_LOOK_SECONDS = 0.05
+
+
+@dataclass(frozen=True, kw_only=True)
+class Leftover:
+    """What a stop left undone, by kind; all zero after a clean one."""
+
+    counts: dict[str, int]
+
+    @property
+    def clean(self) -> bool:
+        """Whether nothing was left."""
+        return not any(self.counts.values())
+
+
+class Worker(Protocol):
+    """The work of a daemon, as its process drives it."""
+
+    metrics: Metrics
+    tracing: Tracing
+
+    def open(self) -> None:
+        """Bind the sockets."""
+
+    async def run(self) -> None:
+        """Work until cancelled or failed."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether work is taken."""
+
+    async def stop(self) -> Leftover:
+        """Finish what is in flight and make durable what must last."""
+
+    def in_force(self, kind: str, name: str) -> object:
+        """Return the configuration in force here, as an encodable value."""
+
+
+class Process:
+    """Runs a worker from start to exit code.
+
+    Parameters
+    ----------
+    worker
+        What the daemon does.
+    name
+        Of this node, in logs.
+    metrics_address
+        ``ip:port`` of the probes.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, *, worker: Worker, name: str, metrics_address: str) -> None:
+        self._worker = worker
+        self._name = name
+        self._lifecycle = Lifecycle(chart=ChartName.DAEMON, observer=self._log_change)
+        probes = Probes(
+            metrics=worker.metrics,
+            tracing=worker.tracing,
+            readiness=self._readiness,
+            in_force=worker.in_force,
+        )
+        where = Address.parse(metrics_address)
+        self._probes = probes.server(host=where.host, port=where.port)
+
+    async def main(self) -> int:
+        """Return the exit code once everything is over."""
+        async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
+            try:
+                self._worker.open()
+                self._probes.open()
+            except OSError as exc:
+                self._lifecycle.fire("fail")
+                log_error("cannot_listen", node=self._name, error=str(exc))
+                return EXIT_FAILED
+            self._lifecycle.fire("opened")
+            return await self._work(signals)
+
+    async def _work(self, signals) -> int:
+        probing = await curio.spawn(self._probes.serve, daemon=True)
+        watching = await curio.spawn(self._watch_ready, daemon=True)
+        working = await curio.spawn(self._worker.run, daemon=True)
+        try:
+            asked = await _first(signals.get, working.wait)
+            if not asked:
+                return self._fail(working)
+            return await self._stop(signals)
+        finally:
+            for task in (watching, working, probing):
+                await task.cancel()
+
+    async def _stop(self, signals) -> int:
+        self._lifecycle.fire("stop")
+        stopping = await curio.spawn(self._worker.stop, daemon=True)
+        finished = await _first(stopping.wait, signals.get)
+        if not finished:
+            await stopping.cancel()
+            log_warning("stop_cut_short", node=self._name)
+            return EXIT_FAILED
+        leftover = stopping.result
+        if self._lifecycle.can("drained"):
+            self._lifecycle.fire("drained")
+        self._lifecycle.fire("flushed" if leftover.clean else "deadline")
+        if not leftover.clean:
+            log_warning("stop_left_over", node=self._name, **leftover.counts)
+            return EXIT_FAILED
+        return EXIT_CLEAN
+
+    def _fail(self, working: curio.Task) -> int:
+        self._lifecycle.fire("fail")
+        log_error("worker_failed", node=self._name, error=repr(working.exception))
+        return EXIT_FAILED
+
+    async def _watch_ready(self) -> None:
+        while not self._worker.ready:
+            await curio.sleep(READY_LOOK_SECONDS)
+        if self._lifecycle.can("learned"):
+            self._lifecycle.fire("learned")
+
+    def _readiness(self) -> Readiness:
+        return Readiness(ready=self._worker.ready, state=self._lifecycle.state)
+
+    def _log_change(self, source: str, event: str, target: str) -> None:
+        log_info("daemon_state", node=self._name, was=source, why=event, now=target)
+
+
+async def _first(preferred, other) -> bool:
+    """Wait for either call; return whether the preferred one ended first."""
+    async with curio.TaskGroup(wait=any) as group:
+        first = await group.spawn(preferred)
+        await group.spawn(other)
+    return group.completed is first
+
+
+_LEVELS = {
+    LogLevel.DEBUG: Level.DEBUG,
+    LogLevel.INFO: Level.INFO,
+    LogLevel.WARNING: Level.WARNING,
+    LogLevel.ERROR: Level.ERROR,
+}
+
+
+def run_process(new_process: Callable[[], Process], *, level: LogLevel) -> int:
+    """Run a process in a kernel of its own and return its exit code.
+
+    Plain curio tasks share one context, so that a log's or span's fields would
+    show up in another request; `ContextTask` keeps them apart.
+    """
+    configure_logs(level=_LEVELS[level])
+    with curio.Kernel(taskcls=ContextTask) as kernel:
+        return kernel.run(new_process().main)
--- a/src/ragwortkeel/router/dispatches.py
+++ b/src/ragwortkeel/router/dispatches.py
@@ -26,6 +26,7 @@
     attempt: Attempt,
     reservation: Reservation,
     parts: Parts,
+    traceparent: str,
 ) -> Dispatch:
     """Return the order to run `call` as `attempt` within `reservation`."""
     _, upstream_version = parts.directory.upstream(attempt.upstream)
@@ -43,7 +44,7 @@
         stream=call.stream,
         budget_seconds=max(facts.deadline - parts.clock(), 0.0),
         priority=PRIORITIES[facts.service],
-        traceparent=call.traceparent,
+        traceparent=traceparent,
         prefix=facts.prefix,
         epoch=parts.pool.views_by_upstream[attempt.upstream].load.epoch,
     )
--- a/src/ragwortkeel/router/exchange.py
+++ b/src/ragwortkeel/router/exchange.py
@@ -29,6 +29,7 @@
 from ragwortkeel.router.parts import Parts
 from ragwortkeel.router.refusals import Outcome, Reason, Refusal
 from ragwortkeel.router.sinks import Sink
+from ragwortkeel.traces import traceparent_of
 
 LOCATE_LIMIT = 16
 """Sidecars asked for an earlier run; more than either deployment of today has."""
@@ -137,11 +138,20 @@
         reservation = await self._parts.budgets.reserve(
             self._call.profile, self._call.bound, attempt.sidecar
         )
-        if not await attempt.open(self._dispatch(attempt, reservation)):
+        with self._parts.tracing.span(
+            "dispatch", parent=self._call.traceparent, upstream=upstream
+        ) as span:
+            order = self._dispatch(attempt, reservation, traceparent_of(span))
+            return await self._run_attempt(attempt, reservation, order)
+
+    async def _run_attempt(
+        self, attempt: Attempt, reservation: Reservation, order: Dispatch
+    ) -> AttemptEnd:
+        if not await attempt.open(order):
             await self._parts.budgets.settle(reservation, 0)
             return Declined(reason=RefusalReason.UPSTREAM_UNREACHABLE)
         ran_before, self.may_have_run = self.may_have_run, True
-        end = None
+        end: AttemptEnd | None = None
         try:
             end = await attempt.follow()
         finally:
@@ -177,7 +187,9 @@
         )
         return rv
 
-    def _dispatch(self, attempt: Attempt, reservation: Reservation) -> Dispatch:
+    def _dispatch(
+        self, attempt: Attempt, reservation: Reservation, traceparent: str
+    ) -> Dispatch:
         return build_dispatch(
             call=self._call,
             body=self._body(),
@@ -187,6 +199,7 @@
             attempt=attempt,
             reservation=reservation,
             parts=self._parts,
+            traceparent=traceparent,
         )
 
     def _body(self) -> bytes:
--- a/src/ragwortkeel/router/filings.py
+++ b/src/ragwortkeel/router/filings.py
@@ -16,6 +16,7 @@
 from ragwortkeel.configuration import Profile
 from ragwortkeel.exceptions import BudgetRefused, LinkLost, PlatformError
 from ragwortkeel.messages import (
+    Dispatch,
     OutcomeDurable,
     RefusalReason,
     Resume,
@@ -57,6 +58,7 @@
     fingerprint_of,
     with_outcome,
 )
+from ragwortkeel.traces import traceparent_of
 
 ASK_SECONDS = 1.0
 """A sidecar that is up answers in well under a millisecond."""
@@ -274,14 +276,23 @@
         reservation, self._reservation = self._reservation, None
         attempt = self._attempt(intent.upstream, intent.nonce, intent.sidecar)
         running = await curio.spawn(
-            self._run_to_outcome, attempt, reservation, self._filing.held, daemon=True
+            self._run_traced, attempt, reservation, self._filing.held, daemon=True
         )
         return await running.join()
 
-    async def _run_to_outcome(
+    async def _run_traced(
         self, attempt: Attempt, reservation: Reservation, held: Held
     ) -> AttemptEnd:
-        order = build_dispatch(
+        with self._parts.tracing.span(
+            "dispatch", parent=self._call.traceparent, upstream=attempt.upstream
+        ) as span:
+            order = self._dispatch(attempt, reservation, traceparent_of(span))
+            return await self._run_to_outcome(attempt, reservation, held, order)
+
+    def _dispatch(
+        self, attempt: Attempt, reservation: Reservation, traceparent: str
+    ) -> Dispatch:
+        return build_dispatch(
             call=self._call,
             body=self._call.body,
             idempotent=False,
@@ -290,7 +301,16 @@
             attempt=attempt,
             reservation=reservation,
             parts=self._parts,
+            traceparent=traceparent,
         )
+
+    async def _run_to_outcome(
+        self,
+        attempt: Attempt,
+        reservation: Reservation,
+        held: Held,
+        order: Dispatch,
+    ) -> AttemptEnd:
         end = Declined(reason=RefusalReason.UPSTREAM_UNREACHABLE)
         if await attempt.open(order):
             end = await attempt.follow()
--- a/src/ragwortkeel/router/gateway.py
+++ b/src/ragwortkeel/router/gateway.py
@@ -1,5 +1,7 @@
 """The callers' side: HTTP requests in, whole answers or refusals out."""
 
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 from itertools import count
 
 import curio
@@ -14,14 +16,32 @@
 from ragwortkeel.router.parts import Parts
 from ragwortkeel.router.refusals import Outcome, Reason, Refusal
 from ragwortkeel.router.sinks import Sink, StreamSink, WholeSink
+from ragwortkeel.traces import traceparent_of
 
 STOPPING_RETRY_SECONDS = 1.0
 """The balancer has another entry instance; it need only be asked again."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class Observed:
+    """How one request went, for logs and metrics; `refusal` is None if answered."""
+
+    call: Call
+    profile: Profile
+    refusal: Refusal | None
+    seconds: float
+
+
 class Gateway:
     """Serves callers' HTTP requests.
 
+    Parameters
+    ----------
+    parts
+        What the requests share.
+    observe
+        Called with each `Observed`.
+
     Attributes
     ----------
     stopping : bool
@@ -30,7 +50,7 @@
     .. versionadded:: 0.1
     """
 
-    def __init__(self, *, parts: Parts, observe) -> None:
+    def __init__(self, *, parts: Parts, observe: Callable[[Observed], None]) -> None:
         self.stopping = False
         self._parts = parts
         self._observe = observe
@@ -49,12 +69,28 @@
             await WholeSink(responder=responder, request_id="").refuse(found)
             return
         call, profile, version = found
+        tracing = self._parts.tracing
+        with tracing.span("request", parent=call.traceparent) as span:
+            call = replace(call, traceparent=traceparent_of(span))
+            refusal = await self._answer(call, profile, version, responder)
+        self._observe(
+            Observed(
+                call=call,
+                profile=profile,
+                refusal=refusal,
+                seconds=self._parts.clock() - started,
+            )
+        )
+
+    async def _answer(
+        self, call: Call, profile: Profile, version: int, responder: Responder
+    ) -> Refusal | None:
         sink = _new_sink(call, responder)
         served = self._new_server(call, profile, version, sink)
         refusal = await self._serve(served, profile, responder)
         if refusal is not None:
             await sink.refuse(refusal)
-        self._observe(call, profile, refusal, self._parts.clock() - started)
+        return refusal
 
     def _find(self, request: Request) -> tuple[Call, Profile, int] | Refusal:
         name = profile_of(request)
@@ -123,7 +159,11 @@
 
 def _new_sink(call: Call, responder: Responder) -> Sink:
     cls = StreamSink if call.stream else WholeSink
-    return cls(responder=responder, request_id=call.request_id)
+    return cls(
+        responder=responder,
+        request_id=call.request_id,
+        traceparent=call.traceparent,
+    )
 
 
 def _stopped(served: Exchange | FilingExchange, reason: Reason) -> Refusal:
--- a/src/ragwortkeel/router/parts.py
+++ b/src/ragwortkeel/router/parts.py
@@ -11,6 +11,7 @@
 from ragwortkeel.router.dispatcher import Dispatcher
 from ragwortkeel.router.intents import IntentStore
 from ragwortkeel.router.sidecars import SidecarPool
+from ragwortkeel.traces import Tracing
 
 
 class Budgets(Protocol):
@@ -64,3 +65,4 @@
     budgets: Budgets
     receipts: Receipts
     closing: Closing
+    tracing: Tracing
--- a/src/ragwortkeel/router/refusals.py
+++ b/src/ragwortkeel/router/refusals.py
@@ -123,11 +123,9 @@
     return msgspec.json.encode(problem)
 
 
-def problem_headers(refusal: Refusal, request_id: str) -> dict[str, str]:
+def problem_headers(refusal: Refusal) -> dict[str, str]:
     """Return the headers that go with `problem_body`."""
     rv = {"content-type": PROBLEM_TYPE}
-    if request_id:
-        rv["idempotency-key"] = request_id
     if refusal.retry_after_seconds > 0:
         rv["retry-after"] = str(ceil(refusal.retry_after_seconds))
     return rv
--- a/src/ragwortkeel/router/router.py
+++ b/src/ragwortkeel/router/router.py
@@ -18,12 +18,13 @@
 from ragwortkeel.router.closing import Closing
 from ragwortkeel.router.directory import Directory
 from ragwortkeel.router.dispatcher import Dispatcher
-from ragwortkeel.router.gateway import Gateway
+from ragwortkeel.router.gateway import Gateway, Observed
 from ragwortkeel.router.intents import IntentStore
 from ragwortkeel.router.parts import Budgets, Parts, Receipts
 from ragwortkeel.router.peers import PeerLinks
 from ragwortkeel.router.sidecars import SidecarPool
 from ragwortkeel.settings import Address, RouterSettings
+from ragwortkeel.traces import Tracing
 
 BALANCER_SECONDS = 1.0
 """A planned stop says so this long before it refuses connections, so that the
@@ -49,7 +50,9 @@
     budgets, receipts
         Where tokens are reserved and receipts go.
     observe
-        Called with each request's call, profile, refusal and seconds.
+        Called with each request's `Observed`.
+    tracing
+        Where spans go.
 
     Examples
     --------
@@ -69,7 +72,8 @@
         platform: Platform,
         budgets: Budgets,
         receipts: Receipts,
-        observe: Callable[..., None],
+        observe: Callable[[Observed], None],
+        tracing: Tracing,
         random: Random,
     ) -> None:
         self.settings = settings
@@ -105,6 +109,7 @@
             budgets=budgets,
             receipts=receipts,
             closing=self.closing,
+            tracing=tracing,
         )
         self.gateway = Gateway(parts=self.parts, observe=observe)
         self.stopping = False
--- a/src/ragwortkeel/router/sinks.py
+++ b/src/ragwortkeel/router/sinks.py
@@ -23,6 +23,7 @@
 """Stands in each event that carries a token, and in no other."""
 
 HEADER_REQUEST_ID = "idempotency-key"
+HEADER_TRACE = "traceparent"
 
 
 class EventSplitter:
@@ -44,12 +45,22 @@
 
 
 class StreamSink:
-    """Streams an answer to the caller as it comes."""
-
-    def __init__(self, *, responder: Responder, request_id: str) -> None:
+    """Streams an answer to the caller as it comes.
+
+    Attributes
+    ----------
+    begun : bool
+        Whether the caller has part of the answer, so that no problem document
+        can be sent any more.
+    """
+
+    def __init__(
+        self, *, responder: Responder, request_id: str, traceparent: str = ""
+    ) -> None:
         self.begun = False
         self._responder = responder
         self._request_id = request_id
+        self._headers = _headers_of(request_id, traceparent)
         self._splitter = EventSplitter()
         self._plain: list[bytes] = []
 
@@ -69,10 +80,9 @@
             return
         if not self.begun:
             self.begun = True
-            headers = {
+            headers = self._headers | {
                 "content-type": EVENT_STREAM,
                 "cache-control": "no-store",
-                HEADER_REQUEST_ID: self._request_id,
             }
             await self._send(self._responder.start(200, headers))
         await self._send(self._responder.send(whole))
@@ -85,10 +95,7 @@
     async def finish(self, status: int, content_type: str) -> None:
         """End the answer, which is whole."""
         if not self.begun:
-            headers = {
-                "content-type": content_type,
-                HEADER_REQUEST_ID: self._request_id,
-            }
+            headers = self._headers | {"content-type": content_type}
             body = b"".join(self._plain)
             await self._send(self._responder.respond(status, body, headers))
             return
@@ -97,7 +104,9 @@
     async def refuse(self, refusal: Refusal) -> None:
         """End the answer by a refusal, or by an error event once begun."""
         if not self.begun:
-            await _respond_problem(self._responder, refusal, self._request_id)
+            await _respond_problem(
+                self._responder, refusal, self._request_id, self._headers
+            )
             return
         problem = problem_body(refusal, self._request_id)
         await self._send(self._responder.send(b"event: error\ndata: " + problem))
@@ -113,11 +122,14 @@
 class WholeSink:
     """Collects an answer and sends it once it is whole."""
 
-    def __init__(self, *, responder: Responder, request_id: str) -> None:
+    def __init__(
+        self, *, responder: Responder, request_id: str, traceparent: str = ""
+    ) -> None:
         self.begun = False
         self.tokens = 0
         self._responder = responder
         self._request_id = request_id
+        self._headers = _headers_of(request_id, traceparent)
         self._pieces: list[bytes] = []
 
     async def write(self, data: bytes, content_type: str) -> None:
@@ -135,25 +147,32 @@
 
     async def finish(self, status: int, content_type: str) -> None:
         """Send the answer."""
-        headers = {
-            "content-type": content_type,
-            HEADER_REQUEST_ID: self._request_id,
-        }
+        headers = self._headers | {"content-type": content_type}
         with suppress(ExchangeBroken):
             await self._responder.respond(status, self.body, headers)
 
     async def refuse(self, refusal: Refusal) -> None:
         """Send a refusal instead."""
-        await _respond_problem(self._responder, refusal, self._request_id)
+        await _respond_problem(
+            self._responder, refusal, self._request_id, self._headers
+        )
 
 
 Sink = StreamSink | WholeSink
 
 
+def _headers_of(request_id: str, traceparent: str) -> dict[str, str]:
+    rv = {HEADER_REQUEST_ID: request_id, HEADER_TRACE: traceparent}
+    return {name: value for name, value in rv.items() if value}
+
+
 async def _respond_problem(
-    responder: Responder, refusal: Refusal, request_id: str
+    responder: Responder,
+    refusal: Refusal,
+    request_id: str,
+    headers: dict[str, str],
 ) -> None:
     body = problem_body(refusal, request_id)
-    headers = problem_headers(refusal, request_id)
+    fields = headers | problem_headers(refusal)
     with suppress(ExchangeBroken):
-        await responder.respond(status_of(refusal), body, headers)
+        await responder.respond(status_of(refusal), body, fields)
--- a/src/ragwortkeel/sidecar/runner.py
+++ b/src/ragwortkeel/sidecar/runner.py
@@ -3,10 +3,13 @@
 from dataclasses import dataclass
 
 import curio
+from msgspec.structs import replace
+from opentelemetry.trace import Span
 
 from ragwortkeel.httpio import HttpClient
 from ragwortkeel.messages import Dispatch, FailureReason
 from ragwortkeel.sidecar.upstream import CANCEL_SECONDS, Report, UpstreamRun, cancel_at
+from ragwortkeel.traces import Tracing, traceparent_of
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -24,6 +27,8 @@
         The upstream's HTTP client.
     report
         Takes the events of every run.
+    tracing
+        Starts a span for each run.
 
     Attributes
     ----------
@@ -31,21 +36,25 @@
         Sent with every order once the sidecar is registered.
     """
 
-    def __init__(self, *, client: HttpClient, report: Report) -> None:
+    def __init__(self, *, client: HttpClient, report: Report, tracing: Tracing) -> None:
         self._client = client
         self._report = report
+        self._tracing = tracing
         self._running_by_nonce: dict[str, _Running] = {}
         self.fencing_number = 0
 
     async def start(self, dispatch: Dispatch) -> None:
         """Start a run in a task of its own."""
+        span = self._tracing.start(
+            "run", parent=dispatch.traceparent, profile=dispatch.profile
+        )
         run = UpstreamRun(
             client=self._client,
-            dispatch=dispatch,
+            dispatch=replace(dispatch, traceparent=traceparent_of(span)),
             fencing_number=self.fencing_number,
             report=self._report,
         )
-        task = await curio.spawn(self._run, run, dispatch.nonce, daemon=True)
+        task = await curio.spawn(self._run, run, dispatch.nonce, span, daemon=True)
         self._running_by_nonce[dispatch.nonce] = _Running(run=run, task=task)
 
     async def cancel(self, nonce: str, request_id: str) -> None:
@@ -77,8 +86,9 @@
             await running.task.cancel()
             await running.run.broken(FailureReason.CANCELLED)
 
-    async def _run(self, run: UpstreamRun, nonce: str) -> None:
+    async def _run(self, run: UpstreamRun, nonce: str, span: Span) -> None:
         try:
             await run.run()
         finally:
+            span.end()
             self._running_by_nonce.pop(nonce, None)
--- a/src/ragwortkeel/sidecar/sidecar.py
+++ b/src/ragwortkeel/sidecar/sidecar.py
@@ -16,9 +16,8 @@
 from ragwortkeel.links import Endpoint, Received
 from ragwortkeel.messages import (
     AnyMessage,
-    ConfigurationDigest,
-    ConfigurationPull,
-    ConfigurationPush,
+    ConfigurationMessage,
+    Heartbeat,
     OutcomeDurable,
     ReceiptsDurable,
     VersionedObject,
@@ -49,6 +48,7 @@
     StruckOff,
 )
 from ragwortkeel.sidecar.runner import Runner
+from ragwortkeel.traces import Tracing
 
 TICK_SECONDS = 0.25
 EPOCH_SECONDS = 30.0
@@ -103,7 +103,9 @@
     revision
         The configuration revision in force, sent with every message.
     configuration_inbox
-        Where configuration messages of peers go, as `Received`.
+        Where configuration messages and heartbeats of peers go, as `Received`.
+    tracing
+        Where spans of runs go.
     address
         Where to listen instead of the settings' address; port 0 takes a free one.
 
@@ -126,6 +128,7 @@
         platform: Platform,
         revision: Callable[[], int] = int,
         configuration_inbox: curio.Queue | None = None,
+        tracing: Tracing | None = None,
         address: str = "",
         clock: Callable[[], float] = monotonic,
     ) -> None:
@@ -144,7 +147,11 @@
         )
         upstream = Address.parse(settings.upstream_address)
         self._client = HttpClient(host=upstream.host, port=upstream.port)
-        self._runner = Runner(client=self._client, report=self._inbox.put)
+        self._runner = Runner(
+            client=self._client,
+            report=self._inbox.put,
+            tracing=tracing or Tracing(node=settings.name),
+        )
         self._recorder = Recorder(
             platform=platform, sidecar=incarnation, inbox=self._inbox
         )
@@ -274,11 +281,11 @@
 
     async def _on_received(self, received: Received, now: float) -> list[Effect]:
         message = received.envelope.message
-        match message:
-            case ConfigurationDigest() | ConfigurationPush() | ConfigurationPull():
-                if self._configuration_inbox is not None:
-                    await self._configuration_inbox.put(received)
-                return []
+        goes_on = isinstance(message, ConfigurationMessage | Heartbeat)
+        if goes_on and self._configuration_inbox is not None:
+            await self._configuration_inbox.put(received)
+        if isinstance(message, ConfigurationMessage):
+            return []
         sender = received.envelope.sender
         return self._core.on_message(received.peer, sender, message, now)
 
--- /dev/null
+++ b/src/ragwortkeel/sidecar/worker.py
@@ -0,0 +1,135 @@
+"""The sidecar daemon's work: the sidecar, and the configuration it needs."""
+
+from random import Random
+from time import monotonic
+from uuid import uuid4
+
+import curio
+
+from ragwortkeel.configuration import PROFILES, UPSTREAMS
+from ragwortkeel.configuration_store import ConfigurationStore
+from ragwortkeel.gossip import FromPeer, Gossip, Partners
+from ragwortkeel.links import Received
+from ragwortkeel.messages import Heartbeat, VersionedObject
+from ragwortkeel.metrics import Metrics
+from ragwortkeel.platform_client import HttpPlatform
+from ragwortkeel.process import Leftover
+from ragwortkeel.settings import SidecarSettings
+from ragwortkeel.sidecar.sidecar import Sidecar
+from ragwortkeel.traces import Tracing
+
+PEER_SECONDS = 10.0
+"""A router that has not been heard for this long is no partner any more."""
+
+
+class SidecarWorker:
+    """Everything a sidecar process runs.
+
+    A sidecar holds its own upstream's object and hears of it from the routers
+    that are linked to it; it never watches the platform.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, *, settings: SidecarSettings) -> None:
+        self.metrics = Metrics()
+        self.tracing = Tracing(node=settings.name)
+        self._platform = HttpPlatform(address=settings.platform)
+        self._store = ConfigurationStore(
+            kinds=(UPSTREAMS, PROFILES),
+            only={
+                UPSTREAMS: frozenset({settings.upstream}),
+                PROFILES: frozenset(),
+            },
+        )
+        self._peer_messages: curio.Queue = curio.Queue()
+        self._heard_by_peer: dict[str, float] = {}
+        self._sidecar = Sidecar(
+            settings=settings,
+            incarnation=f"{settings.name}-{uuid4().hex[:12]}",
+            platform=self._platform,
+            revision=lambda: self._store.revision,
+            configuration_inbox=self._peer_messages,
+            tracing=self.tracing,
+        )
+        self._gossip = Gossip(
+            name=settings.address,
+            zone=settings.zone,
+            platform=self._platform,
+            store=self._store,
+            send=self._sidecar.send,
+            random=Random(),
+            listener=self._learn,
+            follows=False,
+        )
+        self._serving: curio.Task | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether work is let in."""
+        return self._sidecar.admitted
+
+    def open(self) -> None:
+        """Bind the endpoint."""
+        self._sidecar.open()
+
+    async def run(self) -> None:
+        """Work until cancelled or until a task fails."""
+        self._serving = await curio.spawn(self._sidecar.run, daemon=True)
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._gossip.run)
+            await group.spawn(self._read_peers)
+            await group.spawn(self._watch_sidecar)
+
+    async def stop(self) -> Leftover:
+        """Finish what is in flight, flush receipts, deregister."""
+        await self._sidecar.stop()
+        leftover = await self._serving.join()
+        return Leftover(
+            counts={
+                "running": leftover.running,
+                "receipts": leftover.receipts,
+                "outcomes": leftover.outcomes,
+            }
+        )
+
+    def in_force(self, kind: str, name: str) -> object:
+        """Return the version in force of an object, or the revision."""
+        if kind not in self._store.kinds:
+            return {"revision": self._store.revision, "version": None}
+        found = self._store.get(kind, name)
+        version = None if found is None else found.version
+        return {"revision": self._store.revision, "version": version}
+
+    async def _watch_sidecar(self) -> None:
+        await self._serving.wait()
+        if self._serving.exception is not None:
+            raise self._serving.exception
+        # A planned stop: its caller holds the result and ends the process.
+        await curio.Event().wait()
+
+    async def _learn(self, fresh: list[VersionedObject]) -> None:
+        await self._sidecar.learn(tuple(fresh))
+
+    async def _read_peers(self) -> None:
+        while True:
+            received = await self._peer_messages.get()
+            await self._note_peer(received)
+            message = received.envelope.message
+            event = FromPeer(
+                peer=received.peer,
+                revision=received.envelope.revision,
+                message=None if isinstance(message, Heartbeat) else message,
+            )
+            await self._gossip.inbox.put(event)
+
+    async def _note_peer(self, received: Received) -> None:
+        now = monotonic()
+        is_new = received.peer not in self._heard_by_peer
+        self._heard_by_peer[received.peer] = now
+        gone = [p for p, at in self._heard_by_peer.items() if now - at > PEER_SECONDS]
+        for peer in gone:
+            del self._heard_by_peer[peer]
+        if is_new or gone:
+            partners = tuple(self._heard_by_peer)
+            await self._gossip.inbox.put(Partners(addresses=partners, zone_members=()))
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -28,7 +28,7 @@
         readiness=lambda: Readiness(
             ready=ready, state="ready" if ready else "draining"
         ),
-        in_force=lambda: {"profiles/chat": 7},
+        in_force=lambda kind, name: {f"{kind}/{name}": 7},
     )
 
     async def main():
@@ -66,4 +66,5 @@
         assert [span["name"] for span in report["spans"]] == ["request"]
 
     def test_configuration_in_force_is_shown(self):
-        assert msgspec.json.decode(ask("/in-force").body) == {"profiles/chat": 7}
+        body = ask("/in-force?kind=profiles&name=chat").body
+        assert msgspec.json.decode(body) == {"profiles/chat": 7}
