--- /dev/null
+++ b/tests/processes/fleet.py
@@ -0,0 +1,265 @@
+"""Starts the programs as processes of their own on free loopback ports.
+
+No verdict hangs on speed: everything waits for a condition, with a bound that
+only a hang reaches.
+"""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import h11
+
+PATIENCE = 60.0
+POLL = 0.02
+HOST = "127.0.0.1"
+LOG_TAIL_BYTES = 3000
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+def wait_until(condition, what, patience=PATIENCE):
+    """Return the first true value of `condition`."""
+    end = time.monotonic() + patience
+    while time.monotonic() < end:
+        try:
+            if rv := condition():
+                return rv
+        except (OSError, http.client.HTTPException):
+            pass
+        time.sleep(POLL)
+    raise AssertionError(f"never: {what}")
+
+
+@dataclass(kw_only=True)
+class Program:
+    """One process started here, and ended here by its own id."""
+
+    name: str
+    popen: subprocess.Popen
+    log: str
+    ports: dict = field(default_factory=dict)
+
+    def send(self, number):
+        self.popen.send_signal(number)
+
+    def kill(self):
+        self.popen.kill()
+        self.popen.wait(PATIENCE)
+
+    def terminate(self):
+        """Stop gracefully and return the exit code."""
+        self.popen.terminate()
+        return self.popen.wait(PATIENCE)
+
+    @contextmanager
+    def frozen(self):
+        self.send(signal.SIGSTOP)
+        try:
+            yield
+        finally:
+            self.send(signal.SIGCONT)
+
+    def tail(self):
+        with open(self.log, "rb") as file:
+            file.seek(0, os.SEEK_END)
+            file.seek(max(0, file.tell() - LOG_TAIL_BYTES))
+            return file.read().decode(errors="replace")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answer:
+    status: int
+    headers: dict
+    body: bytes
+
+    @property
+    def json(self):
+        return json.loads(self.body)
+
+
+def ask(port, method, path, body=None, headers=None, timeout=PATIENCE):
+    """Send one request and return its whole answer."""
+    connection = http.client.HTTPConnection(HOST, port, timeout=timeout)
+    try:
+        data = None if body is None else json.dumps(body).encode()
+        connection.request(method, path, body=data, headers=headers or {})
+        response = connection.getresponse()
+        fields = {name.lower(): value for name, value in response.getheaders()}
+        return Answer(status=response.status, headers=fields, body=response.read())
+    finally:
+        connection.close()
+
+
+class BrokenOff(Exception):
+    """An answer ended without the end marker of its body."""
+
+
+class Stream:
+    """A streamed answer that a test reads event by event."""
+
+    def __init__(self, port, path, body, headers=None):
+        data = json.dumps(body).encode()
+        fields = {"host": HOST, "content-length": str(len(data))} | (headers or {})
+        self._sock = socket.create_connection((HOST, port), PATIENCE)
+        self._conn = h11.Connection(h11.CLIENT)
+        head = h11.Request(method="POST", target=path, headers=list(fields.items()))
+        self._sock.sendall(self._conn.send(head) + self._conn.send(h11.Data(data=data)))
+        head = self._next()
+        self.status = head.status_code
+
+    def _next(self):
+        while (event := self._conn.next_event()) is h11.NEED_DATA:
+            try:
+                self._conn.receive_data(self._sock.recv(65536))
+            except ConnectionError as exc:
+                raise BrokenOff from exc
+        return event
+
+    def events(self):
+        """Yield events until the end; a body without its end marker raises."""
+        buffer = b""
+        try:
+            while isinstance(event := self._next(), h11.Data):
+                *lines, buffer = (buffer + bytes(event.data)).split(b"\n\n")
+                for line in lines:
+                    yield line.removeprefix(b"data: ").decode()
+        except h11.RemoteProtocolError as exc:
+            raise BrokenOff from exc
+        if not isinstance(event, h11.EndOfMessage):
+            raise BrokenOff
+
+    def close(self):
+        self._sock.close()
+
+
+def text_of(events):
+    """Return the text that token events carry."""
+    frames = [json.loads(event) for event in events if event != "[DONE]"]
+    return "".join(f["choices"][0]["delta"].get("content", "") for f in frames)
+
+
+class Fleet:
+    """The programs of one test."""
+
+    def __init__(self, directory):
+        self._directory = directory
+        self.by_name = {}
+        self.platform_port = 0
+
+    def start(self, name, module, *arguments, **ports):
+        """Start ``python -m module arguments``."""
+        log = str(self._directory / f"{name}.log")
+        command = [sys.executable, "-m", module, *map(str, arguments)]
+        with open(log, "ab") as file:
+            popen = subprocess.Popen(command, stdout=file, stderr=file)
+        rv = Program(name=name, popen=popen, log=log, ports=ports)
+        self.by_name[name] = rv
+        return rv
+
+    def platform(self):
+        self.platform_port = self.platform_port or free_port()
+        return self._standin("platform", "platform", self.platform_port)
+
+    def engine(self, name="engine", **options):
+        return self._standin(name, "engine", free_port(), **options)
+
+    def service(self, name="service"):
+        return self._standin(name, "service", free_port())
+
+    def _standin(self, name, kind, port, **options):
+        flags = [f"--{key}={value}" for key, value in options.items()]
+        module = "ragwortkeel.standins.command"
+        rv = self.start(name, module, kind, "--port", port, *flags, http=port)
+        wait_until(lambda: connects(port), f"{name} listens")
+        return rv
+
+    def sidecar(self, name, upstream, kind="model", **extra):
+        """Start the sidecar beside an engine or service."""
+        settings = {
+            "upstream": name,
+            "upstream_address": f"{HOST}:{upstream.ports['http']}",
+            "upstream_kind": kind,
+        }
+        return self._daemon("sidecar", name, settings | extra)
+
+    def router(self, name, **extra):
+        return self._daemon("router", name, {"http": f"{HOST}:{free_port()}"} | extra)
+
+    def _daemon(self, role, name, settings):
+        settings = {
+            "name": name,
+            "zone": "zone-a",
+            "address": f"{HOST}:{free_port()}",
+            "metrics": f"{HOST}:{free_port()}",
+            "platform": f"{HOST}:{self.platform_port}",
+        } | settings
+        path = self._directory / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        keys = ("http", "metrics", "address")
+        ports = {k: int(settings[k].split(":")[1]) for k in keys if k in settings}
+        arguments = (role, "--settings", path)
+        return self.start(name, "ragwortkeel.daemon", *arguments, **ports)
+
+    def forwarder(self, name, target_port):
+        port = free_port()
+        module = "tests.processes.forwarder"
+        rv = self.start(name, module, HOST, port, HOST, target_port, tcp=port)
+        wait_until(lambda: connects(port), f"{name} listens")
+        return rv
+
+    def switch(self, program, **switches):
+        """Set fault switches of a stand-in."""
+        answer = ask(program.ports["http"], "POST", "/switches", switches)
+        assert answer.status == 200, answer.body
+
+    def executions(self, program):
+        return ask(program.ports["http"], "GET", "/executions").json
+
+    def command(self, *arguments, check=True):
+        """Run the operators' command line and return what it printed as JSON."""
+        path = self._directory / "command.json"
+        path.write_text(json.dumps({"platform": f"{HOST}:{self.platform_port}"}))
+        command = [sys.executable, "-m", "ragwortkeel.cli", *map(str, arguments)]
+        command += ["--settings", str(path), "--json"]
+        done = subprocess.run(command, capture_output=True, timeout=PATIENCE)
+        if check:
+            assert done.returncode == 0, (arguments, done.stderr.decode())
+            return json.loads(done.stdout) if done.stdout.strip() else None
+        return done
+
+    def wait_ready(self, *programs):
+        for program in programs:
+            wait_until(lambda p=program: is_ready(p), f"{program.name} ready")
+
+    def close(self):
+        """End everything this fleet started."""
+        for program in self.by_name.values():
+            if program.popen.poll() is None:
+                program.send(signal.SIGCONT)
+                program.popen.kill()
+        for program in self.by_name.values():
+            program.popen.wait(PATIENCE)
+
+    def tails(self):
+        return "\n".join(f"== {p.name}\n{p.tail()}" for p in self.by_name.values())
+
+
+def connects(port):
+    with socket.create_connection((HOST, port), 1):
+        return True
+
+
+def is_ready(program):
+    return ask(program.ports["metrics"], "GET", "/readyz", timeout=2).status == 200
--- /dev/null
+++ b/tests/processes/forwarder.py
@@ -0,0 +1,91 @@
+"""A TCP forwarder in a process of its own, which tests can cut or silence.
+
+USR1 silences the connections that are open now: they stay open and carry
+nothing more, while new ones work.  USR2 cuts all and refuses new ones, and the
+next USR2 lets them through again.
+"""
+
+import selectors
+import signal
+import socket
+import sys
+
+CHUNK = 65536
+
+
+class Forwarder:
+    def __init__(self, *, listen, target):
+        self.target = target
+        self.selector = selectors.DefaultSelector()
+        self.peers = {}
+        self.silent = set()
+        self.is_cut = False
+        self.listener = socket.create_server(listen)
+        self.selector.register(self.listener, selectors.EVENT_READ)
+
+    def silence(self, *_):
+        for sock in self.peers:
+            if sock not in self.silent:
+                self.silent.add(sock)
+                self.selector.unregister(sock)
+
+    def toggle_cut(self, *_):
+        self.is_cut = not self.is_cut
+        if self.is_cut:
+            for sock in list(self.peers):
+                self.drop(sock)
+
+    def run(self):
+        while True:
+            for key, _ in self.selector.select(0.05):
+                if key.fileobj is self.listener:
+                    self.accept()
+                elif key.fileobj in self.peers:
+                    self.forward(key.fileobj)
+
+    def accept(self):
+        sock, _ = self.listener.accept()
+        try:
+            other = None if self.is_cut else socket.create_connection(self.target, 2)
+        except OSError:
+            other = None
+        if other is None:
+            sock.close()
+            return
+        self.peers |= {sock: other, other: sock}
+        for one in (sock, other):
+            self.selector.register(one, selectors.EVENT_READ)
+
+    def forward(self, sock):
+        try:
+            data = sock.recv(CHUNK)
+            if data:
+                self.peers[sock].sendall(data)
+        except OSError:
+            data = b""
+        if not data:
+            self.drop(sock)
+
+    def drop(self, sock):
+        other = self.peers.pop(sock, None)
+        if sock in self.silent:
+            self.silent.discard(sock)
+        elif sock in {k.fileobj for k in self.selector.get_map().values()}:
+            self.selector.unregister(sock)
+        sock.close()
+        if other in self.peers:
+            self.drop(other)
+
+
+def main():
+    host, port, target_host, target_port = sys.argv[1:]
+    forwarder = Forwarder(
+        listen=(host, int(port)), target=(target_host, int(target_port))
+    )
+    signal.signal(signal.SIGUSR1, forwarder.silence)
+    signal.signal(signal.SIGUSR2, forwarder.toggle_cut)
+    forwarder.run()
+
+
+if __name__ == "__main__":
+    main()
