Slopes of codec, choice of upstream, streaming and links

Cause: the capacity page needs measured costs, and had none. Change: make bench-slopes measures single parts in one process and links between two, each at three sizes or more, with the line through them.

--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,24 @@
+"""Measured slopes for docs/CAPACITY.md: ``make bench-slopes``.
+
+Each cost is taken at three sizes or more; the last line of each is the straight
+line through them, ``rate`` for each unit of ``per`` and ``base`` for none.
+Processor time is that of the process named, not elapsed time.
+"""
+
+import os
+import platform
+
+from benchmarks._slopes_fit import report
+from benchmarks._slopes_links import measure_links
+from benchmarks._slopes_parts import measure_parts
+
+
+def main() -> None:
+    """Run every measurement, one after the other."""
+    report(bench="slopes", python=platform.python_version(), processors=os.cpu_count())
+    measure_parts()
+    measure_links()
+
+
+if __name__ == "__main__":
+    main()
