--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -290,6 +290,8 @@
     transfer_id: str
 
 
+ConfigurationMessage = ConfigurationDigest | ConfigurationPush | ConfigurationPull
+
 AnyMessage = (
     Dispatch
     | Refused
--- a/src/ragwortkeel/router/worker.py
+++ b/src/ragwortkeel/router/worker.py
@@ -13,7 +13,7 @@
 from ragwortkeel.platform_client import HttpPlatform
 from ragwortkeel.process import Leftover
 from ragwortkeel.router.gateway import Observed
-from ragwortkeel.router.neighbours import ROUTER_ROLE, partners, zone_members
+from ragwortkeel.router.neighbours import partners, zone_members
 from ragwortkeel.router.router import Router
 from ragwortkeel.settings import RouterSettings
 from ragwortkeel.traces import Tracing, trace_id_of
