--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -42,6 +42,21 @@
     QUARANTINED = "quarantined"
     DEADLINE = "deadline"
     DUPLICATE = "duplicate"
+    STALE_EPOCH = "stale_epoch"
+
+
+class FailureReason(StrEnum):
+    """Why a run ended without a whole answer; it may have taken effect."""
+
+    CRASHED = "crashed"
+    TRUNCATED = "truncated"
+    SILENT = "silent"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+    UPSTREAM_ERROR = "upstream_error"
+    RESERVATION_OUTRUN = "reservation_outrun"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    ANSWER_LOST = "answer_lost"
 
 
 class RunState(StrEnum):
@@ -58,7 +73,11 @@
     """Run this request at your upstream, within the reservation.
 
     `nonce` names this attempt; `reservation` is in tokens; `budget_seconds`
-    is the time left until the caller's deadline.
+    is the time left until the caller's deadline.  `epoch` is the one of the
+    sidecar's last heartbeat when the nonce was minted; a request that must not
+    repeat is refused without it (docs/design/runs.md).
+    With `alone` the sidecar first lets what runs there end, and starts nothing
+    beside it.
     """
 
     request_id: str
@@ -76,6 +95,8 @@
     priority: int
     traceparent: str
     prefix: str = ""
+    epoch: int = 0
+    alone: bool = False
 
 
 class Refused(Message):
@@ -114,7 +135,10 @@
 
 
 class Failed(Message):
-    """The run ended without a whole answer, after `tokens` were spent."""
+    """The run ended without a whole answer, after `tokens` were spent.
+
+    `reason` is a `FailureReason`.
+    """
 
     nonce: str
     reason: str
@@ -153,9 +177,14 @@
 
 
 class Tombstone(Message):
-    """Promise never to run this nonce, unless it already ran."""
+    """Promise never to run this nonce, unless it already ran.
+
+    `sidecar` is the incarnation that was to run it; any other answers `UNSEEN`,
+    which promises nothing.  Left empty, the asker has to check who answers.
+    """
 
     nonce: str
+    sidecar: str = ""
 
 
 class TombstoneResult(Message):
@@ -198,13 +227,23 @@
     nonces: tuple[str, ...]
 
 
+class OutcomeDurable(Message):
+    """The intents of these must-not-repeat nonces hold their outcomes."""
+
+    nonces: tuple[str, ...]
+
+
 class Heartbeat(Message):
-    """I am alive; a sidecar also reports its load, a router sends zeros."""
+    """I am alive; a sidecar also reports its load, a router sends zeros.
+
+    `epoch` is what dispatches minted from now on carry.
+    """
 
     running: int = 0
     waiting: int = 0
     limit: int = 0
     leaving: bool = False
+    epoch: int = 0
 
 
 class ConfigurationDigest(Message):
@@ -255,6 +294,14 @@
     ranks: dict[str, tuple[bool, int]]
 
 
+class CrashSeen(Message):
+    """An upstream crashed with these bodies on it; passed on by who hears it first."""
+
+    crash_id: str
+    fingerprints: tuple[str, ...]
+    alone: bool = False
+
+
 class SliceRequest(Message):
     """A router short of tokens asks another to give part of its slice."""
 
@@ -277,6 +324,8 @@
     transfer_id: str
 
 
+ConfigurationMessage = ConfigurationDigest | ConfigurationPush | ConfigurationPull
+
 AnyMessage = (
     Dispatch
     | Refused
@@ -293,6 +342,7 @@
     | Seal
     | Sealed
     | ReceiptsDurable
+    | OutcomeDurable
     | Heartbeat
     | ConfigurationDigest
     | ConfigurationBranches
@@ -300,6 +350,7 @@
     | ConfigurationRanks
     | ConfigurationPush
     | ConfigurationPull
+    | CrashSeen
     | SliceRequest
     | SliceTransfer
     | SliceTransferred
--- /dev/null
+++ b/src/ragwortkeel/policy/admission.py
@@ -0,0 +1,145 @@
+"""Admission: whether a request can still be served in time if it waits.
+
+Pattern of load: saturation, and the first seconds of a burst.  Without this
+check everything is taken in, each answer comes later than the last, and in the
+end all work done is for callers who have hung up.  Refusing at the door costs
+one message and leaves the caller time to come back.
+
+The wait is estimated from how often a request of the class was lately taken out
+of the queue, times the requests ahead.  That holds for whatever slows the class:
+other classes, other routers, limits, lost upstreams.  Before the first is taken
+out, Little's law stands in: own work in flight divided by how long it takes.
+(Little's law alone was tried; batch work was let in that then waited until it
+was too late, since what interactive work would take was not in the estimate.)
+
+The estimate decides only on requests that find no place.  One that finds a place
+is dispatched: were it refused because the last ones were slow, no new sample
+would come, and the refusals would never end (tried; a fleet at 70% load refused
+half of its chats for good).
+
+A refusal is final and given at once.
+"""
+
+from dataclasses import dataclass
+from random import Random
+
+from ragwortkeel.configuration import ServiceClass
+from ragwortkeel.policy.facts import Reason, RequestFacts
+
+SMOOTHING = 0.1
+"""Weight of one more sample: about the last ten requests of a profile count, so
+an estimate follows a slowdown within a second or two at the usual rates."""
+
+TOTAL_MARGIN = 1.5
+"""Times the smoothed whole time that must be left before the deadline: about the
+upper quarter of run times, which differ with the length of the answer."""
+
+SHORTEST_RETRY_SECONDS = 0.5
+LONGEST_RETRY_SECONDS = 30.0
+"""Longer forecasts of a queue are guesses."""
+
+RETRY_SPREAD = 0.25
+"""Callers refused together come back spread over a quarter of the wait, or the
+burst would return as a burst."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Times:
+    """Smoothed seconds from dispatch to the first token, and to the end."""
+
+    first_token: float
+    total: float
+
+
+UNKNOWN = Times(first_token=0.0, total=0.0)
+"""Before the first sample nothing is refused."""
+
+
+class ServiceTimes:
+    """How long the requests of each profile, and of a set of back ends, take."""
+
+    def __init__(self) -> None:
+        self._by_profile: dict[str, Times] = {}
+        self._seconds_by_pool: dict[tuple[str, ...], float] = {}
+
+    def first_token(self, request: RequestFacts, seconds: float) -> None:
+        """Take in one time to the first token."""
+        known = self._by_profile.get(request.profile)
+        if known is None:
+            known = Times(first_token=seconds, total=seconds)
+        else:
+            known = Times(
+                first_token=_smooth(known.first_token, seconds), total=known.total
+            )
+        self._by_profile[request.profile] = known
+
+    def finished(self, request: RequestFacts, seconds: float) -> None:
+        """Take in one whole run's time."""
+        known = self._by_profile.get(request.profile)
+        if known is None:
+            known = Times(first_token=seconds, total=seconds)
+        else:
+            known = Times(
+                first_token=known.first_token, total=_smooth(known.total, seconds)
+            )
+        self._by_profile[request.profile] = known
+        pool_seconds = self._seconds_by_pool.get(request.back_ends, seconds)
+        self._seconds_by_pool[request.back_ends] = _smooth(pool_seconds, seconds)
+
+    def latest_start(self, request: RequestFacts) -> tuple[float, Reason]:
+        """Return when the request must be dispatched, and the promise that binds."""
+        times = self._by_profile.get(request.profile, UNKNOWN)
+        by_deadline = request.deadline - TOTAL_MARGIN * times.total
+        if request.service is not ServiceClass.INTERACTIVE:
+            return by_deadline, Reason.DEADLINE
+        by_first_token = request.first_token_by - times.first_token
+        if by_first_token < by_deadline:
+            return by_first_token, Reason.FIRST_TOKEN
+        return by_deadline, Reason.DEADLINE
+
+    def seconds_between_places(
+        self, back_ends: tuple[str, ...], in_flight: int
+    ) -> float:
+        """Return how often a place comes free with `in_flight` running."""
+        return self._seconds_by_pool.get(back_ends, 0.0) / max(1, in_flight)
+
+
+class Turns:
+    """How often a waiting request of one class is taken out of one queue."""
+
+    def __init__(self) -> None:
+        self._seconds: float | None = None
+        self._last = 0.0
+
+    def waiting_from(self, now: float) -> None:
+        """Note that the first request began to wait."""
+        self._last = now
+
+    def taken(self, fallback: float, now: float) -> None:
+        """Note that one was taken out; `fallback` is the estimate before any."""
+        known = fallback if self._seconds is None else self._seconds
+        self._seconds = _smooth(known, now - self._last)
+        self._last = now
+
+    def seconds_each(self, fallback: float, *, idle: bool, now: float) -> float:
+        """Return the smoothed time from one to the next.
+
+        While any wait, the pause since the last one counts as a sample once it
+        is longer than the rest: without that, a queue that has stopped would
+        look as fast as before.
+        """
+        known = fallback if self._seconds is None else self._seconds
+        if idle:
+            return known
+        return max(known, _smooth(known, now - self._last))
+
+
+def retry_after(excess_seconds: float, random: Random) -> float:
+    """Return when the line should be short enough, spread at random."""
+    seconds = max(SHORTEST_RETRY_SECONDS, excess_seconds)
+    seconds *= 1.0 + RETRY_SPREAD * random.random()
+    return min(LONGEST_RETRY_SECONDS, seconds)
+
+
+def _smooth(known: float, sample: float) -> float:
+    return known + SMOOTHING * (sample - known)
