Keep what may have run through a retry's refusals

Cause: a request whose first attempt broke off and whose retry was then refused in the queue was refused as not run; a request that came under suspicion while it waited was dispatched all the same.

Ruled out: refusing at once instead of queueing a retry (refuses what could run).

Change: Waiting carries may_have_run; the dispatch asks the quarantine again. admission.Places holds the estimate by Little's law.

Conclusion: both have a test that failed before.

--- a/benchmarks/load/fleet.py
+++ b/benchmarks/load/fleet.py
@@ -119,6 +119,7 @@
             for i in range(deployment.routers)
         ]
         self._away: set[str] = set()
+        self._breaking: set[str] = set()
         self._wakes: list[float | None] = [None] * deployment.routers
 
     def run(self) -> Measures:
@@ -292,7 +293,12 @@
             self._fail(ask, nonce, Failure.OVERLOADED)
             return
         self._asks_by_nonce[nonce] = ask
-        sidecar.engine.submit(self._job(ask, nonce))
+        job = self._job(ask, nonce)
+        flaky = sidecar.engine.kind is MODEL and self._scenario.flaky
+        if flaky and Random(nonce).random() < flaky:
+            self._breaking.add(nonce)
+            job.output = max(1, job.output // 2)
+        sidecar.engine.submit(job)
         self._plan(sidecar)
 
     def _cancelled(self, ask: Ask) -> bool:
@@ -340,6 +346,9 @@
 
     def _finish(self, sidecar: Sidecar, ask: Ask) -> None:
         now = self._now
+        if ask.nonce in self._breaking:
+            self._fail(ask, ask.nonce, Failure.ERROR)
+            return
         if not ask.first_token_at:
             ask.first_token_at = now
             self._observe(sidecar, ask)
--- a/benchmarks/load/workloads.py
+++ b/benchmarks/load/workloads.py
@@ -66,6 +66,8 @@
         or fails each request at once.
     uneven : bool
         Every other model server is an older one, of half the speed.
+    flaky : float
+        Part of runs that every model server breaks off half-way with an error.
     restarting : tuple of float
         From, to: half of the model servers are replaced, one after the other.
     """
@@ -80,6 +82,7 @@
     failing: tuple[float, float] = (0.0, 0.0)
     restarting: tuple[float, float] = (0.0, 0.0)
     uneven: bool = False
+    flaky: float = 0.0
     seconds: float = 40.0
 
 
@@ -248,6 +251,7 @@
     Scenario(name="long", load=0.8, long_factor=2.5),
     Scenario(name="saturation", load=1.6),
     Scenario(name="restarts", load=0.8, restarting=(8.0, 38.0)),
+    Scenario(name="flaky", load=1.0, flaky=0.3),
     Scenario(name="failing", load=0.7, failing=(8.0, 24.0)),
 )
 
--- a/src/ragwortkeel/policy/admission.py
+++ b/src/ragwortkeel/policy/admission.py
@@ -56,35 +56,24 @@
 
 
 class ServiceTimes:
-    """How long the requests of each profile, and of a set of back ends, take."""
+    """How long the requests of each profile take, from dispatch."""
 
     def __init__(self) -> None:
         self._by_profile: dict[str, Times] = {}
-        self._seconds_by_pool: dict[tuple[str, ...], float] = {}
 
     def first_token(self, request: RequestFacts, seconds: float) -> None:
         """Take in one time to the first token."""
-        known = self._by_profile.get(request.profile)
-        if known is None:
-            known = Times(first_token=seconds, total=seconds)
-        else:
-            known = Times(
-                first_token=_smooth(known.first_token, seconds), total=known.total
-            )
-        self._by_profile[request.profile] = known
+        known = self._known(request, seconds)
+        self._by_profile[request.profile] = Times(
+            first_token=_smooth(known.first_token, seconds), total=known.total
+        )
 
     def finished(self, request: RequestFacts, seconds: float) -> None:
         """Take in one whole run's time."""
-        known = self._by_profile.get(request.profile)
-        if known is None:
-            known = Times(first_token=seconds, total=seconds)
-        else:
-            known = Times(
-                first_token=known.first_token, total=_smooth(known.total, seconds)
-            )
-        self._by_profile[request.profile] = known
-        pool_seconds = self._seconds_by_pool.get(request.back_ends, seconds)
-        self._seconds_by_pool[request.back_ends] = _smooth(pool_seconds, seconds)
+        known = self._known(request, seconds)
+        self._by_profile[request.profile] = Times(
+            first_token=known.first_token, total=_smooth(known.total, seconds)
+        )
 
     def latest_start(self, request: RequestFacts) -> tuple[float, Reason]:
         """Return when the request must be dispatched, and the promise that binds."""
@@ -97,11 +86,35 @@
             return by_first_token, Reason.FIRST_TOKEN
         return by_deadline, Reason.DEADLINE
 
-    def seconds_between_places(
-        self, back_ends: tuple[str, ...], in_flight: int
-    ) -> float:
-        """Return how often a place comes free with `in_flight` running."""
-        return self._seconds_by_pool.get(back_ends, 0.0) / max(1, in_flight)
+    def _known(self, request: RequestFacts, seconds: float) -> Times:
+        first = Times(first_token=seconds, total=seconds)
+        return self._by_profile.get(request.profile, first)
+
+
+class Places:
+    """How often a place comes free for a set of back ends, by Little's law."""
+
+    def __init__(self) -> None:
+        self._in_flight_by_pool: dict[tuple[str, ...], int] = {}
+        self._seconds_by_pool: dict[tuple[str, ...], float] = {}
+
+    def started(self, pool: tuple[str, ...]) -> None:
+        """Count a dispatched request."""
+        self._in_flight_by_pool[pool] = self._in_flight_by_pool.get(pool, 0) + 1
+
+    def ended(self, pool: tuple[str, ...]) -> None:
+        """Count a request that runs no more."""
+        self._in_flight_by_pool[pool] -= 1
+
+    def finished(self, pool: tuple[str, ...], seconds: float) -> None:
+        """Take in one whole run's time."""
+        known = self._seconds_by_pool.get(pool, seconds)
+        self._seconds_by_pool[pool] = _smooth(known, seconds)
+
+    def seconds_between(self, pool: tuple[str, ...]) -> float:
+        """Return the seconds from one place to the next; 0 before any finished."""
+        in_flight = max(1, self._in_flight_by_pool.get(pool, 0))
+        return self._seconds_by_pool.get(pool, 0.0) / in_flight
 
 
 class Turns:
--- a/src/ragwortkeel/policy/queueing.py
+++ b/src/ragwortkeel/policy/queueing.py
@@ -39,12 +39,17 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Waiting:
-    """A request in the queue; it must be dispatched by `latest_start`."""
+    """A request that is to be dispatched, by `latest_start` at the latest.
+
+    `tried` are the upstreams where earlier attempts failed, and `may_have_run`
+    tells whether any of those may have run it.
+    """
 
     request: RequestFacts
-    attempt: int
     latest_start: float
+    attempt: int = 1
     tried: frozenset[str] = frozenset()
+    may_have_run: bool = False
 
 
 @dataclass(kw_only=True)
--- a/src/ragwortkeel/policy/scheduler.py
+++ b/src/ragwortkeel/policy/scheduler.py
@@ -10,7 +10,7 @@
 from random import Random
 
 from ragwortkeel.configuration import ServiceClass
-from ragwortkeel.policy.admission import ServiceTimes, Turns, retry_after
+from ragwortkeel.policy.admission import Places, ServiceTimes, Turns, retry_after
 from ragwortkeel.policy.facts import (
     Assignment,
     Decision,
@@ -36,9 +36,9 @@
 class _Running:
     """A request that was dispatched and has not ended."""
 
-    assignment: Assignment
+    waiting: Waiting
+    upstream: str
     dispatched_at: float
-    tried: frozenset[str]
     first_token_seen: bool = False
 
 
@@ -97,11 +97,11 @@
         self._turns_by_line: dict[tuple[tuple[str, ...], ServiceClass], Turns] = {}
         self._alone_by_id: dict[str, Waiting] = {}
         self._running_by_id: dict[str, _Running] = {}
-        self._in_flight_by_pool: dict[tuple[str, ...], int] = {}
         self._refusals: list[Refusal] = []
         self._retry_budget = RetryBudget(share=self._settings.retry_share)
         self._quarantine = Quarantine()
         self._times = ServiceTimes()
+        self._places = Places()
 
     def upstreams_changed(self, upstreams: Iterable[UpstreamFacts], now: float) -> None:
         """Take over the upstreams that may be given new work from now on."""
@@ -118,7 +118,8 @@
     def offer(self, request: RequestFacts, now: float) -> Decision:
         """Decide on a new request; `Queued` is followed up by `next`."""
         self._retry_budget.earn()
-        return self._consider(request, attempt=1, tried=frozenset(), now=now)
+        latest_start, _ = self._times.latest_start(request)
+        return self._consider(Waiting(request=request, latest_start=latest_start), now)
 
     def next(self, now: float) -> tuple[Assignment | Refusal, ...]:
         """Return what is to be dispatched or refused now."""
@@ -126,7 +127,7 @@
         for back_ends, queue in self._queues_by_pool.items():
             self._refusals += [self._refuse_late(w) for w in queue.expired(now)]
             if len(queue) and not self._upstreams.serving(back_ends):
-                self._refusals += [_no_upstream(w.request) for w in queue.clear()]
+                self._refusals += [_no_upstream(each) for each in queue.clear()]
             out += self._dispatch_from(queue, now)
         out += self._dispatch_alone(now)
         out += self._refusals
@@ -146,8 +147,8 @@
             return
         self._running_by_id[request_id] = replace(running, first_token_seen=True)
         seconds = now - running.dispatched_at
-        self._times.first_token(running.assignment.request, seconds)
-        self._upstreams.succeeded(running.assignment.upstream, now)
+        self._times.first_token(running.waiting.request, seconds)
+        self._upstreams.succeeded(running.upstream, now)
 
     def finished(self, request_id: str, now: float) -> None:
         """Note that a request ended with its whole answer."""
@@ -155,8 +156,10 @@
         running = self._end(request_id, now)
         if running is None:
             return
-        request = running.assignment.request
-        self._times.finished(request, now - running.dispatched_at)
+        request = running.waiting.request
+        seconds = now - running.dispatched_at
+        self._times.finished(request, seconds)
+        self._places.finished(request.back_ends, seconds)
         self._quarantine.finished(request.fingerprint)
 
     def left(self, request_id: str, now: float) -> str | None:
@@ -168,8 +171,8 @@
         running = self._end(request_id, now)
         if running is None:
             return None
-        self._upstreams.given_up(running.assignment.upstream, now)
-        return running.assignment.upstream
+        self._upstreams.given_up(running.upstream, now)
+        return running.upstream
 
     def failed(self, request_id: str, failure: Failure, now: float) -> Decision | None:
         """Note a failed attempt; decide whether the request gets another.
@@ -185,48 +188,37 @@
         running = self._end(request_id, now)
         if running is None:
             return None
-        self._upstreams.failed(running.assignment.upstream, failure, now)
+        self._upstreams.failed(running.upstream, failure, now)
         return self._after_failure(running, failure, now)
 
     def _after_failure(
         self, running: _Running, failure: Failure, now: float
     ) -> Decision:
-        request = running.assignment.request
-        attempt = running.assignment.attempt
-        tried = running.tried | {running.assignment.upstream}
-        may_have_run = failure not in (Failure.OVERLOADED, Failure.TURNED_AWAY)
+        did_not_run = failure in (Failure.OVERLOADED, Failure.TURNED_AWAY)
+        waiting = replace(
+            running.waiting,
+            tried=running.waiting.tried | {running.upstream},
+            may_have_run=running.waiting.may_have_run or not did_not_run,
+        )
         if failure is Failure.OVERLOADED:
-            return self._consider(request, attempt=attempt, tried=tried, now=now)
-        if may_have_run and not request.repeatable:
-            return _final(request, Reason.MUST_NOT_REPEAT, may_have_run=True)
-        if attempt >= MAX_ATTEMPTS:
-            return _final(request, Reason.ATTEMPTS, may_have_run=may_have_run)
-        if may_have_run and not self._retry_budget.take():
-            return _final(
-                request,
-                Reason.RETRY_BUDGET,
-                may_have_run=True,
-                retry_after_seconds=retry_after(1.0, self._random),
-            )
-        return self._consider(request, attempt=attempt + 1, tried=tried, now=now)
-
-    def _consider(
-        self, request: RequestFacts, *, attempt: int, tried: frozenset[str], now: float
-    ) -> Decision:
+            return self._consider(waiting, now)
+        if not did_not_run and not waiting.request.repeatable:
+            return _final(waiting, Reason.MUST_NOT_REPEAT)
+        if waiting.attempt >= MAX_ATTEMPTS:
+            return _final(waiting, Reason.ATTEMPTS)
+        if not did_not_run and not self._retry_budget.take():
+            return self._refuse(waiting, Reason.RETRY_BUDGET, 1.0)
+        return self._consider(replace(waiting, attempt=waiting.attempt + 1), now)
+
+    def _consider(self, waiting: Waiting, now: float) -> Decision:
+        request = waiting.request
         verdict = self._quarantine.verdict(request.fingerprint)
         if verdict is Verdict.REFUSE:
-            return _final(request, Reason.QUARANTINED)
+            return _final(waiting, Reason.QUARANTINED)
         if not self._upstreams.serving(request.back_ends):
-            return _no_upstream(request)
+            return _no_upstream(waiting)
         if now > request.deadline:
-            return _final(request, Reason.DEADLINE)
-        latest_start, _ = self._times.latest_start(request)
-        waiting = Waiting(
-            request=request,
-            attempt=attempt,
-            latest_start=latest_start,
-            tried=tried,
-        )
+            return _final(waiting, Reason.DEADLINE)
         if verdict is Verdict.ALONE:
             self._alone_by_id[request.request_id] = waiting
             return Queued(request=request, estimated_wait_seconds=0.0)
@@ -243,16 +235,15 @@
         latest_start, reason = self._times.latest_start(request)
         excess_seconds = now + wait_seconds - latest_start
         if excess_seconds > 0.0:
-            return self._refuse(request, reason, excess_seconds)
+            return self._refuse(waiting, reason, excess_seconds)
         if not queue.waiting(request.service):
             self._turns(request).waiting_from(now)
-        displaced = queue.push(waiting)
-        if displaced is waiting:
-            return self._refuse(request, Reason.QUEUE_FULL, wait_seconds)
+        displaced = queue.push(replace(waiting, latest_start=latest_start))
+        if displaced and displaced.request is request:
+            return self._refuse(waiting, Reason.QUEUE_FULL, wait_seconds)
         if displaced:
-            self._refusals.append(
-                self._refuse(displaced.request, Reason.FAIR_SHARE, wait_seconds)
-            )
+            refusal = self._refuse(displaced, Reason.FAIR_SHARE, wait_seconds)
+            self._refusals.append(refusal)
         return Queued(request=request, estimated_wait_seconds=wait_seconds)
 
     def _wait_seconds(
@@ -261,15 +252,11 @@
         if not self._settings.has(Mechanism.ESTIMATED_WAIT):
             return 0.0
         ahead = queue.ahead(request) + 1.0
-        fallback = self._seconds_between_places(request)
+        fallback = self._places.seconds_between(request.back_ends)
         idle = not queue.waiting(request.service)
         turns = self._turns(request)
         return ahead * turns.seconds_each(fallback, idle=idle, now=now)
 
-    def _seconds_between_places(self, request: RequestFacts) -> float:
-        in_flight = self._in_flight_by_pool.get(request.back_ends, 0)
-        return self._times.seconds_between_places(request.back_ends, in_flight)
-
     def _turns(self, request: RequestFacts) -> Turns:
         key = (request.back_ends, request.service)
         return self._turns_by_line.setdefault(key, Turns())
@@ -282,16 +269,31 @@
             waiting = queue.peek(open_services)
             if waiting is None:
                 break
+            if self._hold_back(queue, waiting):
+                continue
             assignment = self._place(waiting, now)
             if assignment is None:
                 open_services.discard(waiting.request.service)
                 continue
             queue.take(waiting)
-            fallback = self._seconds_between_places(waiting.request)
+            fallback = self._places.seconds_between(waiting.request.back_ends)
             self._turns(waiting.request).taken(fallback, now)
             out.append(assignment)
         return out
 
+    def _hold_back(self, queue: FairQueue, waiting: Waiting) -> bool:
+        """Take out a request that came under suspicion while it waited."""
+        request = waiting.request
+        match self._quarantine.verdict(request.fingerprint):
+            case Verdict.REFUSE:
+                self._refusals.append(_final(waiting, Reason.QUARANTINED))
+            case Verdict.ALONE:
+                self._alone_by_id[request.request_id] = waiting
+            case _:
+                return False
+        queue.remove(request.request_id)
+        return True
+
     def _dispatch_alone(self, now: float) -> list[Assignment]:
         out: list[Assignment] = []
         for request_id, waiting in list(self._alone_by_id.items()):
@@ -323,9 +325,9 @@
         have run at two crashes, though only one is to blame.
         """
         return frozenset(
-            running.assignment.upstream
+            running.upstream
             for running in self._running_by_id.values()
-            if self._quarantine.verdict(running.assignment.request.fingerprint)
+            if self._quarantine.verdict(running.waiting.request.fingerprint)
             is Verdict.SUSPECT
         )
 
@@ -333,23 +335,21 @@
         self, waiting: Waiting, upstream: str, *, alone: bool, now: float
     ) -> Assignment:
         request = waiting.request
-        assignment = Assignment(
-            request=request, upstream=upstream, attempt=waiting.attempt, alone=alone
-        )
         self._running_by_id[request.request_id] = _Running(
-            assignment=assignment, dispatched_at=now, tried=waiting.tried
+            waiting=waiting, upstream=upstream, dispatched_at=now
         )
-        in_flight = self._in_flight_by_pool.get(request.back_ends, 0)
-        self._in_flight_by_pool[request.back_ends] = in_flight + 1
+        self._places.started(request.back_ends)
         self._upstreams.started(request.request_id, upstream, alone=alone, now=now)
-        return assignment
+        return Assignment(
+            request=request, upstream=upstream, attempt=waiting.attempt, alone=alone
+        )
 
     def _end(self, request_id: str, now: float) -> _Running | None:
         running = self._running_by_id.pop(request_id, None)
         if running is None:
             return None
-        self._in_flight_by_pool[running.assignment.request.back_ends] -= 1
-        self._upstreams.ended(request_id, running.assignment.upstream, now)
+        self._places.ended(running.waiting.request.back_ends)
+        self._upstreams.ended(request_id, running.upstream, now)
         return running
 
     def _queue(self, back_ends: tuple[str, ...]) -> FairQueue:
@@ -367,34 +367,25 @@
 
     def _refuse_late(self, waiting: Waiting) -> Refusal:
         _, reason = self._times.latest_start(waiting.request)
-        return self._refuse(waiting.request, reason, 0.0)
-
-    def _refuse(
-        self, request: RequestFacts, reason: Reason, wait_seconds: float
-    ) -> Refusal:
-        return _final(
-            request,
-            reason,
-            retry_after_seconds=retry_after(wait_seconds, self._random),
-        )
+        return self._refuse(waiting, reason, 0.0)
+
+    def _refuse(self, waiting: Waiting, reason: Reason, wait_seconds: float) -> Refusal:
+        seconds = retry_after(wait_seconds, self._random)
+        return _final(waiting, reason, retry_after_seconds=seconds)
 
 
 def _final(
-    request: RequestFacts,
-    reason: Reason,
-    *,
-    may_have_run: bool = False,
-    retry_after_seconds: float = 0.0,
+    waiting: Waiting, reason: Reason, *, retry_after_seconds: float = 0.0
 ) -> Refusal:
     return Refusal(
-        request=request,
+        request=waiting.request,
         reason=reason,
         retry_after_seconds=retry_after_seconds,
-        may_have_run=may_have_run,
+        may_have_run=waiting.may_have_run,
     )
 
 
-def _no_upstream(request: RequestFacts) -> Refusal:
+def _no_upstream(waiting: Waiting) -> Refusal:
     return _final(
-        request, Reason.NO_UPSTREAM, retry_after_seconds=NO_UPSTREAM_RETRY_SECONDS
+        waiting, Reason.NO_UPSTREAM, retry_after_seconds=NO_UPSTREAM_RETRY_SECONDS
     )
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -129,6 +129,21 @@
         assert sum(isinstance(a, Assignment | Queued) for a in answers) <= 15
         assert {refusal.reason for refusal in spent} == {Reason.RETRY_BUDGET}
 
+    def test_refused_in_the_queue_after_a_failed_attempt_is_not_called_unrun(self):
+        """An attempt breaks off; the retry finds all places taken.
+
+        The request waits and then can no longer make it.  Refused as not run,
+        its caller would ask again for what may have run.
+        """
+        made = scheduler(2, first_limit=1)
+        made.offer(request("r1"), now=0.0)
+        made.offer(request("r2"), now=0.0)
+        made.report(LoadReport(upstream="m0", running=5, waiting=0, limit=1), now=0.0)
+        made.report(LoadReport(upstream="m1", running=5, waiting=0, limit=1), now=0.0)
+        assert isinstance(made.failed("r1", Failure.ERROR, now=0.1), Queued)
+        (refusal,) = made.next(now=2.0)
+        assert refusal.may_have_run
+
     def test_left_caller_frees_its_place(self):
         made = scheduler(1, first_limit=1)
         made.offer(request("r1"), now=0.0)
@@ -170,6 +185,16 @@
         places = [made.offer(request(name), now=0.0).upstream for name in "abc"]
         assert len(set(places)) == 3
 
+    def test_suspected_while_it_waits_is_not_dispatched(self):
+        made = scheduler(1, first_limit=1)
+        made.offer(request("r1"), now=0.0)
+        made.offer(request("poison"), now=0.0)
+        alone = frozenset(["body-poison"])
+        made.crashed(Crash(crash_id="c", fingerprints=alone, alone=True), now=0.1)
+        made.finished("r1", now=0.2)
+        (refusal,) = made.next(now=0.2)
+        assert refusal.reason is Reason.QUARANTINED
+
     def test_runs_alone_then_refused(self):
         made = scheduler(2)
         self.crash(made, "c1", "poison")
