Send a whole HTTP answer in one write

Cause: head, body and end were three writes and often three packets. Change: respond joins them; streaming is as before.

--- a/src/ragwortkeel/http_responder.py
+++ b/src/ragwortkeel/http_responder.py
@@ -49,17 +49,14 @@
     ) -> None:
         """Send a whole response."""
         fields = {"content-length": str(len(body))} | (headers or {})
-        await self.start(status, fields)
-        await self.send(body)
-        await self.finish()
+        events = [self._head(status, fields)]
+        if body and not self.bodiless:
+            events.append(h11.Data(data=body))
+        await self._write(*events, h11.EndOfMessage())
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Send status and headers; without a length the body is chunked."""
-        self.started = True
-        if self.closing:
-            headers = headers | {"connection": "close"}
-        fields = [(k.encode(), v.encode("latin-1")) for k, v in headers.items()]
-        await self._write(h11.Response(status_code=status, headers=fields))
+        await self._write(self._head(status, headers))
 
     async def send(self, data: bytes) -> None:
         """Send a piece of the body; nothing in answer to a HEAD request."""
@@ -80,8 +77,15 @@
         with suppress(OSError):
             await self._sock.shutdown(_socket.SHUT_RDWR)
 
-    async def _write(self, event) -> None:
-        data = self._conn.send(event)
+    def _head(self, status: int, headers: dict[str, str]) -> h11.Response:
+        self.started = True
+        if self.closing:
+            headers = headers | {"connection": "close"}
+        fields = [(k.encode(), v.encode("latin-1")) for k, v in headers.items()]
+        return h11.Response(status_code=status, headers=fields)
+
+    async def _write(self, *events) -> None:
+        data = b"".join([self._conn.send(event) for event in events])
         if data:
             try:
                 await self._sock.sendall(data)
