Budget: ledger, slices, seals, receipts and their state machine

Cause: nothing kept a prepaid budget. Routers need to admit without a call to the platform and never to run more than is prepaid, whoever dies or is cut off.

Change: budget/ holds the ledger (one object a profile), the grant and renewal in it, the router's slice, the order of reads and writes over lost answers (refresh), a sidecar's accounts and seals, receipts and the bill, slice sizes. A grant names the sidecars that may carry it (at most 64), so a ledger-side seal bounds at once what can be hidden: settled plus cap for each named sidecar, and a sidecar that joins later can carry nothing of an old grant. A transfer is a give-back with a taker in the same conditional update, so it needs no protocol of its own. Top-up ids carry how many operations there were when they were made; a retry of one that has left the ledger is refused.

Ruled out: transfer from router to router outside the ledger (a seal of the giver would return tokens that the taker holds); charging a gone sidecar its bound at once: the state machine found that bound plus a late exact report of another sidecar exceed the grant (74 charged or settled, 71 held), now charged at the close only, with a test.

--- /dev/null
+++ b/src/ragwortkeel/budget/sizing.py
@@ -0,0 +1,91 @@
+"""How large a router's slice and its exposure cap should be.
+
+Answers uneven and changing demand for one budget.  Slices too small run dry in
+an outage; slices too large strand tokens with routers that nobody asks, which
+is what an equal split does at the end of a budget.  So a router aims at its
+share, by demand, of all that is unspent, and at no more than the outage to ride
+out needs.
+"""
+
+from dataclasses import dataclass
+
+from ragwortkeel.budget.ledger import Ledger
+from ragwortkeel.configuration import Spread
+
+RIDE_OUT_MARGIN = {Spread.WIDE: 2.0, Spread.NARROW: 1.0}
+"""Demand of the next outage against demand now; a doubling is ordinary."""
+
+SHARE_HANDED_OUT = {Spread.WIDE: 0.9, Spread.NARROW: 0.5}
+"""Part of the unspent tokens out in slices; the rest waits for shifts."""
+
+CAP_SKEW = {Spread.WIDE: 3.0, Spread.NARROW: 1.5}
+"""How uneven the spend through a router's sidecars may be before one is full."""
+
+MIN_CAP_REQUESTS = 4
+"""A cap lets this many of the largest requests through one sidecar at least."""
+
+GIVE_BACK_FACTOR = 1.25
+"""Give back only what is well above the target, so that slices don't swing."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class SliceNeed:
+    """What sizing looks at, in tokens, tokens a minute and seconds."""
+
+    holding: int
+    demand: int
+    largest_request: int
+    ride_out_seconds: float
+    spread: Spread
+
+
+def target_holding(ledger: Ledger, *, router: str, need: SliceNeed) -> int:
+    """Return the unspent tokens that the router should hold, reserved ones too."""
+    unspent = max(0, ledger.prepaid - ledger.total_spent)
+    others = sum(g.demand for r, g in ledger.grants.items() if r != router)
+    share = need.demand / max(1, need.demand + others)
+    handed_out = unspent * SHARE_HANDED_OUT[need.spread]
+    outage = need.demand / 60 * need.ride_out_seconds
+    target = min(handed_out * share, outage * RIDE_OUT_MARGIN[need.spread])
+    # A request above the target still has to pass while tokens are left.
+    return max(int(target), need.largest_request)
+
+
+def to_take(ledger: Ledger, *, router: str, need: SliceNeed) -> int:
+    """Return how many tokens to ask for now."""
+    target = target_holding(ledger, router=router, need=need)
+    return min(max(0, target - need.holding), ledger.rest)
+
+
+def to_give_back(ledger: Ledger, *, router: str, need: SliceNeed) -> int:
+    """Return how many tokens the router holds for nothing."""
+    if ledger.retired:
+        return need.holding
+    target = target_holding(ledger, router=router, need=need)
+    if ledger.recall_to is not None:
+        missing = max(0, ledger.held - ledger.recall_to)
+        return max(missing, need.holding - target)
+    if need.holding <= target * GIVE_BACK_FACTOR:
+        return 0
+    return need.holding - target
+
+
+def exposure_cap(*, holding: int, sidecars: int, need: SliceNeed) -> int:
+    """Return the unsettled spend to allow through one sidecar.
+
+    In an outage nothing settles, so all caps together must let the whole slice
+    be spent, also when one sidecar gets several times its share.
+    """
+    fair = holding / max(1, sidecars)
+    floor = MIN_CAP_REQUESTS * need.largest_request
+    return max(int(fair * CAP_SKEW[need.spread]), floor)
+
+
+def best_giver(ledger: Ledger, *, router: str) -> str | None:
+    """Return the router that holds most unspent tokens for its demand."""
+    spare = {
+        name: (grant.granted - grant.used) / (1 + grant.demand)
+        for name, grant in ledger.grants.items()
+        if name != router and not grant.sealed and grant.granted > grant.used
+    }
+    return max(spare, key=spare.__getitem__, default=None)
--- a/src/ragwortkeel/exceptions.py
+++ b/src/ragwortkeel/exceptions.py
@@ -98,3 +98,100 @@
 
 class RunError(RagwortkeelError):
     """Base of the errors of intents, journals and answers."""
+
+
+class BudgetRefused(BudgetError):
+    """Tokens can't be reserved now; nothing ran and nothing is charged.
+
+    Attributes
+    ----------
+    profile : str
+        Whose budget it is.
+    tokens_left : int
+        Tokens the refuser still sees unreserved, too few for the request.
+    retry_after_seconds : float
+        When coming back may help.
+    """
+
+    reason = "budget_refused"
+
+    def __init__(
+        self, *, profile: str, tokens_left: int, retry_after_seconds: float
+    ) -> None:
+        super().__init__(f"{profile}: {self.reason}, {tokens_left} tokens left")
+        self.profile = profile
+        self.tokens_left = tokens_left
+        self.retry_after_seconds = retry_after_seconds
+
+
+class BudgetExhausted(BudgetRefused):
+    """The prepaid tokens are spent or committed elsewhere."""
+
+    reason = "budget_exhausted"
+
+
+class BudgetUnreachable(BudgetRefused):
+    """The router's slice is used up and the platform can't be asked for more."""
+
+    reason = "budget_unreachable"
+
+
+class ExposureFull(BudgetRefused):
+    """Too much spend through this sidecar is not yet in the ledger."""
+
+    reason = "exposure_full"
+
+
+class SidecarNotNamed(BudgetRefused):
+    """The router's grant in the ledger does not name this sidecar yet."""
+
+    reason = "sidecar_not_named"
+
+
+class RouterSealed(BudgetError):
+    """The router incarnation is sealed; it has to go on under a new one."""
+
+    def __init__(self, *, router: str) -> None:
+        super().__init__(f"{router} is sealed")
+        self.router = router
+
+
+class LedgerError(BudgetError):
+    """Base of the errors of a ledger's transitions; the ledger is unchanged."""
+
+
+class LedgerFull(LedgerError):
+    """The ledger would outgrow what the platform takes as one value."""
+
+
+class SettledBeyondGrant(LedgerError):
+    """A router settles more than it was granted; the caller has a defect."""
+
+
+class BudgetCommitted(LedgerError):
+    """A lowering goes below what is spent or committed.
+
+    Attributes
+    ----------
+    lowerable_tokens : int
+        By how much the budget can be lowered at once.
+    spent : int
+        What is spent for good; no recall can go below it.
+    """
+
+    def __init__(self, *, lowerable_tokens: int, spent: int) -> None:
+        super().__init__(f"at most {lowerable_tokens} tokens can be taken off now")
+        self.lowerable_tokens = lowerable_tokens
+        self.spent = spent
+
+
+class StaleOperation(LedgerError):
+    """The operation is too old to tell whether it was applied; nothing changed."""
+
+
+class InvalidOperation(LedgerError):
+    """The operation id was not made by `ledger.operation_id`."""
+
+
+class BudgetRetired(LedgerError):
+    """The budget is retired and takes no more changes."""
--- /dev/null
+++ b/tests/budget/test_refresh.py
@@ -0,0 +1,97 @@
+"""Lost answers between a slice and its ledger."""
+
+import pytest
+
+from ragwortkeel.budget.ledger import Ledger
+from ragwortkeel.budget.refresh import SliceRefresh
+from ragwortkeel.budget.slice import Slice
+from ragwortkeel.exceptions import BudgetExhausted, RouterSealed
+
+
+@pytest.fixture
+def refresh():
+    return SliceRefresh(slice_=Slice(profile="p", router="r1"))
+
+
+def put(refresh, ledger, **fields):
+    refresh.slice.propose(**{"nonce": "n", "cap": 50} | fields)
+    return ledger.renew(refresh.slice.pending)
+
+
+@pytest.fixture
+def funded(refresh):
+    """100 prepaid, 60 of them in the slice."""
+    ledger = put(refresh, Ledger(prepaid=100), sidecars=("s1",), want=60)
+    refresh.written(ledger)
+    return ledger
+
+
+class TestLostAnswer:
+    def test_write_that_landed_is_taken_over(self, refresh, funded):
+        ledger = put(refresh, funded, nonce="m", want=10)
+        refresh.unknown(version=1)
+        refresh.read(ledger, version=2)
+        assert refresh.slice.granted == 70
+
+    def test_tokens_given_back_stay_away_while_the_write_may_land(
+        self, refresh, funded
+    ):
+        """A caller is admitted on tokens that another router has got.
+
+        The write that gives 60 back is sent and its answer lost.  A read still
+        shows the old ledger, and the slice spends the 60.  Then the write lands
+        and another router takes them: both spend the same tokens.
+        """
+        put(refresh, funded, nonce="m", give_back=60)
+        refresh.unknown(version=1)
+        refresh.read(funded, version=1)
+        with pytest.raises(BudgetExhausted):
+            refresh.slice.reserve(sidecar="s1", tokens=10)
+
+    def test_tokens_are_back_once_the_write_can_not_land(self, refresh, funded):
+        put(refresh, funded, nonce="m", give_back=60)
+        refresh.unknown(version=1)
+        refresh.read(funded, version=2)
+        assert refresh.slice.reserve(sidecar="s1", tokens=10)
+
+    def test_stale_read_does_not_free_them(self, refresh, funded):
+        put(refresh, funded, nonce="m", give_back=60)
+        refresh.unknown(version=5)
+        refresh.read(funded, version=4)
+        assert refresh.slice.free == 0
+
+    def test_refused_write_frees_them_at_once(self, refresh, funded):
+        put(refresh, funded, nonce="m", give_back=60, cap=10)
+        refresh.refused()
+        assert (refresh.slice.free, refresh.slice.cap) == (60, 50)
+
+    def test_refusal_after_a_lost_answer_frees_nothing(self, refresh, funded):
+        put(refresh, funded, nonce="m", give_back=60)
+        refresh.unknown(version=1)
+        refresh.refused()
+        assert refresh.slice.free == 0
+
+
+class TestSealed:
+    @pytest.mark.parametrize("reported", [False, True])
+    def test_owner_learns_it(self, refresh, funded, reported):
+        ledger = funded.seal("r1")
+        if reported:
+            ledger = ledger.report(router="r1", sidecar="s1", tokens=0)
+        with pytest.raises(RouterSealed):
+            refresh.read(ledger, version=9)
+
+
+class TestDroppedSidecar:
+    def test_is_folded_and_never_named_again(self, refresh, funded):
+        """A sidecar counts for its whole life, so naming it twice charges twice."""
+        reservation = refresh.slice.reserve(sidecar="s1", tokens=10)
+        refresh.slice.drop("s1")
+        ledger = put(refresh, funded, nonce="a")
+        refresh.written(ledger)
+        assert "s1" in ledger.grants["r1"].settled
+        refresh.slice.settle(reservation, spent=4)
+        ledger = put(refresh, ledger, nonce="b", sidecars=("s1",))
+        refresh.written(ledger)
+        assert (ledger.grants["r1"].folded, ledger.grants["r1"].settled) == (4, {})
+        assert "s1" not in put(refresh, ledger, sidecars=("s1",)).grants["r1"].settled
--- /dev/null
+++ b/tests/budget/test_sizing.py
@@ -0,0 +1,84 @@
+"""Slice sizes and caps."""
+
+import pytest
+
+from ragwortkeel.budget.grant import Grant
+from ragwortkeel.budget.ledger import Ledger
+from ragwortkeel.budget.sizing import (
+    SliceNeed,
+    best_giver,
+    exposure_cap,
+    to_give_back,
+    to_take,
+)
+from ragwortkeel.configuration import Spread
+
+
+def need(**fields):
+    defaults = {
+        "holding": 0,
+        "demand": 600,
+        "largest_request": 10,
+        "ride_out_seconds": 60.0,
+        "spread": Spread.WIDE,
+    }
+    return SliceNeed(**defaults | fields)
+
+
+class TestTake:
+    @pytest.mark.parametrize(
+        ("prepaid", "spread", "taken"),
+        [
+            (100_000, Spread.WIDE, 1200),
+            (100_000, Spread.NARROW, 600),
+            (1000, Spread.WIDE, 900),
+            (1000, Spread.NARROW, 500),
+            (7, Spread.WIDE, 7),
+        ],
+    )
+    def test_outage_to_ride_out_or_the_share_left(self, prepaid, spread, taken):
+        ledger = Ledger(prepaid=prepaid)
+        assert to_take(ledger, router="r1", need=need(spread=spread)) == taken
+
+    def test_share_follows_demand(self):
+        busy = Grant(granted=0, demand=1800)
+        ledger = Ledger(prepaid=1000, grants={"r2": busy})
+        assert to_take(ledger, router="r1", need=need()) == 225
+
+
+class TestGiveBack:
+    def test_idle_slice_goes_back_but_for_one_request(self):
+        ledger = Ledger(prepaid=1000, grants={"r1": Grant(granted=500)})
+        idle = need(holding=500, demand=0)
+        assert to_give_back(ledger, router="r1", need=idle) == 490
+
+    def test_slice_near_its_target_stays(self):
+        ledger = Ledger(prepaid=10_000, grants={"r1": Grant(granted=1300)})
+        assert to_give_back(ledger, router="r1", need=need(holding=1300)) == 0
+
+    def test_recall_and_retirement_call_slices_in(self):
+        grants = {"r1": Grant(granted=900)}
+        recalled = Ledger(prepaid=1000, grants=grants, recall_to=400)
+        assert to_give_back(recalled, router="r1", need=need(holding=900)) == 500
+        retired = Ledger(prepaid=1000, grants=grants, retired=True)
+        assert to_give_back(retired, router="r1", need=need(holding=900)) == 900
+
+
+class TestCap:
+    def test_all_caps_let_an_uneven_slice_be_spent(self):
+        assert exposure_cap(holding=900, sidecars=3, need=need()) == 900
+
+    def test_large_requests_pass(self):
+        assert exposure_cap(holding=0, sidecars=3, need=need()) == 40
+
+
+class TestGiver:
+    def test_is_the_one_that_holds_most_for_its_demand(self):
+        grants = {
+            "r1": Grant(granted=500),
+            "r2": Grant(granted=500, demand=100),
+            "r3": Grant(granted=50, demand=0),
+            "r4": Grant(granted=900, sealed=True),
+        }
+        assert best_giver(Ledger(grants=grants), router="r1") == "r3"
+        assert best_giver(Ledger(), router="r1") is None
