Membership from heartbeats and the lagging list; registration of nodes

Missing: nothing said which nodes are there, and routers did not register.

A node is dead only once it is silent on a link that was opened to it and two lists, read 2 s apart and after it fell silent, lack it. Heartbeats outweigh any list; an address taken over by a later incarnation speaks for that one only; two routers act on a death.

Ruled out: the list alone (frozen from before a node came it would remove it), silence alone (a cut link or a pause is no death), a lease in the platform per node (11,000 renewals every few seconds).

--- /dev/null
+++ b/src/ragwortkeel/registration.py
@@ -0,0 +1,68 @@
+"""Keeping a node registered in the platform, and its view of the members fresh."""
+
+from collections.abc import Callable
+from time import monotonic
+
+import curio
+import msgspec
+
+from ragwortkeel.configuration import NODES, Node
+from ragwortkeel.exceptions import AlreadyExists, PlatformError
+from ragwortkeel.membership import Membership
+from ragwortkeel.platform import Platform
+
+RETRY_SECONDS = 1.0
+LOOK_SECONDS = 1.0
+
+
+async def register(platform: Platform, node: Node) -> None:
+    """Register the node, through an outage if need be."""
+    value = msgspec.json.encode(node)
+    while True:
+        try:
+            await platform.create(NODES, node.incarnation, value)
+        except AlreadyExists:
+            # Incarnations are unique: an earlier try took effect after all.
+            return
+        except PlatformError:
+            await curio.sleep(RETRY_SECONDS)
+        else:
+            return
+
+
+async def deregister(platform: Platform, node: Node) -> bool:
+    """Take the node off; return whether the platform confirmed it.
+
+    One that could not is left to the others, who find it silent and unlisted.
+    """
+    try:
+        stored = await platform.get(NODES, node.incarnation)
+        if stored is not None:
+            await platform.delete(NODES, node.incarnation, stored.version)
+    except PlatformError:
+        return False
+    return True
+
+
+async def follow_list(
+    platform: Platform,
+    membership: Membership,
+    *,
+    clock: Callable[[], float] = monotonic,
+) -> None:
+    """Read the platform's list of instances as the membership wants it."""
+    while True:
+        if membership.wants_list(clock()):
+            await _read_list(platform, membership, clock)
+        await curio.sleep(LOOK_SECONDS)
+
+
+async def _read_list(
+    platform: Platform, membership: Membership, clock: Callable[[], float]
+) -> None:
+    asked_at = clock()
+    try:
+        instances = await platform.live()
+    except PlatformError:
+        return
+    membership.listed(instances.values(), asked_at=asked_at)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,200 @@
+"""Liveness from heartbeats and the platform's lagging list."""
+
+import curio
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ragwortkeel.configuration import NODES, Node
+from ragwortkeel.configuration_store import deleted
+from ragwortkeel.membership import SILENCE_SECONDS, Liveness, Membership
+from ragwortkeel.messages import VersionedObject
+from ragwortkeel.platform import Instance
+from ragwortkeel.registration import deregister, follow_list, register
+from ragwortkeel.standins.local_platform import LocalPlatform
+
+
+def node(name="r1", address="10.0.0.1:1", role="router"):
+    return Node(
+        incarnation=name, role=role, zone="a", address=address, http_address=address
+    )
+
+
+def shown(address="10.0.0.1:1", leaving=False):
+    return Instance(name="i", address=address, role="router", zone="a", leaving=leaving)
+
+
+HERE, AWAY = [shown()], []
+
+
+def after(*events):
+    """Return the liveness at 20.0 s of a node registered at 0.0 s."""
+    members = Membership()
+    members.registered(node())
+    for at, event in events:
+        match event:
+            case "probe":
+                members.probing("r1", at)
+            case "heard":
+                members.heard("r1", at)
+            case "leaving":
+                members.heard("r1", at, leaving=True)
+            case list():
+                members.listed(event, asked_at=at)
+    return members.liveness("r1", 20.0)
+
+
+class TestLiveness:
+    @pytest.mark.parametrize(
+        ("events", "expected"),
+        [
+            ([], Liveness.STARTING),
+            ([(1, HERE)], Liveness.ALIVE),
+            ([(1, AWAY)], Liveness.STARTING),
+            ([(1, AWAY), (5, AWAY), (9, AWAY)], Liveness.STARTING),
+            ([(19, "probe")], Liveness.STARTING),
+            ([(19, "heard")], Liveness.ALIVE),
+            ([(19, "leaving")], Liveness.LEAVING),
+            ([(1, [shown(leaving=True)])], Liveness.LEAVING),
+            ([(19, "heard"), (19.5, AWAY)], Liveness.ALIVE),
+            ([(1, AWAY), (5, AWAY), (19, "heard")], Liveness.ALIVE),
+            ([(1, "heard"), (2, HERE)], Liveness.SUSPECT),
+            ([(1, "heard"), (2, AWAY)], Liveness.SUSPECT),
+            ([(1, "heard"), (2, AWAY), (3, AWAY)], Liveness.SUSPECT),
+            ([(1, "heard"), (2, AWAY), (4, AWAY)], Liveness.DEAD),
+            ([(1, "heard"), (2, AWAY), (4, AWAY), (6, HERE)], Liveness.SUSPECT),
+            ([(1, "probe"), (2, AWAY), (4, AWAY)], Liveness.DEAD),
+            ([(2, AWAY), (4, AWAY), (6, "probe")], Liveness.SUSPECT),
+            ([(2, AWAY), (4, AWAY), (6, "heard"), (7, AWAY)], Liveness.SUSPECT),
+        ],
+    )
+    def test_evidence(self, events, expected):
+        assert after(*events) == expected
+
+    def test_frozen_list_removes_no_working_node(self):
+        """The platform's list stands still from before a router started.
+
+        The router registers, serves callers and answers heartbeats; the list
+        never shows it.  Taken at its word the list would have it sealed.
+        """
+        beats = [(at, "heard") for at in range(20)]
+        lists = [(at + 0.5, AWAY) for at in range(20)]
+        assert after(*sorted(beats + lists, key=lambda e: e[0])) == Liveness.ALIVE
+
+    def test_address_taken_over_by_a_later_incarnation(self):
+        members = Membership()
+        members.registered(node("old"))
+        members.heard("old", 1.0)
+        members.registered(node("new"))
+        members.listed(HERE, asked_at=2.0)
+        members.listed(HERE, asked_at=5.0)
+        assert members.liveness("old", 9.0) == Liveness.DEAD
+        assert members.liveness("new", 9.0) == Liveness.ALIVE
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["probe", "heard", HERE, AWAY]), st.floats(0.1, 5)
+            ),
+            max_size=30,
+        )
+    )
+    def test_dead_only_by_both(self, steps):
+        now = 0.0
+        silent_since = misses = None
+        members = Membership()
+        members.registered(node())
+        for event, seconds in steps:
+            now += seconds
+            match event:
+                case "probe":
+                    members.probing("r1", now)
+                    silent_since = now if silent_since is None else silent_since
+                case "heard":
+                    members.heard("r1", now)
+                    silent_since, misses = now, 0
+                case list():
+                    members.listed(event, asked_at=now)
+                    heard = silent_since is not None and silent_since < now
+                    misses = (misses or 0) + 1 if event is AWAY and heard else 0
+            if members.liveness("r1", now) is Liveness.DEAD:
+                assert now - silent_since >= SILENCE_SECONDS
+                assert misses >= 2
+
+
+class TestWhoActs:
+    def test_few_act_and_somebody_does(self):
+        names = [f"r{i}" for i in range(20)]
+        acting = []
+        for own in names:
+            members = Membership()
+            for i, name in enumerate(names):
+                members.registered(node(name, address=f"10.0.0.{i}:1"))
+            members.registered(node("dead", address="10.9.9.9:1"))
+            members.probing("dead", 0.0)
+            acting += [own] if members.responsible("dead", 9.0, own) else []
+        assert len(acting) == 2
+
+    def test_unlisted_and_unheard_is_probed_first(self):
+        members = Membership()
+        members.registered(node())
+        members.listed(AWAY, asked_at=1.0)
+        assert members.to_probe() == [node()]
+        members.probing("r1", 2.0)
+        assert members.to_probe() == []
+
+    def test_list_is_read_more_often_with_a_suspect(self):
+        members = Membership()
+        members.registered(node())
+        assert members.wants_list(0.0)
+        members.listed(HERE, asked_at=0.0)
+        assert not members.wants_list(10.0)
+        members.probing("r1", 1.0)
+        assert members.wants_list(10.0)
+
+
+class TestRegistration:
+    def test_objects_come_and_go(self):
+        members = Membership()
+        value = msgspec.json.encode(node())
+        one = VersionedObject(kind=NODES, name="r1", version=1, value=value)
+        odd = VersionedObject(kind=NODES, name="odd", version=2, value=b"?")
+        members.apply([one, odd])
+        assert members.nodes(0.0, Liveness.STARTING) == [node()]
+        members.apply([deleted(NODES, "r1", 3)])
+        assert members.liveness("r1", 0.0) is None
+
+    @pytest.mark.parametrize("fault", ["down", "lost_answers"])
+    def test_registers_through_faults(self, fault, monkeypatch):
+        monkeypatch.setattr("ragwortkeel.registration.RETRY_SECONDS", 0.01)
+
+        async def main():
+            platform = LocalPlatform()
+            setattr(platform.switches, fault, 1)
+            task = await curio.spawn(register, platform, node())
+            await curio.sleep(0.05)
+            platform.switches.down = False
+            await task.join()
+            assert platform.peek(NODES, "r1")
+            assert await deregister(platform, node())
+            assert platform.peek(NODES, "r1") is None
+            assert await deregister(platform, node())
+            platform.switches.down = True
+            assert not await deregister(platform, node())
+
+        curio.run(main)
+
+    def test_list_is_followed(self):
+        async def main():
+            platform = LocalPlatform()
+            platform.set_live(HERE)
+            members = Membership()
+            members.registered(node())
+            task = await curio.spawn(follow_list, platform, members)
+            await curio.sleep(0.05)
+            await task.cancel()
+            assert members.liveness("r1", 0.0) is Liveness.ALIVE
+            assert platform.counts.reads == 1
+
+        curio.run(main)
