--- /dev/null
+++ b/benchmarks/configuration_spread.py
@@ -0,0 +1,113 @@
+"""How fast a change spreads, and what it costs each node.
+
+Plays the exchange of a whole fleet in one process, round by round, with lost
+messages: ``python -m benchmarks.configuration_spread``.  One line a size.
+"""
+
+from random import Random
+
+from ragwortkeel.configuration import PROFILES, Node
+from ragwortkeel.configuration_exchange import Exchange
+from ragwortkeel.configuration_schedule import WATCHERS_PER_ZONE, rendezvous
+from ragwortkeel.configuration_store import ConfigurationStore
+from ragwortkeel.gossip import COMPARE_SECONDS, SPREAD_SECONDS
+from ragwortkeel.messages import Envelope, VersionedObject, encode
+from ragwortkeel.router.neighbours import partners
+
+SIZES = ((3, 3), (50, 5), (250, 25), (1_000, 25))
+CHANGES = 40
+LOSS = 0.01
+PUSH_ROUNDS_PER_COMPARE = round(COMPARE_SECONDS / SPREAD_SECONDS)
+MAX_ROUNDS = 100
+VALUE = b'{"pad":"%s"}' % (b"x" * 280)
+
+
+class Fleet:
+    """Exchanges of all nodes by address; counts the bytes each sends."""
+
+    def __init__(self, *, nodes: int, zones: int, random: Random) -> None:
+        self.random = random
+        self.members = [_node(number, zones) for number in range(nodes)]
+        self.exchange_by_address = {
+            node.address: self._exchange(node) for node in self.members
+        }
+        self.sent_bytes = 0
+
+    def change(self, version: int) -> None:
+        """Let each zone's watchers learn a change."""
+        one = VersionedObject(
+            kind=PROFILES, name=f"p{version}", version=version, value=VALUE
+        )
+        for zone in {node.zone for node in self.members}:
+            members = [node.address for node in self.members if node.zone == zone]
+            for address in rendezvous(zone, members, WATCHERS_PER_ZONE):
+                self.exchange_by_address[address].learn([one])
+
+    def rounds_until_everywhere(self) -> int:
+        """Play rounds until all stores are equal; return how many it took."""
+        for round_number in range(MAX_ROUNDS):
+            if len({e.store.root(PROFILES) for e in self._exchanges()}) == 1:
+                return round_number
+            self.play(compare=round_number % PUSH_ROUNDS_PER_COMPARE == 0)
+        return MAX_ROUNDS
+
+    def play(self, *, compare: bool) -> None:
+        """Play one round of pushes, and of digests where `compare`."""
+        flying = []
+        for address, exchange in self.exchange_by_address.items():
+            sends = exchange.spread() + (exchange.compare() if compare else [])
+            flying += [(address, send) for send in sends]
+        while flying:
+            sender, send = flying.pop()
+            envelope = Envelope(sender=sender, revision=1, message=send.message)
+            self.sent_bytes += len(encode(envelope))
+            if self.random.random() < LOSS:
+                continue
+            receiver = self.exchange_by_address[send.peer]
+            answers = receiver.receive(sender, send.message)
+            flying += [(send.peer, answer) for answer in answers]
+
+    def _exchange(self, node: Node) -> Exchange:
+        exchange = Exchange(
+            store=ConfigurationStore(kinds=(PROFILES,)),
+            random=Random(self.random.random()),
+        )
+        found = partners(self.members, address=node.address, zone=node.zone)
+        exchange.partners = sorted(found)
+        return exchange
+
+    def _exchanges(self):
+        return self.exchange_by_address.values()
+
+
+def _node(number: int, zones: int) -> Node:
+    address = f"10.{number // 250}.0.{number % 250}:7100"
+    return Node(
+        incarnation=f"r{number}",
+        role="router",
+        zone=f"z{number % zones}",
+        address=address,
+        http_address=address,
+    )
+
+
+def main() -> None:
+    """Print one line for each size of fleet."""
+    for nodes, zones in SIZES:
+        fleet = Fleet(nodes=nodes, zones=zones, random=Random(1))
+        rounds = []
+        for version in range(1, CHANGES + 1):
+            fleet.change(version)
+            rounds.append(fleet.rounds_until_everywhere())
+        per_change = fleet.sent_bytes / CHANGES / nodes
+        worst = max(rounds) * SPREAD_SECONDS
+        mean = sum(rounds) / CHANGES * SPREAD_SECONDS
+        print(
+            f"nodes={nodes} zones={zones} changes={CHANGES} loss={LOSS} "
+            f"mean_seconds={mean:.2f} worst_seconds={worst:.2f} "
+            f"bytes_per_node_per_change={per_change:.0f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/ragwortkeel/configuration_exchange.py
+++ b/src/ragwortkeel/configuration_exchange.py
@@ -44,6 +44,9 @@
 BRANCHES_AT_ONCE = 8
 """Branches walked at once by one exchange; keeps the answers to a few pushes."""
 
+CALLER_ROUNDS = 5
+"""Digests that a caller may miss before nothing is pushed to it any more."""
+
 UNKNOWN = -1
 """Below any revision: not even an empty list was read."""
 
@@ -85,6 +88,8 @@
         self._rounds_by_key: dict[tuple[str, str], int] = {}
         self._asked: set[str] = set()
         self._unfinished: set[str] = set()
+        self._round = 0
+        self._round_by_caller: dict[str, int] = {}
         self._fresh: list[VersionedObject] = []
 
     def learn(self, objects: Iterable[VersionedObject]) -> list[VersionedObject]:
@@ -111,13 +116,21 @@
         push = self._fresh_push()
         if push is None:
             return []
-        count = min(PUSH_PARTNERS, len(self.partners))
-        chosen = self._random.sample(list(self.partners), count)
+        # Who chose this node as a partner is pushed to as well: some nodes are
+        # nobody's partner, and would learn only from their own digests.
+        peers = sorted({*self.partners, *self._round_by_caller})
+        chosen = self._random.sample(peers, min(PUSH_PARTNERS, len(peers)))
         return [Send(peer=peer, message=push) for peer in chosen]
 
     def compare(self) -> list[Send]:
         """Return what asks one partner for all that may be missing here."""
         self._asked.clear()
+        self._round += 1
+        self._round_by_caller = {
+            caller: heard
+            for caller, heard in self._round_by_caller.items()
+            if self._round - heard <= CALLER_ROUNDS
+        }
         self._unfinished.intersection_update(self.partners)
         if not self.partners:
             return []
@@ -150,6 +163,8 @@
         answers: list[AnyMessage] = []
         match message:
             case ConfigurationDigest():
+                if message.roots.keys() >= set(self.store.whole_kinds):
+                    self._round_by_caller[peer] = self._round
                 answers = self._compare_roots(message)
             case ConfigurationBranches():
                 answers = self._compare_branches(peer, message)
--- a/src/ragwortkeel/configuration_store.py
+++ b/src/ragwortkeel/configuration_store.py
@@ -87,16 +87,22 @@
     """The objects of one kind by leaf, and the hashes over them."""
 
     def __init__(self) -> None:
-        self.packed_by_name: list[dict[str, bytes]] = [{} for _ in range(LEAVES)]
+        self.packed_by_name_by_leaf: dict[int, dict[str, bytes]] = {}
         self.leaf_hashes = [0] * LEAVES
         self.branch_hashes = [0] * BRANCHES
         self.root = 0
         self.size = 0
         self.value_bytes = 0
 
+    def leaf(self, leaf: int) -> dict[str, bytes]:
+        return self.packed_by_name_by_leaf.get(leaf, {})
+
+    def get(self, name: str) -> bytes | None:
+        return self.leaf(leaf_of(name)).get(name)
+
     def put(self, name: str, packed: bytes) -> None:
         leaf = leaf_of(name)
-        names = self.packed_by_name[leaf]
+        names = self.packed_by_name_by_leaf.setdefault(leaf, {})
         old = names.get(name)
         change = _hash(name, packed)
         if old is None:
@@ -150,27 +156,27 @@
 
     def get(self, kind: str, name: str) -> VersionedObject | None:
         """Return the newest known state of an object, gone ones included."""
-        packed = self._tree_by_kind[kind].packed_by_name[leaf_of(name)].get(name)
+        packed = self._tree_by_kind[kind].get(name)
         return None if packed is None else _unpack(kind, name, packed)
 
     def rank(self, kind: str, name: str) -> Rank | None:
         """Return the rank of an object, or None where it is not known."""
-        packed = self._tree_by_kind[kind].packed_by_name[leaf_of(name)].get(name)
+        packed = self._tree_by_kind[kind].get(name)
         return None if packed is None else Rank(*_HEAD.unpack_from(packed))
 
     def objects(self, kind: str) -> Iterator[VersionedObject]:
         """Yield all objects of a kind, gone ones included, in no order."""
-        for leaf in range(LEAVES):
+        for leaf in list(self._tree_by_kind[kind].packed_by_name_by_leaf):
             yield from self.leaf(kind, leaf)
 
     def leaf(self, kind: str, leaf: int) -> Iterator[VersionedObject]:
         """Yield the objects of one leaf."""
-        for name, packed in self._tree_by_kind[kind].packed_by_name[leaf].items():
+        for name, packed in self._tree_by_kind[kind].leaf(leaf).items():
             yield _unpack(kind, name, packed)
 
     def leaf_ranks(self, kind: str, leaf: int) -> dict[str, Rank]:
         """Return the rank by name of the objects of one leaf."""
-        names = self._tree_by_kind[kind].packed_by_name[leaf]
+        names = self._tree_by_kind[kind].leaf(leaf)
         return {name: Rank(*_HEAD.unpack_from(one)) for name, one in names.items()}
 
     def root(self, kind: str) -> int:
@@ -201,7 +207,7 @@
             return False
         if one.kind in self.only and one.name not in self.only[one.kind]:
             return False
-        held = tree.packed_by_name[leaf_of(one.name)].get(one.name)
+        held = tree.get(one.name)
         rank = rank_of(one)
         # The guard against reverting: a late watch, an old copy from a peer or
         # a repeated push would bring back a state that was replaced.
