Pages on configuration, membership and the command line

Missing: operators and developers had no page on what they configure, what a node knows when, and why.

--- a/src/ragwortkeel/platform.py
+++ b/src/ragwortkeel/platform.py
@@ -3,6 +3,10 @@
 The platform keeps objects of a *kind* under a *name*, each with a value (bytes,
 at most ``MAX_VALUE_BYTES``) and a version that changes with each write.  All
 that has to last or be agreed on goes through this interface.
+
+Versions and revisions count the same writes: a later write of any object has a
+higher version, also where the object was deleted and made anew, and a list or
+watch at a revision shows every version up to it.
 """
 
 from dataclasses import dataclass
--- a/tests/cli/test_cli_fleet.py
+++ b/tests/cli/test_cli_fleet.py
@@ -1,10 +1,21 @@
 """Which nodes a change must reach, and which of them lag."""
 
+import curio
+import msgspec
 import pytest
 
-from ragwortkeel.cli.fleet import InForce, NodeState, concerned, lagging_nodes
+from ragwortkeel.cli.fleet import (
+    InForce,
+    NodeState,
+    concerned,
+    lagging_nodes,
+    wait_in_force,
+)
 from ragwortkeel.cli.reports import span_lines
 from ragwortkeel.configuration import Node
+from ragwortkeel.exceptions import CommandLagging
+from ragwortkeel.httpio import HttpServer
+from ragwortkeel.standins.local_platform import LocalPlatform
 from ragwortkeel.traces import SpanRecord
 
 
@@ -78,3 +89,43 @@
             "run  [n] FAILED",
             "b  [n]",
         ]
+
+
+class TestWait:
+    @pytest.mark.parametrize("behind", [False, True])
+    def test_asks_the_nodes_over_http(self, behind):
+        async def main():
+            asked = []
+
+            async def handler(request, responder):
+                asked.append(request.query)
+                version = 4 if behind else 4 + len(asked)
+                body = msgspec.json.encode(InForce(revision=9, version=version))
+                await responder.respond(200, body)
+
+            server = HttpServer(host="127.0.0.1", port=0, handler=handler)
+            server.open()
+            task = await curio.spawn(server.serve)
+            one = Node(
+                incarnation="r1-x",
+                role="router",
+                zone="a",
+                address="10.0.0.1:1",
+                http_address=f"127.0.0.1:{server.port}",
+            )
+            platform = LocalPlatform()
+            platform.put("nodes", "r1-x", msgspec.json.encode(one))
+            try:
+                return asked, await wait_in_force(
+                    platform, kind="profiles", name="chat", version=6, seconds=1.0
+                )
+            finally:
+                await task.cancel()
+
+        if behind:
+            with pytest.raises(CommandLagging, match=r"r1-x \(4\)"):
+                curio.run(main)
+            return
+        asked, count = curio.run(main)
+        assert count == 1 and len(asked) == 2
+        assert asked[0] == {"kind": "profiles", "name": "chat"}
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,8 +1,12 @@
 """Contract of the settings files: whole or refused with where, what and why."""
 
+from pathlib import Path
+
 import msgspec
 import pytest
 
+from ragwortkeel.cli.definition import Definition
+from ragwortkeel.configuration import Upstream
 from ragwortkeel.exceptions import SettingsError
 from ragwortkeel.settings import (
     Address,
@@ -92,3 +96,16 @@
     def test_no_address(self, text):
         with pytest.raises(ValueError, match="ip:port"):
             Address.parse(text)
+
+
+class TestReference:
+    @pytest.mark.parametrize(
+        "cls",
+        [RouterSettings, SidecarSettings, CommandSettings, Definition, Upstream],
+    )
+    def test_every_field_is_explained(self, cls):
+        page = Path(__file__).parents[1] / "docs" / "CONFIGURATION.md"
+        text = page.read_text()
+        assert [name for name in cls.__struct_fields__ if f"`{name}`" not in text] == [
+            name for name in ("state", "retired") if name in cls.__struct_fields__
+        ]
