Let operators settle unresolved runs

Missing: a retry of an unresolved filing is refused with awaits_operator, and no operator could say anything.

resolve writes ran or not-run by conditional update. not-run frees the key for another run, so it is refused while the sidecar that had the run is still registered: cut off, it may have run it. Ruled out: freeing on the operator's word alone (filed twice).

--- a/src/ragwortkeel/cli/command.py
+++ b/src/ragwortkeel/cli/command.py
@@ -7,7 +7,8 @@
 
 from ragwortkeel.cli.plan import Plan, Session, carry_out
 from ragwortkeel.cli.profiles import ProfileCommands
-from ragwortkeel.cli.reports import status, trace, unresolved
+from ragwortkeel.cli.reports import status, trace
+from ragwortkeel.cli.runs import resolve, unresolved
 from ragwortkeel.cli.upstreams import UpstreamCommands
 from ragwortkeel.exceptions import CommandError, SettingsError
 
@@ -49,6 +50,25 @@
         """List runs that must not repeat and of which nobody knows if they ran."""
         return Plan(session=self._session, scenario=unresolved)
 
+    @SetParseFns(profile=str, request_id=str, word=str)
+    def resolve(self, profile, request_id, word):
+        """Say whether an unresolved run ran, after looking where it would show.
+
+        Parameters
+        ----------
+        profile
+            The profile, as `unresolved` lists it.
+        request_id
+            The request, as `unresolved` lists it.
+        word
+            ran, or not-run: then its caller may send it again.
+        """
+
+        async def scenario(platform):
+            return await resolve(platform, profile, request_id, word)
+
+        return Plan(session=self._session, scenario=scenario)
+
     @SetParseFns(trace_id=str)
     def trace(self, trace_id):
         """Show the spans of one request, from all nodes.
--- a/src/ragwortkeel/cli/reports.py
+++ b/src/ragwortkeel/cli/reports.py
@@ -1,14 +1,13 @@
-"""What the fleet looks like: status, runs left unresolved, traces."""
+"""What the fleet looks like: status and traces."""
 
 import msgspec
 
 from ragwortkeel.cli.fleet import NodeState, registered, spans, states
-from ragwortkeel.cli.objects import Objects, list_kind
+from ragwortkeel.cli.objects import Objects
 from ragwortkeel.cli.output import Result, table
-from ragwortkeel.configuration import INTENTS, PROFILES, UPSTREAMS, Profile, Upstream
-from ragwortkeel.exceptions import CommandError, RunError
+from ragwortkeel.configuration import PROFILES, UPSTREAMS, Profile, Upstream
+from ragwortkeel.exceptions import CommandError
 from ragwortkeel.platform import Platform
-from ragwortkeel.runs.intent import Intent, Verdict, decode
 from ragwortkeel.traces import SpanRecord
 
 
@@ -39,17 +38,6 @@
     draining_upstreams: int
 
 
-class UnresolvedRow(msgspec.Struct, frozen=True, kw_only=True):
-    """A run that must not repeat, of which nobody knows whether it ran."""
-
-    profile: str
-    request_id: str
-    upstream: str
-    sidecar: str
-    nonce: str
-    reason: str
-
-
 async def status(platform: Platform) -> Result:
     """Return nodes, profiles and upstreams."""
     found = await states(platform, await registered(platform))
@@ -71,20 +59,6 @@
     return Result(data=data, text=_status_text(data))
 
 
-async def unresolved(platform: Platform) -> Result:
-    """Return the runs that wait for an operator's word."""
-    listing = await list_kind(platform, INTENTS)
-    rows = []
-    for name in sorted(listing.by_name):
-        try:
-            intent = decode(listing.by_name[name].value)
-        except RunError as exc:
-            raise CommandError(f"intent {name} cannot be read: {exc}") from exc
-        if intent.outcome is not None and intent.outcome.verdict is Verdict.UNRESOLVED:
-            rows.append(_unresolved_row(intent))
-    return Result(data=rows, text=_unresolved_text(rows))
-
-
 async def trace(platform: Platform, trace_id: str) -> Result:
     """Return the spans of one request from all nodes."""
     found = await spans(platform, trace_id)
@@ -151,21 +125,3 @@
         f"{data.upstreams} upstreams ({data.draining_upstreams} draining)"
     )
     return f"{table(headings, rows)}\n{summary}"
-
-
-def _unresolved_row(intent: Intent) -> UnresolvedRow:
-    return UnresolvedRow(
-        profile=intent.profile,
-        request_id=intent.request_id,
-        upstream=intent.upstream,
-        sidecar=intent.sidecar,
-        nonce=intent.nonce,
-        reason=intent.outcome.reason,
-    )
-
-
-def _unresolved_text(rows: list[UnresolvedRow]) -> str:
-    if not rows:
-        return "nothing unresolved"
-    cells = [[r.profile, r.request_id, r.upstream, r.sidecar, r.reason] for r in rows]
-    return table(("profile", "request", "upstream", "sidecar", "reason"), cells)
--- a/tests/cli/test_cli_commands.py
+++ b/tests/cli/test_cli_commands.py
@@ -189,10 +189,15 @@
         assert code == 1 and "retired" in err[0]
 
 
-class TestReports:
-    def test_unresolved_runs(self, terminal):
-        def intent(request_id, verdict):
-            return Intent(
+class TestUnresolved:
+    @pytest.fixture
+    def three(self, terminal):
+        for request_id, verdict in (
+            ("open", None),
+            ("done", Verdict.RAN),
+            ("who-knows", Verdict.UNRESOLVED),
+        ):
+            intent = Intent(
                 profile="filing",
                 request_id=request_id,
                 fingerprint="f",
@@ -202,17 +207,51 @@
                 router="r",
                 outcome=verdict and Outcome(verdict=verdict, reason="sidecar_gone"),
             )
+            name = name_of("filing", request_id)
+            terminal.platform.put(INTENTS, name, encode(intent))
+        return terminal
 
-        for one in (
-            intent("open", None),
-            intent("done", Verdict.RAN),
-            intent("who-knows", Verdict.UNRESOLVED),
-        ):
-            name = name_of(one.profile, one.request_id)
-            terminal.platform.put(INTENTS, name, encode(one))
-        rows = msgspec.json.decode(terminal("unresolved --json")[1])
+    def test_listed(self, three):
+        rows = msgspec.json.decode(three("unresolved --json")[1])
         assert [row["request_id"] for row in rows] == ["who-knows"]
 
+    @pytest.mark.parametrize(
+        ("word", "verdict"), [("ran", Verdict.RAN), ("not-run", Verdict.NOT_RUN)]
+    )
+    def test_resolved(self, three, word, verdict):
+        assert three(f"resolve filing who-knows {word}")[0] == 0
+        intent = stored(three, INTENTS, name_of("filing", "who-knows"), Intent)
+        assert intent.outcome.verdict is verdict
+        assert "nothing unresolved" in three("unresolved")[1]
+
+    @pytest.mark.parametrize(
+        ("line", "said"),
+        [
+            ("open ran", "not unresolved"),
+            ("done not-run", "not unresolved"),
+            ("none ran", "not unresolved"),
+            ("who-knows maybe", "ran or not-run"),
+        ],
+    )
+    def test_refused(self, three, line, said):
+        revision = three.platform.revision
+        code, _, err = three(f"resolve filing {line}")
+        assert code == 1 and said in err[0]
+        assert three.platform.revision == revision
+
+    def test_not_run_waits_for_the_sidecar_to_be_gone(self, three):
+        """A sidecar is cut off while it runs a claim filing.
+
+        An operator sees the filing unresolved and frees its key; the caller
+        sends it again and it runs elsewhere: the claim is filed twice.
+        """
+        three.platform.put(NODES, "s-1", b"{}")
+        code, _, err = three("resolve filing who-knows not-run")
+        assert code == 1 and "still registered" in err[0]
+        assert three("resolve filing who-knows ran")[0] == 0
+
+
+class TestReports:
     def test_wait_names_the_nodes_that_lag(self, terminal):
         node = Node(
             incarnation="r1-x",
