Top-ups, lowerings and bills on the command line

Missing: operators could not add to a budget, take from it, or see a bill.

Each operation carries an id and is tried again after a lost race, for routers change ledgers all the time; one that took effect changes nothing the second time. A lost answer gives the id to repeat with. create writes the profile, then the budget under a fixed id, so that a repeat completes it. A bill with an unreadable receipt is refused rather than short.

Ruled out: ledger first, then profile (leaves a budget nobody can see); one conditional update without retry (a busy ledger never lets an operator in).

--- /dev/null
+++ b/src/ragwortkeel/cli/bills.py
@@ -0,0 +1,90 @@
+"""``ragwortkeel bill``: what callers owe, from the receipts in the platform."""
+
+import msgspec
+
+from ragwortkeel.budget.receipt import Bill, Segment
+from ragwortkeel.cli.objects import list_kind
+from ragwortkeel.cli.output import Result, table
+from ragwortkeel.configuration import RECEIPTS
+from ragwortkeel.exceptions import CommandError
+from ragwortkeel.messages import RunReceipt
+from ragwortkeel.platform import Platform
+
+_decoder = msgspec.json.Decoder(Segment | tuple[RunReceipt, ...])
+
+
+class RequestRow(msgspec.Struct, frozen=True, kw_only=True):
+    """One billed request."""
+
+    profile: str
+    request_id: str
+    tokens: int
+    sidecar: str
+
+
+class BillRow(msgspec.Struct, frozen=True, kw_only=True):
+    """What one profile owes, in tokens; `absorbed` ran and is billed to nobody."""
+
+    profile: str
+    requests: int
+    tokens: int
+    absorbed: int
+
+
+async def read_bill(platform: Platform) -> Bill:
+    """Return the bill over all receipts that are durable by now."""
+    listing = await list_kind(platform, RECEIPTS)
+    bill = Bill()
+    for stored in listing.by_name.values():
+        try:
+            found = _decoder.decode(stored.value)
+        except msgspec.DecodeError as exc:
+            # A bill that leaves receipts out in silence would be wrong.
+            raise CommandError(
+                f"receipts {stored.name} cannot be read, so no bill: {exc}"
+            ) from exc
+        receipts = found.receipts if isinstance(found, Segment) else found
+        for receipt in receipts:
+            bill.add(receipt)
+    return bill
+
+
+async def bill(platform: Platform, profile: str) -> Result:
+    """Return the bill of all profiles, or the requests of one."""
+    found = await read_bill(platform)
+    if profile:
+        rows = _request_rows(found, profile)
+        cells = [[row.request_id, row.tokens, row.sidecar] for row in rows]
+        return Result(data=rows, text=table(("request", "tokens", "sidecar"), cells))
+    rows = _bill_rows(found)
+    cells = [[row.profile, row.requests, row.tokens, row.absorbed] for row in rows]
+    headings = ("profile", "requests", "tokens", "absorbed")
+    return Result(data=rows, text=table(headings, cells))
+
+
+def _request_rows(found: Bill, profile: str) -> list[RequestRow]:
+    return [
+        RequestRow(
+            profile=profile,
+            request_id=request_id,
+            tokens=receipt.tokens,
+            sidecar=receipt.sidecar,
+        )
+        for (name, request_id), receipt in sorted(found.by_request.items())
+        if name == profile
+    ]
+
+
+def _bill_rows(found: Bill) -> list[BillRow]:
+    requests_by_profile: dict[str, int] = {}
+    for profile, _ in found.by_request:
+        requests_by_profile[profile] = requests_by_profile.get(profile, 0) + 1
+    return [
+        BillRow(
+            profile=profile,
+            requests=requests,
+            tokens=found.charged(profile),
+            absorbed=found.absorbed(profile),
+        )
+        for profile, requests in sorted(requests_by_profile.items())
+    ]
--- /dev/null
+++ b/src/ragwortkeel/cli/budgets.py
@@ -0,0 +1,193 @@
+"""Budgets as operators change them: each operation takes effect once.
+
+Routers change ledgers all the time, so a lost race is tried again here.  That
+is safe because an operation carries its id: one that took effect already, maybe
+with its answer lost, changes nothing the second time.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from uuid import uuid4
+
+import msgspec
+
+from ragwortkeel.budget.ledger import Ledger, decode_ledger, encode_ledger
+from ragwortkeel.cli.objects import list_kind, unavailable
+from ragwortkeel.configuration import LEDGERS
+from ragwortkeel.exceptions import (
+    AlreadyExists,
+    BudgetCommitted,
+    BudgetError,
+    CommandConflict,
+    CommandError,
+    CommandUncertain,
+    ObjectNotFound,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    VersionConflict,
+)
+from ragwortkeel.platform import Platform, Stored
+
+ATTEMPTS = 30
+"""1,000 routers renew a busy slice some times a second; one of 30 gets in."""
+
+Transition = Callable[[Ledger], Ledger]
+
+
+class BudgetRow(msgspec.Struct, frozen=True, kw_only=True):
+    """A profile's budget in tokens.
+
+    `held` is spent or committed; `rest` may still be taken by routers.
+    """
+
+    profile: str
+    prepaid: int
+    spent: int
+    held: int
+    rest: int
+    recall_to: int | None
+    retired: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class Changed:
+    """A ledger after an operation, and the id that repeats it safely."""
+
+    ledger: Ledger
+    operation_id: str
+
+
+class Budgets:
+    """The ledgers of all profiles."""
+
+    def __init__(self, *, platform: Platform) -> None:
+        self._platform = platform
+
+    async def find(self, profile: str) -> Ledger | None:
+        """Return a profile's ledger, or None where it has none."""
+        stored = await self._read(profile)
+        return None if stored is None else _decoded(stored)
+
+    async def all(self) -> dict[str, Ledger]:
+        """Return all ledgers by profile."""
+        listing = await list_kind(self._platform, LEDGERS)
+        return {name: _decoded(one) for name, one in listing.by_name.items()}
+
+    async def top_up(
+        self, profile: str, tokens: int, operation_id: str = ""
+    ) -> Changed:
+        """Add prepaid tokens; makes the ledger where there is none."""
+        operation_id = operation_id or await self._new_id(profile)
+        ledger = await self._apply(
+            profile,
+            lambda one: one.top_up(tokens=tokens, operation_id=operation_id),
+            operation_id,
+        )
+        return Changed(ledger=ledger, operation_id=operation_id)
+
+    async def lower(self, profile: str, tokens: int, operation_id: str = "") -> Changed:
+        """Take prepaid tokens off at once, or refuse."""
+        operation_id = operation_id or await self._new_id(profile)
+        ledger = await self._apply(
+            profile,
+            lambda one: one.lower(tokens=tokens, operation_id=operation_id),
+            operation_id,
+        )
+        return Changed(ledger=ledger, operation_id=operation_id)
+
+    async def recall(self, profile: str, to: int) -> Ledger:
+        """Lower the prepaid tokens to `to` as slices come back."""
+        return await self._apply(profile, lambda one: one.recall(to=to), "")
+
+    async def retire(self, profile: str) -> Ledger:
+        """Let routers take nothing more."""
+        return await self._apply(profile, lambda one: one.retire(), "")
+
+    async def _new_id(self, profile: str) -> str:
+        ledger = await self.find(profile) or Ledger()
+        return ledger.operation_id(uuid4().hex[:12])
+
+    async def _apply(
+        self, profile: str, transition: Transition, operation_id: str
+    ) -> Ledger:
+        maybe_written = False
+        for _ in range(ATTEMPTS):
+            try:
+                return await self._try(profile, transition)
+            except (VersionConflict, AlreadyExists, ObjectNotFound):
+                continue
+            except OutcomeUnknown:
+                # The operation's id in the ledger tells whether it took effect:
+                # the next round reads it and then changes nothing.
+                maybe_written = True
+            except PlatformUnavailable as exc:
+                if maybe_written:
+                    raise _uncertain(profile, operation_id) from exc
+                raise unavailable(exc) from exc
+            except BudgetError as exc:
+                raise _refused(profile, exc) from exc
+        if maybe_written:
+            raise _uncertain(profile, operation_id)
+        raise CommandConflict(
+            f"the budget of {profile} changes too fast to get in; nothing was "
+            "written: run this again"
+        )
+
+    async def _try(self, profile: str, transition: Transition) -> Ledger:
+        stored = await self._platform.get(LEDGERS, profile)
+        if stored is None:
+            ledger = transition(Ledger())
+            value = encode_ledger(ledger)
+            await self._platform.create(LEDGERS, profile, value)
+            return ledger
+        before = _decoded(stored)
+        ledger = transition(before)
+        if ledger != before:
+            value = encode_ledger(ledger)
+            await self._platform.update(LEDGERS, profile, value, stored.version)
+        return ledger
+
+    async def _read(self, profile: str) -> Stored | None:
+        try:
+            return await self._platform.get(LEDGERS, profile)
+        except PlatformUnavailable as exc:
+            raise unavailable(exc) from exc
+
+
+def row_of(profile: str, ledger: Ledger) -> BudgetRow:
+    """Return a ledger as operators read it."""
+    return BudgetRow(
+        profile=profile,
+        prepaid=ledger.prepaid,
+        spent=ledger.total_spent,
+        held=ledger.held,
+        rest=ledger.rest,
+        recall_to=ledger.recall_to,
+        retired=ledger.retired,
+    )
+
+
+def _decoded(stored: Stored) -> Ledger:
+    try:
+        return decode_ledger(stored.value)
+    except msgspec.DecodeError as exc:
+        raise CommandError(
+            f"the budget of {stored.name} holds what this release cannot read: {exc}"
+        ) from exc
+
+
+def _refused(profile: str, exc: BudgetError) -> CommandError:
+    if isinstance(exc, BudgetCommitted):
+        return CommandError(
+            f"budget of {profile}: {exc}; add --recall to lower it as soon as the "
+            f"routers give back, but not below {exc.spent}, which are spent"
+        )
+    return CommandError(f"budget of {profile}: {exc}")
+
+
+def _uncertain(profile: str, operation_id: str) -> CommandUncertain:
+    repeat = f" with --operation-id {operation_id}" if operation_id else ""
+    return CommandUncertain(
+        f"the platform's answer was lost: the budget of {profile} may or may not be "
+        f"changed; run this again{repeat}, which never takes effect twice"
+    )
--- a/src/ragwortkeel/cli/command.py
+++ b/src/ragwortkeel/cli/command.py
@@ -5,6 +5,7 @@
 import fire
 from fire.decorators import SetParseFns
 
+from ragwortkeel.cli.bills import bill
 from ragwortkeel.cli.plan import Plan, Session, carry_out
 from ragwortkeel.cli.profiles import ProfileCommands
 from ragwortkeel.cli.reports import status, trace
@@ -46,6 +47,21 @@
         """Show nodes, what they have in force, and counts of objects."""
         return Plan(session=self._session, scenario=status)
 
+    @SetParseFns(profile=str)
+    def bill(self, profile=""):
+        """Show what each profile owes, or each billed request of one.
+
+        Parameters
+        ----------
+        profile
+            The profile; all of them without it.
+        """
+
+        async def scenario(platform):
+            return await bill(platform, profile)
+
+        return Plan(session=self._session, scenario=scenario)
+
     def unresolved(self):
         """List runs that must not repeat and of which nobody knows if they ran."""
         return Plan(session=self._session, scenario=unresolved)
--- /dev/null
+++ b/src/ragwortkeel/cli/profile_rows.py
@@ -0,0 +1,73 @@
+"""Profiles and budgets as operators read them."""
+
+import msgspec
+
+from ragwortkeel.budget.ledger import Ledger
+from ragwortkeel.cli.budgets import BudgetRow, row_of
+from ragwortkeel.cli.objects import Held
+from ragwortkeel.cli.output import Result, table
+from ragwortkeel.configuration import Profile
+
+
+class ProfileRow(msgspec.Struct, frozen=True, kw_only=True):
+    """A profile as listed; without a budget its callers are refused."""
+
+    profile: Profile
+    version: int
+    budget: BudgetRow | None = None
+
+
+class BudgetChange(msgspec.Struct, frozen=True, kw_only=True):
+    """A changed budget, and the id under which the change can be repeated."""
+
+    budget: BudgetRow
+    operation_id: str
+
+
+def budget_result(name: str, ledger: Ledger, operation_id: str) -> Result:
+    """Return what to show of a changed budget."""
+    row = row_of(name, ledger)
+    text = (
+        f"budget of {name}: {row.prepaid} prepaid, {row.spent} spent, {row.rest} free"
+    )
+    if row.recall_to is not None:
+        text += f", to be lowered to {row.recall_to} as slices come back"
+    data = BudgetChange(budget=row, operation_id=operation_id)
+    return Result(data=data, text=text)
+
+
+def row_of_profile(held: Held[Profile], ledger: Ledger | None) -> ProfileRow:
+    """Return a profile with its budget, where it has one."""
+    name = held.value.name
+    budget = None if ledger is None else row_of(name, ledger)
+    return ProfileRow(profile=held.value, version=held.version, budget=budget)
+
+
+def profile_table(rows: list[ProfileRow]) -> str:
+    """Return profiles as a table."""
+    cells = [
+        [
+            row.profile.name,
+            row.profile.customer,
+            row.profile.service,
+            f"{row.profile.deadline_seconds:g}",
+            ",".join(row.profile.back_ends),
+            "retired" if row.profile.retired else "active",
+            row.budget.prepaid if row.budget else "none",
+            row.budget.spent if row.budget else "none",
+            row.version,
+        ]
+        for row in rows
+    ]
+    headings = (
+        "name",
+        "customer",
+        "service",
+        "deadline s",
+        "back ends",
+        "state",
+        "prepaid",
+        "spent",
+        "version",
+    )
+    return table(headings, cells)
--- a/src/ragwortkeel/cli/profiles.py
+++ b/src/ragwortkeel/cli/profiles.py
@@ -1,22 +1,31 @@
 """``ragwortkeel profile``: creating, changing and retiring profiles."""
 
+from collections.abc import Awaitable
+
 import msgspec
 from fire.decorators import SetParseFns
 
+from ragwortkeel.budget.ledger import Ledger
+from ragwortkeel.cli.budgets import Budgets
 from ragwortkeel.cli.definition import changed, defined
 from ragwortkeel.cli.fleet import wait_in_force
 from ragwortkeel.cli.objects import Held, Objects
-from ragwortkeel.cli.output import Result, fields, table
+from ragwortkeel.cli.output import Result, fields
 from ragwortkeel.cli.plan import Plan, Session
+from ragwortkeel.cli.profile_rows import (
+    ProfileRow,
+    budget_result,
+    profile_table,
+    row_of_profile,
+)
 from ragwortkeel.configuration import PROFILES, Profile
+from ragwortkeel.exceptions import CommandError, CommandUncertain
 from ragwortkeel.platform import Platform
 
+FIRST_OPERATION = "create"
+"""The same for every try to create a profile, so that none adds twice."""
 
-class ProfileRow(msgspec.Struct, frozen=True, kw_only=True):
-    """A profile as listed."""
-
-    profile: Profile
-    version: int
+MAX_TOKENS = 10**15
 
 
 class ProfileCommands:
@@ -92,6 +101,7 @@
             definition = defined(str(file), flags)
             profile = definition.profile()
             version = await _objects(platform).create(profile.name, profile)
+            await _first_budget(platform, profile.name, definition.prepaid_tokens)
             held = Held(value=profile, version=version)
             return await _done(platform, held, "created", wait)
 
@@ -149,6 +159,58 @@
 
         return Plan(session=self._session, scenario=scenario)
 
+    @SetParseFns(name=str, operation_id=str)
+    def top_up(self, name, tokens, *, operation_id=""):
+        """Add tokens to a profile's prepaid budget.
+
+        Parameters
+        ----------
+        name
+            The profile.
+        tokens
+            How many to add.
+        operation_id
+            Of an earlier try whose answer was lost; it never adds twice.
+        """
+
+        async def scenario(platform: Platform) -> Result:
+            await _check_active(platform, name)
+            changed = await Budgets(platform=platform).top_up(
+                name, _count(tokens), operation_id
+            )
+            return budget_result(name, changed.ledger, changed.operation_id)
+
+        return Plan(session=self._session, scenario=scenario)
+
+    @SetParseFns(name=str, operation_id=str)
+    def lower(self, name, tokens, *, recall=False, operation_id=""):
+        """Take tokens off a profile's prepaid budget.
+
+        Parameters
+        ----------
+        name
+            The profile.
+        tokens
+            How many to take off.
+        recall
+            Where they are committed to routers: take them as they come back.
+        operation_id
+            Of an earlier try whose answer was lost; it never takes off twice.
+        """
+
+        async def scenario(platform: Platform) -> Result:
+            budgets = Budgets(platform=platform)
+            ledger = await budgets.find(name)
+            if ledger is None:
+                raise CommandError(f"no budget of {name}; see `profile list`")
+            if recall:
+                to = ledger.prepaid - _count(tokens)
+                return budget_result(name, await budgets.recall(name, to), "")
+            changed = await budgets.lower(name, _count(tokens), operation_id)
+            return budget_result(name, changed.ledger, changed.operation_id)
+
+        return Plan(session=self._session, scenario=scenario)
+
     @SetParseFns(name=str)
     def retire(self, name, *, wait=0.0):
         """Retire a profile for good: its callers are refused from then on.
@@ -162,8 +224,17 @@
         """
 
         async def scenario(platform: Platform) -> Result:
-            held = await _objects(platform).change(
-                str(name), lambda one: msgspec.structs.replace(one, retired=True)
+            objects = _objects(platform)
+            held = await objects.read(name)
+            if not held.value.retired:
+                held = await objects.change(
+                    name, lambda one: msgspec.structs.replace(one, retired=True)
+                )
+            budgets = Budgets(platform=platform)
+            await _after(
+                budgets.retire(name),
+                f"profile {name} is retired, but its budget is still open: run "
+                "this again",
             )
             return await _done(platform, held, "retired", wait)
 
@@ -171,7 +242,7 @@
 
     @SetParseFns(name=str)
     def show(self, name):
-        """Show all fields of a profile.
+        """Show all fields of a profile, and its budget.
 
         Parameters
         ----------
@@ -180,27 +251,57 @@
         """
 
         async def scenario(platform: Platform) -> Result:
-            held = await _objects(platform).read(str(name))
-            row = ProfileRow(profile=held.value, version=held.version)
-            text = f"{fields(held.value)}\nversion {held.version}"
-            return Result(data=row, text=text)
+            held = await _objects(platform).read(name)
+            row = row_of_profile(held, await Budgets(platform=platform).find(name))
+            parts = [fields(held.value), f"version {held.version}"]
+            parts.append(fields(row.budget) if row.budget else "no budget")
+            return Result(data=row, text="\n".join(parts))
 
         return Plan(session=self._session, scenario=scenario)
 
     def list(self):
-        """List the profiles."""
+        """List the profiles with their budgets."""
 
         async def scenario(platform: Platform) -> Result:
             held = await _objects(platform).all()
+            ledgers = await Budgets(platform=platform).all()
             rows = [
-                ProfileRow(profile=one.value, version=one.version)
-                for one in held.values()
+                row_of_profile(one, ledgers.get(name)) for name, one in held.items()
             ]
-            return Result(data=rows, text=_table(rows))
+            return Result(data=rows, text=profile_table(rows))
 
         return Plan(session=self._session, scenario=scenario)
 
 
+async def _first_budget(platform: Platform, name: str, tokens: int) -> None:
+    operation_id = Ledger().operation_id(FIRST_OPERATION)
+    await _after(
+        Budgets(platform=platform).top_up(name, tokens, operation_id),
+        f"profile {name} is created, but perhaps without its budget: run "
+        f"`ragwortkeel profile top-up {name} {tokens} --operation-id {operation_id}`",
+    )
+
+
+async def _after(second_step: Awaitable, text: str) -> None:
+    """Await the second of two writes; a failure must not deny the first."""
+    try:
+        await second_step
+    except CommandError as exc:
+        raise CommandUncertain(f"{text} ({exc})") from exc
+
+
+async def _check_active(platform: Platform, name: str) -> None:
+    held = await _objects(platform).read(name)
+    if held.value.retired:
+        raise CommandError(f"profile {name} is retired for good; nothing was added")
+
+
+def _count(tokens: object) -> int:
+    if type(tokens) is not int or not 0 < tokens <= MAX_TOKENS:
+        raise CommandError(f"tokens: found {tokens}; allowed: 1 to {MAX_TOKENS}")
+    return tokens
+
+
 async def _done(
     platform: Platform, held: Held[Profile], done: str, wait: float
 ) -> Result:
@@ -220,28 +321,3 @@
 
 def _objects(platform: Platform) -> Objects[Profile]:
     return Objects(platform=platform, kind=PROFILES, cls=Profile, noun="profile")
-
-
-def _table(rows: list[ProfileRow]) -> str:
-    cells = [
-        [
-            row.profile.name,
-            row.profile.customer,
-            row.profile.service,
-            f"{row.profile.deadline_seconds:g}",
-            ",".join(row.profile.back_ends),
-            "retired" if row.profile.retired else "active",
-            row.version,
-        ]
-        for row in rows
-    ]
-    headings = (
-        "name",
-        "customer",
-        "service",
-        "deadline s",
-        "back ends",
-        "state",
-        "version",
-    )
-    return table(headings, cells)
