--- /dev/null
+++ b/src/ragwortkeel/cli/profiles.py
@@ -0,0 +1,323 @@
+"""``ragwortkeel profile``: creating, changing and retiring profiles."""
+
+from collections.abc import Awaitable
+
+import msgspec
+from fire.decorators import SetParseFns
+
+from ragwortkeel.budget.ledger import Ledger
+from ragwortkeel.cli.budgets import Budgets
+from ragwortkeel.cli.definition import changed, defined
+from ragwortkeel.cli.fleet import wait_in_force
+from ragwortkeel.cli.objects import Held, Objects
+from ragwortkeel.cli.output import Result, fields
+from ragwortkeel.cli.plan import Plan, Session
+from ragwortkeel.cli.profile_rows import (
+    ProfileRow,
+    budget_result,
+    profile_table,
+    row_of_profile,
+)
+from ragwortkeel.configuration import PROFILES, Profile
+from ragwortkeel.exceptions import CommandError, CommandUncertain
+from ragwortkeel.platform import Platform
+
+FIRST_OPERATION = "create"
+"""The same for every try to create a profile, so that none adds twice."""
+
+MAX_TOKENS = 10**15
+
+
+class ProfileCommands:
+    """Create, change, top up and retire profiles."""
+
+    def __init__(self, *, session: Session) -> None:
+        self._session = session
+
+    @SetParseFns(name=str, file=str, customer=str, service=str, back_ends=str)
+    def create(
+        self,
+        name=None,
+        *,
+        file="",
+        customer=None,
+        service=None,
+        deadline_seconds=None,
+        first_token_seconds=None,
+        back_ends=None,
+        max_output_tokens=None,
+        call_tokens=None,
+        spread=None,
+        ride_out_seconds=None,
+        prepaid_tokens=None,
+        wait=0.0,
+    ):
+        """Create a profile, from a file, from flags, or from both.
+
+        Parameters
+        ----------
+        name
+            What callers will pick it by.
+        file
+            A JSON file with any of the fields below; flags go before it.
+        customer
+            Whose it is.
+        service
+            interactive, batch or must_not_repeat.
+        deadline_seconds
+            Within how many seconds the whole answer is due.
+        first_token_seconds
+            Within how many seconds the first token is due.
+        back_ends
+            The back ends that it may run on, separated by commas.
+        max_output_tokens
+            The most tokens that one answer may have.
+        call_tokens
+            What one call of a plain service costs.
+        spread
+            wide (fewer false refusals) or narrow (less outstanding).
+        ride_out_seconds
+            How long an outage the routers' slices should last.
+        prepaid_tokens
+            The budget it starts with.
+        wait
+            Seconds to wait until it is in force everywhere.
+        """
+        flags = {
+            "name": None if name is None else str(name),
+            "customer": customer,
+            "service": service,
+            "deadline_seconds": deadline_seconds,
+            "first_token_seconds": first_token_seconds,
+            "back_ends": back_ends,
+            "max_output_tokens": max_output_tokens,
+            "call_tokens": call_tokens,
+            "spread": spread,
+            "ride_out_seconds": ride_out_seconds,
+            "prepaid_tokens": prepaid_tokens,
+        }
+
+        async def scenario(platform: Platform) -> Result:
+            definition = defined(str(file), flags)
+            profile = definition.profile()
+            version = await _objects(platform).create(profile.name, profile)
+            await _first_budget(platform, profile.name, definition.prepaid_tokens)
+            held = Held(value=profile, version=version)
+            return await _done(platform, held, "created", wait)
+
+        return Plan(session=self._session, scenario=scenario)
+
+    @SetParseFns(name=str, customer=str, service=str, back_ends=str)
+    def change(
+        self,
+        name,
+        *,
+        version=None,
+        customer=None,
+        service=None,
+        deadline_seconds=None,
+        first_token_seconds=None,
+        back_ends=None,
+        max_output_tokens=None,
+        call_tokens=None,
+        spread=None,
+        ride_out_seconds=None,
+        wait=0.0,
+    ):
+        """Change fields of a profile; those not given stay as they are.
+
+        Parameters
+        ----------
+        name
+            The profile.
+        version
+            The version you looked at: refuse if it was changed since.
+        customer, service, deadline_seconds, first_token_seconds, back_ends
+            As for create.
+        max_output_tokens, call_tokens, spread, ride_out_seconds
+            As for create.
+        wait
+            Seconds to wait until the change is in force everywhere.
+        """
+        flags = {
+            "customer": customer,
+            "service": service,
+            "deadline_seconds": deadline_seconds,
+            "first_token_seconds": first_token_seconds,
+            "back_ends": back_ends,
+            "max_output_tokens": max_output_tokens,
+            "call_tokens": call_tokens,
+            "spread": spread,
+            "ride_out_seconds": ride_out_seconds,
+        }
+
+        async def scenario(platform: Platform) -> Result:
+            held = await _objects(platform).change(
+                str(name), lambda profile: changed(profile, flags), version=version
+            )
+            return await _done(platform, held, "changed", wait)
+
+        return Plan(session=self._session, scenario=scenario)
+
+    @SetParseFns(name=str, operation_id=str)
+    def top_up(self, name, tokens, *, operation_id=""):
+        """Add tokens to a profile's prepaid budget.
+
+        Parameters
+        ----------
+        name
+            The profile.
+        tokens
+            How many to add.
+        operation_id
+            Of an earlier try whose answer was lost; it never adds twice.
+        """
+
+        async def scenario(platform: Platform) -> Result:
+            await _check_active(platform, name)
+            changed = await Budgets(platform=platform).top_up(
+                name, _count(tokens), operation_id
+            )
+            return budget_result(name, changed.ledger, changed.operation_id)
+
+        return Plan(session=self._session, scenario=scenario)
+
+    @SetParseFns(name=str, operation_id=str)
+    def lower(self, name, tokens, *, recall=False, operation_id=""):
+        """Take tokens off a profile's prepaid budget.
+
+        Parameters
+        ----------
+        name
+            The profile.
+        tokens
+            How many to take off.
+        recall
+            Where they are committed to routers: take them as they come back.
+        operation_id
+            Of an earlier try whose answer was lost; it never takes off twice.
+        """
+
+        async def scenario(platform: Platform) -> Result:
+            budgets = Budgets(platform=platform)
+            ledger = await budgets.find(name)
+            if ledger is None:
+                raise CommandError(f"no budget of {name}; see `profile list`")
+            if recall:
+                to = ledger.prepaid - _count(tokens)
+                return budget_result(name, await budgets.recall(name, to), "")
+            changed = await budgets.lower(name, _count(tokens), operation_id)
+            return budget_result(name, changed.ledger, changed.operation_id)
+
+        return Plan(session=self._session, scenario=scenario)
+
+    @SetParseFns(name=str)
+    def retire(self, name, *, wait=0.0):
+        """Retire a profile for good: its callers are refused from then on.
+
+        Parameters
+        ----------
+        name
+            The profile; its name is not used again.
+        wait
+            Seconds to wait until that is in force everywhere.
+        """
+
+        async def scenario(platform: Platform) -> Result:
+            objects = _objects(platform)
+            held = await objects.read(name)
+            if not held.value.retired:
+                held = await objects.change(
+                    name, lambda one: msgspec.structs.replace(one, retired=True)
+                )
+            budgets = Budgets(platform=platform)
+            await _after(
+                budgets.retire(name),
+                f"profile {name} is retired, but its budget is still open: run "
+                "this again",
+            )
+            return await _done(platform, held, "retired", wait)
+
+        return Plan(session=self._session, scenario=scenario)
+
+    @SetParseFns(name=str)
+    def show(self, name):
+        """Show all fields of a profile, and its budget.
+
+        Parameters
+        ----------
+        name
+            The profile.
+        """
+
+        async def scenario(platform: Platform) -> Result:
+            held = await _objects(platform).read(name)
+            row = row_of_profile(held, await Budgets(platform=platform).find(name))
+            parts = [fields(held.value), f"version {held.version}"]
+            parts.append(fields(row.budget) if row.budget else "no budget")
+            return Result(data=row, text="\n".join(parts))
+
+        return Plan(session=self._session, scenario=scenario)
+
+    def list(self):
+        """List the profiles with their budgets."""
+
+        async def scenario(platform: Platform) -> Result:
+            held = await _objects(platform).all()
+            ledgers = await Budgets(platform=platform).all()
+            rows = [
+                row_of_profile(one, ledgers.get(name)) for name, one in held.items()
+            ]
+            return Result(data=rows, text=profile_table(rows))
+
+        return Plan(session=self._session, scenario=scenario)
+
+
+async def _first_budget(platform: Platform, name: str, tokens: int) -> None:
+    operation_id = Ledger().operation_id(FIRST_OPERATION)
+    await _after(
+        Budgets(platform=platform).top_up(name, tokens, operation_id),
+        f"profile {name} is created, but perhaps without its budget: run "
+        f"`ragwortkeel profile top-up {name} {tokens} --operation-id {operation_id}`",
+    )
+
+
+async def _after(second_step: Awaitable, text: str) -> None:
+    """Await the second of two writes; a failure must not deny the first."""
+    try:
+        await second_step
+    except CommandError as exc:
+        raise CommandUncertain(f"{text} ({exc})") from exc
+
+
+async def _check_active(platform: Platform, name: str) -> None:
+    held = await _objects(platform).read(name)
+    if held.value.retired:
+        raise CommandError(f"profile {name} is retired for good; nothing was added")
+
+
+def _count(tokens: object) -> int:
+    if type(tokens) is not int or not 0 < tokens <= MAX_TOKENS:
+        raise CommandError(f"tokens: found {tokens}; allowed: 1 to {MAX_TOKENS}")
+    return tokens
+
+
+async def _done(
+    platform: Platform, held: Held[Profile], done: str, wait: float
+) -> Result:
+    name = held.value.name
+    text = f"profile {name}: {done}, version {held.version}"
+    if wait:
+        count = await wait_in_force(
+            platform,
+            kind=PROFILES,
+            name=name,
+            version=held.version,
+            seconds=float(wait),
+        )
+        text += f", in force on {count} nodes"
+    return Result(data=ProfileRow(profile=held.value, version=held.version), text=text)
+
+
+def _objects(platform: Platform) -> Objects[Profile]:
+    return Objects(platform=platform, kind=PROFILES, cls=Profile, noun="profile")
