Sidecar logs and counts its decisions

Cause: refusals, broken runs, seals and writes of the sidecar left no trace. Change: one log line and one count for each decision; a crashed run task reports its run as broken instead of leaving its caller waiting. 127 tests pass.

--- /dev/null
+++ b/src/ragwortkeel/sidecar/reporting.py
@@ -0,0 +1,99 @@
+"""Logs and metrics of what a sidecar decides; never on the way of a token."""
+
+from ragwortkeel.logs import log_debug, log_info, log_warning
+from ragwortkeel.messages import (
+    OutcomeDurable,
+    ReceiptsDurable,
+    RefusalReason,
+    Refused,
+    Sealed,
+)
+from ragwortkeel.metrics import Metrics
+from ragwortkeel.sidecar.core import SidecarCore
+from ragwortkeel.sidecar.effects import (
+    AnswerEnded,
+    Effect,
+    RunBroken,
+    RunDeclined,
+    Send,
+    StartRun,
+    StopRun,
+)
+from ragwortkeel.sidecar.recorder import WriteFailed
+from ragwortkeel.sidecar.registration import Registration, StruckOff
+
+REFUSED = "sidecar_refused"
+RUN_ENDED = "run_ended"
+
+_ORDINARY = {RefusalReason.OVERLOADED, RefusalReason.DRAINING, RefusalReason.STOPPING}
+"""Refusals that come by the thousand under load; the metric is enough."""
+
+
+class Reporting:
+    """Says what happened, once for each decision.
+
+    Parameters
+    ----------
+    sidecar
+        Incarnation, in each line.
+    metrics
+        What counts.
+    """
+
+    def __init__(self, *, sidecar: str, metrics: Metrics) -> None:
+        self._sidecar = sidecar
+        self._metrics = metrics
+
+    def took(self, item: object) -> None:
+        """Report what came in from the upstream, the platform or the recorder."""
+        match item:
+            case AnswerEnded():
+                self._metrics.decided(decision=RUN_ENDED, reason="finished")
+                self._metrics.receipts(state="made")
+            case RunBroken(nonce=nonce, reason=reason, tokens=tokens):
+                self._metrics.decided(decision=RUN_ENDED, reason=reason)
+                self._warn("run_broken", nonce=nonce, reason=reason, tokens=tokens)
+            case RunDeclined(nonce=nonce, reason=reason):
+                self._metrics.decided(decision=RUN_ENDED, reason=reason)
+                self._warn("run_declined", nonce=nonce, reason=reason)
+            case ReceiptsDurable(nonces=nonces):
+                self._metrics.receipts(state="durable", count=len(nonces))
+                self._info("receipts_written", count=len(nonces))
+            case OutcomeDurable(nonces=nonces):
+                self._info("outcome_written", nonce=",".join(nonces))
+            case WriteFailed():
+                self._metrics.platform_failed(error="write_failed")
+            case Registration(fencing_number=number, sealed=sealed):
+                self._info("registered", fencing_number=number, seals=len(sealed))
+            case StruckOff():
+                self._warn("struck_off")
+
+    def decided(self, effect: Effect) -> None:
+        """Report an effect of the core."""
+        match effect:
+            case Send(message=Refused(nonce=nonce, reason=reason)):
+                self._metrics.decided(decision=REFUSED, reason=reason)
+                log = log_debug if reason in _ORDINARY else log_info
+                log("run_refused", sidecar=self._sidecar, nonce=nonce, reason=reason)
+            case Send(message=Sealed(router=router, ran=ran)):
+                tokens = sum(ran.values())
+                self._info("router_sealed", router=router, tokens=tokens)
+            case StartRun(dispatch=dispatch):
+                log_debug(
+                    "run_started",
+                    sidecar=self._sidecar,
+                    nonce=dispatch.nonce,
+                    request=dispatch.request_id,
+                )
+            case StopRun(nonce=nonce):
+                log_debug("run_stopped", sidecar=self._sidecar, nonce=nonce)
+
+    def level(self, core: SidecarCore) -> None:
+        """Report how much is in flight."""
+        self._metrics.load(running=core.journal.running, queued=core.load.waiting)
+
+    def _info(self, event: str, **fields) -> None:
+        log_info(event, sidecar=self._sidecar, **fields)
+
+    def _warn(self, event: str, **fields) -> None:
+        log_warning(event, sidecar=self._sidecar, **fields)
--- a/src/ragwortkeel/sidecar/runner.py
+++ b/src/ragwortkeel/sidecar/runner.py
@@ -7,6 +7,7 @@
 from opentelemetry.trace import Span
 
 from ragwortkeel.httpio import HttpClient
+from ragwortkeel.logs import log_error
 from ragwortkeel.messages import Dispatch, FailureReason
 from ragwortkeel.sidecar.upstream import CANCEL_SECONDS, Report, UpstreamRun, cancel_at
 from ragwortkeel.traces import Tracing, traceparent_of
@@ -89,6 +90,10 @@
     async def _run(self, run: UpstreamRun, nonce: str, span: Span) -> None:
         try:
             await run.run()
+        except Exception as exc:
+            # A fault of this program must not leave a caller waiting for good.
+            log_error("run_crashed", nonce=nonce, error=repr(exc))
+            await run.broken(FailureReason.UPSTREAM_ERROR)
         finally:
             span.end()
             self._running_by_nonce.pop(nonce, None)
--- a/src/ragwortkeel/sidecar/sidecar.py
+++ b/src/ragwortkeel/sidecar/sidecar.py
@@ -22,6 +22,7 @@
     ReceiptsDurable,
     VersionedObject,
 )
+from ragwortkeel.metrics import Metrics
 from ragwortkeel.platform import Platform
 from ragwortkeel.settings import Address, SidecarSettings
 from ragwortkeel.sidecar.admission import Admission
@@ -47,6 +48,7 @@
     SealsRead,
     StruckOff,
 )
+from ragwortkeel.sidecar.reporting import Reporting
 from ragwortkeel.sidecar.runner import Runner
 from ragwortkeel.traces import Tracing
 
@@ -106,6 +108,8 @@
         Where configuration messages and heartbeats of peers go, as `Received`.
     tracing
         Where spans of runs go.
+    metrics
+        Where runs, refusals and receipts are counted.
     address
         Where to listen instead of the settings' address; port 0 takes a free one.
 
@@ -129,6 +133,7 @@
         revision: Callable[[], int] = int,
         configuration_inbox: curio.Queue | None = None,
         tracing: Tracing | None = None,
+        metrics: Metrics | None = None,
         address: str = "",
         clock: Callable[[], float] = monotonic,
     ) -> None:
@@ -158,6 +163,7 @@
         self._registrar = Registrar(
             platform=platform, node=self._node, inbox=self._inbox
         )
+        self._reporting = Reporting(sidecar=incarnation, metrics=metrics or Metrics())
         self._recorder_busy = False
         self._next_epoch_at = 0.0
         self._stop_by: float | None = None
@@ -197,7 +203,9 @@
         try:
             while not self._is_over():
                 item = await self._inbox.get()
+                self._reporting.took(item)
                 for effect in await self._take(item):
+                    self._reporting.decided(effect)
                     await self._apply(effect)
             return await self._leave()
         finally:
@@ -293,6 +301,7 @@
         if now >= self._next_epoch_at:
             self._next_epoch_at = now + EPOCH_SECONDS
             self._core.on_epoch()
+        self._reporting.level(self._core)
         if self._recorder_busy:
             return
         job = next_job(self._core, now)
--- a/src/ragwortkeel/sidecar/worker.py
+++ b/src/ragwortkeel/sidecar/worker.py
@@ -51,6 +51,7 @@
             revision=lambda: self._store.revision,
             configuration_inbox=self._peer_messages,
             tracing=self.tracing,
+            metrics=self.metrics,
         )
         self._gossip = Gossip(
             name=settings.address,
