--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -77,7 +77,8 @@
     sidecar's last heartbeat when the nonce was minted; a request that must not
     repeat is refused without it (docs/design/runs.md).
     With `alone` the sidecar first lets what runs there end, and starts nothing
-    beside it.
+    beside it.  `fingerprint` is the body's for the quarantine, where the router
+    has changed the body; left empty, the sidecar takes it from `body`.
     """
 
     request_id: str
@@ -97,6 +98,7 @@
     prefix: str = ""
     epoch: int = 0
     alone: bool = False
+    fingerprint: str = ""
 
 
 class Refused(Message):
--- a/src/ragwortkeel/runs/journal.py
+++ b/src/ragwortkeel/runs/journal.py
@@ -6,16 +6,17 @@
 """
 
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ragwortkeel.exceptions import RunError
+from ragwortkeel.lifecycle import ChartName, Lifecycle
 from ragwortkeel.messages import RunReceipt, RunState
 
 KEPT_EPOCHS = 2
 """Dispatches minted this many epochs ago are still taken, older ones never."""
 
 MAX_ENDED = 50_000
-"""Ended nonces remembered at once, about 25 MB; past it the floor moves up."""
+"""Ended nonces remembered at once, about 30 MB; past it the floor moves up."""
 
 MAX_RECEIPTS = 200_000
 """Receipts not yet durable; at a few runs a second half a day of outage."""
@@ -40,14 +41,34 @@
     idempotent: bool
 
 
+_STATE_BY_CHART_STATE = {
+    "admitted": RunState.RUNNING,
+    "running": RunState.RUNNING,
+    "cancelling": RunState.RUNNING,
+    "finished": RunState.FINISHED,
+    "failed": RunState.FAILED,
+    "refused": RunState.TOMBSTONED,
+}
+
+_END_EVENTS = {RunState.FINISHED: "finish", RunState.FAILED: "fail"}
+
+
+def _new_lifecycle() -> Lifecycle:
+    return Lifecycle(chart=ChartName.RUN)
+
+
 @dataclass(kw_only=True, slots=True)
 class _Entry:
-    """A run's state; `run` is None for a nonce that never ran."""
+    """A nonce's place in the run chart; `run` is None for one that never ran."""
 
-    state: RunState
     run: Run | None = None
     tokens: int = 0
     ended_epoch: int = 0
+    lifecycle: Lifecycle = field(default_factory=_new_lifecycle)
+
+    @property
+    def state(self) -> RunState:
+        return _STATE_BY_CHART_STATE[self.lifecycle.state]
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -128,10 +149,20 @@
 
     def admit(self, run: Run) -> None:
         """Record a run before it starts."""
-        self._entries_by_nonce[run.nonce] = _Entry(state=RunState.RUNNING, run=run)
+        self._entries_by_nonce[run.nonce] = _Entry(run=run)
         self._nonce_by_request[run.profile, run.request_id] = run.nonce
         self._running_by_router[run.router].add(run.nonce)
 
+    def begin(self, nonce: str) -> None:
+        """Record that the upstream answers: from here on it can't be retracted."""
+        self._entries_by_nonce[nonce].lifecycle.fire("start")
+
+    def cancel(self, nonce: str) -> None:
+        """Record that the upstream was told to stop."""
+        lifecycle = self._entries_by_nonce[nonce].lifecycle
+        if lifecycle.state == "running":
+            lifecycle.fire("cancel")
+
     def progress(self, nonce: str, tokens: int) -> bool:
         """Record tokens so far; return whether the reservation is outrun."""
         entry = self._entries_by_nonce[nonce]
@@ -150,7 +181,9 @@
         if entry.state is not RunState.RUNNING:
             return None
         run = entry.run
-        entry.state = state
+        if entry.lifecycle.state == "admitted":
+            entry.lifecycle.fire("start")
+        entry.lifecycle.fire(_END_EVENTS[state])
         entry.tokens = min(max(tokens, 0), run.reservation)
         self._leave(run)
         ran = self._ran_by_router.setdefault(run.router, {})
@@ -175,12 +208,19 @@
         return receipt
 
     def retract(self, nonce: str) -> None:
-        """Record that a run, though let in, certainly never reached the upstream."""
+        """Record that a run, though let in, certainly did not happen.
+
+        Raises
+        ------
+        LifecycleError
+            The upstream had begun to answer it.
+        """
         entry = self._entries_by_nonce[nonce]
-        self._leave(entry.run)
-        self._unlink(nonce, entry.run)
-        self._entries_by_nonce[nonce] = _Entry(state=RunState.TOMBSTONED)
-        self._remember(nonce, self._entries_by_nonce[nonce])
+        entry.lifecycle.fire("refuse")
+        run, entry.run = entry.run, None
+        self._leave(run)
+        self._unlink(nonce, run)
+        self._remember(nonce, entry)
 
     def tombstone(self, nonce: str) -> RunState:
         """Promise never to run an unseen nonce; return what is now known of it.
@@ -191,7 +231,8 @@
         epoch would be accepted at all.
         """
         if self.state(nonce) is RunState.UNSEEN:
-            entry = _Entry(state=RunState.TOMBSTONED)
+            entry = _Entry()
+            entry.lifecycle.fire("refuse")
             self._entries_by_nonce[nonce] = entry
             self._remember(nonce, entry)
         return self.state(nonce)
--- a/src/ragwortkeel/sidecar/core.py
+++ b/src/ragwortkeel/sidecar/core.py
@@ -32,6 +32,7 @@
 from ragwortkeel.runs.answer import AnswerStore, AnswerTooLarge
 from ragwortkeel.runs.journal import Journal, Run
 from ragwortkeel.sidecar.admission import Admission
+from ragwortkeel.sidecar.crashes import CrashWatch
 from ragwortkeel.sidecar.effects import (
     AnswerBegun,
     AnswerEnded,
@@ -46,9 +47,16 @@
     StopRun,
     UpstreamEvent,
 )
+from ragwortkeel.sidecar.gate import Gate
+from ragwortkeel.sidecar.isolation import Isolation
 from ragwortkeel.sidecar.load import LoadReport
 from ragwortkeel.sidecar.outlet import Outlet, answer_lost
 
+PEER_SECONDS = 10.0
+"""Routers heartbeat every second; one not heard for so long is gone."""
+
+_CRASHED = FailureReason.CRASHED
+
 MAX_SEALED_RECEIPTS = 2_000
 """In one report, about half a megabyte; this sidecar writes the rest itself."""
 
@@ -82,12 +90,23 @@
         self.journal = journal or Journal(sidecar=incarnation)
         self.load = LoadReport()
         self.outlet = Outlet(answers=answers or AnswerStore())
+        self._isolation = Isolation()
+        self._crashes = CrashWatch(sidecar=incarnation)
+        self._gate = Gate(
+            incarnation=incarnation,
+            admission=admission,
+            journal=self.journal,
+            answers=self.outlet.answers,
+            isolation=self._isolation,
+        )
+        self._heard_by_peer: dict[Peer, float] = {}
         self._sealers_by_router: dict[str, set[Peer]] = defaultdict(set)
 
     def on_message(
         self, peer: Peer, sender: str, message: AnyMessage, now: float
     ) -> list[Effect]:
         """Take a message from a peer whose incarnation is `sender`."""
+        self._heard_by_peer[peer] = now
         match message:
             case Dispatch():
                 return self._on_dispatch(peer, sender, message)
@@ -123,7 +142,8 @@
             case RunDeclined():
                 return self._on_declined(event)
             case RunBroken(nonce=nonce, reason=reason, tokens=tokens):
-                return self._fail(nonce, reason, tokens, now)
+                seen = self._tell_crash(nonce, now) if reason == _CRASHED else []
+                return seen + self._fail(nonce, reason, tokens, now)
 
     def on_epoch(self) -> None:
         """Begin the next epoch and forget what has become safe to forget."""
@@ -152,7 +172,7 @@
                 return self._attach(peer, nonce, 0)
             case RunState.TOMBSTONED:
                 return self._refuse(peer, nonce, RefusalReason.TOMBSTONED)
-        reason = self._reason_to_refuse(sender, dispatch)
+        reason = self._gate.reason_to_refuse(sender, dispatch)
         if reason is not None:
             return self._refuse_for_good(peer, dispatch, reason)
         run = Run(
@@ -165,37 +185,24 @@
         )
         self.journal.admit(run)
         self.outlet.follow(peer, nonce)
+        if dispatch.alone:
+            self._isolation.hold(dispatch)
+            return self._start_alone()
+        return self._start(dispatch)
+
+    def _start(self, dispatch: Dispatch) -> list[Effect]:
+        self._crashes.started(dispatch)
         return [StartRun(dispatch=dispatch)]
 
-    def _reason_to_refuse(
-        self, sender: str, dispatch: Dispatch
-    ) -> RefusalReason | None:
-        if dispatch.sidecar != self.incarnation:
-            # Failure: a router's order to this sidecar's predecessor, whose
-            # journal is gone, would run here what may have run there.
-            return RefusalReason.WRONG_INCARNATION
-        if self.journal.is_sealed(sender):
-            # Failure: a paused router wakes and spends a slice that has been
-            # given back meanwhile.
-            return RefusalReason.SEALED
-        if not self._is_fresh(dispatch):
-            return RefusalReason.STALE_EPOCH
-        if not dispatch.idempotent and self._runs_already(dispatch):
-            return RefusalReason.DUPLICATE
-        if self.journal.full or self.outlet.answers.crowded:
-            return RefusalReason.OVERLOADED
-        return self.admission.reason_to_refuse(dispatch, self.journal.running)
-
-    def _is_fresh(self, dispatch: Dispatch) -> bool:
-        if dispatch.idempotent and dispatch.epoch == 0:
-            # A router that sends each dispatch only once needs no epoch here.
-            return True
-        return self.journal.is_fresh(dispatch.epoch)
-
-    def _runs_already(self, dispatch: Dispatch) -> bool:
-        # The intent keeps two attempts apart; this holds even if it is lost.
-        found = self.journal.find(dispatch.profile, dispatch.request_id)
-        return found is not None
+    def _start_alone(self) -> list[Effect]:
+        dispatch = self._isolation.start(self.journal.running)
+        return [] if dispatch is None else self._start(dispatch)
+
+    def _forget_run(self, nonce: str) -> list[Effect]:
+        """Take a run that is over out of what is in flight; start what waited."""
+        self._crashes.ended(nonce)
+        self._isolation.ended(nonce)
+        return self._start_alone()
 
     def _refuse_for_good(
         self, peer: Peer, dispatch: Dispatch, reason: RefusalReason
@@ -284,14 +291,19 @@
         if self.journal.state(nonce) is not RunState.RUNNING:
             return []
         run = self.journal.run(nonce)
+        if self._isolation.is_waiting(nonce):
+            declined = RunDeclined(nonce=nonce, reason=RefusalReason.DEADLINE)
+            return self._on_declined(declined)
         if not run.idempotent:
             # Failure: the caller of a filing hangs up, the filing is cut off
             # half done, and nobody knows whether it took effect.  It costs
             # little to let it end, and a retry then finds its answer.
             return []
+        self.journal.cancel(nonce)
         return [CancelRun(nonce=nonce, request_id=run.request_id)]
 
     def _on_begun(self, event: AnswerBegun) -> list[Effect]:
+        self.journal.begin(event.nonce)
         started = Started(
             nonce=event.nonce, status=event.status, content_type=event.content_type
         )
@@ -312,6 +324,17 @@
                 event.nonce, FailureReason.ANSWER_TOO_LARGE, event.tokens, now
             )
 
+    def _tell_crash(self, nonce: str, now: float) -> list[Effect]:
+        """Tell every connected router which bodies an upstream's crash had on it."""
+        seen = self._crashes.crashed(nonce)
+        if seen is None:
+            return []
+        recent = now - PEER_SECONDS
+        self._heard_by_peer = {
+            peer: at for peer, at in self._heard_by_peer.items() if at >= recent
+        }
+        return [Send(peer=peer, message=seen) for peer in self._heard_by_peer if peer]
+
     def _finish(self, nonce: str, tokens: int, now: float) -> list[Effect]:
         receipt = self.journal.end(
             nonce, RunState.FINISHED, tokens=tokens, billable=True, now=now
@@ -349,11 +372,13 @@
             retry_after_seconds=event.retry_after_seconds,
         )
         effects = self.outlet.dismiss(event.nonce, refused)
+        effects += self._forget_run(event.nonce)
         return effects + self._report_last_run(router)
 
     def _end(self, nonce: str, message: Finished | Failed) -> list[Effect]:
         run = self.journal.run(nonce)
         effects = self.outlet.end(message, pinned=not run.idempotent)
+        effects += self._forget_run(nonce)
         self.outlet.forget(self.journal.relieve())
         return effects + self._report_last_run(run.router)
 
--- /dev/null
+++ b/src/ragwortkeel/sidecar/crashes.py
@@ -0,0 +1,61 @@
+"""Which requests were running when the upstream crashed, for the quarantine.
+
+The sidecar alone sees everything that ran there.  It gives each crash an id and
+names the bodies once; routers pass that on and decide by `policy.quarantine`.
+"""
+
+from dataclasses import dataclass
+
+from ragwortkeel.messages import CrashSeen, Dispatch
+from ragwortkeel.policy.quarantine import fingerprint
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Suspect:
+    fingerprint: str
+    alone: bool
+
+
+class CrashWatch:
+    """Runs in flight by nonce, and the crashes that they were part of.
+
+    Parameters
+    ----------
+    sidecar
+        Incarnation, the first half of each crash's id.
+    """
+
+    def __init__(self, *, sidecar: str) -> None:
+        self._sidecar = sidecar
+        self._running_by_nonce: dict[str, _Suspect] = {}
+        self._told: set[str] = set()
+        self._crashes = 0
+
+    def started(self, dispatch: Dispatch) -> None:
+        """Note a run that goes to the upstream."""
+        self._running_by_nonce[dispatch.nonce] = _Suspect(
+            fingerprint=dispatch.fingerprint or fingerprint(dispatch.body),
+            alone=dispatch.alone,
+        )
+
+    def ended(self, nonce: str) -> None:
+        """Note that a run is over."""
+        self._running_by_nonce.pop(nonce, None)
+        self._told.discard(nonce)
+
+    def crashed(self, nonce: str) -> CrashSeen | None:
+        """Return the crash that broke a run; None where it was told already.
+
+        One crash breaks every run in flight, and each reports it: the first
+        names them all, so that the rest are not taken for crashes of their own.
+        """
+        if nonce in self._told or nonce not in self._running_by_nonce:
+            return None
+        self._crashes += 1
+        self._told.update(self._running_by_nonce)
+        suspects = list(self._running_by_nonce.values())
+        return CrashSeen(
+            crash_id=f"{self._sidecar}/{self._crashes}",
+            fingerprints=tuple(sorted({s.fingerprint for s in suspects})),
+            alone=len(suspects) == 1 and suspects[0].alone,
+        )
--- a/src/ragwortkeel/sidecar/recorder.py
+++ b/src/ragwortkeel/sidecar/recorder.py
@@ -15,6 +15,7 @@
     PlatformError,
     VersionConflict,
 )
+from ragwortkeel.logs import log_error
 from ragwortkeel.messages import OutcomeDurable, ReceiptsDurable, RunReceipt
 from ragwortkeel.platform import Platform
 from ragwortkeel.runs import intent as intents
@@ -100,7 +101,13 @@
             stored = await self._platform.get(INTENTS, name)
             if stored is None:
                 return
-            held = intents.decode(stored.value)
+            try:
+                held = intents.decode(stored.value)
+            except intents.IntentUnreadable as exc:
+                # Nobody can read it, so that no retry can run; the sidecar
+                # must not fall over it for good.
+                log_error("intent_unreadable", name=name, error=str(exc))
+                return
             if not intents.may_settle(held, run.nonce):
                 return
             value = intents.encode(intents.with_outcome(held, outcome))
--- a/tests/runs/test_intent.py
+++ b/tests/runs/test_intent.py
@@ -164,6 +164,28 @@
         filing.on_refused(RefusalReason.WRONG_INCARNATION, None)
         assert filing.step.outcome == "unknown"
 
+    def test_first_attempt_that_was_lost_is_not_sure_any_more(self):
+        """A filing ran, its outcome is durable, its sidecar has let go of it.
+
+        Its router, which heard nothing, gets the promise that it never runs and
+        finds the platform gone; `not_run` would be a lie.
+        """
+        filing = self.sent(first=True)
+        filing.on_lost(replace(WANTED, nonce="other"))
+        filing.on_tombstone(RunState.TOMBSTONED)
+        assert filing.step.version == 8
+        filing.on_write(WriteResult.UNAVAILABLE)
+        assert filing.step.outcome == "unknown"
+
+    @pytest.mark.parametrize(("sends", "outcome"), [(1, "not_run"), (2, "unknown")])
+    def test_refusal_of_a_second_copy_is_not_sure_without_the_platform(
+        self, sends, outcome
+    ):
+        filing = self.sent(sends=sends, first=True)
+        filing.on_refused(RefusalReason.STALE_EPOCH, None)
+        filing.on_release(WriteResult.UNAVAILABLE)
+        assert filing.step.outcome == outcome
+
 
 class TestStoredForm:
     def test_round_trip_and_garbage(self):
--- a/tests/runs/test_journal.py
+++ b/tests/runs/test_journal.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ragwortkeel.exceptions import LifecycleError
 from ragwortkeel.messages import RunState
 from ragwortkeel.runs.journal import KEPT_EPOCHS, Journal, Run, UnknownRun
 
@@ -47,6 +48,14 @@
             journal.retract("n")
         assert journal.tombstone("n") is after
 
+    def test_run_that_began_to_answer_cannot_be_retracted(self, journal):
+        journal.admit(a_run())
+        journal.begin("n")
+        journal.cancel("n")
+        with pytest.raises(LifecycleError):
+            journal.retract("n")
+        assert end(journal, "n").tokens == 4
+
     def test_paused_dispatch_never_outlives_its_tombstone(self, journal):
         """A router is paused with a filing in hand; a retry files it elsewhere.
 
--- a/tests/sidecar/runs_world.py
+++ b/tests/sidecar/runs_world.py
@@ -277,9 +277,9 @@
         self.conclude(attempt)
 
     def _other(self, attempt):
-        """Return an intent for the other sidecar, once; then None."""
+        """Return an intent for the other sidecar, for some attempts and once."""
         attempt.renewed += 1
-        if attempt.renewed > 1:
+        if attempt.renewed > 1 or attempt.serial % 2:
             return None
         attempt.slot = 1 - attempt.slot
         attempt.epoch = self.cores[attempt.slot].journal.epoch
--- a/tests/sidecar/test_core.py
+++ b/tests/sidecar/test_core.py
@@ -14,6 +14,7 @@
 from ragwortkeel.messages import (
     Cancel,
     Chunk,
+    CrashSeen,
     Failed,
     FailureReason,
     Finished,
@@ -151,8 +152,9 @@
         refused = bench.hear(order)[0]
         assert isinstance(refused, Refused)
         assert refused.reason is reason
-        bench.core.admission = Admission(upstream="u1")
-        bench.core.admission.admitted = True
+        vars(bench.core.admission).update(
+            admitted=True, stopping=False, draining=False, max_running=9
+        )
         assert isinstance(bench.hear(order)[0], Refused)
         assert len(bench.starts) == before
 
@@ -246,7 +248,8 @@
     def test_broken_run_is_failed_and_not_billed(self, bench):
         bench.hear(dispatch())
         event = RunBroken(nonce="n1", reason=FailureReason.CRASHED, tokens=6)
-        failed, _ = bench.engine(event)
+        seen, failed, _ = bench.engine(event)
+        assert isinstance(seen, CrashSeen)
         assert isinstance(failed, Failed)
         assert failed.may_have_run
         (receipt,) = bench.core.journal.receipts_of("a")
@@ -278,3 +281,57 @@
         bench.hear(dispatch())
         (heartbeat,) = bench.hear(Heartbeat())
         assert (heartbeat.running, heartbeat.epoch) == (1, 1)
+
+
+class TestCrashes:
+    def test_one_crash_of_many_runs_is_told_once_to_every_router(self, bench):
+        bench.hear(Heartbeat(), peer="q", sender="b")
+        for nonce in ("n1", "n2"):
+            bench.hear(dispatch(nonce, body=nonce.encode()))
+        bench.effects.clear()
+        for nonce in ("n1", "n2"):
+            event = RunBroken(nonce=nonce, reason=FailureReason.CRASHED, tokens=6)
+            bench.engine(event)
+        told = [
+            e for e in bench.effects if isinstance(getattr(e, "message", 0), CrashSeen)
+        ]
+        assert sorted(e.peer for e in told) == ["p", "q"]
+        (seen,) = {e.message for e in told}
+        assert len(seen.fingerprints) == 2
+        assert not seen.alone
+
+    def test_next_crash_has_an_id_of_its_own(self, bench):
+        ids = set()
+        for nonce in ("n1", "n2"):
+            bench.hear(dispatch(nonce, alone=True))
+            event = RunBroken(nonce=nonce, reason=FailureReason.CRASHED, tokens=6)
+            seen = bench.engine(event)[0]
+            assert seen.alone
+            ids.add(seen.crash_id)
+        assert len(ids) == 2
+
+
+class TestAlone:
+    def test_it_waits_for_what_runs_and_nothing_starts_beside_it(self, bench):
+        """A request was running at two crashes; it is run alone to find out.
+
+        Were it started beside others, its third crash would cut off theirs.
+        """
+        bench.hear(dispatch("n1"))
+        bench.hear(dispatch("n2", alone=True))
+        (refused,) = bench.hear(dispatch("n3"))
+        assert refused.reason is RefusalReason.OVERLOADED
+        assert [s.dispatch.nonce for s in bench.starts] == ["n1"]
+        bench.answer("n1")
+        assert [s.dispatch.nonce for s in bench.starts] == ["n1", "n2"]
+        bench.answer("n2")
+        bench.hear(dispatch("n4"))
+        assert bench.starts[-1].dispatch.nonce == "n4"
+
+    def test_waiting_one_that_is_cancelled_never_ran(self, bench):
+        bench.hear(dispatch("n1"))
+        bench.hear(dispatch("n2", alone=True))
+        (refused,) = bench.hear(Cancel(nonce="n2"))
+        assert refused.reason is RefusalReason.DEADLINE
+        bench.hear(dispatch("n3"))
+        assert [s.dispatch.nonce for s in bench.starts] == ["n1", "n3"]
--- a/tests/sidecar/test_runs_machine.py
+++ b/tests/sidecar/test_runs_machine.py
@@ -11,7 +11,7 @@
 WEIGHTS = {
     "submit_and_go": 6,
     "submit": 1,
-    "step": 4,
+    "step": 5,
     "turn_away": 1,
     "go_silent": 2,
     "deliver": 3,
@@ -25,7 +25,7 @@
     "time_passes": 3,
     "record": 2,
     "drain_or_return": 1,
-    "restart_sidecar": 1,
+    "restart_sidecar": 2,
     "router_dies": 2,
 }
 """How often each happens: most walks should get as far as two runs of one key."""
