Sealed tells ended runs and runs in flight apart

Cause: the ledger takes a sidecar's report once and for good; one figure with running work at its bound could not be told from a final one.

--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -215,12 +215,18 @@
 
 
 class Sealed(Message):
-    """The seal is in force here; `ran` is the cumulative tokens by profile."""
+    """The seal is in force here; what the router ran here, in tokens by profile.
+
+    `ran` is cumulative over the runs that have ended, `running` the reservations
+    of those that have not.  The figures of a profile are final once it is not in
+    `running`; the sidecar sends them again when the last run has ended.
+    """
 
     router: str
     sidecar: str
     ran: dict[str, int]
     receipts: tuple[RunReceipt, ...]
+    running: dict[str, int] = {}
 
 
 class ReceiptsDurable(Message):
--- a/src/ragwortkeel/runs/journal.py
+++ b/src/ragwortkeel/runs/journal.py
@@ -246,12 +246,16 @@
         return router in self._sealed
 
     def ran(self, router: str) -> dict[str, int]:
-        """Return a router's tokens by profile, running ones at their bound.
+        """Return the tokens by profile of a router's runs that have ended."""
+        return dict(self._ran_by_router.get(router, {}))
 
-        After a seal the figure can only fall: nothing more is let in, and a
-        run that ends costs its bound or less.
+    def bounds(self, router: str) -> dict[str, int]:
+        """Return the reservations by profile of a router's runs in flight.
+
+        After a seal this only shrinks, and what ran grows by the same or less:
+        nothing more is let in, and a run costs its reservation at the most.
         """
-        rv = dict(self._ran_by_router.get(router, {}))
+        rv: dict[str, int] = {}
         for nonce in self._running_by_router.get(router, ()):
             run = self._entries_by_nonce[nonce].run
             rv[run.profile] = rv.get(run.profile, 0) + run.reservation
--- a/src/ragwortkeel/sidecar/core.py
+++ b/src/ragwortkeel/sidecar/core.py
@@ -284,6 +284,7 @@
             router=router,
             sidecar=self.incarnation,
             ran=self.journal.ran(router),
+            running=self.journal.bounds(router),
             receipts=self.journal.receipts_of(router)[:MAX_SEALED_RECEIPTS],
         )
 
--- a/tests/runs/test_journal.py
+++ b/tests/runs/test_journal.py
@@ -24,6 +24,10 @@
     return journal.end(nonce, state, tokens=tokens, billable=True, now=0.0)
 
 
+def at_most(journal):
+    return journal.ran("a").get("p", 0) + journal.bounds("a").get("p", 0)
+
+
 @pytest.fixture
 def journal():
     return Journal(sidecar="s")
@@ -111,9 +115,9 @@
             if ended:
                 end(journal, f"n{index}", cases[index][0])
         journal.seal("a")
-        figure = journal.ran("a").get("p", 0)
+        bound = at_most(journal)
         truth = sum(tokens for tokens, *_ in cases)
-        assert figure >= truth
+        assert bound >= truth
         for index, (tokens, ended, retracted) in enumerate(cases):
             if ended:
                 continue
@@ -122,9 +126,10 @@
                 journal.retract(f"n{index}")
             else:
                 end(journal, f"n{index}", tokens)
-            assert truth <= journal.ran("a").get("p", 0) <= figure
-            figure = journal.ran("a").get("p", 0)
+            assert truth <= at_most(journal) <= bound
+            bound = at_most(journal)
         assert journal.ran("a").get("p", 0) == truth
+        assert journal.bounds("a") == {}
         assert journal.is_sealed("a")
 
 
--- a/tests/sidecar/test_core.py
+++ b/tests/sidecar/test_core.py
@@ -269,12 +269,12 @@
     def test_running_work_is_reported_at_its_bound_then_at_its_cost(self, bench):
         bench.hear(dispatch(reservation=40))
         (first,) = bench.hear(Seal(router="a"), peer="sealer", sender="b")
-        assert (first.ran, first.receipts) == ({"chat": 40}, ())
+        assert (first.ran, first.running) == ({}, {"chat": 40})
         bench.answer()
         last = bench.effects[-1]
         assert isinstance(last.message, Sealed)
         assert last.peer == "sealer"
-        assert last.message.ran == {"chat": 5}
+        assert (last.message.ran, last.message.running) == ({"chat": 5}, {})
         assert [r.tokens for r in last.message.receipts] == [5]
 
     def test_heartbeat_is_answered_with_load_and_epoch(self, bench):
