Sidecar: a retired upstream stays out, a damaged object does no harm

Cause: configuration objects were compared by version alone, while a removal outranks every version; an undecodable upstream object would have ended each sidecar that heard of it. Change: rank_of decides; unreadable or gone means no new work. Stream usage is tested over any cut of its bytes.

--- a/src/ragwortkeel/sidecar/admission.py
+++ b/src/ragwortkeel/sidecar/admission.py
@@ -3,6 +3,8 @@
 import msgspec
 
 from ragwortkeel.configuration import PROFILES, UPSTREAMS, Upstream, UpstreamState
+from ragwortkeel.configuration_store import rank_of
+from ragwortkeel.logs import log_error
 from ragwortkeel.messages import Dispatch, RefusalReason, VersionedObject
 
 RETRY_SOON_SECONDS = 1.0
@@ -48,16 +50,14 @@
         return self.draining or self.stopping
 
     def learn(self, thing: VersionedObject) -> bool:
-        """Keep the newest version of an object; return whether it was news."""
+        """Keep the highest rank of an object; return whether it was news."""
         key = (thing.kind, thing.name)
         known = self._objects_by_key.get(key)
-        if known is not None and known.version >= thing.version:
+        if known is not None and rank_of(known) >= rank_of(thing):
             return False
         self._objects_by_key[key] = thing
         if key == (UPSTREAMS, self.upstream):
-            upstream = msgspec.json.decode(thing.value, type=Upstream)
-            is_serving = upstream.state is UpstreamState.SERVING
-            self.draining = upstream.retired or not is_serving
+            self.draining = _is_leaving(thing)
         return True
 
     def reason_to_refuse(
@@ -97,3 +97,16 @@
         if reason in _SOON:
             return RETRY_SOON_SECONDS
         return RETRY_LATER_SECONDS if reason in _LATER else 0.0
+
+
+def _is_leaving(thing: VersionedObject) -> bool:
+    if thing.gone:
+        return True
+    try:
+        upstream = msgspec.json.decode(thing.value, type=Upstream)
+    except msgspec.DecodeError as exc:
+        # A damaged object must not take down every sidecar that hears of it;
+        # what it was to say is unknown, so nothing new is let in.
+        log_error("upstream_unreadable", name=thing.name, error=str(exc))
+        return True
+    return upstream.retired or upstream.state is not UpstreamState.SERVING
--- a/tests/sidecar/test_core.py
+++ b/tests/sidecar/test_core.py
@@ -176,6 +176,26 @@
         assert not learn(upstream_object(UpstreamState.DRAINING, version=2))
         assert not bench.core.heartbeat().leaving
 
+    @pytest.mark.parametrize(
+        "last",
+        [
+            VersionedObject(kind=UPSTREAMS, name="u1", version=3, value=b"", gone=True),
+            VersionedObject(kind=UPSTREAMS, name="u1", version=3, value=b"damaged"),
+        ],
+    )
+    def test_removed_or_unreadable_upstream_takes_nothing_new(self, bench, last):
+        bench.core.admission.learn(last)
+        (refused,) = bench.hear(dispatch(upstream_version=3))
+        assert refused.reason is RefusalReason.DRAINING
+
+    def test_removal_is_not_undone_by_a_higher_version(self, bench):
+        learn = bench.core.admission.learn
+        gone = VersionedObject(
+            kind=UPSTREAMS, name="u1", version=3, value=b"", gone=True
+        )
+        assert learn(gone)
+        assert not learn(upstream_object(UpstreamState.SERVING, version=9))
+
 
 class TestRepeats:
     def test_repeated_dispatch_attaches_and_never_reruns(self, bench):
--- /dev/null
+++ b/tests/sidecar/test_usage.py
@@ -0,0 +1,43 @@
+"""Reading usage out of a stream, however its bytes are cut."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from sidecar_setup import DONE, USAGE, event
+
+from ragwortkeel.sidecar.usage import StreamUsage, prompt_bound_of
+
+ROLE = b'data: {"choices": [{"delta": {"role": "assistant"}}]}\r\n\r\n'
+COMMENT = b": keep-alive\n\n"
+ANSWER = ROLE + event("a") + COMMENT + event("สวัสดี") + USAGE + DONE
+
+
+class TestStreams:
+    @given(st.lists(st.integers(0, len(ANSWER)), max_size=12))
+    def test_counts_do_not_depend_on_the_cuts(self, cuts):
+        usage = StreamUsage()
+        edges = sorted({0, len(ANSWER), *cuts})
+        for start, end in zip(edges, edges[1:], strict=False):
+            usage.feed(ANSWER[start:end])
+        assert (usage.events, usage.total, usage.done) == (2, 14, True)
+
+    @given(st.binary(max_size=80))
+    def test_garbage_is_neither_an_end_nor_an_error(self, data):
+        usage = StreamUsage()
+        usage.feed(data.replace(b"[DONE]", b""))
+        assert not usage.done
+
+
+class TestPromptBound:
+    @pytest.mark.parametrize(
+        ("body", "bound"),
+        [
+            (b'{"max_tokens": 30}', 10),
+            (b'{"max_tokens": 99}', 0),
+            (b'{"max_tokens": -5}', 40),
+            (b"{}", 40),
+            (b"no json", 40),
+        ],
+    )
+    def test_rest_of_the_reservation_is_the_prompts(self, body, bound):
+        assert prompt_bound_of(body, 40) == bound
