--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -77,7 +77,8 @@
     sidecar's last heartbeat when the nonce was minted; a request that must not
     repeat is refused without it (docs/design/runs.md).
     With `alone` the sidecar first lets what runs there end, and starts nothing
-    beside it.
+    beside it.  `fingerprint` is the body's for the quarantine, where the router
+    has changed the body; left empty, the sidecar takes it from `body`.
     """
 
     request_id: str
@@ -97,6 +98,7 @@
     prefix: str = ""
     epoch: int = 0
     alone: bool = False
+    fingerprint: str = ""
 
 
 class Refused(Message):
@@ -213,12 +215,18 @@
 
 
 class Sealed(Message):
-    """The seal is in force here; `ran` is the cumulative tokens by profile."""
+    """The seal is in force here; what the router ran here, in tokens by profile.
+
+    `ran` is cumulative over the runs that have ended, `running` the reservations
+    of those that have not.  The figures of a profile are final once it is not in
+    `running`; the sidecar sends them again when the last run has ended.
+    """
 
     router: str
     sidecar: str
     ran: dict[str, int]
     receipts: tuple[RunReceipt, ...]
+    running: dict[str, int] = {}
 
 
 class ReceiptsDurable(Message):
--- a/tests/sidecar/test_core.py
+++ b/tests/sidecar/test_core.py
@@ -14,6 +14,7 @@
 from ragwortkeel.messages import (
     Cancel,
     Chunk,
+    CrashSeen,
     Failed,
     FailureReason,
     Finished,
@@ -151,8 +152,9 @@
         refused = bench.hear(order)[0]
         assert isinstance(refused, Refused)
         assert refused.reason is reason
-        bench.core.admission = Admission(upstream="u1")
-        bench.core.admission.admitted = True
+        vars(bench.core.admission).update(
+            admitted=True, stopping=False, draining=False, max_running=9
+        )
         assert isinstance(bench.hear(order)[0], Refused)
         assert len(bench.starts) == before
 
@@ -174,6 +176,26 @@
         assert not learn(upstream_object(UpstreamState.DRAINING, version=2))
         assert not bench.core.heartbeat().leaving
 
+    @pytest.mark.parametrize(
+        "last",
+        [
+            VersionedObject(kind=UPSTREAMS, name="u1", version=3, value=b"", gone=True),
+            VersionedObject(kind=UPSTREAMS, name="u1", version=3, value=b"damaged"),
+        ],
+    )
+    def test_removed_or_unreadable_upstream_takes_nothing_new(self, bench, last):
+        bench.core.admission.learn(last)
+        (refused,) = bench.hear(dispatch(upstream_version=3))
+        assert refused.reason is RefusalReason.DRAINING
+
+    def test_removal_is_not_undone_by_a_higher_version(self, bench):
+        learn = bench.core.admission.learn
+        gone = VersionedObject(
+            kind=UPSTREAMS, name="u1", version=3, value=b"", gone=True
+        )
+        assert learn(gone)
+        assert not learn(upstream_object(UpstreamState.SERVING, version=9))
+
 
 class TestRepeats:
     def test_repeated_dispatch_attaches_and_never_reruns(self, bench):
@@ -246,7 +268,8 @@
     def test_broken_run_is_failed_and_not_billed(self, bench):
         bench.hear(dispatch())
         event = RunBroken(nonce="n1", reason=FailureReason.CRASHED, tokens=6)
-        failed, _ = bench.engine(event)
+        seen, failed, _ = bench.engine(event)
+        assert isinstance(seen, CrashSeen)
         assert isinstance(failed, Failed)
         assert failed.may_have_run
         (receipt,) = bench.core.journal.receipts_of("a")
@@ -266,15 +289,69 @@
     def test_running_work_is_reported_at_its_bound_then_at_its_cost(self, bench):
         bench.hear(dispatch(reservation=40))
         (first,) = bench.hear(Seal(router="a"), peer="sealer", sender="b")
-        assert (first.ran, first.receipts) == ({"chat": 40}, ())
+        assert (first.ran, first.running) == ({}, {"chat": 40})
         bench.answer()
         last = bench.effects[-1]
         assert isinstance(last.message, Sealed)
         assert last.peer == "sealer"
-        assert last.message.ran == {"chat": 5}
+        assert (last.message.ran, last.message.running) == ({"chat": 5}, {})
         assert [r.tokens for r in last.message.receipts] == [5]
 
     def test_heartbeat_is_answered_with_load_and_epoch(self, bench):
         bench.hear(dispatch())
         (heartbeat,) = bench.hear(Heartbeat())
         assert (heartbeat.running, heartbeat.epoch) == (1, 1)
+
+
+class TestCrashes:
+    def test_one_crash_of_many_runs_is_told_once_to_every_router(self, bench):
+        bench.hear(Heartbeat(), peer="q", sender="b")
+        for nonce in ("n1", "n2"):
+            bench.hear(dispatch(nonce, body=nonce.encode()))
+        bench.effects.clear()
+        for nonce in ("n1", "n2"):
+            event = RunBroken(nonce=nonce, reason=FailureReason.CRASHED, tokens=6)
+            bench.engine(event)
+        told = [
+            e for e in bench.effects if isinstance(getattr(e, "message", 0), CrashSeen)
+        ]
+        assert sorted(e.peer for e in told) == ["p", "q"]
+        (seen,) = {e.message for e in told}
+        assert len(seen.fingerprints) == 2
+        assert not seen.alone
+
+    def test_next_crash_has_an_id_of_its_own(self, bench):
+        ids = set()
+        for nonce in ("n1", "n2"):
+            bench.hear(dispatch(nonce, alone=True))
+            event = RunBroken(nonce=nonce, reason=FailureReason.CRASHED, tokens=6)
+            seen = bench.engine(event)[0]
+            assert seen.alone
+            ids.add(seen.crash_id)
+        assert len(ids) == 2
+
+
+class TestAlone:
+    def test_it_waits_for_what_runs_and_nothing_starts_beside_it(self, bench):
+        """A request was running at two crashes; it is run alone to find out.
+
+        Were it started beside others, its third crash would cut off theirs.
+        """
+        bench.hear(dispatch("n1"))
+        bench.hear(dispatch("n2", alone=True))
+        (refused,) = bench.hear(dispatch("n3"))
+        assert refused.reason is RefusalReason.OVERLOADED
+        assert [s.dispatch.nonce for s in bench.starts] == ["n1"]
+        bench.answer("n1")
+        assert [s.dispatch.nonce for s in bench.starts] == ["n1", "n2"]
+        bench.answer("n2")
+        bench.hear(dispatch("n4"))
+        assert bench.starts[-1].dispatch.nonce == "n4"
+
+    def test_waiting_one_that_is_cancelled_never_ran(self, bench):
+        bench.hear(dispatch("n1"))
+        bench.hear(dispatch("n2", alone=True))
+        (refused,) = bench.hear(Cancel(nonce="n2"))
+        assert refused.reason is RefusalReason.DEADLINE
+        bench.hear(dispatch("n3"))
+        assert [s.dispatch.nonce for s in bench.starts] == ["n1", "n3"]
