Slope of the configuration store

Cause: the capacity page needs what 250,000 profiles cost a node. Ruled out: filling from a list made before (the memory it frees hides the store's).

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -11,12 +11,14 @@
 from benchmarks._slopes_fit import report
 from benchmarks._slopes_links import measure_links
 from benchmarks._slopes_parts import measure_parts
+from benchmarks._slopes_store import measure_store
 
 
 def main() -> None:
     """Run every measurement, one after the other."""
     report(bench="slopes", python=platform.python_version(), processors=os.cpu_count())
     measure_parts()
+    measure_store()
     measure_links()
 
 
