Signals as messages on curio: without them no daemon starts

Cause: process.py used curio.SignalQueue, which curio 1.6 does not have: every daemon ended with AttributeError on start (seen in a trial with real processes). Ruled out: plain handlers (a kernel that waits in its selector runs none until the next event); UniversalQueue (its thread side).

--- a/src/ragwortkeel/process.py
+++ b/src/ragwortkeel/process.py
@@ -18,6 +18,7 @@
 from ragwortkeel.metrics import Metrics
 from ragwortkeel.probes import Probes, Readiness
 from ragwortkeel.settings import Address, LogLevel
+from ragwortkeel.signals import SignalQueue
 from ragwortkeel.traces import Tracing
 
 EXIT_CLEAN = 0
@@ -91,7 +92,7 @@
 
     async def main(self) -> int:
         """Return the exit code once everything is over."""
-        async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
+        async with SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
             try:
                 self._worker.open()
                 self._probes.open()
