--- a/benchmarks/load/measures.py
+++ b/benchmarks/load/measures.py
@@ -43,6 +43,7 @@
         asks = sum(o.asks for o in outcomes)
         tokens = sum(o.need.output for o in served)
         return {
+            "in_time": _share_in_time(outcomes),
             "interactive_in_time": _share_in_time(interactive),
             "batch_in_time": _share_in_time(batch),
             "must_not_repeat_in_time": _share_in_time(filings),
--- a/benchmarks/load/schemes.py
+++ b/benchmarks/load/schemes.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Protocol
 
@@ -19,7 +19,7 @@
     UpstreamFacts,
 )
 from ragwortkeel.policy.scheduler import Scheduler
-from ragwortkeel.policy.settings import SchedulerSettings
+from ragwortkeel.policy.settings import Mechanism, SchedulerSettings
 
 Step = Assignment | Refusal
 
@@ -68,12 +68,17 @@
 class Ours:
     """The scheduler of the product, with its calls in the right order."""
 
-    def __init__(self, scheduler: Scheduler, *, cancels: bool = True) -> None:
+    def __init__(
+        self, scheduler: Scheduler, *, cancels: bool = True, affinity: bool = True
+    ) -> None:
         self._scheduler = scheduler
         self._cancels = cancels
+        self._affinity = affinity
 
     def offer(self, request: RequestFacts, now: float) -> list[Step]:
         """Offer, and hand out what that decides."""
+        if not self._affinity:
+            request = replace(request, prefix="")
         return self._steps(self._scheduler.offer(request, now), now)
 
     def changed(self, upstreams: list[UpstreamFacts], now: float) -> list[Step]:
@@ -123,27 +128,34 @@
                 return [decision, *out]
 
 
-def ours(name: str = "ours", **settings: object) -> Scheme:
-    """Return our scheme; `settings` leave a mechanism out."""
-    adaptive = bool(settings.pop("adaptive", True))
-    priorities = bool(settings.pop("priorities", True))
-    cancels = bool(settings.pop("cancels", True))
-    no_zone = bool(settings.pop("no_zone", False))
+def ours(
+    name: str,
+    *,
+    settings: SchedulerSettings,
+    without: Mechanism | None = None,
+    fixed_limit: int = 0,
+    affinity: bool = True,
+    zones: bool = True,
+    priorities: bool = True,
+    cancels: bool = True,
+    **thresholds: float,
+) -> Scheme:
+    """Return our scheme, with what is to be left out or set otherwise."""
+    settings = replace(settings, **thresholds)
+    if without:
+        settings = replace(settings, without=frozenset([without]))
+    if fixed_limit:
+        settings = replace(settings, first_limit=fixed_limit)
 
     def router(upstreams: list[UpstreamFacts], zone: str, random: Random) -> Ours:
         scheduler = Scheduler(
-            zone="" if no_zone else zone,
-            random=random,
-            settings=SchedulerSettings(**settings),
+            zone=zone if zones else "", random=random, settings=settings
         )
         scheduler.upstreams_changed(upstreams, 0.0)
-        return Ours(scheduler, cancels=cancels)
+        return Ours(scheduler, cancels=cancels, affinity=affinity)
 
     return Scheme(
-        name=name,
-        router=router,
-        adaptive=adaptive,
-        priorities=priorities,
+        name=name, router=router, adaptive=not fixed_limit, priorities=priorities
     )
 
 
@@ -279,11 +291,12 @@
     )
 
 
-def least_connections() -> Scheme:
-    """Fewest of one's own in flight, no limit."""
+def least_connections(*, priorities: bool = False) -> Scheme:
+    """Fewest of one's own in flight, no limit; the engine may know classes."""
     return Scheme(
-        name="least_connections",
+        name="least_connections" + ("_priorities" if priorities else ""),
         router=lambda upstreams, zone, random: Plain(upstreams=upstreams, least=True),
+        priorities=priorities,
     )
 
 
