Drop class weights and earliest deadline first

Ruled out: keeping them for their good name.

Change: a customer's requests go first come, first served; classes share equally by tokens.

--- a/src/ragwortkeel/policy/scheduler.py
+++ b/src/ragwortkeel/policy/scheduler.py
@@ -358,9 +358,7 @@
             settings = self._settings
             queue = FairQueue(
                 max_waiting=settings.max_waiting,
-                weighted=settings.has(Mechanism.CLASS_WEIGHTS),
                 fair=settings.has(Mechanism.FAIR_SHARES),
-                earliest_first=settings.has(Mechanism.EARLIEST_FIRST),
             )
             self._queues_by_pool[back_ends] = queue
         return queue
--- a/src/ragwortkeel/policy/settings.py
+++ b/src/ragwortkeel/policy/settings.py
@@ -19,9 +19,7 @@
     """What can be left out, to measure what it buys."""
 
     ESTIMATED_WAIT = "estimated_wait"
-    CLASS_WEIGHTS = "class_weights"
     FAIR_SHARES = "fair_shares"
-    EARLIEST_FIRST = "earliest_first"
     REPORT_CORRECTION = "report_correction"
     CLAIMED_ROOM = "claimed_room"
     EJECTION = "ejection"
