--- /dev/null
+++ b/tests/router/in_process.py
@@ -0,0 +1,188 @@
+"""A whole small fleet in one kernel: real router and sidecars, stand-ins around."""
+
+import socket
+from random import Random
+
+import curio
+import msgspec
+from curio.task import ContextTask
+
+from ragwortkeel.budget.ledger import Ledger, encode_ledger
+from ragwortkeel.configuration import (
+    LEDGERS,
+    PROFILES,
+    UPSTREAMS,
+    Profile,
+    ServiceClass,
+    Upstream,
+    UpstreamKind,
+)
+from ragwortkeel.httpio import HttpClient
+from ragwortkeel.router.plain_keeper import PlainKeeper
+from ragwortkeel.router.router import Router
+from ragwortkeel.settings import RouterSettings, SidecarSettings
+from ragwortkeel.sidecar.sidecar import Sidecar
+from ragwortkeel.standins.engine import serve as serve_engine
+from ragwortkeel.standins.local_platform import LocalPlatform
+from ragwortkeel.standins.service import serve as serve_service
+from ragwortkeel.traces import Tracing
+
+HOST = "127.0.0.1"
+PREPAID = 10_000
+PATIENCE = 30.0
+
+CHAT = Profile(
+    name="advisor-chat",
+    customer="coop",
+    service=ServiceClass.INTERACTIVE,
+    deadline_seconds=20,
+    first_token_seconds=15,
+    back_ends=("assistant",),
+)
+FILING = Profile(
+    name="claim-filing",
+    customer="coop",
+    service=ServiceClass.MUST_NOT_REPEAT,
+    deadline_seconds=20,
+    first_token_seconds=15,
+    back_ends=("claims",),
+)
+
+
+def free_address():
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return f"{HOST}:{sock.getsockname()[1]}"
+
+
+def run_fleet(scenario):
+    """Run ``await scenario(fleet)`` beside a fresh fleet and return its result."""
+
+    async def main():
+        fleet = Fleet()
+        await fleet.start()
+        try:
+            async with curio.timeout_after(2 * PATIENCE):
+                return await scenario(fleet)
+        finally:
+            await fleet.stop()
+
+    with curio.Kernel(taskcls=ContextTask) as kernel:
+        return kernel.run(main)
+
+
+class Fleet:
+    """One router before an engine and a plain service, and its platform."""
+
+    def __init__(self):
+        self.platform = LocalPlatform()
+        self.observed = []
+        self.tasks = []
+        self.upstream_addresses = {}
+
+    async def start(self):
+        await self._start_upstream("m1", "assistant", UpstreamKind.MODEL, serve_engine)
+        await self._start_upstream("c1", "claims", UpstreamKind.SERVICE, serve_service)
+        for profile in (CHAT, FILING):
+            await self._create(PROFILES, profile.name, msgspec.json.encode(profile))
+            ledger = Ledger()
+            operation = ledger.operation_id("first")
+            ledger = ledger.top_up(tokens=PREPAID, operation_id=operation)
+            await self._create(LEDGERS, profile.name, encode_ledger(ledger))
+        await self._start_router()
+
+    async def stop(self):
+        for task in self.tasks:
+            await task.cancel()
+        await self.router.close()
+
+    async def _create(self, kind, name, value):
+        await self.platform.create(kind, name, value)
+
+    async def _spawn(self, call, *args):
+        self.tasks.append(await curio.spawn(call, *args, daemon=True))
+
+    async def _start_upstream(self, name, back_end, kind, serve):
+        address = free_address()
+        self.upstream_addresses[name] = address
+        host, port = address.split(":")
+        await self._spawn(serve, host, int(port))
+        settings = SidecarSettings(
+            name=name,
+            upstream=name,
+            zone="maule-a",
+            address=free_address(),
+            metrics=free_address(),
+            platform=free_address(),
+            upstream_address=address,
+            upstream_kind=kind,
+        )
+        sidecar = Sidecar(
+            settings=settings, incarnation=f"{name}-1", platform=self.platform
+        )
+        sidecar.open()
+        await self._spawn(sidecar.run)
+        upstream = Upstream(
+            name=name,
+            back_end=back_end,
+            kind=kind,
+            sidecar_address=settings.address,
+            zone="maule-a",
+        )
+        await self._create(UPSTREAMS, name, msgspec.json.encode(upstream))
+
+    async def _start_router(self):
+        settings = RouterSettings(
+            name="r1",
+            zone="maule-a",
+            address=free_address(),
+            http=free_address(),
+            metrics=free_address(),
+            platform=free_address(),
+        )
+        self.keeper = PlainKeeper(platform=self.platform, router="r1-1")
+        self.router = Router(
+            settings=settings,
+            incarnation="r1-1",
+            platform=self.platform,
+            budgets=self.keeper,
+            receipts=self.keeper,
+            observe=self.observed.append,
+            tracing=Tracing(node="r1"),
+            random=Random(1),
+        )
+        self.router.open()
+        await self._spawn(self.router.run)
+        host, port = settings.http.split(":")
+        self.client = HttpClient(host=host, port=int(port))
+        await until(lambda: self.router.pool.is_up("m1"))
+        await until(lambda: self.router.pool.is_up("c1"))
+
+    async def ask(self, path, body, **headers):
+        fields = {name.replace("_", "-"): value for name, value in headers.items()}
+        return await self.client.request(
+            "POST",
+            path,
+            body=msgspec.json.encode(body),
+            headers=fields,
+            timeout=PATIENCE,
+        )
+
+    async def switch(self, upstream, **switches):
+        host, port = self.upstream_addresses[upstream].split(":")
+        client = HttpClient(host=host, port=int(port))
+        body = msgspec.json.encode(switches)
+        return await client.request("POST", "/switches", body=body, timeout=PATIENCE)
+
+    async def runs(self, upstream):
+        """Return how many calls took effect at an upstream."""
+        host, port = self.upstream_addresses[upstream].split(":")
+        client = HttpClient(host=host, port=int(port))
+        response = await client.request("GET", "/executions", timeout=PATIENCE)
+        return len(msgspec.json.decode(response.body)["executions"])
+
+
+async def until(condition):
+    async with curio.timeout_after(PATIENCE):
+        while not condition():
+            await curio.sleep(0.01)
