--- a/src/ragwortkeel/sidecar/core.py
+++ b/src/ragwortkeel/sidecar/core.py
@@ -4,8 +4,6 @@
 journal and the answers, and tells followers how runs go on.
 """
 
-from collections import defaultdict
-
 from ragwortkeel.messages import (
     AnyMessage,
     Cancel,
@@ -23,7 +21,6 @@
     Resume,
     RunState,
     Seal,
-    Sealed,
     Started,
     Tombstone,
     TombstoneResult,
@@ -51,15 +48,10 @@
 from ragwortkeel.sidecar.isolation import Isolation
 from ragwortkeel.sidecar.load import LoadReport
 from ragwortkeel.sidecar.outlet import Outlet, answer_lost
-
-PEER_SECONDS = 10.0
-"""Routers heartbeat every second; one not heard for so long is gone."""
+from ragwortkeel.sidecar.sealing import Sealing
 
 _CRASHED = FailureReason.CRASHED
 
-MAX_SEALED_RECEIPTS = 2_000
-"""In one report, about half a megabyte; this sidecar writes the rest itself."""
-
 
 class SidecarCore:
     """Journal, answers and followers of one sidecar incarnation.
@@ -99,14 +91,13 @@
             answers=self.outlet.answers,
             isolation=self._isolation,
         )
-        self._heard_by_peer: dict[Peer, float] = {}
-        self._sealers_by_router: dict[str, set[Peer]] = defaultdict(set)
+        self._sealing = Sealing(incarnation=incarnation, journal=self.journal)
 
     def on_message(
         self, peer: Peer, sender: str, message: AnyMessage, now: float
     ) -> list[Effect]:
         """Take a message from a peer whose incarnation is `sender`."""
-        self._heard_by_peer[peer] = now
+        self._crashes.heard(peer, now)
         match message:
             case Dispatch():
                 return self._on_dispatch(peer, sender, message)
@@ -119,7 +110,7 @@
             case Tombstone():
                 return [Send(peer=peer, message=self._tombstone(message))]
             case Seal(router=router):
-                return self._on_seal(peer, router)
+                return self._sealing.seal(peer, router)
             case ReceiptsDurable(nonces=nonces):
                 self.journal.settle(nonces)
             case OutcomeDurable(nonces=nonces):
@@ -142,12 +133,13 @@
             case RunDeclined():
                 return self._on_declined(event)
             case RunBroken(nonce=nonce, reason=reason, tokens=tokens):
-                seen = self._tell_crash(nonce, now) if reason == _CRASHED else []
+                seen = self._crashes.crashed(nonce, now) if reason == _CRASHED else []
                 return seen + self._fail(nonce, reason, tokens, now)
 
-    def on_epoch(self) -> None:
+    def on_epoch(self, now: float) -> None:
         """Begin the next epoch and forget what has become safe to forget."""
         self.outlet.forget(self.journal.next_epoch())
+        self._crashes.forget_gone(now)
 
     def on_outcomes_durable(self, nonces: tuple[str, ...]) -> None:
         """Let go of must-not-repeat runs whose intents hold their outcomes."""
@@ -273,21 +265,6 @@
             tokens=self.journal.tokens(nonce),
         )
 
-    def _on_seal(self, peer: Peer, router: str) -> list[Effect]:
-        self.journal.seal(router)
-        if self.journal.running_of(router):
-            self._sealers_by_router[router].add(peer)
-        return [Send(peer=peer, message=self._seal_report(router))]
-
-    def _seal_report(self, router: str) -> Sealed:
-        return Sealed(
-            router=router,
-            sidecar=self.incarnation,
-            ran=self.journal.ran(router),
-            running=self.journal.bounds(router),
-            receipts=self.journal.receipts_of(router)[:MAX_SEALED_RECEIPTS],
-        )
-
     def _on_cancel(self, nonce: str) -> list[Effect]:
         if self.journal.state(nonce) is not RunState.RUNNING:
             return []
@@ -325,17 +302,6 @@
                 event.nonce, FailureReason.ANSWER_TOO_LARGE, event.tokens, now
             )
 
-    def _tell_crash(self, nonce: str, now: float) -> list[Effect]:
-        """Tell every connected router which bodies an upstream's crash had on it."""
-        seen = self._crashes.crashed(nonce)
-        if seen is None:
-            return []
-        recent = now - PEER_SECONDS
-        self._heard_by_peer = {
-            peer: at for peer, at in self._heard_by_peer.items() if at >= recent
-        }
-        return [Send(peer=peer, message=seen) for peer in self._heard_by_peer if peer]
-
     def _finish(self, nonce: str, tokens: int, now: float) -> list[Effect]:
         receipt = self.journal.end(
             nonce, RunState.FINISHED, tokens=tokens, billable=True, now=now
@@ -374,19 +340,11 @@
         )
         effects = self.outlet.dismiss(event.nonce, refused)
         effects += self._forget_run(event.nonce)
-        return effects + self._report_last_run(router)
+        return effects + self._sealing.run_ended(router)
 
     def _end(self, nonce: str, message: Finished | Failed) -> list[Effect]:
         run = self.journal.run(nonce)
         effects = self.outlet.end(message, pinned=not run.idempotent)
         effects += self._forget_run(nonce)
         self.outlet.forget(self.journal.relieve())
-        return effects + self._report_last_run(run.router)
-
-    def _report_last_run(self, router: str) -> list[Effect]:
-        """Send the true figures once a sealed router's last run has ended."""
-        if router not in self._sealers_by_router or self.journal.running_of(router):
-            return []
-        report = self._seal_report(router)
-        sealers = self._sealers_by_router.pop(router)
-        return [Send(peer=peer, message=report) for peer in sealers]
+        return effects + self._sealing.run_ended(run.router)
--- a/src/ragwortkeel/sidecar/crashes.py
+++ b/src/ragwortkeel/sidecar/crashes.py
@@ -8,6 +8,10 @@
 
 from ragwortkeel.messages import CrashSeen, Dispatch
 from ragwortkeel.policy.quarantine import fingerprint
+from ragwortkeel.sidecar.effects import Peer, Send
+
+PEER_SECONDS = 10.0
+"""Routers heartbeat every second; one not heard for so long is gone."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -29,6 +33,7 @@
         self._sidecar = sidecar
         self._running_by_nonce: dict[str, _Suspect] = {}
         self._told: set[str] = set()
+        self._heard_by_peer: dict[Peer, float] = {}
         self._crashes = 0
 
     def started(self, dispatch: Dispatch) -> None:
@@ -43,19 +48,36 @@
         self._running_by_nonce.pop(nonce, None)
         self._told.discard(nonce)
 
-    def crashed(self, nonce: str) -> CrashSeen | None:
-        """Return the crash that broke a run; None where it was told already.
+    def heard(self, peer: Peer, now: float) -> None:
+        """Note a router that is connected."""
+        if peer:
+            self._heard_by_peer[peer] = now
+
+    def forget_gone(self, now: float) -> None:
+        """Forget routers that are not heard any more.
+
+        Every reconnection is a peer of another name, so they would add up.
+        """
+        self._heard_by_peer = self._recent(now)
+
+    def crashed(self, nonce: str, now: float) -> list[Send]:
+        """Tell every connected router of the crash that broke a run, once.
 
         One crash breaks every run in flight, and each reports it: the first
         names them all, so that the rest are not taken for crashes of their own.
         """
         if nonce in self._told or nonce not in self._running_by_nonce:
-            return None
+            return []
         self._crashes += 1
         self._told.update(self._running_by_nonce)
         suspects = list(self._running_by_nonce.values())
-        return CrashSeen(
+        seen = CrashSeen(
             crash_id=f"{self._sidecar}/{self._crashes}",
             fingerprints=tuple(sorted({s.fingerprint for s in suspects})),
             alone=len(suspects) == 1 and suspects[0].alone,
         )
+        return [Send(peer=peer, message=seen) for peer in self._recent(now)]
+
+    def _recent(self, now: float) -> dict[Peer, float]:
+        since = now - PEER_SECONDS
+        return {peer: at for peer, at in self._heard_by_peer.items() if at >= since}
--- a/src/ragwortkeel/sidecar/sidecar.py
+++ b/src/ragwortkeel/sidecar/sidecar.py
@@ -276,7 +276,7 @@
     async def _on_tick(self, now: float) -> None:
         if now >= self._next_epoch_at:
             self._next_epoch_at = now + EPOCH_SECONDS
-            self._core.on_epoch()
+            self._core.on_epoch(now)
         self._reporting.level(self._core)
         job = self._duties.next(now)
         if job is not None:
--- a/tests/sidecar/test_core.py
+++ b/tests/sidecar/test_core.py
@@ -35,6 +35,7 @@
 from ragwortkeel.runs.journal import KEPT_EPOCHS
 from ragwortkeel.sidecar.admission import Admission
 from ragwortkeel.sidecar.core import SidecarCore
+from ragwortkeel.sidecar.crashes import PEER_SECONDS
 from ragwortkeel.sidecar.effects import (
     AnswerBegun,
     AnswerEnded,
@@ -107,7 +108,7 @@
 
 def aged(bench):
     for _ in range(KEPT_EPOCHS + 1):
-        bench.core.on_epoch()
+        bench.core.on_epoch(0.0)
 
 
 REFUSALS = [
@@ -320,6 +321,15 @@
         assert len(seen.fingerprints) == 2
         assert not seen.alone
 
+    def test_routers_that_are_gone_are_forgotten(self, bench):
+        for serial in range(100):
+            bench.hear(Heartbeat(), peer=f"a/{serial}")
+        bench.core.on_epoch(PEER_SECONDS + 1)
+        bench.hear(dispatch())
+        event = RunBroken(nonce="n1", reason=FailureReason.CRASHED, tokens=6)
+        told = [m for m in bench.engine(event) if isinstance(m, CrashSeen)]
+        assert len(told) == 1
+
     def test_next_crash_has_an_id_of_its_own(self, bench):
         ids = set()
         for nonce in ("n1", "n2"):
--- a/tests/sidecar/test_runs_machine.py
+++ b/tests/sidecar/test_runs_machine.py
@@ -72,7 +72,7 @@
             case "time_passes":
                 for core in world.cores:
                     for _ in range(MANY_EPOCHS):
-                        core.on_epoch()
+                        core.on_epoch(0.0)
             case "record":
                 world.record(slot, mode)
             case "drain_or_return":
