Crash news reach the scheduler before the broken run does, and go on to peers

Cause: the quarantine had no news: CrashSeen went to a queue of its own while the Failed of the same crash went to its run, so a suspect could be sent on unseen. Ruled out: ordering by a delay. Change: the pool awaits the crash listener before it hands out anything later of that sidecar; alone and fingerprint travel in Dispatch; membership hears peers and sidecars. Conclusion: process test of quarantine next.

--- a/src/ragwortkeel/router/dispatches.py
+++ b/src/ragwortkeel/router/dispatches.py
@@ -27,6 +27,7 @@
     reservation: Reservation,
     parts: Parts,
     traceparent: str,
+    alone: bool,
 ) -> Dispatch:
     """Return the order to run `call` as `attempt` within `reservation`."""
     _, upstream_version = parts.directory.upstream(attempt.upstream)
@@ -46,5 +47,7 @@
         priority=PRIORITIES[facts.service],
         traceparent=traceparent,
         prefix=facts.prefix,
+        alone=alone,
+        fingerprint=call.fingerprint,
         epoch=parts.pool.views_by_upstream[attempt.upstream].load.epoch,
     )
--- a/src/ragwortkeel/router/exchange.py
+++ b/src/ragwortkeel/router/exchange.py
@@ -112,7 +112,7 @@
         decision = await self._parts.dispatcher.admit(self._facts)
         while isinstance(decision, Assignment):
             try:
-                end = await self._attempt(decision.upstream)
+                end = await self._attempt(decision)
             except BudgetRefused as exc:
                 return self._budget_refusal(exc)
             match end:
@@ -130,7 +130,8 @@
             return Refusal(outcome=Outcome.FAILED, reason=Reason.UPSTREAM_FAILED)
         return refusal_of(decision, may_have_run=self.may_have_run)
 
-    async def _attempt(self, upstream: str) -> AttemptEnd:
+    async def _attempt(self, assignment: Assignment) -> AttemptEnd:
+        upstream = assignment.upstream
         view = self._parts.pool.views_by_upstream.get(upstream)
         if view is None or not view.link.up:
             return Declined(reason=RefusalReason.UPSTREAM_UNREACHABLE)
@@ -141,7 +142,18 @@
         with self._parts.tracing.span(
             "dispatch", parent=self._call.traceparent, upstream=upstream
         ) as span:
-            order = self._dispatch(attempt, reservation, traceparent_of(span))
+            order = build_dispatch(
+                call=self._call,
+                body=self._body(),
+                idempotent=True,
+                version=self._version,
+                facts=self._facts,
+                attempt=attempt,
+                reservation=reservation,
+                parts=self._parts,
+                traceparent=traceparent_of(span),
+                alone=assignment.alone,
+            )
             return await self._run_attempt(attempt, reservation, order)
 
     async def _run_attempt(
@@ -187,21 +199,6 @@
         )
         return rv
 
-    def _dispatch(
-        self, attempt: Attempt, reservation: Reservation, traceparent: str
-    ) -> Dispatch:
-        return build_dispatch(
-            call=self._call,
-            body=self._body(),
-            idempotent=True,
-            version=self._version,
-            facts=self._facts,
-            attempt=attempt,
-            reservation=reservation,
-            parts=self._parts,
-            traceparent=traceparent,
-        )
-
     def _body(self) -> bytes:
         if not self._sink.tokens:
             return self._call.body
--- a/src/ragwortkeel/router/filings.py
+++ b/src/ragwortkeel/router/filings.py
@@ -302,6 +302,7 @@
             reservation=reservation,
             parts=self._parts,
             traceparent=traceparent,
+            alone=self._assignment.alone,
         )
 
     async def _run_to_outcome(
--- a/src/ragwortkeel/router/peers.py
+++ b/src/ragwortkeel/router/peers.py
@@ -72,6 +72,12 @@
             return
         await self._endpoint.send(peer, message)
 
+    async def send_all(self, message: AnyMessage) -> None:
+        """Send to all linked routers that can be reached now."""
+        for link in list(self._links_by_address.values()):
+            with suppress(LinkLost):
+                await link.send(message)
+
     async def run(self) -> None:
         """Read the endpoint until cancelled."""
         while True:
--- a/src/ragwortkeel/router/router.py
+++ b/src/ragwortkeel/router/router.py
@@ -11,9 +11,18 @@
 from ragwortkeel.gossip import FromPeer, Gossip, Learn
 from ragwortkeel.httpio import HttpServer
 from ragwortkeel.links import LinkDown, LinkUp, Received
-from ragwortkeel.messages import AnyMessage, Heartbeat, Refused, VersionedObject
+from ragwortkeel.logs import log_warning
+from ragwortkeel.membership import Membership
+from ragwortkeel.messages import (
+    AnyMessage,
+    CrashSeen,
+    Heartbeat,
+    Refused,
+    VersionedObject,
+)
 from ragwortkeel.platform import Platform
 from ragwortkeel.policy.facts import LoadReport, UpstreamFacts
+from ragwortkeel.policy.quarantine import Crash
 from ragwortkeel.policy.scheduler import Scheduler
 from ragwortkeel.router.closing import Closing
 from ragwortkeel.router.directory import Directory
@@ -79,9 +88,12 @@
         self.settings = settings
         self.incarnation = incarnation
         self.store = ConfigurationStore()
+        self.membership = Membership()
         self.directory = Directory(store=self.store)
         self.pool = SidecarPool(
-            incarnation=lambda: self.incarnation, revision=self.revision
+            incarnation=lambda: self.incarnation,
+            revision=self.revision,
+            on_crash=self._take_crash,
         )
         self.peers = PeerLinks(
             address=settings.address, incarnation=incarnation, revision=self.revision
@@ -180,6 +192,7 @@
         self.pool.reincarnate()
 
     async def _on_fresh(self, fresh: list[VersionedObject]) -> None:
+        self.membership.apply(fresh)
         if any(one.kind == UPSTREAMS for one in fresh):
             await self._follow_upstreams()
 
@@ -217,6 +230,7 @@
 
     async def _take_from_sidecar(self, upstream: str, envelope) -> None:
         peer = SIDECAR_PREFIX + upstream
+        self.membership.heard(envelope.sender, monotonic())
         match envelope.message:
             case Heartbeat() as load:
                 await self._take_load(upstream, envelope.sender, load)
@@ -226,6 +240,19 @@
             case message:
                 await self._to_gossip(peer, envelope.revision, message)
 
+    async def _take_crash(self, seen: CrashSeen) -> None:
+        """Note a crash, and pass it on where it is news."""
+        crash = Crash(
+            crash_id=seen.crash_id,
+            fingerprints=frozenset(seen.fingerprints),
+            alone=seen.alone,
+        )
+        if await self.dispatcher.crashed(crash):
+            log_warning(
+                "upstream_crashed", crash=seen.crash_id, bodies=len(seen.fingerprints)
+            )
+            await self.peers.send_all(seen)
+
     async def _take_load(self, upstream: str, sender: str, load: Heartbeat) -> None:
         state = (sender, load.leaving)
         if self._state_by_upstream.get(upstream) != state:
@@ -246,8 +273,12 @@
                 continue
             envelope = event.envelope
             message = envelope.message
+            self.membership.heard(envelope.sender, monotonic())
             if isinstance(message, Heartbeat):
                 message = None
+            if isinstance(message, CrashSeen):
+                await self._take_crash(message)
+                continue
             await self._to_gossip(event.peer, envelope.revision, message)
 
     async def _to_gossip(
--- a/src/ragwortkeel/router/sidecars.py
+++ b/src/ragwortkeel/router/sidecars.py
@@ -4,6 +4,7 @@
 whose nonce it names; what names none goes to `others`.
 """
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from time import monotonic
 
@@ -15,6 +16,7 @@
 from ragwortkeel.messages import (
     AnyMessage,
     Chunk,
+    CrashSeen,
     Failed,
     Finished,
     Heartbeat,
@@ -61,6 +63,9 @@
     ----------
     incarnation, revision
         As for `Link`.
+    on_crash
+        Awaited with each crash before anything later of that sidecar is
+        handed out: a run that broke in the crash must not be sent on unseen.
 
     Attributes
     ----------
@@ -71,11 +76,18 @@
     .. versionadded:: 0.1
     """
 
-    def __init__(self, *, incarnation, revision) -> None:
+    def __init__(
+        self,
+        *,
+        incarnation: Callable[[], str],
+        revision: Callable[[], int],
+        on_crash: Callable[[CrashSeen], Awaitable[None]],
+    ) -> None:
         self.views_by_upstream: dict[str, SidecarView] = {}
         self.others: curio.Queue = curio.Queue()
         self._incarnation = incarnation
         self._revision = revision
+        self._on_crash = on_crash
         self._inbox: curio.Queue = curio.Queue()
         self._subscriptions_by_nonce: dict[str, list[Subscription]] = {}
         self._locating: dict[tuple[str, str, str], curio.Queue] = {}
@@ -183,6 +195,8 @@
             case Heartbeat():
                 self._note_load(event.peer, message)
                 await self.others.put(event)
+            case CrashSeen():
+                await self._on_crash(message)
             case Located(profile=profile, request_id=request_id):
                 queue = self._locating.get((event.peer, profile, request_id))
                 if queue is not None:
--- a/src/ragwortkeel/router/worker.py
+++ b/src/ragwortkeel/router/worker.py
@@ -15,7 +15,6 @@
 )
 from ragwortkeel.gossip import Partners
 from ragwortkeel.logs import log_info
-from ragwortkeel.membership import Membership
 from ragwortkeel.messages import ReceiptsDurable
 from ragwortkeel.metrics import Metrics
 from ragwortkeel.platform_client import HttpPlatform
@@ -41,7 +40,6 @@
         self.metrics = Metrics()
         self.tracing = Tracing(node=settings.name)
         self._settings = settings
-        self._membership = Membership()
         self._platform = HttpPlatform(address=settings.platform)
         incarnation = f"{settings.name}-{uuid4().hex[:12]}"
         self._keeper = PlainKeeper(platform=self._platform, router=incarnation)
@@ -79,7 +77,7 @@
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._router.run)
             await group.spawn(self._follow_neighbours)
-            await group.spawn(follow_list, self._platform, self._membership)
+            await group.spawn(follow_list, self._platform, self._router.membership)
             await group.spawn(self._keeper.run)
             await group.spawn(self._tell_durable)
 
