--- a/src/ragwortkeel/router/filings.py
+++ b/src/ragwortkeel/router/filings.py
@@ -6,27 +6,19 @@
 the run is followed to its end in the background and its outcome recorded.
 """
 
-from contextlib import suppress
 from uuid import uuid4
 
-import curio
 from msgspec.structs import replace
 
 from ragwortkeel.budget.slice import Reservation
 from ragwortkeel.configuration import Profile
-from ragwortkeel.exceptions import BudgetRefused, LinkLost, PlatformError
+from ragwortkeel.exceptions import BudgetRefused, PlatformError
 from ragwortkeel.messages import (
-    Dispatch,
-    OutcomeDurable,
     RefusalReason,
     Resume,
-    RunState,
-    Tombstone,
-    TombstoneResult,
 )
 from ragwortkeel.policy.facts import Assignment, RequestFacts
 from ragwortkeel.router.attempt import (
-    Attempt,
     AttemptEnd,
     Broken,
     Completed,
@@ -34,8 +26,8 @@
     Lost,
 )
 from ragwortkeel.router.calls import Call
-from ragwortkeel.router.dispatches import build_dispatch
 from ragwortkeel.router.exchange import failure_of, refusal_of
+from ragwortkeel.router.filing_runs import FilingRuns
 from ragwortkeel.router.parts import Parts
 from ragwortkeel.router.refusals import Outcome as CallerOutcome
 from ragwortkeel.router.refusals import Reason, Refusal
@@ -47,7 +39,6 @@
     Create,
     Follow,
     Go,
-    Held,
     Intent,
     Outcome,
     Refuse,
@@ -58,10 +49,6 @@
     fingerprint_of,
     with_outcome,
 )
-from ragwortkeel.traces import traceparent_of
-
-ASK_SECONDS = 1.0
-"""A sidecar that is up answers in well under a millisecond."""
 
 SOON_SECONDS = 1.0
 """By then the other attempt of the key has ended or is found running."""
@@ -99,8 +86,6 @@
     ) -> None:
         self.may_have_run = call.key_given
         self._call = call
-        self._profile = profile
-        self._version = version
         self._facts = facts
         self._parts = parts
         self._intents = parts.intents
@@ -109,6 +94,9 @@
         if not call.key_given:
             # Nobody else knows a key minted here, so there is nothing to read.
             self._filing.on_read(None)
+        self._runs = FilingRuns(
+            call=call, version=version, facts=facts, parts=parts, sink=sink
+        )
         self._wrote = False
         self._assignment: Assignment | None = None
         self._reservation: Reservation | None = None
@@ -135,8 +123,8 @@
                 case Refuse() as step:
                     await self._list_if_asked(step)
                     return _refusal(step)
-                case Go() as step:
-                    end = await self._go(step.intent)
+                case Go():
+                    end = await self._go()
                     if isinstance(end, Completed):
                         return await self._finish(end)
                     refusal = await self._after(end)
@@ -157,7 +145,7 @@
             case TakeOver(version=version):
                 return await self._write(version)
             case AskSidecar():
-                self._filing.on_tombstone(await self._ask(step))
+                self._filing.on_tombstone(await self._runs.ask(step))
             case Release(intent=intent, version=version):
                 result, _ = await self._intents.write(intent, version)
                 self._filing.on_release(result)
@@ -250,80 +238,15 @@
             return _not_run(Reason(exc.reason), exc.retry_after_seconds)
         return None
 
-    async def _ask(self, step: AskSidecar) -> RunState | None:
-        """Have the sidecar promise never to run a nonce, unless it ran."""
-        upstream = self._parts.pool.upstream_of(step.sidecar)
-        if upstream is None:
-            return None
-        reader = self._parts.pool.subscribe(step.nonce, upstream)
-        try:
-            question = Tombstone(nonce=step.nonce, sidecar=step.sidecar)
-            await self._parts.pool.send(upstream, question)
-            async with curio.timeout_after(ASK_SECONDS):
-                while True:
-                    event = await reader.queue.get()
-                    if isinstance(event, TombstoneResult):
-                        return event.state
-        except (LinkLost, curio.TaskTimeout):
-            return None
-        finally:
-            self._parts.pool.unsubscribe(reader)
-
-    async def _go(self, intent: Intent) -> AttemptEnd:
+    async def _go(self) -> AttemptEnd:
         """Dispatch, once; the run outlives this request."""
         self.may_have_run = True
         self._filing.on_sent()
         reservation, self._reservation = self._reservation, None
-        attempt = self._attempt(intent.upstream, intent.nonce, intent.sidecar)
-        running = await curio.spawn(
-            self._run_traced, attempt, reservation, self._filing.held, daemon=True
-        )
-        return await running.join()
-
-    async def _run_traced(
-        self, attempt: Attempt, reservation: Reservation, held: Held
-    ) -> AttemptEnd:
-        with self._parts.tracing.span(
-            "dispatch", parent=self._call.traceparent, upstream=attempt.upstream
-        ) as span:
-            order = self._dispatch(attempt, reservation, traceparent_of(span))
-            return await self._run_to_outcome(attempt, reservation, held, order)
-
-    def _dispatch(
-        self, attempt: Attempt, reservation: Reservation, traceparent: str
-    ) -> Dispatch:
-        return build_dispatch(
-            call=self._call,
-            body=self._call.body,
-            idempotent=False,
-            version=self._version,
-            facts=self._facts,
-            attempt=attempt,
-            reservation=reservation,
-            parts=self._parts,
-            traceparent=traceparent,
-            alone=self._assignment.alone,
+        return await self._runs.run(
+            self._filing.held, reservation, alone=self._assignment.alone
         )
 
-    async def _run_to_outcome(
-        self,
-        attempt: Attempt,
-        reservation: Reservation,
-        held: Held,
-        order: Dispatch,
-    ) -> AttemptEnd:
-        end = Declined(reason=RefusalReason.UPSTREAM_UNREACHABLE)
-        if await attempt.open(order):
-            end = await attempt.follow()
-        if isinstance(end, Lost) and attempt.may_go_on:
-            await self._parts.closing.abandon(
-                reservation, attempt, self._call, cancel=False
-            )
-            return end
-        await self._parts.closing.settle(reservation, attempt, end, self._call)
-        await self._start_recording(end, held, attempt)
-        return end
-
     async def _finish(self, end: Completed) -> None:
         await self._parts.dispatcher.finished(self._facts.request_id)
         await self._sink.finish(end.status, end.content_type)
@@ -353,41 +276,12 @@
         self._assignment = decision
         return self._new_intent()
 
-    async def _start_recording(
-        self, end: AttemptEnd, held: Held, attempt: Attempt
-    ) -> None:
-        outcome = self._outcome(end)
-        if outcome is not None:
-            done = with_outcome(held.intent, outcome)
-            await curio.spawn(self._record, done, held.version, attempt, daemon=True)
-
-    async def _record(self, done: Intent, version: int, attempt: Attempt) -> None:
-        """Make an outcome durable and tell the sidecar, which then may forget."""
-        if await self._intents.record(done, version):
-            message = OutcomeDurable(nonces=(done.nonce,))
-            with suppress(LinkLost):
-                await self._parts.pool.send(attempt.upstream, message)
-
-    def _outcome(self, end: AttemptEnd) -> Outcome | None:
-        match end:
-            case Completed(status=status, content_type=content_type, tokens=tokens):
-                return Outcome(
-                    verdict=Verdict.ANSWERED,
-                    status=status,
-                    content_type=content_type,
-                    body=self._sink.body,
-                    tokens=tokens,
-                )
-            case Broken(may_have_run=True, reason=reason, tokens=tokens):
-                return Outcome(verdict=Verdict.UNRESOLVED, reason=reason, tokens=tokens)
-        return None
-
     async def _follow(self, step: Follow) -> Refusal | None:
         """Give the caller the answer of a run that an earlier attempt started."""
         upstream = self._parts.pool.upstream_of(step.sidecar)
         if upstream is None:
             return _unknown(Reason.SIDECAR_GONE)
-        attempt = self._attempt(upstream, step.nonce, step.sidecar)
+        attempt = self._runs.attempt(upstream, step.nonce, step.sidecar)
         if not await attempt.open(Resume(nonce=step.nonce, offset=0)):
             return _unknown(Reason.SIDECAR_GONE)
         try:
@@ -396,24 +290,10 @@
             attempt.close()
         if not isinstance(end, Completed):
             return _unknown(Reason.RUN_FAILED)
-        await self._start_recording(end, self._filing.held, attempt)
+        await self._runs.start_recording(end, self._filing.held, attempt)
         await self._sink.finish(end.status, end.content_type)
         return None
 
-    def _attempt(self, upstream: str, nonce: str, sidecar: str) -> Attempt:
-        async def emit(data: bytes) -> None:
-            await self._sink.write(data, rv.content_type)
-
-        self._sink.restart()
-        rv = Attempt(
-            nonce=nonce,
-            upstream=upstream,
-            sidecar=sidecar,
-            pool=self._parts.pool,
-            emit=emit,
-        )
-        return rv
-
     async def _answer(self, outcome: Outcome) -> None:
         await self._sink.write(outcome.body, outcome.content_type)
         await self._sink.finish(outcome.status, outcome.content_type)
