Tests of broken answers and leaving callers in one kernel

Cause: resume elsewhere, the error event and the cancel had no test. Ruled out: a process test for each (slower; those kill for real). Conclusion: a truncated stream ends with an error event, or goes on elsewhere.

--- a/src/ragwortkeel/router/plain_keeper.py
+++ b/src/ragwortkeel/router/plain_keeper.py
@@ -62,6 +62,14 @@
         """Take a receipt for the next segment."""
         self._receipts.append(receipt)
 
+    def spent(self, profile: str) -> int:
+        """Return the tokens spent here so far."""
+        return self._refresh_of(profile).slice.spent
+
+    def unsettled(self, profile: str) -> int:
+        """Return the tokens of open reservations."""
+        return self._refresh_of(profile).slice.reserved
+
     async def run(self) -> None:
         """Write receipts until cancelled."""
         while True:
--- a/tests/router/in_process.py
+++ b/tests/router/in_process.py
@@ -55,11 +55,11 @@
         return f"{HOST}:{sock.getsockname()[1]}"
 
 
-def run_fleet(scenario):
+def run_fleet(scenario, **options):
     """Run ``await scenario(fleet)`` beside a fresh fleet and return its result."""
 
     async def main():
-        fleet = Fleet()
+        fleet = Fleet(**options)
         await fleet.start()
         try:
             async with curio.timeout_after(2 * PATIENCE):
@@ -72,16 +72,20 @@
 
 
 class Fleet:
-    """One router before an engine and a plain service, and its platform."""
+    """One router before some engines and a plain service, and its platform."""
 
-    def __init__(self):
+    def __init__(self, *, engines=1, resumes=False):
+        self.engine_names = [f"m{i + 1}" for i in range(engines)]
+        self.resumes = resumes
         self.platform = LocalPlatform()
         self.observed = []
         self.tasks = []
         self.upstream_addresses = {}
 
     async def start(self):
-        await self._start_upstream("m1", "assistant", UpstreamKind.MODEL, serve_engine)
+        for name in self.engine_names:
+            kind = UpstreamKind.MODEL
+            await self._start_upstream(name, "assistant", kind, serve_engine)
         await self._start_upstream("c1", "claims", UpstreamKind.SERVICE, serve_service)
         for profile in (CHAT, FILING):
             await self._create(PROFILES, profile.name, msgspec.json.encode(profile))
@@ -128,6 +132,7 @@
             kind=kind,
             sidecar_address=settings.address,
             zone="maule-a",
+            resumes=self.resumes,
         )
         await self._create(UPSTREAMS, name, msgspec.json.encode(upstream))
 
@@ -155,8 +160,8 @@
         await self._spawn(self.router.run)
         host, port = settings.http.split(":")
         self.client = HttpClient(host=host, port=int(port))
-        await until(lambda: self.router.pool.is_up("m1"))
-        await until(lambda: self.router.pool.is_up("c1"))
+        for name in (*self.engine_names, "c1"):
+            await until(lambda name=name: self.router.pool.is_up(name))
 
     async def ask(self, path, body, **headers):
         fields = {name.replace("_", "-"): value for name, value in headers.items()}
@@ -179,7 +184,8 @@
         host, port = self.upstream_addresses[upstream].split(":")
         client = HttpClient(host=host, port=int(port))
         response = await client.request("GET", "/executions", timeout=PATIENCE)
-        return len(msgspec.json.decode(response.body)["executions"])
+        found = msgspec.json.decode(response.body)
+        return sum(found.get("count_by_request_id", found).values())
 
 
 async def until(condition):
--- a/tests/router/test_path.py
+++ b/tests/router/test_path.py
@@ -5,7 +5,7 @@
 
 from ragwortkeel.router.calls import CHAT_PATH
 
-from .in_process import run_fleet
+from .in_process import CHAT, run_fleet, until
 
 QUESTION = {
     "model": "advisor-chat",
@@ -20,6 +20,18 @@
     return msgspec.json.decode(response.body)
 
 
+def texts_of(stream):
+    events = [e.removeprefix(b"data: ") for e in stream.split(b"\n\n") if e]
+    frames = [msgspec.json.decode(e) for e in events if e != b"[DONE]"]
+    deltas = [frame["choices"][0]["delta"] for frame in frames]
+    return [delta["content"] for delta in deltas if "content" in delta]
+
+
+def texts_of_whole(body):
+    text = msgspec.json.decode(body)["choices"][0]["message"]["content"]
+    return text.split()
+
+
 class TestAnswers:
     def test_a_whole_answer_is_billed_what_it_cost(self):
         async def scenario(fleet):
@@ -60,6 +72,74 @@
         assert len(receipts) == 1
 
 
+class TestBrokenAnswers:
+    def test_a_truncated_stream_is_never_shown_as_whole(self):
+        """A farmer reads half an answer and takes it for all of it.
+
+        The engine closed its stream early, as if it were whole.  It cannot go
+        on from there, so the caller gets an explicit error event.
+        """
+
+        async def scenario(fleet):
+            await fleet.switch("m1", truncate=3)
+            return await fleet.ask(CHAT_PATH, QUESTION | {"stream": True})
+
+        body = run_fleet(scenario).body
+        assert body.count(b'"content"') == 3
+        assert b"[DONE]" not in body
+        last = body.rsplit(b"event: error\ndata: ", 1)[1]
+        assert msgspec.json.decode(last)["outcome"] == "failed"
+
+    def test_a_stream_goes_on_elsewhere_from_the_tokens_already_sent(self):
+        """The same fault where the engines can go on from a given token.
+
+        Another engine continues, and the caller sees one whole answer, the same
+        as without the fault.
+        """
+
+        async def scenario(fleet):
+            asked = QUESTION | {"stream": True}
+            whole = await fleet.ask(CHAT_PATH, asked, idempotency_key="a")
+            ran_at = [n for n in fleet.engine_names if await fleet.runs(n)]
+            await fleet.switch(ran_at[0], truncate=3)
+            return whole, await fleet.ask(CHAT_PATH, asked, idempotency_key="b")
+
+        whole, resumed = run_fleet(scenario, engines=2, resumes=True)
+        assert texts_of(resumed.body) == texts_of(whole.body)
+        assert resumed.body.endswith(b"data: [DONE]\n\n")
+
+    def test_a_truncated_whole_answer_is_run_again(self):
+        async def scenario(fleet):
+            await fleet.switch("m1", truncate=3)
+            return await fleet.ask(CHAT_PATH, QUESTION)
+
+        response = run_fleet(scenario, engines=2)
+        assert response.status == 200
+        assert len(texts_of_whole(response.body)) == 8
+
+
+class TestLeavingCallers:
+    def test_work_of_a_caller_that_left_is_cancelled(self):
+        """Callers give up under load and their work goes on to fill the engines.
+
+        Nobody can come back for an answer without a key, so its run is stopped
+        and charged only for the tokens that it took.
+        """
+
+        async def scenario(fleet):
+            await fleet.switch("m1", slow=50.0)
+            asked = QUESTION | {"stream": True, "max_tokens": 1000}
+            body = msgspec.json.encode(asked)
+            async with fleet.client.stream("POST", CHAT_PATH, body=body) as answer:
+                async for _ in answer.pieces():
+                    break
+            await until(lambda: not fleet.router.closing.open_runs)
+            await until(lambda: fleet.keeper.unsettled(CHAT.name) == 0)
+            return fleet.keeper.spent(CHAT.name)
+
+        assert 0 < run_fleet(scenario) < 1000
+
+
 class TestFilings:
     def test_the_same_key_files_once(self):
         async def scenario(fleet):
