Stand in for watchers that died; ask only who is ahead, once a round

Cause: a killed router stays registered until somebody strikes it off, so a zone's two watchers by rendezvous may both be dead; the others looked once a minute only. And every message of a peer with a higher revision was answered by a digest at once: a sidecar, whose own revision is nearly always lower, would have sent one to each router it hears, each second.

Change: digests carry how long ago the platform confirmed the content, to anyone; a node whose content nobody confirmed for 10 to 20 s watches itself for a minute. In an outage it pauses after each failure, up to two minutes. The next digest goes to the peer that is furthest ahead.

Ruled out: choosing watchers by who is known alive (a wrong view leaves none); a shorter look by every node (60 reads a second at all times).

--- a/src/ragwortkeel/configuration_exchange.py
+++ b/src/ragwortkeel/configuration_exchange.py
@@ -7,9 +7,11 @@
 an empty store left out, and costs one small message where nothing is missing.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
+from math import inf
 from random import Random
+from time import monotonic
 
 from ragwortkeel.configuration_store import (
     BRANCHES,
@@ -70,6 +72,8 @@
         What is exchanged; nobody else writes to it.
     random : random.Random
         Chooses partners and branches.
+    clock : callable
+        Returns monotonic seconds.
 
     Attributes
     ----------
@@ -80,11 +84,20 @@
         as far as lists and watches tell; `UNKNOWN` at first.
     """
 
-    def __init__(self, *, store: ConfigurationStore, random: Random) -> None:
+    def __init__(
+        self,
+        *,
+        store: ConfigurationStore,
+        random: Random,
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
         self.store = store
         self.partners: Sequence[str] = ()
         self.complete_by_kind = dict.fromkeys(store.kinds, UNKNOWN)
         self._random = random
+        self._clock = clock
+        self._confirmed_at_by_kind = dict.fromkeys(store.kinds, -inf)
+        self._ahead_by_peer: dict[str, int] = {}
         self._rounds_by_key: dict[tuple[str, str], int] = {}
         self._asked: set[str] = set()
         self._unfinished: set[str] = set()
@@ -106,10 +119,27 @@
         fresh, self._fresh = self._fresh, []
         return fresh
 
-    def completed(self, kind: str, revision: int) -> None:
-        """Note that every change of a kind up to `revision` is in the store."""
+    def completed(self, kind: str, revision: int, *, age: float = 0.0) -> None:
+        """Note that every change of a kind up to `revision` is in the store.
+
+        Parameters
+        ----------
+        age : float
+            How many seconds ago the platform said so.
+        """
         held = self.complete_by_kind[kind]
         self.complete_by_kind[kind] = max(held, revision)
+        confirmed_at = self._clock() - age
+        if confirmed_at > self._confirmed_at_by_kind[kind]:
+            self._confirmed_at_by_kind[kind] = confirmed_at
+
+    def age(self, kind: str) -> float:
+        """Return how many seconds ago the platform confirmed the store's content.
+
+        Peers pass it on, so it stays low as long as anyone that is connected,
+        however indirectly, hears the platform.
+        """
+        return self._clock() - self._confirmed_at_by_kind[kind]
 
     def spread(self) -> list[Send]:
         """Return the pushes of this round: what is fresh, to a few partners."""
@@ -136,14 +166,17 @@
             return []
         messages = [self.digest()]
         messages += [self.pull(kind, names) for kind, names in self.store.only.items()]
-        peer = self._random.choice(self.partners)
+        peer = self._most_ahead() or self._random.choice(self.partners)
+        self._ahead_by_peer.clear()
         return [Send(peer=peer, message=message) for message in messages]
 
-    def hint(self, peer: str, revision: int) -> list[Send]:
-        """Ask a peer that has a newer revision in force, once a round."""
-        if revision <= self.store.revision:
-            return []
-        return [Send(peer=peer, message=one) for one in self._ask(peer)]
+    def hint(self, peer: str, revision: int) -> None:
+        """Note a peer's revision; the next digest goes to who is furthest ahead.
+
+        Not at once: most of what it has is on its way here as a push.
+        """
+        if revision > self.store.revision:
+            self._ahead_by_peer[peer] = revision
 
     def pull(self, kind: str, names: Iterable[str]) -> ConfigurationPull:
         """Return the message that asks for what is newer of some objects."""
@@ -156,6 +189,7 @@
         return ConfigurationDigest(
             roots={kind: self.store.root(kind) for kind in self.store.whole_kinds},
             complete=dict(self.complete_by_kind),
+            ages={kind: self.age(kind) for kind in self.store.whole_kinds},
         )
 
     def receive(self, peer: str, message: AnyMessage) -> list[Send]:
@@ -181,6 +215,13 @@
                     answers = self._ask(peer)
         return [Send(peer=peer, message=answer) for answer in answers]
 
+    def _most_ahead(self) -> str | None:
+        ahead = self._ahead_by_peer
+        behind = [peer for peer in ahead if ahead[peer] <= self.store.revision]
+        for peer in behind:
+            del ahead[peer]
+        return max(ahead, key=ahead.get, default=None)
+
     def _ask(self, peer: str) -> list[AnyMessage]:
         """Return a digest, unless the peer still owes the answer to one.
 
@@ -213,7 +254,8 @@
                 continue
             if root == self.store.root(kind):
                 # Equal content: what the peer knows to be whole is whole here.
-                self.completed(kind, message.complete.get(kind, UNKNOWN))
+                revision = message.complete.get(kind, UNKNOWN)
+                self.completed(kind, revision, age=message.ages.get(kind, inf))
                 continue
             hashes = self.store.branch_hashes(kind)
             answers.append(ConfigurationBranches(kind=kind, hashes=hashes))
--- a/src/ragwortkeel/configuration_schedule.py
+++ b/src/ragwortkeel/configuration_schedule.py
@@ -2,7 +2,8 @@
 
 The platform counts each call, a waiting watch as one, and its rates grow more
 slowly than the fleet.  So a few nodes in each zone watch; the others learn from
-them, and look for themselves now and then, in case the watchers are cut off.
+them.  Digests carry how long ago the platform was heard, by anyone: where that
+grows old the watchers are dead or cut off, and others stand in for them.
 Watches are hints: what they skip is found by the lists of the watchers.
 """
 
@@ -16,12 +17,23 @@
 WATCHERS_PER_ZONE = 2
 """One may die or be cut off at any moment; a third would only cost calls."""
 
-WATCH_SECONDS = 20.0
-"""How long one watch waits; shorter costs calls, longer finds a lost one late."""
+WATCH_SECONDS = 5.0
+"""How long one watch waits.  Its end confirms that nothing changed: with 25 zones,
+two watchers and four kinds these are 40 calls a second."""
 
-POLL_SECONDS = 60.0
-"""How often one that does not watch looks; 40 in a zone make it 1.5 s between
-two looks of the zone, and 950 in all cost some 60 calls a second."""
+STALE_SECONDS = (10.0, 20.0)
+"""A node whose content nobody confirmed for this long watches itself.  Two watch
+ends and the seconds a digest takes to all fit in; each node draws its own bound,
+so that a few begin and their word keeps the others from it."""
+
+STAND_IN_SECONDS = 60.0
+"""How long it then watches before it leaves it to the zone's watchers again."""
+
+PAUSE_SECONDS = 10.0
+MAX_PAUSE_SECONDS = 120.0
+"""After a failure a stand-in pauses, longer each time.  While the platform is
+down, 1,000 nodes that try this seldom make 33 calls a second, and when it is back
+the word of the first spreads before most try."""
 
 LIST_BYTES_PER_SECOND = 2_000
 """A sixth of what a node may spend on control."""
@@ -96,14 +108,23 @@
     def __init__(self, *, now: float, random: Random) -> None:
         self._random = random
         self._list_at = now
-        self._poll_at = now
         self._retry_at = now
+        self._stand_in_from = now
+        self._stand_in_until = now
+        self._pause = PAUSE_SECONDS
+        self._stale_seconds = random.uniform(*STALE_SECONDS)
         self._failures = 0
         self._incomplete_to = UNKNOWN
         self._learn_until = now + LEARN_SECONDS
 
     def next(
-        self, *, now: float, watching: bool, complete: int, peers_heard: bool
+        self,
+        *,
+        now: float,
+        watching: bool,
+        complete: int,
+        peers_heard: bool,
+        age: float,
     ) -> Step:
         """Return what to do.
 
@@ -115,32 +136,35 @@
             Revision up to which the store is complete, or `UNKNOWN`.
         peers_heard : bool
             Whether peers answer, from whom to learn instead.
+        age : float
+            Seconds since the platform confirmed the content, here or to a peer.
         """
         if now < self._retry_at:
             return _rest(self._retry_at - now)
         incomplete = complete <= self._incomplete_to
-        if watching and (incomplete or now >= self._list_at):
+        if not watching and incomplete and peers_heard and now < self._learn_until:
+            return _rest(self._learn_until - now)
+        if incomplete:
             return ListAll()
-        if watching:
-            seconds = min(WATCH_SECONDS, self._list_at - now)
-            return Watch(revision=complete, seconds=seconds)
-        if incomplete and (not peers_heard or now >= self._learn_until):
+        if not watching:
+            self._consider_standing_in(now, age)
+            if now >= self._stand_in_until:
+                wait = max(self._stale_seconds - age, self._stand_in_from - now)
+                return _rest(wait)
+        if now >= self._list_at:
             return ListAll()
-        if incomplete:
-            return _rest(self._learn_until - now)
-        if now >= self._poll_at:
-            return Watch(revision=complete, seconds=0.0)
-        return _rest(self._poll_at - now)
+        seconds = min(WATCH_SECONDS, self._list_at - now)
+        return Watch(revision=complete, seconds=seconds)
 
     def listed(self, *, now: float, value_bytes: int) -> None:
         """Note a list that was read whole."""
-        self._succeeded(now)
+        self._succeeded()
         self._incomplete_to = UNKNOWN - 1
         self._list_at = now + list_seconds(value_bytes) * self._spread()
 
     def watched(self, *, now: float, gap: bool, complete: int) -> None:
         """Note the end of a watch."""
-        self._succeeded(now)
+        self._succeeded()
         if gap:
             # What the platform forgot to tell is in no later watch either:
             # only a list, or a peer that is complete beyond it, makes it good.
@@ -152,10 +176,23 @@
         seconds = min(RETRY_SECONDS * 2**self._failures, MAX_RETRY_SECONDS)
         self._failures = min(self._failures + 1, 10)
         self._retry_at = now + seconds * self._spread()
-
-    def _succeeded(self, now: float) -> None:
+        # Who stands in stops at the first failure and pauses longer each time:
+        # in an outage everybody's content is stale, and all would go on trying.
+        if now < self._stand_in_until:
+            self._stand_in_until = now
+            self._stand_in_from = now + self._pause * self._spread()
+            self._pause = min(self._pause * 2, MAX_PAUSE_SECONDS)
+
+    def _consider_standing_in(self, now: float, age: float) -> None:
+        # The zone's watchers are dead, or they or their peers are cut off;
+        # without this a change would come here late or not at all.
+        if age >= self._stale_seconds and now >= self._stand_in_from:
+            self._stand_in_until = now + STAND_IN_SECONDS
+            self._stale_seconds = self._random.uniform(*STALE_SECONDS)
+
+    def _succeeded(self) -> None:
         self._failures = 0
-        self._poll_at = now + POLL_SECONDS * self._spread()
+        self._pause = PAUSE_SECONDS
 
     def _spread(self) -> float:
         return self._random.uniform(0.5, 1.5)
--- a/src/ragwortkeel/gossip.py
+++ b/src/ragwortkeel/gossip.py
@@ -16,7 +16,6 @@
 from ragwortkeel.configuration_exchange import Exchange, Send
 from ragwortkeel.configuration_schedule import (
     LEARN_SECONDS,
-    POLL_SECONDS,
     WATCHERS_PER_ZONE,
     FollowSchedule,
     ListAll,
@@ -44,6 +43,10 @@
 PEER_SILENCE_SECONDS = 10.0
 """Ten lost digests: then the platform is asked as if there were no peers."""
 
+LOOK_SECONDS = 60.0
+"""How often a sidecar reads its upstream's object beside asking the routers: 10,000
+of them make 167 reads a second."""
+
 REFRESH_SECONDS = 0.1
 """Ten looks a second for unknown names, of all the callers of a node."""
 
@@ -143,7 +146,7 @@
         clock: Callable[[], float] = monotonic,
     ) -> None:
         self.inbox: curio.Queue = curio.Queue()
-        self.exchange = Exchange(store=store, random=random)
+        self.exchange = Exchange(store=store, random=random, clock=clock)
         self._name = name
         self._zone = zone
         self._platform = platform
@@ -214,8 +217,8 @@
         match event:
             case FromPeer(peer=peer, revision=revision, message=message):
                 self._heard_at = self._clock()
-                sends = self.exchange.receive(peer, message)
-                return sends + self.exchange.hint(peer, revision)
+                self.exchange.hint(peer, revision)
+                return self.exchange.receive(peer, message)
             case Listed(kind=kind, listing=listing):
                 self.exchange.learn(self._from_list(kind, listing))
                 self.exchange.completed(kind, listing.revision)
@@ -271,6 +274,7 @@
                 watching=self.watching,
                 complete=self.exchange.complete_by_kind[kind],
                 peers_heard=self.peers_heard,
+                age=self.exchange.age(kind),
             )
             try:
                 await self._take(kind, step, schedule)
@@ -300,7 +304,7 @@
         """Look for one object where the peers do not bring it."""
         while True:
             await self._fetch(kind, name)
-            seconds = POLL_SECONDS if self.peers_heard else LEARN_SECONDS
+            seconds = LOOK_SECONDS if self.peers_heard else LEARN_SECONDS
             await curio.sleep(seconds * self._random.uniform(0.5, 1.5))
 
     async def _fetch(self, kind: str, name: str) -> None:
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -250,11 +250,13 @@
     """Hash by kind over all that the sender holds, and how far it is complete.
 
     `complete` is, by kind, the platform's revision up to which the sender has
-    seen every change.
+    seen every change; `ages` is how many seconds ago the platform said so, to
+    the sender or to whom it has it from.
     """
 
     roots: dict[str, int]
     complete: dict[str, int]
+    ages: dict[str, float] = {}
 
 
 class ConfigurationBranches(Message):
--- /dev/null
+++ b/tests/test_configuration_exchange.py
@@ -0,0 +1,139 @@
+"""The exchange between two stores, message by message."""
+
+from math import inf
+from random import Random
+
+import pytest
+
+from ragwortkeel.configuration import PROFILES
+from ragwortkeel.configuration_exchange import PUSH_BYTES, SPREAD_AT_ONCE, Exchange
+from ragwortkeel.configuration_store import ConfigurationStore
+from ragwortkeel.messages import (
+    ConfigurationBranches,
+    ConfigurationLeaves,
+    ConfigurationPull,
+    ConfigurationPush,
+    ConfigurationRanks,
+    VersionedObject,
+)
+
+
+def made(name, version):
+    return VersionedObject(kind=PROFILES, name=name, version=version, value=b"{}")
+
+
+class Clock:
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+def exchange(clock, *partners):
+    rv = Exchange(store=ConfigurationStore(), random=Random(1), clock=clock)
+    rv.partners = partners
+    return rv
+
+
+class TestAge:
+    @pytest.mark.parametrize(("equal", "age"), [(True, 5.0), (False, inf)])
+    def test_word_of_the_platform_is_passed_on(self, equal, age):
+        clock = Clock()
+        one, other, last = (exchange(clock) for _ in range(3))
+        one.learn([made("chat", 7)])
+        one.completed(PROFILES, 7)
+        other.learn([made("chat", 7 if equal else 6)])
+        last.learn([made("chat", 7)])
+        clock.now = 2.0
+        other.receive("one", one.digest())
+        clock.now = 5.0
+        last.receive("other", other.digest())
+        assert other.age(PROFILES) == last.age(PROFILES) == age
+        assert last.complete_by_kind[PROFILES] == (7 if equal else -1)
+
+    def test_older_word_does_not_count(self):
+        clock = Clock()
+        one, other = exchange(clock), exchange(clock)
+        one.completed(PROFILES, 0)
+        clock.now = 3.0
+        other.completed(PROFILES, 0)
+        other.receive("one", one.digest())
+        assert other.age(PROFILES) == 0.0
+
+
+class TestWhomToAsk:
+    def test_furthest_ahead_is_asked_once(self):
+        one = exchange(Clock(), "p1", "p2", "p3")
+        one.hint("far", 9)
+        one.hint("near", 5)
+        assert [send.peer for send in one.compare()] == ["far"]
+        assert [send.peer for send in one.compare()][0].startswith("p")
+
+    def test_nobody_is_asked_for_what_came_meanwhile(self):
+        one = exchange(Clock(), "p1")
+        one.hint("far", 9)
+        one.learn([made("chat", 9)])
+        assert [send.peer for send in one.compare()] == ["p1"]
+
+
+class TestSpread:
+    def test_small_batches_are_pushed_and_large_are_left_to_digests(self):
+        one = exchange(Clock(), "p1")
+        one.learn(made(f"p{i}", i) for i in range(SPREAD_AT_ONCE + 1))
+        assert one.spread() == []
+        one.learn([made("chat", 999)])
+        assert [send.message.objects for send in one.spread()] == [(made("chat", 999),)]
+
+    def test_callers_are_pushed_to(self):
+        one, caller = exchange(Clock()), exchange(Clock())
+        one.receive("caller", caller.digest())
+        one.learn([made("chat", 1)])
+        assert [send.peer for send in one.spread()] == ["caller"]
+
+
+class TestStrangeMessages:
+    @pytest.mark.parametrize(
+        "message",
+        [
+            ConfigurationBranches(kind="odd", hashes=()),
+            ConfigurationBranches(kind=PROFILES, hashes=(1,)),
+            ConfigurationLeaves(kind=PROFILES, branch=-1, hashes=(0,) * 64),
+            ConfigurationLeaves(kind=PROFILES, branch=99, hashes=(0,) * 64),
+            ConfigurationLeaves(kind=PROFILES, branch=0, hashes=(1,)),
+            ConfigurationRanks(kind="odd", leaves=(1,), ranks={}),
+            ConfigurationRanks(kind=PROFILES, leaves=(-1, 10**6), ranks={}),
+            ConfigurationPull(kind="odd", ranks={"a": (False, 1)}),
+            ConfigurationPull(kind=PROFILES, ranks={"none": (False, 1)}),
+            ConfigurationPush(objects=(), more=True),
+        ],
+    )
+    def test_are_answered_with_nothing(self, message):
+        assert exchange(Clock()).receive("peer", message) == []
+
+
+class TestPages:
+    def test_an_empty_store_is_filled_page_by_page(self):
+        value = b'{"pad":"%s"}' % (b"x" * 1000)
+        full = Exchange(store=ConfigurationStore(), random=Random(1))
+        full.store.merge(
+            VersionedObject(kind=PROFILES, name=f"p{i}", version=i, value=value)
+            for i in range(500)
+        )
+        empty = Exchange(store=ConfigurationStore(), random=Random(2))
+        empty.partners = ("full",)
+        largest = 0
+        for _ in range(2_000):
+            flying = [("full", one.message) for one in empty.compare()]
+            while flying:
+                to, message = flying.pop()
+                if isinstance(message, ConfigurationPush):
+                    size = sum(len(one.value) for one in message.objects)
+                    largest = max(largest, size)
+                target = full if to == "full" else empty
+                back = "empty" if to == "full" else "full"
+                flying += [(back, one.message) for one in target.receive(to, message)]
+            if empty.store.root(PROFILES) == full.store.root(PROFILES):
+                break
+        assert empty.store.size(PROFILES) == 500
+        assert largest <= PUSH_BYTES
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -8,11 +8,10 @@
 import pytest
 
 from ragwortkeel.configuration import NODES, PROFILES, SEALS, UPSTREAMS
-from ragwortkeel.configuration_exchange import PUSH_BYTES, UNKNOWN, Exchange
+from ragwortkeel.configuration_exchange import UNKNOWN
 from ragwortkeel.configuration_store import KINDS, ConfigurationStore
 from ragwortkeel.exceptions import LinkLost
 from ragwortkeel.gossip import FromPeer, Gossip, Partners, Watched
-from ragwortkeel.messages import ConfigurationPush, VersionedObject
 from ragwortkeel.platform import Changes
 from ragwortkeel.standins.local_platform import LocalPlatform
 
@@ -204,33 +203,6 @@
         run(scenario)
 
 
-class TestPages:
-    def test_an_empty_store_is_filled_page_by_page(self):
-        value = b'{"pad":"%s"}' % (b"x" * 1000)
-        full = Exchange(store=ConfigurationStore(), random=Random(1))
-        full.store.merge(
-            VersionedObject(kind=PROFILES, name=f"p{i}", version=i, value=value)
-            for i in range(500)
-        )
-        empty = Exchange(store=ConfigurationStore(), random=Random(2))
-        empty.partners = ("full",)
-        largest = 0
-        for _ in range(2_000):
-            flying = [("full", one.message) for one in empty.compare()]
-            while flying:
-                to, message = flying.pop()
-                if isinstance(message, ConfigurationPush):
-                    size = sum(len(one.value) for one in message.objects)
-                    largest = max(largest, size)
-                target = full if to == "full" else empty
-                back = "empty" if to == "full" else "full"
-                flying += [(back, one.message) for one in target.receive(to, message)]
-            if empty.store.root(PROFILES) == full.store.root(PROFILES):
-                break
-        assert empty.store.size(PROFILES) == 500
-        assert largest <= PUSH_BYTES
-
-
 class TestGaps:
     def test_a_gap_makes_nothing_complete(self):
         """The platform forgot changes and says so in a watch.
@@ -250,3 +222,33 @@
             assert gossip.exchange.complete_by_kind[PROFILES] == UNKNOWN
 
         run(scenario)
+
+
+class TestStandIn:
+    def test_dead_watchers_are_stood_in_for(self, monkeypatch):
+        """Both watchers of a zone are killed and stay registered.
+
+        By the list of members they still are the zone's watchers, so none of
+        the others would ask the platform, and a change would stay unseen.
+        """
+        monkeypatch.setattr(
+            "ragwortkeel.configuration_schedule.STALE_SECONDS", (0.5, 1.0)
+        )
+
+        async def scenario(fleet):
+            stores = {
+                name: await fleet.start(name) for name in ("r1", "r2", "r3", "r4")
+            }
+            gossips = fleet.gossip_by_name
+            await until(lambda: all(one.complete() for one in gossips.values()))
+            await until(lambda: sum(one.watching for one in gossips.values()) == 2)
+            for name in [one for one in stores if gossips[one].watching]:
+                await fleet.tasks.pop(name).cancel()
+                fleet.cut.add(name)
+                del stores[name]
+            await fleet.platform.create(PROFILES, "chat", b"{}")
+            await until(
+                lambda: all(one.rank(PROFILES, "chat") for one in stores.values())
+            )
+
+        run(scenario)
