--- a/src/ragwortkeel/sidecar/core.py
+++ b/src/ragwortkeel/sidecar/core.py
@@ -4,8 +4,6 @@
 journal and the answers, and tells followers how runs go on.
 """
 
-from collections import defaultdict
-
 from ragwortkeel.messages import (
     AnyMessage,
     Cancel,
@@ -23,7 +21,6 @@
     Resume,
     RunState,
     Seal,
-    Sealed,
     Started,
     Tombstone,
     TombstoneResult,
@@ -32,6 +29,7 @@
 from ragwortkeel.runs.answer import AnswerStore, AnswerTooLarge
 from ragwortkeel.runs.journal import Journal, Run
 from ragwortkeel.sidecar.admission import Admission
+from ragwortkeel.sidecar.crashes import CrashWatch
 from ragwortkeel.sidecar.effects import (
     AnswerBegun,
     AnswerEnded,
@@ -46,11 +44,13 @@
     StopRun,
     UpstreamEvent,
 )
+from ragwortkeel.sidecar.gate import Gate
+from ragwortkeel.sidecar.isolation import Isolation
 from ragwortkeel.sidecar.load import LoadReport
 from ragwortkeel.sidecar.outlet import Outlet, answer_lost
+from ragwortkeel.sidecar.sealing import Sealing
 
-MAX_SEALED_RECEIPTS = 2_000
-"""In one report, about half a megabyte; this sidecar writes the rest itself."""
+_CRASHED = FailureReason.CRASHED
 
 
 class SidecarCore:
@@ -82,12 +82,22 @@
         self.journal = journal or Journal(sidecar=incarnation)
         self.load = LoadReport()
         self.outlet = Outlet(answers=answers or AnswerStore())
-        self._sealers_by_router: dict[str, set[Peer]] = defaultdict(set)
+        self._isolation = Isolation()
+        self._crashes = CrashWatch(sidecar=incarnation)
+        self._gate = Gate(
+            incarnation=incarnation,
+            admission=admission,
+            journal=self.journal,
+            answers=self.outlet.answers,
+            isolation=self._isolation,
+        )
+        self._sealing = Sealing(incarnation=incarnation, journal=self.journal)
 
     def on_message(
         self, peer: Peer, sender: str, message: AnyMessage, now: float
     ) -> list[Effect]:
         """Take a message from a peer whose incarnation is `sender`."""
+        self._crashes.heard(peer, now)
         match message:
             case Dispatch():
                 return self._on_dispatch(peer, sender, message)
@@ -100,7 +110,7 @@
             case Tombstone():
                 return [Send(peer=peer, message=self._tombstone(message))]
             case Seal(router=router):
-                return self._on_seal(peer, router)
+                return self._sealing.seal(peer, router)
             case ReceiptsDurable(nonces=nonces):
                 self.journal.settle(nonces)
             case OutcomeDurable(nonces=nonces):
@@ -123,11 +133,13 @@
             case RunDeclined():
                 return self._on_declined(event)
             case RunBroken(nonce=nonce, reason=reason, tokens=tokens):
-                return self._fail(nonce, reason, tokens, now)
+                seen = self._crashes.crashed(nonce, now) if reason == _CRASHED else []
+                return seen + self._fail(nonce, reason, tokens, now)
 
-    def on_epoch(self) -> None:
+    def on_epoch(self, now: float) -> None:
         """Begin the next epoch and forget what has become safe to forget."""
         self.outlet.forget(self.journal.next_epoch())
+        self._crashes.forget_gone(now)
 
     def on_outcomes_durable(self, nonces: tuple[str, ...]) -> None:
         """Let go of must-not-repeat runs whose intents hold their outcomes."""
@@ -152,7 +164,7 @@
                 return self._attach(peer, nonce, 0)
             case RunState.TOMBSTONED:
                 return self._refuse(peer, nonce, RefusalReason.TOMBSTONED)
-        reason = self._reason_to_refuse(sender, dispatch)
+        reason = self._gate.reason_to_refuse(sender, dispatch)
         if reason is not None:
             return self._refuse_for_good(peer, dispatch, reason)
         run = Run(
@@ -165,37 +177,24 @@
         )
         self.journal.admit(run)
         self.outlet.follow(peer, nonce)
-        return [StartRun(dispatch=dispatch)]
+        if dispatch.alone:
+            self._isolation.hold(dispatch)
+            return self._start_alone()
+        return self._start(dispatch)
 
-    def _reason_to_refuse(
-        self, sender: str, dispatch: Dispatch
-    ) -> RefusalReason | None:
-        if dispatch.sidecar != self.incarnation:
-            # Failure: a router's order to this sidecar's predecessor, whose
-            # journal is gone, would run here what may have run there.
-            return RefusalReason.WRONG_INCARNATION
-        if self.journal.is_sealed(sender):
-            # Failure: a paused router wakes and spends a slice that has been
-            # given back meanwhile.
-            return RefusalReason.SEALED
-        if not self._is_fresh(dispatch):
-            return RefusalReason.STALE_EPOCH
-        if not dispatch.idempotent and self._runs_already(dispatch):
-            return RefusalReason.DUPLICATE
-        if self.journal.full or self.outlet.answers.crowded:
-            return RefusalReason.OVERLOADED
-        return self.admission.reason_to_refuse(dispatch, self.journal.running)
+    def _start(self, dispatch: Dispatch) -> list[Effect]:
+        self._crashes.started(dispatch)
+        return [StartRun(dispatch=dispatch)]
 
-    def _is_fresh(self, dispatch: Dispatch) -> bool:
-        if dispatch.idempotent and dispatch.epoch == 0:
-            # A router that sends each dispatch only once needs no epoch here.
-            return True
-        return self.journal.is_fresh(dispatch.epoch)
+    def _start_alone(self) -> list[Effect]:
+        dispatch = self._isolation.start(self.journal.running)
+        return [] if dispatch is None else self._start(dispatch)
 
-    def _runs_already(self, dispatch: Dispatch) -> bool:
-        # The intent keeps two attempts apart; this holds even if it is lost.
-        found = self.journal.find(dispatch.profile, dispatch.request_id)
-        return found is not None
+    def _forget_run(self, nonce: str) -> list[Effect]:
+        """Take a run that is over out of what is in flight; start what waited."""
+        self._crashes.ended(nonce)
+        self._isolation.ended(nonce)
+        return self._start_alone()
 
     def _refuse_for_good(
         self, peer: Peer, dispatch: Dispatch, reason: RefusalReason
@@ -266,32 +265,23 @@
             tokens=self.journal.tokens(nonce),
         )
 
-    def _on_seal(self, peer: Peer, router: str) -> list[Effect]:
-        self.journal.seal(router)
-        if self.journal.running_of(router):
-            self._sealers_by_router[router].add(peer)
-        return [Send(peer=peer, message=self._seal_report(router))]
-
-    def _seal_report(self, router: str) -> Sealed:
-        return Sealed(
-            router=router,
-            sidecar=self.incarnation,
-            ran=self.journal.ran(router),
-            receipts=self.journal.receipts_of(router)[:MAX_SEALED_RECEIPTS],
-        )
-
     def _on_cancel(self, nonce: str) -> list[Effect]:
         if self.journal.state(nonce) is not RunState.RUNNING:
             return []
         run = self.journal.run(nonce)
+        if self._isolation.is_waiting(nonce):
+            declined = RunDeclined(nonce=nonce, reason=RefusalReason.DEADLINE)
+            return self._on_declined(declined)
         if not run.idempotent:
             # Failure: the caller of a filing hangs up, the filing is cut off
             # half done, and nobody knows whether it took effect.  It costs
             # little to let it end, and a retry then finds its answer.
             return []
+        self.journal.cancel(nonce)
         return [CancelRun(nonce=nonce, request_id=run.request_id)]
 
     def _on_begun(self, event: AnswerBegun) -> list[Effect]:
+        self.journal.begin(event.nonce)
         started = Started(
             nonce=event.nonce, status=event.status, content_type=event.content_type
         )
@@ -349,18 +339,12 @@
             retry_after_seconds=event.retry_after_seconds,
         )
         effects = self.outlet.dismiss(event.nonce, refused)
-        return effects + self._report_last_run(router)
+        effects += self._forget_run(event.nonce)
+        return effects + self._sealing.run_ended(router)
 
     def _end(self, nonce: str, message: Finished | Failed) -> list[Effect]:
         run = self.journal.run(nonce)
         effects = self.outlet.end(message, pinned=not run.idempotent)
+        effects += self._forget_run(nonce)
         self.outlet.forget(self.journal.relieve())
-        return effects + self._report_last_run(run.router)
-
-    def _report_last_run(self, router: str) -> list[Effect]:
-        """Send the true figures once a sealed router's last run has ended."""
-        if router not in self._sealers_by_router or self.journal.running_of(router):
-            return []
-        report = self._seal_report(router)
-        sealers = self._sealers_by_router.pop(router)
-        return [Send(peer=peer, message=report) for peer in sealers]
+        return effects + self._sealing.run_ended(run.router)
--- a/tests/runs/test_journal.py
+++ b/tests/runs/test_journal.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ragwortkeel.exceptions import LifecycleError
 from ragwortkeel.messages import RunState
 from ragwortkeel.runs.journal import KEPT_EPOCHS, Journal, Run, UnknownRun
 
@@ -23,6 +24,10 @@
     return journal.end(nonce, state, tokens=tokens, billable=True, now=0.0)
 
 
+def at_most(journal):
+    return journal.ran("a").get("p", 0) + journal.bounds("a").get("p", 0)
+
+
 @pytest.fixture
 def journal():
     return Journal(sidecar="s")
@@ -47,6 +52,14 @@
             journal.retract("n")
         assert journal.tombstone("n") is after
 
+    def test_run_that_began_to_answer_cannot_be_retracted(self, journal):
+        journal.admit(a_run())
+        journal.begin("n")
+        journal.cancel("n")
+        with pytest.raises(LifecycleError):
+            journal.retract("n")
+        assert end(journal, "n").tokens == 4
+
     def test_paused_dispatch_never_outlives_its_tombstone(self, journal):
         """A router is paused with a filing in hand; a retry files it elsewhere.
 
@@ -102,9 +115,9 @@
             if ended:
                 end(journal, f"n{index}", cases[index][0])
         journal.seal("a")
-        figure = journal.ran("a").get("p", 0)
+        bound = at_most(journal)
         truth = sum(tokens for tokens, *_ in cases)
-        assert figure >= truth
+        assert bound >= truth
         for index, (tokens, ended, retracted) in enumerate(cases):
             if ended:
                 continue
@@ -113,9 +126,10 @@
                 journal.retract(f"n{index}")
             else:
                 end(journal, f"n{index}", tokens)
-            assert truth <= journal.ran("a").get("p", 0) <= figure
-            figure = journal.ran("a").get("p", 0)
+            assert truth <= at_most(journal) <= bound
+            bound = at_most(journal)
         assert journal.ran("a").get("p", 0) == truth
+        assert journal.bounds("a") == {}
         assert journal.is_sealed("a")
 
 
