Slopes of slice renewals and receipts

Cause: the capacity page needs what a renewal and a receipt cost. Change: renewals by the open grants of a ledger, flushes by their receipts.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -8,6 +8,7 @@
 import os
 import platform
 
+from benchmarks._slopes_budget import measure_budget
 from benchmarks._slopes_fit import report
 from benchmarks._slopes_links import measure_links
 from benchmarks._slopes_parts import measure_parts
@@ -19,6 +20,7 @@
     report(bench="slopes", python=platform.python_version(), processors=os.cpu_count())
     measure_parts()
     measure_store()
+    measure_budget()
     measure_links()
 
 
