Router observer: a log line and a metric for each decision and its reason

Cause: decisions under load and link losses were neither logged nor counted. Change: observer.py; gauges each second; time to the first token measured at the sink. Ruled out: labels by profile (a quarter of a million series).

--- a/src/ragwortkeel/router/dispatcher.py
+++ b/src/ragwortkeel/router/dispatcher.py
@@ -33,6 +33,8 @@
     ----------
     scheduler
         The decisions; used by this object alone.
+    observe
+        Called with each assignment or refusal and the seconds it waited.
     clock
         Monotonic seconds.
 
@@ -40,9 +42,14 @@
     """
 
     def __init__(
-        self, *, scheduler: Scheduler, clock: Callable[[], float] = monotonic
+        self,
+        *,
+        scheduler: Scheduler,
+        observe: Callable[[Assignment | Refusal, float], None],
+        clock: Callable[[], float] = monotonic,
     ) -> None:
         self._scheduler = scheduler
+        self._observe = observe
         self._clock = clock
         self._waiting_by_id: dict[str, curio.Queue] = {}
         self._changed = curio.Event()
@@ -102,9 +109,19 @@
                 continue
             self._changed.clear()
 
+    @property
+    def queued(self) -> int:
+        """How many requests wait."""
+        return len(self._waiting_by_id)
+
     async def _settle(self, decision: Decision) -> Assignment | Refusal:
-        if not isinstance(decision, Queued):
-            return decision
+        started = self._clock()
+        if isinstance(decision, Queued):
+            decision = await self._wait(decision)
+        self._observe(decision, self._clock() - started)
+        return decision
+
+    async def _wait(self, decision: Queued) -> Assignment | Refusal:
         request_id = decision.request.request_id
         queue = curio.Queue()
         self._waiting_by_id[request_id] = queue
--- a/src/ragwortkeel/router/gateway.py
+++ b/src/ragwortkeel/router/gateway.py
@@ -1,7 +1,7 @@
 """The callers' side: HTTP requests in, whole answers or refusals out."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from itertools import count
 
 import curio
@@ -13,6 +13,7 @@
 from ragwortkeel.router.calls import Call, ChatCall, parse_call, profile_of
 from ragwortkeel.router.exchange import Exchange
 from ragwortkeel.router.filings import FilingExchange
+from ragwortkeel.router.observer import Observed
 from ragwortkeel.router.parts import Parts
 from ragwortkeel.router.refusals import Outcome, Reason, Refusal
 from ragwortkeel.router.sinks import Sink, StreamSink, WholeSink
@@ -22,16 +23,6 @@
 """The balancer has another entry instance; it need only be asked again."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class Observed:
-    """How one request went, for logs and metrics; `refusal` is None if answered."""
-
-    call: Call
-    profile: Profile
-    refusal: Refusal | None
-    seconds: float
-
-
 class Gateway:
     """Serves callers' HTTP requests.
 
@@ -69,29 +60,23 @@
             await WholeSink(responder=responder, request_id="").refuse(found)
             return
         call, profile, version = found
-        tracing = self._parts.tracing
-        with tracing.span("request", parent=call.traceparent) as span:
+        with self._parts.tracing.span("request", parent=call.traceparent) as span:
             call = replace(call, traceparent=traceparent_of(span))
-            refusal = await self._answer(call, profile, version, responder)
+            sink = self._new_sink(call, responder)
+            served = self._new_server(call, profile, version, sink)
+            refusal = await self._serve(served, profile, responder)
+            if refusal is not None:
+                await sink.refuse(refusal)
         self._observe(
             Observed(
                 call=call,
                 profile=profile,
                 refusal=refusal,
                 seconds=self._parts.clock() - started,
+                first_token_seconds=sink.begun_at and sink.begun_at - started,
             )
         )
 
-    async def _answer(
-        self, call: Call, profile: Profile, version: int, responder: Responder
-    ) -> Refusal | None:
-        sink = _new_sink(call, responder)
-        served = self._new_server(call, profile, version, sink)
-        refusal = await self._serve(served, profile, responder)
-        if refusal is not None:
-            await sink.refuse(refusal)
-        return refusal
-
     def _find(self, request: Request) -> tuple[Call, Profile, int] | Refusal:
         name = profile_of(request)
         if self.stopping:
@@ -108,6 +93,15 @@
             return Refusal(outcome=Outcome.NOT_RUN, reason=Reason.RETIRED_PROFILE)
         return parse_call(request, profile), profile, version
 
+    def _new_sink(self, call: Call, responder: Responder) -> Sink:
+        cls = StreamSink if call.stream else WholeSink
+        return cls(
+            responder=responder,
+            request_id=call.request_id,
+            traceparent=call.traceparent,
+            clock=self._parts.clock,
+        )
+
     def _new_server(
         self, call: Call, profile: Profile, version: int, sink: Sink
     ) -> Exchange | FilingExchange:
@@ -157,15 +151,6 @@
         return serving.result
 
 
-def _new_sink(call: Call, responder: Responder) -> Sink:
-    cls = StreamSink if call.stream else WholeSink
-    return cls(
-        responder=responder,
-        request_id=call.request_id,
-        traceparent=call.traceparent,
-    )
-
-
 def _stopped(served: Exchange | FilingExchange, reason: Reason) -> Refusal:
     """Return the refusal of a request that was cut short while it was served."""
     outcome = Outcome.UNKNOWN if served.may_have_run else Outcome.NOT_RUN
--- a/src/ragwortkeel/router/router.py
+++ b/src/ragwortkeel/router/router.py
@@ -1,6 +1,5 @@
 """The central object of the router daemon; it ties the parts and their tasks."""
 
-from collections.abc import Callable
 from random import Random
 from time import monotonic
 from uuid import uuid4
@@ -28,8 +27,10 @@
 from ragwortkeel.router.closing import Closing
 from ragwortkeel.router.directory import Directory
 from ragwortkeel.router.dispatcher import Dispatcher
-from ragwortkeel.router.gateway import Gateway, Observed
+from ragwortkeel.router.gateway import Gateway
 from ragwortkeel.router.intents import IntentStore
+from ragwortkeel.router.neighbours import ROUTER_ROLE, SIDECAR_ROLE
+from ragwortkeel.router.observer import Gauges, Observer
 from ragwortkeel.router.parts import Parts
 from ragwortkeel.router.peers import PeerLinks
 from ragwortkeel.router.sidecars import SidecarPool
@@ -64,8 +65,8 @@
         Unique to this start of the process.
     platform
         The platform's client.
-    observe
-        Called with each request's `Observed`.
+    observer
+        Told of requests, decisions and links.
     tracing
         Where spans go.
 
@@ -85,12 +86,13 @@
         settings: RouterSettings,
         incarnation: str,
         platform: Platform,
-        observe: Callable[[Observed], None],
+        observer: Observer,
         tracing: Tracing,
         random: Random,
     ) -> None:
         self.settings = settings
         self.incarnation = incarnation
+        self._observer = observer
         self.store = ConfigurationStore()
         self.membership = Membership()
         self.directory = Directory(store=self.store)
@@ -112,7 +114,8 @@
             listener=self._on_fresh,
         )
         self.dispatcher = Dispatcher(
-            scheduler=Scheduler(zone=settings.zone, random=random)
+            scheduler=Scheduler(zone=settings.zone, random=random),
+            observe=observer.decided,
         )
         self.treasury = Treasury(
             platform=platform,
@@ -137,7 +140,7 @@
             closing=self.closing,
             tracing=tracing,
         )
-        self.gateway = Gateway(parts=self.parts, observe=observe)
+        self.gateway = Gateway(parts=self.parts, observe=observer.request_ended)
         self.stopping = False
         self._state_by_upstream: dict[str, tuple[str, bool]] = {}
         where = Address.parse(settings.http)
@@ -150,6 +153,16 @@
         """Whether the balancer should send callers here."""
         return not self.stopping and self.gossip.complete()
 
+    def gauges(self) -> Gauges:
+        """Return the state of the moment."""
+        rows = self.treasury.keeper.rows()
+        return Gauges(
+            revision=self.store.revision,
+            running=self._server.open_exchanges,
+            queued=self.dispatcher.queued,
+            slice_tokens=sum(row.free for row in rows),
+        )
+
     def is_linked_to(self, node: Node) -> bool:
         """Return whether a sidecar is at the other end of one of the links."""
         view = self.pool.views_by_upstream.get(node.upstream)
@@ -251,7 +264,10 @@
         while True:
             event = await self.pool.others.get()
             match event:
-                case LinkUp() | LinkDown():
+                case LinkUp():
+                    await self._offer_upstreams()
+                case LinkDown(peer=peer):
+                    self._observer.link_down(SIDECAR_ROLE, peer)
                     await self._offer_upstreams()
                 case Received(peer=peer, envelope=envelope):
                     await self._take_from_sidecar(peer, envelope)
@@ -297,6 +313,8 @@
     async def _read_peers(self) -> None:
         while True:
             event = await self.peers.inbox.get()
+            if isinstance(event, LinkDown):
+                self._observer.link_down(ROUTER_ROLE, event.peer)
             if not isinstance(event, Received):
                 continue
             envelope = event.envelope
--- a/src/ragwortkeel/router/sinks.py
+++ b/src/ragwortkeel/router/sinks.py
@@ -6,7 +6,9 @@
 stopping.
 """
 
+from collections.abc import Callable
 from contextlib import suppress
+from time import monotonic
 
 from ragwortkeel.exceptions import ExchangeBroken
 from ragwortkeel.httpio import Responder
@@ -49,21 +51,31 @@
 
     Attributes
     ----------
-    begun : bool
-        Whether the caller has part of the answer, so that no problem document
-        can be sent any more.
+    begun_at : float or None
+        When the caller got the first part, in monotonic seconds.
     """
 
     def __init__(
-        self, *, responder: Responder, request_id: str, traceparent: str = ""
+        self,
+        *,
+        responder: Responder,
+        request_id: str,
+        traceparent: str = "",
+        clock: Callable[[], float] = monotonic,
     ) -> None:
-        self.begun = False
+        self.begun_at: float | None = None
         self._responder = responder
         self._request_id = request_id
         self._headers = _headers_of(request_id, traceparent)
+        self._clock = clock
         self._splitter = EventSplitter()
         self._plain: list[bytes] = []
 
+    @property
+    def begun(self) -> bool:
+        """Whether the caller has part of the answer, so that no problem fits."""
+        return self.begun_at is not None
+
     @property
     def tokens(self) -> int:
         """Tokens passed on so far."""
@@ -79,7 +91,7 @@
         if not whole:
             return
         if not self.begun:
-            self.begun = True
+            self.begun_at = self._clock()
             headers = self._headers | {
                 "content-type": EVENT_STREAM,
                 "cache-control": "no-store",
@@ -123,8 +135,14 @@
     """Collects an answer and sends it once it is whole."""
 
     def __init__(
-        self, *, responder: Responder, request_id: str, traceparent: str = ""
+        self,
+        *,
+        responder: Responder,
+        request_id: str,
+        traceparent: str = "",
+        clock: Callable[[], float] = monotonic,
     ) -> None:
+        self.begun_at: float | None = None
         self.begun = False
         self.tokens = 0
         self._responder = responder
--- a/src/ragwortkeel/router/worker.py
+++ b/src/ragwortkeel/router/worker.py
@@ -7,18 +7,17 @@
 
 from ragwortkeel.configuration import Node
 from ragwortkeel.gossip import Partners
-from ragwortkeel.logs import log_info
 from ragwortkeel.membership import Liveness
 from ragwortkeel.metrics import Metrics
 from ragwortkeel.platform_client import HttpPlatform
 from ragwortkeel.process import Leftover
 from ragwortkeel.registration import deregister, follow_list, register
-from ragwortkeel.router.gateway import Observed
 from ragwortkeel.router.neighbours import ROUTER_ROLE, partners, zone_members
+from ragwortkeel.router.observer import Observer
 from ragwortkeel.router.router import Router, new_incarnation
 from ragwortkeel.settings import RouterSettings
 from ragwortkeel.tasks import run_together
-from ragwortkeel.traces import Tracing, trace_id_of
+from ragwortkeel.traces import Tracing
 
 NEIGHBOURS_SECONDS = 1.0
 
@@ -33,12 +32,13 @@
         self.metrics = Metrics()
         self.tracing = Tracing(node=settings.name)
         self._settings = settings
+        self._observer = Observer(metrics=self.metrics)
         self._platform = HttpPlatform(address=settings.platform)
         self._router = Router(
             settings=settings,
             incarnation=new_incarnation(settings.name),
             platform=self._platform,
-            observe=self._observe,
+            observer=self._observer,
             tracing=self.tracing,
             random=Random(),
         )
@@ -78,23 +78,6 @@
         version = None if found is None else found.version
         return {"revision": store.revision, "version": version}
 
-    def _observe(self, observed: Observed) -> None:
-        refusal = observed.refusal
-        outcome = "answered" if refusal is None else refusal.outcome
-        reason = "" if refusal is None else refusal.reason
-        self.metrics.request_ended(
-            service=observed.profile.service, outcome=outcome, reason=reason
-        )
-        log_info(
-            "request_ended",
-            profile=observed.profile.name,
-            request=observed.call.request_id,
-            outcome=outcome,
-            reason=reason,
-            seconds=observed.seconds,
-            trace=trace_id_of(observed.call.traceparent),
-        )
-
     def _node(self) -> Node:
         return Node(
             incarnation=self._router.incarnation,
@@ -118,6 +101,7 @@
     async def _follow_neighbours(self) -> None:
         while True:
             await self._meet(monotonic())
+            self._observer.gauges(self._router.gauges())
             await curio.sleep(NEIGHBOURS_SECONDS)
 
     async def _meet(self, now: float) -> None:
--- a/tests/router/in_process.py
+++ b/tests/router/in_process.py
@@ -20,6 +20,8 @@
     UpstreamKind,
 )
 from ragwortkeel.httpio import HttpClient
+from ragwortkeel.metrics import Metrics
+from ragwortkeel.router.observer import Observer
 from ragwortkeel.router.router import Router
 from ragwortkeel.settings import RouterSettings, SidecarSettings
 from ragwortkeel.sidecar.sidecar import Sidecar
@@ -79,7 +81,6 @@
         self.engine_names = [f"m{i + 1}" for i in range(engines)]
         self.resumes = resumes
         self.platform = LocalPlatform()
-        self.observed = []
         self.tasks = []
         self.upstream_addresses = {}
 
@@ -150,7 +151,7 @@
             settings=settings,
             incarnation="r1-1",
             platform=self.platform,
-            observe=self.observed.append,
+            observer=Observer(metrics=Metrics()),
             tracing=Tracing(node="r1"),
             random=Random(1),
         )
