One key gets its own whole answer: no replay of other bodies or of stream ends

Cause: (1) a retry was answered by request key alone, so a key used again with another question got the first question's answer; (2) a run that had continued a broken stream holds only the end of the answer under the same key, and a retry would have been shown that end as the whole; (3) a caller that left had its tokens counted in the budget but never billed. Ruled out: leaving the fingerprint to the caller's care; refusing resumed streams. Conclusion: whole, own answer holds for retries across routers.

--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -99,6 +99,7 @@
     epoch: int = 0
     alone: bool = False
     fingerprint: str = ""
+    replayable: bool = True
 
 
 class Refused(Message):
@@ -162,13 +163,18 @@
 
 
 class Located(Message):
-    """Answer to `Locate`; `nonce` names the run to resume."""
+    """Answer to `Locate`; `nonce` names the run to resume.
+
+    `fingerprint` is of the body that runs there: one key with another body is a
+    caller's mistake and must not get this answer.
+    """
 
     profile: str
     request_id: str
     state: RunState
     nonce: str = ""
     tokens: int = 0
+    fingerprint: str = ""
 
 
 class Resume(Message):
--- a/src/ragwortkeel/router/closing.py
+++ b/src/ragwortkeel/router/closing.py
@@ -10,7 +10,7 @@
 import curio
 
 from ragwortkeel.budget.slice import Reservation
-from ragwortkeel.messages import RunReceipt
+from ragwortkeel.messages import FailureReason, RunReceipt
 from ragwortkeel.router.attempt import (
     Attempt,
     AttemptEnd,
@@ -46,8 +46,11 @@
         match end:
             case Completed(tokens=tokens):
                 await self._charge(reservation, attempt, request, tokens, True)
-            case Broken(tokens=tokens):
-                await self._charge(reservation, attempt, request, tokens, False)
+            case Broken(tokens=tokens, reason=reason):
+                # What a caller that left had already taken is billed; what a
+                # fault of ours cost is not.
+                billable = reason == FailureReason.CANCELLED
+                await self._charge(reservation, attempt, request, tokens, billable)
             case Declined():
                 await self._budgets.settle(reservation, 0)
             case Lost():
--- a/src/ragwortkeel/router/dispatches.py
+++ b/src/ragwortkeel/router/dispatches.py
@@ -49,5 +49,6 @@
         prefix=facts.prefix,
         alone=alone,
         fingerprint=call.fingerprint,
+        replayable=body is call.body,
         epoch=parts.pool.views_by_upstream[attempt.upstream].load.epoch,
     )
--- a/src/ragwortkeel/router/exchange.py
+++ b/src/ragwortkeel/router/exchange.py
@@ -12,7 +12,7 @@
 
 from ragwortkeel.budget.slice import Reservation
 from ragwortkeel.configuration import Profile
-from ragwortkeel.exceptions import BudgetRefused
+from ragwortkeel.exceptions import BudgetRefused, RunError
 from ragwortkeel.messages import Dispatch, RefusalReason, Resume, RunState
 from ragwortkeel.policy.facts import Assignment, Failure, RequestFacts
 from ragwortkeel.policy.facts import Refusal as PolicyRefusal
@@ -31,6 +31,11 @@
 from ragwortkeel.router.sinks import Sink
 from ragwortkeel.traces import traceparent_of
 
+
+class KeyReused(RunError):
+    """The idempotency key names an earlier request with another body."""
+
+
 LOCATE_LIMIT = 16
 """Sidecars asked for an earlier run; more than either deployment of today has."""
 
@@ -63,8 +68,11 @@
 
     async def run(self) -> Refusal | None:
         """Serve the call."""
-        if self._call.key_given and await self._replay():
-            return None
+        try:
+            if self._call.key_given and await self._replay():
+                return None
+        except KeyReused:
+            return Refusal(outcome=Outcome.NOT_RUN, reason=Reason.KEY_REUSED)
         try:
             return await self._run_until_done()
         finally:
@@ -104,6 +112,8 @@
         for name, located in zip(asked, group.results, strict=False):
             if located is None:
                 continue
+            if located.fingerprint not in ("", self._call.fingerprint):
+                raise KeyReused(self._call.request_id)
             if located.state in (RunState.RUNNING, RunState.FINISHED):
                 return name, located.nonce
         return None
--- a/src/ragwortkeel/runs/journal.py
+++ b/src/ragwortkeel/runs/journal.py
@@ -39,6 +39,8 @@
     request_id: str
     reservation: int
     idempotent: bool
+    fingerprint: str = ""
+    replayable: bool = True
 
 
 _STATE_BY_CHART_STATE = {
--- a/src/ragwortkeel/sidecar/core.py
+++ b/src/ragwortkeel/sidecar/core.py
@@ -26,6 +26,7 @@
     TombstoneResult,
     VersionedObject,
 )
+from ragwortkeel.policy.quarantine import fingerprint
 from ragwortkeel.runs.answer import AnswerStore, AnswerTooLarge
 from ragwortkeel.runs.journal import Journal, Run
 from ragwortkeel.sidecar.admission import Admission
@@ -174,6 +175,8 @@
             request_id=dispatch.request_id,
             reservation=dispatch.reservation,
             idempotent=dispatch.idempotent,
+            fingerprint=dispatch.fingerprint or fingerprint(dispatch.body),
+            replayable=dispatch.replayable,
         )
         self.journal.admit(run)
         self.outlet.follow(peer, nonce)
@@ -251,7 +254,9 @@
 
     def _locate(self, locate: Locate) -> Located:
         nonce = self.journal.find(locate.profile, locate.request_id)
-        if nonce is None:
+        # A run that went on after tokens sent elsewhere holds only the end of
+        # the answer; replayed, it would be shown as the whole of it.
+        if nonce is None or not self.journal.run(nonce).replayable:
             return Located(
                 profile=locate.profile,
                 request_id=locate.request_id,
@@ -263,6 +268,7 @@
             state=self.journal.state(nonce),
             nonce=nonce,
             tokens=self.journal.tokens(nonce),
+            fingerprint=self.journal.run(nonce).fingerprint,
         )
 
     def _on_cancel(self, nonce: str) -> list[Effect]:
@@ -319,8 +325,10 @@
     def _fail(
         self, nonce: str, reason: FailureReason, tokens: int, now: float
     ) -> list[Effect]:
+        # A caller that left is billed what it took; a fault of ours is not.
+        billable = reason is FailureReason.CANCELLED
         receipt = self.journal.end(
-            nonce, RunState.FAILED, tokens=tokens, billable=False, now=now
+            nonce, RunState.FAILED, tokens=tokens, billable=billable, now=now
         )
         failed = Failed(
             nonce=nonce, reason=reason, tokens=receipt.tokens, may_have_run=True
--- a/tests/router/test_path.py
+++ b/tests/router/test_path.py
@@ -52,6 +52,15 @@
         assert response.body.endswith(b"data: [DONE]\n\n")
         assert response.body.count(b'"content"') == 8
 
+    def test_one_key_with_two_questions_gets_no_answer_of_the_first(self):
+        async def scenario(fleet):
+            other = QUESTION | {"max_tokens": 5}
+            await fleet.ask(CHAT_PATH, QUESTION, idempotency_key="k")
+            return await fleet.ask(CHAT_PATH, other, idempotency_key="k")
+
+        response = run_fleet(scenario)
+        assert problem_of(response)["reason"] == "key_reused"
+
     def test_a_retry_replays_and_is_not_billed_again(self):
         """A caller's connection breaks; it sends the request again.
 
@@ -106,6 +115,28 @@
         assert texts_of(resumed.body) == texts_of(whole.body)
         assert resumed.body.endswith(b"data: [DONE]\n\n")
 
+    def test_the_end_of_a_continued_stream_is_not_replayed_as_the_whole(self):
+        """A paralegal's retry shows only the last sentences of a summary.
+
+        The first stream had gone on at another engine after a fault; that
+        engine's sidecar holds only the end of the answer, under the same key.
+        """
+
+        async def scenario(fleet):
+            asked = QUESTION | {"stream": True}
+            whole = await fleet.ask(CHAT_PATH, asked)
+            for name in fleet.engine_names:
+                await fleet.switch(name, truncate=3)
+            continued = await fleet.ask(CHAT_PATH, asked, idempotency_key="b")
+            for name in fleet.engine_names:
+                await fleet.switch(name, truncate=0)
+            again = await fleet.ask(CHAT_PATH, asked, idempotency_key="b")
+            return whole, continued, again
+
+        whole, continued, again = run_fleet(scenario, engines=2, resumes=True)
+        assert texts_of(continued.body) == texts_of(whole.body)
+        assert texts_of(again.body) == texts_of(whole.body)
+
     def test_a_truncated_whole_answer_is_run_again(self):
         async def scenario(fleet):
             await fleet.switch("m1", truncate=3)
@@ -137,6 +168,7 @@
 
         (receipt,) = run_fleet(scenario)
         assert 0 < receipt.tokens < 1000
+        assert receipt.billable
 
 
 class TestFilings:
