--- a/src/ragwortkeel/runs/journal.py
+++ b/src/ragwortkeel/runs/journal.py
@@ -5,9 +5,9 @@
 docs/design/runs.md says how long each part is kept and why that is safe.
 """
 
-from collections import defaultdict
 from dataclasses import dataclass, field
 
+from ragwortkeel.budget.seal import SealReport, SidecarAccounts
 from ragwortkeel.exceptions import RunError
 from ragwortkeel.lifecycle import ChartName, Lifecycle
 from ragwortkeel.messages import RunReceipt, RunState
@@ -100,18 +100,18 @@
         self._entries_by_nonce: dict[str, _Entry] = {}
         self._ended: dict[str, None] = {}
         self._nonce_by_request: dict[tuple[str, str], str] = {}
-        self._running_by_router: dict[str, set[str]] = defaultdict(set)
-        self._ran_by_router: dict[str, dict[str, int]] = {}
+        self._running: set[str] = set()
+        self._accounts = SidecarAccounts()
+        self._accounts.open(seals=())
         self._owed_by_nonce: dict[str, _Owed] = {}
         self._undecided: dict[str, float] = {}
-        self._sealed: set[str] = set()
         self.epoch = 1
         self.floor = 1
 
     @property
     def running(self) -> int:
         """Number of runs that have not ended."""
-        return sum(len(nonces) for nonces in self._running_by_router.values())
+        return len(self._running)
 
     @property
     def full(self) -> bool:
@@ -151,7 +151,13 @@
         """Record a run before it starts."""
         self._entries_by_nonce[run.nonce] = _Entry(run=run)
         self._nonce_by_request[run.profile, run.request_id] = run.nonce
-        self._running_by_router[run.router].add(run.nonce)
+        self._running.add(run.nonce)
+        self._accounts.start(
+            nonce=run.nonce,
+            router=run.router,
+            profile=run.profile,
+            reservation=run.reservation,
+        )
 
     def begin(self, nonce: str) -> None:
         """Record that the upstream answers: from here on it can't be retracted."""
@@ -185,9 +191,7 @@
             entry.lifecycle.fire("start")
         entry.lifecycle.fire(_END_EVENTS[state])
         entry.tokens = min(max(tokens, 0), run.reservation)
-        self._leave(run)
-        ran = self._ran_by_router.setdefault(run.router, {})
-        ran[run.profile] = ran.get(run.profile, 0) + entry.tokens
+        self._leave(nonce, entry.tokens)
         receipt = RunReceipt(
             profile=run.profile,
             request_id=run.request_id,
@@ -218,7 +222,7 @@
         entry = self._entries_by_nonce[nonce]
         entry.lifecycle.fire("refuse")
         run, entry.run = entry.run, None
-        self._leave(run)
+        self._leave(nonce, 0)
         self._unlink(nonce, run)
         self._remember(nonce, entry)
 
@@ -237,33 +241,17 @@
             self._remember(nonce, entry)
         return self.state(nonce)
 
-    def seal(self, *routers: str) -> None:
-        """Refuse these router incarnations from now on."""
-        self._sealed.update(routers)
-
-    def is_sealed(self, router: str) -> bool:
-        """Whether a router incarnation is refused."""
-        return router in self._sealed
-
-    def ran(self, router: str) -> dict[str, int]:
-        """Return the tokens by profile of a router's runs that have ended."""
-        return dict(self._ran_by_router.get(router, {}))
-
-    def bounds(self, router: str) -> dict[str, int]:
-        """Return the reservations by profile of a router's runs in flight.
+    def seal(self, router: str) -> SealReport:
+        """Refuse a router incarnation from now on, and report what it ran.
 
-        After a seal this only shrinks, and what ran grows by the same or less:
-        nothing more is let in, and a run costs its reservation at the most.
+        May be repeated.  What runs ends as it would; nothing more is let in, so
+        that what ran and what runs together can only fall.
         """
-        rv: dict[str, int] = {}
-        for nonce in self._running_by_router.get(router, ()):
-            run = self._entries_by_nonce[nonce].run
-            rv[run.profile] = rv.get(run.profile, 0) + run.reservation
-        return rv
+        return self._accounts.seal(router)
 
-    def running_of(self, router: str) -> int:
-        """Return how many runs of a router have not ended."""
-        return len(self._running_by_router.get(router, ()))
+    def is_sealed(self, router: str) -> bool:
+        """Whether a router incarnation is refused."""
+        return not self._accounts.admits(router)
 
     def outcome_durable(self, nonce: str) -> None:
         """Let go of a must-not-repeat run whose intent holds its outcome.
@@ -361,8 +349,6 @@
         if self._nonce_by_request.get(key) == nonce:
             del self._nonce_by_request[key]
 
-    def _leave(self, run: Run) -> None:
-        nonces = self._running_by_router[run.router]
-        nonces.discard(run.nonce)
-        if not nonces:
-            del self._running_by_router[run.router]
+    def _leave(self, nonce: str, tokens: int) -> None:
+        self._running.discard(nonce)
+        self._accounts.finish(nonce=nonce, tokens=tokens)
--- a/src/ragwortkeel/sidecar/duties.py
+++ b/src/ragwortkeel/sidecar/duties.py
@@ -7,11 +7,11 @@
 
 from random import Random
 
+from ragwortkeel.budget.receipt import MAX_SEGMENT_RECEIPTS
 from ragwortkeel.messages import Failed, Finished
 from ragwortkeel.runs.intent import Outcome, Verdict
 from ragwortkeel.sidecar.core import SidecarCore
 from ragwortkeel.sidecar.recorder import (
-    MAX_SEGMENT_RECEIPTS,
     RecorderJob,
     WriteOutcome,
     WriteReceipts,
--- a/src/ragwortkeel/sidecar/recorder.py
+++ b/src/ragwortkeel/sidecar/recorder.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 
 import curio
-import msgspec
 
+from ragwortkeel.budget.receipt import encode_segment, segments
 from ragwortkeel.configuration import INTENTS, RECEIPTS
 from ragwortkeel.exceptions import (
     AlreadyExists,
@@ -21,9 +21,6 @@
 from ragwortkeel.runs import intent as intents
 from ragwortkeel.runs.journal import Run
 
-MAX_SEGMENT_RECEIPTS = 1_000
-"""About 250 KB, a quarter of the platform's value limit."""
-
 
 @dataclass(frozen=True, kw_only=True)
 class WriteReceipts:
@@ -80,20 +77,20 @@
     async def _do(self, job: RecorderJob) -> ReceiptsDurable | OutcomeDurable:
         match job:
             case WriteReceipts(receipts=receipts):
-                await self._write_segment(receipts)
+                await self._write_segments(receipts)
                 return ReceiptsDurable(nonces=tuple(r.nonce for r in receipts))
             case WriteOutcome(run=run, outcome=outcome):
                 await self._write_outcome(run, outcome)
                 return OutcomeDurable(nonces=(run.nonce,))
 
-    async def _write_segment(self, receipts: tuple[RunReceipt, ...]) -> None:
-        # Named by its first nonce: the same batch again is the same object, and
-        # a batch that overlaps another is harmless, as the bill is a set.
-        name = f"{self._sidecar}.{receipts[0].nonce}.{len(receipts)}"
-        try:
-            await self._platform.create(RECEIPTS, name, msgspec.json.encode(receipts))
-        except AlreadyExists:
-            return
+    async def _write_segments(self, receipts: tuple[RunReceipt, ...]) -> None:
+        for segment in segments(writer=self._sidecar, receipts=receipts):
+            value = encode_segment(segment)
+            try:
+                await self._platform.create(RECEIPTS, segment.name, value)
+            except AlreadyExists:
+                # An earlier try took effect, and only its answer was lost.
+                continue
 
     async def _write_outcome(self, run: Run, outcome: intents.Outcome) -> None:
         name = intents.name_of(run.profile, run.request_id)
--- a/src/ragwortkeel/sidecar/sealing.py
+++ b/src/ragwortkeel/sidecar/sealing.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 
+from ragwortkeel.budget.seal import SealReport
 from ragwortkeel.messages import Sealed
 from ragwortkeel.runs.journal import Journal
 from ragwortkeel.sidecar.effects import Peer, Send
@@ -26,24 +27,27 @@
 
     def seal(self, peer: Peer, router: str) -> list[Send]:
         """Refuse a router from now on and report to who asked."""
-        self._journal.seal(router)
-        if self._journal.running_of(router):
+        report = self._journal.seal(router)
+        if report.running:
             self._sealers_by_router[router].add(peer)
-        return [Send(peer=peer, message=self._report(router))]
+        return [Send(peer=peer, message=self._sealed(router, report))]
 
     def run_ended(self, router: str) -> list[Send]:
         """Report again once a sealed router's last run has ended."""
-        if router not in self._sealers_by_router or self._journal.running_of(router):
+        if router not in self._sealers_by_router:
             return []
-        report = self._report(router)
+        report = self._journal.seal(router)
+        if report.running:
+            return []
+        message = self._sealed(router, report)
         sealers = self._sealers_by_router.pop(router)
-        return [Send(peer=peer, message=report) for peer in sorted(sealers)]
+        return [Send(peer=peer, message=message) for peer in sorted(sealers)]
 
-    def _report(self, router: str) -> Sealed:
+    def _sealed(self, router: str, report: SealReport) -> Sealed:
         return Sealed(
             router=router,
             sidecar=self._incarnation,
-            ran=self._journal.ran(router),
-            running=self._journal.bounds(router),
+            ran=report.ran,
+            running=report.running,
             receipts=self._journal.receipts_of(router)[:MAX_SEALED_RECEIPTS],
         )
--- a/src/ragwortkeel/sidecar/sidecar.py
+++ b/src/ragwortkeel/sidecar/sidecar.py
@@ -247,12 +247,12 @@
         match item:
             case Registration(fencing_number=number, sealed=sealed):
                 self._runner.fencing_number = number
-                self._core.journal.seal(*sealed)
+                self._seal(sealed)
                 admission.admitted = True
             case StruckOff():
                 admission.admitted = False
             case SealsRead(routers=routers):
-                self._core.journal.seal(*routers)
+                self._seal(routers)
             case LoadReport():
                 self._core.load = item
             case Learned(objects=objects):
@@ -263,6 +263,10 @@
                 self._duties.hurry()
                 self._stop_by = now + self._settings.stop_deadline_seconds
 
+    def _seal(self, routers: frozenset[str]) -> None:
+        for router in routers:
+            self._core.journal.seal(router)
+
     async def _on_received(self, received: Received, now: float) -> list[Effect]:
         message = received.envelope.message
         goes_on = isinstance(message, ConfigurationMessage | Heartbeat)
--- a/tests/runs/test_journal.py
+++ b/tests/runs/test_journal.py
@@ -25,7 +25,8 @@
 
 
 def at_most(journal):
-    return journal.ran("a").get("p", 0) + journal.bounds("a").get("p", 0)
+    report = journal.seal("a")
+    return report.ran.get("p", 0) + report.running.get("p", 0)
 
 
 @pytest.fixture
@@ -114,7 +115,6 @@
             journal.admit(a_run(f"n{index}"))
             if ended:
                 end(journal, f"n{index}", cases[index][0])
-        journal.seal("a")
         bound = at_most(journal)
         truth = sum(tokens for tokens, *_ in cases)
         assert bound >= truth
@@ -128,8 +128,8 @@
                 end(journal, f"n{index}", tokens)
             assert truth <= at_most(journal) <= bound
             bound = at_most(journal)
-        assert journal.ran("a").get("p", 0) == truth
-        assert journal.bounds("a") == {}
+        assert journal.seal("a").ran.get("p", 0) == truth
+        assert journal.seal("a").final("p")
         assert journal.is_sealed("a")
 
 
--- a/tests/sidecar/test_recorder.py
+++ b/tests/sidecar/test_recorder.py
@@ -5,6 +5,7 @@
 from msgspec.structs import replace
 from sidecar_setup import run
 
+from ragwortkeel.budget.receipt import decode_segment
 from ragwortkeel.configuration import INTENTS, RECEIPTS
 from ragwortkeel.messages import OutcomeDurable, ReceiptsDurable, RunReceipt
 from ragwortkeel.runs import intent as intents
@@ -107,4 +108,5 @@
         replies, segments = run(main)
         assert [type(r) for r in replies] == [WriteFailed] + [ReceiptsDurable] * 2
         assert replies[-1].nonces == ("n",)
-        assert len(segments) == 1
+        (stored,) = segments.values()
+        assert decode_segment(stored.value).receipts == (RECEIPT,)
