Intent carries the epoch that its dispatch has to carry

Cause: the epoch guards against a paused router only if it is taken before the intent is written; taken when the dispatch is built, a router paused in between wakes, hears a fresh heartbeat and passes, although a retry has run the request meanwhile. Change: Intent.epoch, to be set with the sidecar and used for the dispatch; the machine takes it from there.

--- a/src/ragwortkeel/runs/intent.py
+++ b/src/ragwortkeel/runs/intent.py
@@ -57,7 +57,10 @@
 class Intent(msgspec.Struct, frozen=True, kw_only=True):
     """The one attempt that a must-not-repeat request may be running as.
 
-    `sidecar` is an incarnation, `upstream` the name that operators know.
+    `sidecar` is an incarnation, `upstream` the name that operators know.  `epoch`
+    is of that sidecar's last heartbeat before the intent was written, and goes
+    with the dispatch: taken any later, a router that was paused in between would
+    wake with a fresh epoch and run what a retry has taken over.
     """
 
     profile: str
@@ -67,6 +70,7 @@
     sidecar: str
     upstream: str
     router: str
+    epoch: int = 0
     outcome: Outcome | None = None
 
 
--- a/tests/sidecar/runs_world.py
+++ b/tests/sidecar/runs_world.py
@@ -169,6 +169,7 @@
             sidecar=self.cores[slot].incarnation,
             upstream=f"u{slot}",
             router=attempt.router,
+            epoch=self.cores[slot].journal.epoch,
         )
 
     def submit(self, router, request_id, slot, *, first):
@@ -180,7 +181,6 @@
             filing=None,
         )
         attempt.filing = Filing(wanted=self.intent(attempt, slot, 0), first=first)
-        attempt.epoch = self.cores[slot].journal.epoch
         self.attempts.append(attempt)
 
     def open_attempts(self):
@@ -256,7 +256,7 @@
                 budget_seconds=1.0,
                 priority=0,
                 traceparent="",
-                epoch=attempt.epoch,
+                epoch=intent.epoch,
             )
             attempt.reading = intent.nonce
         attempt.filing.on_sent()
@@ -282,7 +282,6 @@
         if attempt.renewed > 1 or attempt.serial % 2:
             return None
         attempt.slot = 1 - attempt.slot
-        attempt.epoch = self.cores[attempt.slot].journal.epoch
         return self.intent(attempt, attempt.slot, attempt.renewed)
 
     def _read_answer(self, attempt, message):
@@ -314,7 +313,6 @@
         elif isinstance(filing.step, Go) and attempt.dispatch is not None:
             attempt.renewed += 1
             filing.on_lost(self.intent(attempt, slot, attempt.renewed))
-            attempt.epoch = self.cores[slot].journal.epoch
             attempt.assembly, attempt.body, attempt.head = Assembly(), b"", None
             attempt.reading = ""
         elif isinstance(filing.step, Follow):
