A router links to a part of a large fleet's upstreams, and none is left out

Ruled out: a choice by the routers alone, 32 of a zone's 400 each: 14 of 400 sidecars would be expected without any link and stand idle. Change: rendezvous of each router over its zone, some elsewhere, and of each upstream over the zone's routers (two at least). Today's fleets stay linked whole. Measured: 40 routers, 400 sidecars: every one linked by two or more, each router with 32 to 63 near links and 8 far ones (test).

--- a/src/ragwortkeel/router/neighbours.py
+++ b/src/ragwortkeel/router/neighbours.py
@@ -1,13 +1,15 @@
-"""Which routers a router talks with: a few, so that the fleet can grow.
+"""Which routers and sidecars a router is linked to: a few, so the fleet can grow.
 
-Pattern: with everybody linked to everybody, 1,000 routers would keep a million
-links.  A few partners in the own zone and a few elsewhere carry every change to
-all within a second or two, and whichever zone is lost, partners remain.
+With everybody linked to everybody, 1,000 routers would keep a million links among
+themselves and ten million to sidecars.  A few partners in the own zone and a few
+elsewhere carry every change to all within a second or two, and whichever zone is
+lost, partners remain.  Of each back end a router links to a part, own zone first.
 """
 
-from collections.abc import Iterable
+from collections import defaultdict
+from collections.abc import Collection, Iterable, Mapping
 
-from ragwortkeel.configuration import Node
+from ragwortkeel.configuration import Node, Upstream
 from ragwortkeel.configuration_schedule import rendezvous
 
 ROUTER_ROLE = "router"
@@ -17,6 +19,14 @@
 PARTNERS_ELSEWHERE = 2
 """Six links of a heartbeat a second each way cost about 1 KB a second."""
 
+LINKED_NEAR = 32
+LINKED_FAR = 8
+"""Upstreams of one back end.  All of today's deployments fit; at the target each
+sidecar is still linked by some three to four routers for each back end."""
+
+COVERED_BY = 2
+"""One of them may be dead or restarting at any moment."""
+
 
 def zone_members(nodes: Iterable[Node], zone: str) -> tuple[str, ...]:
     """Return the addresses of the routers of a zone."""
@@ -32,3 +42,41 @@
     far = {node.address for node in others} - near
     rv = set(rendezvous(address, near, PARTNERS_IN_ZONE))
     return rv | set(rendezvous(address, far, PARTNERS_ELSEWHERE))
+
+
+def upstreams_to_link(
+    upstreams_by_name: Mapping[str, Upstream],
+    *,
+    address: str,
+    zone: str,
+    routers: Collection[str] = (),
+) -> dict[str, Upstream]:
+    """Return the upstreams to keep links to, the same after every restart.
+
+    Parameters
+    ----------
+    routers
+        Addresses of the zone's routers.  Each upstream of the zone is linked by
+        at least `COVERED_BY` of them: chosen by the routers alone, one in thirty
+        would be linked by none and stand idle.
+    """
+    names_by_group: dict[tuple[str, bool], list[str]] = defaultdict(list)
+    for name, upstream in upstreams_by_name.items():
+        if not upstream.retired:
+            group = upstream.back_end, upstream.zone == zone
+            names_by_group[group].append(name)
+    rv = {}
+    for (_, near), names in names_by_group.items():
+        count = LINKED_NEAR if near else LINKED_FAR
+        if not near and len(names) <= LINKED_NEAR:
+            # A small fleet spans its zones, so that losing one costs no caller.
+            count = LINKED_NEAR
+        chosen = set(rendezvous(address, names, count))
+        if near:
+            chosen |= {n for n in names if _covers(address, n, routers)}
+        rv |= {name: upstreams_by_name[name] for name in sorted(chosen)}
+    return rv
+
+
+def _covers(address: str, upstream: str, routers: Collection[str]) -> bool:
+    return address in rendezvous(upstream, routers, COVERED_BY)
--- a/src/ragwortkeel/router/router.py
+++ b/src/ragwortkeel/router/router.py
@@ -29,7 +29,11 @@
 from ragwortkeel.router.dispatcher import Dispatcher
 from ragwortkeel.router.gateway import Gateway
 from ragwortkeel.router.intents import IntentStore
-from ragwortkeel.router.neighbours import ROUTER_ROLE, SIDECAR_ROLE
+from ragwortkeel.router.neighbours import (
+    ROUTER_ROLE,
+    SIDECAR_ROLE,
+    upstreams_to_link,
+)
 from ragwortkeel.router.observer import Gauges, Observer
 from ragwortkeel.router.parts import Parts
 from ragwortkeel.router.peers import PeerLinks
@@ -142,6 +146,7 @@
         )
         self.gateway = Gateway(parts=self.parts, observe=observer.request_ended)
         self.stopping = False
+        self._zone_routers: tuple[str, ...] = ()
         self._state_by_upstream: dict[str, tuple[str, bool]] = {}
         where = Address.parse(settings.http)
         self._server = HttpServer(
@@ -232,18 +237,26 @@
         self.pool.reincarnate()
         return self.incarnation
 
+    async def meet(self, zone_routers: tuple[str, ...]) -> None:
+        """Take over which routers share this one's zone, itself included."""
+        if zone_routers != self._zone_routers:
+            self._zone_routers = zone_routers
+            await self._follow_upstreams()
+
     async def _on_fresh(self, fresh: list[VersionedObject]) -> None:
         self.membership.apply(fresh)
         if any(one.kind == UPSTREAMS for one in fresh):
             await self._follow_upstreams()
 
     async def _follow_upstreams(self) -> None:
-        upstreams = {
-            name: upstream
-            for name, (upstream, _) in self.directory.upstreams().items()
-            if not upstream.retired
-        }
-        await self.pool.follow(upstreams)
+        known = {n: upstream for n, (upstream, _) in self.directory.upstreams().items()}
+        linked = upstreams_to_link(
+            known,
+            address=self.settings.address,
+            zone=self.settings.zone,
+            routers=self._zone_routers,
+        )
+        await self.pool.follow(linked)
         await self._offer_upstreams()
 
     async def _offer_upstreams(self) -> None:
--- a/src/ragwortkeel/router/worker.py
+++ b/src/ragwortkeel/router/worker.py
@@ -117,10 +117,9 @@
         for node in nodes:
             if node.address in followed or self._router.is_linked_to(node):
                 membership.probing(node.incarnation, now)
-        change = Partners(
-            addresses=tuple(addresses),
-            zone_members=zone_members(present, settings.zone),
-        )
+        members = zone_members(present, settings.zone)
+        await self._router.meet(members)
+        change = Partners(addresses=tuple(addresses), zone_members=members)
         await self._router.gossip.inbox.put(change)
 
     def _dead(self, now: float) -> set[str]:
--- /dev/null
+++ b/tests/router/test_neighbours.py
@@ -0,0 +1,70 @@
+"""Who is linked to whom: all of a small fleet, a part of a large one."""
+
+from collections import Counter
+
+from ragwortkeel.configuration import Node, Upstream, UpstreamKind
+from ragwortkeel.router.neighbours import (
+    COVERED_BY,
+    LINKED_FAR,
+    LINKED_NEAR,
+    PARTNERS_ELSEWHERE,
+    PARTNERS_IN_ZONE,
+    partners,
+    upstreams_to_link,
+)
+
+
+def upstream(name, zone, back_end="assistant", retired=False):
+    return Upstream(
+        name=name,
+        back_end=back_end,
+        kind=UpstreamKind.MODEL,
+        sidecar_address="127.0.0.1:1",
+        zone=zone,
+        retired=retired,
+    )
+
+
+def router(number, zone):
+    return Node(
+        incarnation=f"r{number}",
+        role="router",
+        zone=zone,
+        address=f"10.0.0.{number}:7000",
+        http_address="",
+    )
+
+
+class TestUpstreams:
+    def test_both_deployments_of_today_are_linked_whole(self):
+        known = {f"m{i}": upstream(f"m{i}", f"bkk-{'abc'[i % 3]}") for i in range(10)}
+        linked = upstreams_to_link(known, address="10.0.0.1:7000", zone="bkk-a")
+        assert linked == known
+
+    def test_a_retired_upstream_is_not_linked(self):
+        known = {"m": upstream("m", "a", retired=True)}
+        assert upstreams_to_link(known, address="x", zone="a") == {}
+
+    def test_a_large_fleet_is_linked_in_part_and_evenly(self):
+        zones = [f"z{i}" for i in range(25)]
+        known = {f"m{i}": upstream(f"m{i}", zones[i % 25]) for i in range(10_000)}
+        routers = [f"r{number}" for number in range(40)]
+        links = Counter()
+        for address in routers:
+            linked = upstreams_to_link(
+                known, address=address, zone="z0", routers=routers
+            )
+            near = [n for n, one in linked.items() if one.zone == "z0"]
+            assert LINKED_NEAR <= len(near) < 2 * LINKED_NEAR
+            assert len(linked) - len(near) == LINKED_FAR
+            links.update(near)
+        assert len(links) == 400
+        assert min(links.values()) >= COVERED_BY
+
+
+class TestPartners:
+    def test_some_are_in_the_zone_and_some_elsewhere(self):
+        nodes = [router(i, "a" if i < 20 else "b") for i in range(1, 40)]
+        found = partners(nodes, address="10.0.0.1:7000", zone="a")
+        assert len(found) == PARTNERS_IN_ZONE + PARTNERS_ELSEWHERE
+        assert "10.0.0.1:7000" not in found
