Answer a digest where that confirms more: a start in an outage gets ready

Found by starting a third router as a process while the stand-in platform was down: it had every object after 2 s and was still not ready after 6. Nobody chooses an unregistered router as a partner, so nobody sent it a digest, and only a received one says that equal content is all there is.

Change: a digest of equal content is answered by one if the answer shows a higher complete revision or a confirmation 3 s later or more. Ruled out: answering always (equal stores would go on for ever), taking one's own digest's silence for agreement (it may have been lost).

--- a/src/ragwortkeel/configuration_exchange.py
+++ b/src/ragwortkeel/configuration_exchange.py
@@ -46,6 +46,9 @@
 BRANCHES_AT_ONCE = 8
 """Branches walked at once by one exchange; keeps the answers to a few pushes."""
 
+NEWS_SECONDS = 3.0
+"""A digest is answered by one if the answer confirms content this much later."""
+
 CALLER_ROUNDS = 5
 """Digests that a caller may miss before nothing is pushed to it any more."""
 
@@ -249,17 +252,23 @@
 
     def _compare_roots(self, message: ConfigurationDigest) -> list[AnyMessage]:
         answers = []
+        has_news = False
         for kind, root in message.roots.items():
             if not self._holds(kind):
                 continue
-            if root == self.store.root(kind):
-                # Equal content: what the peer knows to be whole is whole here.
-                revision = message.complete.get(kind, UNKNOWN)
-                self.completed(kind, revision, age=message.ages.get(kind, inf))
+            if root != self.store.root(kind):
+                hashes = self.store.branch_hashes(kind)
+                answers.append(ConfigurationBranches(kind=kind, hashes=hashes))
                 continue
-            hashes = self.store.branch_hashes(kind)
-            answers.append(ConfigurationBranches(kind=kind, hashes=hashes))
-        return answers
+            # Equal content: what the peer knows to be whole is whole here.
+            revision = message.complete.get(kind, UNKNOWN)
+            age = message.ages.get(kind, inf)
+            self.completed(kind, revision, age=age)
+            has_news |= self.complete_by_kind[kind] > revision
+            has_news |= age - self.age(kind) > NEWS_SECONDS
+        # A node that starts in an outage is registered nowhere, so nobody sends
+        # it digests: without an answer it would never know that it is complete.
+        return [*answers, self.digest()] if has_news else answers
 
     def _compare_branches(
         self, peer: str, message: ConfigurationBranches
--- a/tests/test_configuration_exchange.py
+++ b/tests/test_configuration_exchange.py
@@ -10,6 +10,7 @@
 from ragwortkeel.configuration_store import ConfigurationStore
 from ragwortkeel.messages import (
     ConfigurationBranches,
+    ConfigurationDigest,
     ConfigurationLeaves,
     ConfigurationPull,
     ConfigurationPush,
@@ -62,6 +63,34 @@
         assert other.age(PROFILES) == 0.0
 
 
+class TestStartInAnOutage:
+    def test_one_that_nobody_knows_becomes_complete(self):
+        """A router is replaced while the platform is down.
+
+        It cannot register, so no other router chooses it as a partner; it asks
+        one from its settings, gets everything, and must learn that this is all.
+        """
+        clock = Clock()
+        old, new = exchange(clock), exchange(clock, "old")
+        old.learn([made("chat", 7)])
+        for kind in old.store.kinds:
+            old.completed(kind, 7)
+        clock.now = 60.0
+        digests = 0
+        for _ in range(3):
+            flying = [("old", send.message) for send in new.compare()]
+            while flying and digests <= 5:
+                to, message = flying.pop(0)
+                digests += isinstance(message, ConfigurationDigest)
+                target, back = (old, "new") if to == "old" else (new, "old")
+                sends = target.receive(back, message)
+                flying += [(back, send.message) for send in sends]
+        assert new.store.rank(PROFILES, "chat")
+        assert set(new.complete_by_kind.values()) == {7}
+        assert new.age(PROFILES) == 60.0
+        assert digests <= 5, "equal stores must not answer each other without end"
+
+
 class TestWhomToAsk:
     def test_furthest_ahead_is_asked_once(self):
         one = exchange(Clock(), "p1", "p2", "p3")
