Demo and tests of the whole path with real processes

Cause: nothing ran the programs as operators and callers meet them, and deaths, stops, outages and silences were proved only inside one process. Ruled out: subprocesses from the product (its programs start no other); threads in the tests (the command lines are started side by side instead).

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -12,6 +12,7 @@
 from benchmarks._slopes_fit import report
 from benchmarks._slopes_links import measure_links
 from benchmarks._slopes_parts import measure_parts
+from benchmarks._slopes_requests import measure_requests
 from benchmarks._slopes_store import measure_store
 
 
@@ -22,6 +23,7 @@
     measure_store()
     measure_budget()
     measure_links()
+    measure_requests()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,126 @@
+"""The whole path on loopback: ``make demo``.
+
+Starts the stand-ins, two routers and the sidecars as processes of their own,
+creates profiles through the operators' command line, serves a streamed answer,
+a whole one and a claim filing, shows budget, bill and trace, and stops
+everything gracefully.
+"""
+
+import json
+import sys
+import tempfile
+from pathlib import Path
+
+from tests.processes.deployment import (
+    CHAT_PROFILE,
+    FILING_PROFILE,
+    Deployment,
+    add_routers,
+    add_upstream,
+    create_profile,
+)
+from tests.processes.fleet import Fleet, ask, text_of, wait_until
+
+TRACE_ID = "5ee0" * 8
+TRACEPARENT = f"00-{TRACE_ID}-{'ab' * 8}-01"
+PROMPT = "How much diesel duty does a season of 900 litres bring back?"
+
+
+def step(text: str) -> None:
+    """Print what comes next."""
+    print(f"\n== {text}", flush=True)
+
+
+def start(fleet: Fleet) -> Deployment:
+    """Start every program and create the profiles."""
+    step("starting platform, engine, service, sidecars and two routers")
+    rv = Deployment(fleet=fleet, platform=fleet.platform())
+    add_upstream(rv, "assistant-1", "assistant", "model", token_seconds=0.01)
+    add_upstream(rv, "filings-1", "filings", "service")
+    add_routers(rv, 2)
+    step("ragwortkeel profile create")
+    create_profile(fleet, CHAT_PROFILE, "interactive", "assistant", 50_000)
+    create_profile(fleet, FILING_PROFILE, "must_not_repeat", "filings", 1_000)
+    for name in rv.routers:
+        rv.wait_serving(name)
+    for program in fleet.by_name.values():
+        print(f"{program.name}: pid {program.popen.pid}, ports {program.ports}")
+    return rv
+
+
+def serve(deployment: Deployment) -> None:
+    """Serve a streamed answer, a whole one and a claim filing."""
+    step(f"a streamed answer through router-1 ({CHAT_PROFILE})")
+    stream = deployment.stream(
+        "router-1", PROMPT, key="demo-stream", traceparent=TRACEPARENT, max_tokens=20
+    )
+    events = list(stream.events())
+    print(f"status {stream.status}, {len(events)} events: {text_of(events)}")
+    step("a whole answer through router-2")
+    answer = deployment.chat("router-2", PROMPT, key="demo-whole", max_tokens=20)
+    print(f"status {answer.status}: {answer.body.decode()}")
+    step("a claim filing through router-1, then the same again through router-2")
+    claim = {"claim": "2026-0042", "litres": 900}
+    for router in ("router-1", "router-2"):
+        filed = deployment.file(router, claim, key="claim-2026-0042")
+        print(f"{router}: status {filed.status}: {filed.body.decode()}")
+    print(f"the service saw it {deployment.runs()['claim-2026-0042']} time(s)")
+
+
+def show(deployment: Deployment) -> None:
+    """Show budget, bill and trace."""
+    fleet = deployment.fleet
+    step("ragwortkeel profile show")
+    print(json.dumps(fleet.command("profile", "show", CHAT_PROFILE), indent=2))
+    step("ragwortkeel bill")
+    wait_until(lambda: fleet.command("bill", CHAT_PROFILE), "the bill is written")
+    print(json.dumps(fleet.command("bill", CHAT_PROFILE), indent=2))
+    step(f"the trace {TRACE_ID}, hop by hop")
+    for span in spans_of(deployment):
+        milliseconds = (span["end_ns"] - span["start_ns"]) / 1e6
+        print(f"{span['node']:<24} {span['name']:<12} {milliseconds:8.2f} ms")
+
+
+def spans_of(deployment: Deployment) -> list[dict]:
+    """Return the spans of the demo's trace from every node on its way."""
+    ports = [p.ports["metrics"] for p in deployment.routers.values()]
+    ports += [p.ports["metrics"] for p in deployment.sidecars.values()]
+    ports += [deployment.upstreams["assistant-1"].ports["http"]]
+    answers = [ask(port, "GET", f"/traces/{TRACE_ID}") for port in ports]
+    spans = [span for a in answers if a.status == 200 for span in a.json["spans"]]
+    return sorted(spans, key=lambda span: span["start_ns"])
+
+
+def stop(deployment: Deployment) -> bool:
+    """Stop gracefully in order; return whether all ended cleanly."""
+    step("TERM: routers first, then sidecars, then the stand-ins")
+    groups = (deployment.routers, deployment.sidecars, deployment.upstreams)
+    programs = [program for group in groups for program in group.values()]
+    clean = True
+    for program in [*programs, deployment.platform]:
+        code = program.terminate()
+        print(f"{program.name}: exit code {code}")
+        clean = clean and code == 0
+    return clean
+
+
+def main() -> int:
+    """Run the demo and return its exit code."""
+    with tempfile.TemporaryDirectory() as directory:
+        fleet = Fleet(Path(directory))
+        try:
+            deployment = start(fleet)
+            serve(deployment)
+            show(deployment)
+            clean = stop(deployment)
+        except BaseException:
+            print(fleet.tails(), file=sys.stderr)
+            raise
+        finally:
+            fleet.close()
+    step("done" if clean else "not every process ended cleanly")
+    return 0 if clean else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/processes/deployment.py
@@ -0,0 +1,160 @@
+"""Whole deployments on loopback: platform, upstreams, sidecars, routers, profiles."""
+
+from dataclasses import dataclass, field
+
+from tests.processes.fleet import (
+    HOST,
+    Fleet,
+    Program,
+    Stream,
+    ask,
+    send_only,
+    wait_until,
+)
+
+CHAT_PATH = "/v1/chat/completions"
+CHAT_PROFILE = "advisor-chat"
+FILING_PROFILE = "claim-filing"
+PREPAID = 1_000_000
+
+
+@dataclass(kw_only=True)
+class Deployment:
+    """The programs of one deployment, by name."""
+
+    fleet: Fleet
+    platform: Program
+    upstreams: dict[str, Program] = field(default_factory=dict)
+    sidecars: dict[str, Program] = field(default_factory=dict)
+    routers: dict[str, Program] = field(default_factory=dict)
+
+    def chat(self, router, prompt, *, key="", traceparent="", **fields):
+        """Ask for a whole answer."""
+        headers = headers_of(key, traceparent)
+        body = chat_body(prompt, **fields)
+        return ask(self.port(router), "POST", CHAT_PATH, body, headers)
+
+    def stream(self, router, prompt, *, key="", traceparent="", **fields):
+        """Ask for a streamed answer."""
+        headers = headers_of(key, traceparent)
+        body = chat_body(prompt, stream=True, **fields)
+        return Stream(self.port(router), CHAT_PATH, body, headers)
+
+    def file(self, router, body, *, key="", profile=FILING_PROFILE):
+        """File a claim."""
+        headers = headers_of(key)
+        path = f"/v1/profiles/{profile}/calls"
+        return ask(self.port(router), "POST", path, body, headers)
+
+    def file_only(self, router, body, *, key, profile=FILING_PROFILE):
+        """File a claim without waiting for the answer; return the connection."""
+        path = f"/v1/profiles/{profile}/calls"
+        return send_only(self.port(router), path, body, headers_of(key))
+
+    def port(self, router):
+        return self.routers[router].ports["http"]
+
+    def runs(self):
+        """Return how often each request id began at any engine or service."""
+        counts = {}
+        for upstream in self.upstreams.values():
+            executions = self.fleet.executions(upstream)
+            executions = executions.get("count_by_request_id", executions)
+            for request_id, count in executions.items():
+                counts[request_id] = counts.get(request_id, 0) + count
+        return counts
+
+    def wait_serving(self, router, profile=CHAT_PROFILE):
+        """Wait until a request through this router is answered."""
+        wait_until(
+            lambda: (
+                self.chat(router, "ready?", model=profile, max_tokens=1).status == 200
+            ),
+            f"{router} serves {profile}",
+        )
+
+
+def headers_of(key, traceparent=""):
+    fields = {"idempotency-key": key, "traceparent": traceparent}
+    return {name: value for name, value in fields.items() if value}
+
+
+def chat_body(prompt, *, model=CHAT_PROFILE, **fields):
+    message = {"role": "user", "content": prompt}
+    return {"model": model, "messages": [message]} | fields
+
+
+def chat_deployment(fleet, *, engines=1, routers=2, prepaid=PREPAID, **options):
+    """Start engines with their sidecars, and routers, with one chat profile."""
+    rv = Deployment(fleet=fleet, platform=fleet.platform())
+    for number in range(1, engines + 1):
+        add_upstream(rv, f"engine-{number}", "assistant", "model", **options)
+    add_routers(rv, routers)
+    create_profile(fleet, CHAT_PROFILE, "interactive", "assistant", prepaid)
+    for name in rv.routers:
+        rv.wait_serving(name)
+    return rv
+
+
+def filing_deployment(fleet, *, routers=2, prepaid=PREPAID):
+    """Start one service with its sidecar, and routers, with a filing profile."""
+    rv = Deployment(fleet=fleet, platform=fleet.platform())
+    add_upstream(rv, "filings-1", "filings", "service")
+    add_routers(rv, routers)
+    create_profile(fleet, FILING_PROFILE, "must_not_repeat", "filings", prepaid)
+    for name in rv.routers:
+        wait_until(
+            lambda name=name: rv.file(name, {"ready": name}).status == 200,
+            f"{name} files",
+        )
+    return rv
+
+
+def add_upstream(
+    deployment, name, back_end, kind, *, forwarded=False, resumes=False, **options
+):
+    """Start an upstream and its sidecar and put them into service."""
+    fleet = deployment.fleet
+    upstream = fleet.engine(f"{name}-program", **options)
+    if kind == "service":
+        upstream = fleet.service(f"{name}-program")
+    sidecar = fleet.sidecar(name, upstream, kind)
+    port = sidecar.ports["address"]
+    if forwarded:
+        port = fleet.forwarder(f"{name}-forwarder", port).ports["tcp"]
+    deployment.upstreams[name] = upstream
+    deployment.sidecars[name] = sidecar
+    flags = {
+        "back_end": back_end,
+        "kind": kind,
+        "zone": "zone-a",
+        "sidecar_address": f"{HOST}:{port}",
+        "resumes": resumes,
+    }
+    fleet.command("upstream", "add", name, *flags_of(flags))
+
+
+def add_routers(deployment, count):
+    """Start routers that know each other."""
+    fleet = deployment.fleet
+    for number in range(1, count + 1):
+        name = f"router-{number}"
+        deployment.routers[name] = fleet.router(name)
+    fleet.wait_ready(*deployment.routers.values())
+
+
+def create_profile(fleet, name, service, back_end, prepaid, **fields):
+    """Create a profile with a prepaid budget."""
+    flags = {
+        "customer": "surco",
+        "service": service,
+        "deadline_seconds": 60,
+        "first_token_seconds": 30,
+        "back_ends": back_end,
+        "prepaid_tokens": prepaid,
+    } | fields
+    fleet.command("profile", "create", name, *flags_of(flags))
+
+
+def flags_of(values):
+    return [f"--{key}={value}" for key, value in values.items()]
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -21,6 +21,7 @@
 POLL = 0.02
 HOST = "127.0.0.1"
 LOG_TAIL_BYTES = 3000
+COMMAND_LINE = "from ragwortkeel.cli import main; main()"
 
 
 def free_port():
@@ -144,6 +145,16 @@
         self._sock.close()
 
 
+def send_only(port, path, body, headers):
+    """Send a request whose caller will not wait; return the open connection."""
+    data = json.dumps(body).encode()
+    fields = {"host": HOST, "content-length": str(len(data))} | headers
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    sock = socket.create_connection((HOST, port), PATIENCE)
+    sock.sendall(f"POST {path} HTTP/1.1\r\n{head}\r\n".encode() + data)
+    return sock
+
+
 def text_of(events):
     """Return the text that token events carry."""
     frames = [json.loads(event) for event in events if event != "[DONE]"]
@@ -227,17 +238,20 @@
     def executions(self, program):
         return ask(program.ports["http"], "GET", "/executions").json
 
-    def command(self, *arguments, check=True):
-        """Run the operators' command line and return what it printed as JSON."""
-        path = self._directory / "command.json"
-        path.write_text(json.dumps({"platform": f"{HOST}:{self.platform_port}"}))
-        command = [sys.executable, "-m", "ragwortkeel.cli", *map(str, arguments)]
-        command += ["--settings", str(path), "--json"]
-        done = subprocess.run(command, capture_output=True, timeout=PATIENCE)
-        if check:
-            assert done.returncode == 0, (arguments, done.stderr.decode())
-            return json.loads(done.stdout) if done.stdout.strip() else None
-        return done
+    def command(self, *arguments):
+        """Run the operators' command line; return what it printed as JSON."""
+        popen = self.start_command(*arguments)
+        output, errors = popen.communicate(timeout=PATIENCE)
+        assert popen.returncode == 0, (arguments, errors.decode())
+        return json.loads(output)
+
+    def start_command(self, *arguments):
+        """Start the operators' command line."""
+        command = [sys.executable, "-c", COMMAND_LINE]
+        command += [f"--platform={HOST}:{self.platform_port}", "--json=True"]
+        command += map(str, arguments)
+        pipe = subprocess.PIPE
+        return subprocess.Popen(command, stdout=pipe, stderr=pipe)
 
     def wait_ready(self, *programs):
         for program in programs:
