Let sidecars bear stale content longer before they stand in

Cause: a sidecar has the platform's word from routers some seconds later, and 10,000 of them would be the first to stand in for a router that watches.

--- a/src/ragwortkeel/configuration_schedule.py
+++ b/src/ragwortkeel/configuration_schedule.py
@@ -26,6 +26,9 @@
 ends and the seconds a digest takes to all fit in; each node draws its own bound,
 so that a few begin and their word keeps the others from it."""
 
+SIDECAR_PATIENCE = 4.0
+"""Sidecars have it from routers, some seconds later, and are ten times as many."""
+
 STAND_IN_SECONDS = 60.0
 """How long it then watches before it leaves it to the zone's watchers again."""
 
@@ -103,16 +106,19 @@
         Monotonic seconds.
     random : random.Random
         Spreads the calls of many nodes.
+    patience : float
+        By how much longer than a router this node bears stale content.
     """
 
-    def __init__(self, *, now: float, random: Random) -> None:
+    def __init__(self, *, now: float, random: Random, patience: float = 1.0) -> None:
         self._random = random
         self._list_at = now
         self._retry_at = now
         self._stand_in_from = now
         self._stand_in_until = now
         self._pause = PAUSE_SECONDS
-        self._stale_seconds = random.uniform(*STALE_SECONDS)
+        self._patience = patience
+        self._stale_seconds = self._draw_stale_seconds()
         self._failures = 0
         self._incomplete_to = UNKNOWN
         self._learn_until = now + LEARN_SECONDS
@@ -188,7 +194,10 @@
         # without this a change would come here late or not at all.
         if age >= self._stale_seconds and now >= self._stand_in_from:
             self._stand_in_until = now + STAND_IN_SECONDS
-            self._stale_seconds = self._random.uniform(*STALE_SECONDS)
+            self._stale_seconds = self._draw_stale_seconds()
+
+    def _draw_stale_seconds(self) -> float:
+        return self._patience * self._random.uniform(*STALE_SECONDS)
 
     def _succeeded(self) -> None:
         self._failures = 0
--- a/src/ragwortkeel/gossip.py
+++ b/src/ragwortkeel/gossip.py
@@ -16,6 +16,7 @@
 from ragwortkeel.configuration_exchange import Exchange, Send
 from ragwortkeel.configuration_schedule import (
     LEARN_SECONDS,
+    SIDECAR_PATIENCE,
     WATCHERS_PER_ZONE,
     FollowSchedule,
     ListAll,
@@ -267,7 +268,11 @@
             await self.inbox.put(event)
 
     async def _follow(self, kind: str) -> None:
-        schedule = FollowSchedule(now=self._clock(), random=self._random)
+        schedule = FollowSchedule(
+            now=self._clock(),
+            random=self._random,
+            patience=1.0 if self._follows else SIDECAR_PATIENCE,
+        )
         while True:
             step = schedule.next(
                 now=self._clock(),
--- a/tests/test_configuration_schedule.py
+++ b/tests/test_configuration_schedule.py
@@ -10,6 +10,7 @@
     MAX_LIST_SECONDS,
     MAX_RETRY_SECONDS,
     MIN_LIST_SECONDS,
+    SIDECAR_PATIENCE,
     STAND_IN_SECONDS,
     WATCHERS_PER_ZONE,
     FollowSchedule,
@@ -21,8 +22,8 @@
 )
 
 
-def schedule():
-    return FollowSchedule(now=0.0, random=Random(1))
+def schedule(patience=1.0):
+    return FollowSchedule(now=0.0, random=Random(1), patience=patience)
 
 
 def step(one, now, *, watching=True, complete=UNKNOWN, peers_heard=False, age=0.0):
@@ -85,6 +86,13 @@
         later = 22.0 + STAND_IN_SECONDS
         assert isinstance(step(one, later, age=0.0, **other), Rest)
 
+    def test_sidecars_bear_stale_content_for_longer(self):
+        one = schedule(SIDECAR_PATIENCE)
+        one.listed(now=0.0, value_bytes=10**9)
+        other = {"watching": False, "complete": 7, "peers_heard": True}
+        assert isinstance(step(one, 25.0, age=25.0, **other), Rest)
+        assert isinstance(step(one, 81.0, age=81.0, **other), Watch)
+
     def test_an_outage_is_not_answered_by_everybody_for_long(self):
         """The platform is down: nobody's content is confirmed any more.
 
