A retry without room elsewhere no longer holds up others

Cause: a retry avoids the upstream that failed it; finding no room elsewhere, it left the note that its class had no room at all, and others waited until the next report or end.

Ruled out: dropping the note (a saturated router then ranks upstreams on each call).

Change: the note is made only by requests that avoid nothing.

Conclusion: its test failed before (1 failed), and passes.

--- a/src/ragwortkeel/policy/upstreams.py
+++ b/src/ragwortkeel/policy/upstreams.py
@@ -88,7 +88,8 @@
         names = [name for name in names if name not in avoid] or names
         by_name = {n: self._candidate(n, request.service, now) for n in names}
         if not any(candidate.has_room for candidate in by_name.values()):
-            self._full.add(pool)
+            if not avoid:
+                self._full.add(pool)
             return None
         key = request.prefix or request.request_id
         chosen = choose(
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -144,6 +144,20 @@
         (refusal,) = made.next(now=2.0)
         assert refusal.may_have_run
 
+    def test_retry_without_room_elsewhere_does_not_hold_up_others(self):
+        """A retry avoids the upstream that failed it; only that one has room.
+
+        Remembering that there is no room would make the next request wait too.
+        """
+        made = scheduler(2, failures_to_eject=9)
+        first = made.offer(request("r1"), now=0.0)
+        other = "m1" if first.upstream == "m0" else "m0"
+        full = LoadReport(upstream=other, running=16, waiting=0, limit=16)
+        made.report(full, now=0.1)
+        assert isinstance(made.failed("r1", Failure.ERROR, now=0.2), Queued)
+        made.left("r1", now=0.2)
+        assert made.offer(request("r2"), now=0.2).upstream == first.upstream
+
     def test_left_caller_frees_its_place(self):
         made = scheduler(1, first_limit=1)
         made.offer(request("r1"), now=0.0)
