--- a/src/ragwortkeel/configuration.py
+++ b/src/ragwortkeel/configuration.py
@@ -16,6 +16,7 @@
 LEDGERS = "ledgers"
 INTENTS = "intents"
 RECEIPTS = "receipts"
+FENCES = "fences"
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
@@ -56,7 +57,10 @@
 
 
 class Profile(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """A named profile: whose it is, which service it promises, where it may run."""
+    """A named profile: whose it is, which service it promises, where it may run.
+
+    `call_tokens` is what one call of a plain service costs.
+    """
 
     name: Name
     customer: Name
@@ -65,19 +69,24 @@
     first_token_seconds: PositiveSeconds
     back_ends: tuple[Name, ...]
     max_output_tokens: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 1024
+    call_tokens: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 1
     spread: Spread = Spread.WIDE
     ride_out_seconds: PositiveSeconds = 600.0
     retired: bool = False
 
 
 class Upstream(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """One instance of a back end, and the address of the sidecar beside it."""
+    """One instance of a back end, and the address of the sidecar beside it.
+
+    `resumes` says that its engine can go on after tokens already produced.
+    """
 
     name: Name
     back_end: Name
     kind: UpstreamKind
     sidecar_address: str
     zone: str
+    resumes: bool = False
     state: UpstreamState = UpstreamState.SERVING
     retired: bool = False
 
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -15,12 +15,16 @@
 
 
 class VersionedObject(msgspec.Struct, frozen=True, kw_only=True):
-    """One configuration object with its platform version."""
+    """One configuration object with its platform version.
+
+    `gone` says that it was deleted or retired, which no version undoes.
+    """
 
     kind: str
     name: str
     version: int
     value: bytes
+    gone: bool = False
 
 
 class RefusalReason(StrEnum):
@@ -38,6 +42,21 @@
     QUARANTINED = "quarantined"
     DEADLINE = "deadline"
     DUPLICATE = "duplicate"
+    STALE_EPOCH = "stale_epoch"
+
+
+class FailureReason(StrEnum):
+    """Why a run ended without a whole answer; it may have taken effect."""
+
+    CRASHED = "crashed"
+    TRUNCATED = "truncated"
+    SILENT = "silent"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+    UPSTREAM_ERROR = "upstream_error"
+    RESERVATION_OUTRUN = "reservation_outrun"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    ANSWER_LOST = "answer_lost"
 
 
 class RunState(StrEnum):
@@ -54,8 +73,12 @@
     """Run this request at your upstream, within the reservation.
 
     `nonce` names this attempt; `reservation` is in tokens; `budget_seconds`
-    is the time left until the caller's deadline.  With `alone` the sidecar first
-    lets what runs there end, and starts nothing beside it.
+    is the time left until the caller's deadline.  `epoch` is the one of the
+    sidecar's last heartbeat when the nonce was minted; a request that must not
+    repeat is refused without it (docs/design/runs.md).
+    With `alone` the sidecar first lets what runs there end, and starts nothing
+    beside it.  `fingerprint` is the body's for the quarantine, where the router
+    has changed the body; left empty, the sidecar takes it from `body`.
     """
 
     request_id: str
@@ -73,7 +96,10 @@
     priority: int
     traceparent: str
     prefix: str = ""
+    epoch: int = 0
     alone: bool = False
+    fingerprint: str = ""
+    replayable: bool = True
 
 
 class Refused(Message):
@@ -112,7 +138,10 @@
 
 
 class Failed(Message):
-    """The run ended without a whole answer, after `tokens` were spent."""
+    """The run ended without a whole answer, after `tokens` were spent.
+
+    `reason` is a `FailureReason`.
+    """
 
     nonce: str
     reason: str
@@ -134,13 +163,18 @@
 
 
 class Located(Message):
-    """Answer to `Locate`; `nonce` names the run to resume."""
+    """Answer to `Locate`; `nonce` names the run to resume.
+
+    `fingerprint` is of the body that runs there: one key with another body is a
+    caller's mistake and must not get this answer.
+    """
 
     profile: str
     request_id: str
     state: RunState
     nonce: str = ""
     tokens: int = 0
+    fingerprint: str = ""
 
 
 class Resume(Message):
@@ -151,9 +185,14 @@
 
 
 class Tombstone(Message):
-    """Promise never to run this nonce, unless it already ran."""
+    """Promise never to run this nonce, unless it already ran.
+
+    `sidecar` is the incarnation that was to run it; any other answers `UNSEEN`,
+    which promises nothing.  Left empty, the asker has to check who answers.
+    """
 
     nonce: str
+    sidecar: str = ""
 
 
 class TombstoneResult(Message):
@@ -182,12 +221,18 @@
 
 
 class Sealed(Message):
-    """The seal is in force here; `ran` is the cumulative tokens by profile."""
+    """The seal is in force here; what the router ran here, in tokens by profile.
+
+    `ran` is cumulative over the runs that have ended, `running` the reservations
+    of those that have not.  The figures of a profile are final once it is not in
+    `running`; the sidecar sends them again when the last run has ended.
+    """
 
     router: str
     sidecar: str
     ran: dict[str, int]
     receipts: tuple[RunReceipt, ...]
+    running: dict[str, int] = {}
 
 
 class ReceiptsDurable(Message):
@@ -196,31 +241,73 @@
     nonces: tuple[str, ...]
 
 
+class OutcomeDurable(Message):
+    """The intents of these must-not-repeat nonces hold their outcomes."""
+
+    nonces: tuple[str, ...]
+
+
 class Heartbeat(Message):
-    """I am alive; a sidecar also reports its load, a router sends zeros."""
+    """I am alive; a sidecar also reports its load, a router sends zeros.
+
+    `epoch` is what dispatches minted from now on carry.
+    """
 
     running: int = 0
     waiting: int = 0
     limit: int = 0
     leaving: bool = False
+    epoch: int = 0
 
 
 class ConfigurationDigest(Message):
-    """Version by ``kind/name`` of what the sender has in force."""
+    """Hash by kind over all that the sender holds, and how far it is complete.
 
-    versions: dict[str, int]
+    `complete` is, by kind, the platform's revision up to which the sender has
+    seen every change; `ages` is how many seconds ago the platform said so, to
+    the sender or to whom it has it from.
+    """
+
+    roots: dict[str, int]
+    complete: dict[str, int]
+    ages: dict[str, float] = {}
+
+
+class ConfigurationBranches(Message):
+    """Hash of each branch of a kind, for a peer whose digest differs."""
+
+    kind: str
+    hashes: tuple[int, ...]
+
+
+class ConfigurationLeaves(Message):
+    """Hash of each leaf of one branch that differs."""
+
+    kind: str
+    branch: int
+    hashes: tuple[int, ...]
+
+
+class ConfigurationRanks(Message):
+    """What the sender holds in some leaves, as ``(gone, version)`` by name."""
+
+    kind: str
+    leaves: tuple[int, ...]
+    ranks: dict[str, tuple[bool, int]]
 
 
 class ConfigurationPush(Message):
-    """Objects the receiver may not have yet."""
+    """Objects the receiver may not have yet; where `more`, ask again."""
 
     objects: tuple[VersionedObject, ...]
+    more: bool = False
 
 
 class ConfigurationPull(Message):
-    """Please push these ``kind/name`` keys."""
+    """Please push these objects of a kind where they outrank these ranks."""
 
-    keys: tuple[str, ...]
+    kind: str
+    ranks: dict[str, tuple[bool, int]]
 
 
 class CrashSeen(Message):
@@ -253,6 +340,15 @@
     transfer_id: str
 
 
+ConfigurationMessage = (
+    ConfigurationDigest
+    | ConfigurationBranches
+    | ConfigurationLeaves
+    | ConfigurationRanks
+    | ConfigurationPush
+    | ConfigurationPull
+)
+
 AnyMessage = (
     Dispatch
     | Refused
@@ -269,8 +365,12 @@
     | Seal
     | Sealed
     | ReceiptsDurable
+    | OutcomeDurable
     | Heartbeat
     | ConfigurationDigest
+    | ConfigurationBranches
+    | ConfigurationLeaves
+    | ConfigurationRanks
     | ConfigurationPush
     | ConfigurationPull
     | CrashSeen
--- /dev/null
+++ b/src/ragwortkeel/router/router.py
@@ -0,0 +1,355 @@
+"""The central object of the router daemon; it ties the parts and their tasks."""
+
+from random import Random
+from time import monotonic
+from uuid import uuid4
+
+import curio
+
+from ragwortkeel.configuration import UPSTREAMS, Node, UpstreamState
+from ragwortkeel.configuration_store import ConfigurationStore
+from ragwortkeel.gossip import FromPeer, Gossip, Learn
+from ragwortkeel.httpio import HttpServer
+from ragwortkeel.links import LinkDown, LinkUp, Received
+from ragwortkeel.logs import log_warning
+from ragwortkeel.membership import Membership
+from ragwortkeel.messages import (
+    AnyMessage,
+    CrashSeen,
+    Heartbeat,
+    Refused,
+    VersionedObject,
+)
+from ragwortkeel.platform import Platform
+from ragwortkeel.policy.facts import LoadReport, UpstreamFacts
+from ragwortkeel.policy.quarantine import Crash
+from ragwortkeel.policy.scheduler import Scheduler
+from ragwortkeel.router.closing import Closing
+from ragwortkeel.router.directory import Directory
+from ragwortkeel.router.dispatcher import Dispatcher
+from ragwortkeel.router.gateway import Gateway
+from ragwortkeel.router.intents import IntentStore
+from ragwortkeel.router.neighbours import (
+    ROUTER_ROLE,
+    SIDECAR_ROLE,
+    upstreams_to_link,
+)
+from ragwortkeel.router.observer import Gauges, Observer
+from ragwortkeel.router.parts import Parts
+from ragwortkeel.router.peers import PeerLinks
+from ragwortkeel.router.sidecars import SidecarPool
+from ragwortkeel.router.treasury import Treasury
+from ragwortkeel.settings import Address, RouterSettings
+from ragwortkeel.tasks import run_together
+from ragwortkeel.traces import Tracing
+
+BALANCER_SECONDS = 1.0
+"""A planned stop says so this long before it refuses connections, so that the
+balancer looks once and sends callers elsewhere."""
+
+DRAIN_LOOK_SECONDS = 0.05
+
+SIDECAR_PREFIX = "sidecar:"
+"""Marks a gossip peer that is reached through the sidecars' links."""
+
+
+def new_incarnation(name: str) -> str:
+    """Return a name for one life of a node, never used twice."""
+    return f"{name}-{uuid4().hex[:12]}"
+
+
+class Router:
+    """One router: callers in front, sidecars behind, other routers beside.
+
+    Parameters
+    ----------
+    settings
+        Names and addresses.
+    incarnation
+        Unique to this start of the process.
+    platform
+        The platform's client.
+    observer
+        Told of requests, decisions and links.
+    tracing
+        Where spans go.
+
+    Examples
+    --------
+    >>> router = Router(settings=settings, incarnation="r1-7f3a", ...)
+    >>> router.open()
+    >>> task = await curio.spawn(router.run)
+    >>> await router.stop()
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: RouterSettings,
+        incarnation: str,
+        platform: Platform,
+        observer: Observer,
+        tracing: Tracing,
+        random: Random,
+    ) -> None:
+        self.settings = settings
+        self.incarnation = incarnation
+        self._observer = observer
+        self.store = ConfigurationStore()
+        self.membership = Membership()
+        self.directory = Directory(store=self.store)
+        self.pool = SidecarPool(
+            incarnation=lambda: self.incarnation,
+            revision=self.revision,
+            on_crash=self._take_crash,
+        )
+        self.peers = PeerLinks(
+            address=settings.address, incarnation=incarnation, revision=self.revision
+        )
+        self.gossip = Gossip(
+            name=settings.address,
+            zone=settings.zone,
+            platform=platform,
+            store=self.store,
+            send=self._send,
+            random=random,
+            listener=self._on_fresh,
+        )
+        self.dispatcher = Dispatcher(
+            scheduler=Scheduler(zone=settings.zone, random=random),
+            observe=observer.decided,
+        )
+        self.treasury = Treasury(
+            platform=platform,
+            directory=self.directory,
+            membership=self.membership,
+            pool=self.pool,
+            peers=self.peers,
+            incarnation=lambda: self.incarnation,
+            reincarnate=self._reincarnate,
+        )
+        budgets, receipts = self.treasury.keeper, self.treasury.receipts
+        self.closing = Closing(budgets=budgets, receipts=receipts)
+        self.parts = Parts(
+            incarnation=lambda: self.incarnation,
+            clock=monotonic,
+            intents=IntentStore(platform=platform),
+            directory=self.directory,
+            dispatcher=self.dispatcher,
+            pool=self.pool,
+            budgets=budgets,
+            receipts=receipts,
+            closing=self.closing,
+            tracing=tracing,
+        )
+        self.gateway = Gateway(parts=self.parts, observe=observer.request_ended)
+        self.stopping = False
+        self._zone_routers: tuple[str, ...] = ()
+        self._state_by_upstream: dict[str, tuple[str, bool]] = {}
+        where = Address.parse(settings.http)
+        self._server = HttpServer(
+            host=where.host, port=where.port, handler=self.gateway.handle
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return not self.stopping and self.gossip.complete()
+
+    def gauges(self) -> Gauges:
+        """Return the state of the moment."""
+        rows = self.treasury.keeper.rows()
+        return Gauges(
+            revision=self.store.revision,
+            running=self._server.open_exchanges,
+            queued=self.dispatcher.queued,
+            slice_tokens=sum(row.free for row in rows),
+        )
+
+    def is_linked_to(self, node: Node) -> bool:
+        """Return whether a sidecar is at the other end of one of the links."""
+        view = self.pool.views_by_upstream.get(node.upstream)
+        return view is not None and view.link.address == node.address
+
+    def revision(self) -> int:
+        """Return the configuration revision in force."""
+        return self.store.revision
+
+    def open(self) -> None:
+        """Bind the sockets."""
+        self.peers.open()
+        self._server.open()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        await run_together(
+            self.peers.run,
+            self.pool.run,
+            self.gossip.run,
+            self.dispatcher.run,
+            self.treasury.run,
+            self._serve_callers,
+            self._read_sidecars,
+            self._read_peers,
+        )
+
+    async def _serve_callers(self) -> None:
+        await self._server.serve()
+        # A planned stop: the rest goes on until receipts and slices are settled.
+        await curio.Event().wait()
+
+    async def drain(self) -> int:
+        """Stop taking callers and wait for open requests; return how many were cut.
+
+        A request in flight is never cut off before the settings' deadline.
+        """
+        self.stopping = True
+        await curio.sleep(BALANCER_SECONDS)
+        self.gateway.stopping = True
+        await self._server.stop_accepting()
+        try:
+            async with curio.timeout_after(self.settings.stop_deadline_seconds):
+                while self._open():
+                    await curio.sleep(DRAIN_LOOK_SECONDS)
+        except curio.TaskTimeout:
+            return self._open()
+        return 0
+
+    def _open(self) -> int:
+        return self._server.open_exchanges + self.closing.open_runs
+
+    async def close(self) -> None:
+        """Close the links; call it last."""
+        await self.pool.close()
+        await self.peers.close()
+
+    async def _reincarnate(self) -> str:
+        """Go on under another incarnation; the old one is sealed.
+
+        Awaits nothing: a reservation of one incarnation must not be sent under
+        another.
+        """
+        log_warning("router_was_sealed", incarnation=self.incarnation)
+        self.incarnation = new_incarnation(self.settings.name)
+        self.peers.reincarnate(self.incarnation)
+        self.pool.reincarnate()
+        return self.incarnation
+
+    async def meet(self, zone_routers: tuple[str, ...]) -> None:
+        """Take over which routers share this one's zone, itself included."""
+        if zone_routers != self._zone_routers:
+            self._zone_routers = zone_routers
+            await self._follow_upstreams()
+
+    async def _on_fresh(self, fresh: list[VersionedObject]) -> None:
+        self.membership.apply(fresh)
+        if any(one.kind == UPSTREAMS for one in fresh):
+            await self._follow_upstreams()
+
+    async def _follow_upstreams(self) -> None:
+        known = {n: upstream for n, (upstream, _) in self.directory.upstreams().items()}
+        linked = upstreams_to_link(
+            known,
+            address=self.settings.address,
+            zone=self.settings.zone,
+            routers=self._zone_routers,
+        )
+        await self.pool.follow(linked)
+        await self._offer_upstreams()
+
+    async def _offer_upstreams(self) -> None:
+        """Tell the scheduler which upstreams may be given work."""
+        usable = []
+        for name, (upstream, _) in self.directory.upstreams().items():
+            serving = upstream.state is UpstreamState.SERVING and not upstream.retired
+            view = self.pool.views_by_upstream.get(name)
+            if serving and self.pool.is_up(name) and not view.load.leaving:
+                usable.append(
+                    UpstreamFacts(
+                        name=name, back_end=upstream.back_end, zone=upstream.zone
+                    )
+                )
+        await self.dispatcher.upstreams_changed(usable)
+
+    async def _read_sidecars(self) -> None:
+        while True:
+            event = await self.pool.others.get()
+            match event:
+                case LinkUp():
+                    await self._offer_upstreams()
+                case LinkDown(peer=peer):
+                    self._observer.link_down(SIDECAR_ROLE, peer)
+                    await self._offer_upstreams()
+                case Received(peer=peer, envelope=envelope):
+                    await self._take_from_sidecar(peer, envelope)
+
+    async def _take_from_sidecar(self, upstream: str, envelope) -> None:
+        peer = SIDECAR_PREFIX + upstream
+        self.membership.heard(envelope.sender, monotonic())
+        match envelope.message:
+            case Heartbeat() as load:
+                await self._take_load(upstream, envelope.sender, load)
+                await self._to_gossip(peer, envelope.revision, None)
+            case Refused(newer=newer):
+                await self.gossip.inbox.put(Learn(objects=newer))
+            case message:
+                await self._to_gossip(peer, envelope.revision, message)
+
+    async def _take_crash(self, seen: CrashSeen) -> None:
+        """Note a crash, and pass it on where it is news."""
+        crash = Crash(
+            crash_id=seen.crash_id,
+            fingerprints=frozenset(seen.fingerprints),
+            alone=seen.alone,
+        )
+        if await self.dispatcher.crashed(crash):
+            log_warning(
+                "upstream_crashed", crash=seen.crash_id, bodies=len(seen.fingerprints)
+            )
+            await self.peers.send_all(seen)
+
+    async def _take_load(self, upstream: str, sender: str, load: Heartbeat) -> None:
+        state = (sender, load.leaving)
+        if self._state_by_upstream.get(upstream) != state:
+            self._state_by_upstream[upstream] = state
+            await self._offer_upstreams()
+        report = LoadReport(
+            upstream=upstream,
+            running=load.running,
+            waiting=load.waiting,
+            limit=load.limit,
+        )
+        await self.dispatcher.report(report)
+
+    async def _read_peers(self) -> None:
+        while True:
+            event = await self.peers.inbox.get()
+            if isinstance(event, LinkDown):
+                self._observer.link_down(ROUTER_ROLE, event.peer)
+            if not isinstance(event, Received):
+                continue
+            envelope = event.envelope
+            message = envelope.message
+            self.membership.heard(envelope.sender, monotonic())
+            if isinstance(message, Heartbeat):
+                message = None
+            if isinstance(message, CrashSeen):
+                await self._take_crash(message)
+                continue
+            if await self.treasury.take(event.peer, envelope.sender, message):
+                continue
+            await self._to_gossip(event.peer, envelope.revision, message)
+
+    async def _to_gossip(
+        self, peer: str, revision: int, message: AnyMessage | None
+    ) -> None:
+        event = FromPeer(peer=peer, revision=revision, message=message)
+        await self.gossip.inbox.put(event)
+
+    async def _send(self, peer: str, message: AnyMessage) -> None:
+        if peer.startswith(SIDECAR_PREFIX):
+            await self.pool.send(peer.removeprefix(SIDECAR_PREFIX), message)
+            return
+        await self.peers.send(peer, message)
--- /dev/null
+++ b/src/ragwortkeel/router/worker.py
@@ -0,0 +1,127 @@
+"""The router daemon's work: the router, its budgets and its place in the fleet."""
+
+from random import Random
+from time import monotonic
+
+import curio
+
+from ragwortkeel.configuration import Node
+from ragwortkeel.gossip import Partners
+from ragwortkeel.membership import Liveness
+from ragwortkeel.metrics import Metrics
+from ragwortkeel.platform_client import HttpPlatform
+from ragwortkeel.process import Leftover
+from ragwortkeel.registration import deregister, follow_list, register
+from ragwortkeel.router.neighbours import ROUTER_ROLE, partners, zone_members
+from ragwortkeel.router.observer import Observer
+from ragwortkeel.router.router import Router, new_incarnation
+from ragwortkeel.settings import RouterSettings
+from ragwortkeel.tasks import run_together
+from ragwortkeel.traces import Tracing
+
+NEIGHBOURS_SECONDS = 1.0
+
+
+class RouterWorker:
+    """Everything a router process runs.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, *, settings: RouterSettings) -> None:
+        self.metrics = Metrics()
+        self.tracing = Tracing(node=settings.name)
+        self._settings = settings
+        self._observer = Observer(metrics=self.metrics)
+        self._platform = HttpPlatform(address=settings.platform)
+        self._router = Router(
+            settings=settings,
+            incarnation=new_incarnation(settings.name),
+            platform=self._platform,
+            observer=self._observer,
+            tracing=self.tracing,
+            random=Random(),
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return self._router.ready
+
+    def open(self) -> None:
+        """Bind the sockets."""
+        self._router.open()
+
+    async def run(self) -> None:
+        """Work until cancelled or until a task fails."""
+        await run_together(
+            self._router.run,
+            self._follow_neighbours,
+            self._follow_list,
+            self._stay_registered,
+        )
+
+    async def stop(self) -> Leftover:
+        """Finish open requests, make receipts durable, give slices back."""
+        cut = await self._router.drain()
+        undone = await self._router.treasury.close()
+        await deregister(self._platform, self._node())
+        await self._router.close()
+        return Leftover(counts={"requests": cut, "undone": undone})
+
+    def in_force(self, kind: str, name: str) -> object:
+        """Return the version in force of an object, or the revision."""
+        store = self._router.store
+        if kind not in store.kinds:
+            return {"revision": store.revision, "version": None}
+        found = store.get(kind, name)
+        version = None if found is None else found.version
+        return {"revision": store.revision, "version": version}
+
+    def _node(self) -> Node:
+        return Node(
+            incarnation=self._router.incarnation,
+            role=ROUTER_ROLE,
+            zone=self._settings.zone,
+            address=self._settings.address,
+            http_address=self._settings.metrics,
+        )
+
+    async def _stay_registered(self) -> None:
+        """Register, and again under the next incarnation after a seal."""
+        while True:
+            node = self._node()
+            await register(self._platform, node)
+            while node.incarnation == self._router.incarnation:
+                await curio.sleep(NEIGHBOURS_SECONDS)
+
+    async def _follow_list(self) -> None:
+        await follow_list(self._platform, self._router.membership)
+
+    async def _follow_neighbours(self) -> None:
+        while True:
+            await self._meet(monotonic())
+            self._observer.gauges(self._router.gauges())
+            await curio.sleep(NEIGHBOURS_SECONDS)
+
+    async def _meet(self, now: float) -> None:
+        """Link to the partners and to routers that only a link can tell about."""
+        settings, membership = self._settings, self._router.membership
+        nodes = membership.nodes(now, *Liveness)
+        present = [node for node in nodes if node.incarnation not in self._dead(now)]
+        addresses = partners(present, address=settings.address, zone=settings.zone)
+        addresses = addresses or set(settings.peers)
+        probed = {n.address for n in membership.to_probe() if n.role == ROUTER_ROLE}
+        followed = (addresses | probed) - {settings.address}
+        await self._router.peers.follow(followed)
+        for node in nodes:
+            if node.address in followed or self._router.is_linked_to(node):
+                membership.probing(node.incarnation, now)
+        members = zone_members(present, settings.zone)
+        await self._router.meet(members)
+        change = Partners(addresses=tuple(addresses), zone_members=members)
+        await self._router.gossip.inbox.put(change)
+
+    def _dead(self, now: float) -> set[str]:
+        dead = self._router.membership.nodes(now, Liveness.DEAD)
+        return {node.incarnation for node in dead}
