Slopes of whole requests, and what a router and a sidecar use idle

Change: one deployment of real processes, whole and streamed answers at three lengths, idle for 10 s, and the calls at the platform.

--- a/benchmarks/_slopes_requests.py
+++ b/benchmarks/_slopes_requests.py
@@ -6,6 +6,7 @@
 """
 
 import tempfile
+import time
 from pathlib import Path
 
 from tests.processes.deployment import Deployment, chat_deployment
@@ -17,6 +18,7 @@
 REQUESTS = 200
 STREAMS = 100
 WARM_UP = 50
+IDLE_SECONDS = 10.0
 
 
 def measure_requests() -> None:
@@ -28,6 +30,7 @@
                 fleet, routers=1, prepaid=10**9, token_seconds=0.0
             )
             _whole(deployment, WARM_UP, TOKENS[0])
+            _report_idle(deployment)
             _measure(deployment, "whole", _whole, REQUESTS)
             _measure(deployment, "streamed", _streamed, STREAMS)
             _report_platform(deployment)
@@ -71,6 +74,16 @@
         stream.close()
 
 
+def _report_idle(deployment: Deployment) -> None:
+    """Report what one router and one sidecar use while nothing is asked."""
+    before = _usages(deployment)
+    time.sleep(IDLE_SECONDS)
+    after = _usages(deployment)
+    for role, usage in after.items():
+        used = (usage - before[role]).cpu_seconds / IDLE_SECONDS * 1e6
+        report(what=f"{role}_idle_cpu", unit="us_per_second", cost=used)
+
+
 def _report_platform(deployment: Deployment) -> None:
     port = deployment.platform.ports["http"]
     counts = ask(port, "GET", "/counts").json
