--- a/src/ragwortkeel/cli/bills.py
+++ b/src/ragwortkeel/cli/bills.py
@@ -2,16 +2,13 @@
 
 import msgspec
 
-from ragwortkeel.budget.receipt import Bill, Segment
+from ragwortkeel.budget.receipt import Bill, decode_segment
 from ragwortkeel.cli.objects import list_kind
 from ragwortkeel.cli.output import Result, table
 from ragwortkeel.configuration import RECEIPTS
 from ragwortkeel.exceptions import CommandError
-from ragwortkeel.messages import RunReceipt
 from ragwortkeel.platform import Platform
 
-_decoder = msgspec.json.Decoder(Segment | tuple[RunReceipt, ...])
-
 
 class RequestRow(msgspec.Struct, frozen=True, kw_only=True):
     """One billed request."""
@@ -37,15 +34,12 @@
     bill = Bill()
     for stored in listing.by_name.values():
         try:
-            found = _decoder.decode(stored.value)
+            bill.add_segment(decode_segment(stored.value))
         except msgspec.DecodeError as exc:
             # A bill that leaves receipts out in silence would be wrong.
             raise CommandError(
                 f"receipts {stored.name} cannot be read, so no bill: {exc}"
             ) from exc
-        receipts = found.receipts if isinstance(found, Segment) else found
-        for receipt in receipts:
-            bill.add(receipt)
     return bill
 
 
