The epoch of a filing is the one known when its intent was written

Cause (found by the runs hand): the dispatch took the sidecar's epoch when it was built; a router paused between the intent's write and the dispatch woke to a fresh heartbeat, and its stale filing ran after a retry had taken the intent over and the sidecar had forgotten the tombstone. Also: a refusal that rests on a NOT_RUN found by a read only is now recorded before it is said. Ruled out: a time limit on the pause (clocks of paused processes). Change: the epoch is taken with the sidecar, before the intent; contended refusals go through the record.

--- a/src/ragwortkeel/router/filing_runs.py
+++ b/src/ragwortkeel/router/filing_runs.py
@@ -8,6 +8,7 @@
 from contextlib import suppress
 
 import curio
+from msgspec.structs import replace
 
 from ragwortkeel.budget.slice import Reservation
 from ragwortkeel.exceptions import LinkLost
@@ -126,6 +127,10 @@
                 traceparent=traceparent_of(span),
                 alone=alone,
             )
+            # Failure: paused since the intent was written, this router wakes to
+            # fresh heartbeats and dispatches what a retry has taken over.  The
+            # epoch from before the intent is too old by then.
+            order = replace(order, epoch=intent.epoch)
             return await self._run_to_outcome(attempt, reservation, held, order)
 
     async def _run_to_outcome(
--- a/src/ragwortkeel/router/filings.py
+++ b/src/ragwortkeel/router/filings.py
@@ -204,10 +204,12 @@
         refusal = await self._prepare()
         if refusal is not None:
             return refusal
+        view = self._parts.pool.views_by_upstream.get(self._assignment.upstream)
         self._filing.wanted = replace(
             self._filing.wanted,
             sidecar=self._reservation.sidecar,
             upstream=self._assignment.upstream,
+            epoch=0 if view is None else view.load.epoch,
         )
         self._wrote = True
         result, new_version = await self._intents.write(self._filing.wanted, version)
@@ -306,7 +308,7 @@
         await self._intents.write(with_outcome(held.intent, outcome), held.version)
 
 
-_ALREADY_SURE = (Reason.KEY_REUSED, Reason.CONTENDED, Reason.REFUSED_BY_UPSTREAM)
+_ALREADY_SURE = (Reason.KEY_REUSED, Reason.REFUSED_BY_UPSTREAM)
 """Refusals that rest on a record in the platform, or on another caller's body."""
 
 
--- /dev/null
+++ b/tests/router/test_filings.py
@@ -0,0 +1,224 @@
+"""A filing's exchange against real sidecar cores, its router paused on the way."""
+
+from types import SimpleNamespace
+
+import curio
+from curio.task import ContextTask
+
+from ragwortkeel.budget.slice import Reservation
+from ragwortkeel.configuration import ServiceClass
+from ragwortkeel.policy.facts import Assignment, RequestFacts
+from ragwortkeel.router.calls import Call, ServiceCall
+from ragwortkeel.router.closing import Closing
+from ragwortkeel.router.filings import FilingExchange
+from ragwortkeel.router.intents import IntentStore
+from ragwortkeel.router.parts import Parts
+from ragwortkeel.router.sinks import WholeSink
+from ragwortkeel.sidecar.admission import Admission
+from ragwortkeel.sidecar.core import SidecarCore
+from ragwortkeel.sidecar.effects import (
+    AnswerBegun,
+    AnswerEnded,
+    AnswerPiece,
+    Send,
+    StartRun,
+)
+from ragwortkeel.standins.local_platform import LocalPlatform
+from ragwortkeel.traces import Tracing
+
+CALL = Call(
+    kind=ServiceCall(),
+    profile="claims",
+    request_id="k",
+    key_given=True,
+    target="/calls",
+    body=b"{}",
+    stream=False,
+    bound=1,
+    fingerprint="",
+    traceparent="",
+)
+FACTS = RequestFacts(
+    request_id="claims/k",
+    profile="claims",
+    customer="c",
+    service=ServiceClass.MUST_NOT_REPEAT,
+    back_ends=("filing",),
+    deadline=100.0,
+    first_token_by=100.0,
+    cost=1,
+)
+
+
+class Sidecars:
+    """Two sidecar cores whose upstreams answer at once; counts the runs."""
+
+    def __init__(self):
+        self.runs = []
+        self.core_by_upstream = {}
+        for upstream in ("u1", "u2"):
+            core = SidecarCore(
+                incarnation=f"s-{upstream}", admission=Admission(upstream=upstream)
+            )
+            core.admission.admitted = True
+            self.core_by_upstream[upstream] = core
+
+    def hear(self, router, upstream, message):
+        core = self.core_by_upstream[upstream]
+        effects = core.on_message(router, router, message, 0.0)
+        replies = [e.message for e in effects if isinstance(e, Send)]
+        for effect in effects:
+            if isinstance(effect, StartRun):
+                nonce = effect.dispatch.nonce
+                self.runs.append((router, nonce))
+                for event in (
+                    AnswerBegun(nonce=nonce, status=200, content_type="t"),
+                    AnswerPiece(nonce=nonce, data=b"ok", tokens=1),
+                    AnswerEnded(nonce=nonce, tokens=1),
+                ):
+                    replies += [e.message for e in core.on_upstream(event, 0.0)]
+        return replies
+
+
+class Pool:
+    """One router's view of the sidecars; heartbeats are always fresh."""
+
+    def __init__(self, router, sidecars):
+        self._router, self._sidecars = router, sidecars
+        self._readers = []
+
+    @property
+    def views_by_upstream(self):
+        return {
+            name: SimpleNamespace(
+                incarnation=core.incarnation,
+                load=core.heartbeat(),
+                link=SimpleNamespace(up=True),
+            )
+            for name, core in self._sidecars.core_by_upstream.items()
+        }
+
+    def upstream_of(self, incarnation):
+        return incarnation.removeprefix("s-")
+
+    def subscribe(self, nonce, upstream):
+        rv = SimpleNamespace(nonce=nonce, queue=curio.Queue())
+        self._readers.append(rv)
+        return rv
+
+    def unsubscribe(self, reader):
+        if reader in self._readers:
+            self._readers.remove(reader)
+
+    async def send(self, upstream, message):
+        for reply in self._sidecars.hear(self._router, upstream, message):
+            for reader in self._readers:
+                if reader.nonce == getattr(reply, "nonce", None):
+                    await reader.queue.put(reply)
+
+
+class PausedAfterWrite(LocalPlatform):
+    """A platform whose creates take effect, and answer only once released."""
+
+    def __init__(self):
+        super().__init__()
+        self.release = curio.Event()
+        self.written = curio.Event()
+
+    async def create(self, kind, name, value):
+        rv = await super().create(kind, name, value)
+        await self.written.set()
+        await self.release.wait()
+        return rv
+
+
+class Dispatcher:
+    def __init__(self, upstream):
+        self._upstream = upstream
+
+    async def admit(self, facts):
+        return Assignment(request=facts, upstream=self._upstream, attempt=1)
+
+    async def retry(self, request_id, failure):
+        return None
+
+    async def left(self, request_id):
+        return None
+
+    finished = left
+
+
+class Budgets:
+    async def reserve(self, profile, tokens, sidecar):
+        return Reservation(
+            reservation_id=1, profile=profile, router="", sidecar=sidecar, tokens=1
+        )
+
+    async def settle(self, reservation, spent):
+        return None
+
+    async def add(self, receipt):
+        return None
+
+
+class Caller:
+    def __init__(self):
+        self.body = None
+
+    async def respond(self, status, body, headers):
+        self.body = body
+
+
+def exchange(router, upstream, sidecars, platform, caller):
+    budgets = Budgets()
+    parts = Parts(
+        incarnation=lambda: router,
+        clock=lambda: 0.0,
+        intents=IntentStore(platform=platform),
+        directory=SimpleNamespace(upstream=lambda name: (None, 1)),
+        dispatcher=Dispatcher(upstream),
+        pool=Pool(router, sidecars),
+        budgets=budgets,
+        receipts=budgets,
+        closing=Closing(budgets=budgets, receipts=budgets),
+        tracing=Tracing(node=router),
+    )
+    return FilingExchange(
+        call=CALL,
+        profile=None,
+        version=1,
+        facts=FACTS,
+        parts=parts,
+        sink=WholeSink(responder=caller, request_id="k"),
+    )
+
+
+class TestPausedRouter:
+    def test_router_paused_between_intent_and_dispatch_never_runs_it_again(self):
+        """A router writes a filing's intent and is paused before it dispatches.
+
+        The clerk files again at another router, which gets the promise that the
+        first never runs, and files it.  Hours later the first router wakes, hears
+        fresh heartbeats and dispatches: the claim must not be filed twice.
+        """
+
+        async def main():
+            sidecars, platform = Sidecars(), PausedAfterWrite()
+            paused = exchange("a", "u1", sidecars, platform, Caller())
+            task = await curio.spawn(paused.run, daemon=True)
+            await platform.written.wait()
+            clerk = Caller()
+            await exchange("b", "u2", sidecars, platform, clerk).run()
+            for core in sidecars.core_by_upstream.values():
+                for _ in range(10):
+                    core.on_epoch(0.0)
+            await platform.release.set()
+            async with curio.timeout_after(10):
+                refusal = await task.join()
+            return sidecars.runs, clerk.body, refusal
+
+        with curio.Kernel(taskcls=ContextTask) as kernel:
+            runs, body, refusal = kernel.run(main)
+        assert [router for router, _ in runs] == ["b"]
+        assert body == b"ok"
+        assert refusal is None or refusal.outcome != "not_run"
