A profile created a moment ago is looked up before it is called unknown

Cause: a request that names a new profile can outrun its change; it got 404 for up to a second or two. Ruled out: waiting for every unknown name (a flood of bad names would hold callers; the refresh is limited to ten a second). Measured: tests/router green (81).

--- a/src/ragwortkeel/router/gateway.py
+++ b/src/ragwortkeel/router/gateway.py
@@ -1,12 +1,12 @@
 """The callers' side: HTTP requests in, whole answers or refusals out."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from itertools import count
 
 import curio
 
-from ragwortkeel.configuration import Profile, ServiceClass
+from ragwortkeel.configuration import PROFILES, Profile, ServiceClass
 from ragwortkeel.exceptions import BadRequest
 from ragwortkeel.httpio import Request, Responder
 from ragwortkeel.policy.facts import RequestFacts
@@ -32,6 +32,9 @@
         What the requests share.
     observe
         Called with each `Observed`.
+    refresh
+        Looks for something newer of one object, by kind and name; returns
+        whether it was asked for.
 
     Attributes
     ----------
@@ -41,17 +44,24 @@
     .. versionadded:: 0.1
     """
 
-    def __init__(self, *, parts: Parts, observe: Callable[[Observed], None]) -> None:
+    def __init__(
+        self,
+        *,
+        parts: Parts,
+        observe: Callable[[Observed], None],
+        refresh: Callable[[str, str], Awaitable[bool]],
+    ) -> None:
         self.stopping = False
         self._parts = parts
         self._observe = observe
+        self._refresh = refresh
         self._serials = count(1)
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one request; the handler of an `HttpServer`."""
         started = self._parts.clock()
         try:
-            found = self._find(request)
+            found = await self._find(request)
         except BadRequest as exc:
             refusal = _refusal_of_bad(exc)
             await WholeSink(responder=responder, request_id="").refuse(refusal)
@@ -77,7 +87,7 @@
             )
         )
 
-    def _find(self, request: Request) -> tuple[Call, Profile, int] | Refusal:
+    async def _find(self, request: Request) -> tuple[Call, Profile, int] | Refusal:
         name = profile_of(request)
         if self.stopping:
             return Refusal(
@@ -86,6 +96,9 @@
                 retry_after_seconds=STOPPING_RETRY_SECONDS,
             )
         found = self._parts.directory.profile(name)
+        if found is None and await self._refresh(PROFILES, name):
+            # Created a moment ago, and its change is still on its way here.
+            found = self._parts.directory.profile(name)
         if found is None:
             return Refusal(outcome=Outcome.NOT_RUN, reason=Reason.UNKNOWN_PROFILE)
         profile, version = found
--- a/src/ragwortkeel/router/router.py
+++ b/src/ragwortkeel/router/router.py
@@ -144,7 +144,11 @@
             closing=self.closing,
             tracing=tracing,
         )
-        self.gateway = Gateway(parts=self.parts, observe=observer.request_ended)
+        self.gateway = Gateway(
+            parts=self.parts,
+            observe=observer.request_ended,
+            refresh=self.gossip.refresh,
+        )
         self.stopping = False
         self._zone_routers: tuple[str, ...] = ()
         self._state_by_upstream: dict[str, tuple[str, bool]] = {}
