Bench wide against narrow spread; tidy the rivals

Cause: the profile's spread setting was claimed, not measured.

A test that a slice whose grant may be closed reserves nothing. Unused fields of the rival schemes are gone.

--- a/benchmarks/_budget_ours.py
+++ b/benchmarks/_budget_ours.py
@@ -68,11 +68,18 @@
 class Ours(Scheme):
     """Escrowed slices that are sealed; mechanisms can be left out."""
 
-    def __init__(self, *, mechanisms: frozenset[str] = MECHANISMS) -> None:
+    def __init__(
+        self,
+        *,
+        mechanisms: frozenset[str] = MECHANISMS,
+        spread: Spread = Spread.WIDE,
+    ) -> None:
         super().__init__()
         self.mechanisms = mechanisms
+        self.spread = spread
         left_out = sorted(MECHANISMS - mechanisms)
-        self.name = "ours" + "".join(f"-{name}" for name in left_out)
+        self.name = "ours" if spread is Spread.WIDE else f"ours_{spread}"
+        self.name += "".join(f"-{name}" for name in left_out)
         self.bill = Bill()
 
     def begin(self, world: World) -> None:
@@ -80,6 +87,7 @@
         super().begin(world)
         self.ledger, self.version = Ledger(prepaid=world.prepaid), 1
         self.sealed: list[str] = []
+        self.known_sidecars: set[str] = set()
         self.gone_sidecars: set[str] = set()
         self.nonces = 0
         for sidecar in world.sidecars:
@@ -260,7 +268,7 @@
             waiting=sum(bounds),
             lacking=max(0, min(bounds) - share.slice.free) if bounds else 0,
             ride_out_seconds=RIDE_OUT_SECONDS,
-            spread=Spread.WIDE,
+            spread=self.spread,
         )
 
     def _propose(self, router: Router, share: _Share, give_to: str, lend: int):
@@ -348,7 +356,7 @@
         sidecar.state = SidecarAccounts()
         sidecar.state.open(seals=self.sealed)
         live = {s.incarnation for s in self.world.sidecars}
-        self.known_sidecars = getattr(self, "known_sidecars", set()) | live
+        self.known_sidecars |= live
         self.gone_sidecars = self.known_sidecars - live
 
     def _reap(self) -> None:
--- a/benchmarks/_budget_rivals.py
+++ b/benchmarks/_budget_rivals.py
@@ -100,7 +100,6 @@
         super().begin(world)
         self.held_by_nonce: dict[int, int] = {}
         self.spent = 0
-        self._unsettled: list[Run] = []
 
     def admit(self, router: Router, request: Request) -> None:
         """Ask the platform first; without it nothing may start."""
@@ -144,7 +143,6 @@
     def begin(self, world: World) -> None:
         """Split what is prepaid."""
         super().begin(world)
-        self._waiting: dict[str, int] = {}
         for router in world.routers:
             router.state = world.prepaid // ROUTERS
 
--- a/benchmarks/budget_schemes.py
+++ b/benchmarks/budget_schemes.py
@@ -17,6 +17,7 @@
     StaticSplit,
 )
 from benchmarks._budget_world import FAULTS, RACK_LOST, Fault, World
+from ragwortkeel.configuration import Spread
 
 SEEDS = 4
 
@@ -28,6 +29,8 @@
 }
 """Where each mechanism is meant to help; without it, the other rows are alike."""
 
+NARROW_UNDER = ("platform_down", "router_killed", "nearly_spent", RACK_LOST.name)
+
 
 @dataclass(kw_only=True)
 class Row:
@@ -77,6 +80,8 @@
     for fault in (*FAULTS, RACK_LOST):
         left_out = [k for k, faults in LEFT_OUT_UNDER.items() if fault.name in faults]
         without = [partial(Ours, mechanisms=MECHANISMS - {k}) for k in left_out]
+        if fault.name in NARROW_UNDER:
+            without.append(partial(Ours, spread=Spread.NARROW))
         for scheme in schemes + without:
             if only in scheme().name:
                 print(measure(scheme, fault, seeds), flush=True)
--- a/tests/budget/test_refresh.py
+++ b/tests/budget/test_refresh.py
@@ -5,7 +5,7 @@
 from ragwortkeel.budget.ledger import Ledger
 from ragwortkeel.budget.refresh import SliceRefresh
 from ragwortkeel.budget.slice import Slice
-from ragwortkeel.exceptions import BudgetExhausted, RouterSealed
+from ragwortkeel.exceptions import BudgetExhausted, ExposureFull, RouterSealed
 
 
 @pytest.fixture
@@ -87,6 +87,14 @@
         assert refresh.slice.free == 0
 
 
+class TestClosing:
+    def test_nothing_is_reserved_once_the_grant_may_be_closed(self, refresh, funded):
+        refresh.slice.propose(nonce="stop", cap=0)
+        refresh.unknown(version=1)
+        with pytest.raises(ExposureFull):
+            refresh.slice.reserve(sidecar="s1", tokens=1)
+
+
 class TestSealed:
     @pytest.mark.parametrize("reported", [False, True])
     def test_owner_learns_it(self, refresh, funded, reported):
