A router with nothing on an upstream may take one of its free places

Cause: a router takes only its own part of the free room in a report; one just started has no part anywhere, so busy upstreams with free places turned it away.

Change: one place where the router has nothing there.

--- a/src/ragwortkeel/policy/choice.py
+++ b/src/ragwortkeel/policy/choice.py
@@ -115,11 +115,16 @@
 
         All routers see the same free room in the same report.  If each took all
         of it, an upstream would be sent several times what it has places for,
-        after each report; so each takes the part that it has of the load.
+        after each report; so each takes the part that it has of the load.  One
+        that has nothing there may take one place: a router just started has no
+        part anywhere.
         """
         reported = self._own_reported + self._others
         part = (self._own_reported + 1.0) / (reported + 1.0)
-        return (1.0 - part) * max(0.0, room - reported)
+        free = max(0.0, room - reported)
+        if self._own_reported:
+            return (1.0 - part) * free
+        return min((1.0 - part) * free, max(0.0, free - 1.0))
 
     def _change(self, step: int, now: float) -> None:
         self.own += step
--- a/tests/policy/test_choice.py
+++ b/tests/policy/test_choice.py
@@ -91,6 +91,23 @@
         load.ended(now=3.0)
         assert load.load == 8 + 2
 
+    @pytest.mark.parametrize(
+        ("own", "total", "claimed"),
+        [(0, 0, 0.0), (5, 16, 4 * 11 / 17), (0, 12, 3.0), (3, 25, 0.0)],
+    )
+    def test_other_routers_take_their_part_of_the_free_room(self, own, total, claimed):
+        """Three routers see four free places in one report.
+
+        Each taking all four sends twelve requests there.  Each takes its part,
+        but one place is left even for a router that has nothing there yet: a
+        router just started would get none anywhere.
+        """
+        load = LoadEstimate()
+        for _ in range(own):
+            load.started(now=0.0)
+        load.report(total, taken_at=1.0)
+        assert load.claimed(room=20.0 if own else 16.0) == pytest.approx(claimed)
+
     def test_full_until_the_next_report(self):
         load = LoadEstimate()
         load.full(room=16.0)
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -168,7 +168,30 @@
         assert made.failed("r2", Failure.ERROR, now=0.3) is None
 
 
+class TestProbes:
+    def test_what_must_not_repeat_is_never_the_probe(self):
+        """An upstream crashed; the first to try it again may lose its request.
+
+        Lost, a claim filing would be unresolved, and the farmer would wait for
+        an operator.
+        """
+        made = scheduler(2)
+        lost = made.offer(request("r1"), now=0.0).upstream
+        made.failed("r1", Failure.CRASHED, now=0.0)
+        made.left("r1", now=0.0)
+        later = 2.0
+        filed = [made.offer(filing(f"f{i}"), now=later).upstream for i in range(6)]
+        assert lost not in filed
+        others = [made.offer(request(f"p{i}"), now=later).upstream for i in range(6)]
+        assert others.count(lost) == 1
+
+
 class TestReports:
+    def test_started_router_finds_a_place_on_busy_upstreams(self):
+        made = scheduler(1)
+        made.report(LoadReport(upstream="m0", running=12, waiting=0, limit=16), now=0.0)
+        assert isinstance(made.offer(request("r1"), now=0.0), Assignment)
+
     def test_reported_limit_binds(self):
         made = scheduler(1)
         made.report(LoadReport(upstream="m0", running=0, waiting=0, limit=2), now=0.0)
