--- a/src/ragwortkeel/router/neighbours.py
+++ b/src/ragwortkeel/router/neighbours.py
@@ -19,10 +19,11 @@
 PARTNERS_ELSEWHERE = 2
 """Six links of a heartbeat a second each way cost about 1 KB a second."""
 
-LINKED_NEAR = 32
-LINKED_FAR = 8
-"""Upstreams of one back end.  All of today's deployments fit; at the target each
-sidecar is still linked by some three to four routers for each back end."""
+LINKED_NEAR = 8
+LINKED_FAR = 2
+"""Upstreams of one back end.  Both deployments of today are linked whole.  A link
+costs some 150 us of a core a second; at the target, with four back ends, these
+keep a router's links near sixty (docs/CAPACITY.md)."""
 
 COVERED_BY = 2
 """One of them may be dead or restarting at any moment."""
