--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -187,6 +187,14 @@
 
 
 class TestReports:
+    def test_free_room_in_a_report_is_shared_with_the_other_routers(self):
+        made = scheduler(1)
+        for i in range(3):
+            made.offer(request(f"own{i}"), now=0.0)
+        made.report(LoadReport(upstream="m0", running=12, waiting=0, limit=16), now=0.1)
+        answers = [made.offer(request(f"r{i}"), now=0.1) for i in range(4)]
+        assert [type(a) for a in answers] == [Assignment, Queued, Queued, Queued]
+
     def test_started_router_finds_a_place_on_busy_upstreams(self):
         made = scheduler(1)
         made.report(LoadReport(upstream="m0", running=12, waiting=0, limit=16), now=0.0)
