Tokens are sent only under the name that reserved them; adaptive limits in force

Cause: (1, found by reading) a router that was sealed between a reservation and its dispatch sent the run under its next incarnation, which had never set the tokens aside: a possible overspend. (2) the adaptive limit of policy/limits.py was fed by nobody; heartbeats told the engine's own number of slots, and 256 where it had none. Ruled out: for (1) a lock over reserve and send (a filing writes its intent between); for (2) the engine's slots as limit (first tokens are late well below them). Change: Parts.is_current is asked after the last await before a dispatch; the sidecar times first pieces against the promise in the dispatch, tells its limit in heartbeats and refuses a quarter above it; a replaced sidecar is named no more.

--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -76,6 +76,7 @@
     is the time left until the caller's deadline.  `epoch` is the one of the
     sidecar's last heartbeat when the nonce was minted; a request that must not
     repeat is refused without it (docs/design/runs.md).
+    `promised_seconds` is the profile's promise of the first token where it binds.
     With `alone` the sidecar first lets what runs there end, and starts nothing
     beside it.  `fingerprint` is the body's for the quarantine, where the router
     has changed the body; left empty, the sidecar takes it from `body`.
@@ -100,6 +101,7 @@
     alone: bool = False
     fingerprint: str = ""
     replayable: bool = True
+    promised_seconds: float = 0.0
 
 
 class Refused(Message):
--- a/src/ragwortkeel/policy/facts.py
+++ b/src/ragwortkeel/policy/facts.py
@@ -61,6 +61,8 @@
         Key of the prompt prefix worth keeping together; empty for none.
     fingerprint : str
         Of the body (see `quarantine.fingerprint`); empty skips quarantine.
+    first_token_seconds : float
+        The profile's promise itself, for the upstream's limit.
     """
 
     request_id: str
@@ -73,6 +75,7 @@
     cost: int
     prefix: str = ""
     fingerprint: str = ""
+    first_token_seconds: float = 0.0
 
     @property
     def repeatable(self) -> bool:
--- a/src/ragwortkeel/router/attempt.py
+++ b/src/ragwortkeel/router/attempt.py
@@ -141,8 +141,9 @@
             await self._pool.send(self.upstream, Cancel(nonce=self.nonce))
 
     def close(self) -> None:
-        """Stop hearing of the run."""
-        self._pool.unsubscribe(self._reader)
+        """Stop hearing of the run, if it was ever opened."""
+        if self._reader is not None:
+            self._pool.unsubscribe(self._reader)
 
     async def _take(self, event) -> AttemptEnd | None:
         match event:
--- a/src/ragwortkeel/router/dispatches.py
+++ b/src/ragwortkeel/router/dispatches.py
@@ -48,7 +48,15 @@
         traceparent=traceparent,
         prefix=facts.prefix,
         alone=alone,
+        promised_seconds=_promise(facts),
         fingerprint=call.fingerprint,
         replayable=body is call.body,
         epoch=parts.pool.views_by_upstream[attempt.upstream].load.epoch,
     )
+
+
+def _promise(facts: RequestFacts) -> float:
+    """Return the promise of the first token, which binds interactive work only."""
+    if facts.service is not ServiceClass.INTERACTIVE:
+        return 0.0
+    return facts.first_token_seconds
--- a/src/ragwortkeel/router/exchange.py
+++ b/src/ragwortkeel/router/exchange.py
@@ -169,7 +169,8 @@
     async def _run_attempt(
         self, attempt: Attempt, reservation: Reservation, order: Dispatch
     ) -> AttemptEnd:
-        if not await attempt.open(order):
+        current = self._parts.is_current(reservation)
+        if not current or not await attempt.open(order):
             await self._parts.budgets.settle(reservation, 0)
             return Declined(reason=RefusalReason.UPSTREAM_UNREACHABLE)
         ran_before, self.may_have_run = self.may_have_run, True
--- a/src/ragwortkeel/router/filing_runs.py
+++ b/src/ragwortkeel/router/filing_runs.py
@@ -141,7 +141,7 @@
         order: Dispatch,
     ) -> AttemptEnd:
         end = Declined(reason=RefusalReason.UPSTREAM_UNREACHABLE)
-        if await attempt.open(order):
+        if self._parts.is_current(reservation) and await attempt.open(order):
             end = await attempt.follow()
         if isinstance(end, Lost) and attempt.may_go_on:
             await self._parts.closing.abandon(
--- a/src/ragwortkeel/router/gateway.py
+++ b/src/ragwortkeel/router/gateway.py
@@ -142,6 +142,7 @@
             cost=call.bound,
             prefix=call.kind.prefix if isinstance(call.kind, ChatCall) else "",
             fingerprint=call.fingerprint,
+            first_token_seconds=profile.first_token_seconds,
         )
 
     async def _serve(
--- a/src/ragwortkeel/router/parts.py
+++ b/src/ragwortkeel/router/parts.py
@@ -66,3 +66,12 @@
     receipts: Receipts
     closing: Closing
     tracing: Tracing
+
+    def is_current(self, reservation: Reservation) -> bool:
+        """Whether a reservation may still be sent.
+
+        Failure: the router is sealed and goes on under a new incarnation between
+        a reservation and its dispatch; the run would be accounted to the new
+        one, which never set its tokens aside, and be spent twice.
+        """
+        return reservation.router == self.incarnation()
--- a/src/ragwortkeel/router/router.py
+++ b/src/ragwortkeel/router/router.py
@@ -316,8 +316,12 @@
 
     async def _take_load(self, upstream: str, sender: str, load: Heartbeat) -> None:
         state = (sender, load.leaving)
-        if self._state_by_upstream.get(upstream) != state:
+        known = self._state_by_upstream.get(upstream)
+        if known != state:
             self._state_by_upstream[upstream] = state
+            if known is not None and known[0] != sender:
+                # Another process answers at its address: it carries nothing more.
+                self.treasury.keeper.forget_sidecar(known[0])
             await self._offer_upstreams()
         report = LoadReport(
             upstream=upstream,
--- a/src/ragwortkeel/sidecar/admission.py
+++ b/src/ragwortkeel/sidecar/admission.py
@@ -25,11 +25,13 @@
     upstream
         Name of the upstream beside this sidecar.
     max_running
-        Runs at once beyond which dispatches are refused; the routers' adaptive
-        limits normally stay below, so this only guards the process's memory.
+        Runs at once beyond which dispatches are refused whatever the limit is;
+        guards the process's memory.
 
     Attributes
     ----------
+    limit : int
+        Runs at once beyond which the upstream would be overloaded.
     admitted : bool
         Set once the sidecar is registered and has read the seals.
     draining, stopping : bool
@@ -39,6 +41,7 @@
     def __init__(self, *, upstream: str, max_running: int = 256) -> None:
         self.upstream = upstream
         self.max_running = max_running
+        self.limit = max_running
         self.admitted = False
         self.draining = False
         self.stopping = False
@@ -75,7 +78,7 @@
             return RefusalReason.STALE_CONFIGURATION
         if self.draining:
             return RefusalReason.DRAINING
-        if running >= self.max_running:
+        if running >= min(self.limit, self.max_running):
             return RefusalReason.OVERLOADED
         return None
 
--- a/src/ragwortkeel/sidecar/core.py
+++ b/src/ragwortkeel/sidecar/core.py
@@ -47,6 +47,7 @@
 )
 from ragwortkeel.sidecar.gate import Gate
 from ragwortkeel.sidecar.isolation import Isolation
+from ragwortkeel.sidecar.limiting import Limiting
 from ragwortkeel.sidecar.load import LoadReport
 from ragwortkeel.sidecar.outlet import Outlet, answer_lost
 from ragwortkeel.sidecar.sealing import Sealing
@@ -93,11 +94,14 @@
             isolation=self._isolation,
         )
         self._sealing = Sealing(incarnation=incarnation, journal=self.journal)
+        self._limiting = Limiting()
+        self._now = 0.0
 
     def on_message(
         self, peer: Peer, sender: str, message: AnyMessage, now: float
     ) -> list[Effect]:
         """Take a message from a peer whose incarnation is `sender`."""
+        self._now = now
         self._crashes.heard(peer, now)
         match message:
             case Dispatch():
@@ -122,6 +126,7 @@
 
     def on_upstream(self, event: UpstreamEvent, now: float) -> list[Effect]:
         """Take what the upstream did; events of ended runs change nothing."""
+        self._now = now
         if self.journal.state(event.nonce) is not RunState.RUNNING:
             return []
         match event:
@@ -153,7 +158,7 @@
         return Heartbeat(
             running=self.journal.running,
             waiting=self.load.waiting,
-            limit=self.load.limit or self.admission.max_running,
+            limit=self._limiting.limit,
             leaving=self.admission.leaving,
             epoch=self.journal.epoch,
         )
@@ -187,6 +192,7 @@
 
     def _start(self, dispatch: Dispatch) -> list[Effect]:
         self._crashes.started(dispatch)
+        self._limiting.started(dispatch.nonce, dispatch.promised_seconds, self._now)
         return [StartRun(dispatch=dispatch)]
 
     def _start_alone(self) -> list[Effect]:
@@ -196,6 +202,7 @@
     def _forget_run(self, nonce: str) -> list[Effect]:
         """Take a run that is over out of what is in flight; start what waited."""
         self._crashes.ended(nonce)
+        self._limiting.ended(nonce)
         self._isolation.ended(nonce)
         return self._start_alone()
 
@@ -294,6 +301,13 @@
         return self.outlet.begin(started)
 
     def _on_piece(self, event: AnswerPiece, now: float) -> list[Effect]:
+        self._limiting.answered(
+            event.nonce,
+            running=self.journal.running,
+            queued=self.load.waiting > 0,
+            now=now,
+        )
+        self.admission.limit = self._limiting.most
         outrun = self.journal.progress(event.nonce, event.tokens)
         if outrun:
             # Failure: an engine ignores its limit and spends past what the
--- a/tests/router/in_process.py
+++ b/tests/router/in_process.py
@@ -7,7 +7,7 @@
 import msgspec
 from curio.task import ContextTask
 
-from ragwortkeel.budget.ledger import Ledger, encode_ledger
+from ragwortkeel.budget.ledger import Ledger, decode_ledger, encode_ledger
 from ragwortkeel.budget.receipt import decode_segment
 from ragwortkeel.configuration import (
     LEDGERS,
@@ -162,6 +162,13 @@
         for name in (*self.engine_names, "c1"):
             await until(lambda name=name: self.router.pool.is_up(name))
 
+    async def top_up(self, profile, tokens):
+        stored = await self.platform.get(LEDGERS, profile.name)
+        ledger = decode_ledger(stored.value)
+        operation = ledger.operation_id("more")
+        value = encode_ledger(ledger.top_up(tokens=tokens, operation_id=operation))
+        await self.platform.update(LEDGERS, profile.name, value, stored.version)
+
     async def receipts(self):
         """Return the receipts that are durable once all are."""
         await self.router.treasury.receipts.flush()
--- a/tests/router/test_path.py
+++ b/tests/router/test_path.py
@@ -5,7 +5,7 @@
 
 from ragwortkeel.router.calls import CHAT_PATH
 
-from .in_process import CHAT, run_fleet, until
+from .in_process import CHAT, PREPAID, run_fleet, until
 
 QUESTION = {
     "model": "advisor-chat",
@@ -211,6 +211,38 @@
         assert runs == 1
 
 
+class TestSealedRouter:
+    def test_tokens_reserved_under_a_sealed_name_are_not_sent_under_the_next(self):
+        """A budget is overspent by what was in the router when it was sealed.
+
+        The router had set tokens aside, was found sealed, and went on under a
+        new incarnation; the run then counted for the new one, which had never
+        set its tokens aside.
+        """
+
+        async def scenario(fleet):
+            keeper = fleet.router.treasury.keeper
+            reserve, reserved = keeper.reserve, []
+
+            async def sealed_meanwhile(*asked):
+                reserved.append(await reserve(*asked))
+                if len(reserved) == 1:
+                    await fleet.top_up(CHAT, 10 * PREPAID)
+                    await keeper._sealed.put(keeper.incarnation)
+                    before = keeper.incarnation
+                    await until(lambda: keeper.incarnation != before)
+                return reserved[-1]
+
+            keeper.reserve = sealed_meanwhile
+            response = await fleet.ask(CHAT_PATH, QUESTION)
+            return response, reserved, await fleet.receipts()
+
+        response, reserved, receipts = run_fleet(scenario)
+        assert response.status == 200
+        assert len(reserved) == 2
+        assert [receipt.router for receipt in receipts] == [reserved[1].router]
+
+
 class TestRefusals:
     @pytest.mark.parametrize(
         ("path", "body", "status", "reason"),
