--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -64,6 +64,13 @@
                 counts[request_id] = counts.get(request_id, 0) + count
         return counts
 
+    def running(self, request_id):
+        """Return the name of the upstream that began the request."""
+        for name, upstream in self.upstreams.items():
+            if request_id in self.fleet.executions(upstream):
+                return name
+        raise AssertionError(f"{request_id} runs nowhere")
+
     def wait_serving(self, router, profile=CHAT_PROFILE):
         """Wait until a request through this router is answered."""
         wait_until(
--- a/tests/processes/test_deaths.py
+++ b/tests/processes/test_deaths.py
@@ -3,6 +3,7 @@
 from base64 import b64decode
 from contextlib import suppress
 
+import pytest
 from tests.processes.deployment import CHAT_PROFILE, chat_deployment, filing_deployment
 from tests.processes.fleet import BrokenOff, ask, text_of, wait_until
 
@@ -61,7 +62,7 @@
         stream = deployment.stream("router-1", LONG, key="call-1", max_tokens=300)
         first, events = read(stream, 5)
         assert text_of(first)
-        deployment.sidecars[running_upstream(deployment, "call-1")].kill()
+        deployment.sidecars[deployment.running("call-1")].kill()
         answer = first + rest_of(events)
         if answer[-1] == "[DONE]":
             assert text_of(answer) == expected_answer(LONG, 300)
@@ -71,6 +72,30 @@
         assert again.status == 200
 
 
+class TestEngineKilled:
+    @pytest.mark.parametrize("resumes", [True, False])
+    def test_stream_goes_on_where_it_stopped_or_ends_with_an_error(
+        self, fleet, resumes
+    ):
+        """An engine dies in the middle of an answer, and another is there.
+
+        Where engines can resume, the caller sees one whole answer without a gap
+        or a repetition; where not, the stream ends with an explicit error.
+        """
+        deployment = chat_deployment(
+            fleet, engines=2, routers=1, resumes=resumes, token_seconds=0.01
+        )
+        stream = deployment.stream("router-1", LONG, key="call-1", max_tokens=300)
+        first, events = read(stream, 5)
+        deployment.upstreams[deployment.running("call-1")].kill()
+        answer = first + list(events)
+        if resumes:
+            assert answer[-1] == "[DONE]"
+            assert text_of(answer) == expected_answer(LONG, 300)
+        else:
+            assert '"outcome":"failed"' in answer[-1]
+
+
 class TestFilings:
     def test_filing_sent_to_two_routers_runs_once(self, fleet):
         """A clerk's filing is sent again at another router.
@@ -115,11 +140,3 @@
     """Return the bill's entries of one request."""
     rows = fleet.command("bill", CHAT_PROFILE)
     return [row for row in rows if row["request_id"] == request_id]
-
-
-def running_upstream(deployment, request_id):
-    """Return the name of the upstream that began the request."""
-    for name, upstream in deployment.upstreams.items():
-        if request_id in deployment.fleet.executions(upstream):
-            return name
-    raise AssertionError(f"{request_id} runs nowhere")
--- a/tests/processes/test_stops.py
+++ b/tests/processes/test_stops.py
@@ -54,7 +54,7 @@
         stream = deployment.stream("router-1", LONG, key="call-1", max_tokens=200)
         events = stream.events()
         first = next(events)
-        busy = running_upstream(deployment, "call-1")
+        busy = deployment.running("call-1")
         fleet.command("upstream", "drain", busy, "--wait=30")
         before = fleet.executions(deployment.upstreams[busy])
         for number in range(6):
@@ -71,11 +71,3 @@
     for _ in range(6):
         deployment.chat("router-1", "is it back?")
     return deployment.fleet.executions(deployment.upstreams[upstream]) != before
-
-
-def running_upstream(deployment, request_id):
-    """Return the name of the upstream that began the request."""
-    for name, upstream in deployment.upstreams.items():
-        if request_id in deployment.fleet.executions(upstream):
-            return name
-    raise AssertionError(f"{request_id} runs nowhere")
