--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -16,20 +16,14 @@
 from dataclasses import dataclass, field
 
 import h11
+from tests.ports import HOST, free_port
 
 PATIENCE = 60.0
 POLL = 0.02
-HOST = "127.0.0.1"
 LOG_TAIL_BYTES = 3000
 COMMAND_LINE = "from ragwortkeel.cli import main; main()"
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
-
-
 def wait_until(condition, what, patience=PATIENCE):
     """Return the first true value of `condition`."""
     end = time.monotonic() + patience
--- a/tests/router/in_process.py
+++ b/tests/router/in_process.py
@@ -1,11 +1,11 @@
 """A whole small fleet in one kernel: real router and sidecars, stand-ins around."""
 
-import socket
 from random import Random
 
 import curio
 import msgspec
 from curio.task import ContextTask
+from tests.ports import free_address
 
 from ragwortkeel.budget.ledger import Ledger, decode_ledger, encode_ledger
 from ragwortkeel.budget.receipt import decode_segment
@@ -30,7 +30,6 @@
 from ragwortkeel.standins.service import serve as serve_service
 from ragwortkeel.traces import Tracing
 
-HOST = "127.0.0.1"
 PREPAID = 10_000
 PATIENCE = 30.0
 
@@ -52,12 +51,6 @@
 )
 
 
-def free_address():
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return f"{HOST}:{sock.getsockname()[1]}"
-
-
 def run_fleet(scenario, **options):
     """Run ``await scenario(fleet)`` beside a fresh fleet and return its result."""
 
