--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -1,7 +1,8 @@
 """Metrics by prometheus_client: one registry for each daemon.
 
-Labels come from small closed sets.  Profiles, customers and request ids are
-never labels: a quarter of a million time series would outweigh the daemon.
+Labels come from small closed sets, and upstreams from the linked ones.  Profiles,
+customers and request ids are never labels: a quarter of a million time series
+would outweigh the daemon.
 """
 
 from prometheus_client import (
@@ -70,6 +71,24 @@
             "Calls to the platform that failed, by error.",
             ("error",),
         )
+        self._failures = self._counter(
+            "ragwortkeel_failures_total",
+            "Attempts that ended without a usable answer, by kind of failure.",
+            ("failure",),
+        )
+        self._crashes = self._counter(
+            "ragwortkeel_upstream_crashes_total", "Crashes of upstreams heard of.", ()
+        )
+        self._upstream_limit = self._gauge(
+            "ragwortkeel_upstream_limit",
+            "Requests at once that an upstream's sidecar allows.",
+            ("upstream",),
+        )
+        self._upstream_load = self._gauge(
+            "ragwortkeel_upstream_load",
+            "Requests running or waiting at an upstream.",
+            ("upstream",),
+        )
         self._revision = self._gauge(
             "ragwortkeel_configuration_revision",
             "Highest configuration revision in force here.",
@@ -102,6 +121,19 @@
         """Count one decision under load."""
         self._decisions.labels(decision, reason).inc()
 
+    def attempt_failed(self, *, failure: str) -> None:
+        """Count an attempt that failed."""
+        self._failures.labels(failure).inc()
+
+    def upstream_crashed(self) -> None:
+        """Count a crash heard of."""
+        self._crashes.inc()
+
+    def upstream(self, *, name: str, limit: int, load: int) -> None:
+        """Note the limit and load of a linked upstream."""
+        self._upstream_limit.labels(name).set(limit)
+        self._upstream_load.labels(name).set(load)
+
     def tokens_spent(self, *, service: str, tokens: int) -> None:
         """Add tokens that were billed."""
         self._tokens.labels(service).inc(tokens)
@@ -150,8 +182,8 @@
     def _counter(self, name: str, help: str, labels: tuple[str, ...]) -> Counter:
         return Counter(name, help, labels, registry=self.registry)
 
-    def _gauge(self, name: str, help: str) -> Gauge:
-        return Gauge(name, help, registry=self.registry)
+    def _gauge(self, name: str, help: str, labels: tuple[str, ...] = ()) -> Gauge:
+        return Gauge(name, help, labels, registry=self.registry)
 
     def _histogram(self, name: str, help: str, buckets: tuple[float, ...]) -> Histogram:
         return Histogram(
--- a/src/ragwortkeel/router/dispatcher.py
+++ b/src/ragwortkeel/router/dispatcher.py
@@ -21,6 +21,7 @@
 )
 from ragwortkeel.policy.quarantine import Crash
 from ragwortkeel.policy.scheduler import Scheduler
+from ragwortkeel.router.observer import Observer
 
 IDLE_WAKE_SECONDS = 1.0
 """Looks for decisions at least this often, in case none was announced."""
@@ -33,8 +34,8 @@
     ----------
     scheduler
         The decisions; used by this object alone.
-    observe
-        Called with each assignment or refusal and the seconds it waited.
+    observer
+        Told of each assignment or refusal and of each failed attempt.
     clock
         Monotonic seconds.
 
@@ -45,11 +46,11 @@
         self,
         *,
         scheduler: Scheduler,
-        observe: Callable[[Assignment | Refusal, float], None],
+        observer: Observer,
         clock: Callable[[], float] = monotonic,
     ) -> None:
         self._scheduler = scheduler
-        self._observe = observe
+        self._observer = observer
         self._clock = clock
         self._waiting_by_id: dict[str, curio.Queue] = {}
         self._changed = curio.Event()
@@ -62,6 +63,7 @@
         self, request_id: str, failure: Failure
     ) -> Assignment | Refusal | None:
         """Return where to run the request after a failed attempt, if at all."""
+        self._observer.attempt_failed(request_id, failure)
         decision = self._scheduler.failed(request_id, failure, self._clock())
         return None if decision is None else await self._settle(decision)
 
@@ -118,7 +120,7 @@
         started = self._clock()
         if isinstance(decision, Queued):
             decision = await self._wait(decision)
-        self._observe(decision, self._clock() - started)
+        self._observer.decided(decision, self._clock() - started)
         return decision
 
     async def _wait(self, decision: Queued) -> Assignment | Refusal:
--- a/src/ragwortkeel/router/exchange.py
+++ b/src/ragwortkeel/router/exchange.py
@@ -65,6 +65,7 @@
         self._parts = parts
         self._sink = sink
         self.may_have_run = False
+        self._heard_first = False
 
     async def run(self) -> Refusal | None:
         """Serve the call."""
@@ -197,7 +198,9 @@
 
     def _new_attempt(self, upstream: str, nonce: str) -> Attempt:
         async def emit(data: bytes) -> None:
-            await self._parts.dispatcher.first_token(self._facts.request_id)
+            if not self._heard_first:
+                self._heard_first = True
+                await self._parts.dispatcher.first_token(self._facts.request_id)
             if rv.status < 500:
                 await self._sink.write(data, rv.content_type)
 
--- a/src/ragwortkeel/router/observer.py
+++ b/src/ragwortkeel/router/observer.py
@@ -5,8 +5,9 @@
 from ragwortkeel.configuration import Profile
 from ragwortkeel.logs import log_debug, log_info, log_warning
 from ragwortkeel.metrics import Metrics
-from ragwortkeel.policy.facts import Assignment
+from ragwortkeel.policy.facts import Assignment, Failure, LoadReport
 from ragwortkeel.policy.facts import Refusal as PolicyRefusal
+from ragwortkeel.policy.quarantine import Crash
 from ragwortkeel.router.calls import Call
 from ragwortkeel.router.refusals import Refusal
 from ragwortkeel.traces import trace_id_of
@@ -94,6 +95,29 @@
                     retry_after=decision.retry_after_seconds,
                 )
 
+    def attempt_failed(self, request_id: str, failure: Failure) -> None:
+        """Tell that an attempt gave no usable answer."""
+        self._metrics.attempt_failed(failure=failure)
+        log_info("attempt_failed", request=request_id, failure=failure)
+
+    def upstream_crashed(self, crash: Crash) -> None:
+        """Tell of a crash that was news here."""
+        self._metrics.upstream_crashed()
+        log_warning(
+            "upstream_crashed",
+            crash=crash.crash_id,
+            bodies=len(crash.fingerprints),
+            alone=crash.alone,
+        )
+
+    def upstream_load(self, report: LoadReport) -> None:
+        """Show what a sidecar reports."""
+        self._metrics.upstream(
+            name=report.upstream,
+            limit=report.limit,
+            load=report.running + report.waiting,
+        )
+
     def link_down(self, role: str, peer: str) -> None:
         """Tell that a peer went silent."""
         self._metrics.link_lost(peer=role)
--- a/src/ragwortkeel/router/router.py
+++ b/src/ragwortkeel/router/router.py
@@ -119,7 +119,7 @@
         )
         self.dispatcher = Dispatcher(
             scheduler=Scheduler(zone=settings.zone, random=random),
-            observe=observer.decided,
+            observer=observer,
         )
         self.treasury = Treasury(
             platform=platform,
@@ -309,9 +309,7 @@
             alone=seen.alone,
         )
         if await self.dispatcher.crashed(crash):
-            log_warning(
-                "upstream_crashed", crash=seen.crash_id, bodies=len(seen.fingerprints)
-            )
+            self._observer.upstream_crashed(crash)
             await self.peers.send_all(seen)
 
     async def _take_load(self, upstream: str, sender: str, load: Heartbeat) -> None:
@@ -329,6 +327,7 @@
             waiting=load.waiting,
             limit=load.limit,
         )
+        self._observer.upstream_load(report)
         await self.dispatcher.report(report)
 
     async def _read_peers(self) -> None:
