--- a/src/ragwortkeel/platform_client.py
+++ b/src/ragwortkeel/platform_client.py
@@ -6,6 +6,7 @@
 (`OutcomeUnknown`).
 """
 
+from collections.abc import Callable
 from typing import TypeVar
 from urllib.parse import quote, urlencode
 
@@ -52,12 +53,21 @@
         ``ip:port`` of the object service.
     timeout : float
         Seconds for one call; a watch has its own wait on top.
+    on_failure : callable, optional
+        Called with the kind of each failure, for metrics.
     """
 
-    def __init__(self, *, address: str, timeout: float = CALL_SECONDS) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        timeout: float = CALL_SECONDS,
+        on_failure: Callable[[str], None] = lambda error: None,
+    ) -> None:
         where = Address.parse(address)
         self._client = HttpClient(host=where.host, port=where.port)
         self._timeout = timeout
+        self._on_failure = on_failure
 
     async def get(self, kind: str, name: str) -> Stored | None:
         """Return the object, or None where there is none."""
@@ -134,9 +144,9 @@
                 "GET", target, timeout=self._timeout + wait
             )
         except (ConnectFailed, ExchangeBroken) as exc:
-            raise PlatformUnavailable(str(exc)) from exc
+            raise self._unavailable(str(exc)) from exc
         if response.status not in (200, 404):
-            raise PlatformUnavailable(f"status {response.status}")
+            raise self._unavailable(f"status {response.status}")
         return response
 
     async def _write(
@@ -154,24 +164,32 @@
                 timeout=self._timeout,
             )
         except ConnectFailed as exc:
-            raise PlatformUnavailable(str(exc)) from exc
+            raise self._unavailable(str(exc)) from exc
         except ExchangeBroken as exc:
             # The write may have been done before its answer was lost; the
             # caller re-reads, for only the platform's object can tell.
-            raise OutcomeUnknown(str(exc)) from exc
+            raise self._unknown(str(exc)) from exc
         if response.status in _NOT_TAKEN:
-            raise PlatformUnavailable(f"status {response.status}")
+            raise self._unavailable(f"status {response.status}")
         if response.status in (400, 413):
             raise ValueRefused(f"{kind}/{name}: status {response.status}")
         return response
 
     def _version(self, response: Response) -> int:
         if response.status not in (200, 201):
-            raise OutcomeUnknown(f"status {response.status}")
+            raise self._unknown(f"status {response.status}")
         try:
             return msgspec.json.decode(response.body, type=Written).version
         except msgspec.DecodeError as exc:
-            raise OutcomeUnknown(f"answer without a version: {exc}") from exc
+            raise self._unknown(f"answer without a version: {exc}") from exc
+
+    def _unavailable(self, why: str) -> PlatformUnavailable:
+        self._on_failure("unavailable")
+        return PlatformUnavailable(why)
+
+    def _unknown(self, why: str) -> OutcomeUnknown:
+        self._on_failure("outcome_unknown")
+        return OutcomeUnknown(why)
 
 
 def _target(kind: str, name: str) -> str:
--- a/src/ragwortkeel/router/budget_keeper.py
+++ b/src/ragwortkeel/router/budget_keeper.py
@@ -70,6 +70,8 @@
         `LinkLost`.
     clock : callable
         Monotonic seconds.
+    observe : callable, optional
+        Called with how each renewal ended, for metrics.
 
     Examples
     --------
@@ -89,6 +91,7 @@
         reincarnate: Callable[[], Awaitable[str]],
         tell: Callable[[str, SliceRequest | SliceTransfer], Awaitable[None]],
         clock: Callable[[], float],
+        observe: Callable[[str], None] = lambda outcome: None,
         wait_seconds: float = WAIT_SECONDS,
     ) -> None:
         self.incarnation = incarnation
@@ -98,6 +101,7 @@
         self._reincarnate = reincarnate
         self._tell = tell
         self._clock = clock
+        self._observe = observe
         self._wait_seconds = wait_seconds
         self._accounts_by_profile: dict[str, Account] = {}
         self._new: curio.Queue = curio.Queue()
@@ -238,12 +242,16 @@
         try:
             granted = await account.renew()
         except RouterSealed:
+            self._observe("sealed")
             await self._sealed.put(account.slice.router)
             return
         except LedgerError as exc:
             # A full or broken ledger: what is out stays valid, callers wait for
             # their refusal, and the next round tries again.
+            self._observe("refused")
             log_warning("ledger_refused", profile=account.profile, error=str(exc))
+        else:
+            self._observe("written" if account.reachable else "unreachable")
         for waiter in account.serve_waiting():
             await waiter.done.set()
         for waiter in account.waiting:
--- a/src/ragwortkeel/router/exchange.py
+++ b/src/ragwortkeel/router/exchange.py
@@ -65,6 +65,7 @@
         self._parts = parts
         self._sink = sink
         self.may_have_run = False
+        self.tokens = 0
         self._heard_first = False
 
     async def run(self) -> Refusal | None:
@@ -128,6 +129,7 @@
                 return self._budget_refusal(exc)
             match end:
                 case Completed(status=status) if status < 500:
+                    self.tokens = end.tokens
                     await self._parts.dispatcher.finished(self._facts.request_id)
                     await self._sink.finish(end.status, end.content_type)
                     return None
--- a/src/ragwortkeel/router/filings.py
+++ b/src/ragwortkeel/router/filings.py
@@ -85,6 +85,7 @@
         sink: WholeSink,
     ) -> None:
         self.may_have_run = call.key_given
+        self.tokens = 0
         self._call = call
         self._facts = facts
         self._parts = parts
@@ -250,6 +251,7 @@
         )
 
     async def _finish(self, end: Completed) -> None:
+        self.tokens = end.tokens
         await self._parts.dispatcher.finished(self._facts.request_id)
         await self._sink.finish(end.status, end.content_type)
 
--- a/src/ragwortkeel/router/gateway.py
+++ b/src/ragwortkeel/router/gateway.py
@@ -83,6 +83,7 @@
                 profile=profile,
                 refusal=refusal,
                 seconds=self._parts.clock() - started,
+                tokens=served.tokens,
                 first_token_seconds=sink.begun_at and sink.begun_at - started,
             )
         )
--- a/src/ragwortkeel/router/observer.py
+++ b/src/ragwortkeel/router/observer.py
@@ -28,6 +28,7 @@
     profile: Profile
     refusal: Refusal | None
     seconds: float
+    tokens: int
     first_token_seconds: float | None = None
 
 
@@ -56,6 +57,8 @@
         outcome = ANSWERED if refusal is None else refusal.outcome
         reason = "" if refusal is None else refusal.reason
         self._metrics.request_ended(service=service, outcome=outcome, reason=reason)
+        if observed.tokens:
+            self._metrics.tokens_spent(service=service, tokens=observed.tokens)
         if observed.first_token_seconds is not None:
             self._metrics.first_token(
                 service=service, seconds=observed.first_token_seconds
@@ -67,6 +70,7 @@
             outcome=outcome,
             reason=reason,
             seconds=observed.seconds,
+            tokens=observed.tokens,
             trace=trace_id_of(observed.call.traceparent),
         )
 
@@ -118,6 +122,14 @@
             load=report.running + report.waiting,
         )
 
+    def slice_renewed(self, outcome: str) -> None:
+        """Count how bringing a slice and its ledger in step ended."""
+        self._metrics.slice_operation(operation="renew", outcome=outcome)
+
+    def platform_failed(self, error: str) -> None:
+        """Count a failed call of the platform."""
+        self._metrics.platform_failed(error=error)
+
     def link_down(self, role: str, peer: str) -> None:
         """Tell that a peer went silent."""
         self._metrics.link_lost(peer=role)
--- a/src/ragwortkeel/router/router.py
+++ b/src/ragwortkeel/router/router.py
@@ -129,6 +129,7 @@
             peers=self.peers,
             incarnation=lambda: self.incarnation,
             reincarnate=self._reincarnate,
+            observer=observer,
         )
         budgets, receipts = self.treasury.keeper, self.treasury.receipts
         self.closing = Closing(budgets=budgets, receipts=receipts)
--- a/src/ragwortkeel/router/treasury.py
+++ b/src/ragwortkeel/router/treasury.py
@@ -23,6 +23,7 @@
 from ragwortkeel.router.directory import Directory
 from ragwortkeel.router.janitor import Janitor
 from ragwortkeel.router.neighbours import ROUTER_ROLE
+from ragwortkeel.router.observer import Observer
 from ragwortkeel.router.peers import PeerLinks
 from ragwortkeel.router.reaper import Reaper
 from ragwortkeel.router.receipt_writer import ReceiptWriter
@@ -42,6 +43,8 @@
         Returns the router's incarnation.
     reincarnate
         Replaces it once it is sealed, and returns the new one.
+    observer
+        Told how renewals end.
 
     .. versionadded:: 0.1
     """
@@ -56,6 +59,7 @@
         peers: PeerLinks,
         incarnation: Callable[[], str],
         reincarnate: Callable[[], Awaitable[str]],
+        observer: Observer,
     ) -> None:
         self._directory = directory
         self._membership = membership
@@ -70,6 +74,7 @@
             reincarnate=reincarnate,
             tell=self._tell,
             clock=monotonic,
+            observe=observer.slice_renewed,
         )
         self.receipts = ReceiptWriter(
             platform=platform, writer=incarnation, clock=monotonic
--- a/src/ragwortkeel/router/worker.py
+++ b/src/ragwortkeel/router/worker.py
@@ -33,7 +33,9 @@
         self.tracing = Tracing(node=settings.name)
         self._settings = settings
         self._observer = Observer(metrics=self.metrics)
-        self._platform = HttpPlatform(address=settings.platform)
+        self._platform = HttpPlatform(
+            address=settings.platform, on_failure=self._observer.platform_failed
+        )
         self._router = Router(
             settings=settings,
             incarnation=new_incarnation(settings.name),
