A replay that breaks off goes on only where an upstream can go on

Cause: a retry that read along with its first copy's run and saw it break off was run again from the start, behind the tokens already sent: the caller got sentences twice. The check stood after an attempt only, and looked at the upstream that had failed instead of the one chosen next. Ruled out: buffering replays until they are whole (first tokens late). Change: before each attempt of a begun stream its upstream must be able to go on, else the stream ends with an error event; a broken replay counts as having run.

--- a/src/ragwortkeel/router/exchange.py
+++ b/src/ragwortkeel/router/exchange.py
@@ -13,7 +13,13 @@
 from ragwortkeel.budget.slice import Reservation
 from ragwortkeel.configuration import Profile
 from ragwortkeel.exceptions import BudgetRefused, RunError
-from ragwortkeel.messages import Dispatch, RefusalReason, Resume, RunState
+from ragwortkeel.messages import (
+    Dispatch,
+    FailureReason,
+    RefusalReason,
+    Resume,
+    RunState,
+)
 from ragwortkeel.policy.facts import Assignment, Failure, RequestFacts
 from ragwortkeel.policy.facts import Refusal as PolicyRefusal
 from ragwortkeel.router.attempt import (
@@ -36,6 +42,9 @@
     """The idempotency key names an earlier request with another body."""
 
 
+SERVER_ERROR = 500
+"""From here on an answer blames the upstream, and another may do better."""
+
 LOCATE_LIMIT = 16
 """Sidecars asked for an earlier run; more than either deployment of today has."""
 
@@ -95,6 +104,7 @@
         finally:
             attempt.close()
         if not isinstance(end, Completed):
+            self.may_have_run = True
             self._sink.restart()
             return False
         await self._sink.finish(end.status, end.content_type)
@@ -123,18 +133,16 @@
     async def _run_until_done(self) -> Refusal | None:
         decision = await self._parts.dispatcher.admit(self._facts)
         while isinstance(decision, Assignment):
+            if self._sink.begun and not self._can_go_on(decision.upstream):
+                # From its start again, the answer would follow what was sent.
+                return _BROKEN_OFF
             try:
                 end = await self._attempt(decision)
             except BudgetRefused as exc:
                 return self._budget_refusal(exc)
-            match end:
-                case Completed(status=status) if status < 500:
-                    self.tokens = end.tokens
-                    await self._parts.dispatcher.finished(self._facts.request_id)
-                    await self._sink.finish(end.status, end.content_type)
-                    return None
-            if self._sink.begun and not self._can_go_on(decision.upstream):
-                return self._broken_off(end)
+            if isinstance(end, Completed) and end.status < SERVER_ERROR:
+                await self._finish(end)
+                return None
             self._sink.restart()
             decision = await self._parts.dispatcher.retry(
                 self._facts.request_id, failure_of(end)
@@ -143,12 +151,18 @@
             return Refusal(outcome=Outcome.FAILED, reason=Reason.UPSTREAM_FAILED)
         return refusal_of(decision, may_have_run=self.may_have_run)
 
+    async def _finish(self, end: Completed) -> None:
+        self.tokens = end.tokens
+        await self._parts.dispatcher.finished(self._facts.request_id)
+        await self._sink.finish(end.status, end.content_type)
+
     async def _attempt(self, assignment: Assignment) -> AttemptEnd:
         upstream = assignment.upstream
         view = self._parts.pool.views_by_upstream.get(upstream)
         if view is None or not view.link.up:
             return Declined(reason=RefusalReason.UPSTREAM_UNREACHABLE)
         attempt = self._new_attempt(upstream, uuid4().hex)
+        self._heard_first = False
         reservation = await self._parts.budgets.reserve(
             self._call.profile, self._call.bound, attempt.sidecar
         )
@@ -203,7 +217,7 @@
             if not self._heard_first:
                 self._heard_first = True
                 await self._parts.dispatcher.first_token(self._facts.request_id)
-            if rv.status < 500:
+            if rv.status < SERVER_ERROR:
                 await self._sink.write(data, rv.content_type)
 
         rv = Attempt(
@@ -233,16 +247,13 @@
             retry_after_seconds=exc.retry_after_seconds,
         )
 
-    def _broken_off(self, end: AttemptEnd) -> Refusal:
-        reason = Reason.UPSTREAM_FAILED
-        if isinstance(end, Lost):
-            reason = Reason.UPSTREAM_LOST
-        return Refusal(
-            outcome=Outcome.FAILED,
-            reason=reason,
-            detail="the answer broke off and cannot be continued",
-            retry_after_seconds=1.0,
-        )
+
+_BROKEN_OFF = Refusal(
+    outcome=Outcome.FAILED,
+    reason=Reason.UPSTREAM_FAILED,
+    detail="the answer broke off and cannot be continued",
+    retry_after_seconds=1.0,
+)
 
 
 def failure_of(end: AttemptEnd) -> Failure:
@@ -254,7 +265,7 @@
             return Failure.UNREACHABLE
         case Declined():
             return Failure.TURNED_AWAY
-        case Broken(reason="crashed"):
+        case Broken(reason=FailureReason.CRASHED):
             return Failure.CRASHED
         case Broken() | Completed():
             return Failure.ERROR
--- a/src/ragwortkeel/router/refusals.py
+++ b/src/ragwortkeel/router/refusals.py
@@ -51,7 +51,6 @@
     RUN_FAILED = "run_failed"
     SIDECAR_GONE = "sidecar_gone"
     UPSTREAM_FAILED = "upstream_failed"
-    UPSTREAM_LOST = "upstream_lost"
     INTERNAL = "internal"
 
 
@@ -72,7 +71,6 @@
     Reason.RUN_FAILED: 409,
     Reason.SIDECAR_GONE: 409,
     Reason.UPSTREAM_FAILED: 502,
-    Reason.UPSTREAM_LOST: 502,
     Reason.INTERNAL: 500,
 }
 
--- a/tests/router/test_path.py
+++ b/tests/router/test_path.py
@@ -137,6 +137,31 @@
         assert texts_of(continued.body) == texts_of(whole.body)
         assert texts_of(again.body) == texts_of(whole.body)
 
+    def test_a_replay_that_breaks_off_is_not_begun_again(self):
+        """A farmer on the phone hears the first sentences of an answer twice.
+
+        A retry read along with the run of its first copy; that run broke off,
+        and the request was run again from the start behind what was sent.
+        """
+
+        async def scenario(fleet):
+            await fleet.switch("m1", slow=20.0, truncate=6, can_resume=False)
+            asked = QUESTION | {"stream": True}
+            body = msgspec.json.encode(asked)
+            key = {"idempotency-key": "k"}
+            stream = fleet.client.stream("POST", CHAT_PATH, body=body, headers=key)
+            async with stream as answer:
+                async for _ in answer.pieces():
+                    break
+            return await fleet.ask(CHAT_PATH, asked, idempotency_key="k")
+
+        body = run_fleet(scenario).body
+        tokens, error = body.split(b"event: error", 1)
+        texts = texts_of(tokens)
+        assert 0 < len(texts) <= 6
+        assert len(set(texts)) == len(texts)
+        assert b"[DONE]" not in body
+
     def test_a_truncated_whole_answer_is_run_again(self):
         async def scenario(fleet):
             await fleet.switch("m1", truncate=3)
