A link with runs in flight outlives its upstream's removal

Cause: found by reading: retiring an upstream, or a change of which part of the fleet a router links to, closed the link under running answers. Ruled out: moving runs to another link (the sidecar would have to). Change: such links linger until their last run ends.

--- a/src/ragwortkeel/router/router.py
+++ b/src/ragwortkeel/router/router.py
@@ -244,7 +244,7 @@
 
     async def meet(self, zone_routers: tuple[str, ...]) -> None:
         """Take over which routers share this one's zone, itself included."""
-        if zone_routers != self._zone_routers:
+        if zone_routers != self._zone_routers or self.pool.lingering:
             self._zone_routers = zone_routers
             await self._follow_upstreams()
 
--- a/src/ragwortkeel/router/sidecars.py
+++ b/src/ragwortkeel/router/sidecars.py
@@ -72,6 +72,8 @@
     Attributes
     ----------
     views_by_upstream : dict of str to SidecarView
+    lingering : set of str
+        Upstreams that are not wanted any more and still have runs in flight.
     others : curio.Queue
         `Received` events that belong to no run, and every link's up and down.
 
@@ -86,6 +88,7 @@
         on_crash: Callable[[CrashSeen], Awaitable[None]],
     ) -> None:
         self.views_by_upstream: dict[str, SidecarView] = {}
+        self.lingering: set[str] = set()
         self.others: curio.Queue = curio.Queue()
         self._incarnation = incarnation
         self._revision = revision
@@ -96,15 +99,28 @@
         self._sealing: dict[tuple[str, str], curio.Queue] = {}
 
     async def follow(self, upstreams_by_name: dict[str, Upstream]) -> None:
-        """Open links to new upstreams and close those to removed ones."""
+        """Open links to new upstreams and close those to removed ones.
+
+        One with runs in flight is kept for the next call: closing it would cut
+        their answers off.
+        """
+        self.lingering.clear()
         for name, view in list(self.views_by_upstream.items()):
             wanted = upstreams_by_name.get(name)
-            if wanted is None or wanted.sidecar_address != view.link.address:
-                await self._drop(name)
+            if wanted is not None and wanted.sidecar_address == view.link.address:
+                continue
+            if wanted is None and self._has_runs(name):
+                self.lingering.add(name)
+                continue
+            await self._drop(name)
         for name, upstream in upstreams_by_name.items():
             if name not in self.views_by_upstream:
                 await self._add(name, upstream.sidecar_address)
 
+    def _has_runs(self, upstream: str) -> bool:
+        readers = self._subscriptions_by_nonce.values()
+        return any(one.upstream == upstream for each in readers for one in each)
+
     def is_up(self, upstream: str) -> bool:
         """Return whether the sidecar is connected and known by incarnation."""
         view = self.views_by_upstream.get(upstream)
--- a/tests/router/test_sinks.py
+++ b/tests/router/test_sinks.py
@@ -7,7 +7,7 @@
 from ragwortkeel.router.sinks import EVENT_STREAM, EventSplitter, StreamSink, WholeSink
 
 TOKEN = b'data: {"choices":[{"delta":{"content":"a"}}]}\n\n'
-FAILED = Refusal(outcome=Outcome.FAILED, reason=Reason.UPSTREAM_LOST)
+FAILED = Refusal(outcome=Outcome.FAILED, reason=Reason.UPSTREAM_FAILED)
 
 
 class FakeResponder:
