--- a/src/ragwortkeel/router/treasury.py
+++ b/src/ragwortkeel/router/budgeting.py
@@ -34,7 +34,7 @@
 """Bytes of an ordinary prompt; a larger one raises the cap when it comes."""
 
 
-class Treasury:
+class Budgeting:
     """Keeps the slices, writes the receipts and takes back what the dead held.
 
     Parameters
--- a/src/ragwortkeel/router/router.py
+++ b/src/ragwortkeel/router/router.py
@@ -24,6 +24,7 @@
 from ragwortkeel.policy.facts import LoadReport, UpstreamFacts
 from ragwortkeel.policy.quarantine import Crash
 from ragwortkeel.policy.scheduler import Scheduler
+from ragwortkeel.router.budgeting import Budgeting
 from ragwortkeel.router.closing import Closing
 from ragwortkeel.router.directory import Directory
 from ragwortkeel.router.dispatcher import Dispatcher
@@ -38,7 +39,6 @@
 from ragwortkeel.router.parts import Parts
 from ragwortkeel.router.peers import PeerLinks
 from ragwortkeel.router.sidecars import SidecarPool
-from ragwortkeel.router.treasury import Treasury
 from ragwortkeel.settings import Address, RouterSettings
 from ragwortkeel.tasks import run_together
 from ragwortkeel.traces import Tracing
@@ -79,7 +79,7 @@
     >>> router = Router(settings=settings, incarnation="r1-7f3a", ...)
     >>> router.open()
     >>> task = await curio.spawn(router.run)
-    >>> await router.stop()
+    >>> cut_off = await router.drain()
 
     .. versionadded:: 0.1
     """
@@ -121,7 +121,7 @@
             scheduler=Scheduler(zone=settings.zone, random=random),
             observer=observer,
         )
-        self.treasury = Treasury(
+        self.budgeting = Budgeting(
             platform=platform,
             directory=self.directory,
             membership=self.membership,
@@ -131,7 +131,7 @@
             reincarnate=self._reincarnate,
             observer=observer,
         )
-        budgets, receipts = self.treasury.keeper, self.treasury.receipts
+        budgets, receipts = self.budgeting.keeper, self.budgeting.receipts
         self.closing = Closing(budgets=budgets, receipts=receipts)
         self.parts = Parts(
             incarnation=lambda: self.incarnation,
@@ -165,7 +165,7 @@
 
     def gauges(self) -> Gauges:
         """Return the state of the moment."""
-        rows = self.treasury.keeper.rows()
+        rows = self.budgeting.keeper.rows()
         return Gauges(
             revision=self.store.revision,
             running=self._server.open_exchanges,
@@ -194,7 +194,7 @@
             self.pool.run,
             self.gossip.run,
             self.dispatcher.run,
-            self.treasury.run,
+            self.budgeting.run,
             self._serve_callers,
             self._read_sidecars,
             self._read_peers,
@@ -320,7 +320,7 @@
             self._state_by_upstream[upstream] = state
             if known is not None and known[0] != sender:
                 # Another process answers at its address: it carries nothing more.
-                self.treasury.keeper.forget_sidecar(known[0])
+                self.budgeting.keeper.forget_sidecar(known[0])
             await self._offer_upstreams()
         report = LoadReport(
             upstream=upstream,
@@ -346,7 +346,7 @@
             if isinstance(message, CrashSeen):
                 await self._take_crash(message)
                 continue
-            if await self.treasury.take(event.peer, envelope.sender, message):
+            if await self.budgeting.take(event.peer, envelope.sender, message):
                 continue
             await self._to_gossip(event.peer, envelope.revision, message)
 
--- a/src/ragwortkeel/router/worker.py
+++ b/src/ragwortkeel/router/worker.py
@@ -66,7 +66,7 @@
     async def stop(self) -> Leftover:
         """Finish open requests, make receipts durable, give slices back."""
         cut = await self._router.drain()
-        undone = await self._router.treasury.close()
+        undone = await self._router.budgeting.close()
         await deregister(self._platform, self._node())
         await self._router.close()
         return Leftover(counts={"requests": cut, "undone": undone})
--- a/tests/router/in_process.py
+++ b/tests/router/in_process.py
@@ -164,14 +164,14 @@
 
     async def receipts(self):
         """Return the receipts that are durable once all are."""
-        await self.router.treasury.receipts.flush()
+        await self.router.budgeting.receipts.flush()
         listing = await self.platform.list(RECEIPTS)
         segments = [decode_segment(s.value) for s in listing.by_name.values()]
         return [receipt for one in segments for receipt in one.receipts]
 
     def row(self, profile):
         """Return what the keeper shows of a budget."""
-        rows = self.router.treasury.keeper.rows()
+        rows = self.router.budgeting.keeper.rows()
         return next(row for row in rows if row.profile == profile.name)
 
     async def ask(self, path, body, **headers):
--- a/tests/router/test_path.py
+++ b/tests/router/test_path.py
@@ -246,7 +246,7 @@
         """
 
         async def scenario(fleet):
-            keeper = fleet.router.treasury.keeper
+            keeper = fleet.router.budgeting.keeper
             reserve, reserved = keeper.reserve, []
 
             async def sealed_meanwhile(*asked):
