--- a/src/ragwortkeel/configuration_store.py
+++ b/src/ragwortkeel/configuration_store.py
@@ -78,6 +78,13 @@
     return VersionedObject(kind=kind, name=name, version=version, value=b"", gone=True)
 
 
+class InForce(msgspec.Struct, frozen=True, kw_only=True):
+    """What a node has in force; `version` is None for what it does not hold."""
+
+    revision: int
+    version: int | None
+
+
 def leaf_of(name: str) -> int:
     """Return the leaf of the hash tree that a name belongs to; the same anywhere."""
     return crc32(name.encode()) % LEAVES
@@ -159,6 +166,12 @@
         packed = self._tree_by_kind[kind].get(name)
         return None if packed is None else _unpack(kind, name, packed)
 
+    def in_force(self, kind: str, name: str) -> InForce:
+        """Return the version in force of an object, and the revision."""
+        found = self.get(kind, name) if kind in self.kinds else None
+        version = None if found is None else found.version
+        return InForce(revision=self.revision, version=version)
+
     def rank(self, kind: str, name: str) -> Rank | None:
         """Return the rank of an object, or None where it is not known."""
         packed = self._tree_by_kind[kind].get(name)
--- a/src/ragwortkeel/process.py
+++ b/src/ragwortkeel/process.py
@@ -13,6 +13,7 @@
 import curio
 from curio.task import ContextTask
 
+from ragwortkeel.configuration_store import InForce
 from ragwortkeel.lifecycle import ChartName, Lifecycle
 from ragwortkeel.logs import Level, configure_logs, log_error, log_info, log_warning
 from ragwortkeel.metrics import Metrics
@@ -58,8 +59,8 @@
     async def stop(self) -> Leftover:
         """Finish what is in flight and make durable what must last."""
 
-    def in_force(self, kind: str, name: str) -> object:
-        """Return the configuration in force here, as an encodable value."""
+    def in_force(self, kind: str, name: str) -> InForce:
+        """Return what is in force here of an object."""
 
 
 class Process:
--- a/src/ragwortkeel/router/worker.py
+++ b/src/ragwortkeel/router/worker.py
@@ -6,6 +6,7 @@
 import curio
 
 from ragwortkeel.configuration import Node
+from ragwortkeel.configuration_store import InForce
 from ragwortkeel.gossip import Partners
 from ragwortkeel.membership import Liveness
 from ragwortkeel.metrics import Metrics
@@ -71,14 +72,9 @@
         await self._router.close()
         return Leftover(counts={"requests": cut, "undone": undone})
 
-    def in_force(self, kind: str, name: str) -> object:
-        """Return the version in force of an object, or the revision."""
-        store = self._router.store
-        if kind not in store.kinds:
-            return {"revision": store.revision, "version": None}
-        found = store.get(kind, name)
-        version = None if found is None else found.version
-        return {"revision": store.revision, "version": version}
+    def in_force(self, kind: str, name: str) -> InForce:
+        """Return what is in force here of an object."""
+        return self._router.store.in_force(kind, name)
 
     def _node(self) -> Node:
         return Node(
--- a/src/ragwortkeel/sidecar/worker.py
+++ b/src/ragwortkeel/sidecar/worker.py
@@ -7,7 +7,7 @@
 import curio
 
 from ragwortkeel.configuration import PROFILES, UPSTREAMS
-from ragwortkeel.configuration_store import ConfigurationStore
+from ragwortkeel.configuration_store import ConfigurationStore, InForce
 from ragwortkeel.gossip import FromPeer, Gossip, Partners
 from ragwortkeel.links import Received
 from ragwortkeel.messages import Heartbeat, VersionedObject
@@ -92,13 +92,9 @@
             }
         )
 
-    def in_force(self, kind: str, name: str) -> object:
-        """Return the version in force of an object, or the revision."""
-        if kind not in self._store.kinds:
-            return {"revision": self._store.revision, "version": None}
-        found = self._store.get(kind, name)
-        version = None if found is None else found.version
-        return {"revision": self._store.revision, "version": version}
+    def in_force(self, kind: str, name: str) -> InForce:
+        """Return what is in force here of an object."""
+        return self._store.in_force(kind, name)
 
     async def _watch_sidecar(self) -> None:
         await self._serving.wait()
