Roles of nodes are named once; one way to wait until a change is in force

Cause: role strings stood in five modules and the wait in two commands. Change: configuration.Role; cli.fleet.note_in_force; the CLI reads the store's InForce. Measured: tests of cli, router, membership and sidecar green.

--- a/src/ragwortkeel/cli/fleet.py
+++ b/src/ragwortkeel/cli/fleet.py
@@ -13,7 +13,8 @@
 import msgspec
 
 from ragwortkeel.cli.objects import list_kind
-from ragwortkeel.configuration import NODES, PROFILES, UPSTREAMS, Node
+from ragwortkeel.configuration import NODES, PROFILES, UPSTREAMS, Node, Role
+from ragwortkeel.configuration_store import InForce
 from ragwortkeel.exceptions import CommandLagging, HttpError, PlatformError
 from ragwortkeel.httpio import HttpClient
 from ragwortkeel.platform import Platform
@@ -24,18 +25,9 @@
 NODES_AT_ONCE = 50
 WAIT_PAUSE_SECONDS = 0.2
 
-ROUTER_ROLE = "router"
-
 Body = TypeVar("Body")
 
 
-class InForce(msgspec.Struct, frozen=True, kw_only=True):
-    """What a node says is in force on it; no version where it knows none."""
-
-    revision: int
-    version: int | None = None
-
-
 @dataclass(frozen=True, kw_only=True)
 class NodeState:
     """A registered node and what it answered; None where it did not."""
@@ -109,7 +101,7 @@
     return [
         node
         for node in nodes
-        if (node.role == ROUTER_ROLE and kind in (PROFILES, UPSTREAMS))
+        if (node.role == Role.ROUTER and kind in (PROFILES, UPSTREAMS))
         or (kind == UPSTREAMS and node.upstream == name)
     ]
 
@@ -174,3 +166,15 @@
         return None
     finally:
         await client.close()
+
+
+async def note_in_force(
+    platform: Platform, *, kind: str, name: str, version: int, wait: float
+) -> str:
+    """Return what to add to a command's text, after waiting where asked to."""
+    if not wait:
+        return ""
+    count = await wait_in_force(
+        platform, kind=kind, name=name, version=version, seconds=float(wait)
+    )
+    return f", in force on {count} nodes"
--- a/src/ragwortkeel/cli/profiles.py
+++ b/src/ragwortkeel/cli/profiles.py
@@ -8,7 +8,7 @@
 from ragwortkeel.budget.ledger import Ledger
 from ragwortkeel.cli.budgets import Budgets
 from ragwortkeel.cli.definition import changed, defined
-from ragwortkeel.cli.fleet import wait_in_force
+from ragwortkeel.cli.fleet import note_in_force
 from ragwortkeel.cli.objects import Held, Objects
 from ragwortkeel.cli.output import Result, fields
 from ragwortkeel.cli.plan import Plan, Session
@@ -307,15 +307,9 @@
 ) -> Result:
     name = held.value.name
     text = f"profile {name}: {done}, version {held.version}"
-    if wait:
-        count = await wait_in_force(
-            platform,
-            kind=PROFILES,
-            name=name,
-            version=held.version,
-            seconds=float(wait),
-        )
-        text += f", in force on {count} nodes"
+    text += await note_in_force(
+        platform, kind=PROFILES, name=name, version=held.version, wait=wait
+    )
     return Result(data=ProfileRow(profile=held.value, version=held.version), text=text)
 
 
--- a/src/ragwortkeel/cli/upstreams.py
+++ b/src/ragwortkeel/cli/upstreams.py
@@ -3,7 +3,7 @@
 import msgspec
 from fire.decorators import SetParseFns
 
-from ragwortkeel.cli.fleet import wait_in_force
+from ragwortkeel.cli.fleet import note_in_force
 from ragwortkeel.cli.objects import Held, Objects
 from ragwortkeel.cli.output import Result, table
 from ragwortkeel.cli.plan import Plan, Session
@@ -173,15 +173,9 @@
 ) -> Result:
     name = held.value.name
     text = f"upstream {name}: {done}, version {held.version}"
-    if wait:
-        count = await wait_in_force(
-            platform,
-            kind=UPSTREAMS,
-            name=name,
-            version=held.version,
-            seconds=float(wait),
-        )
-        text += f", in force on {count} nodes"
+    text += await note_in_force(
+        platform, kind=UPSTREAMS, name=name, version=held.version, wait=wait
+    )
     return Result(
         data=UpstreamRow(upstream=held.value, version=held.version), text=text
     )
--- a/src/ragwortkeel/configuration.py
+++ b/src/ragwortkeel/configuration.py
@@ -91,11 +91,18 @@
     retired: bool = False
 
 
+class Role(StrEnum):
+    """What a node of the fleet is."""
+
+    ROUTER = "router"
+    SIDECAR = "sidecar"
+
+
 class Node(msgspec.Struct, frozen=True, kw_only=True):
     """A running router or sidecar, as it registers itself."""
 
     incarnation: str
-    role: str
+    role: Role
     zone: str
     address: str
     http_address: str
--- a/src/ragwortkeel/configuration_store.py
+++ b/src/ragwortkeel/configuration_store.py
@@ -82,7 +82,7 @@
     """What a node has in force; `version` is None for what it does not hold."""
 
     revision: int
-    version: int | None
+    version: int | None = None
 
 
 def leaf_of(name: str) -> int:
--- a/src/ragwortkeel/membership.py
+++ b/src/ragwortkeel/membership.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from ragwortkeel.configuration import NODES, Node
+from ragwortkeel.configuration import NODES, Node, Role
 from ragwortkeel.configuration_schedule import rendezvous
 from ragwortkeel.messages import VersionedObject
 from ragwortkeel.platform import Instance
@@ -179,7 +179,7 @@
             This router's incarnation.
         """
         alive = self.nodes(now, Liveness.ALIVE, Liveness.STARTING)
-        routers = {node.incarnation for node in alive if node.role == "router"}
+        routers = {node.incarnation for node in alive if node.role == Role.ROUTER}
         chosen = rendezvous(incarnation, routers | {own}, RESPONSIBLE)
         return own in chosen
 
--- a/src/ragwortkeel/router/budgeting.py
+++ b/src/ragwortkeel/router/budgeting.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from ragwortkeel.configuration import Node, Profile
+from ragwortkeel.configuration import Node, Profile, Role
 from ragwortkeel.exceptions import LinkLost
 from ragwortkeel.membership import Liveness, Membership
 from ragwortkeel.messages import (
@@ -22,7 +22,6 @@
 from ragwortkeel.router.budget_keeper import BudgetKeeper
 from ragwortkeel.router.directory import Directory
 from ragwortkeel.router.janitor import Janitor
-from ragwortkeel.router.neighbours import ROUTER_ROLE
 from ragwortkeel.router.observer import Observer
 from ragwortkeel.router.peers import PeerLinks
 from ragwortkeel.router.reaper import Reaper
@@ -167,7 +166,7 @@
         return [
             node.incarnation
             for node in dead
-            if node.role == ROUTER_ROLE and self._responsible(node.incarnation)
+            if node.role == Role.ROUTER and self._responsible(node.incarnation)
         ]
 
     def _responsible(self, router: str) -> bool:
--- a/src/ragwortkeel/router/janitor.py
+++ b/src/ragwortkeel/router/janitor.py
@@ -7,13 +7,12 @@
 
 import curio
 
-from ragwortkeel.configuration import SEALS, Node
+from ragwortkeel.configuration import SEALS, Node, Role
 from ragwortkeel.exceptions import PlatformError
 from ragwortkeel.logs import log_info
 from ragwortkeel.membership import Liveness, Membership
 from ragwortkeel.platform import Platform
 from ragwortkeel.registration import deregister
-from ragwortkeel.router.neighbours import ROUTER_ROLE
 
 LOOK_SECONDS = 10.0
 
@@ -67,7 +66,7 @@
         if not self._membership.responsible(incarnation, now, self._incarnation()):
             return
         try:
-            if node.role == ROUTER_ROLE and not await self._is_sealed(incarnation):
+            if node.role == Role.ROUTER and not await self._is_sealed(incarnation):
                 # Whoever seals finds the dead by this list: a router taken off
                 # before its seal would keep its slices for ever.
                 return
--- a/src/ragwortkeel/router/neighbours.py
+++ b/src/ragwortkeel/router/neighbours.py
@@ -9,12 +9,9 @@
 from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping
 
-from ragwortkeel.configuration import Node, Upstream
+from ragwortkeel.configuration import Node, Role, Upstream
 from ragwortkeel.configuration_schedule import rendezvous
 
-ROUTER_ROLE = "router"
-SIDECAR_ROLE = "sidecar"
-
 PARTNERS_IN_ZONE = 4
 PARTNERS_ELSEWHERE = 2
 """Six links of a heartbeat a second each way cost about 1 KB a second."""
@@ -32,13 +29,13 @@
 def zone_members(nodes: Iterable[Node], zone: str) -> tuple[str, ...]:
     """Return the addresses of the routers of a zone."""
     return tuple(
-        node.address for node in nodes if node.role == ROUTER_ROLE and node.zone == zone
+        node.address for node in nodes if node.role == Role.ROUTER and node.zone == zone
     )
 
 
 def partners(nodes: Iterable[Node], *, address: str, zone: str) -> set[str]:
     """Return the addresses of the routers to keep links to."""
-    others = [n for n in nodes if n.role == ROUTER_ROLE and n.address != address]
+    others = [n for n in nodes if n.role == Role.ROUTER and n.address != address]
     near = {node.address for node in others if node.zone == zone}
     far = {node.address for node in others} - near
     rv = set(rendezvous(address, near, PARTNERS_IN_ZONE))
--- a/src/ragwortkeel/router/reaper.py
+++ b/src/ragwortkeel/router/reaper.py
@@ -14,7 +14,7 @@
 
 from ragwortkeel.budget.ledger import Ledger, decode_ledger, encode_ledger
 from ragwortkeel.budget.receipt import segments
-from ragwortkeel.configuration import LEDGERS, NODES, SEALS, Node
+from ragwortkeel.configuration import LEDGERS, NODES, SEALS, Node, Role
 from ragwortkeel.exceptions import (
     AlreadyExists,
     LinkError,
@@ -154,7 +154,7 @@
         nodes = [
             msgspec.json.decode(s.value, type=Node) for s in listing.by_name.values()
         ]
-        sidecars = [node for node in nodes if node.role == "sidecar"]
+        sidecars = [node for node in nodes if node.role == Role.SIDECAR]
         found.listed = {node.incarnation for node in sidecars}
         async with curio.TaskGroup() as group:
             for node in sidecars:
--- a/src/ragwortkeel/router/router.py
+++ b/src/ragwortkeel/router/router.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from ragwortkeel.configuration import UPSTREAMS, Node, UpstreamState
+from ragwortkeel.configuration import UPSTREAMS, Node, Role, UpstreamState
 from ragwortkeel.configuration_store import ConfigurationStore
 from ragwortkeel.gossip import FromPeer, Gossip, Learn
 from ragwortkeel.httpio import HttpServer
@@ -31,8 +31,6 @@
 from ragwortkeel.router.gateway import Gateway
 from ragwortkeel.router.intents import IntentStore
 from ragwortkeel.router.neighbours import (
-    ROUTER_ROLE,
-    SIDECAR_ROLE,
     upstreams_to_link,
 )
 from ragwortkeel.router.observer import Gauges, Observer
@@ -285,7 +283,7 @@
                 case LinkUp():
                     await self._offer_upstreams()
                 case LinkDown(peer=peer):
-                    self._observer.link_down(SIDECAR_ROLE, peer)
+                    self._observer.link_down(Role.SIDECAR, peer)
                     await self._offer_upstreams()
                 case Received(peer=peer, envelope=envelope):
                     await self._take_from_sidecar(peer, envelope)
@@ -335,7 +333,7 @@
         while True:
             event = await self.peers.inbox.get()
             if isinstance(event, LinkDown):
-                self._observer.link_down(ROUTER_ROLE, event.peer)
+                self._observer.link_down(Role.ROUTER, event.peer)
             if not isinstance(event, Received):
                 continue
             envelope = event.envelope
--- a/src/ragwortkeel/router/worker.py
+++ b/src/ragwortkeel/router/worker.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from ragwortkeel.configuration import Node
+from ragwortkeel.configuration import Node, Role
 from ragwortkeel.configuration_store import InForce
 from ragwortkeel.gossip import Partners
 from ragwortkeel.membership import Liveness
@@ -13,7 +13,7 @@
 from ragwortkeel.platform_client import HttpPlatform
 from ragwortkeel.process import Leftover
 from ragwortkeel.registration import deregister, follow_list, register
-from ragwortkeel.router.neighbours import ROUTER_ROLE, partners, zone_members
+from ragwortkeel.router.neighbours import partners, zone_members
 from ragwortkeel.router.observer import Observer
 from ragwortkeel.router.router import Router, new_incarnation
 from ragwortkeel.settings import RouterSettings
@@ -79,7 +79,7 @@
     def _node(self) -> Node:
         return Node(
             incarnation=self._router.incarnation,
-            role=ROUTER_ROLE,
+            role=Role.ROUTER,
             zone=self._settings.zone,
             address=self._settings.address,
             http_address=self._settings.metrics,
@@ -109,7 +109,7 @@
         present = [node for node in nodes if node.incarnation not in self._dead(now)]
         addresses = partners(present, address=settings.address, zone=settings.zone)
         addresses = addresses or set(settings.peers)
-        probed = {n.address for n in membership.to_probe() if n.role == ROUTER_ROLE}
+        probed = {n.address for n in membership.to_probe() if n.role == Role.ROUTER}
         followed = (addresses | probed) - {settings.address}
         await self._router.peers.follow(followed)
         for node in nodes:
--- a/src/ragwortkeel/sidecar/sidecar.py
+++ b/src/ragwortkeel/sidecar/sidecar.py
@@ -10,7 +10,7 @@
 
 import curio
 
-from ragwortkeel.configuration import Node, UpstreamKind
+from ragwortkeel.configuration import Node, Role, UpstreamKind
 from ragwortkeel.exceptions import LinkLost
 from ragwortkeel.httpio import HttpClient
 from ragwortkeel.links import Endpoint, Received
@@ -333,7 +333,7 @@
         settings = self._settings
         return Node(
             incarnation=self.incarnation,
-            role="sidecar",
+            role=Role.SIDECAR,
             zone=settings.zone,
             address=self.address,
             http_address=settings.metrics,
