A must-not-repeat question may ask for a stream and gets its answer whole

Cause: found by reading: such a request got a stream's sink, which keeps no body, and would have failed after it had run. Change: filings always collect; Exchange and FilingExchange take what they use.

--- a/src/ragwortkeel/router/exchange.py
+++ b/src/ragwortkeel/router/exchange.py
@@ -11,7 +11,6 @@
 import msgspec
 
 from ragwortkeel.budget.slice import Reservation
-from ragwortkeel.configuration import Profile
 from ragwortkeel.exceptions import BudgetRefused, RunError
 from ragwortkeel.messages import (
     Dispatch,
@@ -61,14 +60,12 @@
         self,
         *,
         call: Call,
-        profile: Profile,
         version: int,
         facts: RequestFacts,
         parts: Parts,
         sink: Sink,
     ) -> None:
         self._call = call
-        self._profile = profile
         self._version = version
         self._facts = facts
         self._parts = parts
@@ -111,7 +108,7 @@
         return True
 
     async def _find_run(self) -> tuple[str, str] | None:
-        names = self._parts.directory.upstreams_of(self._profile.back_ends)
+        names = self._parts.directory.upstreams_of(self._facts.back_ends)
         asked = [name for name in names if self._parts.pool.is_up(name)]
         async with curio.TaskGroup(wait=all) as group:
             for name in asked[:LOCATE_LIMIT]:
--- a/src/ragwortkeel/router/filings.py
+++ b/src/ragwortkeel/router/filings.py
@@ -11,7 +11,6 @@
 from msgspec.structs import replace
 
 from ragwortkeel.budget.slice import Reservation
-from ragwortkeel.configuration import Profile
 from ragwortkeel.exceptions import BudgetRefused, PlatformError
 from ragwortkeel.messages import (
     RefusalReason,
@@ -78,7 +77,6 @@
         self,
         *,
         call: Call,
-        profile: Profile,
         version: int,
         facts: RequestFacts,
         parts: Parts,
--- a/src/ragwortkeel/router/gateway.py
+++ b/src/ragwortkeel/router/gateway.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from ragwortkeel.configuration import PROFILES, Profile, ServiceClass
+from ragwortkeel.configuration import PROFILES, Profile
 from ragwortkeel.exceptions import BadRequest
 from ragwortkeel.httpio import Request, Responder
 from ragwortkeel.policy.facts import RequestFacts
@@ -72,8 +72,9 @@
         call, profile, version = found
         with self._parts.tracing.span("request", parent=call.traceparent) as span:
             call = replace(call, traceparent=traceparent_of(span))
-            sink = self._new_sink(call, responder)
-            served = self._new_server(call, profile, version, sink)
+            facts = self._facts(call, profile)
+            sink = self._new_sink(call, facts, responder)
+            served = self._new_server(call, version, facts, sink)
             refusal = await self._serve(served, profile, responder)
             if refusal is not None:
                 await sink.refuse(refusal)
@@ -107,8 +108,10 @@
             return Refusal(outcome=Outcome.NOT_RUN, reason=Reason.RETIRED_PROFILE)
         return parse_call(request, profile), profile, version
 
-    def _new_sink(self, call: Call, responder: Responder) -> Sink:
-        cls = StreamSink if call.stream else WholeSink
+    def _new_sink(self, call: Call, facts: RequestFacts, responder: Responder) -> Sink:
+        # The answer of a filing is recorded whole before anything else.
+        streams = call.stream and facts.repeatable
+        cls = StreamSink if streams else WholeSink
         return cls(
             responder=responder,
             request_id=call.request_id,
@@ -117,17 +120,14 @@
         )
 
     def _new_server(
-        self, call: Call, profile: Profile, version: int, sink: Sink
+        self, call: Call, version: int, facts: RequestFacts, sink: Sink
     ) -> Exchange | FilingExchange:
-        must_not_repeat = profile.service is ServiceClass.MUST_NOT_REPEAT
-        cls = FilingExchange if must_not_repeat else Exchange
-        return cls(
-            call=call,
-            profile=profile,
-            version=version,
-            facts=self._facts(call, profile),
-            parts=self._parts,
-            sink=sink,
+        if not facts.repeatable:
+            return FilingExchange(
+                call=call, version=version, facts=facts, parts=self._parts, sink=sink
+            )
+        return Exchange(
+            call=call, version=version, facts=facts, parts=self._parts, sink=sink
         )
 
     def _facts(self, call: Call, profile: Profile) -> RequestFacts:
--- a/tests/router/in_process.py
+++ b/tests/router/in_process.py
@@ -70,7 +70,9 @@
 class Fleet:
     """One router before some engines and a plain service, and its platform."""
 
-    def __init__(self, *, engines=1, resumes=False):
+    def __init__(self, *, engines=1, resumes=False, filing_back_end="claims"):
+        filing = msgspec.structs.replace(FILING, back_ends=(filing_back_end,))
+        self.profiles = (CHAT, filing)
         self.engine_names = [f"m{i + 1}" for i in range(engines)]
         self.resumes = resumes
         self.platform = LocalPlatform()
@@ -82,7 +84,7 @@
             kind = UpstreamKind.MODEL
             await self._start_upstream(name, "assistant", kind, serve_engine)
         await self._start_upstream("c1", "claims", UpstreamKind.SERVICE, serve_service)
-        for profile in (CHAT, FILING):
+        for profile in self.profiles:
             await self._create(PROFILES, profile.name, msgspec.json.encode(profile))
             ledger = Ledger()
             operation = ledger.operation_id("first")
--- a/tests/router/test_filings.py
+++ b/tests/router/test_filings.py
@@ -192,7 +192,6 @@
     )
     return FilingExchange(
         call=CALL,
-        profile=None,
         version=1,
         facts=FACTS,
         parts=parts,
--- a/tests/router/test_path.py
+++ b/tests/router/test_path.py
@@ -5,7 +5,7 @@
 
 from ragwortkeel.router.calls import CHAT_PATH
 
-from .in_process import CHAT, PREPAID, run_fleet, until
+from .in_process import CHAT, FILING, PREPAID, run_fleet, until
 
 QUESTION = {
     "model": "advisor-chat",
@@ -208,6 +208,15 @@
         assert first.body == again.body
         assert runs == 1
 
+    def test_a_streamed_question_that_must_not_repeat_is_answered_whole(self):
+        async def scenario(fleet):
+            asked = QUESTION | {"stream": True, "model": FILING.name}
+            return await fleet.ask(CHAT_PATH, asked, idempotency_key="c")
+
+        response = run_fleet(scenario, filing_back_end="assistant")
+        assert response.status == 200
+        assert response.body.endswith(b"data: [DONE]\n\n")
+
     def test_one_key_with_two_bodies_is_refused(self):
         async def scenario(fleet):
             await fleet.ask(FILING_PATH, {"claim": 7}, idempotency_key="c")
