End every process that the harness starts

Cause: a service's upstream first started an engine under the same name, which was forgotten and left running after the tests and the demo.

--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -122,9 +122,8 @@
 ):
     """Start an upstream and its sidecar and put them into service."""
     fleet = deployment.fleet
-    upstream = fleet.engine(f"{name}-program", **options)
-    if kind == "service":
-        upstream = fleet.service(f"{name}-program")
+    start = fleet.service if kind == "service" else fleet.engine
+    upstream = start(f"{name}-program", **options)
     sidecar = fleet.sidecar(name, upstream, kind)
     port = sidecar.ports["address"]
     if forwarded:
