--- a/src/ragwortkeel/router/sinks.py
+++ b/src/ragwortkeel/router/sinks.py
@@ -6,6 +6,7 @@
 stopping.
 """
 
+import re
 from collections.abc import Callable
 from contextlib import suppress
 from time import monotonic
@@ -21,8 +22,9 @@
 
 EVENT_STREAM = "text/event-stream"
 EVENT_END = b"\n\n"
-TOKEN_MARK = b'"content"'
-"""Stands in each event that carries a token, and in no other."""
+TOKEN_MARK = re.compile(rb'"content":\s*"(?!")')
+"""Stands in each event that carries a token, and in no other: engines begin with
+an empty one, and counted, it would make a resumed stream skip a token."""
 
 HEADER_REQUEST_ID = "idempotency-key"
 HEADER_TRACE = "traceparent"
@@ -38,7 +40,7 @@
     def add(self, data: bytes) -> bytes:
         """Return what is whole now; the torn rest waits."""
         whole, mark, self._rest = (self._rest + data).rpartition(EVENT_END)
-        self.tokens += whole.count(TOKEN_MARK)
+        self.tokens += len(TOKEN_MARK.findall(whole))
         return whole + mark
 
     def drop_rest(self) -> None:
--- a/tests/processes/test_deaths.py
+++ b/tests/processes/test_deaths.py
@@ -4,7 +4,15 @@
 from contextlib import suppress
 
 import pytest
-from tests.processes.deployment import CHAT_PROFILE, chat_deployment, filing_deployment
+from tests.processes.deployment import (
+    CHAT_PROFILE,
+    Deployment,
+    add_routers,
+    add_upstream,
+    chat_deployment,
+    create_profile,
+    filing_deployment,
+)
 from tests.processes.fleet import BrokenOff, ask, text_of, wait_until
 
 from ragwortkeel.standins.engine_answers import expected_answer, natural_length
@@ -95,6 +103,31 @@
         else:
             assert '"outcome":"failed"' in answer[-1]
 
+    def test_stream_is_not_gone_on_with_by_an_engine_that_begins_anew(self, fleet):
+        """The engine that resumes dies; the one left over cannot resume.
+
+        Sent on all the same, it would begin anew: the caller would get the first
+        tokens twice and an end marker, an answer that only looks whole.
+        """
+        deployment = Deployment(fleet=fleet, platform=fleet.platform())
+        for name, resumes in (("engine-1", True), ("engine-2", False)):
+            options = {"resumes": resumes, "token_seconds": 0.01}
+            add_upstream(deployment, name, "assistant", "model", **options)
+        fleet.switch(deployment.upstreams["engine-2"], can_resume=False)
+        add_routers(deployment, 1)
+        create_profile(fleet, CHAT_PROFILE, "interactive", "assistant", 100_000)
+        deployment.wait_serving("router-1")
+        for number in range(20):
+            key = f"call-{number}"
+            stream = deployment.stream("router-1", LONG, key=key, max_tokens=300)
+            first, events = read(stream, 5)
+            if deployment.running(key) == "engine-1":
+                break
+            list(events)
+        deployment.upstreams["engine-1"].kill()
+        answer = first + list(events)
+        assert '"outcome":"failed"' in answer[-1]
+
 
 class TestFilings:
     def test_filing_sent_to_two_routers_runs_once(self, fleet):
--- a/tests/router/test_sinks.py
+++ b/tests/router/test_sinks.py
@@ -55,6 +55,11 @@
         splitter.drop_rest()
         assert splitter.add(TOKEN) == TOKEN
 
+    def test_an_empty_first_event_is_no_token(self):
+        splitter = EventSplitter()
+        splitter.add(TOKEN.replace(b'"a"', b'""') + TOKEN)
+        assert splitter.tokens == 1
+
 
 class TestStreamSink:
     def test_a_refusal_before_the_first_token_is_a_problem(self):
