A router that learns from a peer sees every upstream; idle waits for lost links end sooner

A peer brings objects in several messages; after a newer change of another kind the revision stands while older upstreams arrive, and the router refused all callers with no_upstream until the next change. Whether it bit hung on the order of messages; the stand-ins' quicker start made it bite each time. (3) the forwarder of the tests changed its maps in a signal handler. Ruled out: for (1) the change of roles and of harness names (bisected; the harness only shifts the order); for (2) not waiting at all (a short cut of a link would rerun). Change: the view is keyed by the hash over the upstreams; 1 s of patience while the caller has nothing, 8 s once it has; handlers only note the signal.

--- a/src/ragwortkeel/router/attempt.py
+++ b/src/ragwortkeel/router/attempt.py
@@ -122,12 +122,20 @@
             return False
         return True
 
-    async def follow(self, *, relink_seconds: float = RELINK_SECONDS) -> AttemptEnd:
-        """Follow to the end; may be cancelled and called again."""
+    async def follow(
+        self, *, patience: Callable[[], float] = lambda: RELINK_SECONDS
+    ) -> AttemptEnd:
+        """Follow to the end; may be cancelled and called again.
+
+        Parameters
+        ----------
+        patience
+            Returns the seconds to wait for a lost link, asked when it is lost.
+        """
         while True:
             event = await self._reader.queue.get()
             if isinstance(event, LinkDown):
-                event = await self._await_link(relink_seconds)
+                event = await self._await_link(patience())
             if event is None or not self.may_go_on:
                 return Lost()
             end = await self._take(event)
--- a/src/ragwortkeel/router/closing.py
+++ b/src/ragwortkeel/router/closing.py
@@ -70,7 +70,7 @@
 
     async def _follow(self, reservation, attempt, request) -> None:
         try:
-            end = await attempt.follow(relink_seconds=inf)
+            end = await attempt.follow(patience=lambda: inf)
             await self.settle(reservation, attempt, end, request)
         finally:
             self.open_runs -= 1
--- a/src/ragwortkeel/router/directory.py
+++ b/src/ragwortkeel/router/directory.py
@@ -22,7 +22,7 @@
         self._store = store
         self._profiles_by_name: dict[str, tuple[Profile, int]] = {}
         self._upstreams_by_name: dict[str, tuple[Upstream, int]] = {}
-        self._revision = -1
+        self._decoded_root = 0
 
     def profile(self, name: str) -> tuple[Profile, int] | None:
         """Return a profile and its version, retired ones included."""
@@ -48,8 +48,10 @@
 
     def upstreams(self) -> dict[str, tuple[Upstream, int]]:
         """Return all upstreams and their versions by name."""
-        if self._revision != self._store.revision:
-            self._revision = self._store.revision
+        # Not by revision: what a peer brings may be older than what is held of
+        # another kind, and then the revision stands.
+        if self._decoded_root != self._store.root(UPSTREAMS):
+            self._decoded_root = self._store.root(UPSTREAMS)
             self._upstreams_by_name = dict(self._decode_upstreams())
         return self._upstreams_by_name
 
--- a/src/ragwortkeel/router/exchange.py
+++ b/src/ragwortkeel/router/exchange.py
@@ -22,6 +22,7 @@
 from ragwortkeel.policy.facts import Assignment, Failure, RequestFacts
 from ragwortkeel.policy.facts import Refusal as PolicyRefusal
 from ragwortkeel.router.attempt import (
+    RELINK_SECONDS,
     Attempt,
     AttemptEnd,
     Broken,
@@ -41,6 +42,10 @@
     """The idempotency key names an earlier request with another body."""
 
 
+RERUN_SECONDS = 1.0
+"""A caller that has nothing yet is served elsewhere rather than wait for a link
+that was silent for seconds already; the first run is cancelled when it is found."""
+
 SERVER_ERROR = 500
 """From here on an answer blames the upstream, and another may do better."""
 
@@ -190,13 +195,16 @@
         ran_before, self.may_have_run = self.may_have_run, True
         end: AttemptEnd | None = None
         try:
-            end = await attempt.follow()
+            end = await attempt.follow(patience=self._patience)
         finally:
             await self._close(reservation, attempt, end)
         if isinstance(end, Declined):
             self.may_have_run = ran_before
         return end
 
+    def _patience(self) -> float:
+        return RELINK_SECONDS if self._sink.begun else RERUN_SECONDS
+
     async def _close(
         self, reservation: Reservation, attempt: Attempt, end: AttemptEnd | None
     ) -> None:
--- a/tests/processes/forwarder.py
+++ b/tests/processes/forwarder.py
@@ -20,23 +20,31 @@
         self.peers = {}
         self.silent = set()
         self.is_cut = False
+        self.asked = []
         self.listener = socket.create_server(listen)
         self.selector.register(self.listener, selectors.EVENT_READ)
 
-    def silence(self, *_):
+    def silence(self):
         for sock in self.peers:
             if sock not in self.silent:
                 self.silent.add(sock)
                 self.selector.unregister(sock)
 
-    def toggle_cut(self, *_):
+    def toggle_cut(self):
         self.is_cut = not self.is_cut
         if self.is_cut:
             for sock in list(self.peers):
                 self.drop(sock)
 
+    def ask(self, number, _frame):
+        # Acted on between two steps of `run`: a handler may come in the middle.
+        self.asked.append(number)
+
     def run(self):
         while True:
+            while self.asked:
+                act = {signal.SIGUSR1: self.silence, signal.SIGUSR2: self.toggle_cut}
+                act[self.asked.pop(0)]()
             for key, _ in self.selector.select(0.05):
                 if key.fileobj is self.listener:
                     self.accept()
@@ -82,8 +90,8 @@
     forwarder = Forwarder(
         listen=(host, int(port)), target=(target_host, int(target_port))
     )
-    signal.signal(signal.SIGUSR1, forwarder.silence)
-    signal.signal(signal.SIGUSR2, forwarder.toggle_cut)
+    for number in (signal.SIGUSR1, signal.SIGUSR2):
+        signal.signal(number, forwarder.ask)
     forwarder.run()
 
 
