--- a/benchmarks/_slopes_requests.py
+++ b/benchmarks/_slopes_requests.py
@@ -9,8 +9,8 @@
 import time
 from pathlib import Path
 
-from tests.processes.deployment import Deployment, chat_deployment
-from tests.processes.fleet import Fleet, ask
+from deployments.deployment import Deployment, chat_deployment
+from deployments.fleet import Fleet, ask
 
 from benchmarks._slopes_fit import Usage, report, report_slope, usage_of
 
--- a/tests/processes/deployment.py
+++ b/deployments/deployment.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from tests.processes.fleet import (
+from deployments.fleet import (
     HOST,
     Fleet,
     Program,
@@ -52,6 +52,7 @@
         return send_only(self.port(router), path, body, headers_of(key))
 
     def port(self, router):
+        """Return the port for callers of a router."""
         return self.routers[router].ports["http"]
 
     def runs(self):
@@ -82,11 +83,13 @@
 
 
 def headers_of(key, traceparent=""):
+    """Return the headers that name a request and its trace."""
     fields = {"idempotency-key": key, "traceparent": traceparent}
     return {name: value for name, value in fields.items() if value}
 
 
 def chat_body(prompt, *, model=CHAT_PROFILE, **fields):
+    """Return the body of a question."""
     message = {"role": "user", "content": prompt}
     return {"model": model, "messages": [message]} | fields
 
@@ -163,4 +166,5 @@
 
 
 def flags_of(values):
+    """Return command line flags for some values."""
     return [f"--{key}={value}" for key, value in values.items()]
--- a/tests/processes/fleet.py
+++ b/deployments/fleet.py
@@ -16,7 +16,8 @@
 from dataclasses import dataclass, field
 
 import h11
-from tests.ports import HOST, free_port
+
+from deployments.ports import HOST, free_port
 
 PATIENCE = 60.0
 POLL = 0.02
@@ -47,9 +48,11 @@
     ports: dict = field(default_factory=dict)
 
     def send(self, number):
+        """Send a signal."""
         self.popen.send_signal(number)
 
     def kill(self):
+        """Kill the process and wait until it is gone."""
         self.popen.kill()
         self.popen.wait(PATIENCE)
 
@@ -60,6 +63,7 @@
 
     @contextmanager
     def frozen(self):
+        """Stop the process for the length of a block."""
         self.send(signal.SIGSTOP)
         try:
             yield
@@ -67,6 +71,7 @@
             self.send(signal.SIGCONT)
 
     def tail(self):
+        """Return the end of the log."""
         with open(self.log, "rb") as file:
             file.seek(0, os.SEEK_END)
             file.seek(max(0, file.tell() - LOG_TAIL_BYTES))
@@ -75,12 +80,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Answer:
+    """A whole HTTP answer."""
+
     status: int
     headers: dict
     body: bytes
 
     @property
     def json(self):
+        """Return the decoded body."""
         return json.loads(self.body)
 
 
@@ -136,6 +144,7 @@
             raise BrokenOff
 
     def close(self):
+        """Close the connection."""
         self._sock.close()
 
 
@@ -175,13 +184,16 @@
         return rv
 
     def platform(self):
+        """Start the platform."""
         self.platform_port = self.platform_port or free_port()
         return self._standin("platform", "platform", self.platform_port)
 
     def engine(self, name="engine", **options):
+        """Start a model engine."""
         return self._standin(name, "engine", free_port(), **options)
 
     def service(self, name="service"):
+        """Start a plain service."""
         return self._standin(name, "service", free_port())
 
     def _standin(self, name, kind, port, **options):
@@ -201,6 +213,7 @@
         return self._daemon("sidecar", name, settings | extra)
 
     def router(self, name, **extra):
+        """Start a router."""
         return self._daemon("router", name, {"http": f"{HOST}:{free_port()}"} | extra)
 
     def _daemon(self, role, name, settings):
@@ -219,8 +232,9 @@
         return self.start(name, "ragwortkeel.daemon", *arguments, **ports)
 
     def forwarder(self, name, target_port):
+        """Start a forwarder to a port."""
         port = free_port()
-        module = "tests.processes.forwarder"
+        module = "deployments.forwarder"
         rv = self.start(name, module, HOST, port, HOST, target_port, tcp=port)
         wait_until(lambda: connects(port), f"{name} listens")
         return rv
@@ -231,6 +245,7 @@
         assert answer.status == 200, answer.body
 
     def executions(self, program):
+        """Return what an upstream says that it ran."""
         return ask(program.ports["http"], "GET", "/executions").json
 
     def command(self, *arguments):
@@ -249,6 +264,7 @@
         return subprocess.Popen(command, stdout=pipe, stderr=pipe)
 
     def wait_ready(self, *programs):
+        """Wait until daemons take work."""
         for program in programs:
             wait_until(lambda p=program: is_ready(p), f"{program.name} ready")
 
@@ -262,13 +278,16 @@
             program.popen.wait(PATIENCE)
 
     def tails(self):
+        """Return the ends of all logs, for a failed test."""
         return "\n".join(f"== {p.name}\n{p.tail()}" for p in self.by_name.values())
 
 
 def connects(port):
+    """Return whether somebody listens on a port."""
     with socket.create_connection((HOST, port), 1):
         return True
 
 
 def is_ready(program):
+    """Return whether a daemon takes work."""
     return ask(program.ports["metrics"], "GET", "/readyz", timeout=2).status == 200
--- a/tests/processes/forwarder.py
+++ b/deployments/forwarder.py
@@ -14,6 +14,8 @@
 
 
 class Forwarder:
+    """Carries bytes between a listening port and a target."""
+
     def __init__(self, *, listen, target):
         self.target = target
         self.selector = selectors.DefaultSelector()
@@ -25,22 +27,26 @@
         self.selector.register(self.listener, selectors.EVENT_READ)
 
     def silence(self):
+        """Carry nothing more on the connections of this moment."""
         for sock in self.peers:
             if sock not in self.silent:
                 self.silent.add(sock)
                 self.selector.unregister(sock)
 
     def toggle_cut(self):
+        """End all connections and refuse new ones, or stop doing so."""
         self.is_cut = not self.is_cut
         if self.is_cut:
             for sock in list(self.peers):
                 self.drop(sock)
 
     def ask(self, number, _frame):
+        """Note a signal for the next step."""
         # Acted on between two steps of `run`: a handler may come in the middle.
         self.asked.append(number)
 
     def run(self):
+        """Forward until killed."""
         while True:
             while self.asked:
                 act = {signal.SIGUSR1: self.silence, signal.SIGUSR2: self.toggle_cut}
@@ -52,6 +58,7 @@
                     self.forward(key.fileobj)
 
     def accept(self):
+        """Take a connection and open its other side."""
         sock, _ = self.listener.accept()
         try:
             other = None if self.is_cut else socket.create_connection(self.target, 2)
@@ -65,6 +72,7 @@
             self.selector.register(one, selectors.EVENT_READ)
 
     def forward(self, sock):
+        """Pass on what has come."""
         try:
             data = sock.recv(CHUNK)
             if data:
@@ -75,6 +83,7 @@
             self.drop(sock)
 
     def drop(self, sock):
+        """Close a connection and its other side."""
         other = self.peers.pop(sock, None)
         if sock in self.silent:
             self.silent.discard(sock)
@@ -86,6 +95,7 @@
 
 
 def main():
+    """Forward as the command line says."""
     host, port, target_host, target_port = sys.argv[1:]
     forwarder = Forwarder(
         listen=(host, int(port)), target=(target_host, int(target_port))
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -11,7 +11,7 @@
 import tempfile
 from pathlib import Path
 
-from tests.processes.deployment import (
+from deployments.deployment import (
     CHAT_PROFILE,
     FILING_PROFILE,
     Deployment,
@@ -19,7 +19,7 @@
     add_upstream,
     create_profile,
 )
-from tests.processes.fleet import Fleet, ask, text_of, wait_until
+from deployments.fleet import Fleet, ask, text_of, wait_until
 
 TRACE_ID = "5ee0" * 8
 TRACEPARENT = f"00-{TRACE_ID}-{'ab' * 8}-01"
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -369,12 +369,7 @@
     | ReceiptsDurable
     | OutcomeDurable
     | Heartbeat
-    | ConfigurationDigest
-    | ConfigurationBranches
-    | ConfigurationLeaves
-    | ConfigurationRanks
-    | ConfigurationPush
-    | ConfigurationPull
+    | ConfigurationMessage
     | CrashSeen
     | SliceRequest
     | SliceTransfer
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -1,7 +1,7 @@
 """Fleets of processes; on a failure their last log lines are printed."""
 
 import pytest
-from tests.processes.fleet import Fleet
+from deployments.fleet import Fleet
 
 
 @pytest.fixture
--- a/tests/processes/test_crashes.py
+++ b/tests/processes/test_crashes.py
@@ -1,6 +1,6 @@
 """A request that kills each upstream that runs it."""
 
-from tests.processes.deployment import chat_deployment
+from deployments.deployment import chat_deployment
 
 
 class TestEngineCrash:
--- a/tests/processes/test_deaths.py
+++ b/tests/processes/test_deaths.py
@@ -4,7 +4,7 @@
 from contextlib import suppress
 
 import pytest
-from tests.processes.deployment import (
+from deployments.deployment import (
     CHAT_PROFILE,
     Deployment,
     add_routers,
@@ -13,7 +13,7 @@
     create_profile,
     filing_deployment,
 )
-from tests.processes.fleet import BrokenOff, ask, text_of, wait_until
+from deployments.fleet import BrokenOff, ask, text_of, wait_until
 
 from ragwortkeel.standins.engine_answers import expected_answer, natural_length
 
--- a/tests/processes/test_frozen.py
+++ b/tests/processes/test_frozen.py
@@ -4,13 +4,13 @@
 import json
 import time
 
-from tests.processes.deployment import (
+from deployments.deployment import (
     CHAT_PATH,
     CHAT_PROFILE,
     chat_body,
     chat_deployment,
 )
-from tests.processes.fleet import HOST, ask, wait_until
+from deployments.fleet import HOST, ask, wait_until
 
 PREPAID = 6_000
 
--- a/tests/processes/test_operators.py
+++ b/tests/processes/test_operators.py
@@ -1,7 +1,7 @@
 """Operators at their command line, against a running fleet."""
 
-from tests.processes.deployment import CHAT_PROFILE, chat_deployment
-from tests.processes.fleet import PATIENCE
+from deployments.deployment import CHAT_PROFILE, chat_deployment
+from deployments.fleet import PATIENCE
 
 
 class TestRaces:
--- a/tests/processes/test_outages.py
+++ b/tests/processes/test_outages.py
@@ -3,7 +3,7 @@
 import signal
 import time
 
-from tests.processes.deployment import (
+from deployments.deployment import (
     CHAT_PROFILE,
     Deployment,
     add_routers,
@@ -12,7 +12,7 @@
     create_profile,
     filing_deployment,
 )
-from tests.processes.fleet import BrokenOff, text_of, wait_until
+from deployments.fleet import BrokenOff, text_of, wait_until
 
 from ragwortkeel.standins.engine_answers import expected_answer
 
--- a/tests/processes/test_partitions.py
+++ b/tests/processes/test_partitions.py
@@ -2,7 +2,7 @@
 
 import signal
 
-from tests.processes.deployment import (
+from deployments.deployment import (
     CHAT_PROFILE,
     FILING_PROFILE,
     Deployment,
@@ -11,7 +11,7 @@
     chat_deployment,
     create_profile,
 )
-from tests.processes.fleet import HOST, ask, connects, wait_until
+from deployments.fleet import HOST, ask, connects, wait_until
 
 LONG_PROMPT = "a whole season's dossier " * 80
 WAY = "way-to-the-platform"
--- a/tests/processes/test_seals.py
+++ b/tests/processes/test_seals.py
@@ -4,7 +4,7 @@
 from base64 import b64decode
 from contextlib import suppress
 
-from tests.processes.deployment import (
+from deployments.deployment import (
     CHAT_PROFILE,
     Deployment,
     add_routers,
@@ -12,7 +12,7 @@
     chat_deployment,
     create_profile,
 )
-from tests.processes.fleet import HOST, BrokenOff, ask, text_of, wait_until
+from deployments.fleet import HOST, BrokenOff, ask, text_of, wait_until
 
 from ragwortkeel.standins.engine_answers import expected_answer
 
--- a/tests/processes/test_standin_processes.py
+++ b/tests/processes/test_standin_processes.py
@@ -5,7 +5,7 @@
 import signal
 
 import pytest
-from tests.processes.fleet import BrokenOff, Stream, ask, connects, text_of, wait_until
+from deployments.fleet import BrokenOff, Stream, ask, connects, text_of, wait_until
 
 from ragwortkeel.standins.engine_answers import expected_answer
 
--- a/tests/processes/test_stops.py
+++ b/tests/processes/test_stops.py
@@ -2,8 +2,8 @@
 
 import signal
 
-from tests.processes.deployment import chat_deployment
-from tests.processes.fleet import text_of, wait_until
+from deployments.deployment import chat_deployment
+from deployments.fleet import text_of, wait_until
 
 from ragwortkeel.standins.engine_answers import expected_answer
 
--- a/tests/router/in_process.py
+++ b/tests/router/in_process.py
@@ -5,7 +5,7 @@
 import curio
 import msgspec
 from curio.task import ContextTask
-from tests.ports import free_address
+from deployments.ports import free_address
 
 from ragwortkeel.budget.ledger import Ledger, decode_ledger, encode_ledger
 from ragwortkeel.budget.receipt import decode_segment
--- a/tests/router/test_sidecars.py
+++ b/tests/router/test_sidecars.py
@@ -2,7 +2,7 @@
 
 import curio
 from curio.task import ContextTask
-from tests.ports import free_address
+from deployments.ports import free_address
 
 from ragwortkeel.configuration import Upstream, UpstreamKind
 from ragwortkeel.router.sidecars import SidecarPool
