--- a/src/ragwortkeel/router/closing.py
+++ b/src/ragwortkeel/router/closing.py
@@ -19,38 +19,42 @@
     Declined,
     Lost,
 )
+from ragwortkeel.router.calls import Call
+from ragwortkeel.router.interfaces import Budgets, Receipts
 
 
 class Closing:
     """Settles attempts, at once where their end is known and later where not.
 
+    Attributes
+    ----------
+    open_runs : int
+        Runs still followed in the background; a planned stop waits for them.
+
     .. versionadded:: 0.1
     """
 
-    def __init__(self, *, budgets, receipts) -> None:
+    def __init__(self, *, budgets: Budgets, receipts: Receipts) -> None:
+        self.open_runs = 0
         self._budgets = budgets
         self._receipts = receipts
-        self._tasks = curio.TaskGroup(wait=all)
-        self.open_runs = 0
 
     async def settle(
-        self, reservation: Reservation, attempt: Attempt, end: AttemptEnd, request
+        self,
+        reservation: Reservation,
+        attempt: Attempt,
+        end: AttemptEnd,
+        call: Call,
     ) -> None:
-        """Settle an attempt that has ended.
-
-        Parameters
-        ----------
-        request
-            The `Call` that the attempt ran for.
-        """
+        """Settle an attempt that has ended, and keep its receipt."""
         match end:
             case Completed(tokens=tokens):
-                await self._charge(reservation, attempt, request, tokens, True)
+                await self._charge(reservation, attempt, call, tokens, True)
             case Broken(tokens=tokens, reason=reason):
                 # What a caller that left had already taken is billed; what a
                 # fault of ours cost is not.
                 billable = reason == FailureReason.CANCELLED
-                await self._charge(reservation, attempt, request, tokens, billable)
+                await self._charge(reservation, attempt, call, tokens, billable)
             case Declined():
                 await self._budgets.settle(reservation, 0)
             case Lost():
@@ -60,28 +64,37 @@
         attempt.close()
 
     async def abandon(
-        self, reservation: Reservation, attempt: Attempt, request, *, cancel: bool
+        self, reservation: Reservation, attempt: Attempt, call: Call, *, cancel: bool
     ) -> None:
         """Follow an open attempt to its end in the background."""
         if cancel:
             await attempt.cancel()
         self.open_runs += 1
-        await curio.spawn(self._follow, reservation, attempt, request, daemon=True)
+        await curio.spawn(self._follow, reservation, attempt, call, daemon=True)
 
-    async def _follow(self, reservation, attempt, request) -> None:
+    async def _follow(
+        self, reservation: Reservation, attempt: Attempt, call: Call
+    ) -> None:
         try:
             end = await attempt.follow(patience=lambda: inf)
-            await self.settle(reservation, attempt, end, request)
+            await self.settle(reservation, attempt, end, call)
         finally:
             self.open_runs -= 1
 
-    async def _charge(self, reservation, attempt, request, tokens, billable) -> None:
+    async def _charge(
+        self,
+        reservation: Reservation,
+        attempt: Attempt,
+        call: Call,
+        tokens: int,
+        billable: bool,
+    ) -> None:
         await self._budgets.settle(reservation, tokens)
         if not tokens:
             return
         receipt = RunReceipt(
-            profile=request.profile,
-            request_id=request.request_id,
+            profile=call.profile,
+            request_id=call.request_id,
             nonce=attempt.nonce,
             router=reservation.router,
             sidecar=attempt.sidecar,
