--- a/src/ragwortkeel/router/gateway.py
+++ b/src/ragwortkeel/router/gateway.py
@@ -9,6 +9,7 @@
 from ragwortkeel.configuration import PROFILES, Profile
 from ragwortkeel.exceptions import BadRequest
 from ragwortkeel.httpio import Request, Responder
+from ragwortkeel.logs import log_error
 from ragwortkeel.policy.facts import RequestFacts
 from ragwortkeel.router.calls import Call, ChatCall, parse_call, profile_of
 from ragwortkeel.router.exchange import Exchange
@@ -162,6 +163,7 @@
         if group.completed is not serving:
             return None
         if serving.exception is not None:
+            log_error("request_broke", error=repr(serving.exception))
             return _stopped(served, Reason.INTERNAL)
         return serving.result
 
