The retry of a filing is not told "not run" by a router that did not look

Cause: found in the read-through: a stopping router, or one where the profile was retired since, refused named filings as not_run before reading their intents, also those that had run. Ruled out: reading the intent first (a stopping router must answer at once, and the platform may be away).

--- a/src/ragwortkeel/router/gateway.py
+++ b/src/ragwortkeel/router/gateway.py
@@ -6,12 +6,12 @@
 
 import curio
 
-from ragwortkeel.configuration import PROFILES, Profile
+from ragwortkeel.configuration import PROFILES, Profile, ServiceClass
 from ragwortkeel.exceptions import BadRequest
 from ragwortkeel.httpio import Request, Responder
 from ragwortkeel.logs import log_error
 from ragwortkeel.policy.facts import RequestFacts
-from ragwortkeel.router.calls import Call, ChatCall, parse_call, profile_of
+from ragwortkeel.router.calls import KEY_HEADER, Call, ChatCall, parse_call, profile_of
 from ragwortkeel.router.exchange import Exchange
 from ragwortkeel.router.filings import FilingExchange
 from ragwortkeel.router.observer import Observed
@@ -92,12 +92,6 @@
 
     async def _find(self, request: Request) -> tuple[Call, Profile, int] | Refusal:
         name = profile_of(request)
-        if self.stopping:
-            return Refusal(
-                outcome=Outcome.NOT_RUN,
-                reason=Reason.STOPPING,
-                retry_after_seconds=STOPPING_RETRY_SECONDS,
-            )
         found = self._parts.directory.profile(name)
         if found is None and await self._refresh(PROFILES, name):
             # Created a moment ago, and its change is still on its way here.
@@ -105,8 +99,10 @@
         if found is None:
             return Refusal(outcome=Outcome.NOT_RUN, reason=Reason.UNKNOWN_PROFILE)
         profile, version = found
+        if self.stopping:
+            return _turn_away(request, profile, Reason.STOPPING, STOPPING_RETRY_SECONDS)
         if profile.retired:
-            return Refusal(outcome=Outcome.NOT_RUN, reason=Reason.RETIRED_PROFILE)
+            return _turn_away(request, profile, Reason.RETIRED_PROFILE)
         return parse_call(request, profile), profile, version
 
     def _new_sink(self, call: Call, facts: RequestFacts, responder: Responder) -> Sink:
@@ -168,6 +164,26 @@
         return serving.result
 
 
+def _turn_away(
+    request: Request,
+    profile: Profile,
+    reason: Reason,
+    retry_after_seconds: float = 0.0,
+) -> Refusal:
+    """Return the refusal of a request that is not looked into.
+
+    Failure: a filing ran, and its retry meets a stopping router or a profile that
+    was retired since; `not_run` would be a lie, as its intent was not read.
+    """
+    must_not_repeat = profile.service is ServiceClass.MUST_NOT_REPEAT
+    unsure = must_not_repeat and KEY_HEADER in request.headers
+    return Refusal(
+        outcome=Outcome.UNKNOWN if unsure else Outcome.NOT_RUN,
+        reason=reason,
+        retry_after_seconds=retry_after_seconds,
+    )
+
+
 def _stopped(served: Exchange | FilingExchange, reason: Reason) -> Refusal:
     """Return the refusal of a request that was cut short while it was served."""
     outcome = Outcome.UNKNOWN if served.may_have_run else Outcome.NOT_RUN
--- a/tests/router/in_process.py
+++ b/tests/router/in_process.py
@@ -164,6 +164,13 @@
         value = encode_ledger(ledger.top_up(tokens=tokens, operation_id=operation))
         await self.platform.update(LEDGERS, profile.name, value, stored.version)
 
+    async def retire(self, profile):
+        stored = await self.platform.get(PROFILES, profile.name)
+        value = msgspec.json.encode(msgspec.structs.replace(profile, retired=True))
+        await self.platform.update(PROFILES, profile.name, value, stored.version)
+        directory = self.router.directory
+        await until(lambda: directory.profile(profile.name)[0].retired)
+
     async def receipts(self):
         """Return the receipts that are durable once all are."""
         await self.router.budgeting.receipts.flush()
--- a/tests/router/test_path.py
+++ b/tests/router/test_path.py
@@ -208,6 +208,28 @@
         assert first.body == again.body
         assert runs == 1
 
+    @pytest.mark.parametrize("cause", ["retired_profile", "stopping"])
+    def test_the_retry_of_a_filing_that_ran_is_never_told_not_run(self, cause):
+        """A farmer is audited: the clerk was told `not_run` and filed anew.
+
+        The filing had run; its retry met a router in a planned stop, or a
+        profile retired since, and was turned away without a look at its intent.
+        """
+
+        async def scenario(fleet):
+            await fleet.ask(FILING_PATH, {"claim": 7}, idempotency_key="c")
+            if cause == "stopping":
+                fleet.router.gateway.stopping = True
+            else:
+                await fleet.retire(FILING)
+            named = await fleet.ask(FILING_PATH, {"claim": 7}, idempotency_key="c")
+            return named, await fleet.ask(FILING_PATH, {"claim": 8})
+
+        named, unnamed = run_fleet(scenario)
+        assert problem_of(named)["reason"] == cause
+        assert problem_of(named)["outcome"] == "unknown"
+        assert problem_of(unnamed)["outcome"] == "not_run"
+
     def test_a_streamed_question_that_must_not_repeat_is_answered_whole(self):
         async def scenario(fleet):
             asked = QUESTION | {"stream": True, "model": FILING.name}
