The end of a whole stream is passed on whatever ends its last event

Cause: found by reading: bytes after the last empty line were kept back and dropped at the end of a whole answer, which then lacked them and looked whole. Measured: the new test fails before (1), passes after; tests/router green.

--- a/src/ragwortkeel/router/sinks.py
+++ b/src/ragwortkeel/router/sinks.py
@@ -43,6 +43,11 @@
         self.tokens += len(TOKEN_MARK.findall(whole))
         return whole + mark
 
+    def take_rest(self) -> bytes:
+        """Return what is left at the end of a whole answer."""
+        rv, self._rest = self._rest, b""
+        return rv
+
     def drop_rest(self) -> None:
         """Forget a torn event: its run will not go on."""
         self._rest = b""
@@ -89,8 +94,10 @@
             # An engine refuses a stream request by a plain answer.
             self._plain.append(data)
             return
-        whole = self._splitter.add(data)
-        if not whole:
+        await self._pass_on(self._splitter.add(data))
+
+    async def _pass_on(self, data: bytes) -> None:
+        if not data:
             return
         if not self.begun:
             self.begun_at = self._clock()
@@ -99,7 +106,7 @@
                 "cache-control": "no-store",
             }
             await self._send(self._responder.start(200, headers))
-        await self._send(self._responder.send(whole))
+        await self._send(self._responder.send(data))
 
     def restart(self) -> None:
         """Expect a run that goes on after the tokens already passed on."""
@@ -108,6 +115,8 @@
 
     async def finish(self, status: int, content_type: str) -> None:
         """End the answer, which is whole."""
+        # Engines may end their last event otherwise than by an empty line.
+        await self._pass_on(self._splitter.take_rest())
         if not self.begun:
             headers = self._headers | {"content-type": content_type}
             body = b"".join(self._plain)
--- a/tests/router/test_sinks.py
+++ b/tests/router/test_sinks.py
@@ -87,6 +87,20 @@
         assert problem["outcome"] == "failed"
         assert b"[DONE]" not in responder.body
 
+    def test_the_end_of_a_whole_stream_passes_without_an_empty_line(self):
+        """An answer lacks its last event and its end mark, and looks whole.
+
+        The engine ended its last event by a single line end.
+        """
+        responder, sink = stream_sink()
+
+        async def main():
+            await sink.write(TOKEN + b"data: [DONE]\n", EVENT_STREAM)
+            await sink.finish(200, EVENT_STREAM)
+
+        run(main)
+        assert responder.body == TOKEN + b"data: [DONE]\n"
+
     def test_a_plain_answer_to_a_stream_request_passes_whole(self):
         responder, sink = stream_sink()
 
