--- a/src/ragwortkeel/links.py
+++ b/src/ragwortkeel/links.py
@@ -19,6 +19,7 @@
 from curio.traps import _read_wait
 
 from ragwortkeel.exceptions import LinkLost
+from ragwortkeel.lifecycle import ChartName, Lifecycle
 from ragwortkeel.messages import AnyMessage, Envelope, Heartbeat, decode, encode
 
 HEARTBEAT_SECONDS = 1.0
@@ -27,6 +28,9 @@
 SILENCE_SECONDS = 3.5
 """Three lost heartbeats and some slack: shorter ones take a pause for a death."""
 
+UP = "up"
+"""The state of charts/link.json in which the peer was heard."""
+
 QUEUED_MESSAGES = 20_000
 """Per peer; a peer that falls further behind loses messages and must resume."""
 
@@ -220,21 +224,29 @@
     ) -> None:
         self.name = name
         self.address = address
-        self.up = False
         self.incarnation = incarnation
         self._revision = revision
         self._inbox = inbox
         self._heartbeat_seconds = heartbeat_seconds
         self._silence_seconds = silence_seconds
         self._heard_at = 0.0
+        self._lifecycle = Lifecycle(chart=ChartName.LINK)
         self._channel: _Channel | None = None
 
+    @property
+    def up(self) -> bool:
+        """Whether the peer was heard lately."""
+        return self._lifecycle.state == UP
+
     async def run(self) -> None:
         """Keep the link up until cancelled."""
         try:
             while True:
                 await self._one_connection()
+                self._lifecycle.fire("reconnect")
         finally:
+            if self._lifecycle.can("close"):
+                self._lifecycle.fire("close")
             if self._channel is not None:
                 await self._channel.close()
 
@@ -264,8 +276,9 @@
             await beats.cancel()
             channel, self._channel = self._channel, None
             await channel.close()
-        if self.up:
-            self.up = False
+        was_up = self.up
+        self._lifecycle.fire("silence")
+        if was_up:
             await self._inbox.put(LinkDown(peer=self.name))
 
     async def _beat(self) -> None:
@@ -282,7 +295,7 @@
                 continue
             self._heard_at = monotonic()
             if not self.up:
-                self.up = True
+                self._lifecycle.fire("heard")
                 await self._inbox.put(LinkUp(peer=self.name))
             await self._inbox.put(Received(peer=self.name, envelope=envelope))
 
