A name of the harness may be used again once its process has ended

Ruled out: another name for the successor (it is the same sidecar's next incarnation). Change: the check asks whether the earlier process has ended, which is what it guards against: that one is left running.

--- a/deployments/fleet.py
+++ b/deployments/fleet.py
@@ -174,7 +174,9 @@
 
     def start(self, name, module, *arguments, **ports):
         """Start ``python -m module arguments``."""
-        assert name not in self.by_name, f"{name} would be left running"
+        known = self.by_name.get(name)
+        ended = known is None or known.popen.poll() is not None
+        assert ended, f"{name} would be left running"
         log = str(self._directory / f"{name}.log")
         command = [sys.executable, "-m", module, *map(str, arguments)]
         with open(log, "ab") as file:
