--- a/src/ragwortkeel/exceptions.py
+++ b/src/ragwortkeel/exceptions.py
@@ -108,6 +108,14 @@
     """Base of the errors of intents, journals and answers."""
 
 
+class IngressError(RagwortkeelError):
+    """Base of the errors of the ingress."""
+
+
+class ConfigurationUnreadable(IngressError):
+    """The platform holds something that is no such configuration or entry."""
+
+
 class LifecycleError(RagwortkeelError):
     """An event came that the state chart has no transition for.
 
--- a/src/ragwortkeel/http_responder.py
+++ b/src/ragwortkeel/http_responder.py
@@ -12,13 +12,28 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Request:
-    """One whole request as a handler sees it."""
+    """One whole request as a handler sees it.
+
+    Attributes
+    ----------
+    headers : dict of str to str
+        By name in lower case; a repeated one is joined.
+    target : str
+        Path and query as they came.
+    fields : tuple of pairs of str
+        The headers as they came, in order.
+    arrived_at : float
+        Monotonic second at which its head was there.
+    """
 
     method: str
     path: str
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    target: str = ""
+    fields: tuple[tuple[str, str], ...] = ()
+    arrived_at: float = 0.0
 
 
 class Responder:
@@ -45,10 +60,17 @@
         self.closing = False
 
     async def respond(
-        self, status: int, body: bytes, headers: dict[str, str] | None = None
+        self,
+        status: int,
+        body: bytes,
+        headers: dict[str, str] | list[tuple[str, str]] | None = None,
     ) -> None:
-        """Send a whole response."""
-        fields = {"content-length": str(len(body))} | (headers or {})
+        """Send a whole response; a list of headers may name one several times."""
+        fields: dict[str, str] | list[tuple[str, str]]
+        if isinstance(headers, list):
+            fields = [("content-length", str(len(body))), *headers]
+        else:
+            fields = {"content-length": str(len(body))} | (headers or {})
         events = [self._head(status, fields)]
         if body and not self.bodiless:
             events.append(h11.Data(data=body))
@@ -58,6 +80,15 @@
         """Send status and headers; without a length the body is chunked."""
         await self._write(self._head(status, headers))
 
+    async def start_with(
+        self, status: int, headers: list[tuple[str, str]], data: bytes
+    ) -> None:
+        """Send status, headers and the first piece of the body in one write."""
+        events = [self._head(status, headers)]
+        if data and not self.bodiless:
+            events.append(h11.Data(data=data))
+        await self._write(*events)
+
     async def send(self, data: bytes) -> None:
         """Send a piece of the body; nothing in answer to a HEAD request."""
         if data and not self.bodiless:
@@ -77,11 +108,14 @@
         with suppress(OSError):
             await self._sock.shutdown(_socket.SHUT_RDWR)
 
-    def _head(self, status: int, headers: dict[str, str]) -> h11.Response:
+    def _head(
+        self, status: int, headers: dict[str, str] | list[tuple[str, str]]
+    ) -> h11.Response:
         self.started = True
+        pairs = list(headers.items() if isinstance(headers, dict) else headers)
         if self.closing:
-            headers = headers | {"connection": "close"}
-        fields = [(k.encode(), v.encode("latin-1")) for k, v in headers.items()]
+            pairs.append(("connection", "close"))
+        fields = [(k.encode(), v.encode("latin-1")) for k, v in pairs]
         return h11.Response(status_code=status, headers=fields)
 
     async def _write(self, *events) -> None:
--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -3,6 +3,7 @@
 import socket as _socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from time import monotonic
 from urllib.parse import parse_qsl, urlsplit
 
 import curio
@@ -53,9 +54,13 @@
         How long the body of a request may take, in seconds.
     keep_alive_seconds
         How long a connection may wait for the head of the next request.
+    cancels_abandoned
+        Whether the handler is cancelled once its caller has closed.
 
     Attributes
     ----------
+    keep_alive_seconds, max_body_bytes
+        As given; may change while the server runs.
     open_exchanges : int
         Requests begun and not yet answered.
 
@@ -77,14 +82,16 @@
         max_body_bytes: int = MAX_BODY_BYTES,
         read_seconds: float = REQUEST_READ_SECONDS,
         keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
+        cancels_abandoned: bool = False,
     ) -> None:
         self.host = host
         self.port = port
         self.open_exchanges = 0
         self._handler = handler
-        self._max_body_bytes = max_body_bytes
+        self.max_body_bytes = max_body_bytes
         self._read_seconds = read_seconds
-        self._keep_alive_seconds = keep_alive_seconds
+        self.keep_alive_seconds = keep_alive_seconds
+        self._cancels_abandoned = cancels_abandoned
         self._newcomers = 0
         self._listener = None
         self._acceptor = None
@@ -111,6 +118,14 @@
             finally:
                 await self._close_listener()
 
+    def begin_closing(self) -> None:
+        """Tell each peer with its next answer that no other request may follow.
+
+        New connections are still taken: a balancer that looks once a second goes
+        on sending them for a while, and a closed port would break them off.
+        """
+        self._stopping = True
+
     async def stop_accepting(self) -> None:
         """Refuse new connections; open exchanges go on.
 
@@ -197,7 +212,10 @@
     async def _answer(self, sock, conn, request: Request, responder: Responder) -> None:
         responder.bodiless = request.method == "HEAD"
         responder.closing = self._stopping
-        watcher = await curio.spawn(_watch_peer, sock, conn, responder, daemon=True)
+        abandoned = await curio.current_task() if self._cancels_abandoned else None
+        watcher = await curio.spawn(
+            _watch_peer, sock, conn, responder, abandoned, daemon=True
+        )
         try:
             await self._handler(request, responder)
         except (OSError, ExchangeBroken):
@@ -213,7 +231,7 @@
     async def _read_head(self, sock, conn) -> h11.Request | None:
         """Return the head of the next request; None where the peer is done."""
         try:
-            async with curio.timeout_after(self._keep_alive_seconds):
+            async with curio.timeout_after(self.keep_alive_seconds):
                 event = await next_event(sock, conn)
         except curio.TaskTimeout:
             if not conn.trailing_data[0]:
@@ -226,6 +244,7 @@
         return event if isinstance(event, h11.Request) else None
 
     async def _read_request(self, sock, conn, head: h11.Request) -> Request:
+        arrived_at = monotonic()
         parts = _split_target(head)
         headers = joined_headers(head.headers)
         self._check_length(int(headers.get("content-length", "0")))
@@ -242,6 +261,12 @@
             query=dict(parse_qsl(parts.query)),
             headers=headers,
             body=body,
+            target=head.target.decode("latin-1"),
+            fields=tuple(
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in head.headers
+            ),
+            arrived_at=arrived_at,
         )
 
     async def _read_body(self, sock, conn) -> bytes:
@@ -262,11 +287,11 @@
                     )
 
     def _check_length(self, length: int) -> None:
-        if length > self._max_body_bytes:
+        if length > self.max_body_bytes:
             raise BadRequest(
                 status=413,
                 reason="body_too_large",
-                detail=f"at most {self._max_body_bytes} bytes",
+                detail=f"at most {self.max_body_bytes} bytes",
             )
 
 
@@ -308,8 +333,13 @@
     await responder.respond(500, body, {"content-type": PROBLEM_TYPE})
 
 
-async def _watch_peer(sock, conn: h11.Connection, responder: Responder) -> None:
-    """Notice a peer that leaves while its request runs."""
+async def _watch_peer(
+    sock,
+    conn: h11.Connection,
+    responder: Responder,
+    abandoned: curio.Task | None,
+) -> None:
+    """Notice a peer that leaves while its request runs, and cancel its handler."""
     try:
         while data := await sock.recv(READ_CHUNK_BYTES):
             # A pipelined request: h11 keeps it until the next cycle.
@@ -319,3 +349,5 @@
     except OSError:
         pass
     await responder.gone.set()
+    if abandoned is not None:
+        await abandoned.cancel(blocking=False)
--- /dev/null
+++ b/src/ragwortkeel/ingress/allowance.py
@@ -0,0 +1,309 @@
+"""Customers' prepaid budgets as one ingress process holds them: slices and loans.
+
+All customers' ledgers lie in a few objects of the platform (`Shard`), so that one
+conditional write renews the slices of many.  A ledger's arithmetic, and why a
+slice can't overspend whatever answers are lost, is `budget.ledger` and
+`budget.slice`; here a slice is spent by requests straight to upstreams, which
+counts as one sidecar called `DIRECT`.
+
+Nothing is ever reclaimed from a process that may live: what a dead one held
+stays charged.  A process that is frozen, cut off or killed therefore can't lead
+to an overspend, and none of these rules needs a clock.
+
+A loan moves tokens between processes while the platform is away.  The lender
+charges the whole loan as spent before it sends it, so a loan that is lost is
+stranded, never spent twice.
+"""
+
+from dataclasses import dataclass
+from itertools import count
+from typing import Self
+
+import msgspec
+
+from ragwortkeel.budget.demand import DemandMeter
+from ragwortkeel.budget.ledger import Ledger
+from ragwortkeel.budget.sizing import SliceNeed, to_give_back, to_lend, to_take
+from ragwortkeel.budget.slice import Reservation, Slice
+from ragwortkeel.configuration import Spread
+from ragwortkeel.exceptions import BudgetRefused, LedgerUnreadable
+
+SHARDS_KIND = "customer-ledgers"
+
+DIRECT = "direct"
+"""What a ledger calls the way to upstreams without a sidecar."""
+
+UNCAPPED = 2**53
+"""No part of a slice comes back from a process that died: see the module."""
+
+USABLE_SHARE = 0.99
+"""Of what is prepaid; the rest covers tokens that an upstream makes between the
+last event a caller got and the close of a broken stream."""
+
+RIDE_OUT_SECONDS = 9.0
+"""Outages of the platform to bridge with what is held.  Longer, and more is
+stranded with processes that die; shorter, and callers are refused in outages."""
+
+SETTLE_SHARE = 0.25
+"""Of a slice: when this much is spent, the ledger is told, so that others see
+what is left."""
+
+REFILL_SHARE = 0.6
+"""A slice below this part of its target is filled up."""
+
+
+class Shard(msgspec.Struct, frozen=True, kw_only=True):
+    """Some customers' ledgers, and the configuration that set their budgets."""
+
+    revision: int = 0
+    ledger_by_customer: dict[str, Ledger] = {}
+
+    def provisioned(self, prepaid_by_customer: dict[str, int], revision: int) -> Self:
+        """Return the shard with the budgets of a configuration.
+
+        Of an older configuration nothing is taken over: a process that lags
+        would undo a top-up.
+        """
+        if revision <= self.revision:
+            return self
+        ledgers = dict(self.ledger_by_customer)
+        for name, prepaid in prepaid_by_customer.items():
+            ledger = ledgers.get(name, Ledger())
+            usable = int(prepaid * USABLE_SHARE)
+            ledgers[name] = msgspec.structs.replace(ledger, prepaid=usable)
+        return msgspec.structs.replace(
+            self, revision=revision, ledger_by_customer=ledgers
+        )
+
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(Shard)
+
+
+def encode_shard(shard: Shard) -> bytes:
+    """Return the value to keep in the platform."""
+    return _encoder.encode(shard)
+
+
+def decode_shard(value: bytes) -> Shard:
+    """Return the shard; `LedgerUnreadable` where it is not one."""
+    try:
+        return _decoder.decode(value)
+    except msgspec.DecodeError as exc:
+        raise LedgerUnreadable(str(exc)) from exc
+
+
+@dataclass(frozen=True, kw_only=True)
+class Hold:
+    """Tokens set aside for one request, of the slice or of loans."""
+
+    customer: str
+    tokens: int
+    reservation: Reservation | None
+
+
+class Account:
+    """One customer's tokens at this process."""
+
+    def __init__(self, *, customer: str, holder: str) -> None:
+        self.slice = Slice(profile=customer, router=holder)
+        self.ledger = Ledger()
+        self.lacking = 0
+        self._customer = customer
+        self._borrowed = 0
+        self._meter = DemandMeter()
+        self._largest = 0
+        self._settled_at_spend = 0
+
+    @property
+    def free(self) -> int:
+        """Tokens of the slice that can be set aside now."""
+        return self.slice.free
+
+    def reserve(self, tokens: int) -> Hold | None:
+        """Set tokens aside, of loans first: they can't be given back."""
+        if tokens <= self._borrowed:
+            self._borrowed -= tokens
+            return Hold(customer=self._customer, tokens=tokens, reservation=None)
+        try:
+            reservation = self.slice.reserve(sidecar=DIRECT, tokens=tokens)
+        except BudgetRefused:
+            return None
+        return Hold(customer=self._customer, tokens=tokens, reservation=reservation)
+
+    def asked(self, tokens: int, now: float) -> None:
+        """Count the demand, whether it is met or not."""
+        self._meter.add(tokens=tokens, now=now)
+        self._largest = max(self._largest, tokens)
+
+    def settle(self, hold: Hold, *, spent: int) -> None:
+        """Replace what was set aside by what the request took."""
+        if hold.reservation is None:
+            self._borrowed += max(0, hold.tokens - spent)
+            return
+        self.slice.settle(hold.reservation, spent=min(spent, hold.tokens))
+
+    def lend(self, asker: SliceNeed, now: float) -> int:
+        """Charge a loan to the slice and return its tokens; 0 for none."""
+        tokens = min(
+            self.free,
+            to_lend(free=max(0, self.free), own=self.need(now), asker=asker),
+            asker.lacking,
+        )
+        hold = self.reserve_of_slice(tokens)
+        if hold is None:
+            return 0
+        self.slice.settle(hold, spent=tokens)
+        return tokens
+
+    def reserve_of_slice(self, tokens: int) -> Reservation | None:
+        """Set tokens of the slice aside, or return None."""
+        if tokens <= 0:
+            return None
+        try:
+            return self.slice.reserve(sidecar=DIRECT, tokens=tokens)
+        except BudgetRefused:
+            return None
+
+    def borrow(self, tokens: int) -> None:
+        """Add a loan that came in."""
+        self._borrowed += tokens
+
+    def need(self, now: float) -> SliceNeed:
+        """Return what the sizing of slices looks at."""
+        return SliceNeed(
+            holding=max(0, self.slice.granted - self.slice.spent),
+            demand=self._meter.rate(now=now),
+            largest_request=self._largest,
+            waiting=self.lacking,
+            lacking=self.lacking,
+            ride_out_seconds=RIDE_OUT_SECONDS,
+            spread=Spread.WIDE,
+        )
+
+    def propose(self, ledger: Ledger, *, nonce: str, now: float) -> bool:
+        """Prepare a renewal where one is due; return whether one is pending."""
+        if self.slice.pending is not None:
+            return True
+        need = self.need(now)
+        holder = self.slice.router
+        take = to_take(ledger, router=holder, need=need)
+        give_back = to_give_back(ledger, router=holder, need=need)
+        if not self._due(need.holding, take, give_back):
+            return False
+        self.slice.propose(
+            nonce=nonce,
+            sidecars=(DIRECT,),
+            want=take,
+            give_back=give_back,
+            cap=UNCAPPED,
+            demand=need.demand,
+        )
+        self._settled_at_spend = self.slice.spent
+        return True
+
+    def resolve(self, ledger: Ledger) -> None:
+        """Take over a pending renewal that has taken effect in the ledger."""
+        self.ledger = ledger
+        grant = ledger.grants.get(self.slice.router)
+        if self.slice.owns(grant):
+            self.slice.accept(grant)
+
+    def _due(self, holding: int, take: int, give_back: int) -> bool:
+        if self.lacking and take:
+            return True
+        if take > holding * (1 - REFILL_SHARE) / REFILL_SHARE:
+            return True
+        unsettled = self.slice.spent - self._settled_at_spend
+        return give_back > 0 or unsettled > self.slice.granted * SETTLE_SHARE > 0
+
+
+class Allowances:
+    """All customers' accounts at one process, and their renewal.
+
+    Parameters
+    ----------
+    holder : str
+        Incarnation of this process; a start under the same name is another one.
+
+    Examples
+    --------
+    >>> allowances = Allowances(holder="ingress-1/a")
+    >>> shard = Shard().provisioned({"surco": 1000}, revision=1)
+    >>> allowances.account("surco").asked(100, 0.0)
+    >>> renewed = allowances.renewed(shard, now=0.0)
+    >>> allowances.resolve(renewed)
+    >>> allowances.account("surco").free > 100
+    True
+    """
+
+    def __init__(self, *, holder: str) -> None:
+        self.holder = holder
+        self._account_by_customer: dict[str, Account] = {}
+        self._nonces = count(1)
+
+    def account(self, customer: str) -> Account:
+        """Return the customer's account."""
+        account = self._account_by_customer.get(customer)
+        if account is None:
+            account = Account(customer=customer, holder=self.holder)
+            self._account_by_customer[customer] = account
+        return account
+
+    @property
+    def lacking(self) -> bool:
+        """Whether a request waits for tokens."""
+        return any(one.lacking for one in self._account_by_customer.values())
+
+    def resolve(self, shard: Shard) -> None:
+        """Take over from the platform's shard what has taken effect there."""
+        for name, ledger in shard.ledger_by_customer.items():
+            self.account(name).resolve(ledger)
+
+    def renewed(self, shard: Shard, *, now: float) -> Shard:
+        """Return the shard with all renewals that are due; the same if none is."""
+        ledgers = dict(shard.ledger_by_customer)
+        changed = False
+        for name, ledger in shard.ledger_by_customer.items():
+            account = self.account(name)
+            nonce = f"{self.holder}/{next(self._nonces)}"
+            if account.propose(ledger, nonce=nonce, now=now):
+                ledgers[name] = ledger.renew(account.slice.pending)
+                changed = True
+        if not changed:
+            return shard
+        return msgspec.structs.replace(shard, ledger_by_customer=ledgers)
+
+    def closed(self, shard: Shard) -> Shard:
+        """Return the shard without this process's grants, its spend charged.
+
+        Call it only when no request is open.
+        """
+        ledgers = dict(shard.ledger_by_customer)
+        for name, account in self._account_by_customer.items():
+            ledger = ledgers.get(name)
+            if ledger is None or self.holder not in ledger.grants:
+                continue
+            pending = account.slice.pending
+            if pending is not None:
+                ledger = ledger.renew(pending)
+                account.resolve(ledger)
+            renewal = account.slice.propose(nonce=f"{self.holder}/end", cap=UNCAPPED)
+            ledgers[name] = ledger.close(renewal)
+        return msgspec.structs.replace(shard, ledger_by_customer=ledgers)
+
+    def merged(self, shard: Shard) -> Shard:
+        """Return the shard without the grants of earlier starts of this process.
+
+        Only one process of a name runs at a time, so they are dead.  They are
+        charged whole: what they spent since they last told is not known.
+        """
+        name = self.holder.partition("/")[0]
+        ledgers = dict(shard.ledger_by_customer)
+        for customer, ledger in ledgers.items():
+            for holder in list(ledger.grants):
+                if holder.partition("/")[0] == name and holder != self.holder:
+                    ledger = ledger.seal(holder)
+                    ledger = ledger.write_off(router=holder, sidecar=DIRECT)
+            ledgers[customer] = ledger
+        return msgspec.structs.replace(shard, ledger_by_customer=ledgers)
--- /dev/null
+++ b/src/ragwortkeel/ingress/answers.py
@@ -0,0 +1,78 @@
+"""The ingress's own answers: refusals that tell what happened and when to return."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+import msgspec
+
+from ragwortkeel.http_responder import Responder
+
+PROBLEM_TYPE = "application/problem+json"
+
+
+class Result(StrEnum):
+    """What a caller may conclude about its request."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answer:
+    """A final answer of the ingress's own.
+
+    `retry_after_seconds` is None where coming back does not help.
+    """
+
+    status: int
+    reason: str
+    result: Result
+    retry_after_seconds: float | None = None
+
+
+class _Problem(msgspec.Struct, frozen=True, kw_only=True):
+    status: int
+    title: str
+    outcome: Result
+    reason: str
+
+
+NO_CONFIGURATION = Answer(
+    status=503,
+    reason="no_configuration",
+    result=Result.NOT_RUN,
+    retry_after_seconds=0.5,
+)
+NO_ROUTE = Answer(status=404, reason="no_route", result=Result.NOT_RUN)
+UNKNOWN_KEY = Answer(status=401, reason="unknown_key", result=Result.NOT_RUN)
+BAD_REQUEST = Answer(status=400, reason="bad_headers", result=Result.NOT_RUN)
+BUDGET_EXHAUSTED = Answer(status=402, reason="budget_exhausted", result=Result.NOT_RUN)
+BUDGET_UNREACHABLE = Answer(
+    status=503,
+    reason="budget_unreachable",
+    result=Result.NOT_RUN,
+    retry_after_seconds=0.7,
+)
+QUARANTINED = Answer(status=503, reason="quarantined", result=Result.NOT_RUN)
+NO_UPSTREAM = Answer(
+    status=503, reason="no_upstream", result=Result.NOT_RUN, retry_after_seconds=0.6
+)
+OVERLOADED = Answer(
+    status=503, reason="overloaded", result=Result.NOT_RUN, retry_after_seconds=0.8
+)
+TIMED_OUT = Answer(status=504, reason="timed_out", result=Result.UNKNOWN)
+BROKEN = Answer(status=502, reason="upstream_broke_off", result=Result.UNKNOWN)
+
+
+async def send_answer(responder: Responder, answer: Answer) -> None:
+    """Send an own answer; its connection stays usable."""
+    problem = _Problem(
+        status=answer.status,
+        title=answer.reason.replace("_", " "),
+        outcome=answer.result,
+        reason=answer.reason,
+    )
+    headers = {"content-type": PROBLEM_TYPE}
+    if answer.retry_after_seconds is not None:
+        headers["retry-after"] = f"{answer.retry_after_seconds:g}"
+    await responder.respond(answer.status, msgspec.json.encode(problem), headers)
--- /dev/null
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -0,0 +1,260 @@
+"""One run of a request at one upstream, relayed to the caller.
+
+Failures it guards against: half an answer, another request's answer, an answer
+without its signature, or bytes that are no answer must never look like a good
+one.  A plain answer is read whole before any of it goes to the caller; a stream
+passes whole events only, and its end only where the upstream marked it.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from time import monotonic
+
+import curio
+
+from ragwortkeel.exceptions import ConnectFailed, ExchangeBroken
+from ragwortkeel.http_responder import Responder
+from ragwortkeel.ingress.configuration import Route
+from ragwortkeel.ingress.events import EventCutter
+from ragwortkeel.ingress.names import HOP_BY_HOP, HeaderNames
+from ragwortkeel.ingress.outcomes import (
+    Answered,
+    Broken,
+    BrokenReason,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Streamed,
+)
+from ragwortkeel.ingress.placement import Placed
+from ragwortkeel.ingress.upstream_connection import (
+    Head,
+    Outgoing,
+    UpstreamConnection,
+    UpstreamConnections,
+)
+
+EVENT_STREAM = "text/event-stream"
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""A plain answer is held whole; a larger one counts as broken."""
+
+SILENCE_SECONDS = 1.5
+"""A pause in a resumable stream after which it goes on elsewhere: over twice the
+longest pause that callers take as on time, under the two seconds after which
+they leave."""
+
+FIRST_SILENCE_SECONDS = 3.0
+"""The same before the first event: an engine may be reading long prompts."""
+
+MISDIRECTED = 421
+
+
+@dataclass(frozen=True, kw_only=True)
+class Call:
+    """A caller's request as it is sent on.
+
+    Attributes
+    ----------
+    deadline : float
+        Monotonic second by which the answer has to be there.
+    urgency : int or None
+        For engines; None leaves the header out.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    fields: tuple[tuple[str, str], ...]
+    body: bytes
+    route: Route
+    deadline: float
+    customer: str = ""
+    urgency: int | None = None
+    last_event: str = ""
+
+
+class Relay:
+    """What of a stream has gone to the caller, over all runs of the request."""
+
+    def __init__(self, *, responder: Responder, last_event: str) -> None:
+        self.responder = responder
+        last_id = int(last_event) if last_event.isdecimal() else None
+        self.cutter = EventCutter(last_id=last_id)
+
+    @property
+    def started(self) -> bool:
+        """Whether the caller has the head of its answer."""
+        return self.responder.started
+
+
+class Attempt:
+    """Runs one call at one upstream.
+
+    Parameters
+    ----------
+    on_first_event
+        Called once the prompt has been read.
+    """
+
+    def __init__(
+        self,
+        *,
+        call: Call,
+        placed: Placed,
+        relay: Relay,
+        names: HeaderNames,
+        connections: UpstreamConnections,
+        on_first_event: Callable[[], None],
+    ) -> None:
+        self._call = call
+        self._placed = placed
+        self._relay = relay
+        self._names = names
+        self._connections = connections
+        self._on_first_event = on_first_event
+        self.sent = False
+
+    async def run(self) -> Outcome:
+        """Run the call; whatever happens, the connection is closed or kept."""
+        upstream = self._placed.upstream
+        fresh = not self._call.route.repeatable
+        try:
+            connection = await self._connections.take(upstream, fresh=fresh)
+        except ConnectFailed as exc:
+            return NotRun(reason=NotRunReason.UNREACHABLE, detail=str(exc))
+        kept = False
+        try:
+            outcome = await self._exchange(connection)
+            kept = not isinstance(outcome, Broken)
+            return outcome
+        finally:
+            if kept:
+                await self._connections.give_back(upstream, connection)
+            else:
+                await connection.close()
+
+    async def _exchange(self, connection: UpstreamConnection) -> Outcome:
+        left = self._call.deadline - monotonic()
+        try:
+            async with curio.timeout_after(max(0.001, left)):
+                self.sent = True
+                await connection.send(self._outgoing(left))
+                return await self._answer(connection)
+        except curio.TaskTimeout:
+            return Broken(reason=BrokenReason.DEADLINE)
+        except ExchangeBroken as exc:
+            return Broken(reason=BrokenReason.CLOSED, detail=str(exc))
+
+    async def _answer(self, connection: UpstreamConnection) -> Outcome:
+        head = await self._head(connection)
+        if isinstance(head, Broken):
+            return head
+        if head.status == MISDIRECTED or head.get(self._names.not_run):
+            await _read_all(connection)
+            return _not_run(head)
+        if head.get("content-encoding"):
+            return Broken(reason=BrokenReason.SPOILED, detail="an encoded body")
+        if head.status < 300 and not head.get(self._names.proof):
+            return Broken(reason=BrokenReason.SPOILED, detail="no signature")
+        streams = head.get("content-type").startswith(EVENT_STREAM)
+        if streams and head.status < 300:
+            return await self._stream(connection, head)
+        body = await _read_all(connection)
+        self._on_first_event()
+        return Answered(head=head, body=body)
+
+    async def _head(self, connection: UpstreamConnection) -> Head | Broken:
+        request_id = self._call.request_id
+        if not self._call.route.resumable:
+            return await connection.head(request_id)
+        try:
+            async with curio.timeout_after(FIRST_SILENCE_SECONDS):
+                return await connection.head(request_id)
+        except curio.TaskTimeout:
+            return Broken(reason=BrokenReason.SILENT)
+
+    async def _stream(self, connection: UpstreamConnection, head: Head) -> Outcome:
+        cutter = self._relay.cutter
+        cutter.restart()
+        silence = FIRST_SILENCE_SECONDS
+        while True:
+            piece = await self._piece(connection, silence)
+            if isinstance(piece, Broken):
+                return piece
+            if piece is None:
+                return await self._end(head)
+            whole = cutter.cut(piece)
+            if whole:
+                self._on_first_event()
+                silence = SILENCE_SECONDS
+                await self._pass_on(head, whole)
+
+    async def _piece(
+        self, connection: UpstreamConnection, silence: float
+    ) -> bytes | Broken | None:
+        if not self._call.route.resumable:
+            return await connection.piece()
+        try:
+            async with curio.timeout_after(silence):
+                return await connection.piece()
+        except curio.TaskTimeout:
+            return Broken(reason=BrokenReason.SILENT)
+
+    async def _pass_on(self, head: Head, whole: bytes) -> None:
+        responder = self._relay.responder
+        if not self._relay.started:
+            await responder.start_with(head.status, passed_fields(head), whole)
+            return
+        await responder.send(whole)
+
+    async def _end(self, head: Head) -> Outcome:
+        if self._relay.cutter.has_rest:
+            detail = "ended within an event"
+            return Broken(reason=BrokenReason.CLOSED, detail=detail)
+        responder = self._relay.responder
+        if not self._relay.started:
+            await responder.start(head.status, dict(passed_fields(head)))
+        await responder.finish()
+        return Streamed(events=self._relay.cutter.events)
+
+    def _outgoing(self, left: float) -> Outgoing:
+        call, names = self._call, self._names
+        fields = [(k, v) for k, v in call.fields if k not in names.dropped]
+        fields.append((names.deadline, str(max(1, int(left * 1000)))))
+        fields.append((names.expect_instance, self._placed.upstream.name))
+        if call.customer:
+            fields.append((names.customer, call.customer))
+        if call.urgency is not None:
+            fields.append((names.urgency, str(call.urgency)))
+        if self._relay.cutter.events:
+            fields = [(k, v) for k, v in fields if k != names.last_event]
+            fields.append((names.last_event, str(self._relay.cutter.last_id)))
+        return Outgoing(
+            method=call.method,
+            target=call.target,
+            fields=tuple(fields),
+            body=call.body,
+        )
+
+
+def passed_fields(head: Head) -> list[tuple[str, str]]:
+    """Return the headers of an upstream's answer that its caller gets."""
+    return [(k, v) for k, v in head.fields if k not in HOP_BY_HOP]
+
+
+def _not_run(head: Head) -> NotRun:
+    if head.status == MISDIRECTED:
+        return NotRun(reason=NotRunReason.OTHER_INSTANCE)
+    return NotRun(reason=NotRunReason.FULL, detail=str(head.status))
+
+
+async def _read_all(connection: UpstreamConnection) -> bytes:
+    pieces = []
+    size = 0
+    while (piece := await connection.piece()) is not None:
+        size += len(piece)
+        if size > MAX_ANSWER_BYTES:
+            raise ExchangeBroken("an answer without an end")
+        pieces.append(piece)
+    return b"".join(pieces)
--- /dev/null
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -0,0 +1,241 @@
+"""Keeps the slices of all customers filled, against the platform and the peers.
+
+One task owns the writes.  A request that lacks tokens wakes it, waits a moment
+for what the platform or a peer gives, and is refused at once when neither can.
+"""
+
+from collections.abc import Awaitable, Callable
+from time import monotonic
+
+import curio
+
+from ragwortkeel.budget.sizing import SliceNeed
+from ragwortkeel.configuration import Spread
+from ragwortkeel.exceptions import (
+    AlreadyExists,
+    LedgerError,
+    ObjectNotFound,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    RouterSealed,
+    VersionConflict,
+)
+from ragwortkeel.ingress.allowance import (
+    RIDE_OUT_SECONDS,
+    SHARDS_KIND,
+    Account,
+    Allowances,
+    Hold,
+    Shard,
+    decode_shard,
+    encode_shard,
+)
+from ragwortkeel.ingress.configuration import Customer
+from ragwortkeel.ingress.routing import RoutingTable
+from ragwortkeel.logs import log_error, log_info, log_warning
+from ragwortkeel.messages import LoanRequest
+from ragwortkeel.platform import Platform, Stored
+
+SHARD_NAME = "shard-0"
+"""One object holds a few hundred customers' ledgers in under a megabyte."""
+
+TICK_SECONDS = 1.0
+"""Renewals a second and process: at this rate 30 processes use under a tenth of
+the writes that the platform allows them."""
+
+RETRY_SECONDS = 0.4
+"""Pause after a failed call: each call is paid for, also in an outage."""
+
+LACK_WAIT_SECONDS = 0.25
+"""How long a request waits for tokens: some fifty answers of the platform, and
+less than the patience of any caller."""
+
+FRESH_SECONDS = 2.5
+"""A ledger read so lately tells what is left of a budget."""
+
+
+class BudgetKeeper:
+    """Reserves and settles tokens, and renews slices.
+
+    Parameters
+    ----------
+    platform : Platform
+        Where the ledgers lie.
+    ask_peers : callable
+        Asks the other processes for a loan of tokens for a customer.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        holder: str,
+        ask_peers: Callable[[str, Account], Awaitable[None]],
+    ) -> None:
+        self.allowances = Allowances(holder=holder)
+        self._platform = platform
+        self._ask_peers = ask_peers
+        self._table: RoutingTable | None = None
+        self._read_at = float("-inf")
+        self._merged = False
+        self._woken = curio.Event()
+        self._renewed = curio.Event()
+        self._reachable = True
+
+    def configure(self, table: RoutingTable) -> None:
+        """Take over the budgets of a configuration at the next renewal."""
+        self._table = table
+
+    async def reserve(self, customer: Customer, tokens: int) -> Hold | None:
+        """Set tokens aside, or return None where they are not to be had now."""
+        account = self.allowances.account(customer.name)
+        account.asked(tokens, monotonic())
+        hold = account.reserve(tokens)
+        if hold is None:
+            hold = await self._reserve_late(account, customer, tokens)
+        return hold
+
+    def settle(self, hold: Hold, *, spent: int) -> None:
+        """Replace what was set aside by what the request took."""
+        self.allowances.account(hold.customer).settle(hold, spent=spent)
+
+    def is_exhausted(self, customer: Customer, tokens: int) -> bool:
+        """Whether the budget surely can't cover a request of this size."""
+        if monotonic() - self._read_at > FRESH_SECONDS:
+            return False
+        ledger = self.allowances.account(customer.name).ledger
+        return ledger.prepaid - ledger.total_spent < tokens
+
+    async def run(self) -> None:
+        """Renew slices until cancelled."""
+        while True:
+            pause = TICK_SECONDS
+            if self._table is not None and not await self._renew():
+                pause = RETRY_SECONDS
+            await self._pause(pause)
+
+    async def close(self) -> bool:
+        """Give all slices back; call it once no request is open."""
+        try:
+            stored, shard = await self._read()
+            self.allowances.resolve(shard)
+            await self._write(stored, self.allowances.closed(shard))
+        except (PlatformUnavailable, OutcomeUnknown, VersionConflict) as exc:
+            # What was held stays charged, which is safe; only less is left.
+            log_warning("slices_not_returned", error=str(exc))
+            return False
+        log_info("slices_returned", holder=self.allowances.holder)
+        return True
+
+    def lend(self, request: LoanRequest) -> int:
+        """Charge a loan for a peer and return its tokens; 0 for none."""
+        account = self.allowances.account(request.customer)
+        asker = SliceNeed(
+            holding=request.holding,
+            demand=request.demand,
+            largest_request=request.largest_request,
+            lacking=request.lacking,
+            ride_out_seconds=RIDE_OUT_SECONDS,
+            spread=Spread.WIDE,
+        )
+        tokens = account.lend(asker, monotonic())
+        if tokens:
+            log_info("loan_granted", customer=request.customer, tokens=tokens)
+        return tokens
+
+    async def arrived(self) -> None:
+        """Tell the requests that wait that a loan came in."""
+        await self._renewed.set()
+
+    async def _reserve_late(
+        self, account: Account, customer: Customer, tokens: int
+    ) -> Hold | None:
+        account.lacking += tokens
+        waits_until = monotonic() + LACK_WAIT_SECONDS
+        try:
+            await self._woken.set()
+            asked = False
+            while (left := waits_until - monotonic()) > 0:
+                self._renewed.clear()
+                async with curio.ignore_after(left):
+                    await self._renewed.wait()
+                hold = account.reserve(tokens)
+                if hold is not None:
+                    return hold
+                if self.is_exhausted(customer, tokens):
+                    return None
+                if not asked:
+                    asked = True
+                    await self._ask_peers(customer.name, account)
+        finally:
+            account.lacking -= tokens
+        return None
+
+    async def _pause(self, seconds: float) -> None:
+        async with curio.ignore_after(seconds):
+            await self._woken.wait()
+        self._woken.clear()
+
+    async def _renew(self) -> bool:
+        try:
+            await self._renew_once()
+        except (PlatformUnavailable, OutcomeUnknown) as exc:
+            self._note_reachable(False, str(exc))
+            return False
+        except (VersionConflict, AlreadyExists, ObjectNotFound):
+            # Another process wrote first: look again at once.
+            await self._woken.set()
+            return True
+        except (LedgerError, RouterSealed) as exc:
+            log_error("renewal_failed", error=repr(exc))
+            return False
+        finally:
+            await self._renewed.set()
+        self._note_reachable(True, "")
+        return True
+
+    async def _renew_once(self) -> None:
+        stored, shard = await self._read()
+        self.allowances.resolve(shard)
+        now = monotonic()
+        renewed = shard.provisioned(
+            _prepaid(self._table), self._table.configuration.revision
+        )
+        if not self._merged:
+            renewed = self.allowances.merged(renewed)
+        renewed = self.allowances.renewed(renewed, now=now)
+        if renewed != shard:
+            await self._write(stored, renewed)
+            self.allowances.resolve(renewed)
+        self._merged = True
+        self._read_at = now
+
+    async def _read(self) -> tuple[Stored | None, Shard]:
+        stored = await self._platform.get(SHARDS_KIND, SHARD_NAME)
+        if stored is None:
+            return None, Shard()
+        return stored, decode_shard(stored.value)
+
+    async def _write(self, stored: Stored | None, shard: Shard) -> None:
+        value = encode_shard(shard)
+        if stored is None:
+            await self._platform.create(SHARDS_KIND, SHARD_NAME, value)
+            return
+        await self._platform.update(SHARDS_KIND, SHARD_NAME, value, stored.version)
+
+    def _note_reachable(self, reachable: bool, error: str) -> None:
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        if reachable:
+            log_info("dependency_regained", dependency="ledgers")
+        else:
+            log_warning("dependency_lost", dependency="ledgers", error=error)
+
+
+def _prepaid(table: RoutingTable) -> dict[str, int]:
+    return {
+        name: customer.prepaid
+        for name, customer in table.customer_by_name.items()
+        if customer.prepaid is not None
+    }
--- /dev/null
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -0,0 +1,122 @@
+"""Gives waiting requests their places, in order, as soon as there is room."""
+
+from dataclasses import dataclass
+from time import monotonic
+
+import curio
+
+from ragwortkeel.ingress.configuration import Service
+from ragwortkeel.ingress.directory import Directory
+from ragwortkeel.ingress.placement import Job, Placed, Placement
+from ragwortkeel.ingress.waiting import Waiter, WaitingRoom
+
+PLACING_SECONDS = 0.05
+"""How often waiting requests are looked at even if nothing was released here:
+other processes' work ends too, and is told about as often."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class NoRoom:
+    """The request got no place in time; it did not run."""
+
+    waiting: int
+    upstreams: int
+
+
+class Dispatcher:
+    """Hands out places at upstreams.
+
+    Parameters
+    ----------
+    directory, placement
+        Which upstreams there are, and which of them is best.
+    """
+
+    def __init__(self, *, directory: Directory, placement: Placement) -> None:
+        self.room = WaitingRoom()
+        self._directory = directory
+        self._placement = placement
+        self._placed_by_id: dict[str, Placed] = {}
+        self._turn_by_id: dict[str, curio.Event] = {}
+        self._service_by_name: dict[str, Service] = {}
+
+    async def acquire(
+        self,
+        job: Job,
+        *,
+        service: Service,
+        latest_start: float,
+        tried: frozenset[str] = frozenset(),
+    ) -> Placed | NoRoom:
+        """Return a place for the request, which `release` has to give back."""
+        self._service_by_name[service.name] = service
+        if not self.room.waiting_before(job):
+            placed = self._try(job, service, tried)
+            if placed is not None:
+                return placed
+        return await self._wait(job, latest_start, tried)
+
+    async def release(self, placed: Placed) -> None:
+        """Give a place back and let the next one have it."""
+        self._placement.release(placed)
+        self.room.ended(placed.job)
+        await self.place_waiting()
+
+    async def place_waiting(self) -> None:
+        """Give places to those who wait, as far as there is room."""
+        for name in self.room.services():
+            service = self._service_by_name[name]
+            for waiter in self.room.in_order(name):
+                placed = self._try(waiter.job, service, waiter.tried)
+                if placed is None:
+                    break
+                self._placed_by_id[waiter.job.request_id] = placed
+                self.room.remove(waiter.job)
+                await self._turn_by_id[waiter.job.request_id].set()
+
+    async def run(self) -> None:
+        """Look after waiting requests until cancelled."""
+        while True:
+            await curio.sleep(PLACING_SECONDS)
+            if len(self.room):
+                await self.place_waiting()
+
+    def _try(self, job: Job, service: Service, tried: frozenset[str]) -> Placed | None:
+        placed = self._placement.choose(
+            job,
+            service=service,
+            upstream_by_name=self._directory.usable(service=service.name),
+            tried=tried,
+            now=monotonic(),
+        )
+        if placed is not None:
+            self.room.started(job)
+        return placed
+
+    async def _wait(
+        self, job: Job, latest_start: float, tried: frozenset[str]
+    ) -> Placed | NoRoom:
+        now = monotonic()
+        turn = self._turn_by_id[job.request_id] = curio.Event()
+        self.room.add(
+            Waiter(job=job, arrived_at=now, latest_start=latest_start, tried=tried)
+        )
+        try:
+            async with curio.ignore_after(max(0.0, latest_start - now)):
+                await turn.wait()
+            placed = self._placed_by_id.pop(job.request_id, None)
+            if placed is not None:
+                return placed
+            return self._no_room(job)
+        finally:
+            self.room.remove(job)
+            self._turn_by_id.pop(job.request_id, None)
+            left = self._placed_by_id.pop(job.request_id, None)
+            if left is not None:
+                # The caller left in the moment in which its turn came.
+                self._placement.release(left)
+                self.room.ended(job)
+
+    def _no_room(self, job: Job) -> NoRoom:
+        usable = self._directory.usable(service=job.service)
+        return NoRoom(waiting=self.room.waiting_before(job), upstreams=len(usable))
--- /dev/null
+++ b/src/ragwortkeel/ingress/events.py
@@ -0,0 +1,75 @@
+"""A stream's events as they pass: whole ones only, in order, counted.
+
+Failures it guards against: an upstream breaks off in the middle of an event, and
+the caller would get half of it; a resumed run repeats or leaves out an event,
+and the caller would get it twice or miss it.
+"""
+
+from ragwortkeel.exceptions import ExchangeBroken
+
+_END = b"\n\n"
+_ID = b"id:"
+
+
+class EventCutter:
+    """Cuts the bytes of a run into whole events.
+
+    Parameters
+    ----------
+    last_id : int or None
+        Id of the last event that the caller has; None for none yet.
+
+    Attributes
+    ----------
+    events : int
+        Events passed on so far, over all runs of the request.
+    """
+
+    def __init__(self, *, last_id: int | None = None) -> None:
+        self.last_id = last_id
+        self.events = 0
+        self._rest = b""
+
+    def cut(self, data: bytes) -> bytes:
+        """Return the whole events in what came so far and not yet returned.
+
+        Raises
+        ------
+        ExchangeBroken
+            An event's id does not follow the one before.
+        """
+        data = self._rest + data.replace(b"\r\n", b"\n")
+        end = data.rfind(_END)
+        if end < 0:
+            self._rest = data
+            return b""
+        whole, self._rest = data[: end + 2], data[end + 2 :]
+        for event in whole[:-2].split(_END):
+            self._count(event)
+        return whole
+
+    @property
+    def has_rest(self) -> bool:
+        """Whether part of an event has come and its end has not."""
+        return bool(self._rest.strip())
+
+    def restart(self) -> None:
+        """Forget the part of an event that a broken run left."""
+        self._rest = b""
+
+    def _count(self, event: bytes) -> None:
+        event_id = _event_id(event)
+        if event_id is None:
+            return
+        if self.last_id is not None and event_id != self.last_id + 1:
+            raise ExchangeBroken(f"event {event_id} after {self.last_id}")
+        self.last_id = event_id
+        self.events += 1
+
+
+def _event_id(event: bytes) -> int | None:
+    for line in event.split(b"\n"):
+        if line.startswith(_ID):
+            text = line[len(_ID) :].strip()
+            return int(text) if text.isdigit() else None
+    return None
--- /dev/null
+++ b/src/ragwortkeel/ingress/peers.py
@@ -0,0 +1,222 @@
+"""What ingress processes tell each other: loads, configuration, crashes, loans.
+
+Every process links to the peers that its settings name and to those it hears of
+from them.  Nothing here is needed to be safe: a lost message costs balance, a
+loan or some time, never a promise.
+"""
+
+from time import monotonic
+
+import curio
+
+from ragwortkeel.exceptions import LinkLost
+from ragwortkeel.ingress.allowance import Account
+from ragwortkeel.ingress.placement import Load
+from ragwortkeel.links import Endpoint, Link, LinkDown, LinkUp, Received
+from ragwortkeel.logs import log_debug, log_info, log_warning
+from ragwortkeel.messages import (
+    ConfigurationPush,
+    CrashSeen,
+    Heartbeat,
+    IngressState,
+    LoanRequest,
+    TokenLoan,
+    UpstreamLoad,
+    VersionedObject,
+)
+
+TELL_SECONDS = 0.2
+"""How old a load told by a peer is at the most; three processes placing a burst
+of thirty requests a second misjudge an upstream by a few requests then."""
+
+PEERS_AT_FULL_RATE = 8
+"""With more peers each is told less often, so that the messages of one process
+stay at some forty a second however many there are."""
+
+SILENCE_SECONDS = 2.0
+"""A peer unheard for so long is reconnected to; its loads count no longer."""
+
+
+class Peers:
+    """The links of one ingress process.
+
+    Parameters
+    ----------
+    node : str
+        Name of this process.
+    address : str
+        ``ip:port`` that peers connect to.
+    seeds : tuple of str
+        Addresses to begin with.
+    handler
+        Takes what peers say; see `PeerHandler` in `ingress.worker`.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        incarnation: str,
+        address: str,
+        seeds: tuple[str, ...],
+        handler,
+    ) -> None:
+        self._node = node
+        self._incarnation = incarnation
+        self._address = address
+        self._handler = handler
+        self._inbox: curio.Queue = curio.Queue()
+        self._endpoint = Endpoint(
+            address=address, incarnation=incarnation, revision=handler.revision
+        )
+        self._link_by_address: dict[str, Link] = {}
+        self._known: set[str] = set(seeds) - {address}
+        self._tasks = curio.TaskGroup(wait=None)
+
+    def open(self) -> None:
+        """Bind the socket that peers connect to."""
+        self._endpoint.open()
+
+    @property
+    def count(self) -> int:
+        """Peers that were heard lately."""
+        return sum(link.up for link in self._link_by_address.values())
+
+    async def run(self) -> None:
+        """Talk to peers until cancelled."""
+        async with self._tasks:
+            await self._tasks.spawn(self._answer, daemon=True)
+            await self._tasks.spawn(self._tell, daemon=True)
+            while True:
+                await self._linked(await self._inbox.get())
+
+    async def send_configuration(self, value: VersionedObject) -> None:
+        """Hand a configuration to all peers."""
+        await self._send_all(ConfigurationPush(objects=(value,)))
+
+    async def send_crash(self, crash: CrashSeen) -> None:
+        """Tell all peers of a crash and what ran there."""
+        await self._send_all(crash)
+
+    async def ask_loan(self, customer: str, account: Account) -> None:
+        """Ask all peers for tokens of a customer."""
+        need = account.need(monotonic())
+        request = LoanRequest(
+            customer=customer,
+            lacking=need.lacking,
+            holding=need.holding,
+            demand=need.demand,
+            largest_request=need.largest_request,
+        )
+        await self._send_all(request)
+
+    async def _send_all(self, message) -> None:
+        for link in list(self._link_by_address.values()):
+            if not link.up:
+                continue
+            try:
+                await link.send(message)
+            except LinkLost as exc:
+                log_debug("peer_send_failed", peer=link.name, error=str(exc))
+
+    async def _tell(self) -> None:
+        """Tell loads and addresses, and link to peers that are new."""
+        while True:
+            for address in self._known - self._link_by_address.keys():
+                await self._link(address)
+            state = IngressState(
+                node=self._node,
+                address=self._address,
+                addresses=tuple(sorted(self._known)),
+                load_by_upstream=_wire_loads(self._handler.own_loads()),
+            )
+            await self._send_all(state)
+            crowd = max(1.0, len(self._link_by_address) / PEERS_AT_FULL_RATE)
+            await curio.sleep(TELL_SECONDS * crowd)
+
+    async def _link(self, address: str) -> None:
+        link = Link(
+            name=address,
+            address=address,
+            incarnation=self._incarnation,
+            revision=self._handler.revision,
+            inbox=self._inbox,
+            heartbeat_seconds=SILENCE_SECONDS / 4,
+            silence_seconds=SILENCE_SECONDS,
+        )
+        self._link_by_address[address] = link
+        await self._tasks.spawn(link.run, daemon=True)
+
+    async def _linked(self, event) -> None:
+        match event:
+            case LinkUp(peer=peer):
+                log_info("dependency_regained", dependency="peer", address=peer)
+                await self._greet(peer)
+            case LinkDown(peer=peer):
+                log_warning("dependency_lost", dependency="peer", address=peer)
+            case Received(envelope=envelope):
+                await self._take(envelope.message)
+
+    async def _greet(self, peer: str) -> None:
+        configuration = self._handler.configuration_object()
+        if configuration is None:
+            return
+        try:
+            message = ConfigurationPush(objects=(configuration,))
+            await self._link_by_address[peer].send(message)
+        except LinkLost as exc:
+            log_debug("peer_send_failed", peer=peer, error=str(exc))
+
+    async def _answer(self) -> None:
+        """Take what peers send over their own links; echo what keeps them up."""
+        while True:
+            received = await self._endpoint.receive()
+            answer = await self._take(received.envelope.message)
+            if answer is None:
+                continue
+            try:
+                await self._endpoint.send(received.peer, answer)
+            except LinkLost as exc:
+                log_debug("peer_answer_lost", peer=received.peer, error=str(exc))
+
+    async def _take(self, message):
+        """Take one message in; return what to answer."""
+        match message:
+            case IngressState() as state:
+                self._meet(state)
+                loads = {
+                    name: Load(
+                        running=load.running,
+                        memory_tokens=load.memory_tokens,
+                        unread_tokens=load.unread_tokens,
+                    )
+                    for name, load in state.load_by_upstream.items()
+                }
+                await self._handler.heard_loads(state.node, loads)
+            case ConfigurationPush(objects=objects):
+                for one in objects:
+                    await self._handler.heard_configuration(one)
+            case CrashSeen() as crash:
+                self._handler.heard_crash(crash)
+            case LoanRequest() as request:
+                return self._handler.lend(request)
+            case TokenLoan(customer=customer, tokens=tokens) if tokens > 0:
+                await self._handler.borrowed(customer, tokens)
+            case Heartbeat():
+                return self._handler.heartbeat()
+        return None
+
+    def _meet(self, state: IngressState) -> None:
+        told = {state.address, *state.addresses}
+        self._known |= told - {self._address}
+
+
+def _wire_loads(load_by_upstream: dict[str, Load]) -> dict[str, UpstreamLoad]:
+    return {
+        name: UpstreamLoad(
+            running=load.running,
+            memory_tokens=load.memory_tokens,
+            unread_tokens=load.unread_tokens,
+        )
+        for name, load in load_by_upstream.items()
+    }
--- /dev/null
+++ b/src/ragwortkeel/ingress/placement.py
@@ -0,0 +1,302 @@
+"""Where a request goes: room first, then the least time to its first token.
+
+Patterns of load: long prompts beside short ones, prefixes that most prompts
+share, several ingress processes that choose at the same moment, and upstreams
+that fail fast and so look idle.
+
+- An upstream has room while its slots, its memory and its connections hold one
+  more request, counted at its largest, own work and what the other ingress
+  processes told of theirs.  Without the bound on memory engines evict running
+  requests in the middle of their streams.
+- Among those with room the cheapest wins.  For an engine the cost is the tokens
+  it has to read before the first one comes: what it lacks of this prompt, what
+  it still has to read for others, and `RUNNING_COST_TOKENS` for each request
+  that runs.  Without the first term shared parts are read again at each engine;
+  without the others one hot prefix overloads one engine.
+- A prefix nobody has placed yet goes to its first engine in rendezvous order:
+  ingress processes agree on it without a message.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+from ragwortkeel.ingress.configuration import Engine, Service, Upstream
+from ragwortkeel.ingress.prefixes import KEPT_SHARE, Part, PrefixMemory
+from ragwortkeel.policy.ejection import Ejections
+from ragwortkeel.policy.facts import Failure
+
+RUNNING_COST_TOKENS = 250
+"""Each running request slows the others' steps; over an answer of 300 tokens
+that is about the time of reading this many (measured on the engines' sheet:
+0.1 ms a step against 57 tokens read in a millisecond, halved as answers end)."""
+
+MEMORY_SHARE = 0.92
+"""Of an engine's memory, filled by running requests at their largest; the rest
+absorbs what other processes have placed since they last told."""
+
+HEARD_SECONDS = 2.0
+"""Loads told by another process count this long: several of its heartbeats."""
+
+OUTSIDE_ZONE_COST = 0.05
+"""Of one request: breaks ties towards the own zone, where no byte is charged."""
+
+FIRST_CHOICE_BONUS = 0.9
+"""Share of a cold prefix that its first engine is taken to hold already, as
+another process is likely to have placed it there."""
+
+CONNECTION_SHARE = 0.8
+"""Of an upstream's connections; the rest is for health checks and late closes."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Job:
+    """One request as the placement sees it.
+
+    Attributes
+    ----------
+    memory_tokens : int
+        Prompt and largest answer.
+    """
+
+    request_id: str
+    service: str
+    priority: int
+    customer: str
+    parts: tuple[Part, ...] = ()
+    prompt_tokens: int = 0
+    memory_tokens: int = 0
+
+    @property
+    def affinity(self) -> str:
+        """The last part that others share: the last one is the request's own."""
+        return self.parts[-2].part_id if len(self.parts) > 1 else ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Load:
+    """What one process has at one upstream, in requests and tokens."""
+
+    running: int = 0
+    memory_tokens: int = 0
+    unread_tokens: int = 0
+
+    def __add__(self, other: "Load") -> "Load":
+        return Load(
+            running=self.running + other.running,
+            memory_tokens=self.memory_tokens + other.memory_tokens,
+            unread_tokens=self.unread_tokens + other.unread_tokens,
+        )
+
+
+NO_LOAD = Load()
+
+
+@dataclass(kw_only=True)
+class Placed:
+    """A request's place at an upstream, until `Placement.release`."""
+
+    upstream: Upstream
+    job: Job
+    unread_tokens: int
+    begun: bool = False
+
+
+@dataclass(kw_only=True)
+class _State:
+    """What is known of one upstream."""
+
+    running: int = 0
+    memory_tokens: int = 0
+    unread_tokens: int = 0
+    born: int = 0
+    memory: PrefixMemory | None = None
+    others_by_node: dict[str, tuple[float, Load]] = field(default_factory=dict)
+
+    @property
+    def own(self) -> Load:
+        return Load(
+            running=self.running,
+            memory_tokens=self.memory_tokens,
+            unread_tokens=self.unread_tokens,
+        )
+
+    def total(self, now: float) -> Load:
+        rv = self.own
+        for heard_at, load in self.others_by_node.values():
+            if now - heard_at < HEARD_SECONDS:
+                rv = rv + load
+        return rv
+
+
+class Placement:
+    """Chooses upstreams and counts what is placed at each.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this process.
+    ejections : Ejections
+        Which upstreams fail.
+    """
+
+    def __init__(self, *, zone: str, ejections: Ejections | None = None) -> None:
+        self._zone = zone
+        self.ejections = ejections or Ejections()
+        self._state_by_name: dict[str, _State] = {}
+
+    def choose(
+        self,
+        job: Job,
+        *,
+        service: Service,
+        upstream_by_name: dict[str, Upstream],
+        tried: frozenset[str] = frozenset(),
+        now: float,
+    ) -> Placed | None:
+        """Place the request, or return None where no upstream has room.
+
+        Parameters
+        ----------
+        upstream_by_name : dict
+            The service's upstreams that may get new work.
+        tried : frozenset of str
+            Upstreams to leave out, as the request was there already.
+        now : float
+            Monotonic seconds.
+        """
+        names = [name for name in upstream_by_name if name not in tried]
+        usable = self.ejections.usable(names, now)
+        cost: Callable[[Upstream], float]
+        if service.engine is None:
+            cost = self._plain_cost(job, now)
+        else:
+            cost = self._engine_cost(job, names, now)
+        with_room = [
+            upstream_by_name[name]
+            for name in usable
+            if self._has_room(upstream_by_name[name], service, job, now)
+        ]
+        if not with_room:
+            return None
+        return self._place(min(with_room, key=cost), service, job, now)
+
+    def begun(self, placed: Placed) -> None:
+        """Note the first token: the prompt has been read."""
+        if not placed.begun:
+            placed.begun = True
+            self._state(placed.upstream).unread_tokens -= placed.unread_tokens
+
+    def release(self, placed: Placed) -> None:
+        """Take the request's place back, however it ended."""
+        self.begun(placed)
+        state = self._state(placed.upstream)
+        state.running -= 1
+        state.memory_tokens -= placed.job.memory_tokens
+
+    def failed(self, upstream: str, failure: Failure, now: float) -> bool:
+        """Note a failure; return whether the upstream is left alone now."""
+        return self.ejections.failed(upstream, failure, now)
+
+    def forget(self, upstream: str) -> None:
+        """Drop what a restarted or gone upstream no longer holds."""
+        state = self._state_by_name.get(upstream)
+        if state is not None:
+            state.memory = None
+
+    def own_loads(self) -> dict[str, Load]:
+        """Return what this process has at each upstream, for its peers."""
+        return {
+            name: state.own
+            for name, state in self._state_by_name.items()
+            if state.running
+        }
+
+    def heard(self, node: str, load_by_upstream: dict[str, Load], now: float) -> None:
+        """Take in what another process has at each upstream."""
+        for name in load_by_upstream:
+            self._state_by_name.setdefault(name, _State())
+        for name, state in self._state_by_name.items():
+            load = load_by_upstream.get(name, NO_LOAD)
+            state.others_by_node[node] = (now, load)
+
+    def keep(self, upstreams: set[str]) -> None:
+        """Forget upstreams that are gone and hold no own work."""
+        self.ejections.keep(upstreams)
+        self._state_by_name = {
+            name: state
+            for name, state in self._state_by_name.items()
+            if name in upstreams or state.running
+        }
+
+    def _state(self, upstream: Upstream) -> _State:
+        state = self._state_by_name.setdefault(upstream.name, _State())
+        if state.born != upstream.born:
+            state.born = upstream.born
+            state.memory = None
+        return state
+
+    def _has_room(
+        self, upstream: Upstream, service: Service, job: Job, now: float
+    ) -> bool:
+        total = self._state(upstream).total(now)
+        connections = int(service.max_connections * CONNECTION_SHARE)
+        if total.running >= min(upstream.slots, connections):
+            return False
+        if service.engine is None:
+            return True
+        room = service.engine.memory_tokens * MEMORY_SHARE - total.memory_tokens
+        return job.memory_tokens <= room or total.running == 0
+
+    def _plain_cost(self, job: Job, now: float) -> Callable[[Upstream], float]:
+        def cost(upstream: Upstream) -> tuple[float, int]:
+            total = self._state(upstream).total(now)
+            used = (total.running + self._outside(upstream)) / max(1, upstream.slots)
+            return used, _rendezvous(job.request_id, upstream.name)
+
+        return cost
+
+    def _engine_cost(
+        self, job: Job, names: list[str], now: float
+    ) -> Callable[[Upstream], float]:
+        first = max(names, key=lambda n: _rendezvous(job.affinity, n), default="")
+        shared = sum(part.tokens for part in job.parts[:-1])
+
+        def cost(upstream: Upstream) -> float:
+            state = self._state(upstream)
+            total = state.total(now)
+            held = state.memory.held(job.parts) if state.memory else 0
+            if job.affinity and upstream.name == first:
+                held = max(held, int(shared * FIRST_CHOICE_BONUS))
+            missing = max(0, job.prompt_tokens - held)
+            running = (total.running + self._outside(upstream)) * RUNNING_COST_TOKENS
+            return missing + total.unread_tokens + running
+
+        return cost
+
+    def _outside(self, upstream: Upstream) -> float:
+        return 0.0 if upstream.zone == self._zone else OUTSIDE_ZONE_COST
+
+    def _place(
+        self, upstream: Upstream, service: Service, job: Job, now: float
+    ) -> Placed:
+        state = self._state(upstream)
+        unread = job.prompt_tokens
+        if service.engine is not None:
+            state.memory = state.memory or _memory(service.engine)
+            unread = max(0, unread - state.memory.held(job.parts))
+            state.memory.read(job.parts)
+        state.running += 1
+        state.memory_tokens += job.memory_tokens
+        state.unread_tokens += unread
+        self.ejections.assigned(upstream.name, now)
+        return Placed(upstream=upstream, job=job, unread_tokens=unread)
+
+
+def _memory(engine: Engine) -> PrefixMemory:
+    return PrefixMemory(capacity_tokens=int(engine.memory_tokens * KEPT_SHARE))
+
+
+def _rendezvous(key: str, name: str) -> int:
+    digest = blake2b(f"{key}/{name}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest)
--- /dev/null
+++ b/src/ragwortkeel/ingress/routing.py
@@ -0,0 +1,91 @@
+"""Which route, customer and service a request belongs to.
+
+Traffic splits are drawn by a hash of the request's id, not at random: the same
+request at two ingress processes falls on the same service.
+"""
+
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from ragwortkeel.ingress.configuration import (
+    Customer,
+    IngressConfiguration,
+    Route,
+    Service,
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class NoRoute:
+    """No route has this host and path."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class UnknownKey:
+    """The route wants a customer's key and the request bears none that is known."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Routed:
+    """The request may be served; `customer` is None on a public route."""
+
+    route: Route
+    customer: Customer | None
+
+
+Routing = NoRoute | UnknownKey | Routed
+
+
+class RoutingTable:
+    """One configuration, indexed for look-ups.
+
+    Examples
+    --------
+    >>> table = RoutingTable(configuration=IngressConfiguration(revision=1))
+    >>> table.route(host="a.example", path="/x/", key="")
+    NoRoute()
+    """
+
+    def __init__(self, *, configuration: IngressConfiguration) -> None:
+        self.configuration = configuration
+        self.service_by_name: dict[str, Service] = {
+            service.name: service for service in configuration.services
+        }
+        self.customer_by_name = {one.name: one for one in configuration.customers}
+        self._customer_by_key = {
+            key: one for one in configuration.customers for key in one.keys
+        }
+        self._routes_by_host: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            self._routes_by_host.setdefault(route.host.lower(), []).append(route)
+        for routes in self._routes_by_host.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def route(self, *, host: str, path: str, key: str) -> Routing:
+        """Return where a request belongs."""
+        name = host.lower().partition(":")[0]
+        for route in self._routes_by_host.get(name, ()):
+            if path.startswith(route.prefix):
+                return self._admit(route, key)
+        return NoRoute()
+
+    def _admit(self, route: Route, key: str) -> Routing:
+        customer = self._customer_by_key.get(key)
+        wants_key = bool(self.customer_by_name) and not route.public
+        if wants_key and customer is None:
+            return UnknownKey()
+        return Routed(route=route, customer=None if route.public else customer)
+
+
+def split_service(route: Route, request_id: str) -> str:
+    """Return the service that this request of a route falls on."""
+    total = sum(split.weight for split in route.splits)
+    if total <= 0:
+        return route.splits[0].service
+    digest = blake2b(request_id.encode(), digest_size=8).digest()
+    point = int.from_bytes(digest) / 2**64 * total
+    for split in route.splits:
+        point -= split.weight
+        if point < 0:
+            return split.service
+    return route.splits[-1].service
--- /dev/null
+++ b/src/ragwortkeel/ingress/usage.py
@@ -0,0 +1,62 @@
+"""What a request may cost at most, and what it cost, in tokens."""
+
+from dataclasses import dataclass
+
+from ragwortkeel.ingress.prefixes import Part
+
+UNSEEN_EVENTS = 3
+"""Events an upstream may have made between the last one that got here and the
+close of a stream that was broken off; one step of its batch makes one."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Usage:
+    """A caller's own bound of one request.
+
+    Attributes
+    ----------
+    prompt_tokens, answer_tokens : int
+        Length of the prompt, largest length of the answer.
+    """
+
+    prompt_tokens: int
+    answer_tokens: int
+
+    @property
+    def total(self) -> int:
+        """Tokens to set aside."""
+        return self.prompt_tokens + self.answer_tokens
+
+    def cost(self, *, events: int, event_tokens: int, whole: bool) -> int:
+        """Return the tokens to charge once a run has ended.
+
+        Parameters
+        ----------
+        events : int
+            Events of the answer that were seen here.
+        whole : bool
+            Whether the answer came to its end.
+        """
+        seen = events if whole else events + UNSEEN_EVENTS
+        return self.prompt_tokens + min(self.answer_tokens, seen * event_tokens)
+
+
+def parse_usage(text: str) -> Usage | None:
+    """Return the usage in ``PROMPT,ANSWER``; None where it is none."""
+    prompt, _, answer = text.partition(",")
+    try:
+        usage = Usage(prompt_tokens=int(prompt), answer_tokens=int(answer))
+    except ValueError:
+        return None
+    return usage if min(usage.prompt_tokens, usage.answer_tokens) >= 0 else None
+
+
+def parse_parts(text: str) -> tuple[Part, ...]:
+    """Return the prompt's parts in ``ID:TOKENS,...``; what is unreadable ends them."""
+    parts = []
+    for item in text.split(","):
+        part_id, _, tokens = item.strip().partition(":")
+        if not part_id or not tokens.isdecimal():
+            break
+        parts.append(Part(part_id=part_id, tokens=int(tokens)))
+    return tuple(parts)
--- /dev/null
+++ b/src/ragwortkeel/ingress/worker.py
@@ -0,0 +1,277 @@
+"""The ingress daemon's work: ties its parts together."""
+
+import secrets
+from time import monotonic
+
+import curio
+
+from ragwortkeel.configuration_store import InForce
+from ragwortkeel.exceptions import ConfigurationUnreadable
+from ragwortkeel.http_server import HttpServer
+from ragwortkeel.ingress.budget_keeper import BudgetKeeper
+from ragwortkeel.ingress.configuration import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    IngressConfiguration,
+    decode_value,
+)
+from ragwortkeel.ingress.crashes import CrashWatch
+from ragwortkeel.ingress.directory import Directory, Moved
+from ragwortkeel.ingress.dispatch import Dispatcher
+from ragwortkeel.ingress.following import ConfigurationFollower, UpstreamFollower
+from ragwortkeel.ingress.front import Front
+from ragwortkeel.ingress.names import HeaderNames
+from ragwortkeel.ingress.peers import Peers
+from ragwortkeel.ingress.placement import Load, Placement
+from ragwortkeel.ingress.routing import RoutingTable
+from ragwortkeel.logs import log_info, log_warning
+from ragwortkeel.messages import (
+    CrashSeen,
+    Heartbeat,
+    LoanRequest,
+    TokenLoan,
+    VersionedObject,
+)
+from ragwortkeel.metrics import Metrics
+from ragwortkeel.platform import Platform
+from ragwortkeel.policy.quarantine import Crash
+from ragwortkeel.process import Leftover
+from ragwortkeel.settings import Address, IngressSettings
+from ragwortkeel.tasks import run_together
+from ragwortkeel.traces import Tracing
+
+UPKEEP_SECONDS = 0.2
+"""How often lapsed entries and idle connections are looked at."""
+
+BALANCER_SECONDS = 2.6
+"""A balancer that looks once a second and wants two misses has stopped sending
+by then; new connections are taken so long after a planned stop has begun."""
+
+STOP_LOOK_SECONDS = 0.05
+
+IDLE_SLACK = 1.2
+"""A caller's idle connection is kept this much longer than callers may use it, so
+that no request crosses the close."""
+
+
+class IngressWorker:
+    """Everything an ingress process runs.
+
+    Parameters
+    ----------
+    platform : Platform
+        Configuration, upstreams' entries and ledgers.
+    names : HeaderNames
+        What callers and upstreams call their headers.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self, *, settings: IngressSettings, platform: Platform, names: HeaderNames
+    ) -> None:
+        self.metrics = Metrics()
+        self.tracing = Tracing(node=settings.name)
+        self._settings = settings
+        self._platform = platform
+        self._stopping = False
+        self._raw_configuration: bytes = b""
+        self._told_crashes: curio.Queue = curio.Queue()
+        incarnation = f"{settings.name}/{secrets.token_hex(4)}"
+        self._directory = Directory()
+        self._placement = Placement(zone=settings.zone)
+        self._dispatcher = Dispatcher(
+            directory=self._directory, placement=self._placement
+        )
+        self._crashes = CrashWatch(clock=monotonic, tell=self._found_crash)
+        self._peers = Peers(
+            node=settings.name,
+            incarnation=incarnation,
+            address=settings.address,
+            seeds=settings.peers,
+            handler=self,
+        )
+        self._keeper = BudgetKeeper(
+            platform=platform, holder=incarnation, ask_peers=self._peers.ask_loan
+        )
+        self._front = Front(
+            names=names,
+            dispatcher=self._dispatcher,
+            placement=self._placement,
+            keeper=self._keeper,
+            crashes=self._crashes,
+            metrics=self.metrics,
+        )
+        where = Address.parse(settings.http)
+        self._server = HttpServer(
+            host=where.host,
+            port=where.port,
+            handler=self._front.handle,
+            cancels_abandoned=True,
+        )
+        self._configurations = ConfigurationFollower(
+            platform=platform, take=self._take_configuration
+        )
+        self._upstreams = UpstreamFollower(
+            platform=platform, directory=self._directory, take=self._take_moves
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return self._front.table is not None and not self._stopping
+
+    def open(self) -> None:
+        """Bind the sockets."""
+        self._server.open()
+        self._peers.open()
+
+    async def run(self) -> None:
+        """Work until cancelled or until a task fails."""
+        await run_together(
+            self._server.serve,
+            self._configurations.run,
+            self._upstreams.run,
+            self._keeper.run,
+            self._peers.run,
+            self._dispatcher.run,
+            self._tell_crashes,
+            self._upkeep,
+        )
+
+    async def stop(self) -> Leftover:
+        """Finish open requests and give slices back.
+
+        New connections are taken and served until the balancer has noticed.
+        """
+        self._stopping = True
+        self._server.begin_closing()
+        begun = monotonic()
+        deadline = begun + self._settings.stop_deadline_seconds
+        await curio.sleep(BALANCER_SECONDS)
+        await self._server.stop_accepting()
+        while self._server.open_exchanges and monotonic() < deadline:
+            await curio.sleep(STOP_LOOK_SECONDS)
+        cut = self._server.open_exchanges
+        returned = not cut and await self._keeper.close()
+        return Leftover(counts={"requests": cut, "slices": int(not returned)})
+
+    def in_force(self, kind: str, name: str) -> InForce:
+        """Return what is in force here of an object."""
+        return InForce(revision=self.revision(), version=self.revision() or None)
+
+    # What peers say, and what they are told.
+
+    def revision(self) -> int:
+        """Return the revision of the configuration in force; 0 for none."""
+        table = self._front.table
+        return table.configuration.revision if table else 0
+
+    def heartbeat(self) -> Heartbeat:
+        """Return what keeps a peer's link up."""
+        return Heartbeat(leaving=self._stopping)
+
+    def own_loads(self) -> dict[str, Load]:
+        """Return what this process has at each upstream."""
+        return self._placement.own_loads()
+
+    def configuration_object(self) -> VersionedObject | None:
+        """Return the configuration in force, for a peer."""
+        if not self._raw_configuration:
+            return None
+        return VersionedObject(
+            kind=CONFIGURATION_KIND,
+            name=CONFIGURATION_NAME,
+            version=self.revision(),
+            value=self._raw_configuration,
+        )
+
+    async def heard_loads(self, node: str, load_by_upstream: dict[str, Load]) -> None:
+        """Take in what a peer has at each upstream."""
+        self._placement.heard(node, load_by_upstream, monotonic())
+
+    async def heard_configuration(self, pushed: VersionedObject) -> None:
+        """Take over a peer's configuration where it is newer."""
+        if pushed.version <= self.revision():
+            return
+        try:
+            configuration = decode_value(pushed.value, IngressConfiguration)
+        except ConfigurationUnreadable as exc:
+            log_warning("configuration_unreadable", source="peer", error=str(exc))
+            return
+        await self._take_configuration(configuration, pushed.value)
+
+    def heard_crash(self, crash: CrashSeen) -> None:
+        """Take in a crash that a peer found."""
+        self._crashes.heard(
+            Crash(crash_id=crash.crash_id, fingerprints=frozenset(crash.fingerprints))
+        )
+
+    def lend(self, request: LoanRequest) -> TokenLoan:
+        """Answer a peer that lacks tokens."""
+        tokens = self._keeper.lend(request)
+        return TokenLoan(customer=request.customer, tokens=tokens)
+
+    async def borrowed(self, customer: str, tokens: int) -> None:
+        """Take a loan in."""
+        log_info("loan_received", customer=customer, tokens=tokens)
+        self._keeper.allowances.account(customer).borrow(tokens)
+        await self._keeper.arrived()
+
+    async def _take_configuration(
+        self, configuration: IngressConfiguration, value: bytes
+    ) -> None:
+        # It never reverts: a lagging list or peer may show an older one.
+        if configuration.revision <= self.revision():
+            return
+        log_info(
+            "configuration_in_force",
+            revision=configuration.revision,
+            was=self.revision(),
+            routes=len(configuration.routes),
+            customers=len(configuration.customers),
+        )
+        self._raw_configuration = value
+        self._front.table = RoutingTable(configuration=configuration)
+        self._keeper.configure(self._front.table)
+        limits = configuration.limits
+        self._server.keep_alive_seconds = limits.idle_seconds * IDLE_SLACK
+        self._server.max_body_bytes = limits.max_body_bytes
+        self.metrics.configuration_in_force(revision=configuration.revision)
+        await self._peers.send_configuration(self.configuration_object())
+
+    async def _take_moves(self, moves: list[Moved]) -> None:
+        for move in moves:
+            log_info(
+                "upstream_changed",
+                upstream=move.name,
+                was_usable=move.was_usable,
+                usable=move.usable,
+                service=move.upstream.service if move.upstream else None,
+            )
+            if move.upstream is None:
+                self._placement.forget(move.name)
+        if moves:
+            self._placement.keep(set(self._directory.upstream_by_name))
+            await self._dispatcher.place_waiting()
+
+    def _found_crash(self, crash: Crash) -> None:
+        message = CrashSeen(
+            crash_id=crash.crash_id, fingerprints=tuple(sorted(crash.fingerprints))
+        )
+        log_warning("upstream_crashed", crash=crash.crash_id)
+        self.metrics.upstream_crashed()
+        self._told_crashes._put(message)
+
+    async def _tell_crashes(self) -> None:
+        while True:
+            await self._peers.send_crash(await self._told_crashes.get())
+
+    async def _upkeep(self) -> None:
+        while True:
+            await self._upstreams.expire()
+            await self._front.connections.sweep()
+            self.metrics.load(
+                running=self._server.open_exchanges, queued=len(self._dispatcher.room)
+            )
+            await curio.sleep(UPKEEP_SECONDS)
--- a/src/ragwortkeel/logs.py
+++ b/src/ragwortkeel/logs.py
@@ -1,4 +1,4 @@
-"""Logs by eliot: one line of key=value pairs for each event, on standard error.
+"""Logs by eliot: one line of key=value pairs for each event, on standard output.
 
 A reader of the log that stops reading must not stop the daemon: lines that do
 not fit into the pipe are dropped and counted, and the count is logged once
@@ -16,7 +16,7 @@
 MAX_LINE_BYTES = 4096
 """PIPE_BUF: a pipe that polls as writable takes this much without blocking."""
 
-STANDARD_ERROR = 2
+STANDARD_OUTPUT = 1
 _CUT_MARK = b"...\n"
 _NEEDS_QUOTES = frozenset(' "=\\')
 _FIRST_KEYS = ("timestamp", "level", "event")
@@ -43,7 +43,7 @@
         Events below are not written.
     """
 
-    def __init__(self, *, fd: int = STANDARD_ERROR, level: Level = Level.INFO) -> None:
+    def __init__(self, *, fd: int = STANDARD_OUTPUT, level: Level = Level.INFO) -> None:
         self.level = level
         self.dropped = 0
         self._fd = fd
@@ -127,7 +127,7 @@
 
 
 def configure_logs(
-    *, level: Level = Level.INFO, fd: int = STANDARD_ERROR
+    *, level: Level = Level.INFO, fd: int = STANDARD_OUTPUT
 ) -> LineDestination:
     """Send all events of this process to `fd`; call once on start."""
     destination = LineDestination(fd=fd, level=level)
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -342,6 +342,43 @@
     transfer_id: str
 
 
+class UpstreamLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """What one ingress process has at an upstream, in requests and tokens."""
+
+    running: int
+    memory_tokens: int
+    unread_tokens: int
+
+
+class IngressState(Message):
+    """What an ingress process has where, and whom it knows.
+
+    `address` is the sender's own, `addresses` are those of its peers.
+    """
+
+    node: str
+    address: str
+    addresses: tuple[str, ...]
+    load_by_upstream: dict[str, UpstreamLoad]
+
+
+class LoanRequest(Message):
+    """An ingress process lacks tokens of a customer; see `budget.sizing.SliceNeed`."""
+
+    customer: str
+    lacking: int
+    holding: int
+    demand: int
+    largest_request: int
+
+
+class TokenLoan(Message):
+    """Tokens that the sender has charged to its own slice; 0 where it has none."""
+
+    customer: str
+    tokens: int
+
+
 ConfigurationMessage = (
     ConfigurationDigest
     | ConfigurationBranches
@@ -374,6 +411,9 @@
     | SliceRequest
     | SliceTransfer
     | SliceTransferred
+    | IngressState
+    | LoanRequest
+    | TokenLoan
 )
 
 
--- a/src/ragwortkeel/platform_client.py
+++ b/src/ragwortkeel/platform_client.py
@@ -12,18 +12,10 @@
 
 import msgspec
 
-from ragwortkeel.exceptions import (
-    AlreadyExists,
-    ConnectFailed,
-    ExchangeBroken,
-    ObjectNotFound,
-    OutcomeUnknown,
-    PlatformUnavailable,
-    ValueRefused,
-    VersionConflict,
-)
-from ragwortkeel.httpio import HttpClient, Response
-from ragwortkeel.platform import MAX_VALUE_BYTES, Changes, Instance, Listing, Stored
+from ragwortkeel.exceptions import AlreadyExists, PlatformUnavailable
+from ragwortkeel.httpio import Response
+from ragwortkeel.platform import Changes, Instance, Listing, Stored
+from ragwortkeel.platform_calls import CALL_SECONDS, PlatformCalls, conditional
 from ragwortkeel.platform_wire import (
     IF_MATCH_HEADER,
     PAGE_LIMIT,
@@ -33,13 +25,6 @@
     LiveBody,
     Written,
 )
-from ragwortkeel.settings import Address
-
-CALL_SECONDS = 2.0
-"""The platform answers in milliseconds; by then it is down or cut off."""
-
-_NOT_TAKEN = frozenset({429, 503})
-"""Refused at the door, so nothing changed."""
 
 Body = TypeVar("Body")
 
@@ -64,14 +49,13 @@
         timeout: float = CALL_SECONDS,
         on_failure: Callable[[str], None] = lambda error: None,
     ) -> None:
-        where = Address.parse(address)
-        self._client = HttpClient(host=where.host, port=where.port)
-        self._timeout = timeout
-        self._on_failure = on_failure
+        self._calls = PlatformCalls(
+            address=address, timeout=timeout, on_failure=on_failure
+        )
 
     async def get(self, kind: str, name: str) -> Stored | None:
         """Return the object, or None where there is none."""
-        response = await self._read(_target(kind, name))
+        response = await self._calls.read(_target(kind, name))
         if response.status == 404:
             return None
         try:
@@ -105,18 +89,18 @@
     async def update(self, kind: str, name: str, value: bytes, version: int) -> int:
         """Replace the object at `version`; else `VersionConflict`."""
         response = await self._write("PUT", kind, name, value, version)
-        return self._version(_conditional(response, kind, name))
+        return self._version(conditional(response, kind, name))
 
     async def delete(self, kind: str, name: str, version: int) -> None:
         """Delete the object at `version`; else `VersionConflict`."""
         response = await self._write("DELETE", kind, name, b"", version)
-        self._version(_conditional(response, kind, name))
+        self._version(conditional(response, kind, name))
 
     async def watch(self, kind: str, revision: int, timeout: float) -> Changes:
         """Wait at most `timeout` seconds for changes after `revision`."""
         query = urlencode({"revision": revision, "timeout": timeout})
         target = f"/v1/watch/{quote(kind, safe='')}?{query}"
-        response = await self._read(target, wait=timeout)
+        response = await self._calls.read(target, wait=timeout)
         body = _decoded(response, ChangesBody)
         return Changes(
             changes=tuple(one.change(kind) for one in body.changes),
@@ -126,84 +110,37 @@
 
     async def live(self) -> dict[str, Instance]:
         """Return the lagging list of live and leaving instances, by name."""
-        body = _decoded(await self._read("/v1/live"), LiveBody)
+        body = _decoded(await self._calls.read("/v1/live"), LiveBody)
         return {one.name: one for one in body.instances}
 
     async def close(self) -> None:
         """Close the kept connections."""
-        await self._client.close()
+        await self._calls.close()
 
     async def _page(self, kind: str, prefix: str, after: str) -> ListPage:
         query = urlencode({"prefix": prefix, "after": after, "limit": PAGE_LIMIT})
         target = f"/v1/objects/{quote(kind, safe='')}?{query}"
-        return _decoded(await self._read(target), ListPage)
-
-    async def _read(self, target: str, *, wait: float = 0.0) -> Response:
-        try:
-            response = await self._client.request(
-                "GET", target, timeout=self._timeout + wait
-            )
-        except (ConnectFailed, ExchangeBroken) as exc:
-            raise self._unavailable(str(exc)) from exc
-        if response.status not in (200, 404):
-            raise self._unavailable(f"status {response.status}")
-        return response
+        return _decoded(await self._calls.read(target), ListPage)
 
     async def _write(
         self, method: str, kind: str, name: str, value: bytes, version: int | None
     ) -> Response:
-        if len(value) > MAX_VALUE_BYTES:
-            raise ValueRefused(f"{kind}/{name}: more than {MAX_VALUE_BYTES} bytes")
         headers = {} if version is None else {IF_MATCH_HEADER: str(version)}
-        try:
-            response = await self._client.request(
-                method,
-                _target(kind, name),
-                body=value,
-                headers=headers,
-                timeout=self._timeout,
-            )
-        except ConnectFailed as exc:
-            raise self._unavailable(str(exc)) from exc
-        except ExchangeBroken as exc:
-            # The write may have been done before its answer was lost; the
-            # caller re-reads, for only the platform's object can tell.
-            raise self._unknown(str(exc)) from exc
-        if response.status in _NOT_TAKEN:
-            raise self._unavailable(f"status {response.status}")
-        if response.status in (400, 413):
-            raise ValueRefused(f"{kind}/{name}: status {response.status}")
-        return response
+        return await self._calls.write(method, _target(kind, name), value, headers)
 
     def _version(self, response: Response) -> int:
         if response.status not in (200, 201):
-            raise self._unknown(f"status {response.status}")
+            raise self._calls.unknown(f"status {response.status}")
         try:
             return msgspec.json.decode(response.body, type=Written).version
         except msgspec.DecodeError as exc:
-            raise self._unknown(f"answer without a version: {exc}") from exc
-
-    def _unavailable(self, why: str) -> PlatformUnavailable:
-        self._on_failure("unavailable")
-        return PlatformUnavailable(why)
-
-    def _unknown(self, why: str) -> OutcomeUnknown:
-        self._on_failure("outcome_unknown")
-        return OutcomeUnknown(why)
+            raise self._calls.unknown(f"answer without a version: {exc}") from exc
 
 
 def _target(kind: str, name: str) -> str:
     return f"/v1/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
 
 
-def _conditional(response: Response, kind: str, name: str) -> Response:
-    if response.status == 404:
-        raise ObjectNotFound(f"{kind}/{name} is not there")
-    if response.status == 409:
-        raise VersionConflict(f"{kind}/{name} was changed meanwhile")
-    return response
-
-
 def _decoded(response: Response, cls: type[Body]) -> Body:
     if response.status != 200:
         raise PlatformUnavailable(f"status {response.status}")
--- a/src/ragwortkeel/probes.py
+++ b/src/ragwortkeel/probes.py
@@ -43,6 +43,8 @@
     in_force
         Called for each ``/in-force`` with the ``kind`` and ``name`` asked for,
         maybe empty: what is in force here, as an encodable value.
+    ready_path
+        What the balancer asks.
 
     .. versionadded:: 0.1
     """
@@ -54,11 +56,13 @@
         tracing: Tracing,
         readiness: Callable[[], Readiness],
         in_force: Callable[[str, str], object],
+        ready_path: str = "/readyz",
     ) -> None:
         self._metrics = metrics
         self._tracing = tracing
         self._readiness = readiness
         self._in_force = in_force
+        self._ready_path = ready_path
 
     def server(self, *, host: str, port: int) -> HttpServer:
         """Return a server of these probes, not yet open."""
@@ -79,7 +83,7 @@
                 await responder.respond(200, self._metrics.render(), headers)
             case "/healthz":
                 await _reply(responder, 200, {"alive": True})
-            case "/readyz":
+            case self._ready_path:
                 readiness = self._readiness()
                 await _reply(responder, 200 if readiness.ready else 503, readiness)
             case "/in-force":
--- a/src/ragwortkeel/process.py
+++ b/src/ragwortkeel/process.py
@@ -74,11 +74,20 @@
         Of this node, in logs.
     metrics_address
         ``ip:port`` of the probes.
+    ready_path
+        Path on it that the balancer asks.
 
     .. versionadded:: 0.1
     """
 
-    def __init__(self, *, worker: Worker, name: str, metrics_address: str) -> None:
+    def __init__(
+        self,
+        *,
+        worker: Worker,
+        name: str,
+        metrics_address: str,
+        ready_path: str = "/readyz",
+    ) -> None:
         self._worker = worker
         self._name = name
         self._lifecycle = Lifecycle(chart=ChartName.DAEMON, observer=self._log_change)
@@ -87,6 +96,7 @@
             tracing=worker.tracing,
             readiness=self._readiness,
             in_force=worker.in_force,
+            ready_path=ready_path,
         )
         where = Address.parse(metrics_address)
         self._probes = probes.server(host=where.host, port=where.port)
--- a/src/ragwortkeel/settings.py
+++ b/src/ragwortkeel/settings.py
@@ -125,6 +125,33 @@
     log_level: LogLevel = LogLevel.INFO
 
 
+class IngressSettings(_Settings):
+    """What an ingress process has to know before it starts.
+
+    Attributes
+    ----------
+    address, http, metrics : str
+        Where to listen for peers, for callers, and for the probes.
+    ready_path : str
+        Path on the probes' address that the balancer asks.
+    platform : str
+        Where the platform's object service answers.
+    peers : tuple of str
+        Ingress processes to begin with; they tell of the others.
+    """
+
+    name: Name
+    zone: Name
+    address: AddressText
+    http: AddressText
+    metrics: AddressText
+    platform: AddressText
+    ready_path: str = "/readyz"
+    peers: Peers = ()
+    stop_deadline_seconds: StopSeconds = 60.0
+    log_level: LogLevel = LogLevel.INFO
+
+
 class CommandSettings(_Settings):
     """What the operators' command line has to know."""
 
