Untold spend stays under a cap in the ledger; a kill costs the cap, not the slice

Change: the exposure cap that the ledger has for sidecars bounds the direct way too; after 4 s without a write the slice may be spent whole, and the successor tells by the age of the last write which of both holds. Ruled out: leases (overspend under a pause); charging the last told spend.

--- a/src/ragwortkeel/budget/slice.py
+++ b/src/ragwortkeel/budget/slice.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass
 
+import msgspec
+
 from ragwortkeel.budget.grant import MAX_SIDECARS, Grant, Renewal
 from ragwortkeel.exceptions import BudgetExhausted, ExposureFull, SidecarNotNamed
 
@@ -14,6 +16,10 @@
 """When to come back to a slice that a refill may help: a few refresh periods."""
 
 
+UNCAPPED = 2**53
+"""More tokens than any budget has; the largest whole number all codecs carry."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class Reservation:
     """Tokens set aside for one attempt through one sidecar incarnation."""
@@ -154,6 +160,7 @@
         effect, or may still, until `accept` or `withdraw`.
         """
         if self.pending is not None:
+            self._cover_pending()
             return self.pending
         settled = dict(self._settled_by_sidecar) | self._spent_by_sidecar
         settled |= dict.fromkeys(self._nameable(sidecars, settled), 0)
@@ -176,6 +183,14 @@
         )
         return self.pending
 
+    def uncap(self) -> None:
+        """Spend beyond the cap, up to what is granted.
+
+        Call it only where whoever seals this router will charge the whole grant
+        instead of the cap.  The next proposal binds the slice to a cap again.
+        """
+        self.cap = UNCAPPED
+
     def owns(self, grant: Grant | None) -> bool:
         """Whether the pending renewal has taken effect in this grant."""
         if grant is None or self.pending is None:
@@ -214,6 +229,14 @@
         self.cap = self._cap_in_ledger
         self.pending = None
 
+    def _cover_pending(self) -> None:
+        # Spent uncapped meanwhile, more may be exposed than the pending cap says:
+        # a seal right after this renewal would charge too little.
+        exposed = max((self.exposure(s) for s in self.pending.settled), default=0)
+        if exposed > self.pending.cap:
+            self.pending = msgspec.structs.replace(self.pending, cap=exposed)
+        self.cap = min(self.cap, self.pending.cap)
+
     def _nameable(self, sidecars: tuple[str, ...], named: dict[str, int]) -> list[str]:
         room = max(0, MAX_SIDECARS - len(named))
         new = (s for s in dict.fromkeys(sidecars) if s not in named)
--- a/src/ragwortkeel/ingress/allowance.py
+++ b/src/ragwortkeel/ingress/allowance.py
@@ -6,9 +6,16 @@
 `budget.slice`; here a slice is spent by requests straight to upstreams, which
 counts as one sidecar called `DIRECT`.
 
-Nothing is ever reclaimed from a process that may live: what a dead one held
-stays charged.  A process that is frozen, cut off or killed therefore can't lead
-to an overspend, and none of these rules needs a clock.
+What a dead process spent since it last told the ledger is not known.  Each
+process therefore keeps its untold spend and open reservations under a cap that
+stands in the ledger, and its successor on the same machine charges the cap.
+Where the platform is away a cap would refuse callers that the slice could serve,
+so after `UNCAP_SECONDS` without a write the process spends its whole slice; its
+successor then finds the last write older than `CAPPED_SECONDS` and charges the
+whole slice.  Both ages err to the safe side: the process counts from its last
+*try* to write and by its slowest clock, the successor by its fastest.  A process
+that is frozen, cut off or killed thus can't lead to an overspend, and only its
+own successor ever takes anything back.
 
 A loan moves tokens between processes while the platform is away.  The lender
 charges the whole loan as spent before it sends it, so a loan that is lost is
@@ -24,17 +31,27 @@
 from ragwortkeel.budget.demand import DemandMeter
 from ragwortkeel.budget.ledger import Ledger
 from ragwortkeel.budget.sizing import SliceNeed, to_give_back, to_lend, to_take
-from ragwortkeel.budget.slice import Reservation, Slice
+from ragwortkeel.budget.slice import UNCAPPED, Reservation, Slice
 from ragwortkeel.configuration import Spread
 from ragwortkeel.exceptions import BudgetRefused, LedgerUnreadable
+from ragwortkeel.ingress.clocks import Reading, Stamp
 
 SHARDS_KIND = "customer-ledgers"
 
 DIRECT = "direct"
 """What a ledger calls the way to upstreams without a sidecar."""
 
-UNCAPPED = 2**53
-"""No part of a slice comes back from a process that died: see the module."""
+UNCAP_SECONDS = 4.0
+"""Without a write for so long, a process spends beyond its caps.  Longer than a
+killed process takes to be back and read the ledger (2 to 3 s measured), so that
+an ordinary kill costs the cap and not the slice."""
+
+CAPPED_SECONDS = 3.8
+"""A last write younger than this proves that the dead process was still capped;
+the difference covers the reading of the clocks."""
+
+HEADROOM_SECONDS = 5.0
+"""Demand that a cap leaves room for: `UNCAP_SECONDS` of an outage, and some."""
 
 USABLE_SHARE = 0.99
 """Of what is prepaid; the rest covers tokens that an upstream makes between the
@@ -44,9 +61,12 @@
 """Outages of the platform to bridge with what is held.  Longer, and more is
 stranded with processes that die; shorter, and callers are refused in outages."""
 
-SETTLE_SHARE = 0.25
-"""Of a slice: when this much is spent, the ledger is told, so that others see
-what is left."""
+TYPICAL_REQUESTS = 1.5
+"""A slice holds this many requests of the process's mean size even for a customer
+without demand: its first requests may come in an outage."""
+
+TYPICAL_WEIGHT = 0.05
+"""Of the newest request in the mean size: some twenty requests count."""
 
 REFILL_SHARE = 0.6
 """A slice below this part of its target is filled up."""
@@ -57,6 +77,7 @@
 
     revision: int = 0
     ledger_by_customer: dict[str, Ledger] = {}
+    stamp_by_holder: dict[str, Stamp] = {}
 
     def provisioned(self, prepaid_by_customer: dict[str, int], revision: int) -> Self:
         """Return the shard with the budgets of a configuration.
@@ -112,8 +133,6 @@
         self._customer = customer
         self._borrowed = 0
         self._meter = DemandMeter()
-        self._largest = 0
-        self._settled_at_spend = 0
 
     @property
     def free(self) -> int:
@@ -134,7 +153,6 @@
     def asked(self, tokens: int, now: float) -> None:
         """Count the demand, whether it is met or not."""
         self._meter.add(tokens=tokens, now=now)
-        self._largest = max(self._largest, tokens)
 
     def settle(self, hold: Hold, *, spent: int) -> None:
         """Replace what was set aside by what the request took."""
@@ -169,37 +187,41 @@
         """Add a loan that came in."""
         self._borrowed += tokens
 
-    def need(self, now: float) -> SliceNeed:
-        """Return what the sizing of slices looks at."""
+    def need(self, now: float, typical: int = 0) -> SliceNeed:
+        """Return what the sizing of slices looks at.
+
+        `typical` is the mean size of a request of any customer.
+        """
         return SliceNeed(
             holding=max(0, self.slice.granted - self.slice.spent),
             demand=self._meter.rate(now=now),
-            largest_request=self._largest,
+            largest_request=int(typical * TYPICAL_REQUESTS),
             waiting=self.lacking,
             lacking=self.lacking,
             ride_out_seconds=RIDE_OUT_SECONDS,
             spread=Spread.WIDE,
         )
 
-    def propose(self, ledger: Ledger, *, nonce: str, now: float) -> bool:
+    def propose(self, ledger: Ledger, *, nonce: str, typical: int, now: float) -> bool:
         """Prepare a renewal where one is due; return whether one is pending."""
         if self.slice.pending is not None:
+            self.slice.propose(nonce=nonce, cap=0)
             return True
-        need = self.need(now)
+        need = self.need(now, typical)
         holder = self.slice.router
         take = to_take(ledger, router=holder, need=need)
         give_back = to_give_back(ledger, router=holder, need=need)
-        if not self._due(need.holding, take, give_back):
+        cap = self._cap(need)
+        if not self._due(need.holding, take, give_back, cap):
             return False
         self.slice.propose(
             nonce=nonce,
             sidecars=(DIRECT,),
             want=take,
             give_back=give_back,
-            cap=UNCAPPED,
+            cap=cap,
             demand=need.demand,
         )
-        self._settled_at_spend = self.slice.spent
         return True
 
     def resolve(self, ledger: Ledger) -> None:
@@ -209,13 +231,17 @@
         if self.slice.owns(grant):
             self.slice.accept(grant)
 
-    def _due(self, holding: int, take: int, give_back: int) -> bool:
-        if self.lacking and take:
+    def _cap(self, need: SliceNeed) -> int:
+        """Return the untold spend to allow from now on, all told being settled."""
+        headroom = int(need.demand / 60 * HEADROOM_SECONDS)
+        return self.slice.reserved + max(headroom, need.largest_request) + self.lacking
+
+    def _due(self, holding: int, take: int, give_back: int, cap: int) -> bool:
+        if self.lacking or give_back:
             return True
-        if take > holding * (1 - REFILL_SHARE) / REFILL_SHARE:
+        if self.slice.unsettled or self.slice.cap > 2 * cap:
             return True
-        unsettled = self.slice.spent - self._settled_at_spend
-        return give_back > 0 or unsettled > self.slice.granted * SETTLE_SHARE > 0
+        return take > holding * (1 - REFILL_SHARE) / REFILL_SHARE
 
 
 class Allowances:
@@ -230,8 +256,9 @@
     --------
     >>> allowances = Allowances(holder="ingress-1/a")
     >>> shard = Shard().provisioned({"surco": 1000}, revision=1)
-    >>> allowances.account("surco").asked(100, 0.0)
-    >>> renewed = allowances.renewed(shard, now=0.0)
+    >>> allowances.asked("surco", 100, 0.0)
+    >>> reading = Reading(monotonic=0.0, boot=0.0, wall=0.0)
+    >>> renewed = allowances.renewed(shard, reading)
     >>> allowances.resolve(renewed)
     >>> allowances.account("surco").free > 100
     True
@@ -241,6 +268,7 @@
         self.holder = holder
         self._account_by_customer: dict[str, Account] = {}
         self._nonces = count(1)
+        self._typical = 0.0
 
     def account(self, customer: str) -> Account:
         """Return the customer's account."""
@@ -260,19 +288,32 @@
         for name, ledger in shard.ledger_by_customer.items():
             self.account(name).resolve(ledger)
 
-    def renewed(self, shard: Shard, *, now: float) -> Shard:
-        """Return the shard with all renewals that are due; the same if none is."""
+    def asked(self, customer: str, tokens: int, now: float) -> None:
+        """Count the demand of a request, whether it is met or not."""
+        self.account(customer).asked(tokens, now)
+        self._typical += (tokens - self._typical) * TYPICAL_WEIGHT
+
+    def uncap(self) -> None:
+        """Let all slices be spent whole; see the module for when."""
+        for account in self._account_by_customer.values():
+            account.slice.uncap()
+
+    def renewed(self, shard: Shard, reading: Reading) -> Shard:
+        """Return the shard with all renewals that are due and a new stamp."""
         ledgers = dict(shard.ledger_by_customer)
-        changed = False
+        typical = int(self._typical)
         for name, ledger in shard.ledger_by_customer.items():
             account = self.account(name)
             nonce = f"{self.holder}/{next(self._nonces)}"
-            if account.propose(ledger, nonce=nonce, now=now):
+            due = account.propose(
+                ledger, nonce=nonce, typical=typical, now=reading.monotonic
+            )
+            if due:
                 ledgers[name] = ledger.renew(account.slice.pending)
-                changed = True
-        if not changed:
-            return shard
-        return msgspec.structs.replace(shard, ledger_by_customer=ledgers)
+        stamps = shard.stamp_by_holder | {self.holder: reading.stamp}
+        return msgspec.structs.replace(
+            shard, ledger_by_customer=ledgers, stamp_by_holder=stamps
+        )
 
     def closed(self, shard: Shard) -> Shard:
         """Return the shard without this process's grants, its spend charged.
@@ -290,20 +331,54 @@
                 account.resolve(ledger)
             renewal = account.slice.propose(nonce=f"{self.holder}/end", cap=UNCAPPED)
             ledgers[name] = ledger.close(renewal)
-        return msgspec.structs.replace(shard, ledger_by_customer=ledgers)
+        return msgspec.structs.replace(
+            shard,
+            ledger_by_customer=ledgers,
+            stamp_by_holder=_without(shard.stamp_by_holder, self.holder),
+        )
 
-    def merged(self, shard: Shard) -> Shard:
+    def merged(self, shard: Shard, reading: Reading) -> Shard:
         """Return the shard without the grants of earlier starts of this process.
 
-        Only one process of a name runs at a time, so they are dead.  They are
-        charged whole: what they spent since they last told is not known.
+        Only one process of a name runs at a time, so they are dead.
         """
-        name = self.holder.partition("/")[0]
-        ledgers = dict(shard.ledger_by_customer)
-        for customer, ledger in ledgers.items():
-            for holder in list(ledger.grants):
-                if holder.partition("/")[0] == name and holder != self.holder:
-                    ledger = ledger.seal(holder)
-                    ledger = ledger.write_off(router=holder, sidecar=DIRECT)
-            ledgers[customer] = ledger
-        return msgspec.structs.replace(shard, ledger_by_customer=ledgers)
+        for holder in self._predecessors(shard):
+            stamp = shard.stamp_by_holder.get(holder)
+            capped = stamp is not None and stamp.age(reading.stamp) < CAPPED_SECONDS
+            ledgers = {
+                customer: _charged(ledger, holder, capped=capped)
+                for customer, ledger in shard.ledger_by_customer.items()
+            }
+            shard = msgspec.structs.replace(
+                shard,
+                ledger_by_customer=ledgers,
+                stamp_by_holder=_without(shard.stamp_by_holder, holder),
+            )
+        return shard
+
+    def _predecessors(self, shard: Shard) -> list[str]:
+        node = _node(self.holder)
+        holders = set(shard.stamp_by_holder)
+        for ledger in shard.ledger_by_customer.values():
+            holders |= ledger.grants.keys()
+        return sorted(h for h in holders if _node(h) == node and h != self.holder)
+
+
+def _charged(ledger: Ledger, holder: str, *, capped: bool) -> Ledger:
+    """Return the ledger with a dead process's grant closed and charged."""
+    grant = ledger.grants.get(holder)
+    if grant is None:
+        return ledger
+    if not capped:
+        whole = msgspec.structs.replace(grant, cap=UNCAPPED)
+        grants = ledger.grants | {holder: whole}
+        ledger = msgspec.structs.replace(ledger, grants=grants)
+    return ledger.seal(holder).write_off(router=holder, sidecar=DIRECT)
+
+
+def _node(holder: str) -> str:
+    return holder.partition("/")[0]
+
+
+def _without(stamps: dict[str, Stamp], holder: str) -> dict[str, Stamp]:
+    return {name: stamp for name, stamp in stamps.items() if name != holder}
--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -23,6 +23,7 @@
 from ragwortkeel.ingress.allowance import (
     RIDE_OUT_SECONDS,
     SHARDS_KIND,
+    UNCAP_SECONDS,
     Account,
     Allowances,
     Hold,
@@ -30,6 +31,7 @@
     decode_shard,
     encode_shard,
 )
+from ragwortkeel.ingress.clocks import Reading, read_clocks
 from ragwortkeel.ingress.configuration import Customer
 from ragwortkeel.ingress.routing import RoutingTable
 from ragwortkeel.logs import log_error, log_info, log_warning
@@ -39,9 +41,10 @@
 SHARD_NAME = "shard-0"
 """One object holds a few hundred customers' ledgers in under a megabyte."""
 
-TICK_SECONDS = 1.0
-"""Renewals a second and process: at this rate 30 processes use under a tenth of
-the writes that the platform allows them."""
+TICK_SECONDS = 0.8
+"""Between renewals.  It adds to the age at which a successor finds the last
+write, and that has to stay under `CAPPED_SECONDS`; 30 processes use under a
+twentieth of the writes that the platform allows them."""
 
 RETRY_SECONDS = 0.4
 """Pause after a failed call: each call is paid for, also in an outage."""
@@ -78,6 +81,8 @@
         self._table: RoutingTable | None = None
         self._read_at = float("-inf")
         self._merged = False
+        self._tried_at: Reading | None = None
+        self._uncapped = False
         self._woken = curio.Event()
         self._renewed = curio.Event()
         self._reachable = True
@@ -89,7 +94,7 @@
     async def reserve(self, customer: Customer, tokens: int) -> Hold | None:
         """Set tokens aside, or return None where they are not to be had now."""
         account = self.allowances.account(customer.name)
-        account.asked(tokens, monotonic())
+        self.allowances.asked(customer.name, tokens, monotonic())
         hold = account.reserve(tokens)
         if hold is None:
             hold = await self._reserve_late(account, customer, tokens)
@@ -112,6 +117,7 @@
             pause = TICK_SECONDS
             if self._table is not None and not await self._renew():
                 pause = RETRY_SECONDS
+                self._uncap_if_due()
             await self._pause(pause)
 
     async def close(self) -> bool:
@@ -176,6 +182,16 @@
             await self._woken.wait()
         self._woken.clear()
 
+    def _uncap_if_due(self) -> None:
+        if self._tried_at is None:
+            return
+        silent = read_clocks().surely_since(self._tried_at)
+        if silent >= UNCAP_SECONDS and not self._uncapped:
+            self._uncapped = True
+            log_warning("slices_uncapped", silent=round(silent, 2))
+        if self._uncapped:
+            self.allowances.uncap()
+
     async def _renew(self) -> bool:
         try:
             await self._renew_once()
@@ -197,18 +213,21 @@
     async def _renew_once(self) -> None:
         stored, shard = await self._read()
         self.allowances.resolve(shard)
-        now = monotonic()
+        reading = read_clocks()
         renewed = shard.provisioned(
             _prepaid(self._table), self._table.configuration.revision
         )
         if not self._merged:
-            renewed = self.allowances.merged(renewed)
-        renewed = self.allowances.renewed(renewed, now=now)
-        if renewed != shard:
-            await self._write(stored, renewed)
-            self.allowances.resolve(renewed)
+            renewed = self.allowances.merged(renewed, reading)
+        renewed = self.allowances.renewed(renewed, reading)
+        # Counted from the try: a write whose answer is lost may have put its
+        # stamp there, and a successor would trust the cap for longer.
+        self._tried_at = reading
+        self._uncapped = False
+        await self._write(stored, renewed)
+        self.allowances.resolve(renewed)
         self._merged = True
-        self._read_at = now
+        self._read_at = reading.monotonic
 
     async def _read(self) -> tuple[Stored | None, Shard]:
         stored = await self._platform.get(SHARDS_KIND, SHARD_NAME)
