Slices shared by demand, loans that combine, shared prompt parts kept with their engine

Cause: in an outage most of a customer's tokens lay in the platform or with processes that its callers don't use; refusals waited 250 ms for peers that answer in 2; prompts with a shared part went wherever load was least. Change: slices by demand (a fifth equally), a loan and the slice together cover a request, waits of 60 ms where only peers can help; reading a shared token at another engine costs four times its reading.

--- a/src/ragwortkeel/budget/sizing.py
+++ b/src/ragwortkeel/budget/sizing.py
@@ -51,6 +51,9 @@
         Tokens that callers wait for at this moment.
     lacking : int
         Tokens missing for the smallest of them.
+    equal_part : float or None
+        In place of `EQUAL_PART`, for routers that lend each other what they lack
+        in an outage as well, so that only what all hold together matters.
     """
 
     holding: int
@@ -60,6 +63,12 @@
     lacking: int = 0
     ride_out_seconds: float
     spread: Spread
+    equal_part: float | None = None
+
+    @property
+    def shared_equally(self) -> float:
+        """Part of the unspent tokens that is not shared by demand."""
+        return EQUAL_PART[self.spread] if self.equal_part is None else self.equal_part
 
 
 def target_holding(ledger: Ledger, *, router: str, need: SliceNeed) -> int:
@@ -68,7 +77,7 @@
     others = sum(g.demand for r, g in ledger.grants.items() if r != router)
     count = len(ledger.grants.keys() | {router})
     share = need.demand / max(1, need.demand + others)
-    equal = EQUAL_PART[need.spread]
+    equal = need.shared_equally
     share = equal / count + (1 - equal) * share
     handed_out = unspent * SHARE_HANDED_OUT[need.spread]
     outage = need.demand / 60 * need.ride_out_seconds
--- a/src/ragwortkeel/ingress/allowance.py
+++ b/src/ragwortkeel/ingress/allowance.py
@@ -57,9 +57,22 @@
 """Of what is prepaid; the rest covers tokens that an upstream makes between the
 last event a caller got and the close of a broken stream."""
 
-RIDE_OUT_SECONDS = 9.0
+RIDE_OUT_SECONDS = 12.0
 """Outages of the platform to bridge with what is held.  Longer, and more is
-stranded with processes that die; shorter, and callers are refused in outages."""
+stranded with processes that die in an outage; shorter, and callers are refused."""
+
+EQUAL_PART = 0.2
+"""Of what is unspent, not shared by demand.  Customers stick to few processes, so
+shares by demand leave least in the platform, where an outage locks it away; what
+lies with the wrong process is lent."""
+
+STARTING_SHARE = 0.25
+"""Of an equal share of what is unspent, held for a customer that has asked for
+nothing yet: its first requests may come in an outage."""
+
+STARTING_CAP_SHARE = 0.02
+"""Of what is unspent, the least that a cap allows: more is charged for nothing
+when processes die, less refuses the first callers of an outage."""
 
 TYPICAL_REQUESTS = 1.5
 """A slice holds this many requests of the process's mean size even for a customer
@@ -116,10 +129,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Hold:
-    """Tokens set aside for one request, of the slice or of loans."""
+    """Tokens set aside for one request: some of loans, the rest of the slice."""
 
     customer: str
     tokens: int
+    borrowed: int
     reservation: Reservation | None
 
 
@@ -139,16 +153,31 @@
         """Tokens of the slice that can be set aside now."""
         return self.slice.free
 
+    @property
+    def available(self) -> int:
+        """Tokens that a request may take now, loans and slice together."""
+        return self._borrowed + max(0, min(self.slice.free, self.cap_room))
+
+    @property
+    def cap_room(self) -> int:
+        """Untold spend that the cap still allows."""
+        return max(0, self.slice.cap - self.slice.exposure(DIRECT))
+
     def reserve(self, tokens: int) -> Hold | None:
         """Set tokens aside, of loans first: they can't be given back."""
-        if tokens <= self._borrowed:
-            self._borrowed -= tokens
-            return Hold(customer=self._customer, tokens=tokens, reservation=None)
-        try:
-            reservation = self.slice.reserve(sidecar=DIRECT, tokens=tokens)
-        except BudgetRefused:
-            return None
-        return Hold(customer=self._customer, tokens=tokens, reservation=reservation)
+        borrowed = min(tokens, self._borrowed)
+        reservation = None
+        if tokens > borrowed:
+            reservation = self.reserve_of_slice(tokens - borrowed)
+            if reservation is None:
+                return None
+        self._borrowed -= borrowed
+        return Hold(
+            customer=self._customer,
+            tokens=tokens,
+            borrowed=borrowed,
+            reservation=reservation,
+        )
 
     def asked(self, tokens: int, now: float) -> None:
         """Count the demand, whether it is met or not."""
@@ -156,10 +185,11 @@
 
     def settle(self, hold: Hold, *, spent: int) -> None:
         """Replace what was set aside by what the request took."""
-        if hold.reservation is None:
-            self._borrowed += max(0, hold.tokens - spent)
-            return
-        self.slice.settle(hold.reservation, spent=min(spent, hold.tokens))
+        spent = min(spent, hold.tokens)
+        self._borrowed += max(0, hold.borrowed - spent)
+        if hold.reservation is not None:
+            of_slice = max(0, spent - hold.borrowed)
+            self.slice.settle(hold.reservation, spent=of_slice)
 
     def lend(self, asker: SliceNeed, now: float) -> int:
         """Charge a loan to the slice and return its tokens; 0 for none."""
@@ -192,14 +222,18 @@
 
         `typical` is the mean size of a request of any customer.
         """
+        unspent = max(0, self.ledger.prepaid - self.ledger.total_spent)
+        holders = max(1, len(self.ledger.grants))
+        starting = int(unspent / holders * STARTING_SHARE)
         return SliceNeed(
             holding=max(0, self.slice.granted - self.slice.spent),
             demand=self._meter.rate(now=now),
-            largest_request=int(typical * TYPICAL_REQUESTS),
+            largest_request=max(starting, int(typical * TYPICAL_REQUESTS)),
             waiting=self.lacking,
             lacking=self.lacking,
             ride_out_seconds=RIDE_OUT_SECONDS,
             spread=Spread.WIDE,
+            equal_part=EQUAL_PART,
         )
 
     def propose(self, ledger: Ledger, *, nonce: str, typical: int, now: float) -> bool:
@@ -207,11 +241,12 @@
         if self.slice.pending is not None:
             self.slice.propose(nonce=nonce, cap=0)
             return True
+        self.ledger = ledger
         need = self.need(now, typical)
         holder = self.slice.router
         take = to_take(ledger, router=holder, need=need)
         give_back = to_give_back(ledger, router=holder, need=need)
-        cap = self._cap(need)
+        cap = self._cap(need, typical)
         if not self._due(need.holding, take, give_back, cap):
             return False
         self.slice.propose(
@@ -231,10 +266,12 @@
         if self.slice.owns(grant):
             self.slice.accept(grant)
 
-    def _cap(self, need: SliceNeed) -> int:
+    def _cap(self, need: SliceNeed, typical: int) -> int:
         """Return the untold spend to allow from now on, all told being settled."""
+        unspent = max(0, self.ledger.prepaid - self.ledger.total_spent)
+        least = max(int(unspent * STARTING_CAP_SHARE), typical)
         headroom = int(need.demand / 60 * HEADROOM_SECONDS)
-        return self.slice.reserved + max(headroom, need.largest_request) + self.lacking
+        return self.slice.reserved + max(headroom, least) + self.lacking
 
     def _due(self, holding: int, take: int, give_back: int, cap: int) -> bool:
         if self.lacking or give_back:
--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -50,8 +50,12 @@
 """Pause after a failed call: each call is paid for, also in an outage."""
 
 LACK_WAIT_SECONDS = 0.25
-"""How long a request waits for tokens: some fifty answers of the platform, and
-less than the patience of any caller."""
+"""How long a request waits for tokens that the platform may give: it answers in
+4 ms, on slow days in 250."""
+
+LOAN_WAIT_SECONDS = 0.06
+"""How long it waits where only peers can help: they answer in 2 ms, and whoever
+has tokens answers at once."""
 
 FRESH_SECONDS = 2.5
 """A ledger read so lately tells what is left of a budget."""
@@ -96,6 +100,8 @@
         account = self.allowances.account(customer.name)
         self.allowances.asked(customer.name, tokens, monotonic())
         hold = account.reserve(tokens)
+        if hold is None and self._uncap_if_due():
+            hold = account.reserve(tokens)
         if hold is None:
             hold = await self._reserve_late(account, customer, tokens)
         return hold
@@ -111,6 +117,23 @@
         ledger = self.allowances.account(customer.name).ledger
         return ledger.prepaid - ledger.total_spent < tokens
 
+    def log_lack(self, request_id: str, customer: Customer, tokens: int) -> None:
+        """Log what a refusal for lack of tokens was decided by."""
+        account = self.allowances.account(customer.name)
+        age = monotonic() - self._read_at
+        log_info(
+            "tokens_lacking",
+            request=request_id,
+            customer=customer.name,
+            needed=tokens,
+            free=account.free,
+            available=account.available,
+            cap_room=account.cap_room,
+            unspent=account.ledger.prepaid - account.ledger.total_spent,
+            ledger_age=round(age, 2) if self._merged else None,
+            reachable=self._reachable,
+        )
+
     async def run(self) -> None:
         """Renew slices until cancelled."""
         while True:
@@ -156,11 +179,13 @@
     async def _reserve_late(
         self, account: Account, customer: Customer, tokens: int
     ) -> Hold | None:
-        account.lacking += tokens
-        waits_until = monotonic() + LACK_WAIT_SECONDS
+        missing = max(1, tokens - account.available)
+        account.lacking += missing
+        wait = LACK_WAIT_SECONDS if self._reachable else LOAN_WAIT_SECONDS
+        waits_until = monotonic() + wait
         try:
             await self._woken.set()
-            asked = False
+            await self._ask_peers(customer.name, account)
             while (left := waits_until - monotonic()) > 0:
                 self._renewed.clear()
                 async with curio.ignore_after(left):
@@ -170,11 +195,8 @@
                     return hold
                 if self.is_exhausted(customer, tokens):
                     return None
-                if not asked:
-                    asked = True
-                    await self._ask_peers(customer.name, account)
         finally:
-            account.lacking -= tokens
+            account.lacking -= missing
         return None
 
     async def _pause(self, seconds: float) -> None:
@@ -182,15 +204,18 @@
             await self._woken.wait()
         self._woken.clear()
 
-    def _uncap_if_due(self) -> None:
+    def _uncap_if_due(self) -> bool:
+        """Spend beyond the caps in a long outage; return whether that holds."""
         if self._tried_at is None:
-            return
+            return False
         silent = read_clocks().surely_since(self._tried_at)
-        if silent >= UNCAP_SECONDS and not self._uncapped:
-            self._uncapped = True
+        if silent < UNCAP_SECONDS:
+            return False
+        if not self._uncapped:
             log_warning("slices_uncapped", silent=round(silent, 2))
-        if self._uncapped:
-            self.allowances.uncap()
+        self._uncapped = True
+        self.allowances.uncap()
+        return True
 
     async def _renew(self) -> bool:
         try:
--- a/src/ragwortkeel/ingress/front.py
+++ b/src/ragwortkeel/ingress/front.py
@@ -217,6 +217,7 @@
         self._relay = Relay(responder=to, last_event=accepted.call.last_event)
         self._runs = 0
         self._turned_away = 0
+        self._first_after: float | None = None
         self._ran = False
         self._whole = False
         self._tried: frozenset[str] = frozenset()
@@ -248,6 +249,7 @@
         hold = await keeper.reserve(customer, usage.total)
         if hold is not None:
             return hold
+        keeper.log_lack(accepted.call.request_id, customer, usage.total)
         if keeper.is_exhausted(customer, usage.total):
             return BUDGET_EXHAUSTED
         return BUDGET_UNREACHABLE
@@ -326,6 +328,7 @@
         if not placed.begun:
             self._front._placement.begun(placed)
             waited = monotonic() - self._accepted.arrived_at
+            self._first_after = self._first_after or waited
             self._front._metrics.first_token(
                 service=self._accepted.route.repeats, seconds=waited
             )
@@ -416,6 +419,7 @@
             upstream=placed.upstream.name,
             status=status,
             events=self._relay.cutter.events,
+            first=round(self._first_after or 0.0, 3),
             took=round(monotonic() - accepted.arrived_at, 3),
         )
         self._front._metrics.request_ended(
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from ragwortkeel.budget.sizing import ASKED_AT_ONCE, best_givers
 from ragwortkeel.exceptions import LinkLost
 from ragwortkeel.ingress.allowance import Account
 from ragwortkeel.ingress.placement import Load
@@ -71,6 +72,7 @@
         )
         self._link_by_address: dict[str, Link] = {}
         self._known: set[str] = set(seeds) - {address}
+        self._address_by_node: dict[str, str] = {}
         self._tasks = curio.TaskGroup(wait=None)
 
     def open(self) -> None:
@@ -99,7 +101,7 @@
         await self._send_all(crash)
 
     async def ask_loan(self, customer: str, account: Account) -> None:
-        """Ask all peers for tokens of a customer."""
+        """Ask the peers that hold most for tokens of a customer."""
         need = account.need(monotonic())
         request = LoanRequest(
             customer=customer,
@@ -108,10 +110,21 @@
             demand=need.demand,
             largest_request=need.largest_request,
         )
-        await self._send_all(request)
+        await self._send(request, self._givers(account))
+
+    def _givers(self, account: Account) -> list[Link]:
+        holders = best_givers(account.ledger, router=account.slice.router)
+        nodes = [holder.partition("/")[0] for holder in holders]
+        addresses = [self._address_by_node.get(node) for node in nodes]
+        found = [self._link_by_address.get(address) for address in addresses]
+        up = [link for link in found if link is not None and link.up]
+        return up or list(self._link_by_address.values())[:ASKED_AT_ONCE]
 
     async def _send_all(self, message) -> None:
-        for link in list(self._link_by_address.values()):
+        await self._send(message, list(self._link_by_address.values()))
+
+    async def _send(self, message, links: list[Link]) -> None:
+        for link in links:
             if not link.up:
                 continue
             try:
@@ -207,6 +220,7 @@
         return None
 
     def _meet(self, state: IngressState) -> None:
+        self._address_by_node[state.node] = state.address
         told = {state.address, *state.addresses}
         self._known |= told - {self._address}
 
--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -41,9 +41,10 @@
 OUTSIDE_ZONE_COST = 0.05
 """Of one request: breaks ties towards the own zone, where no byte is charged."""
 
-FIRST_CHOICE_BONUS = 0.9
-"""Share of a cold prefix that its first engine is taken to hold already, as
-another process is likely to have placed it there."""
+SHARED_WEIGHT = 4.0
+"""Cost of reading a shared token that another engine holds, against one that has
+to be read anyway: beside its time it takes the memory of parts in use, and the
+engine's other requests wait for it too."""
 
 CONNECTION_SHARE = 0.8
 """Of an upstream's connections; the rest is for health checks and late closes."""
@@ -267,8 +268,10 @@
             total = state.total(now)
             held = state.memory.held(job.parts) if state.memory else 0
             if job.affinity and upstream.name == first:
-                held = max(held, int(shared * FIRST_CHOICE_BONUS))
+                # Another process is likely to have placed it there.
+                held = max(held, shared)
             missing = max(0, job.prompt_tokens - held)
+            missing += max(0, shared - held) * (SHARED_WEIGHT - 1)
             running = (total.running + self._outside(upstream)) * RUNNING_COST_TOKENS
             return missing + total.unread_tokens + running
 
