A planned stop takes nothing it can't finish; losses of power cost the cap only

Ruled out: the store's time (its answers carry none); serving late requests with a shorter deadline. Change: the age of the last write comes from the time of day plus 3 s where the boot clock can't be believed, and slices are uncapped after 6.5 s; idle connections close 2.6 s into a stop, and later requests are told not_run. Tests: unit tests of all ingress modules, a state machine over budgets with each of its two time guards left out once, scripted upstreams, stops.

--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -93,6 +93,7 @@
         self.keep_alive_seconds = keep_alive_seconds
         self._cancels_abandoned = cancels_abandoned
         self._newcomers = 0
+        self._idle_by_socket: dict[object, h11.Connection] = {}
         self._listener = None
         self._acceptor = None
         self._connections = curio.TaskGroup(wait=None)
@@ -139,6 +140,17 @@
             await curio.sleep(STOP_POLL_SECONDS)
             waited += STOP_POLL_SECONDS
 
+    async def close_idle(self) -> None:
+        """Close the connections on which no request has begun.
+
+        A peer would send its next one just before the end of a planned stop, too
+        late to be served whole.
+        """
+        for sock, conn in list(self._idle_by_socket.items()):
+            if not conn.trailing_data[0]:
+                with suppress(OSError):
+                    await sock.shutdown(_socket.SHUT_RDWR)
+
     async def _close_listener(self) -> None:
         # The accepting task has to be out of its wait before the listener is
         # closed; closed under it, it would wait for ever on a freed descriptor.
@@ -230,6 +242,7 @@
 
     async def _read_head(self, sock, conn) -> h11.Request | None:
         """Return the head of the next request; None where the peer is done."""
+        self._idle_by_socket[sock] = conn
         try:
             async with curio.timeout_after(self.keep_alive_seconds):
                 event = await next_event(sock, conn)
@@ -241,6 +254,8 @@
             ) from None
         except ExchangeBroken:
             return None
+        finally:
+            del self._idle_by_socket[sock]
         return event if isinstance(event, h11.Request) else None
 
     async def _read_request(self, sock, conn, head: h11.Request) -> Request:
--- a/src/ragwortkeel/ingress/allowance.py
+++ b/src/ragwortkeel/ingress/allowance.py
@@ -41,16 +41,17 @@
 DIRECT = "direct"
 """What a ledger calls the way to upstreams without a sidecar."""
 
-UNCAP_SECONDS = 4.0
+UNCAP_SECONDS = 6.5
 """Without a write for so long, a process spends beyond its caps.  Longer than a
-killed process takes to be back and read the ledger (2 to 3 s measured), so that
-an ordinary kill costs the cap and not the slice."""
+killed process takes to be back and read the ledger (2 to 3 s measured) with a
+jump of the time of day on top, so that an ordinary kill or loss of power costs
+the cap and not the slice."""
 
-CAPPED_SECONDS = 3.8
+CAPPED_SECONDS = 6.3
 """A last write younger than this proves that the dead process was still capped;
 the difference covers the reading of the clocks."""
 
-HEADROOM_SECONDS = 5.0
+HEADROOM_SECONDS = 7.5
 """Demand that a cap leaves room for: `UNCAP_SECONDS` of an outage, and some."""
 
 USABLE_SHARE = 0.99
@@ -375,13 +376,9 @@
         )
 
     def merged(self, shard: Shard, reading: Reading) -> Shard:
-        """Return the shard without the grants of earlier starts of this process.
-
-        Only one process of a name runs at a time, so they are dead.
-        """
-        for holder in self._predecessors(shard):
-            stamp = shard.stamp_by_holder.get(holder)
-            capped = stamp is not None and stamp.age(reading.stamp) < CAPPED_SECONDS
+        """Return the shard without the grants of earlier starts of this process."""
+        for predecessor in self.predecessors(shard, reading):
+            holder, capped = predecessor.holder, predecessor.capped
             ledgers = {
                 customer: _charged(ledger, holder, capped=capped)
                 for customer, ledger in shard.ledger_by_customer.items()
@@ -393,12 +390,39 @@
             )
         return shard
 
-    def _predecessors(self, shard: Shard) -> list[str]:
+    def predecessors(self, shard: Shard, reading: Reading) -> list["Predecessor"]:
+        """Return the earlier starts of this process that still hold grants.
+
+        Only one process of a name runs at a time, so they are dead.
+        """
         node = _node(self.holder)
         holders = set(shard.stamp_by_holder)
         for ledger in shard.ledger_by_customer.values():
             holders |= ledger.grants.keys()
-        return sorted(h for h in holders if _node(h) == node and h != self.holder)
+        dead = sorted(h for h in holders if _node(h) == node and h != self.holder)
+        return [
+            Predecessor(
+                holder=holder, age=_age(shard.stamp_by_holder.get(holder), reading)
+            )
+            for holder in dead
+        ]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Predecessor:
+    """An earlier start of a process; `age` bounds the seconds since its last write."""
+
+    holder: str
+    age: float
+
+    @property
+    def capped(self) -> bool:
+        """Whether it surely died before it could spend beyond its caps."""
+        return self.age < CAPPED_SECONDS
+
+
+def _age(stamp: Stamp | None, reading: Reading) -> float:
+    return float("inf") if stamp is None else stamp.age(reading.stamp)
 
 
 def _charged(ledger: Ledger, holder: str, *, capped: bool) -> Ledger:
--- a/src/ragwortkeel/ingress/answers.py
+++ b/src/ragwortkeel/ingress/answers.py
@@ -60,6 +60,9 @@
 OVERLOADED = Answer(
     status=503, reason="overloaded", result=Result.NOT_RUN, retry_after_seconds=0.8
 )
+STOPPING = Answer(
+    status=503, reason="stopping", result=Result.NOT_RUN, retry_after_seconds=0.05
+)
 TIMED_OUT = Answer(status=504, reason="timed_out", result=Result.UNKNOWN)
 BROKEN = Answer(status=502, reason="upstream_broke_off", result=Result.UNKNOWN)
 
--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -220,11 +220,13 @@
     async def _renew(self) -> bool:
         try:
             await self._renew_once()
-        except (PlatformUnavailable, OutcomeUnknown) as exc:
+        except PlatformUnavailable as exc:
             self._note_reachable(False, str(exc))
             return False
-        except (VersionConflict, AlreadyExists, ObjectNotFound):
-            # Another process wrote first: look again at once.
+        except (VersionConflict, AlreadyExists, ObjectNotFound, OutcomeUnknown) as exc:
+            # Another process wrote first, or the answer was lost: the ledger
+            # itself tells what holds, so look again at once.
+            log_info("renewal_repeated", error=repr(exc))
             await self._woken.set()
             return True
         except (LedgerError, RouterSealed) as exc:
@@ -243,6 +245,7 @@
             _prepaid(self._table), self._table.configuration.revision
         )
         if not self._merged:
+            self._log_predecessors(renewed, reading)
             renewed = self.allowances.merged(renewed, reading)
         renewed = self.allowances.renewed(renewed, reading)
         # Counted from the try: a write whose answer is lost may have put its
@@ -254,6 +257,15 @@
         self._merged = True
         self._read_at = reading.monotonic
 
+    def _log_predecessors(self, shard: Shard, reading: Reading) -> None:
+        for one in self.allowances.predecessors(shard, reading):
+            log_info(
+                "predecessor_charged",
+                holder=one.holder,
+                last_write_age=one.age,
+                capped=one.capped,
+            )
+
     async def _read(self) -> tuple[Stored | None, Shard]:
         stored = await self._platform.get(SHARDS_KIND, SHARD_NAME)
         if stored is None:
--- a/src/ragwortkeel/ingress/clocks.py
+++ b/src/ragwortkeel/ingress/clocks.py
@@ -10,6 +10,13 @@
 
 import msgspec
 
+JUMP_SECONDS = 3.0
+"""How far the time of day may jump between two looks; synchronised clocks are
+stepped by less."""
+
+REBOOT_SECONDS = 60.0
+"""Where the boot clock says so much more than the time of day, it began anew."""
+
 
 class Stamp(msgspec.Struct, frozen=True, kw_only=True):
     """When a process wrote something, in seconds of two clocks of its machine."""
@@ -20,13 +27,14 @@
     def age(self, now: "Stamp") -> float:
         """Return an upper bound of the seconds since, on the same machine.
 
-        The boot clock is wrong after a restart of the machine, the time of day
-        after a jump; the larger of both is too small only if both are.  After a
-        restart the boot clock runs behind what it was, which no age can show.
+        Without a reboot the larger of both is too small only if both are wrong.
+        After one only the time of day is left, and its jumps are allowed for.
         """
-        if now.boot < self.boot:
-            return float("inf")
-        return max(now.boot - self.boot, now.wall - self.wall)
+        by_boot = now.boot - self.boot
+        by_wall = now.wall - self.wall
+        if by_boot < 0 or by_boot > by_wall + REBOOT_SECONDS:
+            return by_wall + JUMP_SECONDS
+        return max(by_boot, by_wall)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/ragwortkeel/ingress/front.py
+++ b/src/ragwortkeel/ingress/front.py
@@ -16,6 +16,7 @@
     NO_UPSTREAM,
     OVERLOADED,
     QUARANTINED,
+    STOPPING,
     TIMED_OUT,
     UNKNOWN_KEY,
     Answer,
@@ -94,6 +95,11 @@
     ----------
     names : HeaderNames
         What callers and upstreams call their headers.
+
+    Attributes
+    ----------
+    stopping : bool
+        Whether a planned stop is so far that a new request could be cut.
     """
 
     def __init__(
@@ -107,6 +113,7 @@
         metrics: Metrics,
     ) -> None:
         self.table: RoutingTable | None = None
+        self.stopping = False
         self.connections = UpstreamConnections(id_header=names.request_id)
         self._names = names
         self._dispatcher = dispatcher
@@ -148,6 +155,8 @@
     def _accept(self, request: Request) -> Accepted | Answer:
         if self.table is None:
             return NO_CONFIGURATION
+        if self.stopping:
+            return STOPPING
         headers = request.headers
         routing = self.table.route(
             host=headers.get("host", ""),
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -150,6 +150,8 @@
         deadline = begun + self._settings.stop_deadline_seconds
         await curio.sleep(BALANCER_SECONDS)
         await self._server.stop_accepting()
+        self._front.stopping = True
+        await self._server.close_idle()
         while self._server.open_exchanges and monotonic() < deadline:
             await curio.sleep(STOP_LOOK_SECONDS)
         cut = self._server.open_exchanges
--- /dev/null
+++ b/tests/ingress/allowance_world.py
@@ -0,0 +1,208 @@
+"""The processes, their machines and the platform of the random walks over budgets."""
+
+from dataclasses import dataclass, field
+
+from ragwortkeel.ingress.allowance import (
+    CAPPED_SECONDS,
+    UNCAP_SECONDS,
+    Allowances,
+    Shard,
+)
+from ragwortkeel.ingress.clocks import Reading
+
+CUSTOMER = "surco"
+OTHER = "maule"
+PREPAID = {CUSTOMER: 4_000, OTHER: 900}
+
+
+@dataclass
+class Write:
+    """A conditional write that is on its way, or was lost and comes late."""
+
+    version: int
+    shard: Shard
+
+
+@dataclass
+class Machine:
+    """An instance: its clocks, and the process that runs on it now."""
+
+    name: str
+    starts: int = 0
+    suspended: float = 0.0
+    booted_at: float = 0.0
+    wall_off: float = 0.0
+    allowances: Allowances | None = None
+    merged: bool = False
+    tried_at: Reading | None = None
+    read: tuple[int, Shard] | None = None
+    open_holds: list = field(default_factory=list)
+
+    def reading(self, now):
+        return Reading(
+            monotonic=now - self.booted_at - self.suspended,
+            boot=now - self.booted_at,
+            wall=now + self.wall_off,
+        )
+
+    def start(self):
+        self.starts += 1
+        self.allowances = Allowances(holder=f"{self.name}/{self.starts}")
+        self.merged = False
+        self.tried_at = None
+        self.read = None
+        self.open_holds = []
+
+    def die(self):
+        self.allowances = None
+        self.open_holds = []
+
+
+class AllowanceWorld:
+    """Counts what truly ran, beside what the ledgers say.
+
+    A run takes effect when it is reserved, as the upstream may do all of it while
+    its process is dead; a settle that the process still sees corrects it.
+    """
+
+    def __init__(self, machines=3, *, trusts_any_age=False, uncaps_at_once=False):
+        self.now = 10.0
+        self.version = 0
+        self.shard = None
+        self.late: list[Write] = []
+        self.revision = 1
+        self.prepaid = dict(PREPAID)
+        self.highest_prepaid = dict(PREPAID)
+        self.spent = dict.fromkeys(PREPAID, 0)
+        self.machines = [Machine(name=f"m{i}") for i in range(machines)]
+        self.trusts_any_age = trusts_any_age
+        self.uncaps_at_once = uncaps_at_once
+        for machine in self.machines:
+            machine.start()
+
+    def live(self):
+        return [m for m in self.machines if m.allowances is not None]
+
+    # What happens to a process.
+
+    def reserve(self, machine, customer, tokens):
+        machine.allowances.asked(customer, tokens, machine.reading(self.now).monotonic)
+        account = machine.allowances.account(customer)
+        hold = account.reserve(tokens)
+        if hold is None:
+            account.lacking = tokens
+            return False
+        account.lacking = 0
+        machine.open_holds.append(hold)
+        self.spent[customer] += tokens
+        return True
+
+    def settle(self, machine, share):
+        hold = machine.open_holds.pop()
+        spent = int(hold.tokens * share)
+        machine.allowances.account(hold.customer).settle(hold, spent=spent)
+        self.spent[hold.customer] -= hold.tokens - spent
+
+    def lend(self, lender, asker, customer, *, arrives):
+        need = asker.allowances.account(customer).need(0.0)
+        if not need.lacking:
+            return
+        reading = lender.reading(self.now)
+        tokens = lender.allowances.account(customer).lend(need, reading.monotonic)
+        if arrives:
+            asker.allowances.account(customer).borrow(tokens)
+
+    def uncap(self, machine):
+        if machine.tried_at is None:
+            return
+        reading = machine.reading(self.now)
+        silent = reading.surely_since(machine.tried_at)
+        if silent >= UNCAP_SECONDS or self.uncaps_at_once:
+            machine.allowances.uncap()
+
+    # Renewals, in the steps between which anything may happen.
+
+    def read_ledger(self, machine):
+        machine.read = (self.version, self.shard or Shard())
+        machine.allowances.resolve(machine.read[1])
+
+    def write_ledger(self, machine, fate):
+        """Send the write; `fate` is done, refused, lost or late."""
+        if machine.read is None:
+            return
+        version, shard = machine.read
+        machine.read = None
+        reading = machine.reading(self.now)
+        renewed = shard.provisioned(self.prepaid, self.revision)
+        if not machine.merged:
+            renewed = machine.allowances.merged(renewed, reading)
+        renewed = machine.allowances.renewed(renewed, reading)
+        if fate == "refused":
+            return
+        machine.tried_at = reading
+        write = Write(version=version, shard=renewed)
+        if fate == "late":
+            self.late.append(write)
+            return
+        done = self.apply(write)
+        if done and fate == "done":
+            machine.allowances.resolve(renewed)
+            machine.merged = True
+
+    def close(self, machine):
+        """Stop as planned, with nothing open."""
+        if machine.open_holds:
+            return
+        self.read_ledger(machine)
+        version, shard = machine.read
+        self.apply(Write(version=version, shard=machine.allowances.closed(shard)))
+        machine.die()
+
+    def apply(self, write):
+        if write.version != self.version:
+            return False
+        self.version += 1
+        self.shard = write.shard
+        return True
+
+    # Machines, clocks and operators.
+
+    def restart(self, machine, *, power_lost, boot=0.0):
+        machine.die()
+        if power_lost:
+            machine.booted_at = self.now - boot
+            machine.suspended = 0.0
+        machine.start()
+        if self.trusts_any_age:
+            machine.allowances.merged = lambda shard, reading: _trusting(
+                machine.allowances, shard, reading
+            )
+
+    def top_up(self, customer, tokens):
+        self.prepaid = self.prepaid | {customer: self.prepaid[customer] + tokens}
+        self.revision += 1
+
+    # What must hold.
+
+    def check(self):
+        for customer, spent in self.spent.items():
+            assert spent <= self.prepaid[customer], (customer, spent)
+        for ledger in (self.shard or Shard()).ledger_by_customer.values():
+            assert ledger.held <= ledger.prepaid
+
+
+def _trusting(allowances, shard, reading):
+    """Merge as if every predecessor had been capped when it died."""
+    young = {
+        holder: stamp.__class__(boot=reading.boot, wall=reading.wall)
+        for holder, stamp in shard.stamp_by_holder.items()
+    }
+    fresh = shard.__class__(
+        revision=shard.revision,
+        ledger_by_customer=shard.ledger_by_customer,
+        stamp_by_holder=young,
+    )
+    return Allowances.merged(allowances, fresh, reading)
+
+
+assert CAPPED_SECONDS < UNCAP_SECONDS
--- /dev/null
+++ b/tests/ingress/in_process.py
@@ -0,0 +1,315 @@
+"""One or two ingress processes in a kernel, before upstreams that a test scripts."""
+
+import socket as _socket
+from dataclasses import dataclass, field
+
+import curio
+import h11
+import msgspec
+from curio.task import ContextTask
+from deployments.ports import free_address
+from tests.ingress.builders import configuration, route, upstream
+
+from ragwortkeel.http_events import joined_headers, next_event
+from ragwortkeel.httpio import HttpClient
+from ragwortkeel.ingress.configuration import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    UPSTREAMS_KIND,
+    Customer,
+    Engine,
+    Repeats,
+    Service,
+    Split,
+)
+from ragwortkeel.ingress.names import HeaderNames
+from ragwortkeel.ingress.worker import IngressWorker
+from ragwortkeel.settings import IngressSettings
+from ragwortkeel.standins.local_platform import LocalPlatform
+
+NAMES = HeaderNames()
+KEY = "key-1"
+PATIENCE = 20.0
+ROUTES = (
+    route("lookup", "/lookup/", max_attempts=2),
+    route("filing", "/filing/", repeats=Repeats.ONCE),
+    route(
+        "chat",
+        "/chat/",
+        repeats=Repeats.STREAM,
+        resumable=True,
+        max_attempts=2,
+        splits=(Split(service="pool"),),
+    ),
+    route(
+        "review",
+        "/review/",
+        repeats=Repeats.STREAM,
+        splits=(Split(service="pool"),),
+    ),
+)
+SERVICES = (
+    Service(name="app", max_connections=96),
+    Service(
+        name="pool",
+        max_connections=96,
+        engine=Engine(slots=8, memory_tokens=100_000, event_tokens=6),
+    ),
+)
+
+
+def run_ingress(scenario, **options):
+    """Run ``await scenario(fleet)`` beside fresh processes; return its result."""
+
+    async def main():
+        fleet = IngressFleet(**options)
+        await fleet.start()
+        try:
+            async with curio.timeout_after(PATIENCE):
+                return await scenario(fleet)
+        finally:
+            await fleet.stop()
+
+    with curio.Kernel(taskcls=ContextTask) as kernel:
+        return kernel.run(main)
+
+
+@dataclass(frozen=True)
+class Seen:
+    """One request as an upstream got it."""
+
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+
+
+@dataclass
+class ScriptedUpstream:
+    """A server that answers each request by `script(seen, sock)`.
+
+    The script writes raw bytes, so that it can break any rule of the protocol.
+    """
+
+    name: str
+    service: str = "app"
+    script: object = None
+    seen: list = field(default_factory=list)
+    connections: int = 0
+    sock: object = None
+    task: object = None
+    open_socks: list = field(default_factory=list)
+
+    async def start(self):
+        self.sock = curio.network.tcp_server_socket("127.0.0.1", 0)
+        self.port = self.sock.getsockname()[1]
+        self.task = await curio.spawn(self._accept, daemon=True)
+
+    async def stop(self):
+        await self.task.cancel()
+        await self.sock.close()
+        for sock in self.open_socks:
+            await sock.close()
+
+    async def _accept(self):
+        while True:
+            sock, _ = await self.sock.accept()
+            self.connections += 1
+            self.open_socks.append(sock)
+            await curio.spawn(self._serve, sock, daemon=True)
+
+    async def _serve(self, sock):
+        try:
+            while await self._one(sock):
+                pass
+        except OSError:
+            pass
+        finally:
+            await sock.close()
+
+    async def _one(self, sock):
+        conn = h11.Connection(h11.SERVER)
+        head = await next_event(sock, conn)
+        if not isinstance(head, h11.Request):
+            return False
+        body = b""
+        while isinstance(event := await next_event(sock, conn), h11.Data):
+            body += bytes(event.data)
+        seen = Seen(
+            method=head.method.decode(),
+            target=head.target.decode(),
+            headers=joined_headers(head.headers),
+            body=body,
+        )
+        self.seen.append(seen)
+        return await self.script(seen, sock)
+
+
+def plain(seen, body=b"ok", *, status="200 OK", echo=None, proof=True, extra=""):
+    """Return the bytes of a whole plain answer."""
+    lines = [f"HTTP/1.1 {status}", f"content-length: {len(body)}"]
+    lines.append(f"x-request-id: {echo or seen.headers['x-request-id']}")
+    if proof:
+        lines.append("x-upstream-proof: p1")
+    if extra:
+        lines.append(extra)
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def stream_head(seen):
+    """Return the head of a stream of events in chunks."""
+    return (
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+        f"x-request-id: {seen.headers['x-request-id']}\r\nx-upstream-proof: p1\r\n"
+        "transfer-encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def events(first, last):
+    """Return events of these ids."""
+    numbers = range(first, last + 1)
+    return b"".join(b"id: %d\ndata: t%d\n\n" % (i, i) for i in numbers)
+
+
+def chunk(data):
+    """Return data as one chunk."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+END = b"0\r\n\r\n"
+
+
+async def answer_whole(seen, sock):
+    await sock.sendall(plain(seen))
+    return True
+
+
+async def stream_whole(seen, sock):
+    after = int(seen.headers.get("last-event-id", 0))
+    await sock.sendall(stream_head(seen) + chunk(events(after + 1, 5)) + END)
+    return True
+
+
+async def reset(sock):
+    """Close so that the peer sees a reset."""
+    linger = b"\x01\0\0\0\0\0\0\0"
+    sock.setsockopt(_socket.SOL_SOCKET, _socket.SO_LINGER, linger)
+    await sock.close()
+
+
+class IngressFleet:
+    """The processes, the platform and the upstreams of one test."""
+
+    def __init__(self, *, scripts=None, processes=1, prepaid=None, routes=ROUTES):
+        scripts = scripts or {"u1": answer_whole, "e1": stream_whole}
+        self.platform = LocalPlatform()
+        self.upstreams = {
+            name: ScriptedUpstream(
+                name=name,
+                service="pool" if name.startswith("e") else "app",
+                script=script,
+            )
+            for name, script in scripts.items()
+        }
+        self.customers = (Customer(name="surco", keys=(KEY,), prepaid=prepaid),)
+        self.routes = routes
+        self.revision = 0
+        self.count = processes
+        self.workers = []
+        self.addresses = []
+        self.tasks = []
+        self.platform_ids = 0
+
+    async def start(self):
+        for one in self.upstreams.values():
+            await one.start()
+            await self.register(one)
+        await self.configure()
+        links = [free_address() for _ in range(self.count)]
+        for i in range(self.count):
+            await self.start_worker(f"ingress-{i}", links[i], tuple(links))
+        while not all(self._knows_all(worker) for worker in self.workers):
+            await curio.sleep(0.01)
+
+    def _knows_all(self, worker):
+        known = worker._directory.upstream_by_name
+        return worker.ready and len(known) == len(self.upstreams)
+
+    async def start_worker(self, name, link, links):
+        address = free_address()
+        worker = IngressWorker(
+            settings=IngressSettings(
+                name=name,
+                zone="a",
+                address=link,
+                http=address,
+                metrics=free_address(),
+                platform="127.0.0.1:9",
+                peers=links,
+                stop_deadline_seconds=8,
+            ),
+            platform=self.platform,
+            names=NAMES,
+        )
+        worker.open()
+        self.workers.append(worker)
+        self.addresses.append(address)
+        self.tasks.append(await curio.spawn(worker.run, daemon=True))
+        return worker
+
+    async def stop(self):
+        for task in self.tasks:
+            await task.cancel()
+        for one in self.upstreams.values():
+            await one.stop()
+
+    async def register(self, one, **fields):
+        entry = upstream(
+            one.name, service=one.service, port=one.port, slots=6, **fields
+        )
+        await self.write(UPSTREAMS_KIND, one.name, msgspec.json.encode(entry))
+
+    async def configure(self, **fields):
+        self.revision += 1
+        value = configuration(
+            self.revision,
+            **{
+                "routes": self.routes,
+                "services": SERVICES,
+                "customers": self.customers,
+            }
+            | fields,
+        )
+        await self.write(
+            CONFIGURATION_KIND, CONFIGURATION_NAME, msgspec.json.encode(value)
+        )
+
+    async def write(self, kind, name, value):
+        stored = await self.platform.get(kind, name)
+        if stored is None:
+            await self.platform.create(kind, name, value)
+            return
+        await self.platform.update(kind, name, value, stored.version)
+
+    async def ask(self, path, *, process=0, method="POST", body=b"q", **headers):
+        """Send one request and return its response."""
+        self.platform_ids += 1
+        host, port = self.addresses[process].split(":")
+        client = HttpClient(host=host, port=int(port))
+        fields = {
+            "host": "app.example",
+            "x-request-id": f"r{self.platform_ids}",
+            "x-deadline-ms": "3000",
+            "authorization": f"Bearer {KEY}",
+        }
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+        try:
+            return await client.request(
+                method, path, body=body, headers=fields, timeout=10.0
+            )
+        finally:
+            await client.close()
+
+    def seen(self):
+        """Return all requests that upstreams got, by upstream."""
+        return {name: one.seen for name, one in self.upstreams.items()}
--- /dev/null
+++ b/tests/ingress/test_allowance_machine.py
@@ -0,0 +1,185 @@
+"""Budgets of the ingress under random faults, and what each guard is for."""
+
+from random import Random
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from tests.ingress.allowance_world import CUSTOMER, OTHER, AllowanceWorld
+
+FATES = ["done", "done", "done", "refused", "lost", "late"]
+customers = st.sampled_from([CUSTOMER, OTHER])
+indexes = st.integers(0, 2)
+
+
+class AllowanceMachine(RuleBasedStateMachine):
+    """A customer must never get more than it paid for, whatever fails.
+
+    Processes take, spend, lend and settle; writes are refused, lost or late; they
+    are killed, lose power, stand still and come back; times of day jump.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.world = AllowanceWorld()
+
+    def process(self, index):
+        machine = self.world.machines[index]
+        return machine if machine.allowances is not None else None
+
+    @rule(index=indexes, customer=customers, tokens=st.integers(1, 600))
+    def reserve(self, index, customer, tokens):
+        if machine := self.process(index):
+            self.world.reserve(machine, customer, tokens)
+
+    @rule(index=indexes, share=st.floats(0, 1))
+    def settle(self, index, share):
+        machine = self.process(index)
+        if machine and machine.open_holds:
+            self.world.settle(machine, share)
+
+    @rule(index=indexes)
+    def read(self, index):
+        if machine := self.process(index):
+            self.world.read_ledger(machine)
+
+    @rule(index=indexes, fate=st.sampled_from(FATES))
+    def write(self, index, fate):
+        if machine := self.process(index):
+            self.world.write_ledger(machine, fate)
+
+    @rule(index=indexes, fate=st.sampled_from(FATES))
+    def renew(self, index, fate):
+        if machine := self.process(index):
+            self.world.read_ledger(machine)
+            self.world.write_ledger(machine, fate)
+
+    @rule(index=indexes)
+    def uncap(self, index):
+        if machine := self.process(index):
+            self.world.uncap(machine)
+
+    @rule(lender=indexes, asker=indexes, customer=customers, arrives=st.booleans())
+    def lend(self, lender, asker, customer, arrives):
+        one, other = self.process(lender), self.process(asker)
+        if one and other and one is not other:
+            self.world.lend(one, other, customer, arrives=arrives)
+
+    @rule(data=st.data())
+    def late_write(self, data):
+        if self.world.late:
+            at = data.draw(st.integers(0, len(self.world.late) - 1))
+            self.world.apply(self.world.late.pop(at))
+
+    @rule(index=indexes, power_lost=st.booleans(), boot=st.floats(0, 30_000))
+    def kill(self, index, power_lost, boot):
+        machine = self.world.machines[index]
+        self.world.restart(machine, power_lost=power_lost, boot=boot)
+
+    @rule(power_lost=st.booleans(), boot=st.floats(0, 30_000))
+    def kill_all(self, power_lost, boot):
+        for machine in self.world.machines:
+            self.world.restart(machine, power_lost=power_lost, boot=boot)
+
+    @rule(index=indexes)
+    def stop(self, index):
+        machine = self.process(index)
+        if machine and not machine.open_holds:
+            self.world.close(machine)
+            machine.start()
+
+    @rule(seconds=st.floats(0.1, 6.0))
+    def wait(self, seconds):
+        self.world.now += seconds
+
+    @rule(index=indexes, seconds=st.floats(0.1, 8.0))
+    def suspend(self, index, seconds):
+        self.world.now += seconds
+        self.world.machines[index].suspended += seconds
+
+    @rule(index=indexes, seconds=st.floats(-1.5, 1.5))
+    def step_time_of_day(self, index, seconds):
+        self.world.machines[index].wall_off = seconds
+
+    @rule(customer=customers, tokens=st.integers(1, 500))
+    def top_up(self, customer, tokens):
+        self.world.top_up(customer, tokens)
+
+    @invariant()
+    def never_over(self):
+        self.world.check()
+
+
+AllowanceMachine.TestCase.settings = settings(
+    max_examples=150,
+    stateful_step_count=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+TestAllowances = AllowanceMachine.TestCase
+
+
+def walk(seed, **switches):
+    """Play one random day; return whether a customer got too much.
+
+    Ordinary hours and outages of the platform take turns; a process that was busy
+    in an outage is often killed at its end.
+    """
+    random = Random(seed)
+    world = AllowanceWorld(**switches)
+    try:
+        for _ in range(12):
+            for _ in range(15):
+                ordinary_step(world, random)
+                world.check()
+            for _ in range(random.randint(4, 20)):
+                outage_step(world, random)
+                world.check()
+            if random.random() < 0.6:
+                machine = random.choice(world.machines)
+                world.restart(machine, power_lost=random.random() < 0.3)
+    except AssertionError:
+        return True
+    return False
+
+
+def ordinary_step(world, random):
+    machine = random.choice(world.machines)
+    match random.choices(["reserve", "settle", "renew", "late"], [20, 8, 30, 2])[0]:
+        case "reserve":
+            world.reserve(machine, CUSTOMER, random.randint(1, 40))
+        case "settle" if machine.open_holds:
+            world.settle(machine, 1.0)
+        case "renew":
+            world.read_ledger(machine)
+            world.write_ledger(machine, random.choice(FATES))
+        case "late" if world.late:
+            world.apply(world.late.pop())
+    world.now += random.uniform(0.1, 0.6)
+
+
+def outage_step(world, random):
+    machine = random.choice(world.machines)
+    world.uncap(machine)
+    world.reserve(machine, CUSTOMER, random.randint(1, 150))
+    world.now += random.uniform(0.0, 0.8)
+
+
+SEEDS = range(200)
+
+
+def test_random_days_keep_every_budget():
+    assert not [seed for seed in SEEDS if walk(seed)]
+
+
+@pytest.mark.parametrize("switch", ["trusts_any_age", "uncaps_at_once"])
+def test_each_guard_is_needed(switch):
+    """A customer gets more than it paid for after a process was killed.
+
+    The process had spent its whole slice in an outage, beyond the cap that stands
+    in the ledger; its successor charges the cap only.  Left out are, in turn, the
+    look at the age of the last write and the wait before spending uncapped.
+    """
+    assert [seed for seed in SEEDS if walk(seed, **{switch: True})]
--- /dev/null
+++ b/tests/ingress/test_budgets.py
@@ -0,0 +1,111 @@
+"""Prepaid budgets as callers meet them, over outages, kills and planned stops."""
+
+import curio
+import msgspec
+from tests.ingress.in_process import run_ingress
+
+from ragwortkeel.ingress.allowance import SHARDS_KIND, USABLE_SHARE, decode_shard
+from ragwortkeel.ingress.budget_keeper import SHARD_NAME
+
+PREPAID = 1_000
+SMALL = {"x_token_usage": "40,60", "x_prompt_parts": "p:40"}
+
+
+async def spend(fleet, count, process=0, **headers):
+    statuses = []
+    for _ in range(count):
+        answer = await fleet.ask("/chat/1", process=process, **(SMALL | headers))
+        statuses.append(answer.status)
+    return statuses
+
+
+async def ledger(fleet):
+    stored = await fleet.platform.get(SHARDS_KIND, SHARD_NAME)
+    return decode_shard(stored.value).ledger_by_customer["surco"]
+
+
+class TestSpending:
+    def test_an_answer_costs_its_prompt_and_what_came(self):
+        async def scenario(fleet):
+            await spend(fleet, 1)
+            await fleet.workers[0].stop()
+            return await ledger(fleet)
+
+        found = run_ingress(scenario, prepaid=PREPAID)
+        assert found.total_spent == 40 + 5 * 6
+
+    def test_a_budget_ends_with_a_refusal_that_says_so(self):
+        async def scenario(fleet):
+            statuses = await spend(fleet, 20)
+            answer = await fleet.ask("/chat/1", **SMALL)
+            return statuses, msgspec.json.decode(answer.body)
+
+        statuses, problem = run_ingress(scenario, prepaid=PREPAID)
+        served = statuses.count(200)
+        # Each costs 70, and 100 have to be free before it starts.
+        assert served == (int(PREPAID * USABLE_SHARE) - 100) // 70 + 1
+        assert set(statuses[served:]) == {402}
+        assert problem["reason"] == "budget_exhausted"
+
+    def test_a_top_up_is_served_at_once(self):
+        async def scenario(fleet):
+            await spend(fleet, 15)
+            customers = (msgspec.structs.replace(fleet.customers[0], prepaid=2000),)
+            await fleet.configure(customers=customers)
+            while fleet.workers[0].revision() < fleet.revision:
+                await curio.sleep(0.01)
+            return await spend(fleet, 3)
+
+        assert run_ingress(scenario, prepaid=PREPAID) == [200] * 3
+
+    def test_two_processes_share_one_budget_to_its_end(self):
+        async def scenario(fleet):
+            return await spend(fleet, 9) + await spend(fleet, 9, process=1)
+
+        statuses = run_ingress(scenario, prepaid=PREPAID, processes=2)
+        assert statuses.count(200) == 13
+
+    def test_a_request_that_did_not_run_costs_nothing(self):
+        async def scenario(fleet):
+            await fleet.upstreams["e1"].stop()
+            for _ in range(3):
+                await fleet.ask("/chat/1", **SMALL)
+            await fleet.workers[0].stop()
+            return await ledger(fleet)
+
+        assert run_ingress(scenario, prepaid=PREPAID).total_spent == 0
+
+
+class TestFailures:
+    def test_callers_are_served_in_an_outage_also_from_a_peer(self):
+        """All callers of one process are refused while the platform is away.
+
+        Its slice was small; the tokens lay with another process.
+        """
+
+        async def scenario(fleet):
+            await spend(fleet, 2)
+            fleet.platform.switches.down = True
+            return await spend(fleet, 3, process=1)
+
+        statuses = run_ingress(scenario, prepaid=100_000, processes=2)
+        assert statuses == [200] * 3
+
+    def test_a_planned_stop_gives_everything_back(self):
+        async def scenario(fleet):
+            await spend(fleet, 2)
+            await fleet.workers[0].stop()
+            return await ledger(fleet)
+
+        found = run_ingress(scenario, prepaid=PREPAID)
+        assert found.grants == {}
+        assert found.spent == 140
+
+    def test_a_write_whose_answer_is_lost_counts_once(self):
+        async def scenario(fleet):
+            fleet.platform.switches.lost_answers = 2
+            await spend(fleet, 4)
+            await fleet.workers[0].stop()
+            return await ledger(fleet)
+
+        assert run_ingress(scenario, prepaid=PREPAID).total_spent == 4 * 70
--- /dev/null
+++ b/tests/ingress/test_directory.py
@@ -0,0 +1,86 @@
+from tests.ingress.builders import upstream
+
+from ragwortkeel.ingress.configuration import UpstreamState
+from ragwortkeel.ingress.directory import LAPSE_SECONDS, Directory
+
+
+def directory_with(*names):
+    directory = Directory()
+    listed = {name: (5, upstream(name)) for name in names}
+    directory.listed(listed, revision=5, now=0.0)
+    return directory
+
+
+class TestEntries:
+    def test_a_ready_upstream_is_usable_and_a_leaving_one_is_not(self):
+        directory = directory_with("u1", "u2")
+        leaving = upstream("u2", state=UpstreamState.LEAVING)
+        directory.written("u2", leaving, version=6, now=1.0)
+        assert set(directory.usable(service="app")) == {"u1"}
+        assert set(directory.upstream_by_name) == {"u1", "u2"}
+
+    def test_an_older_entry_changes_nothing(self):
+        """A caller's request is cut by an upstream that exits.
+
+        It had said that it leaves; then a lagging list showed it ready again and
+        it got new work.
+        """
+        directory = directory_with("u1")
+        leaving = upstream("u1", state=UpstreamState.LEAVING)
+        directory.written("u1", leaving, version=7, now=1.0)
+        directory.listed({"u1": (5, upstream("u1"))}, revision=6, now=2.0)
+        assert not directory.is_usable("u1")
+
+    def test_leaving_is_final_until_the_instance_is_born_anew(self):
+        directory = directory_with("u1")
+        leaving = upstream("u1", state=UpstreamState.LEAVING, born=1)
+        directory.written("u1", leaving, version=6, now=1.0)
+        directory.written("u1", upstream("u1", born=1), version=7, now=1.1)
+        assert not directory.is_usable("u1")
+        directory.written("u1", upstream("u1", born=2), version=8, now=1.2)
+        assert directory.is_usable("u1")
+
+    def test_an_entry_that_vanishes_on_a_calm_day_is_gone_at_once(self):
+        directory = directory_with("u1")
+        directory.vanished("u1", version=6, now=100.0)
+        assert directory.upstream_by_name == {}
+
+    def test_a_list_without_an_entry_that_is_newer_than_it_keeps_the_entry(self):
+        directory = directory_with("u1")
+        directory.written("u2", upstream("u2"), version=9, now=1.0)
+        directory.listed({"u1": (5, upstream("u1"))}, revision=8, now=1.0)
+        assert directory.is_usable("u2")
+
+
+class TestOutages:
+    def test_entries_that_lapsed_in_an_outage_are_kept_until_they_can_be_back(self):
+        """All callers are refused for two seconds after the platform is back.
+
+        It had let the entries lapse while it was away, and the first list after
+        it showed no upstream although all of them served on.
+        """
+        directory = directory_with("u1", "u2")
+        directory.lost_platform(now=20.0)
+        directory.listed({}, revision=9, now=20.1)
+        assert set(directory.usable(service="app")) == {"u1", "u2"}
+        directory.written("u1", upstream("u1"), version=10, now=21.0)
+        directory.expire(now=20.0 + LAPSE_SECONDS)
+        assert set(directory.usable(service="app")) == {"u1"}
+
+    def test_an_outage_that_goes_on_keeps_them_on(self):
+        directory = directory_with("u1")
+        directory.lost_platform(now=20.0)
+        directory.listed({}, revision=9, now=20.1)
+        directory.lost_platform(now=22.0)
+        directory.expire(now=22.5)
+        assert directory.is_usable("u1")
+        directory.expire(now=22.0 + LAPSE_SECONDS)
+        assert not directory.is_usable("u1")
+
+    def test_a_leaving_upstream_that_lapses_is_not_used_again(self):
+        directory = directory_with("u1")
+        leaving = upstream("u1", state=UpstreamState.LEAVING)
+        directory.written("u1", leaving, version=6, now=19.0)
+        directory.lost_platform(now=20.0)
+        directory.vanished("u1", version=8, now=20.1)
+        assert not directory.is_usable("u1")
--- /dev/null
+++ b/tests/ingress/test_routing.py
@@ -0,0 +1,67 @@
+from collections import Counter
+
+from tests.ingress.builders import configuration, route
+
+from ragwortkeel.ingress.configuration import Customer, Split
+from ragwortkeel.ingress.routing import (
+    NoRoute,
+    Routed,
+    RoutingTable,
+    UnknownKey,
+    split_service,
+)
+
+
+def table(**fields):
+    return RoutingTable(configuration=configuration(**fields))
+
+
+class TestRoute:
+    def test_the_longest_prefix_wins(self):
+        short, long = route("short", "/a/"), route("long", "/a/b/")
+        found = table(routes=(short, long)).route(
+            host="app.example", path="/a/b/c", key="key-1"
+        )
+        assert found.route == long
+
+    def test_a_host_is_matched_without_port_and_case(self):
+        found = table().route(host="App.Example:80", path="/lookup/1", key="key-1")
+        assert isinstance(found, Routed)
+
+    def test_another_host_or_path_has_no_route(self):
+        assert table().route(host="b.example", path="/lookup/", key="") == NoRoute()
+        assert table().route(host="app.example", path="/look", key="") == NoRoute()
+
+    def test_a_key_names_the_customer_and_an_unknown_one_is_refused(self):
+        found = table().route(host="app.example", path="/lookup/", key="key-1")
+        assert found.customer.name == "surco"
+        stranger = table().route(host="app.example", path="/lookup/", key="key-2")
+        assert stranger == UnknownKey()
+
+    def test_a_public_route_takes_no_customer(self):
+        found = table(routes=(route(public=True),)).route(
+            host="app.example", path="/lookup/", key="key-1"
+        )
+        assert found.customer is None
+
+    def test_without_customers_no_key_is_asked_for(self):
+        found = table(customers=()).route(host="app.example", path="/lookup/", key="")
+        assert found.customer is None
+
+    def test_a_removed_key_is_unknown_in_the_next_table(self):
+        without = table(customers=(Customer(name="surco", keys=()),))
+        found = without.route(host="app.example", path="/lookup/", key="key-1")
+        assert found == UnknownKey()
+
+
+class TestSplits:
+    def test_requests_fall_on_services_by_weight(self):
+        splits = (Split(service="new", weight=10), Split(service="old", weight=90))
+        split = route(splits=splits)
+        counts = Counter(split_service(split, f"r{i}") for i in range(4000))
+        assert 300 < counts["new"] < 500
+
+    def test_the_same_request_falls_on_the_same_service(self):
+        splits = (Split(service="new"), Split(service="old"))
+        split = route(splits=splits)
+        assert len({split_service(split, "r1") for _ in range(20)}) == 1
--- /dev/null
+++ b/tests/ingress/test_usage.py
@@ -0,0 +1,33 @@
+import pytest
+
+from ragwortkeel.ingress.prefixes import Part
+from ragwortkeel.ingress.usage import Usage, parse_parts, parse_usage
+
+
+class TestParsing:
+    def test_usage_is_prompt_and_answer(self):
+        assert parse_usage("1460,80") == Usage(prompt_tokens=1460, answer_tokens=80)
+
+    @pytest.mark.parametrize("text", ["", "12", "a,b", "1,-5", "1,2,3"])
+    def test_anything_else_is_none(self, text):
+        assert parse_usage(text) is None
+
+    def test_parts_end_at_the_first_unreadable_one(self):
+        found = parse_parts("5c1e:800, 91bd:410,zz,77:5")
+        assert found == (
+            Part(part_id="5c1e", tokens=800),
+            Part(part_id="91bd", tokens=410),
+        )
+
+
+class TestCost:
+    usage = Usage(prompt_tokens=100, answer_tokens=60)
+
+    def test_a_whole_answer_costs_what_came(self):
+        assert self.usage.cost(events=4, event_tokens=6, whole=True) == 124
+
+    def test_a_broken_one_costs_what_may_have_been_made_unseen(self):
+        assert self.usage.cost(events=4, event_tokens=6, whole=False) == 142
+
+    def test_never_more_than_what_was_set_aside(self):
+        assert self.usage.cost(events=40, event_tokens=6, whole=False) == 160
