A dead process is judged by when its successor started; crashes are found by a look

Change: the age of the last write is taken at the successor's start; after a run that broke off one connection looks whether the upstream refuses.

--- a/src/ragwortkeel/exceptions.py
+++ b/src/ragwortkeel/exceptions.py
@@ -60,6 +60,10 @@
     """No connection came about, so the request was certainly not sent."""
 
 
+class ConnectRefused(ConnectFailed):
+    """The peer's machine answered that nothing listens there: the peer is down."""
+
+
 class ExchangeBroken(HttpError):
     """The connection failed after the request may have reached the peer."""
 
--- a/src/ragwortkeel/ingress/allowance.py
+++ b/src/ragwortkeel/ingress/allowance.py
@@ -11,11 +11,11 @@
 stands in the ledger, and its successor on the same machine charges the cap.
 Where the platform is away a cap would refuse callers that the slice could serve,
 so after `UNCAP_SECONDS` without a write the process spends its whole slice; its
-successor then finds the last write older than `CAPPED_SECONDS` and charges the
-whole slice.  Both ages err to the safe side: the process counts from its last
-*try* to write and by its slowest clock, the successor by its fastest.  A process
-that is frozen, cut off or killed thus can't lead to an overspend, and only its
-own successor ever takes anything back.
+successor then finds that the last write was older than `CAPPED_SECONDS` when it
+started, and charges the whole slice.  Both ages err to the safe side: the process
+counts from its last *try* to write and by its slowest clock, the successor by its
+fastest.  A process that is frozen, cut off or killed thus can't lead to an
+overspend, and only its own successor ever takes anything back.
 
 A loan moves tokens between processes while the platform is away.  The lender
 charges the whole loan as spent before it sends it, so a loan that is lost is
@@ -289,21 +289,24 @@
     ----------
     holder : str
         Incarnation of this process; a start under the same name is another one.
+    started : Reading
+        The clocks at the start of this process.
 
     Examples
     --------
-    >>> allowances = Allowances(holder="ingress-1/a")
+    >>> reading = Reading(monotonic=0.0, boot=0.0, wall=0.0)
+    >>> allowances = Allowances(holder="ingress-1/a", started=reading)
     >>> shard = Shard().provisioned({"surco": 1000}, revision=1)
     >>> allowances.asked("surco", 100, 0.0)
-    >>> reading = Reading(monotonic=0.0, boot=0.0, wall=0.0)
     >>> renewed = allowances.renewed(shard, reading)
     >>> allowances.resolve(renewed)
     >>> allowances.account("surco").free > 100
     True
     """
 
-    def __init__(self, *, holder: str) -> None:
+    def __init__(self, *, holder: str, started: Reading) -> None:
         self.holder = holder
+        self._started = started
         self._account_by_customer: dict[str, Account] = {}
         self._nonces = count(1)
         self._typical = 0.0
@@ -375,9 +378,9 @@
             stamp_by_holder=_without(shard.stamp_by_holder, self.holder),
         )
 
-    def merged(self, shard: Shard, reading: Reading) -> Shard:
+    def merged(self, shard: Shard) -> Shard:
         """Return the shard without the grants of earlier starts of this process."""
-        for predecessor in self.predecessors(shard, reading):
+        for predecessor in self.predecessors(shard):
             holder, capped = predecessor.holder, predecessor.capped
             ledgers = {
                 customer: _charged(ledger, holder, capped=capped)
@@ -390,10 +393,12 @@
             )
         return shard
 
-    def predecessors(self, shard: Shard, reading: Reading) -> list["Predecessor"]:
+    def predecessors(self, shard: Shard) -> list["Predecessor"]:
         """Return the earlier starts of this process that still hold grants.
 
-        Only one process of a name runs at a time, so they are dead.
+        Only one process of a name runs at a time, so they were dead when this one
+        started: what counts is the age of their last write then, even where the
+        platform can be read only much later.
         """
         node = _node(self.holder)
         holders = set(shard.stamp_by_holder)
@@ -402,7 +407,8 @@
         dead = sorted(h for h in holders if _node(h) == node and h != self.holder)
         return [
             Predecessor(
-                holder=holder, age=_age(shard.stamp_by_holder.get(holder), reading)
+                holder=holder,
+                age=_age(shard.stamp_by_holder.get(holder), self._started),
             )
             for holder in dead
         ]
@@ -410,7 +416,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Predecessor:
-    """An earlier start of a process; `age` bounds the seconds since its last write."""
+    """An earlier start of a process.
+
+    `age` bounds the seconds from its last write to its death.
+    """
 
     holder: str
     age: float
--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -79,7 +79,7 @@
         holder: str,
         ask_peers: Callable[[str, Account], Awaitable[None]],
     ) -> None:
-        self.allowances = Allowances(holder=holder)
+        self.allowances = Allowances(holder=holder, started=read_clocks())
         self._platform = platform
         self._ask_peers = ask_peers
         self._table: RoutingTable | None = None
@@ -245,8 +245,8 @@
             _prepaid(self._table), self._table.configuration.revision
         )
         if not self._merged:
-            self._log_predecessors(renewed, reading)
-            renewed = self.allowances.merged(renewed, reading)
+            self._log_predecessors(renewed)
+            renewed = self.allowances.merged(renewed)
         renewed = self.allowances.renewed(renewed, reading)
         # Counted from the try: a write whose answer is lost may have put its
         # stamp there, and a successor would trust the cap for longer.
@@ -257,8 +257,8 @@
         self._merged = True
         self._read_at = reading.monotonic
 
-    def _log_predecessors(self, shard: Shard, reading: Reading) -> None:
-        for one in self.allowances.predecessors(shard, reading):
+    def _log_predecessors(self, shard: Shard) -> None:
+        for one in self.allowances.predecessors(shard):
             log_info(
                 "predecessor_charged",
                 holder=one.holder,
--- a/src/ragwortkeel/ingress/crashes.py
+++ b/src/ragwortkeel/ingress/crashes.py
@@ -1,11 +1,11 @@
 """Requests that crash each upstream that runs them, found without a witness.
 
 A broken run alone is no crash: an upstream may lose one answer.  An upstream that
-refuses connections, or is born anew, right after runs broke there has crashed,
-and what ran there is under suspicion (see `policy.quarantine`).
+refuses connections right after runs broke there has crashed, and what ran there
+is under suspicion (see `policy.quarantine`).
 """
 
-from collections import Counter
+from collections import deque
 from collections.abc import Callable
 
 from ragwortkeel.ingress.configuration import Upstream
@@ -15,6 +15,9 @@
 """Between a broken run and the sign that the upstream had crashed: its restart
 takes some seconds, a refused connection shows at once."""
 
+KEPT_CRASHES = 100
+"""Untold crashes; they are told several times a second."""
+
 
 class CrashWatch:
     """What ran where, which runs broke, and what that says of bodies.
@@ -23,34 +26,23 @@
     ----------
     clock : callable
         Monotonic seconds.
-    tell : callable
-        Called with each crash found here, for the peers.
+
+    Attributes
+    ----------
+    found : deque of Crash
+        Crashes found here that the peers have yet to be told.
     """
 
-    def __init__(
-        self, *, clock: Callable[[], float], tell: Callable[[Crash], None]
-    ) -> None:
+    def __init__(self, *, clock: Callable[[], float]) -> None:
+        self.found: deque[Crash] = deque(maxlen=KEPT_CRASHES)
         self._clock = clock
-        self._tell = tell
         self._quarantine = Quarantine()
-        self._open_by_upstream: dict[str, Counter[str]] = {}
         self._broken_by_upstream: dict[str, dict[str, float]] = {}
 
     def refuses(self, fingerprint: str) -> bool:
         """Whether a body has crashed so many upstreams that none may run it."""
         return self._quarantine.verdict(fingerprint) is Verdict.REFUSE
 
-    def started(self, upstream: Upstream, fingerprint: str) -> None:
-        """Note a run."""
-        self._open_by_upstream.setdefault(upstream.name, Counter())[fingerprint] += 1
-
-    def ended(self, upstream: Upstream, fingerprint: str) -> None:
-        """Note the end of a run, whichever way."""
-        running = self._open_by_upstream[upstream.name]
-        running[fingerprint] -= 1
-        if running[fingerprint] <= 0:
-            del running[fingerprint]
-
     def finished(self, fingerprint: str) -> None:
         """Note a whole answer, which clears a body."""
         self._quarantine.finished(fingerprint)
@@ -60,18 +52,19 @@
         broken = self._broken_by_upstream.setdefault(upstream.name, {})
         broken[fingerprint] = self._clock()
 
-    def down(self, upstream: str, incarnation: int) -> None:
-        """Note that an upstream refuses connections or was born anew."""
+    def down(self, upstream: Upstream) -> None:
+        """Note that an upstream refuses connections."""
         now = self._clock()
-        broken = self._broken_by_upstream.pop(upstream, {})
+        broken = self._broken_by_upstream.pop(upstream.name, {})
         names = {name for name, at in broken.items() if now - at < SUSPECT_SECONDS}
         if not names:
             return
-        crash = Crash(
-            crash_id=f"{upstream}/{incarnation}", fingerprints=frozenset(names)
-        )
+        # Several processes may find the same crash: within the time in which one
+        # upstream can't crash twice it has one id.
+        crash_id = f"{upstream.name}/{upstream.born}/{int(now / SUSPECT_SECONDS)}"
+        crash = Crash(crash_id=crash_id, fingerprints=frozenset(names))
         if self._quarantine.crashed(crash, now):
-            self._tell(crash)
+            self.found.append(crash)
 
     def heard(self, crash: Crash) -> None:
         """Take in a crash that a peer found."""
--- a/src/ragwortkeel/ingress/front.py
+++ b/src/ragwortkeel/ingress/front.py
@@ -4,6 +4,8 @@
 from hashlib import blake2b
 from time import monotonic
 
+import curio
+
 from ragwortkeel.http_responder import Request, Responder
 from ragwortkeel.ingress.allowance import Hold
 from ragwortkeel.ingress.answers import (
@@ -25,7 +27,7 @@
 )
 from ragwortkeel.ingress.attempt import Attempt, Call, Relay, passed_fields
 from ragwortkeel.ingress.budget_keeper import BudgetKeeper
-from ragwortkeel.ingress.configuration import Customer, Route, Service
+from ragwortkeel.ingress.configuration import Customer, Route, Service, Upstream
 from ragwortkeel.ingress.crashes import CrashWatch
 from ragwortkeel.ingress.dispatch import Dispatcher, NoRoom
 from ragwortkeel.ingress.names import HeaderNames
@@ -156,6 +158,16 @@
             service="", outcome=answer.result, reason=answer.reason
         )
 
+    async def suspect(self, upstream: Upstream, fingerprint: str) -> None:
+        """Look, beside the request, whether an upstream that broke off is down."""
+        self._crashes.broken(upstream, fingerprint)
+        await curio.spawn(self._look_at, upstream, daemon=True)
+
+    async def _look_at(self, upstream: Upstream) -> None:
+        if await self.connections.is_down(upstream):
+            self._crashes.down(upstream)
+            self._placement.failed(upstream.name, Failure.CRASHED, monotonic())
+
     def _accept(self, request: Request) -> Accepted | Answer:
         if self.table is None:
             return NO_CONFIGURATION
@@ -342,7 +354,6 @@
             connections=front.connections,
             on_first_event=lambda: self._begun(placed),
         )
-        front._crashes.started(placed.upstream, accepted.fingerprint)
         outcome: Outcome | None = None
         try:
             outcome = await attempt.run()
@@ -352,7 +363,6 @@
             if attempt.sent and not isinstance(outcome, NotRun):
                 self._ran = True
                 self._runs += 1
-            front._crashes.ended(placed.upstream, accepted.fingerprint)
 
     def _begun(self, placed: Placed) -> None:
         if not placed.begun:
@@ -383,16 +393,15 @@
                 return None
             case NotRun(reason=reason, detail=detail):
                 self._log_failure(placed, reason, detail)
-                return self._after_not_run(name, placed.upstream.born, reason)
+                return self._after_not_run(name, reason)
             case Broken(reason=reason, detail=detail):
                 self._log_failure(placed, reason, detail)
-                front._crashes.broken(placed.upstream, self._accepted.fingerprint)
+                if reason is BrokenReason.CLOSED:
+                    await front.suspect(placed.upstream, self._accepted.fingerprint)
                 return self._after_broken(name, reason)
 
-    def _after_not_run(self, name: str, born: int, reason: NotRunReason):
+    def _after_not_run(self, name: str, reason: NotRunReason):
         front = self._front
-        if reason is NotRunReason.UNREACHABLE:
-            front._crashes.down(name, born)
         if reason is not NotRunReason.FULL:
             front._placement.failed(name, Failure.UNREACHABLE, monotonic())
         if reason is not NotRunReason.UNREACHABLE:
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -18,7 +18,7 @@
 import curio
 import h11
 
-from ragwortkeel.exceptions import ConnectFailed, ExchangeBroken
+from ragwortkeel.exceptions import ConnectFailed, ConnectRefused, ExchangeBroken
 from ragwortkeel.http_events import next_event
 from ragwortkeel.ingress.configuration import Upstream
 
@@ -102,6 +102,8 @@
             async with curio.timeout_after(CONNECT_SECONDS):
                 await sock.connect((upstream.host, upstream.port))
             connected = True
+        except ConnectionRefusedError as exc:
+            raise ConnectRefused(f"{upstream.name}: {exc!r}") from exc
         except (OSError, curio.TaskTimeout) as exc:
             raise ConnectFailed(f"{upstream.name}: {exc!r}") from exc
         finally:
@@ -239,6 +241,19 @@
             return
         await connection.close()
 
+    async def is_down(self, upstream: Upstream) -> bool:
+        """Whether the upstream refuses a connection."""
+        try:
+            connection = await UpstreamConnection.open(
+                upstream, id_header=self._id_header
+            )
+        except ConnectRefused:
+            return True
+        except ConnectFailed:
+            return False
+        await connection.close()
+        return False
+
     async def sweep(self) -> None:
         """Close what has been idle for too long."""
         for key, idle in list(self._idle_by_upstream.items()):
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -76,14 +76,13 @@
         self._platform = platform
         self._stopping = False
         self._raw_configuration: bytes = b""
-        self._told_crashes: curio.Queue = curio.Queue()
         incarnation = f"{settings.name}/{secrets.token_hex(4)}"
         self._directory = Directory()
         self._placement = Placement(zone=settings.zone)
         self._dispatcher = Dispatcher(
             directory=self._directory, placement=self._placement
         )
-        self._crashes = CrashWatch(clock=monotonic, tell=self._found_crash)
+        self._crashes = CrashWatch(clock=monotonic)
         self._peers = Peers(
             node=settings.name,
             incarnation=incarnation,
@@ -135,7 +134,6 @@
             self._keeper.run,
             self._peers.run,
             self._dispatcher.run,
-            self._tell_crashes,
             self._upkeep,
         )
 
@@ -257,22 +255,20 @@
             self._placement.keep(set(self._directory.upstream_by_name))
             await self._dispatcher.place_waiting()
 
-    def _found_crash(self, crash: Crash) -> None:
-        message = CrashSeen(
-            crash_id=crash.crash_id, fingerprints=tuple(sorted(crash.fingerprints))
-        )
-        log_warning("upstream_crashed", crash=crash.crash_id)
-        self.metrics.upstream_crashed()
-        self._told_crashes._put(message)
-
     async def _tell_crashes(self) -> None:
-        while True:
-            await self._peers.send_crash(await self._told_crashes.get())
+        while self._crashes.found:
+            crash = self._crashes.found.popleft()
+            log_warning("upstream_crashed", crash=crash.crash_id)
+            self.metrics.upstream_crashed()
+            fingerprints = tuple(sorted(crash.fingerprints))
+            message = CrashSeen(crash_id=crash.crash_id, fingerprints=fingerprints)
+            await self._peers.send_crash(message)
 
     async def _upkeep(self) -> None:
         while True:
             await self._upstreams.expire()
             await self._front.connections.sweep()
+            await self._tell_crashes()
             self.metrics.load(
                 running=self._server.open_exchanges, queued=len(self._dispatcher.room)
             )
--- a/tests/ingress/allowance_world.py
+++ b/tests/ingress/allowance_world.py
@@ -45,9 +45,11 @@
             wall=now + self.wall_off,
         )
 
-    def start(self):
+    def start(self, now):
         self.starts += 1
-        self.allowances = Allowances(holder=f"{self.name}/{self.starts}")
+        self.allowances = Allowances(
+            holder=f"{self.name}/{self.starts}", started=self.reading(now)
+        )
         self.merged = False
         self.tried_at = None
         self.read = None
@@ -78,7 +80,7 @@
         self.trusts_any_age = trusts_any_age
         self.uncaps_at_once = uncaps_at_once
         for machine in self.machines:
-            machine.start()
+            machine.start(self.now)
 
     def live(self):
         return [m for m in self.machines if m.allowances is not None]
@@ -135,7 +137,7 @@
         reading = machine.reading(self.now)
         renewed = shard.provisioned(self.prepaid, self.revision)
         if not machine.merged:
-            renewed = machine.allowances.merged(renewed, reading)
+            renewed = machine.allowances.merged(renewed)
         renewed = machine.allowances.renewed(renewed, reading)
         if fate == "refused":
             return
@@ -172,9 +174,10 @@
         if power_lost:
             machine.booted_at = self.now - boot
             machine.suspended = 0.0
-        machine.start()
+        machine.start(self.now)
         if self.trusts_any_age:
-            machine.allowances.merged = lambda shard, reading: _trusting(
+            reading = machine.reading(self.now)
+            machine.allowances.merged = lambda shard: _trusting(
                 machine.allowances, shard, reading
             )
 
@@ -202,7 +205,7 @@
         ledger_by_customer=shard.ledger_by_customer,
         stamp_by_holder=young,
     )
-    return Allowances.merged(allowances, fresh, reading)
+    return Allowances.merged(allowances, fresh)
 
 
 assert CAPPED_SECONDS < UNCAP_SECONDS
--- a/tests/ingress/test_allowance_machine.py
+++ b/tests/ingress/test_allowance_machine.py
@@ -87,7 +87,7 @@
         machine = self.process(index)
         if machine and not machine.open_holds:
             self.world.close(machine)
-            machine.start()
+            machine.start(self.world.now)
 
     @rule(seconds=st.floats(0.1, 6.0))
     def wait(self, seconds):
@@ -183,3 +183,28 @@
     look at the age of the last write and the wait before spending uncapped.
     """
     assert [seed for seed in SEEDS if walk(seed, **{switch: True})]
+
+
+def test_a_kill_in_an_outage_costs_the_cap_though_the_ledger_is_read_late():
+    """After an outage all customers are refused, their budgets charged away.
+
+    All processes were killed two seconds into it; they could read the ledger only
+    after it, and took the last writes for so old that nothing bounded the spend.
+    """
+    world = AllowanceWorld()
+    machine = world.machines[0]
+    world.top_up(CUSTOMER, 96_000)
+    for _ in range(20):
+        world.reserve(machine, CUSTOMER, 100)
+        world.read_ledger(machine)
+        world.write_ledger(machine, "done")
+        world.settle(machine, 1.0) if machine.open_holds else None
+        world.now += 1.0
+    world.now += 1.0
+    world.restart(machine, power_lost=False)
+    world.now += 15.0
+    world.read_ledger(machine)
+    world.write_ledger(machine, "done")
+    [grant] = world.shard.ledger_by_customer[CUSTOMER].grants.values()
+    charged = world.shard.ledger_by_customer[CUSTOMER].spent
+    assert world.spent[CUSTOMER] <= charged < 3 * world.spent[CUSTOMER]
