Relays beside the upstreams carry calls of the platform round a cut

Cause: both sites cut all front machines from the store for eight seconds at a time; budgets could not be renewed and changes were not heard. Change: a call that fails straight goes through a peer; a relay role runs on the side machines, which such a cut spares. Loans are asked only for what the platform can't give, as an unused loan is stranded. Ruled out: waiting a cut out with larger slices (stranded at kills).

--- a/src/ragwortkeel/ingress/allowance.py
+++ b/src/ragwortkeel/ingress/allowance.py
@@ -22,6 +22,7 @@
 stranded, never spent twice.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import count
 from math import ceil
@@ -30,6 +31,7 @@
 import msgspec
 
 from ragwortkeel.budget.demand import DemandMeter
+from ragwortkeel.budget.grant import Grant
 from ragwortkeel.budget.ledger import Ledger
 from ragwortkeel.budget.sizing import SliceNeed, to_give_back, to_lend, to_take
 from ragwortkeel.budget.slice import Reservation, Slice
@@ -426,6 +428,8 @@
             Predecessor(
                 holder=holder,
                 age=_age(shard.stamp_by_holder.get(holder), self._started),
+                granted=_sum_over(shard, holder, lambda grant: grant.granted),
+                told=_sum_over(shard, holder, lambda grant: grant.used),
             )
             for holder in dead
         ]
@@ -435,11 +439,19 @@
 class Predecessor:
     """An earlier start of a process.
 
-    `age` bounds the seconds from its last write to its death.
+    `age` bounds the seconds from its last write to its death; `granted` are the
+    tokens it held in all ledgers, `told` those it had told as spent.
     """
 
     holder: str
     age: float
+    granted: int
+    told: int
+
+
+def _sum_over(shard: Shard, holder: str, tokens: Callable[[Grant], int]) -> int:
+    ledgers = shard.ledger_by_customer.values()
+    return sum(tokens(one.grants[holder]) for one in ledgers if holder in one.grants)
 
 
 def _age(stamp: Stamp | None, reading: Reading) -> float:
--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -180,24 +180,38 @@
     ) -> Hold | None:
         missing = max(1, tokens - account.available)
         account.lacking += missing
-        wait = LACK_WAIT_SECONDS if self._reachable else LOAN_WAIT_SECONDS
-        waits_until = monotonic() + wait
         try:
-            await self._woken.set()
-            await self._ask_peers(customer.name, account)
-            while (left := waits_until - monotonic()) > 0:
-                self._renewed.clear()
-                async with curio.ignore_after(left):
-                    await self._renewed.wait()
-                hold = account.reserve(tokens)
-                if hold is not None:
+            if self._reachable:
+                await self._woken.set()
+                hold = await self._wait(account, customer, tokens, LACK_WAIT_SECONDS)
+                if hold is not None or self.is_exhausted(customer, tokens):
                     return hold
-                if self.is_exhausted(customer, tokens):
-                    return None
+            # A loan that is not used up is stranded with whoever dies, so peers are
+            # asked for what the platform can't give.
+            await self._ask_peers(customer.name, account)
+            return await self._wait(account, customer, tokens, LOAN_WAIT_SECONDS)
         finally:
             account.lacking -= missing
+
+    async def _wait(
+        self, account: Account, customer: Customer, tokens: int, seconds: float
+    ) -> Hold | None:
+        """Wait for tokens; return sooner once the platform has none left."""
+        waits_until = monotonic() + seconds
+        while (left := waits_until - monotonic()) > 0:
+            self._renewed.clear()
+            async with curio.ignore_after(left):
+                await self._renewed.wait()
+            hold = account.reserve(tokens)
+            if hold is not None:
+                return hold
+            if self._looked_since(waits_until - seconds) and not account.ledger.rest:
+                return None
         return None
 
+    def _looked_since(self, then: float) -> bool:
+        return self._read_at >= then
+
     async def _pause(self, seconds: float) -> None:
         async with curio.ignore_after(seconds):
             await self._woken.wait()
@@ -248,11 +262,17 @@
         self._read_at = reading.monotonic
 
     def _log_predecessors(self, shard: Shard) -> None:
+        merged = self.allowances.merged(shard)
+        unspent = _unspent(merged)
         for one in self.allowances.predecessors(shard):
             log_info(
                 "predecessor_charged",
                 holder=one.holder,
                 last_write_age=one.age,
+                granted=one.granted,
+                told=one.told,
+                unspent_before=_unspent(shard),
+                unspent_after=unspent,
             )
 
     async def _read(self) -> tuple[Stored | None, Shard]:
@@ -278,6 +298,11 @@
             log_warning("dependency_lost", dependency="ledgers", error=error)
 
 
+def _unspent(shard: Shard) -> int:
+    ledgers = shard.ledger_by_customer.values()
+    return sum(ledger.prepaid - ledger.total_spent for ledger in ledgers)
+
+
 def _prepaid(table: RoutingTable) -> dict[str, int]:
     return {
         name: customer.prepaid
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -6,6 +6,7 @@
 """
 
 from time import monotonic
+from typing import Protocol
 
 import curio
 
@@ -13,6 +14,7 @@
 from ragwortkeel.exceptions import LinkLost
 from ragwortkeel.ingress.allowance import Account
 from ragwortkeel.ingress.placement import Load
+from ragwortkeel.ingress.relaying import carry_out
 from ragwortkeel.links import Endpoint, Link, LinkDown, LinkUp, Received
 from ragwortkeel.logs import log_debug, log_info, log_warning
 from ragwortkeel.messages import (
@@ -21,10 +23,13 @@
     Heartbeat,
     IngressState,
     LoanRequest,
+    PlatformAnswer,
+    PlatformCall,
     TokenLoan,
     UpstreamLoad,
     VersionedObject,
 )
+from ragwortkeel.platform import Platform
 
 TELL_SECONDS = 0.2
 """How old a load told by a peer is at the most; three processes placing a burst
@@ -38,6 +43,40 @@
 """A peer unheard for so long is reconnected to; its loads count no longer."""
 
 
+class PeerHandler(Protocol):
+    """What the owner of the links does with what peers say."""
+
+    def revision(self) -> int:
+        """Return the revision of the configuration in force; 0 for none."""
+
+    def heartbeat(self) -> Heartbeat:
+        """Return what keeps a peer's link up."""
+
+    def own_loads(self) -> dict[str, Load]:
+        """Return what this process has at each upstream."""
+
+    def configuration_object(self) -> VersionedObject | None:
+        """Return the configuration in force."""
+
+    async def heard_loads(self, node: str, load_by_upstream: dict[str, Load]) -> None:
+        """Take in what a peer has at each upstream."""
+
+    async def heard_configuration(self, pushed: VersionedObject) -> None:
+        """Take over a peer's configuration where it is newer."""
+
+    def heard_crash(self, crash: CrashSeen) -> None:
+        """Take in a crash that a peer found."""
+
+    def lend(self, request: LoanRequest) -> TokenLoan:
+        """Answer a peer that lacks tokens."""
+
+    async def borrowed(self, customer: str, tokens: int) -> None:
+        """Take a loan in."""
+
+    async def relayed(self, answer: PlatformAnswer) -> None:
+        """Take in the answer to a call that a peer made."""
+
+
 class Peers:
     """The links of one ingress process.
 
@@ -49,8 +88,12 @@
         ``ip:port`` that peers connect to.
     seeds : tuple of str
         Addresses to begin with.
+    platform : Platform
+        Where calls of peers are made.
     handler
-        Takes what peers say; see `PeerHandler` in `ingress.worker`.
+        Takes what peers say; see `PeerHandler`.
+    is_relay : bool
+        Whether this process only relays; relays don't link to each other.
     """
 
     def __init__(
@@ -60,18 +103,23 @@
         incarnation: str,
         address: str,
         seeds: tuple[str, ...],
-        handler,
+        platform: Platform,
+        handler: PeerHandler,
+        is_relay: bool = False,
     ) -> None:
         self._node = node
         self._incarnation = incarnation
         self._address = address
+        self._platform = platform
         self._handler = handler
+        self._is_relay = is_relay
         self._inbox: curio.Queue = curio.Queue()
         self._endpoint = Endpoint(
             address=address, incarnation=incarnation, revision=handler.revision
         )
         self._link_by_address: dict[str, Link] = {}
         self._known: set[str] = set(seeds) - {address}
+        self._relays: set[str] = {address} if is_relay else set()
         self._address_by_node: dict[str, str] = {}
         self._tasks = curio.TaskGroup(wait=None)
 
@@ -92,6 +140,11 @@
             while True:
                 await self._linked(await self._inbox.get())
 
+    def platform_relays(self) -> list[Link]:
+        """Return the links to peers that may relay, pure relays first."""
+        up = [link for link in self._link_by_address.values() if link.up]
+        return sorted(up, key=lambda link: (link.name not in self._relays, link.name))
+
     async def send_configuration(self, value: VersionedObject) -> None:
         """Hand a configuration to all peers."""
         await self._send_all(ConfigurationPush(objects=(value,)))
@@ -118,7 +171,12 @@
         addresses = [self._address_by_node.get(node) for node in nodes]
         found = [self._link_by_address.get(address) for address in addresses]
         up = [link for link in found if link is not None and link.up]
-        return up or list(self._link_by_address.values())[:ASKED_AT_ONCE]
+        routers = [
+            link
+            for address, link in self._link_by_address.items()
+            if address not in self._relays
+        ]
+        return up or routers[:ASKED_AT_ONCE]
 
     async def _send_all(self, message) -> None:
         await self._send(message, list(self._link_by_address.values()))
@@ -135,18 +193,23 @@
     async def _tell(self) -> None:
         """Tell loads and addresses, and link to peers that are new."""
         while True:
-            for address in self._known - self._link_by_address.keys():
+            for address in self._to_link():
                 await self._link(address)
             state = IngressState(
                 node=self._node,
                 address=self._address,
                 addresses=tuple(sorted(self._known)),
+                relays=tuple(sorted(self._relays)),
                 load_by_upstream=_wire_loads(self._handler.own_loads()),
             )
             await self._send_all(state)
             crowd = max(1.0, len(self._link_by_address) / PEERS_AT_FULL_RATE)
             await curio.sleep(TELL_SECONDS * crowd)
 
+    def _to_link(self) -> set[str]:
+        known = self._known - self._link_by_address.keys()
+        return known - self._relays if self._is_relay else known
+
     async def _link(self, address: str) -> None:
         link = Link(
             name=address,
@@ -184,6 +247,12 @@
         """Take what peers send over their own links; echo what keeps them up."""
         while True:
             received = await self._endpoint.receive()
+            if isinstance(received.envelope.message, PlatformCall):
+                call = received.envelope.message
+                await self._tasks.spawn(
+                    self._carry_out, received.peer, call, daemon=True
+                )
+                continue
             answer = await self._take(received.envelope.message)
             if answer is None:
                 continue
@@ -192,6 +261,14 @@
             except LinkLost as exc:
                 log_debug("peer_answer_lost", peer=received.peer, error=str(exc))
 
+    async def _carry_out(self, peer: str, call: PlatformCall) -> None:
+        answer = await carry_out(self._platform, call)
+        log_debug("relayed", peer=peer, operation=call.operation, error=answer.error)
+        try:
+            await self._endpoint.send(peer, answer)
+        except LinkLost as exc:
+            log_debug("peer_answer_lost", peer=peer, error=str(exc))
+
     async def _take(self, message):
         """Take one message in; return what to answer."""
         match message:
@@ -215,6 +292,8 @@
                 return self._handler.lend(request)
             case TokenLoan(customer=customer, tokens=tokens) if tokens > 0:
                 await self._handler.borrowed(customer, tokens)
+            case PlatformAnswer() as answer:
+                await self._handler.relayed(answer)
             case Heartbeat():
                 return self._handler.heartbeat()
         return None
@@ -223,6 +302,7 @@
         self._address_by_node[state.node] = state.address
         told = {state.address, *state.addresses}
         self._known |= told - {self._address}
+        self._relays |= set(state.relays)
 
 
 def _wire_loads(load_by_upstream: dict[str, Load]) -> dict[str, UpstreamLoad]:
--- /dev/null
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -0,0 +1,100 @@
+"""The relay daemon's work: calls of the platform for ingress processes.
+
+It runs on instances that a cut is likely to spare, such as those beside the
+upstreams, and keeps no state that anyone needs.
+"""
+
+import secrets
+
+from ragwortkeel.configuration_store import InForce
+from ragwortkeel.ingress.peers import Peers
+from ragwortkeel.ingress.placement import Load
+from ragwortkeel.messages import (
+    CrashSeen,
+    Heartbeat,
+    LoanRequest,
+    PlatformAnswer,
+    TokenLoan,
+    VersionedObject,
+)
+from ragwortkeel.metrics import Metrics
+from ragwortkeel.platform import Platform
+from ragwortkeel.process import Leftover
+from ragwortkeel.settings import RelaySettings
+from ragwortkeel.tasks import run_together
+from ragwortkeel.traces import Tracing
+
+
+class RelayWorker:
+    """Everything a relay process runs.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(self, *, settings: RelaySettings, platform: Platform) -> None:
+        self.metrics = Metrics()
+        self.tracing = Tracing(node=settings.name)
+        self.ready = True
+        self._peers = Peers(
+            node=settings.name,
+            incarnation=f"{settings.name}/{secrets.token_hex(4)}",
+            address=settings.address,
+            seeds=settings.peers,
+            platform=platform,
+            handler=self,
+            is_relay=True,
+        )
+
+    def open(self) -> None:
+        """Bind the socket."""
+        self._peers.open()
+
+    async def run(self) -> None:
+        """Work until cancelled or until a task fails."""
+        await run_together(self._peers.run)
+
+    async def stop(self) -> Leftover:
+        """Stop; calls under way end as unanswered, which callers can bear."""
+        self.ready = False
+        return Leftover(counts={})
+
+    def in_force(self, kind: str, name: str) -> InForce:
+        """Return that nothing is in force: a relay keeps no configuration."""
+        return InForce(revision=0)
+
+    # A relay has nothing to tell its peers and does not keep what they say.
+
+    def revision(self) -> int:
+        """Return that no configuration is in force."""
+        return 0
+
+    def heartbeat(self) -> Heartbeat:
+        """Return what keeps a peer's link up."""
+        return Heartbeat(leaving=not self.ready)
+
+    def own_loads(self) -> dict[str, Load]:
+        """Return that it has nothing at any upstream."""
+        return {}
+
+    def configuration_object(self) -> VersionedObject | None:
+        """Return no configuration."""
+        return None
+
+    async def heard_loads(self, node: str, load_by_upstream: dict[str, Load]) -> None:
+        """Leave a peer's loads."""
+
+    async def heard_configuration(self, pushed: VersionedObject) -> None:
+        """Leave a peer's configuration."""
+
+    def heard_crash(self, crash: CrashSeen) -> None:
+        """Leave a crash."""
+
+    def lend(self, request: LoanRequest) -> TokenLoan:
+        """Lend nothing."""
+        return TokenLoan(customer=request.customer, tokens=0)
+
+    async def borrowed(self, customer: str, tokens: int) -> None:
+        """Leave a loan that it never asked for."""
+
+    async def relayed(self, answer: PlatformAnswer) -> None:
+        """Leave an answer: it relays for others only."""
--- /dev/null
+++ b/src/ragwortkeel/ingress/relaying.py
@@ -0,0 +1,341 @@
+"""A way to the platform round a cut: calls that a peer makes for this process.
+
+Failure: some or all ingress instances lose the platform while others, or the
+small instances beside the upstreams, still reach it.  Budgets then can't be
+renewed, changes are not heard, and callers are refused for the length of the cut.
+
+A call goes straight while that works.  Once it fails, calls go through a peer
+until a look shows that the straight way is back.  A relayed call has the same
+outcomes as a straight one; in particular a write whose answer is lost on either
+leg is an `OutcomeUnknown`.
+"""
+
+from collections.abc import Awaitable, Callable
+from itertools import count
+from time import monotonic
+from typing import Protocol
+
+import curio
+
+from ragwortkeel.exceptions import (
+    AlreadyExists,
+    LinkLost,
+    ObjectNotFound,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    ValueRefused,
+    VersionConflict,
+)
+from ragwortkeel.exceptions import PlatformError as ClientError
+from ragwortkeel.logs import log_info, log_warning
+from ragwortkeel.messages import (
+    PlatformAnswer,
+    PlatformCall,
+    PlatformError,
+    PlatformOperation,
+    VersionedObject,
+)
+from ragwortkeel.platform import Change, Changes, Instance, Listing, Platform, Stored
+
+ANSWER_SECONDS = 0.9
+"""For a relayed call beside its own wait: the relay's call of the platform times
+out after 0.6 s, and the way there and back takes a few milliseconds."""
+
+LOOK_SECONDS = 1.0
+"""How often the straight way is looked at while it is gone; a call that is paid
+for each time."""
+
+AVOID_SECONDS = 2.0
+"""A relay that does not reach the platform itself is left alone for so long."""
+
+TRIED_RELAYS = 2
+"""For one call; when two don't reach the platform, it is likely down for all."""
+
+_ERROR_BY_CLASS: dict[type[ClientError], PlatformError] = {
+    PlatformUnavailable: PlatformError.UNAVAILABLE,
+    OutcomeUnknown: PlatformError.UNKNOWN,
+    AlreadyExists: PlatformError.EXISTS,
+    VersionConflict: PlatformError.CONFLICT,
+    ObjectNotFound: PlatformError.NOT_FOUND,
+    ValueRefused: PlatformError.REFUSED,
+}
+_CLASS_BY_ERROR = {error: cls for cls, error in _ERROR_BY_CLASS.items()}
+
+_READS = frozenset(
+    {PlatformOperation.GET, PlatformOperation.LIST, PlatformOperation.WATCH}
+)
+
+
+class Relay(Protocol):
+    """A link to a peer, as far as relaying needs it."""
+
+    name: str
+
+    async def send(self, message: PlatformCall) -> None:
+        """Send a message; `LinkLost` where that is not possible."""
+
+
+class RelayedPlatform:
+    """A `Platform` that goes straight, or through a peer where that fails.
+
+    Parameters
+    ----------
+    direct : Platform
+        The straight way.
+    relays : callable
+        Returns the links to peers that may relay, the best first.
+    """
+
+    def __init__(self, *, direct: Platform, relays: Callable[[], list[Relay]]) -> None:
+        self._direct = direct
+        self._relays = relays
+        self._ids = count(1)
+        self._answer_by_id: dict[int, PlatformAnswer | None] = {}
+        self._arrived_by_id: dict[int, curio.Event] = {}
+        self._avoided_until: dict[str, float] = {}
+        self._away = False
+        self._look_at = 0.0
+
+    async def get(self, kind: str, name: str) -> Stored | None:
+        """Return the object, or None where there is none."""
+        answer = await self._call(
+            lambda: _get(self._direct, kind, name),
+            operation=PlatformOperation.GET,
+            kind=kind,
+            name=name,
+        )
+        return _stored(answer.objects[0]) if answer.objects else None
+
+    async def list(self, kind: str, prefix: str = "") -> Listing:
+        """Return all objects of a kind whose names start with `prefix`."""
+        answer = await self._call(
+            lambda: _list(self._direct, kind, prefix),
+            operation=PlatformOperation.LIST,
+            kind=kind,
+            name=prefix,
+        )
+        by_name = {one.name: _stored(one) for one in answer.objects}
+        return Listing(by_name=by_name, revision=answer.version)
+
+    async def create(self, kind: str, name: str, value: bytes) -> int:
+        """Create the object and return its version; else `AlreadyExists`."""
+        answer = await self._call(
+            lambda: _create(self._direct, kind, name, value),
+            operation=PlatformOperation.CREATE,
+            kind=kind,
+            name=name,
+            value=value,
+        )
+        return answer.version
+
+    async def update(self, kind: str, name: str, value: bytes, version: int) -> int:
+        """Replace the object at `version`; else `VersionConflict`."""
+        answer = await self._call(
+            lambda: _update(self._direct, kind, name, value, version),
+            operation=PlatformOperation.UPDATE,
+            kind=kind,
+            name=name,
+            value=value,
+            version=version,
+        )
+        return answer.version
+
+    async def delete(self, kind: str, name: str, version: int) -> None:
+        """Delete the object at `version`, straight only."""
+        await self._direct.delete(kind, name, version)
+
+    async def watch(self, kind: str, revision: int, timeout: float) -> Changes:
+        """Wait at most `timeout` seconds for changes after `revision`."""
+        answer = await self._call(
+            lambda: _watch(self._direct, kind, revision, timeout),
+            operation=PlatformOperation.WATCH,
+            kind=kind,
+            version=revision,
+            seconds=timeout,
+        )
+        changes = tuple(_change(one) for one in answer.objects)
+        return Changes(changes=changes, revision=answer.version, gap=answer.gap)
+
+    async def live(self) -> dict[str, Instance]:
+        """Return the list of instances, straight only."""
+        return await self._direct.live()
+
+    async def answered(self, answer: PlatformAnswer) -> None:
+        """Take in a relay's answer; one that nobody waits for is dropped."""
+        arrived = self._arrived_by_id.get(answer.call_id)
+        if arrived is not None:
+            self._answer_by_id[answer.call_id] = answer
+            await arrived.set()
+
+    async def run(self) -> None:
+        """Look for the straight way while it is gone, until cancelled."""
+        while True:
+            await curio.sleep(LOOK_SECONDS)
+            if self._away:
+                await self._look()
+
+    async def _look(self) -> None:
+        try:
+            # Any answer will do; there is no such object.
+            await self._direct.get("looks", "look")
+        except PlatformUnavailable:
+            return
+        self._away = False
+        log_info("dependency_regained", dependency="platform", way="direct")
+
+    async def _call(
+        self, direct: Callable[[], Awaitable[PlatformAnswer]], **fields
+    ) -> PlatformAnswer:
+        if not self._away:
+            try:
+                return await direct()
+            except PlatformUnavailable as exc:
+                self._lost(str(exc))
+        return await self._relayed(PlatformCall(call_id=next(self._ids), **fields))
+
+    def _lost(self, error: str) -> None:
+        if not self._away:
+            self._away = True
+            log_warning(
+                "dependency_lost", dependency="platform", way="direct", error=error
+            )
+
+    async def _relayed(self, call: PlatformCall) -> PlatformAnswer:
+        now = monotonic()
+        relays = [
+            relay
+            for relay in self._relays()
+            if self._avoided_until.get(relay.name, 0.0) <= now
+        ]
+        for relay in relays[:TRIED_RELAYS]:
+            answer = await self._ask(relay, call)
+            if answer.error is not PlatformError.UNAVAILABLE:
+                return _raised(answer)
+            self._avoided_until[relay.name] = monotonic() + AVOID_SECONDS
+        raise PlatformUnavailable("neither straight nor through a peer")
+
+    async def _ask(self, relay: Relay, call: PlatformCall) -> PlatformAnswer:
+        """Return the relay's answer, or the outcome that its silence leaves."""
+        arrived = self._arrived_by_id[call.call_id] = curio.Event()
+        try:
+            await relay.send(call)
+            async with curio.ignore_after(ANSWER_SECONDS + call.seconds):
+                await arrived.wait()
+        except LinkLost:
+            return _failed(call, PlatformError.UNAVAILABLE)
+        finally:
+            del self._arrived_by_id[call.call_id]
+            answer = self._answer_by_id.pop(call.call_id, None)
+        if answer is not None:
+            return answer
+        if call.operation in _READS:
+            return _failed(call, PlatformError.UNAVAILABLE)
+        return _failed(call, PlatformError.UNKNOWN)
+
+
+async def carry_out(platform: Platform, call: PlatformCall) -> PlatformAnswer:
+    """Make a peer's call and return its answer; never raises a platform error."""
+    try:
+        answer = await _carried_out(platform, call)
+    except ClientError as exc:
+        error = _ERROR_BY_CLASS.get(type(exc), PlatformError.UNAVAILABLE)
+        return _failed(call, error)
+    return PlatformAnswer(
+        call_id=call.call_id,
+        objects=answer.objects,
+        version=answer.version,
+        gap=answer.gap,
+    )
+
+
+async def _carried_out(platform: Platform, call: PlatformCall) -> PlatformAnswer:
+    match call.operation:
+        case PlatformOperation.GET:
+            return await _get(platform, call.kind, call.name)
+        case PlatformOperation.LIST:
+            return await _list(platform, call.kind, call.name)
+        case PlatformOperation.WATCH:
+            return await _watch(platform, call.kind, call.version, call.seconds)
+        case PlatformOperation.CREATE:
+            return await _create(platform, call.kind, call.name, call.value)
+        case PlatformOperation.UPDATE:
+            return await _update(
+                platform, call.kind, call.name, call.value, call.version
+            )
+
+
+async def _get(platform: Platform, kind: str, name: str) -> PlatformAnswer:
+    stored = await platform.get(kind, name)
+    objects = () if stored is None else (_versioned(stored),)
+    return PlatformAnswer(call_id=0, objects=objects)
+
+
+async def _list(platform: Platform, kind: str, prefix: str) -> PlatformAnswer:
+    listing = await platform.list(kind, prefix)
+    objects = tuple(_versioned(stored) for stored in listing.by_name.values())
+    return PlatformAnswer(call_id=0, objects=objects, version=listing.revision)
+
+
+async def _watch(
+    platform: Platform, kind: str, revision: int, seconds: float
+) -> PlatformAnswer:
+    changes = await platform.watch(kind, revision, seconds)
+    return PlatformAnswer(
+        call_id=0,
+        objects=tuple(_versioned_change(kind, one) for one in changes.changes),
+        version=changes.revision,
+        gap=changes.gap,
+    )
+
+
+async def _create(
+    platform: Platform, kind: str, name: str, value: bytes
+) -> PlatformAnswer:
+    version = await platform.create(kind, name, value)
+    return PlatformAnswer(call_id=0, version=version)
+
+
+async def _update(
+    platform: Platform, kind: str, name: str, value: bytes, version: int
+) -> PlatformAnswer:
+    written = await platform.update(kind, name, value, version)
+    return PlatformAnswer(call_id=0, version=written)
+
+
+def _versioned(stored: Stored) -> VersionedObject:
+    return VersionedObject(
+        kind=stored.kind, name=stored.name, version=stored.version, value=stored.value
+    )
+
+
+def _versioned_change(kind: str, change: Change) -> VersionedObject:
+    if change.stored is not None:
+        return _versioned(change.stored)
+    return VersionedObject(
+        kind=kind, name=change.name, version=change.version, value=b"", gone=True
+    )
+
+
+def _stored(found: VersionedObject) -> Stored:
+    return Stored(
+        kind=found.kind, name=found.name, value=found.value, version=found.version
+    )
+
+
+def _change(found: VersionedObject) -> Change:
+    return Change(
+        name=found.name,
+        version=found.version,
+        stored=None if found.gone else _stored(found),
+    )
+
+
+def _failed(call: PlatformCall, error: PlatformError) -> PlatformAnswer:
+    return PlatformAnswer(call_id=call.call_id, error=error)
+
+
+def _raised(answer: PlatformAnswer) -> PlatformAnswer:
+    cls = _CLASS_BY_ERROR.get(answer.error)
+    if cls is not None:
+        raise cls("through a peer")
+    return answer
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -23,12 +23,14 @@
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.peers import Peers
 from ragwortkeel.ingress.placement import Load, Placement
+from ragwortkeel.ingress.relaying import RelayedPlatform
 from ragwortkeel.ingress.routing import RoutingTable
 from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.messages import (
     CrashSeen,
     Heartbeat,
     LoanRequest,
+    PlatformAnswer,
     TokenLoan,
     VersionedObject,
 )
@@ -73,7 +75,6 @@
         self.metrics = Metrics()
         self.tracing = Tracing(node=settings.name)
         self._settings = settings
-        self._platform = platform
         self._stopping = False
         self._raw_configuration: bytes = b""
         incarnation = f"{settings.name}/{secrets.token_hex(4)}"
@@ -88,10 +89,14 @@
             incarnation=incarnation,
             address=settings.address,
             seeds=settings.peers,
+            platform=platform,
             handler=self,
         )
+        self._platform = RelayedPlatform(
+            direct=platform, relays=self._peers.platform_relays
+        )
         self._keeper = BudgetKeeper(
-            platform=platform, holder=incarnation, ask_peers=self._peers.ask_loan
+            platform=self._platform, holder=incarnation, ask_peers=self._peers.ask_loan
         )
         self._front = Front(
             names=names,
@@ -109,10 +114,10 @@
             cancels_abandoned=True,
         )
         self._configurations = ConfigurationFollower(
-            platform=platform, take=self._take_configuration
+            platform=self._platform, take=self._take_configuration
         )
         self._upstreams = UpstreamFollower(
-            platform=platform, directory=self._directory, take=self._take_moves
+            platform=self._platform, directory=self._directory, take=self._take_moves
         )
 
     @property
@@ -133,6 +138,7 @@
             self._upstreams.run,
             self._keeper.run,
             self._peers.run,
+            self._platform.run,
             self._dispatcher.run,
             self._upkeep,
         )
@@ -218,6 +224,10 @@
         self._keeper.allowances.account(customer).borrow(tokens)
         await self._keeper.arrived()
 
+    async def relayed(self, answer: PlatformAnswer) -> None:
+        """Take in the answer to a call that a peer made."""
+        await self._platform.answered(answer)
+
     async def _take_configuration(
         self, configuration: IngressConfiguration, value: bytes
     ) -> None:
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -342,6 +342,58 @@
     transfer_id: str
 
 
+class PlatformOperation(StrEnum):
+    """What a process asks a peer to ask the platform for it."""
+
+    GET = "get"
+    LIST = "list"
+    WATCH = "watch"
+    CREATE = "create"
+    UPDATE = "update"
+
+
+class PlatformCall(Message):
+    """A call of the platform on behalf of a sender that does not reach it.
+
+    `version` is that of a conditional update, or the revision to watch from;
+    `seconds` is how long a watch waits.
+    """
+
+    call_id: int
+    operation: PlatformOperation
+    kind: str
+    name: str = ""
+    value: bytes = b""
+    version: int = 0
+    seconds: float = 0.0
+
+
+class PlatformError(StrEnum):
+    """How a relayed call failed; named as the errors of the platform client."""
+
+    NONE = "none"
+    UNAVAILABLE = "unavailable"
+    UNKNOWN = "unknown"
+    EXISTS = "exists"
+    CONFLICT = "conflict"
+    NOT_FOUND = "not_found"
+    REFUSED = "refused"
+
+
+class PlatformAnswer(Message):
+    """The answer to a relayed call.
+
+    `objects` hold what was read or what changed, with `gone` for a deletion;
+    `version` is that of a write, or the revision of a list or watch.
+    """
+
+    call_id: int
+    error: PlatformError = PlatformError.NONE
+    objects: tuple[VersionedObject, ...] = ()
+    version: int = 0
+    gap: bool = False
+
+
 class UpstreamLoad(msgspec.Struct, frozen=True, kw_only=True):
     """What one ingress process has at an upstream, in requests and tokens."""
 
@@ -353,12 +405,14 @@
 class IngressState(Message):
     """What an ingress process has where, and whom it knows.
 
-    `address` is the sender's own, `addresses` are those of its peers.
+    `address` is the sender's own, `addresses` are those of its peers; `relays` are
+    those among them (or itself) that only relay calls of the platform.
     """
 
     node: str
     address: str
     addresses: tuple[str, ...]
+    relays: tuple[str, ...]
     load_by_upstream: dict[str, UpstreamLoad]
 
 
@@ -412,6 +466,8 @@
     | SliceTransfer
     | SliceTransferred
     | IngressState
+    | PlatformCall
+    | PlatformAnswer
     | LoanRequest
     | TokenLoan
 )
--- a/src/ragwortkeel/settings.py
+++ b/src/ragwortkeel/settings.py
@@ -152,6 +152,25 @@
     log_level: LogLevel = LogLevel.INFO
 
 
+class RelaySettings(_Settings):
+    """What a process that only relays calls of the platform has to know.
+
+    Attributes
+    ----------
+    peers : tuple of str
+        Ingress processes to announce itself to.
+    """
+
+    name: Name
+    zone: Name
+    address: AddressText
+    metrics: AddressText
+    platform: AddressText
+    peers: Peers = ()
+    stop_deadline_seconds: StopSeconds = 60.0
+    log_level: LogLevel = LogLevel.INFO
+
+
 class CommandSettings(_Settings):
     """What the operators' command line has to know."""
 
--- a/tests/site/test_site_settings.py
+++ b/tests/site/test_site_settings.py
@@ -9,7 +9,7 @@
 import pytest
 
 from ragwortkeel.exceptions import SettingsError
-from ragwortkeel_site.settings_file import parse_settings
+from ragwortkeel_site.settings_file import ingress_settings, relay_settings
 
 ROOT = Path(__file__).parents[2]
 TEXT = """\
@@ -30,7 +30,7 @@
 
 class TestSettings:
     def test_the_fields_become_the_products(self):
-        found = parse_settings(TEXT)
+        found = ingress_settings(TEXT)
         assert found.name == "front-maule-a-1"
         assert found.http == "10.1.0.40:8227"
         assert found.metrics == "10.1.0.40:8220"
@@ -41,13 +41,19 @@
 
     def test_no_seeds_are_no_peers(self):
         text = re.sub(r"seeds=.*", "seeds=", TEXT)
-        assert parse_settings(text).peers == ()
+        assert ingress_settings(text).peers == ()
+
+    def test_a_relay_needs_no_address_for_callers(self):
+        text = re.sub(r"listen.*\n", "", TEXT)
+        found = relay_settings(text)
+        assert found.address == "10.1.0.40:7340"
+        assert found.metrics == "10.1.0.40:7355"
 
     @pytest.mark.parametrize("key", ["nodeName", "ip", "listen.front", "portRange"])
     def test_a_missing_field_is_named(self, key):
         text = "\n".join(x for x in TEXT.splitlines() if not x.startswith(key))
         with pytest.raises(SettingsError, match=re.escape(key)):
-            parse_settings(text)
+            ingress_settings(text)
 
 
 USERS_NAMES = re.compile(
