--- a/src/ragwortkeel/ingress/allowance.py
+++ b/src/ragwortkeel/ingress/allowance.py
@@ -44,11 +44,11 @@
 DIRECT = "direct"
 """What a ledger calls the way to upstreams without a sidecar."""
 
-HEADROOM_SECONDS = 2.5
+HEADROOM_SECONDS = 1.2
 """Demand that a cap leaves room for: three renewals, as requests come in lumps.
 All of it is charged for nothing where a process dies."""
 
-GROWTH_FACTOR = 1.3
+GROWTH_FACTOR = 1.0
 """How fast a cap grows, against the demand: an outage's demand may be higher than
 that before it, and what is not spent is charged where a process dies."""
 
@@ -73,7 +73,7 @@
 """Of an equal share of what is unspent, held for a customer that has asked for
 nothing yet: its first requests may come in an outage."""
 
-STARTING_CAP_SHARE = 0.02
+STARTING_CAP_SHARE = 0.005
 """Of what is unspent, the least that a cap allows: more is charged for nothing
 when processes die, less refuses the first callers of an outage."""
 
