Caps grow only 5.5 s after the last write: an ordinary death costs the headroom

Change: growth begins 5.5 s after the last write, and is half as fast again. Ruled out: a smaller margin (the time of day does jump by 2.4 s); the fleet's median time (more code; not needed now).

--- a/src/ragwortkeel/ingress/allowance.py
+++ b/src/ragwortkeel/ingress/allowance.py
@@ -10,8 +10,8 @@
 process therefore keeps its untold spend and open reservations under a cap that
 stands in the ledger, and its successor on the same machine charges the cap.  A
 fixed cap would have to hold a whole outage of the platform and would strand that
-much at each kill; so it grows with the time since the last write, at the rate of
-the demand, and the successor charges what it can have grown to.  Both count to
+much at each kill; so it grows some time after the last write, at the rate of the
+demand, and the successor charges what it can have grown to.  Both count to
 the safe side: the process from its last *try* to write and by its slowest clock,
 the successor up to its own start and by its fastest.  A process that is frozen,
 cut off or killed thus can't lead to an overspend, and only its own successor ever
@@ -44,13 +44,18 @@
 DIRECT = "direct"
 """What a ledger calls the way to upstreams without a sidecar."""
 
-HEADROOM_SECONDS = 1.2
-"""Demand that a cap leaves room for: three renewals, as requests come in lumps.
+HEADROOM_SECONDS = 2.0
+"""Demand that a cap leaves room for: two renewals, as requests come in lumps.
 All of it is charged for nothing where a process dies."""
 
-GROWTH_FACTOR = 1.0
-"""How fast a cap grows, against the demand: an outage's demand may be higher than
-that before it, and what is not spent is charged where a process dies."""
+GROWTH_DELAY_SECONDS = 5.5
+"""A cap grows only from then on after the last write.  A killed process is back
+and has taken its start's time within 2.5 s, and after a loss of power a jump of the
+time of day of 3 s is allowed for: so an ordinary death costs the headroom alone."""
+
+GROWTH_FACTOR = 1.5
+"""How fast a cap grows then, against the demand: an outage has to be caught up
+with, and its demand may be higher than that before it."""
 
 LEAST_SECONDS = 8.0
 """A cap grows by at least its least room in so many seconds, the length of an
@@ -173,7 +178,7 @@
 
     def grow(self, silent: float) -> None:
         """Let the cap grow by the seconds since the last try to write."""
-        self.slice.grown = int(self.slice.growth * max(0.0, silent))
+        self.slice.grown = int(self.slice.growth * _growing(silent))
 
     def reserve(self, tokens: int) -> Hold | None:
         """Set tokens aside, of loans first: they can't be given back."""
@@ -465,12 +470,17 @@
         return ledger
     cap = grant.granted
     if age < LONGEST_AGE_SECONDS:
-        cap = min(cap, grant.cap + ceil(grant.growth * max(0.0, age)))
+        cap = min(cap, grant.cap + ceil(grant.growth * _growing(age)))
     grants = ledger.grants | {holder: msgspec.structs.replace(grant, cap=cap)}
     ledger = msgspec.structs.replace(ledger, grants=grants)
     return ledger.seal(holder).write_off(router=holder, sidecar=DIRECT)
 
 
+def _growing(seconds: float) -> float:
+    """Return for how much of the time since a write a cap has been growing."""
+    return max(0.0, seconds - GROWTH_DELAY_SECONDS)
+
+
 def _node(holder: str) -> str:
     return holder.partition("/")[0]
 
