Settings are read anew at a HUP; ingress and relay as daemons and commands of the product

Cause: a HUP, which says that the settings file has changed, ended a process. Change: the daemons reload (peers take hold, other changes are logged as needing a restart; a broken file changes nothing); ragwortkeeld ingress|relay run on the product's own platform; ragwortkeel ingress apply|show|budgets.

--- a/src/ragwortkeel/cli/command.py
+++ b/src/ragwortkeel/cli/command.py
@@ -6,6 +6,7 @@
 from fire.decorators import SetParseFns
 
 from ragwortkeel.cli.bills import bill
+from ragwortkeel.cli.ingress import IngressCommands
 from ragwortkeel.cli.plan import Plan, Session, carry_out
 from ragwortkeel.cli.profiles import ProfileCommands
 from ragwortkeel.cli.reports import status, trace
@@ -42,6 +43,7 @@
         )
         self.profile = ProfileCommands(session=self._session)
         self.upstream = UpstreamCommands(session=self._session)
+        self.ingress = IngressCommands(session=self._session)
 
     def status(self):
         """Show nodes, what they have in force, and counts of objects."""
--- a/src/ragwortkeel/daemon.py
+++ b/src/ragwortkeel/daemon.py
@@ -1,18 +1,33 @@
-"""The daemons' entry point: ``ragwortkeeld router|sidecar|check-settings``."""
+"""The daemons' entry point: ``ragwortkeeld ROLE SETTINGS`` and ``check-settings``."""
 
 import sys
 
 import fire
 
 from ragwortkeel.exceptions import SettingsError
+from ragwortkeel.ingress.names import HeaderNames
+from ragwortkeel.ingress.relay_worker import RelayWorker
+from ragwortkeel.ingress.worker import IngressWorker
+from ragwortkeel.platform_client import HttpPlatform
 from ragwortkeel.process import Process, run_process
 from ragwortkeel.router.worker import RouterWorker
-from ragwortkeel.settings import RouterSettings, SidecarSettings, load
+from ragwortkeel.settings import (
+    IngressSettings,
+    RelaySettings,
+    RouterSettings,
+    SidecarSettings,
+    load,
+)
 from ragwortkeel.sidecar.worker import SidecarWorker
 
 EXIT_BAD_SETTINGS = 2
 
-_SETTINGS_BY_ROLE = {"router": RouterSettings, "sidecar": SidecarSettings}
+_SETTINGS_BY_ROLE = {
+    "router": RouterSettings,
+    "sidecar": SidecarSettings,
+    "ingress": IngressSettings,
+    "relay": RelaySettings,
+}
 
 
 def router(settings: str) -> None:
@@ -39,13 +54,60 @@
     sys.exit(run_process(lambda: _process(SidecarWorker, read), level=read.log_level))
 
 
+def ingress(settings: str) -> None:
+    """Run an ingress until TERM; a HUP reads its settings anew.
+
+    Parameters
+    ----------
+    settings
+        Path of a JSON file; see docs/CONFIGURATION.md.
+    """
+    read = load(settings, IngressSettings)
+    platform = HttpPlatform(address=read.platform)
+    worker = IngressWorker(settings=read, platform=platform, names=HeaderNames())
+
+    def new_process() -> Process:
+        return Process(
+            worker=worker,
+            name=read.name,
+            metrics_address=read.metrics,
+            ready_path=read.ready_path,
+            reload=lambda: worker.reload(load(settings, IngressSettings)),
+        )
+
+    sys.exit(run_process(new_process, level=read.log_level))
+
+
+def relay(settings: str) -> None:
+    """Run a relay of platform calls until TERM; a HUP reads its settings anew.
+
+    Parameters
+    ----------
+    settings
+        Path of a JSON file; see docs/CONFIGURATION.md.
+    """
+    read = load(settings, RelaySettings)
+    platform = HttpPlatform(address=read.platform)
+    worker = RelayWorker(settings=read, platform=platform)
+
+    def new_process() -> Process:
+        return Process(
+            worker=worker,
+            name=read.name,
+            metrics_address=read.metrics,
+            reload=lambda: worker.reload(load(settings, RelaySettings)),
+        )
+
+    sys.exit(run_process(new_process, level=read.log_level))
+
+
 def check_settings(role: str, settings: str) -> None:
     """Check a settings file without running anything.
 
     Parameters
     ----------
     role
-        ``router`` or ``sidecar``.
+        ``router``, ``sidecar``, ``ingress`` or ``relay``.
     settings
         Path of the JSON file.
     """
@@ -67,7 +129,13 @@
 
 def main() -> None:
     """Run the daemon that the command line names."""
-    commands = {"router": router, "sidecar": sidecar, "check-settings": check_settings}
+    commands = {
+        "router": router,
+        "sidecar": sidecar,
+        "ingress": ingress,
+        "relay": relay,
+        "check-settings": check_settings,
+    }
     try:
         fire.Fire(commands, name="ragwortkeeld")
     except SettingsError as exc:
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -151,6 +151,10 @@
             while True:
                 await self._linked(await self._inbox.get())
 
+    def meet(self, addresses: tuple[str, ...]) -> None:
+        """Link to these peers too."""
+        self._known |= set(addresses) - {self._address}
+
     def platform_relays(self) -> list[Link]:
         """Return the links to peers that may relay, pure relays first."""
         up = [link for link in self._link_by_address.values() if link.up]
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -49,6 +49,10 @@
         """Bind the socket."""
         self._peers.open()
 
+    def reload(self, settings: RelaySettings) -> None:
+        """Take over the peers; see `IngressWorker.reload`."""
+        self._peers.meet(settings.peers)
+
     async def run(self) -> None:
         """Work until cancelled or until a task fails."""
         await run_together(self._peers.run)
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -38,7 +38,7 @@
 from ragwortkeel.platform import Platform
 from ragwortkeel.policy.quarantine import Crash
 from ragwortkeel.process import Leftover
-from ragwortkeel.settings import Address, IngressSettings
+from ragwortkeel.settings import Address, IngressSettings, changed_fields
 from ragwortkeel.tasks import run_together
 from ragwortkeel.traces import Tracing
 
@@ -130,6 +130,18 @@
         self._server.open()
         self._peers.open()
 
+    def reload(self, settings: IngressSettings) -> None:
+        """Take over what may change while it runs: the peers.
+
+        Addresses hold until the next start; a change of one is logged.
+        """
+        self._peers.meet(settings.peers)
+        changed = changed_fields(self._settings, settings)
+        log_info("settings_reloaded", changed=changed)
+        fixed = [name for name in changed if name != "peers"]
+        if fixed:
+            log_warning("settings_need_a_restart", fields=fixed)
+
     async def run(self) -> None:
         """Work until cancelled or until a task fails."""
         await run_together(
--- a/src/ragwortkeel/process.py
+++ b/src/ragwortkeel/process.py
@@ -1,4 +1,4 @@
-"""What every daemon of the fleet does around its work: start, probes, stop.
+"""What every daemon of the fleet does around its work: start, probes, reload, stop.
 
 A TERM begins a planned stop: not ready, finish what is in flight, make durable
 what must last, exit 0.  A second signal, or the deadline, ends it at once; what
@@ -14,6 +14,7 @@
 from curio.task import ContextTask
 
 from ragwortkeel.configuration_store import InForce
+from ragwortkeel.exceptions import SettingsError
 from ragwortkeel.lifecycle import ChartName, Lifecycle
 from ragwortkeel.logs import Level, configure_logs, log_error, log_info, log_warning
 from ragwortkeel.metrics import Metrics
@@ -22,6 +23,8 @@
 from ragwortkeel.signals import SignalQueue
 from ragwortkeel.traces import Tracing
 
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 EXIT_CLEAN = 0
 EXIT_FAILED = 1
 
@@ -76,6 +79,8 @@
         ``ip:port`` of the probes.
     ready_path
         Path on it that the balancer asks.
+    reload
+        Called at each HUP, which says that the settings have changed.
 
     .. versionadded:: 0.1
     """
@@ -87,7 +92,9 @@
         name: str,
         metrics_address: str,
         ready_path: str = "/readyz",
+        reload: Callable[[], None] = lambda: None,
     ) -> None:
+        self._reload = reload
         self._worker = worker
         self._name = name
         self._lifecycle = Lifecycle(chart=ChartName.DAEMON, observer=self._log_change)
@@ -103,7 +110,7 @@
 
     async def main(self) -> int:
         """Return the exit code once everything is over."""
-        async with SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
+        async with SignalQueue(*_SIGNALS) as signals:
             try:
                 self._worker.open()
                 self._probes.open()
@@ -119,7 +126,7 @@
         watching = await curio.spawn(self._watch_ready, daemon=True)
         working = await curio.spawn(self._worker.run, daemon=True)
         try:
-            asked = await _first(signals.get, working.wait)
+            asked = await _first(lambda: self._stop_signal(signals), working.wait)
             if not asked:
                 return self._fail(working)
             return await self._stop(signals)
@@ -127,10 +134,24 @@
             for task in (watching, working, probing):
                 await task.cancel()
 
+    async def _stop_signal(self, signals) -> None:
+        """Wait for a signal that ends the process; a HUP reloads."""
+        while await signals.get() is signal.SIGHUP:
+            self._reload_settings()
+
+    def _reload_settings(self) -> None:
+        log_info("settings_reload", node=self._name)
+        try:
+            self._reload()
+        except SettingsError as exc:
+            # What is in force holds: a broken file must not stop a process that
+            # works, as it would at a start.
+            log_error("settings_refused", node=self._name, error=str(exc))
+
     async def _stop(self, signals) -> int:
         self._lifecycle.fire("stop")
         stopping = await curio.spawn(self._worker.stop, daemon=True)
-        finished = await _first(stopping.wait, signals.get)
+        finished = await _first(stopping.wait, lambda: self._stop_signal(signals))
         if not finished:
             await stopping.cancel()
             log_warning("stop_cut_short", node=self._name)
--- a/src/ragwortkeel/settings.py
+++ b/src/ragwortkeel/settings.py
@@ -178,6 +178,12 @@
     timeout_seconds: CallSeconds = 5.0
 
 
+def changed_fields(old: _Settings, new: _Settings) -> list[str]:
+    """Return the names of the fields in which two settings differ."""
+    names = old.__struct_fields__
+    return [name for name in names if getattr(old, name) != getattr(new, name)]
+
+
 SettingsClass = TypeVar("SettingsClass", bound=_Settings)
 
 _AT = re.compile(r"^(?P<what>.*?)(?: - at `(?P<path>[^`]*)`)?$", re.DOTALL)
--- /dev/null
+++ b/tests/cli/test_cli_ingress.py
@@ -0,0 +1,65 @@
+"""``ragwortkeel ingress`` against an in-memory platform."""
+
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from ragwortkeel.budget.ledger import Ledger
+from ragwortkeel.ingress.allowance import SHARDS_KIND, Shard, encode_shard
+from ragwortkeel.ingress.budget_keeper import SHARD_NAME
+from ragwortkeel.ingress.configuration import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    IngressConfiguration,
+)
+
+EXAMPLE = Path(__file__).parents[2] / "examples" / "ingress" / "surco.json"
+
+
+def in_force(terminal):
+    value = terminal.platform.peek(CONFIGURATION_KIND, CONFIGURATION_NAME).value
+    return msgspec.json.decode(value, type=IngressConfiguration)
+
+
+class TestApply:
+    def test_each_apply_raises_the_revision(self, terminal):
+        assert terminal(f"ingress apply {EXAMPLE}")[0] == 0
+        code, out, _ = terminal(f"ingress apply {EXAMPLE}")
+        assert code == 0
+        assert out.startswith("revision 2: 2 routes")
+        assert in_force(terminal).revision == 2
+        assert "advisor-chat" in terminal("ingress show")[1]
+
+    @pytest.mark.parametrize(
+        ("text", "code", "said"),
+        [
+            ("[]", 1, "holds no configuration"),
+            ("{", 1, "cannot read"),
+            ('{"routes": [{"name": "x"}]}', 2, "$.routes[0]"),
+            ('{"customers": [{"name":"c","keys":[],"prepaid":-1}]}', 2, "prepaid"),
+        ],
+    )
+    def test_a_wrong_file_changes_nothing(self, terminal, tmp_path, text, code, said):
+        file = tmp_path / "c.json"
+        file.write_text(text)
+        found, _, errors = terminal(f"ingress apply {file}")
+        assert found == code
+        assert said in errors[0]
+        assert terminal.platform.peek(CONFIGURATION_KIND, CONFIGURATION_NAME) is None
+
+    def test_show_without_one_says_so(self, terminal):
+        code, _, errors = terminal("ingress show")
+        assert code == 1
+        assert "no ingress configuration" in errors[0]
+
+
+class TestBudgets:
+    def test_what_is_left_is_shown(self, terminal):
+        shard = Shard(ledger_by_customer={"coop": Ledger(prepaid=100, spent=30)})
+        terminal.platform.put(SHARDS_KIND, SHARD_NAME, encode_shard(shard))
+        rows = msgspec.json.decode(terminal("ingress budgets --json")[1])
+        assert rows == [
+            {"customer": "coop", "prepaid": 100, "spent": 30, "held": 0, "free": 70}
+        ]
+        assert terminal("ingress budgets")[0] == 0
