Caps follow the pace of renewals

Change: a cap holds the demand of 2.5 renewals at the pace of late. Ruled out: an outage (reachable=true, ledger_age rising to 2.4 s); empty slices (free tokens of 539,641). Tests: a slow platform in test_allowance, which failed without it.

--- a/src/ragwortkeel/ingress/allowance.py
+++ b/src/ragwortkeel/ingress/allowance.py
@@ -45,8 +45,20 @@
 """What a ledger calls the way to upstreams without a sidecar."""
 
 HEADROOM_SECONDS = 1.2
-"""Demand that a cap leaves room for: two renewals, as requests come in lumps.
-All of it is charged for nothing where a process dies."""
+"""Demand that a cap leaves room for at the least: two renewals of half a second,
+as requests come in lumps.  All of it is charged for nothing where a process dies."""
+
+HEADROOM_RENEWALS = 2.5
+"""The same in renewals, for hours in which the platform is slow, or so many
+processes write that each has to try again: a cap that holds less than the demand
+until the next renewal refuses callers whose tokens are there."""
+
+LONGEST_PAUSE_SECONDS = 3.0
+"""A pause between renewals counts up to this; a longer one was an outage, which
+the growth of the caps is for."""
+
+PAUSE_WEIGHT = 0.4
+"""Of the newest pause: a slow platform shows after two or three renewals."""
 
 GROWTH_DELAY_SECONDS = 5.5
 """A cap grows only from then on after the last write.  A killed process is back
@@ -253,7 +265,15 @@
             equal_part=EQUAL_PART,
         )
 
-    def propose(self, ledger: Ledger, *, nonce: str, typical: int, now: float) -> bool:
+    def propose(
+        self,
+        ledger: Ledger,
+        *,
+        nonce: str,
+        typical: int,
+        headroom_seconds: float,
+        now: float,
+    ) -> bool:
         """Prepare a renewal where one is due; return whether one is pending."""
         if self.slice.pending is not None:
             self.slice.propose(nonce=nonce, cap=0)
@@ -264,7 +284,7 @@
         take = to_take(ledger, router=holder, need=need)
         give_back = to_give_back(ledger, router=holder, need=need)
         least = self._least_room(typical)
-        cap = self._cap(need, least)
+        cap = self._cap(need, least, headroom_seconds)
         if not self._due(need.holding, take, give_back, cap):
             return False
         self.slice.propose(
@@ -289,9 +309,9 @@
         unspent = max(0, self.ledger.prepaid - self.ledger.total_spent)
         return max(int(unspent * STARTING_CAP_SHARE), typical)
 
-    def _cap(self, need: SliceNeed, least: int) -> int:
+    def _cap(self, need: SliceNeed, least: int, headroom_seconds: float) -> int:
         """Return the untold spend to allow from now on, all told being settled."""
-        headroom = int(need.demand / 60 * HEADROOM_SECONDS)
+        headroom = int(need.demand / 60 * headroom_seconds)
         return self.slice.reserved + max(headroom, least) + self.lacking
 
     def _due(self, holding: int, take: int, give_back: int, cap: int) -> bool:
@@ -334,6 +354,7 @@
         self._account_by_customer: dict[str, Account] = {}
         self._nonces = count(1)
         self._typical = 0.0
+        self._pause = 0.0
 
     def account(self, customer: str) -> Account:
         """Return the customer's account."""
@@ -358,6 +379,16 @@
         self.account(customer).asked(tokens, now)
         self._typical += (tokens - self._typical) * TYPICAL_WEIGHT
 
+    def renewed_after(self, pause: float) -> None:
+        """Note the seconds between two renewals that took effect."""
+        pause = min(pause, LONGEST_PAUSE_SECONDS)
+        self._pause += (pause - self._pause) * PAUSE_WEIGHT
+
+    @property
+    def headroom_seconds(self) -> float:
+        """Demand that a cap leaves room for, in seconds."""
+        return max(HEADROOM_SECONDS, HEADROOM_RENEWALS * self._pause)
+
     def grow(self, silent: float) -> None:
         """Let all caps grow by the seconds since the last try to write."""
         for account in self._account_by_customer.values():
@@ -371,7 +402,11 @@
             account = self.account(name)
             nonce = f"{self.holder}/{next(self._nonces)}"
             due = account.propose(
-                ledger, nonce=nonce, typical=typical, now=reading.monotonic
+                ledger,
+                nonce=nonce,
+                typical=typical,
+                headroom_seconds=self.headroom_seconds,
+                now=reading.monotonic,
             )
             if due:
                 ledgers[name] = ledger.renew(account.slice.pending)
--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -259,6 +259,7 @@
         await self._write(stored, renewed)
         self.allowances.resolve(renewed)
         self._merged = True
+        self.allowances.renewed_after(reading.monotonic - self._read_at)
         self._read_at = reading.monotonic
 
     def _log_predecessors(self, shard: Shard) -> None:
--- /dev/null
+++ b/tests/ingress/test_allowance.py
@@ -0,0 +1,67 @@
+"""Sizes of slices and caps, and what they answer."""
+
+from ragwortkeel.ingress.allowance import (
+    HEADROOM_RENEWALS,
+    HEADROOM_SECONDS,
+    LONGEST_PAUSE_SECONDS,
+    Allowances,
+    Shard,
+)
+from ragwortkeel.ingress.clocks import Reading
+
+PREPAID = 1_000_000
+
+
+def reading(now):
+    return Reading(monotonic=now, boot=now, wall=now)
+
+
+def busy(pause, *, seconds=20, per_second=1000):
+    """Return an account after some seconds of even demand, renewed at a pause."""
+    allowances = Allowances(holder="i/1", started=reading(0.0))
+    shard = Shard().provisioned({"surco": PREPAID}, revision=1)
+    for second in range(1, seconds):
+        allowances.asked("surco", per_second, float(second))
+        allowances.renewed_after(pause)
+        shard = allowances.renewed(shard, reading(float(second)))
+        allowances.resolve(shard)
+    return allowances, shard
+
+
+class TestCaps:
+    def test_a_quick_platform_needs_little_room(self):
+        allowances, _ = busy(0.5)
+        assert allowances.headroom_seconds <= 1.01 * max(
+            HEADROOM_SECONDS, HEADROOM_RENEWALS * 0.5
+        )
+
+    def test_a_slow_platform_gets_caps_that_last_until_the_next_renewal(self):
+        """Callers are refused for seconds although their tokens lie in the slice.
+
+        The platform was slow and four processes wrote to one ledger; each renewal
+        took two seconds, and the cap held the demand of one.
+        """
+        allowances, _ = busy(2.0)
+        account = allowances.account("surco")
+        assert account.cap_room >= 2 * 2.0 * 1000
+        assert account.free >= account.cap_room
+
+    def test_an_outage_counts_as_no_slow_renewal(self):
+        allowances, _ = busy(60.0)
+        longest = HEADROOM_RENEWALS * LONGEST_PAUSE_SECONDS
+        assert allowances.headroom_seconds <= longest
+
+
+class TestSlices:
+    def test_a_customer_without_demand_has_something_for_an_outage(self):
+        allowances, shard = busy(0.5)
+        assert allowances.account("surco").free > 0
+        other = Shard().provisioned({"maule": PREPAID}, revision=1)
+        allowances = Allowances(holder="i/1", started=reading(0.0))
+        allowances.resolve(allowances.renewed(other, reading(1.0)))
+        assert allowances.account("maule").free > 0
+
+    def test_an_older_configuration_undoes_no_top_up(self):
+        _, shard = busy(0.5)
+        topped = shard.provisioned({"surco": 2 * PREPAID}, revision=3)
+        assert topped.provisioned({"surco": PREPAID}, revision=2) == topped
