--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from ragwortkeel.ingress import answers
+from ragwortkeel.ingress.answers import Answer
 from ragwortkeel.router.refusals import Reason
 
 OPERATORS = Path(__file__).parents[1] / "docs" / "operators"
@@ -14,3 +16,12 @@
     def test_every_reason_of_a_refusal_is_explained(self, reason):
         pages = [page.read_text() for page in OPERATORS.glob("*.md")]
         assert any(f"`{reason}`" in page for page in pages)
+
+    @pytest.mark.parametrize(
+        "answer",
+        [one for one in vars(answers).values() if isinstance(one, Answer)],
+        ids=lambda answer: answer.reason,
+    )
+    def test_every_answer_of_the_ingress_is_explained(self, answer):
+        page = (OPERATORS / "ingress.md").read_text()
+        assert f"| `{answer.reason}` | {answer.status} |" in page
