--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -20,19 +20,12 @@
     RouterSealed,
     VersionConflict,
 )
-from ragwortkeel.ingress.allowance import (
-    RIDE_OUT_SECONDS,
-    SHARDS_KIND,
-    Account,
-    Allowances,
-    Hold,
-    Shard,
-    decode_shard,
-    encode_shard,
-)
+from ragwortkeel.ingress.account import RIDE_OUT_SECONDS, Account, Hold
+from ragwortkeel.ingress.allowance import Allowances
 from ragwortkeel.ingress.clocks import Reading, read_clocks
 from ragwortkeel.ingress.configuration import Customer
 from ragwortkeel.ingress.routing import RoutingTable
+from ragwortkeel.ingress.shards import SHARDS_KIND, Shard, decode_shard, encode_shard
 from ragwortkeel.logs import log_error, log_info, log_warning
 from ragwortkeel.messages import LoanRequest
 from ragwortkeel.platform import Platform, Stored
--- /dev/null
+++ b/src/ragwortkeel/ingress/front_parts.py
@@ -0,0 +1,67 @@
+"""What all requests of an ingress process share."""
+
+from dataclasses import dataclass
+from time import monotonic
+
+import curio
+
+from ragwortkeel.ingress.answers import Answer
+from ragwortkeel.ingress.budget_keeper import BudgetKeeper
+from ragwortkeel.ingress.configuration import Upstream
+from ragwortkeel.ingress.crashes import CrashWatch
+from ragwortkeel.ingress.dispatch import Dispatcher
+from ragwortkeel.ingress.names import HeaderNames
+from ragwortkeel.ingress.placement import Placement
+from ragwortkeel.ingress.upstream_connection import UpstreamConnections
+from ragwortkeel.logs import log_info
+from ragwortkeel.metrics import Metrics
+from ragwortkeel.policy.facts import Failure
+from ragwortkeel.policy.retries import RetryBudget
+
+
+@dataclass(frozen=True, kw_only=True)
+class FrontParts:
+    """The parts that bring requests to their answers."""
+
+    names: HeaderNames
+    dispatcher: Dispatcher
+    placement: Placement
+    keeper: BudgetKeeper
+    crashes: CrashWatch
+    connections: UpstreamConnections
+    retries: RetryBudget
+    metrics: Metrics
+
+    def refused(
+        self,
+        request_id: str,
+        answer: Answer,
+        *,
+        route: str,
+        waited: float,
+        revision: int | None,
+    ) -> None:
+        """Log and count an answer of the ingress's own."""
+        log_info(
+            "refused",
+            request=request_id,
+            route=route,
+            status=answer.status,
+            reason=answer.reason,
+            outcome=answer.result,
+            waited=round(waited, 3),
+            configuration=revision,
+        )
+        self.metrics.request_ended(
+            service="", outcome=answer.result, reason=answer.reason
+        )
+
+    async def suspect(self, upstream: Upstream, fingerprint: str) -> None:
+        """Look, beside the request, whether an upstream that broke off is down."""
+        self.crashes.broken(upstream, fingerprint)
+        await curio.spawn(self._look_at, upstream, daemon=True)
+
+    async def _look_at(self, upstream: Upstream) -> None:
+        if await self.connections.is_down(upstream):
+            self.crashes.down(upstream)
+            self.placement.failed(upstream.name, Failure.CRASHED, monotonic())
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -12,7 +12,7 @@
 
 from ragwortkeel.budget.sizing import ASKED_AT_ONCE, best_givers
 from ragwortkeel.exceptions import LinkLost
-from ragwortkeel.ingress.allowance import Account
+from ragwortkeel.ingress.account import Account
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.ingress.relaying import carry_out
 from ragwortkeel.links import Endpoint, Link, LinkDown, LinkUp, Received
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -20,11 +20,13 @@
 from ragwortkeel.ingress.dispatch import Dispatcher
 from ragwortkeel.ingress.following import ConfigurationFollower, UpstreamFollower
 from ragwortkeel.ingress.front import Front
+from ragwortkeel.ingress.front_parts import FrontParts
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.peers import Peers
 from ragwortkeel.ingress.placement import Load, Placement
 from ragwortkeel.ingress.relaying import RelayedPlatform
 from ragwortkeel.ingress.routing import RoutingTable
+from ragwortkeel.ingress.upstream_connection import UpstreamConnections
 from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.messages import (
     CrashSeen,
@@ -37,11 +39,20 @@
 from ragwortkeel.metrics import Metrics
 from ragwortkeel.platform import Platform
 from ragwortkeel.policy.quarantine import Crash
+from ragwortkeel.policy.retries import RetryBudget
 from ragwortkeel.process import Leftover
 from ragwortkeel.settings import Address, IngressSettings, changed_fields
 from ragwortkeel.tasks import run_together
 from ragwortkeel.traces import Tracing
 
+RETRY_SHARE = 0.12
+"""Of first attempts.  The fleet as a whole may add a fifth; each process keeps
+below, as its own count of first attempts may run behind."""
+
+RETRY_RESERVE = 6.0
+"""Retries saved up by a quiet process: four of them stay under what the fleet may
+add at once."""
+
 UPKEEP_SECONDS = 0.2
 """How often lapsed entries and idle connections are looked at."""
 
@@ -98,13 +109,18 @@
         self._keeper = BudgetKeeper(
             platform=self._platform, holder=incarnation, ask_peers=self._peers.ask_loan
         )
+        self._connections = UpstreamConnections(id_header=names.request_id)
         self._front = Front(
-            names=names,
-            dispatcher=self._dispatcher,
-            placement=self._placement,
-            keeper=self._keeper,
-            crashes=self._crashes,
-            metrics=self.metrics,
+            parts=FrontParts(
+                names=names,
+                dispatcher=self._dispatcher,
+                placement=self._placement,
+                keeper=self._keeper,
+                crashes=self._crashes,
+                connections=self._connections,
+                retries=RetryBudget(share=RETRY_SHARE, reserve=RETRY_RESERVE),
+                metrics=self.metrics,
+            )
         )
         where = Address.parse(settings.http)
         self._server = HttpServer(
@@ -289,7 +305,7 @@
     async def _upkeep(self) -> None:
         while True:
             await self._upstreams.expire()
-            await self._front.connections.sweep()
+            await self._connections.sweep()
             await self._tell_crashes()
             self.metrics.load(
                 running=self._server.open_exchanges, queued=len(self._dispatcher.room)
--- a/tests/ingress/allowance_world.py
+++ b/tests/ingress/allowance_world.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass, field
 
-from ragwortkeel.ingress.allowance import Allowances, Shard
+from ragwortkeel.ingress.allowance import Allowances
 from ragwortkeel.ingress.clocks import Reading
+from ragwortkeel.ingress.shards import Shard
 
 CUSTOMER = "surco"
 OTHER = "maule"
--- a/tests/ingress/test_allowance.py
+++ b/tests/ingress/test_allowance.py
@@ -5,9 +5,9 @@
     HEADROOM_SECONDS,
     LONGEST_PAUSE_SECONDS,
     Allowances,
-    Shard,
 )
 from ragwortkeel.ingress.clocks import Reading
+from ragwortkeel.ingress.shards import Shard
 
 PREPAID = 1_000_000
 
--- a/tests/ingress/test_budgets.py
+++ b/tests/ingress/test_budgets.py
@@ -4,8 +4,8 @@
 import msgspec
 from tests.ingress.in_process import run_ingress
 
-from ragwortkeel.ingress.allowance import SHARDS_KIND, USABLE_SHARE, decode_shard
 from ragwortkeel.ingress.budget_keeper import SHARD_NAME
+from ragwortkeel.ingress.shards import SHARDS_KIND, USABLE_SHARE, decode_shard
 
 PREPAID = 1_000
 SMALL = {"x_token_bound": "40,60", "x_prompt_parts": "p:40"}
