--- a/tests/cli/test_cli_definition.py
+++ b/tests/cli/test_cli_definition.py
@@ -7,7 +7,14 @@
 from ragwortkeel.cli.definition import changed, defined
 from ragwortkeel.configuration import Profile, ServiceClass
 from ragwortkeel.exceptions import CommandError, SettingsError
-from ragwortkeel.settings import CommandSettings, RouterSettings, SidecarSettings, load
+from ragwortkeel.settings import (
+    CommandSettings,
+    IngressSettings,
+    RelaySettings,
+    RouterSettings,
+    SidecarSettings,
+    load,
+)
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 PROFILES = sorted((EXAMPLES / "profiles").glob("*.json"))
@@ -16,6 +23,8 @@
     "router": RouterSettings,
     "sidecar": SidecarSettings,
     "command": CommandSettings,
+    "ingress": IngressSettings,
+    "relay": RelaySettings,
 }
 
 
@@ -23,7 +32,7 @@
     def test_both_deployments_are_there(self):
         for deployment in ("surco", "chaophraya"):
             assert sum(one.name.startswith(deployment) for one in PROFILES) == 5
-            assert sum(one.name.startswith(deployment) for one in SETTINGS) == 6
+            assert sum(one.name.startswith(deployment) for one in SETTINGS) == 8
 
     @pytest.mark.parametrize("path", PROFILES, ids=lambda path: path.stem)
     def test_profile(self, path):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -11,6 +11,8 @@
 from ragwortkeel.settings import (
     Address,
     CommandSettings,
+    IngressSettings,
+    RelaySettings,
     RouterSettings,
     SidecarSettings,
     decode,
@@ -101,7 +103,15 @@
 class TestReference:
     @pytest.mark.parametrize(
         "cls",
-        [RouterSettings, SidecarSettings, CommandSettings, Definition, Upstream],
+        [
+            RouterSettings,
+            SidecarSettings,
+            IngressSettings,
+            RelaySettings,
+            CommandSettings,
+            Definition,
+            Upstream,
+        ],
     )
     def test_every_field_is_explained(self, cls):
         page = Path(__file__).parents[1] / "docs" / "CONFIGURATION.md"
