--- a/src/ragwortkeel/ingress/front.py
+++ b/src/ragwortkeel/ingress/front.py
@@ -69,6 +69,10 @@
 """Of the time left, spent waiting for a place at the most: the rest has to be
 enough for the run."""
 
+SERVER_ERROR = 500
+"""An upstream's failures from here on may be gone at another one; what it says of
+the request itself (4xx) is not."""
+
 BEARER = "bearer "
 LOWEST_URGENCY = 9
 DEFAULT_DEADLINE_SECONDS = 60.0
@@ -230,6 +234,7 @@
         self._ran = False
         self._whole = False
         self._tried: frozenset[str] = frozenset()
+        self._failure: tuple[Placed, Answered] | None = None
 
     async def run(self) -> None:
         """Bring the request to its final answer."""
@@ -278,14 +283,27 @@
         while True:
             placed = await self._place()
             if isinstance(placed, Answer):
-                return await self._broken_off(placed)
+                return await self._give_up(placed)
             try:
                 outcome = await self._run_at(placed)
             finally:
                 await self._front._dispatcher.release(placed)
             done = await self._conclude(placed, outcome)
             if done is not _AGAIN:
-                return await self._broken_off(done) if done else None
+                return await self._give_up(done) if done else None
+
+    async def _give_up(self, answer: Answer) -> Answer | None:
+        if self._failure is not None:
+            # The upstream's own failure tells the caller more than ours would.
+            await self._pass_on(*self._failure)
+            return None
+        return await self._broken_off(answer)
+
+    async def _pass_on(self, placed: Placed, answered: Answered) -> None:
+        head = answered.head
+        fields = passed_fields(head)
+        await self._responder.respond(head.status, answered.body, fields)
+        self._ended(placed, status=head.status)
 
     async def _place(self) -> Placed | Answer:
         accepted, now = self._accepted, monotonic()
@@ -311,6 +329,8 @@
             upstream=placed.upstream.name,
             run=self._runs + 1,
             unread=placed.unread_tokens,
+            running=placed.load.running,
+            unread_there=placed.load.unread_tokens,
             waited=round(monotonic() - accepted.arrived_at, 3),
             configuration=front.table.configuration.revision,
         )
@@ -331,6 +351,7 @@
             # Left by its caller in the middle, it may have run as well.
             if attempt.sent and not isinstance(outcome, NotRun):
                 self._ran = True
+                self._runs += 1
             front._crashes.ended(placed.upstream, accepted.fingerprint)
 
     def _begun(self, placed: Placed) -> None:
@@ -346,10 +367,14 @@
         """Return an own answer, None for an answer that was sent, or `_AGAIN`."""
         front, name = self._front, placed.upstream.name
         match outcome:
-            case Answered(head=head, body=body):
+            case Answered(head=head) as answered:
+                if head.status >= SERVER_ERROR and self._may_run_again():
+                    self._log_failure(placed, "error", str(head.status))
+                    self._failure = placed, answered
+                    self._tried |= {name}
+                    return _AGAIN
                 self._succeeded(placed)
-                await self._responder.respond(head.status, body, passed_fields(head))
-                self._ended(placed, status=head.status)
+                await self._pass_on(placed, answered)
                 return None
             case Streamed():
                 self._whole = True
@@ -380,16 +405,18 @@
         return _AGAIN
 
     def _after_broken(self, name: str, reason: BrokenReason):
-        front, route = self._front, self._accepted.route
-        self._runs += 1
         self._tried |= {name}
         if reason is BrokenReason.DEADLINE:
             return TIMED_OUT
-        front._placement.failed(name, Failure.ERROR, monotonic())
-        may_repeat = route.repeatable and self._runs < route.max_attempts
-        if not may_repeat or self._time_left() <= 0 or not front._retries.take():
-            return BROKEN
-        return _AGAIN
+        self._front._placement.failed(name, Failure.ERROR, monotonic())
+        return _AGAIN if self._may_run_again() else BROKEN
+
+    def _may_run_again(self) -> bool:
+        """Whether another run is allowed, pays, and is in the budget of retries."""
+        route = self._accepted.route
+        if not route.repeatable or self._runs >= route.max_attempts:
+            return False
+        return self._time_left() > 0 and self._front._retries.take()
 
     def _time_left(self) -> float:
         return self._accepted.call.deadline - monotonic()
--- a/src/ragwortkeel/ingress/names.py
+++ b/src/ragwortkeel/ingress/names.py
@@ -55,9 +55,9 @@
 
     request_id: str = "x-request-id"
     deadline: str = "x-deadline-ms"
-    usage: str = "x-token-usage"
+    usage: str = "x-token-bound"
     parts: str = "x-prompt-parts"
-    expect_instance: str = "x-expect-instance"
+    expect_instance: str = "x-for-instance"
     customer: str = "x-customer"
     urgency: str = "x-urgency"
     not_run: str = "x-not-run"
--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -95,11 +95,15 @@
 
 @dataclass(kw_only=True)
 class Placed:
-    """A request's place at an upstream, until `Placement.release`."""
+    """A request's place at an upstream, until `Placement.release`.
+
+    `load` is what was known to be there when it was chosen.
+    """
 
     upstream: Upstream
     job: Job
     unread_tokens: int
+    load: Load
     begun: bool = False
 
 
@@ -289,11 +293,12 @@
             state.memory = state.memory or _memory(service.engine)
             unread = max(0, unread - state.memory.held(job.parts))
             state.memory.read(job.parts)
+        load = state.total(now)
         state.running += 1
         state.memory_tokens += job.memory_tokens
         state.unread_tokens += unread
         self.ejections.assigned(upstream.name, now)
-        return Placed(upstream=upstream, job=job, unread_tokens=unread)
+        return Placed(upstream=upstream, job=job, unread_tokens=unread, load=load)
 
 
 def _memory(engine: Engine) -> PrefixMemory:
--- /dev/null
+++ b/tests/site/test_site_objects.py
@@ -0,0 +1,242 @@
+"""The adapter to the users' object store, over HTTP against a stand-in."""
+
+import curio
+import msgspec
+import pytest
+from tests.site.store_standin import StoreStandin
+
+from ragwortkeel.exceptions import (
+    AlreadyExists,
+    ObjectNotFound,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    VersionConflict,
+)
+from ragwortkeel.ingress.configuration import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    UPSTREAMS_KIND,
+    IngressConfiguration,
+    Upstream,
+    UpstreamState,
+    decode_value,
+)
+from ragwortkeel_site.objects import ObjectStore
+
+KIND = "customer-ledgers"
+SERVER = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "maule-a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 4,
+    "born": 1773839388573,
+    "newField": {"a": 1},
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "a.example",
+            "pathPrefix": "/x/",
+            "kind": "stream",
+            "timeoutMs": 15000,
+            "targetLatencyMs": 1000,
+            "priority": 1,
+            "trafficSplit": [
+                {"service": "new", "weight": 90},
+                {"service": "old", "weight": 10},
+            ],
+            "maxAttempts": 1,
+            "public": False,
+            "sessionAffinity": True,
+            "resumable": False,
+            "gapTargetMs": 600,
+        },
+        {
+            "name": "r-2",
+            "host": "a.example",
+            "pathPrefix": "/y/",
+            "kind": "non_idempotent",
+            "timeoutMs": 800,
+            "targetLatencyMs": 200,
+            "service": "old",
+        },
+    ],
+    "services": [
+        {
+            "name": "new",
+            "maxConnections": 360,
+            "engine": {"slots": 64, "kvCapacityTokens": 508599, "stride": 6},
+        },
+        {"name": "old", "maxConnections": 96},
+    ],
+    "limits": {"maxBodyBytes": 1000, "idleTimeoutMs": 15000},
+    "tenants": [
+        {"name": "hule930", "apiKeys": ["k1", "k2"], "priority": 1, "prepaid": 1365267}
+    ],
+}
+
+
+def against_store(scenario):
+    async def main():
+        async with StoreStandin() as store:
+            client = ObjectStore(address=store.address, timeout=0.5)
+            try:
+                return await scenario(client, store)
+            finally:
+                await client.close()
+
+    return curio.run(main)
+
+
+class TestObjects:
+    def test_writes_are_conditional_and_versions_rise(self):
+        async def scenario(client, store):
+            first = await client.create(KIND, "a b/c", b'{"n":1}')
+            second = await client.update(KIND, "a b/c", b'{"n":2}', first)
+            assert second > first
+            with pytest.raises(VersionConflict):
+                await client.update(KIND, "a b/c", b'{"n":3}', first)
+            with pytest.raises(AlreadyExists):
+                await client.create(KIND, "a b/c", b"{}")
+            found = await client.get(KIND, "a b/c")
+            assert (found.value, found.version) == (b'{"n":2}', second)
+            await client.delete(KIND, "a b/c", second)
+            assert await client.get(KIND, "a b/c") is None
+            with pytest.raises(ObjectNotFound):
+                await client.update(KIND, "a b/c", b"{}", second)
+
+        against_store(scenario)
+
+    def test_a_list_is_read_to_its_last_page(self):
+        async def scenario(client, store):
+            for i in range(5):
+                await client.create(KIND, f"n{i}", b"{}")
+            listing = await client.list(KIND)
+            assert sorted(listing.by_name) == [f"n{i}" for i in range(5)]
+            assert listing.revision == store.local.revision
+
+        against_store(scenario)
+
+    def test_a_watch_shows_changes_and_deletions(self):
+        async def scenario(client, store):
+            start = (await client.list(KIND)).revision
+            version = await client.create(KIND, "n", b"{}")
+            await client.delete(KIND, "n", version)
+            changes = await client.watch(KIND, start, 0.2)
+            assert [one.stored is None for one in changes.changes] == [False, True]
+            assert changes.revision == store.local.revision
+
+        against_store(scenario)
+
+    def test_history_that_is_gone_is_a_gap(self):
+        async def scenario(client, store):
+            store.lost_history = True
+            assert (await client.watch(KIND, 1, 0.1)).gap
+
+        against_store(scenario)
+
+
+class TestFailures:
+    @pytest.mark.parametrize("status", [429, 503, 500])
+    def test_a_refused_read_is_no_answer(self, status):
+        async def scenario(client, store):
+            store.refuse_with = status
+            with pytest.raises(PlatformUnavailable):
+                await client.get(KIND, "n")
+
+        against_store(scenario)
+
+    @pytest.mark.parametrize("status", [429, 503])
+    def test_a_refused_write_changed_nothing(self, status):
+        async def scenario(client, store):
+            store.refuse_with = status
+            with pytest.raises(PlatformUnavailable):
+                await client.create(KIND, "n", b"{}")
+
+        against_store(scenario)
+
+    def test_a_write_without_an_answer_may_have_been_done(self):
+        """A budget is drawn twice: the answer to the first draw was lost."""
+
+        async def scenario(client, store):
+            store.local.switches.lost_answers = 1
+            with pytest.raises(OutcomeUnknown):
+                await client.create(KIND, "n", b"{}")
+            assert await client.get(KIND, "n") is not None
+
+        against_store(scenario)
+
+
+class TestTranslation:
+    def test_a_server_is_an_upstream(self):
+        async def scenario(client, store):
+            await store.put("servers", "i-1", SERVER)
+            listing = await client.list(UPSTREAMS_KIND)
+            return decode_value(listing.by_name["i-1"].value, Upstream)
+
+        assert against_store(scenario) == Upstream(
+            name="i-1",
+            service="huvo11a",
+            host="10.128.0.9",
+            port=8080,
+            zone="maule-a",
+            slots=64,
+            state=UpstreamState.READY,
+            born=1773839388573,
+        )
+
+    @pytest.mark.parametrize(
+        "spec",
+        [
+            None,
+            [],
+            "text",
+            SERVER | {"state": "warm"},
+            SERVER | {"address": 5},
+            SERVER | {"address": "10.0.0.1"},
+            SERVER | {"slots": "many"},
+            {"service": "huvo11a"},
+        ],
+    )
+    def test_an_entry_of_another_shape_names_no_upstream_and_harms_no_other(self, spec):
+        async def scenario(client, store):
+            await store.put("servers", "i-0", spec)
+            await store.put("servers", "i-1", SERVER)
+            listing = await client.list(UPSTREAMS_KIND)
+            return {name: one.value for name, one in listing.by_name.items()}
+
+        values = against_store(scenario)
+        assert values["i-0"] == b"null"
+        assert decode_value(values["i-1"], Upstream).name == "i-1"
+
+    def test_the_configuration_is_taken_over_whole(self):
+        async def scenario(client, store):
+            await store.put("config", CONFIGURATION_NAME, CONFIG)
+            stored = await client.get(CONFIGURATION_KIND, CONFIGURATION_NAME)
+            return decode_value(stored.value, IngressConfiguration)
+
+        found = against_store(scenario)
+        assert found.revision == 7
+        first, second = found.routes
+        assert [split.weight for split in first.splits] == [90, 10]
+        assert (first.timeout_seconds, first.gap_seconds) == (15.0, 0.6)
+        assert [split.service for split in second.splits] == ["old"]
+        assert found.services[0].engine.event_tokens == 6
+        assert found.customers[0].keys == ("k1", "k2")
+        assert found.customers[0].prepaid == 1365267
+        assert found.limits.idle_seconds == 15.0
+
+    def test_a_configuration_of_another_shape_is_no_configuration(self):
+        async def scenario(client, store):
+            spec = msgspec.json.decode(msgspec.json.encode(CONFIG))
+            spec["routes"][1].pop("service")
+            await store.put("config", CONFIGURATION_NAME, spec)
+            return await client.get(CONFIGURATION_KIND, CONFIGURATION_NAME)
+
+        assert against_store(scenario).value == b"null"
--- /dev/null
+++ b/tests/site/test_site_settings.py
@@ -0,0 +1,82 @@
+"""The users' settings file, and that their names stay in their folder."""
+
+import platform
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from ragwortkeel.exceptions import SettingsError
+from ragwortkeel_site.settings_file import parse_settings
+
+ROOT = Path(__file__).parents[2]
+TEXT = """\
+nodeName=front-maule-a-1
+ip=10.1.0.40
+zone=maule-a
+zones.maule-a=maule
+listen.front=10.1.0.40:8227
+listen.ready=10.1.0.40:8220
+portRange=7340,7355
+seeds=10.1.0.40:8229,10.2.0.29:8229
+bounds.graceS=8
+platform.address=10.200.1.7:8223
+some.new.field=1
+a line without a value
+"""
+
+
+class TestSettings:
+    def test_the_fields_become_the_products(self):
+        found = parse_settings(TEXT)
+        assert found.name == "front-maule-a-1"
+        assert found.http == "10.1.0.40:8227"
+        assert found.metrics == "10.1.0.40:8220"
+        assert found.address == "10.1.0.40:7340"
+        assert found.peers == ("10.1.0.40:7340", "10.2.0.29:7340")
+        assert found.platform == "10.200.1.7:8223"
+        assert found.stop_deadline_seconds == 7.5
+
+    def test_no_seeds_are_no_peers(self):
+        text = re.sub(r"seeds=.*", "seeds=", TEXT)
+        assert parse_settings(text).peers == ()
+
+    @pytest.mark.parametrize("key", ["nodeName", "ip", "listen.front", "portRange"])
+    def test_a_missing_field_is_named(self, key):
+        text = "\n".join(x for x in TEXT.splitlines() if not x.startswith(key))
+        with pytest.raises(SettingsError, match=re.escape(key)):
+            parse_settings(text)
+
+
+USERS_NAMES = re.compile(
+    r"server-seal|prefix-hash|not-executed|kv-hold|token-usage|expect-instance"
+    r"|RAGWORTKEEL_BOOT|fleetbench|/ragwortkeel/objects|apiKeys|pathPrefix",
+    re.IGNORECASE,
+)
+
+
+class TestBoundary:
+    def test_the_users_names_stand_in_their_folder_only(self):
+        found = [
+            str(path.relative_to(ROOT))
+            for path in (ROOT / "src").rglob("*.py")
+            if USERS_NAMES.search(path.read_text())
+        ]
+        assert found == []
+
+    def test_the_folder_does_not_hide_the_standard_module(self):
+        assert Path(platform.__file__).name == "platform.py"
+        assert hasattr(platform, "python_version")
+
+    def test_nor_for_the_program_that_starts_there(self):
+        code = "import platform; print(platform.python_version())"
+        done = subprocess.run(
+            [sys.executable, "-c", code],
+            cwd=ROOT / "platform",
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        assert done.stdout.startswith("3.")
