Requests that lack tokens get them in one renewal, from the ledger or a peer's slice

Peers with tokens could lend only what their own caps had room for, so callers of a process whose demand had risen were refused with 250,000 tokens unspent. Change: what waits counts whole; a waiting request asks for the next renewal where another took the room; a peer gives tokens back to the ledger while that is reachable and lends only in outages; caps have no least room for each customer. Tests: three fail without the change (two in test_allowance, one in test_budgets); test_requests_that_lack_room_at_once_are_all_served passed before it as well.

--- a/src/ragwortkeel/ingress/account.py
+++ b/src/ragwortkeel/ingress/account.py
@@ -27,7 +27,7 @@
 with, and its demand may be higher than that before it."""
 
 LEAST_SECONDS = 8.0
-"""A cap grows by at least its least room in so many seconds, the length of an
+"""A cap grows by at least a typical request in so many seconds, the length of an
 ordinary outage, for customers whose demand is not known yet."""
 
 RIDE_OUT_SECONDS = 12.0
@@ -43,9 +43,10 @@
 """Of an equal share of what is unspent, held for a customer that has asked for
 nothing yet: its first requests may come in an outage."""
 
-STARTING_CAP_SHARE = 0.005
-"""Of what is unspent, the least that a cap allows: more is charged for nothing
-when processes die, less refuses the first callers of an outage."""
+STARTING_GROWTH_SHARE = 0.005
+"""Of what is unspent, the least by which a cap grows in `LEAST_SECONDS`.  Room
+from the start was charged for nothing at each death, for every customer: a sixth
+of all that a loss of power cost; a caller who lacks room gets it in 15 ms."""
 
 TYPICAL_REQUESTS = 1.5
 """A slice holds this many requests of the process's mean size even for a customer
@@ -66,14 +67,21 @@
 
 
 class Account:
-    """One customer's tokens at this process."""
+    """One customer's tokens at this process.
+
+    Attributes
+    ----------
+    waiting : int
+        Tokens of all requests that wait for room now, at their most.
+    """
 
     def __init__(self, *, customer: str, holder: str) -> None:
         self.slice = Slice(profile=customer, router=holder)
         self.ledger = Ledger()
-        self.lacking = 0
+        self.waiting = 0
         self._customer = customer
         self._borrowed = 0
+        self._recalled = 0
         self._meter = DemandMeter()
 
     @property
@@ -81,6 +89,11 @@
         """Tokens of the slice that can be set aside now."""
         return self.slice.free
 
+    @property
+    def held(self) -> int:
+        """Tokens of loans and slice that no request has, within the cap or not."""
+        return self._borrowed + max(0, self.slice.free)
+
     @property
     def available(self) -> int:
         """Tokens that a request may take now, loans and slice together."""
@@ -124,13 +137,13 @@
             of_slice = max(0, spent - hold.borrowed)
             self.slice.settle(hold.reservation, spent=of_slice)
 
+    def spare(self, asker: SliceNeed, now: float) -> int:
+        """Return the tokens that an asker should rather have."""
+        return to_lend(free=max(0, self.free), own=self.need(now), asker=asker)
+
     def lend(self, asker: SliceNeed, now: float) -> int:
         """Charge a loan to the slice and return its tokens; 0 for none."""
-        tokens = min(
-            self.free,
-            to_lend(free=max(0, self.free), own=self.need(now), asker=asker),
-            asker.lacking,
-        )
+        tokens = min(self.spare(asker, now), self.cap_room, asker.lacking)
         hold = self.reserve_of_slice(tokens)
         if hold is None:
             return 0
@@ -146,6 +159,15 @@
         except BudgetRefused:
             return None
 
+    def recall(self, tokens: int) -> None:
+        """Give so much back at the next renewal, for a process that lacks it."""
+        self._recalled = max(self._recalled, tokens)
+
+    @property
+    def returning(self) -> bool:
+        """Whether tokens for another process are still on their way back."""
+        return bool(self._recalled or self.slice.giving_back)
+
     def borrow(self, tokens: int) -> None:
         """Add a loan that came in."""
         self._borrowed += tokens
@@ -162,8 +184,8 @@
             holding=max(0, self.slice.granted - self.slice.spent),
             demand=self._meter.rate(now=now),
             largest_request=max(starting, int(typical * TYPICAL_REQUESTS)),
-            waiting=self.lacking,
-            lacking=self.lacking,
+            waiting=max(0, self.waiting - self.held),
+            lacking=max(0, self.waiting - self.available),
             ride_out_seconds=RIDE_OUT_SECONDS,
             spread=Spread.WIDE,
             equal_part=EQUAL_PART,
@@ -186,9 +208,11 @@
         need = self.need(now, typical)
         holder = self.slice.router
         take = to_take(ledger, router=holder, need=need)
-        give_back = to_give_back(ledger, router=holder, need=need)
-        least = self._least_room(typical)
-        cap = self._cap(need, least, headroom_seconds)
+        give_back = self._give_back(ledger, need)
+        if self._recalled:
+            take, self._recalled = 0, 0
+        least = self._least_growth(typical)
+        cap = self._cap(need, headroom_seconds)
         if not self._due(need.holding, take, give_back, cap):
             return False
         self.slice.propose(
@@ -209,17 +233,27 @@
         if self.slice.owns(grant):
             self.slice.accept(grant)
 
-    def _least_room(self, typical: int) -> int:
+    def _least_growth(self, typical: int) -> int:
         unspent = max(0, self.ledger.prepaid - self.ledger.total_spent)
-        return max(int(unspent * STARTING_CAP_SHARE), typical)
+        return max(int(unspent * STARTING_GROWTH_SHARE), typical)
+
+    def _give_back(self, ledger: Ledger, need: SliceNeed) -> int:
+        """Return what to give back; nothing that a request here waits for."""
+        give_back = to_give_back(ledger, router=self.slice.router, need=need)
+        give_back = max(give_back, self._recalled)
+        return min(give_back, max(0, self.free - self.waiting))
 
-    def _cap(self, need: SliceNeed, least: int, headroom_seconds: float) -> int:
-        """Return the untold spend to allow from now on, all told being settled."""
+    def _cap(self, need: SliceNeed, headroom_seconds: float) -> int:
+        """Return the untold spend to allow from now on, all told being settled.
+
+        Requests that wait count whole: room that was left before this renewal is
+        gone with it, and one that only gets what it missed is refused.
+        """
         headroom = int(need.demand / 60 * headroom_seconds)
-        return self.slice.reserved + max(headroom, least) + self.lacking
+        return self.slice.reserved + headroom + self.waiting
 
     def _due(self, holding: int, take: int, give_back: int, cap: int) -> bool:
-        if self.lacking or give_back:
+        if self.waiting or give_back:
             return True
         # The stamp of this write makes all caps count from now on: one that had
         # grown would be charged as if it had not.
--- a/src/ragwortkeel/ingress/allowance.py
+++ b/src/ragwortkeel/ingress/allowance.py
@@ -91,11 +91,6 @@
             self._account_by_customer[customer] = account
         return account
 
-    @property
-    def lacking(self) -> bool:
-        """Whether a request waits for tokens."""
-        return any(one.lacking for one in self._account_by_customer.values())
-
     def resolve(self, shard: Shard) -> None:
         """Take over from the platform's shard what has taken effect there."""
         for name, ledger in shard.ledger_by_customer.items():
--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -27,7 +27,7 @@
 from ragwortkeel.ingress.routing import RoutingTable
 from ragwortkeel.ingress.shards import SHARDS_KIND, Shard, decode_shard, encode_shard
 from ragwortkeel.logs import log_error, log_info, log_warning
-from ragwortkeel.messages import LoanRequest
+from ragwortkeel.messages import LoanRequest, TokenLoan
 from ragwortkeel.platform import Platform, Stored
 
 SHARD_NAME = "shard-0"
@@ -46,8 +46,12 @@
 4 ms, on slow days in 250."""
 
 LOAN_WAIT_SECONDS = 0.06
-"""How long it waits where only peers can help: they answer in 2 ms, and whoever
-has tokens answers at once."""
+"""How long it waits for a loan: peers answer in 2 ms, and whoever has tokens
+answers at once."""
+
+RETURN_WAIT_SECONDS = 0.12
+"""How long it waits for tokens that a peer gives back to the ledger: two renewals,
+15 ms each, and a second try of both."""
 
 FRESH_SECONDS = 2.5
 """A ledger read so lately tells what is left of a budget."""
@@ -147,8 +151,13 @@
         log_info("slices_returned", holder=self.allowances.holder)
         return True
 
-    def lend(self, request: LoanRequest) -> int:
-        """Charge a loan for a peer and return its tokens; 0 for none."""
+    async def lend(self, request: LoanRequest) -> TokenLoan:
+        """Help a peer that lacks tokens.
+
+        They go back to the ledger while that is reachable.  A loan is stranded
+        with a borrower that dies and fits only into the cap here, so it is for
+        outages.
+        """
         self._grow()
         account = self.allowances.account(request.customer)
         asker = SliceNeed(
@@ -159,51 +168,83 @@
             ride_out_seconds=RIDE_OUT_SECONDS,
             spread=Spread.WIDE,
         )
+        if self._reachable:
+            returned = await self._return(account, account.spare(asker, monotonic()))
+            if returned:
+                log_info("slice_recalled", customer=request.customer, tokens=returned)
+                return TokenLoan(customer=request.customer, returned=returned)
         tokens = account.lend(asker, monotonic())
         if tokens:
             log_info("loan_granted", customer=request.customer, tokens=tokens)
-        return tokens
+        return TokenLoan(customer=request.customer, tokens=tokens)
+
+    async def _return(self, account: Account, tokens: int) -> int:
+        """Give tokens back by a renewal; return how many, 0 if that fails."""
+        if not tokens:
+            return 0
+        account.recall(tokens)
+        waits_until = monotonic() + RETURN_WAIT_SECONDS
+        while account.returning and self._reachable and monotonic() < waits_until:
+            await self._woken.set()
+            await self._next_change(waits_until)
+        return 0 if account.returning else tokens
 
-    async def arrived(self) -> None:
-        """Tell the requests that wait that a loan came in."""
+    async def borrowed(self, loan: TokenLoan) -> None:
+        """Take in what a peer did for the requests that wait here."""
+        self.allowances.account(loan.customer).borrow(loan.tokens)
+        if loan.returned:
+            await self._woken.set()
         await self._renewed.set()
 
     async def _reserve_late(
         self, account: Account, customer: Customer, tokens: int
     ) -> Hold | None:
-        missing = max(1, tokens - account.available)
-        account.lacking += missing
+        account.waiting += tokens
         try:
             if self._reachable:
-                await self._woken.set()
-                hold = await self._wait(account, customer, tokens, LACK_WAIT_SECONDS)
+                hold = await self._wait_for_platform(account, tokens)
                 if hold is not None or self.is_exhausted(customer, tokens):
                     return hold
-            # A loan that is not used up is stranded with whoever dies, so peers are
-            # asked for what the platform can't give.
             await self._ask_peers(customer.name, account)
-            return await self._wait(account, customer, tokens, LOAN_WAIT_SECONDS)
+            return await self._wait_for_loan(account, tokens)
         finally:
-            account.lacking -= missing
+            account.waiting -= tokens
 
-    async def _wait(
-        self, account: Account, customer: Customer, tokens: int, seconds: float
-    ) -> Hold | None:
-        """Wait for tokens; return sooner once the platform has none left."""
-        waits_until = monotonic() + seconds
-        while (left := waits_until - monotonic()) > 0:
-            self._renewed.clear()
-            async with curio.ignore_after(left):
-                await self._renewed.wait()
-            hold = account.reserve(tokens)
+    async def _wait_for_platform(self, account: Account, tokens: int) -> Hold | None:
+        """Wait for tokens; return sooner once the platform has none left.
+
+        Another request may take the room of a renewal first, so one that still
+        waits asks for the next.
+        """
+        begun = monotonic()
+        waits_until = begun + LACK_WAIT_SECONDS
+        while self._reachable and monotonic() < waits_until:
+            await self._woken.set()
+            hold = await self._wait(account, tokens, waits_until)
             if hold is not None:
                 return hold
-            if self._looked_since(waits_until - seconds) and not account.ledger.rest:
+            lacks = account.held < tokens
+            if lacks and self._read_at >= begun and not account.ledger.rest:
                 return None
         return None
 
-    def _looked_since(self, then: float) -> bool:
-        return self._read_at >= then
+    async def _wait_for_loan(self, account: Account, tokens: int) -> Hold | None:
+        seconds = RETURN_WAIT_SECONDS if self._reachable else LOAN_WAIT_SECONDS
+        waits_until = monotonic() + seconds
+        hold = None
+        while hold is None and monotonic() < waits_until:
+            hold = await self._wait(account, tokens, waits_until)
+        return hold
+
+    async def _wait(self, account: Account, tokens: int, until: float) -> Hold | None:
+        """Wait for the next renewal or loan, and try to set the tokens aside."""
+        await self._next_change(until)
+        return account.reserve(tokens)
+
+    async def _next_change(self, until: float) -> None:
+        self._renewed.clear()
+        async with curio.ignore_after(max(0.0, until - monotonic())):
+            await self._renewed.wait()
 
     async def _pause(self, seconds: float) -> None:
         async with curio.ignore_after(seconds):
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -78,11 +78,11 @@
     def heard_crash(self, crash: CrashSeen) -> None:
         """Take in a crash that a peer found."""
 
-    def lend(self, request: LoanRequest) -> TokenLoan:
+    async def lend(self, request: LoanRequest) -> TokenLoan:
         """Answer a peer that lacks tokens."""
 
-    async def borrowed(self, customer: str, tokens: int) -> None:
-        """Take a loan in."""
+    async def borrowed(self, loan: TokenLoan) -> None:
+        """Take in what a peer did for requests that wait for tokens here."""
 
     async def relayed(self, answer: PlatformAnswer) -> None:
         """Take in the answer to a call that a peer made."""
@@ -274,23 +274,26 @@
         """Take what peers send over their own links; echo what keeps them up."""
         while True:
             received = await self._endpoint.receive()
-            if isinstance(received.envelope.message, PlatformCall):
-                call = received.envelope.message
-                await self._tasks.spawn(
-                    self._carry_out, received.peer, call, daemon=True
-                )
+            message = received.envelope.message
+            if isinstance(message, PlatformCall | LoanRequest):
+                # These wait for the platform, and what comes next does not.
+                serve = self._serve, received.peer, message
+                await self._tasks.spawn(*serve, daemon=True)
                 continue
-            answer = await self._take(received.envelope.message)
-            if answer is None:
-                continue
-            try:
-                await self._endpoint.send(received.peer, answer)
-            except LinkLost as exc:
-                log_debug("peer_answer_lost", peer=received.peer, error=str(exc))
+            answer = await self._take(message)
+            if answer is not None:
+                await self._send_answer(received.peer, answer)
 
-    async def _carry_out(self, peer: str, call: PlatformCall) -> None:
-        answer = await carry_out(self._platform, call)
-        log_debug("relayed", peer=peer, operation=call.operation, error=answer.error)
+    async def _serve(self, peer: str, message: PlatformCall | LoanRequest) -> None:
+        match message:
+            case PlatformCall(operation=operation) as call:
+                answer = await carry_out(self._platform, call)
+                log_debug("relayed", peer=peer, operation=operation, error=answer.error)
+            case LoanRequest() as request:
+                answer = await self._handler.lend(request)
+        await self._send_answer(peer, answer)
+
+    async def _send_answer(self, peer: str, answer) -> None:
         try:
             await self._endpoint.send(peer, answer)
         except LinkLost as exc:
@@ -315,10 +318,8 @@
                     await self._handler.heard_configuration(one)
             case CrashSeen() as crash:
                 self._handler.heard_crash(crash)
-            case LoanRequest() as request:
-                return self._handler.lend(request)
-            case TokenLoan(customer=customer, tokens=tokens) if tokens > 0:
-                await self._handler.borrowed(customer, tokens)
+            case TokenLoan() as loan if loan.tokens or loan.returned:
+                await self._handler.borrowed(loan)
             case PlatformAnswer() as answer:
                 await self._handler.relayed(answer)
             case Heartbeat():
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -93,11 +93,11 @@
     def heard_crash(self, crash: CrashSeen) -> None:
         """Leave a crash."""
 
-    def lend(self, request: LoanRequest) -> TokenLoan:
+    async def lend(self, request: LoanRequest) -> TokenLoan:
         """Lend nothing."""
-        return TokenLoan(customer=request.customer, tokens=0)
+        return TokenLoan(customer=request.customer)
 
-    async def borrowed(self, customer: str, tokens: int) -> None:
+    async def borrowed(self, loan: TokenLoan) -> None:
         """Leave a loan that it never asked for."""
 
     async def relayed(self, answer: PlatformAnswer) -> None:
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -241,16 +241,19 @@
             Crash(crash_id=crash.crash_id, fingerprints=frozenset(crash.fingerprints))
         )
 
-    def lend(self, request: LoanRequest) -> TokenLoan:
+    async def lend(self, request: LoanRequest) -> TokenLoan:
         """Answer a peer that lacks tokens."""
-        tokens = self._keeper.lend(request)
-        return TokenLoan(customer=request.customer, tokens=tokens)
-
-    async def borrowed(self, customer: str, tokens: int) -> None:
-        """Take a loan in."""
-        log_info("loan_received", customer=customer, tokens=tokens)
-        self._keeper.allowances.account(customer).borrow(tokens)
-        await self._keeper.arrived()
+        return await self._keeper.lend(request)
+
+    async def borrowed(self, loan: TokenLoan) -> None:
+        """Take in what a peer did for requests that wait for tokens here."""
+        log_info(
+            "loan_received",
+            customer=loan.customer,
+            tokens=loan.tokens,
+            returned=loan.returned,
+        )
+        await self._keeper.borrowed(loan)
 
     async def relayed(self, answer: PlatformAnswer) -> None:
         """Take in the answer to a call that a peer made."""
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -427,10 +427,15 @@
 
 
 class TokenLoan(Message):
-    """Tokens that the sender has charged to its own slice; 0 where it has none."""
+    """What an ingress process does for a peer that lacks tokens.
+
+    `tokens` it has charged to its own slice; `returned` it has given back to the
+    ledger, where the peer may take them.  Both are 0 where it has none.
+    """
 
     customer: str
-    tokens: int
+    tokens: int = 0
+    returned: int = 0
 
 
 ConfigurationMessage = (
--- a/tests/ingress/allowance_world.py
+++ b/tests/ingress/allowance_world.py
@@ -89,9 +89,9 @@
         account = machine.allowances.account(customer)
         hold = account.reserve(tokens)
         if hold is None:
-            account.lacking = tokens
+            account.waiting = tokens
             return False
-        account.lacking = 0
+        account.waiting = 0
         machine.open_holds.append(hold)
         self.spent[customer] += tokens
         return True
--- a/tests/ingress/test_allowance.py
+++ b/tests/ingress/test_allowance.py
@@ -47,6 +47,31 @@
         assert account.cap_room >= 2 * 2.0 * 10_000
         assert account.free >= account.cap_room
 
+    def test_a_request_that_waits_for_room_gets_it_by_one_renewal(self):
+        """A caller is refused though the platform answers and its tokens are there.
+
+        The cap left room for most of a large request.  The renewal added only what
+        was missing, to a cap counted anew, which left less room than before.
+        """
+        allowances, shard = busy(0.5, per_second=10_000)
+        account = allowances.account("surco")
+        large = account.cap_room + 500
+        assert large < account.free
+        assert account.reserve(large) is None
+        account.waiting = large
+        allowances.resolve(allowances.renewed(shard, reading(20.0)))
+        assert account.reserve(large) is not None
+
+    def test_nothing_is_given_back_that_a_request_waits_for(self):
+        """The same, once more: the slice gave back what was to be set aside."""
+        allowances, shard = busy(0.5)
+        account = allowances.account("surco")
+        account.waiting = account.free
+        late = reading(400.0)
+        shard = allowances.renewed(shard, late)
+        allowances.resolve(shard)
+        assert account.reserve(account.waiting) is not None
+
     def test_an_outage_counts_as_no_slow_renewal(self):
         allowances, _ = busy(60.0)
         longest = HEADROOM_RENEWALS * LONGEST_PAUSE_SECONDS
--- a/tests/ingress/test_budgets.py
+++ b/tests/ingress/test_budgets.py
@@ -76,6 +76,15 @@
         assert run_ingress(scenario, prepaid=PREPAID).total_spent == 0
 
 
+    def test_requests_that_lack_room_at_once_are_all_served(self):
+        async def scenario(fleet):
+            tasks = [await curio.spawn(spend, fleet, 1) for _ in range(12)]
+            return [await task.join() for task in tasks]
+
+        statuses = run_ingress(scenario, prepaid=100 * PREPAID)
+        assert statuses == [[200]] * 12
+
+
 class TestFailures:
     def test_callers_are_served_in_an_outage_also_from_a_peer(self):
         """All callers of one process are refused while the platform is away.
@@ -91,6 +100,21 @@
         statuses = run_ingress(scenario, prepaid=100_000, processes=2)
         assert statuses == [200] * 3
 
+    def test_tokens_that_lie_with_another_process_are_fetched(self):
+        """Callers of one process are refused though most of the budget is unspent.
+
+        Its demand rose at once and the tokens lay with another process, which could
+        lend no more than its small cap had room for.
+        """
+
+        async def scenario(fleet):
+            await spend(fleet, 20)
+            await curio.sleep(1.2)
+            return await spend(fleet, 3, process=1, x_token_bound="10000,60")
+
+        statuses = run_ingress(scenario, prepaid=40 * PREPAID, processes=2)
+        assert statuses == [200] * 3
+
     def test_a_planned_stop_gives_everything_back(self):
         async def scenario(fleet):
             await spend(fleet, 2)
