Renewals read a copy that may be old, and learn the newest from a refusal

Change: a renewal reads with leave to be some seconds old, which costs a tenth; the conditional write finds out, and its refusal brings the object. A renewal that no write can bring about any more is withdrawn and made anew from the newest ledger. A loan is asked of as few peers as hold four times what lacks.

--- a/src/ragwortkeel/budget/sizing.py
+++ b/src/ragwortkeel/budget/sizing.py
@@ -35,6 +35,10 @@
 GIVE_BACK_FACTOR = 1.25
 """Give back only what is well above the target, so that slices don't swing."""
 
+ENOUGH_UNSPENT = 4
+"""A peer that shows so many times what lacks has it free most likely; up to a half
+of a slice is reserved by requests under way."""
+
 ASKED_AT_ONCE = 3
 """Enough to find tokens at the end of a budget; each ask may cost a write."""
 
@@ -139,15 +143,27 @@
     return max(0, min(free, max(even, asker.lacking)))
 
 
-def best_givers(ledger: Ledger, *, router: str) -> list[str]:
+def best_givers(
+    ledger: Ledger, *, router: str, lacking: int | None = None
+) -> list[str]:
     """Return the routers to ask for tokens, the best one first.
 
     They hold most unspent tokens for their demand.  Several are asked at once,
-    since what the ledger shows as unspent may be reserved.
+    since what the ledger shows as unspent may be reserved; with `lacking`, only as
+    many as hold a few times that, as each ask may cost a write.
     """
     spare = {
         name: (grant.granted - grant.used) / (1 + grant.demand)
         for name, grant in ledger.grants.items()
         if name != router and not grant.sealed and grant.granted > grant.used
     }
-    return sorted(spare, key=spare.__getitem__, reverse=True)[:ASKED_AT_ONCE]
+    givers = sorted(spare, key=spare.__getitem__, reverse=True)[:ASKED_AT_ONCE]
+    if lacking is None:
+        return givers
+    asked, unspent = [], 0
+    for name in givers:
+        asked.append(name)
+        unspent += ledger.grants[name].granted - ledger.grants[name].used
+        if unspent >= ENOUGH_UNSPENT * lacking:
+            break
+    return asked
--- a/src/ragwortkeel/exceptions.py
+++ b/src/ragwortkeel/exceptions.py
@@ -5,6 +5,8 @@
 receiver needs to act.
 """
 
+from ragwortkeel.platform import Stored
+
 
 class RagwortkeelError(Exception):
     """Base of every error this package raises on purpose."""
@@ -85,7 +87,17 @@
 
 
 class VersionConflict(PlatformError):
-    """A conditional write found another version than the one it named."""
+    """A conditional write found another version than the one it named.
+
+    Parameters
+    ----------
+    current : platform.Stored or None
+        The object as it is, where the platform says so; it saves a read.
+    """
+
+    def __init__(self, message: str, *, current: Stored | None = None) -> None:
+        super().__init__(message)
+        self.current = current
 
 
 class ObjectNotFound(PlatformError):
--- a/src/ragwortkeel/ingress/account.py
+++ b/src/ragwortkeel/ingress/account.py
@@ -160,13 +160,16 @@
             return None
 
     def recall(self, tokens: int) -> None:
-        """Give so much back at the next renewal, for a process that lacks it."""
-        self._recalled = max(self._recalled, tokens)
+        """Give so much back at the next renewal, for a process that lacks it.
+
+        0 takes that back.
+        """
+        self._recalled = max(self._recalled, tokens) if tokens else 0
 
     @property
     def returning(self) -> bool:
         """Whether tokens for another process are still on their way back."""
-        return bool(self._recalled or self.slice.giving_back)
+        return bool(self._recalled)
 
     def borrow(self, tokens: int) -> None:
         """Add a loan that came in."""
@@ -210,7 +213,7 @@
         take = to_take(ledger, router=holder, need=need)
         give_back = self._give_back(ledger, need)
         if self._recalled:
-            take, self._recalled = 0, 0
+            take = 0
         least = self._least_growth(typical)
         cap = self._cap(need, headroom_seconds)
         if not self._due(need.holding, take, give_back, cap):
@@ -231,6 +234,8 @@
         self.ledger = ledger
         grant = ledger.grants.get(self.slice.router)
         if self.slice.owns(grant):
+            if self.slice.pending.give_back:
+                self._recalled = 0
             self.slice.accept(grant)
 
     def _least_growth(self, typical: int) -> int:
--- a/src/ragwortkeel/ingress/allowance.py
+++ b/src/ragwortkeel/ingress/allowance.py
@@ -96,6 +96,16 @@
         for name, ledger in shard.ledger_by_customer.items():
             self.account(name).resolve(ledger)
 
+    def withdraw(self) -> None:
+        """Drop the renewals that no write can bring about any more.
+
+        Call it after `resolve`, with a shard of a later version than each write of
+        them named: the platform refuses such a write whenever it comes.
+        """
+        for account in self._account_by_customer.values():
+            if account.slice.pending is not None:
+                account.slice.withdraw()
+
     def asked(self, customer: str, tokens: int, now: float) -> None:
         """Count the demand of a request, whether it is met or not."""
         self.account(customer).asked(tokens, now)
--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -26,7 +26,7 @@
 from ragwortkeel.ingress.configuration import Customer
 from ragwortkeel.ingress.routing import RoutingTable
 from ragwortkeel.ingress.shards import SHARDS_KIND, Shard, decode_shard, encode_shard
-from ragwortkeel.logs import log_error, log_info, log_warning
+from ragwortkeel.logs import log_debug, log_error, log_info, log_warning
 from ragwortkeel.messages import LoanRequest, TokenLoan
 from ragwortkeel.platform import Platform, Stored
 
@@ -81,6 +81,10 @@
         self._table: RoutingTable | None = None
         self._read_at = float("-inf")
         self._merged = False
+        self._found: Stored | None = None
+        self._written: Stored | None = None
+        self._tried_version = 0
+        self._in_doubt = False
         self._tried_at: Reading | None = None
         self._woken = curio.Event()
         self._renewed = curio.Event()
@@ -141,9 +145,10 @@
     async def close(self) -> bool:
         """Give all slices back; call it once no request is open."""
         try:
-            stored, shard = await self._read()
+            stored = await self._platform.get(SHARDS_KIND, SHARD_NAME)
+            shard = Shard() if stored is None else decode_shard(stored.value)
             self.allowances.resolve(shard)
-            await self._write(stored, self.allowances.closed(shard))
+            await self._write(stored, encode_shard(self.allowances.closed(shard)))
         except (PlatformUnavailable, OutcomeUnknown, VersionConflict) as exc:
             # What was held stays charged, which is safe; only less is left.
             log_warning("slices_not_returned", error=str(exc))
@@ -187,7 +192,10 @@
         while account.returning and self._reachable and monotonic() < waits_until:
             await self._woken.set()
             await self._next_change(waits_until)
-        return 0 if account.returning else tokens
+        if account.returning:
+            account.recall(0)
+            return 0
+        return tokens
 
     async def borrowed(self, loan: TokenLoan) -> None:
         """Take in what a peer did for the requests that wait here."""
@@ -260,11 +268,22 @@
         try:
             await self._renew_once()
         except PlatformUnavailable as exc:
+            if not self._in_doubt:
+                # Nothing was written, so tokens on their way back are still here:
+                # callers need them in an outage.
+                self.allowances.withdraw()
             self._note_reachable(False, str(exc))
             return False
-        except (VersionConflict, AlreadyExists, ObjectNotFound, OutcomeUnknown) as exc:
-            # Another process wrote first, or the answer was lost: the ledger
-            # itself tells what holds, so look again at once.
+        except VersionConflict as exc:
+            # Another process wrote first; what it wrote comes with the refusal.
+            self._found = exc.current
+            log_debug("renewal_repeated", error=repr(exc))
+            await self._woken.set()
+            return True
+        except (AlreadyExists, ObjectNotFound, OutcomeUnknown) as exc:
+            # The ledger itself tells what holds, so look again at once.
+            self._written = None
+            self._in_doubt = True
             log_info("renewal_repeated", error=repr(exc))
             await self._woken.set()
             return True
@@ -277,8 +296,15 @@
         return True
 
     async def _renew_once(self) -> None:
-        stored, shard = await self._read()
+        stored = await self._latest()
+        shard = Shard() if stored is None else decode_shard(stored.value)
+        version = stored.version if stored is not None else 0
         self.allowances.resolve(shard)
+        if version > self._tried_version:
+            # A renewal made from an older ledger asks for what is no longer there.
+            self.allowances.withdraw()
+            self._in_doubt = False
+        self._tried_version = version
         reading = read_clocks()
         renewed = shard.provisioned(
             _prepaid(self._table), self._table.configuration.revision
@@ -290,8 +316,13 @@
         # Counted from the try: a write whose answer is lost may have put its
         # stamp there, and a successor would trust the cap for longer.
         self._tried_at = reading
-        await self._write(stored, renewed)
+        value = encode_shard(renewed)
+        version = await self._write(stored, value)
+        self._written = Stored(
+            kind=SHARDS_KIND, name=SHARD_NAME, value=value, version=version
+        )
         self.allowances.resolve(renewed)
+        self._in_doubt = False
         self._merged = True
         self.allowances.renewed_after(reading.monotonic - self._read_at)
         self._read_at = reading.monotonic
@@ -311,18 +342,27 @@
                 prepaid=sum(one.prepaid for one in shard.ledger_by_customer.values()),
             )
 
-    async def _read(self) -> tuple[Stored | None, Shard]:
-        stored = await self._platform.get(SHARDS_KIND, SHARD_NAME)
-        if stored is None:
-            return None, Shard()
-        return stored, decode_shard(stored.value)
+    async def _latest(self) -> Stored | None:
+        """Return the newest ledgers known; the write finds out whether they are.
 
-    async def _write(self, stored: Stored | None, shard: Shard) -> None:
-        value = encode_shard(shard)
+        A read that may be old costs the platform a tenth of one that may not, and
+        shows the newest nearly always; where not, the refusal of the write does.
+        """
+        found, self._found = self._found, None
+        if found is not None:
+            return found
+        stored = await self._platform.get(SHARDS_KIND, SHARD_NAME, stale=True)
+        known = self._written
+        if known is not None and (stored is None or stored.version < known.version):
+            return known
+        return stored
+
+    async def _write(self, stored: Stored | None, value: bytes) -> int:
         if stored is None:
-            await self._platform.create(SHARDS_KIND, SHARD_NAME, value)
-            return
-        await self._platform.update(SHARDS_KIND, SHARD_NAME, value, stored.version)
+            return await self._platform.create(SHARDS_KIND, SHARD_NAME, value)
+        return await self._platform.update(
+            SHARDS_KIND, SHARD_NAME, value, stored.version
+        )
 
     def _note_reachable(self, reachable: bool, error: str) -> None:
         if reachable == self._reachable:
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -178,10 +178,12 @@
             demand=need.demand,
             largest_request=need.largest_request,
         )
-        await self._send(request, self._givers(account))
+        await self._send(request, self._givers(account, need.lacking))
 
-    def _givers(self, account: Account) -> list[Link]:
-        holders = best_givers(account.ledger, router=account.slice.router)
+    def _givers(self, account: Account, lacking: int) -> list[Link]:
+        holders = best_givers(
+            account.ledger, router=account.slice.router, lacking=lacking
+        )
         nodes = [holder.partition("/")[0] for holder in holders]
         addresses = [self._address_by_node.get(node) for node in nodes]
         found = [self._link_by_address.get(address) for address in addresses]
--- a/src/ragwortkeel/ingress/relaying.py
+++ b/src/ragwortkeel/ingress/relaying.py
@@ -55,7 +55,6 @@
     PlatformUnavailable: PlatformError.UNAVAILABLE,
     OutcomeUnknown: PlatformError.UNKNOWN,
     AlreadyExists: PlatformError.EXISTS,
-    VersionConflict: PlatformError.CONFLICT,
     ObjectNotFound: PlatformError.NOT_FOUND,
     ValueRefused: PlatformError.REFUSED,
 }
@@ -96,10 +95,10 @@
         self._away = False
         self._look_at = 0.0
 
-    async def get(self, kind: str, name: str) -> Stored | None:
-        """Return the object, or None where there is none."""
+    async def get(self, kind: str, name: str, *, stale: bool = False) -> Stored | None:
+        """Return the object, or None where there is none; stale only straight."""
         answer = await self._call(
-            lambda: _get(self._direct, kind, name),
+            lambda: _get(self._direct, kind, name, stale=stale),
             operation=PlatformOperation.GET,
             kind=kind,
             name=name,
@@ -237,6 +236,11 @@
     """Make a peer's call and return its answer; never raises a platform error."""
     try:
         answer = await _carried_out(platform, call)
+    except VersionConflict as exc:
+        objects = () if exc.current is None else (_versioned(exc.current),)
+        return PlatformAnswer(
+            call_id=call.call_id, error=PlatformError.CONFLICT, objects=objects
+        )
     except ClientError as exc:
         error = _ERROR_BY_CLASS.get(type(exc), PlatformError.UNAVAILABLE)
         return _failed(call, error)
@@ -264,8 +268,10 @@
             )
 
 
-async def _get(platform: Platform, kind: str, name: str) -> PlatformAnswer:
-    stored = await platform.get(kind, name)
+async def _get(
+    platform: Platform, kind: str, name: str, *, stale: bool = False
+) -> PlatformAnswer:
+    stored = await platform.get(kind, name, stale=stale)
     objects = () if stored is None else (_versioned(stored),)
     return PlatformAnswer(call_id=0, objects=objects)
 
@@ -335,6 +341,9 @@
 
 
 def _raised(answer: PlatformAnswer) -> PlatformAnswer:
+    if answer.error is PlatformError.CONFLICT:
+        current = _stored(answer.objects[0]) if answer.objects else None
+        raise VersionConflict("through a peer", current=current)
     cls = _CLASS_BY_ERROR.get(answer.error)
     if cls is not None:
         raise cls("through a peer")
--- a/src/ragwortkeel/platform.py
+++ b/src/ragwortkeel/platform.py
@@ -75,8 +75,12 @@
     value tells whether the write was its own.
     """
 
-    async def get(self, kind: str, name: str) -> Stored | None:
-        """Return the object, or None where there is none."""
+    async def get(self, kind: str, name: str, *, stale: bool = False) -> Stored | None:
+        """Return the object, or None where there is none.
+
+        With `stale` it may be some seconds old, which costs the platform less: for
+        readers whose conditional write finds that out.
+        """
 
     async def list(self, kind: str, prefix: str = "") -> Listing:
         """Return all objects of a kind whose names start with `prefix`."""
--- a/src/ragwortkeel/platform_client.py
+++ b/src/ragwortkeel/platform_client.py
@@ -53,8 +53,8 @@
             address=address, timeout=timeout, on_failure=on_failure
         )
 
-    async def get(self, kind: str, name: str) -> Stored | None:
-        """Return the object, or None where there is none."""
+    async def get(self, kind: str, name: str, *, stale: bool = False) -> Stored | None:
+        """Return the object, or None where there is none; never a stale one."""
         response = await self._calls.read(_target(kind, name))
         if response.status == 404:
             return None
--- a/src/ragwortkeel/standins/local_platform.py
+++ b/src/ragwortkeel/standins/local_platform.py
@@ -95,8 +95,12 @@
         self._instances_by_name: dict[str, Instance] = {}
         self._shown_by_name: dict[str, Instance] = {}
 
-    async def get(self, kind: str, name: str) -> Stored | None:
-        """Return the object, or None where there is none."""
+    async def get(self, kind: str, name: str, *, stale: bool = False) -> Stored | None:
+        """Return the object, or None where there is none.
+
+        With `stale` it may be some seconds old, which costs the platform less: for
+        readers whose conditional write finds that out.
+        """
         self.counts.reads += 1
         await self._call()
         return self._objects(kind).get(name)
@@ -194,7 +198,9 @@
         if found is None:
             raise ObjectNotFound(f"{kind}/{name}")
         if found.version != version:
-            raise VersionConflict(f"{kind}/{name}: {found.version} is not {version}")
+            raise VersionConflict(
+                f"{kind}/{name}: {found.version} is not {version}", current=found
+            )
 
     async def _store(self, kind: str, name: str, value: bytes) -> int:
         stored = Stored(kind=kind, name=name, value=value, version=self.revision + 1)
--- a/tests/ingress/allowance_world.py
+++ b/tests/ingress/allowance_world.py
@@ -32,6 +32,7 @@
     merged: bool = False
     tried_at: Reading | None = None
     read: tuple[int, Shard] | None = None
+    tried_version: int = 0
     open_holds: list = field(default_factory=list)
 
     def reading(self, now):
@@ -49,6 +50,7 @@
         self.merged = False
         self.tried_at = None
         self.read = None
+        self.tried_version = 0
         self.open_holds = []
 
     def die(self):
@@ -63,7 +65,14 @@
     its process is dead; a settle that the process still sees corrects it.
     """
 
-    def __init__(self, machines=3, *, forgets_growth=False, counts_from_done=False):
+    def __init__(
+        self,
+        machines=3,
+        *,
+        forgets_growth=False,
+        counts_from_done=False,
+        withdraws_at_once=False,
+    ):
         self.now = 10.0
         self.version = 0
         self.shard = None
@@ -75,6 +84,7 @@
         self.machines = [Machine(name=f"m{i}") for i in range(machines)]
         self.forgets_growth = forgets_growth
         self.counts_from_done = counts_from_done
+        self.withdraws_at_once = withdraws_at_once
         for machine in self.machines:
             machine.start(self.now)
 
@@ -122,6 +132,8 @@
     def read_ledger(self, machine):
         machine.read = (self.version, self.shard or Shard())
         machine.allowances.resolve(machine.read[1])
+        if self.version > machine.tried_version or self.withdraws_at_once:
+            machine.allowances.withdraw()
 
     def write_ledger(self, machine, fate):
         """Send the write; `fate` is done, refused, lost or late."""
@@ -129,6 +141,7 @@
             return
         version, shard = machine.read
         machine.read = None
+        machine.tried_version = version
         reading = machine.reading(self.now)
         renewed = shard.provisioned(self.prepaid, self.revision)
         if not machine.merged:
--- a/tests/ingress/test_budgets.py
+++ b/tests/ingress/test_budgets.py
@@ -75,7 +75,6 @@
 
         assert run_ingress(scenario, prepaid=PREPAID).total_spent == 0
 
-
     def test_requests_that_lack_room_at_once_are_all_served(self):
         async def scenario(fleet):
             tasks = [await curio.spawn(spend, fleet, 1) for _ in range(12)]
--- a/tests/ingress/test_relaying.py
+++ b/tests/ingress/test_relaying.py
@@ -26,7 +26,7 @@
         self.cut = True
         self.calls = 0
 
-    async def get(self, kind, name):
+    async def get(self, kind, name, *, stale=False):
         self.calls += 1
         if self.cut:
             raise PlatformUnavailable("cut off")
--- a/tests/site/store_standin.py
+++ b/tests/site/store_standin.py
@@ -66,6 +66,8 @@
         except OutcomeUnknown:
             await responder.abort()
             return
+        except VersionConflict as exc:
+            status, body = 409, shown(exc.current)
         except tuple(STATUS) as exc:
             status, body = STATUS[type(exc)], {}
         await responder.respond(status, msgspec.json.encode(body))
