After a loss of power the fleet's clocks tell how long a process was silent

Ruled out: the store's own time (its objects carry none that moves with a write); a smaller allowance (a jump of 2 s is an ordinary kind of trouble). Change: processes ask their peers' time of day; of more than half of the fleet's clocks one is right, so the lowest and the highest bound it, and delays only widen the bounds. A stamp keeps the lower bound, a successor waits up to 1.5 s for the upper. Tests: tests/ingress/test_fleet_time.py, test_clocks.py; the budgets' machine and walks play bounds too.

--- a/src/ragwortkeel/ingress/allowance.py
+++ b/src/ragwortkeel/ingress/allowance.py
@@ -17,7 +17,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import count
 from math import ceil
 
@@ -184,6 +184,23 @@
             )
         return shard
 
+    def know_time(self, reading: Reading) -> None:
+        """Take over what a later reading says of the time when this one started."""
+        if reading.latest is not None:
+            since = reading.boot - self._started.boot
+            self._started = replace(self._started, latest=reading.latest - since)
+
+    def lacks_time(self, shard: Shard) -> bool:
+        """Whether the fleet's time would tell more of how a predecessor died."""
+        if self._started.latest is not None:
+            return False
+        node = _node(self.holder)
+        return any(
+            stamp.earliest is not None and stamp.rebooted(self._started)
+            for holder, stamp in shard.stamp_by_holder.items()
+            if _node(holder) == node and holder != self.holder
+        )
+
     def predecessors(self, shard: Shard) -> list["Predecessor"]:
         """Return the earlier starts of this process that still hold grants.
 
@@ -227,7 +244,7 @@
 
 
 def _age(stamp: Stamp | None, reading: Reading) -> float:
-    return float("inf") if stamp is None else stamp.age(reading.stamp)
+    return float("inf") if stamp is None else stamp.age(reading)
 
 
 def _charged(ledger: Ledger, holder: str, *, age: float) -> Ledger:
--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -53,6 +53,11 @@
 """How long it waits for tokens that a peer gives back to the ledger: two renewals,
 15 ms each, and a second try of both."""
 
+CLOCKS_WAIT_SECONDS = 1.5
+"""How long a start after a loss of power waits for the clocks of its peers, which
+may start at the same time: it takes them a second.  Without them up to three
+seconds of demand are charged for nothing."""
+
 FRESH_SECONDS = 2.5
 """A ledger read so lately tells what is left of a budget."""
 
@@ -66,6 +71,8 @@
         Where the ledgers lie.
     ask_peers : callable
         Asks the other processes for a loan of tokens for a customer.
+    clocks : callable
+        Returns a reading of all clocks, with what the fleet knows of the time.
     """
 
     def __init__(
@@ -74,8 +81,11 @@
         platform: Platform,
         holder: str,
         ask_peers: Callable[[str, Account], Awaitable[None]],
+        clocks: Callable[[], Reading] = read_clocks,
     ) -> None:
-        self.allowances = Allowances(holder=holder, started=read_clocks())
+        self.allowances = Allowances(holder=holder, started=clocks())
+        self._clocks = clocks
+        self._merges_by = monotonic() + CLOCKS_WAIT_SECONDS
         self._platform = platform
         self._ask_peers = ask_peers
         self._table: RoutingTable | None = None
@@ -262,7 +272,7 @@
     def _grow(self) -> None:
         """Let the caps grow with the time since the last try to write."""
         if self._tried_at is not None:
-            self.allowances.grow(read_clocks().surely_since(self._tried_at))
+            self.allowances.grow(self._clocks().surely_since(self._tried_at))
 
     async def _renew(self) -> bool:
         try:
@@ -305,11 +315,12 @@
             self.allowances.withdraw()
             self._in_doubt = False
         self._tried_version = version
-        reading = read_clocks()
+        reading = self._clocks()
         renewed = shard.provisioned(
             _prepaid(self._table), self._table.configuration.revision
         )
-        if not self._merged:
+        merges = not self._merged and self._may_merge(renewed, reading)
+        if merges:
             self._log_predecessors(renewed)
             renewed = self.allowances.merged(renewed)
         renewed = self.allowances.renewed(renewed, reading)
@@ -323,10 +334,15 @@
         )
         self.allowances.resolve(renewed)
         self._in_doubt = False
-        self._merged = True
+        self._merged = self._merged or merges
         self.allowances.renewed_after(reading.monotonic - self._read_at)
         self._read_at = reading.monotonic
 
+    def _may_merge(self, shard: Shard, reading: Reading) -> bool:
+        """Whether to charge predecessors now, or wait for the peers' clocks."""
+        self.allowances.know_time(reading)
+        return monotonic() >= self._merges_by or not self.allowances.lacks_time(shard)
+
     def _log_predecessors(self, shard: Shard) -> None:
         merged = self.allowances.merged(shard)
         unspent = _unspent(merged)
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -13,13 +13,17 @@
 from ragwortkeel.budget.sizing import ASKED_AT_ONCE, best_givers
 from ragwortkeel.exceptions import LinkLost
 from ragwortkeel.ingress.account import Account
+from ragwortkeel.ingress.clocks import read_clocks
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.ingress.relaying import carry_out
 from ragwortkeel.links import Endpoint, Link, LinkDown, LinkUp, Received
 from ragwortkeel.logs import log_debug, log_info, log_warning
 from ragwortkeel.messages import (
+    ClockAnswer,
+    ClockQuestion,
     ConfigurationPush,
     CrashSeen,
+    Envelope,
     Heartbeat,
     IngressState,
     LoanRequest,
@@ -69,6 +73,9 @@
     def configuration_object(self) -> VersionedObject | None:
         """Return the configuration in force."""
 
+    def heard_clock(self, peer: str, answer: ClockAnswer) -> None:
+        """Take in a peer's time of day."""
+
     async def heard_loads(self, node: str, load_by_upstream: dict[str, Load]) -> None:
         """Take in what a peer has at each upstream."""
 
@@ -138,6 +145,11 @@
         """Bind the socket that peers connect to."""
         self._endpoint.open()
 
+    @property
+    def known(self) -> int:
+        """Other processes that this one has heard of."""
+        return len(self._known)
+
     @property
     def count(self) -> int:
         """Peers that were heard lately."""
@@ -195,6 +207,11 @@
         ]
         return up or routers[:ASKED_AT_ONCE]
 
+    async def _ask_time(self, links: list[Link]) -> None:
+        # A relay has no use for the time.
+        if not self._is_relay:
+            await self._send(ClockQuestion(asked_at=read_clocks().boot), links)
+
     async def _send_all(self, message) -> None:
         await self._send(message, list(self._link_by_address.values()))
 
@@ -218,6 +235,8 @@
                 introduced_at = monotonic()
             links = self._link_by_address
             told = [links[a] for a in links if introduces or a not in self._relays]
+            if introduces:
+                await self._ask_time(list(links.values()))
             if not self._is_relay or introduces:
                 await self._send(self._state(introduces=introduces), told)
             crowd = max(1.0, len(told) / PEERS_AT_FULL_RATE)
@@ -256,7 +275,14 @@
         match event:
             case LinkUp(peer=peer):
                 log_info("dependency_regained", dependency="peer", address=peer)
+                link = self._link_by_address[peer]
+                await self._send(self._state(introduces=True), [link])
+                await self._ask_time([link])
                 await self._greet(peer)
+            case Received(
+                peer=peer, envelope=Envelope(message=ClockAnswer() as answer)
+            ):
+                self._handler.heard_clock(peer, answer)
             case LinkDown(peer=peer):
                 log_warning("dependency_lost", dependency="peer", address=peer)
             case Received(envelope=envelope):
@@ -326,6 +352,8 @@
                 await self._handler.relayed(answer)
             case Heartbeat():
                 return self._handler.heartbeat()
+            case ClockQuestion(asked_at=asked_at):
+                return ClockAnswer(asked_at=asked_at, wall=read_clocks().wall)
         return None
 
     def _meet(self, state: IngressState) -> None:
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -10,6 +10,7 @@
 from ragwortkeel.ingress.peers import Peers
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.messages import (
+    ClockAnswer,
     CrashSeen,
     Heartbeat,
     LoanRequest,
@@ -84,6 +85,9 @@
         """Return no configuration."""
         return None
 
+    def heard_clock(self, peer: str, answer: ClockAnswer) -> None:
+        """Leave a peer's time: a relay only tells its own."""
+
     async def heard_loads(self, node: str, load_by_upstream: dict[str, Load]) -> None:
         """Leave a peer's loads."""
 
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -9,6 +9,7 @@
 from ragwortkeel.exceptions import ConfigurationUnreadable
 from ragwortkeel.http_server import HttpServer
 from ragwortkeel.ingress.budget_keeper import BudgetKeeper
+from ragwortkeel.ingress.clocks import read_clocks
 from ragwortkeel.ingress.configuration import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -18,6 +19,7 @@
 from ragwortkeel.ingress.crashes import CrashWatch
 from ragwortkeel.ingress.directory import Directory, Moved
 from ragwortkeel.ingress.dispatch import Dispatcher
+from ragwortkeel.ingress.fleet_time import FleetTime
 from ragwortkeel.ingress.following import ConfigurationFollower, UpstreamFollower
 from ragwortkeel.ingress.front import Front
 from ragwortkeel.ingress.front_parts import FrontParts
@@ -29,6 +31,7 @@
 from ragwortkeel.ingress.upstream_connection import UpstreamConnections
 from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.messages import (
+    ClockAnswer,
     CrashSeen,
     Heartbeat,
     LoanRequest,
@@ -106,8 +109,12 @@
         self._platform = RelayedPlatform(
             direct=platform, relays=self._peers.platform_relays
         )
+        self._time = FleetTime(others=lambda: self._peers.known)
         self._keeper = BudgetKeeper(
-            platform=self._platform, holder=incarnation, ask_peers=self._peers.ask_loan
+            platform=self._platform,
+            holder=incarnation,
+            ask_peers=self._peers.ask_loan,
+            clocks=self._time.reading,
         )
         self._connections = UpstreamConnections(id_header=names.request_id)
         self._front = Front(
@@ -220,6 +227,10 @@
             value=self._raw_configuration,
         )
 
+    def heard_clock(self, peer: str, answer: ClockAnswer) -> None:
+        """Take in a peer's time of day."""
+        self._time.answered(peer, answer, read_clocks().boot)
+
     async def heard_loads(self, node: str, load_by_upstream: dict[str, Load]) -> None:
         """Take in what a peer has at each upstream."""
         self._placement.heard(node, load_by_upstream, monotonic())
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -438,6 +438,19 @@
     returned: int = 0
 
 
+class ClockQuestion(Message):
+    """What time is it there?  `asked_at` is the asker's boot clock, in seconds."""
+
+    asked_at: float
+
+
+class ClockAnswer(Message):
+    """The sender's time of day, in seconds, and the question's `asked_at`."""
+
+    asked_at: float
+    wall: float
+
+
 ConfigurationMessage = (
     ConfigurationDigest
     | ConfigurationBranches
@@ -475,6 +488,8 @@
     | PlatformAnswer
     | LoanRequest
     | TokenLoan
+    | ClockQuestion
+    | ClockAnswer
 )
 
 
--- a/tests/ingress/allowance_world.py
+++ b/tests/ingress/allowance_world.py
@@ -33,13 +33,18 @@
     tried_at: Reading | None = None
     read: tuple[int, Shard] | None = None
     tried_version: int = 0
+    hears: bool = True
+    patience: int = 0
     open_holds: list = field(default_factory=list)
 
     def reading(self, now):
+        # Of the clocks that the fleet shows one at least is right.
         return Reading(
             monotonic=now - self.booted_at - self.suspended,
             boot=now - self.booted_at,
             wall=now + self.wall_off,
+            earliest=now + min(0.0, self.wall_off) if self.hears else None,
+            latest=now + max(0.0, self.wall_off) if self.hears else None,
         )
 
     def start(self, now):
@@ -48,6 +53,7 @@
             holder=f"{self.name}/{self.starts}", started=self.reading(now)
         )
         self.merged = False
+        self.patience = 2
         self.tried_at = None
         self.read = None
         self.tried_version = 0
@@ -144,7 +150,12 @@
         machine.tried_version = version
         reading = machine.reading(self.now)
         renewed = shard.provisioned(self.prepaid, self.revision)
-        if not machine.merged:
+        machine.allowances.know_time(reading)
+        merges = not machine.merged and (
+            machine.patience <= 0 or not machine.allowances.lacks_time(renewed)
+        )
+        machine.patience -= 1
+        if merges:
             renewed = machine.allowances.merged(renewed)
         renewed = machine.allowances.renewed(renewed, reading)
         if fate == "refused":
@@ -158,7 +169,7 @@
         done = self.apply(write)
         if done and fate == "done":
             machine.allowances.resolve(renewed)
-            machine.merged = True
+            machine.merged = machine.merged or merges
             machine.tried_at = reading
 
     def close(self, machine):
--- a/tests/ingress/test_allowance_machine.py
+++ b/tests/ingress/test_allowance_machine.py
@@ -97,6 +97,10 @@
     def step_time_of_day(self, index, seconds):
         self.world.machines[index].wall_off = seconds
 
+    @rule(index=indexes, hears=st.booleans())
+    def hear_peers(self, index, hears):
+        self.world.machines[index].hears = hears
+
     @rule(customer=customers, tokens=st.integers(1, 500))
     def top_up(self, customer, tokens):
         self.world.top_up(customer, tokens)
@@ -139,6 +143,7 @@
                 for _ in range(6):
                     world.reserve(machine, CUSTOMER, random.randint(1, 150))
                     world.check()
+            machine.hears = random.random() < 0.7
             if random.random() < 0.6:
                 world.restart(machine, power_lost=random.random() < 0.3)
     except AssertionError:
