--- a/benchmarks/guards_left_out.py
+++ b/benchmarks/guards_left_out.py
@@ -16,8 +16,8 @@
 
 ROOT = Path(__file__).parents[1]
 SOURCES = ROOT / "src" / "ragwortkeel"
-TESTS = ("tests/ingress", "tests/site")
-BUDGET_TESTS = "tests/ingress/test_allowance_machine.py"
+TESTS = ("tests/ingress", "tests/site", "tests/budget")
+BUDGET_TESTS = "tests/budget/test_allowance_machine.py"
 """Long, and it knows of no other rule than that of the budgets."""
 
 RUN_SECONDS = 240
@@ -313,7 +313,7 @@
     _guard(
         "prepaid",
         "tokens that wait to be recalled are given back",
-        "ingress/account.py",
+        "budget/account.py",
         "give_back = max(give_back, self._recalled)",
         "pass",
     ),
--- a/src/ragwortkeel/ingress/account.py
+++ b/src/ragwortkeel/budget/account.py
@@ -2,10 +2,11 @@
 
 A slice is spent by requests straight to upstreams, which counts as one sidecar
 called `DIRECT`; why it can't overspend whatever answers are lost is
-`budget.ledger` and `budget.slice`.  What the cap is for is `ingress.allowance`.
+`budget.ledger` and `budget.slice`.  What the cap is for is `budget.allowance`.
 """
 
 from dataclasses import dataclass
+from hashlib import blake2b
 
 from ragwortkeel.budget.demand import DemandMeter
 from ragwortkeel.budget.ledger import Ledger
@@ -39,6 +40,12 @@
 shares by demand leave least in the platform, where an outage locks it away; what
 lies with the wrong process is lent."""
 
+HANDED_OUT = 0.6
+"""Of what is unspent, held in slices; the rest stays in the ledger.  A request mostly
+needs a renewal for room in the cap anyway, and that takes the tokens along; with all
+handed out to 21 processes no slice holds a request any more, and each has to be
+pieced together from others' slices, two writes a piece."""
+
 STARTING_SHARE = 0.25
 """Of an equal share of what is unspent, held for a customer that has asked for
 nothing yet: its first requests may come in an outage."""
@@ -87,6 +94,7 @@
         self._borrowed = 0
         self._recalled = 0
         self._meter = DemandMeter()
+        self._lot = _lot(f"{holder}/{customer}")
 
     @property
     def free(self) -> int:
@@ -185,7 +193,7 @@
         `typical` is the mean size of a request of any customer.
         """
         unspent = max(0, self.ledger.prepaid - self.ledger.total_spent)
-        holders = max(1, len(self.ledger.grants))
+        holders = max(1, self.ledger.holders)
         starting = int(unspent / holders * STARTING_SHARE)
         return SliceNeed(
             holding=max(0, self.slice.granted - self.slice.spent),
@@ -196,6 +204,9 @@
             ride_out_seconds=RIDE_OUT_SECONDS,
             spread=Spread.WIDE,
             equal_part=EQUAL_PART,
+            handed_out=HANDED_OUT,
+            useful=int(typical * TYPICAL_REQUESTS),
+            lot=self._lot,
         )
 
     def propose(
@@ -259,7 +270,7 @@
         gone with it, and one that only gets what it missed is refused.
         """
         unspent = max(0, self.ledger.prepaid - self.ledger.total_spent)
-        holders = max(1, len(self.ledger.grants))
+        holders = max(1, self.ledger.holders)
         starting = int(unspent * STARTING_ROOM_SHARE / holders)
         headroom = max(starting, int(need.demand / 60 * headroom_seconds))
         return self.slice.reserved + headroom + self.waiting
@@ -276,6 +287,12 @@
         return take > holding * (1 - REFILL_SHARE) / REFILL_SHARE
 
 
+def _lot(name: str) -> float:
+    """Return a number from 0 to 1 that a name always has."""
+    digest = blake2b(name.encode(), digest_size=4).digest()
+    return int.from_bytes(digest) / 2**32
+
+
 def growing_seconds(seconds: float) -> float:
     """Return for how much of the time since a write a cap has been growing."""
     return max(0.0, seconds - GROWTH_DELAY_SECONDS)
--- a/src/ragwortkeel/ingress/allowance.py
+++ b/src/ragwortkeel/budget/allowance.py
@@ -16,18 +16,20 @@
 stranded, never spent twice.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from itertools import count
 from math import ceil
 
 import msgspec
 
+from ragwortkeel.budget.account import DIRECT, Account, growing_seconds
+from ragwortkeel.budget.clocks import Reading, Stamp
 from ragwortkeel.budget.grant import Grant
 from ragwortkeel.budget.ledger import Ledger
-from ragwortkeel.ingress.account import DIRECT, Account, growing_seconds
-from ragwortkeel.ingress.clocks import Reading, Stamp
-from ragwortkeel.ingress.shards import Shard
+from ragwortkeel.budget.shards import Shard
+from ragwortkeel.budget.summary import seen_by
+from ragwortkeel.messages import HandedRenewals, RenewalsWritten
 
 HEADROOM_SECONDS = 0.5
 """Demand that a cap leaves room for at the least: one pause between renewals.  A
@@ -135,7 +137,7 @@
         typical = int(self._typical)
         for name, ledger in shard.ledger_by_customer.items():
             account = self.account(name)
-            nonce = f"{self.holder}/{next(self._nonces)}"
+            nonce = str(next(self._nonces))
             due = account.propose(
                 ledger,
                 nonce=nonce,
@@ -150,6 +152,46 @@
             shard, ledger_by_customer=ledgers, stamp_by_holder=stamps
         )
 
+    def handed(self, reading: Reading, *, urgent: bool) -> HandedRenewals:
+        """Return the renewals that are due, for a peer to write with its own.
+
+        A customer whose grant here has not been made yet is left out: this process
+        makes it by a write of its own.
+        """
+        typical = int(self._typical)
+        renewal_by_customer = {}
+        for name, account in self._account_by_customer.items():
+            if not account.slice.in_ledger:
+                continue
+            nonce = str(next(self._nonces))
+            due = account.propose(
+                account.ledger,
+                nonce=nonce,
+                typical=typical,
+                headroom_seconds=self.headroom_seconds,
+                now=reading.monotonic,
+            )
+            if due:
+                renewal_by_customer[name] = account.slice.pending
+        return HandedRenewals(
+            holder=self.holder,
+            stamp=reading.stamp,
+            renewal_by_customer=renewal_by_customer,
+            urgent=urgent,
+        )
+
+    def written(self, answer: RenewalsWritten) -> None:
+        """Take over what a peer wrote for this process, and what it then saw."""
+        for name, summary in answer.summary_by_customer.items():
+            account = self.account(name)
+            grant = answer.grant_by_customer.get(name)
+            own = grant or account.ledger.grants.get(self.holder)
+            account.resolve(seen_by(summary, router=self.holder, grant=own))
+
+    def lacks_grants(self, customers: Iterable[str]) -> bool:
+        """Whether a customer has no grant here yet, as after a start."""
+        return any(not self.account(name).slice.in_ledger for name in customers)
+
     def closed(self, shard: Shard) -> Shard:
         """Return the shard without this process's grants, its spend charged.
 
@@ -164,7 +206,7 @@
             if pending is not None:
                 ledger = ledger.renew(pending)
                 account.resolve(ledger)
-            renewal = account.slice.propose(nonce=f"{self.holder}/end", cap=0)
+            renewal = account.slice.propose(nonce="end", cap=0)
             ledgers[name] = ledger.close(renewal)
         return msgspec.structs.replace(
             shard,
--- a/src/ragwortkeel/budget/grant.py
+++ b/src/ragwortkeel/budget/grant.py
@@ -69,6 +69,8 @@
         No further renewal is taken; sidecars leave `settled` as they report.
     gone : tuple of str
         Sidecars that will never report; they stay at their bound.
+    holders : int
+        Incarnations that it stands for; above one only in a summary.
     """
 
     granted: int = 0
@@ -80,6 +82,7 @@
     nonce: str = ""
     sealed: bool = False
     gone: tuple[str, ...] = ()
+    holders: int = 1
 
     @property
     def used(self) -> int:
--- a/src/ragwortkeel/budget/ledger.py
+++ b/src/ragwortkeel/budget/ledger.py
@@ -81,6 +81,11 @@
         """Tokens known to be spent, in open grants too."""
         return self.spent + sum(grant.used for grant in self.grants.values())
 
+    @property
+    def holders(self) -> int:
+        """Router incarnations that hold a grant."""
+        return sum(grant.holders for grant in self.grants.values())
+
     @property
     def rest(self) -> int:
         """Tokens that a router may still take."""
--- a/src/ragwortkeel/budget/sizing.py
+++ b/src/ragwortkeel/budget/sizing.py
@@ -9,6 +9,7 @@
 
 from dataclasses import dataclass
 
+from ragwortkeel.budget.grant import Grant
 from ragwortkeel.budget.ledger import Ledger
 from ragwortkeel.configuration import Spread
 
@@ -55,6 +56,13 @@
         Tokens that callers wait for at this moment.
     lacking : int
         Tokens missing for the smallest of them.
+    handed_out : float or None
+        In place of `SHARE_HANDED_OUT`; then what is shared equally goes to as many
+        holders as can each hold a useful slice.
+    useful : int
+        Tokens below which a slice serves hardly a request.
+    lot : float
+        From 0 to 1, another for each router and profile: which holders those are.
     equal_part : float or None
         In place of `EQUAL_PART`, for routers that lend each other what they lack
         in an outage as well, so that only what all hold together matters.
@@ -68,6 +76,16 @@
     ride_out_seconds: float
     spread: Spread
     equal_part: float | None = None
+    handed_out: float | None = None
+    useful: int = 0
+    lot: float = 0.0
+
+    @property
+    def share_handed_out(self) -> float:
+        """Part of the unspent tokens that all slices together may hold."""
+        if self.handed_out is None:
+            return SHARE_HANDED_OUT[self.spread]
+        return self.handed_out
 
     @property
     def shared_equally(self) -> float:
@@ -79,20 +97,39 @@
     """Return the unspent tokens that the router should hold, reserved ones too."""
     unspent = max(0, ledger.prepaid - ledger.total_spent)
     others = sum(g.demand for r, g in ledger.grants.items() if r != router)
-    count = len(ledger.grants.keys() | {router})
+    count = ledger.holders + (router not in ledger.grants)
     share = need.demand / max(1, need.demand + others)
     equal = need.shared_equally
-    share = equal / count + (1 - equal) * share
-    handed_out = unspent * SHARE_HANDED_OUT[need.spread]
+    handed_out = unspent * need.share_handed_out
+    part = _equal_part(handed_out, count, need)
     outage = need.demand / 60 * need.ride_out_seconds
-    target = min(handed_out * share, outage * RIDE_OUT_MARGIN[need.spread])
+    target = min(
+        equal * part + (1 - equal) * share * handed_out,
+        outage * RIDE_OUT_MARGIN[need.spread],
+    )
     # A request above the target still has to pass while tokens are left.
-    target = max(int(target), need.largest_request)
+    floor = need.largest_request
+    if need.handed_out is not None:
+        floor = min(floor, int(part))
+    target = max(int(target), floor)
     if need.waiting:
         return max(target, need.holding + need.waiting)
     return target
 
 
+def _equal_part(handed_out: float, count: int, need: SliceNeed) -> float:
+    """Return this router's part of tokens that are shared equally.
+
+    Pattern of load: dozens of routers and budgets of a few requests' size.  Equal
+    parts would be too small for any request, and each would have to be pieced
+    together from many of them; so fewer hold a part, and lend it in an outage.
+    """
+    if need.useful * count <= handed_out:
+        return handed_out / count
+    holders = max(1, int(handed_out / need.useful))
+    return handed_out / holders if need.lot < holders / count else 0.0
+
+
 def to_take(ledger: Ledger, *, router: str, need: SliceNeed) -> int:
     """Return how many tokens to ask for now."""
     target = target_holding(ledger, router=router, need=need)
@@ -143,6 +180,10 @@
     return max(0, min(free, max(even, asker.lacking)))
 
 
+def _may_give(grant: Grant) -> bool:
+    return grant.holders == 1 and not grant.sealed and grant.granted > grant.used
+
+
 def best_givers(
     ledger: Ledger, *, router: str, lacking: int | None = None
 ) -> list[str]:
@@ -155,7 +196,7 @@
     spare = {
         name: (grant.granted - grant.used) / (1 + grant.demand)
         for name, grant in ledger.grants.items()
-        if name != router and not grant.sealed and grant.granted > grant.used
+        if name != router and _may_give(grant)
     }
     givers = sorted(spare, key=spare.__getitem__, reverse=True)[:ASKED_AT_ONCE]
     if lacking is None:
--- /dev/null
+++ b/src/ragwortkeel/budget/turns.py
@@ -0,0 +1,99 @@
+"""Which process writes the ledgers next, and for whom.
+
+Pattern of load: dozens of processes renew their slices twice a second in one object
+by conditional writes.  Each write voids all others that were prepared beside it, so
+the tries grow with the square of the processes: with 21 of them most had not got a
+write through 14 s after their start.
+
+So whoever writes takes the others' renewals along, and a process that was renewed by
+somebody else's write has no reason to write itself.  All go by one order of names:
+the first of those that hear each other writes each `TICK_SECONDS`, the second only
+after `STEP_SECONDS` more without a renewal, and so on.  Nobody is elected and nobody
+has to agree: two that write at once, as in a partition, cost a refused write, and one
+that is killed, frozen or cut off is stood in for after a step.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from functools import lru_cache
+from hashlib import blake2b
+from random import Random
+
+TICK_SECONDS = 0.5
+"""Between renewals.  A cap holds the demand of two, and is charged for nothing
+where a process dies."""
+
+STEP_SECONDS = 0.15
+"""How much later the next process in the order writes: several times what a write
+takes with the calls for renewals before it, 45 ms."""
+
+QUICK_SECONDS = 0.04
+"""Writes that take less count as equally quick: 5 to 20 ms, straight or through a
+peer.  Each step of the order is as much slower."""
+
+UNREACHABLE_STEP = 9
+"""Of a process that does not reach the platform, behind all that do."""
+
+SHORTEST_PAUSE_SECONDS = 0.02
+"""After a write that was refused as another came first; a write takes about 10 ms."""
+
+LONGEST_PAUSE_SECONDS = 0.6
+"""The pause doubles up to here: dozens of processes that start at once and must each
+write once share the object with few collisions then."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Writer:
+    """A process that may write for others.
+
+    Attributes
+    ----------
+    step : int
+        How slowly it writes, as `step_of` says; unlike instances and links differ by
+        ten times, and a slow writer is outrun by every other one.
+    """
+
+    name: str
+    step: int = 0
+
+    @property
+    def rank(self) -> tuple[int, bytes]:
+        """Where it stands in the order; by hash of the name among equally quick ones.
+
+        Names often sort by availability zone, and one zone's processes would then be
+        the first of all.
+        """
+        return self.step, _key(self.name)
+
+
+def step_of(write_seconds: float, *, reachable: bool) -> int:
+    """Return how slow a process is that needs so long for a write; 0 is quick."""
+    if not reachable:
+        return UNREACHABLE_STEP
+    return min(UNREACHABLE_STEP - 1, int(write_seconds / QUICK_SECONDS))
+
+
+def place_in_order(writer: Writer, others: Iterable[Writer]) -> int:
+    """Return how many of the others come before this process."""
+    return sum(1 for other in others if other.rank < writer.rank)
+
+
+def first_in_order(writers: Iterable[Writer]) -> Writer | None:
+    """Return the process that writes for these, or None where there are none."""
+    return min(writers, key=lambda writer: writer.rank, default=None)
+
+
+def patience(place: int) -> float:
+    """Return the seconds since its last renewal after which a process writes."""
+    return TICK_SECONDS + place * STEP_SECONDS
+
+
+def pause_after_refusals(refusals: int, random: Random) -> float:
+    """Return how long to wait after so many refused writes in a row."""
+    longest = min(LONGEST_PAUSE_SECONDS, SHORTEST_PAUSE_SECONDS * 2**refusals)
+    return longest * random.random()
+
+
+@lru_cache(maxsize=4096)
+def _key(name: str) -> bytes:
+    return blake2b(name.encode(), digest_size=8).digest()
--- a/src/ragwortkeel/cli/ingress.py
+++ b/src/ragwortkeel/cli/ingress.py
@@ -5,6 +5,7 @@
 import msgspec
 from fire.decorators import SetParseFns
 
+from ragwortkeel.budget.shards import SHARDS_KIND, decode_shard
 from ragwortkeel.cli.objects import Held, Objects, unavailable
 from ragwortkeel.cli.output import Result, table
 from ragwortkeel.cli.plan import Plan, Session
@@ -15,7 +16,6 @@
     IngressConfiguration,
 )
 from ragwortkeel.ingress.ledger_store import SHARD_NAME
-from ragwortkeel.ingress.shards import SHARDS_KIND, decode_shard
 from ragwortkeel.platform import Platform
 from ragwortkeel.settings import decode
 
--- a/src/ragwortkeel/exceptions.py
+++ b/src/ragwortkeel/exceptions.py
@@ -252,6 +252,14 @@
     """The platform holds something that is no ledger."""
 
 
+class RenewalVoid(LedgerError):
+    """Renewals that were handed over are out of date and will never be written."""
+
+    def __init__(self, *, holder: str) -> None:
+        super().__init__(f"renewals of {holder} are out of date")
+        self.holder = holder
+
+
 class SettledBeyondGrant(LedgerError):
     """A router settles more than it was granted; the caller has a defect."""
 
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from time import monotonic
 
+from ragwortkeel.budget.account import Hold
 from ragwortkeel.http_responder import Responder
-from ragwortkeel.ingress.account import Hold
 from ragwortkeel.ingress.answers import (
     BROKEN,
     BUDGET_EXHAUSTED,
--- a/src/ragwortkeel/ingress/fleet_time.py
+++ b/src/ragwortkeel/ingress/fleet_time.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from ragwortkeel.ingress.clocks import Reading, read_clocks
+from ragwortkeel.budget.clocks import Reading, read_clocks
 from ragwortkeel.messages import ClockAnswer
 
 LEAST_PEERS = 3
--- a/src/ragwortkeel/ingress/ledger_store.py
+++ b/src/ragwortkeel/ingress/ledger_store.py
@@ -5,13 +5,13 @@
 newest, and where not, the refusal of the write brings that along.
 """
 
+from ragwortkeel.budget.shards import SHARDS_KIND, Shard, decode_shard, encode_shard
 from ragwortkeel.exceptions import (
     AlreadyExists,
     ObjectNotFound,
     OutcomeUnknown,
     VersionConflict,
 )
-from ragwortkeel.ingress.shards import SHARDS_KIND, Shard, decode_shard, encode_shard
 from ragwortkeel.platform import Platform, Stored
 
 SHARD_NAME = "shard-0"
@@ -39,9 +39,22 @@
         self._written: Stored | None = None
         self._tried_version = 0
 
-    async def read(self, *, stale: bool = True) -> Shard:
-        """Return the ledgers, the newest known or, without `stale`, the newest."""
-        self._read = await self._latest(stale=stale)
+    def forget_refusal(self) -> None:
+        """Drop what a refused write brought along, which is old after a while.
+
+        A process that others write for may not read for minutes; with ledgers of so
+        long ago each write of it is refused.
+        """
+        self._found = None
+
+    async def read(self, *, stale: bool = True, trusts_own: bool = False) -> Shard:
+        """Return the ledgers, the newest known or, without `stale`, the newest.
+
+        With `trusts_own` they are those of the own last write, without a call: for a
+        process that writes for all others, so that nobody else has written since.
+        """
+        own = self._written if trusts_own and self._found is None else None
+        self._read = own or await self._latest(stale=stale)
         version = self._read.version if self._read is not None else 0
         self.outran = version > self._tried_version
         if self.outran:
@@ -59,7 +72,9 @@
             As `Platform` says.
         """
         value = encode_shard(shard)
-        self._tried_version = self._read.version if self._read is not None else 0
+        version = self._read.version if self._read is not None else 0
+        # Never back: an earlier write that named a later version may still be done.
+        self._tried_version = max(self._tried_version, version)
         try:
             version = await self._write(value)
         except VersionConflict as exc:
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -10,10 +10,11 @@
 
 import curio
 
+from ragwortkeel.budget.account import Account
+from ragwortkeel.budget.clocks import read_clocks
 from ragwortkeel.budget.sizing import ASKED_AT_ONCE, best_givers
+from ragwortkeel.budget.turns import Writer, first_in_order, place_in_order
 from ragwortkeel.exceptions import LinkLost
-from ragwortkeel.ingress.account import Account
-from ragwortkeel.ingress.clocks import read_clocks
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.ingress.relaying import carry_out
 from ragwortkeel.links import Endpoint, Link, LinkDown, LinkUp, Received
@@ -24,11 +25,14 @@
     ConfigurationPush,
     CrashSeen,
     Envelope,
+    HandedRenewals,
     Heartbeat,
     IngressState,
     LoanRequest,
     PlatformAnswer,
     PlatformCall,
+    RenewalCall,
+    RenewalsWritten,
     TokenLoan,
     UpstreamLoad,
     VersionedObject,
@@ -91,6 +95,18 @@
     async def borrowed(self, loan: TokenLoan) -> None:
         """Take in what a peer did for requests that wait for tokens here."""
 
+    def writing_step(self) -> int:
+        """Return how slowly this process writes ledgers; see `budget.turns`."""
+
+    def renewals_called(self) -> HandedRenewals | None:
+        """Return what a peer that writes the ledgers should take along."""
+
+    async def heard_renewals(self, handed: HandedRenewals) -> None:
+        """Take in renewals to write along."""
+
+    async def renewals_written(self, answer: RenewalsWritten) -> None:
+        """Take in what became of renewals that a peer was handed."""
+
     async def relayed(self, answer: PlatformAnswer) -> None:
         """Take in the answer to a call that a peer made."""
 
@@ -139,6 +155,9 @@
         self._known: set[str] = set(seeds) - {address}
         self._relays: set[str] = {address} if is_relay else set()
         self._address_by_node: dict[str, str] = {}
+        self._leaving: set[str] = set()
+        self._step_by_address: dict[str, int] = {}
+        self._avoided_until: dict[str, float] = {}
         self._tasks = curio.TaskGroup(wait=None)
 
     def open(self) -> None:
@@ -192,6 +211,71 @@
         )
         await self._send(request, self._givers(account, need.lacking))
 
+    def place(self) -> int:
+        """Return how many processes before this one in order are heard."""
+        others = self._other_writers()
+        if self._handler.heartbeat().leaving:
+            return len(others)
+        return place_in_order(self._own_writer(), others)
+
+    async def call_renewals(self) -> int:
+        """Ask all processes that renew slices; return how many were asked."""
+        links = list(self._renewing_by_address().values())
+        await self._send(RenewalCall(), links)
+        return len(links)
+
+    async def hand_over(self, handed: HandedRenewals) -> str | None:
+        """Send renewals to the first process in order, unless it is this one.
+
+        Returns
+        -------
+        str or None
+            The address that they were sent to.
+        """
+        writers = self._other_writers()
+        if not self._handler.heartbeat().leaving:
+            writers.append(self._own_writer())
+        first = first_in_order(writers)
+        if first is None or first.name == self._address:
+            return None
+        sent = await self._sent(handed, self._link_by_address[first.name])
+        return first.name if sent else None
+
+    def avoid(self, address: str) -> None:
+        """Leave a process out of the order that did not write what it was handed.
+
+        One that was just killed still counts as heard for `SILENCE_SECONDS`, and
+        all callers who wait for tokens would wait for it first.
+        """
+        self._avoided_until[address] = monotonic() + SILENCE_SECONDS
+
+    async def answer(self, holder: str, answer: RenewalsWritten) -> None:
+        """Tell a process what became of its renewals."""
+        address = self._address_by_node.get(holder.partition("/")[0])
+        link = self._link_by_address.get(address)
+        if link is not None and link.up:
+            await self._sent(answer, link)
+
+    def _own_writer(self) -> Writer:
+        return Writer(name=self._address, step=self._handler.writing_step())
+
+    def _other_writers(self) -> list[Writer]:
+        """Return who else may write for all: not who leaves or was mute just now."""
+        now = monotonic()
+        return [
+            Writer(name=address, step=self._step_by_address.get(address, 0))
+            for address in self._renewing_by_address()
+            if address not in self._leaving
+            and self._avoided_until.get(address, 0.0) <= now
+        ]
+
+    def _renewing_by_address(self) -> dict[str, Link]:
+        return {
+            address: link
+            for address, link in self._link_by_address.items()
+            if link.up and address not in self._relays
+        }
+
     def _givers(self, account: Account, lacking: int) -> list[Link]:
         holders = best_givers(
             account.ledger, router=account.slice.router, lacking=lacking
@@ -217,12 +301,16 @@
 
     async def _send(self, message, links: list[Link]) -> None:
         for link in links:
-            if not link.up:
-                continue
-            try:
-                await link.send(message)
-            except LinkLost as exc:
-                log_debug("peer_send_failed", peer=link.name, error=str(exc))
+            if link.up:
+                await self._sent(message, link)
+
+    async def _sent(self, message, link: Link) -> bool:
+        try:
+            await link.send(message)
+        except LinkLost as exc:
+            log_debug("peer_send_failed", peer=link.name, error=str(exc))
+            return False
+        return True
 
     async def _tell(self) -> None:
         """Tell loads and addresses, and link to peers that are new."""
@@ -249,6 +337,7 @@
             addresses=tuple(sorted(self._known)) if introduces else (),
             relays=tuple(sorted(self._relays)) if introduces else (),
             load_by_upstream=_wire_loads(self._handler.own_loads()),
+            writing_step=self._handler.writing_step(),
         )
 
     def _to_link(self) -> set[str]:
@@ -283,20 +372,25 @@
                 peer=peer, envelope=Envelope(message=ClockAnswer() as answer)
             ):
                 self._handler.heard_clock(peer, answer)
+            case Received(peer=peer, envelope=Envelope(message=Heartbeat() as beat)):
+                self._note_leaving(peer, leaving=beat.leaving)
             case LinkDown(peer=peer):
                 log_warning("dependency_lost", dependency="peer", address=peer)
             case Received(envelope=envelope):
                 await self._take(envelope.message)
 
+    def _note_leaving(self, peer: str, *, leaving: bool) -> None:
+        if leaving:
+            self._leaving.add(peer)
+        else:
+            self._leaving.discard(peer)
+
     async def _greet(self, peer: str) -> None:
         configuration = self._handler.configuration_object()
         if configuration is None:
             return
-        try:
-            message = ConfigurationPush(objects=(configuration,))
-            await self._link_by_address[peer].send(message)
-        except LinkLost as exc:
-            log_debug("peer_send_failed", peer=peer, error=str(exc))
+        message = ConfigurationPush(objects=(configuration,))
+        await self._sent(message, self._link_by_address[peer])
 
     async def _answer(self) -> None:
         """Take what peers send over their own links; echo what keeps them up."""
@@ -350,14 +444,27 @@
                 await self._handler.borrowed(loan)
             case PlatformAnswer() as answer:
                 await self._handler.relayed(answer)
+            case RenewalCall() | HandedRenewals() | RenewalsWritten():
+                return await self._take_renewals(message)
             case Heartbeat():
                 return self._handler.heartbeat()
             case ClockQuestion(asked_at=asked_at):
                 return ClockAnswer(asked_at=asked_at, wall=read_clocks().wall)
         return None
 
+    async def _take_renewals(self, message) -> HandedRenewals | None:
+        match message:
+            case RenewalCall():
+                return self._handler.renewals_called()
+            case HandedRenewals() as handed:
+                await self._handler.heard_renewals(handed)
+            case RenewalsWritten() as answer:
+                await self._handler.renewals_written(answer)
+        return None
+
     def _meet(self, state: IngressState) -> None:
         self._address_by_node[state.node] = state.address
+        self._step_by_address[state.address] = state.writing_step
         told = {state.address, *state.addresses}
         self._known |= told - {self._address}
         self._relays |= set(state.relays)
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -6,15 +6,18 @@
 
 import secrets
 
+from ragwortkeel.budget.turns import UNREACHABLE_STEP
 from ragwortkeel.configuration_store import InForce
 from ragwortkeel.ingress.peers import Peers
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.messages import (
     ClockAnswer,
     CrashSeen,
+    HandedRenewals,
     Heartbeat,
     LoanRequest,
     PlatformAnswer,
+    RenewalsWritten,
     TokenLoan,
     VersionedObject,
 )
@@ -104,5 +107,18 @@
     async def borrowed(self, loan: TokenLoan) -> None:
         """Leave a loan that it never asked for."""
 
+    def writing_step(self) -> int:
+        """Return that it writes no ledgers."""
+        return UNREACHABLE_STEP
+
+    def renewals_called(self) -> None:
+        """Return that there is nothing to renew."""
+
+    async def heard_renewals(self, handed: HandedRenewals) -> None:
+        """Leave renewals to those that keep slices."""
+
+    async def renewals_written(self, answer: RenewalsWritten) -> None:
+        """Leave it; nothing was handed over."""
+
     async def relayed(self, answer: PlatformAnswer) -> None:
         """Leave an answer: it relays for others only."""
--- /dev/null
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -0,0 +1,536 @@
+"""Renews all customers' slices: one write of the ledgers for many processes.
+
+`budget.turns` says who writes when.  Whoever does asks its peers for what they have
+to tell and takes it along; a peer whose callers wait for tokens hands its renewals
+over unasked.  A peer that gets no answer in time writes by itself.
+
+What makes that safe is the condition of each write, as ever, and `Shard.joined`: a
+message that was held up is void once its sender has written anything later.  Until a
+process knows that, it takes back nothing that it has handed over.
+"""
+
+from collections.abc import Callable
+from random import Random
+from time import monotonic
+from typing import Protocol
+
+import curio
+
+from ragwortkeel.budget.allowance import Allowances
+from ragwortkeel.budget.clocks import Reading
+from ragwortkeel.budget.ledger import Ledger
+from ragwortkeel.budget.shards import Shard
+from ragwortkeel.budget.turns import (
+    TICK_SECONDS,
+    patience,
+    pause_after_refusals,
+    step_of,
+)
+from ragwortkeel.exceptions import (
+    AlreadyExists,
+    LedgerError,
+    ObjectNotFound,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    RouterSealed,
+    VersionConflict,
+)
+from ragwortkeel.ingress.ledger_store import LedgerStore
+from ragwortkeel.ingress.routing import RoutingTable
+from ragwortkeel.logs import log_error, log_info, log_warning
+from ragwortkeel.messages import HandedRenewals, RenewalsWritten, WriteOutcome
+from ragwortkeel.platform import Platform
+
+RETRY_SECONDS = 0.4
+"""Pause after a failed call: each call is paid for, also in an outage."""
+
+GATHER_SECONDS = 0.03
+"""How long peers have to answer a call for renewals: 3 ms between availability zones,
+and some processor time.  Who is later is renewed by the next write."""
+
+BATCH_SECONDS = 0.02
+"""How long a write for waiting callers lets more of them join it.  Most requests are
+larger than the room that a cap keeps, so with a write each the calls of the platform
+would grow with the requests; against their objectives of 0.3 s and more it is
+little."""
+
+HAND_OVER_SECONDS = 0.2
+"""How long callers' waiting tokens are left to the process that writes for all: a
+write that is on its way, a batch and the next write take 15 to 30 ms each, the way
+there and back over a busy link of 5 Mbit/s some 50.  Then this process writes."""
+
+WRITE_WEIGHT = 0.3
+"""Of the newest write in the mean time of a write: a link that has become slow shows
+after three."""
+
+LONGEST_WRITE_SECONDS = 1.0
+"""A write counts for so long at the most; a longer one was an outage."""
+
+GRANTS_SECONDS = 0.05
+"""Pause between writes while a customer has no grant here: callers may wait."""
+
+TRIES = 8
+"""Of one write, while others come first; then it pauses, for a random time."""
+
+TRIES_BESIDE_OTHERS = 2
+"""The same where a peer could write for this process: a refusal shows that one does,
+and a slow process that goes on trying is outrun for seconds."""
+
+CLOCKS_WAIT_SECONDS = 1.5
+"""How long a start after a loss of power waits for the clocks of its peers, which
+may start at the same time: it takes them a second.  Without them up to three
+seconds of demand are charged for nothing."""
+
+_CAME_FIRST = (VersionConflict, AlreadyExists, ObjectNotFound)
+
+
+class Group(Protocol):
+    """The other processes that renew slices in the same ledgers."""
+
+    def place(self) -> int:
+        """Return how many of those that are heard come before this one."""
+
+    async def call_renewals(self) -> int:
+        """Ask all for their renewals; return how many were asked."""
+
+    async def hand_over(self, handed: HandedRenewals) -> str | None:
+        """Send renewals to the first of all; return to whom, None if not sent."""
+
+    def avoid(self, address: str) -> None:
+        """Hand nothing more to a process for a while: it did not write."""
+
+    async def answer(self, holder: str, answer: RenewalsWritten) -> None:
+        """Tell a process what became of its renewals."""
+
+
+class Renewals:
+    """Keeps the slices of one process renewed, by its own or by peers' writes.
+
+    Parameters
+    ----------
+    platform : Platform
+        Where the ledgers lie.
+    clocks : callable
+        Returns a reading of all clocks, with what the fleet knows of the time.
+
+    Attributes
+    ----------
+    reachable : bool
+        Whether the last try to renew came to an end in the ledgers.
+    read_at : float
+        Monotonic second at which the ledgers known here were read.
+    merged : bool
+        Whether earlier starts of this process have been charged.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        allowances: Allowances,
+        clocks: Callable[[], Reading],
+        group: Group,
+    ) -> None:
+        self.reachable = True
+        self.read_at = float("-inf")
+        self.merged = False
+        self._allowances = allowances
+        self._clocks = clocks
+        self._group = group
+        self._ledgers = LedgerStore(platform=platform)
+        self._random = Random(allowances.holder)
+        self._table: RoutingTable | None = None
+        self._merges_by = monotonic() + CLOCKS_WAIT_SECONDS
+        self._renewed_at = float("-inf")
+        self._waits_until = 0.0
+        self._refusals = 0
+        self._write_seconds = 0.0
+        self._wrote_last = False
+        self._closing = False
+        self._tried_at: Reading | None = None
+        self._sent_at_by_boot: dict[float, float] = {}
+        self._handed_by_holder: dict[str, HandedRenewals] = {}
+        self._asked = 0
+        self._woken = curio.Event()
+        self._gathered = curio.Event()
+        self._changed = curio.Event()
+
+    @property
+    def writing_step(self) -> int:
+        """How slowly this process writes, for the order of all."""
+        return step_of(self._write_seconds, reachable=self.reachable)
+
+    def configure(self, table: RoutingTable) -> None:
+        """Take over the budgets of a configuration at the next renewal."""
+        self._table = table
+
+    def grow(self) -> None:
+        """Let the caps grow with the time since the last try to write."""
+        if self._tried_at is not None:
+            self._allowances.grow(self._clocks().surely_since(self._tried_at))
+
+    async def wake(self) -> None:
+        """Renew now: callers wait for tokens."""
+        await self._woken.set()
+
+    async def next_change(self, until: float) -> None:
+        """Wait for the next renewal or loan, or until a monotonic second."""
+        self._changed.clear()
+        async with curio.ignore_after(max(0.0, until - monotonic())):
+            await self._changed.wait()
+
+    async def changed(self) -> None:
+        """Let requests that wait look again."""
+        await self._changed.set()
+
+    async def run(self) -> None:
+        """Renew slices until cancelled."""
+        while True:
+            urgent = await self._due()
+            alone = not self._handed_by_holder
+            if urgent and alone and await self._handed_over():
+                continue
+            await self._write_for_all(calls=not urgent)
+
+    async def close(self) -> bool:
+        """Give all slices back; call it once no request is open."""
+        self._closing = True
+        for refusals in range(TRIES):
+            try:
+                shard = await self._ledgers.read(stale=False)
+                self._allowances.resolve(shard)
+                await self._ledgers.write(self._allowances.closed(shard))
+            except VersionConflict:
+                await curio.sleep(pause_after_refusals(refusals, self._random))
+            except (PlatformUnavailable, OutcomeUnknown) as exc:
+                # What was held stays charged, which is safe; only less is left.
+                log_warning("slices_not_returned", error=str(exc))
+                return False
+            else:
+                log_info("slices_returned", holder=self._allowances.holder)
+                return True
+        log_warning("slices_not_returned", error="others kept writing first")
+        return False
+
+    # What peers ask and hand over.
+
+    def called(self) -> HandedRenewals | None:
+        """Return what a peer that is about to write should take along."""
+        if not self._may_hand_over():
+            return None
+        return self._hand(urgent=False)
+
+    async def heard(self, handed: HandedRenewals) -> None:
+        """Take in a peer's renewals for the next write."""
+        self._handed_by_holder[handed.holder] = handed
+        if len(self._handed_by_holder) >= self._asked:
+            await self._gathered.set()
+        if handed.urgent:
+            await self._woken.set()
+
+    async def written(self, answer: RenewalsWritten) -> None:
+        """Take in what became of renewals that were handed over."""
+        match answer.outcome:
+            case WriteOutcome.UNKNOWN:
+                return
+            case WriteOutcome.NOT_DONE:
+                self._sent_at_by_boot.pop(answer.boot, None)
+            case WriteOutcome.DONE:
+                self._take(answer)
+        await self._changed.set()
+
+    def _take(self, answer: RenewalsWritten) -> None:
+        now = monotonic()
+        sent_at = self._sent_at_by_boot.get(answer.boot)
+        if sent_at is not None:
+            self._allowances.renewed_after(now - sent_at)
+            self.read_at = sent_at
+        self._allowances.written(answer)
+        self._void(answer.boot)
+        self._wrote_last = False
+        self._note_reachable(True, "")
+        if answer.revision >= self._revision:
+            self._renewed_at = now
+
+    # When to write.
+
+    @property
+    def _revision(self) -> int:
+        return self._table.configuration.revision if self._table else 0
+
+    def _may_hand_over(self) -> bool:
+        """Whether a write by a peer does all that one by this process would."""
+        if self._table is None or self._closing or not self.merged:
+            return False
+        return not self._allowances.lacks_grants(_prepaid(self._table))
+
+    def _due_in(self) -> float:
+        now = monotonic()
+        if self._table is None or self._closing:
+            return RETRY_SECONDS
+        pause = TICK_SECONDS
+        if self._may_hand_over():
+            pause = patience(self._group.place())
+        elif self._allowances.lacks_grants(_prepaid(self._table)):
+            pause = GRANTS_SECONDS
+        return max(self._renewed_at + pause, self._waits_until) - now
+
+    async def _due(self) -> bool:
+        """Wait until this process has to write; return whether callers wait."""
+        while (seconds := self._due_in()) > 0:
+            async with curio.ignore_after(seconds):
+                await self._woken.wait()
+            if self._woken.is_set() and self._table is not None:
+                break
+        urgent = self._woken.is_set()
+        self._woken.clear()
+        return urgent
+
+    # Handing over.
+
+    def _hand(self, *, urgent: bool) -> HandedRenewals:
+        reading = self._clocks()
+        handed = self._allowances.handed(reading, urgent=urgent)
+        # Counted from the try, as for a write of this process: the stamp may stand
+        # in the ledgers, and a successor would trust the cap for longer.
+        self._tried_at = reading
+        self._sent_at_by_boot[reading.boot] = monotonic()
+        return handed
+
+    async def _handed_over(self) -> bool:
+        """Let the first of all write; return whether it has."""
+        if not self.reachable or not self._may_hand_over() or not self._group.place():
+            return False
+        handed = self._hand(urgent=True)
+        boot = handed.stamp.boot
+        writer = await self._group.hand_over(handed)
+        if writer is None:
+            del self._sent_at_by_boot[boot]
+            return False
+        before, waits_until = self.read_at, monotonic() + HAND_OVER_SECONDS
+        while boot in self._sent_at_by_boot and monotonic() < waits_until:
+            await self.next_change(waits_until)
+        if boot in self._sent_at_by_boot:
+            log_info("renewals_unanswered", writer=writer, seconds=HAND_OVER_SECONDS)
+            self._group.avoid(writer)
+        return self.read_at > before
+
+    def _void(self, boot: float) -> None:
+        """Note that nothing made up to here can be written any more."""
+        self._sent_at_by_boot = {
+            made: sent for made, sent in self._sent_at_by_boot.items() if made > boot
+        }
+
+    # Writing.
+
+    async def _write_for_all(self, *, calls: bool) -> None:
+        begun = monotonic()
+        if calls and self._may_hand_over():
+            await self._gather()
+        elif not calls:
+            await curio.sleep(BATCH_SECONDS)
+            self._woken.clear()
+        handed_by_holder, self._handed_by_holder = self._handed_by_holder, {}
+        outcome, shard, refused = await self._write(handed_by_holder)
+        if outcome is WriteOutcome.DONE:
+            self._allowances.renewed_after(monotonic() - begun)
+        if outcome is WriteOutcome.DONE and calls:
+            # Writes for waiting callers don't put off the one for all, and its own
+            # time counts as pause: others write where it comes later than theirs.
+            self._renewed_at = begun
+        await self._changed.set()
+        await self._tell(outcome, shard, handed_by_holder, refused)
+
+    async def _gather(self) -> None:
+        self._gathered.clear()
+        self._asked = await self._group.call_renewals()
+        if self._asked:
+            async with curio.ignore_after(GATHER_SECONDS):
+                await self._gathered.wait()
+        self._asked = 0
+
+    async def _tell(
+        self,
+        outcome: WriteOutcome,
+        shard: Shard,
+        handed_by_holder: dict[str, HandedRenewals],
+        refused: set[str],
+    ) -> None:
+        done = outcome is WriteOutcome.DONE
+        summaries = shard.summaries() if done and handed_by_holder else {}
+        for holder, handed in handed_by_holder.items():
+            if holder in refused:
+                answer = RenewalsWritten(
+                    boot=handed.stamp.boot, outcome=WriteOutcome.NOT_DONE
+                )
+            elif done:
+                answer = _answer(shard, handed, summaries)
+            else:
+                answer = RenewalsWritten(boot=handed.stamp.boot, outcome=outcome)
+            await self._group.answer(holder, answer)
+
+    async def _write(
+        self, handed_by_holder: dict[str, HandedRenewals]
+    ) -> tuple[WriteOutcome, Shard, set[str]]:
+        """Write; return the outcome, the ledgers and whose renewals are void."""
+        try:
+            shard, refused = await self._tries(handed_by_holder)
+        except PlatformUnavailable as exc:
+            if not self._ledgers.in_doubt and not self._sent_at_by_boot:
+                # Nothing was written, so tokens on their way back are still here:
+                # callers need them in an outage.
+                self._allowances.withdraw()
+            self._note_reachable(False, str(exc))
+            self._waits_until = monotonic() + RETRY_SECONDS
+            return WriteOutcome.NOT_DONE, Shard(), set()
+        except OutcomeUnknown as exc:
+            # The ledger itself tells what holds, so look again at once.
+            log_info("renewal_repeated", error=repr(exc))
+            await self._woken.set()
+            return WriteOutcome.UNKNOWN, Shard(), set()
+        except _CAME_FIRST as exc:
+            self._wrote_last = False
+            log_info("renewal_repeated", error=repr(exc), refusals=self._refusals)
+            pause = pause_after_refusals(self._refusals, self._random)
+            self._waits_until = monotonic() + pause
+            return WriteOutcome.NOT_DONE, Shard(), set()
+        except (LedgerError, RouterSealed) as exc:
+            log_error("renewal_failed", error=repr(exc))
+            self._waits_until = monotonic() + RETRY_SECONDS
+            return WriteOutcome.NOT_DONE, Shard(), set()
+        self._note_reachable(True, "")
+        return WriteOutcome.DONE, shard, refused
+
+    async def _tries(
+        self, handed_by_holder: dict[str, HandedRenewals]
+    ) -> tuple[Shard, set[str]]:
+        """Write, from what each refusal brings along, until nobody comes first.
+
+        A refused write means that another was done, so a crowd gets through one by
+        one; a pause here would only make what the refusal brought old.
+        """
+        self._ledgers.forget_refusal()
+        beside_others = self._may_hand_over() and self._group.place() > 0
+        tries = TRIES_BESIDE_OTHERS if beside_others else TRIES
+        for _ in range(tries - 1):
+            try:
+                return await self._write_once(handed_by_holder)
+            except _CAME_FIRST:
+                self._wrote_last = False
+                self._refusals += 1
+        return await self._write_once(handed_by_holder)
+
+    async def _write_once(
+        self, handed_by_holder: dict[str, HandedRenewals]
+    ) -> tuple[Shard, set[str]]:
+        allowances = self._allowances
+        shard = await self._ledgers.read(trusts_own=self._wrote_last)
+        allowances.resolve(shard)
+        if self._ledgers.outran and not self._sent_at_by_boot:
+            # A renewal made from an older ledger asks for what is no longer there.
+            allowances.withdraw()
+        reading = self._clocks()
+        renewed = shard.provisioned(_prepaid(self._table), self._revision)
+        merges = not self.merged and self._may_merge(renewed, reading)
+        if merges:
+            self._log_predecessors(renewed)
+            renewed = allowances.merged(renewed)
+        renewed = allowances.renewed(renewed, reading)
+        renewed, refused = _joined(renewed, handed_by_holder)
+        # Counted from the try: a write whose answer is lost may have put its
+        # stamp there, and a successor would trust the cap for longer.
+        self._tried_at = reading
+        begun = monotonic()
+        try:
+            await self._ledgers.write(renewed)
+        finally:
+            self._wrote_in(monotonic() - begun)
+        allowances.resolve(renewed)
+        self.merged = self.merged or merges
+        self._void(reading.boot)
+        self._wrote_last = True
+        self._refusals = 0
+        self.read_at = reading.monotonic
+        return renewed, refused
+
+    def _wrote_in(self, seconds: float) -> None:
+        seconds = min(seconds, LONGEST_WRITE_SECONDS)
+        self._write_seconds += (seconds - self._write_seconds) * WRITE_WEIGHT
+
+    def _may_merge(self, shard: Shard, reading: Reading) -> bool:
+        """Whether to charge predecessors now, or wait for the peers' clocks."""
+        self._allowances.know_time(reading)
+        return monotonic() >= self._merges_by or not self._allowances.lacks_time(shard)
+
+    def _log_predecessors(self, shard: Shard) -> None:
+        merged = self._allowances.merged(shard)
+        unspent = _unspent(merged)
+        for one in self._allowances.predecessors(shard):
+            log_info(
+                "predecessor_charged",
+                holder=one.holder,
+                last_write_age=one.age,
+                granted=one.granted,
+                told=one.told,
+                unspent_before=_unspent(shard),
+                unspent_after=unspent,
+                prepaid=sum(one.prepaid for one in shard.ledger_by_customer.values()),
+            )
+
+    def _note_reachable(self, reachable: bool, error: str) -> None:
+        if reachable == self.reachable:
+            return
+        self.reachable = reachable
+        if reachable:
+            log_info("dependency_regained", dependency="ledgers")
+        else:
+            log_warning("dependency_lost", dependency="ledgers", error=error)
+
+
+def _joined(
+    shard: Shard, handed_by_holder: dict[str, HandedRenewals]
+) -> tuple[Shard, set[str]]:
+    """Return the shard with the peers' renewals, and whose were refused."""
+    refused = set()
+    for holder, handed in handed_by_holder.items():
+        try:
+            shard = shard.joined(handed)
+        except (LedgerError, RouterSealed) as exc:
+            log_info("renewals_refused", holder=holder, error=str(exc))
+            refused.add(holder)
+    return shard, refused
+
+
+def _answer(
+    shard: Shard, handed: HandedRenewals, summary_by_customer: dict[str, Ledger]
+) -> RenewalsWritten:
+    """Return the answer; to an urgent message with its own customers only."""
+    if handed.urgent:
+        summary_by_customer = {
+            customer: summary_by_customer[customer]
+            for customer in handed.renewal_by_customer
+        }
+    grant_by_customer = {
+        customer: shard.ledger_by_customer[customer].grants[handed.holder]
+        for customer in handed.renewal_by_customer
+    }
+    return RenewalsWritten(
+        boot=handed.stamp.boot,
+        outcome=WriteOutcome.DONE,
+        revision=shard.revision,
+        grant_by_customer=grant_by_customer,
+        summary_by_customer=summary_by_customer,
+    )
+
+
+def _unspent(shard: Shard) -> int:
+    ledgers = shard.ledger_by_customer.values()
+    return sum(ledger.prepaid - ledger.total_spent for ledger in ledgers)
+
+
+def _prepaid(table: RoutingTable) -> dict[str, int]:
+    return {
+        name: customer.prepaid
+        for name, customer in table.customer_by_name.items()
+        if customer.prepaid is not None
+    }
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -5,11 +5,11 @@
 
 import curio
 
+from ragwortkeel.budget.clocks import read_clocks
 from ragwortkeel.configuration_store import InForce
 from ragwortkeel.exceptions import ConfigurationUnreadable
 from ragwortkeel.http_server import HttpServer
 from ragwortkeel.ingress.budget_keeper import BudgetKeeper
-from ragwortkeel.ingress.clocks import read_clocks
 from ragwortkeel.ingress.configuration import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -33,9 +33,11 @@
 from ragwortkeel.messages import (
     ClockAnswer,
     CrashSeen,
+    HandedRenewals,
     Heartbeat,
     LoanRequest,
     PlatformAnswer,
+    RenewalsWritten,
     TokenLoan,
     VersionedObject,
 )
@@ -114,6 +116,7 @@
             platform=self._platform,
             holder=incarnation,
             ask_peers=self._peers.ask_loan,
+            group=self._peers,
             clocks=self._time.reading,
         )
         self._connections = UpstreamConnections(id_header=names.request_id)
@@ -266,6 +269,22 @@
         )
         await self._keeper.borrowed(loan)
 
+    def writing_step(self) -> int:
+        """Return how slowly this process writes ledgers."""
+        return self._keeper.renewals.writing_step
+
+    def renewals_called(self) -> HandedRenewals | None:
+        """Return what a peer that writes the ledgers should take along."""
+        return self._keeper.renewals.called()
+
+    async def heard_renewals(self, handed: HandedRenewals) -> None:
+        """Take in renewals to write along."""
+        await self._keeper.renewals.heard(handed)
+
+    async def renewals_written(self, answer: RenewalsWritten) -> None:
+        """Take in what became of renewals that a peer was handed."""
+        await self._keeper.renewals.written(answer)
+
     async def relayed(self, answer: PlatformAnswer) -> None:
         """Take in the answer to a call that a peer made."""
         await self._platform.answered(answer)
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -9,6 +9,10 @@
 
 import msgspec
 
+from ragwortkeel.budget.clocks import Stamp
+from ragwortkeel.budget.grant import Grant, Renewal
+from ragwortkeel.budget.ledger import Ledger
+
 
 class Message(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Base of all messages; the tag is the class name."""
@@ -406,7 +410,8 @@
     """What an ingress process has where, and whom it knows.
 
     `address` is the sender's own, `addresses` are those of its peers; `relays` are
-    those among them (or itself) that only relay calls of the platform.
+    those among them (or itself) that only relay calls of the platform;
+    `writing_step` says how slowly the sender writes ledgers, see `budget.turns`.
     """
 
     node: str
@@ -414,6 +419,7 @@
     addresses: tuple[str, ...]
     relays: tuple[str, ...]
     load_by_upstream: dict[str, UpstreamLoad]
+    writing_step: int = 0
 
 
 class LoanRequest(Message):
@@ -438,6 +444,59 @@
     returned: int = 0
 
 
+class RenewalCall(Message):
+    """The sender is about to write the ledgers and would take renewals along."""
+
+
+class HandedRenewals(Message):
+    """Renewals of one process that another may write along with its own.
+
+    Attributes
+    ----------
+    holder : str
+        Incarnation of the sender.
+    stamp : Stamp
+        When it was made; a later one of the same holder replaces it.
+    urgent : bool
+        Whether callers wait for it, so that it is to be written at once.
+    """
+
+    holder: str
+    stamp: Stamp
+    renewal_by_customer: dict[str, Renewal]
+    urgent: bool = False
+
+
+class WriteOutcome(StrEnum):
+    """What became of a write."""
+
+    DONE = "done"
+    NOT_DONE = "not_done"
+    UNKNOWN = "unknown"
+
+
+class RenewalsWritten(Message):
+    """What became of a peer's `HandedRenewals`.
+
+    Attributes
+    ----------
+    boot : float
+        Of the stamp of the renewals that this answers.
+    revision : int
+        Of the configuration whose budgets the ledgers hold.
+    grant_by_customer : dict of str to Grant
+        What was written for the holder.
+    summary_by_customer : dict of str to Ledger
+        All ledgers after the write; see `budget.summary`.
+    """
+
+    boot: float
+    outcome: WriteOutcome
+    revision: int = 0
+    grant_by_customer: dict[str, Grant] = {}
+    summary_by_customer: dict[str, Ledger] = {}
+
+
 class ClockQuestion(Message):
     """What time is it there?  `asked_at` is the asker's boot clock, in seconds."""
 
@@ -488,6 +547,9 @@
     | PlatformAnswer
     | LoanRequest
     | TokenLoan
+    | RenewalCall
+    | HandedRenewals
+    | RenewalsWritten
     | ClockQuestion
     | ClockAnswer
 )
--- a/src/ragwortkeel/platform_calls.py
+++ b/src/ragwortkeel/platform_calls.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from time import monotonic
 
 from ragwortkeel.exceptions import (
     ConnectFailed,
@@ -18,6 +19,7 @@
 )
 from ragwortkeel.httpio import HttpClient, Response
 from ragwortkeel.platform import MAX_VALUE_BYTES
+from ragwortkeel.policy.timeouts import AnswerTimeout
 from ragwortkeel.settings import Address
 
 CALL_SECONDS = 2.0
@@ -35,7 +37,8 @@
     address : str
         ``ip:port`` of the object service.
     timeout : float
-        Seconds for one call; a watch has its own wait on top.
+        Seconds for one call at the most, less while answers are quick; a watch has
+        its own wait on top.
     on_failure : callable, optional
         Called with the kind of each failure, for metrics.
     """
@@ -49,7 +52,7 @@
     ) -> None:
         where = Address.parse(address)
         self._client = HttpClient(host=where.host, port=where.port)
-        self._timeout = timeout
+        self._timeout = AnswerTimeout(longest=timeout)
         self._on_failure = on_failure
 
     async def read(
@@ -61,9 +64,7 @@
     ) -> Response:
         """Return the answer to a read, of one of the `allowed` statuses."""
         try:
-            response = await self._client.request(
-                "GET", target, timeout=self._timeout + wait
-            )
+            response = await self._request("GET", target, wait=wait)
         except (ConnectFailed, ExchangeBroken) as exc:
             raise self.unavailable(str(exc)) from exc
         if response.status not in allowed:
@@ -77,9 +78,7 @@
         if len(body) > MAX_VALUE_BYTES:
             raise ValueRefused(f"{target}: more than {MAX_VALUE_BYTES} bytes")
         try:
-            response = await self._client.request(
-                method, target, body=body, headers=headers, timeout=self._timeout
-            )
+            response = await self._request(method, target, body=body, headers=headers)
         except ConnectFailed as exc:
             raise self.unavailable(str(exc)) from exc
         except ExchangeBroken as exc:
@@ -92,6 +91,21 @@
             raise ValueRefused(f"{target}: status {response.status}")
         return response
 
+    async def _request(
+        self, method: str, target: str, *, wait: float = 0.0, **fields
+    ) -> Response:
+        begun = monotonic()
+        try:
+            response = await self._client.request(
+                method, target, timeout=self._timeout.seconds + wait, **fields
+            )
+        except (ConnectFailed, ExchangeBroken):
+            self._timeout.timed_out()
+            raise
+        if not wait:
+            self._timeout.answered(monotonic() - begun)
+        return response
+
     async def close(self) -> None:
         """Close the kept connections."""
         await self._client.close()
--- a/tests/ingress/allowance_world.py
+++ b/tests/budget/allowance_world.py
@@ -2,9 +2,11 @@
 
 from dataclasses import dataclass, field
 
-from ragwortkeel.ingress.allowance import Allowances
-from ragwortkeel.ingress.clocks import Reading
-from ragwortkeel.ingress.shards import Shard
+from ragwortkeel.budget.allowance import Allowances
+from ragwortkeel.budget.clocks import Reading
+from ragwortkeel.budget.shards import Shard
+from ragwortkeel.exceptions import LedgerError, RenewalVoid, RouterSealed
+from ragwortkeel.messages import HandedRenewals, RenewalsWritten, WriteOutcome
 
 CUSTOMER = "surco"
 OTHER = "maule"
@@ -36,6 +38,11 @@
     hears: bool = True
     patience: int = 0
     open_holds: list = field(default_factory=list)
+    handed_boots: set = field(default_factory=set)
+
+    def void(self, boot):
+        """Forget messages made up to here: none of them can be written any more."""
+        self.handed_boots = {made for made in self.handed_boots if made > boot}
 
     def reading(self, now):
         # Of the clocks that the fleet shows one at least is right.
@@ -58,6 +65,7 @@
         self.read = None
         self.tried_version = 0
         self.open_holds = []
+        self.handed_boots = set()
 
     def die(self):
         self.allowances = None
@@ -83,6 +91,7 @@
         self.version = 0
         self.shard = None
         self.late: list[Write] = []
+        self.late_messages: list[tuple[Machine, HandedRenewals]] = []
         self.revision = 1
         self.prepaid = dict(PREPAID)
         self.highest_prepaid = dict(PREPAID)
@@ -138,7 +147,8 @@
     def read_ledger(self, machine):
         machine.read = (self.version, self.shard or Shard())
         machine.allowances.resolve(machine.read[1])
-        if self.version > machine.tried_version or self.withdraws_at_once:
+        outran = self.version > machine.tried_version and not machine.handed_boots
+        if outran or self.withdraws_at_once:
             machine.allowances.withdraw()
 
     def write_ledger(self, machine, fate):
@@ -169,9 +179,54 @@
         done = self.apply(write)
         if done and fate == "done":
             machine.allowances.resolve(renewed)
+            machine.void(reading.boot)
             machine.merged = machine.merged or merges
             machine.tried_at = reading
 
+    def hand_over(self, machine, fate):
+        """Send renewals to a peer; `fate` is done, refused, lost or late.
+
+        Refused and lost: they are never written, and the sender is told or not.
+        """
+        if not machine.merged or machine.allowances.lacks_grants(self.prepaid):
+            return
+        reading = machine.reading(self.now)
+        if reading.boot in machine.handed_boots:
+            return
+        handed = machine.allowances.handed(reading, urgent=False)
+        machine.tried_at = reading
+        machine.handed_boots.add(reading.boot)
+        match fate:
+            case "refused":
+                machine.handed_boots.discard(reading.boot)
+            case "late":
+                self.late_messages.append((machine, handed))
+            case "done":
+                self.write_for(machine, handed)
+
+    def write_for(self, machine, handed, *, answers=True):
+        """Let a peer write what it was handed, at the newest version."""
+        try:
+            shard = self.shard.joined(handed)
+        except (RenewalVoid, RouterSealed, LedgerError):
+            return
+        self.apply(Write(version=self.version, shard=shard))
+        alive = machine.allowances
+        if not answers or alive is None or alive.holder != handed.holder:
+            return
+        alive.written(
+            RenewalsWritten(
+                boot=handed.stamp.boot,
+                outcome=WriteOutcome.DONE,
+                grant_by_customer={
+                    name: shard.ledger_by_customer[name].grants[handed.holder]
+                    for name in handed.renewal_by_customer
+                },
+                summary_by_customer=shard.summaries(),
+            )
+        )
+        machine.void(handed.stamp.boot)
+
     def close(self, machine):
         """Stop as planned, with nothing open."""
         if machine.open_holds:
--- a/tests/ingress/test_allowance.py
+++ b/tests/budget/test_allowance.py
@@ -1,13 +1,13 @@
 """Sizes of slices and caps, and what they answer."""
 
-from ragwortkeel.ingress.allowance import (
+from ragwortkeel.budget.allowance import (
     HEADROOM_RENEWALS,
     HEADROOM_SECONDS,
     LONGEST_RENEWAL_SECONDS,
     Allowances,
 )
-from ragwortkeel.ingress.clocks import Reading
-from ragwortkeel.ingress.shards import Shard
+from ragwortkeel.budget.clocks import Reading
+from ragwortkeel.budget.shards import Shard
 
 PREPAID = 1_000_000
 
--- a/tests/ingress/test_allowance_machine.py
+++ b/tests/budget/test_allowance_machine.py
@@ -6,7 +6,7 @@
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
-from tests.ingress.allowance_world import CUSTOMER, OTHER, AllowanceWorld
+from tests.budget.allowance_world import CUSTOMER, OTHER, AllowanceWorld
 
 FATES = ["done", "done", "done", "refused", "lost", "late"]
 customers = st.sampled_from([CUSTOMER, OTHER])
@@ -55,6 +55,18 @@
             self.world.read_ledger(machine)
             self.world.write_ledger(machine, fate)
 
+    @rule(index=indexes, fate=st.sampled_from(FATES))
+    def hand_over(self, index, fate):
+        if machine := self.process(index):
+            self.world.hand_over(machine, fate)
+
+    @rule(data=st.data(), answers=st.booleans())
+    def late_message(self, data, answers):
+        messages = self.world.late_messages
+        if messages:
+            at = data.draw(st.integers(0, len(messages) - 1))
+            self.world.write_for(*messages.pop(at), answers=answers)
+
     @rule(lender=indexes, asker=indexes, customer=customers, arrives=st.booleans())
     def lend(self, lender, asker, customer, arrives):
         one, other = self.process(lender), self.process(asker)
@@ -153,7 +165,8 @@
 
 def ordinary_step(world, random):
     machine = random.choice(world.machines)
-    match random.choices(["reserve", "settle", "renew", "late"], [20, 8, 30, 2])[0]:
+    step = ["reserve", "settle", "renew", "late", "hand", "message"]
+    match random.choices(step, [20, 8, 30, 2, 20, 4])[0]:
         case "reserve":
             world.reserve(machine, CUSTOMER, random.randint(1, 40))
         case "settle" if machine.open_holds:
@@ -163,6 +176,11 @@
             world.write_ledger(machine, random.choice(FATES))
         case "late" if world.late:
             world.apply(world.late.pop())
+        case "hand":
+            world.hand_over(machine, random.choice(FATES))
+        case "message" if world.late_messages:
+            message = world.late_messages.pop(0)
+            world.write_for(*message, answers=random.random() < 0.5)
     world.now += random.uniform(0.1, 0.6)
 
 
@@ -202,7 +220,7 @@
     account = one.allowances.account(CUSTOMER)
     for _ in range(2):
         # Not reserved yet the first time: the renewal makes the room.
-        world.reserve(one, CUSTOMER, 3_000)
+        world.reserve(one, CUSTOMER, 3_900)
         world.read_ledger(one)
         world.write_ledger(one, "done")
     # What came after the cap's renewal leaves room for all that is free.
--- /dev/null
+++ b/tests/budget/test_turns.py
@@ -0,0 +1,69 @@
+"""Who writes the ledgers, for dozens of processes that start and die at any time."""
+
+from random import Random
+
+from ragwortkeel.budget.turns import (
+    LONGEST_PAUSE_SECONDS,
+    QUICK_SECONDS,
+    STEP_SECONDS,
+    TICK_SECONDS,
+    UNREACHABLE_STEP,
+    Writer,
+    first_in_order,
+    patience,
+    pause_after_refusals,
+    place_in_order,
+    step_of,
+)
+
+NAMES = [f"10.{zone}.0.{n}:7680" for zone in range(1, 4) for n in range(7)]
+WRITERS = [Writer(name=name) for name in NAMES]
+
+
+def test_all_agree_on_the_order_without_a_message():
+    places = [
+        place_in_order(one, [other for other in WRITERS if other != one])
+        for one in WRITERS
+    ]
+    assert sorted(places) == list(range(len(WRITERS)))
+    assert WRITERS[places.index(0)] == first_in_order(WRITERS)
+
+
+def test_a_process_that_hears_nobody_writes_at_once():
+    assert place_in_order(WRITERS[0], []) == 0
+    assert patience(0) == TICK_SECONDS
+
+
+def test_when_the_first_dies_the_second_stands_in_after_a_step():
+    """Callers' tokens are not renewed for seconds after one process was killed.
+
+    It wrote for all others, which still counted on it.
+    """
+    first = first_in_order(WRITERS)
+    left = [one for one in WRITERS if one != first]
+    second = first_in_order(left)
+    assert patience(place_in_order(second, WRITERS)) == TICK_SECONDS + STEP_SECONDS
+
+
+def test_slow_processes_write_last():
+    """Callers of all processes wait for a write over the slowest link of the fleet."""
+    first = first_in_order(WRITERS)
+    slow = Writer(name=first.name, step=step_of(5 * QUICK_SECONDS, reachable=True))
+    others = [one for one in WRITERS if one != first]
+    assert place_in_order(slow, others) == len(others)
+    assert first_in_order([slow, *others]) != slow
+
+
+def test_who_does_not_reach_the_platform_stands_behind_all_who_do():
+    slowest = step_of(60.0, reachable=True)
+    assert slowest < step_of(0.0, reachable=False) == UNREACHABLE_STEP
+
+
+def test_small_differences_in_speed_change_nothing():
+    assert step_of(0.004, reachable=True) == step_of(0.02, reachable=True) == 0
+
+
+def test_pauses_after_refusals_spread_a_crowd():
+    pauses = [pause_after_refusals(8, Random(seed)) for seed in range(50)]
+    assert max(pauses) <= LONGEST_PAUSE_SECONDS
+    assert max(pauses) - min(pauses) > LONGEST_PAUSE_SECONDS / 2
--- a/tests/cli/test_cli_ingress.py
+++ b/tests/cli/test_cli_ingress.py
@@ -6,13 +6,13 @@
 import pytest
 
 from ragwortkeel.budget.ledger import Ledger
+from ragwortkeel.budget.shards import SHARDS_KIND, Shard, encode_shard
 from ragwortkeel.ingress.configuration import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
     IngressConfiguration,
 )
 from ragwortkeel.ingress.ledger_store import SHARD_NAME
-from ragwortkeel.ingress.shards import SHARDS_KIND, Shard, encode_shard
 
 EXAMPLE = Path(__file__).parents[2] / "examples" / "ingress" / "surco.json"
 
--- a/tests/ingress/test_budgets.py
+++ b/tests/ingress/test_budgets.py
@@ -5,9 +5,9 @@
 import pytest
 from tests.ingress.in_process import run_ingress
 
+from ragwortkeel.budget.shards import SHARDS_KIND, USABLE_SHARE, decode_shard
 from ragwortkeel.ingress import budget_keeper
 from ragwortkeel.ingress.ledger_store import SHARD_NAME
-from ragwortkeel.ingress.shards import SHARDS_KIND, USABLE_SHARE, decode_shard
 
 PREPAID = 1_000
 SMALL = {"x_token_bound": "40,60", "x_prompt_parts": "p:40"}
--- a/tests/ingress/test_clocks.py
+++ b/tests/ingress/test_clocks.py
@@ -1,6 +1,6 @@
 import pytest
 
-from ragwortkeel.ingress.clocks import FLEET_SLACK_SECONDS, JUMP_SECONDS, Reading
+from ragwortkeel.budget.clocks import FLEET_SLACK_SECONDS, JUMP_SECONDS, Reading
 
 
 def reading(monotonic=100.0, boot=100.0, wall=1000.0, **bounds):
--- a/tests/ingress/test_fleet_time.py
+++ b/tests/ingress/test_fleet_time.py
@@ -1,6 +1,6 @@
 """The time of day as a fleet knows it."""
 
-from ragwortkeel.ingress.clocks import Reading
+from ragwortkeel.budget.clocks import Reading
 from ragwortkeel.ingress.fleet_time import LEAST_PEERS, FleetTime
 from ragwortkeel.messages import ClockAnswer
 
--- a/tests/ingress/test_ledger_store.py
+++ b/tests/ingress/test_ledger_store.py
@@ -3,9 +3,9 @@
 import curio
 import pytest
 
+from ragwortkeel.budget.shards import Shard
 from ragwortkeel.exceptions import OutcomeUnknown, VersionConflict
 from ragwortkeel.ingress.ledger_store import LedgerStore
-from ragwortkeel.ingress.shards import Shard
 from ragwortkeel.standins.local_platform import LocalPlatform
 
 
--- /dev/null
+++ b/tests/ingress/test_renewals.py
@@ -0,0 +1,192 @@
+"""One write of the ledgers for several processes, and what stands in when it fails."""
+
+import curio
+from tests.ingress.builders import configuration
+
+from ragwortkeel.budget.allowance import Allowances
+from ragwortkeel.budget.clocks import read_clocks
+from ragwortkeel.budget.shards import SHARDS_KIND, decode_shard
+from ragwortkeel.ingress.configuration import Customer
+from ragwortkeel.ingress.ledger_store import SHARD_NAME
+from ragwortkeel.ingress.renewals import Renewals
+from ragwortkeel.ingress.routing import RoutingTable
+from ragwortkeel.messages import WriteOutcome
+from ragwortkeel.standins.local_platform import LocalPlatform
+
+CUSTOMER = "surco"
+PATIENCE = 20.0
+
+
+class FakeGroup:
+    """Peers that a test plays: messages go straight to the other's `Renewals`."""
+
+    def __init__(self, *, place):
+        self.own_place = place
+        self.other = None
+        self.mute = False
+        self.avoided = []
+        self.answers = []
+
+    def place(self):
+        return self.own_place
+
+    async def call_renewals(self):
+        handed = None if self.other is None else self.other.called()
+        if handed is None:
+            return 0
+        await self.owner.heard(handed)
+        return 1
+
+    async def hand_over(self, handed):
+        if self.other is None:
+            return None
+        if not self.mute:
+            await self.other.heard(handed)
+        return "other"
+
+    def avoid(self, address):
+        self.avoided.append(address)
+
+    async def answer(self, holder, answer):
+        self.answers.append(answer)
+        if self.other is not None and not self.mute:
+            await self.other.written(answer)
+
+
+class Process:
+    """One process with a slice, without links."""
+
+    def __init__(self, platform, *, name, place):
+        self.allowances = Allowances(holder=f"{name}/1", started=read_clocks())
+        self.group = FakeGroup(place=place)
+        self.renewals = Renewals(
+            platform=platform,
+            allowances=self.allowances,
+            clocks=read_clocks,
+            group=self.group,
+        )
+        self.group.owner = self.renewals
+        customers = (Customer(name=CUSTOMER, keys=("k",), prepaid=100_000),)
+        table = RoutingTable(configuration=configuration(1, customers=customers))
+        self.renewals.configure(table)
+
+    @property
+    def account(self):
+        return self.allowances.account(CUSTOMER)
+
+    async def start(self):
+        self.task = await curio.spawn(self.renewals.run, daemon=True)
+        while not self.renewals.merged:
+            await curio.sleep(0.005)
+
+    async def served(self, tokens):
+        """Wait as a request does for so many tokens."""
+        self.account.waiting += tokens
+        while self.account.reserve(tokens) is None:
+            await self.renewals.wake()
+            await curio.sleep(0.005)
+        self.account.waiting -= tokens
+
+
+def run_two(scenario):
+    """Run a scenario of two processes, the first of which writes for both."""
+
+    async def main():
+        platform = LocalPlatform()
+        first = Process(platform, name="a", place=0)
+        second = Process(platform, name="b", place=1)
+        for one, other in ((first, second), (second, first)):
+            await one.start()
+            one.group.other = other.renewals
+        try:
+            async with curio.timeout_after(PATIENCE):
+                return await scenario(platform, first, second)
+        finally:
+            for one in (first, second):
+                await one.task.cancel()
+
+    return curio.run(main)
+
+
+def test_a_process_that_is_written_for_does_not_write():
+    """The calls of the platform grow with the square of the processes."""
+
+    async def scenario(platform, first, second):
+        while not first.group.answers:
+            await curio.sleep(0.01)
+        before = second.renewals.read_at
+        while second.renewals.read_at == before:
+            await curio.sleep(0.01)
+        stored = await platform.get(SHARDS_KIND, SHARD_NAME)
+        shard = decode_shard(stored.value)
+        return first.group.answers[0], shard, second.allowances.holder
+
+    answer, shard, holder = run_two(scenario)
+    assert answer.outcome is WriteOutcome.DONE
+    assert CUSTOMER in answer.summary_by_customer
+    assert holder in shard.stamp_by_holder
+
+
+def test_callers_of_a_process_that_does_not_write_get_their_tokens():
+    async def scenario(platform, first, second):
+        await second.served(30_000)
+        return first.group.answers
+
+    assert any(answer.outcome is WriteOutcome.DONE for answer in run_two(scenario))
+
+
+def test_a_process_that_gets_no_answer_writes_by_itself():
+    """Callers wait in vain: the process that wrote for all was killed just now."""
+
+    async def scenario(platform, first, second):
+        await first.task.cancel()
+        second.group.mute = True
+        await second.served(30_000)
+        return second.group.avoided
+
+    assert run_two(scenario)[0] == "other"
+
+
+def test_in_an_outage_who_handed_over_hears_that_nothing_was_done():
+    async def scenario(platform, first, second):
+        platform.switches.down = True
+        first.group.answers.clear()
+        handed = second.renewals.called()
+        await first.renewals.heard(handed)
+        while not first.group.answers:
+            await first.renewals.wake()
+            await curio.sleep(0.01)
+        return first.group.answers[0], handed
+
+    answer, handed = run_two(scenario)
+    assert answer.boot == handed.stamp.boot
+    assert answer.outcome is not WriteOutcome.DONE
+
+
+def test_what_was_handed_over_is_not_taken_back_before_it_is_void():
+    """A customer gets more than it paid for, by what a process had given back.
+
+    The process handed that over, the platform went away before it heard what
+    became of it, and it spent the tokens; the peer's write had taken effect.
+    """
+
+    async def scenario(platform, first, second):
+        second.account.recall(1_000)
+        handed = second.renewals.called()
+        given_back = handed.renewal_by_customer[CUSTOMER].give_back
+        second.group.other = None
+        platform.switches.down = True
+        while second.renewals.reachable:
+            await curio.sleep(0.01)
+        return given_back, second.account.slice.giving_back
+
+    given_back, kept_back = run_two(scenario)
+    assert kept_back == given_back >= 1_000
+
+
+def test_a_planned_stop_takes_no_more_part():
+    async def scenario(platform, first, second):
+        closed = await second.renewals.close()
+        return closed, second.renewals.called()
+
+    assert run_two(scenario) == (True, None)
