Grants for spent budgets too; a peer is asked after a write without an answer

And where all processes are cut off, a write hung until its timeout, the look that follows it hung as long, and callers were refused for tokens that were there.

Every customer has a grant here; a write without an answer makes the straight way count as lost while a peer can carry calls; requests wait 0.7 s for a renewal that is on its way, which in a cut comes after half a second.

--- a/src/ragwortkeel/budget/account.py
+++ b/src/ragwortkeel/budget/account.py
@@ -276,7 +276,8 @@
         return self.slice.reserved + headroom + self.waiting
 
     def _due(self, holding: int, take: int, give_back: int, cap: int) -> bool:
-        if self.waiting or give_back:
+        # Without a grant no peer may renew this slice, so an empty one is made too.
+        if self.waiting or give_back or not self.slice.in_ledger:
             return True
         # The stamp of this write makes all caps count from now on: one that had
         # grown would be charged as if it had not.
--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -19,10 +19,11 @@
 from ragwortkeel.messages import LoanRequest, TokenLoan
 from ragwortkeel.platform import Platform
 
-LACK_WAIT_SECONDS = 0.35
+LACK_WAIT_SECONDS = 0.7
 """How long a request waits for tokens that the platform may give: it answers in
-4 ms, on slow days in 250.  Where the process that writes for all has just died, 0.2 s
-pass before this one does."""
+4 ms, on slow days in 250.  Where all processes are cut off from it, the writer finds
+out after 0.25 s, who handed over to it after 0.2 s more, and then peers carry the
+calls; a refusal would bring the caller back later than that, and only once."""
 
 LOAN_WAIT_SECONDS = 0.06
 """How long it waits for a loan: peers answer in 2 ms, and whoever has tokens
--- a/src/ragwortkeel/ingress/relaying.py
+++ b/src/ragwortkeel/ingress/relaying.py
@@ -185,9 +185,14 @@
     async def _call(
         self, direct: Callable[[], Awaitable[PlatformAnswer]], **fields
     ) -> PlatformAnswer:
-        if not self._away:
+        if not self._away or not self._relays():
             try:
                 return await direct()
+            except OutcomeUnknown as exc:
+                # A write without an answer is mostly a cut.  Whoever repeats it looks
+                # first, and that look would hang as long as the write did.
+                self._lost(str(exc))
+                raise
             except PlatformUnavailable as exc:
                 self._lost(str(exc))
         return await self._relayed(PlatformCall(call_id=next(self._ids), **fields))
--- a/tests/budget/test_shards.py
+++ b/tests/budget/test_shards.py
@@ -134,6 +134,21 @@
         )
 
 
+def test_a_budget_that_is_spent_gets_its_grant_too():
+    """Calls of the platform never end after all processes were restarted.
+
+    A customer's budget was spent, so nothing was due for it; without a grant of it
+    each process went on writing by itself, twenty times a second.
+    """
+    _, shard = started()
+    ledger = shard.ledger_by_customer[CUSTOMER]
+    spent = msgspec.structs.replace(ledger, spent=ledger.prepaid, grants={})
+    shard = msgspec.structs.replace(shard, ledger_by_customer={CUSTOMER: spent})
+    allowances = Allowances(holder="j/1", started=reading(0.0))
+    allowances.resolve(allowances.renewed(shard, reading(1.0)))
+    assert not allowances.lacks_grants([CUSTOMER])
+
+
 class TestPacked:
     def test_it_comes_back_as_it_was(self):
         _, shard = started()
--- a/tests/ingress/test_relaying.py
+++ b/tests/ingress/test_relaying.py
@@ -172,6 +172,25 @@
         before, after = relayed(scenario, good)
         assert before == after == 1
 
+    def test_after_a_write_without_an_answer_a_peer_is_asked(self):
+        """Callers wait half a second for tokens when all processes are cut off.
+
+        The write hung until its timeout; its writer then looked at the ledger, and
+        that call hung on the same dead connection.
+        """
+
+        async def scenario(client, whole, direct, links):
+            async def hanging(kind, name, value):
+                raise OutcomeUnknown("no answer")
+
+            direct.create = hanging
+            with pytest.raises(OutcomeUnknown):
+                await client.create(KIND, "surco", b"1")
+            await client.get(KIND, "surco")
+            return direct.calls, links[0].calls
+
+        assert relayed(scenario, good, cut=False) == (0, 1)
+
     def test_while_the_straight_way_works_no_peer_is_asked(self):
         async def scenario(client, whole, direct, links):
             await client.create(KIND, "a", b"{}")
