Processes tell each other which shared prompt parts engines have read

Each process modelled an engine's kept parts from its own requests alone. Where load made one choose another engine than the first in rendezvous order, its peers had the same parts read once more at the first; after a restart a process knew nothing.

Reading the engines' own lists: calls that wait less or list are paid for.

Parts are known by a hash that is equal everywhere; a process tells its peers what is new with its loads, and all of it on a new link. The guess that somebody has had a part read at the first engine is made only where nobody is known to.

Tests: placement with parts told by peers; ingress and budget suites.

--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -74,6 +74,15 @@
     def own_loads(self) -> dict[str, Load]:
         """Return what this process has at each upstream."""
 
+    def parts_news(self) -> dict[str, dict[int, int]]:
+        """Return what upstreams began to read; see `Placement.news`."""
+
+    def all_parts(self) -> dict[str, dict[int, int]]:
+        """Return what upstreams hold of shared prompt parts."""
+
+    def heard_parts(self, upstream: str, tokens_by_chain: dict[int, int]) -> None:
+        """Take in what a peer let an upstream read."""
+
     def configuration_object(self) -> VersionedObject | None:
         """Return the configuration in force."""
 
@@ -326,11 +335,14 @@
             if introduces:
                 await self._ask_time(list(links.values()))
             if not self._is_relay or introduces:
-                await self._send(self._state(introduces=introduces), told)
+                news = self._handler.parts_news()
+                await self._send(self._state(introduces=introduces, parts=news), told)
             crowd = max(1.0, len(told) / PEERS_AT_FULL_RATE)
             await curio.sleep(TELL_SECONDS * crowd)
 
-    def _state(self, *, introduces: bool) -> IngressState:
+    def _state(
+        self, *, introduces: bool, parts: dict[str, dict[int, int]]
+    ) -> IngressState:
         return IngressState(
             node=self._node,
             address=self._address,
@@ -338,6 +350,7 @@
             relays=tuple(sorted(self._relays)) if introduces else (),
             load_by_upstream=_wire_loads(self._handler.own_loads()),
             writing_step=self._handler.writing_step(),
+            parts_by_upstream=parts,
         )
 
     def _to_link(self) -> set[str]:
@@ -365,7 +378,8 @@
             case LinkUp(peer=peer):
                 log_info("dependency_regained", dependency="peer", address=peer)
                 link = self._link_by_address[peer]
-                await self._send(self._state(introduces=True), [link])
+                parts = {} if peer in self._relays else self._handler.all_parts()
+                await self._send(self._state(introduces=True, parts=parts), [link])
                 await self._ask_time([link])
                 await self._greet(peer)
             case Received(
@@ -425,16 +439,7 @@
         """Take one message in; return what to answer."""
         match message:
             case IngressState() as state:
-                self._meet(state)
-                loads = {
-                    name: Load(
-                        running=load.running,
-                        memory_tokens=load.memory_tokens,
-                        unread_tokens=load.unread_tokens,
-                    )
-                    for name, load in state.load_by_upstream.items()
-                }
-                await self._handler.heard_loads(state.node, loads)
+                await self._take_state(state)
             case ConfigurationPush(objects=objects):
                 for one in objects:
                     await self._handler.heard_configuration(one)
@@ -452,6 +457,20 @@
                 return ClockAnswer(asked_at=asked_at, wall=read_clocks().wall)
         return None
 
+    async def _take_state(self, state: IngressState) -> None:
+        self._meet(state)
+        loads = {
+            name: Load(
+                running=load.running,
+                memory_tokens=load.memory_tokens,
+                unread_tokens=load.unread_tokens,
+            )
+            for name, load in state.load_by_upstream.items()
+        }
+        await self._handler.heard_loads(state.node, loads)
+        for name, parts in state.parts_by_upstream.items():
+            self._handler.heard_parts(name, parts)
+
     async def _take_renewals(self, message) -> HandedRenewals | None:
         match message:
             case RenewalCall():
--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -14,7 +14,9 @@
   that runs.  Without the first term shared parts are read again at each engine;
   without the others one hot prefix overloads one engine.
 - A prefix nobody has placed yet goes to its first engine in rendezvous order:
-  ingress processes agree on it without a message.
+  ingress processes agree on it without a message.  Where load made one choose
+  another engine it tells its peers, or each of them would have the shared parts read
+  once more, and all of them again after each restart.
 """
 
 from collections.abc import Callable
@@ -114,7 +116,7 @@
     running: int = 0
     memory_tokens: int = 0
     unread_tokens: int = 0
-    born: int = 0
+    born: int | None = None
     memory: PrefixMemory | None = None
     others_by_node: dict[str, tuple[float, Load]] = field(default_factory=dict)
 
@@ -149,6 +151,7 @@
         self._zone = zone
         self.ejections = ejections or Ejections()
         self._state_by_name: dict[str, _State] = {}
+        self._news_by_name: dict[str, dict[int, int]] = {}
 
     def choose(
         self,
@@ -217,6 +220,28 @@
             if state.running
         }
 
+    def news(self) -> dict[str, dict[int, int]]:
+        """Return the shared parts that upstreams began to read since the last call.
+
+        By upstream, tokens by chain; see `PrefixMemory`.
+        """
+        news, self._news_by_name = self._news_by_name, {}
+        return news
+
+    def all_parts(self) -> dict[str, dict[int, int]]:
+        """Return all shared parts that upstreams hold, for a process that is new."""
+        return {
+            name: state.memory.shared()
+            for name, state in self._state_by_name.items()
+            if state.memory is not None
+        }
+
+    def heard_parts(self, upstream: str, tokens_by_chain: dict[int, int]) -> None:
+        """Take in which shared parts another process let an upstream read."""
+        state = self._state_by_name.setdefault(upstream, _State())
+        state.memory = state.memory or PrefixMemory(capacity_tokens=None)
+        state.memory.heard(tokens_by_chain)
+
     def heard(self, node: str, load_by_upstream: dict[str, Load], now: float) -> None:
         """Take in what another process has at each upstream."""
         for name in load_by_upstream:
@@ -237,8 +262,10 @@
     def _state(self, upstream: Upstream) -> _State:
         state = self._state_by_name.setdefault(upstream.name, _State())
         if state.born != upstream.born:
+            # What peers told before this process knew the upstream still holds.
+            if state.born is not None:
+                state.memory = None
             state.born = upstream.born
-            state.memory = None
         return state
 
     def _has_room(
@@ -266,6 +293,9 @@
     ) -> Callable[[Upstream], float]:
         first = max(names, key=lambda n: _rendezvous(job.affinity, n), default="")
         shared = sum(part.tokens for part in job.parts[:-1])
+        if any(self._held(name, job) >= shared for name in names):
+            # Somebody has placed it, so nothing has to be guessed.
+            first = ""
 
         def cost(upstream: Upstream) -> float:
             state = self._state(upstream)
@@ -281,6 +311,12 @@
 
         return cost
 
+    def _held(self, name: str, job: Job) -> int:
+        state = self._state_by_name.get(name)
+        if state is None or state.memory is None:
+            return 0
+        return state.memory.held(job.parts)
+
     def _outside(self, upstream: Upstream) -> float:
         return 0.0 if upstream.zone == self._zone else OUTSIDE_ZONE_COST
 
@@ -290,9 +326,11 @@
         state = self._state(upstream)
         unread = job.prompt_tokens
         if service.engine is not None:
-            state.memory = state.memory or _memory(service.engine)
+            state.memory = _sized(state.memory, service.engine)
             unread = max(0, unread - state.memory.held(job.parts))
-            state.memory.read(job.parts)
+            new = state.memory.read(job.parts)
+            if new:
+                self._news_by_name.setdefault(upstream.name, {}).update(new)
         load = state.total(now)
         state.running += 1
         state.memory_tokens += job.memory_tokens
@@ -301,8 +339,10 @@
         return Placed(upstream=upstream, job=job, unread_tokens=unread, load=load)
 
 
-def _memory(engine: Engine) -> PrefixMemory:
-    return PrefixMemory(capacity_tokens=int(engine.memory_tokens * KEPT_SHARE))
+def _sized(memory: PrefixMemory | None, engine: Engine) -> PrefixMemory:
+    memory = memory or PrefixMemory(capacity_tokens=None)
+    memory.capacity_tokens = int(engine.memory_tokens * KEPT_SHARE)
+    return memory
 
 
 def _rendezvous(key: str, name: str) -> int:
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -84,6 +84,17 @@
         """Return that it has nothing at any upstream."""
         return {}
 
+    def parts_news(self) -> dict[str, dict[int, int]]:
+        """Return that it lets no upstream read anything."""
+        return {}
+
+    def all_parts(self) -> dict[str, dict[int, int]]:
+        """Return that it knows of no upstream."""
+        return {}
+
+    def heard_parts(self, upstream: str, tokens_by_chain: dict[int, int]) -> None:
+        """Leave it; nothing is placed here."""
+
     def configuration_object(self) -> VersionedObject | None:
         """Return no configuration."""
         return None
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -219,6 +219,18 @@
         """Return what this process has at each upstream."""
         return self._placement.own_loads()
 
+    def parts_news(self) -> dict[str, dict[int, int]]:
+        """Return what upstreams began to read for this process since the last call."""
+        return self._placement.news()
+
+    def all_parts(self) -> dict[str, dict[int, int]]:
+        """Return what upstreams are taken to hold of shared prompt parts."""
+        return self._placement.all_parts()
+
+    def heard_parts(self, upstream: str, tokens_by_chain: dict[int, int]) -> None:
+        """Take in what a peer let an upstream read."""
+        self._placement.heard_parts(upstream, tokens_by_chain)
+
     def configuration_object(self) -> VersionedObject | None:
         """Return the configuration in force, for a peer."""
         if not self._raw_configuration:
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -411,7 +411,9 @@
 
     `address` is the sender's own, `addresses` are those of its peers; `relays` are
     those among them (or itself) that only relay calls of the platform;
-    `writing_step` says how slowly the sender writes ledgers, see `budget.turns`.
+    `writing_step` says how slowly the sender writes ledgers, see `budget.turns`;
+    `parts_by_upstream` holds, by upstream, tokens by chain of shared prompt parts that
+    it began to read since the last such message, or on a new link all of them.
     """
 
     node: str
@@ -420,6 +422,7 @@
     relays: tuple[str, ...]
     load_by_upstream: dict[str, UpstreamLoad]
     writing_step: int = 0
+    parts_by_upstream: dict[str, dict[int, int]] = {}
 
 
 class LoanRequest(Message):
--- a/tests/ingress/test_placement.py
+++ b/tests/ingress/test_placement.py
@@ -72,6 +72,52 @@
         assert place(placement, huge, POOL, engines(1))
 
 
+def chat(index, shared="s1", tokens=4_000):
+    parts = ((shared, tokens), (f"o{index}", 50))
+    return job(f"r{index}", "pool", parts=parts, prompt=tokens + 50)
+
+
+class TestPartsToldByPeers:
+    def test_a_peer_sends_its_prompts_to_where_another_had_them_read(self):
+        """Shared parts of prompts are read once by each engine of the service.
+
+        The first engine in the order was busy, so one process chose another; its
+        peers went on with the first one, which had to read the parts too.
+        """
+        one, peer = Placement(zone="a"), Placement(zone="a")
+        first = place(peer, chat(0), POOL, engines()).upstream.name
+        others = {n: u for n, u in engines().items() if n != first}
+        elsewhere = place(one, chat(1), POOL, others).upstream.name
+        fresh = Placement(zone="a")
+        for name, parts in one.news().items():
+            fresh.heard_parts(name, parts)
+        placed = place(fresh, chat(2), POOL, engines())
+        assert placed.upstream.name == elsewhere
+        assert placed.unread_tokens == 50
+
+    def test_what_was_told_is_told_once_and_again_to_a_new_process(self):
+        one = Placement(zone="a")
+        place(one, chat(0), POOL, engines())
+        news = one.news()
+        assert [len(parts) for parts in news.values()] == [1]
+        assert one.news() == {}
+        assert one.all_parts() == news
+
+    def test_a_restarted_engine_holds_nothing_that_was_told(self):
+        one, peer = Placement(zone="a"), Placement(zone="a")
+        place(one, chat(0), POOL, engines(1))
+        place(peer, chat(1), POOL, {"e0": upstream("e0", service="pool", born=1)})
+        for name, parts in one.news().items():
+            peer.heard_parts(name, parts)
+        reborn = {"e0": upstream("e0", service="pool", born=2)}
+        assert place(peer, chat(2), POOL, reborn).unread_tokens == 4_050
+
+    def test_the_own_part_of_a_request_is_told_to_nobody(self):
+        one = Placement(zone="a")
+        place(one, job("r", "pool", parts=(("o", 900),), prompt=900), POOL, engines())
+        assert one.news() == {}
+
+
 class TestPrefixes:
     def test_prompts_with_a_shared_part_go_where_it_was_read(self):
         placement = Placement(zone="a")
