Starts are handed over too: nobody is outrun while all come back at once

A process joined by a write of its own, and whoever had joined wrote thirty times a second; over slow links no first write ever came through beside that.

A HandedRenewals may carry a Start: the clocks at the start and the earlier starts the sender knows of. The writer charges those and makes the first grants (budget.handing). It is void past another start that the sender has not heard of. budget.predecessors holds what allowance and handing both need.

Tests: a start by a peer charges as an own one, a late one closes nobody, the random machine hands starts over. Budget, renewal and ingress budget suites green.

--- a/src/ragwortkeel/budget/account.py
+++ b/src/ragwortkeel/budget/account.py
@@ -96,6 +96,11 @@
         self._meter = DemandMeter()
         self._lot = _lot(f"{holder}/{customer}")
 
+    @property
+    def known(self) -> bool:
+        """Whether the customer's ledger has been seen."""
+        return self.ledger.prepaid > 0 or self.slice.in_ledger
+
     @property
     def free(self) -> int:
         """Tokens of the slice that can be set aside now."""
--- a/src/ragwortkeel/budget/allowance.py
+++ b/src/ragwortkeel/budget/allowance.py
@@ -16,20 +16,23 @@
 stranded, never spent twice.
 """
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from collections.abc import Iterable
+from dataclasses import replace
 from itertools import count
-from math import ceil
 
 import msgspec
 
-from ragwortkeel.budget.account import DIRECT, Account, growing_seconds
+from ragwortkeel.budget.account import Account
 from ragwortkeel.budget.clocks import Reading, Stamp
-from ragwortkeel.budget.grant import Grant
-from ragwortkeel.budget.ledger import Ledger
+from ragwortkeel.budget.predecessors import (
+    Predecessor,
+    charged,
+    is_predecessor,
+    predecessors,
+)
 from ragwortkeel.budget.shards import Shard
 from ragwortkeel.budget.summary import seen_by
-from ragwortkeel.messages import HandedRenewals, RenewalsWritten
+from ragwortkeel.messages import HandedRenewals, RenewalsWritten, Start
 
 HEADROOM_SECONDS = 0.5
 """Demand that a cap leaves room for at the least: one pause between renewals.  A
@@ -50,10 +53,6 @@
 RENEWAL_WEIGHT = 0.4
 """Of the newest renewal: a slow platform shows after two or three."""
 
-LONGEST_AGE_SECONDS = 3600.0
-"""From here on a dead process's grant is charged whole; its cap has long grown to
-that, and no clock has to be believed for so long."""
-
 TYPICAL_WEIGHT = 0.05
 """Of the newest request in the mean size: some twenty requests count."""
 
@@ -152,16 +151,17 @@
             shard, ledger_by_customer=ledgers, stamp_by_holder=stamps
         )
 
-    def handed(self, reading: Reading, *, urgent: bool) -> HandedRenewals:
+    def handed(
+        self, reading: Reading, *, urgent: bool, start: Start | None = None
+    ) -> HandedRenewals:
         """Return the renewals that are due, for a peer to write with its own.
 
-        A customer whose grant here has not been made yet is left out: this process
-        makes it by a write of its own.
+        A process that has not charged its predecessors yet says by `start` how.
         """
         typical = int(self._typical)
         renewal_by_customer = {}
         for name, account in self._account_by_customer.items():
-            if not account.slice.in_ledger:
+            if not account.known:
                 continue
             nonce = str(next(self._nonces))
             due = account.propose(
@@ -178,6 +178,7 @@
             stamp=reading.stamp,
             renewal_by_customer=renewal_by_customer,
             urgent=urgent,
+            start=start,
         )
 
     def written(self, answer: RenewalsWritten) -> None:
@@ -216,18 +217,7 @@
 
     def merged(self, shard: Shard) -> Shard:
         """Return the shard without the grants of earlier starts of this process."""
-        for predecessor in self.predecessors(shard):
-            holder, age = predecessor.holder, predecessor.age
-            ledgers = {
-                customer: _charged(ledger, holder, age=age)
-                for customer, ledger in shard.ledger_by_customer.items()
-            }
-            shard = msgspec.structs.replace(
-                shard,
-                ledger_by_customer=ledgers,
-                stamp_by_holder=_without(shard.stamp_by_holder, holder),
-            )
-        return shard
+        return charged(shard, self.predecessors(shard))
 
     def know_time(self, reading: Reading) -> None:
         """Take over what a later reading says of the time when this one started."""
@@ -239,74 +229,24 @@
         """Whether the fleet's time would tell more of how a predecessor died."""
         if self._started.latest is not None:
             return False
-        node = _node(self.holder)
         return any(
             stamp.earliest is not None and stamp.rebooted(self._started)
             for holder, stamp in shard.stamp_by_holder.items()
-            if _node(holder) == node and holder != self.holder
+            if is_predecessor(holder, of=self.holder)
         )
 
-    def predecessors(self, shard: Shard) -> list["Predecessor"]:
-        """Return the earlier starts of this process that still hold grants.
-
-        Only one process of a name runs at a time, so they were dead when this one
-        started: what counts is the age of their last write then, even where the
-        platform can be read only much later.
-        """
-        node = _node(self.holder)
-        holders = set(shard.stamp_by_holder)
-        for ledger in shard.ledger_by_customer.values():
-            holders |= ledger.grants.keys()
-        dead = sorted(h for h in holders if _node(h) == node and h != self.holder)
-        return [
-            Predecessor(
-                holder=holder,
-                age=_age(shard.stamp_by_holder.get(holder), self._started),
-                granted=_sum_over(shard, holder, lambda grant: grant.granted),
-                told=_sum_over(shard, holder, lambda grant: grant.used),
-            )
-            for holder in dead
-        ]
-
-
-@dataclass(frozen=True, kw_only=True)
-class Predecessor:
-    """An earlier start of a process.
-
-    `age` bounds the seconds from its last write to its death; `granted` are the
-    tokens it held in all ledgers, `told` those it had told as spent.
-    """
-
-    holder: str
-    age: float
-    granted: int
-    told: int
-
-
-def _sum_over(shard: Shard, holder: str, tokens: Callable[[Grant], int]) -> int:
-    ledgers = shard.ledger_by_customer.values()
-    return sum(tokens(one.grants[holder]) for one in ledgers if holder in one.grants)
-
-
-def _age(stamp: Stamp | None, reading: Reading) -> float:
-    return float("inf") if stamp is None else stamp.age(reading)
-
-
-def _charged(ledger: Ledger, holder: str, *, age: float) -> Ledger:
-    """Return the ledger with a dead process's grant closed and charged."""
-    grant = ledger.grants.get(holder)
-    if grant is None:
-        return ledger
-    cap = grant.granted
-    if age < LONGEST_AGE_SECONDS:
-        cap = min(cap, grant.cap + ceil(grant.growth * growing_seconds(age)))
-    grants = ledger.grants | {holder: msgspec.structs.replace(grant, cap=cap)}
-    ledger = msgspec.structs.replace(ledger, grants=grants)
-    return ledger.seal(holder).write_off(router=holder, sidecar=DIRECT)
-
-
-def _node(holder: str) -> str:
-    return holder.partition("/")[0]
+    def predecessors(self, shard: Shard) -> list[Predecessor]:
+        """Return the earlier starts of this process that still hold grants."""
+        return predecessors(shard, holder=self.holder, started=self._started)
+
+    def start(self, shard: Shard) -> Start:
+        """Return what lets a peer charge the earlier starts of this process."""
+        return Start(
+            boot=self._started.boot,
+            wall=self._started.wall,
+            latest=self._started.latest,
+            predecessors=tuple(one.holder for one in self.predecessors(shard)),
+        )
 
 
 def _without(stamps: dict[str, Stamp], holder: str) -> dict[str, Stamp]:
--- /dev/null
+++ b/src/ragwortkeel/budget/handing.py
@@ -0,0 +1,76 @@
+"""Renewals that one process hands over and another writes.
+
+Failure it guards against: a message that was held up, or whose sender gave up waiting
+and wrote by itself, is written later and undoes newer figures; tokens that were given
+back and taken by others are then spent twice.  So of one holder only a later stamp is
+taken.  A holder without a stamp here has never written, was stopped, or is dead and
+charged by its successor; it comes in by a `Start` only, and not past another start of
+the same process that its sender has not heard of: that one may be alive.
+"""
+
+import msgspec
+
+from ragwortkeel.budget.clocks import Reading
+from ragwortkeel.budget.grant import Renewal
+from ragwortkeel.budget.ledger import Ledger
+from ragwortkeel.budget.predecessors import charged, predecessors
+from ragwortkeel.budget.shards import Shard
+from ragwortkeel.exceptions import RenewalVoid
+from ragwortkeel.messages import HandedRenewals, Start
+
+
+def joined(shard: Shard, handed: HandedRenewals) -> Shard:
+    """Return the shard with what another process handed over.
+
+    Raises
+    ------
+    RenewalVoid
+        It will never be written, by whomever.
+    LedgerError, RouterSealed
+        A grant does not allow it.
+    """
+    holder = handed.holder
+    known = shard.stamp_by_holder.get(holder)
+    if known is None and handed.start is None:
+        raise RenewalVoid(holder=holder)
+    if known is not None and handed.stamp.boot <= known.boot:
+        raise RenewalVoid(holder=holder)
+    if handed.start is not None:
+        shard = _started(shard, holder, handed.start)
+    ledgers = dict(shard.ledger_by_customer)
+    for customer, renewal in handed.renewal_by_customer.items():
+        ledger = ledgers.get(customer)
+        if ledger is None or renewal.router != holder:
+            raise RenewalVoid(holder=holder)
+        ledgers[customer] = _renewed_once(ledger, renewal)
+    return msgspec.structs.replace(
+        shard,
+        ledger_by_customer=ledgers,
+        stamp_by_holder=shard.stamp_by_holder | {holder: handed.stamp},
+    )
+
+
+def _started(shard: Shard, holder: str, start: Start) -> Shard:
+    """Return the shard with a process's earlier starts charged."""
+    started = Reading(
+        monotonic=0.0, boot=start.boot, wall=start.wall, latest=start.latest
+    )
+    dead = predecessors(shard, holder=holder, started=started)
+    if any(one.holder not in start.predecessors for one in dead):
+        raise RenewalVoid(holder=holder)
+    return charged(shard, dead)
+
+
+def _renewed_once(ledger: Ledger, renewal: Renewal) -> Ledger:
+    """Return the ledger with a renewal that it may hold already.
+
+    Where it does, its sender did not hear so and may have spent more since than its
+    cap here: under the new stamp the cap has to cover that.
+    """
+    grant = ledger.grants.get(renewal.router)
+    if grant is None or grant.nonce != renewal.nonce:
+        return ledger.renew(renewal)
+    grant = msgspec.structs.replace(grant, cap=max(grant.cap, renewal.cap))
+    return msgspec.structs.replace(
+        ledger, grants=ledger.grants | {renewal.router: grant}
+    )
--- /dev/null
+++ b/src/ragwortkeel/budget/predecessors.py
@@ -0,0 +1,104 @@
+"""What the ledgers charge for a process that died: what it may have spent untold.
+
+Only one process of a name runs at a time, so all earlier ones were dead when this one
+started: what counts is the age of their last write then, even where the platform can
+be read only much later.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from math import ceil
+
+import msgspec
+
+from ragwortkeel.budget.account import DIRECT, growing_seconds
+from ragwortkeel.budget.clocks import Reading, Stamp
+from ragwortkeel.budget.grant import Grant
+from ragwortkeel.budget.ledger import Ledger
+from ragwortkeel.budget.shards import Shard
+
+LONGEST_AGE_SECONDS = 3600.0
+"""From here on a dead process's grant is charged whole; its cap has long grown to
+that, and no clock has to be believed for so long."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Predecessor:
+    """An earlier start of a process.
+
+    `age` bounds the seconds from its last write to its death; `granted` are the
+    tokens it held in all ledgers, `told` those it had told as spent.
+    """
+
+    holder: str
+    age: float
+    granted: int
+    told: int
+
+
+def is_predecessor(holder: str, *, of: str) -> bool:
+    """Whether a holder is another start of the process `of`."""
+    return _node(holder) == _node(of) and holder != of
+
+
+def predecessors(shard: Shard, *, holder: str, started: Reading) -> list[Predecessor]:
+    """Return the other starts of a process that still hold something.
+
+    Parameters
+    ----------
+    started : Reading
+        The clocks at the start of the process.
+    """
+    holders = set(shard.stamp_by_holder)
+    for ledger in shard.ledger_by_customer.values():
+        holders |= ledger.grants.keys()
+    dead = sorted(one for one in holders if is_predecessor(one, of=holder))
+    return [
+        Predecessor(
+            holder=one,
+            age=_age(shard.stamp_by_holder.get(one), started),
+            granted=_sum_over(shard, one, lambda grant: grant.granted),
+            told=_sum_over(shard, one, lambda grant: grant.used),
+        )
+        for one in dead
+    ]
+
+
+def charged(shard: Shard, dead: Iterable[Predecessor]) -> Shard:
+    """Return the shard without these, their bounds charged."""
+    for one in dead:
+        ledgers = {
+            customer: _charged(ledger, one.holder, age=one.age)
+            for customer, ledger in shard.ledger_by_customer.items()
+        }
+        stamps = {k: v for k, v in shard.stamp_by_holder.items() if k != one.holder}
+        shard = msgspec.structs.replace(
+            shard, ledger_by_customer=ledgers, stamp_by_holder=stamps
+        )
+    return shard
+
+
+def _sum_over(shard: Shard, holder: str, tokens: Callable[[Grant], int]) -> int:
+    ledgers = shard.ledger_by_customer.values()
+    return sum(tokens(one.grants[holder]) for one in ledgers if holder in one.grants)
+
+
+def _age(stamp: Stamp | None, reading: Reading) -> float:
+    return float("inf") if stamp is None else stamp.age(reading)
+
+
+def _charged(ledger: Ledger, holder: str, *, age: float) -> Ledger:
+    """Return the ledger with a dead process's grant closed and charged."""
+    grant = ledger.grants.get(holder)
+    if grant is None:
+        return ledger
+    cap = grant.granted
+    if age < LONGEST_AGE_SECONDS:
+        cap = min(cap, grant.cap + ceil(grant.growth * growing_seconds(age)))
+    grants = ledger.grants | {holder: msgspec.structs.replace(grant, cap=cap)}
+    ledger = msgspec.structs.replace(ledger, grants=grants)
+    return ledger.seal(holder).write_off(router=holder, sidecar=DIRECT)
+
+
+def _node(holder: str) -> str:
+    return holder.partition("/")[0]
--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -4,7 +4,7 @@
 to tell and takes it along; a peer whose callers wait for tokens hands its renewals
 over unasked.  A peer that gets no answer in time writes by itself.
 
-What makes that safe is the condition of each write, as ever, and `Shard.joined`: a
+What makes that safe is the condition of each write, as ever, and `budget.handing`: a
 message that was held up is void once its sender has written anything later.  Until a
 process knows that, it takes back nothing that it has handed over.
 """
@@ -18,6 +18,7 @@
 
 from ragwortkeel.budget.allowance import Allowances
 from ragwortkeel.budget.clocks import Reading
+from ragwortkeel.budget.handing import joined
 from ragwortkeel.budget.ledger import Ledger
 from ragwortkeel.budget.shards import Shard
 from ragwortkeel.budget.turns import (
@@ -149,6 +150,8 @@
         self._closing = False
         self._tried_at: Reading | None = None
         self._sent_at_by_boot: dict[float, float] = {}
+        self._starts: set[float] = set()
+        self._seen: Shard | None = None
         self._handed_by_holder: dict[str, HandedRenewals] = {}
         self._asked = 0
         self._woken = curio.Event()
@@ -216,9 +219,7 @@
 
     def called(self) -> HandedRenewals | None:
         """Return what a peer that is about to write should take along."""
-        if not self._may_hand_over():
-            return None
-        return self._hand(urgent=False)
+        return self._hand(urgent=False) if self._may_hand_over() else None
 
     async def heard(self, handed: HandedRenewals) -> None:
         """Take in a peer's renewals for the next write."""
@@ -246,6 +247,7 @@
             self._allowances.renewed_after(now - sent_at)
             self.read_at = sent_at
         self._allowances.written(answer)
+        self.merged = self.merged or answer.boot in self._starts
         self._void(answer.boot)
         self._wrote_last = False
         self._note_reachable(True, "")
@@ -260,9 +262,12 @@
 
     def _may_hand_over(self) -> bool:
         """Whether a write by a peer does all that one by this process would."""
-        if self._table is None or self._closing or not self.merged:
+        if self._table is None or self._closing:
             return False
-        return not self._allowances.lacks_grants(_prepaid(self._table))
+        if self.merged:
+            return True
+        # A start has to have seen the ledgers, and to know the time if it may.
+        return self._seen is not None and self._may_merge(self._seen, self._clocks())
 
     def _due_in(self) -> float:
         now = monotonic()
@@ -290,7 +295,12 @@
 
     def _hand(self, *, urgent: bool) -> HandedRenewals:
         reading = self._clocks()
-        handed = self._allowances.handed(reading, urgent=urgent)
+        start = None
+        if not self.merged:
+            self._log_predecessors(self._seen)
+            start = self._allowances.start(self._seen)
+            self._starts.add(reading.boot)
+        handed = self._allowances.handed(reading, urgent=urgent, start=start)
         # Counted from the try, as for a write of this process: the stamp may stand
         # in the ledgers, and a successor would trust the cap for longer.
         self._tried_at = reading
@@ -426,6 +436,7 @@
         allowances = self._allowances
         shard = await self._ledgers.read(trusts_own=self._wrote_last)
         allowances.resolve(shard)
+        self._seen = None if self.merged else shard
         if self._ledgers.outran and not self._sent_at_by_boot:
             # A renewal made from an older ledger asks for what is no longer there.
             allowances.withdraw()
@@ -494,7 +505,7 @@
     refused = set()
     for holder, handed in handed_by_holder.items():
         try:
-            shard = shard.joined(handed)
+            shard = joined(shard, handed)
         except (LedgerError, RouterSealed) as exc:
             log_info("renewals_refused", holder=holder, error=str(exc))
             refused.add(holder)
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -451,6 +451,19 @@
     """The sender is about to write the ledgers and would take renewals along."""
 
 
+class Start(msgspec.Struct, frozen=True, kw_only=True):
+    """The clocks at a process's start, and which earlier starts it knows of.
+
+    `latest` bounds the time of day from above by the clocks of the fleet, where that
+    was known; see `budget.clocks`.
+    """
+
+    boot: float
+    wall: float
+    latest: float | None
+    predecessors: tuple[str, ...]
+
+
 class HandedRenewals(Message):
     """Renewals of one process that another may write along with its own.
 
@@ -462,12 +475,15 @@
         When it was made; a later one of the same holder replaces it.
     urgent : bool
         Whether callers wait for it, so that it is to be written at once.
+    start : Start or None
+        Of a process whose earlier starts are still to be charged.
     """
 
     holder: str
     stamp: Stamp
     renewal_by_customer: dict[str, Renewal]
     urgent: bool = False
+    start: Start | None = None
 
 
 class WriteOutcome(StrEnum):
