Vain tries put off no growth of caps; callers return when there may be tokens

In an outage caps grow with the time since the last try to renew, as a lost answer may have put a newer stamp into the ledgers. With renewals by peers each process is asked every half second, in an outage too, and each vain try began the time anew. And all callers refused for lack of tokens were told 0.7 s, most of which fell into the same outage: they return once, so that was their last try.

Change. budget.tries keeps the tries whose outcome is open; the time counts from the latest of them and of what is done. No peers are called while the platform is away. policy.returns: Retry-After is when caps begin to grow in an outage, else 0.7 s, each with up to 30% more at random.

--- /dev/null
+++ b/src/ragwortkeel/budget/tries.py
@@ -0,0 +1,75 @@
+"""Tries to renew that may have taken effect, or may still.
+
+The caps of a process grow with the time since its stamp in the ledgers, and a successor
+charges them by that stamp.  Failures it guards against: the answer to a write is lost
+and the stamp is newer than the process believes, so it spends what its successor does
+not charge; and, counted from any try, in an outage each vain one would put the growth
+off for ever, and all callers are refused until it ends.  So the time counts from the
+latest try that is not known to have failed.
+"""
+
+from dataclasses import dataclass
+
+from ragwortkeel.budget.clocks import Reading
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Try:
+    reading: Reading
+    handed: bool
+
+
+class Tries:
+    """The tries of one process, by the boot clock at which each was made.
+
+    Examples
+    --------
+    >>> tries = Tries()
+    >>> tries.begin(Reading(monotonic=1.0, boot=1.0, wall=1.0), handed=True)
+    >>> tries.any_handed
+    True
+    >>> tries.failed(1.0)
+    >>> tries.latest is None
+    True
+    """
+
+    def __init__(self) -> None:
+        self._done: Reading | None = None
+        self._open_by_boot: dict[float, _Try] = {}
+
+    @property
+    def latest(self) -> Reading | None:
+        """The clocks at the latest try that may stand in the ledgers."""
+        readings = [one.reading for one in self._open_by_boot.values()]
+        if self._done is not None:
+            readings.append(self._done)
+        return max(readings, key=lambda reading: reading.boot, default=None)
+
+    @property
+    def any_handed(self) -> bool:
+        """Whether a peer may still write what it was handed."""
+        return any(one.handed for one in self._open_by_boot.values())
+
+    def handed(self, boot: float) -> Reading | None:
+        """Return the clocks at a hand-over whose outcome is open, or None."""
+        one = self._open_by_boot.get(boot)
+        return one.reading if one is not None and one.handed else None
+
+    def begin(self, reading: Reading, *, handed: bool) -> None:
+        """Note a try: a write of this process, or renewals handed to a peer."""
+        self._open_by_boot[reading.boot] = _Try(reading=reading, handed=handed)
+
+    def failed(self, boot: float) -> None:
+        """Note that a try certainly changed nothing and never will."""
+        self._open_by_boot.pop(boot, None)
+
+    def done(self, boot: float) -> None:
+        """Note that a try took effect: none made before it can any more."""
+        one = self._open_by_boot.get(boot)
+        if one is not None and (self._done is None or self._done.boot < boot):
+            self._done = one.reading
+        self._open_by_boot = {
+            made: open_try
+            for made, open_try in self._open_by_boot.items()
+            if made > boot
+        }
--- a/src/ragwortkeel/ingress/answers.py
+++ b/src/ragwortkeel/ingress/answers.py
@@ -1,11 +1,13 @@
 """The ingress's own answers: refusals that tell what happened and when to return."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
+from random import Random
 
 import msgspec
 
 from ragwortkeel.http_responder import Responder
+from ragwortkeel.policy.returns import return_after
 
 PROBLEM_TYPE = "application/problem+json"
 
@@ -67,6 +69,14 @@
 BROKEN = Answer(status=502, reason="upstream_broke_off", result=Result.UNKNOWN)
 
 
+_random = Random()
+
+
+def returning(answer: Answer, seconds: float) -> Answer:
+    """Return the refusal with when to come back, of what is known of that."""
+    return replace(answer, retry_after_seconds=return_after(seconds, _random))
+
+
 async def send_answer(responder: Responder, answer: Answer) -> None:
     """Send an own answer; its connection stays usable."""
     problem = _Problem(
--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -33,6 +33,9 @@
 """How long it waits for tokens that a peer gives back to the ledger: two renewals,
 15 ms each, and a second try of both."""
 
+SETTLING_SECONDS = 0.7
+"""In which a good part of the running requests end and settle: most take 0.1 to 2 s."""
+
 FRESH_SECONDS = 2.5
 """A ledger read so lately tells what is left of a budget."""
 
@@ -94,6 +97,16 @@
         ledger = self.allowances.account(customer.name).ledger
         return ledger.prepaid - ledger.total_spent < tokens
 
+    def seconds_to_tokens(self) -> float:
+        """Return when a caller who lacks tokens may find some, in seconds.
+
+        In an outage that is when the caps begin to grow; else requests that run now
+        give back what they don't take.
+        """
+        if not self.renewals.reachable:
+            return self.renewals.seconds_to_growth
+        return SETTLING_SECONDS
+
     def log_lack(self, request_id: str, customer: Customer, tokens: int) -> None:
         """Log what a refusal for lack of tokens was decided by."""
         account = self.allowances.account(customer.name)
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -14,6 +14,7 @@
     QUARANTINED,
     TIMED_OUT,
     Answer,
+    returning,
     send_answer,
 )
 from ragwortkeel.ingress.attempt import Attempt, Call, Relay, passed_fields
@@ -135,7 +136,7 @@
         keeper.log_lack(accepted.call.request_id, customer, usage.total)
         if keeper.is_exhausted(customer, usage.total):
             return BUDGET_EXHAUSTED
-        return BUDGET_UNREACHABLE
+        return returning(BUDGET_UNREACHABLE, keeper.seconds_to_tokens())
 
     def _spent(self) -> int:
         if not self._ran:
--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -16,11 +16,13 @@
 
 import curio
 
+from ragwortkeel.budget.account import GROWTH_DELAY_SECONDS
 from ragwortkeel.budget.allowance import Allowances
 from ragwortkeel.budget.clocks import Reading
 from ragwortkeel.budget.handing import joined
 from ragwortkeel.budget.ledger import Ledger
 from ragwortkeel.budget.shards import Shard
+from ragwortkeel.budget.tries import Tries
 from ragwortkeel.budget.turns import (
     TICK_SECONDS,
     patience,
@@ -36,6 +38,7 @@
     RouterSealed,
     VersionConflict,
 )
+from ragwortkeel.exceptions import PlatformError as ClientError
 from ragwortkeel.ingress.ledger_store import LedgerStore
 from ragwortkeel.ingress.routing import RoutingTable
 from ragwortkeel.logs import log_error, log_info, log_warning
@@ -148,8 +151,7 @@
         self._write_seconds = 0.0
         self._wrote_last = False
         self._closing = False
-        self._tried_at: Reading | None = None
-        self._sent_at_by_boot: dict[float, float] = {}
+        self._tries = Tries()
         self._starts: set[float] = set()
         self._seen: Shard | None = None
         self._handed_by_holder: dict[str, HandedRenewals] = {}
@@ -169,8 +171,17 @@
 
     def grow(self) -> None:
         """Let the caps grow with the time since the last try to write."""
-        if self._tried_at is not None:
-            self._allowances.grow(self._clocks().surely_since(self._tried_at))
+        latest = self._tries.latest
+        if latest is not None:
+            self._allowances.grow(self._clocks().surely_since(latest))
+
+    @property
+    def seconds_to_growth(self) -> float:
+        """Seconds until the caps begin to grow, if no renewal comes before."""
+        latest = self._tries.latest
+        if latest is None:
+            return 0.0
+        return max(0.0, GROWTH_DELAY_SECONDS - self._clocks().surely_since(latest))
 
     async def wake(self) -> None:
         """Renew now: callers wait for tokens."""
@@ -235,20 +246,21 @@
             case WriteOutcome.UNKNOWN:
                 return
             case WriteOutcome.NOT_DONE:
-                self._sent_at_by_boot.pop(answer.boot, None)
+                self._tries.failed(answer.boot)
+                self._withdraw()
             case WriteOutcome.DONE:
                 self._take(answer)
         await self._changed.set()
 
     def _take(self, answer: RenewalsWritten) -> None:
         now = monotonic()
-        sent_at = self._sent_at_by_boot.get(answer.boot)
-        if sent_at is not None:
-            self._allowances.renewed_after(now - sent_at)
-            self.read_at = sent_at
+        handed = self._tries.handed(answer.boot)
+        if handed is not None:
+            self._allowances.renewed_after(now - handed.monotonic)
+            self.read_at = handed.monotonic
         self._allowances.written(answer)
         self.merged = self.merged or answer.boot in self._starts
-        self._void(answer.boot)
+        self._tries.done(answer.boot)
         self._wrote_last = False
         self._note_reachable(True, "")
         if answer.revision >= self._revision:
@@ -301,10 +313,7 @@
             start = self._allowances.start(self._seen)
             self._starts.add(reading.boot)
         handed = self._allowances.handed(reading, urgent=urgent, start=start)
-        # Counted from the try, as for a write of this process: the stamp may stand
-        # in the ledgers, and a successor would trust the cap for longer.
-        self._tried_at = reading
-        self._sent_at_by_boot[reading.boot] = monotonic()
+        self._tries.begin(reading, handed=True)
         return handed
 
     async def _handed_over(self) -> bool:
@@ -315,27 +324,29 @@
         boot = handed.stamp.boot
         writer = await self._group.hand_over(handed)
         if writer is None:
-            del self._sent_at_by_boot[boot]
+            self._tries.failed(boot)
             return False
         before, waits_until = self.read_at, monotonic() + HAND_OVER_SECONDS
-        while boot in self._sent_at_by_boot and monotonic() < waits_until:
+        while self._tries.handed(boot) and monotonic() < waits_until:
             await self.next_change(waits_until)
-        if boot in self._sent_at_by_boot:
+        if self._tries.handed(boot):
             log_info("renewals_unanswered", writer=writer, seconds=HAND_OVER_SECONDS)
             self._group.avoid(writer)
         return self.read_at > before
 
-    def _void(self, boot: float) -> None:
-        """Note that nothing made up to here can be written any more."""
-        self._sent_at_by_boot = {
-            made: sent for made, sent in self._sent_at_by_boot.items() if made > boot
-        }
+    def _withdraw(self) -> None:
+        """Take back what certainly was not written and never will be.
+
+        Tokens on their way back are still here then: callers need them in an outage.
+        """
+        if not self._ledgers.in_doubt and not self._tries.any_handed:
+            self._allowances.withdraw()
 
     # Writing.
 
     async def _write_for_all(self, *, calls: bool) -> None:
         begun = monotonic()
-        if calls and self._may_hand_over():
+        if calls and self.reachable and self._may_hand_over():
             await self._gather()
         elif not calls:
             await curio.sleep(BATCH_SECONDS)
@@ -384,12 +395,9 @@
     ) -> tuple[WriteOutcome, Shard, set[str]]:
         """Write; return the outcome, the ledgers and whose renewals are void."""
         try:
-            shard, refused = await self._tries(handed_by_holder)
+            shard, refused = await self._write_until_first(handed_by_holder)
         except PlatformUnavailable as exc:
-            if not self._ledgers.in_doubt and not self._sent_at_by_boot:
-                # Nothing was written, so tokens on their way back are still here:
-                # callers need them in an outage.
-                self._allowances.withdraw()
+            self._withdraw()
             self._note_reachable(False, str(exc))
             self._waits_until = monotonic() + RETRY_SECONDS
             return WriteOutcome.NOT_DONE, Shard(), set()
@@ -411,7 +419,7 @@
         self._note_reachable(True, "")
         return WriteOutcome.DONE, shard, refused
 
-    async def _tries(
+    async def _write_until_first(
         self, handed_by_holder: dict[str, HandedRenewals]
     ) -> tuple[Shard, set[str]]:
         """Write, from what each refusal brings along, until nobody comes first.
@@ -437,7 +445,7 @@
         shard = await self._ledgers.read(trusts_own=self._wrote_last)
         allowances.resolve(shard)
         self._seen = None if self.merged else shard
-        if self._ledgers.outran and not self._sent_at_by_boot:
+        if self._ledgers.outran and not self._tries.any_handed:
             # A renewal made from an older ledger asks for what is no longer there.
             allowances.withdraw()
         reading = self._clocks()
@@ -448,17 +456,20 @@
             renewed = allowances.merged(renewed)
         renewed = allowances.renewed(renewed, reading)
         renewed, refused = _joined(renewed, handed_by_holder)
-        # Counted from the try: a write whose answer is lost may have put its
-        # stamp there, and a successor would trust the cap for longer.
-        self._tried_at = reading
+        self._tries.begin(reading, handed=False)
         begun = monotonic()
         try:
             await self._ledgers.write(renewed)
+        except OutcomeUnknown:
+            raise
+        except ClientError:
+            self._tries.failed(reading.boot)
+            raise
         finally:
             self._wrote_in(monotonic() - begun)
         allowances.resolve(renewed)
         self.merged = self.merged or merges
-        self._void(reading.boot)
+        self._tries.done(reading.boot)
         self._wrote_last = True
         self._refusals = 0
         self.read_at = reading.monotonic
--- a/tests/ingress/test_renewals.py
+++ b/tests/ingress/test_renewals.py
@@ -95,11 +95,11 @@
         platform = LocalPlatform()
         first = Process(platform, name="a", place=0)
         second = Process(platform, name="b", place=1)
-        for one, other in ((first, second), (second, first)):
-            await one.start()
-            one.group.other = other.renewals
         try:
             async with curio.timeout_after(PATIENCE):
+                for one, other in ((first, second), (second, first)):
+                    await one.start()
+                    one.group.other = other.renewals
                 return await scenario(platform, first, second)
         finally:
             for one in (first, second):
