Who cannot get a place in time is told at once, with when its turn would come

A bound on the line's length: how fast turns come differs a hundredfold between a service that fails and one that is busy.

Dispatcher keeps policy.admission.Turns a service, which routers use already. The first in line always waits, or no turn would correct the estimate.

--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -9,6 +9,7 @@
 from ragwortkeel.ingress.directory import Directory
 from ragwortkeel.ingress.placement import Job, Placed, Placement
 from ragwortkeel.ingress.waiting import Waiter, WaitingRoom
+from ragwortkeel.policy.admission import Turns
 
 PLACING_SECONDS = 0.05
 """How often waiting requests are looked at even if nothing was released here:
@@ -17,10 +18,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class NoRoom:
-    """The request got no place in time; it did not run."""
+    """The request got no place in time, or could not have; it did not run.
+
+    `seconds` is how long its turn would take from now, as far as one can tell.
+    """
 
     waiting: int
     upstreams: int
+    seconds: float
 
 
 class Dispatcher:
@@ -39,6 +44,7 @@
         self._placed_by_id: dict[str, Placed] = {}
         self._turn_by_id: dict[str, curio.Event] = {}
         self._service_by_name: dict[str, Service] = {}
+        self._turns_by_service: dict[str, Turns] = {}
 
     async def acquire(
         self,
@@ -48,12 +54,21 @@
         latest_start: float,
         tried: frozenset[str] = frozenset(),
     ) -> Placed | NoRoom:
-        """Return a place for the request, which `release` has to give back."""
+        """Return a place for the request, which `release` has to give back.
+
+        Pattern of load: a service is full and more wait for it than it can serve in
+        their time.  Whoever's turn can't come before `latest_start` is told at once,
+        by how often turns came lately: held until then, it could not come back.  The
+        first in line always waits, or no turn would ever correct the estimate.
+        """
         self._service_by_name[service.name] = service
-        if not self.room.waiting_before(job):
+        ahead = self.room.waiting_before(job)
+        if not ahead:
             placed = self._try(job, service, tried)
             if placed is not None:
                 return placed
+        elif monotonic() + self._seconds_to_turn(job) > latest_start:
+            return self._no_room(job)
         return await self._wait(job, latest_start, tried)
 
     async def release(self, placed: Placed) -> None:
@@ -72,6 +87,7 @@
                     break
                 self._placed_by_id[waiter.job.request_id] = placed
                 self.room.remove(waiter.job)
+                self._turns(name).taken(0.0, monotonic())
                 await self._turn_by_id[waiter.job.request_id].set()
 
     async def run(self) -> None:
@@ -98,6 +114,8 @@
     ) -> Placed | NoRoom:
         now = monotonic()
         turn = self._turn_by_id[job.request_id] = curio.Event()
+        if job.service not in self.room.services():
+            self._turns(job.service).waiting_from(now)
         self.room.add(
             Waiter(job=job, arrived_at=now, latest_start=latest_start, tried=tried)
         )
@@ -119,4 +137,16 @@
 
     def _no_room(self, job: Job) -> NoRoom:
         usable = self._directory.usable(service=job.service)
-        return NoRoom(waiting=self.room.waiting_before(job), upstreams=len(usable))
+        return NoRoom(
+            waiting=self.room.waiting_before(job),
+            upstreams=len(usable),
+            seconds=self._seconds_to_turn(job),
+        )
+
+    def _turns(self, service: str) -> Turns:
+        return self._turns_by_service.setdefault(service, Turns())
+
+    def _seconds_to_turn(self, job: Job) -> float:
+        idle = job.service not in self.room.services()
+        each = self._turns(job.service).seconds_each(0.0, idle=idle, now=monotonic())
+        return each * (self.room.waiting_before(job) + 1)
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -188,7 +188,17 @@
             return placed
         if self._ran:
             return BROKEN
-        return OVERLOADED if placed.upstreams else NO_UPSTREAM
+        if not placed.upstreams:
+            return NO_UPSTREAM
+        log_info(
+            "no_room",
+            request=accepted.call.request_id,
+            service=accepted.service.name,
+            waiting=placed.waiting,
+            upstreams=placed.upstreams,
+            seconds=round(placed.seconds, 3),
+        )
+        return returning(OVERLOADED, placed.seconds)
 
     async def _run_at(self, placed: Placed) -> Outcome:
         parts, accepted = self._parts, self._accepted
--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -41,7 +41,7 @@
 from ragwortkeel.exceptions import PlatformError as ClientError
 from ragwortkeel.ingress.ledger_store import LedgerStore
 from ragwortkeel.ingress.routing import RoutingTable
-from ragwortkeel.logs import log_error, log_info, log_warning
+from ragwortkeel.logs import log_debug, log_error, log_info, log_warning
 from ragwortkeel.messages import HandedRenewals, RenewalsWritten, WriteOutcome
 from ragwortkeel.platform import Platform
 
@@ -353,8 +353,16 @@
             self._woken.clear()
         handed_by_holder, self._handed_by_holder = self._handed_by_holder, {}
         outcome, shard, refused = await self._write(handed_by_holder)
+        took = monotonic() - begun
+        log_debug(
+            "ledgers_written",
+            outcome=outcome,
+            handed=len(handed_by_holder),
+            refused=len(refused),
+            took=round(took, 3),
+        )
         if outcome is WriteOutcome.DONE:
-            self._allowances.renewed_after(monotonic() - begun)
+            self._allowances.renewed_after(took)
         if outcome is WriteOutcome.DONE and calls:
             # Writes for waiting callers don't put off the one for all, and its own
             # time counts as pause: others write where it comes later than theirs.
--- a/tests/ingress/test_ledger_store.py
+++ b/tests/ingress/test_ledger_store.py
@@ -89,3 +89,39 @@
             return await one.read(), one.in_doubt
 
         assert with_two(scenario) == (shard(2), False)
+
+
+def test_an_older_read_does_not_make_a_late_write_void():
+    """A customer gets more than it paid for: a write that was late is taken for void.
+
+    Its answer was lost; then a lagging copy was read and a write on top of that
+    refused, and what the refusal brought was later than *that* write only.
+    """
+
+    async def scenario(platform, one, other):
+        await one.read()
+        old = await platform.get("customer-ledgers", "shard-0")
+        await other.read()
+        await other.write(shard(2))
+        newest = await platform.get("customer-ledgers", "shard-0")
+        await one.read(stale=False)
+
+        async def silent(*args):
+            raise OutcomeUnknown("no answer")
+
+        platform.update, update = silent, platform.update
+        with pytest.raises(OutcomeUnknown):
+            await one.write(shard(3))
+        platform.update = update
+
+        async def lagging(kind, name, *, stale=False):
+            return old if stale else newest
+
+        platform.get = lagging
+        await one.read()
+        with pytest.raises(VersionConflict):
+            await one.write(shard(4))
+        await one.read()
+        return one.outran
+
+    assert not with_two(scenario)
