Plain upstreams get as many requests again as they have slots

Slow processes hold a place for 0.2 s around 22 ms of work, and told loads are up to half a second old; each counted against six slots.

That the upstream was full: 53 requests a second of 22 ms each need 1.2 of six slots; it turned few away.

All processes together may have twice the slots there, one alone its slots.

Tests: placement, dispatch and request suites green.

--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -48,6 +48,13 @@
 to be read anyway: beside its time it takes the memory of parts in use, and the
 engine's other requests wait for it too."""
 
+PLAIN_QUEUE_SHARE = 1.0
+"""Of a plain upstream's slots, placed there beyond them by all processes together
+(one alone never has more there than slots): it queues a few more, and most of what
+counts as running is on its way there or back.  With the slots alone one upstream that
+was busy for 1.2 requests at a time counted as full: slow processes hold a place for
+0.2 s around 22 ms of work, and loads are told up to half a second late."""
+
 CONNECTION_SHARE = 0.8
 """Of an upstream's connections; the rest is for health checks and late closes."""
 
@@ -273,10 +280,12 @@
     ) -> bool:
         total = self._state(upstream).total(now)
         connections = int(service.max_connections * CONNECTION_SHARE)
+        if service.engine is None:
+            own = self._state(upstream).running
+            places = int(upstream.slots * (1 + PLAIN_QUEUE_SHARE))
+            return own < upstream.slots and total.running < min(places, connections)
         if total.running >= min(upstream.slots, connections):
             return False
-        if service.engine is None:
-            return True
         room = service.engine.memory_tokens * MEMORY_SHARE - total.memory_tokens
         return job.memory_tokens <= room or total.running == 0
 
