Nothing is taken back while a write with it is on its way

Found by reading: a process hands a renewal over, gets no answer in time and writes it by itself; a peer's "nothing was done" that came before the platform's answer let it take the renewal back, and the tokens that its own write gave back were spent here and by others.

The same by a lost answer: in_doubt holds that back already.

Change. budget.tries knows whether any try is open; a withdrawal waits for all of them. Writes that were outrun are closed, hand-overs are not.

Tests: the story above with a slow answer of the platform (fails without the change).

--- a/benchmarks/guards_left_out.py
+++ b/benchmarks/guards_left_out.py
@@ -342,7 +342,7 @@
         "handed",
         "what a peer may still write is not taken back",
         "ingress/renewals.py",
-        "if not self._ledgers.in_doubt and not self._tries.any_handed:",
+        "if not self._ledgers.in_doubt and not self._tries.any_open:",
         "if not self._ledgers.in_doubt:",
     ),
     _guard(
--- a/src/ragwortkeel/budget/tries.py
+++ b/src/ragwortkeel/budget/tries.py
@@ -45,6 +45,11 @@
             readings.append(self._done)
         return max(readings, key=lambda reading: reading.boot, default=None)
 
+    @property
+    def any_open(self) -> bool:
+        """Whether any try may still take effect."""
+        return bool(self._open_by_boot)
+
     @property
     def any_handed(self) -> bool:
         """Whether a peer may still write what it was handed."""
@@ -63,6 +68,12 @@
         """Note that a try certainly changed nothing and never will."""
         self._open_by_boot.pop(boot, None)
 
+    def own_failed(self) -> None:
+        """Note that no write of this process can be done any more."""
+        self._open_by_boot = {
+            made: one for made, one in self._open_by_boot.items() if one.handed
+        }
+
     def done(self, boot: float) -> None:
         """Note that a try took effect: none made before it can any more."""
         one = self._open_by_boot.get(boot)
--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -338,8 +338,10 @@
         """Take back what certainly was not written and never will be.
 
         Tokens on their way back are still here then: callers need them in an outage.
+        A peer's answer may come while a write of this process is on its way with the
+        same renewals; what that gives back would be spent here as well.
         """
-        if not self._ledgers.in_doubt and not self._tries.any_handed:
+        if not self._ledgers.in_doubt and not self._tries.any_open:
             self._allowances.withdraw()
 
     # Writing.
@@ -453,9 +455,11 @@
         shard = await self._ledgers.read(trusts_own=self._wrote_last)
         allowances.resolve(shard)
         self._seen = None if self.merged else shard
-        if self._ledgers.outran and not self._tries.any_handed:
-            # A renewal made from an older ledger asks for what is no longer there.
-            allowances.withdraw()
+        if self._ledgers.outran:
+            self._tries.own_failed()
+            if not self._tries.any_handed:
+                # One made from an older ledger asks for what is no longer there.
+                allowances.withdraw()
         reading = self._clocks()
         renewed = shard.provisioned(_prepaid(self._table), self._revision)
         merges = not self.merged and self._may_merge(renewed, reading)
--- a/tests/budget/test_tries.py
+++ b/tests/budget/test_tries.py
@@ -54,3 +54,13 @@
     tries.done(2.0)
     tries.done(1.0)
     assert tries.latest.boot == 2.0
+
+
+def test_writes_that_were_outrun_fail_and_hand_overs_stay_open():
+    tries = begun(1.0, handed=True)
+    tries.begin(reading(2.0), handed=False)
+    tries.own_failed()
+    assert tries.any_handed
+    assert tries.latest.boot == 1.0
+    tries.failed(1.0)
+    assert not tries.any_open
--- a/tests/ingress/test_renewals.py
+++ b/tests/ingress/test_renewals.py
@@ -10,7 +10,7 @@
 from ragwortkeel.ingress.ledger_store import SHARD_NAME
 from ragwortkeel.ingress.renewals import Renewals
 from ragwortkeel.ingress.routing import RoutingTable
-from ragwortkeel.messages import WriteOutcome
+from ragwortkeel.messages import RenewalsWritten, WriteOutcome
 from ragwortkeel.standins.local_platform import LocalPlatform
 
 CUSTOMER = "surco"
@@ -184,6 +184,43 @@
     assert kept_back == given_back >= 1_000
 
 
+def test_nothing_is_taken_back_while_a_write_with_it_is_on_its_way():
+    """A customer gets more than it paid for, by what a process gave back.
+
+    It had handed its renewal over and then written by itself; a peer's answer that
+    nothing was done came before that of the platform, and it spent the tokens.
+    """
+
+    async def scenario(platform, first, second):
+        second.group.other = None
+        second.account.recall(1_000)
+        handed = second.renewals.called()
+        update, arrived, answers = platform.update, curio.Event(), curio.Event()
+
+        async def slow(*call):
+            version = await update(*call)
+            await arrived.set()
+            await answers.wait()
+            return version
+
+        platform.update = slow
+        await second.renewals.wake()
+        await arrived.wait()
+        answer = RenewalsWritten(boot=handed.stamp.boot, outcome=WriteOutcome.NOT_DONE)
+        await second.renewals.written(answer)
+        free = second.account.free
+        platform.update = update
+        await answers.set()
+        while second.account.slice.pending is not None:
+            await curio.sleep(0.005)
+        stored = await platform.get(SHARDS_KIND, SHARD_NAME)
+        ledger = decode_shard(stored.value).ledger_by_customer[CUSTOMER]
+        return free, ledger.grants[second.allowances.holder].granted
+
+    free, granted = run_two(scenario)
+    assert free <= granted
+
+
 def test_a_planned_stop_takes_no_more_part():
     async def scenario(platform, first, second):
         closed = await second.renewals.close()
