Sight: what links carry, late timers, where a configuration came from

Cause: a process that takes a change seconds after the others could not be told apart by its log: link full, watch silent or processor gone look alike. Change: link_traffic each two seconds (bytes by kind of message, also as a metric), loop_late, source in configuration_in_force, configuration_behind where a peer has a newer one, and a gauge of the newest heard. A line each two seconds a process; no decision changes. Not measured on its own.

--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -37,7 +37,9 @@
     UpstreamLoad,
     VersionedObject,
 )
+from ragwortkeel.metrics import Metrics
 from ragwortkeel.platform import Platform
+from ragwortkeel.traffic import Traffic, largest
 
 TELL_SECONDS = 0.2
 """How old a load told by a peer is at the most; three processes placing a burst
@@ -58,6 +60,9 @@
 """With more peers each is told less often, so that the messages of one process
 stay at some forty a second however many there are."""
 
+REPORT_SECONDS = 2.0
+"""How often it is logged what the links carry: a line a process, however busy."""
+
 SILENCE_SECONDS = 2.0
 """A peer unheard for so long is reconnected to; its loads count no longer."""
 
@@ -68,6 +73,9 @@
     def revision(self) -> int:
         """Return the revision of the configuration in force; 0 for none."""
 
+    def heard_revision(self, peer: str, revision: int) -> None:
+        """Take in which configuration a peer has in force; 0 for none."""
+
     def heartbeat(self) -> Heartbeat:
         """Return what keeps a peer's link up."""
 
@@ -135,6 +143,8 @@
         Where calls of peers are made.
     handler
         Takes what peers say; see `PeerHandler`.
+    metrics : Metrics
+        Where the links' bytes are counted.
     is_relay : bool
         Whether this process only relays; relays don't link to each other.
     """
@@ -148,6 +158,7 @@
         seeds: tuple[str, ...],
         platform: Platform,
         handler: PeerHandler,
+        metrics: Metrics,
         is_relay: bool = False,
     ) -> None:
         self._node = node
@@ -157,8 +168,13 @@
         self._handler = handler
         self._is_relay = is_relay
         self._inbox: curio.Queue = curio.Queue()
+        self._metrics = metrics
+        self._traffic = Traffic()
         self._endpoint = Endpoint(
-            address=address, incarnation=incarnation, revision=handler.revision
+            address=address,
+            incarnation=incarnation,
+            revision=handler.revision,
+            traffic=self._traffic,
         )
         self._link_by_address: dict[str, Link] = {}
         self._known: set[str] = set(seeds) - {address}
@@ -188,6 +204,7 @@
         async with self._tasks:
             await self._tasks.spawn(self._answer, daemon=True)
             await self._tasks.spawn(self._tell, daemon=True)
+            await self._tasks.spawn(self._report, daemon=True)
             while True:
                 await self._linked(await self._inbox.get())
 
@@ -369,11 +386,29 @@
             inbox=self._inbox,
             heartbeat_seconds=heartbeat,
             silence_seconds=silence,
+            traffic=self._traffic,
         )
         self._link_by_address[address] = link
         await self._tasks.spawn(link.run, daemon=True)
 
+    async def _report(self) -> None:
+        """Say what the links carry: a link that is full only makes things late."""
+        while True:
+            await curio.sleep(REPORT_SECONDS)
+            report = self._traffic.take()
+            self._metrics.link_traffic(report)
+            log_info(
+                "link_traffic",
+                sent=report.sent,
+                heard=report.heard,
+                seconds=REPORT_SECONDS,
+                most_sent=largest(report.sent_by_kind),
+                most_heard=largest(report.heard_by_kind),
+            )
+
     async def _linked(self, event) -> None:
+        if isinstance(event, Received):
+            self._handler.heard_revision(event.peer, event.envelope.revision)
         match event:
             case LinkUp(peer=peer):
                 log_info("dependency_regained", dependency="peer", address=peer)
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -46,6 +46,7 @@
             seeds=settings.peers,
             platform=platform,
             handler=self,
+            metrics=self.metrics,
             is_relay=True,
         )
 
@@ -76,6 +77,9 @@
         """Return that no configuration is in force."""
         return 0
 
+    def heard_revision(self, peer: str, revision: int) -> None:
+        """Leave which configuration a peer has in force."""
+
     def heartbeat(self) -> Heartbeat:
         """Return what keeps a peer's link up."""
         return Heartbeat(leaving=not self.ready)
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -61,6 +61,10 @@
 UPKEEP_SECONDS = 0.2
 """How often lapsed entries and idle connections are looked at."""
 
+LATE_SECONDS = 0.25
+"""A timer that fires so late shows a process without processor time, or frozen; the
+links' heartbeats are late then too."""
+
 BALANCER_SECONDS = 2.6
 """A balancer that looks once a second and wants two misses has stopped sending
 by then; new connections are taken so long after a planned stop has begun."""
@@ -93,6 +97,7 @@
         self._settings = settings
         self._stopping = False
         self._raw_configuration: bytes = b""
+        self._revision_heard = 0
         incarnation = f"{settings.name}/{secrets.token_hex(4)}"
         self._directory = Directory()
         self._placement = Placement(zone=settings.zone)
@@ -107,6 +112,7 @@
             seeds=settings.peers,
             platform=platform,
             handler=self,
+            metrics=self.metrics,
         )
         self._platform = RelayedPlatform(
             direct=platform, relays=self._peers.platform_relays
@@ -250,6 +256,14 @@
         """Take in what a peer has at each upstream."""
         self._placement.heard(node, load_by_upstream, monotonic())
 
+    def heard_revision(self, peer: str, revision: int) -> None:
+        """Take in which configuration a peer has in force; 0 for none."""
+        if revision <= max(self._revision_heard, self.revision()):
+            return
+        self._revision_heard = revision
+        self.metrics.configuration_heard(revision=revision)
+        log_info("configuration_behind", peer=peer, heard=revision, own=self.revision())
+
     async def heard_configuration(self, pushed: VersionedObject) -> None:
         """Take over a peer's configuration where it is newer."""
         if pushed.version <= self.revision():
@@ -259,7 +273,7 @@
         except ConfigurationUnreadable as exc:
             log_warning("configuration_unreadable", source="peer", error=str(exc))
             return
-        await self._take_configuration(configuration, pushed.value)
+        await self._take_configuration(configuration, pushed.value, source="peer")
 
     def heard_crash(self, crash: CrashSeen) -> None:
         """Take in a crash that a peer found."""
@@ -302,7 +316,10 @@
         await self._platform.answered(answer)
 
     async def _take_configuration(
-        self, configuration: IngressConfiguration, value: bytes
+        self,
+        configuration: IngressConfiguration,
+        value: bytes,
+        source: str = "platform",
     ) -> None:
         # It never reverts: a lagging list or peer may show an older one.
         if configuration.revision <= self.revision():
@@ -311,6 +328,7 @@
             "configuration_in_force",
             revision=configuration.revision,
             was=self.revision(),
+            source=source,
             routes=len(configuration.routes),
             customers=len(configuration.customers),
         )
@@ -355,4 +373,8 @@
             self.metrics.load(
                 running=self._server.open_exchanges, queued=len(self._dispatcher.room)
             )
+            due = monotonic() + UPKEEP_SECONDS
             await curio.sleep(UPKEEP_SECONDS)
+            late = monotonic() - due
+            if late > LATE_SECONDS:
+                log_warning("loop_late", seconds=round(late, 3))
--- a/src/ragwortkeel/links.py
+++ b/src/ragwortkeel/links.py
@@ -21,6 +21,7 @@
 from ragwortkeel.exceptions import LinkLost
 from ragwortkeel.lifecycle import ChartName, Lifecycle
 from ragwortkeel.messages import AnyMessage, Envelope, Heartbeat, decode, encode
+from ragwortkeel.traffic import Traffic
 
 HEARTBEAT_SECONDS = 1.0
 """At 1,000 routers and 10,000 sidecars this is the largest steady message rate."""
@@ -140,6 +141,8 @@
         Sent with every message.
     revision
         Called for each message: the configuration revision in force here.
+    traffic
+        Counts the messages; none by default.
 
     Examples
     --------
@@ -152,11 +155,17 @@
     """
 
     def __init__(
-        self, *, address: str, incarnation: str, revision: Callable[[], int]
+        self,
+        *,
+        address: str,
+        incarnation: str,
+        revision: Callable[[], int],
+        traffic: Traffic | None = None,
     ) -> None:
         self.address = address
         self.incarnation = incarnation
         self._revision = revision
+        self._traffic = traffic or Traffic()
         self._channel: _Channel | None = None
 
     def open(self) -> None:
@@ -174,6 +183,7 @@
             frames = await self._channel.receive()
             envelope = _decode_or_none(frames[-1])
             if envelope is not None:
+                self._traffic.heard(envelope.message, len(frames[-1]))
                 return Received(peer=frames[0].decode(), envelope=envelope)
 
     async def send(self, peer: str, message: AnyMessage) -> None:
@@ -181,7 +191,9 @@
         envelope = Envelope(
             sender=self.incarnation, revision=self._revision(), message=message
         )
-        await self._channel.send([peer.encode(), encode(envelope)])
+        data = encode(envelope)
+        await self._channel.send([peer.encode(), data])
+        self._traffic.sent(message, len(data))
 
     async def close(self) -> None:
         """Let queued answers leave, then close."""
@@ -203,7 +215,7 @@
         What the owner calls this peer.
     address
         ``ip:port`` of the peer's endpoint.
-    incarnation, revision
+    incarnation, revision, traffic
         As for `Endpoint`.
     inbox
         Where `Received`, `LinkUp` and `LinkDown` go.
@@ -221,6 +233,7 @@
         inbox: curio.Queue,
         heartbeat_seconds: float = HEARTBEAT_SECONDS,
         silence_seconds: float = SILENCE_SECONDS,
+        traffic: Traffic | None = None,
     ) -> None:
         self.name = name
         self.address = address
@@ -229,6 +242,7 @@
         self._inbox = inbox
         self._heartbeat_seconds = heartbeat_seconds
         self._silence_seconds = silence_seconds
+        self._traffic = traffic or Traffic()
         self._heard_at = 0.0
         self._lifecycle = Lifecycle(chart=ChartName.LINK)
         self._channel: _Channel | None = None
@@ -257,7 +271,9 @@
         envelope = Envelope(
             sender=self.incarnation, revision=self._revision(), message=message
         )
-        await self._channel.send([encode(envelope)])
+        data = encode(envelope)
+        await self._channel.send([data])
+        self._traffic.sent(message, len(data))
 
     async def _one_connection(self) -> None:
         identity = f"{self.incarnation}/{next(_serials)}"
@@ -293,6 +309,7 @@
             envelope = _decode_or_none(frames[-1])
             if envelope is None:
                 continue
+            self._traffic.heard(envelope.message, len(frames[-1]))
             self._heard_at = monotonic()
             if not self.up:
                 self._lifecycle.fire("heard")
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -14,6 +14,8 @@
     generate_latest,
 )
 
+from ragwortkeel.traffic import TrafficReport
+
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 FIRST_TOKEN_BUCKETS = (0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0)
@@ -66,6 +68,11 @@
             "Links whose peer went silent, by the peer's role.",
             ("peer",),
         )
+        self._link_bytes = self._counter(
+            "ragwortkeel_link_bytes_total",
+            "Bytes on links to other processes, by direction and kind of message.",
+            ("direction", "message"),
+        )
         self._platform_errors = self._counter(
             "ragwortkeel_platform_errors_total",
             "Calls to the platform that failed, by error.",
@@ -93,6 +100,10 @@
             "ragwortkeel_configuration_revision",
             "Highest configuration revision in force here.",
         )
+        self._revision_heard = self._gauge(
+            "ragwortkeel_configuration_revision_heard",
+            "Highest configuration revision that a peer has in force.",
+        )
         self._open_requests = self._gauge(
             "ragwortkeel_open_requests", "Requests begun and not yet answered."
         )
@@ -150,6 +161,13 @@
         """Count a link whose peer, of that role, went silent."""
         self._links_lost.labels(peer).inc()
 
+    def link_traffic(self, report: TrafficReport) -> None:
+        """Add the bytes that links carried since the last report."""
+        for kind, size in report.sent_by_kind.items():
+            self._link_bytes.labels("sent", kind).inc(size)
+        for kind, size in report.heard_by_kind.items():
+            self._link_bytes.labels("heard", kind).inc(size)
+
     def platform_failed(self, *, error: str) -> None:
         """Count a failed call to the platform."""
         self._platform_errors.labels(error).inc()
@@ -158,6 +176,10 @@
         """Note the highest revision in force."""
         self._revision.set(revision)
 
+    def configuration_heard(self, *, revision: int) -> None:
+        """Note the highest revision that a peer has in force."""
+        self._revision_heard.set(revision)
+
     def load(self, *, running: int, queued: int) -> None:
         """Note how many requests are open and how many of them wait."""
         self._open_requests.set(running)
--- /dev/null
+++ b/tests/test_traffic.py
@@ -0,0 +1,66 @@
+"""What links carry is counted by kind of message."""
+
+import curio
+
+from ragwortkeel.links import Endpoint, Link, LinkUp
+from ragwortkeel.messages import CrashSeen, Heartbeat
+from ragwortkeel.metrics import Metrics
+from ragwortkeel.traffic import Traffic, largest
+
+
+class TestTraffic:
+    def test_a_report_holds_what_came_since_the_last_one(self):
+        traffic = Traffic()
+        traffic.sent(Heartbeat(), 60)
+        traffic.sent(Heartbeat(), 60)
+        traffic.heard(CrashSeen(crash_id="c", fingerprints=()), 90)
+        first, second = traffic.take(), traffic.take()
+        assert (first.sent, first.heard) == (120, 90)
+        assert (second.sent, second.heard) == (0, 0)
+
+    def test_the_largest_kinds_come_first(self):
+        sizes = {"A": 1, "B": 5, "C": 3, "D": 4, "E": 2}
+        assert largest(sizes) == "B:5,D:4,C:3,E:2"
+
+    def test_links_count_both_ways(self):
+        """Links full of copies of one message could not be told from slow ones.
+
+        Nothing said what they carried: messages only came late.
+        """
+
+        async def main():
+            asked, answering = Traffic(), Traffic()
+            endpoint = Endpoint(
+                address="127.0.0.1:0", incarnation="e", revision=int, traffic=answering
+            )
+            endpoint.open()
+            inbox = curio.Queue()
+            link = Link(
+                name="peer",
+                address=endpoint.address,
+                incarnation="l",
+                revision=int,
+                inbox=inbox,
+                traffic=asked,
+            )
+            task = await curio.spawn(link.run, daemon=True)
+            received = await endpoint.receive()
+            await endpoint.send(received.peer, Heartbeat(leaving=True))
+            async with curio.timeout_after(5):
+                while not isinstance(await inbox.get(), LinkUp):
+                    pass
+            await task.cancel()
+            await endpoint.close()
+            return asked.take(), answering.take()
+
+        asked, answering = curio.run(main)
+        assert answering.heard_by_kind["Heartbeat"] > 0
+        assert asked.heard == answering.sent > 0
+
+    def test_metrics_add_reports_up(self):
+        traffic, metrics = Traffic(), Metrics()
+        for _ in range(2):
+            traffic.sent(Heartbeat(), 60)
+            metrics.link_traffic(traffic.take())
+        line = 'link_bytes_total{direction="sent",message="Heartbeat"} 120.0'
+        assert line in metrics.render().decode()
