Failing test: every change of the configuration is sent to all peers by all

Callers saw 404 on a route that had been confirmed four seconds before. The test shows the suspected way there without a network: with 4 processes each of 3 changes reaches each process several times from its peers although all read it from the platform, a relay is sent what it throws away, and a start is greeted by every peer with a copy. Listed in KNOWN-RED.txt; tests that it names are now expected to fail, strictly, so that a mend has to take its line off.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,8 @@
 """Shared fixtures; hypothesis is derandomized so that every run is the same."""
 
+import pytest
 from hypothesis import HealthCheck, settings
+from tests.known_red import known_red
 
 settings.register_profile(
     "ci",
@@ -10,3 +12,12 @@
     suppress_health_check=[HealthCheck.too_slow],
 )
 settings.load_profile("ci")
+
+
+def pytest_collection_modifyitems(items):
+    """Pass over just the tests that KNOWN-RED.txt lists, as long as they fail."""
+    line_by_test = known_red()
+    for item in items:
+        line = line_by_test.get(item.nodeid)
+        if line is not None:
+            item.add_marker(pytest.mark.xfail(strict=True, reason=line))
--- /dev/null
+++ b/tests/ingress/test_configuration_spread.py
@@ -0,0 +1,118 @@
+"""Who is sent a change of the configuration by whom, and how often.
+
+Callers of a large fleet were refused with 404 for four seconds after a route had been
+added, on a calm network and with processors idle.  A few changes had come in quick
+succession; each process that took one over had sent the whole configuration on.
+"""
+
+import curio
+from deployments.ports import free_address
+from tests.ingress.in_process import ROUTES, run_ingress
+from tests.ingress.test_configuration_in_force import pushed, reached
+
+from ragwortkeel.ingress.relay_worker import RelayWorker
+from ragwortkeel.settings import RelaySettings
+
+PROCESSES = 4
+CHANGES = 3
+SETTLED_SECONDS = 1.5
+"""Longer than links take to notice each other and to pass on what they have."""
+
+
+def count_copies(worker):
+    """Return a list that grows with each copy that the process hears."""
+    copies = []
+    taken = worker.heard_configuration
+
+    async def heard(one):
+        copies.append(one.version)
+        await taken(one)
+
+    worker.heard_configuration = heard
+    return copies
+
+
+async def start_relay(fleet):
+    peers = tuple(worker._settings.address for worker in fleet.workers)
+    settings = RelaySettings(
+        name="relay-1",
+        zone="a",
+        address=free_address(),
+        metrics=free_address(),
+        platform="127.0.0.1:9",
+        peers=peers,
+    )
+    relay = RelayWorker(settings=settings, platform=fleet.platform)
+    relay.open()
+    fleet.tasks.append(await curio.spawn(relay.run, daemon=True))
+    return relay
+
+
+async def linked(relay, count):
+    async with curio.timeout_after(5):
+        while relay._peers.count < count:
+            await curio.sleep(0.01)
+
+
+class TestChangesThatAllReadFromThePlatform:
+    def test_a_process_is_sent_a_change_once_at_the_most(self):
+        """With 56 peers each change is 56 copies a process, seconds of its link."""
+
+        async def scenario(fleet):
+            copies = [count_copies(worker) for worker in fleet.workers]
+            for _ in range(CHANGES):
+                await fleet.configure(routes=ROUTES)
+                for worker in fleet.workers:
+                    await reached(worker, fleet.revision)
+            await curio.sleep(SETTLED_SECONDS)
+            return [len(heard) for heard in copies]
+
+        heard = run_ingress(scenario, processes=PROCESSES)
+        assert max(heard) <= CHANGES
+
+    def test_a_relay_keeps_none_and_is_sent_none(self):
+        """Half of the copies went to processes that throw them away."""
+
+        async def scenario(fleet):
+            relay = await start_relay(fleet)
+            copies = count_copies(relay)
+            await linked(relay, len(fleet.workers))
+            await fleet.configure()
+            await reached(fleet.workers[0], fleet.revision)
+            await curio.sleep(SETTLED_SECONDS)
+            return copies
+
+        assert run_ingress(scenario, processes=2) == []
+
+    def test_a_process_that_comes_back_is_sent_one_copy_at_the_most(self):
+        """All that come back after a cut at once are greeted by all the others.
+
+        Their links are full for seconds with what they have had all along.
+        """
+
+        async def scenario(fleet):
+            links = tuple(worker._settings.address for worker in fleet.workers)
+            late_link = free_address()
+            late = await fleet.start_worker("ingress-late", late_link, links)
+            copies = count_copies(late)
+            await reached(late, fleet.revision)
+            await curio.sleep(SETTLED_SECONDS)
+            return copies
+
+        assert len(run_ingress(scenario, processes=PROCESSES)) <= 1
+
+
+class TestChangesThatOneAloneHears:
+    def test_all_others_have_it_in_time_with_one_copy_each(self):
+        """The platform turns away all processes but one."""
+
+        async def scenario(fleet):
+            fleet.platform.switches.down = True
+            copies = [count_copies(worker) for worker in fleet.workers[1:]]
+            await fleet.workers[0].heard_configuration(pushed(fleet, 9))
+            for worker in fleet.workers[1:]:
+                await reached(worker, 9)
+            return [len(heard) for heard in copies]
+
+        heard = run_ingress(scenario, processes=PROCESSES)
+        assert max(heard) == 1
