--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -21,7 +21,8 @@
 class VersionedObject(msgspec.Struct, frozen=True, kw_only=True):
     """One configuration object with its platform version.
 
-    `gone` says that it was deleted or retired, which no version undoes.
+    `gone` says that it was deleted or retired, which no version undoes; `deflated`
+    that `value` is compressed by zlib.
     """
 
     kind: str
@@ -29,6 +30,7 @@
     version: int
     value: bytes
     gone: bool = False
+    deflated: bool = False
 
 
 class RefusalReason(StrEnum):
