Peers are told of new processes only, not of all every two seconds

On an idle fleet of 29 and 27 a process sent 64 KB/s, two thirds of it the list of all addresses, to every peer and relay (link_traffic: IngressState 83 of 127 KB in two seconds). Change: introductions.py keeps what was told. News go out every two seconds at the most, the whole list over each fresh link and to all each 20 s, for what a broken connection lost. Prompt parts are no longer sent to relays, which place nothing.

--- /dev/null
+++ b/src/ragwortkeel/ingress/introductions.py
@@ -0,0 +1,90 @@
+"""Which processes a process knows of, and what its peers have still to hear of them.
+
+Pattern of load: who there is changes a few times an hour, and with dozens of processes
+the list of all is the largest of the small messages.  Told to every peer every two
+seconds it was two thirds of what an idle process sent.  So peers are told what is new;
+the whole list goes over each fresh link, and to all once in `WHOLE_SECONDS` in case a
+connection broke and came back unnoticed, with what was on its way lost.
+"""
+
+from dataclasses import dataclass
+
+NEWS_SECONDS = 2.0
+"""How often peers are told of new processes, so that many that start at once are one
+message."""
+
+WHOLE_SECONDS = 20.0
+"""How often they are told the whole list."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Introduction:
+    """Processes that a peer may not know: addresses, and which of them only relay."""
+
+    addresses: tuple[str, ...] = ()
+    relays: tuple[str, ...] = ()
+
+
+NOBODY = Introduction()
+
+
+class Introductions:
+    """The processes that one process has heard of.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of this process.
+    seeds : iterable of str
+        Addresses to begin with.
+    is_relay : bool
+        Whether this process only relays.
+
+    Attributes
+    ----------
+    known : set of str
+        Addresses of the others.
+    relays : set of str
+        Addresses of those that only relay, its own among them.
+    """
+
+    def __init__(self, *, address: str, seeds: tuple[str, ...], is_relay: bool) -> None:
+        self._address = address
+        self.known: set[str] = set(seeds) - {address}
+        self.relays: set[str] = {address} if is_relay else set()
+        self._told: set[str] = set()
+        self._told_relays: set[str] = set()
+        self._told_at = float("-inf")
+        self._told_whole_at = float("-inf")
+
+    def meet(self, introduction: Introduction) -> None:
+        """Take in what a peer told, or the settings."""
+        self.known |= set(introduction.addresses) - {self._address}
+        self.relays |= set(introduction.relays)
+
+    def whole(self) -> Introduction:
+        """Return all, for a peer on a fresh link."""
+        return _introduction(self.known, self.relays)
+
+    def due(self, now: float) -> Introduction | None:
+        """Return what to tell all peers at this monotonic second; None if nothing.
+
+        What is returned counts as told.
+        """
+        if now - self._told_whole_at >= WHOLE_SECONDS:
+            self._told_whole_at = now
+            return self._tell(self.whole(), now)
+        news = self.known - self._told, self.relays - self._told_relays
+        if not any(news) or now - self._told_at < NEWS_SECONDS:
+            return None
+        return self._tell(_introduction(*news), now)
+
+    def _tell(self, introduction: Introduction, now: float) -> Introduction:
+        self._told_at = now
+        self._told |= self.known
+        self._told_relays |= self.relays
+        return introduction
+
+
+def _introduction(known: set[str], relays: set[str]) -> Introduction:
+    return Introduction(addresses=tuple(sorted(known)), relays=tuple(sorted(relays)))
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -18,6 +18,7 @@
 from ragwortkeel.exceptions import LinkLost
 from ragwortkeel.ingress.catch_up import CatchUp
 from ragwortkeel.ingress.configuration import CONFIGURATION_KIND, CONFIGURATION_NAME
+from ragwortkeel.ingress.introductions import NOBODY, Introduction, Introductions
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.ingress.relaying import carry_out
 from ragwortkeel.links import Endpoint, Link, LinkDown, LinkUp, Received
@@ -49,9 +50,8 @@
 """How old a load told by a peer is at the most; three processes placing a burst
 of thirty requests a second misjudge an upstream by a few requests then."""
 
-INTRODUCE_SECONDS = 2.0
-"""How often peers are told who else there is, and relays anything at all: what
-rarely changes would otherwise be most of the bytes between zones."""
+CLOCKS_SECONDS = 2.0
+"""How often peers are asked for their time of day; an old answer stays good."""
 
 RELAY_HEARTBEAT_SECONDS = 1.0
 """A link that carries work only in a cut beats more slowly than one between ingress
@@ -184,8 +184,9 @@
             traffic=self._traffic,
         )
         self._link_by_address: dict[str, Link] = {}
-        self._known: set[str] = set(seeds) - {address}
-        self._relays: set[str] = {address} if is_relay else set()
+        self._introductions = Introductions(
+            address=address, seeds=seeds, is_relay=is_relay
+        )
         self._address_by_node: dict[str, str] = {}
         self._leaving: set[str] = set()
         self._step_by_address: dict[str, int] = {}
@@ -197,10 +198,14 @@
         """Bind the socket that peers connect to."""
         self._endpoint.open()
 
+    @property
+    def _relays(self) -> set[str]:
+        return self._introductions.relays
+
     @property
     def known(self) -> int:
         """Other processes that this one has heard of."""
-        return len(self._known)
+        return len(self._introductions.known)
 
     @property
     def count(self) -> int:
@@ -220,7 +225,7 @@
 
     def meet(self, addresses: tuple[str, ...]) -> None:
         """Link to these peers too."""
-        self._known |= set(addresses) - {self._address}
+        self._introductions.meet(Introduction(addresses=addresses))
 
     def platform_relays(self) -> list[Link]:
         """Return the links to peers that may relay, pure relays first."""
@@ -342,39 +347,47 @@
         return True
 
     async def _tell(self) -> None:
-        """Tell loads and addresses, and link to peers that are new."""
-        introduced_at = float("-inf")
+        """Tell loads and new addresses, and link to peers that are new."""
+        asked_time_at = float("-inf")
         while True:
             for address in self._to_link():
                 await self._link(address)
-            introduces = monotonic() - introduced_at >= INTRODUCE_SECONDS
-            if introduces:
-                introduced_at = monotonic()
-            links = self._link_by_address
-            told = [links[a] for a in links if introduces or a not in self._relays]
-            if introduces:
-                await self._ask_time(list(links.values()))
-            if not self._is_relay or introduces:
-                news = self._handler.parts_news()
-                await self._send(self._state(introduces=introduces, parts=news), told)
-            crowd = max(1.0, len(told) / PEERS_AT_FULL_RATE)
+            now = monotonic()
+            if now - asked_time_at >= CLOCKS_SECONDS:
+                asked_time_at = now
+                await self._ask_time(list(self._link_by_address.values()))
+            introduction = self._introductions.due(now)
+            routers = list(self._renewing_by_address().values())
+            if not self._is_relay:
+                parts = self._handler.parts_news()
+                await self._send(self._state(introduction or NOBODY, parts), routers)
+            if introduction is not None:
+                others = routers if self._is_relay else self._relay_links()
+                await self._send(self._state(introduction), others)
+            crowd = max(1.0, len(routers) / PEERS_AT_FULL_RATE)
             await curio.sleep(TELL_SECONDS * crowd)
 
     def _state(
-        self, *, introduces: bool, parts: dict[str, dict[int, int]]
+        self,
+        introduction: Introduction,
+        parts: dict[str, dict[int, int]] | None = None,
     ) -> IngressState:
         return IngressState(
             node=self._node,
             address=self._address,
-            addresses=tuple(sorted(self._known)) if introduces else (),
-            relays=tuple(sorted(self._relays)) if introduces else (),
+            addresses=introduction.addresses,
+            relays=introduction.relays,
             load_by_upstream=_wire_loads(self._handler.own_loads()),
             writing_step=self._handler.writing_step(),
-            parts_by_upstream=parts,
+            parts_by_upstream=parts or {},
         )
 
+    def _relay_links(self) -> list[Link]:
+        links = self._link_by_address
+        return [links[address] for address in links if address in self._relays]
+
     def _to_link(self) -> set[str]:
-        known = self._known - self._link_by_address.keys()
+        known = self._introductions.known - self._link_by_address.keys()
         return known - self._relays if self._is_relay else known
 
     async def _link(self, address: str) -> None:
@@ -417,7 +430,8 @@
                 log_info("dependency_regained", dependency="peer", address=peer)
                 link = self._link_by_address[peer]
                 parts = {} if peer in self._relays else self._handler.all_parts()
-                await self._send(self._state(introduces=True, parts=parts), [link])
+                whole = self._introductions.whole()
+                await self._send(self._state(whole, parts), [link])
                 await self._ask_time([link])
             case Received(
                 peer=peer, envelope=Envelope(message=ClockAnswer() as answer)
@@ -553,9 +567,11 @@
     def _meet(self, state: IngressState) -> None:
         self._address_by_node[state.node] = state.address
         self._step_by_address[state.address] = state.writing_step
-        told = {state.address, *state.addresses}
-        self._known |= told - {self._address}
-        self._relays |= set(state.relays)
+        self._introductions.meet(
+            Introduction(
+                addresses=(state.address, *state.addresses), relays=state.relays
+            )
+        )
 
 
 def _wire_loads(load_by_upstream: dict[str, Load]) -> dict[str, UpstreamLoad]:
