--- a/tests/ingress/test_greetings.py
+++ b/tests/ingress/test_greetings.py
@@ -3,8 +3,8 @@
 After a cut between two availability zones callers wait for seconds more: each process
 greets each peer that it hears again with all that it knows of the engines' memory,
 50 KB from each, and the links of small instances are full.  It is what the
-configuration was told by as well (test_configuration_spread.py); this was not seen in an
-incident but found by looking for what else is told to all.
+configuration was told by as well (test_configuration_spread.py); this was not seen in
+an incident but found by looking for what else is told to all.
 """
 
 import curio
