--- a/tests/ingress/test_configuration_spread.py
+++ b/tests/ingress/test_configuration_spread.py
@@ -105,6 +105,29 @@
         assert len(run_ingress(scenario, processes=PROCESSES)) <= 1
 
 
+class TestStartsOfAllAtOnce:
+    def test_all_read_the_platform_and_are_sent_one_copy_at_the_most(self):
+        """After a loss of power of all a quarter of the callers is served at last.
+
+        Each process that started handed the configuration to all others, twice: when
+        it had read it and when a link came up.  The links of small instances were
+        full for seconds while all had to read the ledgers and the upstreams.
+        """
+
+        async def scenario(fleet):
+            links = [free_address() for _ in range(PROCESSES)]
+            copies = []
+            for i, link in enumerate(links):
+                late = await fleet.start_worker(f"late-{i}", link, tuple(links))
+                copies.append(count_copies(late))
+            for late in fleet.workers[1:]:
+                await reached(late, fleet.revision)
+            await curio.sleep(SETTLED_SECONDS)
+            return [len(heard) for heard in copies]
+
+        assert max(run_ingress(scenario)) <= 1
+
+
 class TestChangesThatOneAloneHears:
     def test_all_others_have_it_in_time_with_one_copy_each(self):
         """The platform turns away all processes but one."""
