Messages leave out fields that hold their default

Change: omit_defaults for all messages, as ledgers have it. Older decoders read it. Measured by the encoder: 108 to 67 bytes. Ruled out: deflating every message; 1.6 KB of loads become 0.7 KB in 54 us, for each of 28 peers each 0.7 s, which is little against callers' bytes and one more thing to decode.

--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -14,8 +14,12 @@
 from ragwortkeel.budget.ledger import Ledger
 
 
-class Message(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Base of all messages; the tag is the class name."""
+class Message(msgspec.Struct, frozen=True, kw_only=True, tag=True, omit_defaults=True):
+    """Base of all messages; the tag is the class name.
+
+    Fields that hold their default are left out: most heartbeats say nothing else, and
+    dozens of peers hear them twice a second.
+    """
 
 
 class VersionedObject(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -16,3 +16,10 @@
     def test_garbage_is_refused(self, data):
         with pytest.raises(msgspec.DecodeError):
             decode(data)
+
+
+def test_a_heartbeat_that_says_nothing_else_is_small():
+    """Dozens of peers hear it twice a second, and as many echoes come back."""
+    idle = Envelope(sender="front-1/0a1b2c3d", revision=10, message=Heartbeat())
+    assert len(encode(idle)) < 70
+    assert decode(encode(idle)) == idle
