--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -404,8 +404,11 @@
     gap: bool = False
 
 
-class UpstreamLoad(msgspec.Struct, frozen=True, kw_only=True):
-    """What one ingress process has at an upstream, in requests and tokens."""
+class UpstreamLoad(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What one ingress process has at an upstream, in requests and tokens.
+
+    On the wire it has no field names: dozens of loads go to each peer.
+    """
 
     running: int
     memory_tokens: int
