Loads are told to eight peers at a time

Hypothesis: copies for 28 peers in one go are 20 to 40 KB in a burst, which callers' events wait behind on a small link. The rate is as before, and a fleet of up to nine is told just as before.

--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -62,8 +62,8 @@
 """Three lost heartbeats and some slack."""
 
 PEERS_AT_FULL_RATE = 8
-"""With more peers each is told less often, so that the messages of one process
-stay at some forty a second however many there are."""
+"""Told at a time.  With more peers each is told less often, so that the messages of
+one process stay at some forty a second however many there are."""
 
 REPORT_SECONDS = 2.0
 """How often it is logged what the links carry: a line a process, however busy."""
@@ -349,7 +349,11 @@
         return True
 
     async def _tell(self) -> None:
-        """Tell loads and new addresses, and link to peers that are new."""
+        """Tell loads and new addresses, and link to peers that are new.
+
+        A few peers at a time: copies for dozens of them in one go are a tenth of a
+        second of a small instance's link, in which callers' events wait.
+        """
         asked_time_at = float("-inf")
         while True:
             for address in self._to_link():
@@ -359,15 +363,27 @@
                 asked_time_at = now
                 await self._ask_time(list(self._link_by_address.values()))
             introduction = self._introductions.due(now)
-            routers = list(self._renewing_by_address().values())
-            if not self._is_relay:
-                parts = self._handler.parts_news()
-                await self._send(self._state(introduction or NOBODY, parts), routers)
             if introduction is not None:
-                others = routers if self._is_relay else self._relay_links()
-                await self._send(self._state(introduction), others)
-            crowd = max(1.0, len(routers) / PEERS_AT_FULL_RATE)
-            await curio.sleep(TELL_SECONDS * crowd)
+                await self._send(self._state(introduction), self._only_introduced())
+            await self._tell_routers(introduction or NOBODY)
+
+    async def _tell_routers(self, introduction: Introduction) -> None:
+        """Tell all processes that place requests, and take the time for a round."""
+        routers = [] if self._is_relay else list(self._renewing_by_address().values())
+        parts = self._handler.parts_news() if routers else {}
+        for first in range(0, max(1, len(routers)), PEERS_AT_FULL_RATE):
+            told = routers[first : first + PEERS_AT_FULL_RATE]
+            await self._send(self._state(introduction, parts), told)
+            await curio.sleep(TELL_SECONDS)
+
+    def _only_introduced(self) -> list[Link]:
+        """Return the links to peers that have no use for loads."""
+        if self._is_relay:
+            return list(self._renewing_by_address().values())
+        return [self._link_by_address[one] for one in self._linked_relays()]
+
+    def _linked_relays(self) -> set[str]:
+        return self._relays & self._link_by_address.keys()
 
     def _state(
         self,
@@ -384,10 +400,6 @@
             parts_by_upstream=parts or {},
         )
 
-    def _relay_links(self) -> list[Link]:
-        links = self._link_by_address
-        return [links[address] for address in links if address in self._relays]
-
     def _to_link(self) -> set[str]:
         known = self._introductions.known - self._link_by_address.keys()
         return known - self._relays if self._is_relay else known
