The order of the ledgers' writers in a module of its own

What decides and tells who writes the ledgers moves to ingress/writers.py, word for word but for its state, which is passed in; Link.try_send takes the place of a method that both would need. No behaviour changes.

--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -14,13 +14,13 @@
 from ragwortkeel.budget.account import Account
 from ragwortkeel.budget.clocks import read_clocks
 from ragwortkeel.budget.sizing import ASKED_AT_ONCE, best_givers
-from ragwortkeel.budget.turns import Writer, first_in_order, place_in_order
 from ragwortkeel.exceptions import LinkLost
 from ragwortkeel.ingress.catch_up import CatchUp
 from ragwortkeel.ingress.configuration import CONFIGURATION_KIND, CONFIGURATION_NAME
 from ragwortkeel.ingress.introductions import NOBODY, Introduction, Introductions
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.ingress.relaying import carry_out
+from ragwortkeel.ingress.writers import Writers
 from ragwortkeel.links import Endpoint, Link, LinkDown, LinkUp, Received
 from ragwortkeel.logs import log_debug, log_info, log_warning
 from ragwortkeel.messages import (
@@ -188,10 +188,12 @@
         self._introductions = Introductions(
             address=address, seeds=seeds, is_relay=is_relay
         )
-        self._address_by_node: dict[str, str] = {}
-        self._leaving: set[str] = set()
-        self._step_by_address: dict[str, int] = {}
-        self._avoided_until: dict[str, float] = {}
+        self.writers = Writers(
+            address=address,
+            links=self._routers,
+            own_step=handler.writing_step,
+            leaves=lambda: handler.heartbeat().leaving,
+        )
         self._called_parts = False
         self._catch_up = CatchUp(random=Random(incarnation))
         self._tasks = curio.TaskGroup(wait=None)
@@ -236,7 +238,7 @@
 
     async def send_crash(self, crash: CrashSeen) -> None:
         """Tell all peers that place requests of a crash and what ran there."""
-        await self._send(crash, list(self._renewing_by_address().values()))
+        await self._send(crash, list(self._routers().values()))
 
     async def ask_loan(self, customer: str, account: Account) -> None:
         """Ask the peers that hold most for tokens of a customer."""
@@ -250,65 +252,8 @@
         )
         await self._send(request, self._givers(account, need.lacking))
 
-    def place(self) -> int:
-        """Return how many processes before this one in order are heard."""
-        others = self._other_writers()
-        if self._handler.heartbeat().leaving:
-            return len(others)
-        return place_in_order(self._own_writer(), others)
-
-    async def call_renewals(self) -> int:
-        """Ask all processes that renew slices; return how many were asked."""
-        links = list(self._renewing_by_address().values())
-        await self._send(RenewalCall(), links)
-        return len(links)
-
-    async def hand_over(self, handed: HandedRenewals) -> str | None:
-        """Send renewals to the first process in order, unless it is this one.
-
-        Returns
-        -------
-        str or None
-            The address that they were sent to.
-        """
-        writers = self._other_writers()
-        if not self._handler.heartbeat().leaving:
-            writers.append(self._own_writer())
-        first = first_in_order(writers)
-        if first is None or first.name == self._address:
-            return None
-        sent = await self._sent(handed, self._link_by_address[first.name])
-        return first.name if sent else None
-
-    def avoid(self, address: str) -> None:
-        """Leave a process out of the order that did not write what it was handed.
-
-        One that was just killed still counts as heard for `SILENCE_SECONDS`, and
-        all callers who wait for tokens would wait for it first.
-        """
-        self._avoided_until[address] = monotonic() + SILENCE_SECONDS
-
-    async def answer(self, holder: str, answer: RenewalsWritten) -> None:
-        """Tell a process what became of its renewals."""
-        address = self._address_by_node.get(holder.partition("/")[0])
-        link = self._link_by_address.get(address)
-        if link is not None and link.up:
-            await self._sent(answer, link)
-
-    def _own_writer(self) -> Writer:
-        return Writer(name=self._address, step=self._handler.writing_step())
-
-    def _other_writers(self) -> list[Writer]:
-        """Return who else may write for all: not who leaves or was mute just now."""
-        now = monotonic()
-        return [
-            Writer(name=address, step=self._step_by_address.get(address, 0))
-            for address in self._renewing_by_address()
-            if address not in self._leaving
-            and self._avoided_until.get(address, 0.0) <= now
-        ]
-
-    def _renewing_by_address(self) -> dict[str, Link]:
+    def _routers(self) -> dict[str, Link]:
+        """Return the links that are up to processes that place requests."""
         return {
             address: link
             for address, link in self._link_by_address.items()
@@ -319,16 +264,8 @@
         holders = best_givers(
             account.ledger, router=account.slice.router, lacking=lacking
         )
-        nodes = [holder.partition("/")[0] for holder in holders]
-        addresses = [self._address_by_node.get(node) for node in nodes]
-        found = [self._link_by_address.get(address) for address in addresses]
-        up = [link for link in found if link is not None and link.up]
-        routers = [
-            link
-            for address, link in self._link_by_address.items()
-            if address not in self._relays
-        ]
-        return up or routers[:ASKED_AT_ONCE]
+        up = self.writers.links_of(holder.partition("/")[0] for holder in holders)
+        return up or list(self._routers().values())[:ASKED_AT_ONCE]
 
     async def _ask_time(self, links: list[Link]) -> None:
         # A relay has no use for the time.
@@ -338,15 +275,7 @@
     async def _send(self, message, links: list[Link]) -> None:
         for link in links:
             if link.up:
-                await self._sent(message, link)
-
-    async def _sent(self, message, link: Link) -> bool:
-        try:
-            await link.send(message)
-        except LinkLost as exc:
-            log_debug("peer_send_failed", peer=link.name, error=str(exc))
-            return False
-        return True
+                await link.try_send(message)
 
     async def _tell(self) -> None:
         """Tell loads and new addresses, and link to peers that are new.
@@ -369,7 +298,7 @@
 
     async def _tell_routers(self, introduction: Introduction) -> None:
         """Tell all processes that place requests, and take the time for a round."""
-        routers = [] if self._is_relay else list(self._renewing_by_address().values())
+        routers = [] if self._is_relay else list(self._routers().values())
         parts = self._handler.parts_news() if routers else {}
         for first in range(0, max(1, len(routers)), PEERS_AT_FULL_RATE):
             told = routers[first : first + PEERS_AT_FULL_RATE]
@@ -379,7 +308,7 @@
     def _only_introduced(self) -> list[Link]:
         """Return the links to peers that have no use for loads."""
         if self._is_relay:
-            return list(self._renewing_by_address().values())
+            return list(self._routers().values())
         return [self._link_by_address[one] for one in self._linked_relays()]
 
     def _linked_relays(self) -> set[str]:
@@ -448,7 +377,7 @@
             ):
                 self._handler.heard_clock(peer, answer)
             case Received(peer=peer, envelope=Envelope(message=Heartbeat() as beat)):
-                self._note_leaving(peer, leaving=beat.leaving)
+                self.writers.note_leaving(peer, leaving=beat.leaving)
             case LinkDown(peer=peer):
                 self._catch_up.lost(peer)
                 log_warning("dependency_lost", dependency="peer", address=peer)
@@ -460,13 +389,7 @@
         await self._send(self._state(self._introductions.whole()), [link])
         await self._ask_time([link])
         if not (self._is_relay or self._called_parts or link.name in self._relays):
-            self._called_parts = await self._sent(PartsCall(), link)
-
-    def _note_leaving(self, peer: str, *, leaving: bool) -> None:
-        if leaving:
-            self._leaving.add(peer)
-        else:
-            self._leaving.discard(peer)
+            self._called_parts = await link.try_send(PartsCall())
 
     def _note_revision(self, peer: str, revision: int) -> None:
         self._catch_up.heard(peer, revision)
@@ -486,7 +409,7 @@
             pull = ConfigurationPull(
                 kind=CONFIGURATION_KIND, ranks={CONFIGURATION_NAME: (False, own)}
             )
-            await self._sent(pull, self._link_by_address[question.peer])
+            await self._link_by_address[question.peer].try_send(pull)
 
     def _pushed(self, pull: ConfigurationPull) -> ConfigurationPush | None:
         """Return the configuration for a peer that is behind."""
@@ -584,8 +507,9 @@
         return None
 
     def _meet(self, state: IngressState) -> None:
-        self._address_by_node[state.node] = state.address
-        self._step_by_address[state.address] = state.writing_step
+        self.writers.heard(
+            node=state.node, address=state.address, step=state.writing_step
+        )
         self._introductions.meet(
             Introduction(
                 addresses=(state.address, *state.addresses), relays=state.relays
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -124,7 +124,7 @@
             platform=self._platform,
             holder=incarnation,
             ask_peers=self._peers.ask_loan,
-            group=self._peers,
+            group=self._peers.writers,
             clocks=self._time.reading,
         )
         self._connections = UpstreamConnections(id_header=names.request_id)
--- a/src/ragwortkeel/links.py
+++ b/src/ragwortkeel/links.py
@@ -20,6 +20,7 @@
 
 from ragwortkeel.exceptions import LinkLost
 from ragwortkeel.lifecycle import ChartName, Lifecycle
+from ragwortkeel.logs import log_debug
 from ragwortkeel.messages import AnyMessage, Envelope, Heartbeat, decode, encode
 from ragwortkeel.traffic import Traffic
 
@@ -275,6 +276,15 @@
         await self._channel.send([data])
         self._traffic.sent(message, len(data))
 
+    async def try_send(self, message: AnyMessage) -> bool:
+        """Send a message that may be lost; return whether it was put on its way."""
+        try:
+            await self.send(message)
+        except LinkLost as exc:
+            log_debug("peer_send_failed", peer=self.name, error=str(exc))
+            return False
+        return True
+
     async def _one_connection(self) -> None:
         identity = f"{self.incarnation}/{next(_serials)}"
         socket = _new_socket(zmq.DEALER, identity)
