The whole list of processes goes to one peer at a time

Change: each process tells one peer, drawn at random, every two seconds. With as many peers that do the same each hears a whole list as often as before or oftener.

--- a/src/ragwortkeel/ingress/introductions.py
+++ b/src/ragwortkeel/ingress/introductions.py
@@ -2,19 +2,17 @@
 
 Pattern of load: who there is changes a few times an hour, and with dozens of processes
 the list of all is the largest of the small messages.  Told to every peer every two
-seconds it was two thirds of what an idle process sent.  So peers are told what is new;
-the whole list goes over each fresh link, and to all once in `WHOLE_SECONDS` in case a
-connection broke and came back unnoticed, with what was on its way lost.
+seconds it was two thirds of what an idle process sent.  So peers are told what is new.
+The whole list goes over each fresh link, and to one peer at a time in case a connection
+broke and came back unnoticed, with what was on its way lost: with n peers that do the
+same, each hears it about as often as it is told to one.
 """
 
 from dataclasses import dataclass
 
 NEWS_SECONDS = 2.0
 """How often peers are told of new processes, so that many that start at once are one
-message."""
-
-WHOLE_SECONDS = 20.0
-"""How often they are told the whole list."""
+message; and how often one peer is told the whole list."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -55,7 +53,6 @@
         self._told: set[str] = set()
         self._told_relays: set[str] = set()
         self._told_at = float("-inf")
-        self._told_whole_at = float("-inf")
 
     def meet(self, introduction: Introduction) -> None:
         """Take in what a peer told, or the settings."""
@@ -63,7 +60,7 @@
         self.relays |= set(introduction.relays)
 
     def whole(self) -> Introduction:
-        """Return all, for a peer on a fresh link."""
+        """Return all, for one peer."""
         return _introduction(self.known, self.relays)
 
     def due(self, now: float) -> Introduction | None:
@@ -71,19 +68,13 @@
 
         What is returned counts as told.
         """
-        if now - self._told_whole_at >= WHOLE_SECONDS:
-            self._told_whole_at = now
-            return self._tell(self.whole(), now)
         news = self.known - self._told, self.relays - self._told_relays
         if not any(news) or now - self._told_at < NEWS_SECONDS:
             return None
-        return self._tell(_introduction(*news), now)
-
-    def _tell(self, introduction: Introduction, now: float) -> Introduction:
         self._told_at = now
         self._told |= self.known
         self._told_relays |= self.relays
-        return introduction
+        return _introduction(*news)
 
 
 def _introduction(known: set[str], relays: set[str]) -> Introduction:
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -17,7 +17,12 @@
 from ragwortkeel.exceptions import LinkLost
 from ragwortkeel.ingress.catch_up import CatchUp
 from ragwortkeel.ingress.configuration import CONFIGURATION_KIND, CONFIGURATION_NAME
-from ragwortkeel.ingress.introductions import NOBODY, Introduction, Introductions
+from ragwortkeel.ingress.introductions import (
+    NEWS_SECONDS,
+    NOBODY,
+    Introduction,
+    Introductions,
+)
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.ingress.relaying import carry_out
 from ragwortkeel.ingress.writers import Writers
@@ -195,7 +200,8 @@
             leaves=lambda: handler.heartbeat().leaving,
         )
         self._called_parts = False
-        self._catch_up = CatchUp(random=Random(incarnation))
+        self._random = Random(incarnation)
+        self._catch_up = CatchUp(random=self._random)
         self._tasks = curio.TaskGroup(wait=None)
 
     def open(self) -> None:
@@ -283,7 +289,7 @@
         A few peers at a time: copies for dozens of them in one go are a tenth of a
         second of a small instance's link, in which callers' events wait.
         """
-        asked_time_at = float("-inf")
+        asked_time_at = told_whole_at = float("-inf")
         while True:
             for address in self._to_link():
                 await self._link(address)
@@ -291,11 +297,20 @@
             if now - asked_time_at >= CLOCKS_SECONDS:
                 asked_time_at = now
                 await self._ask_time(list(self._link_by_address.values()))
+            if now - told_whole_at >= NEWS_SECONDS:
+                told_whole_at = now
+                await self._tell_one_the_whole()
             introduction = self._introductions.due(now)
             if introduction is not None:
                 await self._send(self._state(introduction), self._only_introduced())
             await self._tell_routers(introduction or NOBODY)
 
+    async def _tell_one_the_whole(self) -> None:
+        up = [link for link in self._link_by_address.values() if link.up]
+        if up:
+            whole = self._state(self._introductions.whole())
+            await self._random.choice(up).try_send(whole)
+
     async def _tell_routers(self, introduction: Introduction) -> None:
         """Tell all processes that place requests, and take the time for a round."""
         routers = [] if self._is_relay else list(self._routers().values())
