Large messages between entry instances are deflated

Hypothesis: summaries of the ledgers (RenewalsWritten), 20 KB/s into each process, are now the largest part of what a small link carries for control. Change: the codec deflates messages of six kinds from 1 KB on; what carries callers' bytes is left alone. It replaces the flag that configurations had for it, and its tests: the same is asserted of the codec (small, whole, garbage, cut off, too large).

--- a/src/ragwortkeel/ingress/configuration.py
+++ b/src/ragwortkeel/ingress/configuration.py
@@ -4,22 +4,17 @@
 whole or not at all.  Each upstream instance keeps an entry of its own.
 """
 
-import zlib
 from enum import StrEnum
 from typing import Annotated, TypeVar
 
 import msgspec
 
 from ragwortkeel.exceptions import ConfigurationUnreadable
-from ragwortkeel.platform import MAX_VALUE_BYTES
 
 CONFIGURATION_KIND = "ingress"
 CONFIGURATION_NAME = "main"
 UPSTREAMS_KIND = "ingress-upstreams"
 
-DEFLATE_LEVEL = 1
-"""Of zlib: routes repeat their field names, so the quickest level makes 10 KB of 74."""
-
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=0)]
 
@@ -180,26 +175,3 @@
         return msgspec.json.decode(value, type=cls)
     except msgspec.DecodeError as exc:
         raise ConfigurationUnreadable(str(exc)) from exc
-
-
-def deflated(value: bytes) -> bytes:
-    """Return the value compressed, for the links of small instances."""
-    return zlib.compress(value, DEFLATE_LEVEL)
-
-
-def inflated(value: bytes) -> bytes:
-    """Return what `deflated` was given.
-
-    Raises
-    ------
-    ConfigurationUnreadable
-        It is not compressed, or larger than the platform's values may be.
-    """
-    inflater = zlib.decompressobj()
-    try:
-        rv = inflater.decompress(value, MAX_VALUE_BYTES)
-    except zlib.error as exc:
-        raise ConfigurationUnreadable(str(exc)) from exc
-    if not inflater.eof:
-        raise ConfigurationUnreadable("cut off, or larger than a value may be")
-    return rv
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -15,8 +15,6 @@
     CONFIGURATION_NAME,
     IngressConfiguration,
     decode_value,
-    deflated,
-    inflated,
 )
 from ragwortkeel.ingress.crashes import CrashWatch
 from ragwortkeel.ingress.directory import Directory, Moved
@@ -247,8 +245,7 @@
             kind=CONFIGURATION_KIND,
             name=CONFIGURATION_NAME,
             version=self.revision(),
-            value=deflated(self._raw_configuration),
-            deflated=True,
+            value=self._raw_configuration,
         )
 
     def heard_clock(self, peer: str, answer: ClockAnswer) -> None:
@@ -272,12 +269,11 @@
         if pushed.version <= self.revision():
             return
         try:
-            value = inflated(pushed.value) if pushed.deflated else pushed.value
-            configuration = decode_value(value, IngressConfiguration)
+            configuration = decode_value(pushed.value, IngressConfiguration)
         except ConfigurationUnreadable as exc:
             log_warning("configuration_unreadable", source="peer", error=str(exc))
             return
-        await self._take_configuration(configuration, value, source="peer")
+        await self._take_configuration(configuration, pushed.value, source="peer")
 
     def heard_crash(self, crash: CrashSeen) -> None:
         """Take in a crash that a peer found."""
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -2,9 +2,11 @@
 
 Every message travels in an `Envelope` with its sender's incarnation and the
 highest configuration revision that the sender has in force.  The codec is
-msgpack through msgspec; an unknown tag is refused by the decoder.
+msgpack through msgspec; an unknown tag is refused by the decoder.  Large ones of some
+kinds are deflated: links of small instances carry callers' bytes beside them.
 """
 
+import zlib
 from enum import StrEnum
 
 import msgspec
@@ -25,8 +27,7 @@
 class VersionedObject(msgspec.Struct, frozen=True, kw_only=True):
     """One configuration object with its platform version.
 
-    `gone` says that it was deleted or retired, which no version undoes; `deflated`
-    that `value` is compressed by zlib.
+    `gone` says that it was deleted or retired, which no version undoes.
     """
 
     kind: str
@@ -34,7 +35,6 @@
     version: int
     value: bytes
     gone: bool = False
-    deflated: bool = False
 
 
 class RefusalReason(StrEnum):
@@ -599,12 +599,55 @@
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Envelope)
 
+DEFLATED_KINDS = (
+    ConfigurationPush,
+    HandedRenewals,
+    IngressState,
+    PlatformAnswer,
+    PlatformCall,
+    RenewalsWritten,
+)
+"""What goes between entry instances and repeats names of fields, routes and holders.
+What carries callers' bytes is left as it is, for the processor's sake."""
+
+DEFLATED_FROM_BYTES = 1024
+"""Smaller messages fit into one packet anyway."""
+
+DEFLATE_LEVEL = 1
+"""Of zlib: the quickest makes 10 KB of a configuration of 74, and 4 of a summary of
+the ledgers of 10."""
+
+_DEFLATED = b"\x78"
+"""First byte of all that zlib makes; an envelope in msgpack begins with a map."""
+
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+"""Inflated; several of the platform's largest values.  A few bytes from a stranger
+must not fill the memory."""
+
 
 def encode(envelope: Envelope) -> bytes:
     """Return the wire form."""
-    return _encoder.encode(envelope)
+    data = _encoder.encode(envelope)
+    if len(data) < DEFLATED_FROM_BYTES:
+        return data
+    if not isinstance(envelope.message, DEFLATED_KINDS):
+        return data
+    return zlib.compress(data, DEFLATE_LEVEL)
 
 
 def decode(data: bytes) -> Envelope:
     """Return the envelope; `msgspec.DecodeError` where it is not one."""
+    if data.startswith(_DEFLATED):
+        data = _inflated(data)
     return _decoder.decode(data)
+
+
+def _inflated(data: bytes) -> bytes:
+    inflater = zlib.decompressobj()
+    try:
+        rv = inflater.decompress(data, MAX_MESSAGE_BYTES)
+    except zlib.error as exc:
+        raise msgspec.DecodeError(str(exc)) from exc
+    if not inflater.eof:
+        raise msgspec.DecodeError("cut off, or larger than a message may be")
+    return rv
--- a/tests/ingress/test_configuration_in_force.py
+++ b/tests/ingress/test_configuration_in_force.py
@@ -4,15 +4,13 @@
 import msgspec
 import pytest
 from deployments.ports import free_address
-from tests.ingress.builders import configuration, route
+from tests.ingress.builders import configuration
 from tests.ingress.in_process import KEY, ROUTES, SERVICES, run_ingress
 
 from ragwortkeel.ingress.configuration import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
     Limits,
-    deflated,
-    inflated,
 )
 from ragwortkeel.messages import VersionedObject
 
@@ -95,24 +93,13 @@
 
 
 class TestCopies:
-    def test_a_copy_is_small_and_whole(self):
-        """A process that the platform turns away holds up its peer's link by asking."""
-        many = tuple(route(f"r{i}", f"/r{i}/") for i in range(250))
-        whole = msgspec.json.encode(configuration(3, routes=many))
-        assert len(deflated(whole)) < len(whole) / 4
-        assert inflated(deflated(whole)) == whole
-
-    @pytest.mark.parametrize(
-        "garbage",
-        [b"", b"no zlib", deflated(b"cut off" * 9)[:-5], deflated(bytes(2**21))],
-        ids=["empty", "other bytes", "cut off", "too large"],
-    )
+    @pytest.mark.parametrize("garbage", [b"", b"{}", b"no configuration"])
     def test_garbage_changes_nothing(self, garbage):
-        """A peer sends bytes that are no configuration, or far too many."""
+        """A peer sends bytes that are no configuration."""
 
         async def scenario(fleet):
             fields = {"kind": CONFIGURATION_KIND, "name": CONFIGURATION_NAME}
-            copy = VersionedObject(version=9, value=garbage, deflated=True, **fields)
+            copy = VersionedObject(version=9, value=garbage, **fields)
             await fleet.workers[0].heard_configuration(copy)
             return fleet.workers[0].revision()
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -1,9 +1,22 @@
 """Contract of the codec between the system's own processes."""
 
+import zlib
+
 import msgspec
 import pytest
+from tests.ingress.builders import configuration, route
 
-from ragwortkeel.messages import Cancel, Envelope, Heartbeat, decode, encode
+from ragwortkeel.messages import (
+    MAX_MESSAGE_BYTES,
+    Cancel,
+    Chunk,
+    ConfigurationPush,
+    Envelope,
+    Heartbeat,
+    VersionedObject,
+    decode,
+    encode,
+)
 
 
 class TestRoundTrip:
@@ -23,3 +36,37 @@
     idle = Envelope(sender="front-1/0a1b2c3d", revision=10, message=Heartbeat())
     assert len(encode(idle)) < 70
     assert decode(encode(idle)) == idle
+
+
+class TestLargeMessages:
+    def test_a_configuration_is_small_on_the_wire_and_comes_back_whole(self):
+        """A process that the platform turns away holds up its peer's link by asking."""
+        many = tuple(route(f"r{i}", f"/r{i}/") for i in range(250))
+        value = msgspec.json.encode(configuration(3, routes=many))
+        one = VersionedObject(kind="ingress", name="main", version=3, value=value)
+        sent = Envelope(
+            sender="front-1", revision=3, message=ConfigurationPush(objects=(one,))
+        )
+        assert len(encode(sent)) < len(value) / 4
+        assert decode(encode(sent)) == sent
+
+    def test_what_carries_callers_bytes_is_left_as_it_is(self):
+        chunk = Chunk(nonce="n1", offset=0, data=bytes(5000))
+        sent = Envelope(sender="sidecar-1", revision=3, message=chunk)
+        assert len(encode(sent)) > 5000
+
+    @pytest.mark.parametrize(
+        "garbage",
+        [
+            b"\x78",
+            b"\x78 no zlib",
+            zlib.compress(b"cut off" * 9)[:-5],
+            zlib.compress(b"no envelope" * 99),
+            zlib.compress(bytes(MAX_MESSAGE_BYTES + 1)),
+        ],
+        ids=["empty", "other bytes", "cut off", "no envelope", "too large"],
+    )
+    def test_garbage_is_refused(self, garbage):
+        """A stranger's few bytes fill a process's memory, or end its reader."""
+        with pytest.raises(msgspec.DecodeError):
+            decode(garbage)
