Retries saved up are a sum of the fleet, not of each process

Cause, by reading: 29 quiet processes with a reserve of 6 may send 174 retries at once; at 68 it is 408. Fixed sums per process grow with the fleet, not with its traffic. Change: a process keeps its part of 30, one at the least; up to five processes keep what they had. Processes that are not heard count, or each side of a cut would take it all.

--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -217,6 +217,12 @@
         """Other processes that this one has heard of."""
         return len(self._introductions.known)
 
+    @property
+    def known_routers(self) -> int:
+        """Processes that place requests, this one among them, heard now or not."""
+        others = self._introductions.known - self._relays
+        return len(others) + (not self._is_relay)
+
     @property
     def count(self) -> int:
         """Peers that were heard lately."""
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -44,7 +44,7 @@
 from ragwortkeel.metrics import Metrics
 from ragwortkeel.platform import Platform
 from ragwortkeel.policy.quarantine import Crash
-from ragwortkeel.policy.retries import RetryBudget
+from ragwortkeel.policy.retries import RetryBudget, reserve_of_one
 from ragwortkeel.process import Leftover
 from ragwortkeel.settings import Address, IngressSettings, changed_fields
 from ragwortkeel.tasks import run_together
@@ -55,8 +55,8 @@
 below, as its own count of first attempts may run behind."""
 
 RETRY_RESERVE = 6.0
-"""Retries saved up by a quiet process: four of them stay under what the fleet may
-add at once."""
+"""Retries saved up by a quiet process of a small fleet, less in a larger one; see
+`policy.retries.reserve_of_one`."""
 
 UPKEEP_SECONDS = 0.2
 """How often lapsed entries and idle connections are looked at."""
@@ -125,6 +125,7 @@
             group=self._peers.writers,
             clocks=self._time.reading,
         )
+        self._retries = RetryBudget(share=RETRY_SHARE, reserve=RETRY_RESERVE)
         self._connections = UpstreamConnections(id_header=names.request_id)
         self._front = Front(
             parts=FrontParts(
@@ -134,7 +135,7 @@
                 keeper=self._keeper,
                 crashes=self._crashes,
                 connections=self._connections,
-                retries=RetryBudget(share=RETRY_SHARE, reserve=RETRY_RESERVE),
+                retries=self._retries,
                 metrics=self.metrics,
             )
         )
@@ -369,6 +370,9 @@
             await self._upstreams.expire()
             await self._connections.sweep()
             await self._tell_crashes()
+            processes = self._peers.known_routers
+            reserve = reserve_of_one(processes=processes, most=RETRY_RESERVE)
+            self._retries.keep(reserve)
             self.metrics.load(
                 running=self._server.open_exchanges, queued=len(self._dispatcher.room)
             )
--- a/src/ragwortkeel/policy/retries.py
+++ b/src/ragwortkeel/policy/retries.py
@@ -20,10 +20,28 @@
 """Retries saved up at the most by a quiet router: the failure of one upstream
 leaves a handful of requests to run again."""
 
+FLEET_RESERVE = 30.0
+"""Retries saved up at the most by all processes of a fleet together.  A fixed reserve
+of each adds up instead: 29 quiet processes with 6 would send 174 at once."""
+
 MAX_ATTEMPTS = 3
 """Three independent upstreams failing one request point at the request."""
 
 
+def reserve_of_one(*, processes: int, most: float = RESERVE) -> float:
+    """Return one process's part of the fleet's reserve: one retry at the least.
+
+    Parameters
+    ----------
+    processes : int
+        Of the fleet, those that are not heard just now too: in a cut each side would
+        else take the whole reserve.
+    most : float
+        What a process keeps in a small fleet.
+    """
+    return min(most, max(1.0, FLEET_RESERVE / processes))
+
+
 class RetryBudget:
     """Tokens earned by first attempts and spent by retries.
 
@@ -46,6 +64,11 @@
         """Count one first attempt."""
         self._tokens = min(self._reserve, self._tokens + self._share)
 
+    def keep(self, reserve: float) -> None:
+        """Change the reserve; what is saved up beyond it is lost."""
+        self._reserve = reserve
+        self._tokens = min(self._reserve, self._tokens)
+
     def take(self) -> bool:
         """Spend one retry if there is one."""
         if self._tokens < 1.0 - 1e-9:
