--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -14,13 +14,18 @@
 from ragwortkeel.budget.account import Account
 from ragwortkeel.budget.clocks import read_clocks
 from ragwortkeel.budget.sizing import ASKED_AT_ONCE, best_givers
-from ragwortkeel.budget.turns import Writer, first_in_order, place_in_order
 from ragwortkeel.exceptions import LinkLost
 from ragwortkeel.ingress.catch_up import CatchUp
 from ragwortkeel.ingress.configuration import CONFIGURATION_KIND, CONFIGURATION_NAME
-from ragwortkeel.ingress.introductions import NOBODY, Introduction, Introductions
+from ragwortkeel.ingress.introductions import (
+    NEWS_SECONDS,
+    NOBODY,
+    Introduction,
+    Introductions,
+)
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.ingress.relaying import carry_out
+from ragwortkeel.ingress.writers import Writers
 from ragwortkeel.links import Endpoint, Link, LinkDown, LinkUp, Received
 from ragwortkeel.logs import log_debug, log_info, log_warning
 from ragwortkeel.messages import (
@@ -62,8 +67,8 @@
 """Three lost heartbeats and some slack."""
 
 PEERS_AT_FULL_RATE = 8
-"""With more peers each is told less often, so that the messages of one process
-stay at some forty a second however many there are."""
+"""Told at a time.  With more peers each is told less often, so that the messages of
+one process stay at some forty a second however many there are."""
 
 REPORT_SECONDS = 2.0
 """How often it is logged what the links carry: a line a process, however busy."""
@@ -188,12 +193,15 @@
         self._introductions = Introductions(
             address=address, seeds=seeds, is_relay=is_relay
         )
-        self._address_by_node: dict[str, str] = {}
-        self._leaving: set[str] = set()
-        self._step_by_address: dict[str, int] = {}
-        self._avoided_until: dict[str, float] = {}
+        self.writers = Writers(
+            address=address,
+            links=self._routers,
+            own_step=handler.writing_step,
+            leaves=lambda: handler.heartbeat().leaving,
+        )
         self._called_parts = False
-        self._catch_up = CatchUp(random=Random(incarnation))
+        self._random = Random(incarnation)
+        self._catch_up = CatchUp(random=self._random)
         self._tasks = curio.TaskGroup(wait=None)
 
     def open(self) -> None:
@@ -209,6 +217,12 @@
         """Other processes that this one has heard of."""
         return len(self._introductions.known)
 
+    @property
+    def known_routers(self) -> int:
+        """Processes that place requests, this one among them, heard now or not."""
+        others = self._introductions.known - self._relays
+        return len(others) + (not self._is_relay)
+
     @property
     def count(self) -> int:
         """Peers that were heard lately."""
@@ -236,7 +250,7 @@
 
     async def send_crash(self, crash: CrashSeen) -> None:
         """Tell all peers that place requests of a crash and what ran there."""
-        await self._send(crash, list(self._renewing_by_address().values()))
+        await self._send(crash, list(self._routers().values()))
 
     async def ask_loan(self, customer: str, account: Account) -> None:
         """Ask the peers that hold most for tokens of a customer."""
@@ -250,65 +264,8 @@
         )
         await self._send(request, self._givers(account, need.lacking))
 
-    def place(self) -> int:
-        """Return how many processes before this one in order are heard."""
-        others = self._other_writers()
-        if self._handler.heartbeat().leaving:
-            return len(others)
-        return place_in_order(self._own_writer(), others)
-
-    async def call_renewals(self) -> int:
-        """Ask all processes that renew slices; return how many were asked."""
-        links = list(self._renewing_by_address().values())
-        await self._send(RenewalCall(), links)
-        return len(links)
-
-    async def hand_over(self, handed: HandedRenewals) -> str | None:
-        """Send renewals to the first process in order, unless it is this one.
-
-        Returns
-        -------
-        str or None
-            The address that they were sent to.
-        """
-        writers = self._other_writers()
-        if not self._handler.heartbeat().leaving:
-            writers.append(self._own_writer())
-        first = first_in_order(writers)
-        if first is None or first.name == self._address:
-            return None
-        sent = await self._sent(handed, self._link_by_address[first.name])
-        return first.name if sent else None
-
-    def avoid(self, address: str) -> None:
-        """Leave a process out of the order that did not write what it was handed.
-
-        One that was just killed still counts as heard for `SILENCE_SECONDS`, and
-        all callers who wait for tokens would wait for it first.
-        """
-        self._avoided_until[address] = monotonic() + SILENCE_SECONDS
-
-    async def answer(self, holder: str, answer: RenewalsWritten) -> None:
-        """Tell a process what became of its renewals."""
-        address = self._address_by_node.get(holder.partition("/")[0])
-        link = self._link_by_address.get(address)
-        if link is not None and link.up:
-            await self._sent(answer, link)
-
-    def _own_writer(self) -> Writer:
-        return Writer(name=self._address, step=self._handler.writing_step())
-
-    def _other_writers(self) -> list[Writer]:
-        """Return who else may write for all: not who leaves or was mute just now."""
-        now = monotonic()
-        return [
-            Writer(name=address, step=self._step_by_address.get(address, 0))
-            for address in self._renewing_by_address()
-            if address not in self._leaving
-            and self._avoided_until.get(address, 0.0) <= now
-        ]
-
-    def _renewing_by_address(self) -> dict[str, Link]:
+    def _routers(self) -> dict[str, Link]:
+        """Return the links that are up to processes that place requests."""
         return {
             address: link
             for address, link in self._link_by_address.items()
@@ -319,16 +276,8 @@
         holders = best_givers(
             account.ledger, router=account.slice.router, lacking=lacking
         )
-        nodes = [holder.partition("/")[0] for holder in holders]
-        addresses = [self._address_by_node.get(node) for node in nodes]
-        found = [self._link_by_address.get(address) for address in addresses]
-        up = [link for link in found if link is not None and link.up]
-        routers = [
-            link
-            for address, link in self._link_by_address.items()
-            if address not in self._relays
-        ]
-        return up or routers[:ASKED_AT_ONCE]
+        up = self.writers.links_of(holder.partition("/")[0] for holder in holders)
+        return up or list(self._routers().values())[:ASKED_AT_ONCE]
 
     async def _ask_time(self, links: list[Link]) -> None:
         # A relay has no use for the time.
@@ -338,19 +287,15 @@
     async def _send(self, message, links: list[Link]) -> None:
         for link in links:
             if link.up:
-                await self._sent(message, link)
-
-    async def _sent(self, message, link: Link) -> bool:
-        try:
-            await link.send(message)
-        except LinkLost as exc:
-            log_debug("peer_send_failed", peer=link.name, error=str(exc))
-            return False
-        return True
+                await link.try_send(message)
 
     async def _tell(self) -> None:
-        """Tell loads and new addresses, and link to peers that are new."""
-        asked_time_at = float("-inf")
+        """Tell loads and new addresses, and link to peers that are new.
+
+        A few peers at a time: copies for dozens of them in one go are a tenth of a
+        second of a small instance's link, in which callers' events wait.
+        """
+        asked_time_at = told_whole_at = float("-inf")
         while True:
             for address in self._to_link():
                 await self._link(address)
@@ -358,16 +303,37 @@
             if now - asked_time_at >= CLOCKS_SECONDS:
                 asked_time_at = now
                 await self._ask_time(list(self._link_by_address.values()))
+            if now - told_whole_at >= NEWS_SECONDS:
+                told_whole_at = now
+                await self._tell_one_the_whole()
             introduction = self._introductions.due(now)
-            routers = list(self._renewing_by_address().values())
-            if not self._is_relay:
-                parts = self._handler.parts_news()
-                await self._send(self._state(introduction or NOBODY, parts), routers)
             if introduction is not None:
-                others = routers if self._is_relay else self._relay_links()
-                await self._send(self._state(introduction), others)
-            crowd = max(1.0, len(routers) / PEERS_AT_FULL_RATE)
-            await curio.sleep(TELL_SECONDS * crowd)
+                await self._send(self._state(introduction), self._only_introduced())
+            await self._tell_routers(introduction or NOBODY)
+
+    async def _tell_one_the_whole(self) -> None:
+        up = [link for link in self._link_by_address.values() if link.up]
+        if up:
+            whole = self._state(self._introductions.whole())
+            await self._random.choice(up).try_send(whole)
+
+    async def _tell_routers(self, introduction: Introduction) -> None:
+        """Tell all processes that place requests, and take the time for a round."""
+        routers = [] if self._is_relay else list(self._routers().values())
+        parts = self._handler.parts_news() if routers else {}
+        for first in range(0, max(1, len(routers)), PEERS_AT_FULL_RATE):
+            told = routers[first : first + PEERS_AT_FULL_RATE]
+            await self._send(self._state(introduction, parts), told)
+            await curio.sleep(TELL_SECONDS)
+
+    def _only_introduced(self) -> list[Link]:
+        """Return the links to peers that have no use for loads."""
+        if self._is_relay:
+            return list(self._routers().values())
+        return [self._link_by_address[one] for one in self._linked_relays()]
+
+    def _linked_relays(self) -> set[str]:
+        return self._relays & self._link_by_address.keys()
 
     def _state(
         self,
@@ -384,10 +350,6 @@
             parts_by_upstream=parts or {},
         )
 
-    def _relay_links(self) -> list[Link]:
-        links = self._link_by_address
-        return [links[address] for address in links if address in self._relays]
-
     def _to_link(self) -> set[str]:
         known = self._introductions.known - self._link_by_address.keys()
         return known - self._relays if self._is_relay else known
@@ -436,7 +398,7 @@
             ):
                 self._handler.heard_clock(peer, answer)
             case Received(peer=peer, envelope=Envelope(message=Heartbeat() as beat)):
-                self._note_leaving(peer, leaving=beat.leaving)
+                self.writers.note_leaving(peer, leaving=beat.leaving)
             case LinkDown(peer=peer):
                 self._catch_up.lost(peer)
                 log_warning("dependency_lost", dependency="peer", address=peer)
@@ -448,13 +410,7 @@
         await self._send(self._state(self._introductions.whole()), [link])
         await self._ask_time([link])
         if not (self._is_relay or self._called_parts or link.name in self._relays):
-            self._called_parts = await self._sent(PartsCall(), link)
-
-    def _note_leaving(self, peer: str, *, leaving: bool) -> None:
-        if leaving:
-            self._leaving.add(peer)
-        else:
-            self._leaving.discard(peer)
+            self._called_parts = await link.try_send(PartsCall())
 
     def _note_revision(self, peer: str, revision: int) -> None:
         self._catch_up.heard(peer, revision)
@@ -474,7 +430,7 @@
             pull = ConfigurationPull(
                 kind=CONFIGURATION_KIND, ranks={CONFIGURATION_NAME: (False, own)}
             )
-            await self._sent(pull, self._link_by_address[question.peer])
+            await self._link_by_address[question.peer].try_send(pull)
 
     def _pushed(self, pull: ConfigurationPull) -> ConfigurationPush | None:
         """Return the configuration for a peer that is behind."""
@@ -572,8 +528,9 @@
         return None
 
     def _meet(self, state: IngressState) -> None:
-        self._address_by_node[state.node] = state.address
-        self._step_by_address[state.address] = state.writing_step
+        self.writers.heard(
+            node=state.node, address=state.address, step=state.writing_step
+        )
         self._introductions.meet(
             Introduction(
                 addresses=(state.address, *state.addresses), relays=state.relays
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -15,8 +15,6 @@
     CONFIGURATION_NAME,
     IngressConfiguration,
     decode_value,
-    deflated,
-    inflated,
 )
 from ragwortkeel.ingress.crashes import CrashWatch
 from ragwortkeel.ingress.directory import Directory, Moved
@@ -46,7 +44,7 @@
 from ragwortkeel.metrics import Metrics
 from ragwortkeel.platform import Platform
 from ragwortkeel.policy.quarantine import Crash
-from ragwortkeel.policy.retries import RetryBudget
+from ragwortkeel.policy.retries import RetryBudget, reserve_of_one
 from ragwortkeel.process import Leftover
 from ragwortkeel.settings import Address, IngressSettings, changed_fields
 from ragwortkeel.tasks import run_together
@@ -57,8 +55,8 @@
 below, as its own count of first attempts may run behind."""
 
 RETRY_RESERVE = 6.0
-"""Retries saved up by a quiet process: four of them stay under what the fleet may
-add at once."""
+"""Retries saved up by a quiet process of a small fleet, less in a larger one; see
+`policy.retries.reserve_of_one`."""
 
 UPKEEP_SECONDS = 0.2
 """How often lapsed entries and idle connections are looked at."""
@@ -124,9 +122,10 @@
             platform=self._platform,
             holder=incarnation,
             ask_peers=self._peers.ask_loan,
-            group=self._peers,
+            group=self._peers.writers,
             clocks=self._time.reading,
         )
+        self._retries = RetryBudget(share=RETRY_SHARE, reserve=RETRY_RESERVE)
         self._connections = UpstreamConnections(id_header=names.request_id)
         self._front = Front(
             parts=FrontParts(
@@ -136,7 +135,7 @@
                 keeper=self._keeper,
                 crashes=self._crashes,
                 connections=self._connections,
-                retries=RetryBudget(share=RETRY_SHARE, reserve=RETRY_RESERVE),
+                retries=self._retries,
                 metrics=self.metrics,
             )
         )
@@ -247,8 +246,7 @@
             kind=CONFIGURATION_KIND,
             name=CONFIGURATION_NAME,
             version=self.revision(),
-            value=deflated(self._raw_configuration),
-            deflated=True,
+            value=self._raw_configuration,
         )
 
     def heard_clock(self, peer: str, answer: ClockAnswer) -> None:
@@ -272,12 +270,11 @@
         if pushed.version <= self.revision():
             return
         try:
-            value = inflated(pushed.value) if pushed.deflated else pushed.value
-            configuration = decode_value(value, IngressConfiguration)
+            configuration = decode_value(pushed.value, IngressConfiguration)
         except ConfigurationUnreadable as exc:
             log_warning("configuration_unreadable", source="peer", error=str(exc))
             return
-        await self._take_configuration(configuration, value, source="peer")
+        await self._take_configuration(configuration, pushed.value, source="peer")
 
     def heard_crash(self, crash: CrashSeen) -> None:
         """Take in a crash that a peer found."""
@@ -373,6 +370,9 @@
             await self._upstreams.expire()
             await self._connections.sweep()
             await self._tell_crashes()
+            processes = self._peers.known_routers
+            reserve = reserve_of_one(processes=processes, most=RETRY_RESERVE)
+            self._retries.keep(reserve)
             self.metrics.load(
                 running=self._server.open_exchanges, queued=len(self._dispatcher.room)
             )
