--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -320,7 +320,7 @@
     async def _tell_routers(self, introduction: Introduction) -> None:
         """Tell all processes that place requests, and take the time for a round."""
         routers = [] if self._is_relay else list(self._routers().values())
-        parts = self._handler.parts_news() if routers else {}
+        parts = self._handler.parts_news()
         for first in range(0, max(1, len(routers)), PEERS_AT_FULL_RATE):
             told = routers[first : first + PEERS_AT_FULL_RATE]
             await self._send(self._state(introduction, parts), told)
