--- a/tests/ingress/in_process.py
+++ b/tests/ingress/in_process.py
@@ -24,12 +24,15 @@
 )
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.worker import IngressWorker
+from ragwortkeel.messages import VersionedObject
 from ragwortkeel.settings import IngressSettings
 from ragwortkeel.standins.local_platform import LocalPlatform
 
 NAMES = HeaderNames()
 KEY = "key-1"
 PATIENCE = 20.0
+SETTLED_SECONDS = 1.5
+"""Longer than links take to notice each other and to pass on what they have."""
 ROUTES = (
     route("lookup", "/lookup/", max_attempts=2),
     route("filing", "/filing/", repeats=Repeats.ONCE),
@@ -313,3 +316,29 @@
     def seen(self):
         """Return all requests that upstreams got, by upstream."""
         return {name: one.seen for name, one in self.upstreams.items()}
+
+
+def value(fleet, revision):
+    """Return the fleet's configuration as the platform keeps it."""
+    one = configuration(
+        revision, routes=ROUTES, services=SERVICES, customers=fleet.customers
+    )
+    return msgspec.json.encode(one)
+
+
+def pushed(fleet, revision):
+    """Return the fleet's configuration as a peer sends it."""
+    return VersionedObject(
+        kind=CONFIGURATION_KIND,
+        name=CONFIGURATION_NAME,
+        version=revision,
+        value=value(fleet, revision),
+    )
+
+
+async def reached(worker, revision):
+    """Wait until the process has this revision in force; return the one it has."""
+    async with curio.timeout_after(5):
+        while worker.revision() < revision:
+            await curio.sleep(0.01)
+    return worker.revision()
--- a/tests/ingress/test_configuration_in_force.py
+++ b/tests/ingress/test_configuration_in_force.py
@@ -1,11 +1,9 @@
 """Changes of the configuration: in force everywhere, and never undone."""
 
 import curio
-import msgspec
 import pytest
 from deployments.ports import free_address
-from tests.ingress.builders import configuration
-from tests.ingress.in_process import KEY, ROUTES, SERVICES, run_ingress
+from tests.ingress.in_process import KEY, pushed, reached, run_ingress, value
 
 from ragwortkeel.ingress.configuration import (
     CONFIGURATION_KIND,
@@ -15,29 +13,6 @@
 from ragwortkeel.messages import VersionedObject
 
 
-def value(fleet, revision):
-    one = configuration(
-        revision, routes=ROUTES, services=SERVICES, customers=fleet.customers
-    )
-    return msgspec.json.encode(one)
-
-
-def pushed(fleet, revision):
-    return VersionedObject(
-        kind=CONFIGURATION_KIND,
-        name=CONFIGURATION_NAME,
-        version=revision,
-        value=value(fleet, revision),
-    )
-
-
-async def reached(worker, revision):
-    async with curio.timeout_after(5):
-        while worker.revision() < revision:
-            await curio.sleep(0.01)
-    return worker.revision()
-
-
 class TestChanges:
     def test_an_older_one_is_never_taken_over(self):
         """Callers on a new route get a 404 again after they were served.
--- a/tests/ingress/test_configuration_spread.py
+++ b/tests/ingress/test_configuration_spread.py
@@ -10,16 +10,19 @@
 
 import curio
 from deployments.ports import free_address
-from tests.ingress.in_process import ROUTES, run_ingress
-from tests.ingress.test_configuration_in_force import pushed, reached
+from tests.ingress.in_process import (
+    ROUTES,
+    SETTLED_SECONDS,
+    pushed,
+    reached,
+    run_ingress,
+)
 
 from ragwortkeel.ingress.relay_worker import RelayWorker
 from ragwortkeel.settings import RelaySettings
 
 PROCESSES = 4
 CHANGES = 3
-SETTLED_SECONDS = 1.5
-"""Longer than links take to notice each other and to pass on what they have."""
 
 
 def count_copies(worker):
--- a/tests/ingress/test_greetings.py
+++ b/tests/ingress/test_greetings.py
@@ -9,8 +9,7 @@
 
 import curio
 from deployments.ports import free_address
-from tests.ingress.in_process import run_ingress
-from tests.ingress.test_configuration_spread import SETTLED_SECONDS
+from tests.ingress.in_process import SETTLED_SECONDS, run_ingress
 
 from ragwortkeel.links import LinkUp
 
