--- a/tests/ingress/test_catch_up.py
+++ b/tests/ingress/test_catch_up.py
@@ -44,6 +44,10 @@
         assert sorted(found[1:3]) == ["a", "b"]
         assert found[3] == found[1]
 
+    def test_one_mute_peer_leaves_half_of_the_strictest_bound(self):
+        """Changes are due within two seconds, of which the platform needs some."""
+        assert GRACE_SECONDS + ANSWER_SECONDS <= 1.0
+
     def test_only_those_with_the_newest_are_asked(self):
         one = catch_up(a=7, b=6, c=5)
         assert asked(one, 5, 0.0, GRACE_SECONDS) == [None, "a"]
--- a/tests/ingress/test_configuration_spread.py
+++ b/tests/ingress/test_configuration_spread.py
@@ -18,6 +18,7 @@
     run_ingress,
 )
 
+from ragwortkeel.ingress import peers, renewals
 from ragwortkeel.ingress.relay_worker import RelayWorker
 from ragwortkeel.settings import RelaySettings
 
@@ -145,3 +146,22 @@
 
         heard = run_ingress(scenario, processes=PROCESSES)
         assert max(heard) == 1
+
+    def test_they_need_not_wait_for_a_heartbeat_to_hear_of_it(self, monkeypatch):
+        """A caller gets a 404 two seconds after a route was confirmed.
+
+        The platform had been away, one process's watch came back before the others',
+        and they heard of its change with the next heartbeat, asked late, and waited
+        for a peer that had just been killed.
+        """
+        for rare in ("SILENCE_SECONDS", "CLOCKS_SECONDS"):
+            monkeypatch.setattr(peers, rare, 60.0)
+        monkeypatch.setattr(renewals, "TICK_SECONDS", 60.0)
+        monkeypatch.setattr(renewals, "patience", lambda place: 60.0)
+
+        async def scenario(fleet):
+            await curio.sleep(SETTLED_SECONDS)
+            await fleet.workers[0].heard_configuration(pushed(fleet, 9))
+            return [await reached(worker, 9) for worker in fleet.workers]
+
+        assert run_ingress(scenario, processes=3) == [9] * 3
