Failing test: a planned stop that cuts one request gives none of its slices back

Callers are refused for want of tokens that nobody spent. Not mended here: what a cut request may still cost has to go into the proof of budgets first (tests/budget/test_allowance_machine.py).

--- a/tests/ingress/in_process.py
+++ b/tests/ingress/in_process.py
@@ -10,6 +10,7 @@
 from deployments.ports import free_address
 from tests.ingress.builders import configuration, route, upstream
 
+from ragwortkeel.budget.shards import SHARDS_KIND, decode_shard
 from ragwortkeel.http_events import joined_headers, next_event
 from ragwortkeel.httpio import HttpClient
 from ragwortkeel.ingress.configuration import (
@@ -22,6 +23,7 @@
     Service,
     Split,
 )
+from ragwortkeel.ingress.ledger_store import SHARD_NAME
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.worker import IngressWorker
 from ragwortkeel.messages import VersionedObject
@@ -342,3 +344,9 @@
         while worker.revision() < revision:
             await curio.sleep(0.01)
     return worker.revision()
+
+
+async def ledger(fleet):
+    """Return the customer's ledger as the platform keeps it."""
+    stored = await fleet.platform.get(SHARDS_KIND, SHARD_NAME)
+    return decode_shard(stored.value).ledger_by_customer["surco"]
--- a/tests/ingress/test_budgets.py
+++ b/tests/ingress/test_budgets.py
@@ -3,11 +3,10 @@
 import curio
 import msgspec
 import pytest
-from tests.ingress.in_process import run_ingress
+from tests.ingress.in_process import ledger, run_ingress
 
-from ragwortkeel.budget.shards import SHARDS_KIND, USABLE_SHARE, decode_shard
+from ragwortkeel.budget.shards import USABLE_SHARE
 from ragwortkeel.ingress import budget_keeper
-from ragwortkeel.ingress.ledger_store import SHARD_NAME
 
 PREPAID = 1_000
 SMALL = {"x_token_bound": "40,60", "x_prompt_parts": "p:40"}
@@ -28,11 +27,6 @@
     monkeypatch.setattr(budget_keeper, "RETURN_WAIT_SECONDS", 5.0)
 
 
-async def ledger(fleet):
-    stored = await fleet.platform.get(SHARDS_KIND, SHARD_NAME)
-    return decode_shard(stored.value).ledger_by_customer["surco"]
-
-
 class TestSpending:
     def test_an_answer_costs_its_prompt_and_what_came(self):
         async def scenario(fleet):
--- a/tests/ingress/test_stops.py
+++ b/tests/ingress/test_stops.py
@@ -8,11 +8,13 @@
     answer_whole,
     chunk,
     events,
+    ledger,
     run_ingress,
     stream_head,
 )
 
 from ragwortkeel.httpio import HttpClient
+from ragwortkeel.ingress import worker
 
 
 async def slow_stream(seen, sock):
@@ -28,6 +30,10 @@
     return await fleet.ask("/review/1", x_deadline_ms="9000")
 
 
+async def ask_patiently_with(fleet, headers):
+    return await fleet.ask("/review/1", x_deadline_ms="9000", **headers)
+
+
 class TestStops:
     def test_an_open_stream_ends_whole(self):
         async def scenario(fleet):
@@ -93,3 +99,34 @@
         assert answer.status == 503
         assert msgspec.json.decode(answer.body)["outcome"] == "not_run"
         assert not seen
+
+    def test_a_stop_that_cuts_one_request_gives_back_what_others_may_spend(
+        self, monkeypatch
+    ):
+        """Callers are refused for want of tokens that nobody has spent.
+
+        A planned stop reached its deadline with one stream open and gave back none of
+        its slices.  The machine was away for a while; its next start found a grant
+        untouched for so long that it had to be charged whole.
+        """
+        monkeypatch.setattr(worker, "BALANCER_SECONDS", 0.1)
+
+        async def scenario(fleet):
+            headers = {"x_token_bound": "40,60", "x_prompt_parts": "p:40"}
+            asking = await curio.spawn(ask_patiently_with, fleet, headers)
+            while not fleet.seen()["e1"]:
+                await curio.sleep(0.01)
+            stopping = fleet.workers[0]
+            stopping._settings = msgspec.structs.replace(
+                stopping._settings, stop_deadline_seconds=0.3
+            )
+            leftover = await stopping.stop()
+            await asking.cancel()
+            return leftover, await ledger(fleet)
+
+        leftover, found = run_ingress(
+            scenario, scripts={"e1": slow_stream}, prepaid=1_000
+        )
+        assert leftover.counts["requests"] == 1
+        # What the cut request reserved is all that may be held or charged.
+        assert found.prepaid - found.rest <= 100
