Links, heartbeats and writes that don't grow with the fleet

All relayed calls took the relay whose name sorts first. Over one relay a write took longer than the 0.2 s after which each process took its writer for dead and wrote by itself; the writes voided each other and each refusal carried all ledgers along, for as long as the cut lasted.

Change: a process links to 4 relays by rendezvous, a relay to 3 processes; links to processes share 20 heartbeats a second but for those to the first writers; load reports of idle processes are left out; clocks are asked of a few; a revision is announced to 8. The wait for a writer follows its answers, the next in order is asked, and who is not answered writes after a random part of a time that grows with the fleet. A writer that does not reach the platform says so at once. Answers carry the ledgers their receiver uses. Calls of the platform are counted by purpose (`platform_calls`).

--- a/src/ragwortkeel/budget/account.py
+++ b/src/ragwortkeel/budget/account.py
@@ -84,12 +84,15 @@
     ----------
     waiting : int
         Tokens of all requests that wait for room now, at their most.
+    read_at : float
+        Monotonic second of which `ledger` is known to be.
     """
 
     def __init__(self, *, customer: str, holder: str) -> None:
         self.slice = Slice(profile=customer, router=holder)
         self.ledger = Ledger()
         self.waiting = 0
+        self.read_at = float("-inf")
         self._customer = customer
         self._borrowed = 0
         self._recalled = 0
@@ -142,6 +145,10 @@
             reservation=reservation,
         )
 
+    def in_demand(self, now: float) -> bool:
+        """Whether requests ask for the customer's tokens, or did so lately."""
+        return bool(self.waiting or self._meter.rate(now=now))
+
     def asked(self, tokens: int, now: float) -> None:
         """Count the demand, whether it is met or not."""
         self._meter.add(tokens=tokens, now=now)
--- a/src/ragwortkeel/budget/allowance.py
+++ b/src/ragwortkeel/budget/allowance.py
@@ -160,7 +160,10 @@
         """
         typical = int(self._typical)
         renewal_by_customer = {}
+        wanted = []
         for name, account in self._account_by_customer.items():
+            if account.in_demand(reading.monotonic):
+                wanted.append(name)
             if not account.known:
                 continue
             nonce = str(next(self._nonces))
@@ -179,6 +182,7 @@
             renewal_by_customer=renewal_by_customer,
             urgent=urgent,
             start=start,
+            wanted=tuple(set(wanted) - renewal_by_customer.keys()),
         )
 
     def written(self, answer: RenewalsWritten) -> None:
@@ -189,6 +193,11 @@
             own = grant or account.ledger.grants.get(self.holder)
             account.resolve(seen_by(summary, router=self.holder, grant=own))
 
+    def note_read(self, customers: Iterable[str], at: float) -> None:
+        """Note that the ledgers known of these customers are of a monotonic second."""
+        for name in customers:
+            self.account(name).read_at = at
+
     def lacks_grants(self, customers: Iterable[str]) -> bool:
         """Whether a customer has no grant here yet, as after a start."""
         return any(not self.account(name).slice.in_ledger for name in customers)
--- a/src/ragwortkeel/budget/turns.py
+++ b/src/ragwortkeel/budget/turns.py
@@ -31,6 +31,9 @@
 """Writes that take less count as equally quick: 5 to 20 ms, straight or through a
 peer.  Each step of the order is as much slower."""
 
+STAND_IN_WRITES_PER_SECOND = 8.0
+"""Of all processes together that are not the first in the order."""
+
 UNREACHABLE_STEP = 9
 """Of a process that does not reach the platform, behind all that do."""
 
@@ -83,9 +86,48 @@
     return min(writers, key=lambda writer: writer.rank, default=None)
 
 
-def patience(place: int) -> float:
+def patience(place: int, *, step_seconds: float = STEP_SECONDS) -> float:
     """Return the seconds since its last renewal after which a process writes."""
-    return TICK_SECONDS + place * STEP_SECONDS
+    return TICK_SECONDS + place * step_seconds
+
+
+class StandIn:
+    """When a process writes that is not the first, once nobody answers it.
+
+    Pattern of load: the platform, the way to it or the first process is slow while
+    callers wait for tokens everywhere.  If each process then wrote by itself, the
+    writes would void each other, each refusal would bring all ledgers along, and what
+    was slow would stay so for as long as callers come.  So each waits for a random part
+    of a time that grows with the fleet, and whoever is answered meanwhile writes
+    nothing: the fleet's writes stay at about `STAND_IN_WRITES_PER_SECOND` however many
+    processes it has.
+
+    Examples
+    --------
+    >>> stand_in = StandIn(random=Random(0))
+    >>> stand_in.may_write(processes=68, now=0.0)
+    False
+    >>> stand_in.may_write(processes=68, now=2 * 68 / STAND_IN_WRITES_PER_SECOND)
+    True
+    """
+
+    def __init__(self, *, random: Random) -> None:
+        self._random = random
+        self._writes_at: float | None = None
+
+    def may_write(self, *, processes: int, now: float) -> bool:
+        """Whether to write at this second; a write that is allowed counts as made."""
+        if self._writes_at is None:
+            longest = 2 * processes / STAND_IN_WRITES_PER_SECOND
+            self._writes_at = now + longest * self._random.random()
+        if now < self._writes_at:
+            return False
+        self._writes_at = None
+        return True
+
+    def answered(self) -> None:
+        """Note that another process writes for this one."""
+        self._writes_at = None
 
 
 def pause_after_refusals(refusals: int, random: Random) -> float:
--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -92,9 +92,10 @@
 
     def is_exhausted(self, customer: Customer, tokens: int) -> bool:
         """Whether the budget surely can't cover a request of this size."""
-        if monotonic() - self.renewals.read_at > FRESH_SECONDS:
+        account = self.allowances.account(customer.name)
+        if monotonic() - account.read_at > FRESH_SECONDS:
             return False
-        ledger = self.allowances.account(customer.name).ledger
+        ledger = account.ledger
         return ledger.prepaid - ledger.total_spent < tokens
 
     def seconds_to_tokens(self) -> float:
@@ -110,7 +111,7 @@
     def log_lack(self, request_id: str, customer: Customer, tokens: int) -> None:
         """Log what a refusal for lack of tokens was decided by."""
         account = self.allowances.account(customer.name)
-        age = monotonic() - self.renewals.read_at
+        age = monotonic() - account.read_at
         log_info(
             "tokens_lacking",
             request=request_id,
@@ -210,7 +211,7 @@
             if hold is not None:
                 return hold
             lacks = account.held < tokens
-            if lacks and self.renewals.read_at >= begun and not account.ledger.rest:
+            if lacks and account.read_at >= begun and not account.ledger.rest:
                 return None
         return None
 
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -23,6 +23,13 @@
     Introduction,
     Introductions,
 )
+from ragwortkeel.ingress.load_reports import (
+    PEERS_AT_FULL_RATE,
+    REPORT_SECONDS,
+    LoadReports,
+    hold_seconds,
+)
+from ragwortkeel.ingress.mesh import WRITERS_WATCHED, Mesh
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.ingress.relaying import carry_out
 from ragwortkeel.ingress.writers import Writers
@@ -52,34 +59,23 @@
 from ragwortkeel.platform import Platform
 from ragwortkeel.traffic import Traffic, largest
 
-TELL_SECONDS = 0.2
-"""How old a load told by a peer is at the most; three processes placing a burst
-of thirty requests a second misjudge an upstream by a few requests then."""
-
 CLOCKS_SECONDS = 2.0
-"""How often peers are asked for their time of day; an old answer stays good."""
-
-RELAY_HEARTBEAT_SECONDS = 1.0
-"""A link that carries work only in a cut beats more slowly than one between ingress
-processes; its loss shows within `RELAY_SILENCE_SECONDS`."""
+"""How often some peers are asked for their time of day; an old answer stays good."""
 
-RELAY_SILENCE_SECONDS = 3.5
-"""Three lost heartbeats and some slack."""
+CLOCKS_ASKED = 4
+"""Peers asked at a time, beside each one that is heard anew."""
 
-PEERS_AT_FULL_RATE = 8
-"""Told at a time.  With more peers each is told less often, so that the messages of
-one process stay at some forty a second however many there are."""
+ANNOUNCED_TO = 8
+"""Peers that are sent word of a new revision at once; the others have it from the
+platform, or from the next message of any of those."""
 
-REPORT_SECONDS = 2.0
+TRAFFIC_SECONDS = 2.0
 """How often it is logged what the links carry: a line a process, however busy."""
 
 CATCH_UP_LOOK_SECONDS = 0.05
 """How often it is looked at whether to ask a peer, while one has a newer
 configuration than this process."""
 
-SILENCE_SECONDS = 2.0
-"""A peer unheard for so long is reconnected to; its loads count no longer."""
-
 
 class PeerHandler(Protocol):
     """What the owner of the links does with what peers say."""
@@ -111,8 +107,10 @@
     def heard_clock(self, peer: str, answer: ClockAnswer) -> None:
         """Take in a peer's time of day."""
 
-    async def heard_loads(self, node: str, load_by_upstream: dict[str, Load]) -> None:
-        """Take in what a peer has at each upstream."""
+    async def heard_loads(
+        self, node: str, load_by_upstream: dict[str, Load], *, hold_seconds: float
+    ) -> None:
+        """Take in what a peer has at each upstream, and for how long it holds."""
 
     async def heard_configuration(self, pushed: VersionedObject) -> None:
         """Take over a peer's configuration where it is newer."""
@@ -190,17 +188,27 @@
             revision=handler.revision,
             traffic=self._traffic,
         )
-        self._link_by_address: dict[str, Link] = {}
         self._introductions = Introductions(
             address=address, seeds=seeds, is_relay=is_relay
         )
+        self._mesh = Mesh(
+            address=address,
+            introductions=self._introductions,
+            is_relay=is_relay,
+            new_link=self._new_link,
+        )
+        self._task_by_address: dict[str, curio.Task] = {}
+        self._reports = LoadReports()
         self.writers = Writers(
             address=address,
-            links=self._routers,
+            links=self._mesh.routers,
+            processes=lambda: self.known_routers,
+            reply=self._send_answer,
             own_step=handler.writing_step,
             leaves=lambda: handler.heartbeat().leaving,
         )
         self._called_parts = False
+        self._relays_asked: set[str] = set()
         self._behind = curio.Event()
         self._random = Random(incarnation)
         self._catch_up = CatchUp(random=self._random)
@@ -210,10 +218,6 @@
         """Bind the socket that peers connect to."""
         self._endpoint.open()
 
-    @property
-    def _relays(self) -> set[str]:
-        return self._introductions.relays
-
     @property
     def known(self) -> int:
         """Other processes that this one has heard of."""
@@ -222,13 +226,18 @@
     @property
     def known_routers(self) -> int:
         """Processes that place requests, this one among them, heard now or not."""
-        others = self._introductions.known - self._relays
+        others = self._introductions.known - self._introductions.relays
         return len(others) + (not self._is_relay)
 
+    @property
+    def clocks(self) -> int:
+        """Other processes whose time of day this one asks for."""
+        return self.known_routers - 1 + len(self._relays_asked)
+
     @property
     def count(self) -> int:
         """Peers that were heard lately."""
-        return sum(link.up for link in self._link_by_address.values())
+        return len(self._mesh.up())
 
     async def run(self) -> None:
         """Talk to peers until cancelled."""
@@ -247,16 +256,15 @@
 
     def platform_relays(self) -> list[Link]:
         """Return the links to peers that may relay, pure relays first."""
-        up = [link for link in self._link_by_address.values() if link.up]
-        return sorted(up, key=lambda link: (link.name not in self._relays, link.name))
+        return self._mesh.platform_relays()
 
     async def announce(self) -> None:
-        """Let all peers hear of a new revision now: any message tells it."""
-        await self._send(Heartbeat(), list(self._routers().values()))
+        """Let some peers hear of a new revision now: any message tells it."""
+        await self._send(Heartbeat(), self._some_routers(ANNOUNCED_TO))
 
     async def send_crash(self, crash: CrashSeen) -> None:
         """Tell all peers that place requests of a crash and what ran there."""
-        await self._send(crash, list(self._routers().values()))
+        await self._send(crash, list(self._mesh.routers().values()))
 
     async def ask_loan(self, customer: str, account: Account) -> None:
         """Ask the peers that hold most for tokens of a customer."""
@@ -270,25 +278,26 @@
         )
         await self._send(request, self._givers(account, need.lacking))
 
-    def _routers(self) -> dict[str, Link]:
-        """Return the links that are up to processes that place requests."""
-        return {
-            address: link
-            for address, link in self._link_by_address.items()
-            if link.up and address not in self._relays
-        }
+    def _some_routers(self, most: int) -> list[Link]:
+        return self._some(list(self._mesh.routers().values()), most)
+
+    def _some(self, links: list[Link], most: int) -> list[Link]:
+        return self._random.sample(links, min(most, len(links)))
 
     def _givers(self, account: Account, lacking: int) -> list[Link]:
         holders = best_givers(
             account.ledger, router=account.slice.router, lacking=lacking
         )
         up = self.writers.links_of(holder.partition("/")[0] for holder in holders)
-        return up or list(self._routers().values())[:ASKED_AT_ONCE]
+        return up or self._some_routers(ASKED_AT_ONCE)
 
     async def _ask_time(self, links: list[Link]) -> None:
         # A relay has no use for the time.
-        if not self._is_relay:
-            await self._send(ClockQuestion(asked_at=read_clocks().boot), links)
+        if self._is_relay:
+            return
+        names = {link.name for link in links}
+        self._relays_asked |= names & self._introductions.relays
+        await self._send(ClockQuestion(asked_at=read_clocks().boot), links)
 
     async def _send(self, message, links: list[Link]) -> None:
         for link in links:
@@ -296,19 +305,18 @@
                 await link.try_send(message)
 
     async def _tell(self) -> None:
-        """Tell loads and new addresses, and link to peers that are new.
+        """Report loads and new addresses, and link to peers that are new.
 
         A few peers at a time: copies for dozens of them in one go are a tenth of a
         second of a small instance's link, in which callers' events wait.
         """
         asked_time_at = told_whole_at = float("-inf")
         while True:
-            for address in self._to_link():
-                await self._link(address)
+            await self._keep_links()
             now = monotonic()
             if now - asked_time_at >= CLOCKS_SECONDS:
                 asked_time_at = now
-                await self._ask_time(list(self._link_by_address.values()))
+                await self._ask_time(self._some(self._mesh.up(), CLOCKS_ASKED))
             if now - told_whole_at >= NEWS_SECONDS:
                 told_whole_at = now
                 await self._tell_one_the_whole()
@@ -317,29 +325,36 @@
                 await self._send(self._state(introduction), self._only_introduced())
             await self._tell_routers(introduction or NOBODY)
 
+    async def _keep_links(self) -> None:
+        for link in self._mesh.missing():
+            task = await self._tasks.spawn(link.run, daemon=True)
+            self._task_by_address[link.name] = task
+        for address in self._mesh.spare():
+            await self._task_by_address.pop(address).cancel()
+            log_info("link_closed", address=address, reason="not needed")
+        self._mesh.set_pace(self.writers.first(WRITERS_WATCHED))
+
     async def _tell_one_the_whole(self) -> None:
-        up = [link for link in self._link_by_address.values() if link.up]
+        up = self._mesh.up()
         if up:
             whole = self._state(self._introductions.whole())
             await self._random.choice(up).try_send(whole)
 
     async def _tell_routers(self, introduction: Introduction) -> None:
-        """Tell all processes that place requests, and take the time for a round."""
-        routers = [] if self._is_relay else list(self._routers().values())
+        """Report to all processes that place requests; take the time for a round."""
+        routers = [] if self._is_relay else list(self._mesh.routers().values())
         parts = self._handler.parts_news()
         for first in range(0, max(1, len(routers)), PEERS_AT_FULL_RATE):
-            told = routers[first : first + PEERS_AT_FULL_RATE]
-            await self._send(self._state(introduction, parts), told)
-            await curio.sleep(TELL_SECONDS)
+            state, now = self._state(introduction, parts), monotonic()
+            group = routers[first : first + PEERS_AT_FULL_RATE]
+            due = [link for link in group if self._reports.due(link.name, state, now)]
+            await self._send(state, due)
+            await curio.sleep(REPORT_SECONDS)
 
     def _only_introduced(self) -> list[Link]:
         """Return the links to peers that have no use for loads."""
-        if self._is_relay:
-            return list(self._routers().values())
-        return [self._link_by_address[one] for one in self._linked_relays()]
-
-    def _linked_relays(self) -> set[str]:
-        return self._relays & self._link_by_address.keys()
+        only = self._mesh.routers() if self._is_relay else self._mesh.relays()
+        return list(only.values())
 
     def _state(
         self,
@@ -356,15 +371,8 @@
             parts_by_upstream=parts or {},
         )
 
-    def _to_link(self) -> set[str]:
-        known = self._introductions.known - self._link_by_address.keys()
-        return known - self._relays if self._is_relay else known
-
-    async def _link(self, address: str) -> None:
-        heartbeat, silence = SILENCE_SECONDS / 4, SILENCE_SECONDS
-        if self._is_relay or address in self._relays:
-            heartbeat, silence = RELAY_HEARTBEAT_SECONDS, RELAY_SILENCE_SECONDS
-        link = Link(
+    def _new_link(self, address: str, heartbeat: float, silence: float) -> Link:
+        return Link(
             name=address,
             address=address,
             incarnation=self._incarnation,
@@ -374,31 +382,35 @@
             silence_seconds=silence,
             traffic=self._traffic,
         )
-        self._link_by_address[address] = link
-        await self._tasks.spawn(link.run, daemon=True)
 
     async def _report(self) -> None:
         """Say what the links carry: a link that is full only makes things late."""
         while True:
-            await curio.sleep(REPORT_SECONDS)
+            await curio.sleep(TRAFFIC_SECONDS)
             report = self._traffic.take()
             self._metrics.link_traffic(report)
             log_info(
                 "link_traffic",
                 sent=report.sent,
                 heard=report.heard,
-                seconds=REPORT_SECONDS,
+                seconds=TRAFFIC_SECONDS,
                 most_sent=largest(report.sent_by_kind),
                 most_heard=largest(report.heard_by_kind),
             )
 
     async def _linked(self, event) -> None:
+        if event.peer not in self._mesh.link_by_address:
+            # The link was closed with this event on its way.
+            return
         if isinstance(event, Received):
             await self._note_revision(event.peer, event.envelope.revision)
+            sender = event.envelope.sender.partition("/")[0]
+            self.writers.note_address(node=sender, address=event.peer)
         match event:
             case LinkUp(peer=peer):
                 log_info("dependency_regained", dependency="peer", address=peer)
-                await self._greet(self._link_by_address[peer])
+                self._reports.forget(peer)
+                await self._greet(self._mesh.link_by_address[peer])
             case Received(
                 peer=peer, envelope=Envelope(message=ClockAnswer() as answer)
             ):
@@ -415,7 +427,8 @@
         """Tell a peer that is heard again little: all are, at the end of a cut."""
         await self._send(self._state(self._introductions.whole()), [link])
         await self._ask_time([link])
-        if not (self._is_relay or self._called_parts or link.name in self._relays):
+        to_relay = link.name in self._introductions.relays
+        if not (self._is_relay or self._called_parts or to_relay):
             self._called_parts = await link.try_send(PartsCall())
 
     async def _note_revision(self, peer: str, revision: int) -> None:
@@ -449,7 +462,7 @@
         pull = ConfigurationPull(
             kind=CONFIGURATION_KIND, ranks={CONFIGURATION_NAME: (False, own)}
         )
-        await self._link_by_address[question.peer].try_send(pull)
+        await self._mesh.link_by_address[question.peer].try_send(pull)
 
     def _pushed(self, pull: ConfigurationPull) -> ConfigurationPush | None:
         """Return the configuration for a peer that is behind."""
@@ -467,6 +480,8 @@
             received = await self._endpoint.receive()
             await self._note_sender(received.envelope)
             message = received.envelope.message
+            if isinstance(message, HandedRenewals):
+                self.writers.note_way(message.holder, received.peer)
             if isinstance(message, PlatformCall | LoanRequest):
                 # These wait for the platform, and what comes next does not.
                 serve = self._serve, received.peer, message
@@ -524,7 +539,8 @@
             )
             for name, load in state.load_by_upstream.items()
         }
-        await self._handler.heard_loads(state.node, loads)
+        hold = hold_seconds(self.known_routers)
+        await self._handler.heard_loads(state.node, loads, hold_seconds=hold)
         for name, parts in state.parts_by_upstream.items():
             self._handler.heard_parts(name, parts)
 
--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -37,9 +37,6 @@
 """Of an engine's memory, filled by running requests at their largest; the rest
 absorbs what other processes have placed since they last told."""
 
-HEARD_SECONDS = 2.0
-"""Loads told by another process count this long: several of its heartbeats."""
-
 OUTSIDE_ZONE_COST = 0.05
 """Of one request: breaks ties towards the own zone, where no byte is charged."""
 
@@ -137,8 +134,8 @@
 
     def total(self, now: float) -> Load:
         rv = self.own
-        for heard_at, load in self.others_by_node.values():
-            if now - heard_at < HEARD_SECONDS:
+        for holds_until, load in self.others_by_node.values():
+            if now < holds_until:
                 rv = rv + load
         return rv
 
@@ -249,13 +246,15 @@
         state.memory = state.memory or PrefixMemory(capacity_tokens=None)
         state.memory.heard(tokens_by_chain)
 
-    def heard(self, node: str, load_by_upstream: dict[str, Load], now: float) -> None:
-        """Take in what another process has at each upstream."""
+    def heard(
+        self, node: str, load_by_upstream: dict[str, Load], holds_until: float
+    ) -> None:
+        """Take in what another process has at each upstream until that second."""
         for name in load_by_upstream:
             self._state_by_name.setdefault(name, _State())
         for name, state in self._state_by_name.items():
             load = load_by_upstream.get(name, NO_LOAD)
-            state.others_by_node[node] = (now, load)
+            state.others_by_node[node] = (holds_until, load)
 
     def keep(self, upstreams: set[str]) -> None:
         """Forget upstreams that are gone and hold no own work."""
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -23,6 +23,7 @@
 )
 from ragwortkeel.metrics import Metrics
 from ragwortkeel.platform import Platform
+from ragwortkeel.platform_counts import CountedPlatform
 from ragwortkeel.process import Leftover
 from ragwortkeel.settings import RelaySettings
 from ragwortkeel.tasks import run_together
@@ -39,12 +40,13 @@
         self.metrics = Metrics()
         self.tracing = Tracing(node=settings.name)
         self.ready = True
+        self._counted = CountedPlatform(platform=platform, metrics=self.metrics)
         self._peers = Peers(
             node=settings.name,
             incarnation=f"{settings.name}/{secrets.token_hex(4)}",
             address=settings.address,
             seeds=settings.peers,
-            platform=platform,
+            platform=self._counted,
             handler=self,
             metrics=self.metrics,
             is_relay=True,
@@ -60,7 +62,7 @@
 
     async def run(self) -> None:
         """Work until cancelled or until a task fails."""
-        await run_together(self._peers.run)
+        await run_together(self._peers.run, self._counted.run)
 
     async def stop(self) -> Leftover:
         """Stop; calls under way end as unanswered, which callers can bear."""
@@ -106,7 +108,9 @@
     def heard_clock(self, peer: str, answer: ClockAnswer) -> None:
         """Leave a peer's time: a relay only tells its own."""
 
-    async def heard_loads(self, node: str, load_by_upstream: dict[str, Load]) -> None:
+    async def heard_loads(
+        self, node: str, load_by_upstream: dict[str, Load], *, hold_seconds: float
+    ) -> None:
         """Leave a peer's loads."""
 
     async def heard_configuration(self, pushed: VersionedObject) -> None:
--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -25,6 +25,7 @@
 from ragwortkeel.budget.tries import Tries
 from ragwortkeel.budget.turns import (
     TICK_SECONDS,
+    StandIn,
     patience,
     pause_after_refusals,
     step_of,
@@ -44,6 +45,7 @@
 from ragwortkeel.logs import log_debug, log_error, log_info, log_warning
 from ragwortkeel.messages import HandedRenewals, RenewalsWritten, WriteOutcome
 from ragwortkeel.platform import Platform
+from ragwortkeel.policy.timeouts import AnswerTimeout
 
 RETRY_SECONDS = 0.4
 """Pause after a failed call: each call is paid for, also in an outage."""
@@ -58,10 +60,25 @@
 would grow with the requests; against their objectives of 0.3 s and more it is
 little."""
 
-HAND_OVER_SECONDS = 0.2
-"""How long callers' waiting tokens are left to the process that writes for all: a
-write that is on its way, a batch and the next write take 15 to 30 ms each, the way
-there and back over a busy link of 5 Mbit/s some 50.  Then this process writes."""
+LONGEST_HAND_OVER_SECONDS = 1.0
+"""How long callers' waiting tokens are left to the process that writes for all, at the
+most; less while its answers are quick, see `policy.timeouts`."""
+
+HAND_OVER_SECONDS = 0.04
+"""What the first answers are taken to need: a batch, a write and the way."""
+
+STEP_SHARE = 0.6
+"""Of the wait for an answer, by which each further process of the order stands in
+later."""
+
+IDLE_TICK_SECONDS = 2.0
+"""A process with nothing to renew is written for so often."""
+
+JOIN_SECONDS = 0.3
+"""How long a start waits for its peers before it writes by itself."""
+
+STAND_IN_LOOK_SECONDS = 0.1
+"""How often a process that nobody answered tries again to hand its renewals over."""
 
 WRITE_WEIGHT = 0.3
 """Of the newest write in the mean time of a write: a link that has become slow shows
@@ -94,6 +111,9 @@
     def place(self) -> int:
         """Return how many of those that are heard come before this one."""
 
+    def processes(self) -> int:
+        """Return how many there are, heard now or not, this one included."""
+
     async def call_renewals(self) -> int:
         """Ask all for their renewals; return how many were asked."""
 
@@ -145,7 +165,12 @@
         self._random = Random(allowances.holder)
         self._table: RoutingTable | None = None
         self._merges_by = monotonic() + CLOCKS_WAIT_SECONDS
+        self._joins_by = monotonic() + JOIN_SECONDS
+        self._stand_in = StandIn(random=self._random)
+        self._hand_over_timeout = AnswerTimeout(longest=LONGEST_HAND_OVER_SECONDS)
+        self._hand_over_timeout.answered(HAND_OVER_SECONDS)
         self._renewed_at = float("-inf")
+        self._called_at = float("-inf")
         self._waits_until = 0.0
         self._refusals = 0
         self._write_seconds = 0.0
@@ -201,9 +226,14 @@
         """Renew slices until cancelled."""
         while True:
             urgent = await self._due()
-            alone = not self._handed_by_holder
-            if urgent and alone and await self._handed_over():
-                continue
+            if self._has_a_writer():
+                outcome = await self._written_by_another()
+                if outcome is not WriteOutcome.UNKNOWN:
+                    continue
+                if not self._may_stand_in():
+                    if urgent:
+                        await self._woken.set()
+                    continue
             await self._write_for_all(calls=not urgent)
 
     async def close(self) -> bool:
@@ -230,10 +260,23 @@
 
     def called(self) -> HandedRenewals | None:
         """Return what a peer that is about to write should take along."""
-        return self._hand(urgent=False) if self._may_hand_over() else None
+        if not self._may_hand_over():
+            return None
+        reading = self._clocks()
+        handed = self._handed(reading, urgent=False)
+        recent = monotonic() - self._renewed_at < IDLE_TICK_SECONDS
+        if self.merged and recent and not handed.renewal_by_customer:
+            self._called_at = monotonic()
+            return None
+        self._tries.begin(reading, handed=True)
+        return handed
 
     async def heard(self, handed: HandedRenewals) -> None:
         """Take in a peer's renewals for the next write."""
+        if not self.reachable and monotonic() < self._waits_until:
+            answer = _not_done(handed, WriteOutcome.UNREACHABLE)
+            await self._group.answer(handed.holder, answer)
+            return
         self._handed_by_holder[handed.holder] = handed
         if len(self._handed_by_holder) >= self._asked:
             await self._gathered.set()
@@ -248,6 +291,13 @@
             case WriteOutcome.NOT_DONE:
                 self._tries.failed(answer.boot)
                 self._withdraw()
+                # A start may be void for what it has not seen of other starts.
+                self._seen = None
+            case WriteOutcome.UNREACHABLE:
+                self._tries.failed(answer.boot)
+                self._withdraw()
+                self._note_reachable(False, "said a peer that writes for this one")
+                self._waits_until = monotonic() + RETRY_SECONDS
             case WriteOutcome.DONE:
                 self._take(answer)
         await self._changed.set()
@@ -259,10 +309,13 @@
             self._allowances.renewed_after(now - handed.monotonic)
             self.read_at = handed.monotonic
         self._allowances.written(answer)
+        if handed is not None:
+            self._allowances.note_read(answer.summary_by_customer, handed.monotonic)
         self.merged = self.merged or answer.boot in self._starts
         self._tries.done(answer.boot)
         self._wrote_last = False
         self._note_reachable(True, "")
+        self._called_at = now
         if answer.revision >= self._revision:
             self._renewed_at = now
 
@@ -287,10 +340,19 @@
             return RETRY_SECONDS
         pause = TICK_SECONDS
         if self._may_hand_over():
-            pause = patience(self._group.place())
+            step = STEP_SHARE * self._hand_over_timeout.seconds
+            pause = patience(self._group.place(), step_seconds=step)
+        elif self._joins(now):
+            return min(GRANTS_SECONDS, self._joins_by - now)
         elif self._allowances.lacks_grants(_prepaid(self._table)):
             pause = GRANTS_SECONDS
-        return max(self._renewed_at + pause, self._waits_until) - now
+        renewed_at = max(self._renewed_at, self._called_at)
+        return max(renewed_at + pause, self._waits_until) - now
+
+    def _joins(self, now: float) -> bool:
+        """Whether this process has just started and may soon hear its peers."""
+        unheard = not self._group.place() and self._group.processes() > 1
+        return not self.merged and unheard and now < self._joins_by
 
     async def _due(self) -> bool:
         """Wait until this process has to write; return whether callers wait."""
@@ -298,6 +360,8 @@
             async with curio.ignore_after(seconds):
                 await self._woken.wait()
             if self._woken.is_set() and self._table is not None:
+                backoff = max(0.0, self._waits_until - monotonic())
+                await curio.sleep(backoff)
                 break
         urgent = self._woken.is_set()
         self._woken.clear()
@@ -305,34 +369,69 @@
 
     # Handing over.
 
-    def _hand(self, *, urgent: bool) -> HandedRenewals:
-        reading = self._clocks()
+    def _handed(self, reading: Reading, *, urgent: bool) -> HandedRenewals:
         start = None
         if not self.merged:
             self._log_predecessors(self._seen)
             start = self._allowances.start(self._seen)
             self._starts.add(reading.boot)
-        handed = self._allowances.handed(reading, urgent=urgent, start=start)
-        self._tries.begin(reading, handed=True)
-        return handed
+        return self._allowances.handed(reading, urgent=urgent, start=start)
 
-    async def _handed_over(self) -> bool:
-        """Let the first of all write; return whether it has."""
-        if not self.reachable or not self._may_hand_over() or not self._group.place():
+    def _has_a_writer(self) -> bool:
+        """Whether another process is to write for this one.
+
+        Not where peers have handed their renewals over to this process.
+        """
+        return not self._handed_by_holder and self._group.place() > 0
+
+    async def _written_by_another(self) -> WriteOutcome:
+        """Let the first of all write; return what became of it."""
+        if not self.merged and self._seen is None and not await self._looked():
+            return WriteOutcome.UNREACHABLE
+        if not self._may_hand_over():
+            await curio.sleep(GRANTS_SECONDS)
+            return WriteOutcome.UNKNOWN
+        outcome = await self._hand_over()
+        if outcome is not WriteOutcome.UNKNOWN:
+            self._stand_in.answered()
+        return outcome
+
+    def _may_stand_in(self) -> bool:
+        processes = self._group.processes()
+        return self._stand_in.may_write(processes=processes, now=monotonic())
+
+    async def _looked(self) -> bool:
+        """Read the ledgers, which a start has to know; return whether it could."""
+        try:
+            self._seen = await self._ledgers.read(stale=False)
+        except PlatformUnavailable as exc:
+            self._note_reachable(False, str(exc))
+            self._waits_until = monotonic() + RETRY_SECONDS
             return False
-        handed = self._hand(urgent=True)
-        boot = handed.stamp.boot
+        self._allowances.resolve(self._seen)
+        return True
+
+    async def _hand_over(self) -> WriteOutcome:
+        """Let the first of all write; return what became of it, if it answered."""
+        reading = self._clocks()
+        handed = self._handed(reading, urgent=True)
+        self._tries.begin(reading, handed=True)
+        boot, begun = reading.boot, monotonic()
         writer = await self._group.hand_over(handed)
         if writer is None:
             self._tries.failed(boot)
-            return False
-        before, waits_until = self.read_at, monotonic() + HAND_OVER_SECONDS
-        while self._tries.handed(boot) and monotonic() < waits_until:
-            await self.next_change(waits_until)
-        if self._tries.handed(boot):
-            log_info("renewals_unanswered", writer=writer, seconds=HAND_OVER_SECONDS)
-            self._group.avoid(writer)
-        return self.read_at > before
+            await curio.sleep(STAND_IN_LOOK_SECONDS)
+            return WriteOutcome.UNKNOWN
+        patience = self._hand_over_timeout.seconds
+        while self._tries.handed(boot) and monotonic() < begun + patience:
+            await self.next_change(begun + patience)
+        if not self._tries.handed(boot):
+            self._hand_over_timeout.answered(monotonic() - begun)
+            return WriteOutcome.DONE
+        log_info("renewals_unanswered", writer=writer, seconds=round(patience, 3))
+        self._hand_over_timeout.timed_out()
+        self._group.avoid(writer)
+        return WriteOutcome.UNKNOWN
 
     def _withdraw(self) -> None:
         """Take back what certainly was not written and never will be.
@@ -397,7 +496,7 @@
             elif done:
                 answer = _answer(shard, handed, summaries)
             else:
-                answer = RenewalsWritten(boot=handed.stamp.boot, outcome=outcome)
+                answer = _not_done(handed, outcome)
             await self._group.answer(holder, answer)
 
     async def _write(
@@ -410,7 +509,7 @@
             self._withdraw()
             self._note_reachable(False, str(exc))
             self._waits_until = monotonic() + RETRY_SECONDS
-            return WriteOutcome.NOT_DONE, Shard(), set()
+            return WriteOutcome.UNREACHABLE, Shard(), set()
         except OutcomeUnknown as exc:
             # The ledger itself tells what holds, so look again at once.
             log_info("renewal_repeated", error=repr(exc))
@@ -485,6 +584,7 @@
         self._wrote_last = True
         self._refusals = 0
         self.read_at = reading.monotonic
+        allowances.note_read(renewed.ledger_by_customer, reading.monotonic)
         return renewed, refused
 
     def _wrote_in(self, seconds: float) -> None:
@@ -538,11 +638,12 @@
 def _answer(
     shard: Shard, handed: HandedRenewals, summary_by_customer: dict[str, Ledger]
 ) -> RenewalsWritten:
-    """Return the answer; to an urgent message with its own customers only."""
-    if handed.urgent:
+    """Return the answer, with the ledgers that its receiver has a use for."""
+    if handed.start is None:
+        names = {*handed.renewal_by_customer, *handed.wanted}
         summary_by_customer = {
-            customer: summary_by_customer[customer]
-            for customer in handed.renewal_by_customer
+            name: summary_by_customer[name]
+            for name in names & summary_by_customer.keys()
         }
     grant_by_customer = {
         customer: shard.ledger_by_customer[customer].grants[handed.holder]
@@ -557,6 +658,10 @@
     )
 
 
+def _not_done(handed: HandedRenewals, outcome: WriteOutcome) -> RenewalsWritten:
+    return RenewalsWritten(boot=handed.stamp.boot, outcome=outcome)
+
+
 def _unspent(shard: Shard) -> int:
     ledgers = shard.ledger_by_customer.values()
     return sum(ledger.prepaid - ledger.total_spent for ledger in ledgers)
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -43,6 +43,7 @@
 )
 from ragwortkeel.metrics import Metrics
 from ragwortkeel.platform import Platform
+from ragwortkeel.platform_counts import CountedPlatform
 from ragwortkeel.policy.quarantine import Crash
 from ragwortkeel.policy.retries import RetryBudget, reserve_of_one
 from ragwortkeel.process import Leftover
@@ -105,19 +106,20 @@
             directory=self._directory, placement=self._placement
         )
         self._crashes = CrashWatch(clock=monotonic)
+        self._counted = CountedPlatform(platform=platform, metrics=self.metrics)
         self._peers = Peers(
             node=settings.name,
             incarnation=incarnation,
             address=settings.address,
             seeds=settings.peers,
-            platform=platform,
+            platform=self._counted,
             handler=self,
             metrics=self.metrics,
         )
         self._platform = RelayedPlatform(
-            direct=platform, relays=self._peers.platform_relays
+            direct=self._counted, relays=self._peers.platform_relays
         )
-        self._time = FleetTime(others=lambda: self._peers.known)
+        self._time = FleetTime(others=lambda: self._peers.clocks)
         self._keeper = BudgetKeeper(
             platform=self._platform,
             holder=incarnation,
@@ -184,6 +186,7 @@
             self._keeper.run,
             self._peers.run,
             self._platform.run,
+            self._counted.run,
             self._dispatcher.run,
             self._upkeep,
         )
@@ -253,9 +256,12 @@
         """Take in a peer's time of day."""
         self._time.answered(peer, answer, read_clocks().boot)
 
-    async def heard_loads(self, node: str, load_by_upstream: dict[str, Load]) -> None:
-        """Take in what a peer has at each upstream."""
-        self._placement.heard(node, load_by_upstream, monotonic())
+    async def heard_loads(
+        self, node: str, load_by_upstream: dict[str, Load], *, hold_seconds: float
+    ) -> None:
+        """Take in what a peer has at each upstream, and for how long it holds."""
+        holds_until = monotonic() + hold_seconds
+        self._placement.heard(node, load_by_upstream, holds_until)
 
     def heard_revision(self, peer: str, revision: int) -> None:
         """Take in which configuration a peer has in force; 0 for none."""
--- a/src/ragwortkeel/ingress/writers.py
+++ b/src/ragwortkeel/ingress/writers.py
@@ -4,7 +4,7 @@
 how renewals reach whoever writes.  It is the `Group` of `ingress.renewals`.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from time import monotonic
 
 from ragwortkeel.budget.turns import Writer, first_in_order, place_in_order
@@ -25,6 +25,10 @@
         ``ip:port`` of this process, its name in the order.
     links : callable
         Returns the links that are up to the others, by address.
+    processes : callable
+        Returns how many processes renew slices, heard now or not, this one included.
+    reply : callable
+        Sends an answer the way a message came.
     own_step : callable
         Returns how slowly this process writes; see `budget.turns`.
     leaves : callable
@@ -36,11 +40,16 @@
         *,
         address: str,
         links: Callable[[], dict[str, Link]],
+        processes: Callable[[], int],
+        reply: Callable[[str, RenewalsWritten], Awaitable[None]],
         own_step: Callable[[], int],
         leaves: Callable[[], bool],
     ) -> None:
         self._address = address
         self._links = links
+        self._processes = processes
+        self._reply = reply
+        self._way_by_node: dict[str, str] = {}
         self._own_step = own_step
         self._leaves = leaves
         self._address_by_node: dict[str, str] = {}
@@ -50,9 +59,26 @@
 
     def heard(self, *, node: str, address: str, step: int) -> None:
         """Note where a process is and how slowly it writes."""
-        self._address_by_node[node] = address
+        self.note_address(node=node, address=address)
         self._step_by_address[address] = step
 
+    def note_address(self, *, node: str, address: str) -> None:
+        """Note where a process is."""
+        self._address_by_node[node] = address
+
+    def note_way(self, holder: str, way: str) -> None:
+        """Note how to answer a process that handed renewals over."""
+        self._way_by_node[holder.partition("/")[0]] = way
+
+    def processes(self) -> int:
+        """Return how many processes renew slices, heard now or not."""
+        return self._processes()
+
+    def first(self, count: int) -> list[str]:
+        """Return the addresses of the first others in order."""
+        in_order = sorted(self._others(), key=lambda writer: writer.rank)
+        return [writer.name for writer in in_order[:count]]
+
     def note_leaving(self, address: str, *, leaving: bool) -> None:
         """Note whether a process is about to stop."""
         if leaving:
@@ -111,9 +137,12 @@
 
     async def answer(self, holder: str, answer: RenewalsWritten) -> None:
         """Tell a process what became of its renewals."""
-        link = self.link_of(holder.partition("/")[0])
+        node = holder.partition("/")[0]
+        link = self.link_of(node)
         if link is not None:
             await link.try_send(answer)
+        elif node in self._way_by_node:
+            await self._reply(self._way_by_node[node], answer)
 
     def _own(self) -> Writer:
         return Writer(name=self._address, step=self._own_step())
--- a/src/ragwortkeel/links.py
+++ b/src/ragwortkeel/links.py
@@ -221,6 +221,12 @@
     inbox
         Where `Received`, `LinkUp` and `LinkDown` go.
 
+    Attributes
+    ----------
+    idle_seconds : float
+        Pause after a heartbeat that was answered, beyond `heartbeat_seconds`.  A peer
+        that answers no more is found so much later; it is asked at the full pace then.
+
     .. versionadded:: 0.1
     """
 
@@ -244,6 +250,7 @@
         self._heartbeat_seconds = heartbeat_seconds
         self._silence_seconds = silence_seconds
         self._traffic = traffic or Traffic()
+        self.idle_seconds = 0.0
         self._heard_at = 0.0
         self._lifecycle = Lifecycle(chart=ChartName.LINK)
         self._channel: _Channel | None = None
@@ -309,9 +316,14 @@
 
     async def _beat(self) -> None:
         """Heartbeat until the peer has been silent for too long."""
-        while monotonic() - self._heard_at < self._silence_seconds:
+        idle = 0.0
+        while monotonic() - self._heard_at < self._silence_seconds + idle:
+            sent_at = monotonic()
             await self.send(Heartbeat())
             await curio.sleep(self._heartbeat_seconds)
+            if self._heard_at >= sent_at:
+                idle = self.idle_seconds
+                await curio.sleep(idle)
 
     async def _read(self, channel: _Channel) -> None:
         while True:
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -490,6 +490,8 @@
         Whether callers wait for it, so that it is to be written at once.
     start : Start or None
         Of a process whose earlier starts are still to be charged.
+    wanted : tuple of str
+        Customers without a renewal here whose ledgers the sender wants to see.
     """
 
     holder: str
@@ -497,13 +499,19 @@
     renewal_by_customer: dict[str, Renewal]
     urgent: bool = False
     start: Start | None = None
+    wanted: tuple[str, ...] = ()
 
 
 class WriteOutcome(StrEnum):
-    """What became of a write."""
+    """What became of a write.
+
+    After `NOT_DONE` and `UNREACHABLE` nothing was written and never will be; the
+    second says that the platform did not take the call.
+    """
 
     DONE = "done"
     NOT_DONE = "not_done"
+    UNREACHABLE = "unreachable"
     UNKNOWN = "unknown"
 
 
@@ -519,7 +527,8 @@
     grant_by_customer : dict of str to Grant
         What was written for the holder.
     summary_by_customer : dict of str to Ledger
-        All ledgers after the write; see `budget.summary`.
+        The ledgers that the holder wants to see, after the write; see
+        `budget.summary`.
     """
 
     boot: float
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -78,6 +78,11 @@
             "Calls to the platform that failed, by error.",
             ("error",),
         )
+        self._platform_calls = self._counter(
+            "ragwortkeel_platform_calls_total",
+            "Calls to the platform, by operation, kind of object and outcome.",
+            ("operation", "kind", "outcome"),
+        )
         self._failures = self._counter(
             "ragwortkeel_failures_total",
             "Attempts that ended without a usable answer, by kind of failure.",
@@ -172,6 +177,10 @@
         """Count a failed call to the platform."""
         self._platform_errors.labels(error).inc()
 
+    def platform_called(self, *, operation: str, kind: str, outcome: str) -> None:
+        """Count one call to the platform."""
+        self._platform_calls.labels(operation, kind, outcome).inc()
+
     def configuration_in_force(self, *, revision: int) -> None:
         """Note the highest revision in force."""
         self._revision.set(revision)
--- a/tests/ingress/test_configuration_spread.py
+++ b/tests/ingress/test_configuration_spread.py
@@ -18,7 +18,7 @@
     run_ingress,
 )
 
-from ragwortkeel.ingress import peers, renewals
+from ragwortkeel.ingress import mesh, peers, renewals
 from ragwortkeel.ingress.relay_worker import RelayWorker
 from ragwortkeel.settings import RelaySettings
 
@@ -154,10 +154,11 @@
         and they heard of its change with the next heartbeat, asked late, and waited
         for a peer that had just been killed.
         """
-        for rare in ("SILENCE_SECONDS", "CLOCKS_SECONDS"):
-            monkeypatch.setattr(peers, rare, 60.0)
+        monkeypatch.setattr(peers, "CLOCKS_SECONDS", 60.0)
+        for rare in ("HEARTBEAT_SECONDS", "SILENCE_SECONDS"):
+            monkeypatch.setattr(mesh, rare, 60.0)
         monkeypatch.setattr(renewals, "TICK_SECONDS", 60.0)
-        monkeypatch.setattr(renewals, "patience", lambda place: 60.0)
+        monkeypatch.setattr(renewals, "patience", lambda place, **step: 60.0)
 
         async def scenario(fleet):
             await curio.sleep(SETTLED_SECONDS)
--- a/tests/ingress/test_placement.py
+++ b/tests/ingress/test_placement.py
@@ -4,7 +4,7 @@
 
 from tests.ingress.builders import ENGINE, engine_service, job, upstream
 
-from ragwortkeel.ingress.placement import HEARD_SECONDS, Load, Placement
+from ragwortkeel.ingress.placement import Load, Placement
 from ragwortkeel.policy.facts import Failure
 
 APP = engine_service("app").__class__(name="app", max_connections=96)
@@ -51,10 +51,9 @@
     def test_what_others_placed_takes_room_until_it_is_old(self):
         """A burst is refused by upstreams that look free to each process alone."""
         placement = Placement(zone="a")
-        placement.heard("other", {"u0": Load(running=4)}, 0.0)
+        placement.heard("other", {"u0": Load(running=4)}, 2.0)
         assert place(placement, job(), APP, apps(count=1, slots=2)) is None
-        later = HEARD_SECONDS + 0.1
-        assert place(placement, job(), APP, apps(count=1, slots=2), now=later)
+        assert place(placement, job(), APP, apps(count=1, slots=2), now=2.1)
 
     def test_places_that_slow_processes_hold_keep_nobody_away(self):
         """Half of the requests wait at one upstream that is hardly busy.
@@ -64,7 +63,7 @@
         """
         placement = Placement(zone="a")
         for node in range(6):
-            placement.heard(f"i{node}", {"u0": Load(running=1)}, 0.0)
+            placement.heard(f"i{node}", {"u0": Load(running=1)}, 2.0)
         assert place(placement, job(), APP, apps(count=1, slots=6))
 
     def test_an_engine_is_full_by_memory_before_its_slots(self):
--- a/tests/ingress/test_renewals.py
+++ b/tests/ingress/test_renewals.py
@@ -30,6 +30,9 @@
     def place(self):
         return self.own_place
 
+    def processes(self):
+        return 2
+
     async def call_renewals(self):
         handed = None if self.other is None else self.other.called()
         if handed is None:
--- a/tests/ingress/test_writers.py
+++ b/tests/ingress/test_writers.py
@@ -18,10 +18,12 @@
         return not self.broken
 
 
-def writers(links, *, step=0, leaves=False):
+def writers(links, *, step=0, leaves=False, reply=None):
     rv = Writers(
         address="own:1",
         links=lambda: links,
+        processes=lambda: len(links) + 1,
+        reply=reply,
         own_step=lambda: step,
         leaves=lambda: leaves,
     )
