Slices of whole requests; the rest of a budget stays in the ledger

Cause: three quarters of all lacks had a slice too small with several times the need unspent elsewhere: a share by demand among 68 processes holds no request.

Change: a share by demand below a useful slice is not held, and half a useful slice for each holder stays in the ledger, where the next renewal finds it.

Ruled out: keeping 24 or 60 useful slices back whatever the fleet (the same left at 68 processes, more locked away in an outage of a small fleet).

--- a/src/ragwortkeel/budget/sizing.py
+++ b/src/ragwortkeel/budget/sizing.py
@@ -33,6 +33,11 @@
 MIN_CAP_REQUESTS = 4
 """A cap lets this many of the largest requests through one sidecar at least."""
 
+KEPT_SLICES_A_HOLDER = 0.5
+"""Useful slices that stay in the ledger for each holder, where the next renewal finds
+them for whichever holder's caller needs them.  What is out in dozens of slices is only
+together as much as one request needs."""
+
 GIVE_BACK_FACTOR = 1.25
 """Give back only what is well above the target, so that slices don't swing."""
 
@@ -101,6 +106,9 @@
     share = need.demand / max(1, need.demand + others)
     equal = need.shared_equally
     handed_out = unspent * need.share_handed_out
+    if need.handed_out is not None:
+        kept = count * KEPT_SLICES_A_HOLDER * need.useful
+        handed_out = max(0.0, min(handed_out, unspent - kept))
     part = _equal_part(handed_out, count, need)
     outage = need.demand / 60 * need.ride_out_seconds
     target = min(
@@ -111,6 +119,8 @@
     floor = need.largest_request
     if need.handed_out is not None:
         floor = min(floor, int(part))
+        if target < need.useful:
+            target = 0
     target = max(int(target), floor)
     if need.waiting:
         return max(target, need.holding + need.waiting)
--- /dev/null
+++ b/tests/budget/fleet_model.py
@@ -0,0 +1,136 @@
+"""A fleet of processes that serve requests out of shared budgets, without a network.
+
+One process writes the ledgers for all at a fixed pace, as `budget.turns` has it; each
+request waits for tokens where its process has none.  Time goes in steps, and all
+randomness is a seeded generator's.
+"""
+
+from dataclasses import dataclass, field
+from random import Random
+
+from ragwortkeel.budget.allowance import Allowances
+from ragwortkeel.budget.clocks import Reading
+from ragwortkeel.budget.handing import joined
+from ragwortkeel.budget.shards import Shard
+from ragwortkeel.messages import RenewalsWritten, Start, WriteOutcome
+
+STEP_SECONDS = 0.04
+"""Between two writes of the ledgers while callers wait."""
+
+WAIT_SECONDS = 0.7
+"""How long a request waits for tokens."""
+
+
+@dataclass(kw_only=True)
+class Request:
+    """One request: what it sets aside and what it takes, in tokens."""
+
+    customer: str
+    tokens: int
+    spent: int
+    seconds: float
+    arrived: float
+    hold: object = None
+    ends_at: float = 0.0
+
+
+@dataclass(kw_only=True)
+class Result:
+    """What became of the requests."""
+
+    served: int = 0
+    refused: int = 0
+    refused_with_tokens: int = 0
+    waited: list = field(default_factory=list)
+
+
+class Fleet:
+    """Processes with slices of the same ledgers."""
+
+    def __init__(self, *, processes: int, prepaid: dict[str, int], seed: int) -> None:
+        self.now = 0.0
+        self.random = Random(seed)
+        self.prepaid = prepaid
+        self.shard = Shard().provisioned(prepaid, 1)
+        self.result = Result()
+        self.waiting = []
+        self.running = []
+        self.allowances = [
+            Allowances(holder=f"i{n}/a", started=self.reading())
+            for n in range(processes)
+        ]
+        for one in self.allowances:
+            one.resolve(self.shard)
+            self._renew(one, start=one.start(self.shard))
+
+    def reading(self):
+        return Reading(monotonic=self.now, boot=self.now + 1.0, wall=self.now + 1000.0)
+
+    def arrive(self, request):
+        """Let a request arrive at a random process."""
+        index = self.random.randrange(len(self.allowances))
+        allowances = self.allowances[index]
+        allowances.asked(request.customer, request.tokens, self.now)
+        if not self._reserve(index, request):
+            allowances.account(request.customer).waiting += request.tokens
+            self.waiting.append((index, request))
+
+    def step(self):
+        """Go on by one write of the ledgers."""
+        self.now += STEP_SECONDS
+        for index, request in [
+            one for one in self.running if one[1].ends_at <= self.now
+        ]:
+            self.running.remove((index, request))
+            account = self.allowances[index].account(request.customer)
+            account.settle(request.hold, spent=request.spent)
+        ticks = round(self.now / STEP_SECONDS)
+        in_need = {index for index, _ in self.waiting}
+        for index, one in enumerate(self.allowances):
+            if index in in_need or (ticks + index) % 12 == 0:
+                self._renew(one)
+        for index, request in list(self.waiting):
+            account = self.allowances[index].account(request.customer)
+            late = self.now - request.arrived > WAIT_SECONDS
+            if not self._reserve(index, request) and not late:
+                continue
+            account.waiting -= request.tokens
+            self.waiting.remove((index, request))
+            if request.hold is None:
+                self._refuse(request)
+
+    def _reserve(self, index, request):
+        account = self.allowances[index].account(request.customer)
+        request.hold = account.reserve(request.tokens)
+        if request.hold is None:
+            return False
+        request.ends_at = self.now + request.seconds
+        self.running.append((index, request))
+        self.result.served += 1
+        self.result.waited.append(self.now - request.arrived)
+        return True
+
+    def _refuse(self, request):
+        self.result.refused += 1
+        ledger = self.shard.ledger_by_customer[request.customer]
+        held = sum(
+            one.tokens for _, one in self.running if one.customer == request.customer
+        )
+        if ledger.prepaid - ledger.total_spent - held >= request.tokens:
+            self.result.refused_with_tokens += 1
+
+    def _renew(self, allowances, *, start: Start | None = None):
+        reading = self.reading()
+        handed = allowances.handed(reading, urgent=False, start=start)
+        self.shard = joined(self.shard, handed)
+        allowances.written(
+            RenewalsWritten(
+                boot=handed.stamp.boot,
+                outcome=WriteOutcome.DONE,
+                grant_by_customer={
+                    name: self.shard.ledger_by_customer[name].grants[handed.holder]
+                    for name in handed.renewal_by_customer
+                },
+                summary_by_customer=self.shard.summaries(),
+            )
+        )
