Six processes watch the platform for the fleet

Cause: each process watched configuration and upstreams itself.

Change: the first six of those that hear each other watch; they pass changes of entries on with the revision that these follow on; who misses one reads it after half a second. The configuration is asked of a peer, as by those that the platform turned away. An outage is passed on as well, so that lapsed entries are not taken for gone.

Ruled out: longer watches (a silent one is found late), one watcher (one process's word).

--- a/src/ragwortkeel/ingress/catch_up.py
+++ b/src/ragwortkeel/ingress/catch_up.py
@@ -19,6 +19,10 @@
 5 Mbit/s the platform's answer with 70 KB takes 0.1 s, behind others more.  A copy too
 many is 10 KB; changes may be due within two seconds."""
 
+UNWATCHED_GRACE_SECONDS = 0.05
+"""The same for a process that does not watch: changes in quick succession are asked
+for together."""
+
 ANSWER_SECONDS = 0.5
 """After which another peer is asked; an answer over a busy link takes some 0.2 s."""
 
@@ -64,10 +68,13 @@
         """Forget a peer that is no longer heard."""
         self._revision_by_peer.pop(peer, None)
 
-    def ask(self, *, own: int, now: float) -> Question | None:
+    def ask(
+        self, *, own: int, now: float, grace: float = GRACE_SECONDS
+    ) -> Question | None:
         """Return whom to ask at this monotonic second, None for nobody.
 
-        A question that is returned counts as asked.
+        A question that is returned counts as asked.  `grace` is how long to leave it
+        to the own watch, in seconds.
         """
         newest = max(self._revision_by_peer.values(), default=0)
         if newest <= own:
@@ -80,7 +87,8 @@
             self._asked = None
             self._asked_at = float("-inf")
         self._own = own
-        if now - max(self._behind_since, self._asked_at) < self._patience:
+        patience = grace if self._asked is None else ANSWER_SECONDS
+        if now - max(self._behind_since, self._asked_at) < patience:
             return None
         self._asked = self._choose(newest)
         self._asked_at = now
@@ -91,10 +99,6 @@
         """Whether a peer had a newer one when `ask` was called last."""
         return self._behind_since is not None
 
-    @property
-    def _patience(self) -> float:
-        return GRACE_SECONDS if self._asked is None else ANSWER_SECONDS
-
     def _choose(self, newest: int) -> str:
         having = [p for p, one in self._revision_by_peer.items() if one == newest]
         others = [peer for peer in having if peer != self._asked]
--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -87,9 +87,13 @@
             if entry.usable and entry.upstream.service == service
         }
 
-    def lost_platform(self, now: float) -> None:
-        """Note that the platform does not answer now."""
-        self._outage_until = max(self._outage_until, now + LAPSE_SECONDS)
+    def lost_platform(self, now: float, *, seconds: float = LAPSE_SECONDS) -> None:
+        """Note that entries may be missing for so long, as the platform is away."""
+        self._outage_until = max(self._outage_until, now + seconds)
+
+    def lapse_seconds(self, now: float) -> float:
+        """Return for how long entries may be missing because of an outage."""
+        return max(0.0, self._outage_until - now)
 
     def listed(
         self,
--- a/src/ragwortkeel/ingress/following.py
+++ b/src/ragwortkeel/ingress/following.py
@@ -1,5 +1,8 @@
 """Follows the configuration and the upstreams' entries in the platform.
 
+Only some processes of a fleet watch, see `ingress.watching`; the others are sent the
+entries' changes by them and ask a peer for a newer configuration.
+
 Failures it guards against: a watch goes silent with its connection open (a short
 wait and a time-out of its own show it), history is gone (it lists again), and an
 answer from a lagging copy shows the past (versions only go up).
@@ -20,8 +23,11 @@
     decode_value,
 )
 from ragwortkeel.ingress.directory import Directory, Moved
+from ragwortkeel.ingress.relaying import change_of, versioned_change
+from ragwortkeel.ingress.watching import Feed
 from ragwortkeel.logs import log_info, log_warning
-from ragwortkeel.platform import Platform, Stored
+from ragwortkeel.messages import UpstreamChanges
+from ragwortkeel.platform import Change, Platform, Stored
 
 WATCH_SECONDS = 3.0
 """A watch waits this long.  A silent one shows after that and the client's own
@@ -30,16 +36,29 @@
 RETRY_SECONDS = 0.4
 """Pause after a failed call."""
 
+LOOK_SECONDS = 0.1
+"""How often a process that does not watch looks whether it has to."""
+
 ConfigurationTaker = Callable[[IngressConfiguration, bytes], Awaitable[None]]
 MovesTaker = Callable[[list[Moved]], Awaitable[None]]
+ChangesSharer = Callable[[UpstreamChanges], Awaitable[None]]
 
 
 class _Follower:
-    """Lists a kind, then watches it, for ever."""
+    """Lists a kind, then watches it, for ever.
 
-    def __init__(self, *, platform: Platform, kind: str) -> None:
+    Parameters
+    ----------
+    watches : callable
+        Returns whether this process is to watch, or its peers keep it up to date.
+    """
+
+    def __init__(
+        self, *, platform: Platform, kind: str, watches: Callable[[], bool]
+    ) -> None:
         self._platform = platform
         self._kind = kind
+        self._watches = watches
         self._reachable = True
         self.seen = False
 
@@ -50,8 +69,11 @@
             try:
                 if revision is None:
                     revision = await self._list()
+                elif self._watches():
+                    revision = await self._watch(revision, WATCH_SECONDS)
                 else:
-                    revision = await self._watch(revision)
+                    revision = await self._follow_peers(revision)
+                    continue
                 self._note_reachable(True, "")
             except PlatformUnavailable as exc:
                 self._note_reachable(False, str(exc))
@@ -63,14 +85,24 @@
         self.seen = True
         return listing.revision
 
-    async def _watch(self, revision: int) -> int | None:
-        changes = await self._platform.watch(self._kind, revision, WATCH_SECONDS)
+    async def _watch(self, revision: int, seconds: float) -> int | None:
+        changes = await self._platform.watch(self._kind, revision, seconds)
         if changes.gap:
             log_info("history_lost", kind=self._kind, revision=revision)
             return None
         for change in changes.changes:
             await self._changed(change.name, change.version, change.stored)
-        return max(revision, changes.revision)
+        revision = max(revision, changes.revision)
+        await self._watched(changes.changes, revision)
+        return revision
+
+    async def _follow_peers(self, revision: int) -> int | None:
+        """Wait a moment; return the revision to watch from."""
+        await curio.sleep(LOOK_SECONDS)
+        return revision
+
+    async def _watched(self, changes: tuple[Change, ...], revision: int) -> None:
+        """Pass on what a watch brought."""
 
     def _note_reachable(self, reachable: bool, error: str) -> None:
         if reachable == self._reachable:
@@ -91,8 +123,14 @@
 class ConfigurationFollower(_Follower):
     """Follows the one object of the configuration."""
 
-    def __init__(self, *, platform: Platform, take: ConfigurationTaker) -> None:
-        super().__init__(platform=platform, kind=CONFIGURATION_KIND)
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        take: ConfigurationTaker,
+        watches: Callable[[], bool],
+    ) -> None:
+        super().__init__(platform=platform, kind=CONFIGURATION_KIND, watches=watches)
         self._take = take
 
     async def _listed(self, by_name: dict[str, Stored], revision: int) -> None:
@@ -112,14 +150,52 @@
 
 
 class UpstreamFollower(_Follower):
-    """Follows the upstreams' entries."""
+    """Follows the upstreams' entries.
+
+    Parameters
+    ----------
+    share : callable
+        Sends changes to the processes that don't watch.
+    """
 
     def __init__(
-        self, *, platform: Platform, directory: Directory, take: MovesTaker
+        self,
+        *,
+        platform: Platform,
+        directory: Directory,
+        take: MovesTaker,
+        watches: Callable[[], bool],
+        share: ChangesSharer,
     ) -> None:
-        super().__init__(platform=platform, kind=UPSTREAMS_KIND)
+        super().__init__(platform=platform, kind=UPSTREAMS_KIND, watches=watches)
         self._directory = directory
         self._take = take
+        self._share = share
+        self._feed = Feed()
+
+    @property
+    def newest(self) -> int:
+        """Revision of the newest change that this process knows of."""
+        return self._feed.newest
+
+    def heard_newest(self, revision: int) -> None:
+        """Note the newest change that a peer knows of."""
+        self._feed.heard(revision)
+
+    async def heard(self, message: UpstreamChanges) -> None:
+        """Take in changes from a process that watches."""
+        now = monotonic()
+        self._directory.lost_platform(now, seconds=message.lapse_seconds)
+        for change in map(change_of, message.objects):
+            await self._changed(change.name, change.version, change.stored)
+        whole = self._feed.passed_on(since=message.since, revision=message.revision)
+        log_info(
+            "upstream_changes_heard",
+            since=message.since,
+            revision=message.revision,
+            entries=len(message.objects),
+            whole=whole,
+        )
 
     async def expire(self) -> None:
         """Give up entries that did not come back after an outage."""
@@ -136,10 +212,33 @@
             self._directory.lost_platform(monotonic())
         return await super()._list()
 
-    async def _watch(self, revision: int) -> int | None:
+    async def _watch(self, revision: int, seconds: float) -> int | None:
         if not self._reachable:
             self._directory.lost_platform(monotonic())
-        return await super()._watch(revision)
+        return await super()._watch(revision, seconds)
+
+    async def _follow_peers(self, revision: int) -> int | None:
+        revision = await super()._follow_peers(revision)
+        if not self._feed.lags(monotonic()):
+            return max(revision, self._feed.complete)
+        # Entries may be missing after an outage that this process did not notice.
+        self._directory.lost_platform(monotonic())
+        log_info("upstreams_behind", complete=self._feed.complete)
+        return await self._watch(revision, 0.0)
+
+    async def _watched(self, changes: tuple[Change, ...], revision: int) -> None:
+        newest = max((change.version for change in changes), default=0)
+        since = self._feed.watched(revision=revision, newest=newest)
+        if not changes or not self._watches():
+            return
+        await self._share(
+            UpstreamChanges(
+                since=since,
+                revision=newest,
+                objects=tuple(versioned_change(self._kind, one) for one in changes),
+                lapse_seconds=self._directory.lapse_seconds(monotonic()),
+            )
+        )
 
     async def _listed(self, by_name: dict[str, Stored], revision: int) -> None:
         readable = {}
@@ -148,6 +247,8 @@
             if upstream is not None:
                 readable[name] = (stored.version, upstream)
         moves = self._directory.listed(readable, revision=revision, now=monotonic())
+        newest = max((stored.version for stored in by_name.values()), default=0)
+        self._feed.listed(revision=revision, newest=newest)
         await self._take(moves)
 
     async def _changed(self, name: str, version: int, stored: Stored | None) -> None:
--- a/src/ragwortkeel/ingress/load_reports.py
+++ b/src/ragwortkeel/ingress/load_reports.py
@@ -6,7 +6,7 @@
 request has nothing to report, and most of a large fleet's reports would say so.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import ceil
 
 from ragwortkeel.messages import IngressState
@@ -40,6 +40,7 @@
 @dataclass(frozen=True, kw_only=True)
 class _Idle:
     writing_step: int
+    upstreams_revision: int
     at: float
 
 
@@ -64,11 +65,16 @@
         if _says_anything(state):
             self._idle_by_peer.pop(peer, None)
             return True
+        idle = _Idle(
+            writing_step=state.writing_step,
+            upstreams_revision=state.upstreams_revision,
+            at=now,
+        )
         last = self._idle_by_peer.get(peer)
-        same = last is not None and last.writing_step == state.writing_step
+        same = last is not None and replace(last, at=now) == idle
         if same and now - last.at < IDLE_REPORT_SECONDS:
             return False
-        self._idle_by_peer[peer] = _Idle(writing_step=state.writing_step, at=now)
+        self._idle_by_peer[peer] = idle
         return True
 
     def forget(self, peer: str) -> None:
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -15,7 +15,12 @@
 from ragwortkeel.budget.clocks import read_clocks
 from ragwortkeel.budget.sizing import ASKED_AT_ONCE, best_givers
 from ragwortkeel.exceptions import LinkLost
-from ragwortkeel.ingress.catch_up import CatchUp, Question
+from ragwortkeel.ingress.catch_up import (
+    GRACE_SECONDS,
+    UNWATCHED_GRACE_SECONDS,
+    CatchUp,
+    Question,
+)
 from ragwortkeel.ingress.configuration import CONFIGURATION_KIND, CONFIGURATION_NAME
 from ragwortkeel.ingress.introductions import (
     NEWS_SECONDS,
@@ -32,6 +37,7 @@
 from ragwortkeel.ingress.mesh import WRITERS_WATCHED, Mesh
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.ingress.relaying import carry_out
+from ragwortkeel.ingress.watching import watchers
 from ragwortkeel.ingress.writers import Writers
 from ragwortkeel.links import Endpoint, Link, LinkDown, LinkUp, Received
 from ragwortkeel.logs import log_debug, log_info, log_warning
@@ -52,6 +58,7 @@
     RenewalCall,
     RenewalsWritten,
     TokenLoan,
+    UpstreamChanges,
     UpstreamLoad,
     VersionedObject,
 )
@@ -118,6 +125,15 @@
     def heard_crash(self, crash: CrashSeen) -> None:
         """Take in a crash that a peer found."""
 
+    def upstreams_revision(self) -> int:
+        """Return the revision of the newest change of an upstream's entry here."""
+
+    def heard_upstreams_revision(self, revision: int) -> None:
+        """Take in the newest such change that a peer knows of."""
+
+    async def heard_upstreams(self, changes: UpstreamChanges) -> None:
+        """Take in changes from a peer that watches the platform."""
+
     async def lend(self, request: LoanRequest) -> TokenLoan:
         """Answer a peer that lacks tokens."""
 
@@ -262,6 +278,18 @@
         """Let some peers hear of a new revision now: any message tells it."""
         await self._send(Heartbeat(), self._some_routers(ANNOUNCED_TO))
 
+    def watches(self) -> bool:
+        """Whether this process is to watch the platform, for those that don't."""
+        return self._address in self._watchers()
+
+    async def share_upstreams(self, changes: UpstreamChanges) -> None:
+        """Send changes of upstreams' entries to the processes that don't watch."""
+        routers, watching = self._mesh.routers(), self._watchers()
+        await self._send(changes, [routers[name] for name in routers.keys() - watching])
+
+    def _watchers(self) -> set[str]:
+        return set(watchers([self._address, *self._mesh.routers()]))
+
     async def send_crash(self, crash: CrashSeen) -> None:
         """Tell all peers that place requests of a crash and what ran there."""
         await self._send(crash, list(self._mesh.routers().values()))
@@ -332,7 +360,8 @@
         for address in self._mesh.spare():
             await self._task_by_address.pop(address).cancel()
             log_info("link_closed", address=address, reason="not needed")
-        self._mesh.set_pace(self.writers.first(WRITERS_WATCHED))
+        full = {*self.writers.first(WRITERS_WATCHED), *self._watchers()}
+        self._mesh.set_pace(full)
 
     async def _tell_one_the_whole(self) -> None:
         up = self._mesh.up()
@@ -369,6 +398,7 @@
             load_by_upstream=_wire_loads(self._handler.own_loads()),
             writing_step=self._handler.writing_step(),
             parts_by_upstream=parts or {},
+            upstreams_revision=self._handler.upstreams_revision(),
         )
 
     def _new_link(self, address: str, heartbeat: float, silence: float) -> Link:
@@ -448,7 +478,8 @@
         while True:
             await self._behind.wait()
             own = self._handler.revision()
-            question = self._catch_up.ask(own=own, now=monotonic())
+            grace = GRACE_SECONDS if self.watches() else UNWATCHED_GRACE_SECONDS
+            question = self._catch_up.ask(own=own, now=monotonic(), grace=grace)
             if question is not None:
                 await self._ask_configuration(question, own)
             if not self._catch_up.behind:
@@ -513,24 +544,32 @@
                 await self._take_state(state)
             case ConfigurationPush() | ConfigurationPull():
                 return await self._take_configuration(message)
-            case PartsCall():
-                return self._state(NOBODY, self._handler.all_parts())
+            case PartsCall() | Heartbeat() | ClockQuestion():
+                return self._answered(message)
             case CrashSeen() as crash:
                 self._handler.heard_crash(crash)
+            case UpstreamChanges() as changes:
+                await self._handler.heard_upstreams(changes)
             case TokenLoan() as loan if loan.tokens or loan.returned:
                 await self._handler.borrowed(loan)
             case PlatformAnswer() as answer:
                 await self._handler.relayed(answer)
             case RenewalCall() | HandedRenewals() | RenewalsWritten():
                 return await self._take_renewals(message)
+        return None
+
+    def _answered(self, message) -> IngressState | Heartbeat | ClockAnswer:
+        match message:
+            case PartsCall():
+                return self._state(NOBODY, self._handler.all_parts())
             case Heartbeat():
                 return self._handler.heartbeat()
             case ClockQuestion(asked_at=asked_at):
                 return ClockAnswer(asked_at=asked_at, wall=read_clocks().wall)
-        return None
 
     async def _take_state(self, state: IngressState) -> None:
         self._meet(state)
+        self._handler.heard_upstreams_revision(state.upstreams_revision)
         loads = {
             name: Load(
                 running=load.running,
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -19,6 +19,7 @@
     PlatformAnswer,
     RenewalsWritten,
     TokenLoan,
+    UpstreamChanges,
     VersionedObject,
 )
 from ragwortkeel.metrics import Metrics
@@ -119,6 +120,16 @@
     def heard_crash(self, crash: CrashSeen) -> None:
         """Leave a crash."""
 
+    def upstreams_revision(self) -> int:
+        """Return that it knows of no upstream."""
+        return 0
+
+    def heard_upstreams_revision(self, revision: int) -> None:
+        """Leave it; nothing is placed here."""
+
+    async def heard_upstreams(self, changes: UpstreamChanges) -> None:
+        """Leave it; nothing is placed here."""
+
     async def lend(self, request: LoanRequest) -> TokenLoan:
         """Lend nothing."""
         return TokenLoan(customer=request.customer)
--- a/src/ragwortkeel/ingress/relaying.py
+++ b/src/ragwortkeel/ingress/relaying.py
@@ -152,7 +152,7 @@
             version=revision,
             seconds=timeout,
         )
-        changes = tuple(_change(one) for one in answer.objects)
+        changes = tuple(change_of(one) for one in answer.objects)
         return Changes(changes=changes, revision=answer.version, gap=answer.gap)
 
     async def live(self) -> dict[str, Instance]:
@@ -293,7 +293,7 @@
     changes = await platform.watch(kind, revision, seconds)
     return PlatformAnswer(
         call_id=0,
-        objects=tuple(_versioned_change(kind, one) for one in changes.changes),
+        objects=tuple(versioned_change(kind, one) for one in changes.changes),
         version=changes.revision,
         gap=changes.gap,
     )
@@ -319,7 +319,8 @@
     )
 
 
-def _versioned_change(kind: str, change: Change) -> VersionedObject:
+def versioned_change(kind: str, change: Change) -> VersionedObject:
+    """Return a change as it goes over a link."""
     if change.stored is not None:
         return _versioned(change.stored)
     return VersionedObject(
@@ -333,7 +334,8 @@
     )
 
 
-def _change(found: VersionedObject) -> Change:
+def change_of(found: VersionedObject) -> Change:
+    """Return the change that came over a link."""
     return Change(
         name=found.name,
         version=found.version,
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -39,6 +39,7 @@
     PlatformAnswer,
     RenewalsWritten,
     TokenLoan,
+    UpstreamChanges,
     VersionedObject,
 )
 from ragwortkeel.metrics import Metrics
@@ -149,10 +150,16 @@
             cancels_abandoned=True,
         )
         self._configurations = ConfigurationFollower(
-            platform=self._platform, take=self._take_configuration
+            platform=self._platform,
+            take=self._take_configuration,
+            watches=self._peers.watches,
         )
         self._upstreams = UpstreamFollower(
-            platform=self._platform, directory=self._directory, take=self._take_moves
+            platform=self._platform,
+            directory=self._directory,
+            take=self._take_moves,
+            watches=self._peers.watches,
+            share=self._peers.share_upstreams,
         )
 
     @property
@@ -288,6 +295,18 @@
             Crash(crash_id=crash.crash_id, fingerprints=frozenset(crash.fingerprints))
         )
 
+    def upstreams_revision(self) -> int:
+        """Return the revision of the newest change of an upstream's entry here."""
+        return self._upstreams.newest
+
+    def heard_upstreams_revision(self, revision: int) -> None:
+        """Take in the newest such change that a peer knows of."""
+        self._upstreams.heard_newest(revision)
+
+    async def heard_upstreams(self, changes: UpstreamChanges) -> None:
+        """Take in changes from a peer that watches the platform."""
+        await self._upstreams.heard(changes)
+
     async def lend(self, request: LoanRequest) -> TokenLoan:
         """Answer a peer that lacks tokens."""
         return await self._keeper.lend(request)
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -422,7 +422,8 @@
     those among them (or itself) that only relay calls of the platform;
     `writing_step` says how slowly the sender writes ledgers, see `budget.turns`;
     `parts_by_upstream` holds, by upstream, tokens by chain of shared prompt parts that
-    it began to read since the last such message, or all of them for a `PartsCall`.
+    it began to read since the last such message, or all of them for a `PartsCall`;
+    `upstreams_revision` is that of the newest change of an upstream's entry it knows.
     """
 
     node: str
@@ -432,6 +433,26 @@
     load_by_upstream: dict[str, UpstreamLoad]
     writing_step: int = 0
     parts_by_upstream: dict[str, dict[int, int]] = {}
+    upstreams_revision: int = 0
+
+
+class UpstreamChanges(Message):
+    """Changes of upstreams' entries, from a process that watches the platform.
+
+    Attributes
+    ----------
+    since, revision : int
+        A receiver that has all changes up to the first has them up to the second now.
+    objects : tuple of VersionedObject
+        The entries that changed, with `gone` for those that vanished.
+    lapse_seconds : float
+        For so long entries may be missing because of an outage of the platform.
+    """
+
+    since: int
+    revision: int
+    objects: tuple[VersionedObject, ...]
+    lapse_seconds: float = 0.0
 
 
 class PartsCall(Message):
@@ -584,6 +605,7 @@
     | SliceTransfer
     | SliceTransferred
     | IngressState
+    | UpstreamChanges
     | PartsCall
     | PlatformCall
     | PlatformAnswer
@@ -615,6 +637,7 @@
     PlatformAnswer,
     PlatformCall,
     RenewalsWritten,
+    UpstreamChanges,
 )
 """What goes between entry instances and repeats names of fields, routes and holders.
 What carries callers' bytes is left as it is, for the processor's sake."""
