Mend: a stop that cuts a request gives back the rest of its slices

Change: what is open is charged at its most, nothing is set aside any more, and the slices are closed.

--- a/src/ragwortkeel/budget/account.py
+++ b/src/ragwortkeel/budget/account.py
@@ -93,6 +93,7 @@
         self.ledger = Ledger()
         self.waiting = 0
         self.read_at = float("-inf")
+        self._cut = False
         self._customer = customer
         self._borrowed = 0
         self._recalled = 0
@@ -161,6 +162,15 @@
             of_slice = max(0, spent - hold.borrowed)
             self.slice.settle(hold.reservation, spent=of_slice)
 
+    def cut_open(self) -> None:
+        """Charge the open requests at their most and set nothing aside any more.
+
+        For a stop that cuts them: what they still take is within what is charged.
+        """
+        self._cut = True
+        for reservation in list(self.slice.open_by_id.values()):
+            self.slice.settle(reservation, spent=reservation.tokens)
+
     def spare(self, asker: SliceNeed, now: float) -> int:
         """Return the tokens that an asker should rather have."""
         return to_lend(free=max(0, self.free), own=self.need(now), asker=asker)
@@ -176,7 +186,7 @@
 
     def reserve_of_slice(self, tokens: int) -> Reservation | None:
         """Set tokens of the slice aside, or return None."""
-        if tokens <= 0:
+        if tokens <= 0 or self._cut:
             return None
         try:
             return self.slice.reserve(sidecar=DIRECT, tokens=tokens)
--- a/src/ragwortkeel/budget/allowance.py
+++ b/src/ragwortkeel/budget/allowance.py
@@ -202,10 +202,15 @@
         """Whether a customer has no grant here yet, as after a start."""
         return any(not self.account(name).slice.in_ledger for name in customers)
 
+    def cut_open(self) -> None:
+        """Charge all open requests at their most: a stop cuts them."""
+        for account in self._account_by_customer.values():
+            account.cut_open()
+
     def closed(self, shard: Shard) -> Shard:
         """Return the shard without this process's grants, its spend charged.
 
-        Call it only when no request is open.
+        Call it only when no request is open, or after `cut_open`.
         """
         ledgers = dict(shard.ledger_by_customer)
         for name, account in self._account_by_customer.items():
--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -130,7 +130,7 @@
         await self.renewals.run()
 
     async def close(self) -> bool:
-        """Give all slices back; call it once no request is open."""
+        """Give all slices back; a request that is still open is charged at its most."""
         return await self.renewals.close()
 
     async def lend(self, request: LoanRequest) -> TokenLoan:
--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -237,8 +237,9 @@
             await self._write_for_all(calls=not urgent)
 
     async def close(self) -> bool:
-        """Give all slices back; call it once no request is open."""
+        """Give all slices back; a request that is still open is charged at its most."""
         self._closing = True
+        self._allowances.cut_open()
         for refusals in range(TRIES):
             try:
                 shard = await self._ledgers.read(stale=False)
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -214,7 +214,7 @@
         while self._server.open_exchanges and monotonic() < deadline:
             await curio.sleep(STOP_LOOK_SECONDS)
         cut = self._server.open_exchanges
-        returned = not cut and await self._keeper.close()
+        returned = await self._keeper.close()
         return Leftover(counts={"requests": cut, "slices": int(not returned)})
 
     def in_force(self, kind: str, name: str) -> InForce:
--- a/tests/budget/allowance_world.py
+++ b/tests/budget/allowance_world.py
@@ -241,9 +241,8 @@
         machine.void(handed.stamp.boot)
 
     def close(self, machine):
-        """Stop as planned, with nothing open."""
-        if machine.open_holds:
-            return
+        """Stop as planned; what is open is cut and charged at its most."""
+        machine.allowances.cut_open()
         self.read_ledger(machine)
         version, shard = machine.read
         self.apply(Write(version=version, shard=machine.allowances.closed(shard)))
--- a/tests/budget/test_allowance_machine.py
+++ b/tests/budget/test_allowance_machine.py
@@ -92,7 +92,7 @@
     @rule(index=indexes)
     def stop(self, index):
         machine = self.process(index)
-        if machine and not machine.open_holds:
+        if machine:
             self.world.close(machine)
             machine.start(self.world.now)
 
