--- a/src/ragwortkeel/ingress/mesh.py
+++ b/src/ragwortkeel/ingress/mesh.py
@@ -55,15 +55,18 @@
 
 
 def first_up(
-    order: Iterable[str], *, is_up: Callable[[str], bool], count: int
+    order: Iterable[str], *, is_down: Callable[[str], bool], count: int
 ) -> list[str]:
-    """Return the shortest beginning of the order that has `count` names up."""
-    chosen, up = [], 0
+    """Return the shortest beginning of the order with `count` names not down.
+
+    A name that has not been tried yet is not down.
+    """
+    chosen, left = [], count
     for name in order:
-        if up >= count:
+        if not left:
             break
         chosen.append(name)
-        up += is_up(name)
+        left -= not is_down(name)
     return chosen
 
 
@@ -161,11 +164,11 @@
         return routers | set(self._first_up(relays, RELAYS))
 
     def _first_up(self, names: Iterable[str], count: int) -> list[str]:
-        return first_up(self._preferred(names), is_up=self._is_up, count=count)
+        return first_up(self._preferred(names), is_down=self._is_down, count=count)
 
-    def _is_up(self, address: str) -> bool:
+    def _is_down(self, address: str) -> bool:
         link = self.link_by_address.get(address)
-        return link is not None and link.up
+        return link is not None and not link.up
 
     def _preferred(self, names: Iterable[str]) -> list[str]:
         return by_rendezvous(self._address, names)
--- a/tests/budget/test_turns.py
+++ b/tests/budget/test_turns.py
@@ -2,12 +2,16 @@
 
 from random import Random
 
+import pytest
+
 from ragwortkeel.budget.turns import (
     LONGEST_PAUSE_SECONDS,
     QUICK_SECONDS,
+    STAND_IN_WRITES_PER_SECOND,
     STEP_SECONDS,
     TICK_SECONDS,
     UNREACHABLE_STEP,
+    StandIn,
     Writer,
     first_in_order,
     patience,
@@ -67,3 +71,28 @@
     pauses = [pause_after_refusals(8, Random(seed)) for seed in range(50)]
     assert max(pauses) <= LONGEST_PAUSE_SECONDS
     assert max(pauses) - min(pauses) > LONGEST_PAUSE_SECONDS / 2
+
+
+@pytest.mark.parametrize("processes", [5, 68, 1000])
+def test_writes_of_those_that_nobody_answers_do_not_grow_with_the_fleet(processes):
+    """Callers wait until a cut ends: 68 processes void each other's writes.
+
+    The platform had become slow for a moment, so that each process took the one that
+    wrote for all for dead and wrote by itself, which kept the platform slow.
+    """
+    seconds = 20.0
+    fleet = [StandIn(random=Random(seed)) for seed in range(processes)]
+    writes = 0
+    for step in range(int(seconds / 0.25)):
+        now = step * 0.25
+        writes += sum(one.may_write(processes=processes, now=now) for one in fleet)
+    assert 0 < writes / seconds <= 1.5 * STAND_IN_WRITES_PER_SECOND
+
+
+def test_who_is_answered_starts_to_wait_anew():
+    one = StandIn(random=Random(1))
+    longest = 2 * 68 / STAND_IN_WRITES_PER_SECOND
+    assert not one.may_write(processes=68, now=0.0)
+    one.answered()
+    assert not one.may_write(processes=68, now=longest)
+    assert one.may_write(processes=68, now=2 * longest)
--- a/tests/ingress/test_renewals.py
+++ b/tests/ingress/test_renewals.py
@@ -6,6 +6,7 @@
 from ragwortkeel.budget.allowance import Allowances
 from ragwortkeel.budget.clocks import read_clocks
 from ragwortkeel.budget.shards import SHARDS_KIND, decode_shard
+from ragwortkeel.budget.turns import STAND_IN_WRITES_PER_SECOND
 from ragwortkeel.ingress.configuration import Customer
 from ragwortkeel.ingress.ledger_store import SHARD_NAME
 from ragwortkeel.ingress.renewals import Renewals
@@ -15,6 +16,8 @@
 
 CUSTOMER = "surco"
 PATIENCE = 20.0
+PLATFORM_SECONDS = 0.3
+"""What each write takes where the platform is slow."""
 
 
 class FakeGroup:
@@ -230,3 +233,85 @@
         return closed, second.renewals.called()
 
     assert run_two(scenario) == (True, None)
+
+
+class SharedGroup:
+    """Processes that hear each other; each answers the others at once."""
+
+    def __init__(self, processes, index):
+        self.processes_by_index = processes
+        self.index = index
+        self.avoided_until = {}
+
+    def processes(self):
+        return len(self.processes_by_index)
+
+    def _before(self):
+        now = read_clocks().monotonic
+        return [
+            other
+            for other in range(self.index)
+            if self.avoided_until.get(other, 0.0) <= now
+        ]
+
+    def place(self):
+        return len(self._before())
+
+    async def call_renewals(self):
+        return 0
+
+    async def hand_over(self, handed):
+        before = self._before()
+        if not before:
+            return None
+        await self.processes_by_index[before[0]].renewals.heard(handed)
+        return str(before[0])
+
+    def avoid(self, address):
+        self.avoided_until[int(address)] = read_clocks().monotonic + 2.0
+
+    async def answer(self, holder, answer):
+        name = holder.partition("/")[0]
+        await self.processes_by_index[int(name)].renewals.written(answer)
+
+
+def test_a_slow_platform_is_not_written_to_by_all():
+    """Callers wait for as long as a cut lasts: each process writes by itself.
+
+    Answers of the platform take 0.3 s, longer than it takes a process to take the one
+    that writes for it for dead.  Each write voids all others, and each refusal brings
+    the ledgers to one more process.
+    """
+    count, seconds = 24, 4.0
+
+    async def main():
+        platform = LocalPlatform()
+        processes = []
+        for index in range(count):
+            one = Process(platform, name=str(index), place=0)
+            one.group = one.renewals._group = SharedGroup(processes, index)
+            processes.append(one)
+        tasks = [await curio.spawn(one.start) for one in processes]
+        async with curio.timeout_after(PATIENCE):
+            for task in tasks:
+                await task.join()
+        update, tries = platform.update, []
+
+        async def slow(*call):
+            tries.append(read_clocks().monotonic)
+            await curio.sleep(PLATFORM_SECONDS)
+            return await update(*call)
+
+        platform.update = slow
+        asking = [await curio.spawn(one.served, 2_000) for one in processes]
+        await curio.sleep(seconds)
+        for task in [*asking, *(one.task for one in processes)]:
+            await task.cancel()
+        ended = read_clocks().monotonic
+        return len(tries), sum(at >= ended - 1.0 for at in tries)
+
+    in_all, in_the_end = curio.run(main)
+    stand_ins = STAND_IN_WRITES_PER_SECOND
+    # Some take the first for dead before they have learnt how long writes take now.
+    assert in_all <= seconds * (3 / PLATFORM_SECONDS + stand_ins)
+    assert in_the_end <= 1 / PLATFORM_SECONDS + stand_ins
