--- a/src/ragwortkeel/ingress/following.py
+++ b/src/ragwortkeel/ingress/following.py
@@ -189,13 +189,13 @@
         for change in map(change_of, message.objects):
             await self._changed(change.name, change.version, change.stored)
         whole = self._feed.passed_on(since=message.since, revision=message.revision)
-        log_info(
-            "upstream_changes_heard",
-            since=message.since,
-            revision=message.revision,
-            entries=len(message.objects),
-            whole=whole,
-        )
+        if not whole:
+            log_info(
+                "upstream_change_missing",
+                complete=self._feed.complete,
+                since=message.since,
+                revision=message.revision,
+            )
 
     async def expire(self) -> None:
         """Give up entries that did not come back after an outage."""
--- a/src/ragwortkeel/ingress/mesh.py
+++ b/src/ragwortkeel/ingress/mesh.py
@@ -44,6 +44,9 @@
 RELAY_SILENCE_SECONDS = 3.5
 """Three lost heartbeats and some slack."""
 
+OPENING_SECONDS = 1.0
+"""A fresh link that is not up counts as down after so long: all start together."""
+
 SPARE_SECONDS = 10.0
 """A link that is no longer needed is closed after so long, when the calls on it have
 ended."""
@@ -103,6 +106,7 @@
         self._introductions = introductions
         self._is_relay = is_relay
         self._new_link = new_link
+        self._opened_at: dict[str, float] = {}
         self._spare_since: dict[str, float] = {}
 
     def up(self) -> list[Link]:
@@ -135,6 +139,7 @@
                 heartbeat, silence = RELAY_HEARTBEAT_SECONDS, RELAY_SILENCE_SECONDS
             link = self._new_link(address, heartbeat, silence)
             self.link_by_address[address] = link
+            self._opened_at[address] = monotonic()
         return [self.link_by_address[address] for address in new]
 
     def spare(self, now: float | None = None) -> list[str]:
@@ -146,6 +151,7 @@
         for name in spare:
             del since[name]
             del self.link_by_address[name]
+            del self._opened_at[name]
         self._spare_since = since
         return spare
 
@@ -168,7 +174,9 @@
 
     def _is_down(self, address: str) -> bool:
         link = self.link_by_address.get(address)
-        return link is not None and not link.up
+        if link is None or link.up:
+            return False
+        return monotonic() - self._opened_at[address] >= OPENING_SECONDS
 
     def _preferred(self, names: Iterable[str]) -> list[str]:
         return by_rendezvous(self._address, names)
--- a/tests/ingress/test_mesh.py
+++ b/tests/ingress/test_mesh.py
@@ -2,6 +2,9 @@
 
 from collections import Counter
 
+import pytest
+
+from ragwortkeel.ingress import mesh as mesh_module
 from ragwortkeel.ingress.introductions import Introduction, Introductions
 from ragwortkeel.ingress.mesh import (
     ADVERTISED_TO,
@@ -18,6 +21,11 @@
 SIZES = (5, 68, 1000)
 
 
+@pytest.fixture(autouse=True)
+def _links_open_at_once(monkeypatch):
+    monkeypatch.setattr(mesh_module, "OPENING_SECONDS", 0.0)
+
+
 class FakeLink:
     def __init__(self, name):
         self.name = name
