--- a/src/ragwortkeel/budget/shards.py
+++ b/src/ragwortkeel/budget/shards.py
@@ -5,6 +5,7 @@
 """
 
 import zlib
+from collections.abc import Collection
 from typing import Self
 
 import msgspec
@@ -45,10 +46,17 @@
             self, revision=revision, ledger_by_customer=ledgers
         )
 
-    def summaries(self) -> dict[str, Ledger]:
-        """Return all ledgers in few bytes; see `budget.summary`."""
+    def summaries(self, customers: Collection[str] | None = None) -> dict[str, Ledger]:
+        """Return these customers' ledgers, or all, in few bytes.
+
+        Customers that have none here are left out; see `budget.summary`.
+        """
+        if customers is None:
+            customers = self.ledger_by_customer.keys()
         return {
-            name: summarized(ledger) for name, ledger in self.ledger_by_customer.items()
+            name: summarized(self.ledger_by_customer[name])
+            for name in customers
+            if name in self.ledger_by_customer
         }
 
 
--- a/src/ragwortkeel/ingress/ledger_store.py
+++ b/src/ragwortkeel/ingress/ledger_store.py
@@ -37,6 +37,7 @@
         self._read: Stored | None = None
         self._found: Stored | None = None
         self._written: Stored | None = None
+        self._written_shard = Shard()
         self._tried_version = 0
 
     def forget_refusal(self) -> None:
@@ -59,7 +60,11 @@
         self.outran = version > self._tried_version
         if self.outran:
             self.in_doubt = False
-        return Shard() if self._read is None else decode_shard(self._read.value)
+        if self._read is None:
+            return Shard()
+        if self._read is self._written:
+            return self._written_shard
+        return decode_shard(self._read.value)
 
     async def write(self, shard: Shard) -> None:
         """Replace the ledgers that were read last.
@@ -91,6 +96,7 @@
         self._written = Stored(
             kind=SHARDS_KIND, name=SHARD_NAME, value=value, version=version
         )
+        self._written_shard = shard
 
     async def _latest(self, *, stale: bool) -> Stored | None:
         found, self._found = self._found, None
--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -488,12 +488,14 @@
         refused: set[str],
     ) -> None:
         done = outcome is WriteOutcome.DONE
-        summaries = shard.summaries() if done and handed_by_holder else {}
+        summaries = {}
+        if done:
+            written = handed_by_holder.values()
+            names = {name for one in written for name in _seen_by(one, shard)}
+            summaries = shard.summaries(names)
         for holder, handed in handed_by_holder.items():
             if holder in refused:
-                answer = RenewalsWritten(
-                    boot=handed.stamp.boot, outcome=WriteOutcome.NOT_DONE
-                )
+                answer = _not_done(handed, WriteOutcome.NOT_DONE)
             elif done:
                 answer = _answer(shard, handed, summaries)
             else:
@@ -636,26 +638,31 @@
     return shard, refused
 
 
+def _seen_by(handed: HandedRenewals, shard: Shard) -> set[str]:
+    """Return the customers whose ledgers the sender has a use for."""
+    if handed.start is not None:
+        return set(shard.ledger_by_customer)
+    return {
+        *handed.renewal_by_customer,
+        *handed.wanted,
+    } & shard.ledger_by_customer.keys()
+
+
 def _answer(
     shard: Shard, handed: HandedRenewals, summary_by_customer: dict[str, Ledger]
 ) -> RenewalsWritten:
     """Return the answer, with the ledgers that its receiver has a use for."""
-    if handed.start is None:
-        names = {*handed.renewal_by_customer, *handed.wanted}
-        summary_by_customer = {
-            name: summary_by_customer[name]
-            for name in names & summary_by_customer.keys()
-        }
     grant_by_customer = {
         customer: shard.ledger_by_customer[customer].grants[handed.holder]
         for customer in handed.renewal_by_customer
     }
+    names = _seen_by(handed, shard)
     return RenewalsWritten(
         boot=handed.stamp.boot,
         outcome=WriteOutcome.DONE,
         revision=shard.revision,
         grant_by_customer=grant_by_customer,
-        summary_by_customer=summary_by_customer,
+        summary_by_customer={name: summary_by_customer[name] for name in names},
     )
 
 
