--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -18,9 +18,13 @@
 
 from ragwortkeel.budget.account import GROWTH_DELAY_SECONDS
 from ragwortkeel.budget.allowance import Allowances
+from ragwortkeel.budget.answers import (
+    answered,
+    customers_seen_by,
+    joined_by_all,
+    not_done,
+)
 from ragwortkeel.budget.clocks import Reading
-from ragwortkeel.budget.handing import joined
-from ragwortkeel.budget.ledger import Ledger
 from ragwortkeel.budget.shards import Shard
 from ragwortkeel.budget.tries import Tries
 from ragwortkeel.budget.turns import (
@@ -275,7 +279,7 @@
     async def heard(self, handed: HandedRenewals) -> None:
         """Take in a peer's renewals for the next write."""
         if not self.reachable and monotonic() < self._waits_until:
-            answer = _not_done(handed, WriteOutcome.UNREACHABLE)
+            answer = not_done(handed, WriteOutcome.UNREACHABLE)
             await self._group.answer(handed.holder, answer)
             return
         self._handed_by_holder[handed.holder] = handed
@@ -491,15 +495,15 @@
         summaries = {}
         if done:
             written = handed_by_holder.values()
-            names = {name for one in written for name in _seen_by(one, shard)}
+            names = {name for one in written for name in customers_seen_by(one, shard)}
             summaries = shard.summaries(names)
         for holder, handed in handed_by_holder.items():
             if holder in refused:
-                answer = _not_done(handed, WriteOutcome.NOT_DONE)
+                answer = not_done(handed, WriteOutcome.NOT_DONE)
             elif done:
-                answer = _answer(shard, handed, summaries)
+                answer = answered(shard, handed, summaries)
             else:
-                answer = _not_done(handed, outcome)
+                answer = not_done(handed, outcome)
             await self._group.answer(holder, answer)
 
     async def _write(
@@ -569,7 +573,7 @@
             self._log_predecessors(renewed)
             renewed = allowances.merged(renewed)
         renewed = allowances.renewed(renewed, reading)
-        renewed, refused = _joined(renewed, handed_by_holder)
+        renewed, refused = joined_by_all(renewed, handed_by_holder)
         self._tries.begin(reading, handed=False)
         begun = monotonic()
         try:
@@ -624,52 +628,6 @@
             log_warning("dependency_lost", dependency="ledgers", error=error)
 
 
-def _joined(
-    shard: Shard, handed_by_holder: dict[str, HandedRenewals]
-) -> tuple[Shard, set[str]]:
-    """Return the shard with the peers' renewals, and whose were refused."""
-    refused = set()
-    for holder, handed in handed_by_holder.items():
-        try:
-            shard = joined(shard, handed)
-        except (LedgerError, RouterSealed) as exc:
-            log_info("renewals_refused", holder=holder, error=str(exc))
-            refused.add(holder)
-    return shard, refused
-
-
-def _seen_by(handed: HandedRenewals, shard: Shard) -> set[str]:
-    """Return the customers whose ledgers the sender has a use for."""
-    if handed.start is not None:
-        return set(shard.ledger_by_customer)
-    return {
-        *handed.renewal_by_customer,
-        *handed.wanted,
-    } & shard.ledger_by_customer.keys()
-
-
-def _answer(
-    shard: Shard, handed: HandedRenewals, summary_by_customer: dict[str, Ledger]
-) -> RenewalsWritten:
-    """Return the answer, with the ledgers that its receiver has a use for."""
-    grant_by_customer = {
-        customer: shard.ledger_by_customer[customer].grants[handed.holder]
-        for customer in handed.renewal_by_customer
-    }
-    names = _seen_by(handed, shard)
-    return RenewalsWritten(
-        boot=handed.stamp.boot,
-        outcome=WriteOutcome.DONE,
-        revision=shard.revision,
-        grant_by_customer=grant_by_customer,
-        summary_by_customer={name: summary_by_customer[name] for name in names},
-    )
-
-
-def _not_done(handed: HandedRenewals, outcome: WriteOutcome) -> RenewalsWritten:
-    return RenewalsWritten(boot=handed.stamp.boot, outcome=outcome)
-
-
 def _unspent(shard: Shard) -> int:
     ledgers = shard.ledger_by_customer.values()
     return sum(ledger.prepaid - ledger.total_spent for ledger in ledgers)
