--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -37,7 +37,7 @@
 from ragwortkeel.ingress.peer_handler import PeerHandler
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.ingress.relaying import carry_out
-from ragwortkeel.ingress.watching import watchers
+from ragwortkeel.ingress.watching import SHARERS, watchers
 from ragwortkeel.ingress.writers import Writers
 from ragwortkeel.links import Endpoint, Link, LinkDown, LinkUp, Received
 from ragwortkeel.logs import log_debug, log_info, log_warning
@@ -211,11 +211,15 @@
 
     async def share_upstreams(self, changes: UpstreamChanges) -> None:
         """Send changes of upstreams' entries to the processes that don't watch."""
-        routers, watching = self._mesh.routers(), self._watchers()
-        await self._send(changes, [routers[name] for name in routers.keys() - watching])
+        watching = self._watchers()
+        if self._address not in watching[:SHARERS]:
+            return
+        routers = self._mesh.routers()
+        others = routers.keys() - set(watching)
+        await self._send(changes, [routers[name] for name in others])
 
-    def _watchers(self) -> set[str]:
-        return set(watchers([self._address, *self._mesh.routers()]))
+    def _watchers(self) -> list[str]:
+        return watchers([self._address, *self._mesh.routers()])
 
     async def send_crash(self, crash: CrashSeen) -> None:
         """Tell all peers that place requests of a crash and what ran there."""
--- a/src/ragwortkeel/ingress/watching.py
+++ b/src/ragwortkeel/ingress/watching.py
@@ -14,6 +14,9 @@
 WATCHERS = 6
 """Of those that hear each other; so many hardly ever die in the same second."""
 
+SHARERS = 2
+"""Of those that watch, the first ones; only they pass changes on unasked."""
+
 LAG_SECONDS = 0.5
 """For so long a change may be on its way from the processes that watch."""
 
