--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -413,6 +413,10 @@
             self._note_reachable(False, str(exc))
             self._waits_until = monotonic() + RETRY_SECONDS
             return False
+        except LedgerError as exc:
+            log_error("renewal_failed", error=repr(exc))
+            self._waits_until = monotonic() + RETRY_SECONDS
+            return False
         self._allowances.resolve(self._seen)
         return True
 
--- a/tests/ingress/test_renewals.py
+++ b/tests/ingress/test_renewals.py
@@ -235,6 +235,22 @@
     assert run_two(scenario) == (True, None)
 
 
+def test_a_start_bears_ledgers_that_it_cannot_read():
+    """A process ends again and again: another writer's object is no ledger."""
+
+    async def main():
+        platform = LocalPlatform()
+        await platform.create(SHARDS_KIND, SHARD_NAME, b"no ledger")
+        one = Process(platform, name="b", place=1)
+        task = await curio.spawn(one.renewals.run, daemon=True)
+        await curio.sleep(0.7)
+        ended = task.terminated
+        await task.cancel()
+        return ended
+
+    assert not curio.run(main)
+
+
 class SharedGroup:
     """Processes that hear each other; each answers the others at once."""
 
