ragwortkeel report: from the logs of all processes to where callers lost

It adds up refusals, failed runs, lacks of tokens by cause and customer, waits, calls of the platform and bytes on links, in all and by two seconds, or shows one request's lines in order. Plain, gzip and standard input; rubbish is counted and named, never fatal. Needs no platform. Not in it: plots, shared parts read again, memory and processor.

--- a/src/ragwortkeel/cli/command.py
+++ b/src/ragwortkeel/cli/command.py
@@ -9,6 +9,7 @@
 from ragwortkeel.cli.ingress import IngressCommands
 from ragwortkeel.cli.plan import Plan, Session, carry_out
 from ragwortkeel.cli.profiles import ProfileCommands
+from ragwortkeel.cli.report import report
 from ragwortkeel.cli.reports import status, trace
 from ragwortkeel.cli.runs import resolve, unresolved
 from ragwortkeel.cli.upstreams import UpstreamCommands
@@ -102,6 +103,23 @@
 
         return Plan(session=self._session, scenario=scenario)
 
+    @SetParseFns(str, request=str)
+    def report(self, *files, request=""):
+        """Say from log files where callers lost, and what the processes cost.
+
+        Parameters
+        ----------
+        files
+            Logs of any processes, also as .gz; - for standard input.
+        request
+            Show just the lines of this request, in order.
+        """
+
+        async def scenario(platform):
+            return report(tuple(str(file) for file in files), request)
+
+        return Plan(session=self._session, scenario=scenario, needs_platform=False)
+
 
 def main(arguments: list[str] | None = None) -> None:
     """Run the command that the command line names."""
--- a/src/ragwortkeel/cli/plan.py
+++ b/src/ragwortkeel/cli/plan.py
@@ -48,17 +48,33 @@
 
 
 class Plan:
-    """What a command will do."""
-
-    __slots__ = ("_scenario", "_session")
-
-    def __init__(self, *, session: Session, scenario: Scenario) -> None:
+    """What a command will do.
+
+    Parameters
+    ----------
+    session : Session
+        Which platform it works on, and how its result is shown.
+    scenario : callable
+        Does it.
+    needs_platform : bool
+        Whether it works on a platform at all; the scenario gets None where not.
+    """
+
+    __slots__ = ("_needs_platform", "_scenario", "_session")
+
+    def __init__(
+        self, *, session: Session, scenario: Scenario, needs_platform: bool = True
+    ) -> None:
         self._session = session
         self._scenario = scenario
+        self._needs_platform = needs_platform
 
 
 def carry_out(plan: Plan) -> str:
     """Run a plan and return what to print."""
+    if not plan._needs_platform:
+        result = curio.run(plan._scenario, None)
+        return result.shown(as_json=plan._session.as_json)
     platform = plan._session.connect()
 
     async def whole() -> Result:
--- /dev/null
+++ b/src/ragwortkeel/cli/report.py
@@ -0,0 +1,328 @@
+"""``ragwortkeel report``: from the lines of all processes to where callers lost."""
+
+import zlib
+from collections import Counter
+from collections.abc import Iterator
+
+import msgspec
+
+from ragwortkeel.cli.output import Result, table
+from ragwortkeel.decision_lines import DecisionLine, read_lines
+from ragwortkeel.exceptions import CommandError
+
+SPAN_SECONDS = 2.0
+"""Of a row of the table by time."""
+
+MOST_NAMES = 10_000
+"""Customers that are told apart; those that come later count as one."""
+
+SHOWN_CUSTOMERS = 10
+
+MOST_REQUEST_LINES = 10_000
+"""Of one request; a proper one leaves five."""
+
+OTHERS = "(others)"
+
+_SHORTEST_SECONDS = 0.001
+_BUCKET_FACTOR = 1.25
+
+CALLERS_OWN = frozenset({"unknown_key", "no_route", "bad_request"})
+"""Reasons of refusals that callers bring about."""
+
+
+class Quantiles(msgspec.Struct, frozen=True, kw_only=True):
+    """Upper bounds in seconds, a quarter too high at the most."""
+
+    count: int
+    half: float
+    nine_tenths: float
+    all_but_one_in_100: float
+
+
+class Span(msgspec.Struct, frozen=True, kw_only=True):
+    """What happened in some seconds, `at` of which the first is."""
+
+    at: float
+    served: int
+    refused: int
+    failed: int
+    lacked: int
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True):
+    """Where callers lost, and what the processes cost."""
+
+    lines: int
+    unreadable_by_file: dict[str, int]
+    dropped: int
+    processes: int
+    seconds: float
+    served: int
+    refused_by_reason: dict[str, int]
+    failed_by_reason: dict[str, int]
+    lacks_by_cause: dict[str, int]
+    lacks_by_customer: dict[str, int]
+    waited: Quantiles
+    first_event: Quantiles
+    platform_calls: dict[str, int]
+    bytes_sent_by_message: dict[str, int]
+    late_loops: int
+    spans: list[Span]
+
+
+class _Durations:
+    """Counts durations in buckets, so that memory doesn't grow with them."""
+
+    def __init__(self) -> None:
+        self._count_by_bucket: Counter[int] = Counter()
+
+    def add(self, seconds: float) -> None:
+        bucket, bound = 0, _SHORTEST_SECONDS
+        while seconds > bound and bucket < 80:
+            bucket, bound = bucket + 1, bound * _BUCKET_FACTOR
+        self._count_by_bucket[bucket] += 1
+
+    def quantiles(self) -> Quantiles:
+        return Quantiles(
+            count=self._count_by_bucket.total(),
+            half=self._at(0.5),
+            nine_tenths=self._at(0.9),
+            all_but_one_in_100=self._at(0.99),
+        )
+
+    def _at(self, share: float) -> float:
+        wanted, seen = share * self._count_by_bucket.total(), 0
+        for bucket in sorted(self._count_by_bucket):
+            seen += self._count_by_bucket[bucket]
+            if seen >= wanted:
+                return round(_SHORTEST_SECONDS * _BUCKET_FACTOR**bucket, 4)
+        return 0.0
+
+
+class Collector:
+    """Adds up lines, in memory that does not grow with their number.
+
+    Examples
+    --------
+    >>> collector = Collector()
+    >>> collector.add("a.log", None)
+    >>> collector.report().unreadable_by_file
+    {'a.log': 1}
+    """
+
+    def __init__(self) -> None:
+        self._lines = 0
+        self._unreadable: Counter[str] = Counter()
+        self._dropped = 0
+        self._late_loops = 0
+        self._processes: set[str] = set()
+        self._first_at: float | None = None
+        self._last_at = 0.0
+        self._counts_by_span: dict[int, Counter[str]] = {}
+        self._served = 0
+        self._refused: Counter[str] = Counter()
+        self._failed: Counter[str] = Counter()
+        self._lacks: Counter[str] = Counter()
+        self._lacks_by_customer: Counter[str] = Counter()
+        self._calls: Counter[str] = Counter()
+        self._sent: Counter[str] = Counter()
+        self._waited = _Durations()
+        self._first_event = _Durations()
+
+    def add(self, file: str, line: DecisionLine | None) -> None:
+        """Add one line of a file, or one that can't be read."""
+        if line is None:
+            self._unreadable[file] += 1
+            return
+        self._lines += 1
+        self._processes.add(line.process)
+        if line.at:
+            self._first_at = min(self._first_at or line.at, line.at)
+            self._last_at = max(self._last_at, line.at)
+        match line.event:
+            case "served" | "dispatched":
+                self._add_run(line)
+            case "refused" | "run_failed" | "tokens_lacking":
+                self._add_loss(line)
+            case "platform_calls":
+                _add_counts(self._calls, line.fields.get("calls", ""))
+            case "link_traffic":
+                _add_counts(self._sent, line.fields.get("most_sent", ""))
+            case "loop_late":
+                self._late_loops += 1
+            case "log_lines_dropped":
+                self._dropped += int(line.number("count"))
+
+    def report(self) -> Report:
+        """Return what was added up."""
+        first = self._first_at or 0.0
+        customers = self._lacks_by_customer.most_common(SHOWN_CUSTOMERS)
+        return Report(
+            lines=self._lines,
+            unreadable_by_file=dict(self._unreadable),
+            dropped=self._dropped,
+            processes=len(self._processes),
+            seconds=round(self._last_at - first, 1) if first else 0.0,
+            served=self._served,
+            refused_by_reason=dict(self._refused.most_common()),
+            failed_by_reason=dict(self._failed.most_common()),
+            lacks_by_cause=dict(self._lacks.most_common()),
+            lacks_by_customer=dict(customers),
+            waited=self._waited.quantiles(),
+            first_event=self._first_event.quantiles(),
+            platform_calls=dict(self._calls.most_common()),
+            bytes_sent_by_message=dict(self._sent.most_common()),
+            late_loops=self._late_loops,
+            spans=[
+                _span(span, self._counts_by_span[span], first)
+                for span in sorted(self._counts_by_span)
+            ],
+        )
+
+    def _add_run(self, line: DecisionLine) -> None:
+        if line.event == "dispatched":
+            self._waited.add(line.number("waited"))
+            return
+        self._served += 1
+        self._first_event.add(line.number("first"))
+        self._count(line, "served")
+
+    def _add_loss(self, line: DecisionLine) -> None:
+        reason = line.fields.get("reason", "unknown")
+        match line.event:
+            case "refused":
+                self._refused[reason] += 1
+                if reason not in CALLERS_OWN:
+                    self._count(line, "refused")
+            case "run_failed":
+                self._failed[reason] += 1
+                self._count(line, "failed")
+            case "tokens_lacking":
+                self._lacks[cause_of_lack(line)] += 1
+                customer = line.fields.get("customer", "unknown")
+                known = customer in self._lacks_by_customer
+                if not known and len(self._lacks_by_customer) >= MOST_NAMES:
+                    customer = OTHERS
+                self._lacks_by_customer[customer] += 1
+                self._count(line, "lacked")
+
+    def _count(self, line: DecisionLine, what: str) -> None:
+        span = int(line.at // SPAN_SECONDS)
+        self._counts_by_span.setdefault(span, Counter())[what] += 1
+
+
+def cause_of_lack(line: DecisionLine) -> str:
+    """Return why a process had no tokens for a request, from its `tokens_lacking`."""
+    needed = line.number("needed")
+    if line.fields.get("ledger_age") == "-":
+        return "not yet joined the ledgers"
+    away = "" if line.fields.get("reachable") == "true" else ", platform away"
+    if line.number("unspent") < needed:
+        return f"budget spent{away}"
+    if line.number("free") < needed:
+        return f"tokens with other processes{away}"
+    return f"cap reached{away}"
+
+
+def report(files: tuple[str, ...], request: str) -> Result:
+    """Return a report of log files, or one request's lines in order.
+
+    Raises
+    ------
+    CommandError
+        A file can't be read, or no line names the request.
+    """
+    if not files:
+        raise CommandError("which files? give log files, or - for standard input")
+    if request:
+        return _story(files, request)
+    collector = Collector()
+    for file, line in _all_lines(files):
+        collector.add(file, line)
+    data = collector.report()
+    return Result(data=data, text=_text(data))
+
+
+def _all_lines(files: tuple[str, ...]) -> Iterator[tuple[str, DecisionLine | None]]:
+    for file in files:
+        try:
+            for line in read_lines(file):
+                yield file, line
+        except (OSError, EOFError, zlib.error) as exc:
+            raise CommandError(f"cannot read {file}: {exc}") from exc
+
+
+def _story(files: tuple[str, ...], request: str) -> Result:
+    lines = [
+        line
+        for _, line in _all_lines(files)
+        if line is not None and line.fields.get("request") == request
+    ]
+    if not lines:
+        raise CommandError(f"no line names request {request}")
+    lines.sort(key=lambda line: line.at)
+    rows = [
+        (f"{line.at:.3f}", line.process, line.event, _pairs(line))
+        for line in lines[:MOST_REQUEST_LINES]
+    ]
+    data = [{"at": at, "process": p, "event": e, "fields": f} for at, p, e, f in rows]
+    return Result(data=data, text=table(("at", "process", "event", ""), rows))
+
+
+def _pairs(line: DecisionLine) -> str:
+    shown = (
+        f"{k}={v}" for k, v in line.fields.items() if k not in ("request", "level")
+    )
+    return " ".join(shown)
+
+
+def _span(span: int, counts: Counter[str], first: float) -> Span:
+    return Span(
+        at=round(max(0.0, span * SPAN_SECONDS - first), 1),
+        served=counts["served"],
+        refused=counts["refused"],
+        failed=counts["failed"],
+        lacked=counts["lacked"],
+    )
+
+
+def _add_counts(counter: Counter[str], text: str) -> None:
+    """Add counts from ``name:number,name:number``; what is no such pair is left out."""
+    for pair in filter(None, text.split(",")):
+        name, _, number = pair.rpartition(":")
+        if number.isdecimal():
+            counter[name] += int(number)
+
+
+def _text(data: Report) -> str:
+    unreadable = sum(data.unreadable_by_file.values())
+    parts = [
+        f"{data.lines} lines of {data.processes} processes over {data.seconds} s; "
+        f"{unreadable} not readable, {data.dropped} dropped by their writers",
+        f"served {data.served}; loops late {data.late_loops}",
+        _durations("waited for a place and tokens", data.waited),
+        _durations("first event", data.first_event),
+    ]
+    for heading, counts in (
+        ("refused", data.refused_by_reason),
+        ("runs failed", data.failed_by_reason),
+        ("tokens lacking, by cause", data.lacks_by_cause),
+        ("tokens lacking, by customer", data.lacks_by_customer),
+        ("calls of the platform", data.platform_calls),
+        ("bytes sent on links", data.bytes_sent_by_message),
+        ("not readable", data.unreadable_by_file),
+    ):
+        if counts:
+            parts.append(table((heading, "count"), list(counts.items())))
+    spans = [(s.at, s.served, s.refused, s.failed, s.lacked) for s in data.spans]
+    if spans:
+        headings = ("second", "served", "refused", "runs failed", "lacked tokens")
+        parts.append(table(headings, spans))
+    return "\n\n".join(parts)
+
+
+def _durations(what: str, found: Quantiles) -> str:
+    return (
+        f"{what}, s: half within {found.half}, nine tenths {found.nine_tenths}, "
+        f"all but one in 100 {found.all_but_one_in_100} ({found.count})"
+    )
--- /dev/null
+++ b/tests/cli/test_cli_report.py
@@ -0,0 +1,124 @@
+"""``ragwortkeel report`` on lines of two processes."""
+
+import json
+
+import pytest
+
+from ragwortkeel.cli.report import (
+    MOST_NAMES,
+    OTHERS,
+    Collector,
+    cause_of_lack,
+    report,
+)
+from ragwortkeel.decision_lines import DecisionLine, parsed
+
+LINES = """\
+timestamp=100.1 level=info event=dispatched request=a waited=0.02
+timestamp=100.4 level=info event=served request=a first=0.3 took=0.3
+timestamp=103.0 level=info event=tokens_lacking request=b customer=surco needed=50 \
+free=10 cap_room=90 unspent=900 ledger_age=0.1 reachable=true
+timestamp=103.1 level=info event=refused request=b reason=budget_unreachable
+timestamp=103.2 level=info event=refused request=c reason=unknown_key
+timestamp=104.0 level=info event=platform_calls calls="watch/ingress/done:3,x"
+timestamp=104.1 level=info event=link_traffic most_sent="Heartbeat:60,IngressState:9"
+Traceback (most recent call last):
+"""
+
+
+@pytest.fixture
+def logs(tmp_path):
+    one, other = tmp_path / "one.log", tmp_path / "other.log"
+    one.write_text(LINES)
+    other.write_text("timestamp=100.2 level=info event=run_failed request=a reason=x\n")
+    return one, other
+
+
+def lack(**fields):
+    pairs = " ".join(f"{key}={value}" for key, value in fields.items())
+    return parsed(f"timestamp=1 event=tokens_lacking {pairs}", process="p")
+
+
+def test_it_adds_up_all_processes(terminal, logs):
+    code, out, _ = terminal(f"report {logs[0]} {logs[1]} --json")
+    found = json.loads(out)
+    assert code == 0
+    assert found["processes"] == 2
+    assert found["served"] == 1
+    assert found["refused_by_reason"] == {"budget_unreachable": 1, "unknown_key": 1}
+    assert found["lacks_by_cause"] == {"tokens with other processes": 1}
+    assert found["platform_calls"] == {"watch/ingress/done": 3}
+    assert found["bytes_sent_by_message"] == {"Heartbeat": 60, "IngressState": 9}
+    assert found["unreadable_by_file"] == {str(logs[0]): 1}
+    # What callers bring about is no loss of theirs.
+    assert [(span["served"], span["refused"]) for span in found["spans"]] == [
+        (1, 0),
+        (0, 1),
+    ]
+
+
+def test_it_is_readable_without_json(terminal, logs):
+    code, out, _ = terminal(f"report {logs[0]}")
+    assert code == 0
+    assert "1 not readable" in out
+    assert "budget_unreachable" in out
+
+
+def test_one_requests_story_comes_in_order(terminal, logs):
+    code, out, _ = terminal(f"report {logs[0]} {logs[1]} --request a")
+    events = [row.split()[2] for row in out.splitlines()[1:]]
+    assert code == 0
+    assert events == ["dispatched", "run_failed", "served"]
+
+
+@pytest.mark.parametrize(
+    ("line", "said"),
+    [
+        ("report", "which files"),
+        ("report /nowhere.log", "cannot read"),
+        ("report {log} --request nobody", "no line names request nobody"),
+    ],
+)
+def test_what_it_can_t_do_is_said_on_one_line(terminal, logs, line, said):
+    code, out, errors = terminal(line.format(log=logs[0]))
+    assert code == 1
+    assert out == ""
+    assert len(errors) == 1
+    assert said in errors[0]
+
+
+@pytest.mark.parametrize(
+    ("fields", "cause"),
+    [
+        ({"needed": 50, "unspent": 10, "free": 5}, "budget spent"),
+        ({"needed": 50, "unspent": 99, "free": 5}, "tokens with other processes"),
+        ({"needed": 50, "unspent": 99, "free": 60}, "cap reached"),
+    ],
+)
+def test_the_cause_of_a_lack_is_told_by_its_figures(fields, cause):
+    here = lack(**fields, ledger_age=0.1, reachable="true")
+    away = lack(**fields, ledger_age=3.1, reachable="false")
+    assert cause_of_lack(here) == cause
+    assert cause_of_lack(away) == f"{cause}, platform away"
+    assert cause_of_lack(lack(**fields, ledger_age="-")).startswith("not yet joined")
+
+
+def test_memory_does_not_grow_with_the_customers():
+    collector = Collector()
+    for number in range(MOST_NAMES + 5):
+        fields = {"customer": f"c{number}", "needed": "1"}
+        line = DecisionLine(at=1.0, process="p", event="tokens_lacking", fields=fields)
+        collector.add("file", line)
+    assert collector.report().lacks_by_customer[OTHERS] == 5
+
+
+def test_a_file_that_is_no_gzip_is_said_so(tmp_path, terminal):
+    file = tmp_path / "broken.gz"
+    file.write_bytes(b"no gzip")
+    code, _, errors = terminal(f"report {file}")
+    assert code == 1
+    assert "cannot read" in errors[0]
+
+
+def test_it_is_usable_without_a_command_line(logs):
+    assert report((str(logs[0]),), "").data.served == 1
