Mend: an outage ends when the platform takes a call up, not when a watch ends

After a cut of all entry instances (to 12.5 s) a process's first good answer was that of a watch that had waited its three seconds, at 13.44 s; the outage counted as lasting until then, so the entry that vanished at 13.71 s was kept as one that might come back, until 15.74 s.

Ruled out: a late change (all four had it at 13.72 s); a call stuck at a killed relay.

Change: on the first answer the outage ends at the latest 0.9 s after the call was begun. The test failed first; a second one keeps entries that vanish right after an outage.

--- a/src/ragwortkeel/ingress/following.py
+++ b/src/ragwortkeel/ingress/following.py
@@ -36,6 +36,10 @@
 RETRY_SECONDS = 0.4
 """Pause after a failed call."""
 
+ACCEPT_SECONDS = 0.9
+"""A call that is answered was taken up within so long, straight or through a peer: a
+watch may then wait for seconds more."""
+
 LOOK_SECONDS = 0.1
 """How often a process that does not watch looks whether it has to."""
 
@@ -60,12 +64,14 @@
         self._kind = kind
         self._watches = watches
         self._reachable = True
+        self._begun_at = float("-inf")
         self.seen = False
 
     async def run(self) -> None:
         """Follow until cancelled."""
         revision: int | None = None
         while True:
+            self._begun_at = monotonic()
             try:
                 if revision is None:
                     revision = await self._list()
@@ -202,9 +208,12 @@
         await self._take(self._directory.expire(monotonic()))
 
     def _note_reachable(self, reachable: bool, error: str) -> None:
-        if not (reachable and self._reachable):
-            # In the outage, and on the first answer after it.
-            self._directory.lost_platform(monotonic())
+        now = monotonic()
+        if not reachable:
+            self._directory.lost_platform(now)
+        elif not self._reachable:
+            back_at = min(now, self._begun_at + ACCEPT_SECONDS)
+            self._directory.lost_platform(back_at)
         super()._note_reachable(reachable, error)
 
     async def _list(self) -> int:
