Renamed: identity, _read_ledgers, _awaits_peers; a closed link's revision is forgotten

From reading the diff as a newcomer would. A relay whose link is closed could, in principle, be asked for a configuration; relays have none, so it never happened.

--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -290,6 +290,7 @@
             self._task_by_address[link.name] = task
         for address in self._mesh.spare():
             await self._task_by_address.pop(address).cancel()
+            self._catch_up.lost(address)
             log_info("link_closed", address=address, reason="not needed")
         full = {*self.writers.first(WRITERS_WATCHED), *self._watchers()}
         self._mesh.set_pace(full)
@@ -443,7 +444,7 @@
             await self._note_sender(received.envelope)
             message = received.envelope.message
             if isinstance(message, HandedRenewals):
-                self.writers.note_way(message.holder, received.peer)
+                self.writers.note_identity(message.holder, received.peer)
             if isinstance(message, PlatformCall | LoanRequest):
                 # These wait for the platform, and what comes next does not.
                 serve = self._serve, received.peer, message
--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -347,14 +347,14 @@
         if self._may_hand_over():
             step = STEP_SHARE * self._hand_over_timeout.seconds
             pause = patience(self._group.place(), step_seconds=step)
-        elif self._joins(now):
+        elif self._awaits_peers(now):
             return min(GRANTS_SECONDS, self._joins_by - now)
         elif self._allowances.lacks_grants(_prepaid(self._table)):
             pause = GRANTS_SECONDS
         renewed_at = max(self._renewed_at, self._called_at)
         return max(renewed_at + pause, self._waits_until) - now
 
-    def _joins(self, now: float) -> bool:
+    def _awaits_peers(self, now: float) -> bool:
         """Whether this process has just started and may soon hear its peers."""
         unheard = not self._group.place() and self._group.processes() > 1
         return not self.merged and unheard and now < self._joins_by
@@ -391,7 +391,7 @@
 
     async def _written_by_another(self) -> WriteOutcome:
         """Let the first of all write; return what became of it."""
-        if not self.merged and self._seen is None and not await self._looked():
+        if not self.merged and self._seen is None and not await self._read_ledgers():
             return WriteOutcome.UNREACHABLE
         if not self._may_hand_over():
             await curio.sleep(GRANTS_SECONDS)
@@ -405,7 +405,7 @@
         processes = self._group.processes()
         return self._stand_in.may_write(processes=processes, now=monotonic())
 
-    async def _looked(self) -> bool:
+    async def _read_ledgers(self) -> bool:
         """Read the ledgers, which a start has to know; return whether it could."""
         try:
             self._seen = await self._ledgers.read(stale=False)
--- a/src/ragwortkeel/ingress/writers.py
+++ b/src/ragwortkeel/ingress/writers.py
@@ -49,7 +49,7 @@
         self._links = links
         self._processes = processes
         self._reply = reply
-        self._way_by_node: dict[str, str] = {}
+        self._identity_by_node: dict[str, str] = {}
         self._own_step = own_step
         self._leaves = leaves
         self._address_by_node: dict[str, str] = {}
@@ -66,9 +66,9 @@
         """Note where a process is."""
         self._address_by_node[node] = address
 
-    def note_way(self, holder: str, way: str) -> None:
+    def note_identity(self, holder: str, identity: str) -> None:
         """Note how to answer a process that handed renewals over."""
-        self._way_by_node[holder.partition("/")[0]] = way
+        self._identity_by_node[holder.partition("/")[0]] = identity
 
     def processes(self) -> int:
         """Return how many processes renew slices, heard now or not."""
@@ -141,8 +141,8 @@
         link = self.link_of(node)
         if link is not None:
             await link.try_send(answer)
-        elif node in self._way_by_node:
-            await self._reply(self._way_by_node[node], answer)
+        elif node in self._identity_by_node:
+            await self._reply(self._identity_by_node[node], answer)
 
     def _own(self) -> Writer:
         return Writer(name=self._address, step=self._own_step())
