--- a/src/ragwortkeel/exceptions.py
+++ b/src/ragwortkeel/exceptions.py
@@ -70,6 +70,10 @@
     """The connection failed after the request may have reached the peer."""
 
 
+class CallerLeft(ExchangeBroken):
+    """The caller closed its connection; nobody waits for the answer."""
+
+
 class PlatformError(RagwortkeelError):
     """Base of the errors of the platform client."""
 
--- a/src/ragwortkeel/http_responder.py
+++ b/src/ragwortkeel/http_responder.py
@@ -59,6 +59,22 @@
         self.started = False
         self.closing = False
 
+    def peer_left(self) -> bool:
+        """Whether the peer has closed its side, read or not yet read here.
+
+        The task that watches the peer runs only when the loop comes to it: a process
+        that is late with its sockets would work on for a peer that is gone.
+        """
+        if self.gone.is_set():
+            return True
+        try:
+            peeked = self._sock._socket.recv(1, _socket.MSG_PEEK | _socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return not peeked
+
     async def respond(
         self,
         status: int,
--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from ragwortkeel.exceptions import ConnectFailed, ExchangeBroken
+from ragwortkeel.exceptions import CallerLeft, ConnectFailed, ExchangeBroken
 from ragwortkeel.http_responder import Responder
 from ragwortkeel.ingress.configuration import Route
 from ragwortkeel.ingress.events import EventCutter
@@ -116,7 +116,13 @@
         self.sent = False
 
     async def run(self) -> Outcome:
-        """Run the call; whatever happens, the connection is closed or kept."""
+        """Run the call; whatever happens, the connection is closed or kept.
+
+        Raises
+        ------
+        CallerLeft
+            The caller has gone and the call was not sent.
+        """
         upstream = self._placed.upstream
         fresh = not self._call.route.repeatable
         try:
@@ -125,6 +131,9 @@
             return NotRun(reason=NotRunReason.UNREACHABLE, detail=str(exc))
         kept = False
         try:
+            if self._relay.responder.peer_left():
+                kept = True
+                raise CallerLeft(self._call.request_id)
             outcome = await self._exchange(connection)
             kept = not isinstance(outcome, Broken)
             return outcome
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -4,6 +4,7 @@
 from time import monotonic
 
 from ragwortkeel.budget.account import Hold
+from ragwortkeel.exceptions import CallerLeft
 from ragwortkeel.http_responder import Responder
 from ragwortkeel.ingress.answers import (
     BROKEN,
@@ -99,8 +100,15 @@
         self._failure: tuple[Placed, Answered] | None = None
 
     async def run(self) -> None:
-        """Bring the request to its final answer."""
+        """Bring the request to its final answer, unless its caller leaves before.
+
+        Raises
+        ------
+        CallerLeft
+            There is nobody to answer.
+        """
         accepted = self._accepted
+        self._check_caller("arrived")
         if self._parts.crashes.refuses(accepted.fingerprint):
             await self._answer(QUARANTINED)
             return
@@ -226,12 +234,28 @@
         try:
             outcome = await attempt.run()
             return outcome
+        except CallerLeft:
+            self._log_left("placed")
+            raise
         finally:
             # Left by its caller in the middle, it may have run as well.
             if attempt.sent and not isinstance(outcome, NotRun):
                 self._ran = True
                 self._runs += 1
 
+    def _check_caller(self, stage: str) -> None:
+        if self._responder.peer_left():
+            self._log_left(stage)
+            raise CallerLeft(self._accepted.call.request_id)
+
+    def _log_left(self, stage: str) -> None:
+        log_info(
+            "caller_left",
+            request=self._accepted.call.request_id,
+            stage=stage,
+            after=round(monotonic() - self._accepted.arrived_at, 3),
+        )
+
     def _begun(self, placed: Placed) -> None:
         if not placed.begun:
             self._parts.placement.begun(placed)
