--- a/src/ragwortkeel/cli/ingress.py
+++ b/src/ragwortkeel/cli/ingress.py
@@ -1,18 +1,20 @@
-"""``ragwortkeel ingress``: routes, services, customers and their budgets."""
+"""``ragwortkeel ingress``: routes, services, customers, budgets and evacuations."""
 
 from pathlib import Path
+from time import time
 
 import msgspec
 from fire.decorators import SetParseFns
 
 from ragwortkeel.budget.shards import SHARDS_KIND, decode_shard
-from ragwortkeel.cli.objects import Held, Objects, unavailable
+from ragwortkeel.cli.objects import Held, Objects, list_kind, unavailable
 from ragwortkeel.cli.output import Result, table
 from ragwortkeel.cli.plan import Plan, Session
 from ragwortkeel.exceptions import CommandError, LedgerUnreadable, PlatformUnavailable
 from ragwortkeel.ingress.configuration import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
+    EVACUATIONS_KIND,
     IngressConfiguration,
 )
 from ragwortkeel.ingress.ledger_store import SHARD_NAME
@@ -39,6 +41,19 @@
     free: int
 
 
+class Evacuation(msgspec.Struct, frozen=True, kw_only=True):
+    """The entry of an evacuated zone; `since` is a time of day in seconds."""
+
+    since: float = 0.0
+
+
+class EvacuationRow(msgspec.Struct, frozen=True, kw_only=True):
+    """One evacuated zone; `since` is None where its entry can't be read."""
+
+    zone: str
+    since: float | None
+
+
 class IngressCommands:
     """Operate the ingress: what it routes, and what customers have left."""
 
@@ -72,6 +87,36 @@
 
         return Plan(session=self._session, scenario=scenario)
 
+    @SetParseFns(zone=str)
+    def evacuate(self, zone):
+        """Send nothing new to the upstreams of an availability zone.
+
+        Parameters
+        ----------
+        zone
+            Its name, as the upstreams' entries spell it.
+        """
+
+        async def scenario(platform):
+            await _evacuations(platform).create(zone, Evacuation(since=time()))
+            return Result(data={"zone": zone}, text=f"{zone} is evacuated")
+
+        return Plan(session=self._session, scenario=scenario)
+
+    @SetParseFns(zone=str)
+    def take_back(self, zone):
+        """Let the upstreams of an evacuated availability zone serve again."""
+
+        async def scenario(platform):
+            await _evacuations(platform).remove(zone)
+            return Result(data={"zone": zone}, text=f"{zone} serves again")
+
+        return Plan(session=self._session, scenario=scenario)
+
+    def evacuations(self):
+        """Show which availability zones are evacuated, and since when."""
+        return Plan(session=self._session, scenario=_evacuated_rows)
+
     def budgets(self):
         """Show what each customer has paid for, spent, and has left."""
         return Plan(session=self._session, scenario=_budgets)
@@ -120,6 +165,32 @@
     return Result(data=rows, text=table(headings, cells))
 
 
+async def _evacuated_rows(platform: Platform) -> Result:
+    listing = await list_kind(platform, EVACUATIONS_KIND)
+    rows = [
+        EvacuationRow(zone=name, since=_since(listing.by_name[name].value))
+        for name in sorted(listing.by_name)
+    ]
+    if not rows:
+        return Result(data=[], text="no zone is evacuated")
+    cells = [(row.zone, row.since or "unknown") for row in rows]
+    return Result(data=rows, text=table(("zone", "since"), cells))
+
+
+def _since(value: bytes) -> float | None:
+    try:
+        return msgspec.json.decode(value, type=Evacuation).since or None
+    except msgspec.DecodeError:
+        # An entry counts by its name, whatever its writer put into it.
+        return None
+
+
+def _evacuations(platform: Platform) -> Objects[Evacuation]:
+    return Objects(
+        platform=platform, kind=EVACUATIONS_KIND, cls=Evacuation, noun="evacuation"
+    )
+
+
 def _described(configuration: IngressConfiguration) -> Result:
     done = Definition(
         revision=configuration.revision,
--- a/src/ragwortkeel/cli/objects.py
+++ b/src/ragwortkeel/cli/objects.py
@@ -119,6 +119,20 @@
             raise self._conflict(name, exc) from exc
         return Held(value=value, version=changed)
 
+    async def remove(self, name: str) -> None:
+        """Delete the object as it is now; `CommandError` where there is none."""
+        try:
+            stored = await self._platform.get(self._kind, name)
+            if stored is None:
+                raise CommandError(f"no {self._noun} {name}")
+            await self._platform.delete(self._kind, name, stored.version)
+        except PlatformUnavailable as exc:
+            raise unavailable(exc) from exc
+        except OutcomeUnknown as exc:
+            raise self._uncertain(name) from exc
+        except (VersionConflict, ObjectNotFound) as exc:
+            raise self._conflict(name, exc) from exc
+
     async def _settled(self, name: str, data: bytes, version: int | None) -> int:
         for _ in range(ATTEMPTS):
             try:
--- a/src/ragwortkeel/ingress/answers.py
+++ b/src/ragwortkeel/ingress/answers.py
@@ -59,6 +59,12 @@
 NO_UPSTREAM = Answer(
     status=503, reason="no_upstream", result=Result.NOT_RUN, retry_after_seconds=0.6
 )
+UPSTREAMS_WITHHELD = Answer(
+    status=503,
+    reason="upstreams_withheld",
+    result=Result.NOT_RUN,
+    retry_after_seconds=1.0,
+)
 OVERLOADED = Answer(
     status=503, reason="overloaded", result=Result.NOT_RUN, retry_after_seconds=0.8
 )
--- a/src/ragwortkeel/ingress/configuration.py
+++ b/src/ragwortkeel/ingress/configuration.py
@@ -14,6 +14,8 @@
 CONFIGURATION_KIND = "ingress"
 CONFIGURATION_NAME = "main"
 UPSTREAMS_KIND = "ingress-upstreams"
+EVACUATIONS_KIND = "ingress-evacuations"
+"""One object for each evacuated availability zone, by the zone's name."""
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=0)]
@@ -53,6 +55,8 @@
         Whether a broken stream may go on at another upstream.
     gap_seconds : float
         Longest pause between a stream's events that callers take as on time.
+    homes : tuple of str
+        Regions whose upstreams may serve the route; empty for all.
     """
 
     name: str
@@ -67,6 +71,7 @@
     public: bool = False
     resumable: bool = False
     gap_seconds: float = 0.0
+    homes: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
@@ -93,23 +98,35 @@
 
 
 class Service(msgspec.Struct, frozen=True, kw_only=True):
-    """A group of equal upstreams."""
+    """A group of equal upstreams.
+
+    Attributes
+    ----------
+    cold_seconds : float
+        How long an upstream stays cold after its start, at the most.
+    cold_per_second : float
+        Requests a second that a cold one bears from the whole fleet; 0 for no bound.
+    """
 
     name: str
     max_connections: Annotated[int, msgspec.Meta(ge=1)]
     engine: Engine | None = None
+    cold_seconds: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cold_per_second: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class Customer(msgspec.Struct, frozen=True, kw_only=True):
     """Who pays: API keys and one prepaid budget over all routes.
 
-    `prepaid` counts prompt and answer tokens; None is no budget of tokens.
+    `prepaid` counts prompt and answer tokens; None is no budget of tokens.  `homes`
+    are the regions whose upstreams may serve the customer; empty for all.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
     prepaid: Count | None = None
+    homes: tuple[str, ...] = ()
 
 
 class Limits(msgspec.Struct, frozen=True, kw_only=True):
@@ -148,6 +165,8 @@
     born : int
         Milliseconds of the wall clock at its start; tells a restart under the
         same name, after which it remembers nothing.
+    cold_seconds : float
+        How much longer it was to stay cold when it wrote this.
     """
 
     name: str
@@ -158,6 +177,7 @@
     slots: Count
     state: UpstreamState
     born: int = 0
+    cold_seconds: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 Decoded = TypeVar("Decoded")
--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -10,8 +10,11 @@
   `LAPSE_SECONDS` after its end, in which live upstreams write them anew.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
+import msgspec
+
 from ragwortkeel.ingress.configuration import Upstream, UpstreamState
 
 LAPSE_SECONDS = 2.3
@@ -49,6 +52,16 @@
 class Directory:
     """All upstreams this process has heard of, by name.
 
+    Parameters
+    ----------
+    region_by_zone : mapping of str to str
+        Where each availability zone lies; empty where nothing has homes.
+
+    Attributes
+    ----------
+    evacuated_zones : frozenset of str
+        Availability zones whose upstreams get nothing new.
+
     Examples
     --------
     >>> directory = Directory()
@@ -56,7 +69,9 @@
     {}
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, region_by_zone: Mapping[str, str] | None = None) -> None:
+        self.evacuated_zones: frozenset[str] = frozenset()
+        self._region_by_zone = region_by_zone or {}
         self._entry_by_name: dict[str, Entry] = {}
         self._outage_until = 0.0
 
@@ -75,12 +90,39 @@
         return entry.upstream if entry else None
 
     def is_usable(self, name: str) -> bool:
-        """Whether new work may go to the upstream."""
+        """Whether the upstream is ready and its availability zone not evacuated."""
         entry = self._entry_by_name.get(name)
-        return entry is not None and entry.usable
+        if entry is None or not entry.usable:
+            return False
+        return entry.upstream.zone not in self.evacuated_zones
+
+    def usable(
+        self, *, service: str, regions: frozenset[str] | None = None
+    ) -> dict[str, Upstream]:
+        """Return the service's upstreams that may get new work.
+
+        With `regions` only those in one of them.
+        """
+        return {
+            name: upstream
+            for name, upstream in self._ready(service).items()
+            if upstream.zone not in self.evacuated_zones
+            and (regions is None or self._region_by_zone.get(upstream.zone) in regions)
+        }
+
+    def withholds(self, *, service: str, regions: frozenset[str] | None) -> bool:
+        """Whether all of the service's ready upstreams are evacuated or elsewhere."""
+        if not self.evacuated_zones and regions is None:
+            return False
+        ready = self._ready(service)
+        return bool(ready) and not self.usable(service=service, regions=regions)
+
+    def in_zones(self, zones: frozenset[str]) -> list[str]:
+        """Return the names of the upstreams in these availability zones."""
+        by_name = self.upstream_by_name
+        return [name for name, upstream in by_name.items() if upstream.zone in zones]
 
-    def usable(self, *, service: str) -> dict[str, Upstream]:
-        """Return the service's upstreams that may get new work."""
+    def _ready(self, service: str) -> dict[str, Upstream]:
         return {
             name: entry.upstream
             for name, entry in self._entry_by_name.items()
@@ -173,16 +215,7 @@
 
 
 def _leaving(upstream: Upstream) -> Upstream:
-    return Upstream(
-        name=upstream.name,
-        service=upstream.service,
-        host=upstream.host,
-        port=upstream.port,
-        zone=upstream.zone,
-        slots=upstream.slots,
-        state=UpstreamState.LEAVING,
-        born=upstream.born,
-    )
+    return msgspec.structs.replace(upstream, state=UpstreamState.LEAVING)
 
 
 def _gone(version: int, entry: Entry) -> Entry:
--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -20,11 +20,19 @@
 class NoRoom:
     """The request got no place in time, or could not have; it did not run.
 
-    `seconds` is how long its turn would take from now, as far as one can tell.
+    Attributes
+    ----------
+    upstreams : int
+        Those that could have got it.
+    withheld : bool
+        Whether there are others that must not: evacuated ones, or away from home.
+    seconds : float
+        How long its turn would take from now, as far as one can tell.
     """
 
     waiting: int
     upstreams: int
+    withheld: bool
     seconds: float
 
 
@@ -60,8 +68,13 @@
         their time.  Whoever's turn can't come before `latest_start` is told at once,
         by how often turns came lately: held until then, it could not come back.  The
         first in line always waits, or no turn would ever correct the estimate.
+
+        So is whoever may go to none of the upstreams there are, as in an evacuation of
+        all availability zones: nobody knows how long that lasts.
         """
         self._service_by_name[service.name] = service
+        if self._directory.withholds(service=service.name, regions=job.regions):
+            return self._no_room(job)
         ahead = self.room.waiting_before(job)
         if not ahead:
             placed = self._try(job, service, tried)
@@ -83,6 +96,9 @@
             service = self._service_by_name[name]
             for waiter in self.room.in_order(name):
                 placed = self._try(waiter.job, service, waiter.tried)
+                if placed is None and waiter.job.regions is not None:
+                    # Full at home; others may go elsewhere.
+                    continue
                 if placed is None:
                     break
                 self._placed_by_id[waiter.job.request_id] = placed
@@ -101,7 +117,9 @@
         placed = self._placement.choose(
             job,
             service=service,
-            upstream_by_name=self._directory.usable(service=service.name),
+            upstream_by_name=self._directory.usable(
+                service=service.name, regions=job.regions
+            ),
             tried=tried,
             now=monotonic(),
         )
@@ -136,10 +154,12 @@
                 self.room.ended(job)
 
     def _no_room(self, job: Job) -> NoRoom:
-        usable = self._directory.usable(service=job.service)
+        usable = self._directory.usable(service=job.service, regions=job.regions)
+        withheld = self._directory.withholds(service=job.service, regions=job.regions)
         return NoRoom(
             waiting=self.room.waiting_before(job),
             upstreams=len(usable),
+            withheld=withheld,
             seconds=self._seconds_to_turn(job),
         )
 
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -14,6 +14,7 @@
     OVERLOADED,
     QUARANTINED,
     TIMED_OUT,
+    UPSTREAMS_WITHHELD,
     Answer,
     returning,
     send_answer,
@@ -196,6 +197,8 @@
             return placed
         if self._ran:
             return BROKEN
+        if placed.withheld:
+            return UPSTREAMS_WITHHELD
         if not placed.upstreams:
             return NO_UPSTREAM
         log_info(
@@ -325,7 +328,7 @@
         return self._accepted.call.deadline - monotonic()
 
     def _succeeded(self, placed: Placed) -> None:
-        self._parts.placement.ejections.succeeded(placed.upstream.name)
+        self._parts.placement.succeeded(placed.upstream.name, monotonic())
         self._parts.crashes.finished(self._accepted.fingerprint)
 
     async def _broken_off(self, answer: Answer) -> Answer | None:
--- a/src/ragwortkeel/ingress/following.py
+++ b/src/ragwortkeel/ingress/following.py
@@ -1,7 +1,7 @@
-"""Follows the configuration and the upstreams' entries in the platform.
+"""Follows the configuration, the upstreams' entries and evacuations in the platform.
 
 Only some processes of a fleet watch, see `ingress.watching`; the others are sent the
-entries' changes by them and ask a peer for a newer configuration.
+entries' changes and evacuations by them and ask a peer for a newer configuration.
 
 Failures it guards against: a watch goes silent with its connection open (a short
 wait and a time-out of its own show it), history is gone (it lists again), and an
@@ -17,16 +17,18 @@
 from ragwortkeel.ingress.configuration import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
+    EVACUATIONS_KIND,
     UPSTREAMS_KIND,
     IngressConfiguration,
     Upstream,
     decode_value,
 )
 from ragwortkeel.ingress.directory import Directory, Moved
+from ragwortkeel.ingress.evacuations import evacuated_zones
 from ragwortkeel.ingress.relaying import change_of, versioned_change
 from ragwortkeel.ingress.watching import Feed
 from ragwortkeel.logs import log_info, log_warning
-from ragwortkeel.messages import UpstreamChanges
+from ragwortkeel.messages import EvacuatedZones, UpstreamChanges
 from ragwortkeel.platform import Change, Platform, Stored
 
 WATCH_SECONDS = 3.0
@@ -46,6 +48,7 @@
 ConfigurationTaker = Callable[[IngressConfiguration, bytes], Awaitable[None]]
 MovesTaker = Callable[[list[Moved]], Awaitable[None]]
 ChangesSharer = Callable[[UpstreamChanges], Awaitable[None]]
+ZonesTaker = Callable[[EvacuatedZones], Awaitable[None]]
 
 
 class _Follower:
@@ -270,6 +273,50 @@
         await self._take(moves)
 
 
+class EvacuationFollower(_Follower):
+    """Follows which availability zones are evacuated.
+
+    An entry counts by its name alone, whether it can be read or not: sending on to a
+    zone that somebody empties does more harm than sparing one.
+
+    Parameters
+    ----------
+    take, share : callable
+        Take the whole set of zones here, and send it to the processes that don't
+        watch.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        take: ZonesTaker,
+        share: ZonesTaker,
+        watches: Callable[[], bool],
+    ) -> None:
+        super().__init__(platform=platform, kind=EVACUATIONS_KIND, watches=watches)
+        self._take = take
+        self._share = share
+        self._zones: set[str] = set()
+
+    async def _listed(self, by_name: dict[str, Stored], revision: int) -> None:
+        self._zones = set(by_name)
+        await self._take(evacuated_zones(self._zones, revision))
+
+    async def _changed(self, name: str, version: int, stored: Stored | None) -> None:
+        if stored is None:
+            self._zones.discard(name)
+        else:
+            self._zones.add(name)
+
+    async def _watched(self, changes: tuple[Change, ...], revision: int) -> None:
+        if not changes:
+            return
+        found = evacuated_zones(self._zones, revision)
+        await self._take(found)
+        await self._share(found)
+
+
 def _upstream(stored: Stored) -> Upstream | None:
     try:
         return decode_value(stored.value, Upstream)
--- a/src/ragwortkeel/ingress/front.py
+++ b/src/ragwortkeel/ingress/front.py
@@ -105,6 +105,7 @@
             parts=parse_parts(headers.get(names.parts, "")),
             prompt_tokens=usage.prompt_tokens if usage else 0,
             memory_tokens=usage.total if usage else 0,
+            regions=_regions(route, customer),
         )
         patience = min(_deadline(headers.get(names.deadline)), route.timeout_seconds)
         call = Call(
@@ -132,6 +133,14 @@
         )
 
 
+def _regions(route: Route, customer: Customer | None) -> frozenset[str] | None:
+    """Return where a request may run: where both have homes, in those of both."""
+    homes = [one for one in (route.homes, customer.homes if customer else ()) if one]
+    if not homes:
+        return None
+    return frozenset.intersection(*map(frozenset, homes))
+
+
 def _key(authorization: str) -> str:
     if not authorization.lower().startswith(BEARER):
         return ""
--- a/src/ragwortkeel/ingress/load_reports.py
+++ b/src/ragwortkeel/ingress/load_reports.py
@@ -41,6 +41,7 @@
 class _Idle:
     writing_step: int
     upstreams_revision: int
+    evacuations_revision: int
     at: float
 
 
@@ -68,6 +69,7 @@
         idle = _Idle(
             writing_step=state.writing_step,
             upstreams_revision=state.upstreams_revision,
+            evacuations_revision=state.evacuations_revision,
             at=now,
         )
         last = self._idle_by_peer.get(peer)
--- a/src/ragwortkeel/ingress/peer_handler.py
+++ b/src/ragwortkeel/ingress/peer_handler.py
@@ -6,6 +6,7 @@
 from ragwortkeel.messages import (
     ClockAnswer,
     CrashSeen,
+    EvacuatedZones,
     HandedRenewals,
     Heartbeat,
     LoanRequest,
@@ -67,6 +68,12 @@
     async def heard_upstreams(self, changes: UpstreamChanges) -> None:
         """Take in changes from a peer that watches the platform."""
 
+    def evacuated_zones(self) -> EvacuatedZones:
+        """Return the evacuated availability zones as known here."""
+
+    async def report_evacuated(self, found: EvacuatedZones) -> None:
+        """Take in the evacuated availability zones as a peer knows them."""
+
     async def lend(self, request: LoanRequest) -> TokenLoan:
         """Answer a peer that lacks tokens."""
 
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -48,6 +48,7 @@
     ConfigurationPush,
     CrashSeen,
     Envelope,
+    EvacuatedZones,
     HandedRenewals,
     Heartbeat,
     IngressState,
@@ -209,8 +210,8 @@
         """Whether this process is to watch the platform, for those that don't."""
         return self._address in self._watchers()
 
-    async def share_upstreams(self, changes: UpstreamChanges) -> None:
-        """Send changes of upstreams' entries to the processes that don't watch."""
+    async def share(self, changes: UpstreamChanges | EvacuatedZones) -> None:
+        """Send what a watch brought to the processes that don't watch."""
         watching = self._watchers()
         if self._address not in watching[:SHARERS]:
             return
@@ -322,6 +323,7 @@
         introduction: Introduction,
         parts: dict[str, dict[int, int]] | None = None,
     ) -> IngressState:
+        evacuated = self._handler.evacuated_zones()
         return IngressState(
             node=self._node,
             address=self._address,
@@ -331,6 +333,8 @@
             writing_step=self._handler.writing_step(),
             parts_by_upstream=parts or {},
             upstreams_revision=self._handler.upstreams_revision(),
+            evacuations_revision=evacuated.revision,
+            evacuated_zones=evacuated.zones,
         )
 
     def _new_link(self, address: str, heartbeat: float, silence: float) -> Link:
@@ -482,6 +486,8 @@
                 self._handler.heard_crash(crash)
             case UpstreamChanges() as changes:
                 await self._handler.heard_upstreams(changes)
+            case EvacuatedZones() as found:
+                await self._handler.report_evacuated(found)
             case TokenLoan() as loan if loan.tokens or loan.returned:
                 await self._handler.borrowed(loan)
             case PlatformAnswer() as answer:
@@ -502,6 +508,11 @@
     async def _take_state(self, state: IngressState) -> None:
         self._meet(state)
         self._handler.heard_upstreams_revision(state.upstreams_revision)
+        await self._handler.report_evacuated(
+            EvacuatedZones(
+                revision=state.evacuations_revision, zones=state.evacuated_zones
+            )
+        )
         loads = {
             name: Load(
                 running=load.running,
--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -22,11 +22,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from random import Random
 
 from ragwortkeel.ingress.configuration import Engine, Service, Upstream
 from ragwortkeel.ingress.prefixes import KEPT_SHARE, Part, PrefixMemory
 from ragwortkeel.policy.ejection import Ejections
 from ragwortkeel.policy.facts import Failure
+from ragwortkeel.policy.warm_up import EqualShare, WarmUp
 
 RUNNING_COST_TOKENS = 250
 """Each running request slows the others' steps; over an answer of 300 tokens
@@ -64,6 +66,8 @@
     ----------
     memory_tokens : int
         Prompt and largest answer.
+    regions : frozenset of str or None
+        Where it may run; None for everywhere.
     """
 
     request_id: str
@@ -73,6 +77,7 @@
     parts: tuple[Part, ...] = ()
     prompt_tokens: int = 0
     memory_tokens: int = 0
+    regions: frozenset[str] | None = None
 
     @property
     def affinity(self) -> str:
@@ -98,6 +103,8 @@
 
 NO_LOAD = Load()
 
+_MAY_HAVE_RESTARTED = frozenset({Failure.UNREACHABLE, Failure.CRASHED})
+
 
 @dataclass(kw_only=True)
 class Placed:
@@ -113,6 +120,28 @@
     begun: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Cold:
+    """An upstream that is cold for `seconds` from the monotonic second `at`.
+
+    One that was not reached may have restarted since, so it stays cold for as long as
+    its service says after it is reached again.
+    """
+
+    at: float = 0.0
+    seconds: float = 0.0
+    unreached: bool = False
+
+    def holds(self, service: Service, now: float) -> bool:
+        """Whether it is cold now; a longer time than the service's is no use."""
+        if self.unreached:
+            return True
+        return now < self.at + min(self.seconds, service.cold_seconds)
+
+
+WARM = _Cold()
+
+
 @dataclass(kw_only=True)
 class _State:
     """What is known of one upstream."""
@@ -123,6 +152,7 @@
     born: int | None = None
     memory: PrefixMemory | None = None
     others_by_node: dict[str, tuple[float, Load]] = field(default_factory=dict)
+    cold: _Cold = WARM
 
     @property
     def own(self) -> Load:
@@ -149,11 +179,20 @@
         Availability zone of this process.
     ejections : Ejections
         Which upstreams fail.
+    warm_up : WarmUp
+        How often cold upstreams may be sent a request.
     """
 
-    def __init__(self, *, zone: str, ejections: Ejections | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        zone: str,
+        ejections: Ejections | None = None,
+        warm_up: WarmUp | None = None,
+    ) -> None:
         self._zone = zone
         self.ejections = ejections or Ejections()
+        self._warm_up = warm_up or _sole_sender()
         self._state_by_name: dict[str, _State] = {}
         self._news_by_name: dict[str, dict[int, int]] = {}
 
@@ -188,6 +227,7 @@
             upstream_by_name[name]
             for name in usable
             if self._has_room(upstream_by_name[name], service, job, now)
+            and self._bears_one_more(upstream_by_name[name], service, now)
         ]
         if not with_room:
             return None
@@ -208,8 +248,24 @@
 
     def failed(self, upstream: str, failure: Failure, now: float) -> bool:
         """Note a failure; return whether the upstream is left alone now."""
+        if failure in _MAY_HAVE_RESTARTED and upstream in self._state_by_name:
+            self._state_by_name[upstream].cold = _Cold(unreached=True)
         return self.ejections.failed(upstream, failure, now)
 
+    def succeeded(self, upstream: str, now: float) -> None:
+        """Note an answer of the upstream's own."""
+        state = self._state_by_name.get(upstream)
+        if state is not None and state.cold.unreached:
+            state.cold = _Cold(at=now, seconds=float("inf"))
+        self.ejections.succeeded(upstream)
+
+    def note_cold(self, upstream: str, seconds: float, now: float) -> None:
+        """Take an upstream for cold for so long from now; 0 for warm."""
+        state = self._state_by_name.setdefault(upstream, _State())
+        state.cold = _Cold(at=now, seconds=seconds)
+        if not seconds:
+            self._warm_up.forget(upstream)
+
     def forget(self, upstream: str) -> None:
         """Drop what a restarted or gone upstream no longer holds."""
         state = self._state_by_name.get(upstream)
@@ -288,6 +344,15 @@
         room = service.engine.memory_tokens * MEMORY_SHARE - total.memory_tokens
         return job.memory_tokens <= room or total.running == 0
 
+    def _bears_one_more(self, upstream: Upstream, service: Service, now: float) -> bool:
+        """Whether the upstream is warm, or cold and due a request of this process."""
+        if not service.cold_per_second:
+            return True
+        if not self._state(upstream).cold.holds(service, now):
+            return True
+        rate = service.cold_per_second
+        return self._warm_up.may_send(upstream.name, per_second=rate, now=now)
+
     def _plain_cost(self, job: Job, now: float) -> Callable[[Upstream], float]:
         def cost(upstream: Upstream) -> tuple[float, int]:
             total = self._state(upstream).total(now)
@@ -343,10 +408,18 @@
         state.running += 1
         state.memory_tokens += job.memory_tokens
         state.unread_tokens += unread
+        if service.cold_per_second and state.cold.holds(service, now):
+            self._warm_up.sent(upstream.name)
         self.ejections.assigned(upstream.name, now)
         return Placed(upstream=upstream, job=job, unread_tokens=unread, load=load)
 
 
+def _sole_sender() -> WarmUp:
+    return WarmUp(
+        sharing=lambda: EqualShare(processes=1), random=Random(), started=float("-inf")
+    )
+
+
 def _sized(memory: PrefixMemory | None, engine: Engine) -> PrefixMemory:
     memory = memory or PrefixMemory(capacity_tokens=None)
     memory.capacity_tokens = int(engine.memory_tokens * KEPT_SHARE)
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -13,6 +13,7 @@
 from ragwortkeel.messages import (
     ClockAnswer,
     CrashSeen,
+    EvacuatedZones,
     HandedRenewals,
     Heartbeat,
     LoanRequest,
@@ -130,6 +131,13 @@
     async def heard_upstreams(self, changes: UpstreamChanges) -> None:
         """Leave it; nothing is placed here."""
 
+    def evacuated_zones(self) -> EvacuatedZones:
+        """Return that it knows of no evacuation."""
+        return EvacuatedZones()
+
+    async def report_evacuated(self, found: EvacuatedZones) -> None:
+        """Leave it; nothing is placed here."""
+
     async def lend(self, request: LoanRequest) -> TokenLoan:
         """Lend nothing."""
         return TokenLoan(customer=request.customer)
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -1,7 +1,8 @@
 """The ingress daemon's work: ties its parts together."""
 
 import secrets
-from time import monotonic
+from random import Random
+from time import monotonic, time
 
 import curio
 
@@ -19,8 +20,13 @@
 from ragwortkeel.ingress.crashes import CrashWatch
 from ragwortkeel.ingress.directory import Directory, Moved
 from ragwortkeel.ingress.dispatch import Dispatcher
+from ragwortkeel.ingress.evacuations import Evacuations
 from ragwortkeel.ingress.fleet_time import FleetTime
-from ragwortkeel.ingress.following import ConfigurationFollower, UpstreamFollower
+from ragwortkeel.ingress.following import (
+    ConfigurationFollower,
+    EvacuationFollower,
+    UpstreamFollower,
+)
 from ragwortkeel.ingress.front import Front
 from ragwortkeel.ingress.front_parts import FrontParts
 from ragwortkeel.ingress.names import HeaderNames
@@ -33,6 +39,7 @@
 from ragwortkeel.messages import (
     ClockAnswer,
     CrashSeen,
+    EvacuatedZones,
     HandedRenewals,
     Heartbeat,
     LoanRequest,
@@ -47,6 +54,7 @@
 from ragwortkeel.platform_counts import CountedPlatform
 from ragwortkeel.policy.quarantine import Crash
 from ragwortkeel.policy.retries import RetryBudget, reserve_of_one
+from ragwortkeel.policy.warm_up import EqualShare, WarmUp
 from ragwortkeel.process import Leftover
 from ragwortkeel.settings import Address, IngressSettings, changed_fields
 from ragwortkeel.tasks import run_together
@@ -73,6 +81,10 @@
 
 STOP_LOOK_SECONDS = 0.05
 
+ENTRY_LAG_SECONDS = 2.0
+"""Upstreams of an availability zone that is taken back may have become cold without
+their entries saying so yet."""
+
 IDLE_SLACK = 1.2
 """A caller's idle connection is kept this much longer than callers may use it, so
 that no request crosses the close."""
@@ -101,8 +113,16 @@
         self._raw_configuration: bytes = b""
         self._revision_heard = 0
         incarnation = f"{settings.name}/{secrets.token_hex(4)}"
-        self._directory = Directory()
-        self._placement = Placement(zone=settings.zone)
+        self._directory = Directory(region_by_zone=settings.region_by_zone)
+        self._evacuations = Evacuations()
+        self._placement = Placement(
+            zone=settings.zone,
+            warm_up=WarmUp(
+                sharing=lambda: EqualShare(processes=self._peers.known_routers),
+                random=Random(incarnation),
+                started=monotonic(),
+            ),
+        )
         self._dispatcher = Dispatcher(
             directory=self._directory, placement=self._placement
         )
@@ -159,7 +179,13 @@
             directory=self._directory,
             take=self._take_moves,
             watches=self._peers.watches,
-            share=self._peers.share_upstreams,
+            share=self._peers.share,
+        )
+        self._evacuated = EvacuationFollower(
+            platform=self._platform,
+            take=self.report_evacuated,
+            watches=self._peers.watches,
+            share=self._peers.share,
         )
 
     @property
@@ -190,6 +216,7 @@
             self._server.serve,
             self._configurations.run,
             self._upstreams.run,
+            self._evacuated.run,
             self._keeper.run,
             self._peers.run,
             self._platform.run,
@@ -307,6 +334,27 @@
         """Take in changes from a peer that watches the platform."""
         await self._upstreams.heard(changes)
 
+    def evacuated_zones(self) -> EvacuatedZones:
+        """Return the evacuated availability zones as known here."""
+        return self._evacuations.current
+
+    async def report_evacuated(self, found: EvacuatedZones) -> None:
+        """Take over which availability zones are evacuated, where that is newer."""
+        since = time()
+        changed = self._evacuations.report(found, now=since)
+        if changed is None:
+            return
+        self._directory.evacuated_zones = self._evacuations.zones
+        for zone in changed.evacuated:
+            log_info("zone_evacuated", zone=zone, revision=found.revision)
+            self.metrics.zone_evacuated(zone=zone, since=since)
+        for zone in changed.returned:
+            log_info("zone_taken_back", zone=zone, revision=found.revision)
+            self.metrics.zone_evacuated(zone=zone, since=0.0)
+        for name in self._directory.in_zones(changed.returned):
+            self._placement.note_cold(name, ENTRY_LAG_SECONDS, monotonic())
+        await self._dispatcher.place_waiting()
+
     async def lend(self, request: LoanRequest) -> TokenLoan:
         """Answer a peer that lacks tokens."""
         return await self._keeper.lend(request)
@@ -375,9 +423,13 @@
                 was_usable=move.was_usable,
                 usable=move.usable,
                 service=move.upstream.service if move.upstream else None,
+                cold_seconds=move.upstream.cold_seconds if move.upstream else None,
             )
             if move.upstream is None:
                 self._placement.forget(move.name)
+            else:
+                cold_seconds = move.upstream.cold_seconds
+                self._placement.note_cold(move.name, cold_seconds, monotonic())
         if moves:
             self._placement.keep(set(self._directory.upstream_by_name))
             await self._dispatcher.place_waiting()
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -423,7 +423,8 @@
     `writing_step` says how slowly the sender writes ledgers, see `budget.turns`;
     `parts_by_upstream` holds, by upstream, tokens by chain of shared prompt parts that
     it began to read since the last such message, or all of them for a `PartsCall`;
-    `upstreams_revision` is that of the newest change of an upstream's entry it knows.
+    `upstreams_revision` is that of the newest change of an upstream's entry it knows;
+    `evacuations_revision` and `evacuated_zones` are as in `EvacuatedZones`.
     """
 
     node: str
@@ -434,6 +435,15 @@
     writing_step: int = 0
     parts_by_upstream: dict[str, dict[int, int]] = {}
     upstreams_revision: int = 0
+    evacuations_revision: int = 0
+    evacuated_zones: tuple[str, ...] = ()
+
+
+class EvacuatedZones(Message):
+    """All evacuated availability zones as of a revision of the platform."""
+
+    revision: int = 0
+    zones: tuple[str, ...] = ()
 
 
 class UpstreamChanges(Message):
@@ -606,6 +616,7 @@
     | SliceTransferred
     | IngressState
     | UpstreamChanges
+    | EvacuatedZones
     | PartsCall
     | PlatformCall
     | PlatformAnswer
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -109,6 +109,11 @@
             "ragwortkeel_configuration_revision_heard",
             "Highest configuration revision that a peer has in force.",
         )
+        self._zone_evacuated_since = self._gauge(
+            "ragwortkeel_zone_evacuated_since_seconds",
+            "Time of day at which an evacuation became known here; 0 for none.",
+            ("zone",),
+        )
         self._open_requests = self._gauge(
             "ragwortkeel_open_requests", "Requests begun and not yet answered."
         )
@@ -189,6 +194,10 @@
         """Note the highest revision that a peer has in force."""
         self._revision_heard.set(revision)
 
+    def zone_evacuated(self, *, zone: str, since: float) -> None:
+        """Note since when an availability zone is evacuated; 0 once it is back."""
+        self._zone_evacuated_since.labels(zone).set(since)
+
     def load(self, *, running: int, queued: int) -> None:
         """Note how many requests are open and how many of them wait."""
         self._open_requests.set(running)
--- /dev/null
+++ b/src/ragwortkeel/policy/warm_up.py
@@ -0,0 +1,116 @@
+"""Slow start: how often a cold upstream may be sent a request.
+
+Pattern of load: an availability zone is taken back, a release replaces all upstreams
+in turn, or crashed ones return.  Each looks idle, so all processes turn to it within
+the same second, and it crashes again above a few requests a second from all of them
+together.  The bound is on that sum, also while processes are cut off from each other,
+so it can't rest on who is reachable now: each process keeps to a share of the rate
+that depends only on the processes it has ever heard of.
+
+- `EqualShare`: each has the same part of the rate.
+- `ChosenSenders`: a few, the same for all processes by rendezvous, have all of it.
+
+A share is spent from a bucket of one request that starts at a random level.  Full
+buckets of all processes would be a burst of as many requests as there are processes.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from ragwortkeel.policy.choice import rendezvous
+
+LEARNING_SECONDS = 3.0
+"""After its start a process has not heard of all others yet and sends nothing to cold
+upstreams."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class EqualShare:
+    """One of so many processes that each send as often."""
+
+    processes: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class ChosenSenders:
+    """One of the processes `names`, of which `most` send to an upstream."""
+
+    own: str
+    names: frozenset[str]
+    most: int
+
+
+Sharing = EqualShare | ChosenSenders
+
+
+def share_of_rate(sharing: Sharing, upstream: str) -> float:
+    """Return the part of the fleet's rate that this process has at an upstream."""
+    match sharing:
+        case EqualShare(processes=processes):
+            return 1 / max(1, processes)
+        case ChosenSenders(own=own, names=names, most=most):
+            chosen = rendezvous(upstream, sorted(names | {own}))[:most]
+            return 1 / len(chosen) if own in chosen else 0.0
+
+
+@dataclass(kw_only=True)
+class _Bucket:
+    level: float
+    at: float
+
+
+class WarmUp:
+    """The requests that this process may send to cold upstreams.
+
+    Parameters
+    ----------
+    sharing : callable
+        Returns how the processes share the rate, as known now.
+    random : random.Random
+        Draws the level at which buckets start.
+    started : float
+        Monotonic second at which the process started.
+
+    Examples
+    --------
+    >>> alone = WarmUp(
+    ...     sharing=lambda: EqualShare(processes=1), random=Random(0), started=0.0
+    ... )
+    >>> alone.may_send("u1", per_second=10.0, now=5.0)
+    False
+    >>> alone.may_send("u1", per_second=10.0, now=5.1)
+    True
+    >>> alone.sent("u1")
+    >>> alone.may_send("u1", per_second=10.0, now=5.1)
+    False
+    """
+
+    def __init__(
+        self, *, sharing: Callable[[], Sharing], random: Random, started: float
+    ) -> None:
+        self._sharing = sharing
+        self._random = random
+        self._learned_at = started + LEARNING_SECONDS
+        self._bucket_by_upstream: dict[str, _Bucket] = {}
+
+    def may_send(self, upstream: str, *, per_second: float, now: float) -> bool:
+        """Whether a cold upstream may be sent one more request now."""
+        if now < self._learned_at:
+            return False
+        bucket = self._bucket_by_upstream.get(upstream)
+        if bucket is None:
+            bucket = _Bucket(level=self._random.random(), at=now)
+            self._bucket_by_upstream[upstream] = bucket
+        rate = per_second * share_of_rate(self._sharing(), upstream)
+        bucket.level = min(1.0, bucket.level + rate * (now - bucket.at))
+        bucket.at = now
+        return bucket.level >= 1.0
+
+    def sent(self, upstream: str) -> None:
+        """Note that a request goes to a cold upstream."""
+        self._bucket_by_upstream[upstream].level -= 1.0
+
+    def forget(self, upstream: str) -> None:
+        """Drop what was counted for an upstream that is warm or gone."""
+        self._bucket_by_upstream.pop(upstream, None)
--- a/src/ragwortkeel/settings.py
+++ b/src/ragwortkeel/settings.py
@@ -138,6 +138,8 @@
         Where the platform's object service answers.
     peers : tuple of str
         Ingress processes to begin with; they tell of the others.
+    region_by_zone : dict of str to str
+        The region of each availability zone, for routes and customers with homes.
     """
 
     name: Name
@@ -148,6 +150,7 @@
     platform: AddressText
     ready_path: str = "/readyz"
     peers: Peers = ()
+    region_by_zone: dict[str, str] = {}
     stop_deadline_seconds: StopSeconds = 60.0
     log_level: LogLevel = LogLevel.INFO
 
--- a/tests/cli/test_cli_ingress.py
+++ b/tests/cli/test_cli_ingress.py
@@ -10,6 +10,7 @@
 from ragwortkeel.ingress.configuration import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
+    EVACUATIONS_KIND,
     IngressConfiguration,
 )
 from ragwortkeel.ingress.ledger_store import SHARD_NAME
@@ -63,3 +64,28 @@
             {"customer": "coop", "prepaid": 100, "spent": 30, "held": 0, "free": 70}
         ]
         assert terminal("ingress budgets")[0] == 0
+
+
+class TestEvacuations:
+    def test_a_zone_is_evacuated_and_taken_back(self, terminal):
+        assert terminal("ingress evacuations")[1].startswith("no zone")
+        assert terminal("ingress evacuate zone-b")[0] == 0
+        [row] = msgspec.json.decode(terminal("ingress evacuations --json")[1])
+        assert row["zone"] == "zone-b"
+        assert row["since"] > 0
+        assert terminal("ingress take_back zone-b")[0] == 0
+        assert terminal.platform.peek(EVACUATIONS_KIND, "zone-b") is None
+
+    def test_a_zone_that_is_not_evacuated_can_not_be_taken_back(self, terminal):
+        code, _, errors = terminal("ingress take_back zone-b")
+        assert code == 1
+        assert "no evacuation zone-b" in errors[0]
+
+    def test_a_second_evacuation_is_a_conflict(self, terminal):
+        terminal("ingress evacuate zone-b")
+        assert terminal("ingress evacuate zone-b")[0] != 0
+
+    def test_an_unreadable_entry_is_shown_and_taken_back(self, terminal):
+        terminal.platform.put(EVACUATIONS_KIND, "zone-b", b"[1,")
+        assert "unknown" in terminal("ingress evacuations")[1]
+        assert terminal("ingress take_back zone-b")[0] == 0
--- a/tests/ingress/test_placement.py
+++ b/tests/ingress/test_placement.py
@@ -1,11 +1,15 @@
 """Patterns of load: shared prefixes, saturation, failing upstreams, many choosers."""
 
 from collections import Counter
+from random import Random
 
+import msgspec
+import pytest
 from tests.ingress.builders import ENGINE, engine_service, job, upstream
 
 from ragwortkeel.ingress.placement import Load, Placement
 from ragwortkeel.policy.facts import Failure
+from ragwortkeel.policy.warm_up import EqualShare, WarmUp
 
 APP = engine_service("app").__class__(name="app", max_connections=96)
 POOL = engine_service("pool")
@@ -190,3 +194,97 @@
         placed = place(placement, job(), APP, apps(2), tried=frozenset({"u0"}))
         assert placed.upstream.name == "u1"
         assert place(placement, job(), APP, apps(1), tried=frozenset({"u0"})) is None
+
+
+COLD_POOL = msgspec.structs.replace(POOL, cold_seconds=3.0, cold_per_second=10.0)
+
+
+class TestColdUpstreams:
+    def fleet(self, size):
+        """Return so many processes' placements, which know of each other."""
+        return [
+            Placement(
+                zone="a",
+                warm_up=WarmUp(
+                    sharing=lambda: EqualShare(processes=size),
+                    random=Random(index),
+                    started=float("-inf"),
+                ),
+            )
+            for index in range(size)
+        ]
+
+    def most_in_a_second(self, placements, cold, *, warm=(), seconds=3.0):
+        """Return the most requests that one cold upstream gets in any second.
+
+        Each process has a request each tenth of a second, and tells nobody of it.
+        """
+        by_name = {n: upstream(n, service="pool", slots=64) for n in (*cold, *warm)}
+        for placement in placements:
+            for name in cold:
+                placement.note_cold(name, 3.0, 0.0)
+        sent = {name: [] for name in cold}
+        for step in range(int(seconds * 10)):
+            for index, placement in enumerate(placements):
+                now = step / 10 + index / len(placements) / 10
+                one = job(f"r{step}-{index}", parts=(("p", 500), ("q", 9)), prompt=509)
+                placed = place(placement, one, COLD_POOL, by_name, now=now)
+                if placed is not None:
+                    sent.get(placed.upstream.name, []).append(now)
+        return max(
+            sum(first <= at < first + 1.0 for at in times)
+            for times in sent.values()
+            for first in times or [0.0]
+        )
+
+    @pytest.mark.parametrize("size", [5, 30, 68])
+    def test_one_that_comes_back_idle_gets_no_more_than_it_bears(self, size):
+        """Guards against the crash of one to which all processes turn at once."""
+        most = self.most_in_a_second(self.fleet(size), ["e0"], warm=["e1", "e2"])
+        assert most <= 20
+
+    @pytest.mark.parametrize("size", [5, 30, 68])
+    def test_a_zone_that_comes_back_with_a_hot_prefix_is_not_overrun(self, size):
+        """Guards against a prefix that draws all processes to one cold upstream."""
+        cold = [f"e{number}" for number in range(9)]
+        assert self.most_in_a_second(self.fleet(size), cold, warm=["w0", "w1"]) <= 20
+
+    def test_a_fleet_of_cold_ones_only_is_served_within_the_bound(self):
+        cold = [f"e{number}" for number in range(6)]
+        assert 0 < self.most_in_a_second(self.fleet(30), cold) <= 20
+
+    def test_it_is_warm_after_the_time_of_its_service_however_long_it_says(self):
+        """Guards against an upstream that is left out for ever by a huge cold time."""
+        [placement] = self.fleet(1)
+        by_name = {"e0": upstream("e0", service="pool", slots=64)}
+        placement.note_cold("e0", 1e12, 0.0)
+        sent = [
+            place(placement, job(f"r{n}"), COLD_POOL, by_name, now=3.01)
+            for n in range(20)
+        ]
+        assert all(sent)
+
+    def test_one_that_was_not_reached_counts_as_cold_once_it_answers(self):
+        """Guards against an upstream that restarts under its name before its entry."""
+        [placement] = self.fleet(1)
+        by_name = {"e0": upstream("e0", service="pool", slots=64)}
+        place(placement, job("r0"), COLD_POOL, by_name, now=0.0)
+        placement.failed("e0", Failure.UNREACHABLE, 0.0)
+        placed = None
+        now = 1.0
+        while placed is None:
+            now += 0.01
+            placed = place(placement, job("probe"), COLD_POOL, by_name, now=now)
+        placement.succeeded("e0", now)
+        sent = [
+            place(placement, job(f"r{n}"), COLD_POOL, by_name, now=now + n / 100)
+            for n in range(1, 101)
+        ]
+        assert sum(one is not None for one in sent) <= 10
+
+    def test_services_without_a_bound_are_not_held_back(self):
+        [placement] = self.fleet(1)
+        by_name = engines(count=1)
+        placement.note_cold("e0", 3.0, 0.0)
+        sent = [place(placement, job(f"r{n}"), POOL, by_name) for n in range(30)]
+        assert all(sent)
--- a/tests/site/test_site_objects.py
+++ b/tests/site/test_site_objects.py
@@ -15,6 +15,7 @@
 from ragwortkeel.ingress.configuration import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
+    EVACUATIONS_KIND,
     UPSTREAMS_KIND,
     IngressConfiguration,
     Upstream,
@@ -56,6 +57,7 @@
             "sessionAffinity": True,
             "resumable": False,
             "gapTargetMs": 600,
+            "allowedRegions": ["maule"],
         },
         {
             "name": "r-2",
@@ -71,13 +73,21 @@
         {
             "name": "new",
             "maxConnections": 360,
+            "coldS": 3.0,
+            "coldPerS": 10.0,
             "engine": {"slots": 64, "kvCapacityTokens": 508599, "stride": 6},
         },
         {"name": "old", "maxConnections": 96},
     ],
     "limits": {"maxBodyBytes": 1000, "idleTimeoutMs": 15000},
     "tenants": [
-        {"name": "hule930", "apiKeys": ["k1", "k2"], "priority": 1, "prepaid": 1365267}
+        {
+            "name": "hule930",
+            "apiKeys": ["k1", "k2"],
+            "priority": 1,
+            "prepaid": 1365267,
+            "allowedRegions": None,
+        }
     ],
 }
 
@@ -191,6 +201,27 @@
             born=1773839388573,
         )
 
+    @pytest.mark.parametrize(
+        ("milliseconds", "seconds"), [(2500, 2.5), (-3, 0.0), (1e15, 1e12)]
+    )
+    def test_a_servers_cold_time_is_taken_over(self, milliseconds, seconds):
+        """Guards against an entry that is lost for an odd cold time."""
+
+        async def scenario(client, store):
+            entry = SERVER | {"coldRemainingMs": milliseconds}
+            await store.put("servers", "i-1", entry)
+            listing = await client.list(UPSTREAMS_KIND)
+            return decode_value(listing.by_name["i-1"].value, Upstream)
+
+        assert against_store(scenario).cold_seconds == seconds
+
+    def test_an_evacuation_is_the_name_of_its_zone(self):
+        async def scenario(client, store):
+            await store.put("evacuations", "maule-b", None)
+            return (await client.list(EVACUATIONS_KIND)).by_name
+
+        assert set(against_store(scenario)) == {"maule-b"}
+
     @pytest.mark.parametrize(
         "spec",
         [
@@ -201,6 +232,7 @@
             SERVER | {"address": 5},
             SERVER | {"address": "10.0.0.1"},
             SERVER | {"slots": "many"},
+            SERVER | {"coldRemainingMs": "long"},
             {"service": "huvo11a"},
         ],
     )
@@ -231,6 +263,11 @@
         assert found.customers[0].keys == ("k1", "k2")
         assert found.customers[0].prepaid == 1365267
         assert found.limits.idle_seconds == 15.0
+        assert (first.homes, second.homes) == (("maule",), ())
+        assert found.customers[0].homes == ()
+        assert found.services[0].cold_seconds == 3.0
+        assert found.services[0].cold_per_second == 10.0
+        assert found.services[1].cold_per_second == 0.0
 
     def test_a_configuration_of_another_shape_is_no_configuration(self):
         async def scenario(client, store):
--- a/tests/site/test_site_settings.py
+++ b/tests/site/test_site_settings.py
@@ -38,6 +38,7 @@
         assert found.peers == ("10.1.0.40:7340", "10.2.0.29:7340")
         assert found.platform == "10.200.1.7:8223"
         assert found.stop_deadline_seconds == 7.5
+        assert found.region_by_zone == {"maule-a": "maule"}
 
     def test_no_seeds_are_no_peers(self):
         text = re.sub(r"seeds=.*", "seeds=", TEXT)
