--- a/src/ragwortkeel/budget/allowance.py
+++ b/src/ragwortkeel/budget/allowance.py
@@ -125,6 +125,12 @@
         """Demand that a cap leaves room for, in seconds."""
         return max(HEADROOM_SECONDS, HEADROOM_RENEWALS * self._took)
 
+    @property
+    def holders(self) -> int:
+        """Processes that the ledgers show, by the customer that most of them serve."""
+        accounts = self._account_by_customer.values()
+        return max((one.ledger.holders for one in accounts), default=0)
+
     def grow(self, silent: float) -> None:
         """Let all caps grow by the seconds since the last try to write."""
         for account in self._account_by_customer.values():
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -118,7 +118,7 @@
         self._placement = Placement(
             zone=settings.zone,
             warm_up=WarmUp(
-                sharing=lambda: EqualShare(processes=self._peers.known_routers),
+                sharing=lambda: EqualShare(processes=self._processes()),
                 random=Random(incarnation),
                 started=monotonic(),
             ),
@@ -415,6 +415,10 @@
         self.metrics.configuration_in_force(revision=configuration.revision)
         await self._peers.announce()
 
+    def _processes(self) -> int:
+        """Return how many processes place requests, heard from now or not."""
+        return max(self._peers.known_routers, self._keeper.allowances.holders)
+
     async def _take_moves(self, moves: list[Moved]) -> None:
         for move in moves:
             log_info(
--- a/src/ragwortkeel/policy/warm_up.py
+++ b/src/ragwortkeel/policy/warm_up.py
@@ -5,7 +5,8 @@
 the same second, and it crashes again above a few requests a second from all of them
 together.  The bound is on that sum, also while processes are cut off from each other,
 so it can't rest on who is reachable now: each process keeps to a share of the rate
-that depends only on the processes it has ever heard of.
+that depends only on the processes it has ever heard of, through any of them or through
+the platform.
 
 - `EqualShare`: each has the same part of the rate.
 - `ChosenSenders`: a few, the same for all processes by rendezvous, have all of it.
@@ -20,9 +21,9 @@
 
 from ragwortkeel.policy.choice import rendezvous
 
-LEARNING_SECONDS = 3.0
-"""After its start a process has not heard of all others yet and sends nothing to cold
-upstreams."""
+LEARNING_SECONDS = 0.5
+"""After its start a process has not heard of the others yet and sends nothing to cold
+upstreams.  Longer would leave a fleet that starts with its upstreams idle."""
 
 
 @dataclass(frozen=True, kw_only=True)
