--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -5,6 +5,10 @@
 - An upstream leaves and a late or stale entry shows it ready again: requests are
   cut when it exits.  So entries only go up in version, and one that was seen
   leaving or gone stays so until an instance born later takes the name.
+- Upstreams crash and come back under new names at the same addresses, as after a loss
+  of power, and the old entries lapse seconds later: most requests meet another
+  instance.  So an address belongs to the upstream
+  of a service that was born there last.
 - The platform was away and let entries lapse: on its return nearly all upstreams
   look gone at once.  So entries that vanish around an outage are kept for
   `LAPSE_SECONDS` after its end, in which live upstreams write them anew.
@@ -166,7 +170,15 @@
             return []
         if known is not None and _left(known) and not _reborn(known, upstream):
             upstream = _leaving(upstream)
-        return self._set(name, Entry(version=version, upstream=upstream))
+        moves = self._set(name, Entry(version=version, upstream=upstream))
+        return moves + self._settle_address(upstream)
+
+    def replaced(self, name: str) -> list[Moved]:
+        """Note that another instance answers at the upstream's address."""
+        known = self._entry_by_name.get(name)
+        if known is None or known.upstream is None:
+            return []
+        return self._set(name, _gone(known.version, known))
 
     def vanished(self, name: str, *, version: int, now: float) -> list[Moved]:
         """Note that the platform has no such entry any more."""
@@ -190,6 +202,27 @@
             moves += self._set(name, _gone(entry.version, entry))
         return moves
 
+    def _settle_address(self, upstream: Upstream) -> list[Moved]:
+        """Give up all upstreams at one address but the one that was born last.
+
+        Of one service only: an entry of a service that is not configured may be
+        anybody's, and must not take a good upstream away.
+        """
+        where = upstream.service, upstream.host, upstream.port
+        same = [
+            (name, entry)
+            for name, entry in self._entry_by_name.items()
+            if entry.upstream is not None
+            and (entry.upstream.service, entry.upstream.host, entry.upstream.port)
+            == where
+        ]
+        last = max(entry.upstream.born for _, entry in same)
+        moves = []
+        for name, entry in same:
+            if entry.upstream.born < last:
+                moves += self._set(name, _gone(entry.version, entry))
+        return moves
+
     def _set(self, name: str, entry: Entry) -> list[Moved]:
         known = self._entry_by_name.get(name)
         self._entry_by_name[name] = entry
--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -90,6 +90,10 @@
         self.room.ended(placed.job)
         await self.place_waiting()
 
+    def replaced(self, upstream: str) -> None:
+        """Place nothing more at an upstream whose address another instance has."""
+        self._directory.replaced(upstream)
+
     async def place_waiting(self) -> None:
         """Give places to those who wait, as far as there is room."""
         for name in self.room.services():
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -301,6 +301,8 @@
         parts = self._parts
         if reason is not NotRunReason.FULL:
             parts.placement.failed(name, Failure.UNREACHABLE, monotonic())
+        if reason is NotRunReason.OTHER_INSTANCE:
+            parts.dispatcher.replaced(name)
         if reason is not NotRunReason.UNREACHABLE:
             self._turned_away += 1
         self._tried |= {name}
--- a/tests/ingress/test_directory.py
+++ b/tests/ingress/test_directory.py
@@ -95,3 +95,44 @@
         directory.lost_platform(now=20.0)
         directory.vanished("u1", version=8, now=20.1)
         assert not directory.is_usable("u1")
+
+
+class TestAddresses:
+    def test_an_address_belongs_to_the_upstream_that_was_born_there_last(self):
+        """Guards against requests for instances that a loss of power has ended."""
+        directory = Directory()
+        old, new = upstream("old", born=1000), upstream("new", born=2000)
+        directory.written("old", old, version=5, now=0.0)
+        moves = directory.written("new", new, version=6, now=1.0)
+        assert [(move.name, move.usable) for move in moves] == [
+            ("new", True),
+            ("old", False),
+        ]
+        assert set(directory.usable(service="app")) == {"new"}
+
+    def test_a_late_entry_of_the_old_one_does_not_bring_it_back(self):
+        directory = Directory()
+        directory.written("new", upstream("new", born=2000), version=6, now=0.0)
+        directory.written("old", upstream("old", born=1000), version=7, now=1.0)
+        assert set(directory.usable(service="app")) == {"new"}
+
+    def test_upstreams_that_do_not_say_when_they_were_born_are_left_alone(self):
+        directory = Directory()
+        directory.written("u1", upstream("u1"), version=5, now=0.0)
+        directory.written("u2", upstream("u2"), version=6, now=1.0)
+        assert set(directory.usable(service="app")) == {"u1", "u2"}
+
+    def test_an_entry_of_another_service_takes_no_address_away(self):
+        """Guards against somebody's entry that names the address of a good upstream."""
+        directory = Directory()
+        directory.written("u1", upstream("u1", born=1000), version=5, now=0.0)
+        other = upstream("x", service="nowhere", born=9000)
+        directory.written("x", other, version=6, now=1.0)
+        assert set(directory.usable(service="app")) == {"u1"}
+
+    def test_one_that_another_instance_answered_for_gets_nothing_more(self):
+        """Guards against a second request on the same wrong way."""
+        directory = directory_with("u1")
+        directory.replaced("u1")
+        assert directory.usable(service="app") == {}
+        assert directory.replaced("unknown") == []
