--- a/src/ragwortkeel/budget/account.py
+++ b/src/ragwortkeel/budget/account.py
@@ -115,6 +115,13 @@
         """Tokens of loans and slice that no request has, within the cap or not."""
         return self._borrowed + max(0, self.slice.free)
 
+    @property
+    def held_elsewhere(self) -> int:
+        """Unspent tokens in the slices of all other processes, gone ones too."""
+        own = self.slice.granted - self.slice.spent
+        out = self.ledger.held - self.ledger.total_spent
+        return max(0, out - own)
+
     @property
     def available(self) -> int:
         """Tokens that a request may take now, loans and slice together."""
--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -120,7 +120,10 @@
             free=account.free,
             available=account.available,
             cap_room=account.cap_room,
+            reserved=account.slice.reserved,
             unspent=account.ledger.prepaid - account.ledger.total_spent,
+            in_ledger=account.ledger.rest,
+            held_elsewhere=account.held_elsewhere,
             ledger_age=round(age, 2) if self.renewals.merged else None,
             reachable=self.renewals.reachable,
         )
--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -316,7 +316,9 @@
         self._allowances.written(answer)
         if handed is not None:
             self._allowances.note_read(answer.summary_by_customer, handed.monotonic)
-        self.merged = self.merged or answer.boot in self._starts
+        if not self.merged and answer.boot in self._starts:
+            self.merged = True
+            self._log_predecessors(self._seen)
         self._tries.done(answer.boot)
         self._wrote_last = False
         self._note_reachable(True, "")
@@ -377,7 +379,6 @@
     def _handed(self, reading: Reading, *, urgent: bool) -> HandedRenewals:
         start = None
         if not self.merged:
-            self._log_predecessors(self._seen)
             start = self._allowances.start(self._seen)
             self._starts.add(reading.boot)
         return self._allowances.handed(reading, urgent=urgent, start=start)
@@ -573,8 +574,8 @@
         reading = self._clocks()
         renewed = shard.provisioned(_prepaid(self._table), self._revision)
         merges = not self.merged and self._may_merge(renewed, reading)
+        before = renewed
         if merges:
-            self._log_predecessors(renewed)
             renewed = allowances.merged(renewed)
         renewed = allowances.renewed(renewed, reading)
         renewed, refused = joined_by_all(renewed, handed_by_holder)
@@ -590,6 +591,8 @@
         finally:
             self._wrote_in(monotonic() - begun)
         allowances.resolve(renewed)
+        if merges:
+            self._log_predecessors(before)
         self.merged = self.merged or merges
         self._tries.done(reading.boot)
         self._wrote_last = True
