--- a/src/ragwortkeel/ingress/following.py
+++ b/src/ragwortkeel/ingress/following.py
@@ -38,6 +38,10 @@
 RETRY_SECONDS = 0.4
 """Pause after a failed call."""
 
+GATHER_SECONDS = 0.3
+"""Pause after a watch that brought changes: a release or a crash of several upstreams
+is dozens of them, and each would answer the watches of all that watch at once."""
+
 ACCEPT_SECONDS = 0.9
 """A call that is answered was taken up within so long, straight or through a peer: a
 watch may then wait for seconds more."""
@@ -60,6 +64,9 @@
         Returns whether this process is to watch, or its peers keep it up to date.
     """
 
+    _gathers = False
+    """Whether changes come so often that several are worth waiting for."""
+
     def __init__(
         self, *, platform: Platform, kind: str, watches: Callable[[], bool]
     ) -> None:
@@ -103,6 +110,8 @@
             await self._changed(change.name, change.version, change.stored)
         revision = max(revision, changes.revision)
         await self._watched(changes.changes, revision)
+        if changes.changes and self._gathers:
+            await curio.sleep(GATHER_SECONDS)
         return revision
 
     async def _follow_peers(self, revision: int) -> int | None:
@@ -167,6 +176,8 @@
         Sends changes to the processes that don't watch.
     """
 
+    _gathers = True
+
     def __init__(
         self,
         *,
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -1,5 +1,7 @@
 """How outages of the platform show to a process that follows the upstreams' entries."""
 
+from time import monotonic
+
 import curio
 import msgspec
 import pytest
@@ -8,7 +10,11 @@
 from ragwortkeel.exceptions import PlatformUnavailable
 from ragwortkeel.ingress import following
 from ragwortkeel.ingress.directory import LAPSE_SECONDS, Directory
-from ragwortkeel.ingress.following import WATCH_SECONDS, UpstreamFollower
+from ragwortkeel.ingress.following import (
+    GATHER_SECONDS,
+    WATCH_SECONDS,
+    UpstreamFollower,
+)
 from ragwortkeel.platform import Change, Changes, Listing, Stored
 
 NAME = "u1"
@@ -58,11 +64,54 @@
     return Changes(changes=(change,), revision=7, gap=False)
 
 
+class ChangingPlatform(ScriptedPlatform):
+    """Has a change each so often, and answers a watch as soon as there is one."""
+
+    CHANGE_SECONDS = 0.01
+
+    def __init__(self, *, seconds):
+        super().__init__()
+        self.calls = 0
+        self._ends_at = monotonic() + seconds
+        self._begun_at = monotonic()
+
+    async def watch(self, kind, revision, timeout):
+        self.calls += 1
+        await curio.sleep(self.CHANGE_SECONDS)
+        if monotonic() > self._ends_at:
+            raise _End
+        newest = 5 + int((monotonic() - self._begun_at) / self.CHANGE_SECONDS)
+        value = msgspec.json.encode(upstream(NAME, slots=newest))
+        stored = Stored(kind=kind, name=NAME, value=value, version=newest)
+        change = Change(name=NAME, version=newest, stored=stored)
+        return Changes(changes=(change,), revision=newest, gap=False)
+
+
+def test_changes_in_quick_succession_are_gathered():
+    """Guards against a call of the platform by all that watch for each of them."""
+
+    async def ignore(found):
+        pass
+
+    platform = ChangingPlatform(seconds=1.0)
+    follower = UpstreamFollower(
+        platform=platform,
+        directory=Directory(),
+        take=ignore,
+        watches=lambda: True,
+        share=ignore,
+    )
+    with pytest.raises(_End):
+        curio.run(follower.run)
+    assert platform.calls <= 1.0 / GATHER_SECONDS + 2
+
+
 def follow(monkeypatch, *watches):
     """Return the directory after these watches, and the time by their clock."""
     platform, directory = ScriptedPlatform(*watches), Directory()
     monkeypatch.setattr(following, "monotonic", lambda: platform.now)
     monkeypatch.setattr(following, "RETRY_SECONDS", 0.0)
+    monkeypatch.setattr(following, "GATHER_SECONDS", 0.0)
 
     async def ignore(found):
         pass
