--- a/src/ragwortkeel/ingress/budget_keeper.py
+++ b/src/ragwortkeel/ingress/budget_keeper.py
@@ -25,6 +25,11 @@
 out after 0.25 s, who handed over to it after 0.2 s more, and then peers carry the
 calls; a refusal would bring the caller back later than that, and only once."""
 
+LACK_WAIT_SHARE = 0.2
+"""Of the time that a caller has left, if that is longer: with a slow platform behind a
+cut a renewal takes a second and more, and a caller with ten is better served late than
+sent away."""
+
 LOAN_WAIT_SECONDS = 0.06
 """How long it waits for a loan: peers answer in 2 ms, and whoever has tokens
 answers at once."""
@@ -74,8 +79,13 @@
         """Take over the budgets of a configuration at the next renewal."""
         self.renewals.configure(table)
 
-    async def reserve(self, customer: Customer, tokens: int) -> Hold | None:
-        """Set tokens aside, or return None where they are not to be had now."""
+    async def reserve(
+        self, customer: Customer, tokens: int, *, seconds_left: float = 0.0
+    ) -> Hold | None:
+        """Set tokens aside, or return None where they are not to be had now.
+
+        `seconds_left` is how long the caller waits for its whole answer.
+        """
         account = self.allowances.account(customer.name)
         self.allowances.asked(customer.name, tokens, monotonic())
         hold = account.reserve(tokens)
@@ -83,7 +93,8 @@
             self.renewals.grow()
             hold = account.reserve(tokens)
         if hold is None:
-            hold = await self._reserve_late(account, customer, tokens)
+            wait = max(LACK_WAIT_SECONDS, LACK_WAIT_SHARE * seconds_left)
+            hold = await self._reserve_late(account, customer, tokens, wait)
         return hold
 
     def settle(self, hold: Hold, *, spent: int) -> None:
@@ -187,12 +198,12 @@
         await self.renewals.changed()
 
     async def _reserve_late(
-        self, account: Account, customer: Customer, tokens: int
+        self, account: Account, customer: Customer, tokens: int, wait: float
     ) -> Hold | None:
         account.waiting += tokens
         try:
             if self.renewals.reachable:
-                hold = await self._wait_for_platform(account, tokens)
+                hold = await self._wait_for_platform(account, tokens, wait)
                 if hold is not None or self.is_exhausted(customer, tokens):
                     return hold
             await self._ask_peers(customer.name, account)
@@ -200,14 +211,16 @@
         finally:
             account.waiting -= tokens
 
-    async def _wait_for_platform(self, account: Account, tokens: int) -> Hold | None:
+    async def _wait_for_platform(
+        self, account: Account, tokens: int, seconds: float
+    ) -> Hold | None:
         """Wait for tokens; return sooner once the platform has none left.
 
         Another request may take the room of a renewal first, so one that still
         waits asks for the next.
         """
         begun = monotonic()
-        waits_until = begun + LACK_WAIT_SECONDS
+        waits_until = begun + seconds
         while self.renewals.reachable and monotonic() < waits_until:
             await self.renewals.wake()
             hold = await self._wait(account, tokens, waits_until)
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -139,7 +139,8 @@
         customer, usage = accepted.customer, accepted.usage
         if customer is None or customer.prepaid is None or usage is None:
             return None
-        hold = await keeper.reserve(customer, usage.total)
+        seconds_left = accepted.call.deadline - monotonic()
+        hold = await keeper.reserve(customer, usage.total, seconds_left=seconds_left)
         if hold is not None:
             return hold
         keeper.log_lack(accepted.call.request_id, customer, usage.total)
--- a/tests/ingress/test_budgets.py
+++ b/tests/ingress/test_budgets.py
@@ -88,6 +88,29 @@
 
 
 class TestFailures:
+    @pytest.mark.parametrize(("deadline_ms", "status"), [(5000, 200), (1500, 503)])
+    def test_who_has_time_waits_for_a_slow_renewal(self, deadline_ms, status):
+        """Guards against callers sent away while the write that serves them runs."""
+
+        async def scenario(fleet):
+            update = fleet.platform.update
+
+            async def slow(*call):
+                await curio.sleep(0.85)
+                return await update(*call)
+
+            await spend(fleet, 1)
+            fleet.platform.update = slow
+            answer = await fleet.ask(
+                "/chat/1",
+                x_token_bound="20000,60",
+                x_prompt_parts="p:20000",
+                x_deadline_ms=str(deadline_ms),
+            )
+            return answer.status
+
+        assert run_ingress(scenario, prepaid=100_000) == status
+
     def test_callers_are_served_in_an_outage_also_from_a_peer(self):
         """All callers of one process are refused while the platform is away.
 
