--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -167,11 +167,15 @@
         """Other processes that this one has heard of."""
         return len(self._introductions.known)
 
+    @property
+    def routers(self) -> frozenset[str]:
+        """Addresses of the other processes that place requests, heard now or not."""
+        return frozenset(self._introductions.known - self._introductions.relays)
+
     @property
     def known_routers(self) -> int:
         """Processes that place requests, this one among them, heard now or not."""
-        others = self._introductions.known - self._introductions.relays
-        return len(others) + (not self._is_relay)
+        return len(self.routers) + (not self._is_relay)
 
     @property
     def clocks(self) -> int:
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -54,7 +54,7 @@
 from ragwortkeel.platform_counts import CountedPlatform
 from ragwortkeel.policy.quarantine import Crash
 from ragwortkeel.policy.retries import RetryBudget, reserve_of_one
-from ragwortkeel.policy.warm_up import EqualShare, WarmUp
+from ragwortkeel.policy.warm_up import WarmUp, sharing_among
 from ragwortkeel.process import Leftover
 from ragwortkeel.settings import Address, IngressSettings, changed_fields
 from ragwortkeel.tasks import run_together
@@ -118,7 +118,11 @@
         self._placement = Placement(
             zone=settings.zone,
             warm_up=WarmUp(
-                sharing=lambda: EqualShare(processes=self._processes()),
+                sharing=lambda: sharing_among(
+                    own=settings.address,
+                    others=self._peers.routers,
+                    holders=self._keeper.allowances.holders,
+                ),
                 random=Random(incarnation),
                 started=monotonic(),
             ),
@@ -415,10 +419,6 @@
         self.metrics.configuration_in_force(revision=configuration.revision)
         await self._peers.announce()
 
-    def _processes(self) -> int:
-        """Return how many processes place requests, heard from now or not."""
-        return max(self._peers.known_routers, self._keeper.allowances.holders)
-
     async def _take_moves(self, moves: list[Moved]) -> None:
         for move in moves:
             log_info(
--- a/src/ragwortkeel/policy/warm_up.py
+++ b/src/ragwortkeel/policy/warm_up.py
@@ -5,11 +5,13 @@
 the same second, and it crashes again above a few requests a second from all of them
 together.  The bound is on that sum, also while processes are cut off from each other,
 so it can't rest on who is reachable now: each process keeps to a share of the rate
-that depends only on the processes it has ever heard of, through any of them or through
-the platform.
+that depends only on the processes it has ever heard of.
 
-- `EqualShare`: each has the same part of the rate.
-- `ChosenSenders`: a few, the same for all processes by rendezvous, have all of it.
+- `ChosenSenders`: a few of them, the same for all by rendezvous, have the whole rate.
+  The sum then has few terms and hardly any chance in it.
+- `EqualShare`: each has the same part, by the number of processes that the ledgers
+  show.  That is for a process that has not heard of all others yet: it can't tell who
+  is chosen.
 
 A share is spent from a bucket of one request that starts at a random level.  Full
 buckets of all processes would be a burst of as many requests as there are processes.
@@ -21,6 +23,9 @@
 
 from ragwortkeel.policy.choice import rendezvous
 
+SENDERS = 2
+"""Processes that send to one cold upstream; one alone may be dead or lack callers."""
+
 LEARNING_SECONDS = 0.5
 """After its start a process has not heard of the others yet and sends nothing to cold
 upstreams.  Longer would leave a fleet that starts with its upstreams idle."""
@@ -35,23 +40,37 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ChosenSenders:
-    """One of the processes `names`, of which `most` send to an upstream."""
+    """One of the processes `names`, of which `SENDERS` send to an upstream."""
 
     own: str
     names: frozenset[str]
-    most: int
 
 
 Sharing = EqualShare | ChosenSenders
 
 
+def sharing_among(*, own: str, others: frozenset[str], holders: int) -> Sharing:
+    """Return how a process shares the rate.
+
+    Parameters
+    ----------
+    others : frozenset of str
+        Names of all other processes that it has ever heard of.
+    holders : int
+        Processes that the ledgers show, starts that are gone among them.
+    """
+    if len(others) + 1 < holders:
+        return EqualShare(processes=holders)
+    return ChosenSenders(own=own, names=others)
+
+
 def share_of_rate(sharing: Sharing, upstream: str) -> float:
     """Return the part of the fleet's rate that this process has at an upstream."""
     match sharing:
         case EqualShare(processes=processes):
             return 1 / max(1, processes)
-        case ChosenSenders(own=own, names=names, most=most):
-            chosen = rendezvous(upstream, sorted(names | {own}))[:most]
+        case ChosenSenders(own=own, names=names):
+            chosen = rendezvous(upstream, sorted(names | {own}))[:SENDERS]
             return 1 / len(chosen) if own in chosen else 0.0
 
 
--- a/tests/policy/test_warm_up.py
+++ b/tests/policy/test_warm_up.py
@@ -6,10 +6,12 @@
 
 from ragwortkeel.policy.warm_up import (
     LEARNING_SECONDS,
+    SENDERS,
     ChosenSenders,
     EqualShare,
     WarmUp,
     share_of_rate,
+    sharing_among,
 )
 
 PER_SECOND = 10.0
@@ -26,9 +28,7 @@
 
 def chosen(fleet):
     names = frozenset(fleet)
-    return [
-        lambda own=own: ChosenSenders(own=own, names=names, most=2) for own in fleet
-    ]
+    return [lambda own=own: ChosenSenders(own=own, names=names) for own in fleet]
 
 
 def starts(sharings, *, seed, upstream="u1", step=STEP_SECONDS):
@@ -68,10 +68,25 @@
             assert 0 < most_in_a_second(sent) <= MOST_A_SECOND
 
     @pytest.mark.parametrize("size", [5, 30, 68])
-    def test_chosen_senders_keep_it(self, size):
+    def test_chosen_senders_keep_to_the_rate(self, size):
+        """Guards against a sum whose many terms meet by chance."""
         for seed in range(8):
             sent = starts(chosen(fleet(size)), seed=seed)
-            assert most_in_a_second(sent) <= MOST_A_SECOND
+            assert 0 < most_in_a_second(sent) <= PER_SECOND + SENDERS
+
+    def test_processes_that_started_apart_keep_the_bound(self):
+        """Guards against two halves that each choose senders of their own."""
+        names = fleet(30)
+        halves = names[:15], names[15:]
+        sharings = [
+            lambda own=own, half=half: sharing_among(
+                own=own, others=frozenset(half) - {own}, holders=len(names)
+            )
+            for half in halves
+            for own in half
+        ]
+        for seed in range(8):
+            assert most_in_a_second(starts(sharings, seed=seed)) <= MOST_A_SECOND
 
     def test_processes_that_are_cut_off_keep_their_share(self):
         """Guards against a share of those that are heard: each half would send all."""
@@ -90,6 +105,15 @@
 
 
 class TestShares:
+    def test_who_has_heard_of_all_holders_knows_who_is_chosen(self):
+        others = frozenset(fleet(4))
+        assert sharing_among(own="own", others=others, holders=5) == ChosenSenders(
+            own="own", names=others
+        )
+        assert sharing_among(own="own", others=others, holders=6) == EqualShare(
+            processes=6
+        )
+
     def test_chosen_ones_have_the_whole_rate_and_others_nothing(self):
         names = fleet(30)
         shares = [share_of_rate(sharing(), "u1") for sharing in chosen(names)]
