--- a/src/ragwortkeel/budget/turns.py
+++ b/src/ragwortkeel/budget/turns.py
@@ -84,17 +84,17 @@
 
 def place_in_order(writer: Writer, others: Iterable[Writer]) -> int:
     """Return how many of the others come before this process."""
-    own, *ranked = _without_platform([writer, *others])
+    own, *ranked = _ranked_alike_in_slow_hours([writer, *others])
     return sum(1 for other in ranked if other.rank < own.rank)
 
 
 def first_in_order(writers: Iterable[Writer]) -> Writer | None:
     """Return the process that writes for these, or None where there are none."""
-    ranked = _without_platform(writers)
+    ranked = _ranked_alike_in_slow_hours(writers)
     return min(ranked, key=lambda writer: writer.rank, default=None)
 
 
-def _without_platform(writers: Iterable[Writer]) -> list[Writer]:
+def _ranked_alike_in_slow_hours(writers: Iterable[Writer]) -> list[Writer]:
     """Return the writers as equally quick, where the platform is what is slow.
 
     Pattern of load: the platform takes a quarter of a second.  Only who writes has
--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -7,8 +7,7 @@
   leaving or gone stays so until an instance born later takes the name.
 - Upstreams crash and come back under new names at the same addresses, as after a loss
   of power, and the old entries lapse seconds later: most requests meet another
-  instance.  So an address belongs to the upstream
-  of a service that was born there last.
+  instance.  So an address belongs to the upstream of a service that was born last.
 - The platform was away and let entries lapse: on its return nearly all upstreams
   look gone at once.  So entries that vanish around an outage are kept for
   `LAPSE_SECONDS` after its end, in which live upstreams write them anew.
--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -9,6 +9,7 @@
 from ragwortkeel.ingress.directory import Directory
 from ragwortkeel.ingress.placement import Job, Placed, Placement
 from ragwortkeel.ingress.waiting import Waiter, WaitingRoom
+from ragwortkeel.logs import log_info
 from ragwortkeel.policy.admission import Turns
 
 PLACING_SECONDS = 0.05
@@ -92,7 +93,8 @@
 
     def replaced(self, upstream: str) -> None:
         """Place nothing more at an upstream whose address another instance has."""
-        self._directory.replaced(upstream)
+        if self._directory.replaced(upstream):
+            log_info("upstream_replaced", upstream=upstream)
 
     async def place_waiting(self) -> None:
         """Give places to those who wait, as far as there is room."""
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -185,7 +185,7 @@
             watches=self._peers.watches,
             share=self._peers.share,
         )
-        self._evacuated = EvacuationFollower(
+        self._evacuation_follower = EvacuationFollower(
             platform=self._platform,
             take=self.report_evacuated,
             watches=self._peers.watches,
@@ -220,7 +220,7 @@
             self._server.serve,
             self._configurations.run,
             self._upstreams.run,
-            self._evacuated.run,
+            self._evacuation_follower.run,
             self._keeper.run,
             self._peers.run,
             self._platform.run,
--- a/tests/ingress/test_evacuations.py
+++ b/tests/ingress/test_evacuations.py
@@ -358,7 +358,7 @@
 
         async def scenario(fleet):
             await curio.sleep(SETTLED_SECONDS)
-            cut_off = fleet.workers[1]._evacuated
+            cut_off = fleet.workers[1]._evacuation_follower
 
             async def refuse(*args, **kwargs):
                 raise PlatformUnavailable("turned away")
