--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -125,12 +125,13 @@
     """An upstream that is cold for `seconds` from the monotonic second `at`.
 
     One that was not reached may have restarted since, so it stays cold for as long as
-    its service says after it is reached again.
+    its service says after it is reached again.  `told` is whether its entry says so.
     """
 
     at: float = 0.0
     seconds: float = 0.0
     unreached: bool = False
+    told: bool = True
 
     def holds(self, service: Service, now: float) -> bool:
         """Whether it is cold now; a longer time than the service's is no use."""
@@ -249,14 +250,14 @@
     def failed(self, upstream: str, failure: Failure, now: float) -> bool:
         """Note a failure; return whether the upstream is left alone now."""
         if failure in _MAY_HAVE_RESTARTED and upstream in self._state_by_name:
-            self._state_by_name[upstream].cold = _Cold(unreached=True)
+            self._state_by_name[upstream].cold = _Cold(unreached=True, told=False)
         return self.ejections.failed(upstream, failure, now)
 
     def succeeded(self, upstream: str, now: float) -> None:
         """Note an answer of the upstream's own."""
         state = self._state_by_name.get(upstream)
         if state is not None and state.cold.unreached:
-            state.cold = _Cold(at=now, seconds=float("inf"))
+            state.cold = _Cold(at=now, seconds=float("inf"), told=False)
         self.ejections.succeeded(upstream)
 
     def note_cold(self, upstream: str, seconds: float, now: float) -> None:
@@ -348,10 +349,15 @@
         """Whether the upstream is warm, or cold and due a request of this process."""
         if not service.cold_per_second:
             return True
-        if not self._state(upstream).cold.holds(service, now):
+        cold = self._state(upstream).cold
+        if not cold.holds(service, now):
             return True
-        rate = service.cold_per_second
-        return self._warm_up.may_send(upstream.name, per_second=rate, now=now)
+        return self._warm_up.may_send(
+            upstream.name,
+            per_second=service.cold_per_second,
+            now=now,
+            told=cold.told,
+        )
 
     def _plain_cost(self, job: Job, now: float) -> Callable[[Upstream], float]:
         def cost(upstream: Upstream) -> tuple[float, int]:
--- a/src/ragwortkeel/policy/warm_up.py
+++ b/src/ragwortkeel/policy/warm_up.py
@@ -11,7 +11,8 @@
   The sum then has few terms and hardly any chance in it.
 - `EqualShare`: each has the same part, by the number of processes that the ledgers
   show.  That is for a process that has not heard of all others yet: it can't tell who
-  is chosen.
+  is chosen.  It is also for an upstream of which only one process may think that it is
+  cold, after a failed connection: one that is not chosen would never find out.
 
 A share is spent from a bucket of one request that starts at a random level.  Full
 buckets of all processes would be a burst of as many requests as there are processes.
@@ -64,6 +65,14 @@
     return ChosenSenders(own=own, names=others)
 
 
+def _equal_among_all(sharing: Sharing) -> EqualShare:
+    match sharing:
+        case EqualShare():
+            return sharing
+        case ChosenSenders(names=names):
+            return EqualShare(processes=len(names) + 1)
+
+
 def share_of_rate(sharing: Sharing, upstream: str) -> float:
     """Return the part of the fleet's rate that this process has at an upstream."""
     match sharing:
@@ -114,15 +123,21 @@
         self._learned_at = started + LEARNING_SECONDS
         self._bucket_by_upstream: dict[str, _Bucket] = {}
 
-    def may_send(self, upstream: str, *, per_second: float, now: float) -> bool:
-        """Whether a cold upstream may be sent one more request now."""
+    def may_send(
+        self, upstream: str, *, per_second: float, now: float, told: bool = True
+    ) -> bool:
+        """Whether a cold upstream may be sent one more request now.
+
+        `told` is whether its entry says that it is cold, so that all processes know.
+        """
         if now < self._learned_at:
             return False
         bucket = self._bucket_by_upstream.get(upstream)
         if bucket is None:
             bucket = _Bucket(level=self._random.random(), at=now)
             self._bucket_by_upstream[upstream] = bucket
-        rate = per_second * share_of_rate(self._sharing(), upstream)
+        sharing = self._sharing() if told else _equal_among_all(self._sharing())
+        rate = per_second * share_of_rate(sharing, upstream)
         bucket.level = min(1.0, bucket.level + rate * (now - bucket.at))
         bucket.at = now
         return bucket.level >= 1.0
--- a/tests/ingress/test_placement.py
+++ b/tests/ingress/test_placement.py
@@ -9,7 +9,7 @@
 
 from ragwortkeel.ingress.placement import Load, Placement
 from ragwortkeel.policy.facts import Failure
-from ragwortkeel.policy.warm_up import EqualShare, WarmUp
+from ragwortkeel.policy.warm_up import ChosenSenders, EqualShare, WarmUp
 
 APP = engine_service("app").__class__(name="app", max_connections=96)
 POOL = engine_service("pool")
@@ -282,6 +282,31 @@
         ]
         assert sum(one is not None for one in sent) <= 10
 
+    def test_one_that_is_reached_again_is_used_by_processes_that_are_not_chosen(self):
+        """Guards against a process that leaves all upstreams out after a cut."""
+        names = frozenset(f"other-{number}" for number in range(29))
+        placement = Placement(
+            zone="a",
+            warm_up=WarmUp(
+                sharing=lambda: ChosenSenders(own="own", names=names),
+                random=Random(0),
+                started=float("-inf"),
+            ),
+        )
+        by_name = {f"e{n}": upstream(f"e{n}", service="pool") for n in range(9)}
+        for name in by_name:
+            placement.note_cold(name, 0.0, 0.0)
+            placement.failed(name, Failure.UNREACHABLE, 0.0)
+        reached = set()
+        for step in range(1000):
+            now = 2.0 + step / 100
+            placed = place(placement, job(f"r{step}"), COLD_POOL, by_name, now=now)
+            if placed is not None:
+                placement.succeeded(placed.upstream.name, now)
+                placement.release(placed)
+                reached.add(placed.upstream.name)
+        assert reached == set(by_name)
+
     def test_services_without_a_bound_are_not_held_back(self):
         [placement] = self.fleet(1)
         by_name = engines(count=1)
