--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -276,7 +276,7 @@
         parts, name = self._parts, placed.upstream.name
         match outcome:
             case Answered(head=head) as answered:
-                if head.status >= SERVER_ERROR and self._may_run_again():
+                if head.status >= SERVER_ERROR and self._may_run_again("error"):
                     self._log_failure(placed, "error", str(head.status))
                     self._failure = placed, answered
                     self._tried |= {name}
@@ -309,7 +309,9 @@
         self._tried |= {name}
         if self._turned_away > MAX_TURNED_AWAY or self._time_left() <= 0:
             return BROKEN if self._ran else OVERLOADED
-        if reason is NotRunReason.FULL and not parts.retries.take():
+        if reason is not NotRunReason.FULL:
+            self._log_retry(reason, allowed=True, charged=False)
+        elif not self._take_retry(reason):
             return BROKEN if self._ran else OVERLOADED
         return _AGAIN
 
@@ -318,14 +320,35 @@
         if reason is BrokenReason.DEADLINE:
             return TIMED_OUT
         self._parts.placement.failed(name, Failure.ERROR, monotonic())
-        return _AGAIN if self._may_run_again() else BROKEN
+        return _AGAIN if self._may_run_again(reason) else BROKEN
 
-    def _may_run_again(self) -> bool:
+    def _may_run_again(self, cause: str) -> bool:
         """Whether another run is allowed, pays, and is in the budget of retries."""
         route = self._accepted.route
         if not route.repeatable or self._runs >= route.max_attempts:
             return False
-        return self._time_left() > 0 and self._parts.retries.take()
+        return self._time_left() > 0 and self._take_retry(cause)
+
+    def _take_retry(self, cause: str) -> bool:
+        """Spend one retry if there is one."""
+        allowed = self._parts.retries.take()
+        self._log_retry(cause, allowed=allowed, charged=allowed)
+        return allowed
+
+    def _log_retry(self, cause: str, *, allowed: bool, charged: bool) -> None:
+        service = self._accepted.service.name
+        log_info(
+            "retry_decided",
+            request=self._accepted.call.request_id,
+            service=service,
+            cause=cause,
+            allowed=allowed,
+            charged=charged,
+            saved=round(self._parts.retries.saved, 2),
+        )
+        self._parts.metrics.retry_decided(
+            service=service, cause=cause, allowed=allowed
+        )
 
     def _time_left(self) -> float:
         return self._accepted.call.deadline - monotonic()
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -88,6 +88,11 @@
             "Attempts that ended without a usable answer, by kind of failure.",
             ("failure",),
         )
+        self._retries = self._counter(
+            "ragwortkeel_retries_total",
+            "Decisions on another attempt, by service, cause and whether allowed.",
+            ("service", "cause", "allowed"),
+        )
         self._crashes = self._counter(
             "ragwortkeel_upstream_crashes_total", "Crashes of upstreams heard of.", ()
         )
@@ -146,6 +151,10 @@
         """Count an attempt that failed."""
         self._failures.labels(failure).inc()
 
+    def retry_decided(self, *, service: str, cause: str, allowed: bool) -> None:
+        """Count a decision on another attempt of a request."""
+        self._retries.labels(service, cause, str(allowed).lower()).inc()
+
     def upstream_crashed(self) -> None:
         """Count a crash heard of."""
         self._crashes.inc()
--- a/src/ragwortkeel/policy/retries.py
+++ b/src/ragwortkeel/policy/retries.py
@@ -60,6 +60,11 @@
         self._reserve = reserve
         self._tokens = reserve
 
+    @property
+    def saved(self) -> float:
+        """Retries that could be spent now; a part of one can't."""
+        return self._tokens
+
     def earn(self) -> None:
         """Count one first attempt."""
         self._tokens = min(self._reserve, self._tokens + self._share)
