--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -346,9 +346,7 @@
             charged=charged,
             saved=round(self._parts.retries.saved, 2),
         )
-        self._parts.metrics.retry_decided(
-            service=service, cause=cause, allowed=allowed
-        )
+        self._parts.metrics.retry_decided(service=service, cause=cause, allowed=allowed)
 
     def _time_left(self) -> float:
         return self._accepted.call.deadline - monotonic()
--- a/tests/ingress/in_process.py
+++ b/tests/ingress/in_process.py
@@ -233,10 +233,11 @@
         links = [free_address() for _ in range(self.count)]
         for i in range(self.count):
             await self.start_worker(f"ingress-{i}", links[i], tuple(links))
-        while not all(self._knows_all(worker) for worker in self.workers):
+        while not all(self.knows_all(worker) for worker in self.workers):
             await curio.sleep(0.01)
 
-    def _knows_all(self, worker):
+    def knows_all(self, worker):
+        """Whether the process may serve and has all upstreams."""
         known = worker._directory.upstream_by_name
         return worker.ready and len(known) == len(self.upstreams)
 
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -8,9 +8,10 @@
     Queued,
     Reason,
     Refusal,
+    UpstreamFacts,
 )
 from ragwortkeel.policy.quarantine import Crash
-from ragwortkeel.policy.retries import MAX_ATTEMPTS
+from ragwortkeel.policy.retries import MAX_ATTEMPTS, RESERVE, RETRY_SHARE
 
 
 def learn(made, seconds=1.0, first_token=0.2):
@@ -129,6 +130,22 @@
         assert sum(isinstance(a, Assignment | Queued) for a in answers) <= 15
         assert {refusal.reason for refusal in spent} == {Reason.RETRY_BUDGET}
 
+    def test_requests_of_one_back_end_pay_no_retries_of_another(self):
+        """Guards against a retry budget over all back ends of a router."""
+        made = scheduler(9)
+        apps = [UpstreamFacts(name=f"a{i}", back_end="app", zone="a") for i in range(3)]
+        made.upstreams_changed([*upstreams(9), *apps], now=0.0)
+        retries = 0
+        for i in range(40):
+            for j in range(3):
+                made.offer(request(f"r{i}-{j}"), now=float(i))
+                made.finished(f"r{i}-{j}", now=float(i))
+            made.offer(request(f"a{i}", back_ends=("app",), deadline=99.0), float(i))
+            answer = made.failed(f"a{i}", Failure.ERROR, now=float(i))
+            retries += not isinstance(answer, Refusal)
+            made.left(f"a{i}", now=float(i))
+        assert 0 < retries <= RESERVE + 40 * RETRY_SHARE
+
     def test_refused_in_the_queue_after_a_failed_attempt_is_not_called_unrun(self):
         """An attempt breaks off; the retry finds all places taken.
 
