A retry budget for each service

Cause: one budget for all services of a process, earned by all requests, three quarters of them for engines, and spent at the service that failed. Its class: a bound that is set for one thing (a service) and counted over another (a process). The router's scheduler had the same over all its back ends.

--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -91,6 +91,7 @@
         self._parts = parts
         self._accepted = accepted
         self._responder = to
+        self._retries = parts.retries.of(accepted.service.name)
         self._relay = Relay(responder=to, last_event=accepted.call.last_event)
         self._runs = 0
         self._turned_away = 0
@@ -117,7 +118,7 @@
         if isinstance(hold, Answer):
             await self._answer(hold)
             return
-        self._parts.retries.earn()
+        self._retries.earn()
         try:
             answer = await self._tries()
             if answer is not None:
@@ -331,7 +332,7 @@
 
     def _take_retry(self, cause: str) -> bool:
         """Spend one retry if there is one."""
-        allowed = self._parts.retries.take()
+        allowed = self._retries.take()
         self._log_retry(cause, allowed=allowed, charged=allowed)
         return allowed
 
@@ -344,7 +345,7 @@
             cause=cause,
             allowed=allowed,
             charged=charged,
-            saved=round(self._parts.retries.saved, 2),
+            saved=round(self._retries.saved, 2),
         )
         self._parts.metrics.retry_decided(service=service, cause=cause, allowed=allowed)
 
--- a/src/ragwortkeel/ingress/front_parts.py
+++ b/src/ragwortkeel/ingress/front_parts.py
@@ -16,7 +16,7 @@
 from ragwortkeel.logs import log_info
 from ragwortkeel.metrics import Metrics
 from ragwortkeel.policy.facts import Failure
-from ragwortkeel.policy.retries import RetryBudget
+from ragwortkeel.policy.retries import RetryBudgets
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -29,7 +29,7 @@
     keeper: BudgetKeeper
     crashes: CrashWatch
     connections: UpstreamConnections
-    retries: RetryBudget
+    retries: RetryBudgets
     metrics: Metrics
 
     def refused(
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -53,7 +53,7 @@
 from ragwortkeel.platform import Platform
 from ragwortkeel.platform_counts import CountedPlatform
 from ragwortkeel.policy.quarantine import Crash
-from ragwortkeel.policy.retries import RetryBudget, reserve_of_one
+from ragwortkeel.policy.retries import RetryBudgets, reserve_of_one
 from ragwortkeel.policy.warm_up import WarmUp, sharing_among
 from ragwortkeel.process import Leftover
 from ragwortkeel.settings import Address, IngressSettings, changed_fields
@@ -61,12 +61,12 @@
 from ragwortkeel.traces import Tracing
 
 RETRY_SHARE = 0.12
-"""Of first attempts.  The fleet as a whole may add a fifth; each process keeps
-below, as its own count of first attempts may run behind."""
+"""Of first attempts at a service.  The fleet as a whole may add a fifth; each process
+keeps below, as its own count of first attempts may run behind."""
 
 RETRY_RESERVE = 6.0
-"""Retries saved up by a quiet process of a small fleet, less in a larger one; see
-`policy.retries.reserve_of_one`."""
+"""Retries at a service saved up by a quiet process of a small fleet, less in a larger
+one; see `policy.retries.reserve_of_one`."""
 
 UPKEEP_SECONDS = 0.2
 """How often lapsed entries and idle connections are looked at."""
@@ -152,7 +152,7 @@
             group=self._peers.writers,
             clocks=self._time.reading,
         )
-        self._retries = RetryBudget(share=RETRY_SHARE, reserve=RETRY_RESERVE)
+        self._retries = RetryBudgets(share=RETRY_SHARE, reserve=RETRY_RESERVE)
         self._connections = UpstreamConnections(id_header=names.request_id)
         self._front = Front(
             parts=FrontParts(
--- a/src/ragwortkeel/policy/retries.py
+++ b/src/ragwortkeel/policy/retries.py
@@ -7,11 +7,15 @@
 
 The budget is a share of first attempts.  A share adds up: when each router
 keeps retries under 10% of its own first attempts, so does the fleet, with no
-messages between them.  What must not repeat is never retried once it may have
-run.  An attempt that certainly did not run costs the upstreams nothing, so it
-takes nothing from the budget; `MAX_ATTEMPTS` bounds it.
+messages between them.  Each service has a budget of its own: a small one that fails
+would else get all retries that the requests for a large one have earned.  What must
+not repeat is never retried once it may have run.  An attempt that certainly did not
+run costs the upstreams nothing, so it takes nothing from the budget; `MAX_ATTEMPTS`
+bounds it.
 """
 
+from collections.abc import Hashable
+
 RETRY_SHARE = 0.1
 """Ten retries to a hundred requests: losing one upstream of ten at once needs
 about as many, and the others can carry it at 90% load."""
@@ -80,3 +84,35 @@
             return False
         self._tokens -= 1.0
         return True
+
+
+class RetryBudgets:
+    """A retry budget for each service, or whatever else requests are for.
+
+    Examples
+    --------
+    >>> budgets = RetryBudgets(share=0.5, reserve=1.0)
+    >>> budgets.of("chat").take(), budgets.of("chat").take()
+    (True, False)
+    >>> budgets.of("lookup").take()
+    True
+    """
+
+    def __init__(self, *, share: float = RETRY_SHARE, reserve: float = RESERVE) -> None:
+        self._share = share
+        self._reserve = reserve
+        self._budget_by_service: dict[Hashable, RetryBudget] = {}
+
+    def of(self, service: Hashable) -> RetryBudget:
+        """Return the budget of a service."""
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = RetryBudget(share=self._share, reserve=self._reserve)
+            self._budget_by_service[service] = budget
+        return budget
+
+    def keep(self, reserve: float) -> None:
+        """Change the reserve of each service."""
+        self._reserve = reserve
+        for budget in self._budget_by_service.values():
+            budget.keep(reserve)
--- a/src/ragwortkeel/policy/scheduler.py
+++ b/src/ragwortkeel/policy/scheduler.py
@@ -24,7 +24,7 @@
 )
 from ragwortkeel.policy.quarantine import Crash, Quarantine, Verdict
 from ragwortkeel.policy.queueing import FairQueue, Waiting
-from ragwortkeel.policy.retries import MAX_ATTEMPTS, RetryBudget
+from ragwortkeel.policy.retries import MAX_ATTEMPTS, RetryBudgets
 from ragwortkeel.policy.settings import Mechanism, SchedulerSettings
 from ragwortkeel.policy.upstreams import UpstreamTable
 
@@ -98,7 +98,7 @@
         self._alone_by_id: dict[str, Waiting] = {}
         self._running_by_id: dict[str, _Running] = {}
         self._refusals: list[Refusal] = []
-        self._retry_budget = RetryBudget(share=self._settings.retry_share)
+        self._retries = RetryBudgets(share=self._settings.retry_share)
         self._quarantine = Quarantine()
         self._times = ServiceTimes()
         self._places = Places()
@@ -117,7 +117,7 @@
 
     def offer(self, request: RequestFacts, now: float) -> Decision:
         """Decide on a new request; `Queued` is followed up by `next`."""
-        self._retry_budget.earn()
+        self._retries.of(request.back_ends).earn()
         latest_start, _ = self._times.latest_start(request)
         return self._consider(Waiting(request=request, latest_start=latest_start), now)
 
@@ -206,7 +206,8 @@
             return _final(waiting, Reason.MUST_NOT_REPEAT)
         if waiting.attempt >= MAX_ATTEMPTS:
             return _final(waiting, Reason.ATTEMPTS)
-        if not did_not_run and not self._retry_budget.take():
+        retries = self._retries.of(waiting.request.back_ends)
+        if not did_not_run and not retries.take():
             return self._refuse(waiting, Reason.RETRY_BUDGET, 1.0)
         return self._consider(replace(waiting, attempt=waiting.attempt + 1), now)
 
