Requests that another instance turned away are repeated within the retry budget

What callers would see: after a loss of power, a release or a reuse of addresses each request may reach three upstreams that turn it away, and the services get up to three times their requests (BUDGET). What was not reached stays free, as nothing arrived there.

One test is renamed, its check unchanged: such a request is still served elsewhere, but no longer 'costs nothing'.

--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -310,7 +310,8 @@
         self._tried |= {name}
         if self._turned_away > MAX_TURNED_AWAY or self._time_left() <= 0:
             return BROKEN if self._ran else OVERLOADED
-        if reason is not NotRunReason.FULL:
+        if reason is NotRunReason.UNREACHABLE:
+            # Nothing arrived there, so what is sent on is no repeat.
             self._log_retry(reason, allowed=True, charged=False)
         elif not self._take_retry(reason):
             return BROKEN if self._ran else OVERLOADED
--- a/src/ragwortkeel/policy/retries.py
+++ b/src/ragwortkeel/policy/retries.py
@@ -9,9 +9,12 @@
 keeps retries under 10% of its own first attempts, so does the fleet, with no
 messages between them.  Each service has a budget of its own: a small one that fails
 would else get all retries that the requests for a large one have earned.  What must
-not repeat is never retried once it may have run.  An attempt that certainly did not
-run costs the upstreams nothing, so it takes nothing from the budget; `MAX_ATTEMPTS`
-bounds it.
+not repeat is never retried once it may have run.
+
+What counts is each arrival at an upstream beyond the first of its request, also one
+that it turned away: after a loss of power all processes would else send most requests
+on at once, from instance to instance that is no longer there.  A router's attempt that
+a sidecar turned away has not arrived at the upstream, and takes nothing.
 """
 
 from collections.abc import Hashable
--- a/tests/ingress/test_requests.py
+++ b/tests/ingress/test_requests.py
@@ -244,7 +244,7 @@
 
 class TestTurnedAway:
     @pytest.mark.parametrize("path", ["/lookup/1", "/filing/1"])
-    def test_another_instance_at_the_address_costs_nothing(self, path):
+    def test_another_instance_at_the_address_is_no_reason_to_refuse(self, path):
         async def script(seen, sock):
             answer = plain(seen, status="421 Misdirected", proof=False)
             await sock.sendall(answer)
