A process that has just started has three retries, not a whole reserve

What callers would see: processes that are killed again and again while upstreams fail, or a fleet that starts at once, send the reserves of all their starts together (BUDGET). Cause: a new budget began full, and the reserve of one followed the peers heard of, which are few at a start; now also the holders that the ledgers show.

Two retries were tried first and were too few: one failing upstream takes three failures to be ejected (an existing test of four lookups failed).

--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -452,7 +452,8 @@
             await self._upstreams.expire()
             await self._connections.sweep()
             await self._tell_crashes()
-            processes = self._peers.known_routers
+            holders = self._keeper.allowances.holders
+            processes = max(self._peers.known_routers, holders)
             reserve = reserve_of_one(processes=processes, most=RETRY_RESERVE)
             self._retries.keep(reserve)
             self.metrics.load(
--- a/src/ragwortkeel/policy/retries.py
+++ b/src/ragwortkeel/policy/retries.py
@@ -27,6 +27,11 @@
 """Retries saved up at the most by a quiet router: the failure of one upstream
 leaves a handful of requests to run again."""
 
+START_RETRIES = 3.0
+"""Retries of a process that has just started: one upstream that fails is ejected after
+as many.  With a whole reserve a series of kills, or a fleet that starts at once, would
+send the reserves of all its starts together."""
+
 FLEET_RESERVE = 30.0
 """Retries saved up at the most by all processes of a fleet together.  A fixed reserve
 of each adds up instead: 29 quiet processes with 6 would send 174 at once."""
@@ -52,6 +57,13 @@
 class RetryBudget:
     """Tokens earned by first attempts and spent by retries.
 
+    Parameters
+    ----------
+    share : float
+        Retries earned by one first attempt.
+    reserve : float
+        Retries saved up at the most.
+
     Examples
     --------
     >>> budget = RetryBudget(share=0.5, reserve=1.0)
@@ -65,7 +77,7 @@
     def __init__(self, *, share: float = RETRY_SHARE, reserve: float = RESERVE) -> None:
         self._share = share
         self._reserve = reserve
-        self._tokens = reserve
+        self._tokens = min(reserve, START_RETRIES)
 
     @property
     def saved(self) -> float:
