Limits that upstreams announce are read, logged and counted

Each change of one is a line and a gauge now, each value that can't be read a line; nothing decides by it yet. An answer without a limit ends one only if its request was sent after the limit was named: answers overtake each other. What another instance answers (421) says nothing of this one.

--- a/src/ragwortkeel/exceptions.py
+++ b/src/ragwortkeel/exceptions.py
@@ -136,6 +136,10 @@
     """The platform holds something that is no such configuration or entry."""
 
 
+class LimitUnreadable(IngressError):
+    """An upstream's answer names a rate limit that is no decimal number."""
+
+
 class LifecycleError(RagwortkeelError):
     """An event came that the state chart has no transition for.
 
--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -93,6 +93,9 @@
 
     Parameters
     ----------
+    on_head
+        Called with the head of each answer that is the upstream's own, and the
+        monotonic second at which its request was sent.
     on_first_event
         Called once the prompt has been read.
     """
@@ -105,6 +108,7 @@
         relay: Relay,
         names: HeaderNames,
         connections: UpstreamConnections,
+        on_head: Callable[[Head, float], None],
         on_first_event: Callable[[], None],
     ) -> None:
         self._call = call
@@ -112,7 +116,9 @@
         self._relay = relay
         self._names = names
         self._connections = connections
+        self._on_head = on_head
         self._on_first_event = on_first_event
+        self._sent_at = 0.0
         self.sent = False
 
     async def run(self) -> Outcome:
@@ -148,6 +154,7 @@
         try:
             async with curio.timeout_after(max(0.001, left)):
                 self.sent = True
+                self._sent_at = monotonic()
                 await connection.send(self._outgoing(left))
                 return await self._answer(connection)
         except curio.TaskTimeout:
@@ -159,6 +166,8 @@
         head = await self._head(connection)
         if isinstance(head, Broken):
             return head
+        if head.status != MISDIRECTED:
+            self._on_head(head, self._sent_at)
         if head.status == MISDIRECTED or head.get(self._names.not_run):
             await _read_all(connection)
             return _not_run(head)
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -233,6 +233,9 @@
             relay=self._relay,
             names=parts.names,
             connections=parts.connections,
+            on_head=lambda head, sent_at: parts.stated_limits.note(
+                placed.upstream.name, head, sent_at=sent_at
+            ),
             on_first_event=lambda: self._begun(placed),
         )
         outcome: Outcome | None = None
--- a/src/ragwortkeel/ingress/front_parts.py
+++ b/src/ragwortkeel/ingress/front_parts.py
@@ -12,6 +12,7 @@
 from ragwortkeel.ingress.dispatch import Dispatcher
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.placement import Placement
+from ragwortkeel.ingress.stated_limits import StatedLimits
 from ragwortkeel.ingress.upstream_connection import UpstreamConnections
 from ragwortkeel.logs import log_info
 from ragwortkeel.metrics import Metrics
@@ -30,6 +31,7 @@
     crashes: CrashWatch
     connections: UpstreamConnections
     retries: RetryBudgets
+    stated_limits: StatedLimits
     metrics: Metrics
 
     def refused(
--- a/src/ragwortkeel/ingress/names.py
+++ b/src/ragwortkeel/ingress/names.py
@@ -49,6 +49,9 @@
         In an upstream's answer: its signature, without which no success counts.
     last_event : str
         Id of the last event that the caller has.
+    rate_limit : str
+        In an upstream's answer: requests a second that it takes from the whole fleet,
+        for as long as its answers say so.
     reserved : frozenset of str
         Headers that only the ingress may set; a caller's are dropped.
     """
@@ -63,6 +66,7 @@
     not_run: str = "x-not-run"
     proof: str = "x-upstream-proof"
     last_event: str = "last-event-id"
+    rate_limit: str = "x-rate-limit"
     reserved: frozenset[str] = frozenset()
 
     @property
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -34,6 +34,7 @@
 from ragwortkeel.ingress.placement import Load, Placement
 from ragwortkeel.ingress.relaying import RelayedPlatform
 from ragwortkeel.ingress.routing import RoutingTable
+from ragwortkeel.ingress.stated_limits import StatedLimits
 from ragwortkeel.ingress.upstream_connection import UpstreamConnections
 from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.messages import (
@@ -153,6 +154,9 @@
             clocks=self._time.reading,
         )
         self._retries = RetryBudgets(share=RETRY_SHARE, reserve=RETRY_RESERVE)
+        self._stated_limits = StatedLimits(
+            header=names.rate_limit, metrics=self.metrics
+        )
         self._connections = UpstreamConnections(id_header=names.request_id)
         self._front = Front(
             parts=FrontParts(
@@ -163,6 +167,7 @@
                 crashes=self._crashes,
                 connections=self._connections,
                 retries=self._retries,
+                stated_limits=self._stated_limits,
                 metrics=self.metrics,
             )
         )
@@ -435,7 +440,9 @@
                 cold_seconds = move.upstream.cold_seconds
                 self._placement.note_cold(move.name, cold_seconds, monotonic())
         if moves:
-            self._placement.keep(set(self._directory.upstream_by_name))
+            upstreams = set(self._directory.upstream_by_name)
+            self._placement.keep(upstreams)
+            self._stated_limits.keep(upstreams)
             await self._dispatcher.place_waiting()
 
     async def _tell_crashes(self) -> None:
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -106,6 +106,11 @@
             "Requests running or waiting at an upstream.",
             ("upstream",),
         )
+        self._upstream_announced = self._gauge(
+            "ragwortkeel_upstream_announced_limit",
+            "Requests a second that an upstream takes from all processes, as it says.",
+            ("upstream",),
+        )
         self._revision = self._gauge(
             "ragwortkeel_configuration_revision",
             "Highest configuration revision in force here.",
@@ -164,6 +169,14 @@
         self._upstream_limit.labels(name).set(limit)
         self._upstream_load.labels(name).set(load)
 
+    def upstream_announced(self, *, name: str, limit: float | None) -> None:
+        """Note the rate limit that an upstream announced; None for none."""
+        gauge = self._upstream_announced.labels(name)
+        if limit is None:
+            self._upstream_announced.remove(name)
+            return
+        gauge.set(limit)
+
     def tokens_spent(self, *, service: str, tokens: int) -> None:
         """Add tokens that were billed."""
         self._tokens.labels(service).inc(tokens)
--- /dev/null
+++ b/tests/ingress/test_stated_limits.py
@@ -0,0 +1,68 @@
+"""What upstreams state of their rate limits, as answers and peers tell it."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ragwortkeel.exceptions import LimitUnreadable
+from ragwortkeel.ingress.stated_limits import StatedLimits, read_limit
+from ragwortkeel.ingress.upstream_connection import Head
+from ragwortkeel.metrics import Metrics
+
+HEADER = "x-rate-limit"
+
+
+def head(*values):
+    return Head(status=200, fields=tuple((HEADER, value) for value in values))
+
+
+class TestReading:
+    @pytest.mark.parametrize(
+        ("values", "limit"),
+        [((), None), (("1.2",), 1.2), (("0",), 0.0), ((" 7 ",), 7.0), ((".5",), 0.5)],
+    )
+    def test_a_decimal_number_is_a_limit(self, values, limit):
+        assert read_limit(head(*values), HEADER) == limit
+
+    @pytest.mark.parametrize(
+        "values",
+        [
+            ("",),
+            ("-1",),
+            ("nan",),
+            ("inf",),
+            ("1e3",),
+            ("1,2",),
+            ("many",),
+            ("1.2", "3"),
+            ("9" * 40,),
+        ],
+    )
+    def test_anything_else_is_told_apart(self, values):
+        with pytest.raises(LimitUnreadable):
+            read_limit(head(*values), HEADER)
+
+    @given(st.lists(st.text(max_size=30), max_size=3))
+    def test_no_value_ends_the_reader(self, values):
+        """Guards against an answer that is lost over a header it does not need."""
+        stated = StatedLimits(header=HEADER, metrics=Metrics())
+        stated.note("u1", head(*values), sent_at=0.0)
+
+
+class TestStatements:
+    def test_an_unreadable_limit_leaves_the_one_in_force(self):
+        stated = StatedLimits(header=HEADER, metrics=Metrics())
+        stated.note("u1", head("1.5"), sent_at=0.0)
+        stated.note("u1", head("many"), sent_at=1e12)
+        assert stated.limits.of("u1") == 1.5
+
+    @pytest.mark.parametrize("gone", [False, True])
+    def test_the_metric_ends_with_the_limit(self, gone):
+        metrics = Metrics()
+        stated = StatedLimits(header=HEADER, metrics=metrics)
+        stated.note("u1", head("1.5"), sent_at=0.0)
+        assert b'announced_limit{upstream="u1"} 1.5' in metrics.render()
+        if not gone:
+            stated.note("u1", head(), sent_at=1e12)
+        stated.keep(set())
+        assert b'announced_limit{upstream="u1"}' not in metrics.render()
