WarmUp becomes FleetRates: a rate that the whole fleet shares, whatever bounds it

No change of what is decided: the bound (rate, senders, whether all know of it) is a value now, FleetRate, so that an announced limit needs no second counter. What was counted for upstreams that are gone is dropped.

--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -28,7 +28,7 @@
 from ragwortkeel.ingress.prefixes import KEPT_SHARE, Part, PrefixMemory
 from ragwortkeel.policy.ejection import Ejections
 from ragwortkeel.policy.facts import Failure
-from ragwortkeel.policy.warm_up import EqualShare, WarmUp
+from ragwortkeel.policy.fleet_rates import EqualShare, FleetRate, FleetRates
 
 RUNNING_COST_TOKENS = 250
 """Each running request slows the others' steps; over an answer of 300 tokens
@@ -180,8 +180,8 @@
         Availability zone of this process.
     ejections : Ejections
         Which upstreams fail.
-    warm_up : WarmUp
-        How often cold upstreams may be sent a request.
+    rates : FleetRates
+        How often upstreams with a bound on the fleet may be sent a request.
     """
 
     def __init__(
@@ -189,11 +189,11 @@
         *,
         zone: str,
         ejections: Ejections | None = None,
-        warm_up: WarmUp | None = None,
+        rates: FleetRates | None = None,
     ) -> None:
         self._zone = zone
         self.ejections = ejections or Ejections()
-        self._warm_up = warm_up or _sole_sender()
+        self._rates = rates or _sole_sender()
         self._state_by_name: dict[str, _State] = {}
         self._news_by_name: dict[str, dict[int, int]] = {}
 
@@ -265,7 +265,7 @@
         state = self._state_by_name.setdefault(upstream, _State())
         state.cold = _Cold(at=now, seconds=seconds)
         if not seconds:
-            self._warm_up.forget(upstream)
+            self._rates.forget(upstream)
 
     def forget(self, upstream: str) -> None:
         """Drop what a restarted or gone upstream no longer holds."""
@@ -316,6 +316,7 @@
     def keep(self, upstreams: set[str]) -> None:
         """Forget upstreams that are gone and hold no own work."""
         self.ejections.keep(upstreams)
+        self._rates.keep(upstreams)
         self._state_by_name = {
             name: state
             for name, state in self._state_by_name.items()
@@ -346,18 +347,18 @@
         return job.memory_tokens <= room or total.running == 0
 
     def _bears_one_more(self, upstream: Upstream, service: Service, now: float) -> bool:
-        """Whether the upstream is warm, or cold and due a request of this process."""
-        if not service.cold_per_second:
-            return True
+        """Whether the upstream has no bound, or is due a request of this process."""
+        rate = self._rate(upstream, service, now)
+        return rate is None or self._rates.may_send(upstream.name, rate, now=now)
+
+    def _rate(
+        self, upstream: Upstream, service: Service, now: float
+    ) -> FleetRate | None:
+        """Return the bound on the upstream's requests; None for none."""
         cold = self._state(upstream).cold
-        if not cold.holds(service, now):
-            return True
-        return self._warm_up.may_send(
-            upstream.name,
-            per_second=service.cold_per_second,
-            now=now,
-            told=cold.told,
-        )
+        if not service.cold_per_second or not cold.holds(service, now):
+            return None
+        return FleetRate(per_second=service.cold_per_second, known_to_all=cold.told)
 
     def _plain_cost(self, job: Job, now: float) -> Callable[[Upstream], float]:
         def cost(upstream: Upstream) -> tuple[float, int]:
@@ -414,14 +415,14 @@
         state.running += 1
         state.memory_tokens += job.memory_tokens
         state.unread_tokens += unread
-        if service.cold_per_second and state.cold.holds(service, now):
-            self._warm_up.sent(upstream.name)
+        if self._rate(upstream, service, now) is not None:
+            self._rates.sent(upstream.name)
         self.ejections.assigned(upstream.name, now)
         return Placed(upstream=upstream, job=job, unread_tokens=unread, load=load)
 
 
-def _sole_sender() -> WarmUp:
-    return WarmUp(
+def _sole_sender() -> FleetRates:
+    return FleetRates(
         sharing=lambda: EqualShare(processes=1), random=Random(), started=float("-inf")
     )
 
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -53,9 +53,9 @@
 from ragwortkeel.metrics import Metrics
 from ragwortkeel.platform import Platform
 from ragwortkeel.platform_counts import CountedPlatform
+from ragwortkeel.policy.fleet_rates import FleetRates, sharing_among
 from ragwortkeel.policy.quarantine import Crash
 from ragwortkeel.policy.retries import RetryBudgets, reserve_of_one
-from ragwortkeel.policy.warm_up import WarmUp, sharing_among
 from ragwortkeel.process import Leftover
 from ragwortkeel.settings import Address, IngressSettings, changed_fields
 from ragwortkeel.tasks import run_together
@@ -118,7 +118,7 @@
         self._evacuations = Evacuations()
         self._placement = Placement(
             zone=settings.zone,
-            warm_up=WarmUp(
+            rates=FleetRates(
                 sharing=lambda: sharing_among(
                     own=settings.address,
                     others=self._peers.routers,
--- a/tests/ingress/test_placement.py
+++ b/tests/ingress/test_placement.py
@@ -9,7 +9,7 @@
 
 from ragwortkeel.ingress.placement import Load, Placement
 from ragwortkeel.policy.facts import Failure
-from ragwortkeel.policy.warm_up import ChosenSenders, EqualShare, WarmUp
+from ragwortkeel.policy.fleet_rates import ChosenSenders, EqualShare, FleetRates
 
 APP = engine_service("app").__class__(name="app", max_connections=96)
 POOL = engine_service("pool")
@@ -205,7 +205,7 @@
         return [
             Placement(
                 zone="a",
-                warm_up=WarmUp(
+                rates=FleetRates(
                     sharing=lambda: EqualShare(processes=size),
                     random=Random(index),
                     started=float("-inf"),
@@ -287,7 +287,7 @@
         names = frozenset(f"other-{number}" for number in range(29))
         placement = Placement(
             zone="a",
-            warm_up=WarmUp(
+            rates=FleetRates(
                 sharing=lambda: ChosenSenders(own="own", names=names),
                 random=Random(0),
                 started=float("-inf"),
--- a/tests/policy/test_warm_up.py
+++ b/tests/policy/test_fleet_rates.py
@@ -4,17 +4,19 @@
 
 import pytest
 
-from ragwortkeel.policy.warm_up import (
+from ragwortkeel.policy.fleet_rates import (
     LEARNING_SECONDS,
     SENDERS,
     ChosenSenders,
     EqualShare,
-    WarmUp,
+    FleetRate,
+    FleetRates,
     share_of_rate,
     sharing_among,
 )
 
 PER_SECOND = 10.0
+RATE = FleetRate(per_second=PER_SECOND)
 MOST_A_SECOND = 20
 """What such an upstream bears in any second: half as much again, and five."""
 
@@ -34,7 +36,7 @@
 def starts(sharings, *, seed, upstream="u1", step=STEP_SECONDS):
     """Return when a cold upstream gets requests, with callers waiting everywhere."""
     processes = [
-        WarmUp(sharing=sharing, random=Random(seed * 10_000 + index), started=0.0)
+        FleetRates(sharing=sharing, random=Random(seed * 10_000 + index), started=0.0)
         for index, sharing in enumerate(sharings)
     ]
     sent = []
@@ -42,7 +44,7 @@
     for number in range(int(COLD_SECONDS / step)):
         now = begun + number * step
         for process in processes:
-            if process.may_send(upstream, per_second=PER_SECOND, now=now):
+            if process.may_send(upstream, RATE, now=now):
                 process.sent(upstream)
                 sent.append(now)
     return sent
@@ -96,12 +98,12 @@
 
     def test_a_process_that_has_just_started_sends_nothing(self):
         """Guards against a fleet that starts, and whose processes know nobody yet."""
-        alone = WarmUp(
+        alone = FleetRates(
             sharing=lambda: EqualShare(processes=1), random=Random(0), started=10.0
         )
         for step in range(int(LEARNING_SECONDS / STEP_SECONDS) - 1):
             now = 10.0 + step * STEP_SECONDS
-            assert not alone.may_send("u1", per_second=PER_SECOND, now=now)
+            assert not alone.may_send("u1", RATE, now=now)
 
 
 class TestShares:
@@ -130,10 +132,10 @@
         assert len(senders) > 10
 
     def test_idle_time_saves_up_one_request_only(self):
-        alone = WarmUp(
+        alone = FleetRates(
             sharing=lambda: EqualShare(processes=1), random=Random(0), started=0.0
         )
-        alone.may_send("u1", per_second=PER_SECOND, now=4.0)
-        assert alone.may_send("u1", per_second=PER_SECOND, now=60.0)
+        alone.may_send("u1", RATE, now=4.0)
+        assert alone.may_send("u1", RATE, now=60.0)
         alone.sent("u1")
-        assert not alone.may_send("u1", per_second=PER_SECOND, now=60.0)
+        assert not alone.may_send("u1", RATE, now=60.0)
