Announced limits of upstreams are kept by all processes together

Now an announced limit is a FleetRate beside that of cold upstreams, and the lower one binds: senders chosen by rendezvous, as many as the limit bears (a few for one request a second, all for a high one), equal shares where no answer named it for 5 s. Two ways in the model (tests/policy/test_announced_limits.py, any four seconds, 3 to 1,000 processes, limits 0 to 50, also after idle time): chosen senders keep the rule everywhere; equal shares do for an unconfirmed limit of 1.2 at up to 68 processes with callers everywhere, and would not after idle time with more processes than requests allowed.

Where all upstreams of a service announced limits, a request that would wait too long for this process's part is refused at once, with when its turn could come.

The share of a process is kept until the processes or the senders change: ranking 1,000 processes for each choice made the model alone take minutes.

--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -1,13 +1,14 @@
 """Gives waiting requests their places, in order, as soon as there is room."""
 
 from dataclasses import dataclass
+from math import isfinite
 from time import monotonic
 
 import curio
 
 from ragwortkeel.ingress.configuration import Service
 from ragwortkeel.ingress.directory import Directory
-from ragwortkeel.ingress.placement import Job, Placed, Placement
+from ragwortkeel.ingress.placement import Job, OwnRates, Placed, Placement
 from ragwortkeel.ingress.waiting import Waiter, WaitingRoom
 from ragwortkeel.logs import log_info
 from ragwortkeel.policy.admission import Turns
@@ -16,6 +17,10 @@
 """How often waiting requests are looked at even if nothing was released here:
 other processes' work ends too, and is told about as often."""
 
+ELSEWHERE_SECONDS = 1.0
+"""When to come back where all that limited upstreams take is other processes' to send:
+the caller's next connection is likely to meet one of them."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class NoRoom:
@@ -29,12 +34,16 @@
         Whether there are others that must not: evacuated ones, or away from home.
     seconds : float
         How long its turn would take from now, as far as one can tell.
+    rate : float or None
+        Where all upstreams announced a limit, the requests a second that this process
+        may send.
     """
 
     waiting: int
     upstreams: int
     withheld: bool
     seconds: float
+    rate: float | None = None
 
 
 class Dispatcher:
@@ -71,7 +80,8 @@
         first in line always waits, or no turn would ever correct the estimate.
 
         So is whoever may go to none of the upstreams there are, as in an evacuation of
-        all availability zones: nobody knows how long that lasts.
+        all availability zones: nobody knows how long that lasts.  And so is who would
+        wait too long for its part of the limits that all upstreams announced.
         """
         self._service_by_name[service.name] = service
         if self._directory.withholds(service=service.name, regions=job.regions):
@@ -83,6 +93,9 @@
                 return placed
         elif monotonic() + self._seconds_to_turn(job) > latest_start:
             return self._no_room(job)
+        rates = self._own_rates(job, tried)
+        if rates and monotonic() + rates.seconds_to_turn(ahead) > latest_start:
+            return self._no_room(job)
         return await self._wait(job, latest_start, tried)
 
     async def release(self, placed: Placed) -> None:
@@ -162,11 +175,26 @@
     def _no_room(self, job: Job) -> NoRoom:
         usable = self._directory.usable(service=job.service, regions=job.regions)
         withheld = self._directory.withholds(service=job.service, regions=job.regions)
+        waiting = self.room.waiting_before(job)
+        rates = self._own_rates(job, frozenset())
+        seconds = self._seconds_to_turn(job)
+        if rates is not None:
+            to_rate = rates.seconds_to_turn(waiting)
+            seconds = max(seconds, to_rate if isfinite(to_rate) else ELSEWHERE_SECONDS)
         return NoRoom(
-            waiting=self.room.waiting_before(job),
+            waiting=waiting,
             upstreams=len(usable),
             withheld=withheld,
-            seconds=self._seconds_to_turn(job),
+            seconds=seconds,
+            rate=rates.per_second if rates else None,
+        )
+
+    def _own_rates(self, job: Job, tried: frozenset[str]) -> OwnRates | None:
+        usable = self._directory.usable(service=job.service, regions=job.regions)
+        return self._placement.own_rates(
+            service=self._service_by_name[job.service],
+            upstreams=[one for name, one in usable.items() if name not in tried],
+            now=monotonic(),
         )
 
     def _turns(self, service: str) -> Turns:
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -210,6 +210,7 @@
             waiting=placed.waiting,
             upstreams=placed.upstreams,
             seconds=round(placed.seconds, 3),
+            rate=placed.rate,
         )
         return returning(OVERLOADED, placed.seconds)
 
--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -19,13 +19,15 @@
   once more, and all of them again after each restart.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from math import inf
 from random import Random
 
 from ragwortkeel.ingress.configuration import Engine, Service, Upstream
 from ragwortkeel.ingress.prefixes import KEPT_SHARE, Part, PrefixMemory
+from ragwortkeel.policy.announced_limits import AnnouncedLimits
 from ragwortkeel.policy.ejection import Ejections
 from ragwortkeel.policy.facts import Failure
 from ragwortkeel.policy.fleet_rates import EqualShare, FleetRate, FleetRates
@@ -120,6 +122,30 @@
     begun: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class OwnRates:
+    """What one process may send to a service whose upstreams all announced a limit.
+
+    Attributes
+    ----------
+    per_second : float
+        Requests a second, to all of them.
+    seconds_to_next : float
+        When it may send one more; infinite where all is others' to send.
+    """
+
+    per_second: float
+    seconds_to_next: float
+
+    def seconds_to_turn(self, ahead: int) -> float:
+        """Return when a request may be sent that has so many before it."""
+        if not ahead:
+            return self.seconds_to_next
+        if not self.per_second:
+            return inf
+        return self.seconds_to_next + ahead / self.per_second
+
+
 @dataclass(frozen=True, kw_only=True)
 class _Cold:
     """An upstream that is cold for `seconds` from the monotonic second `at`.
@@ -182,6 +208,8 @@
         Which upstreams fail.
     rates : FleetRates
         How often upstreams with a bound on the fleet may be sent a request.
+    limits : AnnouncedLimits
+        The bounds that upstreams themselves have named.
     """
 
     def __init__(
@@ -190,10 +218,12 @@
         zone: str,
         ejections: Ejections | None = None,
         rates: FleetRates | None = None,
+        limits: AnnouncedLimits | None = None,
     ) -> None:
         self._zone = zone
         self.ejections = ejections or Ejections()
         self._rates = rates or _sole_sender()
+        self._limits = limits or AnnouncedLimits()
         self._state_by_name: dict[str, _State] = {}
         self._news_by_name: dict[str, dict[int, int]] = {}
 
@@ -234,6 +264,23 @@
             return None
         return self._place(min(with_room, key=cost), service, job, now)
 
+    def own_rates(
+        self, *, service: Service, upstreams: Iterable[Upstream], now: float
+    ) -> OwnRates | None:
+        """Return what this process may send where all upstreams announced a limit.
+
+        None where one has not, or is only cold: that passes within seconds.
+        """
+        pairs = [(one, self._rate(one, service, now)) for one in upstreams]
+        if not pairs or any(self._limits.of(one.name) is None for one, _ in pairs):
+            return None
+        return OwnRates(
+            per_second=sum(self._rates.own_rate(u.name, rate) for u, rate in pairs),
+            seconds_to_next=min(
+                self._rates.seconds_to_next(u.name, rate, now=now) for u, rate in pairs
+            ),
+        )
+
     def begun(self, placed: Placed) -> None:
         """Note the first token: the prompt has been read."""
         if not placed.begun:
@@ -264,7 +311,7 @@
         """Take an upstream for cold for so long from now; 0 for warm."""
         state = self._state_by_name.setdefault(upstream, _State())
         state.cold = _Cold(at=now, seconds=seconds)
-        if not seconds:
+        if not seconds and self._limits.of(upstream) is None:
             self._rates.forget(upstream)
 
     def forget(self, upstream: str) -> None:
@@ -354,11 +401,15 @@
     def _rate(
         self, upstream: Upstream, service: Service, now: float
     ) -> FleetRate | None:
-        """Return the bound on the upstream's requests; None for none."""
+        """Return the bound on the upstream's requests, of several the least."""
+        announced = self._limits.rate(upstream.name, now)
         cold = self._state(upstream).cold
         if not service.cold_per_second or not cold.holds(service, now):
-            return None
-        return FleetRate(per_second=service.cold_per_second, known_to_all=cold.told)
+            return announced
+        bound = FleetRate(per_second=service.cold_per_second, known_to_all=cold.told)
+        if announced is not None and announced.per_second < bound.per_second:
+            return announced
+        return bound
 
     def _plain_cost(self, job: Job, now: float) -> Callable[[Upstream], float]:
         def cost(upstream: Upstream) -> tuple[float, int]:
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -116,8 +116,12 @@
         incarnation = f"{settings.name}/{secrets.token_hex(4)}"
         self._directory = Directory(region_by_zone=settings.region_by_zone)
         self._evacuations = Evacuations()
+        self._stated_limits = StatedLimits(
+            header=names.rate_limit, metrics=self.metrics
+        )
         self._placement = Placement(
             zone=settings.zone,
+            limits=self._stated_limits.limits,
             rates=FleetRates(
                 sharing=lambda: sharing_among(
                     own=settings.address,
@@ -154,9 +158,6 @@
             clocks=self._time.reading,
         )
         self._retries = RetryBudgets(share=RETRY_SHARE, reserve=RETRY_RESERVE)
-        self._stated_limits = StatedLimits(
-            header=names.rate_limit, metrics=self.metrics
-        )
         self._connections = UpstreamConnections(id_header=names.request_id)
         self._front = Front(
             parts=FrontParts(
--- a/src/ragwortkeel/policy/announced_limits.py
+++ b/src/ragwortkeel/policy/announced_limits.py
@@ -4,12 +4,32 @@
 processes go on sending to it, or turn to it.  It says in its answers how many requests
 a second it takes from all of them, until an answer no longer says so.  Processes hear
 that at different moments, from their own answers or from each other; the newest
-statement holds.
+statement holds.  Without the limit's sum over the fleet, each process would take the
+whole of it.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from ragwortkeel.policy.fleet_rates import FleetRate
+
+LEAST_PER_SECOND = 0.25
+"""Of a limit near zero: without any request nobody would find out that it ended."""
+
+FEWEST_SENDERS = 3
+SENDERS_PER_REQUEST = 1.5
+"""Senders for each request a second.  With few of them most callers' processes could
+not use an upstream whose limit is hardly below its load; each adds a request that it
+may have saved up, and upstreams bear half as much again as their limit, over a few
+seconds, and a handful of requests."""
+
+SAVED_SECONDS = 0.5
+"""Of its share, what an idle sender saves up: requests come in bursts."""
+
+UNCONFIRMED_SECONDS = 5.0
+"""A limit that no answer named for so long is shared by all processes equally: those
+that were chosen to send may be gone."""
+
 TOLD_SECONDS = 5.0
 """For how long a statement is passed on to peers; their reports are seconds apart in
 a large fleet."""
@@ -77,6 +97,18 @@
         known = self._statement_by_upstream.get(upstream)
         return known.per_second if known else None
 
+    def rate(self, upstream: str, now: float) -> FleetRate | None:
+        """Return the bound on the fleet's requests to an upstream; None for none."""
+        known = self._statement_by_upstream.get(upstream)
+        if known is None or known.per_second is None:
+            return None
+        return FleetRate(
+            per_second=max(LEAST_PER_SECOND, known.per_second),
+            senders=FEWEST_SENDERS + int(SENDERS_PER_REQUEST * known.per_second),
+            saved_seconds=SAVED_SECONDS,
+            known_to_all=now - known.at < UNCONFIRMED_SECONDS,
+        )
+
     def recent(self, now: float) -> dict[str, Statement]:
         """Return the statements that peers should hear of."""
         return {
--- a/src/ragwortkeel/policy/fleet_rates.py
+++ b/src/ragwortkeel/policy/fleet_rates.py
@@ -107,6 +107,15 @@
             return 1 / len(chosen) if own in chosen else 0.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Share:
+    """A part of the rate, kept as long as what it was worked out from."""
+
+    sharing: Sharing
+    senders: int
+    part: float
+
+
 @dataclass(kw_only=True)
 class _Bucket:
     level: float
@@ -147,13 +156,14 @@
         self._random = random
         self._learned_at = started + LEARNING_SECONDS
         self._bucket_by_upstream: dict[str, _Bucket] = {}
+        self._share_by_upstream: dict[str, _Share] = {}
 
     def own_rate(self, upstream: str, rate: FleetRate) -> float:
         """Return this process's part of the rate, in requests a second."""
         sharing = self._sharing()
         if not rate.known_to_all:
             sharing = _equal_among_all(sharing)
-        return rate.per_second * share_of_rate(sharing, upstream, senders=rate.senders)
+        return rate.per_second * self._part(sharing, upstream, rate.senders)
 
     def may_send(self, upstream: str, rate: FleetRate, *, now: float) -> bool:
         """Whether the upstream may be sent one more request now."""
@@ -175,6 +185,15 @@
             return 0.0
         return (1.0 - bucket.level) / own_rate if own_rate else inf
 
+    def _part(self, sharing: Sharing, upstream: str, senders: int) -> float:
+        # Ranking all processes of a large fleet for each request would be slow.
+        known = self._share_by_upstream.get(upstream)
+        if known is None or (known.sharing, known.senders) != (sharing, senders):
+            part = share_of_rate(sharing, upstream, senders=senders)
+            known = _Share(sharing=sharing, senders=senders, part=part)
+            self._share_by_upstream[upstream] = known
+        return known.part
+
     def sent(self, upstream: str) -> None:
         """Note that a request goes to an upstream with a bound."""
         self._bucket_by_upstream[upstream].level -= 1.0
@@ -182,8 +201,9 @@
     def forget(self, upstream: str) -> None:
         """Drop what was counted for an upstream without a bound."""
         self._bucket_by_upstream.pop(upstream, None)
+        self._share_by_upstream.pop(upstream, None)
 
     def keep(self, upstreams: Iterable[str]) -> None:
         """Drop what was counted for upstreams that are gone."""
         for name in self._bucket_by_upstream.keys() - set(upstreams):
-            del self._bucket_by_upstream[name]
+            self.forget(name)
--- a/tests/policy/test_announced_limits.py
+++ b/tests/policy/test_announced_limits.py
@@ -1,10 +1,28 @@
 """Pattern of load: an upstream in need asks all processes together for less."""
 
+from random import Random
+
+import pytest
+
 from ragwortkeel.policy.announced_limits import (
     TOLD_SECONDS,
+    UNCONFIRMED_SECONDS,
     AnnouncedLimits,
     Statement,
 )
+from ragwortkeel.policy.fleet_rates import (
+    LEARNING_SECONDS,
+    ChosenSenders,
+    EqualShare,
+    FleetRates,
+)
+
+WINDOW_SECONDS = 4.0
+TIMES_THE_LIMIT = 1.5
+AND_REQUESTS = 5
+"""Of the users' rule on any four seconds."""
+
+PLAYED_SECONDS = 12.0
 
 
 class TestNewestStatement:
@@ -51,3 +69,88 @@
         limits.answered("u1", 1.2, sent_at=7.0, now=8.0)
         limits.keep(["u2"])
         assert limits.of("u1") is None
+
+
+def chosen_among(names):
+    sharings = [ChosenSenders(own=own, names=frozenset(names)) for own in names]
+    return [lambda sharing=sharing: sharing for sharing in sharings]
+
+
+def equal_among(names):
+    return [lambda: EqualShare(processes=len(names)) for _ in names]
+
+
+def sent_by(sharings, limit, *, idle=0.0, seed=0, step=0.02):
+    """Return when an upstream gets requests, with callers waiting at all processes.
+
+    Before that all processes are idle for some seconds, but for one request each.
+    """
+    limits = AnnouncedLimits()
+    limits.take("u1", Statement(per_second=limit, at=1e9))
+    rates = [
+        FleetRates(sharing=sharing, random=Random(seed * 10_000 + i), started=0.0)
+        for i, sharing in enumerate(sharings)
+    ]
+    begun = LEARNING_SECONDS + idle
+    bound = limits.rate("u1", begun)
+    for process in rates:
+        process.may_send("u1", bound, now=LEARNING_SECONDS)
+    sent = []
+    for number in range(int(PLAYED_SECONDS / step)):
+        now = begun + number * step
+        for process in rates:
+            while process.may_send("u1", bound, now=now):
+                process.sent("u1")
+                sent.append(now)
+    return sent
+
+
+def most_in_a_window(sent):
+    most = first = 0
+    for last, at in enumerate(sent):
+        while at - sent[first] >= WINDOW_SECONDS:
+            first += 1
+        most = max(most, last + 1 - first)
+    return most
+
+
+class TestSumOverTheFleet:
+    @pytest.mark.parametrize("size", [3, 5, 30, 68, 1000])
+    @pytest.mark.parametrize("limit", [0.0, 0.3, 1.2, 10.0, 50.0])
+    @pytest.mark.parametrize("idle", [0.0, 60.0])
+    def test_all_processes_together_keep_to_the_limit(self, size, limit, idle):
+        """Guards against a sum of shares, or of what idle processes saved up."""
+        names = [f"process-{number}" for number in range(size)]
+        step = 0.02 if size < 1000 else 0.1
+        for seed in range(4 if size < 1000 else 1):
+            sent = sent_by(chosen_among(names), limit, idle=idle, seed=seed, step=step)
+            most = TIMES_THE_LIMIT * WINDOW_SECONDS * limit + AND_REQUESTS
+            assert 0 < most_in_a_window(sent) <= most
+
+    @pytest.mark.parametrize("size", [3, 5, 30, 68])
+    def test_an_unconfirmed_limit_is_shared_by_all_and_kept(self, size):
+        """Guards against a burst of all who no longer know that the limit holds."""
+        names = [f"process-{number}" for number in range(size)]
+        for seed in range(4):
+            sent = sent_by(equal_among(names), 1.2, seed=seed)
+            assert most_in_a_window(sent) <= TIMES_THE_LIMIT * 4.8 + AND_REQUESTS
+
+    @pytest.mark.parametrize("limit", [10.0, 50.0])
+    def test_most_of_a_large_limit_is_used(self, limit):
+        """Guards against callers refused though their upstream would take them."""
+        names = [f"process-{number}" for number in range(30)]
+        sent = sent_by(chosen_among(names), limit)
+        assert len(sent) >= 0.95 * limit * PLAYED_SECONDS
+
+    def test_a_large_limit_is_not_for_a_few_processes(self):
+        """Guards against an upstream that most processes may not use any more."""
+        limits = AnnouncedLimits()
+        limits.take("u1", Statement(per_second=20.0, at=0.0))
+        assert limits.rate("u1", 1.0).senders >= 30
+
+    def test_an_unconfirmed_limit_is_known_as_such(self):
+        """Guards against a limit that only processes which are gone could end."""
+        limits = AnnouncedLimits()
+        limits.take("u1", Statement(per_second=1.2, at=0.0))
+        assert limits.rate("u1", UNCONFIRMED_SECONDS - 0.1).known_to_all
+        assert not limits.rate("u1", UNCONFIRMED_SECONDS).known_to_all
