Processes tell each other what answers said of limits

A process that is not chosen to send to a limited upstream hears of the limit, and of its end, from those that are: with their load reports, only what their own answers said, with its age. What was said of an earlier instance of a name is dropped. A request whose turn would come only just in time is refused at once: turns are looked at each 0.05 s, and one was held for 1.5 s and then refused (seen in the test of all upstreams limited).

--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -17,6 +17,10 @@
 """How often waiting requests are looked at even if nothing was released here:
 other processes' work ends too, and is told about as often."""
 
+LATE_TURN_SECONDS = 2 * PLACING_SECONDS
+"""A turn may be noticed so late: a request that would have it just in time is not held
+for it."""
+
 ELSEWHERE_SECONDS = 1.0
 """When to come back where all that limited upstreams take is other processes' to send:
 the caller's next connection is likely to meet one of them."""
@@ -94,7 +98,8 @@
         elif monotonic() + self._seconds_to_turn(job) > latest_start:
             return self._no_room(job)
         rates = self._own_rates(job, tried)
-        if rates and monotonic() + rates.seconds_to_turn(ahead) > latest_start:
+        latest_turn = latest_start - LATE_TURN_SECONDS
+        if rates and monotonic() + rates.seconds_to_turn(ahead) > latest_turn:
             return self._no_room(job)
         return await self._wait(job, latest_start, tried)
 
--- a/src/ragwortkeel/ingress/load_reports.py
+++ b/src/ragwortkeel/ingress/load_reports.py
@@ -85,5 +85,10 @@
 
 
 def _says_anything(state: IngressState) -> bool:
-    news = state.parts_by_upstream, state.addresses, state.relays
+    news = (
+        state.parts_by_upstream,
+        state.addresses,
+        state.relays,
+        state.limit_by_upstream,
+    )
     return bool(state.load_by_upstream) or any(news)
--- a/src/ragwortkeel/ingress/peer_handler.py
+++ b/src/ragwortkeel/ingress/peer_handler.py
@@ -4,6 +4,7 @@
 
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.messages import (
+    AnnouncedLimit,
     ClockAnswer,
     CrashSeen,
     EvacuatedZones,
@@ -59,6 +60,12 @@
     def heard_crash(self, crash: CrashSeen) -> None:
         """Take in a crash that a peer found."""
 
+    def limits(self) -> dict[str, AnnouncedLimit]:
+        """Return what answers said lately of their upstreams' rate limits."""
+
+    def heard_limits(self, limit_by_upstream: dict[str, AnnouncedLimit]) -> None:
+        """Take in what answers to a peer said."""
+
     def upstreams_revision(self) -> int:
         """Return the revision of the newest change of an upstream's entry here."""
 
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -11,6 +11,7 @@
 from ragwortkeel.ingress.peers import Peers
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.messages import (
+    AnnouncedLimit,
     ClockAnswer,
     CrashSeen,
     EvacuatedZones,
@@ -121,6 +122,13 @@
     def heard_crash(self, crash: CrashSeen) -> None:
         """Leave a crash."""
 
+    def limits(self) -> dict[str, AnnouncedLimit]:
+        """Return that no upstream has answered it."""
+        return {}
+
+    def heard_limits(self, limit_by_upstream: dict[str, AnnouncedLimit]) -> None:
+        """Leave it; nothing is placed here."""
+
     def upstreams_revision(self) -> int:
         """Return that it knows of no upstream."""
         return 0
--- a/src/ragwortkeel/ingress/stated_limits.py
+++ b/src/ragwortkeel/ingress/stated_limits.py
@@ -4,10 +4,12 @@
 from time import monotonic
 
 from ragwortkeel.exceptions import LimitUnreadable
+from ragwortkeel.ingress.configuration import Upstream
 from ragwortkeel.ingress.upstream_connection import Head
 from ragwortkeel.logs import log_info, log_warning
+from ragwortkeel.messages import AnnouncedLimit
 from ragwortkeel.metrics import Metrics
-from ragwortkeel.policy.announced_limits import AnnouncedLimits
+from ragwortkeel.policy.announced_limits import AnnouncedLimits, Statement
 
 LOGGED_CHARACTERS = 40
 """Of a value that can't be read."""
@@ -48,6 +50,7 @@
         self._header = header
         self._metrics = metrics
         self._unreadable: set[str] = set()
+        self._born_by_upstream: dict[str, int] = {}
 
     def note(self, upstream: str, head: Head, *, sent_at: float) -> None:
         """Take in the head of an answer to a request sent at that second."""
@@ -61,11 +64,46 @@
         if self.limits.answered(upstream, per_second, sent_at=sent_at, now=monotonic()):
             self._log_change(upstream, was, source="answer")
 
+    def recent(self) -> dict[str, AnnouncedLimit]:
+        """Return what answers to this process said lately, for its peers."""
+        now = monotonic()
+        return {
+            name: AnnouncedLimit(
+                per_second=statement.per_second,
+                age_seconds=round(now - statement.at, 3),
+            )
+            for name, statement in self.limits.recent(now).items()
+        }
+
+    def heard(self, limit_by_upstream: dict[str, AnnouncedLimit]) -> None:
+        """Take in what answers to a peer said."""
+        now = monotonic()
+        for name, told in limit_by_upstream.items():
+            was = self.limits.of(name)
+            statement = Statement(
+                per_second=told.per_second, at=now - told.age_seconds, own=False
+            )
+            if self.limits.take(name, statement):
+                self._log_change(name, was, source="peer")
+
+    def met(self, upstream: Upstream) -> None:
+        """Drop what an earlier instance of that name said."""
+        known = self._born_by_upstream.get(upstream.name)
+        self._born_by_upstream[upstream.name] = upstream.born
+        if known is None or upstream.born <= known:
+            return
+        was = self.limits.of(upstream.name)
+        self.limits.forget(upstream.name)
+        if was is not None:
+            self._log_change(upstream.name, was, source="restart")
+
     def keep(self, upstreams: set[str]) -> None:
         """Drop what upstreams said that are gone."""
         for gone in self.limits.keep(upstreams):
             self._metrics.upstream_announced(name=gone, limit=None)
         self._unreadable &= upstreams
+        for gone in self._born_by_upstream.keys() - upstreams:
+            del self._born_by_upstream[gone]
 
     def _log_change(self, upstream: str, was: float | None, *, source: str) -> None:
         limit = self.limits.of(upstream)
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -38,6 +38,7 @@
 from ragwortkeel.ingress.upstream_connection import UpstreamConnections
 from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.messages import (
+    AnnouncedLimit,
     ClockAnswer,
     CrashSeen,
     EvacuatedZones,
@@ -332,6 +333,14 @@
             Crash(crash_id=crash.crash_id, fingerprints=frozenset(crash.fingerprints))
         )
 
+    def limits(self) -> dict[str, AnnouncedLimit]:
+        """Return what answers said lately of their upstreams' rate limits."""
+        return self._stated_limits.recent()
+
+    def heard_limits(self, limit_by_upstream: dict[str, AnnouncedLimit]) -> None:
+        """Take in what answers to a peer said."""
+        self._stated_limits.heard(limit_by_upstream)
+
     def upstreams_revision(self) -> int:
         """Return the revision of the newest change of an upstream's entry here."""
         return self._upstreams.newest
@@ -438,6 +447,7 @@
             if move.upstream is None:
                 self._placement.forget(move.name)
             else:
+                self._stated_limits.met(move.upstream)
                 cold_seconds = move.upstream.cold_seconds
                 self._placement.note_cold(move.name, cold_seconds, monotonic())
         if moves:
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -415,6 +415,16 @@
     unread_tokens: int
 
 
+class AnnouncedLimit(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What an upstream's answer said of its rate limit, so many seconds ago.
+
+    `per_second` is for the whole fleet; None ends an earlier limit.
+    """
+
+    per_second: float | None
+    age_seconds: float
+
+
 class IngressState(Message):
     """What an ingress process has where, and whom it knows.
 
@@ -424,7 +434,8 @@
     `parts_by_upstream` holds, by upstream, tokens by chain of shared prompt parts that
     it began to read since the last such message, or all of them for a `PartsCall`;
     `upstreams_revision` is that of the newest change of an upstream's entry it knows;
-    `evacuations_revision` and `evacuated_zones` are as in `EvacuatedZones`.
+    `evacuations_revision` and `evacuated_zones` are as in `EvacuatedZones`;
+    `limit_by_upstream` holds what answers to the sender said lately.
     """
 
     node: str
@@ -437,6 +448,7 @@
     upstreams_revision: int = 0
     evacuations_revision: int = 0
     evacuated_zones: tuple[str, ...] = ()
+    limit_by_upstream: dict[str, AnnouncedLimit] = {}
 
 
 class EvacuatedZones(Message):
--- a/src/ragwortkeel/policy/announced_limits.py
+++ b/src/ragwortkeel/policy/announced_limits.py
@@ -45,10 +45,13 @@
         Requests a second from the whole fleet; None for no limit.
     at : float
         Monotonic second from which it holds.
+    own : bool
+        Whether an answer to this process said so; else a peer passed it on.
     """
 
     per_second: float | None
     at: float
+    own: bool = True
 
 
 class AnnouncedLimits:
@@ -110,11 +113,14 @@
         )
 
     def recent(self, now: float) -> dict[str, Statement]:
-        """Return the statements that peers should hear of."""
+        """Return the statements that peers should hear of.
+
+        Only own ones: passed on again, one would seem newer than it is.
+        """
         return {
             name: statement
             for name, statement in self._statement_by_upstream.items()
-            if now - statement.at < TOLD_SECONDS
+            if statement.own and now - statement.at < TOLD_SECONDS
         }
 
     def forget(self, upstream: str) -> None:
--- a/tests/ingress/test_limited_upstreams.py
+++ b/tests/ingress/test_limited_upstreams.py
@@ -112,3 +112,22 @@
     scripts = {"u1": limited, "u2": answer_whole}
     arrived, asked = run_ingress(scenario, scripts=scripts, processes=PROCESSES)
     assert arrived > asked / 4
+
+
+def test_a_process_that_got_no_answer_of_it_hears_of_a_limit_from_a_peer():
+    """Guards against processes that learn of a limit by sending once more each."""
+    limited = Limited()
+
+    async def scenario(fleet):
+        await curio.sleep(SETTLED_SECONDS)
+        await fleet.ask("/lookup/1", process=0)
+        async with curio.timeout_after(5):
+            while any(
+                worker._stated_limits.limits.of("u1") is None
+                for worker in fleet.workers
+            ):
+                await curio.sleep(0.01)
+        return len(limited.arrived)
+
+    scripts = {"u1": limited}
+    assert run_ingress(scenario, scripts=scripts, processes=PROCESSES) == 1
--- a/tests/ingress/test_stated_limits.py
+++ b/tests/ingress/test_stated_limits.py
@@ -1,8 +1,11 @@
 """What upstreams state of their rate limits, as answers and peers tell it."""
 
+from time import monotonic
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from tests.ingress.builders import upstream
 
 from ragwortkeel.exceptions import LimitUnreadable
 from ragwortkeel.ingress.stated_limits import StatedLimits, read_limit
@@ -56,6 +59,16 @@
         stated.note("u1", head("many"), sent_at=1e12)
         assert stated.limits.of("u1") == 1.5
 
+    def test_a_later_instance_of_that_name_has_no_limit(self):
+        """Guards against an upstream that is spared after its restart."""
+        stated = StatedLimits(header=HEADER, metrics=Metrics())
+        stated.met(upstream("u1", born=1))
+        stated.note("u1", head("1.5"), sent_at=0.0)
+        stated.met(upstream("u1", born=1))
+        assert stated.limits.of("u1") == 1.5
+        stated.met(upstream("u1", born=2))
+        assert stated.limits.of("u1") is None
+
     @pytest.mark.parametrize("gone", [False, True])
     def test_the_metric_ends_with_the_limit(self, gone):
         metrics = Metrics()
@@ -66,3 +79,24 @@
             stated.note("u1", head(), sent_at=1e12)
         stated.keep(set())
         assert b'announced_limit{upstream="u1"}' not in metrics.render()
+
+
+class TestPeers:
+    def test_a_peer_hears_of_a_limit_and_of_its_end(self):
+        """Guards against processes that are not chosen to send, and never find out."""
+        teller = StatedLimits(header=HEADER, metrics=Metrics())
+        peer = StatedLimits(header=HEADER, metrics=Metrics())
+        teller.note("u1", head("1.5"), sent_at=0.0)
+        peer.heard(teller.recent())
+        assert peer.limits.of("u1") == 1.5
+        teller.note("u1", head(), sent_at=monotonic())
+        peer.heard(teller.recent())
+        assert peer.limits.of("u1") is None
+
+    def test_what_a_peer_said_is_not_passed_on(self):
+        """Guards against two processes that keep an old limit alive for each other."""
+        teller = StatedLimits(header=HEADER, metrics=Metrics())
+        peer = StatedLimits(header=HEADER, metrics=Metrics())
+        teller.note("u1", head("1.5"), sent_at=0.0)
+        peer.heard(teller.recent())
+        assert not peer.recent()
