--- a/deployments/fleet.py
+++ b/deployments/fleet.py
@@ -218,6 +218,22 @@
         """Start a router."""
         return self._daemon("router", name, {"http": f"{HOST}:{free_port()}"} | extra)
 
+    def ingresses(self, count):
+        """Start ingress processes that know each other."""
+        addresses = [f"{HOST}:{free_port()}" for _ in range(count)]
+        return [
+            self._daemon(
+                "ingress",
+                f"ingress-{number}",
+                {
+                    "address": address,
+                    "http": f"{HOST}:{free_port()}",
+                    "peers": [other for other in addresses if other != address],
+                },
+            )
+            for number, address in enumerate(addresses)
+        ]
+
     def _daemon(self, role, name, settings):
         settings = {
             "name": name,
