--- a/tests/ingress/test_dispatch.py
+++ b/tests/ingress/test_dispatch.py
@@ -1,21 +1,33 @@
 """Requests that wait for places: who waits, who is told at once."""
 
+from random import Random
+from time import monotonic
+
 import curio
+import pytest
 from tests.ingress.builders import job, upstream
 
 from ragwortkeel.ingress.configuration import Service
 from ragwortkeel.ingress.directory import Directory
-from ragwortkeel.ingress.dispatch import Dispatcher, NoRoom
+from ragwortkeel.ingress.dispatch import ELSEWHERE_SECONDS, Dispatcher, NoRoom
 from ragwortkeel.ingress.placement import Placement
+from ragwortkeel.policy.announced_limits import AnnouncedLimits
+from ragwortkeel.policy.fleet_rates import (
+    ChosenSenders,
+    EqualShare,
+    FleetRates,
+    share_of_rate,
+)
 
 APP = Service(name="app", max_connections=96)
 LATER = 30.0
 
 
-def dispatcher(slots=1):
+def dispatcher(slots=1, limits=None, rates=None):
     directory = Directory()
     directory.written("u0", upstream("u0", slots=slots), version=1, now=0.0)
-    return Dispatcher(directory=directory, placement=Placement(zone="a"))
+    placement = Placement(zone="a", limits=limits, rates=rates)
+    return Dispatcher(directory=directory, placement=placement)
 
 
 async def acquire(places, name, seconds=LATER):
@@ -89,3 +101,77 @@
         return await first.join()
 
     assert not isinstance(run(scenario), NoRoom)
+
+
+class TestAllUpstreamsLimited:
+    """Pattern of load: all upstreams of a service ask for less than callers send."""
+
+    def run(self, scenario, *, limit, processes):
+        limits = AnnouncedLimits()
+        limits.answered("u0", limit, sent_at=0.0, now=monotonic())
+        rates = FleetRates(
+            sharing=lambda: EqualShare(processes=processes),
+            random=Random(3),
+            started=float("-inf"),
+        )
+
+        async def main():
+            async with curio.timeout_after(20):
+                return await scenario(dispatcher(6, limits, rates))
+
+        return curio.run(main)
+
+    def test_a_request_that_would_wait_too_long_for_its_part_is_told_at_once(self):
+        """Guards against callers held until nothing can serve them in time."""
+
+        async def scenario(places):
+            return await acquire(places, "r0", seconds=1.0)
+
+        begun = monotonic()
+        refused = self.run(scenario, limit=1.0, processes=30)
+        assert isinstance(refused, NoRoom)
+        assert monotonic() - begun < 0.5
+        assert refused.seconds > 1.0
+        assert refused.rate == pytest.approx(1 / 30)
+
+    def test_a_request_whose_part_comes_in_time_waits_for_it(self):
+        """Guards against a limit that is taken for a closed door."""
+
+        async def scenario(places):
+            looking = await curio.spawn(places.run, daemon=True)
+            first = await acquire(places, "r0", seconds=3.0)
+            second = await acquire(places, "r1", seconds=3.0)
+            await looking.cancel()
+            return first, second
+
+        first, second = self.run(scenario, limit=2.0, processes=1)
+        assert not isinstance(first, NoRoom)
+        assert not isinstance(second, NoRoom)
+
+    def test_where_all_is_others_to_send_callers_are_told_to_try_another(self):
+        """Guards against a Retry-After without an end."""
+
+        async def scenario(places):
+            return await acquire(places, "r0", seconds=1.0)
+
+        limits = AnnouncedLimits()
+        limits.answered("u0", 0.0, sent_at=0.0, now=monotonic())
+        names = frozenset(f"p{number}" for number in range(68))
+        chosen = [
+            name
+            for name in names
+            if share_of_rate(ChosenSenders(own=name, names=names), "u0", senders=3)
+        ]
+        own = sorted(names - set(chosen))[0]
+        rates = FleetRates(
+            sharing=lambda: ChosenSenders(own=own, names=names - {own}),
+            random=Random(3),
+            started=float("-inf"),
+        )
+
+        async def main():
+            return await scenario(dispatcher(6, limits, rates))
+
+        refused = curio.run(main)
+        assert refused.seconds == ELSEWHERE_SECONDS
+        assert refused.rate == 0.0
--- a/tests/ingress/test_placement.py
+++ b/tests/ingress/test_placement.py
@@ -8,6 +8,7 @@
 from tests.ingress.builders import ENGINE, engine_service, job, upstream
 
 from ragwortkeel.ingress.placement import Load, Placement
+from ragwortkeel.policy.announced_limits import AnnouncedLimits
 from ragwortkeel.policy.facts import Failure
 from ragwortkeel.policy.fleet_rates import ChosenSenders, EqualShare, FleetRates
 
@@ -313,3 +314,73 @@
         placement.note_cold("e0", 3.0, 0.0)
         sent = [place(placement, job(f"r{n}"), POOL, by_name) for n in range(30)]
         assert all(sent)
+
+
+class TestAnnouncedLimits:
+    def fleet(self, limits, size=3):
+        names = frozenset(f"p{index}" for index in range(size))
+        return [
+            Placement(
+                zone="a",
+                limits=limits,
+                rates=FleetRates(
+                    sharing=lambda own=f"p{index}": ChosenSenders(own=own, names=names),
+                    random=Random(index),
+                    started=float("-inf"),
+                ),
+            )
+            for index in range(size)
+        ]
+
+    def limited(self, **limit_by_upstream):
+        limits = AnnouncedLimits()
+        for name, limit in limit_by_upstream.items():
+            limits.answered(name, limit, sent_at=0.0, now=0.0)
+        return limits
+
+    def placed(self, placements, by_name, service, *, seconds=4.0):
+        """Return where requests go that come to all processes each 0.1 s."""
+        rv = []
+        for step in range(int(seconds * 10)):
+            for index, placement in enumerate(placements):
+                now = step / 10
+                one = place(
+                    placement, job(f"r{step}-{index}"), service, by_name, now=now
+                )
+                if one is not None:
+                    placement.release(one)
+                    rv.append(one.upstream.name)
+        return rv
+
+    def test_what_an_upstream_in_need_does_not_get_others_serve(self):
+        """Guards against an upstream that looks idle and so draws the requests."""
+        fleet = self.fleet(self.limited(u0=1.2))
+        placed = self.placed(fleet, apps(3), APP)
+        assert len(placed) == 120
+        assert 0 < placed.count("u0") <= 1.5 * 4 * 1.2 + 5
+
+    def test_several_upstreams_in_need_are_each_spared(self):
+        fleet = self.fleet(self.limited(u0=1.2, u1=0.0, u2=3.0))
+        placed = self.placed(fleet, apps(3), APP)
+        assert placed.count("u0") <= 1.5 * 4 * 1.2 + 5
+        assert placed.count("u1") <= 5
+        assert placed.count("u2") <= 1.5 * 4 * 3.0 + 5
+
+    def test_a_cold_upstream_with_a_limit_keeps_to_the_lower_bound(self):
+        """Guards against two counters of the same requests."""
+        fleet = self.fleet(self.limited(e0=1.2))
+        for placement in fleet:
+            placement.note_cold("e0", 3.0, 0.0)
+        by_name = {"e0": upstream("e0", service="pool", slots=64)}
+        placed = self.placed(fleet, by_name, COLD_POOL)
+        assert 0 < len(placed) <= 1.5 * 4 * 1.2 + 5
+
+    def test_entries_that_say_warm_do_not_renew_what_is_left_of_a_limit(self):
+        """Guards against a limit whose count begins anew with each change."""
+        fleet = self.fleet(self.limited(u0=0.25), size=1)
+        placed = []
+        for step in range(40):
+            fleet[0].note_cold("u0", 0.0, step / 10)
+            one = place(fleet[0], job(f"r{step}"), APP, apps(1), now=step / 10)
+            placed.append(one is not None)
+        assert sum(placed) <= 2
