The end of an announced limit is told to peers for some seconds only

Each later answer without a limit renewed it, so that reports named for good every upstream that ever had one (found on reading; the test fails without it).

--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -271,9 +271,10 @@
 
         None where one has not, or is only cold: that passes within seconds.
         """
-        pairs = [(one, self._rate(one, service, now)) for one in upstreams]
-        if not pairs or any(self._limits.of(one.name) is None for one, _ in pairs):
+        upstreams = list(upstreams)
+        if not upstreams or any(self._limits.of(u.name) is None for u in upstreams):
             return None
+        pairs = [(u, self._rate(u, service, now)) for u in upstreams]
         return OwnRates(
             per_second=sum(self._rates.own_rate(u.name, rate) for u, rate in pairs),
             seconds_to_next=min(
--- a/src/ragwortkeel/policy/announced_limits.py
+++ b/src/ragwortkeel/policy/announced_limits.py
@@ -9,7 +9,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ragwortkeel.policy.fleet_rates import FleetRate
 
@@ -47,11 +47,19 @@
         Monotonic second from which it holds.
     own : bool
         Whether an answer to this process said so; else a peer passed it on.
+    ended_at : float or None
+        Where there is no limit any more, when that was first said.
     """
 
     per_second: float | None
     at: float
     own: bool = True
+    ended_at: float | None = None
+
+    @property
+    def news_at(self) -> float:
+        """When it last said what peers may not know."""
+        return self.at if self.ended_at is None else self.ended_at
 
 
 class AnnouncedLimits:
@@ -92,6 +100,9 @@
             return True
         if statement.at <= known.at:
             return False
+        if statement.per_second is None:
+            ended_at = statement.at if known.ended_at is None else known.ended_at
+            statement = replace(statement, ended_at=ended_at)
         self._statement_by_upstream[upstream] = statement
         return statement.per_second != known.per_second
 
@@ -120,7 +131,7 @@
         return {
             name: statement
             for name, statement in self._statement_by_upstream.items()
-            if statement.own and now - statement.at < TOLD_SECONDS
+            if statement.own and now - statement.news_at < TOLD_SECONDS
         }
 
     def forget(self, upstream: str) -> None:
--- a/tests/policy/test_announced_limits.py
+++ b/tests/policy/test_announced_limits.py
@@ -64,6 +64,14 @@
         assert limits.recent(9.2)["u1"].per_second is None
         assert not limits.recent(9.0 + TOLD_SECONDS)
 
+    def test_an_end_is_told_for_some_seconds_only(self):
+        """Guards against reports that name every upstream that ever had a limit."""
+        limits = AnnouncedLimits()
+        limits.answered("u1", 1.2, sent_at=7.0, now=8.0)
+        for at in range(9, 30):
+            limits.answered("u1", None, sent_at=at, now=at + 0.1)
+        assert not limits.recent(30.0)
+
     def test_upstreams_that_are_gone_are_forgotten(self):
         limits = AnnouncedLimits()
         limits.answered("u1", 1.2, sent_at=7.0, now=8.0)
