--- a/src/ragwortkeel/cli/report.py
+++ b/src/ragwortkeel/cli/report.py
@@ -13,8 +13,12 @@
 SPAN_SECONDS = 2.0
 """Of a row of the table by time."""
 
+RETRY_SPANS = 5
+"""Rows of that table in which retries of a service are counted together: ten seconds
+show whether they piled up at one service."""
+
 MOST_NAMES = 10_000
-"""Customers that are told apart; those that come later count as one."""
+"""Customers and services that are told apart; those that come later count as one."""
 
 SHOWN_CUSTOMERS = 10
 
@@ -39,6 +43,14 @@
     all_but_one_in_100: float
 
 
+class Retries(msgspec.Struct, frozen=True, kw_only=True):
+    """Decisions on another attempt at one service, `most` in any ten seconds."""
+
+    allowed: int
+    refused: int
+    most: int
+
+
 class Span(msgspec.Struct, frozen=True, kw_only=True):
     """What happened in some seconds, `at` of which the first is."""
 
@@ -62,6 +74,7 @@
     failed_by_reason: dict[str, int]
     lacks_by_cause: dict[str, int]
     lacks_by_customer: dict[str, int]
+    retries_by_service: dict[str, Retries]
     waited: Quantiles
     first_event: Quantiles
     platform_calls: dict[str, int]
@@ -99,6 +112,47 @@
         return 0.0
 
 
+class _RetryCounts:
+    """Counts decisions on another attempt, by service."""
+
+    def __init__(self) -> None:
+        self._refused: Counter[str] = Counter()
+        self._allowed_by_service: dict[str, Counter[int]] = {}
+
+    def add(self, line: DecisionLine) -> None:
+        service = line.fields.get("service", "unknown")
+        known = service in self._allowed_by_service
+        if not known and len(self._allowed_by_service) >= MOST_NAMES:
+            service = OTHERS
+        allowed_by_span = self._allowed_by_service.setdefault(service, Counter())
+        if line.fields.get("allowed") != "true":
+            self._refused[service] += 1
+        elif line.fields.get("charged") == "true":
+            # What is not charged reached no upstream.
+            allowed_by_span[int(line.at // SPAN_SECONDS)] += 1
+
+    def by_service(self) -> dict[str, Retries]:
+        return {
+            service: Retries(
+                allowed=allowed_by_span.total(),
+                refused=self._refused[service],
+                most=_most_together(allowed_by_span),
+            )
+            for service, allowed_by_span in sorted(self._allowed_by_service.items())
+        }
+
+
+def _most_together(count_by_span: Counter[int]) -> int:
+    """Return the most in so many spans in a row as retries are counted over."""
+    return max(
+        (
+            sum(count_by_span[span + later] for later in range(RETRY_SPANS))
+            for span in list(count_by_span)
+        ),
+        default=0,
+    )
+
+
 class Collector:
     """Adds up lines, in memory that does not grow with their number.
 
@@ -124,6 +178,7 @@
         self._failed: Counter[str] = Counter()
         self._lacks: Counter[str] = Counter()
         self._lacks_by_customer: Counter[str] = Counter()
+        self._retries = _RetryCounts()
         self._calls: Counter[str] = Counter()
         self._sent: Counter[str] = Counter()
         self._waited = _Durations()
@@ -144,6 +199,8 @@
                 self._add_run(line)
             case "refused" | "run_failed" | "tokens_lacking":
                 self._add_loss(line)
+            case "retry_decided":
+                self._retries.add(line)
             case "platform_calls":
                 _add_counts(self._calls, line.fields.get("calls", ""))
             case "link_traffic":
@@ -168,6 +225,7 @@
             failed_by_reason=dict(self._failed.most_common()),
             lacks_by_cause=dict(self._lacks.most_common()),
             lacks_by_customer=dict(customers),
+            retries_by_service=self._retries.by_service(),
             waited=self._waited.quantiles(),
             first_event=self._first_event.quantiles(),
             platform_calls=dict(self._calls.most_common()),
@@ -314,6 +372,13 @@
     ):
         if counts:
             parts.append(table((heading, "count"), list(counts.items())))
+    retries = [
+        (service, found.allowed, found.refused, found.most)
+        for service, found in data.retries_by_service.items()
+    ]
+    if retries:
+        headings = ("retries at", "allowed", "refused", "most in ten seconds")
+        parts.append(table(headings, retries))
     spans = [(s.at, s.served, s.refused, s.failed, s.lacked) for s in data.spans]
     if spans:
         headings = ("second", "served", "refused", "runs failed", "lacked tokens")
--- a/tests/cli/test_cli_report.py
+++ b/tests/cli/test_cli_report.py
@@ -122,3 +122,33 @@
 
 def test_it_is_usable_without_a_command_line(logs):
     assert report((str(logs[0]),), "").data.served == 1
+
+
+def retry(at, service="app", *, allowed=True, charged=True):
+    fields = {
+        "service": service,
+        "allowed": str(allowed).lower(),
+        "charged": str(charged).lower(),
+    }
+    return DecisionLine(at=at, process="p", event="retry_decided", fields=fields)
+
+
+def test_retries_that_pile_up_at_one_service_are_seen():
+    """Guards against a report in which a service's repeats vanish in the fleet's."""
+    collector = Collector()
+    for at in (100.0, 101.0, 109.0, 130.0):
+        collector.add("file", retry(at))
+    collector.add("file", retry(100.5, "pool"))
+    collector.add("file", retry(101.5, allowed=False, charged=False))
+    collector.add("file", retry(102.0, charged=False))
+    found = collector.report().retries_by_service
+    assert (found["app"].allowed, found["app"].refused, found["app"].most) == (4, 1, 3)
+    assert (found["pool"].allowed, found["pool"].most) == (1, 1)
+
+
+def test_retries_are_in_the_text(terminal, logs):
+    line = "timestamp=101 event=retry_decided service=app allowed=true charged=true\n"
+    logs[1].write_text(line)
+    code, out, _ = terminal(f"report {logs[1]}")
+    assert code == 0
+    assert "most in ten seconds" in out
