--- a/src/ragwortkeel/ingress/names.py
+++ b/src/ragwortkeel/ingress/names.py
@@ -50,8 +50,8 @@
     last_event : str
         Id of the last event that the caller has.
     rate_limit : str
-        In an upstream's answer: requests a second that it takes from the whole fleet,
-        for as long as its answers say so.
+        In an upstream's answer: requests a second that it takes from the whole fleet;
+        an answer without it ends the limit.
     reserved : frozenset of str
         Headers that only the ingress may set; a caller's are dropped.
     """
--- a/src/ragwortkeel/policy/announced_limits.py
+++ b/src/ragwortkeel/policy/announced_limits.py
@@ -1,11 +1,10 @@
 """Rate limits that upstreams announce, each for all processes of the fleet together.
 
-Pattern of load: an upstream in need still answers well and looks idle, so all
-processes go on sending to it, or turn to it.  It says in its answers how many requests
-a second it takes from all of them, until an answer no longer says so.  Processes hear
-that at different moments, from their own answers or from each other; the newest
-statement holds.  Without the limit's sum over the fleet, each process would take the
-whole of it.
+Pattern of load: an overloaded upstream still answers and looks idle, so all processes
+go on sending to it, or turn to it.  Its answers carry a rate limit for all of them
+together, until one leaves it out.  Processes hear of it at different moments, from
+their own answers or from each other; the newest statement holds.  Unless they share the
+limit, each process would use the whole of it.
 """
 
 from collections.abc import Iterable
@@ -17,11 +16,12 @@
 """Of a limit near zero: without any request nobody would find out that it ended."""
 
 FEWEST_SENDERS = 3
+"""Processes that share the lowest limit: two of them may be dead or lack callers."""
+
 SENDERS_PER_REQUEST = 1.5
-"""Senders for each request a second.  With few of them most callers' processes could
-not use an upstream whose limit is hardly below its load; each adds a request that it
-may have saved up, and upstreams bear half as much again as their limit, over a few
-seconds, and a handful of requests."""
+"""More senders for each request a second.  With few of them most processes could not
+use an upstream whose limit is hardly below its load.  Each may add one request that it
+has saved up, and an upstream takes a burst of half its limit and a few more."""
 
 SAVED_SECONDS = 0.5
 """Of its share, what an idle sender saves up: requests come in bursts."""
--- a/src/ragwortkeel/policy/fleet_rates.py
+++ b/src/ragwortkeel/policy/fleet_rates.py
@@ -1,7 +1,7 @@
 """How often an upstream may be sent a request, where the bound is on the whole fleet.
 
 Patterns of load: an availability zone is taken back, a release replaces all upstreams
-in turn, or crashed ones return cold; or an upstream in need announces a limit.  Each
+in turn, or crashed ones return cold; or an overloaded one announces a limit.  Each
 looks idle, so all processes turn to it within the same second, and it crashes above a
 few requests a second from all of them together.  The bound is on that sum, also while
 processes are cut off from each other, so it can't rest on who is reachable now: each
--- a/tests/ingress/test_limited_upstreams.py
+++ b/tests/ingress/test_limited_upstreams.py
@@ -1,4 +1,4 @@
-"""An upstream in need names a rate limit for the whole fleet in its answers."""
+"""An overloaded upstream announces a rate limit for the whole fleet."""
 
 from time import monotonic
 
--- a/tests/ingress/test_placement.py
+++ b/tests/ingress/test_placement.py
@@ -352,14 +352,14 @@
                     rv.append(one.upstream.name)
         return rv
 
-    def test_what_an_upstream_in_need_does_not_get_others_serve(self):
-        """Guards against an upstream that looks idle and so draws the requests."""
+    def test_what_a_limited_upstream_does_not_get_others_serve(self):
+        """Guards against a limited upstream that looks idle and draws the requests."""
         fleet = self.fleet(self.limited(u0=1.2))
         placed = self.placed(fleet, apps(3), APP)
         assert len(placed) == 120
         assert 0 < placed.count("u0") <= 1.5 * 4 * 1.2 + 5
 
-    def test_several_upstreams_in_need_are_each_spared(self):
+    def test_several_limited_upstreams_are_each_spared(self):
         fleet = self.fleet(self.limited(u0=1.2, u1=0.0, u2=3.0))
         placed = self.placed(fleet, apps(3), APP)
         assert placed.count("u0") <= 1.5 * 4 * 1.2 + 5
--- a/tests/policy/test_announced_limits.py
+++ b/tests/policy/test_announced_limits.py
@@ -1,4 +1,4 @@
-"""Pattern of load: an upstream in need asks all processes together for less."""
+"""Pattern of load: an overloaded upstream limits all processes together."""
 
 from random import Random
 
--- a/tests/processes/test_limited_upstreams.py
+++ b/tests/processes/test_limited_upstreams.py
@@ -1,4 +1,4 @@
-"""An upstream in need names a rate limit; ingress processes of their own keep it."""
+"""An upstream announces a rate limit; ingress processes of their own keep it."""
 
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -76,7 +76,7 @@
 
 
 def test_processes_of_their_own_keep_an_announced_limit_together(fleet):
-    """Guards against processes that each send an upstream in need its whole limit."""
+    """Guards against processes that each use an upstream's whole limit."""
 
     def lookup(number):
         process = processes[number % PROCESSES]
