Usual terms for what processes pass on about announced limits

heard, heard_limits, met, news_at, told and TOLD_SECONDS become merge, merge_limits, note_instance, changed_at, reported and REPORTED_SECONDS. No behaviour or assertion changes.

--- a/src/ragwortkeel/ingress/peer_handler.py
+++ b/src/ragwortkeel/ingress/peer_handler.py
@@ -63,7 +63,7 @@
     def limits(self) -> dict[str, AnnouncedLimit]:
         """Return what answers said lately of their upstreams' rate limits."""
 
-    def heard_limits(self, limit_by_upstream: dict[str, AnnouncedLimit]) -> None:
+    def merge_limits(self, limit_by_upstream: dict[str, AnnouncedLimit]) -> None:
         """Take in what answers to a peer said."""
 
     def upstreams_revision(self) -> int:
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -526,7 +526,7 @@
             )
             for name, load in state.load_by_upstream.items()
         }
-        self._handler.heard_limits(state.limit_by_upstream)
+        self._handler.merge_limits(state.limit_by_upstream)
         hold = hold_seconds(self.known_routers)
         await self._handler.heard_loads(state.node, loads, hold_seconds=hold)
         for name, parts in state.parts_by_upstream.items():
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -126,7 +126,7 @@
         """Return that no upstream has answered it."""
         return {}
 
-    def heard_limits(self, limit_by_upstream: dict[str, AnnouncedLimit]) -> None:
+    def merge_limits(self, limit_by_upstream: dict[str, AnnouncedLimit]) -> None:
         """Leave it; nothing is placed here."""
 
     def upstreams_revision(self) -> int:
--- a/src/ragwortkeel/ingress/stated_limits.py
+++ b/src/ragwortkeel/ingress/stated_limits.py
@@ -75,18 +75,18 @@
             for name, statement in self.limits.recent(now).items()
         }
 
-    def heard(self, limit_by_upstream: dict[str, AnnouncedLimit]) -> None:
+    def merge(self, limit_by_upstream: dict[str, AnnouncedLimit]) -> None:
         """Take in what answers to a peer said."""
         now = monotonic()
-        for name, told in limit_by_upstream.items():
+        for name, reported in limit_by_upstream.items():
             was = self.limits.of(name)
             statement = Statement(
-                per_second=told.per_second, at=now - told.age_seconds, own=False
+                per_second=reported.per_second, at=now - reported.age_seconds, own=False
             )
             if self.limits.take(name, statement):
                 self._log_change(name, was, source="peer")
 
-    def met(self, upstream: Upstream) -> None:
+    def note_instance(self, upstream: Upstream) -> None:
         """Drop what an earlier instance of that name said."""
         known = self._born_by_upstream.get(upstream.name)
         self._born_by_upstream[upstream.name] = upstream.born
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -337,9 +337,9 @@
         """Return what answers said lately of their upstreams' rate limits."""
         return self._stated_limits.recent()
 
-    def heard_limits(self, limit_by_upstream: dict[str, AnnouncedLimit]) -> None:
+    def merge_limits(self, limit_by_upstream: dict[str, AnnouncedLimit]) -> None:
         """Take in what answers to a peer said."""
-        self._stated_limits.heard(limit_by_upstream)
+        self._stated_limits.merge(limit_by_upstream)
 
     def upstreams_revision(self) -> int:
         """Return the revision of the newest change of an upstream's entry here."""
@@ -447,7 +447,7 @@
             if move.upstream is None:
                 self._placement.forget(move.name)
             else:
-                self._stated_limits.met(move.upstream)
+                self._stated_limits.note_instance(move.upstream)
                 cold_seconds = move.upstream.cold_seconds
                 self._placement.note_cold(move.name, cold_seconds, monotonic())
         if moves:
--- a/src/ragwortkeel/policy/announced_limits.py
+++ b/src/ragwortkeel/policy/announced_limits.py
@@ -30,7 +30,7 @@
 """A limit that no answer named for so long is shared by all processes equally: those
 that were chosen to send may be gone."""
 
-TOLD_SECONDS = 5.0
+REPORTED_SECONDS = 5.0
 """For how long a statement is passed on to peers; their reports are seconds apart in
 a large fleet."""
 
@@ -57,8 +57,8 @@
     ended_at: float | None = None
 
     @property
-    def news_at(self) -> float:
-        """When it last said what peers may not know."""
+    def changed_at(self) -> float:
+        """Return the second from which it is due to be reported."""
         return self.at if self.ended_at is None else self.ended_at
 
 
@@ -131,7 +131,7 @@
         return {
             name: statement
             for name, statement in self._statement_by_upstream.items()
-            if statement.own and now - statement.news_at < TOLD_SECONDS
+            if statement.own and now - statement.changed_at < REPORTED_SECONDS
         }
 
     def forget(self, upstream: str) -> None:
--- a/tests/ingress/test_stated_limits.py
+++ b/tests/ingress/test_stated_limits.py
@@ -62,11 +62,11 @@
     def test_a_later_instance_of_that_name_has_no_limit(self):
         """Guards against an upstream that is spared after its restart."""
         stated = StatedLimits(header=HEADER, metrics=Metrics())
-        stated.met(upstream("u1", born=1))
+        stated.note_instance(upstream("u1", born=1))
         stated.note("u1", head("1.5"), sent_at=0.0)
-        stated.met(upstream("u1", born=1))
+        stated.note_instance(upstream("u1", born=1))
         assert stated.limits.of("u1") == 1.5
-        stated.met(upstream("u1", born=2))
+        stated.note_instance(upstream("u1", born=2))
         assert stated.limits.of("u1") is None
 
     @pytest.mark.parametrize("gone", [False, True])
@@ -87,10 +87,10 @@
         teller = StatedLimits(header=HEADER, metrics=Metrics())
         peer = StatedLimits(header=HEADER, metrics=Metrics())
         teller.note("u1", head("1.5"), sent_at=0.0)
-        peer.heard(teller.recent())
+        peer.merge(teller.recent())
         assert peer.limits.of("u1") == 1.5
         teller.note("u1", head(), sent_at=monotonic())
-        peer.heard(teller.recent())
+        peer.merge(teller.recent())
         assert peer.limits.of("u1") is None
 
     def test_what_a_peer_said_is_not_passed_on(self):
@@ -98,5 +98,5 @@
         teller = StatedLimits(header=HEADER, metrics=Metrics())
         peer = StatedLimits(header=HEADER, metrics=Metrics())
         teller.note("u1", head("1.5"), sent_at=0.0)
-        peer.heard(teller.recent())
+        peer.merge(teller.recent())
         assert not peer.recent()
--- a/tests/policy/test_announced_limits.py
+++ b/tests/policy/test_announced_limits.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ragwortkeel.policy.announced_limits import (
-    TOLD_SECONDS,
+    REPORTED_SECONDS,
     UNCONFIRMED_SECONDS,
     AnnouncedLimits,
     Statement,
@@ -62,7 +62,7 @@
         limits.answered("u1", 1.2, sent_at=7.0, now=8.0)
         limits.answered("u1", None, sent_at=9.0, now=9.1)
         assert limits.recent(9.2)["u1"].per_second is None
-        assert not limits.recent(9.0 + TOLD_SECONDS)
+        assert not limits.recent(9.0 + REPORTED_SECONDS)
 
     def test_an_end_is_told_for_some_seconds_only(self):
         """Guards against reports that name every upstream that ever had a limit."""
