Log and count answers in which an upstream says that it leaves

All headers with which upstreams speak of themselves are read in ingress.announcements, limits among them; LimitReader, which parsed its header itself, is LimitTracker now. No decision changes. upstream_limit_unreadable, not released yet, is upstream_announcement_unreadable and names the header.

Tests of ingress/announcements, limited upstreams, metrics, docs: passed.

--- a/src/ragwortkeel/exceptions.py
+++ b/src/ragwortkeel/exceptions.py
@@ -136,8 +136,8 @@
     """An object in the platform is no valid configuration or entry."""
 
 
-class LimitUnreadable(IngressError):
-    """An upstream's answer announces a rate limit that is no decimal number."""
+class AnnouncementUnreadable(IngressError):
+    """An upstream's answer announces something with a value that is not valid."""
 
 
 class LifecycleError(RagwortkeelError):
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -260,8 +260,8 @@
             caller_response=self._caller_response,
             names=components.names,
             connections=components.connections,
-            on_head=lambda head, sent_at: components.limit_reader.receive_head(
-                assignment.upstream.name, head, sent_at=sent_at
+            on_head=lambda head, sent_at: components.announcements.receive_head(
+                assignment.upstream, head, sent_at=sent_at
             ),
             on_first_event=lambda: self._record_first_token(assignment),
         )
--- a/src/ragwortkeel/ingress/front_components.py
+++ b/src/ragwortkeel/ingress/front_components.py
@@ -5,12 +5,12 @@
 
 import curio
 
+from ragwortkeel.ingress.announcements import AnnouncementReader
 from ragwortkeel.ingress.budget_keeper import BudgetKeeper
 from ragwortkeel.ingress.configuration import Upstream
 from ragwortkeel.ingress.crashes import CrashDetector
 from ragwortkeel.ingress.dispatch import Dispatcher
 from ragwortkeel.ingress.error_responses import ErrorResponse
-from ragwortkeel.ingress.limit_reader import LimitReader
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.placement import Placement
 from ragwortkeel.ingress.upstream_connection import ConnectionPool
@@ -31,7 +31,7 @@
     crashes: CrashDetector
     connections: ConnectionPool
     retries: RetryBudgets
-    limit_reader: LimitReader
+    announcements: AnnouncementReader
     metrics: Metrics
 
     def record_refusal(
--- a/src/ragwortkeel/ingress/names.py
+++ b/src/ragwortkeel/ingress/names.py
@@ -52,6 +52,9 @@
     rate_limit : str
         In a response of an upstream: requests a second that it accepts from the
         whole fleet; a response without the header ends the limit.
+    leaving : str
+        In a response of an upstream: 1 if it leaves, so that it must get no new
+        request.
     reserved : frozenset of str
         Headers that only the ingress may set; those of a caller are dropped.
     """
@@ -67,6 +70,7 @@
     proof: str = "x-upstream-proof"
     last_event: str = "last-event-id"
     rate_limit: str = "x-rate-limit"
+    leaving: str = "x-leaving"
     reserved: frozenset[str] = frozenset()
 
     @property
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -10,6 +10,7 @@
 from ragwortkeel.configuration_store import InForce
 from ragwortkeel.exceptions import ConfigurationUnreadable
 from ragwortkeel.http_server import HttpServer
+from ragwortkeel.ingress.announcements import AnnouncementReader
 from ragwortkeel.ingress.budget_keeper import BudgetKeeper
 from ragwortkeel.ingress.configuration import (
     CONFIGURATION_KIND,
@@ -29,7 +30,7 @@
 )
 from ragwortkeel.ingress.front import Front
 from ragwortkeel.ingress.front_components import FrontComponents
-from ragwortkeel.ingress.limit_reader import LimitReader
+from ragwortkeel.ingress.limit_tracker import LimitTracker
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.peers import Peers
 from ragwortkeel.ingress.placement import Load, Placement
@@ -125,10 +126,13 @@
         incarnation = f"{settings.name}/{secrets.token_hex(4)}"
         self._directory = Directory(region_by_zone=settings.region_by_zone)
         self._evacuations = Evacuations()
-        self._limit_reader = LimitReader(header=names.rate_limit, metrics=self.metrics)
+        self._limit_tracker = LimitTracker(metrics=self.metrics)
+        self._announcements = AnnouncementReader(
+            names=names, limits=self._limit_tracker, metrics=self.metrics
+        )
         self._placement = Placement(
             zone=settings.zone,
-            limits=self._limit_reader.limits,
+            limits=self._limit_tracker.limits,
             rates=FleetRates(
                 sharing=lambda: sharing_among(
                     own=settings.address,
@@ -177,7 +181,7 @@
                 crashes=self._crashes,
                 connections=self._connections,
                 retries=self._retries,
-                limit_reader=self._limit_reader,
+                announcements=self._announcements,
                 metrics=self.metrics,
             )
         )
@@ -345,11 +349,11 @@
 
     def announced_limits(self) -> dict[str, AnnouncedLimit]:
         """Return the rate limits that upstreams' answers announced recently."""
-        return self._limit_reader.recent()
+        return self._limit_tracker.recent()
 
     def merge_limits(self, limit_by_upstream: dict[str, AnnouncedLimit]) -> None:
         """Merge rate limits that answers to a peer announced."""
-        self._limit_reader.merge(limit_by_upstream)
+        self._limit_tracker.merge(limit_by_upstream)
 
     def upstreams_revision(self) -> int:
         """Return the revision of the newest change of an upstream's entry here."""
@@ -457,13 +461,14 @@
             if change.upstream is None:
                 self._placement.discard_prefix_cache(change.name)
             else:
-                self._limit_reader.record_start(change.upstream)
+                self._limit_tracker.record_start(change.upstream)
                 cold_seconds = change.upstream.cold_seconds
                 self._placement.set_cold(change.name, cold_seconds, monotonic())
         if changes:
             upstreams = set(self._directory.upstream_by_name)
             self._placement.retain(upstreams)
-            self._limit_reader.retain(upstreams)
+            self._limit_tracker.retain(upstreams)
+            self._announcements.retain(upstreams)
             await self._dispatcher.assign_queued()
 
     async def _send_crashes(self) -> None:
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -111,6 +111,11 @@
             "Requests a second that an upstream takes from all processes, as it says.",
             ("upstream",),
         )
+        self._upstream_announcements = self._counter(
+            "ragwortkeel_upstream_announcements",
+            "What upstreams announced about themselves in their responses.",
+            ("announcement",),
+        )
         self._revision = self._gauge(
             "ragwortkeel_configuration_revision",
             "Highest configuration revision in force here.",
@@ -177,6 +182,10 @@
             return
         gauge.set(limit)
 
+    def record_announcement(self, *, announcement: str) -> None:
+        """Count what an upstream newly announced in a response."""
+        self._upstream_announcements.labels(announcement).inc()
+
     def record_tokens(self, *, service: str, tokens: int) -> None:
         """Add billed tokens."""
         self._tokens.labels(service).inc(tokens)
--- a/tests/ingress/test_limited_upstreams.py
+++ b/tests/ingress/test_limited_upstreams.py
@@ -138,7 +138,7 @@
         await fleet.ask("/lookup/1", process=0)
         async with curio.timeout_after(5):
             while any(
-                worker._limit_reader.limits.limit_of("u1") is None
+                worker._limit_tracker.limits.limit_of("u1") is None
                 for worker in fleet.workers
             ):
                 await curio.sleep(0.01)
