A leaving upstream stays so when its entry is deleted and written again

Cause: leaving was read from the entry that was known, and a deletion drops it. An entry keeps the start of the newest instance that left, also when deleted; only a later start ends it. tests/ingress/test_directory.py: the new test failed before, all pass.

--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -16,7 +16,7 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -43,11 +43,15 @@
     expires_at : float or None
         Monotonic second; set while the platform lacks the entry, possibly because of an
         outage.  See `Directory.expire`.
+    left_started_ms : int or None
+        Start of the newest instance of that name that is known to leave, or to have
+        left; kept when the entry is deleted.
     """
 
     version: int
     upstream: Upstream | None
     expires_at: float | None = None
+    left_started_ms: int | None = None
 
     @property
     def usable(self) -> bool:
@@ -185,9 +189,15 @@
         known = self._entry_by_name.get(name)
         if known is not None and known.version > version:
             return []
-        if known is not None and _is_leaving(known) and not _restarted(known, upstream):
+        left_started_ms = known.left_started_ms if known is not None else None
+        if left_started_ms is not None and upstream.started_ms <= left_started_ms:
             upstream = _as_leaving(upstream)
-        changes = self._set(name, Entry(version=version, upstream=upstream))
+        if upstream.state is UpstreamState.LEAVING:
+            left_started_ms = max(upstream.started_ms, left_started_ms or 0)
+        entry = Entry(
+            version=version, upstream=upstream, left_started_ms=left_started_ms
+        )
+        changes = self._set(name, entry)
         return changes + self._delete_older_at_address(upstream)
 
     def record_replacement(self, name: str) -> list[DirectoryChange]:
@@ -206,10 +216,9 @@
             return []
         if now < self._outage_until and known.usable:
             expires_at = known.expires_at or self._outage_until
-            entry = Entry(
-                version=version, upstream=known.upstream, expires_at=expires_at
+            return self._set(
+                name, replace(known, version=version, expires_at=expires_at)
             )
-            return self._set(name, entry)
         return self._set(name, _deleted(version, known))
 
     def expire(self, now: float) -> list[DirectoryChange]:
@@ -260,17 +269,9 @@
         ]
 
 
-def _is_leaving(entry: Entry) -> bool:
-    return entry.upstream is not None and entry.upstream.state is UpstreamState.LEAVING
-
-
-def _restarted(known: Entry, upstream: Upstream) -> bool:
-    return upstream.started_ms > known.upstream.started_ms
-
-
 def _as_leaving(upstream: Upstream) -> Upstream:
     return msgspec.structs.replace(upstream, state=UpstreamState.LEAVING)
 
 
 def _deleted(version: int, entry: Entry) -> Entry:
-    return Entry(version=version, upstream=None)
+    return Entry(version=version, upstream=None, left_started_ms=entry.left_started_ms)
--- a/tests/ingress/test_directory.py
+++ b/tests/ingress/test_directory.py
@@ -52,6 +52,21 @@
         directory.merge_entry("u1", upstream("u1", started_ms=2), version=8, now=1.2)
         assert directory.is_usable("u1")
 
+    def test_a_leaving_upstream_stays_so_when_its_entry_is_written_again(self):
+        """Guards against requests that are cut off when an upstream exits.
+
+        Its entry expires and is written again without its state, as after an outage of
+        the platform.
+        """
+        directory = directory_with("u1")
+        leaving = upstream("u1", state=UpstreamState.LEAVING, started_ms=1)
+        directory.merge_entry("u1", leaving, version=6, now=1.0)
+        directory.record_deletion("u1", version=7, now=2.0)
+        directory.merge_entry("u1", upstream("u1", started_ms=1), version=8, now=3.0)
+        assert not directory.is_usable("u1")
+        directory.merge_entry("u1", upstream("u1", started_ms=2), version=9, now=4.0)
+        assert directory.is_usable("u1")
+
     def test_a_deletion_without_an_outage_counts_at_once(self):
         directory = directory_with("u1")
         directory.record_deletion("u1", version=6, now=100.0)
