Send nothing new to an upstream that announces that it leaves

Cause: the header was forwarded and read nowhere; only the platform's entry said who leaves. Class: what an upstream announces in its answers is not obeyed. Ruled out: requests assigned before the answer (dispatched 2.3 s after it), an announcement that was forgotten (no upstream_changed in between).

Any answer of the addressed instance counts, whatever its status, a stream's with its head. The directory keeps the mark against later entries, deletions and outages until a later start. Peers learn it with the load reports, a new field that older builds skip. Where all upstreams of a service leave, its requests, queued ones too, are refused at once.

--- a/src/ragwortkeel/ingress/announcements.py
+++ b/src/ragwortkeel/ingress/announcements.py
@@ -11,11 +11,11 @@
 
 from ragwortkeel.exceptions import AnnouncementUnreadable
 from ragwortkeel.ingress.configuration import Upstream
+from ragwortkeel.ingress.leaving_tracker import LeavingTracker
 from ragwortkeel.ingress.limit_tracker import LimitTracker
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.upstream_connection import ResponseHead
-from ragwortkeel.logs import log_info, log_warning
-from ragwortkeel.metrics import Metrics
+from ragwortkeel.logs import log_warning
 
 MAX_LOGGED_CHARACTERS = 40
 """Number of characters of an invalid header value that a log line contains."""
@@ -81,18 +81,19 @@
         Names of the headers with announcements.
     limits : LimitTracker
         Records rate limits.
+    leaving : LeavingTracker
+        Records which upstreams leave.
     """
 
     def __init__(
-        self, *, names: HeaderNames, limits: LimitTracker, metrics: Metrics
+        self, *, names: HeaderNames, limits: LimitTracker, leaving: LeavingTracker
     ) -> None:
         self._limits = limits
-        self._metrics = metrics
+        self._leaving = leaving
         self._read_by_header: dict[
             str, Callable[[ResponseHead, str], Announcement | None]
         ] = {names.rate_limit: read_limit, names.leaving: read_leaving}
         self._unreadable: set[tuple[str, str]] = set()
-        self._leaving_upstreams: set[tuple[str, int]] = set()
 
     def receive_head(
         self, upstream: Upstream, head: ResponseHead, *, sent_at: float
@@ -111,27 +112,11 @@
                         upstream.name, per_second, sent_at=sent_at
                     )
                 case Leaving():
-                    self._handle_leaving(upstream, head)
+                    self._leaving.record_answer(upstream)
 
     def retain(self, upstreams: set[str]) -> None:
-        """Forget what was logged about all other upstreams."""
+        """Forget which headers of all other upstreams were unreadable."""
         self._unreadable = {key for key in self._unreadable if key[0] in upstreams}
-        self._leaving_upstreams = {
-            key for key in self._leaving_upstreams if key[0] in upstreams
-        }
-
-    def _handle_leaving(self, upstream: Upstream, head: ResponseHead) -> None:
-        key = upstream.name, upstream.started_ms
-        if key in self._leaving_upstreams:
-            return
-        self._leaving_upstreams.add(key)
-        self._metrics.record_announcement(announcement="leaving")
-        log_info(
-            "upstream_announced_leaving",
-            upstream=upstream.name,
-            started=upstream.started_ms,
-            status=head.status,
-        )
 
     def _log_unreadable(self, upstream: str, header: str, value: str) -> None:
         if (upstream, header) in self._unreadable:
--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -5,6 +5,8 @@
 - A late or stale entry shows a leaving upstream as ready: requests sent there are cut
   when it exits.  So the version of an entry never decreases, and an upstream that is
   leaving stays so until an instance with a later start takes its name.
+- The platform lacks the entry of a leaving upstream for a while, or stores it again as
+  ready: what the upstream itself announced holds until a later start.
 - Upstreams crash and restart under new names at the same addresses, as after a power
   failure, and the old entries expire only seconds later: most requests reach another
   instance than intended.  So an address belongs to that upstream of a service which
@@ -140,6 +142,15 @@
         ready = self._ready(service)
         return bool(ready) and not self.usable(service=service, regions=regions)
 
+    def all_leave(self, *, service: str) -> bool:
+        """Return whether the service has upstreams and all of them leave."""
+        states = {
+            entry.upstream.state
+            for entry in self._entry_by_name.values()
+            if entry.upstream is not None and entry.upstream.service == service
+        }
+        return states == {UpstreamState.LEAVING}
+
     def names_in_zones(self, zones: frozenset[str]) -> list[str]:
         """Return the names of the upstreams in these availability zones."""
         by_name = self.upstream_by_name
@@ -200,6 +211,22 @@
         changes = self._set(name, entry)
         return changes + self._delete_older_at_address(upstream)
 
+    def record_leaving(self, name: str, *, started_ms: int) -> list[DirectoryChange]:
+        """Record that an instance leaves, whatever the platform's entry says.
+
+        Parameters
+        ----------
+        started_ms : int
+            Unix millisecond at which the instance started; a later one is not affected.
+        """
+        known = self._entry_by_name.get(name) or Entry(version=0, upstream=None)
+        if known.left_started_ms is not None and started_ms <= known.left_started_ms:
+            return []
+        entry = replace(known, left_started_ms=started_ms)
+        if entry.upstream is not None and entry.upstream.started_ms <= started_ms:
+            entry = replace(entry, upstream=_as_leaving(entry.upstream))
+        return self._set(name, entry)
+
     def record_replacement(self, name: str) -> list[DirectoryChange]:
         """Record that another instance answers at the upstream's address."""
         known = self._entry_by_name.get(name)
@@ -257,7 +284,7 @@
         known = self._entry_by_name.get(name)
         self._entry_by_name[name] = entry
         was_usable = known is not None and known.usable
-        if known is not None and known.upstream == entry.upstream:
+        if entry.upstream == (known.upstream if known is not None else None):
             return []
         return [
             DirectoryChange(
--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -96,10 +96,10 @@
         requests left the queue recently.  The first request in the queue always waits;
         otherwise no request would leave the queue to correct the estimate.
 
-        Two other requests are refused at once: one that must not use any of the ready
-        upstreams, as when all availability zones are evacuated for an unknown time, and
-        one that would wait too long for this process's share of the limits that all
-        upstreams announced.
+        Other requests are refused at once: one that must not use any of the ready
+        upstreams, as when all availability zones are evacuated for an unknown time; one
+        whose upstreams all leave; and one that would wait too long for this process's
+        share of the limits that all upstreams announced.
 
         Parameters
         ----------
@@ -109,7 +109,9 @@
             Upstreams to exclude because the request was sent to them before.
         """
         self._service_by_name[service.name] = service
-        if self._directory.withholds_all(service=service.name, regions=job.regions):
+        if self._directory.withholds_all(
+            service=service.name, regions=job.regions
+        ) or self._directory.all_leave(service=service.name):
             return self._not_assigned(job)
         ahead = self.queue.queued_ahead(job)
         if not ahead:
@@ -141,6 +143,9 @@
     async def assign_queued(self) -> None:
         """Assign queued requests in order, as far as there is headroom."""
         for name in self.queue.services():
+            if self._directory.all_leave(service=name):
+                await self._refuse_queued(name)
+                continue
             service = self._service_by_name[name]
             for queued_request in self.queue.in_order(name):
                 assignment = self._try_assign(
@@ -158,6 +163,11 @@
                 self._dequeue_intervals(name).record_dequeue(0.0, monotonic())
                 await self._assigned_by_request_id[queued_request.job.request_id].set()
 
+    async def _refuse_queued(self, service: str) -> None:
+        """End the wait of the service's queued requests without an assignment."""
+        for queued_request in self.queue.in_order(service):
+            await self._assigned_by_request_id[queued_request.job.request_id].set()
+
     async def run(self) -> None:
         """Check the queue regularly until cancelled."""
         while True:
--- a/src/ragwortkeel/ingress/load_reports.py
+++ b/src/ragwortkeel/ingress/load_reports.py
@@ -90,5 +90,6 @@
         state.addresses,
         state.relays,
         state.limit_by_upstream,
+        state.leaving_by_upstream,
     )
     return bool(state.load_by_upstream) or any(details)
--- a/src/ragwortkeel/ingress/peer_handler.py
+++ b/src/ragwortkeel/ingress/peer_handler.py
@@ -71,6 +71,15 @@
     def merge_limits(self, limit_by_upstream: dict[str, AnnouncedLimit]) -> None:
         """Merge the rate limits that answers to a peer announced."""
 
+    def announced_leaving(self) -> dict[str, int]:
+        """Return the upstreams whose recent answers announced that they leave.
+
+        By upstream, the Unix millisecond at which the leaving instance started.
+        """
+
+    def merge_leaving(self, started_ms_by_upstream: dict[str, int]) -> None:
+        """Merge which upstreams announced to a peer that they leave."""
+
     def upstreams_revision(self) -> int:
         """Return the revision of the newest known change of an upstream's entry."""
 
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -363,6 +363,7 @@
             evacuations_revision=evacuated.revision,
             evacuated_zones=evacuated.zones,
             limit_by_upstream=self._handler.announced_limits(),
+            leaving_by_upstream=self._handler.announced_leaving(),
         )
 
     def _new_link(self, address: str, heartbeat: float, silence: float) -> Link:
@@ -569,6 +570,7 @@
             for name, load in state.load_by_upstream.items()
         }
         self._handler.merge_limits(state.limit_by_upstream)
+        self._handler.merge_leaving(state.leaving_by_upstream)
         hold = hold_seconds(self.ingress_count)
         await self._handler.merge_loads(state.node, loads, hold_seconds=hold)
         for name, prompt_blocks in state.parts_by_upstream.items():
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -132,6 +132,13 @@
     def merge_limits(self, limit_by_upstream: dict[str, AnnouncedLimit]) -> None:
         """Discard the limits that answers to a peer announced."""
 
+    def announced_leaving(self) -> dict[str, int]:
+        """Return no upstreams: a relay receives no answers of upstreams."""
+        return {}
+
+    def merge_leaving(self, started_ms_by_upstream: dict[str, int]) -> None:
+        """Discard which upstreams announced to a peer that they leave."""
+
     def upstreams_revision(self) -> int:
         """Return 0: a relay stores no entries of upstreams."""
         return 0
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -30,7 +30,9 @@
 )
 from ragwortkeel.ingress.front import Front
 from ragwortkeel.ingress.front_components import FrontComponents
+from ragwortkeel.ingress.leaving_tracker import LeavingTracker
 from ragwortkeel.ingress.limit_tracker import LimitTracker
+from ragwortkeel.ingress.load_reports import hold_seconds
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.peers import Peers
 from ragwortkeel.ingress.placement import Load, Placement
@@ -127,8 +129,11 @@
         self._directory = Directory(region_by_zone=settings.region_by_zone)
         self._evacuations = Evacuations()
         self._limit_tracker = LimitTracker(metrics=self.metrics)
+        self._leaving_tracker = LeavingTracker(
+            directory=self._directory, metrics=self.metrics
+        )
         self._announcements = AnnouncementReader(
-            names=names, limits=self._limit_tracker, metrics=self.metrics
+            names=names, limits=self._limit_tracker, leaving=self._leaving_tracker
         )
         self._placement = Placement(
             zone=settings.zone,
@@ -355,6 +360,15 @@
         """Merge rate limits that answers to a peer announced."""
         self._limit_tracker.merge(limit_by_upstream)
 
+    def announced_leaving(self) -> dict[str, int]:
+        """Return the upstreams whose recent answers announced that they leave."""
+        seconds = hold_seconds(self._peers.ingress_count)
+        return self._leaving_tracker.recent(seconds=seconds)
+
+    def merge_leaving(self, started_ms_by_upstream: dict[str, int]) -> None:
+        """Merge which upstreams announced to a peer that they leave."""
+        self._leaving_tracker.merge(started_ms_by_upstream)
+
     def upstreams_revision(self) -> int:
         """Return the revision of the newest change of an upstream's entry here."""
         return self._upstreams.newest_revision
@@ -468,6 +482,7 @@
             upstreams = set(self._directory.upstream_by_name)
             self._placement.retain(upstreams)
             self._limit_tracker.retain(upstreams)
+            self._leaving_tracker.retain(upstreams)
             self._announcements.retain(upstreams)
             await self._dispatcher.assign_queued()
 
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -458,6 +458,9 @@
         Fields of `EvacuatedZones`.
     limit_by_upstream : dict of str to AnnouncedLimit
         Limits that recent answers to the sender announced.
+    leaving_by_upstream : dict of str to int
+        Upstreams whose recent answers to the sender announced that they leave, with the
+        Unix milliseconds of their starts.
     """
 
     node: str
@@ -471,6 +474,7 @@
     evacuations_revision: int = 0
     evacuated_zones: tuple[str, ...] = ()
     limit_by_upstream: dict[str, AnnouncedLimit] = {}
+    leaving_by_upstream: dict[str, int] = {}
 
 
 class EvacuatedZones(Message):
--- a/tests/ingress/test_announcements.py
+++ b/tests/ingress/test_announcements.py
@@ -13,6 +13,8 @@
     RateLimit,
     read_limit,
 )
+from ragwortkeel.ingress.directory import Directory
+from ragwortkeel.ingress.leaving_tracker import LeavingTracker
 from ragwortkeel.ingress.limit_tracker import LimitTracker
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.upstream_connection import ResponseHead
@@ -33,8 +35,11 @@
     def __init__(self):
         self.metrics = Metrics()
         self.tracker = LimitTracker(metrics=self.metrics)
+        self.directory = Directory()
+        self.directory.merge_entry("u1", UPSTREAM, version=1, now=0.0)
+        self.leaving = LeavingTracker(directory=self.directory, metrics=self.metrics)
         self.announcements = AnnouncementReader(
-            names=NAMES, limits=self.tracker, metrics=self.metrics
+            names=NAMES, limits=self.tracker, leaving=self.leaving
         )
 
     def receive(self, *values, sent_at=0.0, **fields):
--- a/tests/ingress/test_leaving_upstreams.py
+++ b/tests/ingress/test_leaving_upstreams.py
@@ -143,6 +143,32 @@
     assert seconds < 0.5
 
 
+def test_queued_requests_are_refused_when_the_last_upstream_leaves():
+    """Guards against queued requests that wait for an upstream that leaves."""
+    full = 6
+    release = curio.Event()
+
+    async def answer_late(seen, sock):
+        await release.wait()
+        await sock.sendall(in_success(seen))
+        return True
+
+    async def scenario(fleet):
+        async def ask():
+            asked_at = monotonic()
+            response = await fleet.ask("/lookup/1", x_deadline_ms="8000")
+            return response.status, monotonic() - asked_at
+
+        tasks = [await curio.spawn(ask) for _ in range(2 * full)]
+        await curio.sleep(0.5)
+        await release.set()
+        return [await task.join() for task in tasks]
+
+    answers = run_ingress(scenario, scripts={"u1": answer_late})
+    assert [status for status, _ in answers] == [200] * full + [503] * full
+    assert max(seconds for _, seconds in answers) < 1.0
+
+
 def test_the_next_start_of_a_leaving_upstream_gets_requests():
     """Guards against an announcement that outlives the instance that made it."""
     leaving = LeavingUpstream()
