Do not wait in watches while the platform is unreachable

Cause: a watch that began in the outage waited its 3 s at each of two relays, so that a process learned at 22.9 s that the platform was back at 19.0. Entries that vanish within 2.3 s after an outage stay in use, so one that was deleted at 22.0 stayed until 25.5. Ruled out: a missed or late watch of a single process (all three alike, in the same 20 ms).

While the platform is unreachable watches ask and don't wait, and one that failed directly does not wait at peers. Tests: twelve phases of an outage in test_following.py, ten failed before; a relayed watch in test_relaying.py, failed before.

--- a/src/ragwortkeel/ingress/following.py
+++ b/src/ragwortkeel/ingress/following.py
@@ -104,7 +104,7 @@
                 if revision is None:
                     revision = await self._list()
                 elif self._is_watcher():
-                    revision = await self._watch(revision, WATCH_TIMEOUT_SECONDS)
+                    revision = await self._watch(revision, self._watch_seconds())
                 else:
                     revision = await self._wait_as_non_watcher(revision)
                     continue
@@ -113,6 +113,14 @@
                 self._record_reachable(False, str(exc))
                 await curio.sleep(RETRY_DELAY_SECONDS)
 
+    def _watch_seconds(self) -> float:
+        """Return how long the next watch waits for changes.
+
+        It does not wait while the platform is unreachable, because an attempt that
+        gets no answer ends only after its wait, and the platform may return before.
+        """
+        return WATCH_TIMEOUT_SECONDS if self._reachable else 0.0
+
     async def _list(self) -> int:
         listing = await self._platform.list(self._kind)
         await self._merge_listing(listing.by_name, listing.revision)
--- a/src/ragwortkeel/ingress/relaying.py
+++ b/src/ragwortkeel/ingress/relaying.py
@@ -199,6 +199,9 @@
                 raise
             except PlatformUnavailable as exc:
                 self._record_direct_failure(str(exc))
+                # A watch that waits at each peer would return long after the end of an
+                # outage of the platform.
+                fields |= {"seconds": 0.0}
         return await self._call_through_peers(
             PlatformCall(call_id=next(self._call_ids), **fields)
         )
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -108,7 +108,12 @@
 
 def follow(monkeypatch, *watches):
     """Return the directory after these watches, and the platform's time."""
-    platform, directory = ScriptedPlatform(*watches), Directory()
+    return follow_platform(monkeypatch, ScriptedPlatform(*watches))
+
+
+def follow_platform(monkeypatch, platform):
+    """Return the directory after the run, and the platform's time."""
+    directory = Directory()
     monkeypatch.setattr(following, "monotonic", lambda: platform.now)
     monkeypatch.setattr(following, "RETRY_DELAY_SECONDS", 0.0)
     monkeypatch.setattr(following, "BATCH_DELAY_SECONDS", 0.0)
@@ -144,3 +149,49 @@
     assert directory.is_usable(NAME)
     assert directory.expire(now + OUTAGE_GRACE_SECONDS)
     assert not directory.is_usable(NAME)
+
+
+class SilentPlatform(ScriptedPlatform):
+    """Answers no call in an outage; some seconds after it, deletes the entry.
+
+    A call in the outage ends with the timeouts of two relays, each of which waits for
+    the watch and then for an answer.
+    """
+
+    RETURNS_AT = 112.0
+    DELETED_AT = RETURNS_AT + 3.0
+    RELAY_TIMEOUT_SECONDS = 0.9
+
+    def __init__(self, *, now):
+        super().__init__()
+        self.now = now
+
+    async def watch(self, kind, revision, timeout):
+        if self.now < self.RETURNS_AT:
+            self.now += 2 * (timeout + self.RELAY_TIMEOUT_SECONDS)
+            unavailable(self)
+        if self.now + timeout < self.DELETED_AT:
+            self.now += timeout or 0.01
+            return Changes(changes=(), revision=6, gap=False)
+        if revision >= 7:
+            raise _End
+        self.now = max(self.now, self.DELETED_AT)
+        return deleted(self)
+
+
+DRAIN_SECONDS = 2.0
+"""The users' bound on requests to an upstream whose entry was deleted."""
+
+
+@pytest.mark.parametrize("outage_phase", [step * 0.7 for step in range(12)])
+def test_a_deletion_after_an_outage_counts_in_time(monkeypatch, outage_phase):
+    """Guards against requests to an upstream that left, 3 seconds after its deletion.
+
+    A watch that began in the outage still waits for relays when the platform is back,
+    so the outage seems to last longer than it did.
+    """
+    platform = SilentPlatform(now=104.0 - outage_phase)
+    directory, now = follow_platform(monkeypatch, platform)
+    assert now <= platform.DELETED_AT + DRAIN_SECONDS
+    directory.expire(platform.DELETED_AT + DRAIN_SECONDS)
+    assert not directory.is_usable(NAME)
--- a/tests/ingress/test_relaying.py
+++ b/tests/ingress/test_relaying.py
@@ -148,6 +148,26 @@
 
         assert run_relayed(scenario, first, good) <= 1
 
+    def test_a_watch_that_failed_directly_does_not_wait_at_peers(self):
+        """Guards against a watch that hangs at each peer in an outage of the platform.
+
+        Its process learns only seconds later that the platform is back.
+        """
+
+        async def scenario(client, shared, direct, links):
+            async def failing(kind, revision, timeout):
+                raise PlatformUnavailable("no answer")
+
+            direct.watch = failing
+            async with curio.timeout_after(1.0):
+                changes = await client.watch(KIND, 0, 5.0)
+            assert changes.changes == ()
+            async with curio.ignore_after(0.3):
+                await client.watch(KIND, 0, 5.0)
+                pytest.fail("the next watch does not wait")
+
+        run_relayed(scenario, good)
+
     def test_without_a_direct_call_or_a_relay_it_is_unavailable(self):
         async def scenario(client, shared, direct, links):
             with pytest.raises(PlatformUnavailable):
