The sidecar sends nothing new to an upstream that announces that it leaves

Each response, a load report or not, says whether the upstream leaves; the sidecar's heartbeats pass it on, and dispatches are refused as draining. It ends with the next response without it, that of the next start.

tests/sidecar/test_sidecar.py: the new test failed before (no heartbeat said so); sidecar and router passed.

--- a/src/ragwortkeel/sidecar/admission.py
+++ b/src/ragwortkeel/sidecar/admission.py
@@ -36,6 +36,8 @@
         Whether the sidecar is registered and has read the seals.
     draining, stopping : bool
         Whether an operator drains the upstream, and whether a planned stop runs.
+    upstream_leaving : bool
+        Whether the upstream itself announces that it leaves.
     """
 
     def __init__(self, *, upstream: str, max_running: int = 256) -> None:
@@ -45,12 +47,13 @@
         self.admitted = False
         self.draining = False
         self.stopping = False
+        self.upstream_leaving = False
         self._objects_by_key: dict[tuple[str, str], VersionedObject] = {}
 
     @property
     def leaving(self) -> bool:
         """Whether routers should send new work elsewhere."""
-        return self.draining or self.stopping
+        return self.draining or self.stopping or self.upstream_leaving
 
     def merge_object(self, entry: VersionedObject) -> bool:
         """Store an object if its rank is the highest yet; return whether it was."""
@@ -77,7 +80,7 @@
             return RefusalReason.NOT_ADMITTED
         if self.newer_objects(dispatch):
             return RefusalReason.STALE_CONFIGURATION
-        if self.draining:
+        if self.draining or self.upstream_leaving:
             return RefusalReason.DRAINING
         if running >= min(self.refusal_threshold, self.max_running):
             return RefusalReason.OVERLOADED
--- a/src/ragwortkeel/sidecar/core.py
+++ b/src/ragwortkeel/sidecar/core.py
@@ -146,6 +146,11 @@
                 )
                 return seen + self._fail(nonce, reason, tokens, now)
 
+    def record_load(self, report: LoadReport) -> None:
+        """Record a load report of the upstream."""
+        self.load = report
+        self.admission.upstream_leaving = report.leaving
+
     def on_epoch(self, now: float) -> None:
         """Begin the next epoch and discard the runs that may be discarded."""
         self.answer_streams.discard(self.journal.next_epoch())
--- a/src/ragwortkeel/sidecar/load.py
+++ b/src/ragwortkeel/sidecar/load.py
@@ -1,6 +1,6 @@
 """Polling of the upstream's load report, which heartbeats send to routers."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import curio
 import msgspec
@@ -14,6 +14,9 @@
 RESPONSE_TIMEOUT_SECONDS = 2.0
 OK = 200
 
+LEAVING_HEADER = "x-leaving"
+"""Header with the value 1 in all responses of an upstream that leaves."""
+
 
 class _Load(msgspec.Struct):
     running: int = 0
@@ -23,30 +26,39 @@
 
 @dataclass(frozen=True, kw_only=True)
 class LoadReport:
-    """The upstream's last load report; values are zero where it sends none."""
+    """The upstream's last load report; values are zero where it sends none.
+
+    `leaving` is whether the last response, report or not, announced that the upstream
+    leaves.
+    """
 
     waiting: int = 0
     limit: int = 0
+    leaving: bool = False
 
 
 async def poll_load(client: HttpClient, inbox: curio.Queue) -> None:
     """Put a `LoadReport` on the inbox periodically, until cancelled."""
+    report = LoadReport()
     while True:
-        report = await read_load(client)
-        if report is not None:
-            await inbox.put(report)
+        report = await read_load(client, report)
+        await inbox.put(report)
         await curio.sleep(POLL_INTERVAL_SECONDS)
 
 
-async def read_load(client: HttpClient) -> LoadReport | None:
-    """Return the upstream's load report, or None where it sends none."""
+async def read_load(client: HttpClient, previous: LoadReport) -> LoadReport:
+    """Return the upstream's load report; what it does not say is as in `previous`."""
     try:
         response = await client.request(
             "GET", "/load", timeout=RESPONSE_TIMEOUT_SECONDS
         )
-        if response.status != OK:
-            return None
+    except (ConnectFailed, ExchangeBroken):
+        return previous
+    leaving = response.headers.get(LEAVING_HEADER, "").strip() == "1"
+    try:
         load = msgspec.json.decode(response.body, type=_Load)
-    except (ConnectFailed, ExchangeBroken, msgspec.DecodeError):
-        return None
-    return LoadReport(waiting=load.waiting, limit=load.limit)
+    except msgspec.DecodeError:
+        return replace(previous, leaving=leaving)
+    if response.status != OK:
+        return replace(previous, leaving=leaving)
+    return LoadReport(waiting=load.waiting, limit=load.limit, leaving=leaving)
--- a/src/ragwortkeel/sidecar/sidecar.py
+++ b/src/ragwortkeel/sidecar/sidecar.py
@@ -14,6 +14,7 @@
 from ragwortkeel.exceptions import LinkLost
 from ragwortkeel.httpio import HttpClient
 from ragwortkeel.links import Endpoint, Received
+from ragwortkeel.logs import log_info
 from ragwortkeel.messages import (
     AnyMessage,
     ConfigurationMessage,
@@ -259,7 +260,9 @@
             case SealsRead(routers=routers):
                 self._seal(routers)
             case LoadReport():
-                self._core.load = item
+                if item.leaving != self._core.load.leaving:
+                    log_info("upstream_announced_leaving", leaving=item.leaving)
+                self._core.record_load(item)
             case ObjectsReceived(objects=objects):
                 for entry in objects:
                     admission.merge_object(entry)
--- a/tests/sidecar/sidecar_setup.py
+++ b/tests/sidecar/sidecar_setup.py
@@ -39,6 +39,7 @@
         self.runs = []
         self.cancels = []
         self.release = curio.Event()
+        self.announcements = {}
         self.server = HttpServer(host="127.0.0.1", port=0, handler=self._handle)
 
     async def _handle(self, request, responder):
@@ -47,7 +48,8 @@
             await responder.respond(200, b"{}")
             return
         if request.path == "/load":
-            await responder.respond(200, b'{"running": 1, "waiting": 3, "limit": 9}')
+            load = b'{"running": 1, "waiting": 3, "limit": 9}'
+            await responder.respond(200, load, self.announcements)
             return
         self.runs.append(request)
         try:
--- a/tests/sidecar/test_sidecar.py
+++ b/tests/sidecar/test_sidecar.py
@@ -206,6 +206,37 @@
         assert run(main) == ({"chat": 14}, RefusalReason.SEALED)
 
 
+class TestLeavingUpstream:
+    def test_an_upstream_that_announces_leaving_gets_no_new_run(self):
+        """Guards against runs that the upstream's exit cuts off.
+
+        Its next start, which announces nothing, gets runs again.
+        """
+
+        async def next_leaving(router, leaving):
+            async with curio.timeout_after(5):
+                while True:
+                    message = await router.next()
+                    if isinstance(message, Heartbeat) and message.leaving == leaving:
+                        return
+
+        async def main():
+            upstream = Upstream()
+            async with sidecar_beside(upstream) as (sidecar, _, _):
+                router = await router_of(sidecar)
+                await next_leaving(router, False)
+                upstream.announcements = {"x-leaving": "1"}
+                await next_leaving(router, True)
+                refused = await router.ask(dispatch("n1"), Refused)
+                runs = len(upstream.runs)
+                upstream.announcements = {}
+                await next_leaving(router, False)
+                await router.ask(dispatch("n2"), Finished)
+                return refused[-1].reason, runs, len(upstream.runs)
+
+        assert run(main) == (RefusalReason.DRAINING, 0, 1)
+
+
 class TestPlannedStop:
     def test_stop_refuses_new_work_and_aborts_no_run(self):
         """An operator stops a sidecar during an answer.
