Log and count answers in which an upstream asks for a pause

Retry-After is read with status 503 only; with others it is about one request or customer. No decision changes. tests/ingress/test_announcements.py: passed.

--- a/src/ragwortkeel/ingress/announcements.py
+++ b/src/ragwortkeel/ingress/announcements.py
@@ -14,12 +14,16 @@
 from ragwortkeel.ingress.leaving_tracker import LeavingTracker
 from ragwortkeel.ingress.limit_tracker import LimitTracker
 from ragwortkeel.ingress.names import HeaderNames
+from ragwortkeel.ingress.pause_tracker import PauseTracker
 from ragwortkeel.ingress.upstream_connection import ResponseHead
 from ragwortkeel.logs import log_warning
 
 MAX_LOGGED_CHARACTERS = 40
 """Number of characters of an invalid header value that a log line contains."""
 
+RETRY_AFTER_HEADER = "retry-after"
+UNAVAILABLE = 503
+
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
 
@@ -38,7 +42,14 @@
     """The upstream exits soon and must get no new request."""
 
 
-Announcement = RateLimit | Leaving
+@dataclass(frozen=True, kw_only=True)
+class Pause:
+    """The upstream wants no request of this process for so many seconds."""
+
+    seconds: float
+
+
+Announcement = RateLimit | Leaving | Pause
 
 
 def read_limit(head: ResponseHead, header: str) -> RateLimit:
@@ -72,6 +83,20 @@
             raise AnnouncementUnreadable(value)
 
 
+def read_pause(head: ResponseHead, header: str) -> Pause | None:
+    """Return the pause that a response asks for; None unless its status is 503.
+
+    With other statuses the header is about one request or customer.
+
+    Raises
+    ------
+    AnnouncementUnreadable
+        The value is no decimal number, or there are two different values.
+    """
+    value = _single_value(head, header) if head.status == UNAVAILABLE else None
+    return None if value is None else Pause(seconds=_decimal(value))
+
+
 class AnnouncementReader:
     """Passes the announcements in responses to the parts that obey them.
 
@@ -83,16 +108,28 @@
         Records rate limits.
     leaving : LeavingTracker
         Records which upstreams leave.
+    pauses : PauseTracker
+        Records which upstreams ask for a pause.
     """
 
     def __init__(
-        self, *, names: HeaderNames, limits: LimitTracker, leaving: LeavingTracker
+        self,
+        *,
+        names: HeaderNames,
+        limits: LimitTracker,
+        leaving: LeavingTracker,
+        pauses: PauseTracker,
     ) -> None:
         self._limits = limits
         self._leaving = leaving
+        self._pauses = pauses
         self._read_by_header: dict[
             str, Callable[[ResponseHead, str], Announcement | None]
-        ] = {names.rate_limit: read_limit, names.leaving: read_leaving}
+        ] = {
+            names.rate_limit: read_limit,
+            names.leaving: read_leaving,
+            RETRY_AFTER_HEADER: read_pause,
+        }
         self._unreadable: set[tuple[str, str]] = set()
 
     def receive_head(
@@ -113,6 +150,8 @@
                     )
                 case Leaving():
                     self._leaving.record_answer(upstream)
+                case Pause(seconds=seconds):
+                    self._pauses.record_answer(upstream, seconds)
 
     def retain(self, upstreams: set[str]) -> None:
         """Forget which headers of all other upstreams were unreadable."""
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -34,6 +34,7 @@
 from ragwortkeel.ingress.limit_tracker import LimitTracker
 from ragwortkeel.ingress.load_reports import hold_seconds
 from ragwortkeel.ingress.names import HeaderNames
+from ragwortkeel.ingress.pause_tracker import PauseTracker
 from ragwortkeel.ingress.peers import Peers
 from ragwortkeel.ingress.placement import Load, Placement
 from ragwortkeel.ingress.relaying import RelayedPlatform
@@ -132,8 +133,12 @@
         self._leaving_tracker = LeavingTracker(
             directory=self._directory, metrics=self.metrics
         )
+        self._pause_tracker = PauseTracker(metrics=self.metrics)
         self._announcements = AnnouncementReader(
-            names=names, limits=self._limit_tracker, leaving=self._leaving_tracker
+            names=names,
+            limits=self._limit_tracker,
+            leaving=self._leaving_tracker,
+            pauses=self._pause_tracker,
         )
         self._placement = Placement(
             zone=settings.zone,
@@ -483,6 +488,7 @@
             self._placement.retain(upstreams)
             self._limit_tracker.retain(upstreams)
             self._leaving_tracker.retain(upstreams)
+            self._pause_tracker.retain(upstreams)
             self._announcements.retain(upstreams)
             await self._dispatcher.assign_queued()
 
--- a/tests/ingress/test_announcements.py
+++ b/tests/ingress/test_announcements.py
@@ -9,19 +9,24 @@
 
 from ragwortkeel.exceptions import AnnouncementUnreadable
 from ragwortkeel.ingress.announcements import (
+    RETRY_AFTER_HEADER,
     AnnouncementReader,
+    Pause,
     RateLimit,
     read_limit,
+    read_pause,
 )
 from ragwortkeel.ingress.directory import Directory
 from ragwortkeel.ingress.leaving_tracker import LeavingTracker
 from ragwortkeel.ingress.limit_tracker import LimitTracker
 from ragwortkeel.ingress.names import HeaderNames
+from ragwortkeel.ingress.pause_tracker import PauseTracker
 from ragwortkeel.ingress.upstream_connection import ResponseHead
 from ragwortkeel.metrics import Metrics
 
 NAMES = HeaderNames()
 UPSTREAM = upstream("u1")
+HEADERS = (NAMES.rate_limit, NAMES.leaving, RETRY_AFTER_HEADER)
 
 
 def head(*values, header=NAMES.rate_limit, status=200):
@@ -38,8 +43,12 @@
         self.directory = Directory()
         self.directory.merge_entry("u1", UPSTREAM, version=1, now=0.0)
         self.leaving = LeavingTracker(directory=self.directory, metrics=self.metrics)
+        self.pauses = PauseTracker(metrics=self.metrics)
         self.announcements = AnnouncementReader(
-            names=NAMES, limits=self.tracker, leaving=self.leaving
+            names=NAMES,
+            limits=self.tracker,
+            leaving=self.leaving,
+            pauses=self.pauses,
         )
 
     def receive(self, *values, sent_at=0.0, **fields):
@@ -75,11 +84,31 @@
         with pytest.raises(AnnouncementUnreadable):
             read_limit(head(*values), NAMES.rate_limit)
 
-    @pytest.mark.parametrize("header", [NAMES.rate_limit, NAMES.leaving])
+    @pytest.mark.parametrize("header", HEADERS)
     @given(values=st.lists(st.text(max_size=30), max_size=3))
     def test_no_value_raises_an_error(self, header, values):
         """Guards against a response that is lost because of an invalid header."""
-        Process().receive(*values, header=header)
+        Process().receive(*values, header=header, status=503)
+
+    @pytest.mark.parametrize("status", [200, 404, 429, 500, 502])
+    def test_retry_after_asks_for_a_pause_only_with_503(self, status):
+        """Guards against an upstream that is unused since it rejected one customer."""
+        assert read_pause(
+            head("3", header=RETRY_AFTER_HEADER, status=503), "retry-after"
+        ) == Pause(seconds=3.0)
+        response = head("3", header=RETRY_AFTER_HEADER, status=status)
+        assert read_pause(response, RETRY_AFTER_HEADER) is None
+
+    @pytest.mark.parametrize(
+        "values",
+        [("-1",), ("soon",), ("Wed, 21 Oct 2026 07:28:00 GMT",), ("nan",), ("3", "4")],
+    )
+    def test_other_pauses_are_unreadable(self, values):
+        with pytest.raises(AnnouncementUnreadable):
+            read_pause(
+                head(*values, header=RETRY_AFTER_HEADER, status=503),
+                RETRY_AFTER_HEADER,
+            )
 
 
 class TestAnnouncements:
