Obey the pause that an upstream asks for with 503 and Retry-After

Cause: the head of a rejection was dropped. A full upstream is no failure, so it was not ejected; as it answered in 3 ms it looked idle and got most of the requests. Class: what an upstream announces in its answers is not obeyed. Ruled out: repeats (45 of 215 arrivals), ejection and its least share (a full upstream is never ejected).

policy.pauses is a hard bound of its own, not an ejection: a shortage of upstreams does not lift it, an older answer does not end it, a later start does. It is this process's alone. After it one request tests the upstream. An assigned request that is not sent yet goes elsewhere. Where all upstreams pause for too long, requests are refused at once.

--- a/src/ragwortkeel/ingress/announcements.py
+++ b/src/ragwortkeel/ingress/announcements.py
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Pause:
-    """The upstream wants no request of this process for so many seconds."""
+    """The upstream wants no request of this process for so many seconds, maybe 0."""
 
     seconds: float
 
@@ -83,10 +83,11 @@
             raise AnnouncementUnreadable(value)
 
 
-def read_pause(head: ResponseHead, header: str) -> Pause | None:
-    """Return the pause that a response asks for; None unless its status is 503.
+def read_pause(head: ResponseHead, header: str) -> Pause:
+    """Return the pause that a response asks for.
 
-    With other statuses the header is about one request or customer.
+    It asks for none unless its status is 503; with others, the header is about one
+    request or customer.
 
     Raises
     ------
@@ -94,7 +95,7 @@
         The value is no decimal number, or there are two different values.
     """
     value = _single_value(head, header) if head.status == UNAVAILABLE else None
-    return None if value is None else Pause(seconds=_decimal(value))
+    return Pause(seconds=0.0 if value is None else _decimal(value))
 
 
 class AnnouncementReader:
@@ -151,7 +152,7 @@
                 case Leaving():
                     self._leaving.record_answer(upstream)
                 case Pause(seconds=seconds):
-                    self._pauses.record_answer(upstream, seconds)
+                    self._pauses.record_answer(upstream, seconds, sent_at=sent_at)
 
     def retain(self, upstreams: set[str]) -> None:
         """Forget which headers of all other upstreams were unreadable."""
--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -105,6 +105,8 @@
 
     Parameters
     ----------
+    is_paused : callable
+        Returns whether the upstream has asked for a pause, so that nothing may be sent.
     on_head : callable
         Called with the head of a response and the monotonic second at which the request
         was sent, unless another instance responded.
@@ -126,6 +128,7 @@
         caller_response: CallerResponse,
         names: HeaderNames,
         connections: ConnectionPool,
+        is_paused: Callable[[], bool],
         on_head: Callable[[ResponseHead, float], None],
         on_first_event: Callable[[], None],
     ) -> None:
@@ -134,6 +137,7 @@
         self._caller_response = caller_response
         self._names = names
         self._connections = connections
+        self._is_paused = is_paused
         self._on_head = on_head
         self._on_first_event = on_first_event
         self._sent_at = 0.0
@@ -158,6 +162,10 @@
             if self._caller_response.responder.peer_disconnected():
                 reusable = True
                 raise CallerLeft(self._call.request_id)
+            if self._is_paused():
+                # The upstream rejected another request while this one was delayed.
+                reusable = True
+                return NotRun(reason=NotRunReason.PAUSED)
             outcome = await self._exchange(connection)
             reusable = not isinstance(outcome, Broken)
             return outcome
--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from ragwortkeel.ingress.configuration import Service
+from ragwortkeel.ingress.configuration import Service, Upstream
 from ragwortkeel.ingress.directory import Directory
 from ragwortkeel.ingress.placement import Assignment, Job, OwnSendRate, Placement
 from ragwortkeel.ingress.request_queue import QueuedRequest, RequestQueue
@@ -99,7 +99,8 @@
         Other requests are refused at once: one that must not use any of the ready
         upstreams, as when all availability zones are evacuated for an unknown time; one
         whose upstreams all leave; and one that would wait too long for this process's
-        share of the limits that all upstreams announced.
+        share of the limits that all upstreams announced, or for the end of the pauses
+        that all of them asked for.
 
         Parameters
         ----------
@@ -120,12 +121,7 @@
                 return assignment
         elif monotonic() + self._estimated_wait_seconds(job) > latest_start:
             return self._not_assigned(job)
-        send_rate = self._own_send_rate(job, tried_upstreams)
-        latest_send = latest_start - MAX_DISPATCH_DELAY_SECONDS
-        if (
-            send_rate
-            and monotonic() + send_rate.seconds_until_send(ahead) > latest_send
-        ):
+        if self._can_not_send_before(latest_start, job, tried_upstreams, ahead):
             return self._not_assigned(job)
         return await self._wait(job, latest_start, tried_upstreams)
 
@@ -223,21 +219,16 @@
                 self.queue.record_ended(job)
 
     def _not_assigned(self, job: Job) -> NotAssigned:
-        usable = self._directory.usable(service=job.service, regions=job.regions)
+        usable = self._usable(job)
         withheld = self._directory.withholds_all(
             service=job.service, regions=job.regions
         )
         queued = self.queue.queued_ahead(job)
-        send_rate = self._own_send_rate(job, frozenset())
-        seconds = self._estimated_wait_seconds(job)
-        if send_rate is not None:
-            rate_wait_seconds = send_rate.seconds_until_send(queued)
-            seconds = max(
-                seconds,
-                rate_wait_seconds
-                if isfinite(rate_wait_seconds)
-                else RETRY_ELSEWHERE_SECONDS,
-            )
+        send_rate = self._own_send_rate(job, usable)
+        send_seconds = self._seconds_until_send(job, usable, queued)
+        if not isfinite(send_seconds):
+            send_seconds = RETRY_ELSEWHERE_SECONDS
+        seconds = max(self._estimated_wait_seconds(job), send_seconds)
         return NotAssigned(
             queued=queued,
             upstreams=len(usable),
@@ -246,17 +237,43 @@
             own_per_second=send_rate.per_second if send_rate else None,
         )
 
-    def _own_send_rate(
-        self, job: Job, tried_upstreams: frozenset[str]
-    ) -> OwnSendRate | None:
+    def _usable(
+        self, job: Job, tried_upstreams: frozenset[str] = frozenset()
+    ) -> list[Upstream]:
         usable = self._directory.usable(service=job.service, regions=job.regions)
+        return [
+            upstream for name, upstream in usable.items() if name not in tried_upstreams
+        ]
+
+    def _can_not_send_before(
+        self,
+        latest_start: float,
+        job: Job,
+        tried_upstreams: frozenset[str],
+        ahead: int,
+    ) -> bool:
+        """Return whether limits or pauses forbid to send the request in time."""
+        untried = self._usable(job, tried_upstreams)
+        if not untried:
+            # A request is not sent again to an upstream that asked for a pause.
+            return self._placement.pause_seconds(self._usable(job), monotonic()) > 0.0
+        latest_send = latest_start - MAX_DISPATCH_DELAY_SECONDS
+        return monotonic() + self._seconds_until_send(job, untried, ahead) > latest_send
+
+    def _seconds_until_send(
+        self, job: Job, upstreams: list[Upstream], ahead: int
+    ) -> float:
+        """Return the seconds until limits and pauses allow to send the request."""
+        send_rate = self._own_send_rate(job, upstreams)
+        return max(
+            send_rate.seconds_until_send(ahead) if send_rate else 0.0,
+            self._placement.pause_seconds(upstreams, monotonic()),
+        )
+
+    def _own_send_rate(self, job: Job, upstreams: list[Upstream]) -> OwnSendRate | None:
         return self._placement.own_send_rate(
             service=self._service_by_name[job.service],
-            upstreams=[
-                upstream
-                for name, upstream in usable.items()
-                if name not in tried_upstreams
-            ],
+            upstreams=upstreams,
             now=monotonic(),
         )
 
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -260,6 +260,9 @@
             caller_response=self._caller_response,
             names=components.names,
             connections=components.connections,
+            is_paused=lambda: components.placement.is_paused(
+                assignment.upstream, monotonic()
+            ),
             on_head=lambda head, sent_at: components.announcements.receive_head(
                 assignment.upstream, head, sent_at=sent_at
             ),
@@ -335,16 +338,17 @@
         self, name: str, reason: NotRunReason
     ) -> ErrorResponse | _TryAgain:
         components = self._components
-        if reason is not NotRunReason.FULL:
+        was_sent = reason in (NotRunReason.FULL, NotRunReason.OTHER_INSTANCE)
+        if reason in (NotRunReason.UNREACHABLE, NotRunReason.OTHER_INSTANCE):
             components.placement.record_failure(name, Failure.UNREACHABLE, monotonic())
         if reason is NotRunReason.OTHER_INSTANCE:
             components.dispatcher.record_replaced(name)
-        if reason is not NotRunReason.UNREACHABLE:
+        if was_sent:
             self._rejected_sends += 1
         self._tried_upstreams |= {name}
         if self._rejected_sends > MAX_REJECTED_SENDS or self._seconds_left() <= 0:
             return BROKEN if self._may_have_run else OVERLOADED
-        if reason is NotRunReason.UNREACHABLE:
+        if not was_sent:
             # Nothing reached the upstream, so sending elsewhere is no repetition.
             self._log_retry(reason, allowed=True, charged=False)
         elif not self._spend_retry(reason):
--- a/src/ragwortkeel/ingress/outcomes.py
+++ b/src/ragwortkeel/ingress/outcomes.py
@@ -12,6 +12,7 @@
     UNREACHABLE = "unreachable"
     FULL = "full"
     OTHER_INSTANCE = "other_instance"
+    PAUSED = "paused"
 
 
 class BrokenReason(StrEnum):
--- a/src/ragwortkeel/ingress/pause_tracker.py
+++ b/src/ragwortkeel/ingress/pause_tracker.py
@@ -5,26 +5,40 @@
 from ragwortkeel.ingress.configuration import Upstream
 from ragwortkeel.logs import log_info
 from ragwortkeel.metrics import Metrics
+from ragwortkeel.policy.pauses import Pauses
 
 
 class PauseTracker:
-    """Logs and counts the pauses that upstreams ask for."""
+    """Collects, logs and counts the pauses that upstreams ask for.
+
+    Attributes
+    ----------
+    pauses : Pauses
+        The pauses in force.
+    """
 
     def __init__(self, *, metrics: Metrics) -> None:
+        self.pauses = Pauses()
         self._metrics = metrics
-        self._end_by_upstream: dict[str, float] = {}
-
-    def record_answer(self, upstream: Upstream, seconds: float) -> None:
-        """Record that the upstream wants no request for so many seconds."""
-        now = monotonic()
-        ends_at = self._end_by_upstream.get(upstream.name, now)
-        self._end_by_upstream[upstream.name] = max(ends_at, now + seconds)
-        if ends_at > now:
+
+    def record_answer(
+        self, upstream: Upstream, seconds: float, *, sent_at: float
+    ) -> None:
+        """Record the pause in a response to a request that was sent at `sent_at`.
+
+        `seconds` is 0 if the response asks for none.
+        """
+        instance = upstream.name, upstream.started_ms
+        if not seconds:
+            if self.pauses.record_accepted(instance, sent_at=sent_at):
+                log_info("upstream_pause_ended", upstream=upstream.name)
             return
-        self._metrics.record_announcement(announcement="pause")
-        log_info("upstream_asked_for_pause", upstream=upstream.name, seconds=seconds)
+        if self.pauses.record_pause(instance, seconds, now=monotonic()):
+            self._metrics.record_announcement(announcement="pause")
+            log_info(
+                "upstream_asked_for_pause", upstream=upstream.name, seconds=seconds
+            )
 
     def retain(self, upstreams: set[str]) -> None:
         """Forget the pauses of all other upstreams."""
-        for removed in self._end_by_upstream.keys() - upstreams:
-            del self._end_by_upstream[removed]
+        self.pauses.retain(upstreams)
--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -33,6 +33,7 @@
 from ragwortkeel.policy.ejection import Ejections
 from ragwortkeel.policy.facts import Failure
 from ragwortkeel.policy.fleet_rates import EqualShare, FleetRate, FleetRates
+from ragwortkeel.policy.pauses import Instance, Pauses
 
 RUNNING_REQUEST_COST_TOKENS = 250
 """Cost of one running request, in prompt tokens to read.
@@ -251,6 +252,8 @@
         Requests that this process may send to upstreams with a fleet-wide rate limit.
     limits : AnnouncedLimits
         Rate limits that upstreams announced.
+    pauses : Pauses
+        Pauses that upstreams asked this process for.
     """
 
     def __init__(
@@ -260,11 +263,13 @@
         ejections: Ejections | None = None,
         rates: FleetRates | None = None,
         limits: AnnouncedLimits | None = None,
+        pauses: Pauses | None = None,
     ) -> None:
         self._zone = zone
         self.ejections = ejections or Ejections()
         self._rates = rates or _sole_sender_rates()
         self._limits = limits or AnnouncedLimits()
+        self._pauses = pauses or Pauses()
         self._record_by_upstream: dict[str, _UpstreamRecord] = {}
         self._new_blocks_by_upstream: dict[str, dict[int, int]] = {}
 
@@ -288,7 +293,12 @@
         now : float
             Monotonic seconds.
         """
-        names = [name for name in upstream_by_name if name not in tried_upstreams]
+        names = [
+            name
+            for name, upstream in upstream_by_name.items()
+            if name not in tried_upstreams
+            and self._pauses.may_send(_instance(upstream), now=now)
+        ]
         usable = self.ejections.usable(names, now)
         cost: Callable[[Upstream], float]
         if service.engine is None:
@@ -325,6 +335,20 @@
             ),
         )
 
+    def pause_seconds(self, upstreams: Iterable[Upstream], now: float) -> float:
+        """Return the seconds until the first of the upstreams ends its pause.
+
+        0 if there are no upstreams or one of them has not asked for a pause.
+        """
+        return min(
+            (self._pauses.seconds_left(_instance(u), now=now) for u in upstreams),
+            default=0.0,
+        )
+
+    def is_paused(self, upstream: Upstream, now: float) -> bool:
+        """Return whether a pause forbids to send even an assigned request."""
+        return self._pauses.is_paused(_instance(upstream), now=now)
+
     def record_first_token(self, assignment: Assignment) -> None:
         """Record the first token, which shows that the prompt has been read."""
         if not assignment.prompt_read:
@@ -545,10 +569,15 @@
         record.unread_tokens += unread
         if self._rate_limit(upstream, service, now) is not None:
             self._rates.record_sent(upstream.name)
+        self._pauses.record_sent(_instance(upstream), now=now)
         self.ejections.record_assignment(upstream.name, now)
         return Assignment(upstream=upstream, job=job, unread_tokens=unread, load=load)
 
 
+def _instance(upstream: Upstream) -> Instance:
+    return upstream.name, upstream.started_ms
+
+
 def _sole_sender_rates() -> FleetRates:
     return FleetRates(
         sharing=lambda: EqualShare(processes=1), random=Random(), started=float("-inf")
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -143,6 +143,7 @@
         self._placement = Placement(
             zone=settings.zone,
             limits=self._limit_tracker.limits,
+            pauses=self._pause_tracker.pauses,
             rates=FleetRates(
                 sharing=lambda: sharing_among(
                     own=settings.address,
--- a/tests/ingress/test_announcements.py
+++ b/tests/ingress/test_announcements.py
@@ -97,7 +97,7 @@
             head("3", header=RETRY_AFTER_HEADER, status=503), "retry-after"
         ) == Pause(seconds=3.0)
         response = head("3", header=RETRY_AFTER_HEADER, status=status)
-        assert read_pause(response, RETRY_AFTER_HEADER) is None
+        assert read_pause(response, RETRY_AFTER_HEADER) == Pause(seconds=0.0)
 
     @pytest.mark.parametrize(
         "values",
--- a/tests/ingress/test_pauses.py
+++ b/tests/ingress/test_pauses.py
@@ -1,5 +1,6 @@
 """Upstreams that reject requests with 503 and ask for a pause."""
 
+from functools import partial
 from time import monotonic
 
 import curio
@@ -12,6 +13,8 @@
     stream_whole,
 )
 
+from ragwortkeel.ingress.upstream_connection import ConnectionPool
+
 PAUSE_SECONDS = 2.0
 REACTION_SECONDS = 0.5
 """Time after the 503 in which requests may still arrive."""
@@ -142,3 +145,29 @@
         return len(upstream.arrivals)
 
     assert run_ingress(scenario, scripts={"u1": upstream}) == 2
+
+
+def test_an_assigned_request_is_not_sent_into_a_pause(monkeypatch):
+    """Guards against requests that a late process sends after the rejection."""
+    upstream = SheddingUpstream()
+    acquire = ConnectionPool.acquire
+    delays = iter([0.0, 0.8])
+
+    async def acquire_late(pool, upstream, *, fresh):
+        connection = await acquire(pool, upstream, fresh=fresh)
+        await curio.sleep(next(delays))
+        return connection
+
+    monkeypatch.setattr(ConnectionPool, "acquire", acquire_late)
+
+    async def scenario(fleet):
+        asks = [
+            partial(fleet.ask, "/lookup/1", x_request_id=f"p0-{number}")
+            for number in range(2)
+        ]
+        tasks = [await curio.spawn(ask) for ask in asks]
+        return [(await task.join()).status for task in tasks]
+
+    statuses = run_ingress(scenario, scripts={"u1": upstream})
+    assert len(upstream.arrivals) == 1
+    assert statuses == [503, 503]
