The sidecar obeys the pause that its upstream asks for

The sidecar is the only client of its upstream, so it refuses dispatches as overloaded until the pause ends, tells routers the rest of it, and then starts one run first; the same policy.pauses as in the ingress. tests/sidecar: the new tests failed before; sidecar and router passed.

--- a/src/ragwortkeel/http_events.py
+++ b/src/ragwortkeel/http_events.py
@@ -1,11 +1,15 @@
 """Reading of h11 events from a curio socket, for client and server."""
 
+import re
+
 import h11
 
 from ragwortkeel.exceptions import BadRequest, ExchangeBroken
 
 READ_CHUNK_BYTES = 64 * 1024
 
+_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
+
 
 async def next_event(sock, conn: h11.Connection):
     """Return the next h11 event, reading from the socket as needed.
@@ -48,3 +52,8 @@
         name, value = raw_name.decode("latin-1"), raw_value.decode("latin-1")
         by_name[name] = f"{by_name[name]}, {value}" if name in by_name else value
     return by_name
+
+
+def decimal_value(text: str) -> float | None:
+    """Return the decimal number in a header; None for anything else."""
+    return float(text) if _DECIMAL.fullmatch(text) else None
--- a/src/ragwortkeel/ingress/announcements.py
+++ b/src/ragwortkeel/ingress/announcements.py
@@ -5,11 +5,11 @@
 read here, whatever the status of the response.
 """
 
-import re
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from ragwortkeel.exceptions import AnnouncementUnreadable
+from ragwortkeel.http_events import decimal_value
 from ragwortkeel.ingress.configuration import Upstream
 from ragwortkeel.ingress.leaving_tracker import LeavingTracker
 from ragwortkeel.ingress.limit_tracker import LimitTracker
@@ -24,8 +24,6 @@
 RETRY_AFTER_HEADER = "retry-after"
 UNAVAILABLE = 503
 
-_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
-
 
 @dataclass(frozen=True, kw_only=True)
 class RateLimit:
@@ -178,6 +176,7 @@
 
 
 def _decimal(value: str) -> float:
-    if not _DECIMAL.fullmatch(value):
+    number = decimal_value(value)
+    if number is None:
         raise AnnouncementUnreadable(value)
-    return float(value)
+    return number
--- a/src/ragwortkeel/sidecar/admission.py
+++ b/src/ragwortkeel/sidecar/admission.py
@@ -38,6 +38,8 @@
         Whether an operator drains the upstream, and whether a planned stop runs.
     upstream_leaving : bool
         Whether the upstream itself announces that it leaves.
+    pause_seconds : float
+        Seconds for which the upstream wants no request; 0 for none.
     """
 
     def __init__(self, *, upstream: str, max_running: int = 256) -> None:
@@ -48,6 +50,7 @@
         self.draining = False
         self.stopping = False
         self.upstream_leaving = False
+        self.pause_seconds = 0.0
         self._objects_by_key: dict[tuple[str, str], VersionedObject] = {}
 
     @property
@@ -82,7 +85,9 @@
             return RefusalReason.STALE_CONFIGURATION
         if self.draining or self.upstream_leaving:
             return RefusalReason.DRAINING
-        if running >= min(self.refusal_threshold, self.max_running):
+        if self.pause_seconds or running >= min(
+            self.refusal_threshold, self.max_running
+        ):
             return RefusalReason.OVERLOADED
         return None
 
@@ -102,7 +107,7 @@
     def retry_delay_seconds(self, reason: RefusalReason) -> float:
         """Return the seconds after which a retry here may succeed, 0 for no hint."""
         if reason in _SHORT_RETRY_REASONS:
-            return SHORT_RETRY_SECONDS
+            return max(SHORT_RETRY_SECONDS, self.pause_seconds)
         return LONG_RETRY_SECONDS if reason in _LONG_RETRY_REASONS else 0.0
 
 
--- a/src/ragwortkeel/sidecar/core.py
+++ b/src/ragwortkeel/sidecar/core.py
@@ -4,6 +4,7 @@
 journal and the answers, and sends the progress of runs to their followers.
 """
 
+from ragwortkeel.logs import log_info
 from ragwortkeel.messages import (
     AnyMessage,
     Cancel,
@@ -26,6 +27,7 @@
     TombstoneResult,
     VersionedObject,
 )
+from ragwortkeel.policy.pauses import Instance, Pauses
 from ragwortkeel.policy.quarantine import fingerprint
 from ragwortkeel.runs.answer import AnswerStore, AnswerTooLarge
 from ragwortkeel.runs.journal import Journal, Run
@@ -95,6 +97,7 @@
         )
         self._sealing = Sealing(incarnation=incarnation, journal=self.journal)
         self._upstream_limit = UpstreamLimit()
+        self._pauses = Pauses()
         self._now = 0.0
 
     def on_message(
@@ -131,14 +134,17 @@
             return []
         match event:
             case AnswerStarted():
+                self._pauses.record_accepted(self._instance, sent_at=now)
                 return self._on_answer_started(event)
             case AnswerChunk():
                 return self._on_answer_chunk(event, now)
             case AnswerCompleted(nonce=nonce, tokens=tokens):
                 return self._finish(nonce, tokens, now)
             case RunDeclined():
+                self._record_pause(event.retry_after_seconds)
                 return self._on_declined(event)
             case RunBroken(nonce=nonce, reason=reason, tokens=tokens):
+                self._record_pause(event.retry_after_seconds)
                 seen = (
                     self._crash_detector.report_crash(nonce, now)
                     if reason == _CRASHED
@@ -151,6 +157,14 @@
         self.load = report
         self.admission.upstream_leaving = report.leaving
 
+    def _record_pause(self, seconds: float) -> None:
+        if self._pauses.record_pause(self._instance, seconds, now=self._now):
+            log_info("upstream_asked_for_pause", seconds=seconds)
+
+    @property
+    def _instance(self) -> Instance:
+        return self.admission.upstream, 0
+
     def on_epoch(self, now: float) -> None:
         """Begin the next epoch and discard the runs that may be discarded."""
         self.answer_streams.discard(self.journal.next_epoch())
@@ -179,6 +193,9 @@
                 return self._attach(peer, nonce, 0)
             case RunState.TOMBSTONED:
                 return self._refuse(peer, nonce, RefusalReason.TOMBSTONED)
+        self.admission.pause_seconds = self._pauses.seconds_left(
+            self._instance, now=self._now
+        )
         reason = self._dispatch_check.reason_to_refuse(sender, dispatch)
         if reason is not None:
             return self._refuse_permanently(peer, dispatch, reason)
@@ -201,6 +218,7 @@
 
     def _start(self, dispatch: Dispatch) -> list[Effect]:
         self._crash_detector.record_start(dispatch)
+        self._pauses.record_sent(self._instance, now=self._now)
         self._upstream_limit.record_start(
             dispatch.nonce, dispatch.promised_seconds, self._now
         )
--- a/src/ragwortkeel/sidecar/effects.py
+++ b/src/ragwortkeel/sidecar/effects.py
@@ -70,7 +70,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class RunDeclined:
-    """The upstream certainly did not run the request."""
+    """The upstream certainly did not run the request.
+
+    `retry_after_seconds` is the pause that it asked for, 0 for none.
+    """
 
     nonce: str
     reason: RefusalReason
@@ -79,11 +82,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class RunBroken:
-    """The run failed after it may have begun; `tokens` bounds its cost."""
+    """The run failed after it may have begun; `tokens` bounds its cost.
+
+    `retry_after_seconds` is the pause that the upstream asked for, 0 for none.
+    """
 
     nonce: str
     reason: FailureReason
     tokens: int
+    retry_after_seconds: float = 0.0
 
 
 UpstreamEvent = AnswerStarted | AnswerChunk | AnswerCompleted | RunDeclined | RunBroken
--- a/src/ragwortkeel/sidecar/upstream.py
+++ b/src/ragwortkeel/sidecar/upstream.py
@@ -10,7 +10,9 @@
 import curio
 
 from ragwortkeel.exceptions import ConnectFailed, ExchangeBroken
+from ragwortkeel.http_events import decimal_value
 from ragwortkeel.httpio import HttpClient, StreamedResponse
+from ragwortkeel.logs import log_warning
 from ragwortkeel.messages import Dispatch, FailureReason, RefusalReason
 from ragwortkeel.sidecar.effects import (
     AnswerChunk,
@@ -103,14 +105,21 @@
         except ExchangeBroken:
             await self.report_broken(FailureReason.CRASHED)
 
-    async def report_broken(self, reason: FailureReason) -> None:
+    async def report_broken(
+        self, reason: FailureReason, *, pause_seconds: float = 0.0
+    ) -> None:
         """Report that the run failed, with the bound of its tokens."""
         has_streamed = (
             self._stream.content_events > 0 or self._stream.token_count is not None
         )
         tokens = self._token_bound() if has_streamed else self._dispatch.reservation
         await self._report(
-            RunBroken(nonce=self._dispatch.nonce, reason=reason, tokens=tokens)
+            RunBroken(
+                nonce=self._dispatch.nonce,
+                reason=reason,
+                tokens=tokens,
+                retry_after_seconds=pause_seconds,
+            )
         )
 
     def _timeout_seconds(self) -> float:
@@ -148,11 +157,18 @@
     async def _handle_refusal(self, response: StreamedResponse) -> None:
         async for _ in response.chunks():
             pass
+        pause_seconds = 0.0
+        if response.status == UNAVAILABLE:
+            pause_seconds = _pause_seconds(response)
         if response.status in DECLINING_STATUSES and self._dispatch.idempotent:
             # A must-not-repeat call may have run in spite of status 503.
-            await self._report_declined(RefusalReason.OVERLOADED)
+            await self._report_declined(
+                RefusalReason.OVERLOADED, pause_seconds=pause_seconds
+            )
         else:
-            await self.report_broken(FailureReason.UPSTREAM_ERROR)
+            await self.report_broken(
+                FailureReason.UPSTREAM_ERROR, pause_seconds=pause_seconds
+            )
 
     async def _forward_stream(self, response: StreamedResponse) -> None:
         await self._report_started(response)
@@ -209,8 +225,16 @@
             AnswerCompleted(nonce=self._dispatch.nonce, tokens=token_count)
         )
 
-    async def _report_declined(self, reason: RefusalReason) -> None:
-        await self._report(RunDeclined(nonce=self._dispatch.nonce, reason=reason))
+    async def _report_declined(
+        self, reason: RefusalReason, *, pause_seconds: float = 0.0
+    ) -> None:
+        await self._report(
+            RunDeclined(
+                nonce=self._dispatch.nonce,
+                reason=reason,
+                retry_after_seconds=pause_seconds,
+            )
+        )
 
     async def _chunks(self, response: StreamedResponse):
         """Yield the body; raise `UpstreamSilent` after too long a gap."""
@@ -252,6 +276,17 @@
         return
 
 
+def _pause_seconds(response: StreamedResponse) -> float:
+    """Return the pause that a rejection asks for; 0 for none."""
+    value = response.headers.get("retry-after", "")
+    seconds = decimal_value(value.strip())
+    if value and seconds is None:
+        log_warning(
+            "upstream_announcement_unreadable", header="retry-after", value=value[:40]
+        )
+    return seconds or 0.0
+
+
 def _has_delimited_body(response: StreamedResponse) -> bool:
     encoding = response.headers.get("transfer-encoding", "").lower()
     return "content-length" in response.headers or encoding == "chunked"
--- a/tests/sidecar/test_core.py
+++ b/tests/sidecar/test_core.py
@@ -69,12 +69,13 @@
         self.core = SidecarCore(incarnation="s1-a", admission=Admission(upstream="u1"))
         self.core.admission.admitted = admitted
         self.effects = []
+        self.now = 0.0
 
     def receive(self, message, *, peer="p", sender="a"):
-        return self._record(self.core.on_message(peer, sender, message, 0.0))
+        return self._record(self.core.on_message(peer, sender, message, self.now))
 
     def engine(self, event):
-        return self._record(self.core.on_upstream(event, 0.0))
+        return self._record(self.core.on_upstream(event, self.now))
 
     def answer(self, nonce="n1", *, end=True):
         self.engine(AnswerStarted(nonce=nonce, status=200, content_type="t"))
@@ -268,6 +269,39 @@
         assert bench.core.journal.pending_receipts == 0
         assert bench.receive(Locate(profile="chat", request_id="r1"))[0].nonce == ""
 
+    @pytest.mark.parametrize("idempotent", [True, False])
+    def test_nothing_starts_in_a_pause_that_the_upstream_asked_for(
+        self, bench, idempotent
+    ):
+        """Guards against runs at an upstream that rejects all of them for a while.
+
+        It rejects at once, so it looks idle.
+        """
+        bench.receive(dispatch(idempotent=idempotent))
+        if idempotent:
+            event = RunDeclined(
+                nonce="n1", reason=RefusalReason.OVERLOADED, retry_after_seconds=3.0
+            )
+        else:
+            reason = FailureReason.UPSTREAM_ERROR
+            event = RunBroken(
+                nonce="n1", reason=reason, tokens=1, retry_after_seconds=3.0
+            )
+        bench.engine(event)
+        (refused,) = bench.receive(dispatch("n2"))
+        assert (refused.reason, refused.retry_after_seconds) == (
+            RefusalReason.OVERLOADED,
+            3.0,
+        )
+        assert len(bench.starts) == 1
+        bench.now = 3.0
+        bench.receive(dispatch("n3"))
+        (refused,) = bench.receive(dispatch("n4"))
+        assert refused.reason is RefusalReason.OVERLOADED
+        bench.answer("n3", end=False)
+        bench.receive(dispatch("n5"))
+        assert [start.dispatch.nonce for start in bench.starts] == ["n1", "n3", "n5"]
+
     def test_broken_run_is_failed_and_not_billed(self, bench):
         bench.receive(dispatch())
         event = RunBroken(nonce="n1", reason=FailureReason.CRASHED, tokens=6)
--- a/tests/sidecar/test_upstream.py
+++ b/tests/sidecar/test_upstream.py
@@ -141,6 +141,18 @@
         behave, changes, kind, reason, tokens = BEHAVIOURS[name]
         assert last(serve(behave, **changes)) == (kind, reason, tokens)
 
+    @pytest.mark.parametrize("changes", [{}, ONCE], ids=["engine", "plain"])
+    @pytest.mark.parametrize(
+        ("status", "value", "seconds"),
+        [(503, "1.5", 1.5), (503, "soon", 0.0), (503, "", 0.0), (429, "3", 0.0)],
+    )
+    def test_a_rejection_may_ask_for_a_pause(self, changes, status, value, seconds):
+        async def reject(upstream, request, responder):
+            await responder.respond(status, b"{}", {"retry-after": value})
+
+        events = serve(reject, **changes)
+        assert events[-1].retry_after_seconds == seconds
+
     def test_unreachable_upstream_certainly_did_not_run(self):
         events = serve(abort, port=9)
         expected = (RunDeclined, RefusalReason.UPSTREAM_UNREACHABLE, None)
