--- a/src/ragwortkeel/standins/engine.py
+++ b/src/ragwortkeel/standins/engine.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from ragwortkeel.httpio import HttpServer, Request, Responder
+from ragwortkeel.standins.announcements import AnnouncingResponder, reject
 from ragwortkeel.standins.engine_answers import (
     ChatRequest,
     answer_tokens,
@@ -43,8 +44,9 @@
     has `die_after_tokens` tokens.  `slow` multiplies the duration of a batch step.
     With `silent`, requests are accepted and never answered.  A stream ends after
     `truncate` tokens, without usage and end marker, but its HTTP response ends as if
-    it were complete.  `crash_on`, `die_after_tokens` and `truncate` are off if empty or
-    zero.
+    it were complete.  With `leaving`, all responses announce that the engine leaves.
+    `pause` is the pause in seconds that requests are rejected with.  `crash_on`,
+    `die_after_tokens`, `truncate` and `pause` are off if empty or zero.
     """
 
     crash_on: str = ""
@@ -55,6 +57,8 @@
     ignore_max_tokens: bool = False
     check_fencing: bool = False
     can_resume: bool = True
+    leaving: bool = False
+    pause: float = 0.0
 
 
 class Engine:
@@ -78,6 +82,9 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one HTTP request."""
+        responder = AnnouncingResponder(
+            responder=responder, leaving=self.switches.leaving
+        )
         match request.method, request.path:
             case "POST", path if path == CHAT_PATH:
                 await self._complete(request, responder)
@@ -114,6 +121,9 @@
         if self._check_stale(request.headers.get("x-fencing-number", "")):
             await _refuse(responder, 409, "stale_fencing_number")
             return
+        if self.switches.pause:
+            await reject(responder, self.switches.pause)
+            return
         try:
             chat = msgspec.json.decode(request.body, type=ChatRequest)
         except msgspec.DecodeError:
--- a/src/ragwortkeel/standins/service.py
+++ b/src/ragwortkeel/standins/service.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ragwortkeel.httpio import HttpServer, Request, Responder
+from ragwortkeel.standins.announcements import AnnouncingResponder, reject
 from ragwortkeel.standins.engine import JSON_TYPE, update_switches
 
 
@@ -19,12 +20,16 @@
     """Faults that a test can switch on.
 
     `slow` is the delay of each call in seconds.  `answer_lost` drops the connection
-    after the execution; `down` drops it before the execution.
+    after the execution; `down` drops it before the execution.  With `leaving`, all
+    responses announce that the service leaves.  `pause` is the pause in seconds that
+    calls are rejected with, 0 for no rejection.
     """
 
     slow: float = 0.0
     answer_lost: bool = False
     down: bool = False
+    leaving: bool = False
+    pause: float = 0.0
 
 
 class Execution(msgspec.Struct, frozen=True, kw_only=True):
@@ -63,6 +68,9 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one HTTP request."""
+        responder = AnnouncingResponder(
+            responder=responder, leaving=self.switches.leaving
+        )
         match request.method, request.path:
             case "POST", "/calls":
                 await self._call(request, responder)
@@ -84,6 +92,9 @@
         if self.switches.down:
             await responder.abort()
             return
+        if self.switches.pause:
+            await reject(responder, self.switches.pause)
+            return
         try:
             body = msgspec.json.decode(request.body, type=msgspec.Raw)
         except msgspec.DecodeError:
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -182,3 +182,24 @@
             return sum(msgspec.json.decode(counts.body).values())
 
         assert with_engine(scenario, silent=True) == 1
+
+
+class TestAnnouncements:
+    def test_a_leaving_engine_says_so_in_each_response(self):
+        async def scenario(client, _):
+            answers = [
+                await complete(client, body_of(stream=True)),
+                await complete(client, b"{"),
+                await client.request("GET", "/load", timeout=5),
+            ]
+            return [answer.headers.get("x-leaving") for answer in answers]
+
+        assert with_engine(scenario, leaving=True) == ["1", "1", "1"]
+
+    def test_a_rejected_request_does_not_run(self):
+        async def scenario(client, engine):
+            answer = await complete(client, body_of(), x_request_id="r1")
+            executions = await client.request("GET", "/executions", timeout=5)
+            return answer.status, answer.headers["retry-after"], executions.body
+
+        assert with_engine(scenario, pause=1.5) == (503, "1.5", b"{}")
--- a/tests/standins/test_service.py
+++ b/tests/standins/test_service.py
@@ -55,6 +55,23 @@
         assert with_service(scenario) == {}
 
 
+class TestAnnouncements:
+    def test_a_leaving_service_says_so_in_each_response(self):
+        async def scenario(client):
+            answers = [await call(client), await call(client, b"{")]
+            return [answer.headers.get("x-leaving") for answer in answers]
+
+        assert with_service(scenario, leaving=True) == ["1", "1"]
+
+    def test_a_rejected_call_does_not_execute(self):
+        async def scenario(client):
+            answer = await call(client)
+            assert (answer.status, answer.headers["retry-after"]) == (503, "1.5")
+            return await executed(client)
+
+        assert with_service(scenario, pause=1.5) == {}
+
+
 class TestFaults:
     @pytest.mark.parametrize(
         ("switch", "count"), [("answer_lost", {"r1": 1}), ("down", {})]
