Report unknown, not "not run", after a tombstoned second copy of a dispatch

Cause: a dispatch ran, the sidecar restarted, refused a second copy as for another incarnation and tombstoned its nonce, and refused a third as tombstoned; the router received the later refusal first, and only the former was held to prove nothing. Class: a promise of one incarnation taken for that of another. Only these two reasons can come from a restarted sidecar; the other refusals are checked after the incarnation.

After more than one copy both lead to unknown, listed for operators. It costs a not_run where the first copy's refusal by the same incarnation was lost.

--- a/src/ragwortkeel/runs/filing.py
+++ b/src/ragwortkeel/runs/filing.py
@@ -60,6 +60,16 @@
 """Steps after which no decision is left."""
 
 
+REFUSALS_OF_RESTARTED_SIDECARS = frozenset(
+    {RefusalReason.WRONG_INCARNATION, RefusalReason.TOMBSTONED}
+)
+"""Reasons with which a new incarnation refuses dispatches to the one before.
+
+It refuses the first copy as for another incarnation, and tombstones the nonce, so that
+it refuses all further copies as tombstoned.
+"""
+
+
 class Filing:
     """The steps of one attempt.
 
@@ -136,9 +146,9 @@
         other : Intent or None
             An intent with a new nonce for another sidecar; None to refuse the request.
         """
-        if reason is RefusalReason.WRONG_INCARNATION and self._dispatch_count > 1:
+        if reason in REFUSALS_OF_RESTARTED_SIDECARS and self._dispatch_count > 1:
             # Failure: the first copy ran at a sidecar that has restarted since.  The
-            # new incarnation's refusal of the second proves nothing about the first.
+            # new incarnation's refusals of later ones prove nothing about the first.
             self._continue(after_tombstone(self.wanted, self.stored, None))
             return
         if other is None:
