Announcements: the terms of ejection for probes, fewer looks at the directory

Read as a newcomer: what follows a pause is a probe, as after an ejection. Whether all upstreams of a service leave is asked only where a request got none, not for each.

--- a/benchmarks/guards_left_out.py
+++ b/benchmarks/guards_left_out.py
@@ -96,7 +96,7 @@
         "PAUSE",
         "requests are refused when all upstreams pause for too long",
         "ingress/dispatch.py",
-        "if self._can_not_send_before(latest_start, job, tried_upstreams, ahead):",
+        "if self._must_wait_beyond(latest_start, job, tried_upstreams, ahead):",
         "if False:",
     ),
     _guard(
--- a/src/ragwortkeel/ingress/announcements.py
+++ b/src/ragwortkeel/ingress/announcements.py
@@ -42,7 +42,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Pause:
-    """The upstream wants no request of this process for so many seconds, maybe 0."""
+    """The upstream wants no request of this process for so many seconds.
+
+    `seconds` is 0 if it accepts requests at once.
+    """
 
     seconds: float
 
--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -110,9 +110,7 @@
             Upstreams to exclude because the request was sent to them before.
         """
         self._service_by_name[service.name] = service
-        if self._directory.withholds_all(
-            service=service.name, regions=job.regions
-        ) or self._directory.all_leave(service=service.name):
+        if self._directory.withholds_all(service=service.name, regions=job.regions):
             return self._not_assigned(job)
         ahead = self.queue.queued_ahead(job)
         if not ahead:
@@ -121,7 +119,9 @@
                 return assignment
         elif monotonic() + self._estimated_wait_seconds(job) > latest_start:
             return self._not_assigned(job)
-        if self._can_not_send_before(latest_start, job, tried_upstreams, ahead):
+        if self._directory.all_leave(service=service.name):
+            return self._not_assigned(job)
+        if self._must_wait_beyond(latest_start, job, tried_upstreams, ahead):
             return self._not_assigned(job)
         return await self._wait(job, latest_start, tried_upstreams)
 
@@ -245,7 +245,7 @@
             upstream for name, upstream in usable.items() if name not in tried_upstreams
         ]
 
-    def _can_not_send_before(
+    def _must_wait_beyond(
         self,
         latest_start: float,
         job: Job,
@@ -255,7 +255,7 @@
         """Return whether limits or pauses forbid to send the request in time."""
         untried = self._usable(job, tried_upstreams)
         if not untried:
-            # A request is not sent again to an upstream that asked for a pause.
+            # No upstream is left but those that rejected the request and now pause.
             return self._placement.pause_seconds(self._usable(job), monotonic()) > 0.0
         latest_send = latest_start - MAX_DISPATCH_DELAY_SECONDS
         return monotonic() + self._seconds_until_send(job, untried, ahead) > latest_send
@@ -263,7 +263,7 @@
     def _seconds_until_send(
         self, job: Job, upstreams: list[Upstream], ahead: int
     ) -> float:
-        """Return the seconds until limits and pauses allow to send the request."""
+        """Return the seconds until limits and pauses allow the request to be sent."""
         send_rate = self._own_send_rate(job, upstreams)
         return max(
             send_rate.seconds_until_send(ahead) if send_rate else 0.0,
--- a/src/ragwortkeel/policy/pauses.py
+++ b/src/ragwortkeel/policy/pauses.py
@@ -6,7 +6,7 @@
 
 A pause is a hard bound: a shortage of other upstreams does not end it, nor does the
 answer to a request that was sent before.  It is asked of one process, so processes
-don't share it.  After its end one request shows whether the upstream accepts again;
+don't share it.  After its end one request probes whether the upstream accepts again;
 otherwise all queued requests would be rejected in the same moment.
 """
 
@@ -15,8 +15,8 @@
 MAX_PAUSE_SECONDS = 3600.0
 """Longest pause that is obeyed; a wrong value must not exclude an upstream for good."""
 
-TEST_SECONDS = 1.0
-"""Time to wait for the answer to the first request after a pause."""
+PROBE_TIMEOUT_SECONDS = 1.0
+"""Time to wait for the answer to a probe, the first request after a pause."""
 
 Instance = tuple[str, int]
 """Name of an upstream and the Unix millisecond of its start."""
@@ -30,8 +30,8 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class _Tested:
-    """The first request after a pause was sent at `since`."""
+class _Probing:
+    """The probe, the first request after a pause, was sent at `since`."""
 
     since: float
 
@@ -51,7 +51,7 @@
     """
 
     def __init__(self) -> None:
-        self._state_by_instance: dict[Instance, _Paused | _Tested] = {}
+        self._state_by_instance: dict[Instance, _Paused | _Probing] = {}
 
     def record_pause(self, instance: Instance, seconds: float, *, now: float) -> bool:
         """Record a pause from now; return whether there was none.
@@ -69,9 +69,9 @@
         return True
 
     def record_accepted(self, instance: Instance, *, sent_at: float) -> bool:
-        """Record an answer without a pause; return whether it ended the test."""
+        """Record an answer without a pause; return whether it ended the probing."""
         match self._state_by_instance.get(instance):
-            case _Tested(since=since) if sent_at >= since:
+            case _Probing(since=since) if sent_at >= since:
                 del self._state_by_instance[instance]
                 return True
         return False
@@ -79,7 +79,7 @@
     def record_sent(self, instance: Instance, *, now: float) -> None:
         """Record that a request was assigned to the upstream."""
         if instance in self._state_by_instance:
-            self._state_by_instance[instance] = _Tested(since=now)
+            self._state_by_instance[instance] = _Probing(since=now)
 
     def may_send(self, instance: Instance, *, now: float) -> bool:
         """Return whether a request may be sent now."""
@@ -90,8 +90,8 @@
         match self._state_by_instance.get(instance):
             case _Paused(until=until):
                 return max(0.0, until - now)
-            case _Tested(since=since):
-                return max(0.0, since + TEST_SECONDS - now)
+            case _Probing(since=since):
+                return max(0.0, since + PROBE_TIMEOUT_SECONDS - now)
         return 0.0
 
     def is_paused(self, instance: Instance, *, now: float) -> bool:
--- a/tests/policy/test_pauses.py
+++ b/tests/policy/test_pauses.py
@@ -3,7 +3,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
-from ragwortkeel.policy.pauses import MAX_PAUSE_SECONDS, TEST_SECONDS, Pauses
+from ragwortkeel.policy.pauses import MAX_PAUSE_SECONDS, PROBE_TIMEOUT_SECONDS, Pauses
 
 U1 = ("u1", 0)
 
@@ -23,7 +23,7 @@
         assert not pauses.record_accepted(U1, sent_at=0.0)
         assert not pauses.may_send(U1, now=2.0)
 
-    def test_one_request_tests_the_upstream_after_its_pause(self):
+    def test_one_request_probes_the_upstream_after_its_pause(self):
         """Guards against a queue that is rejected as a whole when a pause ends."""
         pauses = Pauses()
         pauses.record_pause(U1, 3.0, now=0.0)
@@ -32,12 +32,12 @@
         assert pauses.record_accepted(U1, sent_at=3.0)
         assert pauses.may_send(U1, now=3.1)
 
-    def test_a_test_without_an_answer_is_repeated(self):
+    def test_a_probe_without_an_answer_is_repeated(self):
         """Guards against an upstream that is never used again after a lost answer."""
         pauses = Pauses()
         pauses.record_pause(U1, 3.0, now=0.0)
         pauses.record_sent(U1, now=3.0)
-        assert pauses.may_send(U1, now=3.0 + TEST_SECONDS)
+        assert pauses.may_send(U1, now=3.0 + PROBE_TIMEOUT_SECONDS)
 
     def test_a_pause_ends_after_the_longest_time_at_last(self):
         pauses = Pauses()
@@ -93,7 +93,7 @@
 
     @rule()
     def is_used_at_last(self):
-        later = max(self.now, self.paused_until) + TEST_SECONDS
+        later = max(self.now, self.paused_until) + PROBE_TIMEOUT_SECONDS
         assert self.pauses.may_send(U1, now=later)
 
 
