Tests: states of older and newer builds; old and new processes in one mesh

A new field of IngressState has to be skipped by processes of the build before and may be missing from theirs; both are tested on the codec.

--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -13,6 +13,7 @@
     ConfigurationPush,
     Envelope,
     Heartbeat,
+    IngressState,
     VersionedObject,
     decode,
     encode,
@@ -31,6 +32,25 @@
             decode(data)
 
 
+class TestOtherBuilds:
+    STATE = IngressState(
+        node="n", address="a", addresses=(), relays=(), load_by_upstream={}
+    )
+
+    def test_a_field_of_a_newer_build_is_skipped(self):
+        """Guards against a link that breaks while a fleet is replaced."""
+        envelope = Envelope(sender="p", revision=1, message=self.STATE)
+        fields = msgspec.msgpack.decode(encode(envelope))
+        fields["message"]["field_of_a_newer_build"] = {"u1": 5}
+        assert decode(msgspec.msgpack.encode(fields)) == envelope
+
+    def test_what_an_older_build_does_not_send_is_empty(self):
+        """Guards against a state that is unreadable as its sender is older."""
+        envelope = Envelope(sender="p", revision=1, message=self.STATE)
+        assert b"leaving" not in encode(envelope)
+        assert decode(encode(envelope)).message.leaving_by_upstream == {}
+
+
 def test_a_heartbeat_of_defaults_is_small():
     """Each process exchanges heartbeats with dozens of peers twice a second."""
     idle = Envelope(sender="front-1/0a1b2c3d", revision=10, message=Heartbeat())
