Settings and reports for instances under hard load; specification of the parts

Cause: an instance knows neither what its link and memory carry nor how busy its peers are, so it takes work that it can only answer late.

Change: IngressSettings states the capacity of the instance, the promised delivery time of events and four switches, all off by default. IngressState carries an InstanceStatus, which peers validate and keep as long as the loads of the same report. Nothing decides by them yet.

--- a/src/ragwortkeel/ingress/load_reports.py
+++ b/src/ragwortkeel/ingress/load_reports.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, replace
 from math import ceil
 
-from ragwortkeel.messages import IngressState
+from ragwortkeel.messages import IngressState, InstanceStatus
 
 REPORT_SECONDS = 0.2
 """Interval between the reports to one group of peers and to the next."""
@@ -37,6 +37,10 @@
     return max(MIN_HOLD_SECONDS, HOLD_ROUNDS * round_seconds(peers))
 
 
+NOTABLE_UTILIZATION = 0.3
+"""Utilization of an instance that makes a report due even without requests."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class _IdleReport:
     writing_step: int
@@ -91,5 +95,16 @@
         state.relays,
         state.limit_by_upstream,
         state.leaving_by_upstream,
+        state.status is not None and _is_notable(state.status),
     )
     return bool(state.load_by_upstream) or any(details)
+
+
+def _is_notable(status: InstanceStatus) -> bool:
+    """Return whether peers decide differently with this status than without any."""
+    return (
+        status.overloaded
+        or not status.in_rotation
+        or status.utilization >= NOTABLE_UTILIZATION
+        or bool(status.running_by_customer or status.slowness_by_upstream)
+    )
--- a/src/ragwortkeel/ingress/peer_handler.py
+++ b/src/ragwortkeel/ingress/peer_handler.py
@@ -10,6 +10,7 @@
     EvacuatedZones,
     HandedRenewals,
     Heartbeat,
+    InstanceStatus,
     LoanRequest,
     PlatformAnswer,
     RenewalsWritten,
@@ -59,6 +60,14 @@
     ) -> None:
         """Merge a peer's load at each upstream, valid for `hold_seconds`."""
 
+    def instance_status(self) -> InstanceStatus | None:
+        """Return the status of this instance, None if peers don't get one."""
+
+    def receive_instance_status(
+        self, node: str, status: InstanceStatus | None, *, hold_seconds: float
+    ) -> None:
+        """Replace the status of a peer's instance, valid for `hold_seconds`."""
+
     async def receive_configuration(self, pushed: VersionedObject) -> None:
         """Receive a peer's configuration; apply it if it is newer."""
 
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -364,6 +364,7 @@
             evacuated_zones=evacuated.zones,
             limit_by_upstream=self._handler.announced_limits(),
             leaving_by_upstream=self._handler.announced_leaving(),
+            status=self._handler.instance_status(),
         )
 
     def _new_link(self, address: str, heartbeat: float, silence: float) -> Link:
@@ -573,6 +574,9 @@
         self._handler.merge_leaving(state.leaving_by_upstream)
         hold = hold_seconds(self.ingress_count)
         await self._handler.merge_loads(state.node, loads, hold_seconds=hold)
+        self._handler.receive_instance_status(
+            state.node, state.status, hold_seconds=hold
+        )
         for name, prompt_blocks in state.parts_by_upstream.items():
             self._handler.merge_prompt_blocks(name, prompt_blocks)
 
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -17,6 +17,7 @@
     EvacuatedZones,
     HandedRenewals,
     Heartbeat,
+    InstanceStatus,
     LoanRequest,
     PlatformAnswer,
     RenewalsWritten,
@@ -119,6 +120,14 @@
     ) -> None:
         """Discard a peer's loads."""
 
+    def instance_status(self) -> None:
+        """Return None: a relay serves no callers."""
+
+    def receive_instance_status(
+        self, node: str, status: InstanceStatus | None, *, hold_seconds: float
+    ) -> None:
+        """Ignore the status: a relay sends no requests."""
+
     async def receive_configuration(self, pushed: VersionedObject) -> None:
         """Discard a peer's configuration."""
 
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -35,6 +35,7 @@
 from ragwortkeel.ingress.load_reports import hold_seconds
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.pause_tracker import PauseTracker
+from ragwortkeel.ingress.peer_statuses import PeerStatuses
 from ragwortkeel.ingress.peers import Peers
 from ragwortkeel.ingress.placement import Load, Placement
 from ragwortkeel.ingress.relaying import RelayedPlatform
@@ -48,6 +49,7 @@
     EvacuatedZones,
     HandedRenewals,
     Heartbeat,
+    InstanceStatus,
     LoanRequest,
     PlatformAnswer,
     RenewalsWritten,
@@ -134,6 +136,7 @@
             directory=self._directory, metrics=self.metrics
         )
         self._pause_tracker = PauseTracker(metrics=self.metrics)
+        self._peer_statuses = PeerStatuses()
         self._announcements = AnnouncementReader(
             names=names,
             limits=self._limit_tracker,
@@ -333,6 +336,18 @@
         valid_until = monotonic() + hold_seconds
         self._placement.merge_loads(node, load_by_upstream, valid_until)
 
+    def instance_status(self) -> InstanceStatus | None:
+        """Return the status of this instance, None without a stated capacity."""
+        if self._settings.capacity is None:
+            return None
+        return InstanceStatus(zone=self._settings.zone)
+
+    def receive_instance_status(
+        self, node: str, status: InstanceStatus | None, *, hold_seconds: float
+    ) -> None:
+        """Replace the status of a peer's instance; it counts for `hold_seconds`."""
+        self._peer_statuses.merge(node, status, now=monotonic(), seconds=hold_seconds)
+
     def receive_revision(self, peer: str, revision: int) -> None:
         """Record which configuration a peer has in force; 0 for none."""
         if revision <= max(self._peer_revision, self.revision()):
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -434,6 +434,34 @@
     age_seconds: float
 
 
+class InstanceStatus(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """How loaded an ingress process is, and what it measured.
+
+    Attributes
+    ----------
+    zone : str
+        Availability zone of the process.
+    utilization : float
+        Fraction of the process's event loop or link that is in use, the larger of both.
+    overloaded : bool
+        Whether the process refuses requests for lack of capacity.
+    in_rotation : bool
+        Whether the process asks the balancer for new connections.
+    running_by_customer : dict of str to int
+        Running requests of customers, while requests are queued in the fleet.
+    slowness_by_upstream : dict of str to float
+        Duration of an upstream's work as a multiple of the usual one of its service,
+        for upstreams that differ from the others.
+    """
+
+    zone: str = ""
+    utilization: float = 0.0
+    overloaded: bool = False
+    in_rotation: bool = True
+    running_by_customer: dict[str, int] = {}
+    slowness_by_upstream: dict[str, float] = {}
+
+
 class IngressState(Message):
     """State of an ingress process: its load by upstream and the peers it knows.
 
@@ -461,6 +489,8 @@
     leaving_by_upstream : dict of str to int
         Upstreams whose recent answers to the sender announced that they leave, with the
         Unix milliseconds of their starts.
+    status : InstanceStatus or None
+        Load of the sender's instance; None if the sender doesn't report it.
     """
 
     node: str
@@ -475,6 +505,7 @@
     evacuated_zones: tuple[str, ...] = ()
     limit_by_upstream: dict[str, AnnouncedLimit] = {}
     leaving_by_upstream: dict[str, int] = {}
+    status: InstanceStatus | None = None
 
 
 class EvacuatedZones(Message):
--- a/src/ragwortkeel/settings.py
+++ b/src/ragwortkeel/settings.py
@@ -30,6 +30,9 @@
 StopSeconds = Annotated[float, msgspec.Meta(gt=0, le=MAX_STOP_SECONDS)]
 CallSeconds = Annotated[float, msgspec.Meta(gt=0, le=60)]
 Peers = Annotated[tuple[AddressText, ...], msgspec.Meta(max_length=MAX_PEERS)]
+PositiveRate = Annotated[float, msgspec.Meta(gt=0)]
+PositiveBytes = Annotated[int, msgspec.Meta(gt=0)]
+DeliverySeconds = Annotated[float, msgspec.Meta(ge=0, le=60)]
 
 
 class LogLevel(StrEnum):
@@ -127,6 +130,21 @@
     log_level: LogLevel = LogLevel.INFO
 
 
+class InstanceCapacity(_Settings):
+    """What the instance of a process can carry.
+
+    Attributes
+    ----------
+    link_bytes_per_second : float
+        Bytes a second that the instance's link carries in each direction.
+    memory_bytes : int
+        Memory at which the process is killed.
+    """
+
+    link_bytes_per_second: PositiveRate
+    memory_bytes: PositiveBytes
+
+
 class IngressSettings(_Settings):
     """Settings of an ingress process.
 
@@ -142,6 +160,20 @@
         Ingress processes to connect to first; they send the addresses of the others.
     region_by_zone : dict of str to str
         Region of each availability zone, for routes and customers with a home.
+    capacity : InstanceCapacity or None
+        With a capacity the process refuses requests that it could only serve late,
+        and bounds what it holds for slow callers; None switches both off.
+    leaves_rotation : bool
+        Whether the process fails readiness probes while it is overloaded and peers of
+        its availability zone are not.
+    event_delivery_seconds : float
+        Time from when an upstream makes an event of a stream until the caller should
+        have it; 0 if no time is promised, so that each event is forwarded at once.
+    fleet_fairness : bool
+        Whether a customer's running requests at peers count for its place in a queue.
+    measures_upstreams : bool
+        Whether the speed of upstreams, as their answers show it, decides where
+        requests go.
     """
 
     name: Name
@@ -153,6 +185,11 @@
     ready_path: str = "/readyz"
     peers: Peers = ()
     region_by_zone: dict[str, str] = {}
+    capacity: InstanceCapacity | None = None
+    leaves_rotation: bool = False
+    event_delivery_seconds: DeliverySeconds = 0.0
+    fleet_fairness: bool = False
+    measures_upstreams: bool = False
     stop_deadline_seconds: StopSeconds = 60.0
     log_level: LogLevel = LogLevel.INFO
 
