Overload of an instance: measure the event loop and the link, refuse early

Cause: an instance that gets more requests than it can answer takes all of them. Each turn of its event loop then takes 1 to 2 s, and it answers 20 requests a second instead of 70.

Ruled out: a limit on the rate of arrivals, because a stream is open for seconds and the load follows arrivals with that delay. A probability of shedding alone has the same delay.

Change: with a stated capacity a process samples every 0.1 s how long its event loop waits in the selector, the bytes on its sockets and the lateness of timers. During an overload it admits requests up to a number of open ones that follows the ratio of target and demand. The rest gets 503 instance_overloaded from the HTTP server's task of the connection, before a task, a reservation or a place in a queue. Peers get utilization and overloaded in the status.

--- a/src/ragwortkeel/http_events.py
+++ b/src/ragwortkeel/http_events.py
@@ -5,15 +5,18 @@
 import h11
 
 from ragwortkeel.exceptions import BadRequest, ExchangeBroken
+from ragwortkeel.usage_counters import ByteCounter
 
 READ_CHUNK_BYTES = 64 * 1024
 
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
 
-async def next_event(sock, conn: h11.Connection):
+async def next_event(sock, conn: h11.Connection, counter: ByteCounter | None = None):
     """Return the next h11 event, reading from the socket as needed.
 
+    Bytes that are read are added to `counter`.
+
     Raises
     ------
     BadRequest
@@ -35,6 +38,8 @@
             data = await sock.recv(READ_CHUNK_BYTES)
         except OSError as exc:
             raise ExchangeBroken(str(exc)) from exc
+        if counter is not None:
+            counter.record_received(len(data))
         conn.receive_data(data)
 
 
--- a/src/ragwortkeel/http_responder.py
+++ b/src/ragwortkeel/http_responder.py
@@ -8,6 +8,7 @@
 import h11
 
 from ragwortkeel.exceptions import ExchangeBroken
+from ragwortkeel.usage_counters import ByteCounter
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -51,9 +52,12 @@
         Whether the response asks the peer to close the connection.
     """
 
-    def __init__(self, *, sock, conn: h11.Connection) -> None:
+    def __init__(
+        self, *, sock, conn: h11.Connection, counter: ByteCounter | None = None
+    ) -> None:
         self._sock = sock
         self._conn = conn
+        self._counter = counter or ByteCounter()
         self.bodiless = False
         self.disconnected = curio.Event()
         self.started = False
@@ -138,6 +142,7 @@
         data = b"".join([self._conn.send(event) for event in events])
         if data:
             try:
+                self._counter.record_sent(len(data))
                 await self._sock.sendall(data)
             except OSError as exc:
                 await self.disconnected.set()
--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -13,6 +13,7 @@
 from ragwortkeel.http_events import READ_CHUNK_BYTES, join_headers, next_event
 from ragwortkeel.http_responder import Request, Responder
 from ragwortkeel.logs import log_error, log_warning
+from ragwortkeel.usage_counters import ByteCounter
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Larger bodies are refused with 413; the largest usual documents are smaller."""
@@ -57,6 +58,11 @@
         Maximum time for receiving the head of the next request, in seconds.
     cancels_disconnected
         Whether the handler is cancelled when its caller has closed the connection.
+    refuse
+        Called before `handler`; returns whether it has answered the request.  Such a
+        request costs no task.
+    counter
+        Counts the bytes of callers, if given.
 
     Attributes
     ----------
@@ -84,6 +90,8 @@
         read_seconds: float = REQUEST_READ_SECONDS,
         keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
         cancels_disconnected: bool = False,
+        refuse: Callable[[Request, Responder], Awaitable[bool]] | None = None,
+        counter: ByteCounter | None = None,
     ) -> None:
         self.host = host
         self.port = port
@@ -93,6 +101,8 @@
         self._read_seconds = read_seconds
         self.keep_alive_seconds = keep_alive_seconds
         self._cancels_disconnected = cancels_disconnected
+        self._refuse = refuse
+        self._counter = counter
         self._connections_before_request = 0
         self._idle_by_socket: dict[object, h11.Connection] = {}
         self._listener = None
@@ -212,7 +222,7 @@
 
     async def _exchange(self, sock, conn, head: h11.Request) -> bool:
         """Serve one request; return whether another may follow."""
-        responder = Responder(sock=sock, conn=conn)
+        responder = Responder(sock=sock, conn=conn, counter=self._counter)
         self.open_exchanges += 1
         try:
             request = await self._read_request(sock, conn, head)
@@ -227,6 +237,8 @@
     ) -> None:
         responder.bodiless = request.method == "HEAD"
         responder.closing = self._stopping
+        if self._refuse is not None and await self._refuse(request, responder):
+            return
         handler_task = (
             await curio.current_task() if self._cancels_disconnected else None
         )
@@ -250,7 +262,7 @@
         self._idle_by_socket[sock] = conn
         try:
             async with curio.timeout_after(self.keep_alive_seconds):
-                event = await next_event(sock, conn)
+                event = await next_event(sock, conn, self._counter)
         except curio.TaskTimeout:
             if not conn.trailing_data[0]:
                 return None
@@ -293,7 +305,7 @@
         chunks = []
         size = 0
         while True:
-            event = await next_event(sock, conn)
+            event = await next_event(sock, conn, self._counter)
             match event:
                 case h11.Data(data=data):
                     size += len(data)
--- a/src/ragwortkeel/ingress/error_responses.py
+++ b/src/ragwortkeel/ingress/error_responses.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ragwortkeel.http_responder import Responder
-from ragwortkeel.policy.retry_delays import retry_delay
+from ragwortkeel.policy.retry_delays import SPREAD_FRACTION, retry_delay
 
 PROBLEM_TYPE = "application/problem+json"
 
@@ -76,6 +76,12 @@
 STOPPING = ErrorResponse(
     status=503, reason="stopping", result=Result.NOT_RUN, retry_after_seconds=0.05
 )
+INSTANCE_OVERLOADED = ErrorResponse(
+    status=503,
+    reason="instance_overloaded",
+    result=Result.NOT_RUN,
+    retry_after_seconds=0.1,
+)
 TIMED_OUT = ErrorResponse(status=504, reason="timed_out", result=Result.UNKNOWN)
 BROKEN = ErrorResponse(status=502, reason="upstream_broke_off", result=Result.UNKNOWN)
 
@@ -88,6 +94,14 @@
     return replace(error, retry_after_seconds=retry_delay(seconds, _random))
 
 
+def with_spread(error: ErrorResponse) -> ErrorResponse:
+    """Return the error with its own Retry-After, spread at random."""
+    spread = 1.0 + SPREAD_FRACTION * _random.random()
+    return replace(
+        error, retry_after_seconds=round(error.retry_after_seconds * spread, 3)
+    )
+
+
 async def send_error(responder: Responder, error: ErrorResponse) -> None:
     """Send the error as a problem document; the connection stays usable."""
     problem = _Problem(
--- a/src/ragwortkeel/ingress/front.py
+++ b/src/ragwortkeel/ingress/front.py
@@ -1,12 +1,14 @@
 """Accepts callers' requests: chooses the route, the customer and the service."""
 
 from hashlib import blake2b
+from time import monotonic
 
 from ragwortkeel.http_responder import Request, Responder
 from ragwortkeel.ingress.attempt import CallerRequest
 from ragwortkeel.ingress.configuration import Customer, Route
 from ragwortkeel.ingress.error_responses import (
     BAD_REQUEST,
+    INSTANCE_OVERLOADED,
     NO_CONFIGURATION,
     NO_ROUTE,
     NO_UPSTREAM,
@@ -14,9 +16,11 @@
     UNKNOWN_KEY,
     ErrorResponse,
     send_error,
+    with_spread,
 )
 from ragwortkeel.ingress.exchange import AcceptedRequest, Exchange
 from ragwortkeel.ingress.front_components import FrontComponents
+from ragwortkeel.ingress.instance_monitor import InstanceMonitor
 from ragwortkeel.ingress.placement import Job
 from ragwortkeel.ingress.routing import (
     NoRoute,
@@ -39,6 +43,8 @@
     ----------
     components : FrontComponents
         The components that all requests share.
+    monitor : InstanceMonitor or None
+        Decides which requests are admitted; None admits all.
 
     Attributes
     ----------
@@ -48,11 +54,44 @@
         Whether new requests are refused, because a planned stop might cut them off.
     """
 
-    def __init__(self, *, components: FrontComponents) -> None:
+    def __init__(
+        self, *, components: FrontComponents, monitor: InstanceMonitor | None = None
+    ) -> None:
         self.table: RoutingTable | None = None
         self.stopping = False
         self._components = components
         self._names = components.names
+        self._monitor = monitor
+
+    async def refuse(self, request: Request, responder: Responder) -> bool:
+        """Refuse a request that an overloaded instance can't serve in time.
+
+        Return whether it was refused.  The HTTP server asks before `handle`, so that a
+        refusal costs no task, reservation or place in a queue.
+        """
+        monitor, table = self._monitor, self.table
+        if monitor is None or not monitor.is_limiting:
+            return False
+        if table is None or self.stopping:
+            return False
+        match self._route(request):
+            case Routed(route=route, customer=customer):
+                if monitor.admits(_priority(route, customer)):
+                    return False
+            case _:
+                return False
+        # The caller's next attempt should open a connection, which mostly reaches
+        # another instance.
+        responder.closing = True
+        self._components.record_refusal(
+            request.headers.get(self._names.request_id, ""),
+            INSTANCE_OVERLOADED,
+            route=route.name,
+            waited=monotonic() - request.arrived_at,
+            revision=table.configuration.revision,
+        )
+        await send_error(responder, with_spread(INSTANCE_OVERLOADED))
+        return True
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Serve or refuse one request."""
@@ -61,7 +100,7 @@
                 exchange = Exchange(
                     components=self._components, accepted=accepted, to=responder
                 )
-                await exchange.run()
+                await self._run(exchange)
             case ErrorResponse() as answer:
                 request_id = request.headers.get(self._names.request_id, "")
                 table = self.table
@@ -71,18 +110,30 @@
                 )
                 await send_error(responder, answer)
 
-    def _accept(self, request: Request) -> AcceptedRequest | ErrorResponse:
-        if self.table is None:
-            return NO_CONFIGURATION
-        if self.stopping:
-            return STOPPING
+    async def _run(self, exchange: Exchange) -> None:
+        if self._monitor is None:
+            await exchange.run()
+            return
+        self._monitor.open_requests += 1
+        try:
+            await exchange.run()
+        finally:
+            self._monitor.open_requests -= 1
+
+    def _route(self, request: Request) -> Routed | NoRoute | UnknownKey:
         headers = request.headers
-        routing = self.table.route(
+        return self.table.route(
             host=headers.get("host", ""),
             path=request.target.partition("?")[0],
             key=_api_key(headers.get("authorization", "")),
         )
-        match routing:
+
+    def _accept(self, request: Request) -> AcceptedRequest | ErrorResponse:
+        if self.table is None:
+            return NO_CONFIGURATION
+        if self.stopping:
+            return STOPPING
+        match self._route(request):
             case NoRoute():
                 return NO_ROUTE
             case UnknownKey():
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -104,11 +104,10 @@
         Executes the platform calls that peers relay through this process.
     handler
         Provides what is sent to peers and receives their messages; see `PeerHandler`.
-    metrics : Metrics
-        Counts the bytes on the links.
+    metrics, traffic : Metrics, Traffic
+        Count the bytes on the links.
     is_relay : bool
-        Whether this process only relays platform calls; relays don't link to each
-        other.
+        Whether this process only relays platform calls and links to no other relay.
 
     Attributes
     ----------
@@ -126,6 +125,7 @@
         platform: Platform,
         handler: PeerHandler,
         metrics: Metrics,
+        traffic: Traffic | None = None,
         is_relay: bool = False,
     ) -> None:
         self._node = node
@@ -136,7 +136,7 @@
         self._is_relay = is_relay
         self._inbox: curio.Queue = curio.Queue()
         self._metrics = metrics
-        self._traffic = Traffic()
+        self._traffic = traffic or Traffic()
         self._endpoint = Endpoint(
             address=address,
             incarnation=incarnation,
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -21,6 +21,7 @@
 from ragwortkeel.exceptions import ConnectFailed, ConnectRefused, ExchangeBroken
 from ragwortkeel.http_events import next_event
 from ragwortkeel.ingress.configuration import Upstream
+from ragwortkeel.usage_counters import ByteCounter
 
 CONNECT_SECONDS = 0.4
 """Time limit of a connect, over a hundred round trips inside a region.
@@ -97,8 +98,11 @@
         Name of the header in which upstreams echo the request id.
     """
 
-    def __init__(self, *, sock, id_header: str) -> None:
+    def __init__(
+        self, *, sock, id_header: str, counter: ByteCounter | None = None
+    ) -> None:
         self._sock = sock
+        self._counter = counter
         self._id_header = id_header
         self._conn = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
@@ -107,7 +111,13 @@
         self._framed = True
 
     @classmethod
-    async def open(cls, upstream: Upstream, *, id_header: str) -> "UpstreamConnection":
+    async def open(
+        cls,
+        upstream: Upstream,
+        *,
+        id_header: str,
+        counter: ByteCounter | None = None,
+    ) -> "UpstreamConnection":
         """Connect to an upstream.
 
         Raises
@@ -129,7 +139,7 @@
         finally:
             if not connected:
                 await sock.close()
-        return cls(sock=sock, id_header=id_header)
+        return cls(sock=sock, id_header=id_header, counter=counter)
 
     @property
     def idle_seconds(self) -> float:
@@ -174,6 +184,8 @@
             data += self._conn.send(h11.Data(data=outgoing.body))
         data += self._conn.send(h11.EndOfMessage())
         try:
+            if self._counter is not None:
+                self._counter.record_sent(len(data))
             await self._sock.sendall(data)
         except OSError as exc:
             raise ExchangeBroken(str(exc)) from exc
@@ -181,7 +193,7 @@
     async def receive_head(self, request_id: str) -> ResponseHead:
         """Return the head of this request's response, and skip other responses."""
         while True:
-            event = await next_event(self._sock, self._conn)
+            event = await next_event(self._sock, self._conn, self._counter)
             if isinstance(event, h11.InformationalResponse):
                 continue
             if not isinstance(event, h11.Response):
@@ -197,7 +209,7 @@
 
     async def receive_chunk(self) -> bytes | None:
         """Return the next chunk of the body; None at its end."""
-        match await next_event(self._sock, self._conn):
+        match await next_event(self._sock, self._conn, self._counter):
             case h11.Data(data=data):
                 return bytes(data)
             case h11.EndOfMessage():
@@ -235,8 +247,9 @@
 class ConnectionPool:
     """A pool of idle connections for each upstream instance."""
 
-    def __init__(self, *, id_header: str) -> None:
+    def __init__(self, *, id_header: str, counter: ByteCounter | None = None) -> None:
         self._id_header = id_header
+        self._counter = counter
         self._idle_by_upstream: dict[tuple[str, int], list[UpstreamConnection]] = {}
 
     async def acquire(self, upstream: Upstream, *, fresh: bool) -> UpstreamConnection:
@@ -259,7 +272,9 @@
             if not connection.expired and not stale and connection.is_quiet():
                 return connection
             await connection.close()
-        return await UpstreamConnection.open(upstream, id_header=self._id_header)
+        return await UpstreamConnection.open(
+            upstream, id_header=self._id_header, counter=self._counter
+        )
 
     async def release(self, upstream: Upstream, connection: UpstreamConnection):
         """Return a reusable connection to the pool; close any other."""
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -30,6 +30,7 @@
 )
 from ragwortkeel.ingress.front import Front
 from ragwortkeel.ingress.front_components import FrontComponents
+from ragwortkeel.ingress.instance_monitor import InstanceMonitor
 from ragwortkeel.ingress.leaving_tracker import LeavingTracker
 from ragwortkeel.ingress.limit_tracker import LimitTracker
 from ragwortkeel.ingress.load_reports import hold_seconds
@@ -61,12 +62,15 @@
 from ragwortkeel.platform import Platform
 from ragwortkeel.platform_counts import CountedPlatform
 from ragwortkeel.policy.fleet_rates import FleetRates, sharing_among
+from ragwortkeel.policy.overload import Level
 from ragwortkeel.policy.quarantine import Crash
 from ragwortkeel.policy.retries import RetryBudgets, process_reserve
 from ragwortkeel.process import Leftover
 from ragwortkeel.settings import Address, IngressSettings, changed_fields
 from ragwortkeel.tasks import run_together
 from ragwortkeel.traces import Tracing
+from ragwortkeel.traffic import Traffic
+from ragwortkeel.usage_counters import ByteCounter
 
 RETRY_FRACTION = 0.12
 """Retries at a service per first attempt.
@@ -128,6 +132,7 @@
         self._stopping = False
         self._encoded_configuration: bytes = b""
         self._peer_revision = 0
+        counter = ByteCounter()
         incarnation = f"{settings.name}/{secrets.token_hex(4)}"
         self._directory = Directory(region_by_zone=settings.region_by_zone)
         self._evacuations = Evacuations()
@@ -170,6 +175,7 @@
             platform=self._counted,
             handler=self,
             metrics=self.metrics,
+            traffic=Traffic(counter=counter),
         )
         self._platform = RelayedPlatform(
             direct=self._counted, relays=self._peers.platform_relays
@@ -185,7 +191,15 @@
         self._retries = RetryBudgets(
             retry_fraction=RETRY_FRACTION, reserve=RETRY_RESERVE
         )
-        self._connections = ConnectionPool(id_header=names.request_id)
+        self._connections = ConnectionPool(id_header=names.request_id, counter=counter)
+        self._monitor: InstanceMonitor | None = None
+        if settings.capacity is not None:
+            self._monitor = InstanceMonitor(
+                capacity=settings.capacity,
+                counter=counter,
+                metrics=self.metrics,
+                random=Random(incarnation),
+            )
         self._front = Front(
             components=FrontComponents(
                 names=names,
@@ -197,7 +211,8 @@
                 retries=self._retries,
                 announcements=self._announcements,
                 metrics=self.metrics,
-            )
+            ),
+            monitor=self._monitor,
         )
         http_address = Address.parse(settings.http)
         self._server = HttpServer(
@@ -205,6 +220,8 @@
             port=http_address.port,
             handler=self._front.handle,
             cancels_disconnected=True,
+            refuse=self._front.refuse if self._monitor else None,
+            counter=counter,
         )
         self._configurations = ConfigurationFollower(
             platform=self._platform,
@@ -249,7 +266,9 @@
 
     async def run(self) -> None:
         """Run all tasks until cancelled or until one fails."""
+        monitoring = [self._monitor.run] if self._monitor else []
         await run_together(
+            *monitoring,
             self._server.serve,
             self._configurations.run,
             self._upstreams.run,
@@ -338,9 +357,14 @@
 
     def instance_status(self) -> InstanceStatus | None:
         """Return the status of this instance, None without a stated capacity."""
-        if self._settings.capacity is None:
+        if self._monitor is None:
             return None
-        return InstanceStatus(zone=self._settings.zone)
+        overload = self._monitor.overload
+        return InstanceStatus(
+            zone=self._settings.zone,
+            utilization=round(overload.utilization, 2),
+            overloaded=overload.level is Level.OVERLOADED,
+        )
 
     def receive_instance_status(
         self, node: str, status: InstanceStatus | None, *, hold_seconds: float
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -135,6 +135,18 @@
         self._queued_requests = self._gauge(
             "ragwortkeel_queued_requests", "Requests that wait for an upstream."
         )
+        self._utilization = self._gauge(
+            "ragwortkeel_instance_utilization",
+            "Fraction of the event loop or the link in use, the larger of both.",
+        )
+        self._event_loop_lag = self._gauge(
+            "ragwortkeel_event_loop_lag_seconds", "Average lateness of timers."
+        )
+        self._shed = self._counter(
+            "ragwortkeel_shed_requests_total",
+            "Requests refused because the instance is overloaded, by priority.",
+            ("priority",),
+        )
         self._slice_tokens = self._gauge(
             "ragwortkeel_slice_tokens", "Tokens of budget slices held and not spent."
         )
@@ -234,6 +246,15 @@
         self._open_requests.set(running)
         self._queued_requests.set(queued)
 
+    def set_instance_load(self, *, utilization: float, lag_seconds: float) -> None:
+        """Set the utilization of the instance and its event loop lag."""
+        self._utilization.set(utilization)
+        self._event_loop_lag.set(lag_seconds)
+
+    def record_shed(self, *, priority: int, count: int) -> None:
+        """Count requests that an overloaded instance refused."""
+        self._shed.labels(str(priority)).inc(count)
+
     def set_slice_tokens(self, *, tokens: int) -> None:
         """Set the number of unspent tokens in slices."""
         self._slice_tokens.set(tokens)
--- a/src/ragwortkeel/process.py
+++ b/src/ragwortkeel/process.py
@@ -23,6 +23,7 @@
 from ragwortkeel.settings import Address, LogLevel
 from ragwortkeel.signals import SignalQueue
 from ragwortkeel.traces import Tracing
+from ragwortkeel.usage_counters import MeasuredSelector
 
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
@@ -211,5 +212,5 @@
     fields of one request's log lines and spans would show up in those of another.
     """
     configure_logs(level=_LEVELS[level])
-    with curio.Kernel(taskcls=ContextTask) as kernel:
+    with curio.Kernel(taskcls=ContextTask, selector=MeasuredSelector()) as kernel:
         return kernel.run(new_process().main)
--- a/src/ragwortkeel/traffic.py
+++ b/src/ragwortkeel/traffic.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from ragwortkeel.messages import AnyMessage
+from ragwortkeel.usage_counters import ByteCounter
 
 MAX_REPORTED_KINDS = 4
 """Number of kinds in a log line, those with the most bytes; metrics have all kinds."""
@@ -36,6 +37,11 @@
 class Traffic:
     """Counter of the bytes that the links of one process send and receive.
 
+    Parameters
+    ----------
+    counter : ByteCounter or None
+        Counts the bytes of all sockets of the process, if given.
+
     Examples
     --------
     >>> from ragwortkeel.messages import Heartbeat
@@ -45,16 +51,19 @@
     {'Heartbeat': 60}
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, counter: ByteCounter | None = None) -> None:
+        self._counter = counter or ByteCounter()
         self._sent_bytes_by_kind: Counter[str] = Counter()
         self._received_bytes_by_kind: Counter[str] = Counter()
 
     def record_sent(self, message: AnyMessage, size: int) -> None:
         """Count the bytes of a message that was sent."""
+        self._counter.record_sent(size)
         self._sent_bytes_by_kind[type(message).__name__] += size
 
     def record_received(self, message: AnyMessage, size: int) -> None:
         """Count the bytes of a message that was received."""
+        self._counter.record_received(size)
         self._received_bytes_by_kind[type(message).__name__] += size
 
     def drain_report(self) -> TrafficReport:
