Decision when a process leaves the balancer's rotation

Cause: the balancer spreads callers by a hash, and a process with several times its share has no way to send them to peers that are nearly idle.

Ruled out: a leader or a count kept in the platform, since both fail when they are needed; waiting for every overloaded peer that ranks ahead, since one that never leaves (an older build, the part switched off) would hold all others back; it now yields for 2 s only.

Change: policy/rotation.py decides by the own load and the peers' reports. Guards: a third of the known processes out, half of those heard in.

Nothing uses it yet.

--- /dev/null
+++ b/src/ragwortkeel/policy/rotation.py
@@ -0,0 +1,395 @@
+"""Whether a process asks the external balancer for new connections.
+
+Load pattern: the balancer spreads callers by a hash.  One process gets several times
+its share and is overloaded, while its peers in the zone are nearly idle.  A process
+that fails its readiness probes gets no new connections, and its callers reach peers.
+
+Failures it guards against: all processes of a zone leave together, and the balancer
+then uses all of them; a process stays out while the others are overloaded; a process
+joins and leaves again with each burst.
+
+There is no leader: each process decides by the reports of its peers, which may be old
+or wrong.  Guards use counts of these reports, and a process that hears too few peers is
+in the rotation.
+"""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+OVERLOADED_SECONDS = 0.5
+"""Time that a process is overloaded before it leaves.  The balancer takes up to 2 s
+more, and a burst lasts 3 to 7 s."""
+
+HIGH_UTILIZATION = 0.9
+"""Utilization at which a process leaves even if it is not overloaded yet."""
+
+HIGH_SECONDS = 1.0
+"""Time that the utilization is high before a process leaves for it."""
+
+YIELD_SECONDS = 2.0
+"""Time of overload before a process leaves although overloaded peers rank ahead of it
+for the last places outside; by then they would have left and reported it."""
+
+MIN_JOINED_SECONDS = 2.0
+"""Shortest time in the rotation: the balancer probes once a second."""
+
+MIN_OUT_SECONDS = 8.0
+"""Time out of the rotation after a first departure.  The hash leads the same callers
+back, so a shorter time would return the process into the same burst."""
+
+MAX_OUT_SECONDS = 30.0
+
+DEPARTURES_SECONDS = 60.0
+"""Each further departure within this time doubles the time out of the rotation."""
+
+KNOWN_SECONDS = 10.0
+"""How long a peer counts as a process of the zone after its last valid report."""
+
+MIN_ZONE_PROCESSES = 3
+"""In a smaller zone nobody leaves: the rest could not carry the load."""
+
+MAX_PEERS_UTILIZATION = 0.7
+"""Highest mean utilization of the peers at which a process leaves."""
+
+MIN_SPARE_UTILIZATION = 0.2
+"""How far the mean utilization of the peers has to be below the process's own."""
+
+ZONE_LOADED_UTILIZATION = 0.85
+"""Mean utilization of the peers in the rotation at which a process joins early."""
+
+UNHEARD_SECONDS = 1.0
+"""How long too few peers are heard before a process joins for it.  Reports that wait
+unread after one late timer are read by then."""
+
+EXCESS_SECONDS = 3.0
+"""How long too many processes are out before one joins that ranks within the limit.
+The others don't join: they stop, or report wrongly."""
+
+
+class Reason(StrEnum):
+    """Why a process is in the rotation, or out of it."""
+
+    NORMAL_LOAD = "normal_load"
+    OVERLOADED = "overloaded"
+    HIGH_UTILIZATION = "high_utilization"
+    RECENTLY_JOINED = "recently_joined"
+    SMALL_ZONE = "small_zone"
+    PEERS_UNHEARD = "peers_unheard"
+    FEW_PEERS_IN = "few_peers_in"
+    ZONE_LOADED = "zone_loaded"
+    LIMIT_REACHED = "limit_reached"
+    TIME_OVER = "time_over"
+    SWITCHED_OFF = "switched_off"
+
+
+@dataclass(frozen=True, kw_only=True)
+class OwnLoad:
+    """Load of this process's instance.
+
+    Attributes
+    ----------
+    utilization : float
+        Fraction of the event loop or the link in use, the larger of both.
+    overloaded_since : float or None
+        Monotonic seconds since which the instance is overloaded, None if it isn't.
+    """
+
+    utilization: float
+    overloaded_since: float | None
+
+
+@dataclass(frozen=True, kw_only=True)
+class PeerReport:
+    """What a peer of the same zone last reported.
+
+    Attributes
+    ----------
+    age_seconds : float
+        Time since the report was received; it is still valid.
+    """
+
+    node: str
+    utilization: float
+    overloaded: bool
+    in_rotation: bool
+    age_seconds: float
+
+    @property
+    def rank(self) -> tuple[float, str]:
+        """Sort key: the process with the lowest leaves first."""
+        return -self.utilization, self.node
+
+
+@dataclass(frozen=True, kw_only=True)
+class ZoneView:
+    """The processes of the zone as this process knows them.
+
+    Attributes
+    ----------
+    heard : tuple of PeerReport
+        Valid reports of peers, without this process.
+    known : int
+        Processes that reported within `KNOWN_SECONDS`, and this one.
+    """
+
+    heard: tuple[PeerReport, ...] = ()
+    known: int = 1
+
+    @property
+    def peers_in(self) -> list[PeerReport]:
+        """Peers in the rotation."""
+        return [peer for peer in self.heard if peer.in_rotation]
+
+    @property
+    def peers_out(self) -> list[PeerReport]:
+        """Peers that are not in the rotation, for whatever cause."""
+        return [peer for peer in self.heard if not peer.in_rotation]
+
+    @property
+    def limit(self) -> int:
+        """How many processes may be out."""
+        if self.known < MIN_ZONE_PROCESSES:
+            return 0
+        return max(1, self.known // 3)
+
+    @property
+    def utilization(self) -> float | None:
+        """Mean utilization of the peers in the rotation; None without any.
+
+        Each counts as at most 1.0, so that one wrong report can't raise it far.
+        """
+        peers = self.peers_in
+        if not peers:
+            return None
+        return sum(min(1.0, peer.utilization) for peer in peers) / len(peers)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Decision:
+    """Whether the process is in the rotation, why, and by which inputs."""
+
+    in_rotation: bool
+    reason: Reason
+    own: OwnLoad
+    zone: ZoneView
+    out_seconds: float
+
+
+class Rotation:
+    """Decides when one process leaves the balancer's rotation and joins it again.
+
+    Parameters
+    ----------
+    node : str
+        Name of this process, as its peers know it.
+
+    Attributes
+    ----------
+    in_rotation : bool
+        The last decision; true at the start.
+    out_seconds : float
+        How long the process stays out after the departures of the last minute.
+    left_at : float
+        Monotonic seconds of the last departure.
+
+    Examples
+    --------
+    >>> rotation = Rotation(node="a")
+    >>> load = OwnLoad(utilization=1.0, overloaded_since=0.0)
+    >>> rotation.update(load, [], 1.0).reason
+    <Reason.NORMAL_LOAD: 'normal_load'>
+    >>> rotation.update(load, [], 1.2).reason
+    <Reason.PEERS_UNHEARD: 'peers_unheard'>
+    """
+
+    def __init__(self, *, node: str) -> None:
+        self.in_rotation = True
+        self.left_at = float("-inf")
+        self._node = node
+        self._joined_at = float("-inf")
+        self._departures: deque[float] = deque()
+        self._heard_at_by_node: dict[str, float] = {}
+        self._loaded_since: float | None = None
+        self._unheard_since: float | None = None
+        self._excess_since: float | None = None
+
+    def update(
+        self, own: OwnLoad, reports: Sequence[PeerReport], now: float
+    ) -> Decision:
+        """Decide anew by the current load and the valid reports of the zone's peers.
+
+        Parameters
+        ----------
+        reports
+            Of peers of this process's zone; one of this process itself is ignored.
+        now : float
+            Monotonic seconds.
+        """
+        zone = self._view(reports, now)
+        if self.in_rotation:
+            reason = self._reason_to_stay(own, zone, now)
+            if reason is None:
+                reason = self._leave(own, now)
+        else:
+            reason = self._reason_to_join(own, zone, now)
+            if reason is None:
+                reason = Reason.OVERLOADED
+            else:
+                self._join(now)
+        self._record_load(own, now)
+        return self._decision(reason, own, zone)
+
+    def switch_off(self, now: float) -> Decision:
+        """Join at once."""
+        self._join(now)
+        own = OwnLoad(utilization=0.0, overloaded_since=None)
+        return self._decision(Reason.SWITCHED_OFF, own, ZoneView())
+
+    def _view(self, reports: Sequence[PeerReport], now: float) -> ZoneView:
+        heard = tuple(peer for peer in reports if peer.node != self._node)
+        self._heard_at_by_node |= {peer.node: now for peer in heard}
+        self._heard_at_by_node = {
+            node: heard_at
+            for node, heard_at in self._heard_at_by_node.items()
+            if now - heard_at <= KNOWN_SECONDS
+        }
+        return ZoneView(heard=heard, known=1 + len(self._heard_at_by_node))
+
+    def _reason_to_stay(
+        self, own: OwnLoad, zone: ZoneView, now: float
+    ) -> Reason | None:
+        """Return why the process stays in the rotation, None if it should leave."""
+        if self._loaded_since is None or _cause(own, self._loaded_since, now) is None:
+            return Reason.NORMAL_LOAD
+        if now - self._joined_at < MIN_JOINED_SECONDS:
+            return Reason.RECENTLY_JOINED
+        if (obstacle := _obstacle(zone)) is not None:
+            return obstacle
+        if not _has_room(zone, own):
+            return Reason.ZONE_LOADED
+        out = len(zone.peers_out)
+        own_rank = -own.utilization, self._node
+        ahead = sum(peer.overloaded and peer.rank < own_rank for peer in zone.peers_in)
+        loaded_seconds = now - _loaded_at(own, self._loaded_since)
+        if out >= zone.limit:
+            return Reason.LIMIT_REACHED
+        if out + ahead >= zone.limit and loaded_seconds < YIELD_SECONDS:
+            return Reason.LIMIT_REACHED
+        return None
+
+    def _reason_to_join(
+        self, own: OwnLoad, zone: ZoneView, now: float
+    ) -> Reason | None:
+        """Return why the process joins the rotation, None if it stays out."""
+        obstacle = _obstacle(zone)
+        if obstacle is not Reason.PEERS_UNHEARD:
+            self._unheard_since = None
+        elif self._unheard_since is None:
+            self._unheard_since = now
+        if obstacle is Reason.PEERS_UNHEARD:
+            is_due = now - self._unheard_since >= UNHEARD_SECONDS
+            return obstacle if is_due else None
+        if obstacle is not None:
+            return obstacle
+        if zone.utilization >= ZONE_LOADED_UTILIZATION:
+            return Reason.ZONE_LOADED
+        if self._is_beyond_limit(own, zone, now):
+            return Reason.LIMIT_REACHED
+        out_for = now - self.left_at
+        may_wait = _is_loaded(own) and out_for < MAX_OUT_SECONDS
+        if out_for >= self.out_seconds and not may_wait:
+            return Reason.TIME_OVER
+        return None
+
+    def _is_beyond_limit(self, own: OwnLoad, zone: ZoneView, now: float) -> bool:
+        peers_out = zone.peers_out
+        if len(peers_out) < zone.limit:
+            self._excess_since = None
+            return False
+        if self._excess_since is None:
+            self._excess_since = now
+        own_rank = -own.utilization, self._node
+        ahead = sum(peer.rank < own_rank for peer in peers_out)
+        return ahead >= zone.limit or now - self._excess_since >= EXCESS_SECONDS
+
+    @property
+    def out_seconds(self) -> float:
+        """How long the process stays out after the departures of the last minute."""
+        doublings = max(0, len(self._departures) - 1)
+        return min(MAX_OUT_SECONDS, MIN_OUT_SECONDS * 2**doublings)
+
+    def _leave(self, own: OwnLoad, now: float) -> Reason:
+        reason = _cause(own, self._loaded_since, now)
+        self.in_rotation = False
+        self.left_at = now
+        self._unheard_since = self._excess_since = None
+        while self._departures and now - self._departures[0] > DEPARTURES_SECONDS:
+            self._departures.popleft()
+        self._departures.append(now)
+        return reason
+
+    def _join(self, now: float) -> None:
+        self.in_rotation = True
+        self._joined_at = now
+
+    def _record_load(self, own: OwnLoad, now: float) -> None:
+        # Recorded after the decision, so that the first update that sees a load, which
+        # may come from one late timer, never decides by it.
+        if not _is_loaded(own):
+            self._loaded_since = None
+        elif self._loaded_since is None:
+            self._loaded_since = now
+
+    def _decision(self, reason: Reason, own: OwnLoad, zone: ZoneView) -> Decision:
+        return Decision(
+            in_rotation=self.in_rotation,
+            reason=reason,
+            own=own,
+            zone=zone,
+            out_seconds=self.out_seconds,
+        )
+
+
+def _is_loaded(own: OwnLoad) -> bool:
+    return own.overloaded_since is not None or own.utilization >= HIGH_UTILIZATION
+
+
+def _loaded_at(own: OwnLoad, loaded_since: float) -> float:
+    if own.overloaded_since is None:
+        return loaded_since
+    return min(own.overloaded_since, loaded_since)
+
+
+def _cause(own: OwnLoad, loaded_since: float, now: float) -> Reason | None:
+    """Return the load that lasts long enough to leave for, None without such a load."""
+    since = own.overloaded_since
+    if since is not None and now - since >= OVERLOADED_SECONDS:
+        return Reason.OVERLOADED
+    if own.utilization >= HIGH_UTILIZATION and now - loaded_since >= HIGH_SECONDS:
+        return Reason.HIGH_UTILIZATION
+    return None
+
+
+def _obstacle(zone: ZoneView) -> Reason | None:
+    """Return why no process of the zone may be out, as far as peers are heard."""
+    heard = len(zone.heard)
+    if not heard or 2 * heard < zone.known - 1:
+        return Reason.PEERS_UNHEARD
+    if not zone.limit:
+        return Reason.SMALL_ZONE
+    if 2 * len(zone.peers_in) < heard:
+        return Reason.FEW_PEERS_IN
+    return None
+
+
+def _has_room(zone: ZoneView, own: OwnLoad) -> bool:
+    """Return whether the peers in the rotation can take over this process's load."""
+    spare_after = 1.0 - 1.0 / len(zone.peers_in)
+    highest = min(
+        MAX_PEERS_UTILIZATION,
+        spare_after,
+        min(1.0, own.utilization) - MIN_SPARE_UTILIZATION,
+    )
+    return zone.utilization <= highest
--- /dev/null
+++ b/tests/policy/test_rotation.py
@@ -0,0 +1,193 @@
+"""Leaving the balancer's rotation under uneven load, with old and wrong reports."""
+
+import pytest
+
+from ragwortkeel.policy.rotation import (
+    MAX_OUT_SECONDS,
+    MIN_OUT_SECONDS,
+    OwnLoad,
+    PeerReport,
+    Reason,
+    Rotation,
+)
+
+TICK = 0.2
+COOL = OwnLoad(utilization=0.2, overloaded_since=None)
+
+
+def peer(node, utilization=0.3, *, is_in=True, overloaded=False):
+    return PeerReport(
+        node=node,
+        utilization=utilization,
+        overloaded=overloaded,
+        in_rotation=is_in,
+        age_seconds=0.4,
+    )
+
+
+def peers(count, utilization=0.3, **options):
+    return [peer(f"p{n}", utilization, **options) for n in range(count)]
+
+
+def run(rotation, own, reports, start, seconds):
+    """Update until the membership changes; return the last decision and its time."""
+    was = rotation.in_rotation
+    for tick in range(int(seconds / TICK) + 1):
+        now = start + tick * TICK
+        decision = rotation.update(own, reports, now)
+        if decision.in_rotation is not was:
+            break
+    return decision, now
+
+
+def hot(start, utilization=1.0):
+    return OwnLoad(utilization=utilization, overloaded_since=start)
+
+
+def left(reports, *, node="me", utilization=1.0):
+    rotation = Rotation(node=node)
+    run(rotation, hot(0.0, utilization), reports, 0.0, 3.0)
+    return rotation
+
+
+class TestLeaving:
+    def test_one_hot_instance_of_ten_leaves_within_a_second(self):
+        """Guards against an instance that is buried while its zone is idle."""
+        decision, now = run(Rotation(node="me"), hot(0.0), peers(9), 0.0, 5.0)
+        assert (decision.in_rotation, decision.reason) == (False, Reason.OVERLOADED)
+        assert 0.5 <= now <= 1.0
+
+    def test_high_utilization_alone_is_enough_when_it_lasts(self):
+        own = OwnLoad(utilization=0.95, overloaded_since=None)
+        decision, now = run(Rotation(node="me"), own, peers(9), 0.0, 5.0)
+        assert decision.reason is Reason.HIGH_UTILIZATION
+        assert now >= 1.0
+
+    def test_one_late_timer_is_no_overload(self):
+        """Guards against leaving after a freeze, by a load seen in one update only."""
+        rotation = Rotation(node="me")
+        rotation.update(COOL, peers(9), 0.0)
+        assert rotation.update(hot(0.1), peers(9), 3.0).in_rotation
+        assert rotation.update(COOL, peers(9), 3.2).in_rotation
+        assert rotation.update(hot(0.1), peers(9), 6.0).in_rotation
+
+    @pytest.mark.parametrize("size", [3, 10])
+    def test_nobody_leaves_a_zone_that_is_hot_as_a_whole(self, size):
+        """Guards against a zone whose instances all leave together."""
+        reports = peers(size - 1, 0.95, overloaded=True)
+        decision, _ = run(Rotation(node="me"), hot(0.0), reports, 0.0, 10.0)
+        assert (decision.in_rotation, decision.reason) == (True, Reason.ZONE_LOADED)
+
+    @pytest.mark.parametrize(("size", "leaves"), [(1, False), (2, False), (3, True)])
+    def test_small_zones(self, size, leaves):
+        """Guards against a zone that is left with one instance or none."""
+        decision, _ = run(Rotation(node="me"), hot(0.0), peers(size - 1), 0.0, 5.0)
+        assert decision.in_rotation is not leaves
+
+    def test_at_most_a_third_is_out(self):
+        """Guards against a zone that is emptied by one departure after another."""
+        out = [peer(name, is_in=False) for name in "xyz"]
+        assert not left([*peers(6), *out[:2]]).in_rotation
+        assert left([*peers(5), *out]).in_rotation
+
+    def test_half_of_the_heard_peers_are_in(self):
+        """Guards against leaving while most reports are lost or most peers are out."""
+        rotation = Rotation(node="me")
+        rotation.update(COOL, peers(9), 0.0)
+        decision, _ = run(rotation, hot(0.0), peers(3), 0.2, 3.0)
+        assert decision.reason is Reason.PEERS_UNHEARD
+        mostly_out = [*peers(2), *(peer(name, is_in=False) for name in "xyz")]
+        assert run(Rotation(node="me"), hot(0.0), mostly_out, 0.0, 3.0)[0].reason is (
+            Reason.FEW_PEERS_IN
+        )
+
+    def test_the_hotter_of_two_leaves_first(self):
+        """Guards against two that leave together where one may."""
+        reports = [peer("hotter", 1.2, overloaded=True), *peers(3, 0.1)]
+        rotation = Rotation(node="me")
+        assert run(rotation, hot(0.0), reports, 0.0, 1.5)[0].in_rotation
+        # A peer that never leaves, as one without the part, holds nobody back.
+        assert not run(rotation, hot(0.0), reports, 1.6, 2.0)[0].in_rotation
+
+
+class TestJoining:
+    def test_reports_that_crossed_are_corrected_by_the_same_order_everywhere(self):
+        """Guards against two that left together and both stay out or both join."""
+        quiet = [peer(f"q{n}", 0.1) for n in range(3)]
+        first, second = left(quiet, node="a"), left(quiet, node="b")
+        now = 3.0
+        decision = first.update(hot(0.0), [*quiet, peer("b", 1.0, is_in=False)], now)
+        assert not decision.in_rotation
+        decision = second.update(hot(0.0), [*quiet, peer("a", 1.0, is_in=False)], now)
+        assert (decision.in_rotation, decision.reason) == (True, Reason.LIMIT_REACHED)
+
+    def test_a_process_that_recovers_joins_after_its_time(self):
+        """Guards against a return into the same burst, and against one never."""
+        rotation = left(peers(9))
+        decision, now = run(rotation, COOL, peers(9), 1.0, 60.0)
+        assert decision.reason is Reason.TIME_OVER
+        assert now - rotation.left_at == pytest.approx(MIN_OUT_SECONDS, abs=2 * TICK)
+
+    def test_a_process_that_stays_overloaded_joins_at_last(self):
+        rotation = left(peers(9))
+        _, now = run(rotation, hot(0.0), peers(9), 1.0, 60.0)
+        assert now - rotation.left_at == pytest.approx(MAX_OUT_SECONDS, abs=2 * TICK)
+
+    def test_flapping_load_doubles_the_time_out_up_to_a_bound(self):
+        """Guards against an instance that leaves and joins with every burst."""
+        rotation, now, times = Rotation(node="me"), 0.0, []
+        for _ in range(4):
+            _, left_at = run(rotation, hot(now), peers(9), now, 10.0)
+            _, now = run(rotation, COOL, peers(9), left_at, 60.0)
+            times.append(round(now - left_at))
+        assert times == [8, 16, 30, 30]
+        run(rotation, COOL, peers(9), now, 120.0)
+        _, left_at = run(rotation, hot(now + 120), peers(9), now + 120, 10.0)
+        assert rotation.out_seconds == MIN_OUT_SECONDS
+
+    @pytest.mark.parametrize(
+        ("reports", "reason"),
+        [
+            (peers(9, 0.9), Reason.ZONE_LOADED),
+            (
+                [*peers(4), *(peer(f"x{n}", is_in=False) for n in range(5))],
+                Reason.FEW_PEERS_IN,
+            ),
+            ([], Reason.PEERS_UNHEARD),
+            (peers(3), Reason.PEERS_UNHEARD),
+        ],
+    )
+    def test_a_process_joins_early_when_it_is_needed(self, reports, reason):
+        """Guards against idle capacity while the rest of the zone is overloaded."""
+        decision, now = run(left(peers(9)), COOL, reports, 1.0, 5.0)
+        assert (decision.in_rotation, decision.reason) == (True, reason)
+        assert now <= 2.4
+
+    def test_reports_that_wait_unread_for_a_moment_change_nothing(self):
+        """Guards against joining after a late timer, before reports are read."""
+        rotation = left(peers(9))
+        assert not rotation.update(COOL, [], 3.0).in_rotation
+        assert not rotation.update(COOL, peers(9), 3.2).in_rotation
+
+
+class TestWrongReports:
+    def test_one_false_utilization_does_not_hide_the_room_of_a_zone(self):
+        reports = [*peers(8, 0.2), peer("false", 10.0)]
+        assert not left(reports).in_rotation
+
+    def test_a_peer_that_is_never_in_does_not_keep_others_out_beyond_the_limit(self):
+        """Guards against a stopping peer, or a false report, as one process too many.
+
+        It ranks lowest, so by the order it should join, but it never does.
+        """
+        rotation = left(peers(4))
+        reports = [*peers(3), peer("p3", 0.0, is_in=False)]
+        decision, now = run(rotation, hot(0.0), reports, 1.0, 10.0)
+        assert decision.reason is Reason.LIMIT_REACHED
+        assert now <= 4.5
+
+    def test_a_report_with_the_name_of_this_process_is_ignored(self):
+        decision, _ = run(
+            Rotation(node="me"), hot(0.0), [peer("me"), *peers(1)], 0.0, 5.0
+        )
+        assert decision.reason is Reason.SMALL_ZONE
