HTTP server: close kept connections a few at a time

Cause: callers on kept connections stay on an instance that has left the balancer's rotation.

Ruled out: closing every idle connection at once, as a planned stop does: a connection whose request has arrived unread would lose it, and all callers would open their connections in the same moment.

Change: with closes_connections each response whose head is sent from then on carries Connection: close. close_longest_idle closes a fraction of the idle connections, none on which bytes have arrived, read or not. A request that crosses the shutdown isn't run, since it couldn't be answered. Off by default; a planned stop is as before.

Result: tests/test_httpio.py passes. The two new tests fail if the check of unread bytes, the check of a begun request or the late evaluation of closes_connections is taken out (tried each).

--- a/src/ragwortkeel/http_responder.py
+++ b/src/ragwortkeel/http_responder.py
@@ -1,6 +1,7 @@
 """The request and the responder that an HTTP handler receives."""
 
 import socket as _socket
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -47,8 +48,9 @@
         Whether sending the head of the response began.
     bodiless : bool
         Whether the request is a HEAD request, whose response has no body.
-    closing : bool
-        Whether the response asks the peer to close the connection.
+    closing : callable returning bool
+        Whether the response asks the peer to close the connection; called when the
+        head of the response is sent.
     """
 
     def __init__(self, *, sock, conn: h11.Connection) -> None:
@@ -57,7 +59,7 @@
         self.bodiless = False
         self.disconnected = curio.Event()
         self.started = False
-        self.closing = False
+        self.closing: Callable[[], bool] = lambda: False
 
     def peer_disconnected(self) -> bool:
         """Return whether the peer has closed its side, checking the socket.
@@ -129,7 +131,7 @@
     ) -> h11.Response:
         self.started = True
         pairs = list(headers.items() if isinstance(headers, dict) else headers)
-        if self.closing:
+        if self.closing():
             pairs.append(("connection", "close"))
         fields = [(k.encode(), v.encode("latin-1")) for k, v in pairs]
         return h11.Response(status_code=status, headers=fields)
--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -3,6 +3,8 @@
 import socket as _socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from dataclasses import dataclass
+from math import ceil
 from time import monotonic
 from urllib.parse import parse_qsl, urlsplit
 
@@ -39,6 +41,15 @@
 Handler = Callable[[Request, Responder], Awaitable[None]]
 
 
+@dataclass(kw_only=True)
+class _IdleConnection:
+    """A connection without a request since the monotonic time `since`."""
+
+    conn: h11.Connection
+    since: float
+    is_closed: bool = False
+
+
 class HttpServer:
     """A server that can stop accepting while open exchanges continue.
 
@@ -62,6 +73,9 @@
     ----------
     keep_alive_seconds, max_body_bytes
         The parameters; may be changed while the server runs.
+    closes_connections : bool
+        Whether each response asks the peer to close its connection, so that the peer
+        opens a new one; may be changed while the server runs.
     open_exchanges : int
         Number of requests whose exchange has started and not ended.
 
@@ -94,7 +108,8 @@
         self.keep_alive_seconds = keep_alive_seconds
         self._cancels_disconnected = cancels_disconnected
         self._connections_before_request = 0
-        self._idle_by_socket: dict[object, h11.Connection] = {}
+        self.closes_connections = False
+        self._idle_by_socket: dict[object, _IdleConnection] = {}
         self._listener = None
         self._acceptor = None
         self._connections = curio.TaskGroup(wait=None)
@@ -147,11 +162,46 @@
         Otherwise a peer might send a request just before the end of a planned
         stop, too late to complete.
         """
-        for sock, conn in list(self._idle_by_socket.items()):
-            if not conn.trailing_data[0]:
+        for sock, idle in list(self._idle_by_socket.items()):
+            if not idle.conn.trailing_data[0]:
                 with suppress(OSError):
                     await sock.shutdown(_socket.SHUT_RDWR)
 
+    def close_longest_idle(self, *, idle_seconds: float, fraction: float) -> int:
+        """Close some of the connections that have been idle for `idle_seconds`.
+
+        A connection on which bytes of a request have arrived, even if they are still
+        unread, stays open.
+
+        Parameters
+        ----------
+        fraction : float
+            How many of the idle connections to close, rounded up; those that have been
+            idle longest come first.
+
+        Returns
+        -------
+        int
+            Number of connections closed.
+        """
+        idle_since = monotonic() - idle_seconds
+        # Connections become idle in the order of the dictionary.
+        found = [
+            (sock, idle)
+            for sock, idle in self._idle_by_socket.items()
+            if idle.since <= idle_since and not idle.is_closed
+        ]
+        chosen = found[: ceil(fraction * len(self._idle_by_socket))]
+        closed = 0
+        # Without a task switch between the check and the shutdown.
+        for sock, idle in chosen:
+            if not _has_received(sock, idle.conn):
+                idle.is_closed = True
+                closed += 1
+                with suppress(OSError):
+                    sock._socket.shutdown(_socket.SHUT_RDWR)
+        return closed
+
     async def _close_listener(self) -> None:
         # The accepting task has to end before the listener is closed; otherwise
         # it would wait forever on a freed descriptor.
@@ -226,7 +276,8 @@
         self, sock, conn, request: Request, responder: Responder
     ) -> None:
         responder.bodiless = request.method == "HEAD"
-        responder.closing = self._stopping
+        stopping = self._stopping
+        responder.closing = lambda: stopping or self.closes_connections
         handler_task = (
             await curio.current_task() if self._cancels_disconnected else None
         )
@@ -247,7 +298,8 @@
 
     async def _read_head(self, sock, conn) -> h11.Request | None:
         """Return the head of the next request, or None if the peer sends none."""
-        self._idle_by_socket[sock] = conn
+        idle = _IdleConnection(conn=conn, since=monotonic())
+        self._idle_by_socket[sock] = idle
         try:
             async with curio.timeout_after(self.keep_alive_seconds):
                 event = await next_event(sock, conn)
@@ -261,6 +313,9 @@
             return None
         finally:
             del self._idle_by_socket[sock]
+        # A request that crossed the shutdown can't be answered, so it must not run.
+        if idle.is_closed:
+            return None
         return event if isinstance(event, h11.Request) else None
 
     async def _read_request(self, sock, conn, head: h11.Request) -> Request:
@@ -315,6 +370,19 @@
             )
 
 
+def _has_received(sock, conn: h11.Connection) -> bool:
+    """Return whether bytes of a request have arrived, read or not, or an end."""
+    if conn.trailing_data[0]:
+        return True
+    try:
+        sock._socket.recv(1, _socket.MSG_PEEK | _socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
 def _split_target(head: h11.Request):
     try:
         return urlsplit(head.target.decode("latin-1"))
--- a/tests/test_httpio.py
+++ b/tests/test_httpio.py
@@ -397,6 +397,60 @@
     return run(main)
 
 
+class TestClosingConnections:
+    def test_kept_connection_gets_its_whole_answer_and_is_asked_to_close(self):
+        """Guards against an answer that is cut off when the process leaves rotation."""
+
+        async def scenario(server, _):
+            request = post(b"", target="/wait-a-moment")
+            asking = await curio.spawn(exchange, server.port, post(b"q") + request)
+            await entered.wait()
+            server.closes_connections = True
+            return await asking.join()
+
+        entered = curio.Event()
+
+        async def handler(request, responder):
+            if request.path == "/wait-a-moment":
+                await entered.set()
+                await curio.sleep(0.1)
+            await echo(request, responder)
+
+        answers = with_server(scenario, handler).split(b"HTTP/1.1 200")
+        assert [b"connection: close" in answer.lower() for answer in answers[1:]] == [
+            False,
+            True,
+        ]
+        assert answers[2].endswith(b"empty")
+
+    def test_idle_connections_close_unless_bytes_of_a_request_arrived(self):
+        """Guards against a request that was sent and is dropped unanswered."""
+
+        async def scenario(server, _):
+            host = "127.0.0.1"
+            idle = [await curio.open_connection(host, server.port) for _ in range(3)]
+            unread = await curio.open_connection(host, server.port)
+            begun = await curio.open_connection(host, server.port)
+            await begun.sendall(post(b"q")[:20])
+            await curio.sleep(0.1)
+            # The kernel doesn't run the server before the next await that blocks.
+            unread._socket.send(post(b"q"))
+            limits = {"idle_seconds": 0.05, "fraction": 0.4}
+            closed = [server.close_longest_idle(**limits) for _ in range(3)]
+            fresh = await curio.open_connection(host, server.port)
+            await curio.sleep(0.01)
+            closed.append(server.close_longest_idle(**limits))
+            ends = [await sock.recv(10) for sock in idle]
+            await begun.sendall(post(b"q")[20:])
+            await fresh.sendall(post(b"q"))
+            return closed, ends, [await s.recv(99) for s in (unread, begun, fresh)]
+
+        closed, ends, answers = with_server(scenario)
+        assert closed == [2, 1, 0, 0]
+        assert ends == [b"", b"", b""]
+        assert all(answer.endswith(b"q") for answer in answers)
+
+
 class TestClient:
     @pytest.mark.parametrize(
         "answer",
