Ingress leaves the balancer's rotation while it is overloaded

Cause: one instance of a zone gets several times its share of the callers while its peers have spare capacity.

Ruled out: deciding in the upkeep task of the worker, which waits for other work; using only reports as young as the loads, since a peer without requests reports every 5 s, so the peers with most room would be unheard for 3 of 5 s. Their status is now valid until the next such report.

The load is a stand-in that reports none until it is measured.

--- a/src/ragwortkeel/ingress/load_reports.py
+++ b/src/ragwortkeel/ingress/load_reports.py
@@ -37,6 +37,17 @@
     return max(MIN_HOLD_SECONDS, HOLD_ROUNDS * round_seconds(peers))
 
 
+def status_hold_seconds(status: InstanceStatus | None, loads_seconds: float) -> float:
+    """Return how long a status is valid whose loads are valid for `loads_seconds`.
+
+    A peer without requests repeats its report only every `IDLE_REPORT_SECONDS`.  Its
+    status has to be valid until then, or the idlest peers would seem unheard.
+    """
+    if status is None or _is_notable(status):
+        return loads_seconds
+    return IDLE_REPORT_SECONDS + loads_seconds
+
+
 NOTABLE_UTILIZATION = 0.3
 """Utilization of an instance that makes a report due even without requests."""
 
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -32,13 +32,14 @@
 from ragwortkeel.ingress.front_components import FrontComponents
 from ragwortkeel.ingress.leaving_tracker import LeavingTracker
 from ragwortkeel.ingress.limit_tracker import LimitTracker
-from ragwortkeel.ingress.load_reports import hold_seconds
+from ragwortkeel.ingress.load_reports import hold_seconds, status_hold_seconds
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.pause_tracker import PauseTracker
 from ragwortkeel.ingress.peer_statuses import PeerStatuses
 from ragwortkeel.ingress.peers import Peers
 from ragwortkeel.ingress.placement import Load, Placement
 from ragwortkeel.ingress.relaying import RelayedPlatform
+from ragwortkeel.ingress.rotation_controller import RotationController
 from ragwortkeel.ingress.routing import RoutingTable
 from ragwortkeel.ingress.upstream_connection import ConnectionPool
 from ragwortkeel.logs import log_info, log_warning
@@ -63,6 +64,7 @@
 from ragwortkeel.policy.fleet_rates import FleetRates, sharing_among
 from ragwortkeel.policy.quarantine import Crash
 from ragwortkeel.policy.retries import RetryBudgets, process_reserve
+from ragwortkeel.policy.rotation import OwnLoad
 from ragwortkeel.process import Leftover
 from ragwortkeel.settings import Address, IngressSettings, changed_fields
 from ragwortkeel.tasks import run_together
@@ -104,6 +106,10 @@
 no request arrives while it is being closed."""
 
 
+RELOADED_FIELDS = frozenset({"peers", "leaves_rotation"})
+"""Settings that take effect without a restart."""
+
+
 class IngressWorker:
     """Runs an ingress process and handles what its peers send.
 
@@ -206,6 +212,14 @@
             handler=self._front.handle,
             cancels_disconnected=True,
         )
+        self._rotation = RotationController(
+            settings=settings,
+            own_load=self._own_load,
+            statuses=self._peer_statuses.current,
+            is_serving=lambda: self._is_serving,
+            server=self._server,
+            metrics=self.metrics,
+        )
         self._configurations = ConfigurationFollower(
             platform=self._platform,
             apply=self._apply_configuration,
@@ -228,6 +242,10 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer should send requests here."""
+        return self._is_serving and self._rotation.in_rotation
+
+    @property
+    def _is_serving(self) -> bool:
         return self._front.table is not None and not self._stopping
 
     def open(self) -> None:
@@ -236,14 +254,15 @@
         self._peers.open()
 
     def reload(self, settings: IngressSettings) -> None:
-        """Apply the settings that may change at run time, which are the peers.
+        """Apply the settings that may change at run time, see `RELOADED_FIELDS`.
 
         Other changes need a restart, and a warning names them.
         """
         self._peers.add_addresses(settings.peers)
+        self._rotation.reload(settings)
         changed = changed_fields(self._settings, settings)
         log_info("settings_reloaded", changed=changed)
-        restart_fields = [name for name in changed if name != "peers"]
+        restart_fields = [name for name in changed if name not in RELOADED_FIELDS]
         if restart_fields:
             log_warning("settings_need_a_restart", fields=restart_fields)
 
@@ -259,6 +278,7 @@
             self._platform.run,
             self._counted.run,
             self._dispatcher.run,
+            self._rotation.run,
             self._upkeep,
         )
 
@@ -336,17 +356,27 @@
         valid_until = monotonic() + hold_seconds
         self._placement.merge_loads(node, load_by_upstream, valid_until)
 
+    def _own_load(self) -> OwnLoad:
+        return OwnLoad(utilization=0.0, overloaded_since=None)
+
     def instance_status(self) -> InstanceStatus | None:
         """Return the status of this instance, None without a stated capacity."""
         if self._settings.capacity is None:
             return None
-        return InstanceStatus(zone=self._settings.zone)
+        load = self._own_load()
+        return InstanceStatus(
+            zone=self._settings.zone,
+            utilization=load.utilization,
+            overloaded=load.overloaded_since is not None,
+            in_rotation=self.ready,
+        )
 
     def receive_instance_status(
         self, node: str, status: InstanceStatus | None, *, hold_seconds: float
     ) -> None:
         """Replace the status of a peer's instance; it counts for `hold_seconds`."""
-        self._peer_statuses.merge(node, status, now=monotonic(), seconds=hold_seconds)
+        seconds = status_hold_seconds(status, hold_seconds)
+        self._peer_statuses.merge(node, status, now=monotonic(), seconds=seconds)
 
     def receive_revision(self, peer: str, revision: int) -> None:
         """Record which configuration a peer has in force; 0 for none."""
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -129,6 +129,16 @@
             "Time of day at which an evacuation became known here; 0 for none.",
             ("zone",),
         )
+        self._in_rotation = self._gauge(
+            "ragwortkeel_in_rotation",
+            "0 while this process is out of the balancer's rotation for its load.",
+        )
+        self._in_rotation.set(1)
+        self._rotation_departures = self._counter(
+            "ragwortkeel_rotation_departures_total",
+            "Times that this process left the balancer's rotation for its load.",
+            (),
+        )
         self._open_requests = self._gauge(
             "ragwortkeel_open_requests", "Requests begun and not yet answered."
         )
@@ -229,6 +239,14 @@
         """Set the time of an availability zone's evacuation; 0 once it has ended."""
         self._zone_evacuated_since.labels(zone).set(since)
 
+    def set_in_rotation(self, *, in_rotation: bool) -> None:
+        """Set whether this process is in the balancer's rotation, or left for load."""
+        self._in_rotation.set(int(in_rotation))
+
+    def record_rotation_departure(self) -> None:
+        """Count a departure from the balancer's rotation."""
+        self._rotation_departures.inc()
+
     def set_load(self, *, running: int, queued: int) -> None:
         """Set the number of open requests and how many of them are queued."""
         self._open_requests.set(running)
--- a/tests/ingress/test_load_reports.py
+++ b/tests/ingress/test_load_reports.py
@@ -9,8 +9,9 @@
     LoadReports,
     hold_seconds,
     round_seconds,
+    status_hold_seconds,
 )
-from ragwortkeel.messages import IngressState, UpstreamLoad
+from ragwortkeel.messages import IngressState, InstanceStatus, UpstreamLoad
 
 IDLE = IngressState(node="a", address="", addresses=(), relays=(), load_by_upstream={})
 LOAD = UpstreamLoad(running=1, memory_tokens=10, unread_tokens=0)
@@ -56,3 +57,11 @@
     newer = msgspec.structs.replace(slow, upstreams_revision=8)
     assert reports.mark_due("b", newer, 0.2)
     assert not reports.mark_due("b", newer, 0.3)
+
+
+def test_the_status_of_an_idle_process_is_valid_until_its_next_report():
+    """Guards against a hot process that doesn't hear of the peers with most room."""
+    idle = InstanceStatus(zone="a", utilization=0.1)
+    assert status_hold_seconds(idle, 2.0) > IDLE_REPORT_SECONDS
+    hot = InstanceStatus(zone="a", utilization=0.9)
+    assert status_hold_seconds(hot, 2.0) == 2.0
