Rotation: order processes by the utilization at their departures

Cause: processes that are out were ordered by the current utilization. It falls once a process is out, and a report is older than the own value, so of two that left together each saw the other ahead, and both would join.

Ruled out: utilization rounded to steps (two values on either side of a step still differ); one process after another by name only (the hotter one should stay out).

Change: InstanceStatus.departure_utilization, 0 by default, which doesn't change while a process is out. If a process beyond the limit doesn't join (it stops, or its report is false), the others join one after another, not all at once. The view of the zone moves to policy/zone_view.py.

--- a/src/ragwortkeel/ingress/peer_statuses.py
+++ b/src/ragwortkeel/ingress/peer_statuses.py
@@ -80,9 +80,6 @@
 
 def _without_invalid(status: InstanceStatus) -> InstanceStatus:
     """Return the status with defaults in place of values out of range."""
-    utilization = status.utilization
-    if not (isfinite(utilization) and 0.0 <= utilization <= MAX_UTILIZATION):
-        utilization = 0.0
     running = {
         customer: count
         for customer, count in status.running_by_customer.items()
@@ -95,7 +92,12 @@
     }
     return msgspec.structs.replace(
         status,
-        utilization=utilization,
+        utilization=_valid_utilization(status.utilization),
+        departure_utilization=_valid_utilization(status.departure_utilization),
         running_by_customer=dict(list(running.items())[:MAX_CUSTOMERS]),
         slowness_by_upstream=slowness,
     )
+
+
+def _valid_utilization(value: float) -> float:
+    return value if isfinite(value) and 0.0 <= value <= MAX_UTILIZATION else 0.0
--- a/src/ragwortkeel/ingress/rotation_controller.py
+++ b/src/ragwortkeel/ingress/rotation_controller.py
@@ -9,7 +9,8 @@
 from ragwortkeel.ingress.peer_statuses import PeerStatus
 from ragwortkeel.logs import log_info
 from ragwortkeel.metrics import Metrics
-from ragwortkeel.policy.rotation import Decision, OwnLoad, PeerReport, Rotation
+from ragwortkeel.policy.rotation import Decision, OwnLoad, Rotation
+from ragwortkeel.policy.zone_view import PeerReport
 from ragwortkeel.settings import IngressSettings
 
 STEP_SECONDS = 0.2
@@ -75,6 +76,11 @@
         """Whether the load of this instance lets it take new connections."""
         return self._rotation.in_rotation
 
+    @property
+    def departure_utilization(self) -> float:
+        """Utilization at which the process left; 0 while it is in the rotation."""
+        return self._rotation.departure_utilization
+
     def reload(self, settings: IngressSettings) -> None:
         """Switch the part on or off; switched off, the process joins at once."""
         self._is_on = settings.leaves_rotation and self._has_capacity
@@ -108,6 +114,7 @@
                 utilization=peer.status.utilization,
                 overloaded=peer.status.overloaded,
                 in_rotation=peer.status.in_rotation,
+                departure_utilization=peer.status.departure_utilization,
                 age_seconds=now - peer.received_at,
             )
             for peer in self._statuses(now)
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -369,6 +369,7 @@
             utilization=load.utilization,
             overloaded=load.overloaded_since is not None,
             in_rotation=self.ready,
+            departure_utilization=self._rotation.departure_utilization,
         )
 
     def receive_instance_status(
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -447,6 +447,9 @@
         Whether the process refuses requests for lack of capacity.
     in_rotation : bool
         Whether the process asks the balancer for new connections.
+    departure_utilization : float
+        Utilization at which the process left the rotation; 0 while it is in, or if it
+        is out for another cause than its load.
     running_by_customer : dict of str to int
         Running requests of customers, while requests are queued in the fleet.
     slowness_by_upstream : dict of str to float
@@ -458,6 +461,7 @@
     utilization: float = 0.0
     overloaded: bool = False
     in_rotation: bool = True
+    departure_utilization: float = 0.0
     running_by_customer: dict[str, int] = {}
     slowness_by_upstream: dict[str, float] = {}
 
--- a/src/ragwortkeel/policy/rotation.py
+++ b/src/ragwortkeel/policy/rotation.py
@@ -18,6 +18,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from ragwortkeel.policy.zone_view import PeerReport, ZonePeers, ZoneView
+
 OVERLOADED_SECONDS = 0.5
 """Time that a process is overloaded before it leaves.  The balancer takes up to 2 s
 more, and a burst lasts 3 to 7 s."""
@@ -44,12 +46,6 @@
 DEPARTURES_SECONDS = 60.0
 """Each further departure within this time doubles the time out of the rotation."""
 
-KNOWN_SECONDS = 10.0
-"""How long a peer counts as a process of the zone after its last valid report."""
-
-MIN_ZONE_PROCESSES = 3
-"""In a smaller zone nobody leaves: the rest could not carry the load."""
-
 MAX_PEERS_UTILIZATION = 0.7
 """Highest mean utilization of the peers at which a process leaves."""
 
@@ -64,8 +60,9 @@
 unread after one late timer are read by then."""
 
 EXCESS_SECONDS = 3.0
-"""How long too many processes are out before one joins that ranks within the limit.
-The others don't join: they stop, or report wrongly."""
+"""How long too many processes are out before the last that ranks within the limit
+joins, and then the next.  Those beyond the limit don't join: they stop, or report
+wrongly."""
 
 
 class Reason(StrEnum):
@@ -100,72 +97,6 @@
     overloaded_since: float | None
 
 
-@dataclass(frozen=True, kw_only=True)
-class PeerReport:
-    """What a peer of the same zone last reported.
-
-    Attributes
-    ----------
-    age_seconds : float
-        Time since the report was received; it is still valid.
-    """
-
-    node: str
-    utilization: float
-    overloaded: bool
-    in_rotation: bool
-    age_seconds: float
-
-    @property
-    def rank(self) -> tuple[float, str]:
-        """Sort key: the process with the lowest leaves first."""
-        return -self.utilization, self.node
-
-
-@dataclass(frozen=True, kw_only=True)
-class ZoneView:
-    """The processes of the zone as this process knows them.
-
-    Attributes
-    ----------
-    heard : tuple of PeerReport
-        Valid reports of peers, without this process.
-    known : int
-        Processes that reported within `KNOWN_SECONDS`, and this one.
-    """
-
-    heard: tuple[PeerReport, ...] = ()
-    known: int = 1
-
-    @property
-    def peers_in(self) -> list[PeerReport]:
-        """Peers in the rotation."""
-        return [peer for peer in self.heard if peer.in_rotation]
-
-    @property
-    def peers_out(self) -> list[PeerReport]:
-        """Peers that are not in the rotation, for whatever cause."""
-        return [peer for peer in self.heard if not peer.in_rotation]
-
-    @property
-    def limit(self) -> int:
-        """How many processes may be out."""
-        if self.known < MIN_ZONE_PROCESSES:
-            return 0
-        return max(1, self.known // 3)
-
-    @property
-    def utilization(self) -> float | None:
-        """Mean utilization of the peers in the rotation; None without any.
-
-        Each counts as at most 1.0, so that one wrong report can't raise it far.
-        """
-        peers = self.peers_in
-        if not peers:
-            return None
-        return sum(min(1.0, peer.utilization) for peer in peers) / len(peers)
-
-
 @dataclass(frozen=True, kw_only=True)
 class Decision:
     """Whether the process is in the rotation, why, and by which inputs."""
@@ -193,6 +124,8 @@
         How long the process stays out after the departures of the last minute.
     left_at : float
         Monotonic seconds of the last departure.
+    departure_utilization : float
+        Utilization at the departure; 0 while in the rotation.
 
     Examples
     --------
@@ -206,11 +139,12 @@
 
     def __init__(self, *, node: str) -> None:
         self.in_rotation = True
+        self.departure_utilization = 0.0
         self.left_at = float("-inf")
         self._node = node
         self._joined_at = float("-inf")
         self._departures: deque[float] = deque()
-        self._heard_at_by_node: dict[str, float] = {}
+        self._peers = ZonePeers(node=node)
         self._loaded_since: float | None = None
         self._unheard_since: float | None = None
         self._excess_since: float | None = None
@@ -227,7 +161,7 @@
         now : float
             Monotonic seconds.
         """
-        zone = self._view(reports, now)
+        zone = self._peers.view(reports, now)
         if self.in_rotation:
             reason = self._reason_to_stay(own, zone, now)
             if reason is None:
@@ -247,16 +181,6 @@
         own = OwnLoad(utilization=0.0, overloaded_since=None)
         return self._decision(Reason.SWITCHED_OFF, own, ZoneView())
 
-    def _view(self, reports: Sequence[PeerReport], now: float) -> ZoneView:
-        heard = tuple(peer for peer in reports if peer.node != self._node)
-        self._heard_at_by_node |= {peer.node: now for peer in heard}
-        self._heard_at_by_node = {
-            node: heard_at
-            for node, heard_at in self._heard_at_by_node.items()
-            if now - heard_at <= KNOWN_SECONDS
-        }
-        return ZoneView(heard=heard, known=1 + len(self._heard_at_by_node))
-
     def _reason_to_stay(
         self, own: OwnLoad, zone: ZoneView, now: float
     ) -> Reason | None:
@@ -270,8 +194,11 @@
         if not _has_room(zone, own):
             return Reason.ZONE_LOADED
         out = len(zone.peers_out)
-        own_rank = -own.utilization, self._node
-        ahead = sum(peer.overloaded and peer.rank < own_rank for peer in zone.peers_in)
+        own_rank = _rank(own.utilization, self._node)
+        ahead = sum(
+            peer.overloaded and _rank(peer.utilization, peer.node) < own_rank
+            for peer in zone.peers_in
+        )
         loaded_seconds = now - _loaded_at(own, self._loaded_since)
         if out >= zone.limit:
             return Reason.LIMIT_REACHED
@@ -295,7 +222,7 @@
             return obstacle
         if zone.utilization >= ZONE_LOADED_UTILIZATION:
             return Reason.ZONE_LOADED
-        if self._is_beyond_limit(own, zone, now):
+        if self._is_beyond_limit(zone, now):
             return Reason.LIMIT_REACHED
         out_for = now - self.left_at
         may_wait = _is_loaded(own) and out_for < MAX_OUT_SECONDS
@@ -303,16 +230,24 @@
             return Reason.TIME_OVER
         return None
 
-    def _is_beyond_limit(self, own: OwnLoad, zone: ZoneView, now: float) -> bool:
+    def _is_beyond_limit(self, zone: ZoneView, now: float) -> bool:
         peers_out = zone.peers_out
         if len(peers_out) < zone.limit:
             self._excess_since = None
             return False
         if self._excess_since is None:
             self._excess_since = now
-        own_rank = -own.utilization, self._node
-        ahead = sum(peer.rank < own_rank for peer in peers_out)
-        return ahead >= zone.limit or now - self._excess_since >= EXCESS_SECONDS
+        # By the utilization at the departures, which doesn't change: each process would
+        # see its own current value lower than the one that it reported last.
+        own_rank = _rank(self.departure_utilization, self._node)
+        ahead = sum(
+            _rank(peer.departure_utilization, peer.node) < own_rank
+            for peer in peers_out
+        )
+        if ahead >= zone.limit:
+            return True
+        excess_seconds = now - self._excess_since
+        return excess_seconds >= EXCESS_SECONDS * (zone.limit - ahead)
 
     @property
     def out_seconds(self) -> float:
@@ -323,6 +258,7 @@
     def _leave(self, own: OwnLoad, now: float) -> Reason:
         reason = _cause(own, self._loaded_since, now)
         self.in_rotation = False
+        self.departure_utilization = own.utilization
         self.left_at = now
         self._unheard_since = self._excess_since = None
         while self._departures and now - self._departures[0] > DEPARTURES_SECONDS:
@@ -332,6 +268,7 @@
 
     def _join(self, now: float) -> None:
         self.in_rotation = True
+        self.departure_utilization = 0.0
         self._joined_at = now
 
     def _record_load(self, own: OwnLoad, now: float) -> None:
@@ -352,6 +289,11 @@
         )
 
 
+def _rank(utilization: float, node: str) -> tuple[float, str]:
+    """Return the key of the order in which processes leave, lowest first."""
+    return -utilization, node
+
+
 def _is_loaded(own: OwnLoad) -> bool:
     return own.overloaded_since is not None or own.utilization >= HIGH_UTILIZATION
 
--- a/tests/ingress/test_peer_statuses.py
+++ b/tests/ingress/test_peer_statuses.py
@@ -18,6 +18,7 @@
         zone="a",
         utilization=-1.0,
         in_rotation=False,
+        departure_utilization=math.inf,
         running_by_customer={"surco": -3, "cla": 4},
         slowness_by_upstream={"u1": math.nan, "u2": 0.0, "u3": 1.5},
     )
