--- a/src/ragwortkeel/ingress/front.py
+++ b/src/ragwortkeel/ingress/front.py
@@ -82,7 +82,7 @@
                 return False
         # The caller's next attempt should open a connection, which mostly reaches
         # another instance.
-        responder.closing = True
+        responder.closing = lambda: True
         self._components.record_refusal(
             request.headers.get(self._names.request_id, ""),
             INSTANCE_OVERLOADED,
--- a/tests/ingress/in_process.py
+++ b/tests/ingress/in_process.py
@@ -206,7 +206,7 @@
     """The processes, the platform and the upstreams of one test."""
 
     def __init__(
-        self, *, scripts=None, processes=1, prepaid=None, routes=ROUTES, capacity=None
+        self, *, scripts=None, processes=1, prepaid=None, routes=ROUTES, **settings
     ):
         scripts = scripts or {"u1": answer_whole, "e1": stream_whole}
         self.platform = LocalPlatform()
@@ -220,9 +220,9 @@
         }
         self.customers = (Customer(name="surco", keys=(KEY,), prepaid=prepaid),)
         self.routes = routes
-        self.capacity = capacity
         self.revision = 0
         self.count = processes
+        self.settings = settings
         self.workers = []
         self.addresses = []
         self.tasks = []
@@ -256,7 +256,7 @@
                 platform="127.0.0.1:9",
                 peers=links,
                 stop_deadline_seconds=8,
-                capacity=self.capacity,
+                **self.settings,
             ),
             platform=self.platform,
             names=NAMES,
