Name the fields of instance_overloaded so that they don't collide with the log's level

Cause: the field level collides with the severity of the line, so the first change of level ended the process.

Change: was and now, as in daemon_state. A test waits for the end of an overload.

--- a/src/ragwortkeel/ingress/instance_monitor.py
+++ b/src/ragwortkeel/ingress/instance_monitor.py
@@ -138,8 +138,8 @@
             return
         log_info(
             "instance_overloaded",
-            level=overload.level.name.lower(),
             was=self._logged_level.name.lower(),
+            now=overload.level.name.lower(),
             utilization=round(overload.utilization, 3),
             cause=overload.cause,
             lag=round(overload.lag_seconds, 3),
--- a/tests/ingress/test_overloaded_instance.py
+++ b/tests/ingress/test_overloaded_instance.py
@@ -45,6 +45,18 @@
         assert status.overloaded
         assert status.utilization > 0.9
 
+    def test_a_request_after_the_overload_is_served(self):
+        """Guards against a monitor that fails, or an instance that stays overloaded."""
+
+        async def scenario(fleet):
+            worker = fleet.workers[0]
+            await overload(worker)
+            while worker._monitor.overload.level is not Level.NORMAL:
+                await curio.sleep(0.1)
+            return (await fleet.ask("/lookup/a")).status
+
+        assert run_measured(scenario, capacity=CAPACITY) == 200
+
     def test_without_a_capacity_nothing_is_measured_or_refused(self):
         async def scenario(fleet):
             answer = await fleet.ask("/lookup/a")
