Queue: a request that fits nowhere reserves one upstream; waits by priority

Cause: Dispatcher.assign_queued stopped at the first request that fits nowhere, and acquire queued each new request behind anything queued. One giant request held back all small ones while other upstreams had room. The wait estimate used one rate for all priorities, so a stalled burst of least urgent requests got urgent ones refused.

Ruled out: going on without a reservation (small requests take each bit of memory that is freed, and the giant one never starts); a reservation for each such request (a burst of them withholds the whole service); treating the reserved upstream as tried (the minimum of usable upstreams then counts without it, and an ejected upstream gets requests in its place).

Change: policy/head_reservation.py keeps one reservation for each service, at the upstream that lacks the fewest tokens. Requests of the same or a less urgent priority are assigned to the others. It ends with the request, or moves if the upstream is gone. A new request is assigned at once unless a queued one that goes first would take the same room; queued requests are served before it. A pass skips requests that a failed search covers, so that it stays cheap. With one upstream the order between customers holds. policy/queue_waits.py keeps the dequeue intervals for each priority.

--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -1,4 +1,8 @@
-"""Assigns queued requests to upstreams, in order, as soon as there is headroom."""
+"""Assigns queued requests to upstreams, in order, as soon as there is headroom.
+
+A request that fits nowhere holds back those behind it at one upstream only, which is
+reserved for it; see `policy.head_reservation`.
+"""
 
 from dataclasses import dataclass
 from math import isfinite
@@ -8,10 +12,23 @@
 
 from ragwortkeel.ingress.configuration import Service, Upstream
 from ragwortkeel.ingress.directory import Directory
-from ragwortkeel.ingress.placement import Assignment, Job, OwnSendRate, Placement
-from ragwortkeel.ingress.request_queue import QueuedRequest, RequestQueue
+from ragwortkeel.ingress.placement import Assignment, Job, Placement
+from ragwortkeel.ingress.request_queue import (
+    QueuedRequest,
+    RequestQueue,
+    search_for,
+)
+from ragwortkeel.ingress.reservation_log import ReservationLog
 from ragwortkeel.logs import log_info
-from ragwortkeel.policy.admission import DequeueIntervals
+from ragwortkeel.metrics import Metrics
+from ragwortkeel.policy.fleet_rates import OwnSendRate
+from ragwortkeel.policy.head_reservation import (
+    NOTHING_WITHHELD,
+    HeadReservations,
+    ReservationChange,
+    Search,
+)
+from ragwortkeel.policy.queue_waits import QueueWaits
 
 QUEUE_CHECK_SECONDS = 0.05
 """Interval at which the queue is checked even if no request ended here.
@@ -68,16 +85,26 @@
         The upstreams of each service.
     placement : Placement
         Chooses one of them.
+    metrics : Metrics or None
+        Counts the reservations of upstreams.
     """
 
-    def __init__(self, *, directory: Directory, placement: Placement) -> None:
+    def __init__(
+        self,
+        *,
+        directory: Directory,
+        placement: Placement,
+        metrics: Metrics | None = None,
+    ) -> None:
         self.queue = RequestQueue()
         self._directory = directory
         self._placement = placement
+        self._reservations = HeadReservations()
+        self._reservation_log = ReservationLog(metrics=metrics)
         self._assignment_by_request_id: dict[str, Assignment] = {}
         self._assigned_by_request_id: dict[str, curio.Event] = {}
         self._service_by_name: dict[str, Service] = {}
-        self._dequeue_intervals_by_service: dict[str, DequeueIntervals] = {}
+        self._waits_by_service: dict[str, QueueWaits] = {}
 
     async def acquire(
         self,
@@ -93,8 +120,12 @@
         can serve before their deadlines.  A request that is not expected to start
         before `latest_start` is refused at once, because a caller that is held until
         then has no time left to retry.  The estimate rests on the rate at which
-        requests left the queue recently.  The first request in the queue always waits;
-        otherwise no request would leave the queue to correct the estimate.
+        requests of the same or a more urgent priority left the queue recently.  The
+        first request in the queue always waits; otherwise no request would leave the
+        queue to correct the estimate.
+
+        Pattern of load: one giant request is queued, and small ones arrive.  They don't
+        wait for it, but only for queued requests that would take the same room.
 
         Other requests are refused at once: one that must not use any of the ready
         upstreams, as when all availability zones are evacuated for an unknown time; one
@@ -113,11 +144,15 @@
         if self._directory.withholds_all(service=service.name, regions=job.regions):
             return self._not_assigned(job)
         ahead = self.queue.queued_ahead(job)
-        if not ahead:
+        if not ahead or not self.queue.waits_behind(job, tried_upstreams):
+            if ahead:
+                await self._assign_in_order(service.name)
             assignment = self._try_assign(job, service, tried_upstreams)
             if assignment is not None:
+                if ahead:
+                    self._waits(service.name).record_dequeue(job.priority, monotonic())
                 return assignment
-        elif monotonic() + self._estimated_wait_seconds(job) > latest_start:
+        if ahead and monotonic() + self._estimated_wait_seconds(job) > latest_start:
             return self._not_assigned(job)
         if self._directory.all_leave(service=service.name):
             return self._not_assigned(job)
@@ -142,22 +177,79 @@
             if self._directory.all_leave(service=name):
                 await self._refuse_queued(name)
                 continue
-            service = self._service_by_name[name]
-            for queued_request in self.queue.in_order(name):
-                assignment = self._try_assign(
-                    queued_request.job, service, queued_request.tried_upstreams
-                )
-                if assignment is None and queued_request.job.regions is not None:
-                    # Its regions are full; later requests may run in others.
-                    continue
-                if assignment is None:
-                    break
-                self._assignment_by_request_id[queued_request.job.request_id] = (
-                    assignment
-                )
-                self.queue.remove(queued_request.job)
-                self._dequeue_intervals(name).record_dequeue(0.0, monotonic())
-                await self._assigned_by_request_id[queued_request.job.request_id].set()
+            await self._assign_in_order(name)
+
+    async def _assign_in_order(self, name: str) -> None:
+        """Assign queued requests of the service, as far as there is headroom.
+
+        A request for which a search that failed before leaves no upstream is skipped,
+        since a pass over hundreds of requests has to stay cheap.
+        """
+        service = self._service_by_name[name]
+        failed: list[Search] = []
+        for queued_request in self.queue.in_order(name):
+            job, tried_upstreams = queued_request.job, queued_request.tried_upstreams
+            search = search_for(job, tried_upstreams | self._withheld(job))
+            held = self._reservations.of(name)
+            is_holder = held is not None and held.request_id == job.request_id
+            if not is_holder and any(each.covers(search) for each in failed):
+                continue
+            assignment = self._try_assign(job, service, tried_upstreams)
+            if assignment is None:
+                self._reserve(queued_request, service)
+                failed.append(search_for(job, tried_upstreams | self._withheld(job)))
+                continue
+            self._assignment_by_request_id[job.request_id] = assignment
+            self.queue.remove(job)
+            self._end_reservation(job, ReservationChange.ASSIGNED)
+            self._waits(name).record_dequeue(job.priority, monotonic())
+            await self._assigned_by_request_id[job.request_id].set()
+
+    def _reserve(self, queued_request: QueuedRequest, service: Service) -> None:
+        """Reserve an upstream for a request that fits nowhere, or keep the one it has.
+
+        If its upstream is gone, ejected or evacuated, another one is reserved.
+        """
+        job, now = queued_request.job, monotonic()
+        if not self._reservations.may_reserve(
+            service=job.service, request_id=job.request_id, priority=job.priority
+        ):
+            return
+        changes = self._reservations.reserve(
+            service=job.service,
+            request_id=job.request_id,
+            priority=job.priority,
+            memory_tokens=job.memory_tokens,
+            queued_at=queued_request.arrived_at,
+            missing_tokens_by_upstream=self._placement.missing_tokens(
+                job,
+                service=service,
+                upstream_by_name=self._directory.usable(
+                    service=job.service, regions=job.regions
+                ),
+                tried_upstreams=queued_request.tried_upstreams,
+                now=now,
+            ),
+            now=now,
+        )
+        for change, reservation in changes:
+            self._reservation_log.record(change, reservation, now=now)
+
+    def _end_reservation(self, job: Job, change: ReservationChange) -> None:
+        held = self._reservations.end(service=job.service, request_id=job.request_id)
+        if held is not None:
+            self._reservation_log.record(change, held, now=monotonic())
+
+    def _withheld(self, job: Job) -> frozenset[str]:
+        held = self._reservations.of(job.service)
+        if held is None:
+            return NOTHING_WITHHELD
+        return self._reservations.withheld(
+            service=job.service,
+            request_id=job.request_id,
+            priority=job.priority,
+            goes_first=self.queue.goes_before(job, held.request_id),
+        )
 
     async def _refuse_queued(self, service: str) -> None:
         """End the wait of the service's queued requests without an assignment."""
@@ -181,6 +273,7 @@
                 service=service.name, regions=job.regions
             ),
             tried_upstreams=tried_upstreams,
+            withheld=self._withheld(job),
             now=monotonic(),
         )
         if assignment is not None:
@@ -192,8 +285,11 @@
     ) -> Assignment | NotAssigned:
         now = monotonic()
         assigned = self._assigned_by_request_id[job.request_id] = curio.Event()
-        if job.service not in self.queue.services():
-            self._dequeue_intervals(job.service).record_queue_start(now)
+        self._waits(job.service).record_queued(
+            job.priority,
+            queued_priorities=self.queue.queued_priorities(job.service),
+            now=now,
+        )
         self.queue.add(
             QueuedRequest(
                 job=job,
@@ -211,6 +307,7 @@
             return self._not_assigned(job)
         finally:
             self.queue.remove(job)
+            self._end_reservation(job, ReservationChange.REMOVED)
             self._assigned_by_request_id.pop(job.request_id, None)
             unclaimed = self._assignment_by_request_id.pop(job.request_id, None)
             if unclaimed is not None:
@@ -277,14 +374,10 @@
             now=monotonic(),
         )
 
-    def _dequeue_intervals(self, service: str) -> DequeueIntervals:
-        return self._dequeue_intervals_by_service.setdefault(
-            service, DequeueIntervals()
-        )
+    def _waits(self, service: str) -> QueueWaits:
+        return self._waits_by_service.setdefault(service, QueueWaits())
 
     def _estimated_wait_seconds(self, job: Job) -> float:
-        idle = job.service not in self.queue.services()
-        each = self._dequeue_intervals(job.service).mean_seconds(
-            0.0, idle=idle, now=monotonic()
+        return self._waits(job.service).seconds(
+            job.priority, ahead=self.queue.queued_ahead(job), now=monotonic()
         )
-        return each * (self.queue.queued_ahead(job) + 1)
--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -24,15 +24,21 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from hashlib import blake2b
-from math import inf
 from random import Random
 
 from ragwortkeel.ingress.configuration import Engine, Service, Upstream
+from ragwortkeel.ingress.loads import NO_LOAD, Load
 from ragwortkeel.ingress.prefixes import PREFIX_CACHE_FRACTION, PrefixCache, PromptBlock
 from ragwortkeel.policy.announced_limits import AnnouncedLimits
 from ragwortkeel.policy.ejection import Ejections
 from ragwortkeel.policy.facts import Failure
-from ragwortkeel.policy.fleet_rates import EqualShare, FleetRate, FleetRates
+from ragwortkeel.policy.fleet_rates import (
+    EqualShare,
+    FleetRate,
+    FleetRates,
+    OwnSendRate,
+)
+from ragwortkeel.policy.memory_share import MemoryUse
 from ragwortkeel.policy.pauses import Instance, Pauses
 
 RUNNING_REQUEST_COST_TOKENS = 250
@@ -43,12 +49,6 @@
 is halved because answers end.
 """
 
-MAX_MEMORY_FRACTION = 0.92
-"""Fraction of an engine's memory that running requests may fill at their largest size.
-
-The remaining 8% absorbs requests that other processes assigned after their last report.
-"""
-
 OTHER_ZONE_COST_REQUESTS = 0.05
 """Cost of an upstream in another availability zone, in running requests.
 
@@ -110,24 +110,6 @@
         return self.prompt_blocks[-2].block_id if len(self.prompt_blocks) > 1 else ""
 
 
-@dataclass(frozen=True, kw_only=True)
-class Load:
-    """Requests and tokens that one process has assigned to one upstream."""
-
-    running: int = 0
-    memory_tokens: int = 0
-    unread_tokens: int = 0
-
-    def __add__(self, other: "Load") -> "Load":
-        return Load(
-            running=self.running + other.running,
-            memory_tokens=self.memory_tokens + other.memory_tokens,
-            unread_tokens=self.unread_tokens + other.unread_tokens,
-        )
-
-
-NO_LOAD = Load()
-
 _MAY_HAVE_RESTARTED = frozenset({Failure.UNREACHABLE, Failure.CRASHED})
 
 
@@ -150,31 +132,6 @@
     prompt_read: bool = False
 
 
-@dataclass(frozen=True, kw_only=True)
-class OwnSendRate:
-    """Rate of one process at a service whose upstreams all announced a limit.
-
-    Attributes
-    ----------
-    per_second : float
-        Requests a second to all upstreams of the service together.
-    seconds_to_next : float
-        Seconds until the process may send one more request; infinite if other
-        processes share all of the limits.
-    """
-
-    per_second: float
-    seconds_to_next: float
-
-    def seconds_until_send(self, ahead: int) -> float:
-        """Return the seconds until a request may be sent, with `ahead` before it."""
-        if not ahead:
-            return self.seconds_to_next
-        if not self.per_second:
-            return inf
-        return self.seconds_to_next + ahead / self.per_second
-
-
 @dataclass(frozen=True, kw_only=True)
 class _Cold:
     """A cold period of an upstream.
@@ -280,6 +237,7 @@
         service: Service,
         upstream_by_name: dict[str, Upstream],
         tried_upstreams: frozenset[str] = frozenset(),
+        withheld: frozenset[str] = frozenset(),
         now: float,
     ) -> Assignment | None:
         """Assign the request to an upstream; return None if none has headroom.
@@ -290,15 +248,13 @@
             Upstreams of the service that accept new requests.
         tried_upstreams : frozenset of str
             Upstreams to exclude because the request was sent to them before.
+        withheld : frozenset of str
+            Upstreams reserved for another request.  They count as usable, so that no
+            ejected upstream is used in their place.
         now : float
             Monotonic seconds.
         """
-        names = [
-            name
-            for name, upstream in upstream_by_name.items()
-            if name not in tried_upstreams
-            and self._pauses.may_send(_instance(upstream), now=now)
-        ]
+        names = self._unpaused(upstream_by_name, tried_upstreams, now)
         usable = self.ejections.usable(names, now)
         cost: Callable[[Upstream], float]
         if service.engine is None:
@@ -308,13 +264,34 @@
         with_headroom = [
             upstream_by_name[name]
             for name in usable
-            if self._has_headroom(upstream_by_name[name], service, job, now)
+            if name not in withheld
+            and self._has_headroom(upstream_by_name[name], service, job, now)
             and self._may_send_one_more(upstream_by_name[name], service, now)
         ]
         if not with_headroom:
             return None
         return self._assign(min(with_headroom, key=cost), service, job, now)
 
+    def missing_tokens(
+        self,
+        job: Job,
+        *,
+        service: Service,
+        upstream_by_name: dict[str, Upstream],
+        tried_upstreams: frozenset[str] = frozenset(),
+        now: float,
+    ) -> dict[str, int]:
+        """Return the tokens that each engine lacks which may run the request."""
+        if service.engine is None:
+            return {}
+        names = self._unpaused(upstream_by_name, tried_upstreams, now)
+        return {
+            name: self._memory(upstream_by_name[name], service.engine, now).missing(
+                job.memory_tokens
+            )
+            for name in self.ejections.usable(names, now)
+        }
+
     def own_send_rate(
         self, *, service: Service, upstreams: Iterable[Upstream], now: float
     ) -> OwnSendRate | None:
@@ -469,10 +446,25 @@
             )
         if total.running >= min(upstream.slots, connections):
             return False
-        free_tokens = (
-            service.engine.memory_tokens * MAX_MEMORY_FRACTION - total.memory_tokens
+        memory = self._memory(upstream, service.engine, now)
+        return memory.has_room(job.memory_tokens)
+
+    def _memory(self, upstream: Upstream, engine: Engine, now: float) -> MemoryUse:
+        total = self._record(upstream).total_load(now)
+        return MemoryUse(
+            memory_tokens=engine.memory_tokens,
+            used_tokens=total.memory_tokens,
+            running=total.running,
         )
-        return job.memory_tokens <= free_tokens or total.running == 0
+
+    def _unpaused(
+        self, upstream_by_name: dict[str, Upstream], tried: frozenset[str], now: float
+    ) -> list[str]:
+        return [
+            name
+            for name, upstream in upstream_by_name.items()
+            if name not in tried and self._pauses.may_send(_instance(upstream), now=now)
+        ]
 
     def _may_send_one_more(
         self, upstream: Upstream, service: Service, now: float
--- a/src/ragwortkeel/ingress/request_queue.py
+++ b/src/ragwortkeel/ingress/request_queue.py
@@ -11,8 +11,10 @@
 
 from collections import Counter
 from dataclasses import dataclass
+from math import inf
 
 from ragwortkeel.ingress.placement import Job
+from ragwortkeel.policy.head_reservation import Search
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -33,6 +35,15 @@
     tried_upstreams: frozenset[str] = frozenset()
 
 
+def search_for(job: Job, excluded_upstreams: frozenset[str]) -> Search:
+    """Return the bounds within which an upstream is searched for the request."""
+    return Search(
+        regions=job.regions,
+        excluded_upstreams=excluded_upstreams,
+        memory_tokens=job.memory_tokens,
+    )
+
+
 class RequestQueue:
     """The queue of each service, and the running requests of each customer."""
 
@@ -74,6 +85,47 @@
         queued = self._queued_by_service.get(job.service, {}).values()
         return sum(1 for other in queued if other.job.priority <= job.priority)
 
+    def queued_priorities(self, service: str) -> list[int]:
+        """Return the priority of each queued request of the service."""
+        queued = self._queued_by_service.get(service, {}).values()
+        return [queued_request.job.priority for queued_request in queued]
+
+    def queued_by_priority(self) -> dict[int, int]:
+        """Return the number of queued requests of each priority."""
+        return Counter(
+            priority
+            for service in self.services()
+            for priority in self.queued_priorities(service)
+        )
+
+    def waits_behind(self, job: Job, excluded_upstreams: frozenset[str]) -> bool:
+        """Return whether a queued request that goes first takes any room for this one.
+
+        It needs no more memory than this one and may use all upstreams that this one
+        may use.
+        """
+        search = search_for(job, excluded_upstreams)
+        queued = self._queued_by_service.get(job.service, {}).values()
+        return any(
+            other.job.priority <= job.priority
+            and search_for(other.job, other.tried_upstreams).covers(search)
+            for other in queued
+        )
+
+    def goes_before(self, job: Job, request_id: str) -> bool:
+        """Return whether a request goes before a queued one of its service.
+
+        A request that is not queued counts as one that arrives now.
+        """
+        queued = self._queued_by_service.get(job.service, {})
+        other = queued.get(request_id)
+        if other is None:
+            return True
+        own = queued.get(job.request_id) or QueuedRequest(
+            job=job, arrived_at=inf, latest_start=inf
+        )
+        return self._rank(own) < self._rank(other)
+
     def in_order(self, service: str) -> list[QueuedRequest]:
         """Return the queued requests of the service, the next one first."""
         queued = self._queued_by_service.get(service, {}).values()
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -158,7 +158,9 @@
             ),
         )
         self._dispatcher = Dispatcher(
-            directory=self._directory, placement=self._placement
+            directory=self._directory,
+            placement=self._placement,
+            metrics=self.metrics,
         )
         self._crashes = CrashDetector(clock=monotonic)
         self._counted = CountedPlatform(platform=platform, metrics=self.metrics)
@@ -529,6 +531,9 @@
             self.metrics.set_load(
                 running=self._server.open_exchanges, queued=len(self._dispatcher.queue)
             )
+            self.metrics.set_queued_by_priority(
+                self._dispatcher.queue.queued_by_priority()
+            )
             due_at = monotonic() + UPKEEP_SECONDS
             await curio.sleep(UPKEEP_SECONDS)
             late_seconds = monotonic() - due_at
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -5,6 +5,8 @@
 time series would use more memory than the daemon itself.
 """
 
+from collections.abc import Mapping
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -135,6 +137,16 @@
         self._queued_requests = self._gauge(
             "ragwortkeel_queued_requests", "Requests that wait for an upstream."
         )
+        self._queued_by_priority = self._gauge(
+            "ragwortkeel_queued_requests_by_priority",
+            "Requests that wait for an upstream, by their priority.",
+            ("priority",),
+        )
+        self._reservations = self._counter(
+            "ragwortkeel_head_reservations_total",
+            "Upstreams reserved for a queued request, by what happened to them.",
+            ("change",),
+        )
         self._slice_tokens = self._gauge(
             "ragwortkeel_slice_tokens", "Tokens of budget slices held and not spent."
         )
@@ -234,6 +246,16 @@
         self._open_requests.set(running)
         self._queued_requests.set(queued)
 
+    def set_queued_by_priority(self, queued_by_priority: Mapping[int, int]) -> None:
+        """Set the number of queued requests of each priority."""
+        self._queued_by_priority.clear()
+        for priority, queued in queued_by_priority.items():
+            self._queued_by_priority.labels(str(priority)).set(queued)
+
+    def record_head_reservation(self, *, change: str) -> None:
+        """Count the begin or the end of a reservation for a queued request."""
+        self._reservations.labels(change).inc()
+
     def set_slice_tokens(self, *, tokens: int) -> None:
         """Set the number of unspent tokens in slices."""
         self._slice_tokens.set(tokens)
--- a/src/ragwortkeel/policy/fleet_rates.py
+++ b/src/ragwortkeel/policy/fleet_rates.py
@@ -59,6 +59,31 @@
     known_to_all: bool = True
 
 
+@dataclass(frozen=True, kw_only=True)
+class OwnSendRate:
+    """Rate of one process at a service whose upstreams all announced a limit.
+
+    Attributes
+    ----------
+    per_second : float
+        Requests a second to all upstreams of the service together.
+    seconds_to_next : float
+        Seconds until the process may send one more request; infinite if other
+        processes share all of the limits.
+    """
+
+    per_second: float
+    seconds_to_next: float
+
+    def seconds_until_send(self, ahead: int) -> float:
+        """Return the seconds until a request may be sent, with `ahead` before it."""
+        if not ahead:
+            return self.seconds_to_next
+        if not self.per_second:
+            return inf
+        return self.seconds_to_next + ahead / self.per_second
+
+
 @dataclass(frozen=True, kw_only=True)
 class EqualShare:
     """Sharing of a rate among `processes` that each use the same fraction."""
--- /dev/null
+++ b/tests/ingress/test_queue_order.py
@@ -0,0 +1,216 @@
+"""Which queued request goes first, and which may pass one that fits nowhere."""
+
+import curio
+import pytest
+from tests.ingress.builders import engine_service, job, upstream
+
+from ragwortkeel.ingress import dispatch
+from ragwortkeel.ingress.directory import Directory
+from ragwortkeel.ingress.dispatch import Dispatcher, NotAssigned
+from ragwortkeel.ingress.placement import Load, Placement
+from ragwortkeel.policy.facts import Failure
+
+POOL = engine_service("pool")
+GIANT, LARGE, SMALL = 40_000, 60_000, 4_000
+
+
+class Pool:
+    """Engines of 92,000 usable tokens, each with one running request of `LARGE`."""
+
+    def __init__(self, engines=2):
+        self.directory = Directory()
+        for index in range(engines):
+            entry = upstream(f"e{index}", service="pool", slots=64)
+            self.directory.merge_entry(entry.name, entry, version=1, now=0.0)
+        self.placement = Placement(zone="a")
+        self.dispatcher = Dispatcher(directory=self.directory, placement=self.placement)
+        self.customer = "large"
+        self.running = {}
+        self.order = []
+
+    async def fill(self):
+        for index in range(len(self.directory.usable(service="pool"))):
+            assigned = await self.acquire(f"large{index}", LARGE)
+            self.running[assigned.upstream.name] = assigned
+
+    async def acquire(self, name, tokens=SMALL, priority=5, seconds=9.0):
+        now = await curio.clock()
+        rv = await self.dispatcher.acquire(
+            job(name, "pool", prompt=tokens, priority=priority, customer=self.customer),
+            service=POOL,
+            latest_start=now + seconds,
+        )
+        self.order.append(name)
+        return rv
+
+    async def queue(self, name, tokens=SMALL, priority=5, seconds=9.0):
+        queued = len(self.dispatcher.queue)
+        task = await curio.spawn(
+            self.acquire, name, tokens, priority, seconds, daemon=True
+        )
+        while len(self.dispatcher.queue) == queued:
+            await curio.sleep(0)
+        await self.dispatcher.assign_queued()
+        return task
+
+    async def at_once(self, name, tokens=SMALL, priority=5):
+        """Return the upstream that the request is assigned to, None if it waits."""
+        async with curio.ignore_after(0.02):
+            return (await self.acquire(name, tokens, priority)).upstream.name
+        return None
+
+
+def run(scenario, engines=2):
+    async def main():
+        async with curio.timeout_after(10):
+            pool = Pool(engines)
+            await pool.fill()
+            return await scenario(pool)
+
+    return curio.run(main)
+
+
+class TestGiantRequest:
+    def test_small_requests_pass_it_at_the_other_upstreams(self):
+        """Guards against head-of-line blocking by one giant request."""
+
+        async def scenario(pool):
+            await pool.queue("giant", GIANT)
+            return [await pool.at_once(f"s{i}") for i in range(10)]
+
+        assert run(scenario) == ["e1"] * 8 + [None] * 2
+
+    def test_queued_small_requests_pass_it_when_room_becomes_free(self):
+        async def scenario(pool):
+            small = [await pool.acquire(f"s{i}") for i in range(2)]
+            await pool.queue("giant", GIANT)
+            task = await pool.queue("middle", GIANT - 2 * SMALL)
+            for assigned in small:
+                await pool.dispatcher.release(assigned)
+            return (await task.join()).upstream.name
+
+        assert run(scenario) == "e1"
+
+    def test_small_requests_do_not_starve_it(self):
+        """Guards against small requests that take each bit of memory that is freed."""
+
+        async def scenario(pool):
+            giant = await pool.queue("giant", GIANT)
+            for index in range(10):
+                await pool.at_once(f"s{index}")
+            await pool.dispatcher.release(pool.running["e0"])
+            return (await giant.join()).upstream.name
+
+        assert run(scenario) == "e0"
+
+    def test_a_more_urgent_request_uses_the_reserved_upstream(self):
+        async def scenario(pool):
+            await pool.queue("giant", GIANT)
+            return [await pool.at_once(f"s{i}", priority=1) for i in range(16)]
+
+        assert set(run(scenario)) == {"e0", "e1"}
+
+    @pytest.mark.parametrize("gone", ["ejected", "leaves", "evacuated"])
+    def test_another_upstream_is_reserved_if_its_one_is_gone(self, gone):
+        """Guards against a request that waits for good for an upstream that is gone."""
+
+        async def scenario(pool):
+            giant = await pool.queue("giant", GIANT)
+            if gone == "ejected":
+                now = await curio.clock()
+                pool.placement.record_failure("e0", Failure.UNREACHABLE, now)
+            elif gone == "leaves":
+                pool.directory.record_leaving("e0", started_ms=10**15)
+            else:
+                entry = upstream("e0", service="pool", slots=64, zone="b")
+                pool.directory.merge_entry("e0", entry, version=2, now=0.0)
+                pool.directory.evacuated_zones = frozenset("b")
+            await pool.dispatcher.assign_queued()
+            passed = await pool.at_once("small")
+            await pool.dispatcher.release(pool.running["e1"])
+            return passed, (await giant.join()).upstream.name
+
+        assert run(scenario) == (None, "e1")
+
+    def test_its_upstream_is_free_for_others_once_its_caller_left(self):
+        async def scenario(pool):
+            giant = await pool.queue("giant", GIANT)
+            await giant.cancel()
+            return {await pool.at_once(f"s{i}") for i in range(16)}
+
+        assert run(scenario) == {"e0", "e1"}
+
+    def test_a_burst_of_giant_requests_reserves_one_upstream(self):
+        """Guards against giant requests that withhold a whole service from others."""
+
+        async def scenario(pool):
+            for index in range(5):
+                await pool.queue(f"giant{index}", GIANT)
+            return {await pool.at_once(f"s{i}") for i in range(14)}
+
+        assert run(scenario, engines=3) == {"e1", "e2"}
+
+
+class TestWithoutGiantRequests:
+    def test_with_one_upstream_the_order_is_that_of_arrival(self):
+        """Guards against requests that pass others where there is nothing to gain."""
+
+        async def scenario(pool):
+            await pool.queue("giant", GIANT)
+            passed = await pool.at_once("small")
+            await pool.queue("next")
+            await pool.dispatcher.release(pool.running["e0"])
+            await curio.sleep(0.02)
+            return passed, pool.order[1:]
+
+        assert run(scenario, engines=1) == (None, ["giant", "next"])
+
+    def test_with_one_upstream_a_customer_with_fewer_running_requests_goes_first(self):
+        """Guards against a reservation that reverses the order between customers."""
+
+        async def scenario(pool):
+            await pool.queue("of-large", GIANT)
+            pool.customer = "small"
+            return await pool.at_once("of-small")
+
+        assert run(scenario, engines=1) == "e0"
+
+    @pytest.mark.parametrize("tokens", [SMALL, SMALL - 1])
+    def test_a_new_request_does_not_pass_queued_ones_of_about_its_size(self, tokens):
+        """Guards against room that goes to whoever arrives just as it becomes free."""
+
+        async def scenario(pool):
+            room = dict.fromkeys(pool.running, Load(running=7, memory_tokens=28_000))
+            full = dict.fromkeys(pool.running, Load(running=1, memory_tokens=SMALL))
+            now = await curio.clock()
+            pool.placement.merge_loads("peer0", room, now + 9.0)
+            pool.placement.merge_loads("peer1", full, now + 0.1)
+            for index in range(3):
+                await pool.queue(f"queued{index}")
+            await curio.sleep(0.15)
+            new = await pool.at_once("new", tokens)
+            await pool.dispatcher.assign_queued()
+            await curio.sleep(0.01)
+            return new, pool.order[2:]
+
+        assert run(scenario) == (None, ["queued0", "queued1"])
+
+
+def test_a_stalled_burst_of_least_urgent_requests_refuses_no_urgent_one(monkeypatch):
+    """Guards against an estimate by the rate of requests that an urgent one passes."""
+
+    async def scenario(pool):
+        clock = [dispatch.monotonic()]
+        monkeypatch.setattr(dispatch, "monotonic", lambda: clock[0])
+        for index in range(30):
+            await pool.queue(f"batch{index}", LARGE, priority=9)
+        clock[0] += 60.0
+        await pool.queue("urgent0", LARGE, priority=0, seconds=69.0)
+        urgent = await curio.spawn(pool.acquire, "urgent1", LARGE, 0, 62.0, daemon=True)
+        await curio.sleep(0.02)
+        refused = urgent.terminated
+        clock[0] += 60.0
+        late = await pool.acquire("batch", LARGE, 9, 121.0)
+        return refused, isinstance(late, NotAssigned)
+
+    assert run(scenario) == (False, True)
