Queue: order between customers by their running requests in the fleet

Cause: a process knows only its own running requests. A customer that sends through all processes looks small at each of them and delays one that sends through a single process.

Ruled out: taking the counts of a peer as a sign that requests are queued there (each process would send because the others do, for good).

Change: with fleet_fairness the queue adds the valid counts of peers to its own.

--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -4,6 +4,7 @@
 reserved for it; see `policy.head_reservation`.
 """
 
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from math import isfinite
 from time import monotonic
@@ -14,6 +15,7 @@
 from ragwortkeel.ingress.directory import Directory
 from ragwortkeel.ingress.placement import Assignment, Job, Placement
 from ragwortkeel.ingress.request_queue import (
+    NO_REQUESTS,
     QueuedRequest,
     RequestQueue,
     search_for,
@@ -87,6 +89,8 @@
         Chooses one of them.
     metrics : Metrics or None
         Counts the reservations of upstreams.
+    peer_running : callable
+        Returns the running requests of customers at the peers; the default is none.
     """
 
     def __init__(
@@ -95,8 +99,9 @@
         directory: Directory,
         placement: Placement,
         metrics: Metrics | None = None,
+        peer_running: Callable[[], Mapping[str, int]] = lambda: NO_REQUESTS,
     ) -> None:
-        self.queue = RequestQueue()
+        self.queue = RequestQueue(peer_running=peer_running)
         self._directory = directory
         self._placement = placement
         self._reservations = HeadReservations()
--- a/src/ragwortkeel/ingress/load_reports.py
+++ b/src/ragwortkeel/ingress/load_reports.py
@@ -106,5 +106,6 @@
         status.overloaded
         or not status.in_rotation
         or status.utilization >= NOTABLE_UTILIZATION
+        or status.has_queue
         or bool(status.running_by_customer or status.slowness_by_upstream)
     )
--- a/src/ragwortkeel/ingress/request_queue.py
+++ b/src/ragwortkeel/ingress/request_queue.py
@@ -2,20 +2,25 @@
 
 Pattern of load: a burst, one customer that sends many times its usual rate, and short
 requests behind long ones.  Requests of the most urgent priority go first; among those,
-requests of the customer with the fewest running requests here; then the one that
-arrived first.  Without the second rule, a burst of one customer delays all others.
+requests of the customer with the fewest running requests here, or in the fleet if peers
+report theirs; then the one that arrived first.  Without the second rule, a burst of one
+customer delays all others.
 
 A request that is not assigned before its `latest_start` is refused then, so that its
 caller gets an answer before the deadline.
 """
 
 from collections import Counter
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from math import inf
+from types import MappingProxyType
 
 from ragwortkeel.ingress.placement import Job
 from ragwortkeel.policy.head_reservation import Search
 
+NO_REQUESTS: Mapping[str, int] = MappingProxyType({})
+
 
 @dataclass(frozen=True, kw_only=True)
 class QueuedRequest:
@@ -45,9 +50,18 @@
 
 
 class RequestQueue:
-    """The queue of each service, and the running requests of each customer."""
+    """The queue of each service, and the running requests of each customer.
+
+    Parameters
+    ----------
+    peer_running : callable
+        Returns the running requests of customers at the peers; the default is none.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, peer_running: Callable[[], Mapping[str, int]] = lambda: NO_REQUESTS
+    ) -> None:
+        self._peer_running = peer_running
         self._queued_by_service: dict[str, dict[str, QueuedRequest]] = {}
         self._running_by_customer: Counter[str] = Counter()
 
@@ -73,6 +87,10 @@
         if not self._running_by_customer[job.customer]:
             del self._running_by_customer[job.customer]
 
+    def running_by_customer(self) -> Mapping[str, int]:
+        """Return the running requests of each customer at this process."""
+        return self._running_by_customer
+
     def services(self) -> list[str]:
         """Return the names of the services that have queued requests."""
         return [name for name, queued in self._queued_by_service.items() if queued]
@@ -124,13 +142,18 @@
         own = queued.get(job.request_id) or QueuedRequest(
             job=job, arrived_at=inf, latest_start=inf
         )
-        return self._rank(own) < self._rank(other)
+        peer_running = self._peer_running()
+        return self._rank(own, peer_running) < self._rank(other, peer_running)
 
     def in_order(self, service: str) -> list[QueuedRequest]:
         """Return the queued requests of the service, the next one first."""
         queued = self._queued_by_service.get(service, {}).values()
-        return sorted(queued, key=self._rank)
-
-    def _rank(self, queued_request: QueuedRequest) -> tuple[int, int, float]:
-        running = self._running_by_customer[queued_request.job.customer]
+        peer_running = self._peer_running()
+        return sorted(queued, key=lambda each: self._rank(each, peer_running))
+
+    def _rank(
+        self, queued_request: QueuedRequest, peer_running: Mapping[str, int]
+    ) -> tuple[int, int, float]:
+        customer = queued_request.job.customer
+        running = self._running_by_customer[customer] + peer_running.get(customer, 0)
         return queued_request.job.priority, running, queued_request.arrived_at
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -22,6 +22,7 @@
 from ragwortkeel.ingress.directory import Directory, DirectoryChange
 from ragwortkeel.ingress.dispatch import Dispatcher
 from ragwortkeel.ingress.evacuations import Evacuations
+from ragwortkeel.ingress.fleet_fairness import FleetFairness
 from ragwortkeel.ingress.fleet_time import FleetTime
 from ragwortkeel.ingress.following import (
     ConfigurationFollower,
@@ -137,6 +138,11 @@
         )
         self._pause_tracker = PauseTracker(metrics=self.metrics)
         self._peer_statuses = PeerStatuses()
+        self._fairness = FleetFairness(
+            enabled=settings.fleet_fairness,
+            statuses=self._peer_statuses,
+            clock=monotonic,
+        )
         self._announcements = AnnouncementReader(
             names=names,
             limits=self._limit_tracker,
@@ -161,6 +167,7 @@
             directory=self._directory,
             placement=self._placement,
             metrics=self.metrics,
+            peer_running=self._fairness.peer_running,
         )
         self._crashes = CrashDetector(clock=monotonic)
         self._counted = CountedPlatform(platform=platform, metrics=self.metrics)
@@ -342,7 +349,8 @@
         """Return the status of this instance, None without a stated capacity."""
         if self._settings.capacity is None:
             return None
-        return InstanceStatus(zone=self._settings.zone)
+        status = InstanceStatus(zone=self._settings.zone)
+        return self._fairness.add_to(status, self._dispatcher.queue)
 
     def receive_instance_status(
         self, node: str, status: InstanceStatus | None, *, hold_seconds: float
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -447,6 +447,8 @@
         Whether the process refuses requests for lack of capacity.
     in_rotation : bool
         Whether the process asks the balancer for new connections.
+    has_queue : bool
+        Whether requests are queued at the process.
     running_by_customer : dict of str to int
         Running requests of customers, while requests are queued in the fleet.
     slowness_by_upstream : dict of str to float
@@ -458,6 +460,7 @@
     utilization: float = 0.0
     overloaded: bool = False
     in_rotation: bool = True
+    has_queue: bool = False
     running_by_customer: dict[str, int] = {}
     slowness_by_upstream: dict[str, float] = {}
 
