--- a/src/ragwortkeel/ingress/request_queue.py
+++ b/src/ragwortkeel/ingress/request_queue.py
@@ -2,17 +2,24 @@
 
 Pattern of load: a burst, one customer that sends many times its usual rate, and short
 requests behind long ones.  Requests of the most urgent priority go first; among those,
-requests of the customer with the fewest running requests here; then the one that
-arrived first.  Without the second rule, a burst of one customer delays all others.
+requests of the customer with the fewest running requests here, or in the fleet if peers
+report theirs; then the one that arrived first.  Without the second rule, a burst of one
+customer delays all others.
 
 A request that is not assigned before its `latest_start` is refused then, so that its
 caller gets an answer before the deadline.
 """
 
 from collections import Counter
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from math import inf
+from types import MappingProxyType
 
 from ragwortkeel.ingress.placement import Job
+from ragwortkeel.policy.head_reservation import Search
+
+NO_REQUESTS: Mapping[str, int] = MappingProxyType({})
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -33,10 +40,28 @@
     tried_upstreams: frozenset[str] = frozenset()
 
 
+def search_for(job: Job, excluded_upstreams: frozenset[str]) -> Search:
+    """Return the bounds within which an upstream is searched for the request."""
+    return Search(
+        regions=job.regions,
+        excluded_upstreams=excluded_upstreams,
+        memory_tokens=job.memory_tokens,
+    )
+
+
 class RequestQueue:
-    """The queue of each service, and the running requests of each customer."""
+    """The queue of each service, and the running requests of each customer.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    peer_running : callable
+        Returns the running requests of customers at the peers; the default is none.
+    """
+
+    def __init__(
+        self, *, peer_running: Callable[[], Mapping[str, int]] = lambda: NO_REQUESTS
+    ) -> None:
+        self._peer_running = peer_running
         self._queued_by_service: dict[str, dict[str, QueuedRequest]] = {}
         self._running_by_customer: Counter[str] = Counter()
 
@@ -62,6 +87,10 @@
         if not self._running_by_customer[job.customer]:
             del self._running_by_customer[job.customer]
 
+    def running_by_customer(self) -> Mapping[str, int]:
+        """Return the running requests of each customer at this process."""
+        return self._running_by_customer
+
     def services(self) -> list[str]:
         """Return the names of the services that have queued requests."""
         return [name for name, queued in self._queued_by_service.items() if queued]
@@ -74,11 +103,57 @@
         queued = self._queued_by_service.get(job.service, {}).values()
         return sum(1 for other in queued if other.job.priority <= job.priority)
 
+    def queued_priorities(self, service: str) -> list[int]:
+        """Return the priority of each queued request of the service."""
+        queued = self._queued_by_service.get(service, {}).values()
+        return [queued_request.job.priority for queued_request in queued]
+
+    def queued_by_priority(self) -> dict[int, int]:
+        """Return the number of queued requests of each priority."""
+        return Counter(
+            priority
+            for service in self.services()
+            for priority in self.queued_priorities(service)
+        )
+
+    def waits_behind(self, job: Job, excluded_upstreams: frozenset[str]) -> bool:
+        """Return whether a queued request that goes first takes any room for this one.
+
+        It needs no more memory than this one and may use all upstreams that this one
+        may use.
+        """
+        search = search_for(job, excluded_upstreams)
+        queued = self._queued_by_service.get(job.service, {}).values()
+        return any(
+            other.job.priority <= job.priority
+            and search_for(other.job, other.tried_upstreams).covers(search)
+            for other in queued
+        )
+
+    def goes_before(self, job: Job, request_id: str) -> bool:
+        """Return whether a request goes before a queued one of its service.
+
+        A request that is not queued counts as one that arrives now.
+        """
+        queued = self._queued_by_service.get(job.service, {})
+        other = queued.get(request_id)
+        if other is None:
+            return True
+        own = queued.get(job.request_id) or QueuedRequest(
+            job=job, arrived_at=inf, latest_start=inf
+        )
+        peer_running = self._peer_running()
+        return self._rank(own, peer_running) < self._rank(other, peer_running)
+
     def in_order(self, service: str) -> list[QueuedRequest]:
         """Return the queued requests of the service, the next one first."""
         queued = self._queued_by_service.get(service, {}).values()
-        return sorted(queued, key=self._rank)
-
-    def _rank(self, queued_request: QueuedRequest) -> tuple[int, int, float]:
-        running = self._running_by_customer[queued_request.job.customer]
+        peer_running = self._peer_running()
+        return sorted(queued, key=lambda each: self._rank(each, peer_running))
+
+    def _rank(
+        self, queued_request: QueuedRequest, peer_running: Mapping[str, int]
+    ) -> tuple[int, int, float]:
+        customer = queued_request.job.customer
+        running = self._running_by_customer[customer] + peer_running.get(customer, 0)
         return queued_request.job.priority, running, queued_request.arrived_at
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -22,6 +22,7 @@
 from ragwortkeel.ingress.directory import Directory, DirectoryChange
 from ragwortkeel.ingress.dispatch import Dispatcher
 from ragwortkeel.ingress.evacuations import Evacuations
+from ragwortkeel.ingress.fleet_fairness import FleetFairness
 from ragwortkeel.ingress.fleet_time import FleetTime
 from ragwortkeel.ingress.following import (
     ConfigurationFollower,
@@ -148,6 +149,11 @@
         )
         self._pause_tracker = PauseTracker(metrics=self.metrics)
         self._peer_statuses = PeerStatuses()
+        self._fairness = FleetFairness(
+            enabled=settings.fleet_fairness,
+            statuses=self._peer_statuses,
+            clock=monotonic,
+        )
         self._announcements = AnnouncementReader(
             names=names,
             limits=self._limit_tracker,
@@ -169,7 +175,10 @@
             ),
         )
         self._dispatcher = Dispatcher(
-            directory=self._directory, placement=self._placement
+            directory=self._directory,
+            placement=self._placement,
+            metrics=self.metrics,
+            peer_running=self._fairness.peer_running,
         )
         self._crashes = CrashDetector(clock=monotonic)
         self._counted = CountedPlatform(platform=platform, metrics=self.metrics)
@@ -390,13 +399,14 @@
         if self._monitor is None:
             return None
         load = self._own_load()
-        return InstanceStatus(
+        status = InstanceStatus(
             zone=self._settings.zone,
             utilization=load.utilization,
             overloaded=load.overloaded_since is not None,
             in_rotation=self.ready,
             departure_utilization=self._rotation.departure_utilization,
         )
+        return self._fairness.add_to(status, self._dispatcher.queue)
 
     def receive_instance_status(
         self, node: str, status: InstanceStatus | None, *, hold_seconds: float
@@ -586,6 +596,9 @@
             self.metrics.set_load(
                 running=self._server.open_exchanges, queued=len(self._dispatcher.queue)
             )
+            self.metrics.set_queued_by_priority(
+                self._dispatcher.queue.queued_by_priority()
+            )
             due_at = monotonic() + UPKEEP_SECONDS
             await curio.sleep(UPKEEP_SECONDS)
             late_seconds = monotonic() - due_at
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -450,6 +450,8 @@
     departure_utilization : float
         Utilization at which the process left the rotation; 0 while it is in, or if it
         is out for another cause than its load.
+    has_queue : bool
+        Whether requests are queued at the process.
     running_by_customer : dict of str to int
         Running requests of customers, while requests are queued in the fleet.
     slowness_by_upstream : dict of str to float
@@ -462,6 +464,7 @@
     overloaded: bool = False
     in_rotation: bool = True
     departure_utilization: float = 0.0
+    has_queue: bool = False
     running_by_customer: dict[str, int] = {}
     slowness_by_upstream: dict[str, float] = {}
 
