Slow upstreams get less work, by what their answers show to all processes

Cause: the cost of an upstream rests on constants fitted to one kind of engine. An engine that is slower than the others, for good or for some seconds, gets the same work, which then queues there.

Ruled out: a line fitted to each engine, as the tokens ahead at a peer's report are up to 0.8 s old, and the errors of the load flatten the line. A median of samples, as a process of a large fleet has about one recent sample of an upstream. Reports of only those factors that differ at the sender: the mean over them is above the true one, so an upstream that someone finds slow is reported by all that measured it.

Change: policy.upstream_speed relates the time to the first event to the usual time for that load and keeps a factor for each upstream, from the samples of this process and its peers, weighed by samples. Placement multiplies the cost by it; the cost is now in policy.engine_cost. The status of an instance carries the samples behind each factor. All of it is off unless measures_upstreams is set.

Result: the tests of the modules pass.

--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -38,6 +38,8 @@
     StreamCompleted,
 )
 from ragwortkeel.ingress.placement import Assignment, Job
+from ragwortkeel.ingress.speed_tracker import AnswerTimer
+from ragwortkeel.ingress.upstream_connection import ResponseHead
 from ragwortkeel.ingress.usage import Usage
 from ragwortkeel.logs import log_info
 from ragwortkeel.policy.facts import Failure
@@ -254,6 +256,22 @@
             waited=round(monotonic() - accepted.arrived_at, 3),
             configuration=accepted.revision,
         )
+        answer = AnswerTimer(
+            assignment=assignment,
+            is_engine=accepted.service.engine is not None,
+            tracker=components.speeds,
+        )
+
+        def receive_head(head: ResponseHead, sent_at: float) -> None:
+            answer.receive_head(head, sent_at)
+            components.announcements.receive_head(
+                assignment.upstream, head, sent_at=sent_at
+            )
+
+        def receive_event() -> None:
+            answer.receive_event()
+            self._record_first_token(assignment)
+
         attempt = Attempt(
             call=accepted.call,
             assignment=assignment,
@@ -263,10 +281,8 @@
             is_paused=lambda: components.placement.is_paused(
                 assignment.upstream, monotonic()
             ),
-            on_head=lambda head, sent_at: components.announcements.receive_head(
-                assignment.upstream, head, sent_at=sent_at
-            ),
-            on_first_event=lambda: self._record_first_token(assignment),
+            on_head=receive_head,
+            on_first_event=receive_event,
         )
         outcome: Outcome | None = None
         try:
--- a/src/ragwortkeel/ingress/front_components.py
+++ b/src/ragwortkeel/ingress/front_components.py
@@ -13,6 +13,7 @@
 from ragwortkeel.ingress.error_responses import ErrorResponse
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.placement import Placement
+from ragwortkeel.ingress.speed_tracker import SpeedTracker
 from ragwortkeel.ingress.upstream_connection import ConnectionPool
 from ragwortkeel.logs import log_info
 from ragwortkeel.metrics import Metrics
@@ -33,6 +34,7 @@
     retries: RetryBudgets
     announcements: AnnouncementReader
     metrics: Metrics
+    speeds: SpeedTracker | None = None
 
     def record_refusal(
         self,
--- a/src/ragwortkeel/ingress/peer_statuses.py
+++ b/src/ragwortkeel/ingress/peer_statuses.py
@@ -19,6 +19,9 @@
 MAX_SLOWNESS = 100.0
 """Largest slowness of an upstream that is accepted."""
 
+MAX_SAMPLES = 1_000_000.0
+"""Largest number of samples of an upstream that is accepted."""
+
 MAX_CUSTOMERS = 32
 """Customers in one report.  More would fill a link of 5 Mbit/s with reports."""
 
@@ -93,9 +96,15 @@
         for upstream, factor in status.slowness_by_upstream.items()
         if isfinite(factor) and 1 / MAX_SLOWNESS <= factor <= MAX_SLOWNESS
     }
+    samples = {
+        upstream: count
+        for upstream, count in status.samples_by_upstream.items()
+        if upstream in slowness and isfinite(count) and 0.0 <= count <= MAX_SAMPLES
+    }
     return msgspec.structs.replace(
         status,
         utilization=utilization,
         running_by_customer=dict(list(running.items())[:MAX_CUSTOMERS]),
         slowness_by_upstream=slowness,
+        samples_by_upstream=samples,
     )
--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -31,17 +31,11 @@
 from ragwortkeel.ingress.prefixes import PREFIX_CACHE_FRACTION, PrefixCache, PromptBlock
 from ragwortkeel.policy.announced_limits import AnnouncedLimits
 from ragwortkeel.policy.ejection import Ejections
+from ragwortkeel.policy.engine_cost import engine_cost, plain_cost
 from ragwortkeel.policy.facts import Failure
 from ragwortkeel.policy.fleet_rates import EqualShare, FleetRate, FleetRates
 from ragwortkeel.policy.pauses import Instance, Pauses
-
-RUNNING_REQUEST_COST_TOKENS = 250
-"""Cost of one running request, in prompt tokens to read.
-
-Each running request slows the decoding steps of the others by 0.1 ms, and an engine
-reads 57 prompt tokens per millisecond.  The value holds for answers of 300 tokens and
-is halved because answers end.
-"""
+from ragwortkeel.policy.upstream_speed import UpstreamSpeeds
 
 MAX_MEMORY_FRACTION = 0.92
 """Fraction of an engine's memory that running requests may fill at their largest size.
@@ -49,19 +43,6 @@
 The remaining 8% absorbs requests that other processes assigned after their last report.
 """
 
-OTHER_ZONE_COST_REQUESTS = 0.05
-"""Cost of an upstream in another availability zone, in running requests.
-
-It breaks ties in favour of the own zone, where traffic is not charged.
-"""
-
-SHARED_TOKEN_COST_FACTOR = 4.0
-"""Cost of reading a token of a shared block, relative to one of the last block.
-
-Besides the time to read it, a shared token displaces cached blocks that are in use, and
-the other requests of the engine wait for it too.
-"""
-
 PLAIN_QUEUE_FRACTION = 1.0
 """Requests that a plain upstream may have beyond its slots, as a fraction of its slots.
 
@@ -254,6 +235,8 @@
         Rate limits that upstreams announced.
     pauses : Pauses
         Pauses that upstreams asked this process for.
+    speeds : UpstreamSpeeds or None
+        Measured slowness of each upstream; None if it must not decide.
     """
 
     def __init__(
@@ -264,8 +247,10 @@
         rates: FleetRates | None = None,
         limits: AnnouncedLimits | None = None,
         pauses: Pauses | None = None,
+        speeds: UpstreamSpeeds | None = None,
     ) -> None:
         self._zone = zone
+        self._speeds = speeds
         self.ejections = ejections or Ejections()
         self._rates = rates or _sole_sender_rates()
         self._limits = limits or AnnouncedLimits()
@@ -498,9 +483,11 @@
 
     def _plain_cost(self, job: Job, now: float) -> Callable[[Upstream], float]:
         def cost(upstream: Upstream) -> tuple[float, int]:
-            total = self._record(upstream).total_load(now)
-            used = (total.running + self._other_zone_cost(upstream)) / max(
-                1, upstream.slots
+            used = plain_cost(
+                running=self._record(upstream).total_load(now).running,
+                slots=upstream.slots,
+                own_zone=upstream.zone == self._zone,
+                slowness=self._slowness(upstream),
             )
             return used, _rendezvous(job.request_id, upstream.name)
 
@@ -528,12 +515,15 @@
             if job.affinity_block_id and upstream.name == first:
                 # Another process has probably assigned the prefix to this engine.
                 held = max(held, shared)
-            missing = max(0, job.prompt_tokens - held)
-            missing += max(0, shared - held) * (SHARED_TOKEN_COST_FACTOR - 1)
-            running = (
-                total.running + self._other_zone_cost(upstream)
-            ) * RUNNING_REQUEST_COST_TOKENS
-            return missing + total.unread_tokens + running
+            return engine_cost(
+                prompt_tokens=job.prompt_tokens,
+                shared_tokens=shared,
+                held_tokens=held,
+                unread_tokens=total.unread_tokens,
+                running=total.running,
+                own_zone=upstream.zone == self._zone,
+                slowness=self._slowness(upstream),
+            )
 
         return cost
 
@@ -543,8 +533,8 @@
             return 0
         return record.prefix_cache.cached_tokens(job.prompt_blocks)
 
-    def _other_zone_cost(self, upstream: Upstream) -> float:
-        return 0.0 if upstream.zone == self._zone else OTHER_ZONE_COST_REQUESTS
+    def _slowness(self, upstream: Upstream) -> float | None:
+        return self._speeds.factor(_instance(upstream)) if self._speeds else None
 
     def _assign(
         self, upstream: Upstream, service: Service, job: Job, now: float
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -40,6 +40,7 @@
 from ragwortkeel.ingress.placement import Load, Placement
 from ragwortkeel.ingress.relaying import RelayedPlatform
 from ragwortkeel.ingress.routing import RoutingTable
+from ragwortkeel.ingress.speed_tracker import SpeedTracker
 from ragwortkeel.ingress.upstream_connection import ConnectionPool
 from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.messages import (
@@ -137,6 +138,9 @@
         )
         self._pause_tracker = PauseTracker(metrics=self.metrics)
         self._peer_statuses = PeerStatuses()
+        self._speed_tracker = (
+            SpeedTracker(metrics=self.metrics) if settings.measures_upstreams else None
+        )
         self._announcements = AnnouncementReader(
             names=names,
             limits=self._limit_tracker,
@@ -147,6 +151,7 @@
             zone=settings.zone,
             limits=self._limit_tracker.limits,
             pauses=self._pause_tracker.pauses,
+            speeds=self._speed_tracker.speeds if self._speed_tracker else None,
             rates=FleetRates(
                 sharing=lambda: sharing_among(
                     own=settings.address,
@@ -197,6 +202,7 @@
                 retries=self._retries,
                 announcements=self._announcements,
                 metrics=self.metrics,
+                speeds=self._speed_tracker,
             )
         )
         http_address = Address.parse(settings.http)
@@ -340,7 +346,12 @@
         """Return the status of this instance, None without a stated capacity."""
         if self._settings.capacity is None:
             return None
-        return InstanceStatus(zone=self._settings.zone)
+        measured = self._speed_tracker.own_report() if self._speed_tracker else None
+        return InstanceStatus(
+            zone=self._settings.zone,
+            slowness_by_upstream=measured.slowness_by_upstream if measured else {},
+            samples_by_upstream=measured.samples_by_upstream if measured else {},
+        )
 
     def receive_instance_status(
         self, node: str, status: InstanceStatus | None, *, hold_seconds: float
@@ -506,6 +517,8 @@
             self._leaving_tracker.retain(upstreams)
             self._pause_tracker.retain(upstreams)
             self._announcements.retain(upstreams)
+            if self._speed_tracker is not None:
+                self._speed_tracker.retain(self._directory.upstream_by_name)
             await self._dispatcher.assign_queued()
 
     async def _send_crashes(self) -> None:
@@ -522,6 +535,8 @@
             await self._upstreams.expire()
             await self._connections.close_expired()
             await self._send_crashes()
+            if self._speed_tracker is not None:
+                self._speed_tracker.update(self._peer_statuses.current(monotonic()))
             holders = self._budget_keeper.allowances.holders
             processes = max(self._peers.ingress_count, holders)
             reserve = process_reserve(processes=processes, max_reserve=RETRY_RESERVE)
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -452,6 +452,9 @@
     slowness_by_upstream : dict of str to float
         Duration of an upstream's work as a multiple of the usual one of its service,
         for upstreams that differ from the others.
+    samples_by_upstream : dict of str to float
+        Recent answers that each slowness rests on, older ones counting less; 1 where
+        it is missing.
     """
 
     zone: str = ""
@@ -460,6 +463,7 @@
     in_rotation: bool = True
     running_by_customer: dict[str, int] = {}
     slowness_by_upstream: dict[str, float] = {}
+    samples_by_upstream: dict[str, float] = {}
 
 
 class IngressState(Message):
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -111,6 +111,11 @@
             "Requests a second that an upstream takes from all processes, as it says.",
             ("upstream",),
         )
+        self._upstream_slowness = self._gauge(
+            "ragwortkeel_upstream_slowness",
+            "Duration of an upstream's work relative to others of its service.",
+            ("upstream",),
+        )
         self._upstream_announcements = self._counter(
             "ragwortkeel_upstream_announcements",
             "What upstreams announced about themselves in their responses.",
@@ -182,6 +187,13 @@
             return
         gauge.set(limit)
 
+    def set_upstream_slowness(self, *, name: str, factor: float | None) -> None:
+        """Set the slowness of an upstream, or remove it for None."""
+        if factor is None:
+            self._upstream_slowness.remove(name)
+            return
+        self._upstream_slowness.labels(name).set(factor)
+
     def record_announcement(self, *, announcement: str) -> None:
         """Count what an upstream newly announced in a response."""
         self._upstream_announcements.labels(announcement).inc()
--- a/tests/ingress/test_placement.py
+++ b/tests/ingress/test_placement.py
@@ -11,6 +11,7 @@
 from ragwortkeel.policy.announced_limits import AnnouncedLimits
 from ragwortkeel.policy.facts import Failure
 from ragwortkeel.policy.fleet_rates import ChosenSenders, EqualShare, FleetRates
+from ragwortkeel.policy.upstream_speed import SpeedReport, UpstreamSpeeds
 
 APP = engine_service("app").__class__(name="app", max_connections=96)
 POOL = engine_service("pool")
@@ -407,3 +408,27 @@
             )
             assigned.append(assignment is not None)
         assert sum(assigned) <= 2
+
+
+class TestMeasuredSpeeds:
+    def test_a_slow_upstream_gets_less_work_but_some(self):
+        """Guards against work by load alone, which queues at the slow upstreams."""
+        for service, upstream_by_name in ((APP, apps(slots=64)), (POOL, engines())):
+            speeds = UpstreamSpeeds()
+            speeds.set_upstreams(
+                {(n, 0): service.name for n in upstream_by_name}, now=0
+            )
+            slow, *others = upstream_by_name
+            report = SpeedReport(
+                slowness_by_upstream={slow: 3.5}, samples_by_upstream={slow: 8.0}
+            )
+            speeds.update([report], now=0.0)
+            placement = Placement(zone="a", speeds=speeds)
+            counts = Counter(
+                assign_job(
+                    placement, job(f"r{n}", prompt=300), service, upstream_by_name
+                ).upstream.name
+                for n in range(60)
+            )
+            assert 4 <= counts[slow] <= 12
+            assert all(counts[name] >= 22 for name in others)
