Report: a table by process of requests, late event loops and long waits

Cause: the report adds up all processes, so one overloaded instance among idle ones shows as a low share of failures of the whole fleet.

Change: cli.process_loads counts by the process of each log line, in bounded memory, and the report shows the ten busiest.

--- a/src/ragwortkeel/cli/report.py
+++ b/src/ragwortkeel/cli/report.py
@@ -6,7 +6,15 @@
 
 import msgspec
 
+from ragwortkeel.cli.durations import Durations, Quantiles
 from ragwortkeel.cli.output import Result, format_table
+from ragwortkeel.cli.process_loads import (
+    CALLER_FAULT_REASONS,
+    OTHERS,
+    ProcessLoad,
+    ProcessLoads,
+    table_rows,
+)
 from ragwortkeel.decision_lines import DecisionLine, read_lines
 from ragwortkeel.exceptions import CommandError
 
@@ -26,23 +34,6 @@
 MAX_REQUEST_LINES = 10_000
 """Maximum number of lines shown for one request; a normal request has five lines."""
 
-OTHERS = "(others)"
-
-_FIRST_BUCKET_SECONDS = 0.001
-_BUCKET_FACTOR = 1.25
-
-CALLER_FAULT_REASONS = frozenset({"unknown_key", "no_route", "bad_request"})
-"""Refusal reasons caused by the caller."""
-
-
-class Quantiles(msgspec.Struct, frozen=True, kw_only=True):
-    """Quantiles as upper bounds in seconds, at most 25% too high."""
-
-    count: int
-    half: float
-    nine_tenths: float
-    all_but_one_in_100: float
-
 
 class Retries(msgspec.Struct, frozen=True, kw_only=True):
     """Retry decisions at one service.
@@ -84,38 +75,10 @@
     platform_calls: dict[str, int]
     bytes_sent_by_message: dict[str, int]
     late_loops: int
+    busiest_processes: dict[str, ProcessLoad]
     spans: list[Span]
 
 
-class _Durations:
-    """Counts durations in buckets, in memory independent of their number."""
-
-    def __init__(self) -> None:
-        self._count_by_bucket: Counter[int] = Counter()
-
-    def add(self, seconds: float) -> None:
-        bucket, bound = 0, _FIRST_BUCKET_SECONDS
-        while seconds > bound and bucket < 80:
-            bucket, bound = bucket + 1, bound * _BUCKET_FACTOR
-        self._count_by_bucket[bucket] += 1
-
-    def quantiles(self) -> Quantiles:
-        return Quantiles(
-            count=self._count_by_bucket.total(),
-            half=self._at(0.5),
-            nine_tenths=self._at(0.9),
-            all_but_one_in_100=self._at(0.99),
-        )
-
-    def _at(self, fraction: float) -> float:
-        wanted_count, seen_count = fraction * self._count_by_bucket.total(), 0
-        for bucket in sorted(self._count_by_bucket):
-            seen_count += self._count_by_bucket[bucket]
-            if seen_count >= wanted_count:
-                return round(_FIRST_BUCKET_SECONDS * _BUCKET_FACTOR**bucket, 4)
-        return 0.0
-
-
 class _RetryCounts:
     """Counts retry decisions by service."""
 
@@ -174,6 +137,7 @@
         self._dropped = 0
         self._late_loops = 0
         self._processes: set[str] = set()
+        self._process_loads = ProcessLoads()
         self._first_at: float | None = None
         self._last_at = 0.0
         self._counts_by_span: dict[int, Counter[str]] = {}
@@ -185,8 +149,8 @@
         self._retries = _RetryCounts()
         self._calls: Counter[str] = Counter()
         self._sent: Counter[str] = Counter()
-        self._waited = _Durations()
-        self._first_event = _Durations()
+        self._waited = Durations()
+        self._first_event = Durations()
 
     def add(self, file: str, line: DecisionLine | None) -> None:
         """Add one line of a file; None stands for an unreadable line."""
@@ -195,6 +159,7 @@
             return
         self._lines += 1
         self._processes.add(line.process)
+        self._process_loads.add(line)
         if line.at:
             self._first_at = min(self._first_at or line.at, line.at)
             self._last_at = max(self._last_at, line.at)
@@ -235,6 +200,7 @@
             platform_calls=dict(self._calls.most_common()),
             bytes_sent_by_message=dict(self._sent.most_common()),
             late_loops=self._late_loops,
+            busiest_processes=self._process_loads.busiest(),
             spans=[
                 _span(span, self._counts_by_span[span], first)
                 for span in sorted(self._counts_by_span)
@@ -378,6 +344,8 @@
     ):
         if counts:
             blocks.append(format_table((heading, "count"), list(counts.items())))
+    if data.busiest_processes:
+        blocks.append(format_table(*table_rows(data.busiest_processes)))
     retries = [
         (service, found.allowed, found.refused, found.most)
         for service, found in data.retries_by_service.items()
