--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -43,6 +43,7 @@
 from ragwortkeel.ingress.relaying import RelayedPlatform
 from ragwortkeel.ingress.rotation_controller import RotationController
 from ragwortkeel.ingress.routing import RoutingTable
+from ragwortkeel.ingress.speed_tracker import SpeedTracker
 from ragwortkeel.ingress.upstream_connection import ConnectionPool
 from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.messages import (
@@ -154,6 +155,9 @@
             statuses=self._peer_statuses,
             clock=monotonic,
         )
+        self._speed_tracker = (
+            SpeedTracker(metrics=self.metrics) if settings.measures_upstreams else None
+        )
         self._announcements = AnnouncementReader(
             names=names,
             limits=self._limit_tracker,
@@ -164,6 +168,7 @@
             zone=settings.zone,
             limits=self._limit_tracker.limits,
             pauses=self._pause_tracker.pauses,
+            speeds=self._speed_tracker.speeds if self._speed_tracker else None,
             rates=FleetRates(
                 sharing=lambda: sharing_among(
                     own=settings.address,
@@ -226,6 +231,7 @@
                 retries=self._retries,
                 announcements=self._announcements,
                 metrics=self.metrics,
+                speeds=self._speed_tracker,
             ),
             monitor=self._monitor,
         )
@@ -398,6 +404,7 @@
         """Return the status of this instance, None without a stated capacity."""
         if self._monitor is None:
             return None
+        measured = self._speed_tracker.own_report() if self._speed_tracker else None
         load = self._own_load()
         status = InstanceStatus(
             zone=self._settings.zone,
@@ -405,6 +412,8 @@
             overloaded=load.overloaded_since is not None,
             in_rotation=self.ready,
             departure_utilization=self._rotation.departure_utilization,
+            slowness_by_upstream=measured.slowness_by_upstream if measured else {},
+            samples_by_upstream=measured.samples_by_upstream if measured else {},
         )
         return self._fairness.add_to(status, self._dispatcher.queue)
 
@@ -573,6 +582,8 @@
             self._leaving_tracker.retain(upstreams)
             self._pause_tracker.retain(upstreams)
             self._announcements.retain(upstreams)
+            if self._speed_tracker is not None:
+                self._speed_tracker.retain(self._directory.upstream_by_name)
             await self._dispatcher.assign_queued()
 
     async def _send_crashes(self) -> None:
@@ -589,6 +600,8 @@
             await self._upstreams.expire()
             await self._connections.close_expired()
             await self._send_crashes()
+            if self._speed_tracker is not None:
+                self._speed_tracker.update(self._peer_statuses.current(monotonic()))
             holders = self._budget_keeper.allowances.holders
             processes = max(self._peers.ingress_count, holders)
             reserve = process_reserve(processes=processes, max_reserve=RETRY_RESERVE)
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -113,6 +113,11 @@
             "Requests a second that an upstream takes from all processes, as it says.",
             ("upstream",),
         )
+        self._upstream_slowness = self._gauge(
+            "ragwortkeel_upstream_slowness",
+            "Duration of an upstream's work relative to others of its service.",
+            ("upstream",),
+        )
         self._upstream_announcements = self._counter(
             "ragwortkeel_upstream_announcements",
             "What upstreams announced about themselves in their responses.",
@@ -216,6 +221,13 @@
             return
         gauge.set(limit)
 
+    def set_upstream_slowness(self, *, name: str, factor: float | None) -> None:
+        """Set the slowness of an upstream, or remove it for None."""
+        if factor is None:
+            self._upstream_slowness.remove(name)
+            return
+        self._upstream_slowness.labels(name).set(factor)
+
     def record_announcement(self, *, announcement: str) -> None:
         """Count what an upstream newly announced in a response."""
         self._upstream_announcements.labels(announcement).inc()
@@ -284,6 +296,7 @@
     def record_shed(self, *, priority: int, count: int) -> None:
         """Count requests that an overloaded instance refused."""
         self._shed.labels(str(priority)).inc(count)
+
     def set_queued_by_priority(self, queued_by_priority: Mapping[int, int]) -> None:
         """Set the number of queued requests of each priority."""
         self._queued_by_priority.clear()
