Placement: processes share an engine's memory; giant requests claim theirs

A reservation holds back only the requests of its own process: at its peers small requests went to the reserved upstream.

Ruled out: a share of what is free after each own assignment (it shrinks geometrically, and one process still takes nearly all); counting only peers whose loads grew lately (an assignment beside an end does not show); one request of each process without any there at once (20 of them exceed the memory), so a draw per second decides where they could.

Change: policy/memory_share.py decides by the fill, the processes with requests there and what this process assigned in the last round of reports.

--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -20,16 +20,11 @@
     RequestQueue,
     search_for,
 )
-from ragwortkeel.ingress.reservation_log import ReservationLog
+from ragwortkeel.ingress.reservations import Reservations
 from ragwortkeel.logs import log_info
 from ragwortkeel.metrics import Metrics
 from ragwortkeel.policy.fleet_rates import OwnSendRate
-from ragwortkeel.policy.head_reservation import (
-    NOTHING_WITHHELD,
-    HeadReservations,
-    ReservationChange,
-    Search,
-)
+from ragwortkeel.policy.head_reservation import ReservationChange, Search
 from ragwortkeel.policy.queue_waits import QueueWaits
 
 QUEUE_CHECK_SECONDS = 0.05
@@ -104,8 +99,9 @@
         self.queue = RequestQueue(peer_running=peer_running)
         self._directory = directory
         self._placement = placement
-        self._reservations = HeadReservations()
-        self._reservation_log = ReservationLog(metrics=metrics)
+        self._reservations = Reservations(
+            queue=self.queue, claims=placement.claims, metrics=metrics
+        )
         self._assignment_by_request_id: dict[str, Assignment] = {}
         self._assigned_by_request_id: dict[str, curio.Event] = {}
         self._service_by_name: dict[str, Service] = {}
@@ -194,66 +190,60 @@
         failed: list[Search] = []
         for queued_request in self.queue.in_order(name):
             job, tried_upstreams = queued_request.job, queued_request.tried_upstreams
-            search = search_for(job, tried_upstreams | self._withheld(job))
-            held = self._reservations.of(name)
-            is_holder = held is not None and held.request_id == job.request_id
-            if not is_holder and any(each.covers(search) for each in failed):
+            if self._is_covered(queued_request, failed):
                 continue
             assignment = self._try_assign(job, service, tried_upstreams)
             if assignment is None:
-                self._reserve(queued_request, service)
-                failed.append(search_for(job, tried_upstreams | self._withheld(job)))
+                failed.append(self._record_failed_search(queued_request, service))
                 continue
             self._assignment_by_request_id[job.request_id] = assignment
             self.queue.remove(job)
-            self._end_reservation(job, ReservationChange.ASSIGNED)
-            self._waits(name).record_dequeue(job.priority, monotonic())
+            now = monotonic()
+            self._reservations.end(job, ReservationChange.ASSIGNED, now)
+            self._waits(name).record_dequeue(job.priority, now)
             await self._assigned_by_request_id[job.request_id].set()
 
-    def _reserve(self, queued_request: QueuedRequest, service: Service) -> None:
-        """Reserve an upstream for a request that fits nowhere, or keep the one it has.
+    def _is_covered(self, queued_request: QueuedRequest, failed: list[Search]) -> bool:
+        """Return whether a search that failed shows that the request fits nowhere.
 
-        If its upstream is gone, ejected or evacuated, another one is reserved.
+        The holder of the reservation is always tried: others can't use its upstream.
+        """
+        job, tried_upstreams = queued_request.job, queued_request.tried_upstreams
+        smaller = [each for each in failed if each.memory_tokens <= job.memory_tokens]
+        if not smaller or self._reservations.is_holder(job):
+            return False
+        search = search_for(job, tried_upstreams)
+        if any(each.covers(search) for each in smaller):
+            return True
+        search = search_for(job, tried_upstreams | self._reservations.withheld(job))
+        return any(each.covers(search) for each in smaller)
+
+    def _record_failed_search(
+        self, queued_request: QueuedRequest, service: Service
+    ) -> Search:
+        """Reserve an upstream if none is reserved; return which requests fit nowhere.
+
+        These are all that need more than is free at any upstream.
         """
         job, now = queued_request.job, monotonic()
-        if not self._reservations.may_reserve(
-            service=job.service, request_id=job.request_id, priority=job.priority
-        ):
-            return
-        changes = self._reservations.reserve(
-            service=job.service,
-            request_id=job.request_id,
-            priority=job.priority,
-            memory_tokens=job.memory_tokens,
-            queued_at=queued_request.arrived_at,
-            missing_tokens_by_upstream=self._placement.missing_tokens(
-                job,
-                service=service,
-                upstream_by_name=self._directory.usable(
-                    service=job.service, regions=job.regions
-                ),
-                tried_upstreams=queued_request.tried_upstreams,
-                now=now,
+        missing_tokens_by_upstream = self._placement.missing_tokens(
+            job,
+            service=service,
+            upstream_by_name=self._directory.usable(
+                service=job.service, regions=job.regions
             ),
+            tried_upstreams=queued_request.tried_upstreams,
             now=now,
         )
-        for change, reservation in changes:
-            self._reservation_log.record(change, reservation, now=now)
-
-    def _end_reservation(self, job: Job, change: ReservationChange) -> None:
-        held = self._reservations.end(service=job.service, request_id=job.request_id)
-        if held is not None:
-            self._reservation_log.record(change, held, now=monotonic())
-
-    def _withheld(self, job: Job) -> frozenset[str]:
-        held = self._reservations.of(job.service)
-        if held is None:
-            return NOTHING_WITHHELD
-        return self._reservations.withheld(
-            service=job.service,
-            request_id=job.request_id,
-            priority=job.priority,
-            goes_first=self.queue.goes_before(job, held.request_id),
+        self._reservations.reserve(
+            queued_request, service, missing_tokens_by_upstream, now
+        )
+        fewest = min(missing_tokens_by_upstream.values(), default=0)
+        return Search(
+            regions=job.regions,
+            excluded_upstreams=queued_request.tried_upstreams
+            | self._reservations.withheld(job),
+            memory_tokens=job.memory_tokens - max(0, fewest - 1),
         )
 
     async def _refuse_queued(self, service: str) -> None:
@@ -278,7 +268,7 @@
                 service=service.name, regions=job.regions
             ),
             tried_upstreams=tried_upstreams,
-            withheld=self._withheld(job),
+            withheld=self._reservations.withheld(job),
             now=monotonic(),
         )
         if assignment is not None:
@@ -312,7 +302,7 @@
             return self._not_assigned(job)
         finally:
             self.queue.remove(job)
-            self._end_reservation(job, ReservationChange.REMOVED)
+            self._reservations.end(job, ReservationChange.REMOVED, monotonic())
             self._assigned_by_request_id.pop(job.request_id, None)
             unclaimed = self._assignment_by_request_id.pop(job.request_id, None)
             if unclaimed is not None:
--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -27,7 +27,8 @@
 from random import Random
 
 from ragwortkeel.ingress.configuration import Engine, Service, Upstream
-from ragwortkeel.ingress.loads import NO_LOAD, Load
+from ragwortkeel.ingress.loads import NO_LOAD, Load, PeerLoads
+from ragwortkeel.ingress.memory_claims import MemoryClaims
 from ragwortkeel.ingress.prefixes import PREFIX_CACHE_FRACTION, PrefixCache, PromptBlock
 from ragwortkeel.policy.announced_limits import AnnouncedLimits
 from ragwortkeel.policy.ejection import Ejections
@@ -38,8 +39,9 @@
     FleetRates,
     OwnSendRate,
 )
-from ragwortkeel.policy.memory_share import MemoryUse
+from ragwortkeel.policy.memory_share import MemoryUse, RecentTokens
 from ragwortkeel.policy.pauses import Instance, Pauses
+from ragwortkeel.policy.plain_queue import max_plain_running
 
 RUNNING_REQUEST_COST_TOKENS = 250
 """Cost of one running request, in prompt tokens to read.
@@ -62,17 +64,6 @@
 the other requests of the engine wait for it too.
 """
 
-PLAIN_QUEUE_FRACTION = 1.0
-"""Requests that a plain upstream may have beyond its slots, as a fraction of its slots.
-
-A plain upstream has no engine.  The bound is for all processes together; one process
-alone never assigns more than the slots.  The upstream queues a few requests itself, and
-most requests that count as running are on their way to it or back: a slow process holds
-an assignment for 0.2 s around 22 ms of work, and loads are reported up to 0.5 s late.
-Without the extra requests, an upstream that is working on 1.2 requests at a time may
-count as full.
-"""
-
 MAX_CONNECTIONS_FRACTION = 0.8
 """Fraction of an upstream's connections that requests may use.
 
@@ -177,7 +168,8 @@
     unread_tokens: int = 0
     started_ms: int | None = None
     prefix_cache: PrefixCache | None = None
-    peer_load_by_process: dict[str, tuple[float, Load]] = field(default_factory=dict)
+    peers: PeerLoads = field(default_factory=PeerLoads)
+    recent: RecentTokens = field(default_factory=RecentTokens)
     cold: _Cold = _WARM
 
     @property
@@ -189,11 +181,7 @@
         )
 
     def total_load(self, now: float) -> Load:
-        rv = self.own_load
-        for valid_until, load in self.peer_load_by_process.values():
-            if now < valid_until:
-                rv = rv + load
-        return rv
+        return self.own_load + self.peers.total(now)
 
 
 class Placement:
@@ -211,6 +199,8 @@
         Rate limits that upstreams announced.
     pauses : Pauses
         Pauses that upstreams asked this process for.
+    shares_memory : bool
+        Whether processes divide what is free of an engine that is nearly full.
     """
 
     def __init__(
@@ -221,12 +211,15 @@
         rates: FleetRates | None = None,
         limits: AnnouncedLimits | None = None,
         pauses: Pauses | None = None,
+        shares_memory: bool = False,
     ) -> None:
         self._zone = zone
         self.ejections = ejections or Ejections()
         self._rates = rates or _sole_sender_rates()
         self._limits = limits or AnnouncedLimits()
         self._pauses = pauses or Pauses()
+        self._shares_memory = shares_memory
+        self.claims = MemoryClaims()
         self._record_by_upstream: dict[str, _UpstreamRecord] = {}
         self._new_blocks_by_upstream: dict[str, dict[int, int]] = {}
 
@@ -338,6 +331,7 @@
         record = self._record(assignment.upstream)
         record.running -= 1
         record.memory_tokens -= assignment.job.memory_tokens
+        record.recent.remove(assignment.job.memory_tokens)
 
     def record_failure(self, upstream: str, failure: Failure, now: float) -> bool:
         """Record a failure; return whether it ejected the upstream."""
@@ -371,11 +365,12 @@
 
     def own_loads(self) -> dict[str, Load]:
         """Return the load of this process at each upstream, for its peers."""
-        return {
+        loads = {
             name: record.own_load
             for name, record in self._record_by_upstream.items()
             if record.running
         }
+        return self.claims.added_to(loads)
 
     def drain_prompt_blocks(self) -> dict[str, dict[int, int]]:
         """Return and clear the shared blocks that upstreams began to read.
@@ -412,7 +407,7 @@
             self._record_by_upstream.setdefault(name, _UpstreamRecord())
         for name, record in self._record_by_upstream.items():
             load = load_by_upstream.get(name, NO_LOAD)
-            record.peer_load_by_process[process] = (valid_until, load)
+            record.peers.merge(process, load, valid_until)
 
     def retain(self, upstreams: set[str]) -> None:
         """Drop the other upstreams, except those that run requests of this process."""
@@ -440,21 +435,28 @@
         connections = int(service.max_connections * MAX_CONNECTIONS_FRACTION)
         if service.engine is None:
             own = self._record(upstream).running
-            max_running = int(upstream.slots * (1 + PLAIN_QUEUE_FRACTION))
-            return own < upstream.slots and total.running < min(
-                max_running, connections
-            )
+            running = min(max_plain_running(upstream.slots), connections)
+            return own < upstream.slots and total.running < running
         if total.running >= min(upstream.slots, connections):
             return False
+        is_known = self.claims.is_known(job.request_id, upstream.name, now)
         memory = self._memory(upstream, service.engine, now)
-        return memory.has_room(job.memory_tokens)
+        draw = 0.0
+        if self._shares_memory:
+            draw = _rendezvous(f"{job.request_id}/{int(now)}", upstream.name) / 2**64
+        return memory.has_room(job.memory_tokens, undivided=is_known, draw=draw)
 
     def _memory(self, upstream: Upstream, engine: Engine, now: float) -> MemoryUse:
-        total = self._record(upstream).total_load(now)
+        record = self._record(upstream)
+        total = record.total_load(now)
         return MemoryUse(
             memory_tokens=engine.memory_tokens,
             used_tokens=total.memory_tokens,
             running=total.running,
+            own_running=record.running,
+            recent_tokens=record.recent.total(now),
+            processes=1 + record.peers.processes(now) if self._shares_memory else 1,
+            other_processes=record.peers.other_processes(now),
         )
 
     def _unpaused(
@@ -558,6 +560,7 @@
         load = record.total_load(now)
         record.running += 1
         record.memory_tokens += job.memory_tokens
+        record.recent.add(job.memory_tokens, now)
         record.unread_tokens += unread
         if self._rate_limit(upstream, service, now) is not None:
             self._rates.record_sent(upstream.name)
--- a/src/ragwortkeel/ingress/request_queue.py
+++ b/src/ragwortkeel/ingress/request_queue.py
@@ -126,6 +126,7 @@
         queued = self._queued_by_service.get(job.service, {}).values()
         return any(
             other.job.priority <= job.priority
+            and other.job.memory_tokens <= job.memory_tokens
             and search_for(other.job, other.tried_upstreams).covers(search)
             for other in queued
         )
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -153,6 +153,7 @@
             zone=settings.zone,
             limits=self._limit_tracker.limits,
             pauses=self._pause_tracker.pauses,
+            shares_memory=settings.fleet_fairness,
             rates=FleetRates(
                 sharing=lambda: sharing_among(
                     own=settings.address,
--- a/src/ragwortkeel/policy/head_reservation.py
+++ b/src/ragwortkeel/policy/head_reservation.py
@@ -85,14 +85,6 @@
             return NOTHING_WITHHELD
         return frozenset({held.upstream})
 
-    def may_reserve(self, *, service: str, request_id: str, priority: int) -> bool:
-        """Return whether the request may begin or has to check a reservation.
-
-        The reservation passes to a request of a more urgent priority.
-        """
-        held = self._by_service.get(service)
-        return held is None or held.request_id == request_id or priority < held.priority
-
     def reserve(
         self,
         *,
@@ -106,6 +98,7 @@
     ) -> list[tuple[ReservationChange, Reservation]]:
         """Reserve an upstream for a request that fits nowhere; return what changed.
 
+        A reservation passes to a request of a more urgent priority.
         The upstream with the fewest missing tokens is expected to suffice first.  There
         is no reservation if one of them lacks no memory but a slot: the next free slot
         goes to the first request in the queue without one.
--- a/tests/ingress/test_queue_order.py
+++ b/tests/ingress/test_queue_order.py
@@ -140,6 +140,22 @@
 
         assert run(scenario) == {"e0", "e1"}
 
+    def test_small_requests_of_peers_do_not_starve_it(self, monkeypatch):
+        """Guards against peers that fill the memory that becomes free for it."""
+
+        async def scenario(pool):
+            peer = Pool()
+            await pool.queue("giant", GIANT)
+            now = dispatch.monotonic()
+            monkeypatch.setattr(dispatch, "monotonic", lambda: now + 0.6)
+            await pool.dispatcher.assign_queued()
+            peer.placement.merge_loads("a", pool.placement.own_loads(), now + 9.0)
+            at_peer = [await peer.at_once(f"s{index}") for index in range(8)]
+            await pool.dispatcher.release(pool.running["e0"])
+            return set(at_peer), set(pool.placement.own_loads())
+
+        assert run(scenario) == ({"e1"}, {"e0", "e1"})
+
     def test_a_burst_of_giant_requests_reserves_one_upstream(self):
         """Guards against giant requests that withhold a whole service from others."""
 
