--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -169,6 +169,7 @@
             limits=self._limit_tracker.limits,
             pauses=self._pause_tracker.pauses,
             speeds=self._speed_tracker.speeds if self._speed_tracker else None,
+            shares_memory=settings.fleet_fairness,
             rates=FleetRates(
                 sharing=lambda: sharing_among(
                     own=settings.address,
