Data path: reads of streams at common times; names of log fields cached

Cause: each stream that waits for events woke the process by itself, and each log line checked the characters of each of its keys.

Change: reads after a wait are at multiples of 10 ms, never later than the promise allows. Formatted log keys and the set of dropped headers are kept.

--- a/benchmarks/data_path.py
+++ b/benchmarks/data_path.py
@@ -56,7 +56,7 @@
     options = _options()
     http, upstream_address = free_address(), free_address()
     calls = multiprocessing.Queue()
-    upstream = _start(_run_upstream, upstream_address, options.gap)
+    upstream = _start(_run_upstream, upstream_address, options)
     ingress_end, own_end = multiprocessing.Pipe()
     ingress = _start(_run_ingress, http, upstream_address, options, ingress_end)
     time.sleep(START_SECONDS)
@@ -92,6 +92,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--streams", type=int, default=1000)
     parser.add_argument("--rate", type=float, default=40.0, help="streams a second")
+    parser.add_argument("--events", type=int, default=EVENTS, help="at most 48")
     parser.add_argument("--gap", type=float, default=0.05, help="seconds per event")
     parser.add_argument("--delivery", type=float, default=0.0)
     parser.add_argument("--profile", default="", help="file for a profile")
@@ -114,12 +115,13 @@
     return host, int(port)
 
 
-def _run_upstream(address: str, gap: float) -> None:
+def _run_upstream(address: str, options: argparse.Namespace) -> None:
     with curio.Kernel() as kernel:
-        kernel.run(curio.tcp_server, *_parse(address), lambda s, _: _serve(s, gap))
+        kernel.run(curio.tcp_server, *_parse(address), lambda s, _: _serve(s, options))
 
 
-async def _serve(sock, gap: float) -> None:
+async def _serve(sock, options: argparse.Namespace) -> None:
+    payload = PAYLOAD[: options.events]
     buffer = b""
     while True:
         while b"\r\n\r\n" not in buffer or not buffer.endswith(REQUEST_BODY):
@@ -134,10 +136,10 @@
             b"x-request-id: %b\r\nx-upstream-proof: p1\r\n"
             b"transfer-encoding: chunked\r\n\r\n" % request_id
         )
-        for event in PAYLOAD[:-1]:
+        for event in payload[:-1]:
             await sock.sendall(b"%x\r\n%b\r\n" % (len(event), event))
-            await curio.sleep(gap)
-        last = PAYLOAD[-1]
+            await curio.sleep(options.gap)
+        last = payload[-1]
         await sock.sendall(b"%x\r\n%b\r\n0\r\n\r\n" % (len(last), last))
 
 
@@ -165,7 +167,7 @@
             answer += block
             received["blocks"] += 1
         received["bytes"] += len(answer)
-        whole = all(event[:-2] in answer for event in PAYLOAD)
+        whole = all(event[:-2] in answer for event in PAYLOAD[: options.events])
         received["incomplete"] += not (whole and answer.endswith(b"0\r\n\r\n"))
         await sock.close()
 
--- a/src/ragwortkeel/ingress/names.py
+++ b/src/ragwortkeel/ingress/names.py
@@ -4,6 +4,7 @@
 """
 
 from dataclasses import dataclass
+from functools import cached_property
 
 HOP_BY_HOP = frozenset(
     {
@@ -73,7 +74,7 @@
     leaving: str = "x-leaving"
     reserved: frozenset[str] = frozenset()
 
-    @property
+    @cached_property
     def dropped(self) -> frozenset[str]:
         """Headers of a caller that are dropped or replaced before forwarding."""
         own = {self.deadline, self.expect_instance, self.customer, self.urgency}
--- a/src/ragwortkeel/logs.py
+++ b/src/ragwortkeel/logs.py
@@ -9,6 +9,7 @@
 import select
 from collections.abc import Mapping
 from enum import IntEnum
+from functools import lru_cache
 
 import eliot
 import msgspec
@@ -93,7 +94,9 @@
     return b"level=warning event=log_lines_dropped count=%d\n" % count
 
 
+@lru_cache(maxsize=1024)
 def _format_key(key: str) -> str:
+    # Keys are names in the code, so there are few.
     return "".join("_" if c in _NEEDS_QUOTES or not c.isprintable() else c for c in key)
 
 
--- a/src/ragwortkeel/policy/batching.py
+++ b/src/ragwortkeel/policy/batching.py
@@ -6,6 +6,12 @@
 DELIVERY_RESERVE_SECONDS = 0.12
 """Part of the promised delivery time that is left for late timers and the link."""
 
+READ_GRID_SECONDS = 0.01
+"""Reads after a wait take place at multiples of this time.
+
+The streams of a process then wake it together, and not each one by itself.
+"""
+
 SHORTEST_WAIT_SECONDS = 0.002
 """A wait that is shorter than this costs more than it saves."""
 
@@ -30,7 +36,8 @@
     def record_forwarded(self, block_bytes: int, now: float) -> None:
         """Record that the events of a block of that size were passed on."""
         if self._hold_seconds and block_bytes < LARGE_BLOCK_BYTES:
-            self._next_read_at = now + self._hold_seconds
+            steps = (now + self._hold_seconds) // READ_GRID_SECONDS
+            self._next_read_at = steps * READ_GRID_SECONDS
 
     def seconds_until_read(self, now: float) -> float:
         """Return how long to wait before the next read; 0 for no wait."""
