--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -283,6 +283,7 @@
             ),
             on_head=receive_head,
             on_first_event=receive_event,
+            delivery_seconds=components.event_delivery_seconds,
         )
         outcome: Outcome | None = None
         try:
--- a/src/ragwortkeel/ingress/front_components.py
+++ b/src/ragwortkeel/ingress/front_components.py
@@ -35,6 +35,7 @@
     announcements: AnnouncementReader
     metrics: Metrics
     speeds: SpeedTracker | None = None
+    event_delivery_seconds: float = 0.0
 
     def record_refusal(
         self,
--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -45,7 +45,6 @@
 from ragwortkeel.policy.plain_queue import max_plain_running
 from ragwortkeel.policy.upstream_speed import UpstreamSpeeds
 
-
 MAX_CONNECTIONS_FRACTION = 0.8
 """Fraction of an upstream's connections that requests may use.
 
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -233,6 +233,7 @@
                 announcements=self._announcements,
                 metrics=self.metrics,
                 speeds=self._speed_tracker,
+                event_delivery_seconds=settings.event_delivery_seconds,
             ),
             monitor=self._monitor,
         )
