--- a/tests/ingress/test_data_path.py
+++ b/tests/ingress/test_data_path.py
@@ -163,7 +163,7 @@
         return ended_at[0] - left_at
 
     settings = {"event_delivery_seconds": 1.0}
-    assert run_ingress(scenario, scripts={"e1": endless}, settings=settings) < 0.5
+    assert run_ingress(scenario, scripts={"e1": endless}, **settings) < 0.5
 
 
 def test_a_deadline_ends_a_request_while_events_wait():
@@ -174,6 +174,6 @@
 
     script = streams(1000, gap=0.02)
     settings = {"event_delivery_seconds": 1.0}
-    seconds, complete = run_ingress(scenario, scripts={"e1": script}, settings=settings)
+    seconds, complete = run_ingress(scenario, scripts={"e1": script}, **settings)
     assert 2.9 < seconds < 3.5
     assert not complete
