Queue: a request that becomes the first waits; cheaper passes

Cause: acquire counted the requests ahead before it served them. A request whose predecessors had just been assigned was then refused by their rate, though the first request in the queue always waits.

Change: they are counted again after the pass. A pass skips requests without building a search where an unrestricted one failed.

Result: the new test fails without the first change and passes with it.

--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -148,6 +148,7 @@
         if not ahead or not self.queue.waits_behind(job, tried_upstreams):
             if ahead:
                 await self._assign_in_order(service.name)
+                ahead = self.queue.queued_ahead(job)
             assignment = self._try_assign(job, service, tried_upstreams)
             if assignment is not None:
                 if ahead:
@@ -212,6 +213,8 @@
         smaller = [each for each in failed if each.memory_tokens <= job.memory_tokens]
         if not smaller or self._reservations.is_holder(job):
             return False
+        if smaller[0].is_unbounded:
+            return True
         search = search_for(job, tried_upstreams)
         if any(each.covers(search) for each in smaller):
             return True
--- a/src/ragwortkeel/policy/head_reservation.py
+++ b/src/ragwortkeel/policy/head_reservation.py
@@ -164,6 +164,11 @@
     excluded_upstreams: frozenset[str]
     memory_tokens: int
 
+    @property
+    def is_unbounded(self) -> bool:
+        """Whether all upstreams of the service were searched."""
+        return self.regions is None and not self.excluded_upstreams
+
     def covers(self, other: "Search") -> bool:
         """Return whether the other search fails as well if this one failed."""
         return (
--- a/tests/ingress/test_queue_order.py
+++ b/tests/ingress/test_queue_order.py
@@ -220,6 +220,22 @@
         assert run(scenario) == (None, ["queued0", "queued1"])
 
 
+def test_a_request_that_becomes_the_first_waits_however_slow_the_queue_was(monkeypatch):
+    """Guards against a refusal by the rate of requests that have just been assigned."""
+
+    async def scenario(pool):
+        now = dispatch.monotonic()
+        full = {"e0": Load(running=1, memory_tokens=28_100)}
+        pool.placement.merge_loads("peer", full, now + 50.0)
+        await pool.queue("queued", 20_000, seconds=61.0)
+        monkeypatch.setattr(dispatch, "monotonic", lambda: now + 60.0)
+        new = await curio.spawn(pool.acquire, "new", 15_000, 5, 61.0, daemon=True)
+        await curio.sleep(0.02)
+        return pool.order[1:], new.terminated
+
+    assert run(scenario, engines=1) == (["queued"], False)
+
+
 def test_a_stalled_burst_of_least_urgent_requests_refuses_no_urgent_one(monkeypatch):
     """Guards against an estimate by the rate of requests that an urgent one passes."""
 
