--- a/tests/ingress/test_queue_order.py
+++ b/tests/ingress/test_queue_order.py
@@ -1,5 +1,7 @@
 """Which queued request goes first, and which may pass one that fits nowhere."""
 
+from math import inf
+
 import curio
 import pytest
 from tests.ingress.builders import engine_service, job, upstream
@@ -11,11 +13,14 @@
 from ragwortkeel.policy.facts import Failure
 
 POOL = engine_service("pool")
-GIANT, LARGE, SMALL = 40_000, 60_000, 4_000
+GIANT, LARGE, SMALL = 40_000, 59_900, 4_000
 
 
 class Pool:
-    """Engines of 92,000 usable tokens, each with one running request of `LARGE`."""
+    """Engines of 92,000 usable tokens, each with one running request of `LARGE`.
+
+    `e0` has 100 tokens less in use, so that it is the one to be reserved.
+    """
 
     def __init__(self, engines=2):
         self.directory = Directory()
@@ -29,6 +34,9 @@
         self.order = []
 
     async def fill(self):
+        others = [n for n in self.directory.usable(service="pool") if n != "e0"]
+        load = dict.fromkeys(others, Load(running=1, memory_tokens=100))
+        self.placement.merge_loads("other", load, inf)
         for index in range(len(self.directory.usable(service="pool"))):
             assigned = await self.acquire(f"large{index}", LARGE)
             self.running[assigned.upstream.name] = assigned
@@ -212,6 +220,22 @@
         assert run(scenario) == (None, ["queued0", "queued1"])
 
 
+def test_a_request_that_becomes_the_first_waits_however_slow_the_queue_was(monkeypatch):
+    """Guards against a refusal by the rate of requests that have just been assigned."""
+
+    async def scenario(pool):
+        now = dispatch.monotonic()
+        full = {"e0": Load(running=1, memory_tokens=28_100)}
+        pool.placement.merge_loads("peer", full, now + 50.0)
+        await pool.queue("queued", 20_000, seconds=61.0)
+        monkeypatch.setattr(dispatch, "monotonic", lambda: now + 60.0)
+        new = await curio.spawn(pool.acquire, "new", 15_000, 5, 61.0, daemon=True)
+        await curio.sleep(0.02)
+        return pool.order[1:], new.terminated
+
+    assert run(scenario, engines=1) == (["queued"], False)
+
+
 def test_a_stalled_burst_of_least_urgent_requests_refuses_no_urgent_one(monkeypatch):
     """Guards against an estimate by the rate of requests that an urgent one passes."""
 
