Factors of upstreams count only beyond the noise

A slow sample often means load that is not known here yet; all processes then moved their work together, one to two seconds late.

Change: the long-term slowness counts as it is, a recent change only beyond a factor of 1.6, then with a slope of 2. The usual times move into policy.usual_times.

--- a/src/ragwortkeel/policy/upstream_speed.py
+++ b/src/ragwortkeel/policy/upstream_speed.py
@@ -5,37 +5,45 @@
 second now and then.  Work that is spread by load alone queues at the slow upstreams.
 
 - A sample is the logarithm of the time to the first event, relative to the time that
-  the service usually takes for a load of that size.  The usual times are running means
-  for each doubling of the load, so no shape of the curve is assumed.  Each sample is
-  corrected by the known slowness of its upstream before it enters them.
+  the service usually takes for a load of that size (`usual_times`).  Each sample is
+  corrected by the known slowness of its upstream before it counts as usual.
 - The mean of logarithms, with bounds on each sample, is less sensitive to one slow
   sample than the mean of times.  A median would be as robust, but a process has about
   one recent sample of an upstream, and medians of single samples can't be combined.
 - Samples lose half of their weight each `HALF_LIFE_SECONDS`.  One process of a large
   fleet sees too few answers of an upstream to notice a change in time, so processes
   report to their peers.  The mean over processes weighs by samples.
-- The more recent samples there are, the more they count against the long-term slowness
-  of the upstream, so a single slow one moves little work.  Without samples the factor
-  returns to 1, so that an upstream that recovered is tried again.
+- The factor is the long-term slowness and what of a recent change exceeds the noise.
+  A single slow sample or a spell of noise moves no work; if it did, all processes
+  would move it together and too late.  Without samples the factor returns to 1, so
+  that an upstream that recovered is tried again.
 - Only differences within a service count: the median of its upstreams is 1.  A slow
   link of this process, or a service that is slow as a whole, changes nothing.
 """
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from math import exp, inf, log, log2
+from math import copysign, exp, inf, log
 from statistics import median
 
 from ragwortkeel.policy.pauses import Instance
-
-MIN_FACTOR = 0.5
-MAX_FACTOR = 4.0
-"""Bounds of a factor and of each sample, so that every upstream gets some requests and
-one wrong measurement moves little."""
+from ragwortkeel.policy.usual_times import (
+    MAX_FACTOR,
+    MIN_FACTOR,
+    UsualTimes,
+    bounded,
+)
 
 NOTABLE_FACTOR = 1.2
 """Factor above which, or below whose inverse, an upstream differs from the others."""
 
+NOISE_FACTOR = 1.6
+"""Recent change of a factor that counts as noise.  Spells of noise, and load that is
+not known here yet, are over before the work moves."""
+
+NOISE_SLOPE = 2.0
+"""How much a change counts with each step beyond the noise, until all of it counts."""
+
 NEGLIGIBLE_FACTOR = 1.1
 """Factors up to this count as 1; they are within the noise of the measurement."""
 
@@ -43,9 +51,8 @@
 """Time in which a sample loses half of its weight.  A change has to show within two
 seconds, and a spell of noise lasts 0.6 s."""
 
-PRIOR_SAMPLES = 2.0
-"""Number of recent samples that count as much as the long-term slowness.  A single one
-at the bound changes the factor by a third, four change it by most of their mean."""
+PRIOR_SAMPLES = 3.0
+"""Number of recent samples that count as much as the long-term slowness."""
 
 LONG_TERM_SECONDS = 20.0
 """Time constant at which the long-term slowness follows the recent samples."""
@@ -56,12 +63,6 @@
 CHANGE_INTERVAL_SECONDS = 10.0
 """Shortest time between two reported changes of an upstream."""
 
-MIN_USUAL_SAMPLES = 5
-"""Samples of a size of load before its usual time is compared with."""
-
-MAX_USUAL_SAMPLES = 100
-"""Samples after which the usual time forgets the oldest."""
-
 MIN_REPORTED_SAMPLES = 0.25
 """Weight from which an estimate is reported: one sample of the last three seconds."""
 
@@ -72,10 +73,7 @@
 """Time after a new instance of an upstream in which peers' reports may still be about
 the previous one."""
 
-SMALLEST_LOAD_TOKENS = 500.0
-"""Loads up to this take the same time: the fixed part of an answer is longer."""
-
-_MIN_LOG, _MAX_LOG = log(MIN_FACTOR), log(MAX_FACTOR)
+_NOISE_LOG = log(NOISE_FACTOR)
 _NOTABLE_LOG, _NEGLIGIBLE_LOG = log(NOTABLE_FACTOR), log(NEGLIGIBLE_FACTOR)
 
 
@@ -159,20 +157,6 @@
     told_at: float = -inf
 
 
-@dataclass(kw_only=True)
-class _Usual:
-    """Running mean of the logarithm of a duration."""
-
-    mean: float = 0.0
-    count: int = 0
-
-    def add(self, value: float) -> None:
-        if self.count >= MIN_USUAL_SAMPLES:
-            value = self.mean + _bounded(value - self.mean)
-        self.count = min(self.count + 1, MAX_USUAL_SAMPLES)
-        self.mean += (value - self.mean) / self.count
-
-
 class UpstreamSpeeds:
     """Slowness factor of each upstream, from answers to this process and its peers.
 
@@ -186,7 +170,7 @@
 
     def __init__(self) -> None:
         self._speed_by_upstream: dict[str, _UpstreamSpeed] = {}
-        self._usual_by_load: dict[tuple[str, int], _Usual] = {}
+        self._usual_times = UsualTimes()
         self._evidence_by_upstream: dict[str, _Evidence] = {}
         self._updated_at: float | None = None
 
@@ -208,12 +192,7 @@
                 )
                 self._evidence_by_upstream.pop(name, None)
             self._speed_by_upstream[name] = known
-        services = set(service_by_instance.values())
-        self._usual_by_load = {
-            key: usual
-            for key, usual in self._usual_by_load.items()
-            if key[0] in services
-        }
+        self._usual_times.retain(set(service_by_instance.values()))
 
     def record_answer(
         self,
@@ -236,12 +215,11 @@
         speed = self._speed_by_upstream.get(instance[0])
         if speed is None or speed.started_ms != instance[1] or seconds <= 0.0:
             return
-        size = int(log2(max(load_tokens, SMALLEST_LOAD_TOKENS) / SMALLEST_LOAD_TOKENS))
-        usual = self._usual_by_load.setdefault((speed.service, size), _Usual())
-        duration = log(seconds)
-        if usual.count >= MIN_USUAL_SAMPLES:
-            speed.samples.add(_bounded(duration - usual.mean), 1.0, now)
-        usual.add(duration - speed.combined)
+        deviation = self._usual_times.record(
+            speed.service, load_tokens, seconds, speed.combined
+        )
+        if deviation is not None:
+            speed.samples.add(deviation, 1.0, now)
 
     def update(self, reports: Iterable[SpeedReport], *, now: float) -> None:
         """Recompute the factors from the samples and the reports of the peers."""
@@ -259,13 +237,12 @@
                 trust * _step(elapsed, LONG_TERM_SECONDS)
             )
             speed.long_term *= 1.0 - (1.0 - trust) * _step(elapsed, FORGETTING_SECONDS)
-            raw_by_upstream[name] = (
-                trust * evidence.mean + (1.0 - trust) * speed.long_term
-            )
+            recent = trust * (evidence.mean - speed.long_term)
+            raw_by_upstream[name] = speed.long_term + _beyond_noise(recent)
         for names in self._names_by_service().values():
             usual = median(raw_by_upstream[name] for name in names)
             for name in names:
-                combined = _bounded(raw_by_upstream[name] - usual)
+                combined = bounded(raw_by_upstream[name] - usual)
                 self._speed_by_upstream[name].combined = combined
 
     def factor(self, instance: Instance) -> float:
@@ -296,8 +273,7 @@
         }
         return SpeedReport(
             slowness_by_upstream={
-                name: round(exp(_bounded(speed.own)), 2)
-                for name, speed in found.items()
+                name: round(exp(bounded(speed.own)), 2) for name, speed in found.items()
             },
             samples_by_upstream={
                 name: round(speed.samples.weight, 1) for name, speed in found.items()
@@ -389,14 +365,17 @@
         return rv
 
 
-def _bounded(value: float) -> float:
-    return min(_MAX_LOG, max(_MIN_LOG, value))
-
-
 def _factor(value: float) -> float:
     return 1.0 if abs(value) <= _NEGLIGIBLE_LOG else exp(value)
 
 
+def _beyond_noise(value: float) -> float:
+    """Return what of a recent change counts: nothing up to the noise, then more."""
+    size = abs(value)
+    counted = max(0.0, size - _NOISE_LOG) * NOISE_SLOPE
+    return copysign(min(size, counted), value)
+
+
 def _trust(samples: float) -> float:
     """Return the weight of recent samples against the long-term slowness."""
     return samples**2 / (samples**2 + PRIOR_SAMPLES**2)
