Logs: warnings of curio become counted, structured lines

Cause: curio warns through Python's logging about each block that ends after its time limit.

Change: configure_logs routes the curio loggers into the structured log. The warning is counted and logged as late_timeouts at most once a second; all else that curio logs becomes curio_message, with its traceback. CountedLine is the counter, for other events that may be due very often.

Result: tests/test_logs.py passes.

--- a/src/ragwortkeel/logs.py
+++ b/src/ragwortkeel/logs.py
@@ -5,11 +5,14 @@
 data again.
 """
 
+import logging
 import os
 import select
-from collections.abc import Mapping
+import traceback
+from collections.abc import Callable, Mapping
 from enum import IntEnum
 from functools import lru_cache
+from time import monotonic
 
 import eliot
 import msgspec
@@ -18,6 +21,9 @@
 """Limit of a line, equal to PIPE_BUF: a pipe that polls as writable accepts that many
 bytes without blocking."""
 
+LATE_TIMEOUTS_SECONDS = 1.0
+"""Shortest interval of the lines that count late time limits."""
+
 STANDARD_OUTPUT = 1
 _TRUNCATION_MARK = b"...\n"
 _NEEDS_QUOTES = frozenset(' "=\\')
@@ -138,6 +144,7 @@
     """Write all events of this process to `fd`; call it once at the start."""
     destination = LineDestination(fd=fd, level=level)
     eliot.add_destinations(destination)
+    route_curio_logs()
     return destination
 
 
@@ -159,3 +166,71 @@
 def log_error(event: str, **fields: object) -> None:
     """Log a failure of this process itself."""
     eliot.log_message(event, level=Level.ERROR, **fields)
+
+
+class CountedLine:
+    """A warning that may be due very often: counted, and logged at intervals.
+
+    Parameters
+    ----------
+    event : str
+        Name of the event; its line has the number of times since the last line as
+        ``count``, and the fields of the last time.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        event: str,
+        *,
+        interval_seconds: float,
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        self._event = event
+        self._interval_seconds = interval_seconds
+        self._clock = clock
+        self._next_line_at = 0.0
+        self._count = 0
+
+    def record(self, **fields: object) -> None:
+        """Count the event, and log it if the last line is old enough."""
+        self._count += 1
+        now = self._clock()
+        if now >= self._next_line_at:
+            log_warning(self._event, count=self._count, **fields)
+            self._count = 0
+            self._next_line_at = now + self._interval_seconds
+
+
+class CurioLogHandler(logging.Handler):
+    """Routes what curio logs through `logging` into the structured log.
+
+    curio warns about each block that ends after its time limit, which on a process that
+    lacks processor time is thousands of lines.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(logging.WARNING)
+        self._late_timeouts = CountedLine(
+            "late_timeouts", interval_seconds=LATE_TIMEOUTS_SECONDS
+        )
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Count a late time limit; log everything else."""
+        if record.name == "curio.time" and "longer than an enclosing" in record.msg:
+            late_seconds = record.args[1] if len(record.args) > 1 else None
+            self._late_timeouts.record(seconds=late_seconds)
+            return
+        text = record.getMessage()
+        if record.exc_info:
+            text += "\n" + "".join(traceback.format_exception(*record.exc_info))
+        log = log_error if record.levelno >= logging.ERROR else log_warning
+        log("curio_message", logger=record.name, message=text)
+
+
+def route_curio_logs() -> None:
+    """Route what curio logs into the structured log instead of standard error."""
+    logger = logging.getLogger("curio")
+    logger.handlers = [CurioLogHandler()]
+    logger.propagate = False
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,10 +1,19 @@
 """Tests of log lines: one line for each event, written without blocking."""
 
 import os
+import time
 
+import curio
 import pytest
 
-from ragwortkeel.logs import MAX_LINE_BYTES, Level, LineDestination, render
+from ragwortkeel import logs
+from ragwortkeel.logs import (
+    MAX_LINE_BYTES,
+    CountedLine,
+    Level,
+    LineDestination,
+    render,
+)
 
 
 class TestRendering:
@@ -70,3 +79,64 @@
         assert os.read(reading, 10_000).count(b"event=") == 1
         os.close(reading)
         os.close(writing)
+
+
+@pytest.fixture
+def logged(monkeypatch):
+    """Return the warnings and errors that are logged during a test."""
+    lines = []
+    for name in ("log_warning", "log_error"):
+        monkeypatch.setattr(
+            logs, name, lambda event, **fields: lines.append((event, fields))
+        )
+    return lines
+
+
+class TestCountedLine:
+    def test_many_events_are_one_line_an_interval(self, logged):
+        now = [100.0]
+        line = CountedLine("often", interval_seconds=1.0, clock=lambda: now[0])
+        for _ in range(1000):
+            line.record(size=7)
+        now[0] += 1.0
+        line.record(size=8)
+        assert logged == [
+            ("often", {"count": 1, "size": 7}),
+            ("often", {"count": 1000, "size": 8}),
+        ]
+
+
+class TestCurioLogs:
+    def test_late_time_limits_are_counted(self, logged, capfd):
+        """Guards against thousands of unstructured lines of a process that is late."""
+        logs.route_curio_logs()
+
+        async def end_late():
+            for _ in range(3):
+                async with curio.timeout_after(0.001):
+                    time.sleep(0.002)
+
+        with curio.Kernel() as kernel:
+            kernel.run(end_late)
+        assert capfd.readouterr().err == ""
+        ((event, fields),) = logged
+        assert (event, fields["count"]) == ("late_timeouts", 1)
+        assert 0 < fields["seconds"] < 1
+
+    def test_a_crash_of_a_task_is_logged_with_its_traceback(self, logged, capfd):
+        logs.route_curio_logs()
+
+        async def fail():
+            raise KeyError("gone")
+
+        async def main():
+            task = await curio.spawn(fail)
+            await task.wait()
+
+        with curio.Kernel() as kernel:
+            kernel.run(main)
+        assert capfd.readouterr().err == ""
+        ((event, fields),) = logged
+        assert event == "curio_message"
+        assert "Task Crash" in fields["message"]
+        assert "KeyError: 'gone'" in fields["message"]
