Slow readers: bytes held for them are bounded, and the largest is ended

Cause: a caller that reads slowly stops reading from the upstream at once, which cuts off an answer that stays unread; and a blocked write counts against the time limit of the route although the answer is ready.

Change: with a stated capacity a connection may hold 256 KiB before reading stops, and the process an eighth of its memory. Beyond that the connection that holds most is reset and slow_reader_ended is logged and counted. Bodies of requests to slow upstreams count as well. A ready answer is delivered after the time limit, unless its caller reads nothing for 30 s. What an upstream sent whole before it broke off is sent before the abort. Without a capacity a writer waits until everything is accepted, as before.

--- a/src/ragwortkeel/http_responder.py
+++ b/src/ragwortkeel/http_responder.py
@@ -1,14 +1,18 @@
 """The request and the responder that an HTTP handler receives."""
 
 import socket as _socket
-from contextlib import suppress
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 
 import curio
 import h11
 
 from ragwortkeel.exceptions import ExchangeBroken
-from ragwortkeel.send_buffer import SendBuffer
+from ragwortkeel.http_events import READ_CHUNK_BYTES
+from ragwortkeel.send_buffer import HeldBytes, SendBuffer
+
+ABORT_DRAIN_SECONDS = 0.3
+"""How long an aborted response may still be sent; its request ends within 0.5 s."""
 
 _CHUNKED = b"\r\ntransfer-encoding: chunked\r\n"
 
@@ -54,7 +58,14 @@
         Whether the response asks the peer to close the connection.
     """
 
-    def __init__(self, *, sock, conn: h11.Connection) -> None:
+    def __init__(
+        self,
+        *,
+        sock,
+        conn: h11.Connection,
+        held: HeldBytes | None = None,
+        stall_seconds: float | None = None,
+    ) -> None:
         self._sock = sock
         self._conn = conn
         self.bodiless = False
@@ -62,7 +73,9 @@
         self.started = False
         self.closing = False
         self._chunked = False
-        self._buffer = SendBuffer(sock=sock)
+        self._held = held or HeldBytes()
+        self._stall_seconds = stall_seconds
+        self._buffer = SendBuffer(sock=sock, held=self._held, peer="caller")
 
     def peer_disconnected(self) -> bool:
         """Return whether the peer has closed its side, checking the socket.
@@ -94,10 +107,12 @@
             fields = {"content-length": str(len(body))} | (headers or {})
         data = self._head(status, fields) + self._encode(body)
         await self._write(data + self._conn.send(h11.EndOfMessage()))
+        await self.drain()
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Send status and headers; without content-length the body is chunked."""
         await self._write(self._head(status, headers))
+        await self.drain()
 
     async def start_with(
         self,
@@ -116,7 +131,7 @@
     async def send(self, data: bytes) -> None:
         """Send a chunk of the body, or nothing for a HEAD request."""
         await self.send_ready(data)
-        await self.wait_for_room()
+        await self.drain()
 
     async def send_ready(self, data: bytes, *, last: bool = False) -> None:
         """Send a chunk of the body, and hold what the socket does not accept.
@@ -128,6 +143,7 @@
     async def finish(self) -> None:
         """Send the end marker, by which the peer sees that the body is complete."""
         await self._write(self._conn.send(h11.EndOfMessage()))
+        await self.drain()
 
     async def wait_for_room(self) -> None:
         """Wait until the bytes held for the peer are within their bound.
@@ -138,7 +154,10 @@
             The connection is lost.
         """
         if self._buffer.held_bytes:
-            await self._wait_for_room(0)
+            # One more block of the upstream has to fit.
+            bound = self._held.max_connection_bytes - READ_CHUNK_BYTES
+            async with self._noting_loss():
+                await self._buffer.wait_for_room(max(0, bound))
 
     async def drain(self) -> None:
         """Wait until the socket has accepted all bytes.
@@ -149,15 +168,24 @@
             The connection is lost.
         """
         if self._buffer.held_bytes:
-            await self._wait_for_room(0)
+            async with self._noting_loss():
+                await self._buffer.drain(self._stall_seconds)
 
     async def close_buffer(self) -> None:
         """Drop bytes that are still held; needed before the socket is closed."""
         await self._buffer.close()
 
-    async def abort(self) -> None:
-        """Close without the end marker, so that the peer sees a truncated body."""
+    async def abort(self, drain_seconds: float = ABORT_DRAIN_SECONDS) -> None:
+        """Close without the end marker, so that the peer sees a truncated body.
+
+        What is held for the peer is sent first, for at most `drain_seconds`.
+        """
         self._conn.send_failed()
+        if self._buffer.held_bytes:
+            with suppress(ExchangeBroken):
+                async with curio.ignore_after(drain_seconds):
+                    await self._buffer.wait_for_room()
+        await self._buffer.close()
         # Closing the socket would free its descriptor while the task that detects
         # disconnects waits on it: the next connection gets the same number, and
         # curio wakes the wrong task or none.  After a shutdown that task ends by
@@ -197,9 +225,10 @@
                 await self.disconnected.set()
                 raise
 
-    async def _wait_for_room(self, max_held_bytes: int) -> None:
+    @asynccontextmanager
+    async def _noting_loss(self):
         try:
-            await self._buffer.wait_for_room(max_held_bytes)
+            yield
         except ExchangeBroken:
             await self.disconnected.set()
             raise
--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -13,6 +13,7 @@
 from ragwortkeel.http_events import READ_CHUNK_BYTES, join_headers, next_event
 from ragwortkeel.http_responder import Request, Responder
 from ragwortkeel.logs import log_error, log_warning
+from ragwortkeel.send_buffer import HeldBytes
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Larger bodies are refused with 413; the largest usual documents are smaller."""
@@ -57,6 +58,10 @@
         Maximum time for receiving the head of the next request, in seconds.
     cancels_disconnected
         Whether the handler is cancelled when its caller has closed the connection.
+    stall_seconds
+        Ends a connection whose peer reads nothing of a ready response for this time.
+    held
+        Counts and bounds the bytes held for peers that read slowly.
 
     Attributes
     ----------
@@ -84,6 +89,8 @@
         read_seconds: float = REQUEST_READ_SECONDS,
         keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
         cancels_disconnected: bool = False,
+        stall_seconds: float | None = None,
+        held: HeldBytes | None = None,
     ) -> None:
         self.host = host
         self.port = port
@@ -93,6 +100,8 @@
         self._read_seconds = read_seconds
         self.keep_alive_seconds = keep_alive_seconds
         self._cancels_disconnected = cancels_disconnected
+        self._stall_seconds = stall_seconds
+        self._held = held or HeldBytes()
         self._connections_before_request = 0
         self._idle_by_socket: dict[object, h11.Connection] = {}
         self._listener = None
@@ -212,7 +221,9 @@
 
     async def _exchange(self, sock, conn, head: h11.Request) -> bool:
         """Serve one request; return whether another may follow."""
-        responder = Responder(sock=sock, conn=conn)
+        responder = Responder(
+            sock=sock, conn=conn, held=self._held, stall_seconds=self._stall_seconds
+        )
         self.open_exchanges += 1
         try:
             request = await self._read_request(sock, conn, head)
@@ -235,6 +246,7 @@
         )
         try:
             await self._call_handler(request, responder)
+            # A ready response is delivered even if the peer reads it late.
             await responder.drain()
         finally:
             await watcher.cancel()
@@ -334,8 +346,10 @@
         exc.status,
     )
     headers = {"content-type": PROBLEM_TYPE, "connection": "close"}
-    await responder.respond(exc.status, body, headers)
-    await responder.drain()
+    try:
+        await responder.respond(exc.status, body, headers)
+    finally:
+        await responder.close_buffer()
     await _linger(sock)
 
 
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -5,7 +5,7 @@
 
 from ragwortkeel.budget.account import AccountReservation
 from ragwortkeel.exceptions import CallerLeft
-from ragwortkeel.http_responder import Responder
+from ragwortkeel.http_responder import ABORT_DRAIN_SECONDS, Responder
 from ragwortkeel.ingress.attempt import (
     Attempt,
     CallerRequest,
@@ -417,7 +417,8 @@
             waited=monotonic() - self._accepted.arrived_at,
             revision=self._accepted.revision,
         )
-        await self._responder.abort()
+        # What was received whole is still delivered if the time limit allows it.
+        await self._responder.abort(max(ABORT_DRAIN_SECONDS, self._seconds_left()))
         return None
 
     async def _send_error(self, error: ErrorResponse) -> None:
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -22,6 +22,7 @@
 from ragwortkeel.exceptions import ConnectFailed, ConnectRefused, ExchangeBroken
 from ragwortkeel.http_events import READ_CHUNK_BYTES, next_event
 from ragwortkeel.ingress.configuration import Upstream
+from ragwortkeel.send_buffer import HeldBytes, SendBuffer
 
 CONNECT_SECONDS = 0.4
 """Time limit of a connect, over a hundred round trips inside a region.
@@ -96,10 +97,13 @@
     ----------
     id_header : str
         Name of the header in which upstreams echo the request id.
+    held : HeldBytes
+        Counts and bounds the bytes held for upstreams that read slowly.
     """
 
-    def __init__(self, *, sock, id_header: str) -> None:
+    def __init__(self, *, sock, id_header: str, held: HeldBytes) -> None:
         self._sock = sock
+        self._buffer = SendBuffer(sock=sock, held=held, peer="upstream")
         self._id_header = id_header
         self._conn = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
@@ -110,7 +114,9 @@
         self._first_data = b""
 
     @classmethod
-    async def open(cls, upstream: Upstream, *, id_header: str) -> "UpstreamConnection":
+    async def open(
+        cls, upstream: Upstream, *, id_header: str, held: HeldBytes
+    ) -> "UpstreamConnection":
         """Connect to an upstream.
 
         Raises
@@ -132,7 +138,7 @@
         finally:
             if not connected:
                 await sock.close()
-        return cls(sock=sock, id_header=id_header)
+        return cls(sock=sock, id_header=id_header, held=held)
 
     @property
     def idle_seconds(self) -> float:
@@ -182,10 +188,9 @@
         if outgoing.body:
             data += self._conn.send(h11.Data(data=outgoing.body))
         data += self._conn.send(h11.EndOfMessage())
-        try:
-            await self._sock.sendall(data)
-        except OSError as exc:
-            raise ExchangeBroken(str(exc)) from exc
+        await self._buffer.write(data)
+        if self._buffer.held_bytes:
+            await self._buffer.drain()
 
     async def receive_head(self, request_id: str) -> ResponseHead:
         """Return the head of this request's response, and skip other responses."""
@@ -246,6 +251,7 @@
 
     async def close(self) -> None:
         """Close at once, so that the upstream stops working on the request."""
+        await self._buffer.close()
         await self._sock.close()
 
     async def _skip_response(self) -> None:
@@ -283,8 +289,9 @@
 class ConnectionPool:
     """A pool of idle connections for each upstream instance."""
 
-    def __init__(self, *, id_header: str) -> None:
+    def __init__(self, *, id_header: str, held: HeldBytes | None = None) -> None:
         self._id_header = id_header
+        self._held = held or HeldBytes()
         self._idle_by_upstream: dict[tuple[str, int], list[UpstreamConnection]] = {}
 
     async def acquire(self, upstream: Upstream, *, fresh: bool) -> UpstreamConnection:
@@ -307,7 +314,7 @@
             if not connection.expired and not stale and connection.is_quiet():
                 return connection
             await connection.close()
-        return await UpstreamConnection.open(upstream, id_header=self._id_header)
+        return await self._open(upstream)
 
     async def release(self, upstream: Upstream, connection: UpstreamConnection):
         """Return a reusable connection to the pool; close any other."""
@@ -322,9 +329,7 @@
     async def refuses_connection(self, upstream: Upstream) -> bool:
         """Return whether the upstream refuses connections."""
         try:
-            connection = await UpstreamConnection.open(
-                upstream, id_header=self._id_header
-            )
+            connection = await self._open(upstream)
         except ConnectRefused:
             return True
         except ConnectFailed:
@@ -332,6 +337,11 @@
         await connection.close()
         return False
 
+    async def _open(self, upstream: Upstream) -> UpstreamConnection:
+        return await UpstreamConnection.open(
+            upstream, id_header=self._id_header, held=self._held
+        )
+
     async def close_expired(self) -> None:
         """Close the connections that were idle for too long."""
         for key, idle in list(self._idle_by_upstream.items()):
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -64,6 +64,7 @@
 from ragwortkeel.policy.quarantine import Crash
 from ragwortkeel.policy.retries import RetryBudgets, process_reserve
 from ragwortkeel.process import Leftover
+from ragwortkeel.send_buffer import HeldBytes
 from ragwortkeel.settings import Address, IngressSettings, changed_fields
 from ragwortkeel.tasks import run_together
 from ragwortkeel.traces import Tracing
@@ -95,6 +96,9 @@
 
 STOP_POLL_SECONDS = 0.05
 
+STALL_SECONDS = 30.0
+"""How long a caller may read nothing of a ready response before it is ended."""
+
 ENTRY_LAG_SECONDS = 2.0
 """How long upstreams of an availability zone count as cold when its evacuation ends,
 since their entries may not show yet that they became cold."""
@@ -185,7 +189,12 @@
         self._retries = RetryBudgets(
             retry_fraction=RETRY_FRACTION, reserve=RETRY_RESERVE
         )
-        self._connections = ConnectionPool(id_header=names.request_id)
+        held = HeldBytes(
+            memory_bytes=settings.capacity.memory_bytes if settings.capacity else None,
+            on_ended=self.metrics.record_slow_reader_ended,
+        )
+        self.metrics.track_held_bytes(lambda: held.total)
+        self._connections = ConnectionPool(id_header=names.request_id, held=held)
         self._front = Front(
             components=FrontComponents(
                 names=names,
@@ -206,6 +215,8 @@
             port=http_address.port,
             handler=self._front.handle,
             cancels_disconnected=True,
+            stall_seconds=STALL_SECONDS,
+            held=held,
         )
         self._configurations = ConfigurationFollower(
             platform=self._platform,
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -5,6 +5,8 @@
 time series would use more memory than the daemon itself.
 """
 
+from collections.abc import Callable
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -135,6 +137,14 @@
         self._queued_requests = self._gauge(
             "ragwortkeel_queued_requests", "Requests that wait for an upstream."
         )
+        self._held_bytes = self._gauge(
+            "ragwortkeel_held_bytes", "Bytes held for peers that read slowly."
+        )
+        self._slow_readers = self._counter(
+            "ragwortkeel_slow_readers_ended_total",
+            "Connections ended because their peers read too slowly.",
+            (),
+        )
         self._slice_tokens = self._gauge(
             "ragwortkeel_slice_tokens", "Tokens of budget slices held and not spent."
         )
@@ -234,6 +244,14 @@
         self._open_requests.set(running)
         self._queued_requests.set(queued)
 
+    def track_held_bytes(self, held_bytes: Callable[[], int]) -> None:
+        """Report the bytes held for slow readers, which `held_bytes` returns."""
+        self._held_bytes.set_function(held_bytes)
+
+    def record_slow_reader_ended(self) -> None:
+        """Count a connection that was ended because its peer read too slowly."""
+        self._slow_readers.inc()
+
     def set_slice_tokens(self, *, tokens: int) -> None:
         """Set the number of unspent tokens in slices."""
         self._slice_tokens.set(tokens)
--- a/src/ragwortkeel/send_buffer.py
+++ b/src/ragwortkeel/send_buffer.py
@@ -1,15 +1,85 @@
 """Bytes on their way to a peer that its socket has not accepted yet.
 
 Failures it guards against: a peer that reads slowly must not delay reading from the
-upstream, which cuts off an answer that stays unread; and a time limit that ends a wait
-must not lose or repeat bytes.
+upstream, which cuts off an answer that stays unread; many such peers must not use up
+the memory of the process; and a time limit that ends a wait must not lose or repeat
+bytes.
 """
 
+import socket as _socket
+import struct
 from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
 
 import curio
 
 from ragwortkeel.exceptions import ExchangeBroken
+from ragwortkeel.logs import CountedLine
+
+MAX_CONNECTION_BYTES = 256 * 1024
+"""Bytes held for one slow reader before reading on its behalf stops."""
+
+MEMORY_FRACTION = 1 / 8
+"""Part of the memory of a process that is held for all slow readers together."""
+
+LINE_SECONDS = 1.0
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class HeldBytes:
+    """The bytes that a process holds for slow readers, and their bounds.
+
+    Parameters
+    ----------
+    memory_bytes : int or None
+        Memory of the process; None for no bound, and a writer that then waits until
+        its peer has accepted everything.
+    on_ended : callable
+        Called for each slow reader whose connection is ended.
+
+    Attributes
+    ----------
+    total : int
+        Bytes held at present.
+    max_connection_bytes : int
+        Bytes that may be held for one connection before its writer waits.
+    """
+
+    def __init__(
+        self,
+        *,
+        memory_bytes: int | None = None,
+        on_ended: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.total = 0
+        self.max_connection_bytes = MAX_CONNECTION_BYTES if memory_bytes else 0
+        self._max_bytes = int(memory_bytes * MEMORY_FRACTION) if memory_bytes else None
+        self._on_ended = on_ended
+        self._line = CountedLine("slow_reader_ended", interval_seconds=LINE_SECONDS)
+        self._holding: set[SendBuffer] = set()
+
+    def record(self, buffer: "SendBuffer", difference: int) -> None:
+        """Record that a buffer holds more or less; end readers beyond the bound."""
+        self.total += difference
+        if buffer.held_bytes:
+            self._holding.add(buffer)
+        else:
+            self._holding.discard(buffer)
+        while self._max_bytes is not None and self.total > self._max_bytes:
+            self.end(max(self._holding, key=lambda held: held.held_bytes), "memory")
+
+    def end(self, buffer: "SendBuffer", reason: str) -> None:
+        """End the connection of a slow reader, so that its answer looks incomplete."""
+        self._line.record(
+            reason=reason,
+            peer=buffer.peer,
+            held=buffer.held_bytes,
+            total=self.total,
+            bound=self._max_bytes,
+        )
+        self._on_ended()
+        buffer.end()
 
 
 class SendBuffer:
@@ -19,6 +89,10 @@
     ----------
     sock : curio.io.Socket
         The peer's socket.
+    held : HeldBytes
+        Counts and bounds what all buffers of the process hold.
+    peer : str
+        What the peer is, for log lines.
 
     Attributes
     ----------
@@ -26,12 +100,14 @@
         Bytes that the socket has not accepted yet.
     """
 
-    def __init__(self, *, sock) -> None:
+    def __init__(self, *, sock, held: HeldBytes, peer: str) -> None:
+        self.peer = peer
         self.held_bytes = 0
         self._sock = sock
+        self._held = held
         self._blocks: deque[memoryview] = deque()
         self._sender: curio.Task | None = None
-        self._error: OSError | None = None
+        self._error = ""
         self._changed = curio.Event()
 
     async def write(self, data: bytes) -> None:
@@ -40,21 +116,22 @@
         Raises
         ------
         ExchangeBroken
-            The connection is lost.
+            The connection is lost, or was ended as that of a slow reader.
         """
         self._raise_if_lost()
+        rest = memoryview(data)
         if not self._blocks:
             try:
-                sent = self._sock._socket.send(data)
+                rest = rest[self._sock._socket.send(data) :]
             except BlockingIOError:
-                sent = 0
+                pass
             except OSError as exc:
                 raise ExchangeBroken(str(exc)) from exc
-            if sent == len(data):
+            if not rest:
                 return
-            data = memoryview(data)[sent:]
-        self._blocks.append(memoryview(data))
-        self.held_bytes += len(data)
+        self._blocks.append(rest)
+        self._count(len(rest))
+        self._raise_if_lost()
         if self._sender is None:
             self._sender = await curio.spawn(self._send_held, daemon=True)
 
@@ -64,37 +141,84 @@
         Raises
         ------
         ExchangeBroken
-            The connection is lost.
+            The connection is lost, or was ended as that of a slow reader.
         """
-        while self.held_bytes > max_held_bytes and self._error is None:
+        while self.held_bytes > max_held_bytes and not self._error:
             self._changed.clear()
             await self._changed.wait()
         self._raise_if_lost()
 
+    async def drain(self, stall_seconds: float | None = None) -> None:
+        """Wait until nothing is held.
+
+        Parameters
+        ----------
+        stall_seconds : float or None
+            End the connection if the peer reads nothing for this time.
+
+        Raises
+        ------
+        ExchangeBroken
+            The connection is lost, or was ended as that of a slow reader.
+        """
+        while self.held_bytes and not self._error:
+            held_before = self.held_bytes
+            if stall_seconds is None:
+                await self.wait_for_room()
+                continue
+            async with curio.ignore_after(stall_seconds):
+                await self.wait_for_room()
+            if self.held_bytes == held_before:
+                self._held.end(self, "stalled")
+        self._raise_if_lost()
+
+    def end(self) -> None:
+        """Drop what is held and reset the connection."""
+        self._error = "ended as a slow reader"
+        raw = self._sock._socket
+        with suppress(OSError):
+            # Without it the system would go on to send what it holds itself, and an
+            # answer without a length would look complete.
+            raw.setsockopt(_socket.SOL_SOCKET, _socket.SO_LINGER, _RESET_ON_CLOSE)
+        with suppress(OSError):
+            # Wakes the tasks that wait for the socket; its owner closes it.
+            raw.shutdown(_socket.SHUT_RDWR)
+        self._drop()
+
     async def close(self) -> None:
         """Drop what is held; needed before the socket is closed."""
         if self._sender is not None:
             await self._sender.cancel()
-        self._blocks.clear()
-        self.held_bytes = 0
+        self._drop()
 
     async def _send_held(self) -> None:
         try:
             while self._blocks:
                 block = self._blocks[0]
                 sent = await self._sock.send(block)
-                self.held_bytes -= sent
+                if self._error:
+                    break
                 if sent < len(block):
                     self._blocks[0] = block[sent:]
                 else:
                     self._blocks.popleft()
+                self._count(-sent)
                 await self._changed.set()
         except OSError as exc:
-            self._error = exc
-            await self._changed.set()
+            self._error = self._error or str(exc)
         finally:
             self._sender = None
+            await self._changed.set()
+
+    def _count(self, difference: int) -> None:
+        self.held_bytes += difference
+        self._held.record(self, difference)
+
+    def _drop(self) -> None:
+        self._blocks.clear()
+        if self.held_bytes:
+            self._count(-self.held_bytes)
 
     def _raise_if_lost(self) -> None:
-        if self._error is not None:
-            raise ExchangeBroken(str(self._error)) from self._error
+        if self._error:
+            raise ExchangeBroken(self._error)
