--- a/src/ragwortkeel/http_responder.py
+++ b/src/ragwortkeel/http_responder.py
@@ -2,16 +2,20 @@
 
 import socket as _socket
 from collections.abc import Callable
-from contextlib import suppress
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 
 import curio
 import h11
 
 from ragwortkeel.exceptions import ExchangeBroken
-from ragwortkeel.send_buffer import SendBuffer
+from ragwortkeel.http_events import READ_CHUNK_BYTES
+from ragwortkeel.send_buffer import HeldBytes, SendBuffer
 from ragwortkeel.usage_counters import ByteCounter
 
+ABORT_DRAIN_SECONDS = 0.3
+"""How long an aborted response may still be sent; its request ends within 0.5 s."""
+
 _CHUNKED = b"\r\ntransfer-encoding: chunked\r\n"
 
 
@@ -58,17 +62,26 @@
     """
 
     def __init__(
-        self, *, sock, conn: h11.Connection, counter: ByteCounter | None = None
+        self,
+        *,
+        sock,
+        conn: h11.Connection,
+        counter: ByteCounter | None = None,
+        held: HeldBytes | None = None,
+        stall_seconds: float | None = None,
     ) -> None:
         self._sock = sock
         self._conn = conn
-        self._counter = counter or ByteCounter()
         self.bodiless = False
         self.disconnected = curio.Event()
         self.started = False
         self.closing: Callable[[], bool] = lambda: False
         self._chunked = False
-        self._buffer = SendBuffer(sock=sock)
+        self._held = held or HeldBytes()
+        self._stall_seconds = stall_seconds
+        self._buffer = SendBuffer(
+            sock=sock, held=self._held, peer="caller", counter=counter
+        )
 
     def peer_disconnected(self) -> bool:
         """Return whether the peer has closed its side, checking the socket.
@@ -100,6 +113,7 @@
             fields = {"content-length": str(len(body))} | (headers or {})
         data = self._head(status, fields) + self._encode(body)
         await self._write(data + self._conn.send(h11.EndOfMessage()))
+        await self.drain()
 
     async def refuse(self, status: int, body: bytes, headers: dict[str, str]) -> None:
         """Send a complete response and have the connection closed.
@@ -113,10 +127,12 @@
         lines += [f"{name}: {value}\r\n" for name, value in fields.items()]
         head = "".join((*lines, "\r\n")).encode("latin-1")
         await self._write(head if self.bodiless else head + body)
+        await self.drain()
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Send status and headers; without content-length the body is chunked."""
         await self._write(self._head(status, headers))
+        await self.drain()
 
     async def start_with(
         self,
@@ -135,7 +151,7 @@
     async def send(self, data: bytes) -> None:
         """Send a chunk of the body, or nothing for a HEAD request."""
         await self.send_ready(data)
-        await self.wait_for_room()
+        await self.drain()
 
     async def send_ready(self, data: bytes, *, last: bool = False) -> None:
         """Send a chunk of the body, and hold what the socket does not accept.
@@ -147,6 +163,7 @@
     async def finish(self) -> None:
         """Send the end marker, by which the peer sees that the body is complete."""
         await self._write(self._conn.send(h11.EndOfMessage()))
+        await self.drain()
 
     async def wait_for_room(self) -> None:
         """Wait until the bytes held for the peer are within their bound.
@@ -157,7 +174,10 @@
             The connection is lost.
         """
         if self._buffer.held_bytes:
-            await self._wait_for_room(0)
+            # One more block of the upstream has to fit.
+            bound = self._held.max_connection_bytes - READ_CHUNK_BYTES
+            async with self._noting_loss():
+                await self._buffer.wait_for_room(max(0, bound))
 
     async def drain(self) -> None:
         """Wait until the socket has accepted all bytes.
@@ -168,15 +188,24 @@
             The connection is lost.
         """
         if self._buffer.held_bytes:
-            await self._wait_for_room(0)
+            async with self._noting_loss():
+                await self._buffer.drain(self._stall_seconds)
 
     async def close_buffer(self) -> None:
         """Drop bytes that are still held; needed before the socket is closed."""
         await self._buffer.close()
 
-    async def abort(self) -> None:
-        """Close without the end marker, so that the peer sees a truncated body."""
+    async def abort(self, drain_seconds: float = ABORT_DRAIN_SECONDS) -> None:
+        """Close without the end marker, so that the peer sees a truncated body.
+
+        What is held for the peer is sent first, for at most `drain_seconds`.
+        """
         self._conn.send_failed()
+        if self._buffer.held_bytes:
+            with suppress(ExchangeBroken):
+                async with curio.ignore_after(drain_seconds):
+                    await self._buffer.wait_for_room()
+        await self._buffer.close()
         # Closing the socket would free its descriptor while the task that detects
         # disconnects waits on it: the next connection gets the same number, and
         # curio wakes the wrong task or none.  After a shutdown that task ends by
@@ -210,16 +239,16 @@
 
     async def _write(self, data: bytes) -> None:
         if data:
-            self._counter.record_sent(len(data))
             try:
                 await self._buffer.write(data)
             except ExchangeBroken:
                 await self.disconnected.set()
                 raise
 
-    async def _wait_for_room(self, max_held_bytes: int) -> None:
+    @asynccontextmanager
+    async def _noting_loss(self):
         try:
-            await self._buffer.wait_for_room(max_held_bytes)
+            yield
         except ExchangeBroken:
             await self.disconnected.set()
             raise
--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -15,6 +15,7 @@
 from ragwortkeel.http_events import READ_CHUNK_BYTES, join_headers, next_event
 from ragwortkeel.http_responder import Request, Responder
 from ragwortkeel.logs import log_error, log_warning
+from ragwortkeel.send_buffer import HeldBytes
 from ragwortkeel.usage_counters import ByteCounter
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -74,6 +75,10 @@
         request costs no task.
     counter
         Counts the bytes of callers, if given.
+    stall_seconds
+        Ends a connection whose peer reads nothing of a ready response for this time.
+    held
+        Counts and bounds the bytes held for peers that read slowly.
 
     Attributes
     ----------
@@ -106,6 +111,8 @@
         cancels_disconnected: bool = False,
         refuse: Callable[[Request, Responder], Awaitable[bool]] | None = None,
         counter: ByteCounter | None = None,
+        stall_seconds: float | None = None,
+        held: HeldBytes | None = None,
     ) -> None:
         self.host = host
         self.port = port
@@ -117,6 +124,8 @@
         self._cancels_disconnected = cancels_disconnected
         self._refuse = refuse
         self._counter = counter
+        self._stall_seconds = stall_seconds
+        self._held = held or HeldBytes()
         self._connections_before_request = 0
         self.closes_connections = False
         self._idle_by_socket: dict[object, _IdleConnection] = {}
@@ -272,7 +281,13 @@
 
     async def _exchange(self, sock, conn, head: h11.Request) -> bool:
         """Serve one request; return whether another may follow."""
-        responder = Responder(sock=sock, conn=conn, counter=self._counter)
+        responder = Responder(
+            sock=sock,
+            conn=conn,
+            counter=self._counter,
+            held=self._held,
+            stall_seconds=self._stall_seconds,
+        )
         self.open_exchanges += 1
         try:
             request = await self._read_request(sock, conn, head)
@@ -288,8 +303,16 @@
         responder.bodiless = request.method == "HEAD"
         stopping = self._stopping
         responder.closing = lambda: stopping or self.closes_connections
-        if self._refuse is not None and await self._refuse(request, responder):
-            return
+        try:
+            if self._refuse is not None and await self._refuse(request, responder):
+                return
+            await self._run_watched(sock, conn, request, responder)
+        finally:
+            await responder.close_buffer()
+
+    async def _run_watched(
+        self, sock, conn, request: Request, responder: Responder
+    ) -> None:
         handler_task = (
             await curio.current_task() if self._cancels_disconnected else None
         )
@@ -298,10 +321,10 @@
         )
         try:
             await self._call_handler(request, responder)
+            # A ready response is delivered even if the peer reads it late.
             await responder.drain()
         finally:
             await watcher.cancel()
-            await responder.close_buffer()
 
     async def _call_handler(self, request: Request, responder: Responder) -> None:
         try:
@@ -414,8 +437,10 @@
         exc.status,
     )
     headers = {"content-type": PROBLEM_TYPE, "connection": "close"}
-    await responder.respond(exc.status, body, headers)
-    await responder.drain()
+    try:
+        await responder.respond(exc.status, body, headers)
+    finally:
+        await responder.close_buffer()
     await _linger(sock)
 
 
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -22,6 +22,7 @@
 from ragwortkeel.exceptions import ConnectFailed, ConnectRefused, ExchangeBroken
 from ragwortkeel.http_events import READ_CHUNK_BYTES, next_event
 from ragwortkeel.ingress.configuration import Upstream
+from ragwortkeel.send_buffer import HeldBytes, SendBuffer
 from ragwortkeel.usage_counters import ByteCounter
 
 CONNECT_SECONDS = 0.4
@@ -97,13 +98,23 @@
     ----------
     id_header : str
         Name of the header in which upstreams echo the request id.
+    held : HeldBytes
+        Counts and bounds the bytes held for upstreams that read slowly.
     """
 
     def __init__(
-        self, *, sock, id_header: str, counter: ByteCounter | None = None
+        self,
+        *,
+        sock,
+        id_header: str,
+        held: HeldBytes,
+        counter: ByteCounter | None = None,
     ) -> None:
         self._sock = sock
-        self._counter = counter
+        self._counter = counter or ByteCounter()
+        self._buffer = SendBuffer(
+            sock=sock, held=held, peer="upstream", counter=self._counter
+        )
         self._id_header = id_header
         self._conn = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
@@ -119,6 +130,7 @@
         upstream: Upstream,
         *,
         id_header: str,
+        held: HeldBytes,
         counter: ByteCounter | None = None,
     ) -> "UpstreamConnection":
         """Connect to an upstream.
@@ -142,7 +154,7 @@
         finally:
             if not connected:
                 await sock.close()
-        return cls(sock=sock, id_header=id_header, counter=counter)
+        return cls(sock=sock, id_header=id_header, held=held, counter=counter)
 
     @property
     def idle_seconds(self) -> float:
@@ -192,12 +204,9 @@
         if outgoing.body:
             data += self._conn.send(h11.Data(data=outgoing.body))
         data += self._conn.send(h11.EndOfMessage())
-        try:
-            if self._counter is not None:
-                self._counter.record_sent(len(data))
-            await self._sock.sendall(data)
-        except OSError as exc:
-            raise ExchangeBroken(str(exc)) from exc
+        await self._buffer.write(data)
+        if self._buffer.held_bytes:
+            await self._buffer.drain()
 
     async def receive_head(self, request_id: str) -> ResponseHead:
         """Return the head of this request's response, and skip other responses."""
@@ -259,6 +268,7 @@
 
     async def close(self) -> None:
         """Close at once, so that the upstream stops working on the request."""
+        await self._buffer.close()
         await self._sock.close()
 
     async def _skip_response(self) -> None:
@@ -296,9 +306,16 @@
 class ConnectionPool:
     """A pool of idle connections for each upstream instance."""
 
-    def __init__(self, *, id_header: str, counter: ByteCounter | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        id_header: str,
+        held: HeldBytes | None = None,
+        counter: ByteCounter | None = None,
+    ) -> None:
         self._id_header = id_header
         self._counter = counter
+        self._held = held or HeldBytes()
         self._idle_by_upstream: dict[tuple[str, int], list[UpstreamConnection]] = {}
 
     async def acquire(self, upstream: Upstream, *, fresh: bool) -> UpstreamConnection:
@@ -321,9 +338,7 @@
             if not connection.expired and not stale and connection.is_quiet():
                 return connection
             await connection.close()
-        return await UpstreamConnection.open(
-            upstream, id_header=self._id_header, counter=self._counter
-        )
+        return await self._open(upstream)
 
     async def release(self, upstream: Upstream, connection: UpstreamConnection):
         """Return a reusable connection to the pool; close any other."""
@@ -338,9 +353,7 @@
     async def refuses_connection(self, upstream: Upstream) -> bool:
         """Return whether the upstream refuses connections."""
         try:
-            connection = await UpstreamConnection.open(
-                upstream, id_header=self._id_header
-            )
+            connection = await self._open(upstream)
         except ConnectRefused:
             return True
         except ConnectFailed:
@@ -348,6 +361,14 @@
         await connection.close()
         return False
 
+    async def _open(self, upstream: Upstream) -> UpstreamConnection:
+        return await UpstreamConnection.open(
+            upstream,
+            id_header=self._id_header,
+            held=self._held,
+            counter=self._counter,
+        )
+
     async def close_expired(self) -> None:
         """Close the connections that were idle for too long."""
         for key, idle in list(self._idle_by_upstream.items()):
