Data path: silence of an upstream ends in time; slow callers blame no upstream

Cause: the timer that runs over many chunks began anew with the whole limit when it fired early, and with the limit for the first event, so that a silent stream was resumed up to 3 s late. Callers leave after 2 s. And an upstream was recorded as failed if the connection to the caller was lost.

Change: the timer begins again with what is left of the limit, and at once when the limit changes. A lost caller raises CallerLeft. The wait for more events is at most 0.25 s whatever is promised.

--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -157,7 +157,8 @@
         Raises
         ------
         CallerLeft
-            The caller closed its connection; the request was not sent.
+            The connection to the caller is closed; `sent` tells whether the request
+            was sent.
         """
         upstream = self._assignment.upstream
         fresh = not self._call.route.repeatable
@@ -194,6 +195,9 @@
         except curio.TaskTimeout:
             return Broken(reason=BrokenReason.DEADLINE)
         except ExchangeBroken as exc:
+            if self._caller_response.responder.disconnected.is_set():
+                # The upstream is not to blame, and no other one should run it.
+                raise CallerLeft(self._call.request_id) from exc
             return Broken(reason=BrokenReason.CLOSED, detail=str(exc))
 
     async def _receive_response(self, connection: UpstreamConnection) -> Outcome:
@@ -236,17 +240,29 @@
         self, connection: UpstreamConnection, head: ResponseHead
     ) -> Outcome:
         self._caller_response.splitter.discard_partial_event()
+        outcome = None
+        while outcome is None:
+            outcome = await self._relay_until_interrupted(connection, head)
+        return outcome
+
+    async def _relay_until_interrupted(
+        self, connection: UpstreamConnection, head: ResponseHead
+    ) -> Outcome | None:
+        """Forward events; return None to begin again with a new time limit.
+
+        One timer runs over many chunks.  It ends only waits, which are begun again
+        unless the upstream was silent for the whole time.
+        """
         if not self._call.route.resumable:
             return await self._relay_events(connection, head)
-        # One timer for many chunks: it ends only waits, which are begun again unless
-        # the upstream was silent for the whole time.
-        while True:
-            try:
-                async with curio.timeout_after(self._max_silence_seconds):
-                    return await self._relay_events(connection, head)
-            except curio.TaskTimeout:
-                if self._silent_seconds() >= self._max_silence_seconds:
-                    return Broken(reason=BrokenReason.SILENT)
+        seconds = self._max_silence_seconds - self._silent_seconds()
+        try:
+            async with curio.timeout_after(max(0.0, seconds)):
+                return await self._relay_events(connection, head)
+        except curio.TaskTimeout:
+            if self._silent_seconds() >= self._max_silence_seconds:
+                return Broken(reason=BrokenReason.SILENT)
+            return None
 
     def _silent_seconds(self) -> float:
         """Return how long the upstream has sent nothing while it was read from."""
@@ -256,8 +272,11 @@
 
     async def _relay_events(
         self, connection: UpstreamConnection, head: ResponseHead
-    ) -> Outcome:
-        """Forward events until the end; all its waits may be ended and begun again."""
+    ) -> Outcome | None:
+        """Forward events until the end, or until another limit of silence applies.
+
+        All its waits may be ended and begun again.
+        """
         caller = self._caller_response
         responder, splitter = caller.responder, caller.splitter
         while True:
@@ -274,7 +293,6 @@
             events = splitter.feed(chunk)
             if events:
                 self._on_first_event()
-                self._max_silence_seconds = MAX_SILENCE_SECONDS
             if splitter.order_error is not None:
                 await self._forward(head, events)
                 raise splitter.order_error
@@ -283,6 +301,9 @@
             if events:
                 await self._forward(head, events)
                 self._reads.record_forwarded(len(chunk), monotonic())
+                if self._max_silence_seconds != MAX_SILENCE_SECONDS:
+                    self._max_silence_seconds = MAX_SILENCE_SECONDS
+                    return None
 
     async def _forward(
         self, head: ResponseHead, events: bytes, *, last: bool = False
--- a/src/ragwortkeel/policy/batching.py
+++ b/src/ragwortkeel/policy/batching.py
@@ -6,6 +6,12 @@
 DELIVERY_RESERVE_SECONDS = 0.12
 """Part of the promised delivery time that is left for late timers and the link."""
 
+MAX_HOLD_SECONDS = 0.25
+"""Longest wait, whatever is promised; a longer one would hardly save more.
+
+A close of the upstream is noticed with the next read, and callers leave after 2 s.
+"""
+
 READ_GRID_SECONDS = 0.01
 """Reads after a wait take place at multiples of this time.
 
@@ -30,7 +36,8 @@
     """
 
     def __init__(self, *, delivery_seconds: float) -> None:
-        self._hold_seconds = max(0.0, delivery_seconds - DELIVERY_RESERVE_SECONDS)
+        hold_seconds = max(0.0, delivery_seconds - DELIVERY_RESERVE_SECONDS)
+        self._hold_seconds = min(MAX_HOLD_SECONDS, hold_seconds)
         self._next_read_at = 0.0
 
     def record_forwarded(self, block_bytes: int, now: float) -> None:
--- a/tests/ingress/test_data_path.py
+++ b/tests/ingress/test_data_path.py
@@ -4,7 +4,15 @@
 from time import monotonic
 
 import curio
-from tests.ingress.in_process import END, chunk, events, run_ingress, stream_head
+import pytest
+from tests.ingress.in_process import (
+    END,
+    chunk,
+    events,
+    run_ingress,
+    stream_head,
+    stream_whole,
+)
 from tests.ingress.test_callers_that_leave import raw_request
 
 HELD = {"event_delivery_seconds": 0.2}
@@ -177,3 +185,31 @@
     seconds, complete = run_ingress(scenario, scripts={"e1": script}, settings=settings)
     assert 2.9 < seconds < 3.5
     assert not complete
+
+
+@pytest.mark.parametrize("event_seconds", [0.1, 1.2])
+def test_a_silent_stream_is_resumed_before_its_caller_leaves(event_seconds):
+    """Guards against a moving time limit that ends a silence late.
+
+    Callers leave after 2 s without an event.
+    """
+
+    async def falls_silent(seen, sock):
+        await sock.sendall(stream_head(seen) + chunk(events(1, 1)))
+        await curio.sleep(event_seconds)
+        await sock.sendall(chunk(events(2, 2)))
+        await curio.sleep(30)
+        return False
+
+    async def scenario(fleet):
+        return await read_blocks(fleet)
+
+    async def only_resumes(seen, sock):
+        if "last-event-id" not in seen.headers:
+            return await falls_silent(seen, sock)
+        return await stream_whole(seen, sock)
+
+    scripts = {"e1": only_resumes, "e2": only_resumes}
+    blocks = run_ingress(scenario, scripts=scripts)
+    assert data_of(blocks) == (events(1, 5), True)
+    assert 1.4 < blocks[2][0] - blocks[1][0] < 1.8
--- a/tests/ingress/test_slow_readers.py
+++ b/tests/ingress/test_slow_readers.py
@@ -156,6 +156,8 @@
         held = held_bytes(fleet)
         answers = [await read_answer(sock) for sock in socks]
         get = fleet.workers[0].metrics.registry.get_sample_value
+        failures = get("ragwortkeel_failures_total", {"failure": "closed"})
+        assert failures is None, "an upstream was blamed for a slow caller"
         return held, answers, get("ragwortkeel_slow_readers_ended_total")
 
     held, answers, ended = run_ingress(
