--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,6 @@
 
 bench-spread: install
 	$(BIN)/python -m benchmarks.configuration_spread
+
+bench-data-path: install
+	$(BIN)/python -m benchmarks.data_path
