End late requests and those of callers that left at their sockets

Cause: on an event loop with many ready tasks the timer of a request fires at the start of a turn, its task runs at the end of that turn, and the task that detects a disconnect needs another one to cancel the request. The time a request waits unread was not counted at all.

Ruled out: more timers for each request, which fire as late. A hook in the selector, because an error there would end the process.

Time limits count from when the connection or the data arrived by the selector, and are checked right before bytes go to an upstream.

--- a/src/ragwortkeel/http_responder.py
+++ b/src/ragwortkeel/http_responder.py
@@ -50,6 +50,8 @@
         Whether the request is a HEAD request, whose response has no body.
     closing : bool
         Whether the response asks the peer to close the connection.
+    ended : bool
+        Whether `end` has ended the exchange.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         self.disconnected = curio.Event()
         self.started = False
         self.closing = False
+        self.ended = False
 
     def peer_disconnected(self) -> bool:
         """Return whether the peer has closed its side, checking the socket.
@@ -69,7 +72,7 @@
         A busy process may be late in running the task that detects a disconnect;
         without this check it would continue to work for a disconnected peer.
         """
-        if self.disconnected.is_set():
+        if self.ended or self.disconnected.is_set():
             return True
         try:
             peeked = self._sock._socket.recv(1, _socket.MSG_PEEK | _socket.MSG_DONTWAIT)
@@ -99,15 +102,31 @@
     async def refuse(self, status: int, body: bytes, headers: dict[str, str]) -> None:
         """Send a complete response and have the connection closed.
 
-        It takes half of the processor time of `respond`, because the response passes
-        no checks: status and headers must be valid as they are.
+        It takes less processor time than `respond`, because the response passes no
+        checks: status and headers must be valid as they are.
         """
+        await self._send(self._unchecked(status, body, headers))
+
+    def end(self, status: int, body: bytes, headers: dict[str, str]) -> None:
+        """End the exchange from another task, without waiting for its own.
+
+        A response that has not started is sent, as far as the socket takes it at once;
+        one that has started is cut off.  Whatever the exchange sends later fails.
+        """
+        started, self.ended = self.started, True
+        with suppress(OSError):
+            if not started:
+                self._sock._socket.send(self._unchecked(status, body, headers))
+            # The task that detects disconnects sees this and cancels the handler.
+            self._sock._socket.shutdown(_socket.SHUT_RDWR)
+
+    def _unchecked(self, status: int, body: bytes, headers: dict[str, str]) -> bytes:
         self.started = True
         fields = {"content-length": str(len(body))} | headers | {"connection": "close"}
         lines = [f"HTTP/1.1 {status} \r\n"]
         lines += [f"{name}: {value}\r\n" for name, value in fields.items()]
         head = "".join((*lines, "\r\n")).encode("latin-1")
-        await self._send(head if self.bodiless else head + body)
+        return head if self.bodiless else head + body
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Send status and headers; without content-length the body is chunked."""
@@ -157,6 +176,8 @@
             await self._send(data)
 
     async def _send(self, data: bytes) -> None:
+        if self.ended:
+            raise ExchangeBroken("the exchange has been ended")
         try:
             self._counter.record_sent(len(data))
             await self._sock.sendall(data)
--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -26,6 +26,9 @@
 MAX_PIPELINED_BYTES = 64 * 1024
 """Bytes of pipelined requests read while one runs; more stay in the socket."""
 
+READ_AT_ONCE_SECONDS = 0.002
+"""A read that takes less has found its data there."""
+
 LINGER_SECONDS = 2.0
 """How long a refused peer may continue to send before the connection closes."""
 
@@ -63,6 +66,9 @@
         request costs no task.
     counter
         Counts the bytes of callers, if given.
+    arrived_at
+        Returns the monotonic second after which the events that tasks handle now
+        arrived, if given.  Without it a request arrives when its head is read.
 
     Attributes
     ----------
@@ -92,6 +98,7 @@
         cancels_disconnected: bool = False,
         refuse: Callable[[Request, Responder], Awaitable[bool]] | None = None,
         counter: ByteCounter | None = None,
+        arrived_at: Callable[[], float] | None = None,
     ) -> None:
         self.host = host
         self.port = port
@@ -103,6 +110,7 @@
         self._cancels_disconnected = cancels_disconnected
         self._refuse = refuse
         self._counter = counter
+        self._arrived_at = arrived_at
         self._connections_before_request = 0
         self._idle_by_socket: dict[object, h11.Connection] = {}
         self._listener = None
@@ -197,14 +205,17 @@
         with suppress(OSError):
             sock.setsockopt(_socket.IPPROTO_TCP, _socket.TCP_NODELAY, 1)
         self._connections_before_request += 1
-        await self._connections.spawn(self._connection, sock, daemon=True)
+        accepted_at = self._arrived_at() if self._arrived_at else None
+        await self._connections.spawn(self._connection, sock, accepted_at, daemon=True)
 
-    async def _connection(self, sock) -> None:
+    async def _connection(self, sock, accepted_at: float | None) -> None:
         conn = h11.Connection(h11.SERVER)
+        arrivals = _Arrivals(self._arrived_at, accepted_at)
         try:
             head = await self._read_first_head(sock, conn)
-            while head and await self._exchange(sock, conn, head):
+            while head and await self._exchange(sock, conn, head, arrivals.next()):
                 conn.start_next_cycle()
+                arrivals.begin_wait()
                 head = await self._read_head(sock, conn)
         except BadRequest as exc:
             with suppress(OSError, ExchangeBroken):
@@ -220,12 +231,12 @@
         finally:
             self._connections_before_request -= 1
 
-    async def _exchange(self, sock, conn, head: h11.Request) -> bool:
+    async def _exchange(self, sock, conn, head: h11.Request, arrived_at: float) -> bool:
         """Serve one request; return whether another may follow."""
         responder = Responder(sock=sock, conn=conn, counter=self._counter)
         self.open_exchanges += 1
         try:
-            request = await self._read_request(sock, conn, head)
+            request = await self._read_request(sock, conn, head, arrived_at)
             await self._run_handler(sock, conn, request, responder)
         finally:
             self.open_exchanges -= 1
@@ -275,8 +286,9 @@
             del self._idle_by_socket[sock]
         return event if isinstance(event, h11.Request) else None
 
-    async def _read_request(self, sock, conn, head: h11.Request) -> Request:
-        arrived_at = monotonic()
+    async def _read_request(
+        self, sock, conn, head: h11.Request, arrived_at: float
+    ) -> Request:
         url = _split_target(head)
         headers = join_headers(head.headers)
         self._check_length(int(headers.get("content-length", "0")))
@@ -327,6 +339,34 @@
             )
 
 
+class _Arrivals:
+    """When the heads of requests on one connection arrived, in monotonic seconds.
+
+    A head that was there as soon as it was read arrived at the latest when the wait for
+    it began: with the connection, or while the response before it was sent.
+    """
+
+    def __init__(
+        self, arrived_at: Callable[[], float] | None, accepted_at: float | None
+    ) -> None:
+        self._arrived_at = arrived_at
+        self._earliest_at = accepted_at
+        self._wait_began_at = monotonic()
+
+    def begin_wait(self) -> None:
+        """Begin to wait for the next head."""
+        self._earliest_at = self._wait_began_at = monotonic()
+
+    def next(self) -> float:
+        """Return when the head that has just been read arrived."""
+        now = monotonic()
+        if self._arrived_at is None:
+            return now
+        if now - self._wait_began_at < READ_AT_ONCE_SECONDS:
+            return self._earliest_at
+        return max(self._arrived_at(), self._wait_began_at)
+
+
 def _split_target(head: h11.Request):
     try:
         return urlsplit(head.target.decode("latin-1"))
--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -107,6 +107,8 @@
     ----------
     is_paused : callable
         Returns whether the upstream has asked for a pause, so that nothing may be sent.
+    checks_deadline : bool
+        Whether a request whose time limit has passed is not sent.
     on_head : callable
         Called with the head of a response and the monotonic second at which the request
         was sent, unless another instance responded.
@@ -131,6 +133,7 @@
         is_paused: Callable[[], bool],
         on_head: Callable[[ResponseHead, float], None],
         on_first_event: Callable[[], None],
+        checks_deadline: bool = False,
     ) -> None:
         self._call = call
         self._assignment = assignment
@@ -140,6 +143,8 @@
         self._is_paused = is_paused
         self._on_head = on_head
         self._on_first_event = on_first_event
+        self._checks_deadline = checks_deadline
+        self._connection: UpstreamConnection | None = None
         self._sent_at = 0.0
         self.sent = False
 
@@ -166,15 +171,25 @@
                 # The upstream rejected another request while this one was delayed.
                 reusable = True
                 return NotRun(reason=NotRunReason.PAUSED)
+            if self._checks_deadline and monotonic() >= self._call.deadline:
+                reusable = True
+                return NotRun(reason=NotRunReason.TOO_LATE)
+            self._connection = connection
             outcome = await self._exchange(connection)
             reusable = not isinstance(outcome, Broken)
             return outcome
         finally:
+            self._connection = None
             if reusable:
                 await self._connections.release(upstream, connection)
             else:
                 await connection.close()
 
+    def cut_off(self) -> None:
+        """Let the upstream stop at once, from another task."""
+        if self._connection is not None:
+            self._connection.cut_off()
+
     async def _exchange(self, connection: UpstreamConnection) -> Outcome:
         seconds_left = self._call.deadline - monotonic()
         try:
--- a/src/ragwortkeel/ingress/error_responses.py
+++ b/src/ragwortkeel/ingress/error_responses.py
@@ -115,6 +115,11 @@
     await responder.refuse(error.status, *_content(error))
 
 
+def end_with_error(responder: Responder, error: ErrorResponse) -> None:
+    """End an exchange from another task with the error, and close its connection."""
+    responder.end(error.status, *_content(error))
+
+
 def _content(error: ErrorResponse) -> tuple[bytes, dict[str, str]]:
     """Return the body and the headers of a problem document."""
     problem = _Problem(
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -18,12 +18,14 @@
     BROKEN,
     BUDGET_EXHAUSTED,
     BUDGET_UNREACHABLE,
+    INSTANCE_OVERLOADED,
     NO_UPSTREAM,
     OVERLOADED,
     QUARANTINED,
     TIMED_OUT,
     UPSTREAMS_WITHHELD,
     ErrorResponse,
+    end_with_error,
     send_error,
     with_retry_after,
 )
@@ -124,6 +126,8 @@
         self._complete = False
         self._tried_upstreams: frozenset[str] = frozenset()
         self._upstream_failure: tuple[Assignment, FullResponse] | None = None
+        self._attempt: Attempt | None = None
+        self.deadline = accepted.call.deadline
 
     async def run(self) -> None:
         """Run the request and send its final response.
@@ -133,6 +137,40 @@
         CallerLeft
             The caller closed its connection before the response.
         """
+        sweep = self._components.sweep
+        if sweep is None:
+            await self._run()
+            return
+        sweep.sweep_if_due()
+        sweep.add(self)
+        try:
+            await self._run()
+        finally:
+            sweep.discard(self)
+
+    def caller_has_left(self) -> bool:
+        """Return whether the caller has closed its connection, checking the socket."""
+        return self._responder.peer_disconnected()
+
+    def end_left(self) -> None:
+        """End the request at its sockets, because its caller has left."""
+        self._log_caller_left("swept")
+        self._responder.ended = True
+        self._cut_off()
+
+    def end_late(self) -> None:
+        """End the request at its sockets, because its time limit has passed."""
+        sent = self._may_have_run or (self._attempt is not None and self._attempt.sent)
+        error = TIMED_OUT if sent else INSTANCE_OVERLOADED
+        self._record_refusal(error)
+        end_with_error(self._responder, error)
+        self._cut_off()
+
+    def _cut_off(self) -> None:
+        if self._attempt is not None:
+            self._attempt.cut_off()
+
+    async def _run(self) -> None:
         accepted = self._accepted
         self._raise_if_caller_left("arrived")
         if self._components.crashes.is_quarantined(accepted.fingerprint):
@@ -267,7 +305,9 @@
                 assignment.upstream, head, sent_at=sent_at
             ),
             on_first_event=lambda: self._record_first_token(assignment),
+            checks_deadline=components.sweep is not None,
         )
+        self._attempt = attempt
         outcome: Outcome | None = None
         try:
             outcome = await attempt.run()
@@ -276,6 +316,7 @@
             self._log_caller_left("placed")
             raise
         finally:
+            self._attempt = None
             # A request that is cancelled after sending may have run as well.
             if attempt.sent and not isinstance(outcome, NotRun):
                 self._may_have_run = True
@@ -295,6 +336,8 @@
         )
 
     def _record_first_token(self, assignment: Assignment) -> None:
+        if self._components.sweep is not None:
+            self._components.sweep.sweep_if_due()
         if not assignment.prompt_read:
             self._components.placement.record_first_token(assignment)
             waited = monotonic() - self._accepted.arrived_at
@@ -308,6 +351,11 @@
     ) -> ErrorResponse | _TryAgain | None:
         """Return an error to send, None after a final response, or `_AGAIN`."""
         components, name = self._components, assignment.upstream.name
+        if self._responder.ended:
+            # The sweep has ended the run, so its outcome says nothing of the upstream.
+            raise CallerLeft(self._accepted.call.request_id)
+        if components.sweep is not None and isinstance(outcome, FullResponse):
+            components.sweep.discard(self)
         match outcome:
             case FullResponse(head=head) as response:
                 if head.status >= SERVER_ERROR_STATUS and self._may_run_again("error"):
@@ -409,17 +457,17 @@
         """
         if not self._caller_response.started:
             return error
-        self._components.record_refusal(
-            self._accepted.call.request_id,
-            error,
-            route=self._accepted.route.name,
-            waited=monotonic() - self._accepted.arrived_at,
-            revision=self._accepted.revision,
-        )
+        self._record_refusal(error)
         await self._responder.abort()
         return None
 
     async def _send_error(self, error: ErrorResponse) -> None:
+        if self._responder.ended:
+            raise CallerLeft(self._accepted.call.request_id)
+        self._record_refusal(error)
+        await send_error(self._responder, error)
+
+    def _record_refusal(self, error: ErrorResponse) -> None:
         self._components.record_refusal(
             self._accepted.call.request_id,
             error,
@@ -427,7 +475,6 @@
             waited=monotonic() - self._accepted.arrived_at,
             revision=self._accepted.revision,
         )
-        await send_error(self._responder, error)
 
     def _log_served(self, assignment: Assignment, *, status: int) -> None:
         accepted = self._accepted
--- a/src/ragwortkeel/ingress/front_components.py
+++ b/src/ragwortkeel/ingress/front_components.py
@@ -13,6 +13,7 @@
 from ragwortkeel.ingress.error_responses import ErrorResponse
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.placement import Placement
+from ragwortkeel.ingress.request_sweep import RequestSweep
 from ragwortkeel.ingress.upstream_connection import ConnectionPool
 from ragwortkeel.logs import log_info
 from ragwortkeel.metrics import Metrics
@@ -22,7 +23,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class FrontComponents:
-    """The components that take a request from its arrival to its answer."""
+    """The components that take a request from its arrival to its answer.
+
+    Attributes
+    ----------
+    sweep : RequestSweep or None
+        Ends requests on a late event loop; None leaves that to their own timers.
+    """
 
     names: HeaderNames
     dispatcher: Dispatcher
@@ -33,6 +40,7 @@
     retries: RetryBudgets
     announcements: AnnouncementReader
     metrics: Metrics
+    sweep: RequestSweep | None = None
 
     def record_refusal(
         self,
--- a/src/ragwortkeel/ingress/instance_monitor.py
+++ b/src/ragwortkeel/ingress/instance_monitor.py
@@ -29,6 +29,9 @@
 PACKET_PAYLOAD_BYTES = 1448
 """Largest payload of a packet on an Ethernet link."""
 
+LATE_SECONDS = 0.1
+"""Event loop lag above which callers that have left are looked for at their sockets."""
+
 LOG_SECONDS = 1.0
 """Shortest time between two log lines on the load of the instance."""
 
@@ -78,6 +81,18 @@
         """Whether `admits` may refuse a request now."""
         return self._detector.overload.level is Level.OVERLOADED
 
+    @property
+    def is_late(self) -> bool:
+        """Whether timers of the event loop are late."""
+        return self._detector.overload.lag_seconds > LATE_SECONDS
+
+    def arrived_at(self) -> float:
+        """Return the second after which the events of this turn of the loop arrived.
+
+        On a late event loop a request waits unread, which counts for its time limit.
+        """
+        return self._selector.arrived_after if self._selector else monotonic()
+
     def admits(self, priority: int) -> bool:
         """Return whether a new request is taken, and count it."""
         admitted = self._detector.admits(priority, self.open_requests)
--- a/src/ragwortkeel/ingress/outcomes.py
+++ b/src/ragwortkeel/ingress/outcomes.py
@@ -13,6 +13,7 @@
     FULL = "full"
     OTHER_INSTANCE = "other_instance"
     PAUSED = "paused"
+    TOO_LATE = "too_late"
 
 
 class BrokenReason(StrEnum):
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -12,6 +12,7 @@
 """
 
 import socket as _socket
+from contextlib import suppress
 from dataclasses import dataclass
 from time import monotonic
 
@@ -218,6 +219,11 @@
             case _:
                 raise ExchangeBroken("connection closed within a response")
 
+    def cut_off(self) -> None:
+        """Shut the connection down from another task; its own task closes it."""
+        with suppress(OSError):
+            self._sock._socket.shutdown(_socket.SHUT_RDWR)
+
     async def close(self) -> None:
         """Close at once, so that the upstream stops working on the request."""
         await self._sock.close()
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -40,6 +40,7 @@
 from ragwortkeel.ingress.peers import Peers
 from ragwortkeel.ingress.placement import Load, Placement
 from ragwortkeel.ingress.relaying import RelayedPlatform
+from ragwortkeel.ingress.request_sweep import RequestSweep
 from ragwortkeel.ingress.routing import RoutingTable
 from ragwortkeel.ingress.upstream_connection import ConnectionPool
 from ragwortkeel.logs import log_info, log_warning
@@ -193,6 +194,7 @@
         )
         self._connections = ConnectionPool(id_header=names.request_id, counter=counter)
         self._monitor: InstanceMonitor | None = None
+        self._sweep: RequestSweep | None = None
         if settings.capacity is not None:
             self._monitor = InstanceMonitor(
                 capacity=settings.capacity,
@@ -200,6 +202,7 @@
                 metrics=self.metrics,
                 random=Random(incarnation),
             )
+            self._sweep = RequestSweep(is_late=lambda: self._monitor.is_late)
         self._front = Front(
             components=FrontComponents(
                 names=names,
@@ -211,6 +214,7 @@
                 retries=self._retries,
                 announcements=self._announcements,
                 metrics=self.metrics,
+                sweep=self._sweep,
             ),
             monitor=self._monitor,
         )
@@ -222,6 +226,7 @@
             cancels_disconnected=True,
             refuse=self._front.refuse if self._monitor else None,
             counter=counter,
+            arrived_at=self._monitor.arrived_at if self._monitor else None,
         )
         self._configurations = ConfigurationFollower(
             platform=self._platform,
@@ -266,7 +271,7 @@
 
     async def run(self) -> None:
         """Run all tasks until cancelled or until one fails."""
-        monitoring = [self._monitor.run] if self._monitor else []
+        monitoring = [self._monitor.run, self._sweep.run] if self._monitor else []
         await run_together(
             *monitoring,
             self._server.serve,
--- a/src/ragwortkeel/usage_counters.py
+++ b/src/ragwortkeel/usage_counters.py
@@ -6,6 +6,9 @@
 TIMER_SLACK_SECONDS = 0.002
 """A wait may exceed its time limit by this; the selector rounds up to milliseconds."""
 
+MIN_WAIT_SECONDS = 0.001
+"""Shorter calls of the selector found events that were there already."""
+
 
 class ByteCounter:
     """Bytes and writes on the sockets of a process.
@@ -44,12 +47,14 @@
     ----------
     waiting_seconds : float
         Time spent waiting since the start.
+    arrived_after : float
+        Monotonic second after which the events of this turn arrived.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.waiting_seconds = 0.0
-        self._returned_at = monotonic()
+        self._returned_at = self.arrived_after = monotonic()
         self._longest_turn_seconds = 0.0
 
     def select(self, timeout=None):
@@ -59,9 +64,13 @@
         if turn_seconds > self._longest_turn_seconds:
             self._longest_turn_seconds = turn_seconds
         events = super().select(timeout)
-        self._returned_at = monotonic()
+        waited = monotonic() - called_at
+        returned_at = called_at + waited
+        # Events end a wait as they arrive; without a wait, they arrived in the turn.
+        has_waited = waited > MIN_WAIT_SECONDS
+        self.arrived_after = returned_at if has_waited else self._returned_at
+        self._returned_at = returned_at
         if timeout is None or timeout > 0.0:
-            waited = self._returned_at - called_at
             if timeout is not None and waited > timeout + TIMER_SLACK_SECONDS:
                 waited = timeout
             self.waiting_seconds += waited
--- a/tests/ingress/test_overloaded_instance.py
+++ b/tests/ingress/test_overloaded_instance.py
@@ -1,11 +1,14 @@
 """Failures and load patterns of one overloaded instance: refusals and measurements."""
 
+import socket
+import threading
 import time
 
 import curio
 import msgspec
 from curio.task import ContextTask
 from tests.ingress.in_process import IngressFleet, answer_whole, run_ingress
+from tests.ingress.test_callers_that_leave import raw_request
 
 from ragwortkeel.policy.overload import Level
 from ragwortkeel.settings import InstanceCapacity
@@ -65,16 +68,19 @@
         assert run_ingress(scenario) == (200, None)
 
 
-def run_measured(scenario, **options):
+def run_measured(scenario, upstream=None, **options):
     """Run a fleet as `run_ingress`, in a kernel that measures its event loop."""
 
     async def main():
         fleet = IngressFleet(scripts={"u1": answer_whole}, **options)
+        if upstream is not None:
+            fleet.upstreams = {"u1": upstream}
         await fleet.start()
         try:
             async with curio.timeout_after(10):
                 return await scenario(fleet)
         finally:
+            fleet.spins = False
             await fleet.stop()
 
     with curio.Kernel(taskcls=ContextTask, selector=MeasuredSelector()) as kernel:
@@ -119,3 +125,116 @@
             waited, longest = kernel.run(main)
         assert 0.09 <= waited < 0.15
         assert longest >= 0.05
+
+
+class SilentUpstream:
+    """An upstream in threads of its own that never answers."""
+
+    name, service, seen = "u1", "app", ()
+
+    def __init__(self):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        self.runs = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    async def start(self):
+        pass
+
+    async def stop(self):
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        with sock:
+            if sock.recv(65_536):
+                began_at = time.monotonic()
+                try:
+                    sock.recv(65_536)
+                finally:
+                    self.runs.append((began_at, time.monotonic()))
+
+
+async def spin(fleet):
+    while fleet.spins:
+        time.sleep(0.001)
+        await curio.sleep(0)
+
+
+async def start_spinning(fleet, turn_seconds):
+    """Fill the event loop with ready tasks, so that each turn takes that long."""
+    fleet.spins = True
+    for _ in range(round(turn_seconds / 0.00106)):
+        await curio.spawn(spin, fleet, daemon=True)
+
+
+def time_of_answer(address, limit_ms, answers):
+    """Send a request and note how long its answer takes, and its status line."""
+    host, port = address.split(":")
+    request = raw_request("/lookup/a", "r1").replace(b"3000", b"%d" % limit_ms)
+    with socket.create_connection((host, int(port))) as sock:
+        sent_at = time.monotonic()
+        sock.sendall(request)
+        answer = sock.recv(65_536)
+        answers.append((time.monotonic() - sent_at, answer))
+
+
+class TestLateProcess:
+    def test_a_time_limit_ends_its_request_on_a_late_event_loop(self):
+        """Guards against an answer 0.5 s after the time limit of the request."""
+        upstream, answers = SilentUpstream(), []
+
+        async def scenario(fleet):
+            await start_spinning(fleet, 0.3)
+            arguments = fleet.addresses[0], 2_500, answers
+            threading.Thread(target=time_of_answer, args=arguments).start()
+            while not answers:
+                await curio.sleep(0)
+
+        run_measured(scenario, upstream=upstream, capacity=CAPACITY)
+        assert b" 504 " in answers[0][1].split(b"\r\n")[0]
+        assert 2.0 < answers[0][0] < 3.0
+
+    def test_a_run_ends_with_its_caller_on_a_late_event_loop(self):
+        """Guards against a run that goes on for 0.5 s after its caller has left."""
+        upstream, left_at = SilentUpstream(), []
+
+        async def scenario(fleet):
+            host, port = fleet.addresses[0].split(":")
+            caller = socket.create_connection((host, int(port)))
+            caller.sendall(raw_request("/lookup/a", "r1"))
+            await curio.sleep(0.3)
+            await start_spinning(fleet, 0.3)
+            await curio.sleep(1.0)
+            caller.close()
+            left_at.append(time.monotonic())
+            while not upstream.runs:
+                await curio.sleep(0)
+
+        run_measured(scenario, upstream=upstream, capacity=CAPACITY)
+        assert upstream.runs[0][1] - left_at[0] < 0.5
+
+    def test_a_request_that_is_queued_ends_with_its_time_limit(self):
+        """Guards against a queued request that a late event loop holds for longer."""
+        answers = []
+
+        async def scenario(fleet):
+            worker = fleet.workers[0]
+            worker._placement.assign = lambda *args, **kwargs: None
+            await start_spinning(fleet, 0.3)
+            arguments = fleet.addresses[0], 1_500, answers
+            threading.Thread(target=time_of_answer, args=arguments).start()
+            while not answers:
+                await curio.sleep(0)
+            return len(worker._dispatcher.queue)
+
+        run_measured(scenario, upstream=SilentUpstream(), capacity=CAPACITY)
+        assert b" 503 " in answers[0][1].split(b"\r\n")[0]
+        assert answers[0][0] < 2.0
