End an overload without refusals, and refuse requests that arrive late

Cause: an instance at 0.8 stayed overloaded after the excess had gone, and would have stayed out of the balancer's rotation. A request whose time had passed unread went through the reservation first.

Change: an overload also ends after two seconds without a refusal below the threshold of entering it. The monitor takes the bytes held for callers from a function.

--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -173,6 +173,9 @@
     async def _run(self) -> None:
         accepted = self._accepted
         self._raise_if_caller_left("arrived")
+        if self._components.sweep is not None and self._seconds_left() <= 0.0:
+            await self._send_error(INSTANCE_OVERLOADED)
+            return
         if self._components.crashes.is_quarantined(accepted.fingerprint):
             await self._send_error(QUARANTINED)
             return
@@ -313,7 +316,8 @@
             outcome = await attempt.run()
             return outcome
         except CallerLeft:
-            self._log_caller_left("placed")
+            if not self._responder.ended:
+                self._log_caller_left("placed")
             raise
         finally:
             self._attempt = None
--- a/src/ragwortkeel/ingress/instance_monitor.py
+++ b/src/ragwortkeel/ingress/instance_monitor.py
@@ -4,6 +4,7 @@
 time, until each turn of its event loop takes seconds.
 """
 
+from collections.abc import Callable
 from random import Random
 from time import monotonic
 
@@ -45,6 +46,8 @@
         What the instance can carry.
     counter : ByteCounter
         Bytes on the sockets of the process.
+    held_bytes : callable
+        Returns the bytes that wait to be sent to callers.
 
     Attributes
     ----------
@@ -59,12 +62,14 @@
         counter: ByteCounter,
         metrics: Metrics,
         random: Random,
+        held_bytes: Callable[[], int] = int,
     ) -> None:
         self.open_requests = 0
         self._detector = OverloadDetector(
             link_bytes_per_second=capacity.link_bytes_per_second, random=random
         )
         self._counter = counter
+        self._held_bytes = held_bytes
         self._metrics = metrics
         self._selector: MeasuredSelector | None = None
         self._logged_level = Level.NORMAL
@@ -129,6 +134,7 @@
                 sent_bytes=sent - previous[1],
                 received_bytes=received - previous[2],
                 lag_seconds=max(0.0, lag_seconds),
+                held_bytes=self._held_bytes(),
                 open_requests=self.open_requests,
             )
             self._report(self._detector.record(sample, now), now)
--- a/src/ragwortkeel/policy/overload.py
+++ b/src/ragwortkeel/policy/overload.py
@@ -62,7 +62,8 @@
 single late timer, a configuration being applied or a garbage collection is shorter."""
 
 LEAVE_SECONDS = 2.0
-"""Time below the lower threshold after which a level ends, about that of a stream."""
+"""Time below the lower threshold after which a level ends, about that of a stream.  An
+overload also ends if no request was refused for this time."""
 
 LIMIT_SECONDS = 2.0
 """Time in which the limit follows the ratio of target and demand, about the duration of
@@ -191,6 +192,7 @@
         self._limit: float | None = None
         self._arrivals_by_priority: Counter[int] = Counter()
         self._shed = 0.0
+        self._has_shed = False
 
     @property
     def overload(self) -> Overload:
@@ -214,6 +216,7 @@
             averages = previous.smoothed(usage, 1.0 - exp(-weight / AVERAGE_SECONDS))
         self._averages = averages
         self._update_level(usage, averages, now)
+        self._has_shed = False
         self._update_limit(averages, sample.seconds)
         self._overload = self._result(averages, sample, now)
         return self._overload
@@ -235,6 +238,7 @@
         if open_requests + self._random.random() < limit:
             return True
         self._shed += 1.0
+        self._has_shed = True
         return False
 
     def _usage(self, sample: UsageSample) -> "_Averages":
@@ -266,6 +270,8 @@
         level = self._overload.level
         overloaded = level is Level.OVERLOADED
         threshold = BUSY_UTILIZATION if overloaded else NORMAL_UTILIZATION
+        if overloaded and not self._has_shed:
+            threshold = OVERLOADED_UTILIZATION
         if averages.demand >= threshold:
             self._calm_since_at = None
             return
--- a/tests/policy/test_overload.py
+++ b/tests/policy/test_overload.py
@@ -67,6 +67,12 @@
             instance.run(0.5, 1.0, lag_seconds=0.2)
         assert instance.detector.overload.since_at == since
 
+    def test_an_overload_without_refusals_ends(self):
+        """Guards against a busy instance that stays out of the balancer's rotation."""
+        instance = Instance()
+        instance.run(2.0, 1.0, lag_seconds=0.2)
+        assert instance.run(4.0, 0.82) is Level.BUSY
+
     def test_an_overload_ends(self):
         instance = Instance()
         instance.run(2.0, 1.0, lag_seconds=0.2)
