--- a/src/ragwortkeel/http_responder.py
+++ b/src/ragwortkeel/http_responder.py
@@ -17,6 +17,7 @@
 """How long an aborted response may still be sent; its request ends within 0.5 s."""
 
 _CHUNKED = b"\r\ntransfer-encoding: chunked\r\n"
+_LENGTH = b"\r\ncontent-length: "
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -59,6 +60,8 @@
     closing : callable returning bool
         Whether the response asks the peer to close the connection; called when the
         head of the response is sent.
+    ended : bool
+        Whether `end` or `end_unanswered` has ended the exchange.
     """
 
     def __init__(
@@ -76,7 +79,9 @@
         self.disconnected = curio.Event()
         self.started = False
         self.closing: Callable[[], bool] = lambda: False
+        self.ended = False
         self._chunked = False
+        self._ends_with_close = False
         self._held = held or HeldBytes()
         self._stall_seconds = stall_seconds
         self._buffer = SendBuffer(
@@ -89,7 +94,7 @@
         A busy process may be late in running the task that detects a disconnect;
         without this check it would continue to work for a disconnected peer.
         """
-        if self.disconnected.is_set():
+        if self.ended or self.disconnected.is_set():
             return True
         try:
             peeked = self._sock._socket.recv(1, _socket.MSG_PEEK | _socket.MSG_DONTWAIT)
@@ -118,16 +123,40 @@
     async def refuse(self, status: int, body: bytes, headers: dict[str, str]) -> None:
         """Send a complete response and have the connection closed.
 
-        It takes half of the processor time of `respond`, because the response passes
-        no checks: status and headers must be valid as they are.
+        It takes less processor time than `respond`, because the response passes no
+        checks: status and headers must be valid as they are.
         """
+        self._raise_if_ended()
+        await self._write(self._unchecked(status, body, headers))
+        await self.drain()
+
+    def end(self, status: int, body: bytes, headers: dict[str, str]) -> None:
+        """End the exchange from another task, without waiting for its own.
+
+        A response that has not started is sent, as far as the socket takes it at once;
+        one that has started is cut off.  Whatever the exchange sends later fails.
+        """
+        last = b"" if self.started else self._unchecked(status, body, headers)
+        self._end(last)
+
+    def end_unanswered(self) -> None:
+        """End the exchange of a peer that has left, without a response."""
+        self._end(b"")
+
+    def _end(self, last: bytes) -> None:
+        self.ended = True
+        # The task that detects disconnects sees the shutdown and cancels the handler.
+        self._buffer.end(
+            "the exchange has been ended", last=last, resets=self._ends_with_close
+        )
+
+    def _unchecked(self, status: int, body: bytes, headers: dict[str, str]) -> bytes:
         self.started = True
         fields = {"content-length": str(len(body))} | headers | {"connection": "close"}
         lines = [f"HTTP/1.1 {status} \r\n"]
         lines += [f"{name}: {value}\r\n" for name, value in fields.items()]
         head = "".join((*lines, "\r\n")).encode("latin-1")
-        await self._write(head if self.bodiless else head + body)
-        await self.drain()
+        return head if self.bodiless else head + body
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Send status and headers; without content-length the body is chunked."""
@@ -162,6 +191,7 @@
 
     async def finish(self) -> None:
         """Send the end marker, by which the peer sees that the body is complete."""
+        self._raise_if_ended()
         await self._write(self._conn.send(h11.EndOfMessage()))
         await self.drain()
 
@@ -210,22 +240,25 @@
         # disconnects waits on it: the next connection gets the same number, and
         # curio wakes the wrong task or none.  After a shutdown that task ends by
         # itself, and the connection's own task closes the socket.
-        with suppress(OSError):
-            await self._sock.shutdown(_socket.SHUT_RDWR)
+        self._buffer.end("the response has been aborted", resets=self._ends_with_close)
 
     def _head(
         self, status: int, headers: dict[str, str] | list[tuple[str, str]]
     ) -> bytes:
+        self._raise_if_ended()
         self.started = True
         pairs = list(headers.items() if isinstance(headers, dict) else headers)
         if self.closing():
             pairs.append(("connection", "close"))
         fields = [(k.encode(), v.encode("latin-1")) for k, v in pairs]
         data = self._conn.send(h11.Response(status_code=status, headers=fields))
-        self._chunked = _CHUNKED in data.lower()
+        lower = data.lower()
+        self._chunked = _CHUNKED in lower
+        self._ends_with_close = not (self._chunked or _LENGTH in lower)
         return data
 
     def _body(self, data: bytes, last: bool) -> bytes:
+        self._raise_if_ended()
         encoded = self._encode(data)
         return encoded + self._conn.send(h11.EndOfMessage()) if last else encoded
 
@@ -245,6 +278,11 @@
                 await self.disconnected.set()
                 raise
 
+    def _raise_if_ended(self) -> None:
+        # Before h11, which has not seen the response of `end` and would report a fault.
+        if self.ended:
+            raise ExchangeBroken("the exchange has been ended")
+
     @asynccontextmanager
     async def _noting_loss(self):
         try:
--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -29,6 +29,9 @@
 MAX_PIPELINED_BYTES = 64 * 1024
 """Bytes of pipelined requests read while one runs; more stay in the socket."""
 
+READ_AT_ONCE_SECONDS = 0.002
+"""A read that takes less has found its data there."""
+
 LINGER_SECONDS = 2.0
 """How long a refused peer may continue to send before the connection closes."""
 
@@ -79,6 +82,9 @@
         Ends a connection whose peer reads nothing of a ready response for this time.
     held
         Counts and bounds the bytes held for peers that read slowly.
+    arrived_at
+        Returns the monotonic second after which the events that tasks handle now
+        arrived, if given.  Without it a request arrives when its head is read.
 
     Attributes
     ----------
@@ -113,6 +119,7 @@
         counter: ByteCounter | None = None,
         stall_seconds: float | None = None,
         held: HeldBytes | None = None,
+        arrived_at: Callable[[], float] | None = None,
     ) -> None:
         self.host = host
         self.port = port
@@ -126,6 +133,7 @@
         self._counter = counter
         self._stall_seconds = stall_seconds
         self._held = held or HeldBytes()
+        self._arrived_at = arrived_at
         self._connections_before_request = 0
         self.closes_connections = False
         self._idle_by_socket: dict[object, _IdleConnection] = {}
@@ -256,14 +264,17 @@
         with suppress(OSError):
             sock.setsockopt(_socket.IPPROTO_TCP, _socket.TCP_NODELAY, 1)
         self._connections_before_request += 1
-        await self._connections.spawn(self._connection, sock, daemon=True)
+        accepted_at = self._arrived_at() if self._arrived_at else None
+        await self._connections.spawn(self._connection, sock, accepted_at, daemon=True)
 
-    async def _connection(self, sock) -> None:
+    async def _connection(self, sock, accepted_at: float | None) -> None:
         conn = h11.Connection(h11.SERVER)
+        arrivals = _Arrivals(self._arrived_at, accepted_at)
         try:
             head = await self._read_first_head(sock, conn)
-            while head and await self._exchange(sock, conn, head):
+            while head and await self._exchange(sock, conn, head, arrivals.next()):
                 conn.start_next_cycle()
+                arrivals.begin_wait()
                 head = await self._read_head(sock, conn)
         except BadRequest as exc:
             with suppress(OSError, ExchangeBroken):
@@ -279,7 +290,7 @@
         finally:
             self._connections_before_request -= 1
 
-    async def _exchange(self, sock, conn, head: h11.Request) -> bool:
+    async def _exchange(self, sock, conn, head: h11.Request, arrived_at: float) -> bool:
         """Serve one request; return whether another may follow."""
         responder = Responder(
             sock=sock,
@@ -290,12 +301,13 @@
         )
         self.open_exchanges += 1
         try:
-            request = await self._read_request(sock, conn, head)
+            request = await self._read_request(sock, conn, head, arrived_at)
             await self._run_handler(sock, conn, request, responder)
         finally:
             self.open_exchanges -= 1
         reusable = conn.our_state is h11.DONE and conn.their_state is h11.DONE
-        return reusable and not responder.disconnected.is_set()
+        is_lost = responder.ended or responder.disconnected.is_set()
+        return reusable and not is_lost
 
     async def _run_handler(
         self, sock, conn, request: Request, responder: Responder
@@ -359,8 +371,9 @@
             return None
         return event if isinstance(event, h11.Request) else None
 
-    async def _read_request(self, sock, conn, head: h11.Request) -> Request:
-        arrived_at = monotonic()
+    async def _read_request(
+        self, sock, conn, head: h11.Request, arrived_at: float
+    ) -> Request:
         url = _split_target(head)
         headers = join_headers(head.headers)
         self._check_length(int(headers.get("content-length", "0")))
@@ -424,6 +437,34 @@
     return True
 
 
+class _Arrivals:
+    """When the heads of requests on one connection arrived, in monotonic seconds.
+
+    A head that was there as soon as it was read arrived at the latest when the wait for
+    it began: with the connection, or while the response before it was sent.
+    """
+
+    def __init__(
+        self, arrived_at: Callable[[], float] | None, accepted_at: float | None
+    ) -> None:
+        self._arrived_at = arrived_at
+        self._earliest_at = accepted_at
+        self._wait_began_at = monotonic()
+
+    def begin_wait(self) -> None:
+        """Begin to wait for the next head."""
+        self._earliest_at = self._wait_began_at = monotonic()
+
+    def next(self) -> float:
+        """Return when the head that has just been read arrived."""
+        now = monotonic()
+        if self._arrived_at is None:
+            return now
+        if now - self._wait_began_at < READ_AT_ONCE_SECONDS:
+            return self._earliest_at
+        return max(self._arrived_at(), self._wait_began_at)
+
+
 def _split_target(head: h11.Request):
     try:
         return urlsplit(head.target.decode("latin-1"))
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -18,12 +18,14 @@
     BROKEN,
     BUDGET_EXHAUSTED,
     BUDGET_UNREACHABLE,
+    INSTANCE_OVERLOADED,
     NO_UPSTREAM,
     OVERLOADED,
     QUARANTINED,
     TIMED_OUT,
     UPSTREAMS_WITHHELD,
     ErrorResponse,
+    end_with_error,
     send_error,
     with_retry_after,
 )
@@ -126,6 +128,8 @@
         self._complete = False
         self._tried_upstreams: frozenset[str] = frozenset()
         self._upstream_failure: tuple[Assignment, FullResponse] | None = None
+        self._attempt: Attempt | None = None
+        self.deadline = accepted.call.deadline
 
     async def run(self) -> None:
         """Run the request and send its final response.
@@ -135,8 +139,50 @@
         CallerLeft
             The caller closed its connection before the response.
         """
+        if self._components.sweep is not None:
+            self._components.sweep.sweep_if_due()
+        self._join_sweep()
+        try:
+            await self._run()
+        finally:
+            self._leave_sweep()
+
+    def _join_sweep(self) -> None:
+        if self._components.sweep is not None:
+            self._components.sweep.add(self)
+
+    def _leave_sweep(self) -> None:
+        if self._components.sweep is not None:
+            self._components.sweep.discard(self)
+
+    def caller_has_left(self) -> bool:
+        """Return whether the caller has closed its connection, checking the socket."""
+        return self._responder.peer_disconnected()
+
+    def end_left(self) -> None:
+        """End the request at its sockets, because its caller has left."""
+        self._log_caller_left("swept")
+        self._responder.end_unanswered()
+        self._cut_off()
+
+    def end_late(self) -> None:
+        """End the request at its sockets, because its time limit has passed."""
+        sent = self._may_have_run or (self._attempt is not None and self._attempt.sent)
+        error = TIMED_OUT if sent else INSTANCE_OVERLOADED
+        self._record_refusal(error)
+        end_with_error(self._responder, error)
+        self._cut_off()
+
+    def _cut_off(self) -> None:
+        if self._attempt is not None:
+            self._attempt.cut_off()
+
+    async def _run(self) -> None:
         accepted = self._accepted
         self._raise_if_caller_left("arrived")
+        if self._components.sweep is not None and self._seconds_left() <= 0.0:
+            await self._send_error(INSTANCE_OVERLOADED)
+            return
         if self._components.crashes.is_quarantined(accepted.fingerprint):
             await self._send_error(QUARANTINED)
             return
@@ -200,6 +246,7 @@
             done = await self._handle_outcome(assignment, outcome)
             if not isinstance(done, _TryAgain):
                 return await self._give_up(done) if done else None
+            self._join_sweep()
 
     async def _give_up(self, error: ErrorResponse) -> ErrorResponse | None:
         if self._upstream_failure is not None:
@@ -283,16 +330,23 @@
             ),
             on_head=receive_head,
             on_first_event=receive_event,
+            checks_deadline=components.sweep is not None,
             delivery_seconds=components.event_delivery_seconds,
         )
+        self._attempt = attempt
         outcome: Outcome | None = None
         try:
             outcome = await attempt.run()
+            if isinstance(outcome, FullResponse | StreamCompleted):
+                # A ready answer is delivered even if it is late.
+                self._leave_sweep()
             return outcome
         except CallerLeft:
-            self._log_caller_left("placed")
+            if not self._responder.ended:
+                self._log_caller_left("placed")
             raise
         finally:
+            self._attempt = None
             # A request that is cancelled after sending may have run as well.
             if attempt.sent and not isinstance(outcome, NotRun):
                 self._may_have_run = True
@@ -312,6 +366,8 @@
         )
 
     def _record_first_token(self, assignment: Assignment) -> None:
+        if self._components.sweep is not None:
+            self._components.sweep.sweep_if_due()
         if not assignment.prompt_read:
             self._components.placement.record_first_token(assignment)
             waited = monotonic() - self._accepted.arrived_at
@@ -325,6 +381,9 @@
     ) -> ErrorResponse | _TryAgain | None:
         """Return an error to send, None after a final response, or `_AGAIN`."""
         components, name = self._components, assignment.upstream.name
+        if self._responder.ended:
+            # The sweep has ended the run, so its outcome says nothing of the upstream.
+            raise CallerLeft(self._accepted.call.request_id)
         match outcome:
             case FullResponse(head=head) as response:
                 if head.status >= SERVER_ERROR_STATUS and self._may_run_again("error"):
@@ -426,18 +485,20 @@
         """
         if not self._caller_response.started:
             return error
-        self._components.record_refusal(
-            self._accepted.call.request_id,
-            error,
-            route=self._accepted.route.name,
-            waited=monotonic() - self._accepted.arrived_at,
-            revision=self._accepted.revision,
-        )
+        self._leave_sweep()
+        self._record_refusal(error)
         # What was received whole is still delivered if the time limit allows it.
         await self._responder.abort(max(ABORT_DRAIN_SECONDS, self._seconds_left()))
         return None
 
     async def _send_error(self, error: ErrorResponse) -> None:
+        if self._responder.ended:
+            raise CallerLeft(self._accepted.call.request_id)
+        self._leave_sweep()
+        self._record_refusal(error)
+        await send_error(self._responder, error)
+
+    def _record_refusal(self, error: ErrorResponse) -> None:
         self._components.record_refusal(
             self._accepted.call.request_id,
             error,
@@ -445,7 +506,6 @@
             waited=monotonic() - self._accepted.arrived_at,
             revision=self._accepted.revision,
         )
-        await send_error(self._responder, error)
 
     def _log_served(self, assignment: Assignment, *, status: int) -> None:
         accepted = self._accepted
--- a/src/ragwortkeel/ingress/instance_monitor.py
+++ b/src/ragwortkeel/ingress/instance_monitor.py
@@ -4,6 +4,7 @@
 time, until each turn of its event loop takes seconds.
 """
 
+from collections.abc import Callable
 from random import Random
 from time import monotonic
 
@@ -29,6 +30,9 @@
 PACKET_PAYLOAD_BYTES = 1448
 """Largest payload of a packet on an Ethernet link."""
 
+LATE_SECONDS = 0.1
+"""Event loop lag above which callers that have left are looked for at their sockets."""
+
 LOG_SECONDS = 1.0
 """Shortest time between two log lines on the load of the instance."""
 
@@ -42,6 +46,8 @@
         What the instance can carry.
     counter : ByteCounter
         Bytes on the sockets of the process.
+    held_bytes : callable
+        Returns the bytes that wait to be sent to callers.
 
     Attributes
     ----------
@@ -56,12 +62,14 @@
         counter: ByteCounter,
         metrics: Metrics,
         random: Random,
+        held_bytes: Callable[[], int] = int,
     ) -> None:
         self.open_requests = 0
         self._detector = OverloadDetector(
             link_bytes_per_second=capacity.link_bytes_per_second, random=random
         )
         self._counter = counter
+        self._held_bytes = held_bytes
         self._metrics = metrics
         self._selector: MeasuredSelector | None = None
         self._logged_level = Level.NORMAL
@@ -78,6 +86,18 @@
         """Whether `admits` may refuse a request now."""
         return self._detector.overload.level is Level.OVERLOADED
 
+    @property
+    def is_late(self) -> bool:
+        """Whether timers of the event loop are late."""
+        return self._detector.overload.lag_seconds > LATE_SECONDS
+
+    def arrived_at(self) -> float:
+        """Return the second after which the events of this turn of the loop arrived.
+
+        On a late event loop a request waits unread, which counts for its time limit.
+        """
+        return self._selector.arrived_after if self._selector else monotonic()
+
     def admits(self, priority: int) -> bool:
         """Return whether a new request is taken, and count it."""
         admitted = self._detector.admits(priority, self.open_requests)
@@ -114,6 +134,7 @@
                 sent_bytes=sent - previous[1],
                 received_bytes=received - previous[2],
                 lag_seconds=max(0.0, lag_seconds),
+                held_bytes=self._held_bytes(),
                 open_requests=self.open_requests,
             )
             self._report(self._detector.record(sample, now), now)
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -266,6 +266,10 @@
             self._used_at = monotonic()
         return data
 
+    def cut_off(self) -> None:
+        """Shut the connection down from another task; its own task closes it."""
+        self._buffer.end("the request has been ended")
+
     async def close(self) -> None:
         """Close at once, so that the upstream stops working on the request."""
         await self._buffer.close()
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -41,6 +41,7 @@
 from ragwortkeel.ingress.peers import Peers
 from ragwortkeel.ingress.placement import Load, Placement
 from ragwortkeel.ingress.relaying import RelayedPlatform
+from ragwortkeel.ingress.request_sweep import RequestSweep
 from ragwortkeel.ingress.rotation_controller import RotationController
 from ragwortkeel.ingress.routing import RoutingTable
 from ragwortkeel.ingress.speed_tracker import SpeedTracker
@@ -225,13 +226,16 @@
             id_header=names.request_id, held=held, counter=counter
         )
         self._monitor: InstanceMonitor | None = None
+        self._sweep: RequestSweep | None = None
         if settings.capacity is not None:
             self._monitor = InstanceMonitor(
                 capacity=settings.capacity,
                 counter=counter,
                 metrics=self.metrics,
                 random=Random(incarnation),
+                held_bytes=lambda: held.total,
             )
+            self._sweep = RequestSweep(is_late=lambda: self._monitor.is_late)
         self._front = Front(
             components=FrontComponents(
                 names=names,
@@ -245,6 +249,7 @@
                 metrics=self.metrics,
                 speeds=self._speed_tracker,
                 event_delivery_seconds=settings.event_delivery_seconds,
+                sweep=self._sweep,
             ),
             monitor=self._monitor,
         )
@@ -258,6 +263,7 @@
             held=held,
             refuse=self._front.refuse if self._monitor else None,
             counter=counter,
+            arrived_at=self._monitor.arrived_at if self._monitor else None,
         )
         self._rotation = RotationController(
             settings=settings,
@@ -315,7 +321,7 @@
 
     async def run(self) -> None:
         """Run all tasks until cancelled or until one fails."""
-        monitoring = [self._monitor.run] if self._monitor else []
+        monitoring = [self._monitor.run, self._sweep.run] if self._monitor else []
         await run_together(
             *monitoring,
             self._server.serve,
--- a/src/ragwortkeel/send_buffer.py
+++ b/src/ragwortkeel/send_buffer.py
@@ -80,7 +80,7 @@
             bound=self._max_bytes,
         )
         self._on_ended()
-        buffer.end()
+        buffer.end("ended as a slow reader")
 
 
 class SendBuffer:
@@ -180,14 +180,28 @@
                 self._held.end(self, "stalled")
         self._raise_if_lost()
 
-    def end(self) -> None:
-        """Drop what is held and reset the connection."""
-        self._error = "ended as a slow reader"
+    def end(self, error: str, *, last: bytes = b"", resets: bool = False) -> None:
+        """Drop what is held and shut the connection down, without waiting.
+
+        Parameters
+        ----------
+        error : str
+            What those who wait or write later are told.
+        last : bytes
+            Sent before, as far as the socket accepts it at once, if nothing is held.
+        resets : bool
+            Whether to reset the connection; it always is if something is held.
+        """
         raw = self._sock._socket
-        with suppress(OSError):
+        if last and not self._blocks and not self._error:
+            with suppress(OSError):
+                self._counter.record_sent(raw.send(last))
+        self._error = self._error or error
+        if resets or self._blocks:
             # Without it the system would go on to send what it holds itself, and an
             # answer without a length would look complete.
-            raw.setsockopt(_socket.SOL_SOCKET, _socket.SO_LINGER, _RESET_ON_CLOSE)
+            with suppress(OSError):
+                raw.setsockopt(_socket.SOL_SOCKET, _socket.SO_LINGER, _RESET_ON_CLOSE)
         with suppress(OSError):
             # Wakes the tasks that wait for the socket; its owner closes it.
             raw.shutdown(_socket.SHUT_RDWR)
