Responses that end with the connection never look complete when cut off

Cause: an answer to an HTTP/1.0 caller has no length. Ending or aborting it shut down both sides of the socket, and the caller saw an end as after a whole answer. A reset at the close of the socket came too late, after that end.

Ruled out: a reset with the shutdown alone; the test still saw the end first.

Change: for such a response only the reading side is shut down, which wakes the task that detects disconnects, and the close of the socket resets the connection.

--- a/src/ragwortkeel/http_responder.py
+++ b/src/ragwortkeel/http_responder.py
@@ -81,7 +81,6 @@
         self.closing: Callable[[], bool] = lambda: False
         self.ended = False
         self._chunked = False
-        self._ends_with_close = False
         self._held = held or HeldBytes()
         self._stall_seconds = stall_seconds
         self._buffer = SendBuffer(
@@ -146,9 +145,7 @@
     def _end(self, last: bytes) -> None:
         self.ended = True
         # The task that detects disconnects sees the shutdown and cancels the handler.
-        self._buffer.end(
-            "the exchange has been ended", last=last, resets=self._ends_with_close
-        )
+        self._buffer.end("the exchange has been ended", last=last)
 
     def _unchecked(self, status: int, body: bytes, headers: dict[str, str]) -> bytes:
         self.started = True
@@ -240,7 +237,7 @@
         # disconnects waits on it: the next connection gets the same number, and
         # curio wakes the wrong task or none.  After a shutdown that task ends by
         # itself, and the connection's own task closes the socket.
-        self._buffer.end("the response has been aborted", resets=self._ends_with_close)
+        self._buffer.end("the response has been aborted")
 
     def _head(
         self, status: int, headers: dict[str, str] | list[tuple[str, str]]
@@ -254,7 +251,8 @@
         data = self._conn.send(h11.Response(status_code=status, headers=fields))
         lower = data.lower()
         self._chunked = _CHUNKED in lower
-        self._ends_with_close = not (self._chunked or _LENGTH in lower)
+        is_framed = self._chunked or _LENGTH in lower
+        self._buffer.must_reset = not (is_framed or self.bodiless)
         return data
 
     def _body(self, data: bytes, last: bool) -> bytes:
--- a/src/ragwortkeel/send_buffer.py
+++ b/src/ragwortkeel/send_buffer.py
@@ -101,12 +101,16 @@
     ----------
     held_bytes : int
         Bytes that the socket has not accepted yet.
+    must_reset : bool
+        Whether what is sent ends with the connection, so that it would look complete
+        if `end` did not reset the connection.
     """
 
     def __init__(
         self, *, sock, held: HeldBytes, peer: str, counter: ByteCounter | None = None
     ) -> None:
         self.peer = peer
+        self.must_reset = False
         self._counter = counter or ByteCounter()
         self.held_bytes = 0
         self._sock = sock
@@ -180,7 +184,7 @@
                 self._held.end(self, "stalled")
         self._raise_if_lost()
 
-    def end(self, error: str, *, last: bytes = b"", resets: bool = False) -> None:
+    def end(self, error: str, *, last: bytes = b"") -> None:
         """Drop what is held and shut the connection down, without waiting.
 
         Parameters
@@ -189,22 +193,20 @@
             What those who wait or write later are told.
         last : bytes
             Sent before, as far as the socket accepts it at once, if nothing is held.
-        resets : bool
-            Whether to reset the connection; it always is if something is held.
         """
         raw = self._sock._socket
         if last and not self._blocks and not self._error:
             with suppress(OSError):
                 self._counter.record_sent(raw.send(last))
         self._error = self._error or error
-        if resets or self._blocks:
-            # Without it the system would go on to send what it holds itself, and an
-            # answer without a length would look complete.
+        if self.must_reset or self._blocks:
+            # Without it the system would go on to send what it holds itself.
             with suppress(OSError):
                 raw.setsockopt(_socket.SOL_SOCKET, _socket.SO_LINGER, _RESET_ON_CLOSE)
         with suppress(OSError):
-            # Wakes the tasks that wait for the socket; its owner closes it.
-            raw.shutdown(_socket.SHUT_RDWR)
+            # Wakes the tasks that wait for the socket; its owner closes it.  Shutting
+            # down both sides would send an end before the reset.
+            raw.shutdown(_socket.SHUT_RD if self.must_reset else _socket.SHUT_RDWR)
         self._drop()
 
     async def close(self) -> None:
