Take the backlog after a freeze for no overload; guard the early refusal

Cause: a process that resumes is busy for some tenths of a second with what arrived meanwhile, which could count as a sustained overload. An error in the early refusal would have closed the connection without an answer.

Change: after a long first sample an overload has to last 0.5 s longer. The refusal is within the server's handling of failed handlers.

--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -248,15 +248,16 @@
     ) -> None:
         responder.bodiless = request.method == "HEAD"
         responder.closing = self._stopping
-        if self._refuse is not None and await self._refuse(request, responder):
-            return
-        handler_task = (
-            await curio.current_task() if self._cancels_disconnected else None
-        )
-        watcher = await curio.spawn(
-            _detect_disconnect, sock, conn, responder, handler_task, daemon=True
-        )
+        watcher = None
         try:
+            if self._refuse is not None and await self._refuse(request, responder):
+                return
+            handler_task = (
+                await curio.current_task() if self._cancels_disconnected else None
+            )
+            watcher = await curio.spawn(
+                _detect_disconnect, sock, conn, responder, handler_task, daemon=True
+            )
             await self._handler(request, responder)
         except (OSError, ExchangeBroken):
             raise
@@ -266,7 +267,8 @@
             log_error("handler_failed", path=request.path, error=repr(exc))
             await _report_fault(responder)
         finally:
-            await watcher.cancel()
+            if watcher is not None:
+                await watcher.cancel()
 
     async def _read_head(self, sock, conn) -> h11.Request | None:
         """Return the head of the next request, or None if the peer sends none."""
--- a/src/ragwortkeel/policy/overload.py
+++ b/src/ragwortkeel/policy/overload.py
@@ -61,6 +61,11 @@
 """An overload lasts this long, over this many samples, before the level changes.  A
 single late timer, a configuration being applied or a garbage collection is shorter."""
 
+LONG_SAMPLE_SECONDS = 0.75
+RESUME_SECONDS = 0.5
+"""After a first overloaded sample that covers more than `LONG_SAMPLE_SECONDS`, the time
+in which a process that was frozen works off what arrived; it is no overload."""
+
 LEAVE_SECONDS = 2.0
 """Time below the lower threshold after which a level ends, about that of a stream.  An
 overload also ends if no request was refused for this time."""
@@ -215,7 +220,7 @@
             weight = min(sample.seconds, MAX_SAMPLE_WEIGHT_SECONDS)
             averages = previous.smoothed(usage, 1.0 - exp(-weight / AVERAGE_SECONDS))
         self._averages = averages
-        self._update_level(usage, averages, now)
+        self._update_level(usage, averages, now, sample.seconds)
         self._has_shed = False
         self._update_limit(averages, sample.seconds)
         self._overload = self._result(averages, sample, now)
@@ -253,11 +258,13 @@
             open_requests=sample.open_requests,
         )
 
-    def _update_level(self, usage: "_Averages", averages: "_Averages", now) -> None:
+    def _update_level(
+        self, usage: "_Averages", averages: "_Averages", now: float, seconds: float
+    ) -> None:
         hot = usage.is_overloaded and averages.is_overloaded
         busy = averages.utilization >= BUSY_UTILIZATION
-        self._hot.record(hot, now)
-        self._busy.record(busy, now)
+        self._hot.record(hot, now, seconds)
+        self._busy.record(busy, now, seconds)
         level = self._overload.level
         if level is not Level.OVERLOADED and self._hot.is_sustained(now):
             self._enter(Level.OVERLOADED, now)
@@ -404,12 +411,13 @@
         self._samples = 0
         self._began_at = 0.0
 
-    def record(self, is_over: bool, now: float) -> None:
+    def record(self, is_over: bool, now: float, seconds: float) -> None:
         if not is_over:
             self._samples = 0
             return
         if not self._samples:
-            self._began_at = now
+            has_resumed = seconds > LONG_SAMPLE_SECONDS
+            self._began_at = now + RESUME_SECONDS if has_resumed else now
         self._samples += 1
 
     def is_sustained(self, now: float) -> bool:
--- a/tests/policy/test_overload.py
+++ b/tests/policy/test_overload.py
@@ -54,6 +54,14 @@
             assert instance.run(0.1, 0.6) is not Level.OVERLOADED
             assert instance.detector.admits(5, 1_000)
 
+    def test_the_backlog_of_a_freeze_is_no_overload(self):
+        """Guards against shedding while a resumed process works off its backlog."""
+        instance = Instance()
+        instance.run(3.0, 0.6)
+        instance.run(2.0, 1.0, step=2.0, lag_seconds=2.0)
+        assert instance.run(0.4, 1.0, lag_seconds=0.15) is not Level.OVERLOADED
+        assert instance.run(1.0, 0.6) is not Level.OVERLOADED
+
     def test_late_timers_of_an_idle_loop_are_no_overload(self):
         assert Instance().run(3.0, 0.2, lag_seconds=0.2) is Level.NORMAL
 
