--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -316,9 +316,8 @@
         stopping = self._stopping
         responder.closing = lambda: stopping or self.closes_connections
         try:
-            if self._refuse is not None and await self._refuse(request, responder):
-                return
-            await self._run_watched(sock, conn, request, responder)
+            if not await self._call(self._refuse, request, responder):
+                await self._run_watched(sock, conn, request, responder)
         finally:
             await responder.close_buffer()
 
@@ -332,15 +331,23 @@
             _detect_disconnect, sock, conn, responder, handler_task, daemon=True
         )
         try:
-            await self._call_handler(request, responder)
+            await self._call(self._handler, request, responder)
             # A ready response is delivered even if the peer reads it late.
             await responder.drain()
         finally:
             await watcher.cancel()
 
-    async def _call_handler(self, request: Request, responder: Responder) -> None:
+    async def _call(
+        self,
+        function: Handler | Callable[[Request, Responder], Awaitable[bool]] | None,
+        request: Request,
+        responder: Responder,
+    ) -> bool:
+        """Return what the function returns, and True if it failed."""
+        if function is None:
+            return False
         try:
-            await self._handler(request, responder)
+            return await function(request, responder)
         except (OSError, ExchangeBroken):
             raise
         except Exception as exc:
@@ -348,6 +355,7 @@
             # response that looks complete; other connections must not be affected.
             log_error("handler_failed", path=request.path, error=repr(exc))
             await _report_fault(responder)
+            return True
 
     async def _read_head(self, sock, conn) -> h11.Request | None:
         """Return the head of the next request, or None if the peer sends none."""
