--- a/src/ragwortkeel/ingress/peer_statuses.py
+++ b/src/ragwortkeel/ingress/peer_statuses.py
@@ -6,7 +6,7 @@
 """
 
 from dataclasses import dataclass
-from math import isfinite
+from math import inf, isfinite
 
 import msgspec
 
@@ -100,6 +100,7 @@
     }
     return msgspec.structs.replace(
         status,
+        capacity=status.capacity if 0.0 <= status.capacity < inf else 0.0,
         utilization=_valid_utilization(status.utilization),
         departure_utilization=_valid_utilization(status.departure_utilization),
         running_by_customer=dict(list(running.items())[:MAX_CUSTOMERS]),
--- a/src/ragwortkeel/ingress/rotation_controller.py
+++ b/src/ragwortkeel/ingress/rotation_controller.py
@@ -111,6 +111,7 @@
         return [
             PeerReport(
                 node=peer.node,
+                capacity=peer.status.capacity,
                 utilization=peer.status.utilization,
                 overloaded=peer.status.overloaded,
                 in_rotation=peer.status.in_rotation,
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -12,6 +12,7 @@
 """
 
 import socket as _socket
+from collections.abc import Callable
 from dataclasses import dataclass
 from time import monotonic
 
@@ -30,6 +31,13 @@
 TCP repeats a lost SYN only after 1 s; by then another upstream has responded.
 """
 
+OVERLOADED_CONNECT_SECONDS = 1.2
+"""Time limit of a connect while the own instance is overloaded.
+
+Packets then wait at the instance's link, and timers fire late: with the usual limit
+most connects fail, each is tried at the next upstream, and no upstream is to blame.
+"""
+
 MAX_UNACKNOWLEDGED_MILLISECONDS = 2000
 """Age of unacknowledged bytes at which TCP drops the connection as unreachable."""
 
@@ -120,6 +128,7 @@
         *,
         id_header: str,
         counter: ByteCounter | None = None,
+        connect_seconds: float = CONNECT_SECONDS,
     ) -> "UpstreamConnection":
         """Connect to an upstream.
 
@@ -132,7 +141,7 @@
         connected = False
         try:
             _set_options(sock)
-            async with curio.timeout_after(CONNECT_SECONDS):
+            async with curio.timeout_after(connect_seconds):
                 await sock.connect((upstream.host, upstream.port))
             connected = True
         except ConnectionRefusedError as exc:
@@ -294,9 +303,22 @@
 
 
 class ConnectionPool:
-    """A pool of idle connections for each upstream instance."""
+    """A pool of idle connections for each upstream instance.
+
+    Parameters
+    ----------
+    is_overloaded
+        Returns whether the own instance is overloaded, so that connects take longer.
+    """
 
-    def __init__(self, *, id_header: str, counter: ByteCounter | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        id_header: str,
+        counter: ByteCounter | None = None,
+        is_overloaded: Callable[[], bool] = lambda: False,
+    ) -> None:
+        self.is_overloaded = is_overloaded
         self._id_header = id_header
         self._counter = counter
         self._idle_by_upstream: dict[tuple[str, int], list[UpstreamConnection]] = {}
@@ -322,7 +344,12 @@
                 return connection
             await connection.close()
         return await UpstreamConnection.open(
-            upstream, id_header=self._id_header, counter=self._counter
+            upstream,
+            id_header=self._id_header,
+            counter=self._counter,
+            connect_seconds=(
+                OVERLOADED_CONNECT_SECONDS if self.is_overloaded() else CONNECT_SECONDS
+            ),
         )
 
     async def release(self, upstream: Upstream, connection: UpstreamConnection):
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -212,7 +212,6 @@
         self._retries = RetryBudgets(
             retry_fraction=RETRY_FRACTION, reserve=RETRY_RESERVE
         )
-        self._connections = ConnectionPool(id_header=names.request_id, counter=counter)
         self._monitor: InstanceMonitor | None = None
         if settings.capacity is not None:
             self._monitor = InstanceMonitor(
@@ -221,6 +220,11 @@
                 metrics=self.metrics,
                 random=Random(incarnation),
             )
+        self._connections = ConnectionPool(
+            id_header=names.request_id,
+            counter=counter,
+            is_overloaded=lambda: bool(self._monitor and self._monitor.is_limiting),
+        )
         self._front = Front(
             components=FrontComponents(
                 names=names,
@@ -398,6 +402,7 @@
         overload = self._monitor.overload
         is_overloaded = overload.level is Level.OVERLOADED
         return OwnLoad(
+            capacity=self._settings.capacity.link_bytes_per_second,
             utilization=round(overload.utilization, 2),
             overloaded_since=overload.since_at if is_overloaded else None,
         )
@@ -410,6 +415,7 @@
         load = self._own_load()
         status = InstanceStatus(
             zone=self._settings.zone,
+            capacity=load.capacity,
             utilization=load.utilization,
             overloaded=load.overloaded_since is not None,
             in_rotation=self.ready,
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -441,6 +441,8 @@
     ----------
     zone : str
         Availability zone of the process.
+    capacity : float
+        Bytes a second that the instance's link carries; 0 if unknown.
     utilization : float
         Fraction of the process's event loop or link that is in use, the larger of both.
     overloaded : bool
@@ -463,6 +465,7 @@
     """
 
     zone: str = ""
+    capacity: float = 0.0
     utilization: float = 0.0
     overloaded: bool = False
     in_rotation: bool = True
--- a/src/ragwortkeel/policy/overload.py
+++ b/src/ragwortkeel/policy/overload.py
@@ -50,6 +50,13 @@
 always busy.  An event may wait for two turns of the loop, and some callers count it as
 late after 0.12 s."""
 
+SHED_DEMAND = 1.25
+"""Demand above which requests are refused, an average lag of about 0.24 s.
+
+Below it an answer is late but still of use to its caller.  A refused caller has one
+more attempt, which may reach an overloaded instance as well.
+"""
+
 MAX_COUNTED_LAG_SECONDS = 0.4
 """Larger lags count as this in the average; a frozen timer may be late by seconds."""
 
@@ -293,7 +300,9 @@
             self._limit = None
             self._shed = 0.0
             return
-        ratio = TARGET_UTILIZATION / max(averages.demand, 0.1)
+        if self._limit is None and averages.demand < SHED_DEMAND:
+            return
+        ratio = SHED_DEMAND / max(averages.demand, 0.1)
         in_proportion = averages.open_requests * ratio
         if self._limit is None:
             self._limit = in_proportion
--- a/src/ragwortkeel/policy/rotation.py
+++ b/src/ragwortkeel/policy/rotation.py
@@ -65,12 +65,23 @@
 wrongly."""
 
 
+UNEVEN_SECONDS = 30.0
+"""How long after the last overload of a process the zone's load counts as uneven."""
+
+MAX_LARGER_UTILIZATION = 0.5
+"""Highest mean utilization of far larger peers at which a process leaves for them."""
+
+LARGER_LOADED_UTILIZATION = 0.7
+"""Mean utilization of far larger peers at which a process that left for them joins."""
+
+
 class Reason(StrEnum):
     """Why a process is in the rotation, or out of it."""
 
     NORMAL_LOAD = "normal_load"
     OVERLOADED = "overloaded"
     HIGH_UTILIZATION = "high_utilization"
+    LARGER_PEERS = "larger_peers"
     RECENTLY_JOINED = "recently_joined"
     SMALL_ZONE = "small_zone"
     PEERS_UNHEARD = "peers_unheard"
@@ -87,6 +98,8 @@
 
     Attributes
     ----------
+    capacity : float
+        Bytes a second that the link of the instance carries; 0 if unknown.
     utilization : float
         Fraction of the event loop or the link in use, the larger of both.
     overloaded_since : float or None
@@ -95,6 +108,7 @@
 
     utilization: float
     overloaded_since: float | None
+    capacity: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -148,6 +162,8 @@
         self._loaded_since: float | None = None
         self._unheard_since: float | None = None
         self._excess_since: float | None = None
+        self._uneven_at = float("-inf")
+        self._left_reason = Reason.OVERLOADED
 
     def update(
         self, own: OwnLoad, reports: Sequence[PeerReport], now: float
@@ -162,6 +178,8 @@
             Monotonic seconds.
         """
         zone = self._peers.view(reports, now)
+        if _has_overload(own, zone):
+            self._uneven_at = now
         if self.in_rotation:
             reason = self._reason_to_stay(own, zone, now)
             if reason is None:
@@ -169,7 +187,7 @@
         else:
             reason = self._reason_to_join(own, zone, now)
             if reason is None:
-                reason = Reason.OVERLOADED
+                reason = self._left_reason
             else:
                 self._join(now)
         self._record_load(own, now)
@@ -185,16 +203,24 @@
         self, own: OwnLoad, zone: ZoneView, now: float
     ) -> Reason | None:
         """Return why the process stays in the rotation, None if it should leave."""
-        if self._loaded_since is None or _cause(own, self._loaded_since, now) is None:
+        is_loaded = self._load_cause(own, now) is not None
+        if not is_loaded and not self._prefers_larger(own, zone, now):
             return Reason.NORMAL_LOAD
         if now - self._joined_at < MIN_JOINED_SECONDS:
             return Reason.RECENTLY_JOINED
         if (obstacle := _obstacle(zone)) is not None:
             return obstacle
+        if not is_loaded:
+            return self._reason_against_yielding(own, zone)
         if not _has_room(zone, own):
             return Reason.ZONE_LOADED
-        out = len(zone.peers_out)
         own_rank = _rank(own.utilization, self._node)
+        # One that left with a lower load joins in this process's place.
+        out = sum(
+            _rank(peer.departure_utilization, peer.node) < own_rank
+            or not peer.departure_utilization
+            for peer in zone.peers_out
+        )
         ahead = sum(
             peer.overloaded and _rank(peer.utilization, peer.node) < own_rank
             for peer in zone.peers_in
@@ -206,6 +232,40 @@
             return Reason.LIMIT_REACHED
         return None
 
+    def _load_cause(self, own: OwnLoad, now: float) -> Reason | None:
+        if self._loaded_since is None:
+            return None
+        return _cause(own, self._loaded_since, now)
+
+    def _prefers_larger(self, own: OwnLoad, zone: ZoneView, now: float) -> bool:
+        """Return whether far larger peers have room while the zone's load is uneven.
+
+        Pattern of load: one caller sends more than a small instance carries.  The
+        balancer moves it from one small instance to the next, each of which is then
+        overloaded, unless those in the rotation are mostly large.
+        """
+        if now - self._uneven_at > UNEVEN_SECONDS:
+            return False
+        larger = zone.larger_peers_in(own.capacity)
+        limit = (
+            MAX_LARGER_UTILIZATION if self.in_rotation else LARGER_LOADED_UTILIZATION
+        )
+        return bool(larger) and _mean_utilization(larger) < limit
+
+    def _reason_against_yielding(self, own: OwnLoad, zone: ZoneView) -> Reason | None:
+        """Return why a process that is not loaded stays, None if it should leave.
+
+        Small processes leave in the order of their names, so that they don't all leave
+        at once.
+        """
+        ahead = sum(
+            bool(zone.larger_peers_in(peer.capacity)) and peer.node < self._node
+            for peer in zone.peers_in
+        )
+        if len(zone.peers_out) + ahead >= zone.limit:
+            return Reason.LIMIT_REACHED
+        return None
+
     def _reason_to_join(
         self, own: OwnLoad, zone: ZoneView, now: float
     ) -> Reason | None:
@@ -224,6 +284,10 @@
             return Reason.ZONE_LOADED
         if self._is_beyond_limit(zone, now):
             return Reason.LIMIT_REACHED
+        if self._prefers_larger(own, zone, now):
+            return None
+        if self._left_reason is Reason.LARGER_PEERS:
+            return Reason.TIME_OVER
         out_for = now - self.left_at
         may_wait = _is_loaded(own) and out_for < MAX_OUT_SECONDS
         if out_for >= self.out_seconds and not may_wait:
@@ -256,14 +320,17 @@
         return min(MAX_OUT_SECONDS, MIN_OUT_SECONDS * 2**doublings)
 
     def _leave(self, own: OwnLoad, now: float) -> Reason:
-        reason = _cause(own, self._loaded_since, now)
+        reason = self._load_cause(own, now) or Reason.LARGER_PEERS
         self.in_rotation = False
-        self.departure_utilization = own.utilization
+        self._left_reason = reason
+        # 0 would say that the process is out for another cause than load.
+        self.departure_utilization = max(own.utilization, 0.01)
         self.left_at = now
         self._unheard_since = self._excess_since = None
         while self._departures and now - self._departures[0] > DEPARTURES_SECONDS:
             self._departures.popleft()
-        self._departures.append(now)
+        if reason is not Reason.LARGER_PEERS:
+            self._departures.append(now)
         return reason
 
     def _join(self, now: float) -> None:
@@ -314,6 +381,18 @@
     return None
 
 
+def _has_overload(own: OwnLoad, zone: ZoneView) -> bool:
+    """Return whether a process of the zone is overloaded or left for that."""
+    return own.overloaded_since is not None or any(
+        peer.overloaded or peer.departure_utilization >= HIGH_UTILIZATION
+        for peer in zone.heard
+    )
+
+
+def _mean_utilization(peers: Sequence[PeerReport]) -> float:
+    return sum(min(1.0, peer.utilization) for peer in peers) / len(peers)
+
+
 def _obstacle(zone: ZoneView) -> Reason | None:
     """Return why no process of the zone may be out, as far as peers are heard."""
     heard = len(zone.heard)
--- a/src/ragwortkeel/policy/zone_view.py
+++ b/src/ragwortkeel/policy/zone_view.py
@@ -13,6 +13,9 @@
 MIN_ZONE_PROCESSES = 3
 """In a smaller zone nobody leaves: the rest could not carry the load."""
 
+LARGER_CAPACITY_FACTOR = 3.0
+"""How many times its own capacity a peer has to have for a process to leave for it."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class PeerReport:
@@ -20,6 +23,8 @@
 
     Attributes
     ----------
+    capacity : float
+        Bytes a second that the peer's link carries; 0 if unknown.
     departure_utilization : float
         Utilization at which the peer left the rotation; 0 if it is in, or out for
         another cause than its load.
@@ -28,6 +33,7 @@
     """
 
     node: str
+    capacity: float = 0.0
     utilization: float
     overloaded: bool
     in_rotation: bool
@@ -62,10 +68,20 @@
 
     @property
     def limit(self) -> int:
-        """How many processes may be out."""
+        """How many processes may be out.
+
+        The balancer uses all processes of a zone if fewer than half are in rotation.
+        """
         if self.known < MIN_ZONE_PROCESSES:
             return 0
-        return max(1, self.known // 3)
+        return self.known // 2
+
+    def larger_peers_in(self, capacity: float) -> list[PeerReport]:
+        """Return the peers in the rotation that carry far more than `capacity`."""
+        if capacity <= 0.0:
+            return []
+        least = LARGER_CAPACITY_FACTOR * capacity
+        return [peer for peer in self.peers_in if peer.capacity >= least]
 
     @property
     def utilization(self) -> float | None:
