--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -12,6 +12,7 @@
 """
 
 import socket as _socket
+from collections.abc import Callable
 from dataclasses import dataclass
 from time import monotonic
 
@@ -31,6 +32,13 @@
 TCP repeats a lost SYN only after 1 s; by then another upstream has responded.
 """
 
+OVERLOADED_CONNECT_SECONDS = 1.2
+"""Time limit of a connect while the own instance is overloaded.
+
+Packets then wait at the instance's link, and timers fire late: with the usual limit
+most connects fail, each is tried at the next upstream, and no upstream is to blame.
+"""
+
 MAX_UNACKNOWLEDGED_MILLISECONDS = 2000
 """Age of unacknowledged bytes at which TCP drops the connection as unreachable."""
 
@@ -132,6 +140,7 @@
         id_header: str,
         held: HeldBytes,
         counter: ByteCounter | None = None,
+        connect_seconds: float = CONNECT_SECONDS,
     ) -> "UpstreamConnection":
         """Connect to an upstream.
 
@@ -144,7 +153,7 @@
         connected = False
         try:
             _set_options(sock)
-            async with curio.timeout_after(CONNECT_SECONDS):
+            async with curio.timeout_after(connect_seconds):
                 await sock.connect((upstream.host, upstream.port))
             connected = True
         except ConnectionRefusedError as exc:
@@ -308,7 +317,13 @@
 
 
 class ConnectionPool:
-    """A pool of idle connections for each upstream instance."""
+    """A pool of idle connections for each upstream instance.
+
+    Parameters
+    ----------
+    is_overloaded
+        Returns whether the own instance is overloaded, so that connects take longer.
+    """
 
     def __init__(
         self,
@@ -316,7 +331,9 @@
         id_header: str,
         held: HeldBytes | None = None,
         counter: ByteCounter | None = None,
+        is_overloaded: Callable[[], bool] = lambda: False,
     ) -> None:
+        self.is_overloaded = is_overloaded
         self._id_header = id_header
         self._counter = counter
         self._held = held or HeldBytes()
@@ -342,7 +359,10 @@
             if not connection.expired and not stale and connection.is_quiet():
                 return connection
             await connection.close()
-        return await self._open(upstream)
+        seconds = (
+            OVERLOADED_CONNECT_SECONDS if self.is_overloaded() else CONNECT_SECONDS
+        )
+        return await self._open(upstream, connect_seconds=seconds)
 
     async def release(self, upstream: Upstream, connection: UpstreamConnection):
         """Return a reusable connection to the pool; close any other."""
@@ -365,12 +385,15 @@
         await connection.close()
         return False
 
-    async def _open(self, upstream: Upstream) -> UpstreamConnection:
+    async def _open(
+        self, upstream: Upstream, *, connect_seconds: float = CONNECT_SECONDS
+    ) -> UpstreamConnection:
         return await UpstreamConnection.open(
             upstream,
             id_header=self._id_header,
             held=self._held,
             counter=self._counter,
+            connect_seconds=connect_seconds,
         )
 
     async def close_expired(self) -> None:
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -222,9 +222,6 @@
             on_ended=self.metrics.record_slow_reader_ended,
         )
         self.metrics.track_held_bytes(lambda: held.total)
-        self._connections = ConnectionPool(
-            id_header=names.request_id, held=held, counter=counter
-        )
         self._monitor: InstanceMonitor | None = None
         self._sweep: RequestSweep | None = None
         if settings.capacity is not None:
@@ -236,6 +233,12 @@
                 held_bytes=lambda: held.total,
             )
             self._sweep = RequestSweep(is_late=lambda: self._monitor.is_late)
+        self._connections = ConnectionPool(
+            id_header=names.request_id,
+            held=held,
+            counter=counter,
+            is_overloaded=lambda: bool(self._monitor and self._monitor.is_limiting),
+        )
         self._front = Front(
             components=FrontComponents(
                 names=names,
@@ -417,6 +420,7 @@
         overload = self._monitor.overload
         is_overloaded = overload.level is Level.OVERLOADED
         return OwnLoad(
+            capacity=self._settings.capacity.link_bytes_per_second,
             utilization=round(overload.utilization, 2),
             overloaded_since=overload.since_at if is_overloaded else None,
         )
@@ -429,6 +433,7 @@
         load = self._own_load()
         status = InstanceStatus(
             zone=self._settings.zone,
+            capacity=load.capacity,
             utilization=load.utilization,
             overloaded=load.overloaded_since is not None,
             in_rotation=self.ready,
--- a/tests/test_httpio.py
+++ b/tests/test_httpio.py
@@ -237,6 +237,21 @@
         assert response.status == 500
         assert b'"outcome":"unknown"' in response.body
 
+    def test_a_failure_of_the_early_refusal_gives_500(self):
+        """Guards against a caller that gets no answer, and a failure without a log."""
+
+        async def refuse(request, responder):
+            if request.path == "/refused":
+                raise ValueError("fault")
+            return False
+
+        async def scenario(_, client):
+            return await client.request("GET", "/refused", timeout=5)
+
+        response = with_server(scenario, refuse=refuse)
+        assert response.status == 500
+        assert b'"outcome":"unknown"' in response.body
+
     @pytest.mark.parametrize("path", ["/half-crash", "/abort"])
     def test_handler_failure_within_the_response_is_visible(self, path):
         """A truncated response must never look complete.
