Ingress: the status of the instance is put together in a module of its own

Change: StatusReport has the own load and the status; the worker passes on what only it knows. The rotation tests replace the load there. Behaviour is as before.

--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -45,6 +45,7 @@
 from ragwortkeel.ingress.rotation_controller import RotationController
 from ragwortkeel.ingress.routing import RoutingTable
 from ragwortkeel.ingress.speed_tracker import SpeedTracker
+from ragwortkeel.ingress.status_report import StatusReport
 from ragwortkeel.ingress.upstream_connection import ConnectionPool
 from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.messages import (
@@ -66,10 +67,8 @@
 from ragwortkeel.platform import Platform
 from ragwortkeel.platform_counts import CountedPlatform
 from ragwortkeel.policy.fleet_rates import FleetRates, sharing_among
-from ragwortkeel.policy.overload import Level
 from ragwortkeel.policy.quarantine import Crash
 from ragwortkeel.policy.retries import RetryBudgets, process_reserve
-from ragwortkeel.policy.rotation import OwnLoad
 from ragwortkeel.process import Leftover
 from ragwortkeel.send_buffer import HeldBytes
 from ragwortkeel.settings import Address, IngressSettings, changed_fields
@@ -268,9 +267,16 @@
             counter=counter,
             arrived_at=self._monitor.arrived_at if self._monitor else None,
         )
+        self._status_report = StatusReport(
+            settings=settings,
+            monitor=self._monitor,
+            speeds=self._speed_tracker,
+            fairness=self._fairness,
+            queue=self._dispatcher.queue,
+        )
         self._rotation = RotationController(
             settings=settings,
-            own_load=self._own_load,
+            own_load=self._status_report.own_load,
             statuses=self._peer_statuses.current,
             is_serving=lambda: self._is_serving,
             server=self._server,
@@ -414,34 +420,12 @@
         valid_until = monotonic() + hold_seconds
         self._placement.merge_loads(node, load_by_upstream, valid_until)
 
-    def _own_load(self) -> OwnLoad:
-        if self._monitor is None:
-            return OwnLoad(utilization=0.0, overloaded_since=None)
-        overload = self._monitor.overload
-        is_overloaded = overload.level is Level.OVERLOADED
-        return OwnLoad(
-            capacity=self._settings.capacity.link_bytes_per_second,
-            utilization=round(overload.utilization, 2),
-            overloaded_since=overload.since_at if is_overloaded else None,
-        )
-
     def instance_status(self) -> InstanceStatus | None:
         """Return the status of this instance, None without a stated capacity."""
-        if self._monitor is None:
-            return None
-        measured = self._speed_tracker.own_report() if self._speed_tracker else None
-        load = self._own_load()
-        status = InstanceStatus(
-            zone=self._settings.zone,
-            capacity=load.capacity,
-            utilization=load.utilization,
-            overloaded=load.overloaded_since is not None,
+        return self._status_report.status(
             in_rotation=self.ready,
             departure_utilization=self._rotation.departure_utilization,
-            slowness_by_upstream=measured.slowness_by_upstream if measured else {},
-            samples_by_upstream=measured.samples_by_upstream if measured else {},
         )
-        return self._fairness.add_to(status, self._dispatcher.queue)
 
     def receive_instance_status(
         self, node: str, status: InstanceStatus | None, *, hold_seconds: float
--- a/tests/ingress/test_rotation_controller.py
+++ b/tests/ingress/test_rotation_controller.py
@@ -8,7 +8,7 @@
 import pytest
 from tests.ingress.in_process import run_ingress
 
-from ragwortkeel.ingress.worker import IngressWorker
+from ragwortkeel.ingress.status_report import StatusReport
 from ragwortkeel.policy.rotation import OwnLoad
 from ragwortkeel.settings import InstanceCapacity
 
@@ -19,12 +19,12 @@
 def hot(monkeypatch):
     """Overload the first process."""
 
-    def own_load(worker):
-        if worker._settings.name == "ingress-0":
+    def own_load(report):
+        if report._settings.name == "ingress-0":
             return OwnLoad(utilization=1.0, overloaded_since=0.0)
         return OwnLoad(utilization=0.1, overloaded_since=None)
 
-    monkeypatch.setattr(IngressWorker, "_own_load", own_load)
+    monkeypatch.setattr(StatusReport, "own_load", own_load)
 
 
 @pytest.fixture
