Tell a collapsed event loop from a frozen process by consecutive long samples

Cause: a timer that is set in one turn of the event loop is due only in the turn after the next. With turns of 2 s a sample covered 4 s, which passed for a freeze, so that an overload that begins with such turns would never have been seen.

Change: on a late event loop there is a sample for each turn, and a long sample after a long one is no freeze.

--- a/src/ragwortkeel/ingress/instance_monitor.py
+++ b/src/ragwortkeel/ingress/instance_monitor.py
@@ -115,13 +115,18 @@
             log_warning("event_loop_not_measured", selector=repr(kernel._selector))
         sampled_at = monotonic()
         waited, sent, received = self._totals()
+        pause_seconds = SAMPLE_SECONDS
         while True:
-            await curio.sleep(SAMPLE_SECONDS)
+            await curio.sleep(pause_seconds)
             now = monotonic()
             previous = waited, sent, received
             waited, sent, received = self._totals()
             seconds = now - sampled_at
-            lag_seconds = seconds - SAMPLE_SECONDS
+            lag_seconds = seconds - pause_seconds
+            # On a late event loop a timer that is set in one turn is not due in the
+            # next; without one there is a sample for each turn.
+            is_late = seconds > 2 * SAMPLE_SECONDS
+            pause_seconds = 0.0 if is_late else SAMPLE_SECONDS
             busy_seconds = 0.0
             if self._selector is not None:
                 busy_seconds = seconds - (waited - previous[0])
--- a/src/ragwortkeel/policy/overload.py
+++ b/src/ragwortkeel/policy/overload.py
@@ -32,8 +32,8 @@
 for a second delivers one sample that covers it, which must not replace all others."""
 
 FREEZE_SECONDS = 3.0
-"""A sample that covers more than this comes from a frozen process.  Turns of an
-overloaded event loop took up to 2.6 s."""
+"""A sample that covers more than this comes from a frozen process, unless the one
+before was long as well.  Turns of an overloaded event loop took up to 2.6 s."""
 
 TARGET_UTILIZATION = 0.88
 """Utilization at which the limit of open requests holds a link.  From this utilization
@@ -198,6 +198,7 @@
         self._arrivals_by_priority: Counter[int] = Counter()
         self._shed = 0.0
         self._has_shed = False
+        self._was_long = False
 
     @property
     def overload(self) -> Overload:
@@ -211,7 +212,10 @@
         `NORMAL` until samples show another.
         """
         self._decay_arrivals(sample.seconds)
-        if not 0.0 < sample.seconds <= FREEZE_SECONDS:
+        if sample.seconds <= 0.0:
+            return self._overload
+        was_long, self._was_long = self._was_long, sample.seconds > LONG_SAMPLE_SECONDS
+        if sample.seconds > FREEZE_SECONDS and not was_long:
             self._restart(now)
             return self._overload
         usage = self._usage(sample)
--- a/tests/policy/test_overload.py
+++ b/tests/policy/test_overload.py
@@ -31,11 +31,12 @@
         assert instance.run(3.0, 1.0, lag_seconds=0.3) is Level.OVERLOADED
         assert instance.detector.overload.cause is Cause.LAG
 
-    def test_turns_of_more_than_a_second_are_an_overload(self):
+    @pytest.mark.parametrize("step", [1.5, 3.5])
+    def test_turns_of_more_than_a_second_are_an_overload(self, step):
         """Guards against a collapsed loop that passes for a frozen process."""
         instance = Instance()
         instance.run(3.0, 0.5)
-        level = instance.run(6.0, 1.0, step=1.5, lag_seconds=1.4)
+        level = instance.run(5.0 * step, 1.0, step=step, lag_seconds=step)
         assert level is Level.OVERLOADED
 
     def test_a_saturated_link_is_an_overload(self):
