Test that nothing is sent to an upstream after the time limit

Cause: the check right before bytes go to an upstream had no test.

Change: a test with a connect that outlasts the time limit.

--- a/tests/ingress/test_overloaded_instance.py
+++ b/tests/ingress/test_overloaded_instance.py
@@ -10,6 +10,7 @@
 from tests.ingress.in_process import IngressFleet, answer_whole, run_ingress
 from tests.ingress.test_callers_that_leave import raw_request
 
+from ragwortkeel.ingress.upstream_connection import ConnectionPool
 from ragwortkeel.policy.overload import Level
 from ragwortkeel.settings import InstanceCapacity
 from ragwortkeel.usage_counters import MeasuredSelector
@@ -238,3 +239,20 @@
         run_measured(scenario, upstream=SilentUpstream(), capacity=CAPACITY)
         assert b" 503 " in answers[0][1].split(b"\r\n")[0]
         assert answers[0][0] < 2.0
+
+    def test_nothing_is_sent_after_the_time_limit(self, monkeypatch):
+        """Guards against a send whose answer would come too late in any case."""
+        original_acquire = ConnectionPool.acquire
+
+        async def acquire_late(self, upstream, *, fresh):
+            connection = await original_acquire(self, upstream, fresh=fresh)
+            await curio.sleep(0.25)
+            return connection
+
+        async def scenario(fleet):
+            monkeypatch.setattr(ConnectionPool, "acquire", acquire_late)
+            answer = await fleet.ask("/lookup/a", **{"x-deadline-ms": "200"})
+            await curio.sleep(0.3)
+            return answer.status, fleet.seen()["u1"]
+
+        assert run_measured(scenario, capacity=CAPACITY) == (503, [])
