--- a/src/ragwortkeel/policy/rotation.py
+++ b/src/ragwortkeel/policy/rotation.py
@@ -65,8 +65,12 @@
 wrongly."""
 
 
+UNEVEN_UTILIZATION = 0.75
+"""Utilization of one process at which the zone's load counts as uneven.  Callers' waves
+of a third more would overload it."""
+
 UNEVEN_SECONDS = 30.0
-"""How long after the last overload of a process the zone's load counts as uneven."""
+"""How long after that the zone's load counts as uneven."""
 
 MAX_LARGER_UTILIZATION = 0.5
 """Highest mean utilization of far larger peers at which a process leaves for them."""
@@ -178,7 +182,7 @@
             Monotonic seconds.
         """
         zone = self._peers.view(reports, now)
-        if _has_overload(own, zone):
+        if _is_uneven(own, zone):
             self._uneven_at = now
         if self.in_rotation:
             reason = self._reason_to_stay(own, zone, now)
@@ -255,12 +259,14 @@
     def _reason_against_yielding(self, own: OwnLoad, zone: ZoneView) -> Reason | None:
         """Return why a process that is not loaded stays, None if it should leave.
 
-        Small processes leave in the order of their names, so that they don't all leave
-        at once.
+        Small processes leave in one order, the most utilized first, so that they don't
+        all leave at once.
         """
+        own_rank = _rank(round(own.utilization, 1), self._node)
         ahead = sum(
-            bool(zone.larger_peers_in(peer.capacity)) and peer.node < self._node
+            _rank(round(peer.utilization, 1), peer.node) < own_rank
             for peer in zone.peers_in
+            if zone.larger_peers_in(peer.capacity)
         )
         if len(zone.peers_out) + ahead >= zone.limit:
             return Reason.LIMIT_REACHED
@@ -381,10 +387,10 @@
     return None
 
 
-def _has_overload(own: OwnLoad, zone: ZoneView) -> bool:
-    """Return whether a process of the zone is overloaded or left for that."""
-    return own.overloaded_since is not None or any(
-        peer.overloaded or peer.departure_utilization >= HIGH_UTILIZATION
+def _is_uneven(own: OwnLoad, zone: ZoneView) -> bool:
+    """Return whether a process of the zone is highly utilized, or left for that."""
+    return own.utilization >= UNEVEN_UTILIZATION or any(
+        max(peer.utilization, peer.departure_utilization) >= UNEVEN_UTILIZATION
         for peer in zone.heard
     )
 
@@ -400,7 +406,8 @@
         return Reason.PEERS_UNHEARD
     if not zone.limit:
         return Reason.SMALL_ZONE
-    if 2 * len(zone.peers_in) < heard:
+    # One that left with a lower load joins when this process takes its place outside.
+    if 2 * len(zone.peers_in) + 1 < heard:
         return Reason.FEW_PEERS_IN
     return None
 
