--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -121,9 +121,9 @@
         can serve before their deadlines.  A request that is not expected to start
         before `latest_start` is refused at once, because a caller that is held until
         then has no time left to retry.  The estimate rests on the rate at which
-        requests of the same or a more urgent priority left the queue recently.  The
-        first request in the queue always waits; otherwise no request would leave the
-        queue to correct the estimate.
+        requests as urgent and as large, or more, left the queue recently.  The first
+        one of these always waits; otherwise none would leave the queue to correct the
+        estimate.
 
         Pattern of load: one giant request is queued, and small ones arrive.  They don't
         wait for it, but only for queued requests that would take the same room.
@@ -152,9 +152,11 @@
             assignment = self._try_assign(job, service, tried_upstreams)
             if assignment is not None:
                 if ahead:
-                    self._waits(service.name).record_dequeue(job.priority, monotonic())
+                    self._waits(service.name).record_dequeue(job.rank, monotonic())
                 return assignment
-        if ahead and monotonic() + self._estimated_wait_seconds(job) > latest_start:
+        is_first = not (ahead and self.queue.ranked_ahead(job))
+        expected_start = monotonic() + self._estimated_wait_seconds(job)
+        if not is_first and expected_start > latest_start:
             return self._not_assigned(job)
         if self._directory.all_leave(service=service.name):
             return self._not_assigned(job)
@@ -201,7 +203,7 @@
             self.queue.remove(job)
             now = monotonic()
             self._reservations.end(job, ReservationChange.ASSIGNED, now)
-            self._waits(name).record_dequeue(job.priority, now)
+            self._waits(name).record_dequeue(job.rank, now)
             await self._assigned_by_request_id[job.request_id].set()
 
     def _is_covered(self, queued_request: QueuedRequest, failed: list[Search]) -> bool:
@@ -284,9 +286,7 @@
         now = monotonic()
         assigned = self._assigned_by_request_id[job.request_id] = curio.Event()
         self._waits(job.service).record_queued(
-            job.priority,
-            queued_priorities=self.queue.queued_priorities(job.service),
-            now=now,
+            job.rank, queued=self.queue.queued_ranks(job.service), now=now
         )
         self.queue.add(
             QueuedRequest(
@@ -377,5 +377,5 @@
 
     def _estimated_wait_seconds(self, job: Job) -> float:
         return self._waits(job.service).seconds(
-            job.priority, ahead=self.queue.queued_ahead(job), now=monotonic()
+            job.rank, ahead=self.queue.ranked_ahead(job), now=monotonic()
         )
--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -23,6 +23,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import cached_property
 from hashlib import blake2b
 from random import Random
 
@@ -41,7 +42,8 @@
 )
 from ragwortkeel.policy.memory_share import MemoryUse, ReportedTokens
 from ragwortkeel.policy.pauses import Instance, Pauses
-from ragwortkeel.policy.plain_queue import max_plain_running
+from ragwortkeel.policy.queue_waits import Rank, rank_of
+from ragwortkeel.policy.slots import max_plain_running, usable_connections
 
 RUNNING_REQUEST_COST_TOKENS = 250
 """Cost of one running request, in prompt tokens to read.
@@ -64,12 +66,6 @@
 the other requests of the engine wait for it too.
 """
 
-MAX_CONNECTIONS_FRACTION = 0.8
-"""Fraction of an upstream's connections that requests may use.
-
-The rest is for health checks and for connections that close late.
-"""
-
 
 @dataclass(frozen=True, kw_only=True)
 class Job:
@@ -92,6 +88,11 @@
     memory_tokens: int = 0
     regions: frozenset[str] | None = None
 
+    @cached_property
+    def rank(self) -> Rank:
+        """What the wait of the request depends on."""
+        return rank_of(self.priority, self.memory_tokens)
+
     @property
     def affinity_block_id(self) -> str:
         """Id of the last shared block of the prompt; empty if there is none.
@@ -433,7 +434,7 @@
         self, upstream: Upstream, service: Service, job: Job, now: float
     ) -> bool:
         total = self._record(upstream).total_load(now)
-        connections = int(service.max_connections * MAX_CONNECTIONS_FRACTION)
+        connections = usable_connections(service.max_connections)
         if service.engine is None:
             own = self._record(upstream).running
             running = min(max_plain_running(upstream.slots), connections)
--- a/src/ragwortkeel/ingress/request_queue.py
+++ b/src/ragwortkeel/ingress/request_queue.py
@@ -18,6 +18,7 @@
 
 from ragwortkeel.ingress.placement import Job
 from ragwortkeel.policy.head_reservation import Search
+from ragwortkeel.policy.queue_waits import Rank
 
 NO_REQUESTS: Mapping[str, int] = MappingProxyType({})
 
@@ -63,6 +64,7 @@
     ) -> None:
         self._peer_running = peer_running
         self._queued_by_service: dict[str, dict[str, QueuedRequest]] = {}
+        self._ranks_by_service: dict[str, Counter[Rank]] = {}
         self._running_by_customer: Counter[str] = Counter()
 
     def __len__(self) -> int:
@@ -70,12 +72,20 @@
 
     def add(self, queued_request: QueuedRequest) -> None:
         """Append a request to the queue of its service."""
-        queued = self._queued_by_service.setdefault(queued_request.job.service, {})
-        queued[queued_request.job.request_id] = queued_request
+        job = queued_request.job
+        queued = self._queued_by_service.setdefault(job.service, {})
+        queued[job.request_id] = queued_request
+        self._ranks_by_service.setdefault(job.service, Counter())[job.rank] += 1
 
     def remove(self, job: Job) -> None:
         """Remove a request that was assigned, refused or abandoned by its caller."""
-        self._queued_by_service.get(job.service, {}).pop(job.request_id, None)
+        queued = self._queued_by_service.get(job.service, {})
+        if queued.pop(job.request_id, None) is None:
+            return
+        ranks = self._ranks_by_service[job.service]
+        ranks[job.rank] -= 1
+        if not ranks[job.rank]:
+            del ranks[job.rank]
 
     def record_started(self, job: Job) -> None:
         """Add one to the running requests of the customer."""
@@ -103,17 +113,21 @@
         queued = self._queued_by_service.get(job.service, {}).values()
         return sum(1 for other in queued if other.job.priority <= job.priority)
 
-    def queued_priorities(self, service: str) -> list[int]:
-        """Return the priority of each queued request of the service."""
-        queued = self._queued_by_service.get(service, {}).values()
-        return [queued_request.job.priority for queued_request in queued]
+    def queued_ranks(self, service: str) -> set[Rank]:
+        """Return the ranks of the queued requests of the service."""
+        return set(self._ranks_by_service.get(service, ()))
+
+    def ranked_ahead(self, job: Job) -> int:
+        """Return the queued requests that are as urgent and as large, or more."""
+        ranks = self._ranks_by_service.get(job.service, {})
+        return sum(count for rank, count in ranks.items() if job.rank.includes(rank))
 
     def queued_by_priority(self) -> dict[int, int]:
         """Return the number of queued requests of each priority."""
         return Counter(
-            priority
-            for service in self.services()
-            for priority in self.queued_priorities(service)
+            queued_request.job.priority
+            for queued in self._queued_by_service.values()
+            for queued_request in queued.values()
         )
 
     def waits_behind(self, job: Job, excluded_upstreams: frozenset[str]) -> bool:
--- a/src/ragwortkeel/policy/plain_queue.py
+++ b/src/ragwortkeel/policy/slots.py
@@ -1,4 +1,4 @@
-"""How many requests a plain upstream may have, all processes together."""
+"""How many requests of all processes an upstream may have, beside their memory."""
 
 PLAIN_QUEUE_FRACTION = 1.0
 """Requests that a plain upstream may have beyond its slots, as a fraction of its slots.
@@ -11,7 +11,18 @@
 count as full.
 """
 
+MAX_CONNECTIONS_FRACTION = 0.8
+"""Fraction of an upstream's connections that requests may use.
+
+The rest is for health checks and for connections that close late.
+"""
+
 
 def max_plain_running(slots: int) -> int:
     """Return the requests that all processes together may have at the upstream."""
     return int(slots * (1 + PLAIN_QUEUE_FRACTION))
+
+
+def usable_connections(max_connections: int) -> int:
+    """Return how many connections of an upstream requests may use."""
+    return int(max_connections * MAX_CONNECTIONS_FRACTION)
--- a/tests/ingress/test_dispatch.py
+++ b/tests/ingress/test_dispatch.py
@@ -99,8 +99,8 @@
 
     async def scenario(dispatcher):
         slow = dispatcher._waits("app")
-        slow.record_queued(1, queued_priorities=[], now=-1000.0)
-        slow.record_dequeue(1, 0.0)
+        slow.record_queued(job("r").rank, queued=[], now=-1000.0)
+        slow.record_dequeue(job("r").rank, 0.0)
         assigned = await acquire(dispatcher, "r0")
         first = await curio.spawn(acquire, dispatcher, "first", 5.0)
         while not len(dispatcher.queue):
--- a/tests/ingress/test_queue_order.py
+++ b/tests/ingress/test_queue_order.py
@@ -6,7 +6,7 @@
 import pytest
 from tests.ingress.builders import engine_service, job, upstream
 
-from ragwortkeel.ingress import dispatch
+from ragwortkeel.ingress import dispatch, reservations
 from ragwortkeel.ingress.directory import Directory
 from ragwortkeel.ingress.dispatch import Dispatcher, NotAssigned
 from ragwortkeel.ingress.placement import Load, Placement
@@ -175,6 +175,24 @@
         assert run(scenario, engines=3) == {"e1", "e2"}
 
 
+def test_reservations_are_logged_at_a_bounded_rate(monkeypatch):
+    """Guards against a saturated service that fills the log with reservations."""
+    lines = []
+    monkeypatch.setattr(reservations, "log_info", lambda _, **line: lines.append(line))
+
+    async def scenario(pool):
+        now = int(dispatch.monotonic()) + 0.5
+        monkeypatch.setattr(dispatch, "monotonic", lambda: now)
+        for index in range(5):
+            giant = await pool.queue(f"giant{index}", GIANT)
+            await giant.cancel()
+
+    run(scenario)
+    assert [line["change"] for line in lines] == ["begun", "removed"] * 2
+    assert (lines[0]["request"], lines[0]["upstream"]) == ("giant0", "e0")
+    assert lines[0]["missing"] == GIANT + LARGE - 92_000
+
+
 class TestWithoutGiantRequests:
     def test_with_one_upstream_the_order_is_that_of_arrival(self):
         """Guards against requests that pass others where there is nothing to gain."""
@@ -220,6 +238,24 @@
         assert run(scenario) == (None, ["queued0", "queued1"])
 
 
+def test_a_large_request_is_refused_by_the_rate_of_large_ones(monkeypatch):
+    """Guards against large requests held till it is too late, as small ones pass."""
+
+    async def scenario(pool):
+        now = dispatch.monotonic()
+        for index in range(10):
+            await pool.queue(f"queued{index}", LARGE, seconds=40.0)
+        monkeypatch.setattr(dispatch, "monotonic", lambda: now + 30.0)
+        for index in range(60):
+            small = await pool.acquire(f"s{index}", seconds=31.0)
+            await pool.dispatcher.release(small)
+        late = await curio.spawn(pool.acquire, "late", LARGE, 5, 31.0, daemon=True)
+        await curio.sleep(0.02)
+        return late.terminated
+
+    assert run(scenario)
+
+
 def test_a_request_that_becomes_the_first_waits_however_slow_the_queue_was(monkeypatch):
     """Guards against a refusal by the rate of requests that have just been assigned."""
 
