--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: install test lint format demo bench bench-budget bench-load bench-slopes \
+.PHONY: install test lint format demo bench bench-budget bench-load bench-slopes bench-data-path \
 	bench-spread bench-guards
 
 $(VENV)/.installed: pyproject.toml
