HTTP server: count pipelined bytes and refusals of unreadable requests

Cause: bytes that arrive while a request runs, and answers to requests that can't be read, passed the sockets of callers uncounted.

Result: the tests of HTTP, the responder and the send buffer pass.

--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -130,7 +130,7 @@
         self.keep_alive_seconds = keep_alive_seconds
         self._cancels_disconnected = cancels_disconnected
         self._refuse = refuse
-        self._counter = counter
+        self._counter = counter or ByteCounter()
         self._stall_seconds = stall_seconds
         self._held = held or HeldBytes()
         self._arrived_at = arrived_at
@@ -278,12 +278,21 @@
                 head = await self._read_head(sock, conn)
         except BadRequest as exc:
             with suppress(OSError, ExchangeBroken):
-                await _refuse(sock, Responder(sock=sock, conn=conn), exc)
+                await _refuse(sock, self._responder(sock, conn), exc)
         except (OSError, ExchangeBroken, h11.LocalProtocolError):
             pass
         finally:
             await sock.close()
 
+    def _responder(self, sock, conn: h11.Connection) -> Responder:
+        return Responder(
+            sock=sock,
+            conn=conn,
+            counter=self._counter,
+            held=self._held,
+            stall_seconds=self._stall_seconds,
+        )
+
     async def _read_first_head(self, sock, conn) -> h11.Request | None:
         try:
             return await self._read_head(sock, conn)
@@ -292,13 +301,7 @@
 
     async def _exchange(self, sock, conn, head: h11.Request, arrived_at: float) -> bool:
         """Serve one request; return whether another may follow."""
-        responder = Responder(
-            sock=sock,
-            conn=conn,
-            counter=self._counter,
-            held=self._held,
-            stall_seconds=self._stall_seconds,
-        )
+        responder = self._responder(sock, conn)
         self.open_exchanges += 1
         try:
             request = await self._read_request(sock, conn, head, arrived_at)
@@ -328,7 +331,13 @@
             await curio.current_task() if self._cancels_disconnected else None
         )
         watcher = await curio.spawn(
-            _detect_disconnect, sock, conn, responder, handler_task, daemon=True
+            _detect_disconnect,
+            sock,
+            conn,
+            responder,
+            handler_task,
+            self._counter,
+            daemon=True,
         )
         try:
             await self._call(self._handler, request, responder)
@@ -519,10 +528,12 @@
     conn: h11.Connection,
     responder: Responder,
     handler_task: curio.Task | None,
+    counter: ByteCounter,
 ) -> None:
     """Detect that the peer disconnects during its request; cancel the handler."""
     try:
         while data := await sock.recv(READ_CHUNK_BYTES):
+            counter.record_received(len(data))
             # h11 buffers a pipelined request until the next cycle.
             conn.receive_data(data)
             if len(conn.trailing_data[0]) > MAX_PIPELINED_BYTES:
