Send buffer: nothing that was held is sent after an end

Cause: for a response that ends with the connection only the reading side is shut down. The task that sends held bytes then still waited for the socket, and sent one more block if the peer read on before the socket was closed.

Change: that task waits by itself and checks for the end before it sends.

Result: the extended test failed before (6,144 bytes sent after the end) and passes; the tests of HTTP, slow readers, the data path and callers that leave pass twice.

--- a/src/ragwortkeel/send_buffer.py
+++ b/src/ragwortkeel/send_buffer.py
@@ -13,6 +13,7 @@
 from contextlib import suppress
 
 import curio
+from curio.traps import _write_wait
 
 from ragwortkeel.exceptions import ExchangeBroken
 from ragwortkeel.logs import CountedLine
@@ -218,11 +219,16 @@
     async def _send_held(self) -> None:
         try:
             while self._blocks:
-                block = self._blocks[0]
-                sent = await self._sock.send(block)
-                self._counter.record_sent(sent)
+                await _write_wait(self._sock._fileno)
+                # `end` may have been called before this task runs again.
                 if self._error:
                     break
+                block = self._blocks[0]
+                try:
+                    sent = self._sock._socket.send(block)
+                except BlockingIOError:
+                    continue
+                self._counter.record_sent(sent)
                 if sent < len(block):
                     self._blocks[0] = block[sent:]
                 else:
--- a/tests/test_http_responder.py
+++ b/tests/test_http_responder.py
@@ -60,6 +60,7 @@
         await responder.start_with(200, [("content-type", "text/plain")], b"first")
         for _ in range(blocks):
             await responder.send_ready(BLOCK)
+        await curio.sleep(0.01)
         held_before = held.total
         responder.end(*REFUSAL)
         for write in (
@@ -71,7 +72,14 @@
             with pytest.raises(ExchangeBroken):
                 await write
         assert held.total == 0
-        return held_before, await read_to_end(responder, peer)
+        sent_bytes, received = counter.sent_bytes, b""
+        # Makes room in the socket, which must not be used for what was held.
+        async with curio.ignore_after(0.3):
+            while block := await peer.recv(65536):
+                received += block
+        assert counter.sent_bytes == sent_bytes
+        rest, ended = await read_to_end(responder, peer)
+        return held_before, (received + rest, ended)
 
     held_before, (received, ended) = run_responder(scenario, version=version)
     assert (held_before > 0) == (blocks > 0)
