Connects of an overloaded instance are given 1.2 s and blame no upstream

Ruled out: upstreams that are down; a refused connection is still counted.

Change: while the instance limits its requests, connects may take 1.2 s, and one that takes longer is ConnectDelayed (reason connect_delayed), which ejects nobody.

--- a/src/ragwortkeel/exceptions.py
+++ b/src/ragwortkeel/exceptions.py
@@ -62,6 +62,10 @@
     """No connection was established, so the request was certainly not sent."""
 
 
+class ConnectDelayed(ConnectFailed):
+    """A connect took too long while the own instance was overloaded."""
+
+
 class ConnectRefused(ConnectFailed):
     """The peer's instance refused the connection: no process listens there."""
 
--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -13,7 +13,12 @@
 
 import curio
 
-from ragwortkeel.exceptions import CallerLeft, ConnectFailed, ExchangeBroken
+from ragwortkeel.exceptions import (
+    CallerLeft,
+    ConnectDelayed,
+    ConnectFailed,
+    ExchangeBroken,
+)
 from ragwortkeel.http_responder import Responder
 from ragwortkeel.ingress.configuration import Route
 from ragwortkeel.ingress.events import EventSplitter
@@ -169,6 +174,8 @@
         fresh = not self._call.route.repeatable
         try:
             connection = await self._connections.acquire(upstream, fresh=fresh)
+        except ConnectDelayed as exc:
+            return NotRun(reason=NotRunReason.CONNECT_DELAYED, detail=str(exc))
         except ConnectFailed as exc:
             return NotRun(reason=NotRunReason.UNREACHABLE, detail=str(exc))
         reusable = False
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -415,15 +415,7 @@
     ) -> ErrorResponse | _TryAgain:
         components = self._components
         was_sent = reason in (NotRunReason.FULL, NotRunReason.OTHER_INSTANCE)
-        # A connect from an overloaded instance is late for no fault of the upstream.
-        own_fault = (
-            reason is NotRunReason.UNREACHABLE
-            and components.connections.is_overloaded()
-        )
-        if (
-            reason in (NotRunReason.UNREACHABLE, NotRunReason.OTHER_INSTANCE)
-            and not own_fault
-        ):
+        if reason in (NotRunReason.UNREACHABLE, NotRunReason.OTHER_INSTANCE):
             components.placement.record_failure(name, Failure.UNREACHABLE, monotonic())
         if reason is NotRunReason.OTHER_INSTANCE:
             components.dispatcher.record_replaced(name)
--- a/src/ragwortkeel/ingress/outcomes.py
+++ b/src/ragwortkeel/ingress/outcomes.py
@@ -10,6 +10,7 @@
     """Why a request certainly did not run at an upstream."""
 
     UNREACHABLE = "unreachable"
+    CONNECT_DELAYED = "connect_delayed"
     FULL = "full"
     OTHER_INSTANCE = "other_instance"
     PAUSED = "paused"
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -20,7 +20,12 @@
 import h11
 
 from ragwortkeel.chunked_body import ChunkedBody
-from ragwortkeel.exceptions import ConnectFailed, ConnectRefused, ExchangeBroken
+from ragwortkeel.exceptions import (
+    ConnectDelayed,
+    ConnectFailed,
+    ConnectRefused,
+    ExchangeBroken,
+)
 from ragwortkeel.http_events import READ_CHUNK_BYTES, next_event
 from ragwortkeel.ingress.configuration import Upstream
 from ragwortkeel.send_buffer import HeldBytes, SendBuffer
@@ -158,7 +163,12 @@
             connected = True
         except ConnectionRefusedError as exc:
             raise ConnectRefused(f"{upstream.name}: {exc!r}") from exc
-        except (OSError, curio.TaskTimeout) as exc:
+        except curio.TaskTimeout as exc:
+            if connect_seconds > CONNECT_SECONDS:
+                # The own instance is overloaded, which is no fault of the upstream.
+                raise ConnectDelayed(f"{upstream.name}: {exc!r}") from exc
+            raise ConnectFailed(f"{upstream.name}: {exc!r}") from exc
+        except OSError as exc:
             raise ConnectFailed(f"{upstream.name}: {exc!r}") from exc
         finally:
             if not connected:
--- a/tests/ingress/test_overloaded_instance.py
+++ b/tests/ingress/test_overloaded_instance.py
@@ -10,7 +10,12 @@
 from tests.ingress.in_process import IngressFleet, answer_whole, run_ingress
 from tests.ingress.test_callers_that_leave import raw_request
 
-from ragwortkeel.ingress.upstream_connection import ConnectionPool
+from ragwortkeel.exceptions import ConnectDelayed
+from ragwortkeel.ingress.upstream_connection import (
+    OVERLOADED_CONNECT_SECONDS,
+    ConnectionPool,
+    UpstreamConnection,
+)
 from ragwortkeel.policy.overload import Level
 from ragwortkeel.settings import InstanceCapacity
 from ragwortkeel.usage_counters import MeasuredSelector
@@ -256,3 +261,26 @@
             return answer.status, fleet.seen()["u1"]
 
         assert run_measured(scenario, capacity=CAPACITY) == (503, [])
+
+
+class TestConnects:
+    def test_a_late_connect_of_an_overloaded_instance_blames_no_upstream(
+        self, monkeypatch
+    ):
+        """Guards against upstreams that are ejected for this instance's full link."""
+
+        async def never_connects(upstream, *, connect_seconds, **_):
+            connects.append(connect_seconds)
+            raise ConnectDelayed(upstream.name)
+
+        async def scenario(fleet):
+            worker = fleet.workers[0]
+            monkeypatch.setattr(worker._connections, "is_overloaded", lambda: True)
+            monkeypatch.setattr(UpstreamConnection, "open", never_connects)
+            monkeypatch.setattr(worker._placement, "record_failure", failures.append)
+            return (await fleet.ask("/lookup/a")).status
+
+        connects, failures = [], []
+        assert run_ingress(scenario) == 503
+        assert connects[0] == OVERLOADED_CONNECT_SECONDS
+        assert failures == []
