--- a/src/ragwortkeel/policy/overload.py
+++ b/src/ragwortkeel/policy/overload.py
@@ -9,10 +9,10 @@
 The bound is a limit on open requests.  A limit on the rate of arrivals would act too
 late: a stream is open for seconds, so the load follows the arrivals with that delay,
 and the control would overshoot.  A limit on open requests holds the load at once.  It
-is enforced only during an overload.  Its first value is the number of open requests at
-which the demand, in proportion, would be at `TARGET_UTILIZATION`; from then on it
-follows the ratio of target and demand.  Demand is utilization, and for an event loop
-that is almost always busy, its lag.
+is enforced only during an overload whose demand exceeds `SHED_DEMAND`.  Its first value
+is the number of open requests at which the demand, in proportion, would be that; from
+then on it follows the ratio of both.  Demand is utilization, and for an event loop that
+is almost always busy, its lag.
 
 Priorities have limits up to 15% above or below the common limit, by the shares of more
 and less urgent arrivals, so that the least urgent requests are shed first.
@@ -35,20 +35,18 @@
 """A sample that covers more than this comes from a frozen process, unless the one
 before was long as well.  Turns of an overloaded event loop took up to 2.6 s."""
 
-TARGET_UTILIZATION = 0.88
-"""Utilization at which the limit of open requests holds a link.  From this utilization
-on, the demand for the event loop is judged by its lag instead: a busier loop reads more
-events at once and serves more, at the price of lag."""
+SATURATED_UTILIZATION = 0.88
+"""Utilization from which on the demand for the event loop is judged by its lag: a busier
+loop reads more events at once and serves more, at the price of lag."""
 
 OVERLOADED_UTILIZATION = 0.93
 BUSY_UTILIZATION = 0.75
 NORMAL_UTILIZATION = 0.65
 """Utilization at which a level is entered; the last two also end the level above."""
 
-TARGET_LAG_SECONDS = 0.05
-"""Average event loop lag at which the limit holds an instance whose event loop is
-always busy.  An event may wait for two turns of the loop, and some callers count it as
-late after 0.12 s."""
+TOLERATED_LAG_SECONDS = 0.05
+"""Average event loop lag that adds nothing to the demand.  An event may wait for two
+turns of the loop, and some callers count it as late after 0.12 s."""
 
 SHED_DEMAND = 1.25
 """Demand above which requests are refused, an average lag of about 0.24 s.
@@ -61,7 +59,7 @@
 """Larger lags count as this in the average; a frozen timer may be late by seconds."""
 
 DEMAND_PER_LAG_SECOND = 2.0
-"""Demand in excess of utilization for a second of lag above `TARGET_LAG_SECONDS`."""
+"""Demand in excess of utilization for a second of lag above `TOLERATED_LAG_SECONDS`."""
 
 ENTER_SECONDS = 0.3
 ENTER_SAMPLES = 3
@@ -391,10 +389,10 @@
     def _loop_demand(self) -> float:
         # A timer of an idle loop is late for other reasons, such as the scheduler of
         # the operating system, which fewer requests would not mend.
-        if self.loop < TARGET_UTILIZATION:
+        if self.loop < SATURATED_UTILIZATION:
             return self.loop
-        excess_lag = self.lag - TARGET_LAG_SECONDS
-        return TARGET_UTILIZATION + excess_lag * DEMAND_PER_LAG_SECOND
+        excess_lag = self.lag - TOLERATED_LAG_SECONDS
+        return SATURATED_UTILIZATION + excess_lag * DEMAND_PER_LAG_SECOND
 
     @property
     def _held_excess(self) -> float:
@@ -410,7 +408,7 @@
     def cause(self) -> Cause:
         if self.link + self._held_excess > self._loop_demand:
             return Cause.LINK
-        return Cause.LAG if self.loop >= TARGET_UTILIZATION else Cause.LOOP
+        return Cause.LAG if self.loop >= SATURATED_UTILIZATION else Cause.LOOP
 
     @property
     def is_overloaded(self) -> bool:
