--- a/src/ragwortkeel/policy/overload.py
+++ b/src/ragwortkeel/policy/overload.py
@@ -36,8 +36,8 @@
 before was long as well.  Turns of an overloaded event loop took up to 2.6 s."""
 
 SATURATED_UTILIZATION = 0.88
-"""Utilization from which on the demand for the event loop is judged by its lag: a busier
-loop reads more events at once and serves more, at the price of lag."""
+"""Utilization from which on the demand for the event loop is judged by its lag.  A
+busier loop reads more events at once and serves more, at the price of lag."""
 
 OVERLOADED_UTILIZATION = 0.93
 BUSY_UTILIZATION = 0.75
