Platform calls: failures say how much of the answer had arrived

Callers got 404 for a route that was added seconds before. The log could not tell a platform that is silent from an answer that is too large for its time limit: a failed call left 'no response', and only the first one a line.

platform_call_failed has the bytes that had arrived, the time and its limit; platform_answer_slow names complete answers whose body took over half a second; configuration_in_force has the size. No limit is changed.

--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -557,6 +557,7 @@
             revision=configuration.revision,
             was=self.revision(),
             source=source,
+            bytes=len(value),
             routes=len(configuration.routes),
             customers=len(configuration.customers),
         )
--- a/src/ragwortkeel/platform_calls.py
+++ b/src/ragwortkeel/platform_calls.py
@@ -6,8 +6,11 @@
 """
 
 from collections.abc import Callable
+from contextlib import AsyncExitStack
 from time import monotonic
 
+import curio
+
 from ragwortkeel.exceptions import (
     ConnectFailed,
     ExchangeBroken,
@@ -18,6 +21,7 @@
     VersionConflict,
 )
 from ragwortkeel.httpio import HttpClient, Response
+from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.platform import MAX_VALUE_BYTES
 from ragwortkeel.policy.timeouts import AnswerTimeout
 from ragwortkeel.settings import Address
@@ -29,6 +33,12 @@
 unreachable.
 """
 
+SLOW_ANSWER_SECONDS = 0.5
+"""Time between the head and the end of an answer above which it is logged."""
+
+FAILURE_LOG_SECONDS = 0.5
+"""Shortest time between two log lines on failed calls."""
+
 _REFUSED_STATUSES = frozenset({429, 503})
 """Statuses of calls that were refused without any effect."""
 
@@ -58,6 +68,7 @@
         self._client = HttpClient(host=parsed_address.host, port=parsed_address.port)
         self._timeout = AnswerTimeout(max_seconds=timeout)
         self._on_failure = on_failure
+        self._failures = _FailureLog()
 
     async def read(
         self,
@@ -99,16 +110,48 @@
         self, method: str, target: str, *, wait: float = 0.0, **fields
     ) -> Response:
         started_at = monotonic()
+        limit = self._timeout.seconds + wait
+        body = bytearray()
         try:
-            response = await self._client.request(
-                method, target, timeout=self._timeout.seconds + wait, **fields
-            )
-        except (ConnectFailed, ExchangeBroken):
-            self._timeout.record_timeout()
+            async with AsyncExitStack() as stack, curio.timeout_after(limit):
+                stream = self._client.stream(method, target, **fields)
+                response = await stack.enter_async_context(stream)
+                head_at = monotonic()
+                async for chunk in response.chunks():
+                    body += chunk
+        except curio.TaskTimeout as exc:
+            error = f"no complete response within {limit} s"
+            self._record_failure(target, started_at, limit, body, error)
+            raise ExchangeBroken(error) from exc
+        except (ConnectFailed, ExchangeBroken) as exc:
+            self._record_failure(target, started_at, limit, body, str(exc))
             raise
+        now = monotonic()
         if not wait:
-            self._timeout.record_answer(monotonic() - started_at)
-        return response
+            self._timeout.record_answer(now - started_at)
+        if now - head_at > SLOW_ANSWER_SECONDS:
+            log_info(
+                "platform_answer_slow",
+                target=_path(target),
+                received=len(body),
+                head_after=round(head_at - started_at, 3),
+                took=round(now - started_at, 3),
+            )
+        return Response(
+            status=response.status, headers=response.headers, body=bytes(body)
+        )
+
+    def _record_failure(
+        self, target: str, started_at: float, limit: float, body: bytes, error: str
+    ) -> None:
+        self._timeout.record_timeout()
+        self._failures.record(
+            target=_path(target),
+            received=len(body),
+            took=round(monotonic() - started_at, 3),
+            limit=round(limit, 3),
+            error=error,
+        )
 
     async def close(self) -> None:
         """Close the idle connections."""
@@ -125,6 +168,27 @@
         return OutcomeUnknown(reason)
 
 
+class _FailureLog:
+    """Logs failed calls, at most one line each `FAILURE_LOG_SECONDS`."""
+
+    def __init__(self) -> None:
+        self._logged_at = float("-inf")
+        self._left_out = 0
+
+    def record(self, **fields: object) -> None:
+        """Log a failed call, or count it as left out."""
+        now = monotonic()
+        if now - self._logged_at < FAILURE_LOG_SECONDS:
+            self._left_out += 1
+            return
+        log_warning("platform_call_failed", left_out=self._left_out, **fields)
+        self._logged_at, self._left_out = now, 0
+
+
+def _path(target: str) -> str:
+    return target.partition("?")[0]
+
+
 def check_conditional(response: Response, kind: str, name: str) -> Response:
     """Return the response to a conditional write, or raise if it was refused."""
     if response.status == 404:
