Unknown routes and keys get 503 from a process that is behind its peers

A caller got 404 on a route that had been confirmed 8.8 s before (CONFIG) and did not come back, as 404 and 401 are final. A process hears its peers' revisions with every message, so it often knows that its own is older.

While it does, such a request gets 503 configuration_behind with Retry-After 0.3 s: it did not run, and the next attempt mostly reaches another instance. Known routes are served as before. Two tests failed before (404, 401). Ruled out: 503 for all requests of such a process, an outage in each change.

--- a/src/ragwortkeel/ingress/error_responses.py
+++ b/src/ragwortkeel/ingress/error_responses.py
@@ -48,6 +48,12 @@
     result=Result.NOT_RUN,
     retry_after_seconds=0.5,
 )
+CONFIGURATION_BEHIND = ErrorResponse(
+    status=503,
+    reason="configuration_behind",
+    result=Result.NOT_RUN,
+    retry_after_seconds=0.3,
+)
 NO_ROUTE = ErrorResponse(status=404, reason="no_route", result=Result.NOT_RUN)
 UNKNOWN_KEY = ErrorResponse(status=401, reason="unknown_key", result=Result.NOT_RUN)
 BAD_REQUEST = ErrorResponse(status=400, reason="bad_headers", result=Result.NOT_RUN)
--- a/src/ragwortkeel/ingress/front.py
+++ b/src/ragwortkeel/ingress/front.py
@@ -1,5 +1,6 @@
 """Accepts callers' requests: chooses the route, the customer and the service."""
 
+from collections.abc import Callable
 from hashlib import blake2b
 from time import monotonic
 
@@ -8,6 +9,7 @@
 from ragwortkeel.ingress.configuration import Customer, Route
 from ragwortkeel.ingress.error_responses import (
     BAD_REQUEST,
+    CONFIGURATION_BEHIND,
     INSTANCE_OVERLOADED,
     NO_CONFIGURATION,
     NO_ROUTE,
@@ -46,6 +48,8 @@
         The components that all requests share.
     monitor : InstanceMonitor or None
         Decides which requests are admitted; None admits all.
+    is_behind : callable
+        Returns whether a peer has a newer configuration in force.
 
     Attributes
     ----------
@@ -56,13 +60,18 @@
     """
 
     def __init__(
-        self, *, components: FrontComponents, monitor: InstanceMonitor | None = None
+        self,
+        *,
+        components: FrontComponents,
+        monitor: InstanceMonitor | None = None,
+        is_behind: Callable[[], bool] = lambda: False,
     ) -> None:
         self.table: RoutingTable | None = None
         self.stopping = False
         self._components = components
         self._names = components.names
         self._monitor = monitor
+        self._is_behind = is_behind
 
     async def refuse(self, request: Request, responder: Responder) -> bool:
         """Refuse a request that an overloaded instance can't serve in time.
@@ -132,6 +141,10 @@
         if self.stopping:
             return STOPPING
         match self._route(request):
+            case NoRoute() | UnknownKey() if self._is_behind():
+                # The newer configuration may have the route or the key, and a caller
+                # does not retry after a 404 or 401.
+                return with_spread(CONFIGURATION_BEHIND)
             case NoRoute():
                 return NO_ROUTE
             case UnknownKey():
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -254,6 +254,7 @@
                 sweep=self._sweep,
             ),
             monitor=self._monitor,
+            is_behind=lambda: self._peer_revision > self.revision(),
         )
         http_address = Address.parse(settings.http)
         self._server = HttpServer(
--- a/tests/ingress/test_configuration_in_force.py
+++ b/tests/ingress/test_configuration_in_force.py
@@ -80,6 +80,45 @@
         assert run_ingress(scenario) == 2
 
 
+class TestProcessBehindItsPeers:
+    @pytest.mark.parametrize(
+        ("path", "key", "status"), [("/new/", KEY, 404), ("/lookup/", "new-key", 401)]
+    )
+    def test_an_unknown_route_or_key_is_a_final_refusal_only_when_up_to_date(
+        self, path, key, status
+    ):
+        """Guards against a 404 on a confirmed route, after which callers don't retry.
+
+        The process knows that a peer has a newer configuration.
+        """
+
+        async def scenario(fleet):
+            [worker] = fleet.workers
+            headers = {"authorization": f"Bearer {key}"}
+            responses = [await fleet.ask(path, **headers)]
+            worker.receive_revision("peer", 2)
+            responses.append(await fleet.ask(path, **headers))
+            await worker.receive_configuration(configuration_object(fleet, 2))
+            responses.append(await fleet.ask(path, **headers))
+            return responses
+
+        before, behind, after = run_ingress(scenario)
+        assert (before.status, after.status) == (status, status)
+        assert behind.status == 503
+        assert b"configuration_behind" in behind.body
+        assert b"not_run" in behind.body
+        assert 0 < float(behind.headers["retry-after"]) < 1
+
+    def test_known_routes_are_served_by_a_process_that_is_behind(self):
+        """Guards against an outage in each change while the copies spread."""
+
+        async def scenario(fleet):
+            fleet.workers[0].receive_revision("peer", 2)
+            return (await fleet.ask("/lookup/")).status
+
+        assert run_ingress(scenario) == 200
+
+
 class TestCopies:
     @pytest.mark.parametrize("content", [b"", b"{}", b"no configuration"])
     def test_an_undecodable_value_changes_nothing(self, content):
