Writes to the platform get the time to send their value over a small link

The same class as the reads of a large configuration: the time limit of small calls bounded calls of any size, so a value of 600 KB at 10 Mbit/s ended with an unknown outcome after 0.25 s (the new test, which failed before).

The limit is longer by the time that the value takes over 5 Mbit/s, and the pace is learned without that time.

--- a/src/ragwortkeel/platform_calls.py
+++ b/src/ragwortkeel/platform_calls.py
@@ -33,6 +33,9 @@
 unreachable.
 """
 
+SLOWEST_LINK_BYTES_PER_SECOND = 625_000
+"""Pace at which a value is sent at the least: a link of 5 Mbit/s."""
+
 MAX_BODY_SECONDS = 10.0
 """Time in which the body of an answer has to be complete, whatever its pace.
 
@@ -58,7 +61,8 @@
         ``ip:port`` of the object service.
     timeout : float
         Maximum seconds without any bytes of an answer.  The head of an answer has to
-        arrive in a shorter time while answers are fast; the wait of a watch is added.
+        arrive in a shorter time while answers are fast; the wait of a watch and the
+        time to send a value over a small link are added.
         A body may take up to `MAX_BODY_SECONDS` as long as its bytes arrive.
     on_failure : callable, optional
         Called with the kind of each failure, for metrics.
@@ -114,49 +118,59 @@
         return response
 
     async def _request(
-        self, method: str, target: str, *, wait: float = 0.0, **fields
+        self,
+        method: str,
+        target: str,
+        *,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        wait: float = 0.0,
     ) -> Response:
         started_at = monotonic()
-        limit = self._timeout.seconds + wait
-        body = bytearray()
+        send_seconds = len(body) / SLOWEST_LINK_BYTES_PER_SECOND
+        limit = self._timeout.seconds + wait + send_seconds
+        received = bytearray()
         try:
             async with AsyncExitStack() as stack:
                 async with curio.timeout_after(limit):
-                    stream = self._client.stream(method, target, **fields)
+                    stream = self._client.stream(
+                        method, target, body=body, headers=headers
+                    )
                     response = await stack.enter_async_context(stream)
                 head_at = monotonic()
                 await _read_body(
-                    response, body, stall_seconds=self._timeout.max_seconds
+                    response, received, stall_seconds=self._timeout.max_seconds
                 )
         except curio.TaskTimeout as exc:
             error = f"no response within {limit:.2f} s"
-            self._record_failure(target, started_at, body, error)
+            self._record_failure(target, started_at, received, error)
             raise ExchangeBroken(error) from exc
         except (ConnectFailed, ExchangeBroken) as exc:
-            self._record_failure(target, started_at, body, str(exc))
+            self._record_failure(target, started_at, received, str(exc))
             raise
         now = monotonic()
         if not wait:
-            self._timeout.record_answer(head_at - started_at)
+            head_seconds = head_at - started_at - send_seconds
+            self._timeout.record_answer(max(0.0, head_seconds))
         if now - head_at > SLOW_ANSWER_SECONDS:
             log_info(
                 "platform_answer_slow",
                 target=_path(target),
-                received=len(body),
+                received=len(received),
                 head_after=round(head_at - started_at, 3),
                 took=round(now - started_at, 3),
             )
         return Response(
-            status=response.status, headers=response.headers, body=bytes(body)
+            status=response.status, headers=response.headers, body=bytes(received)
         )
 
     def _record_failure(
-        self, target: str, started_at: float, body: bytes, error: str
+        self, target: str, started_at: float, received: bytes, error: str
     ) -> None:
         self._timeout.record_timeout()
         self._failures.record(
             target=_path(target),
-            received=len(body),
+            received=len(received),
             took=round(monotonic() - started_at, 3),
             error=error,
         )
--- a/tests/slow_link.py
+++ b/tests/slow_link.py
@@ -18,6 +18,18 @@
         await curio.sleep(max(0.0, due_at - monotonic()))
 
 
+async def receive_paced(sock, size):
+    """Receive `size` bytes at the pace of the link."""
+    started_at, left = monotonic(), size
+    while left > 0:
+        data = await sock.recv(min(PIECE_BYTES, left))
+        if not data:
+            raise ConnectionResetError("the client closed the connection")
+        left -= len(data)
+        due_at = started_at + (size - left) / BYTES_PER_SECOND
+        await curio.sleep(max(0.0, due_at - monotonic()))
+
+
 class SlowLink:
     """Forwards connections to a server; what it answers arrives at the link's pace.
 
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -5,7 +5,7 @@
 
 import curio
 import pytest
-from tests.slow_link import BYTES_PER_SECOND, send_paced
+from tests.slow_link import BYTES_PER_SECOND, receive_paced, send_paced
 
 from ragwortkeel import platform_calls
 from ragwortkeel.exceptions import PlatformUnavailable
@@ -29,7 +29,6 @@
     def __init__(self):
         self.head_delay = 0.0
         self.stall_after = None
-        self.request_count = 0
 
     async def serve(self, sock, address):
         try:
@@ -45,8 +44,9 @@
             if not data:
                 return False
             received += data
-        self.request_count += 1
-        size = int(received.split()[1].decode().strip("/"))
+        head, _, body = received.partition(b"\r\n\r\n")
+        size = int(head.split()[1].decode().strip("/"))
+        await receive_paced(sock, content_length(head) - len(body))
         await curio.sleep(self.head_delay)
         await sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size)
         if self.stall_after is not None and size > self.stall_after:
@@ -56,6 +56,11 @@
         return True
 
 
+def content_length(head):
+    fields = [line.partition(b":") for line in head.lower().split(b"\r\n")[1:]]
+    return next(int(value) for name, _, value in fields if name == b"content-length")
+
+
 @asynccontextmanager
 async def paced_server():
     server = PacedServer()
@@ -120,6 +125,32 @@
         assert run_paced(scenario) < MAX_SECONDS
 
 
+class TestLargeWrites:
+    def test_a_large_write_over_a_slow_link_is_answered(self):
+        """Guards against writes of unknown outcome, as their value is large."""
+
+        async def scenario(server, calls):
+            value = b"x" * 600_000
+            response = await calls.write("PUT", f"/{SMALL_BYTES}", value, {})
+            return response.status
+
+        assert run_paced(scenario) == 200
+
+    def test_large_writes_leave_the_timeout_of_silent_calls_short(self):
+        """Guards against callers that wait longer for a silent platform."""
+
+        async def scenario(server, calls):
+            for _ in range(3):
+                await calls.write("PUT", f"/{SMALL_BYTES}", b"x" * 300_000, {})
+            server.head_delay = 10.0
+            started_at = monotonic()
+            with pytest.raises(PlatformUnavailable):
+                await calls.read(f"/{SMALL_BYTES}")
+            return monotonic() - started_at
+
+        assert run_paced(scenario) < MAX_SECONDS
+
+
 class TestIncompleteAnswers:
     def test_an_answer_that_stalls_is_given_up(self):
         """Guards against a connection that falls silent within a large answer."""
