Instances with larger links watch the platform

The watchers were the first in an order by rendezvous, whatever their links. Now the link that an instance states in its status goes first, rendezvous among equal ones; without a stated capacity nothing changes. Ruled out: no watch on small links at all, as nobody would be left after a loss of the large instances.

--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -38,7 +38,7 @@
 from ragwortkeel.ingress.peer_handler import PeerHandler
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.ingress.relaying import execute_call
-from ragwortkeel.ingress.watching import FORWARDER_COUNT, select_watchers
+from ragwortkeel.ingress.watching import FORWARDER_COUNT, WatcherOrder
 from ragwortkeel.ingress.writers import Writers
 from ragwortkeel.links import Endpoint, Link, LinkDown, LinkUp, Received
 from ragwortkeel.logs import log_debug, log_info, log_warning
@@ -108,6 +108,8 @@
         Count the bytes on the links.
     is_relay : bool
         Whether this process only relays platform calls and links to no other relay.
+    link_capacity : float
+        Bytes a second that the link of this instance carries; 0 if unknown.
 
     Attributes
     ----------
@@ -127,6 +129,7 @@
         metrics: Metrics,
         traffic: Traffic | None = None,
         is_relay: bool = False,
+        link_capacity: float = 0.0,
     ) -> None:
         self._node = node
         self._incarnation = incarnation
@@ -152,6 +155,7 @@
             is_relay=is_relay,
             new_link=self._new_link,
         )
+        self._watcher_order = WatcherOrder(name=address, link_capacity=link_capacity)
         self._task_by_address: dict[str, curio.Task] = {}
         self._reports = LoadReports()
         self.writers = Writers(
@@ -235,7 +239,7 @@
         await self._send(changes, [ingress_links[name] for name in others])
 
     def _current_watchers(self) -> list[str]:
-        return select_watchers([self._address, *self._mesh.ingress_links()])
+        return self._watcher_order.watchers(self._mesh.ingress_links())
 
     async def send_crash(self, crash: CrashSeen) -> None:
         """Send a crash and the requests suspected of it to all ingress processes."""
@@ -603,6 +607,7 @@
         self.writers.record_writer(
             node=state.node, address=state.address, latency_class=state.writing_step
         )
+        self._watcher_order.record_status(state.address, state.status)
         self._introductions.add(
             Introduction(
                 addresses=(state.address, *state.addresses), relays=state.relays
--- a/src/ragwortkeel/ingress/watching.py
+++ b/src/ragwortkeel/ingress/watching.py
@@ -2,14 +2,18 @@
 
 Pattern of load: each pending watch is a call that is paid for, and each change answers
 all watches at once, with a copy for each.  So only a few processes watch and forward
-changes to the others: the first of the mutually reachable ones in an order of names
-that all share.  There is no election.  A process that reaches no peer watches the
-platform itself, and one that lacks a change which a peer knows reads it there.
+changes to the others: the first of the mutually reachable ones in an order that all
+share.  Instances with larger links come first, since a copy of a large configuration
+fills a small link for seconds.  There is no election.  A process that reaches no peer
+watches the platform itself, and one that lacks a change which a peer knows reads it
+there.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from math import isfinite
 
 from ragwortkeel.ingress.mesh import rendezvous_order
+from ragwortkeel.messages import InstanceStatus
 
 WATCHER_COUNT = 6
 """Processes that watch, among those that reach each other; a failure of all of them
@@ -24,9 +28,46 @@
 _ORDER = "watchers"
 
 
-def select_watchers(names: Iterable[str]) -> list[str]:
-    """Return the names of the processes that watch."""
-    return rendezvous_order(_ORDER, names)[:WATCHER_COUNT]
+def select_watchers(
+    names: Iterable[str], *, capacity_by_name: Mapping[str, float]
+) -> list[str]:
+    """Return the names of the processes that watch.
+
+    Parameters
+    ----------
+    capacity_by_name : mapping of str to float
+        Bytes a second that the links of the instances carry, where that is known.
+    """
+    order = rendezvous_order(_ORDER, names)
+    order.sort(key=lambda name: capacity_by_name.get(name, 0.0), reverse=True)
+    return order[:WATCHER_COUNT]
+
+
+class WatcherOrder:
+    """The order of the processes that one process reaches, by their links.
+
+    Parameters
+    ----------
+    name : str
+        Name of this process.
+    link_capacity : float
+        Bytes a second that the link of its instance carries; 0 if unknown.
+    """
+
+    def __init__(self, *, name: str, link_capacity: float) -> None:
+        self._name = name
+        self._capacity_by_name = {name: link_capacity}
+
+    def record_status(self, peer: str, status: InstanceStatus | None) -> None:
+        """Record the capacity that a peer states; it holds until the next statement."""
+        if status is not None and isfinite(status.capacity):
+            self._capacity_by_name[peer] = status.capacity
+
+    def watchers(self, reachable: Iterable[str]) -> list[str]:
+        """Return which of this process and the reachable ones watch."""
+        return select_watchers(
+            [self._name, *reachable], capacity_by_name=self._capacity_by_name
+        )
 
 
 class Feed:
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -201,6 +201,9 @@
             handler=self,
             metrics=self.metrics,
             traffic=Traffic(counter=counter),
+            link_capacity=(
+                settings.capacity.link_bytes_per_second if settings.capacity else 0.0
+            ),
         )
         self._platform = RelayedPlatform(
             direct=self._counted, relays=self._peers.platform_relays
--- a/tests/ingress/test_watching.py
+++ b/tests/ingress/test_watching.py
@@ -1,6 +1,9 @@
 """Few processes watch the platform and forward changes to the others."""
 
 import curio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from tests.ingress.in_process import (
     ROUTES,
     answer_whole,
@@ -14,25 +17,67 @@
     LAG_GRACE_SECONDS,
     WATCHER_COUNT,
     Feed,
+    WatcherOrder,
     select_watchers,
 )
+from ragwortkeel.messages import InstanceStatus
 
 NAMES = [f"10.1.0.{n}:1" for n in range(68)]
 
 
+def watchers_among(names, **capacity_by_name):
+    return select_watchers(names, capacity_by_name=capacity_by_name)
+
+
 class TestWatchers:
     def test_the_number_of_watchers_does_not_grow_with_the_fleet(self):
-        assert len(select_watchers(NAMES[:3])) == 3
-        assert len(select_watchers(NAMES)) == WATCHER_COUNT
+        assert len(watchers_among(NAMES[:3])) == 3
+        assert len(watchers_among(NAMES)) == WATCHER_COUNT
 
     def test_the_failure_of_a_watcher_replaces_only_this_one(self):
-        before = set(select_watchers(NAMES))
+        before = set(watchers_among(NAMES))
         stopped = next(iter(before))
-        after = set(select_watchers([name for name in NAMES if name != stopped]))
+        after = set(watchers_among([name for name in NAMES if name != stopped]))
         assert len(after - before) == 1
 
     def test_a_process_that_reaches_no_peer_watches(self):
-        assert select_watchers([NAMES[5]]) == [NAMES[5]]
+        assert watchers_among([NAMES[5]]) == [NAMES[5]]
+
+    def test_instances_with_larger_links_watch(self):
+        """Guards against small links that are full for seconds with each change."""
+        large = NAMES[10:18]
+        capacity_by_name = {name: 25e6 if name in large else 625e3 for name in NAMES}
+        watchers = watchers_among(NAMES, **capacity_by_name)
+        assert set(watchers) <= set(large)
+
+    @given(st.lists(st.sampled_from([0.0, 625e3, 25e6]), min_size=1, max_size=12))
+    def test_processes_that_know_each_other_agree_on_their_watchers(self, capacities):
+        """Guards against a fleet in which each process leaves watching to others."""
+        capacity_by_name = dict(zip(NAMES, capacities, strict=False))
+        watching = set()
+        views = []
+        for own in capacity_by_name:
+            order = WatcherOrder(name=own, link_capacity=capacity_by_name[own])
+            for peer, capacity in capacity_by_name.items():
+                order.record_status(peer, InstanceStatus(capacity=capacity))
+            watchers = order.watchers(capacity_by_name.keys() - {own})
+            views.append(watchers)
+            watching |= {own} & set(watchers)
+        assert watching == set(views[0])
+        assert all(view == views[0] for view in views)
+
+    def test_processes_that_know_no_capacity_of_each_other_all_watch(self):
+        """Guards against changes that nobody reads right after a start."""
+        for own in NAMES[:8]:
+            order = WatcherOrder(name=own, link_capacity=625e3)
+            assert own in order.watchers(set(NAMES[:8]) - {own})
+
+    @pytest.mark.parametrize("capacity", [float("nan"), float("inf"), float("-inf")])
+    def test_a_capacity_that_is_no_number_changes_nothing(self, capacity):
+        order = WatcherOrder(name=NAMES[0], link_capacity=0.0)
+        order.record_status(NAMES[1], InstanceStatus(capacity=capacity))
+        order.record_status(NAMES[2], None)
+        assert order.watchers(NAMES[1:]) == watchers_among(NAMES)
 
 
 class TestFeed:
