The order of watchers by links holds once all processes state it

A fleet of two builds could have no watcher: older processes leave watching to the first by name, newer ones to those with the largest links, which may be other processes. The status says that a process knows the order by links; while one that is reached does not say so, the order is by name, as in older builds. It also ends the moment after a start in which every process watched.

--- a/src/ragwortkeel/ingress/status_report.py
+++ b/src/ragwortkeel/ingress/status_report.py
@@ -65,6 +65,7 @@
         status = InstanceStatus(
             zone=self._settings.zone,
             capacity=load.capacity,
+            watches_by_capacity=True,
             utilization=load.utilization,
             overloaded=load.overloaded_since is not None,
             in_rotation=in_rotation,
--- a/src/ragwortkeel/ingress/watching.py
+++ b/src/ragwortkeel/ingress/watching.py
@@ -44,7 +44,10 @@
 
 
 class WatcherOrder:
-    """The order of the processes that one process reaches, by their links.
+    """Which of the processes that one process reaches watch.
+
+    The order by links holds only while all of them state that they know it.  Otherwise
+    a fleet of two builds could have no watcher, as each build leaves it to the other.
 
     Parameters
     ----------
@@ -56,18 +59,22 @@
 
     def __init__(self, *, name: str, link_capacity: float) -> None:
         self._name = name
-        self._capacity_by_name = {name: link_capacity}
+        self._capacity_by_name = {name: link_capacity} if link_capacity else {}
 
     def record_status(self, peer: str, status: InstanceStatus | None) -> None:
         """Record the capacity that a peer states; it holds until the next statement."""
-        if status is not None and isfinite(status.capacity):
+        self._capacity_by_name.pop(peer, None)
+        if status is None or not status.watches_by_capacity:
+            return
+        if isfinite(status.capacity) and status.capacity > 0:
             self._capacity_by_name[peer] = status.capacity
 
     def watchers(self, reachable: Iterable[str]) -> list[str]:
         """Return which of this process and the reachable ones watch."""
-        return select_watchers(
-            [self._name, *reachable], capacity_by_name=self._capacity_by_name
-        )
+        names = [self._name, *reachable]
+        if self._capacity_by_name.keys() >= set(names):
+            return select_watchers(names, capacity_by_name=self._capacity_by_name)
+        return select_watchers(names, capacity_by_name={})
 
 
 class Feed:
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -462,6 +462,9 @@
     samples_by_upstream : dict of str to float
         Recent answers that each slowness rests on, older ones counting less; 1 where
         it is missing.
+    watches_by_capacity : bool
+        Whether the process knows the order of watchers by capacity; older builds order
+        them by name only.
     """
 
     zone: str = ""
@@ -474,6 +477,7 @@
     running_by_customer: dict[str, int] = {}
     slowness_by_upstream: dict[str, float] = {}
     samples_by_upstream: dict[str, float] = {}
+    watches_by_capacity: bool = False
 
 
 class IngressState(Message):
