A process without a configuration yields while renewals are requested

A restarted ingress process hung at 100% of a core and answered neither callers, probes nor a TERM.

Cause: peers that take the process for the writer delegate urgent renewals to it as soon as its link is up. Without a configuration it may not write, so the loop began again, and waiting for an event that is set does not yield: no other task ran, the one that brings the configuration included.

Until there is a configuration the loop sleeps now.

--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -392,9 +392,13 @@
     async def _wait_until_due(self) -> bool:
         """Wait until a write is due; return whether callers wait for it."""
         while (seconds := self._seconds_until_due()) > 0:
+            if self._table is None:
+                # A requested write has to wait for the configuration as well.
+                await curio.sleep(GRANT_RETRY_SECONDS)
+                continue
             async with curio.ignore_after(seconds):
                 await self._write_requested.wait()
-            if self._write_requested.is_set() and self._table is not None:
+            if self._write_requested.is_set():
                 backoff = max(0.0, self._backoff_until - monotonic())
                 await curio.sleep(backoff)
                 break
--- a/tests/ingress/test_renewals.py
+++ b/tests/ingress/test_renewals.py
@@ -1,5 +1,8 @@
 """One write of the ledgers for several processes, and the fallback when it fails."""
 
+import signal
+from contextlib import contextmanager
+
 import curio
 from tests.ingress.builders import configuration
 
@@ -65,7 +68,7 @@
 class Process:
     """One process with a slice, without links."""
 
-    def __init__(self, platform, *, name, rank):
+    def __init__(self, platform, *, name, rank, configured=True):
         self.allowances = Allowances(holder=f"{name}/1", started=read_clocks())
         self.peers = FakePeers(rank=rank)
         self.renewals = Renewals(
@@ -75,6 +78,10 @@
             peers=self.peers,
         )
         self.peers.owner = self.renewals
+        if configured:
+            self.configure()
+
+    def configure(self):
         customers = (Customer(name=CUSTOMER, keys=("k",), prepaid=100_000),)
         table = RoutingTable(configuration=configuration(1, customers=customers))
         self.renewals.configure(table)
@@ -240,6 +247,45 @@
     assert run_two(scenario) == (True, None)
 
 
+@contextmanager
+def alarm_after(seconds):
+    """Raise `TimeoutError` in whatever runs then, also in a task that never yields."""
+
+    def on_alarm(number, frame):
+        raise TimeoutError(f"still running after {seconds} s")
+
+    previous = signal.signal(signal.SIGALRM, on_alarm)
+    signal.setitimer(signal.ITIMER_REAL, seconds)
+    try:
+        yield
+    finally:
+        signal.setitimer(signal.ITIMER_REAL, 0)
+        signal.signal(signal.SIGALRM, previous)
+
+
+def test_an_urgent_renewal_before_the_first_configuration_stops_no_other_task():
+    """Guards against a restarted process that hangs and answers not even a TERM.
+
+    Its peers take it for the writer and delegate urgent renewals to it, before it has
+    got a configuration.
+    """
+
+    async def scenario():
+        process = Process(LocalPlatform(), name="a", rank=0, configured=False)
+        task = await curio.spawn(process.renewals.run, daemon=True)
+        await curio.sleep(0)
+        await process.renewals.wake()
+        await curio.sleep(0.1)
+        process.configure()
+        async with curio.timeout_after(PATIENCE):
+            while not process.renewals.predecessors_charged:
+                await curio.sleep(0.005)
+        await task.cancel()
+
+    with alarm_after(PATIENCE):
+        curio.run(scenario)
+
+
 def test_a_process_keeps_running_with_undecodable_ledgers():
     """Guards against repeated crashes when the stored object is no ledger."""
 
