A soak of ingress processes under drawn faults

python -m soak plays seeds: real ingress processes beside a stand-in platform, upstreams and callers that keep their connections, with faults and changes drawn from the seed, in series and overlapping. Nine checks read what callers and upstreams saw; each finds a made-up history that breaks it.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 
 .PHONY: install test lint format demo bench bench-budget bench-load bench-slopes bench-data-path \
-	bench-spread bench-guards bench-large-configuration
+	bench-spread bench-guards bench-large-configuration soak
 
 $(VENV)/.installed: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -49,3 +49,6 @@
 
 bench-large-configuration: install
 	$(BIN)/python -m benchmarks.large_configuration
+
+soak: install
+	$(BIN)/python -m soak --seeds 50
--- a/deployments/fleet.py
+++ b/deployments/fleet.py
@@ -221,6 +221,11 @@
         """Start a router."""
         return self._daemon("router", name, {"http": f"{HOST}:{free_port()}"} | extra)
 
+    def ingress(self, name, **settings):
+        """Start an ingress process; a later start of the same name may reuse ports."""
+        defaults = {"http": f"{HOST}:{free_port()}"}
+        return self._daemon("ingress", name, defaults | settings)
+
     def ingresses(self, count):
         """Start ingress processes, each with the others as peers."""
         addresses = [f"{HOST}:{free_port()}" for _ in range(count)]
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real ingress processes under faults, checked from outside."""
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,232 @@
+"""The product's promises, checked on the history of a run.
+
+A bound in time holds for processes in touch: up, and with nothing disturbed for
+`CALM_SECONDS` before.  The other promises hold at all times.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from soak.history import Answer, Change, History, Kind, Request
+
+CALM_SECONDS = 4.0
+IN_FORCE_SECONDS = 3.0
+"""Bound on a confirmed change of the configuration."""
+DRAIN_SECONDS = 2.0
+"""Bound on new requests to an upstream whose leaving was confirmed."""
+LOSS_GRACE_SECONDS = 0.2
+"""A request that crosses the end of an idle connection fails within this time."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Violation:
+    """A promise that a run broke."""
+
+    promise: str
+    at: float
+    detail: str
+
+
+Check = Callable[[History], Iterator[Violation]]
+
+
+def runs_at_most_once(history: History) -> Iterator[Violation]:
+    """Find requests that must not repeat and ran twice."""
+    filings = {
+        answer.request.request_id
+        for answer in history.answers
+        if answer.request.kind is Kind.FILING
+    }
+    counts = Counter(run.request_id for run in history.runs)
+    for run in history.runs:
+        if run.request_id in filings and counts.pop(run.request_id, 1) > 1:
+            yield _violation("at most once", run.at, f"{run.request_id} ran again")
+
+
+def refusals_are_true(history: History) -> Iterator[Violation]:
+    """Find filings that were refused as not run and ran."""
+    ran_at = {run.request_id: run.at for run in history.runs}
+    for answer in history.answers:
+        request = answer.request
+        refused = request.kind is Kind.FILING and answer.outcome == "not_run"
+        if refused and request.request_id in ran_at:
+            yield _violation("not run", answer.ended_at, f"{answer}")
+
+
+def answers_are_own(history: History) -> Iterator[Violation]:
+    """Find successes that are not the caller's own whole answer."""
+    for answer in history.answers:
+        if answer.status == 200 and not answer.is_own:
+            yield _violation("own whole answer", answer.ended_at, f"{answer}")
+
+
+def budgets_hold(history: History) -> Iterator[Violation]:
+    """Find budgets that were overspent, or whose ledger misses what was delivered."""
+    ran = {run.request_id for run in history.runs}
+    used: Counter[str] = Counter()
+    for answer in history.answers:
+        request = answer.request
+        if request.kind is Kind.CHAT and request.request_id in ran:
+            used[request.customer] += history.prompt_tokens
+            used[request.customer] += answer.events * history.event_tokens
+    for customer, prepaid in history.prepaid_by_customer.items():
+        spent = history.spent_by_customer.get(customer, 0)
+        if not used[customer] <= spent <= prepaid:
+            detail = f"{customer}: used {used[customer]}, {spent=}, {prepaid=}"
+            yield _violation("budget", 0.0, detail)
+
+
+def changes_are_in_force(history: History) -> Iterator[Violation]:
+    """Find answers by an older version than the bound allows."""
+    for answer in history.answers:
+        request = answer.request
+        if not _in_touch(history, request):
+            continue
+        removed = _removed_before(history, answer.ended_at)
+        for change in _settled_changes(history, request):
+            if _contradicts(answer, change, removed):
+                late = request.sent_at - change.confirmed_at
+                detail = f"revision {change.revision}, {late:.2f} s before: {answer}"
+                yield _violation("change in force", answer.ended_at, detail)
+
+
+def changes_never_revert(history: History) -> Iterator[Violation]:
+    """Find processes that served a new route and later had none."""
+    served_at: dict[tuple[str, int, str], float] = {}
+    removed = {name for change in history.changes for name in change.removes}
+    for answer in sorted(history.answers, key=lambda answer: answer.ended_at):
+        request = answer.request
+        seen = (request.process, request.start, request.route)
+        if answer.status == 200:
+            served_at.setdefault(seen, answer.ended_at)
+            continue
+        served_before = served_at.get(seen, request.sent_at) < request.sent_at
+        if answer.status == 404 and request.route not in removed and served_before:
+            yield _violation("no way back", answer.ended_at, f"{answer}")
+
+
+def valid_requests_are_not_denied(history: History) -> Iterator[Violation]:
+    """Find final refusals of what each version allows, by any process."""
+    changed = {
+        name for change in history.changes for name in change.adds | change.removes
+    }
+    for answer in history.answers:
+        refused = _finally_refused(answer)
+        if refused and refused not in changed:
+            yield _violation("valid request denied", answer.ended_at, f"{answer}")
+
+
+def leaving_upstreams_get_nothing(history: History) -> Iterator[Violation]:
+    """Find new requests at an upstream that leaves, from processes in touch."""
+    left_at = {
+        change.leaves: change.confirmed_at
+        for change in history.changes
+        if change.leaves
+    }
+    request_by_id = {
+        answer.request.request_id: answer.request for answer in history.answers
+    }
+    for run in history.runs:
+        request = request_by_id.get(run.request_id)
+        if request is None or run.upstream not in left_at:
+            continue
+        late = request.sent_at - left_at[run.upstream]
+        if late > DRAIN_SECONDS and _in_touch(history, request):
+            yield _violation("leaving upstream", run.at, f"{late:.2f} s: {request}")
+
+
+def planned_stops_cut_nothing(history: History) -> Iterator[Violation]:
+    """Find requests that a process had read and a planned stop cut."""
+    stops = [span for span in history.spans if span.cause == "stop"]
+    ran = {run.request_id: run for run in history.runs}
+    for answer in history.answers:
+        request = answer.request
+        if answer.status or not answer.connected:
+            continue
+        run = ran.get(request.request_id)
+        if run is not None and run.broken_by_upstream:
+            continue
+        crossed = answer.ended_at - request.sent_at <= LOSS_GRACE_SECONDS
+        if run is None and crossed:
+            continue
+        if any(_cut_by(history, answer, stop) for stop in stops):
+            yield _violation("planned stop", answer.ended_at, f"{answer}")
+
+
+def _cut_by(history: History, answer: Answer, stop) -> bool:
+    request = answer.request
+    if request.process != stop.process:
+        return False
+    if not stop.begins_at <= answer.ended_at <= stop.ends_at:
+        return False
+    others = [span for span in history.spans if span is not stop]
+    begins_at = request.sent_at - CALM_SECONDS
+    return not any(
+        span.process in ("", request.process)
+        and span.begins_at <= answer.ended_at
+        and span.ends_at >= begins_at
+        for span in others
+    )
+
+
+def _in_touch(history: History, request: Request) -> bool:
+    up_since = history.up_since_by_start.get((request.process, request.start))
+    if up_since is None or request.sent_at - up_since < CALM_SECONDS:
+        return False
+    return history.is_calm(
+        request.process, request.sent_at - CALM_SECONDS, request.sent_at
+    )
+
+
+def _settled_changes(history: History, request: Request) -> Iterator[Change]:
+    for change in history.changes:
+        if request.sent_at > change.confirmed_at + IN_FORCE_SECONDS:
+            yield change
+
+
+def _finally_refused(answer: Answer) -> str:
+    """Return the route or key that a final refusal does not know, else nothing."""
+    match answer.status:
+        case 404:
+            return answer.request.route
+        case 401:
+            return answer.request.key
+        case _:
+            return ""
+
+
+def _removed_before(history: History, at: float) -> frozenset[str]:
+    sent = [change.removes for change in history.changes if change.sent_at <= at]
+    return frozenset().union(*sent)
+
+
+def _contradicts(answer: Answer, change: Change, removed: frozenset[str]) -> bool:
+    names = {answer.request.route, answer.request.key}
+    if names & change.removes:
+        return answer.status == 200
+    refused = _finally_refused(answer)
+    return refused in change.adds and not names & removed
+
+
+def _violation(promise: str, at: float, detail: str) -> Violation:
+    return Violation(promise=promise, at=at, detail=detail)
+
+
+CHECKS: tuple[Check, ...] = (
+    runs_at_most_once,
+    refusals_are_true,
+    answers_are_own,
+    budgets_hold,
+    changes_are_in_force,
+    changes_never_revert,
+    valid_requests_are_not_denied,
+    leaving_upstreams_get_nothing,
+    planned_stops_cut_nothing,
+)
+
+
+def violations(history: History) -> list[Violation]:
+    """Return all broken promises, and what the run itself noticed."""
+    found = [_violation("run", 0.0, problem) for problem in history.problems]
+    return found + [violation for check in CHECKS for violation in check(history)]
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,175 @@
+"""The faults and changes of a run, drawn from one seed.
+
+They come in series and overlap; only processes that are already stopped, killed or
+frozen get no second fault of that sort.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+MEAN_GAP_SECONDS = 1.3
+FIRST_FAULT_SECONDS = 3.0
+QUIET_END_SECONDS = 6.0
+"""Time without new faults at the end of a run, in which everything recovers."""
+
+
+class Way(StrEnum):
+    """What happens to the connections between a process and the platform."""
+
+    SLOW_LINK = "slow_link"
+    DELAY = "delay"
+    SILENT = "silent"
+    SILENT_OPEN = "silent_open"
+    RESET = "reset"
+    REFUSE = "refuse"
+    ONE_WAY = "one_way"
+
+
+class PlatformFault(StrEnum):
+    """What happens to the platform for all processes."""
+
+    DOWN = "down"
+    SLOW = "slow"
+    LOST_ANSWERS = "lost_answers"
+    SKIPPED_CHANGE = "skipped_change"
+    GAPS = "gaps"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Kill:
+    """A process is killed and starts again."""
+
+    process: int
+    down_seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Stop:
+    """A process is stopped as planned and starts again."""
+
+    process: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Freeze:
+    """A process stands still."""
+
+    process: int
+    seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Reload:
+    """A process is told to read its settings again."""
+
+    process: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class DisturbWay:
+    """The connections between a process and the platform are disturbed."""
+
+    process: int
+    way: Way
+    seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class DisturbPlatform:
+    """The platform is disturbed."""
+
+    fault: PlatformFault
+    seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class ReplaceUpstream:
+    """An upstream leaves and another one takes its place."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class CrashUpstream:
+    """An upstream resets its connections and accepts none for a while."""
+
+    seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class ChangeRoutes:
+    """Routes are added; a large number makes the configuration large."""
+
+    count: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class RemoveRoute:
+    """A route that was added is removed."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class RevokeKey:
+    """An API key is taken away and a new one added."""
+
+
+Action = (
+    Kill
+    | Stop
+    | Freeze
+    | Reload
+    | DisturbWay
+    | DisturbPlatform
+    | ReplaceUpstream
+    | CrashUpstream
+    | ChangeRoutes
+    | RemoveRoute
+    | RevokeKey
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Scheduled:
+    """An action and when it begins, in seconds from the start of a run."""
+
+    at: float
+    action: Action
+
+
+def draw_schedule(*, seed: int, seconds: float, processes: int) -> list[Scheduled]:
+    """Return the actions of a run."""
+    random = Random(f"soak {seed}")
+    schedule = []
+    at = FIRST_FAULT_SECONDS
+    while at < seconds - QUIET_END_SECONDS:
+        schedule.append(Scheduled(at=at, action=_draw_action(random, processes)))
+        at += random.expovariate(1 / MEAN_GAP_SECONDS)
+    return schedule
+
+
+def _draw_action(random: Random, processes: int) -> Action:
+    process = random.randrange(processes)
+    span = round(random.uniform(0.5, 4.0), 2)
+    table = (
+        (2, lambda: Kill(process=process, down_seconds=span / 2)),
+        (2, lambda: Stop(process=process)),
+        (1, lambda: Freeze(process=process, seconds=span)),
+        (1, lambda: Reload(process=process)),
+        (3, lambda: _draw_way(random, process, span)),
+        (2, lambda: _draw_platform_fault(random, span)),
+        (2, ReplaceUpstream),
+        (1, lambda: CrashUpstream(seconds=span / 2)),
+        (3, lambda: ChangeRoutes(count=random.choice((1, 1, 3, 1500)))),
+        (1, RemoveRoute),
+        (2, RevokeKey),
+    )
+    weights = [weight for weight, _ in table]
+    [(_, draw)] = random.choices(table, weights)
+    return draw()
+
+
+def _draw_way(random: Random, process: int, span: float) -> DisturbWay:
+    return DisturbWay(process=process, way=random.choice(list(Way)), seconds=span)
+
+
+def _draw_platform_fault(random: Random, span: float) -> DisturbPlatform:
+    return DisturbPlatform(fault=random.choice(list(PlatformFault)), seconds=span)
--- /dev/null
+++ b/soak/history.py
@@ -0,0 +1,141 @@
+"""What callers, upstreams and operators saw in one run, for the checks after it.
+
+All times are monotonic seconds of the soak's own process.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from math import inf
+
+
+class Kind(StrEnum):
+    """What a request asks for, by its route."""
+
+    LOOKUP = "lookup"
+    FILING = "filing"
+    CHAT = "chat"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Request:
+    """A request as its caller sent it.
+
+    Attributes
+    ----------
+    process : str
+        Ingress process that the request was sent to.
+    start : int
+        Number of that process's start, from 1 on.
+    route, key : str
+        Name of the route, and the API key.
+    """
+
+    request_id: str
+    kind: Kind
+    process: str
+    start: int
+    route: str
+    key: str
+    customer: str
+    sent_at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answer:
+    """How a request ended for its caller.
+
+    Attributes
+    ----------
+    status : int
+        Status of the complete answer; 0 if the connection failed before its end.
+    outcome : str
+        What a refusal of the ingress says, empty for answers of upstreams.
+    is_own : bool
+        Whether a success is the whole answer to this request, with an upstream's proof.
+    connected : bool
+        Whether the request may have been sent.
+    events : int
+        Events of a stream that were received.
+    """
+
+    request: Request
+    ended_at: float
+    status: int
+    outcome: str = ""
+    reason: str = ""
+    is_own: bool = True
+    connected: bool = True
+    events: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Run:
+    """A request that an upstream began to run."""
+
+    request_id: str
+    upstream: str
+    at: float
+    broken_by_upstream: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class Span:
+    """A time in which something was disturbed; `process` is empty for all of them."""
+
+    process: str
+    cause: str
+    begins_at: float
+    ends_at: float = inf
+
+
+@dataclass(frozen=True, kw_only=True)
+class Change:
+    """A confirmed change by an operator.
+
+    Attributes
+    ----------
+    adds, removes : frozenset of str
+        Routes and API keys that are valid, or no longer valid, from then on.
+    leaves : str
+        Upstream that gets nothing new from then on.
+    """
+
+    sent_at: float
+    confirmed_at: float
+    revision: int = 0
+    adds: frozenset[str] = frozenset()
+    removes: frozenset[str] = frozenset()
+    leaves: str = ""
+
+
+@dataclass(kw_only=True)
+class History:
+    """Everything that one run recorded.
+
+    Attributes
+    ----------
+    up_since_by_start : dict of (str, int) to float
+        When a start of a process was ready for the first time.
+    problems : list of str
+        What the run itself noticed, such as a process that ended by itself.
+    """
+
+    prepaid_by_customer: dict[str, int]
+    prompt_tokens: int
+    event_tokens: int
+    answers: list[Answer] = field(default_factory=list)
+    runs: list[Run] = field(default_factory=list)
+    spans: list[Span] = field(default_factory=list)
+    changes: list[Change] = field(default_factory=list)
+    up_since_by_start: dict[tuple[str, int], float] = field(default_factory=dict)
+    spent_by_customer: dict[str, int] = field(default_factory=dict)
+    problems: list[str] = field(default_factory=list)
+
+    def is_calm(self, process: str, begins_at: float, ends_at: float) -> bool:
+        """Return whether nothing disturbed a process or the platform meanwhile."""
+        return not any(
+            span.process in ("", process)
+            and span.begins_at <= ends_at
+            and span.ends_at >= begins_at
+            for span in self.spans
+        )
--- /dev/null
+++ b/soak/operator.py
@@ -0,0 +1,206 @@
+"""The operator: the configuration, the upstreams' entries, and what callers know."""
+
+from time import monotonic, time
+
+import curio
+import msgspec
+
+from ragwortkeel.exceptions import OutcomeUnknown, PlatformError
+from ragwortkeel.ingress.configuration import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    UPSTREAMS_KIND,
+    Customer,
+    Engine,
+    IngressConfiguration,
+    Repeats,
+    Service,
+    Split,
+    Upstream,
+    UpstreamState,
+)
+from ragwortkeel.ingress.configuration import Route as ConfiguredRoute
+from ragwortkeel.platform import Platform
+from soak.callers import APP_HOST, Choices, Route
+from soak.history import Change, History, Kind
+from soak.upstreams import HOST, RecordingUpstream
+
+RETRY_SECONDS = 0.3
+ROUTE_SECONDS = 3.0
+USED_NEW_ROUTES = 3
+"""Routes that callers use of those that one change adds."""
+
+_REPEATS_BY_KIND = {
+    Kind.LOOKUP: Repeats.IDEMPOTENT,
+    Kind.FILING: Repeats.ONCE,
+    Kind.CHAT: Repeats.STREAM,
+}
+BASE_ROUTES = (
+    Route(name="lookup", path="/lookup/1", kind=Kind.LOOKUP),
+    Route(name="filing", path="/filing/1", kind=Kind.FILING),
+    Route(name="chat", path="/chat/1", kind=Kind.CHAT),
+)
+SERVICES = (
+    Service(name="app", max_connections=96),
+    Service(
+        name="pool",
+        max_connections=96,
+        engine=Engine(slots=16, memory_tokens=100_000, event_tokens=6),
+    ),
+)
+
+
+class Operator:
+    """Writes changes until the platform confirms them, and records them.
+
+    Parameters
+    ----------
+    platform : Platform
+        Reached without a proxy; fails only while the platform itself does.
+    """
+
+    def __init__(self, *, platform: Platform, history: History) -> None:
+        self.choices = Choices(routes=list(BASE_ROUTES), keys=[], revoked_keys=[])
+        self._platform = platform
+        self._history = history
+        self._routes = list(BASE_ROUTES)
+        self._added: list[Route] = []
+        self._keys_by_customer = {
+            name: [f"{name}-key-0"] for name in history.prepaid_by_customer
+        }
+        self._revision = 0
+        self._key_count = 0
+        self._route_count = 0
+        self._lock = curio.Lock()
+        self.choices.keys = [
+            (key, name) for name, keys in self._keys_by_customer.items() for key in keys
+        ]
+
+    async def apply(self) -> None:
+        """Write the first configuration."""
+        async with self._lock:
+            await self._apply()
+
+    async def add_routes(self, count: int) -> None:
+        """Add lookup routes; callers use some of them from then on."""
+        async with self._lock:
+            numbers = range(self._route_count, self._route_count + count)
+            self._route_count += count
+            new = [
+                Route(name=f"new-{n}", path=f"/lookup-{n}/1", kind=Kind.LOOKUP)
+                for n in numbers
+            ]
+            self._routes += new
+            used = new[-USED_NEW_ROUTES:]
+            self._added += used
+            self.choices.routes += used
+            await self._apply(adds=frozenset(route.name for route in used))
+
+    async def remove_route(self) -> None:
+        """Remove the route that was added first; callers go on using it."""
+        async with self._lock:
+            if self._added:
+                route = self._added.pop(0)
+                self._routes.remove(route)
+                await self._apply(removes=frozenset({route.name}))
+
+    async def revoke_key(self) -> None:
+        """Replace a customer's key; callers go on using the old one too."""
+        async with self._lock:
+            self._key_count += 1
+            names = sorted(self._keys_by_customer)
+            name = names[self._key_count % len(names)]
+            new = f"{name}-key-{self._key_count}"
+            keys = self._keys_by_customer[name]
+            removed = keys.pop(0)
+            keys.append(new)
+            self.choices.keys.remove((removed, name))
+            self.choices.keys.append((new, name))
+            self.choices.revoked_keys.append((removed, name))
+            await self._apply(adds=frozenset({new}), removes=frozenset({removed}))
+
+    async def register(self, upstream: RecordingUpstream) -> None:
+        """Write the entry of an upstream that is ready."""
+        upstream.started_ms = int(time() * 1000)
+        await self._write_entry(upstream, UpstreamState.READY)
+
+    async def announce_leaving(self, upstream: RecordingUpstream) -> None:
+        """Write that an upstream leaves."""
+        sent_at = monotonic()
+        await self._write_entry(upstream, UpstreamState.LEAVING)
+        change = Change(sent_at=sent_at, confirmed_at=monotonic(), leaves=upstream.name)
+        self._history.changes.append(change)
+
+    async def _write_entry(
+        self, upstream: RecordingUpstream, state: UpstreamState
+    ) -> None:
+        entry = Upstream(
+            name=upstream.name,
+            service=upstream.service,
+            host=HOST,
+            port=upstream.port,
+            zone="zone-a",
+            slots=16,
+            state=state,
+            started_ms=upstream.started_ms,
+        )
+        await self._write(UPSTREAMS_KIND, upstream.name, msgspec.json.encode(entry))
+
+    async def _apply(
+        self,
+        adds: frozenset[str] = frozenset(),
+        removes: frozenset[str] = frozenset(),
+    ) -> None:
+        self._revision += 1
+        configuration = IngressConfiguration(
+            revision=self._revision,
+            routes=tuple(_configured(route) for route in self._routes),
+            services=SERVICES,
+            customers=tuple(
+                Customer(
+                    name=name,
+                    keys=tuple(self._keys_by_customer[name]),
+                    prepaid=prepaid,
+                )
+                for name, prepaid in self._history.prepaid_by_customer.items()
+            ),
+        )
+        sent_at = monotonic()
+        await self._write(
+            CONFIGURATION_KIND, CONFIGURATION_NAME, msgspec.json.encode(configuration)
+        )
+        self._history.changes.append(
+            Change(
+                sent_at=sent_at,
+                confirmed_at=monotonic(),
+                revision=self._revision,
+                adds=adds,
+                removes=removes,
+            )
+        )
+
+    async def _write(self, kind: str, name: str, value: bytes) -> None:
+        while True:
+            try:
+                stored = await self._platform.get(kind, name)
+                if stored is None:
+                    await self._platform.create(kind, name, value)
+                elif stored.value != value:
+                    await self._platform.update(kind, name, value, stored.version)
+                return
+            except (PlatformError, OutcomeUnknown):
+                await curio.sleep(RETRY_SECONDS)
+
+
+def _configured(route: Route) -> ConfiguredRoute:
+    service = "pool" if route.kind is Kind.CHAT else "app"
+    return ConfiguredRoute(
+        name=route.name,
+        host=APP_HOST,
+        prefix=route.path.removesuffix("1"),
+        repeats=_REPEATS_BY_KIND[route.kind],
+        splits=(Split(service=service),),
+        timeout_seconds=ROUTE_SECONDS,
+        objective_seconds=0.5,
+        max_attempts=1 if route.kind is Kind.FILING else 2,
+    )
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,409 @@
+"""One run: starts the processes, applies the schedule and returns the history."""
+
+import signal
+from collections.abc import Callable
+from time import monotonic
+
+import curio
+import msgspec
+from deployments.fleet import HOST, Fleet, Program
+from deployments.ports import free_port
+
+from ragwortkeel.budget.shards import SHARDS_KIND, decode_shard
+from ragwortkeel.exceptions import ConnectFailed, ExchangeBroken
+from ragwortkeel.http_client import HttpClient
+from ragwortkeel.ingress.ledger_store import SHARD_NAME
+from ragwortkeel.platform_client import HttpPlatform
+from soak.callers import PROMPT_TOKENS, Caller, Target
+from soak.faults import (
+    Action,
+    ChangeRoutes,
+    CrashUpstream,
+    DisturbPlatform,
+    DisturbWay,
+    Freeze,
+    Kill,
+    PlatformFault,
+    Reload,
+    RemoveRoute,
+    ReplaceUpstream,
+    RevokeKey,
+    Stop,
+    draw_schedule,
+)
+from soak.history import History, Span
+from soak.operator import Operator
+from soak.upstreams import RecordingUpstream
+from soak.ways import PlatformWay
+
+EVENT_TOKENS = 6
+PREPAID_BY_CUSTOMER = {"large": 100_000_000, "small": 60_000}
+"""The budget of the one is never used up; that of the other is, within a run."""
+
+CALLERS_PER_PROCESS = 4
+UPSTREAM_COUNT_BY_SERVICE = {"app": 3, "pool": 2}
+STOP_DEADLINE_SECONDS = 8.0
+EXIT_MARGIN_SECONDS = 3.0
+PROBE_SECONDS = 0.25
+PROBE_TIMEOUT_SECONDS = 1.0
+MISSED_PROBES = 2
+START_SECONDS = 30.0
+LEAVE_SECONDS = 6.0
+LINK_BYTES_PER_SECOND = 12_500_000
+MEMORY_BYTES = 500_000_000
+SETTLE_SECONDS = 1.0
+
+
+class IngressProcess:
+    """One ingress process over all its starts, and the balancer's view of it."""
+
+    def __init__(
+        self, *, number: int, fleet: Fleet, way: PlatformWay, history: History
+    ) -> None:
+        self.name = f"ingress-{number}"
+        self.address = f"{HOST}:{free_port()}"
+        self.start_number = 0
+        self.busy = False
+        self._fleet = fleet
+        self._way = way
+        self._history = history
+        self._http_port = free_port()
+        self._metrics_port = free_port()
+        self._link = LINK_BYTES_PER_SECOND * (10 if number == 0 else 1)
+        self._peers: list[str] = []
+        self._program: Program | None = None
+        self._expected_up = False
+        self._missed = MISSED_PROBES
+
+    def begin(self, peers: list[str]) -> None:
+        """Start the process for the first time."""
+        self._peers = [peer for peer in peers if peer != self.address]
+        self._start()
+
+    @property
+    def target(self) -> Target | None:
+        """Where callers may send requests; None while out of rotation."""
+        if self._missed >= MISSED_PROBES:
+            return None
+        return Target(process=self.name, start=self.start_number, port=self._http_port)
+
+    @property
+    def pid(self) -> int:
+        """Process id of the current start."""
+        return self._program.popen.pid
+
+    def _start(self) -> None:
+        self.start_number += 1
+        self._program = self._fleet.ingress(
+            self.name,
+            address=self.address,
+            http=f"{HOST}:{self._http_port}",
+            metrics=f"{HOST}:{self._metrics_port}",
+            platform=f"{HOST}:{self._way.port}",
+            peers=self._peers,
+            stop_deadline_seconds=STOP_DEADLINE_SECONDS,
+            capacity={
+                "link_bytes_per_second": self._link,
+                "memory_bytes": MEMORY_BYTES,
+            },
+        )
+        self._expected_up = True
+
+    async def probe(self) -> None:
+        """Ask for readiness like a balancer until cancelled."""
+        while True:
+            self._check_alive()
+            if await self._is_ready():
+                self._missed = 0
+                start = (self.name, self.start_number)
+                self._history.up_since_by_start.setdefault(start, monotonic())
+            else:
+                self._missed += 1
+            await curio.sleep(PROBE_SECONDS)
+
+    def _check_alive(self) -> None:
+        code = self._program.popen.poll()
+        if self._expected_up and code is not None:
+            self._history.problems.append(
+                f"{self.name} ended by itself with {code}: {self._program.log_tail()}"
+            )
+            self._expected_up = False
+
+    async def _is_ready(self) -> bool:
+        client = HttpClient(host=HOST, port=self._metrics_port)
+        try:
+            rv = await client.request("GET", "/readyz", timeout=PROBE_TIMEOUT_SECONDS)
+        except (ConnectFailed, ExchangeBroken):
+            return False
+        finally:
+            await client.close()
+        return rv.status == 200
+
+    async def kill(self, down_seconds: float) -> None:
+        """Kill the process and start it again."""
+        begins_at = monotonic()
+        self._expected_up = False
+        self._program.popen.kill()
+        await self._wait_ended()
+        await curio.sleep(down_seconds)
+        self._start()
+        self._record("kill", begins_at)
+
+    async def stop(self) -> None:
+        """Stop the process as planned; start it again."""
+        await self.end()
+        self._start()
+
+    async def end(self) -> None:
+        """Stop the process as planned."""
+        begins_at = monotonic()
+        self._expected_up = False
+        self._program.send(signal.SIGTERM)
+        async with curio.ignore_after(STOP_DEADLINE_SECONDS + EXIT_MARGIN_SECONDS):
+            await self._wait_ended()
+        code = self._program.popen.poll()
+        if code != 0:
+            took = monotonic() - begins_at
+            self._history.problems.append(
+                f"{self.name}: exit code {code} {took:.1f} s after a TERM"
+            )
+        if code is None:
+            self._program.popen.kill()
+            await self._wait_ended()
+        self._record("stop", begins_at)
+
+    async def freeze(self, seconds: float) -> None:
+        """Let the process stand still."""
+        begins_at = monotonic()
+        self._program.send(signal.SIGSTOP)
+        await curio.sleep(seconds)
+        self._program.send(signal.SIGCONT)
+        self._record("freeze", begins_at)
+
+    def reload(self) -> None:
+        """Tell the process to read its settings again."""
+        self._program.send(signal.SIGHUP)
+
+    async def disturb_way(self, action: DisturbWay) -> None:
+        """Disturb the connections to the platform."""
+        begins_at = monotonic()
+        await self._way.disturb(action.way)
+        await curio.sleep(action.seconds)
+        self._way.end_disturbance()
+        self._record(str(action.way), begins_at)
+
+    async def _wait_ended(self) -> None:
+        while self._program.popen.poll() is None:
+            await curio.sleep(0.02)
+
+    def _record(self, cause: str, begins_at: float) -> None:
+        self._history.spans.append(
+            Span(
+                process=self.name,
+                cause=cause,
+                begins_at=begins_at,
+                ends_at=monotonic(),
+            )
+        )
+
+
+class Run:
+    """The processes, callers and upstreams of one run.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Starts the processes; the caller closes it.
+    """
+
+    def __init__(
+        self, *, seed: int, seconds: float, processes: int, fleet: Fleet
+    ) -> None:
+        self._seed = seed
+        self._seconds = seconds
+        self._fleet = fleet
+        self._count = processes
+        self._tasks = curio.TaskGroup(wait=None)
+        self._upstreams: list[RecordingUpstream] = []
+        self._upstream_count = 0
+        self.history = History(
+            prepaid_by_customer=dict(PREPAID_BY_CUSTOMER),
+            prompt_tokens=PROMPT_TOKENS,
+            event_tokens=EVENT_TOKENS,
+        )
+
+    async def run(self) -> History:
+        """Play the run and return what was recorded."""
+        self._program = self._fleet.platform()
+        address = f"{HOST}:{self._fleet.platform_port}"
+        self._platform = HttpPlatform(address=address)
+        self._operator = Operator(platform=self._platform, history=self.history)
+        async with self._tasks:
+            await self._start()
+            await self._play()
+            await self._settle()
+        return self.history
+
+    async def _start(self) -> None:
+        for service, count in UPSTREAM_COUNT_BY_SERVICE.items():
+            for _ in range(count):
+                await self._add_upstream(service)
+        await self._operator.apply()
+        ways = [
+            PlatformWay(target_port=self._fleet.platform_port)
+            for _ in range(self._count)
+        ]
+        for way in ways:
+            await way.start()
+        self._processes = [
+            IngressProcess(
+                number=number, fleet=self._fleet, way=way, history=self.history
+            )
+            for number, way in enumerate(ways)
+        ]
+        peers = [process.address for process in self._processes]
+        for process in self._processes:
+            process.begin(peers)
+            await self._spawn(process.probe)
+        async with curio.timeout_after(START_SECONDS):
+            while len(self._targets()) < self._count:
+                await curio.sleep(PROBE_SECONDS)
+        self._callers = [
+            await self._spawn(self._caller(number).run)
+            for number in range(self._count * CALLERS_PER_PROCESS)
+        ]
+
+    async def _spawn(self, function: Callable, *arguments: object) -> curio.Task:
+        return await self._tasks.spawn(self._guard, function, *arguments, daemon=True)
+
+    async def _guard(self, function: Callable, *arguments: object) -> None:
+        """Record the failure of a task of the soak itself as a problem."""
+        try:
+            await function(*arguments)
+        except Exception as exc:
+            self.history.problems.append(f"{function.__qualname__}: {exc!r}")
+            raise
+
+    async def _play(self) -> None:
+        schedule = draw_schedule(
+            seed=self._seed, seconds=self._seconds, processes=self._count
+        )
+        started_at = monotonic()
+        for scheduled in schedule:
+            await curio.sleep(max(0.0, started_at + scheduled.at - monotonic()))
+            await self._spawn(self._apply, scheduled.action)
+        await curio.sleep(max(0.0, started_at + self._seconds - monotonic()))
+
+    async def _settle(self) -> None:
+        """End the callers, stop all processes and read the ledgers."""
+        for caller in self._callers:
+            await caller.cancel()
+        async with curio.timeout_after(START_SECONDS):
+            while any(process.busy for process in self._processes):
+                await curio.sleep(PROBE_SECONDS)
+        # A start charges its predecessors with its first renewal.
+        await curio.sleep(SETTLE_SECONDS)
+        async with curio.TaskGroup() as group:
+            for process in self._processes:
+                await group.spawn(process.end)
+        stored = await self._platform.get(SHARDS_KIND, SHARD_NAME)
+        for name, ledger in decode_shard(stored.value).ledger_by_customer.items():
+            self.history.spent_by_customer[name] = ledger.total_spent
+
+    def _targets(self) -> list[Target]:
+        return [p.target for p in self._processes if p.target is not None]
+
+    def _caller(self, number: int) -> Caller:
+        return Caller(
+            number=number,
+            seed=self._seed,
+            targets=self._targets,
+            choices=self._operator.choices,
+            history=self.history,
+        )
+
+    async def _apply(self, action: Action) -> None:
+        match action:
+            case Kill() | Stop() | Freeze() | Reload():
+                await self._disturb_process(action)
+            case DisturbWay(process=number):
+                await self._processes[number].disturb_way(action)
+            case DisturbPlatform():
+                await self._disturb_platform(action)
+            case ReplaceUpstream():
+                await self._replace_upstream()
+            case CrashUpstream(seconds=seconds):
+                await self._upstreams[0].crash(seconds)
+            case ChangeRoutes(count=count):
+                await self._operator.add_routes(count)
+            case RemoveRoute():
+                await self._operator.remove_route()
+            case RevokeKey():
+                await self._operator.revoke_key()
+
+    async def _disturb_process(self, action: Kill | Stop | Freeze | Reload) -> None:
+        process = self._processes[action.process]
+        if process.busy:
+            return
+        process.busy = True
+        try:
+            match action:
+                case Kill(down_seconds=seconds):
+                    await process.kill(seconds)
+                case Stop():
+                    await process.stop()
+                case Freeze(seconds=seconds):
+                    await process.freeze(seconds)
+                case Reload():
+                    process.reload()
+        finally:
+            process.busy = False
+
+    async def _disturb_platform(self, action: DisturbPlatform) -> None:
+        switches = {
+            PlatformFault.DOWN: {"down": True},
+            PlatformFault.SLOW: {"slow_seconds": 0.25},
+            PlatformFault.LOST_ANSWERS: {"lost_answers": 3},
+            PlatformFault.SKIPPED_CHANGE: {"watch_skips": 1},
+            PlatformFault.GAPS: {"watch_gaps": True},
+        }
+        begins_at = monotonic()
+        await self._switch(switches[action.fault])
+        await curio.sleep(action.seconds)
+        await self._switch({})
+        span = Span(
+            process="",
+            cause=str(action.fault),
+            begins_at=begins_at,
+            ends_at=monotonic(),
+        )
+        self.history.spans.append(span)
+
+    async def _switch(self, switches: dict[str, object]) -> None:
+        client = HttpClient(host=HOST, port=self._fleet.platform_port)
+        try:
+            body = msgspec.json.encode(switches)
+            await client.request("POST", "/switches", body=body, timeout=5.0)
+        finally:
+            await client.close()
+
+    async def _add_upstream(self, service: str) -> None:
+        upstream = RecordingUpstream(
+            name=f"u{self._upstream_count}",
+            service=service,
+            history=self.history,
+            seed=self._seed,
+        )
+        self._upstream_count += 1
+        await upstream.start()
+        await self._operator.register(upstream)
+        self._upstreams.append(upstream)
+
+    async def _replace_upstream(self) -> None:
+        """Let the oldest upstream leave after its successor is ready."""
+        old = self._upstreams.pop(0)
+        await self._add_upstream(old.service)
+        old.leaving = True
+        await self._operator.announce_leaving(old)
+        await curio.sleep(LEAVE_SECONDS)
+        await old.stop()
--- /dev/null
+++ b/soak/upstreams.py
@@ -0,0 +1,161 @@
+"""Upstreams that record what they run, with faults of their own."""
+
+import socket as _socket
+from contextlib import suppress
+from random import Random
+from time import monotonic
+
+import curio
+import h11
+
+from ragwortkeel.exceptions import ExchangeBroken
+from ragwortkeel.http_events import join_headers, next_event
+from ragwortkeel.ingress.names import HeaderNames
+from soak.history import History, Run
+
+HOST = "127.0.0.1"
+NAMES = HeaderNames()
+PROOF = "p1"
+STREAM_EVENTS = 8
+EVENT_SECONDS = 0.05
+WORK_SECONDS = 0.02
+FAILED_SHARE = 0.01
+"""Share of requests whose connection is reset after they began to run."""
+
+
+def own_body(request_id: str) -> bytes:
+    """Return the body of the answer to a request that is no stream."""
+    return f"answer to {request_id}".encode()
+
+
+class RecordingUpstream:
+    """A server that runs requests of one service.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether its answers announce that it leaves.
+    """
+
+    def __init__(self, *, name: str, service: str, history: History, seed: int) -> None:
+        self.name = name
+        self.service = service
+        self.leaving = False
+        self.started_ms = 0
+        self._history = history
+        self._random = Random(f"{name} {seed}")
+        self._crashed = False
+        self._task_by_sock: dict[object, curio.Task] = {}
+
+    async def start(self) -> None:
+        """Listen at a free port."""
+        self._sock = curio.network.tcp_server_socket(HOST, 0)
+        self.port = self._sock.getsockname()[1]
+        self._task = await curio.spawn(
+            curio.network.run_server, self._sock, self._serve, daemon=True
+        )
+
+    async def stop(self) -> None:
+        """Stop accepting connections, and reset the open ones."""
+        await self._task.cancel()
+        await self._reset_all()
+
+    async def crash(self, seconds: float) -> None:
+        """Reset all connections, and each new one for some seconds."""
+        self._crashed = True
+        await self._reset_all()
+        await curio.sleep(seconds)
+        self._crashed = False
+
+    async def _reset_all(self) -> None:
+        for sock, task in list(self._task_by_sock.items()):
+            _reset_on_close(sock)
+            await task.cancel()
+
+    async def _serve(self, sock, _address) -> None:
+        if self._crashed:
+            _reset_on_close(sock)
+            return
+        self._task_by_sock[sock] = await curio.current_task()
+        try:
+            while await self._serve_request(sock):
+                pass
+        except (OSError, ExchangeBroken):
+            pass  # The ingress closed the connection, or this upstream crashed.
+        finally:
+            del self._task_by_sock[sock]
+
+    async def _serve_request(self, sock) -> bool:
+        conn = h11.Connection(h11.SERVER)
+        try:
+            head = await next_event(sock, conn)
+            if not isinstance(head, h11.Request):
+                return False
+            while isinstance(await next_event(sock, conn), h11.Data):
+                pass
+        except h11.RemoteProtocolError:
+            return False
+        headers = join_headers(head.headers)
+        request_id = headers[NAMES.request_id]
+        fields = [(NAMES.request_id, request_id)]
+        if self.leaving:
+            fields.append((NAMES.leaving, "1"))
+        if headers.get(NAMES.expect_instance) != self.name:
+            fields += [(NAMES.not_run, "1"), ("content-length", "0")]
+            await sock.sendall(conn.send(_response(421, fields)))
+            await sock.sendall(conn.send(h11.EndOfMessage()))
+            return True
+        fails = self._random.random() < FAILED_SHARE
+        run = Run(
+            request_id=request_id,
+            upstream=self.name,
+            at=monotonic(),
+            broken_by_upstream=fails,
+        )
+        self._history.runs.append(run)
+        if fails:
+            _reset_on_close(sock)
+            return False
+        fields.append((NAMES.proof, PROOF))
+        if head.target.startswith(b"/chat/"):
+            after = int(headers.get(NAMES.last_event, 0))
+            await self._stream(sock, conn, fields, request_id, after)
+        else:
+            await curio.sleep(WORK_SECONDS)
+            body = own_body(request_id)
+            fields.append(("content-length", str(len(body))))
+            data = conn.send(_response(200, fields)) + conn.send(h11.Data(data=body))
+            await sock.sendall(data + conn.send(h11.EndOfMessage()))
+        return True
+
+    async def _stream(
+        self, sock, conn: h11.Connection, fields: list, request_id: str, after: int
+    ) -> None:
+        fields += [
+            ("content-type", "text/event-stream"),
+            ("transfer-encoding", "chunked"),
+        ]
+        await sock.sendall(conn.send(_response(200, fields)))
+        for number in range(after + 1, STREAM_EVENTS + 1):
+            await curio.sleep(EVENT_SECONDS)
+            event = f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+            await sock.sendall(conn.send(h11.Data(data=event)))
+        await sock.sendall(conn.send(h11.EndOfMessage()))
+
+
+def stream_events(request_id: str) -> bytes:
+    """Return the whole body of the stream for a request."""
+    return b"".join(
+        f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+        for number in range(1, STREAM_EVENTS + 1)
+    )
+
+
+def _response(status: int, fields: list) -> h11.Response:
+    return h11.Response(status_code=status, headers=fields)
+
+
+def _reset_on_close(sock) -> None:
+    """Let the connection end with a TCP reset when its task closes it."""
+    with suppress(OSError):
+        sock.setsockopt(_socket.SOL_SOCKET, _socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,202 @@
+"""The soak's schedule and checks, and one short run of it."""
+
+import pytest
+from soak.__main__ import run_seed
+from soak.checks import CALM_SECONDS, DRAIN_SECONDS, IN_FORCE_SECONDS, violations
+from soak.faults import QUIET_END_SECONDS, draw_schedule
+from soak.history import Answer, Change, History, Kind, Request, Run, Span
+
+PROCESS = "ingress-0"
+READY_AT = 100.0
+SENT_AT = READY_AT + 60.0
+
+
+def request(kind=Kind.LOOKUP, **fields):
+    return Request(
+        **{
+            "request_id": "c1-1",
+            "kind": kind,
+            "process": PROCESS,
+            "start": 1,
+            "route": kind.value,
+            "key": "key-0",
+            "customer": "large",
+            "sent_at": SENT_AT,
+        }
+        | fields
+    )
+
+
+def answer(sent=None, status=200, **fields):
+    sent = sent or request()
+    return Answer(
+        request=sent, status=status, **{"ended_at": sent.sent_at + 1.0} | fields
+    )
+
+
+def run(sent=None, at=SENT_AT + 0.1, **fields):
+    request_id = (sent or request()).request_id
+    return Run(request_id=request_id, at=at, **{"upstream": "u1"} | fields)
+
+
+def history(**fields):
+    return History(
+        **{
+            "prepaid_by_customer": {"large": 1000},
+            "prompt_tokens": 400,
+            "event_tokens": 6,
+            "up_since_by_start": {(PROCESS, 1): READY_AT},
+        }
+        | fields
+    )
+
+
+def broken(**fields):
+    """Return the promises that a history breaks."""
+    return [violation.promise for violation in violations(history(**fields))]
+
+
+def change(confirmed_at=SENT_AT - IN_FORCE_SECONDS - 1, **fields):
+    return Change(sent_at=confirmed_at - 0.1, confirmed_at=confirmed_at, **fields)
+
+
+def disturbed(cause, begins_at, ends_at, process=PROCESS):
+    return Span(process=process, cause=cause, begins_at=begins_at, ends_at=ends_at)
+
+
+class TestSchedule:
+    def test_a_seed_gives_the_same_schedule_each_time(self):
+        first, second = (
+            draw_schedule(seed=7, seconds=60, processes=3) for _ in range(2)
+        )
+        assert first == second != draw_schedule(seed=8, seconds=60, processes=3)
+
+    def test_nothing_is_disturbed_at_the_end(self):
+        schedule = draw_schedule(seed=7, seconds=60, processes=3)
+        assert schedule[-1].at < 60 - QUIET_END_SECONDS
+
+
+class TestRunsAndAnswers:
+    def test_a_served_request_breaks_nothing(self):
+        assert broken(answers=[answer()], runs=[run()]) == []
+
+    def test_a_filing_that_ran_twice_is_found(self):
+        sent = request(Kind.FILING)
+        runs = [run(), run(at=SENT_AT + 0.5, upstream="u2")]
+        assert broken(answers=[answer(sent)], runs=runs) == ["at most once"]
+        assert broken(answers=[answer()], runs=runs) == []
+
+    def test_a_refused_filing_that_ran_is_found(self):
+        refused = answer(request(Kind.FILING), 503, outcome="not_run")
+        assert broken(answers=[refused], runs=[run()]) == ["not run"]
+        assert broken(answers=[refused]) == []
+
+    def test_an_answer_to_another_request_is_found(self):
+        assert broken(answers=[answer(is_own=False)]) == ["own whole answer"]
+
+    def test_what_the_run_noticed_itself_is_found(self):
+        assert broken(problems=["ingress-0 ended by itself"]) == ["run"]
+
+
+class TestBudgets:
+    @pytest.mark.parametrize(
+        ("spent", "promises"), [(447, ["budget"]), (448, []), (1001, ["budget"])]
+    )
+    def test_the_ledger_covers_what_was_delivered_within_the_budget(
+        self, spent, promises
+    ):
+        chat = answer(request(Kind.CHAT), events=8)
+        found = broken(answers=[chat], runs=[run()], spent_by_customer={"large": spent})
+        assert found == promises
+
+
+class TestConfiguration:
+    NEW = frozenset({"new-1"})
+
+    def late(self, status, *, spans=(), changes=None, **fields):
+        sent = request(route="new-1", **fields)
+        changes = changes or [change(adds=self.NEW)]
+        return broken(
+            answers=[answer(sent, status)], changes=changes, spans=list(spans)
+        )
+
+    def test_a_confirmed_route_that_has_no_answer_in_time_is_found(self):
+        assert self.late(404) == ["change in force"]
+        assert self.late(200) == self.late(503) == []
+
+    def test_a_removed_route_or_key_that_is_served_is_found(self):
+        removed = [change(removes=self.NEW)]
+        assert self.late(200, changes=removed) == ["change in force"]
+        assert self.late(404, changes=removed) == []
+
+    def test_a_route_that_was_removed_again_may_have_no_answer(self):
+        changes = [change(adds=self.NEW), change(SENT_AT, removes=self.NEW)]
+        assert self.late(404, changes=changes) == []
+
+    @pytest.mark.parametrize("process", [PROCESS, ""])
+    def test_a_process_out_of_touch_has_no_bound(self, process):
+        ended_at = SENT_AT - CALM_SECONDS
+        spans = [disturbed("freeze", ended_at - 9, ended_at + 0.1, process)]
+        assert self.late(404, spans=spans) == []
+        spans = [disturbed("freeze", ended_at - 9, ended_at - 0.1, process)]
+        assert self.late(404, spans=spans) == ["change in force"]
+
+    def test_a_process_that_has_just_started_has_no_bound(self):
+        sent_at = READY_AT + CALM_SECONDS / 2
+        changes = [change(READY_AT - 60, adds=self.NEW)]
+        assert self.late(404, sent_at=sent_at, changes=changes) == []
+
+    def test_a_route_that_is_lost_again_is_found(self):
+        later = request(route="new-1", sent_at=SENT_AT + 5)
+        answers = [answer(request(route="new-1")), answer(later, 404)]
+        changes = [change(SENT_AT + 4, adds=self.NEW)]
+        assert broken(answers=answers, changes=changes) == ["no way back"]
+        restarted = request(route="new-1", sent_at=SENT_AT + 5, start=2)
+        answers = [answers[0], answer(restarted, 404)]
+        assert broken(answers=answers, changes=changes) == []
+
+    def test_a_final_refusal_of_what_was_always_valid_is_found(self):
+        assert broken(answers=[answer(status=404)]) == ["valid request denied"]
+
+
+class TestUpstreams:
+    @pytest.mark.parametrize(
+        ("late_seconds", "promises"),
+        [(DRAIN_SECONDS + 0.1, ["leaving upstream"]), (DRAIN_SECONDS - 0.1, [])],
+    )
+    def test_a_request_to_an_upstream_that_left_is_found(self, late_seconds, promises):
+        changes = [change(SENT_AT - late_seconds, leaves="u1")]
+        assert broken(answers=[answer()], runs=[run()], changes=changes) == promises
+
+
+class TestPlannedStops:
+    STOP = disturbed("stop", SENT_AT + 0.5, SENT_AT + 5)
+
+    def cut(self, *, spans=(STOP,), runs=(), **fields):
+        failed = answer(request(), 0, **fields)
+        return broken(answers=[failed], runs=list(runs), spans=list(spans))
+
+    def test_a_request_that_a_stop_cut_is_found(self):
+        assert self.cut() == ["planned stop"]
+        assert self.cut(runs=[run()]) == ["planned stop"]
+
+    def test_what_did_not_arrive_or_an_upstream_broke_is_allowed(self):
+        assert self.cut(connected=False) == []
+        assert self.cut(runs=[run(broken_by_upstream=True)]) == []
+        assert self.cut(spans=()) == []
+        crossed = disturbed("stop", SENT_AT, SENT_AT + 5)
+        assert self.cut(spans=[crossed], ended_at=SENT_AT + 0.1) == []
+
+    def test_another_disturbance_excuses_it(self):
+        frozen = disturbed("freeze", SENT_AT - 1, SENT_AT)
+        assert self.cut(spans=(self.STOP, frozen)) == []
+
+
+class TestRun:
+    def test_a_run_of_a_seed_that_once_failed_breaks_no_promise(self, tmp_path):
+        """Guards against a process that hangs if it is killed while peers want tokens.
+
+        The cause has a test of its own in `tests/ingress/test_renewals.py`.
+        """
+        found = run_seed(seed=2, seconds=30.0, processes=3, directory=tmp_path)
+        assert found == []
