--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -124,6 +124,13 @@
         assert self.late(404) == ["change in force"]
         assert self.late(200) == self.late(503) == []
 
+    def test_a_new_key_that_is_not_confirmed_yet_may_be_refused(self):
+        """A 401 says nothing about the route, which is confirmed."""
+        changes = [change(adds=self.NEW), change(SENT_AT, adds=frozenset({"key-1"}))]
+        assert self.late(401, changes=changes, key="key-1") == []
+        changes[1] = change(adds=frozenset({"key-1"}))
+        assert self.late(401, changes=changes, key="key-1") == ["change in force"]
+
     def test_a_removed_route_or_key_that_is_served_is_found(self):
         removed = [change(removes=self.NEW)]
         assert self.late(200, changes=removed) == ["change in force"]
