Soak: a stop in an outage may leave its slices to the next start

The platform was down then; the process logged slices_not_returned and stop_left_over requests=0, which is what lifecycle and exit code promise. Exit codes are checked after the run now, when all disturbances are known: 1 is allowed only beside one.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -154,6 +154,23 @@
             yield _violation("planned stop", answer.ended_at, f"{answer}")
 
 
+def planned_stops_leave_nothing(history: History) -> Iterator[Violation]:
+    """Find planned stops that did not end in time, or left something undone.
+
+    In a disturbance slices may be left to the next start, which exit code 1 says.
+    """
+    for end in history.exits:
+        calm = not any(
+            span.process in ("", end.process)
+            and span.cause != "stop"
+            and span.begins_at <= end.ended_at
+            and span.ends_at >= end.stopped_at - CALM_SECONDS
+            for span in history.spans
+        )
+        if end.code not in ((0,) if calm else (0, 1)):
+            yield _violation("planned stop", end.ended_at, f"{end}")
+
+
 def _cut_by(history: History, answer: Answer, stop) -> bool:
     request = answer.request
     if request.process != stop.process:
@@ -223,6 +240,7 @@
     valid_requests_are_not_denied,
     leaving_upstreams_get_nothing,
     planned_stops_cut_nothing,
+    planned_stops_leave_nothing,
 )
 
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -88,6 +88,22 @@
     ends_at: float = inf
 
 
+@dataclass(frozen=True, kw_only=True)
+class Exit:
+    """The end of a process after a TERM.
+
+    Attributes
+    ----------
+    code : int or None
+        Exit code; None if it did not end in time and was killed.
+    """
+
+    process: str
+    stopped_at: float
+    ended_at: float
+    code: int | None
+
+
 @dataclass(frozen=True, kw_only=True)
 class Change:
     """A confirmed change by an operator.
@@ -126,6 +142,7 @@
     answers: list[Answer] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     spans: list[Span] = field(default_factory=list)
+    exits: list[Exit] = field(default_factory=list)
     changes: list[Change] = field(default_factory=list)
     up_since_by_start: dict[tuple[str, int], float] = field(default_factory=dict)
     spent_by_customer: dict[str, int] = field(default_factory=dict)
--- a/soak/run.py
+++ b/soak/run.py
@@ -31,7 +31,7 @@
     Stop,
     draw_schedule,
 )
-from soak.history import History, Span
+from soak.history import Exit, History, Span
 from soak.operator import Operator
 from soak.upstreams import RecordingUpstream
 from soak.ways import PlatformWay
@@ -162,11 +162,14 @@
         async with curio.ignore_after(STOP_DEADLINE_SECONDS + EXIT_MARGIN_SECONDS):
             await self._wait_ended()
         code = self._program.popen.poll()
-        if code != 0:
-            took = monotonic() - begins_at
-            self._history.problems.append(
-                f"{self.name}: exit code {code} {took:.1f} s after a TERM"
+        self._history.exits.append(
+            Exit(
+                process=self.name,
+                stopped_at=begins_at,
+                ended_at=monotonic(),
+                code=code,
             )
+        )
         if code is None:
             self._program.popen.kill()
             await self._wait_ended()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,7 +4,7 @@
 from soak.__main__ import run_seed
 from soak.checks import CALM_SECONDS, DRAIN_SECONDS, IN_FORCE_SECONDS, violations
 from soak.faults import QUIET_END_SECONDS, draw_schedule
-from soak.history import Answer, Change, History, Kind, Request, Run, Span
+from soak.history import Answer, Change, Exit, History, Kind, Request, Run, Span
 
 PROCESS = "ingress-0"
 READY_AT = 100.0
@@ -198,6 +198,16 @@
         frozen = disturbed("freeze", SENT_AT - 1, SENT_AT)
         assert self.cut(spans=(self.STOP, frozen)) == []
 
+    @pytest.mark.parametrize(("code", "found"), [(0, 0), (1, 1), (None, 1), (-9, 1)])
+    def test_a_stop_that_leaves_something_or_does_not_end_is_found(self, code, found):
+        end = Exit(process=PROCESS, stopped_at=SENT_AT, ended_at=SENT_AT + 3, code=code)
+        assert broken(exits=[end]) == ["planned stop"] * found
+
+    def test_slices_may_be_left_in_an_outage(self):
+        end = Exit(process=PROCESS, stopped_at=SENT_AT, ended_at=SENT_AT + 3, code=1)
+        outage = disturbed("down", SENT_AT - 1, SENT_AT + 9, "")
+        assert broken(exits=[end], spans=[outage]) == []
+
 
 class TestRun:
     def test_a_run_of_a_seed_that_once_failed_breaks_no_promise(self, tmp_path):
