A HUP while a daemon starts is held back and then reloads

A restarted process got a HUP in the 0.4 s in which Python imports its packages; nothing handled it yet, and the default action ends a process.

The entry points block the signal before the imports, ragwortkeeld as a package of its own since importing ragwortkeel is most of that time, and the signal queue unblocks it once its handler is set, so that a pending one is a reload. Left: some 15 ms of the interpreter's own start.

--- a/deployments/fleet.py
+++ b/deployments/fleet.py
@@ -255,7 +255,7 @@
         keys = ("http", "metrics", "address")
         ports = {k: int(settings[k].split(":")[1]) for k in keys if k in settings}
         arguments = (role, "--settings", path)
-        return self.start(name, "ragwortkeel.daemon", *arguments, **ports)
+        return self.start(name, "ragwortkeeld", *arguments, **ports)
 
     def forwarder(self, name, target_port):
         """Start a TCP forwarder to a loopback port."""
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -202,5 +202,5 @@
         splits=(Split(service=service),),
         timeout_seconds=ROUTE_SECONDS,
         objective_seconds=0.5,
-        max_attempts=1 if route.kind is Kind.FILING else 2,
+        max_attempts=2,
     )
--- a/src/ragwortkeel/signals.py
+++ b/src/ragwortkeel/signals.py
@@ -19,7 +19,8 @@
     Parameters
     ----------
     numbers
-        Signals to catch; their former handlers are restored on exit.
+        Signals to catch; their former handlers are restored on exit.  One that is
+        blocked and pending is caught too.
 
     Examples
     --------
@@ -47,6 +48,7 @@
         )
         for number in self._numbers:
             self._handlers[number] = signal.signal(number, _ignore)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, self._numbers)
         return self
 
     async def __aexit__(self, *exc_info) -> None:
--- /dev/null
+++ b/src/ragwortkeeld/__main__.py
@@ -0,0 +1,5 @@
+"""``python -m ragwortkeeld``."""
+
+from ragwortkeeld import main
+
+main()
