--- a/tests/processes/test_reloads.py
+++ b/tests/processes/test_reloads.py
@@ -9,7 +9,7 @@
 
 
 def blocks_hup(program):
-    """Return whether a HUP would stay pending, from the kernel's view of the process."""
+    """Return whether the kernel holds a HUP to the process back."""
     status = Path(f"/proc/{program.popen.pid}/status").read_text()
     [mask] = [line for line in status.splitlines() if line.startswith("SigBlk:")]
     return int(mask.split()[1], 16) & 1 << (signal.SIGHUP - 1)
