--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,6 +8,7 @@
 
 import curio
 import fire
+import msgspec
 from curio.task import ContextTask
 from deployments.fleet import Fleet
 
@@ -15,6 +16,7 @@
 from soak.run import Run
 
 SHOWN_VIOLATIONS = 10
+HISTORY_FILE = "history.json"
 
 
 def soak(
@@ -62,6 +64,7 @@
             history = kernel.run(run.run)
     finally:
         fleet.close()
+    (directory / HISTORY_FILE).write_bytes(msgspec.json.encode(history))
     found = violations(history)
     statuses = Counter(
         answer.reason or answer.status for answer in history.answers
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -103,6 +103,7 @@
                 answer = await self._ask(client, target)
                 self._history.answers.append(answer)
                 if not answer.status:
+                    await curio.sleep(PAUSE_SECONDS)
                     return
                 await curio.sleep(self._random.uniform(0, 2 * PAUSE_SECONDS))
         finally:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -188,7 +188,8 @@
 
 
 def _in_touch(history: History, request: Request) -> bool:
-    up_since = history.up_since_by_start.get((request.process, request.start))
+    start = f"{request.process}/{request.start}"
+    up_since = history.up_since_by_start.get(start)
     if up_since is None or request.sent_at - up_since < CALM_SECONDS:
         return False
     return history.is_calm(
--- a/soak/history.py
+++ b/soak/history.py
@@ -130,8 +130,8 @@
 
     Attributes
     ----------
-    up_since_by_start : dict of (str, int) to float
-        When a start of a process was ready for the first time.
+    up_since_by_start : dict of str to float
+        When a start of a process, as ``PROCESS/NUMBER``, was first ready.
     problems : list of str
         What the run itself noticed, such as a process that ended by itself.
     """
@@ -144,7 +144,7 @@
     spans: list[Span] = field(default_factory=list)
     exits: list[Exit] = field(default_factory=list)
     changes: list[Change] = field(default_factory=list)
-    up_since_by_start: dict[tuple[str, int], float] = field(default_factory=dict)
+    up_since_by_start: dict[str, float] = field(default_factory=dict)
     spent_by_customer: dict[str, int] = field(default_factory=dict)
     problems: list[str] = field(default_factory=list)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -115,7 +115,7 @@
             self._check_alive()
             if await self._is_ready():
                 self._missed = 0
-                start = (self.name, self.start_number)
+                start = f"{self.name}/{self.start_number}"
                 self._history.up_since_by_start.setdefault(start, monotonic())
             else:
                 self._missed += 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -45,7 +45,7 @@
             "prepaid_by_customer": {"large": 1000},
             "prompt_tokens": 400,
             "event_tokens": 6,
-            "up_since_by_start": {(PROCESS, 1): READY_AT},
+            "up_since_by_start": {f"{PROCESS}/1": READY_AT},
         }
         | fields
     )
