--- a/soak/checks.py
+++ b/soak/checks.py
@@ -108,12 +108,9 @@
 
 def valid_requests_are_not_denied(history: History) -> Iterator[Violation]:
     """Find final refusals of what each version allows, by any process."""
-    changed = {
-        name for change in history.changes for name in change.adds | change.removes
-    }
     for answer in history.answers:
         refused = _finally_refused(answer)
-        if refused and refused not in changed:
+        if refused and refused not in history.changed:
             yield _violation("valid request denied", answer.ended_at, f"{answer}")
 
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -132,6 +132,8 @@
     ----------
     up_since_by_start : dict of str to float
         When a start of a process, as ``PROCESS/NUMBER``, was first ready.
+    changed : set of str
+        Routes and API keys of changes that were sent, confirmed or not.
     problems : list of str
         What the run itself noticed, such as a process that ended by itself.
     """
@@ -146,6 +148,7 @@
     changes: list[Change] = field(default_factory=list)
     up_since_by_start: dict[str, float] = field(default_factory=dict)
     spent_by_customer: dict[str, int] = field(default_factory=dict)
+    changed: set[str] = field(default_factory=set)
     problems: list[str] = field(default_factory=list)
 
     def is_calm(self, process: str, begins_at: float, ends_at: float) -> bool:
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -27,6 +27,8 @@
 
 RETRY_SECONDS = 0.3
 ROUTE_SECONDS = 3.0
+MAX_ROUTES = 3_500
+"""Routes whose configuration fits into one object of the platform."""
 USED_NEW_ROUTES = 3
 """Routes that callers use of those that one change adds."""
 
@@ -84,6 +86,7 @@
     async def add_routes(self, count: int) -> None:
         """Add lookup routes; callers use some of them from then on."""
         async with self._lock:
+            count = min(count, MAX_ROUTES - len(self._routes))
             numbers = range(self._route_count, self._route_count + count)
             self._route_count += count
             new = [
@@ -152,6 +155,7 @@
         removes: frozenset[str] = frozenset(),
     ) -> None:
         self._revision += 1
+        self._history.changed |= adds | removes
         configuration = IngressConfiguration(
             revision=self._revision,
             routes=tuple(_configured(route) for route in self._routes),
