--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from signal import SIGTERM
 
 from soak.history import Answer, Change, History, Kind, Request
 
@@ -154,9 +155,12 @@
 def planned_stops_leave_nothing(history: History) -> Iterator[Violation]:
     """Find planned stops that did not end in time, or left something undone.
 
-    In a disturbance slices may be left to the next start, which exit code 1 says.
+    In a disturbance slices may be left to the next start, which exit code 1 says.  A
+    start that was never ready has accepted nothing, and a TERM may end it at once.
     """
     for end in history.exits:
+        if history.up_since(end.process, end.start) is None and end.code == -SIGTERM:
+            continue
         calm = not any(
             span.process in ("", end.process)
             and span.cause != "stop"
@@ -185,8 +189,7 @@
 
 
 def _in_touch(history: History, request: Request) -> bool:
-    start = f"{request.process}/{request.start}"
-    up_since = history.up_since_by_start.get(start)
+    up_since = history.up_since(request.process, request.start)
     if up_since is None or request.sent_at - up_since < CALM_SECONDS:
         return False
     return history.is_calm(
--- a/soak/history.py
+++ b/soak/history.py
@@ -94,11 +94,14 @@
 
     Attributes
     ----------
+    start : int
+        Number of the start that ended.
     code : int or None
         Exit code; None if it did not end in time and was killed.
     """
 
     process: str
+    start: int
     stopped_at: float
     ended_at: float
     code: int | None
@@ -151,6 +154,10 @@
     changed: set[str] = field(default_factory=set)
     problems: list[str] = field(default_factory=list)
 
+    def up_since(self, process: str, start: int) -> float | None:
+        """Return when a start of a process was first ready; None if it never was."""
+        return self.up_since_by_start.get(f"{process}/{start}")
+
     def is_calm(self, process: str, begins_at: float, ends_at: float) -> bool:
         """Return whether nothing disturbed a process or the platform meanwhile."""
         return not any(
--- a/soak/run.py
+++ b/soak/run.py
@@ -165,6 +165,7 @@
         self._history.exits.append(
             Exit(
                 process=self.name,
+                start=self.start_number,
                 stopped_at=begins_at,
                 ended_at=monotonic(),
                 code=code,
