--- a/tests/ingress/test_speed_tracker.py
+++ b/tests/ingress/test_speed_tracker.py
@@ -111,7 +111,10 @@
     plain = worker(capacity=CAPACITY)
     assert plain._speed_tracker is None
     assert plain.instance_status() == InstanceStatus(
-        zone="a", capacity=CAPACITY.link_bytes_per_second, in_rotation=False
+        zone="a",
+        capacity=CAPACITY.link_bytes_per_second,
+        in_rotation=False,
+        watches_by_capacity=True,
     )
     timer = AnswerTimer(assignment=None, is_engine=True, tracker=None)
     timer.receive_head(STREAM, monotonic())
