Log the software version of upstreams and what a run continues

The lines could not tell whether a stream went on at the version that began it: the platform folder dropped the version of an upstream's entry, and no line said that a run continues an earlier stream.

dispatched has version, and for a run that continues a stream after (id of its last event) and resumes (the request that brought the first one, as the caller names it in Resumes); upstream_changed has version.

--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -78,6 +78,9 @@
     last_event : str
         Id of the last event that the caller received in an earlier request; may be
         empty.
+    resumes : str
+        Id of the request that brought the first event of a stream that the caller
+        takes up; empty if it names none.
     """
 
     request_id: str
@@ -90,6 +93,7 @@
     customer: str = ""
     urgency: int | None = None
     last_event: str = ""
+    resumes: str = ""
 
 
 class CallerResponse:
--- a/src/ragwortkeel/ingress/configuration.py
+++ b/src/ragwortkeel/ingress/configuration.py
@@ -176,6 +176,8 @@
         restart under the same name its prefix cache is empty.
     cold_seconds : float
         Cold time that was left when it wrote the entry.
+    version : str
+        Version of its software; empty if it states none.  Versions have no order.
     """
 
     name: str
@@ -187,6 +189,7 @@
     state: UpstreamState
     started_ms: int = msgspec.field(default=0, name="born")
     cold_seconds: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    version: str = ""
 
 
 Decoded = TypeVar("Decoded")
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -302,6 +302,8 @@
             unread_there=assignment.load.unread_tokens,
             waited=round(monotonic() - accepted.arrived_at, 3),
             configuration=accepted.revision,
+            version=assignment.upstream.version,
+            **self._resumption_fields(),
         )
         answer = AnswerTimer(
             assignment=assignment,
@@ -352,6 +354,13 @@
                 self._may_have_run = True
                 self._runs += 1
 
+    def _resumption_fields(self) -> dict[str, object]:
+        """Return the log fields of a run that continues a stream; none for others."""
+        last_id = self._caller_response.splitter.last_id
+        if last_id is None:
+            return {}
+        return {"after": last_id, "resumes": self._accepted.call.resumes}
+
     def _raise_if_caller_left(self, stage: str) -> None:
         if self._responder.peer_disconnected():
             self._log_caller_left(stage)
--- a/src/ragwortkeel/ingress/front.py
+++ b/src/ragwortkeel/ingress/front.py
@@ -185,6 +185,7 @@
             customer=job.customer,
             urgency=min(LOWEST_URGENCY, job.priority) if service.engine else None,
             last_event=headers.get(names.last_event, ""),
+            resumes=headers.get(names.resumes, ""),
         )
         return AcceptedRequest(
             call=call,
--- a/src/ragwortkeel/ingress/names.py
+++ b/src/ragwortkeel/ingress/names.py
@@ -50,6 +50,9 @@
         In a response of an upstream: its signature, required for a success.
     last_event : str
         Id of the last event that the caller received.
+    resumes : str
+        With `last_event`: id of the request that brought the first event of the
+        stream.
     rate_limit : str
         In a response of an upstream: requests a second that it accepts from the
         whole fleet; a response without the header ends the limit.
@@ -70,6 +73,7 @@
     not_run: str = "x-not-run"
     proof: str = "x-upstream-proof"
     last_event: str = "last-event-id"
+    resumes: str = "x-resumes"
     rate_limit: str = "x-rate-limit"
     leaving: str = "x-leaving"
     reserved: frozenset[str] = frozenset()
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -584,6 +584,7 @@
                 usable=change.usable,
                 service=change.upstream.service if change.upstream else None,
                 cold_seconds=change.upstream.cold_seconds if change.upstream else None,
+                version=change.upstream.version if change.upstream else None,
             )
             if change.upstream is None:
                 self._placement.discard_prefix_cache(change.name)
--- a/tests/site/test_site_objects.py
+++ b/tests/site/test_site_objects.py
@@ -202,6 +202,7 @@
             slots=64,
             state=UpstreamState.READY,
             started_ms=1773839388573,
+            version="v1",
         )
 
     @pytest.mark.parametrize(
