--- /dev/null
+++ b/tests/ingress/test_software_versions.py
@@ -0,0 +1,234 @@
+"""Upstreams of several software versions that serve side by side in one service."""
+
+import contextlib
+import socket
+from contextlib import closing
+
+import curio
+import msgspec
+import pytest
+from tests.ingress.in_process import (
+    KEY,
+    SETTLED_SECONDS,
+    chunk,
+    events,
+    reset,
+    run_ingress,
+    stream_head,
+    stream_whole,
+)
+
+from ragwortkeel.exceptions import ExchangeBroken
+from ragwortkeel.ingress.configuration import UpstreamState
+
+STREAMS = 12
+READ_SECONDS = 5.0
+
+
+async def break_off(seen, sock):
+    """Reset the connection after three events of a stream that begins here."""
+    after = int(seen.headers.get("last-event-id", 0))
+    if after:
+        return await stream_whole(seen, sock)
+    await sock.sendall(stream_head(seen) + chunk(events(1, 3)))
+    await curio.sleep(0.02)
+    await reset(sock)
+    return False
+
+
+async def begin_and_wait(seen, sock):
+    """Send two events of a stream that begins here, then nothing more."""
+    if "last-event-id" in seen.headers:
+        return await stream_whole(seen, sock)
+    await sock.sendall(stream_head(seen) + chunk(events(1, 2)))
+    await curio.sleep(30)
+    return False
+
+
+async def set_versions(fleet, version_by_upstream, **fields):
+    """Write the entries of the upstreams with their versions."""
+    for name, version in version_by_upstream.items():
+        await fleet.register(fleet.upstreams[name], version=version, **fields)
+    await curio.sleep(0.3)
+
+
+async def begin_stream(fleet, request_id, *, process=0):
+    """Begin a stream as a caller that reads two events; return its connection."""
+    host, port = fleet.addresses[process].split(":")
+    caller = socket.create_connection((host, int(port)))
+    lines = [
+        "POST /chat/1 HTTP/1.1",
+        "host: app.example",
+        f"x-request-id: {request_id}",
+        "x-deadline-ms: 9000",
+        f"authorization: Bearer {KEY}",
+        "content-length: 1",
+    ]
+    caller.sendall("\r\n".join(lines).encode() + b"\r\n\r\nq")
+    caller.setblocking(False)
+    received = b""
+    async with curio.timeout_after(READ_SECONDS):
+        while b"id: 2\n" not in received:
+            await curio.sleep(0.01)
+            try:
+                received += caller.recv(65536)
+            except BlockingIOError:
+                continue
+    return caller
+
+
+async def take_up(fleet, request_id, *, process=0):
+    """Take up a stream after its second event, as its caller would."""
+    return await fleet.ask(
+        "/chat/1", process=process, last_event_id="2", x_resumes=request_id
+    )
+
+
+def continued_at(fleet):
+    """Return the names of the upstreams that were asked to continue streams."""
+    return {
+        name
+        for name, received in fleet.seen().items()
+        if any("last-event-id" in each.headers for each in received)
+    }
+
+
+def reason_of(response):
+    return msgspec.json.decode(response.body)["reason"]
+
+
+class TestWithinOneResponse:
+    def test_a_broken_stream_goes_on_at_its_own_version(self):
+        """Guards against events of two software versions in one response."""
+
+        async def scenario(fleet):
+            await set_versions(fleet, {"e1": "v1", "e2": "v2", "e3": "v1"})
+            bodies = []
+            for _ in range(STREAMS):
+                try:
+                    bodies.append((await fleet.ask("/chat/1")).body)
+                except ExchangeBroken:
+                    bodies.append(None)
+            return bodies, continued_at(fleet)
+
+        scripts = {"e1": break_off, "e2": stream_whole, "e3": stream_whole}
+        bodies, upstreams = run_ingress(scenario, scripts=scripts)
+        assert upstreams <= {"e1", "e3"}
+        assert bodies == [events(1, 5)] * STREAMS
+
+    def test_a_broken_stream_ends_if_no_other_upstream_has_its_version(self):
+        """Guards against a continuation at another version for lack of its own."""
+
+        async def scenario(fleet):
+            await set_versions(fleet, {"e1": "v1", "e2": "v2"})
+            broken = 0
+            for _ in range(STREAMS):
+                try:
+                    await fleet.ask("/chat/1")
+                except ExchangeBroken:
+                    broken += 1
+            return broken, continued_at(fleet), fleet.seen()["e1"]
+
+        scripts = {"e1": break_off, "e2": stream_whole}
+        broken, upstreams, begun = run_ingress(scenario, scripts=scripts)
+        assert upstreams == set()
+        assert broken == len(begun) > 0
+
+
+class TestTakenUpByTheCaller:
+    VERSIONS = {"e1": "v1", "e2": "v1", "e3": "v2", "e4": "v2"}
+    SCRIPTS = dict.fromkeys(VERSIONS, begin_and_wait)
+
+    @pytest.mark.parametrize("process", [0, 1, 2])
+    def test_a_stream_goes_on_at_its_own_version(self, process):
+        """Guards against a process that does not know which version began a stream."""
+
+        async def scenario(fleet):
+            await curio.sleep(SETTLED_SECONDS)
+            begun_by_request = await self.begin_streams(fleet)
+            return await self.take_up_all(fleet, begun_by_request, process=process)
+
+        pairs = run_ingress(scenario, scripts=self.SCRIPTS, processes=3)
+        assert [begun for begun, _ in pairs] == [gone_on for _, gone_on in pairs]
+
+    def test_a_stream_goes_on_after_the_process_that_began_it_has_ended(self):
+        """Guards against versions that only the process knows which is gone."""
+
+        async def scenario(fleet):
+            await curio.sleep(SETTLED_SECONDS)
+            begun_by_request = await self.begin_streams(fleet)
+            await fleet.tasks[0].cancel()
+            return await self.take_up_all(fleet, begun_by_request, process=1)
+
+        pairs = run_ingress(scenario, scripts=self.SCRIPTS, processes=3)
+        assert [begun for begun, _ in pairs] == [gone_on for _, gone_on in pairs]
+
+    async def begin_streams(self, fleet):
+        """Begin streams at all upstreams; return the upstream of each request.
+
+        One upstream of each version leaves after that.
+        """
+        await set_versions(fleet, self.VERSIONS)
+        async with contextlib.AsyncExitStack() as stack:
+            for number in range(STREAMS):
+                stack.enter_context(closing(await begin_stream(fleet, f"b{number}")))
+            await curio.sleep(0.2)
+        begun_by_request = {
+            f"b{number}": upstream_of(fleet, f"b{number}") for number in range(STREAMS)
+        }
+        assert set(begun_by_request.values()) == set(self.VERSIONS)
+        leaving = {name: self.VERSIONS[name] for name in ("e1", "e3")}
+        await set_versions(fleet, leaving, state=UpstreamState.LEAVING)
+        return begun_by_request
+
+    async def take_up_all(self, fleet, begun_by_request, *, process):
+        """Take up the streams; return the versions that began and that continued."""
+        pairs = []
+        for request_id, begun_at in begun_by_request.items():
+            answer = await take_up(fleet, request_id, process=process)
+            assert (answer.status, answer.body) == (200, events(3, 5))
+            gone_on_at = upstream_of(fleet, f"r{fleet.request_count}")
+            pairs.append((self.VERSIONS[begun_at], self.VERSIONS[gone_on_at]))
+        return pairs
+
+    def test_a_stream_whose_version_has_left_is_refused_at_once(self):
+        """Guards against a wait, or another version, once a stream can't go on."""
+
+        async def scenario(fleet):
+            await set_versions(fleet, {"e1": "v1", "e2": "v2"})
+            (await begin_stream(fleet, "begun")).close()
+            begun_at = upstream_of(fleet, "begun")
+            await set_versions(
+                fleet,
+                {begun_at: {"e1": "v1", "e2": "v2"}[begun_at]},
+                state=UpstreamState.LEAVING,
+            )
+            return await take_up(fleet, "begun"), continued_at(fleet)
+
+        scripts = {"e1": begin_and_wait, "e2": begin_and_wait}
+        answer, upstreams = run_ingress(scenario, scripts=scripts)
+        assert upstreams == set()
+        assert (answer.status, reason_of(answer)) == (503, "version_unavailable")
+
+    @pytest.mark.parametrize("resumes", ["never-begun", ""])
+    def test_a_stream_of_unknown_version_is_refused_while_several_serve(self, resumes):
+        """Guards against a guess at the version of a stream that nobody knows."""
+
+        async def scenario(fleet):
+            await curio.sleep(SETTLED_SECONDS)
+            await set_versions(fleet, self.VERSIONS)
+            return await take_up(fleet, resumes), continued_at(fleet)
+
+        answer, upstreams = run_ingress(scenario, scripts=self.SCRIPTS, processes=2)
+        assert upstreams == set()
+        assert (answer.status, reason_of(answer)) == (503, "version_unknown")
+
+
+def upstream_of(fleet, request_id):
+    """Return the name of the upstream that ran the request."""
+    [name] = [
+        name
+        for name, received in fleet.seen().items()
+        if any(each.headers["x-request-id"] == request_id for each in received)
+    ]
+    return name
