A broken stream goes on only at the software version that began it

Callers got events of two versions in one response. No module knew the version that an upstream's entry states.

A request whose response has started is bound to the version of that upstream. The directory, the queue, reservations and estimates search among the upstreams of that version; if none is left, the stream ends at once as broken, without spending a retry. A queued stream of one version holds back nobody who may run elsewhere, and gets the next slot of its version before later requests.

--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -125,6 +125,8 @@
     on_first_event : callable
         Called when the response shows that the prompt has been read, and again for
         each later chunk of a stream.
+    on_stream_started : callable
+        Called just before the first events of a stream are sent to the caller.
     delivery_seconds : float
         Promised time from when an upstream makes an event until it is passed on; 0 if
         none is promised.
@@ -146,6 +148,7 @@
         is_paused: Callable[[], bool],
         on_head: Callable[[ResponseHead, float], None],
         on_first_event: Callable[[], None],
+        on_stream_started: Callable[[], None] = lambda: None,
         delivery_seconds: float = 0.0,
         checks_deadline: bool = False,
     ) -> None:
@@ -157,6 +160,7 @@
         self._is_paused = is_paused
         self._on_head = on_head
         self._on_first_event = on_first_event
+        self._on_stream_started = on_stream_started
         self._checks_deadline = checks_deadline
         self._connection: UpstreamConnection | None = None
         self._sent_at = 0.0
@@ -337,6 +341,7 @@
     ) -> None:
         responder = self._caller_response.responder
         if not self._caller_response.started:
+            self._on_stream_started()
             fields = forwarded_fields(head)
             await responder.start_with(head.status, fields, events, last=last)
             return
--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -119,17 +119,23 @@
         return entry.upstream.zone not in self.evacuated_zones
 
     def usable(
-        self, *, service: str, regions: frozenset[str] | None = None
+        self,
+        *,
+        service: str,
+        regions: frozenset[str] | None = None,
+        version: str | None = None,
     ) -> dict[str, Upstream]:
         """Return the service's upstreams that may get requests, by name.
 
-        With `regions`, only upstreams in one of these regions.
+        With `regions`, only upstreams in one of these regions; with `version`, only
+        those of this software version.
         """
         return {
             name: upstream
             for name, upstream in self._ready(service).items()
             if upstream.zone not in self.evacuated_zones
             and (regions is None or self._region_by_zone.get(upstream.zone) in regions)
+            and (version is None or upstream.version == version)
         }
 
     def withholds_all(self, *, service: str, regions: frozenset[str] | None) -> bool:
--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -59,6 +59,8 @@
     withheld : bool
         Whether the service has ready upstreams, but all of them are evacuated or
         outside the request's regions.
+    lacks_version : bool
+        Whether no untried upstream of the request's software version takes work.
     wait_seconds : float
         Estimated seconds until the request could be assigned.
     own_per_second : float or None
@@ -70,6 +72,7 @@
     upstreams: int
     withheld: bool
     wait_seconds: float
+    lacks_version: bool = False
     own_per_second: float | None = None
 
 
@@ -130,9 +133,9 @@
 
         Other requests are refused at once: one that must not use any of the ready
         upstreams, as when all availability zones are evacuated for an unknown time; one
-        whose upstreams all leave; and one that would wait too long for this process's
-        share of the limits that all upstreams announced, or for the end of the pauses
-        that all of them asked for.
+        whose upstreams all leave, or all those of the software version that it needs;
+        and one that would wait too long for this process's share of the limits that all
+        upstreams announced, or for the end of the pauses that all of them asked for.
 
         Parameters
         ----------
@@ -144,6 +147,8 @@
         self._service_by_name[service.name] = service
         if self._directory.withholds_all(service=service.name, regions=job.regions):
             return self._not_assigned(job)
+        if self.lacks_version(job, tried_upstreams):
+            return self._not_assigned(job, lacks_version=True)
         ahead = self.queue.queued_ahead(job)
         if not ahead or not self.queue.waits_behind(job, tried_upstreams):
             if ahead:
@@ -170,6 +175,17 @@
         self.queue.record_ended(assignment.job)
         await self.assign_queued()
 
+    def lacks_version(
+        self, job: Job, tried_upstreams: frozenset[str] = frozenset()
+    ) -> bool:
+        """Return whether the request needs a software version that no upstream has.
+
+        Upstreams that were tried, or that take no new requests, don't count.
+        """
+        if job.version is None:
+            return False
+        return not self._upstream_by_name(job).keys() - tried_upstreams
+
     def record_replaced(self, upstream: str) -> None:
         """Stop using an upstream whose address now belongs to another instance."""
         if self._directory.record_replacement(upstream):
@@ -193,6 +209,9 @@
         failed: list[Search] = []
         for queued_request in self.queue.in_order(name):
             job, tried_upstreams = queued_request.job, queued_request.tried_upstreams
+            if self.lacks_version(job, tried_upstreams):
+                await self._assigned_by_request_id[job.request_id].set()
+                continue
             if self._is_covered(queued_request, failed):
                 continue
             assignment = self._try_assign(job, service, tried_upstreams)
@@ -234,9 +253,7 @@
         missing_tokens_by_upstream = self._placement.missing_tokens(
             job,
             service=service,
-            upstream_by_name=self._directory.usable(
-                service=job.service, regions=job.regions
-            ),
+            upstream_by_name=self._upstream_by_name(job),
             tried_upstreams=queued_request.tried_upstreams,
             now=now,
         )
@@ -249,6 +266,7 @@
             excluded_upstreams=queued_request.tried_upstreams
             | self._reservations.withheld(job),
             memory_tokens=job.memory_tokens - max(0, fewest - 1),
+            version=job.version,
         )
 
     async def _refuse_queued(self, service: str) -> None:
@@ -269,9 +287,7 @@
         assignment = self._placement.assign(
             job,
             service=service,
-            upstream_by_name=self._directory.usable(
-                service=service.name, regions=job.regions
-            ),
+            upstream_by_name=self._upstream_by_name(job),
             tried_upstreams=tried_upstreams,
             withheld=self._reservations.withheld(job),
             now=monotonic(),
@@ -302,7 +318,8 @@
             assignment = self._assignment_by_request_id.pop(job.request_id, None)
             if assignment is not None:
                 return assignment
-            return self._not_assigned(job)
+            lacks_version = self.lacks_version(job, tried_upstreams)
+            return self._not_assigned(job, lacks_version=lacks_version)
         finally:
             self.queue.remove(job)
             self._reservations.end(job, ReservationChange.REMOVED, monotonic())
@@ -313,7 +330,7 @@
                 self._placement.release(unclaimed)
                 self.queue.record_ended(job)
 
-    def _not_assigned(self, job: Job) -> NotAssigned:
+    def _not_assigned(self, job: Job, *, lacks_version: bool = False) -> NotAssigned:
         usable = self._usable(job)
         withheld = self._directory.withholds_all(
             service=job.service, regions=job.regions
@@ -329,13 +346,19 @@
             upstreams=len(usable),
             withheld=withheld,
             wait_seconds=seconds,
+            lacks_version=lacks_version,
             own_per_second=send_rate.per_second if send_rate else None,
         )
 
+    def _upstream_by_name(self, job: Job) -> dict[str, Upstream]:
+        return self._directory.usable(
+            service=job.service, regions=job.regions, version=job.version
+        )
+
     def _usable(
         self, job: Job, tried_upstreams: frozenset[str] = frozenset()
     ) -> list[Upstream]:
-        usable = self._directory.usable(service=job.service, regions=job.regions)
+        usable = self._upstream_by_name(job)
         return [
             upstream for name, upstream in usable.items() if name not in tried_upstreams
         ]
--- a/src/ragwortkeel/ingress/error_responses.py
+++ b/src/ragwortkeel/ingress/error_responses.py
@@ -76,6 +76,12 @@
     result=Result.NOT_RUN,
     retry_after_seconds=1.0,
 )
+VERSION_UNAVAILABLE = ErrorResponse(
+    status=503,
+    reason="version_unavailable",
+    result=Result.NOT_RUN,
+    retry_after_seconds=1.0,
+)
 OVERLOADED = ErrorResponse(
     status=503, reason="overloaded", result=Result.NOT_RUN, retry_after_seconds=0.8
 )
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -1,6 +1,6 @@
 """One request that matched a route, from its reservation to its final response."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from time import monotonic
 
 from ragwortkeel.budget.account import AccountReservation
@@ -24,6 +24,7 @@
     QUARANTINED,
     TIMED_OUT,
     UPSTREAMS_WITHHELD,
+    VERSION_UNAVAILABLE,
     ErrorResponse,
     end_with_error,
     send_error,
@@ -126,6 +127,7 @@
         self._first_token_seconds: float | None = None
         self._may_have_run = False
         self._complete = False
+        self._job = accepted.job
         self._tried_upstreams: frozenset[str] = frozenset()
         self._upstream_failure: tuple[Assignment, FullResponse] | None = None
         self._attempt: Attempt | None = None
@@ -265,7 +267,7 @@
         accepted, now = self._accepted, monotonic()
         seconds_left = accepted.call.deadline - now
         acquired = await self._components.dispatcher.acquire(
-            accepted.job,
+            self._job,
             service=accepted.service,
             latest_start=now + seconds_left * MAX_QUEUE_TIME_FRACTION,
             tried_upstreams=self._tried_upstreams,
@@ -276,6 +278,8 @@
             return BROKEN
         if acquired.withheld:
             return UPSTREAMS_WITHHELD
+        if acquired.lacks_version:
+            return VERSION_UNAVAILABLE
         if not acquired.upstreams:
             return NO_UPSTREAM
         log_info(
@@ -332,6 +336,7 @@
             ),
             on_head=receive_head,
             on_first_event=receive_event,
+            on_stream_started=lambda: self._record_stream_started(assignment),
             checks_deadline=components.sweep is not None,
             delivery_seconds=components.event_delivery_seconds,
         )
@@ -374,6 +379,10 @@
             after=round(monotonic() - self._accepted.arrived_at, 3),
         )
 
+    def _record_stream_started(self, assignment: Assignment) -> None:
+        """Bind the request to the version whose events its caller is about to get."""
+        self._job = replace(self._job, version=assignment.upstream.version)
+
     def _record_first_token(self, assignment: Assignment) -> None:
         if self._components.sweep is not None:
             self._components.sweep.sweep_if_due()
@@ -431,7 +440,11 @@
         if was_sent:
             self._rejected_sends += 1
         self._tried_upstreams |= {name}
-        if self._rejected_sends > MAX_REJECTED_SENDS or self._seconds_left() <= 0:
+        if (
+            self._rejected_sends > MAX_REJECTED_SENDS
+            or self._seconds_left() <= 0
+            or self._lacks_version()
+        ):
             return BROKEN if self._may_have_run else OVERLOADED
         if not was_sent:
             # Nothing reached the upstream, so sending elsewhere is no repetition.
@@ -457,8 +470,26 @@
         route = self._accepted.route
         if not route.repeatable or self._runs >= route.max_attempts:
             return False
+        if self._lacks_version():
+            return False
         return self._seconds_left() > 0 and self._spend_retry(cause)
 
+    def _lacks_version(self) -> bool:
+        """Return whether a started stream has no upstream left to continue it."""
+        lacks = self._components.dispatcher.lacks_version(
+            self._job, self._tried_upstreams
+        )
+        if lacks:
+            log_info(
+                "stream_not_continued",
+                request=self._accepted.call.request_id,
+                service=self._accepted.service.name,
+                version=self._job.version,
+                tried=len(self._tried_upstreams),
+                events=self._caller_response.splitter.events,
+            )
+        return lacks
+
     def _spend_retry(self, cause: str) -> bool:
         """Spend one retry of the service; return whether there was one."""
         allowed = self._retries.try_spend()
--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -58,6 +58,9 @@
         Tokens of the prompt and of the largest answer together.
     regions : frozenset of str or None
         Regions in which the request may run; None for all regions.
+    version : str or None
+        Software version that began the stream which the request continues; no other
+        version may continue it.  None for a request that may run at any version.
     """
 
     request_id: str
@@ -68,6 +71,7 @@
     prompt_tokens: int = 0
     memory_tokens: int = 0
     regions: frozenset[str] | None = None
+    version: str | None = None
 
     @cached_property
     def rank(self) -> Rank:
--- a/src/ragwortkeel/ingress/request_queue.py
+++ b/src/ragwortkeel/ingress/request_queue.py
@@ -47,6 +47,7 @@
         regions=job.regions,
         excluded_upstreams=excluded_upstreams,
         memory_tokens=job.memory_tokens,
+        version=job.version,
     )
 
 
--- a/src/ragwortkeel/policy/head_reservation.py
+++ b/src/ragwortkeel/policy/head_reservation.py
@@ -158,16 +158,29 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Search:
-    """The bounds within which an upstream was searched for a request."""
+    """The bounds within which an upstream was searched for a request.
+
+    Attributes
+    ----------
+    regions : frozenset of str or None
+        Regions of the upstreams; None for all.
+    version : str or None
+        Software version of the upstreams; None for all.
+    """
 
     regions: frozenset[str] | None
     excluded_upstreams: frozenset[str]
     memory_tokens: int
+    version: str | None = None
 
     @property
     def is_unbounded(self) -> bool:
         """Whether all upstreams of the service were searched."""
-        return self.regions is None and not self.excluded_upstreams
+        return (
+            self.regions is None
+            and self.version is None
+            and not self.excluded_upstreams
+        )
 
     def covers(self, other: "Search") -> bool:
         """Return whether the other search fails as well if this one failed."""
@@ -175,6 +188,7 @@
             self.memory_tokens <= other.memory_tokens
             and self.excluded_upstreams <= other.excluded_upstreams
             and (self.regions is None or self.regions == other.regions)
+            and (self.version is None or self.version == other.version)
         )
 
 
--- a/tests/ingress/test_dispatch.py
+++ b/tests/ingress/test_dispatch.py
@@ -183,3 +183,96 @@
         refused = curio.run(main)
         assert refused.wait_seconds == RETRY_ELSEWHERE_SECONDS
         assert refused.own_per_second == 0.0
+
+
+class TestOneVersion:
+    """Pattern of load: streams that only some upstreams of a service may continue."""
+
+    def run(self, scenario):
+        async def main():
+            directory = Directory()
+            for name, version in (("u1", "v1"), ("u2", "v2")):
+                entry = upstream(name, slots=1, version=version)
+                directory.merge_entry(name, entry, version=1, now=0.0)
+            dispatcher = Dispatcher(directory=directory, placement=Placement(zone="a"))
+            async with curio.timeout_after(20):
+                return await scenario(dispatcher, directory)
+
+        return curio.run(main)
+
+    async def acquire(self, dispatcher, name, version=None, **options):
+        return await dispatcher.acquire(
+            job(name, version=version),
+            service=APP,
+            latest_start=monotonic() + LATER,
+            **options,
+        )
+
+    async def queue(self, dispatcher, name, version):
+        """Queue a request and return its task."""
+        count = len(dispatcher.queue)
+        task = await curio.spawn(self.acquire, dispatcher, name, version, daemon=True)
+        while len(dispatcher.queue) == count:
+            await curio.sleep(0.001)
+        return task
+
+    def test_it_is_assigned_to_its_version_only(self):
+        async def scenario(dispatcher, directory):
+            assigned = await self.acquire(dispatcher, "r1", "v2")
+            return assigned.upstream.name
+
+        assert self.run(scenario) == "u2"
+
+    @pytest.mark.parametrize(
+        ("version", "tried_upstreams"), [("v3", frozenset()), ("v1", frozenset({"u1"}))]
+    )
+    def test_without_an_untried_upstream_it_is_refused_at_once(
+        self, version, tried_upstreams
+    ):
+        """Guards against a stream that waits for a version that may never return."""
+
+        async def scenario(dispatcher, directory):
+            return await self.acquire(
+                dispatcher, "r1", version, tried_upstreams=tried_upstreams
+            )
+
+        refused = self.run(scenario)
+        assert isinstance(refused, NotAssigned) and refused.lacks_version
+
+    def test_its_wait_holds_back_no_request_that_may_run_elsewhere(self):
+        """Guards against idle upstreams behind a stream whose version is full."""
+
+        async def scenario(dispatcher, directory):
+            await self.acquire(dispatcher, "r1", "v1")
+            await self.queue(dispatcher, "waits", "v1")
+            other = await self.acquire(dispatcher, "other")
+            return other.upstream.name, len(dispatcher.queue)
+
+        assert self.run(scenario) == ("u2", 1)
+
+    def test_it_gets_the_next_slot_of_its_version_before_later_requests(self):
+        """Guards against a stream that others pass for as long as they arrive."""
+
+        async def scenario(dispatcher, directory):
+            held = [await self.acquire(dispatcher, name) for name in ("r1", "r2")]
+            first = await self.queue(dispatcher, "first", "v1")
+            await self.queue(dispatcher, "later", None)
+            for assignment in held:
+                if assignment.upstream.name == "u1":
+                    await dispatcher.release(assignment)
+            return (await first.join()).upstream.name, len(dispatcher.queue)
+
+        assert self.run(scenario) == ("u1", 1)
+
+    def test_its_wait_ends_when_the_last_upstream_of_its_version_leaves(self):
+        """Guards against a stream that waits until its deadline for what has left."""
+
+        async def scenario(dispatcher, directory):
+            await self.acquire(dispatcher, "r1", "v1")
+            waits = await self.queue(dispatcher, "waits", "v1")
+            directory.record_leaving("u1", started_ms=0)
+            await dispatcher.assign_queued()
+            return await waits.join()
+
+        refused = self.run(scenario)
+        assert isinstance(refused, NotAssigned) and refused.lacks_version
