A stream that its caller takes up goes on at the version that began it

The caller names only the request that brought the first event, and no process knew more.

The process that forwards the first events records the origin of the stream and sends it to two peers that its key selects; a process that lacks it asks up to 16 peers. If nobody knows, the stream goes on only where the service has had one version for longer than callers wait, by this process and its peers; otherwise it is refused at once, version_unknown, and version_unavailable if no upstream of its version takes work. The service of a split follows the first request, so that a stream returns to its service.

--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -7,7 +7,7 @@
 marked it.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from time import monotonic
 
@@ -148,7 +148,7 @@
         is_paused: Callable[[], bool],
         on_head: Callable[[ResponseHead, float], None],
         on_first_event: Callable[[], None],
-        on_stream_started: Callable[[], None] = lambda: None,
+        on_stream_started: Callable[[], Awaitable[None]],
         delivery_seconds: float = 0.0,
         checks_deadline: bool = False,
     ) -> None:
@@ -341,7 +341,7 @@
     ) -> None:
         responder = self._caller_response.responder
         if not self._caller_response.started:
-            self._on_stream_started()
+            await self._on_stream_started()
             fields = forwarded_fields(head)
             await responder.start_with(head.status, fields, events, last=last)
             return
--- a/src/ragwortkeel/ingress/error_responses.py
+++ b/src/ragwortkeel/ingress/error_responses.py
@@ -82,6 +82,12 @@
     result=Result.NOT_RUN,
     retry_after_seconds=1.0,
 )
+VERSION_UNKNOWN = ErrorResponse(
+    status=503,
+    reason="version_unknown",
+    result=Result.NOT_RUN,
+    retry_after_seconds=0.5,
+)
 OVERLOADED = ErrorResponse(
     status=503, reason="overloaded", result=Result.NOT_RUN, retry_after_seconds=0.8
 )
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -25,12 +25,14 @@
     TIMED_OUT,
     UPSTREAMS_WITHHELD,
     VERSION_UNAVAILABLE,
+    VERSION_UNKNOWN,
     ErrorResponse,
     end_with_error,
     send_error,
     with_retry_after,
 )
 from ragwortkeel.ingress.front_components import FrontComponents
+from ragwortkeel.ingress.origin_exchange import Found, NotFound
 from ragwortkeel.ingress.outcomes import (
     Broken,
     BrokenReason,
@@ -46,6 +48,7 @@
 from ragwortkeel.ingress.usage import Usage
 from ragwortkeel.logs import log_info
 from ragwortkeel.policy.facts import Failure
+from ragwortkeel.policy.stream_origins import Origin, stream_key
 
 MAX_REJECTED_SENDS = 2
 """Number of rejected sends after which a request may still be sent once more.
@@ -60,6 +63,9 @@
 The rest has to be enough for its run.
 """
 
+MAX_LOGGED_CHARACTERS = 64
+"""Characters of the request id in a caller's `resumes` header that a line contains."""
+
 SERVER_ERROR_STATUS = 500
 """Lowest status of a failure that another upstream may not have.
 
@@ -100,6 +106,8 @@
 
 _AGAIN = _TryAgain()
 
+_OUTCOME_BY_SOURCE = {"own": "own", "sole_version": "sole_version"}
+
 
 class Exchange:
     """Reserves tokens for one accepted request, runs it and sends the response.
@@ -188,6 +196,11 @@
         if self._components.crashes.is_quarantined(accepted.fingerprint):
             await self._send_error(QUARANTINED)
             return
+        if accepted.call.last_event and accepted.route.resumable:
+            error = await self._bind_to_origin()
+            if error is not None:
+                await self._send_error(error)
+                return
         reservation = await self._reserve()
         if isinstance(reservation, ErrorResponse):
             await self._send_error(reservation)
@@ -209,6 +222,36 @@
                     spent=spent,
                 )
 
+    async def _bind_to_origin(self) -> ErrorResponse | None:
+        """Bind a stream that the caller takes up to the version that began it.
+
+        Return an error if no upstream may continue it for certain.
+        """
+        accepted = self._accepted
+        service = accepted.service.name
+        found = await self._components.origins.find(self._stream_key(), service=service)
+        log_info(
+            "stream_taken_up",
+            request=accepted.call.request_id,
+            resumes=accepted.call.resumes[:MAX_LOGGED_CHARACTERS],
+            service=service,
+            **_origin_fields(found),
+        )
+        match found:
+            case Found(origin=origin, source=source):
+                outcome = _OUTCOME_BY_SOURCE.get(source, "peer")
+                error = None if origin.service == service else VERSION_UNAVAILABLE
+                self._job = replace(self._job, version=origin.version)
+            case NotFound():
+                outcome, error = "unknown", VERSION_UNKNOWN
+        self._components.metrics.record_stream_taken_up(origin=outcome)
+        return error
+
+    def _stream_key(self) -> int:
+        call = self._accepted.call
+        first_id = call.resumes or call.request_id
+        return stream_key(customer=call.customer, request_id=first_id)
+
     async def _reserve(self) -> AccountReservation | ErrorResponse | None:
         accepted, keeper = self._accepted, self._components.keeper
         customer, usage = accepted.customer, accepted.usage
@@ -364,7 +407,8 @@
         last_id = self._caller_response.splitter.last_id
         if last_id is None:
             return {}
-        return {"after": last_id, "resumes": self._accepted.call.resumes}
+        resumes = self._accepted.call.resumes[:MAX_LOGGED_CHARACTERS]
+        return {"after": last_id, "resumes": resumes}
 
     def _raise_if_caller_left(self, stage: str) -> None:
         if self._responder.peer_disconnected():
@@ -379,9 +423,13 @@
             after=round(monotonic() - self._accepted.arrived_at, 3),
         )
 
-    def _record_stream_started(self, assignment: Assignment) -> None:
-        """Bind the request to the version whose events its caller is about to get."""
-        self._job = replace(self._job, version=assignment.upstream.version)
+    async def _record_stream_started(self, assignment: Assignment) -> None:
+        """Bind the stream to the version whose events its caller is about to get."""
+        upstream = assignment.upstream
+        self._job = replace(self._job, version=upstream.version)
+        if self._accepted.route.resumable:
+            origin = Origin(service=upstream.service, version=upstream.version)
+            await self._components.origins.record(self._stream_key(), origin)
 
     def _record_first_token(self, assignment: Assignment) -> None:
         if self._components.sweep is not None:
@@ -573,3 +621,22 @@
             after=round(monotonic() - self._accepted.arrived_at, 3),
         )
         self._components.metrics.record_attempt_failure(failure=reason)
+
+
+def _origin_fields(found: Found | NotFound) -> dict[str, object]:
+    """Return what a log line says of the origin of a stream."""
+    match found:
+        case Found(origin=origin, source=source, age_seconds=age_seconds):
+            return {
+                "version": origin.version,
+                "source": source,
+                "age": round(age_seconds, 3),
+            }
+        case NotFound(answers=answers, asked=asked, versions=versions):
+            return {
+                "source": "unknown",
+                "asked": asked,
+                "answers": answers,
+                "versions": ",".join(sorted(versions)),
+                "followed": round(found.followed_seconds, 1),
+            }
--- a/src/ragwortkeel/ingress/front.py
+++ b/src/ragwortkeel/ingress/front.py
@@ -157,7 +157,11 @@
     ) -> AcceptedRequest | ErrorResponse:
         names, headers = self._names, request.headers
         request_id = headers.get(names.request_id, "")
-        service = self.table.service_by_name.get(split_service(route, request_id))
+        # A stream that is taken up goes to the service that began it.
+        resumes = headers.get(names.resumes, "")
+        service = self.table.service_by_name.get(
+            split_service(route, resumes or request_id)
+        )
         if service is None:
             return NO_UPSTREAM
         if not request_id:
@@ -185,7 +189,7 @@
             customer=job.customer,
             urgency=min(LOWEST_URGENCY, job.priority) if service.engine else None,
             last_event=headers.get(names.last_event, ""),
-            resumes=headers.get(names.resumes, ""),
+            resumes=resumes,
         )
         return AcceptedRequest(
             call=call,
--- a/src/ragwortkeel/ingress/front_components.py
+++ b/src/ragwortkeel/ingress/front_components.py
@@ -12,6 +12,7 @@
 from ragwortkeel.ingress.dispatch import Dispatcher
 from ragwortkeel.ingress.error_responses import ErrorResponse
 from ragwortkeel.ingress.names import HeaderNames
+from ragwortkeel.ingress.origin_exchange import OriginExchange
 from ragwortkeel.ingress.placement import Placement
 from ragwortkeel.ingress.request_sweep import RequestSweep
 from ragwortkeel.ingress.speed_tracker import SpeedTracker
@@ -40,6 +41,7 @@
     connections: ConnectionPool
     retries: RetryBudgets
     announcements: AnnouncementReader
+    origins: OriginExchange
     metrics: Metrics
     speeds: SpeedTracker | None = None
     event_delivery_seconds: float = 0.0
--- /dev/null
+++ b/src/ragwortkeel/ingress/origin_exchange.py
@@ -0,0 +1,267 @@
+"""Tells peers where streams began, and asks them when a caller takes a stream up.
+
+Pattern of load: a process ends, and the callers of all its streams come to its peers in
+the same second.  Each origin was sent to `HOLDER_COUNT` peers when the stream began, in
+batches; a process that lacks it asks up to `MAX_PEERS_ASKED` peers, beginning with
+those.  No guarantee depends on these messages: a stream whose origin stays unknown is
+refused unless its service has had only one version.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from itertools import count
+from time import monotonic
+
+import curio
+
+from ragwortkeel.links import Link
+from ragwortkeel.messages import (
+    OriginAnswer,
+    OriginNote,
+    OriginNotes,
+    OriginQuestion,
+)
+from ragwortkeel.policy.stream_origins import (
+    HOLDER_COUNT,
+    KnownOrigin,
+    Origin,
+    OriginTable,
+    SeenVersions,
+    VersionHistory,
+    nearest_peers,
+    sole_version,
+)
+
+NOTE_DELAY_SECONDS = 0.02
+"""Time in which origins are collected for one message to each peer.
+
+Streams that began in this time before the process is killed can't be taken up.
+"""
+
+MAX_PEERS_ASKED = 16
+"""Peers that are asked for an origin: all in a fleet of that size."""
+
+ANSWER_SECONDS = 0.25
+"""Time limit of an answer: over a hundred round trips inside a region."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Found:
+    """The version that began a stream.
+
+    Attributes
+    ----------
+    source : str
+        ``own``, the address of the peer that knew it, or ``sole_version``.
+    age_seconds : float
+        Time since it was recorded there.
+    """
+
+    origin: Origin
+    source: str
+    age_seconds: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class NotFound:
+    """The version that began a stream is unknown.
+
+    Attributes
+    ----------
+    answers, asked : int
+        Peers that answered, of those that were asked.
+    versions : frozenset of str
+        Versions of the service that this process and those peers have seen lately.
+    followed_seconds : float
+        Longest time for which one of them has followed the upstreams.
+    """
+
+    answers: int
+    asked: int
+    versions: frozenset[str]
+    followed_seconds: float
+
+
+@dataclass(kw_only=True)
+class _Lookup:
+    """A question that peers have not all answered."""
+
+    waiting: set[str]
+    answers: dict[str, OriginAnswer] = field(default_factory=dict)
+    done: curio.Event = field(default_factory=curio.Event)
+
+
+class OriginExchange:
+    """Knows the origins of streams, with the help of peers.
+
+    Parameters
+    ----------
+    table : OriginTable
+        The origins that this process knows.
+    history : VersionHistory
+        The versions that this process has seen.
+    links : callable
+        Returns the links to ingress processes that are up, by address.
+    peer_count : callable
+        Returns how many other ingress processes are known, reachable or not.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: OriginTable,
+        history: VersionHistory,
+        links: Callable[[], Mapping[str, Link]],
+        peer_count: Callable[[], int],
+    ) -> None:
+        self._table = table
+        self._history = history
+        self._links = links
+        self._peer_count = peer_count
+        self._unsent: dict[int, Origin] = {}
+        self._has_unsent = curio.Event()
+        self._lookup_by_id: dict[int, _Lookup] = {}
+        self._question_ids = count(1)
+
+    async def run(self) -> None:
+        """Send new origins to peers until cancelled."""
+        while True:
+            await self._has_unsent.wait()
+            await curio.sleep(NOTE_DELAY_SECONDS)
+            self._has_unsent.clear()
+            await self._send_notes()
+
+    async def record(self, key: int, origin: Origin) -> None:
+        """Record where a stream begins, and tell peers."""
+        self._table.record(key, origin, now=monotonic())
+        self._unsent[key] = origin
+        await self._has_unsent.set()
+
+    async def find(self, key: int, *, service: str) -> Found | NotFound:
+        """Return the origin of a stream that a caller takes up.
+
+        Peers are asked unless this process knows it.
+        """
+        known = self._table.get(key)
+        if known is not None and known.origin is not None:
+            age_seconds = monotonic() - known.recorded_at
+            return Found(origin=known.origin, source="own", age_seconds=age_seconds)
+        answer_by_peer, asked = await self._ask(key, service)
+        for peer, answer in answer_by_peer.items():
+            if answer.note is not None:
+                origin = _origin_of(answer.note)
+                self._table.record(key, origin, now=monotonic())
+                age_seconds = answer.age_seconds
+                return Found(origin=origin, source=peer, age_seconds=age_seconds)
+        ambiguous = known is not None or any(
+            answer.is_ambiguous for answer in answer_by_peer.values()
+        )
+        return self._infer(service, answer_by_peer, asked, ambiguous=ambiguous)
+
+    def receive_notes(self, message: OriginNotes) -> None:
+        """Record the origins of streams that a peer has begun."""
+        now = monotonic()
+        for note in message.notes:
+            self._table.record(note.key, _origin_of(note), now=now)
+
+    def answer(self, question: OriginQuestion) -> OriginAnswer:
+        """Return what this process knows of a stream."""
+        now = monotonic()
+        known = self._table.get(question.key)
+        seen = self._seen(question.service, now)
+        return OriginAnswer(
+            question_id=question.question_id,
+            note=_note_of(question.key, known),
+            is_ambiguous=known is not None and known.origin is None,
+            age_seconds=0.0 if known is None else now - known.recorded_at,
+            versions=tuple(sorted(seen.versions)),
+            followed_seconds=seen.seconds,
+        )
+
+    async def receive_answer(self, peer: str, answer: OriginAnswer) -> None:
+        """Receive a peer's answer to a question of this process."""
+        lookup = self._lookup_by_id.get(answer.question_id)
+        if lookup is None:
+            return
+        lookup.answers[peer] = answer
+        lookup.waiting.discard(peer)
+        if answer.note is not None or not lookup.waiting:
+            await lookup.done.set()
+
+    def _seen(self, service: str, now: float) -> SeenVersions:
+        return self._history.seen(service, seconds=self._table.keep_seconds, now=now)
+
+    def _infer(
+        self,
+        service: str,
+        answer_by_peer: dict[str, OriginAnswer],
+        asked: int,
+        *,
+        ambiguous: bool,
+    ) -> Found | NotFound:
+        """Return the only version that the service has had lately, if it is certain.
+
+        A process that reaches none of its peers may have missed a version.
+        """
+        seen_by_process = [self._seen(service, monotonic())]
+        seen_by_process += [
+            SeenVersions(
+                versions=frozenset(answer.versions), seconds=answer.followed_seconds
+            )
+            for answer in answer_by_peer.values()
+        ]
+        if not ambiguous and (answer_by_peer or not self._peer_count()):
+            version = sole_version(seen_by_process, seconds=self._table.keep_seconds)
+            if version is not None:
+                origin = Origin(service=service, version=version)
+                return Found(origin=origin, source="sole_version")
+        return NotFound(
+            answers=len(answer_by_peer),
+            asked=asked,
+            versions=frozenset().union(*(each.versions for each in seen_by_process)),
+            followed_seconds=max(each.seconds for each in seen_by_process),
+        )
+
+    async def _ask(self, key: int, service: str) -> tuple[dict[str, OriginAnswer], int]:
+        """Return the peers' answers, and how many were asked."""
+        links = self._links()
+        peers = nearest_peers(key, links, count=MAX_PEERS_ASKED)
+        if not peers:
+            return {}, 0
+        question = OriginQuestion(
+            question_id=next(self._question_ids), key=key, service=service
+        )
+        lookup = _Lookup(waiting=set(peers))
+        self._lookup_by_id[question.question_id] = lookup
+        try:
+            for peer in peers:
+                await links[peer].try_send(question)
+            async with curio.ignore_after(ANSWER_SECONDS):
+                await lookup.done.wait()
+        finally:
+            del self._lookup_by_id[question.question_id]
+        return lookup.answers, len(peers)
+
+    async def _send_notes(self) -> None:
+        unsent, self._unsent = self._unsent, {}
+        links = self._links()
+        notes_by_peer: dict[str, list[OriginNote]] = {}
+        for key, origin in unsent.items():
+            for peer in nearest_peers(key, links, count=HOLDER_COUNT):
+                note = OriginNote(
+                    key=key, service=origin.service, version=origin.version
+                )
+                notes_by_peer.setdefault(peer, []).append(note)
+        for peer, notes in notes_by_peer.items():
+            await links[peer].try_send(OriginNotes(notes=tuple(notes)))
+
+
+def _origin_of(note: OriginNote) -> Origin:
+    return Origin(service=note.service, version=note.version)
+
+
+def _note_of(key: int, known: KnownOrigin | None) -> OriginNote | None:
+    if known is None or known.origin is None:
+        return None
+    origin = known.origin
+    return OriginNote(key=key, service=origin.service, version=origin.version)
--- a/src/ragwortkeel/ingress/peer_handler.py
+++ b/src/ragwortkeel/ingress/peer_handler.py
@@ -12,6 +12,9 @@
     Heartbeat,
     InstanceStatus,
     LoanRequest,
+    OriginAnswer,
+    OriginNotes,
+    OriginQuestion,
     PlatformAnswer,
     RenewalsWritten,
     TokenLoan,
@@ -124,3 +127,12 @@
 
     async def receive_platform_answer(self, answer: PlatformAnswer) -> None:
         """Receive the answer to a platform call that a peer relayed."""
+
+    def receive_origins(self, message: OriginNotes) -> None:
+        """Receive the origins of streams that a peer has begun."""
+
+    def origin_answer(self, question: OriginQuestion) -> OriginAnswer | None:
+        """Return what this process knows of a stream, None if it knows of none."""
+
+    async def receive_origin_answer(self, peer: str, answer: OriginAnswer) -> None:
+        """Receive the answer of the peer at this address."""
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -54,6 +54,9 @@
     Heartbeat,
     IngressState,
     LoanRequest,
+    OriginAnswer,
+    OriginNotes,
+    OriginQuestion,
     PartsCall,
     PlatformAnswer,
     PlatformCall,
@@ -217,6 +220,10 @@
         """Link to the peers at these addresses as well."""
         self._introductions.add(Introduction(addresses=addresses))
 
+    def ingress_links(self) -> dict[str, Link]:
+        """Return the links to ingress processes that are up, by address."""
+        return self._mesh.ingress_links()
+
     def platform_relays(self) -> list[Link]:
         """Return the links to peers that may relay platform calls, relays first."""
         return self._mesh.platform_relays()
@@ -418,6 +425,10 @@
                 peer=peer, envelope=Envelope(message=ClockAnswer() as answer)
             ):
                 self._handler.receive_clock(peer, answer)
+            case Received(
+                peer=peer, envelope=Envelope(message=OriginAnswer() as answer)
+            ):
+                await self._handler.receive_origin_answer(peer, answer)
             case Received(peer=peer, envelope=Envelope(message=Heartbeat() as beat)):
                 self.writers.record_leaving(peer, leaving=beat.leaving)
             case LinkDown(peer=peer):
@@ -533,10 +544,10 @@
                 await self._merge_state(state)
             case ConfigurationPush() | ConfigurationPull():
                 return await self._handle_configuration(message)
-            case PartsCall() | Heartbeat() | ClockQuestion():
+            case PartsCall() | Heartbeat() | ClockQuestion() | OriginQuestion():
                 return self._reply_to(message)
-            case CrashSeen() as crash:
-                self._handler.receive_crash(crash)
+            case CrashSeen() | OriginNotes():
+                self._receive_news(message)
             case UpstreamChanges() as changes:
                 await self._handler.receive_upstream_changes(changes)
             case EvacuatedZones() as found:
@@ -549,8 +560,19 @@
                 return await self._handle_renewals(message)
         return None
 
-    def _reply_to(self, message) -> IngressState | Heartbeat | ClockAnswer:
+    def _receive_news(self, message: CrashSeen | OriginNotes) -> None:
+        match message:
+            case CrashSeen() as crash:
+                self._handler.receive_crash(crash)
+            case OriginNotes() as notes:
+                self._handler.receive_origins(notes)
+
+    def _reply_to(
+        self, message
+    ) -> IngressState | Heartbeat | ClockAnswer | OriginAnswer | None:
         match message:
+            case OriginQuestion() as question:
+                return self._handler.origin_answer(question)
             case PartsCall():
                 return self._state(NO_INTRODUCTION, self._handler.all_prompt_blocks())
             case Heartbeat():
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -19,6 +19,9 @@
     Heartbeat,
     InstanceStatus,
     LoanRequest,
+    OriginAnswer,
+    OriginNotes,
+    OriginQuestion,
     PlatformAnswer,
     RenewalsWritten,
     TokenLoan,
@@ -187,3 +190,12 @@
 
     async def receive_platform_answer(self, answer: PlatformAnswer) -> None:
         """Discard an answer: a relay sends no calls through peers."""
+
+    def receive_origins(self, message: OriginNotes) -> None:
+        """Discard the origins of a peer's streams."""
+
+    def origin_answer(self, question: OriginQuestion) -> None:
+        """Return None: a relay knows of no streams."""
+
+    async def receive_origin_answer(self, peer: str, answer: OriginAnswer) -> None:
+        """Discard the answer: a relay asks for no origins."""
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -36,6 +36,7 @@
 from ragwortkeel.ingress.limit_tracker import LimitTracker
 from ragwortkeel.ingress.load_reports import hold_seconds, status_hold_seconds
 from ragwortkeel.ingress.names import HeaderNames
+from ragwortkeel.ingress.origin_exchange import OriginExchange
 from ragwortkeel.ingress.pause_tracker import PauseTracker
 from ragwortkeel.ingress.peer_statuses import PeerStatuses
 from ragwortkeel.ingress.peers import Peers
@@ -57,6 +58,9 @@
     Heartbeat,
     InstanceStatus,
     LoanRequest,
+    OriginAnswer,
+    OriginNotes,
+    OriginQuestion,
     PlatformAnswer,
     RenewalsWritten,
     TokenLoan,
@@ -69,6 +73,11 @@
 from ragwortkeel.policy.fleet_rates import FleetRates, sharing_among
 from ragwortkeel.policy.quarantine import Crash
 from ragwortkeel.policy.retries import RetryBudgets, process_reserve
+from ragwortkeel.policy.stream_origins import (
+    KEEP_SECONDS,
+    OriginTable,
+    VersionHistory,
+)
 from ragwortkeel.process import Leftover
 from ragwortkeel.send_buffer import HeldBytes
 from ragwortkeel.settings import Address, IngressSettings, changed_fields
@@ -205,6 +214,14 @@
                 settings.capacity.link_bytes_per_second if settings.capacity else 0.0
             ),
         )
+        self._origin_table = OriginTable()
+        self._versions = VersionHistory(is_complete=settings.first_start)
+        self._origins = OriginExchange(
+            table=self._origin_table,
+            history=self._versions,
+            links=self._peers.ingress_links,
+            peer_count=lambda: len(self._peers.ingress_addresses),
+        )
         self._platform = RelayedPlatform(
             direct=self._counted, relays=self._peers.platform_relays
         )
@@ -251,6 +268,7 @@
                 connections=self._connections,
                 retries=self._retries,
                 announcements=self._announcements,
+                origins=self._origins,
                 metrics=self.metrics,
                 speeds=self._speed_tracker,
                 event_delivery_seconds=settings.event_delivery_seconds,
@@ -345,6 +363,7 @@
             self._budget_keeper.run,
             self._peers.run,
             self._platform.run,
+            self._origins.run,
             self._counted.run,
             self._dispatcher.run,
             self._rotation.run,
@@ -548,6 +567,18 @@
         """Receive the answer to a platform call that a peer relayed."""
         await self._platform.receive_answer(answer)
 
+    def receive_origins(self, message: OriginNotes) -> None:
+        """Record the origins of streams that a peer has begun."""
+        self._origins.receive_notes(message)
+
+    def origin_answer(self, question: OriginQuestion) -> OriginAnswer:
+        """Return what this process knows of a stream that a peer asks for."""
+        return self._origins.answer(question)
+
+    async def receive_origin_answer(self, peer: str, answer: OriginAnswer) -> None:
+        """Receive a peer's answer to a question for an origin."""
+        await self._origins.receive_answer(peer, answer)
+
     async def _apply_configuration(
         self,
         configuration: IngressConfiguration,
@@ -569,6 +600,8 @@
         self._encoded_configuration = value
         self._front.table = RoutingTable(configuration=configuration)
         self._budget_keeper.configure(self._front.table)
+        timeouts = [r.timeout_seconds for r in configuration.routes if r.resumable]
+        self._origin_table.keep_seconds = max([KEEP_SECONDS, *timeouts])
         limits = configuration.limits
         self._server.keep_alive_seconds = limits.idle_seconds * IDLE_TIMEOUT_FACTOR
         self._server.max_body_bytes = limits.max_body_bytes
@@ -593,7 +626,12 @@
                 cold_seconds = change.upstream.cold_seconds
                 self._placement.set_cold(change.name, cold_seconds, monotonic())
         if changes:
-            upstreams = set(self._directory.upstream_by_name)
+            by_name = self._directory.upstream_by_name
+            self._versions.update(
+                {(each.service, each.version) for each in by_name.values()},
+                now=monotonic(),
+            )
+            upstreams = set(by_name)
             self._placement.retain(upstreams)
             self._limit_tracker.retain(upstreams)
             self._leaving_tracker.retain(upstreams)
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -671,6 +671,51 @@
     wall: float
 
 
+class OriginNote(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Service and software version that began a stream; see `policy.stream_origins`."""
+
+    key: int
+    service: str
+    version: str
+
+
+class OriginNotes(Message):
+    """Origins of streams that the sender has begun, or goes on with."""
+
+    notes: tuple[OriginNote, ...]
+
+
+class OriginQuestion(Message):
+    """Question for the origin of a stream that a caller of the sender takes up."""
+
+    question_id: int
+    key: int
+    service: str
+
+
+class OriginAnswer(Message):
+    """Answer to an `OriginQuestion`.
+
+    Attributes
+    ----------
+    note : OriginNote or None
+        The origin, recorded `age_seconds` ago; None if it is unknown.
+    is_ambiguous : bool
+        Whether different origins were recorded for the stream.
+    versions : tuple of str
+        Versions of the service that the sender has seen lately.
+    followed_seconds : float
+        Time for which the sender has followed the upstreams.
+    """
+
+    question_id: int
+    note: OriginNote | None = None
+    is_ambiguous: bool = False
+    age_seconds: float = 0.0
+    versions: tuple[str, ...] = ()
+    followed_seconds: float = 0.0
+
+
 ConfigurationMessage = (
     ConfigurationDigest
     | ConfigurationBranches
@@ -716,6 +761,9 @@
     | RenewalsWritten
     | ClockQuestion
     | ClockAnswer
+    | OriginNotes
+    | OriginQuestion
+    | OriginAnswer
 )
 
 
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -174,6 +174,11 @@
             "Upstreams reserved for a queued request, by what happened to them.",
             ("change",),
         )
+        self._streams_taken_up = self._counter(
+            "ragwortkeel_streams_taken_up_total",
+            "Streams that callers took up, by who knew the version that began them.",
+            ("origin",),
+        )
         self._held_bytes = self._gauge(
             "ragwortkeel_held_bytes", "Bytes held for peers that read slowly."
         )
@@ -315,6 +320,10 @@
         """Count the begin or the end of a reservation for a queued request."""
         self._reservations.labels(change).inc()
 
+    def record_stream_taken_up(self, *, origin: str) -> None:
+        """Count a stream that a caller took up, by how its version became known."""
+        self._streams_taken_up.labels(origin).inc()
+
     def track_held_bytes(self, held_bytes: Callable[[], int]) -> None:
         """Report the bytes held for slow readers, which `held_bytes` returns."""
         self._held_bytes.set_function(held_bytes)
--- a/src/ragwortkeel/settings.py
+++ b/src/ragwortkeel/settings.py
@@ -175,6 +175,9 @@
     measures_upstreams : bool
         Whether the speed of upstreams, as their answers show it, decides where
         requests go.
+    first_start : bool
+        Whether the whole fleet starts for the first time, so that no stream has begun
+        before.
     """
 
     name: Name
@@ -191,6 +194,7 @@
     event_delivery_seconds: DeliverySeconds = 0.0
     fleet_fairness: bool = False
     measures_upstreams: bool = False
+    first_start: bool = False
     stop_deadline_seconds: StopSeconds = 60.0
     log_level: LogLevel = LogLevel.INFO
 
--- a/tests/site/test_site_settings.py
+++ b/tests/site/test_site_settings.py
@@ -40,6 +40,14 @@
         assert found.stop_deadline_seconds == 7.5
         assert found.region_by_zone == {"maule-a": "maule"}
 
+    @pytest.mark.parametrize(
+        ("line", "first_start"), [("bootstrap=true", True), ("bootstrap=false", False)]
+    )
+    def test_the_first_start_of_the_fleet_is_known(self, line, first_start):
+        """Guards against a restart that takes an empty history for a complete one."""
+        assert ingress_settings(f"{TEXT}{line}\n").first_start is first_start
+        assert not ingress_settings(TEXT).first_start
+
     def test_empty_seeds_give_no_peers(self):
         text = re.sub(r"seeds=.*", "seeds=", TEXT)
         assert ingress_settings(text).peers == ()
