Routers: a stream resumes only at the software version that began it

A router that lost an engine in the middle of a stream continued the answer at any engine that states resumes, whatever its build: the same class as the ingress, found by looking for it. The new test has engines of v1 and v2; before, the second one continued the answer of the first.

Upstream has software_version, set by ragwortkeel upstream add. A stream that is assigned to an engine of another version ends as interrupted; the scheduler does not look for another engine of the version, so this costs streams while several versions serve. The field is stored only where it is stated, as processes of the version before refuse fields that they don't know.

--- a/src/ragwortkeel/cli/upstreams.py
+++ b/src/ragwortkeel/cli/upstreams.py
@@ -26,7 +26,9 @@
     def __init__(self, *, session: Session) -> None:
         self._session = session
 
-    @SetParseFns(name=str, back_end=str, sidecar_address=str, zone=str)
+    @SetParseFns(
+        name=str, back_end=str, sidecar_address=str, zone=str, software_version=str
+    )
     def add(
         self,
         name,
@@ -36,6 +38,7 @@
         sidecar_address,
         zone,
         resumes=False,
+        software_version="",
         wait=0.0,
     ):
         """Put a new upstream into service.
@@ -54,6 +57,8 @@
             Availability zone of the upstream.
         resumes
             The engine can continue an answer after given tokens.
+        software_version
+            Version of the engine's software; only the same one continues an answer.
         wait
             Seconds to wait until the change is in force everywhere.
         """
@@ -64,6 +69,7 @@
             "sidecar_address": sidecar_address,
             "zone": str(zone),
             "resumes": resumes,
+            "software_version": str(software_version),
         }
 
         async def action(platform: Platform) -> Result:
--- a/src/ragwortkeel/configuration.py
+++ b/src/ragwortkeel/configuration.py
@@ -77,11 +77,19 @@
     retired: bool = False
 
 
-class Upstream(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+class Upstream(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
     """One instance of a back end, with the address of its sidecar.
 
-    `resumes` is set if the engine can continue an answer after the tokens that it
-    has already produced.
+    `resumes` is set if the engine can continue an answer after the tokens that an
+    engine of the same `software_version` has already produced; an empty version is
+    one like any other.  Fields with defaults are not stored, since processes that
+    don't know a field refuse the object.
     """
 
     name: Name
@@ -90,6 +98,7 @@
     sidecar_address: str
     zone: str
     resumes: bool = False
+    software_version: str = ""
     state: UpstreamState = UpstreamState.SERVING
     retired: bool = False
 
--- a/src/ragwortkeel/router/exchange.py
+++ b/src/ragwortkeel/router/exchange.py
@@ -94,6 +94,7 @@
         self.may_have_run = False
         self.tokens = 0
         self._first_token_received = False
+        self._started_at_version: str | None = None
 
     async def run(self) -> Refusal | None:
         """Serve the call; return its refusal, or None if it was answered."""
@@ -242,8 +243,12 @@
                     self._facts.request_id
                 )
             if rv.status < MIN_SERVER_ERROR_STATUS:
+                if self._started_at_version is None:
+                    self._started_at_version = software_version
                 await self._sink.write(data, rv.content_type)
 
+        found = self._components.directory.upstream(upstream)
+        software_version = found[0].software_version if found is not None else ""
         rv = Attempt(
             nonce=nonce,
             upstream=upstream,
@@ -262,7 +267,9 @@
 
     def _can_resume(self, upstream: str) -> bool:
         found = self._components.directory.upstream(upstream)
-        return found is not None and found[0].resumes
+        if found is None or not found[0].resumes:
+            return False
+        return found[0].software_version == self._started_at_version
 
     def _budget_refusal(self, exc: BudgetRefused) -> Refusal:
         return Refusal(
--- a/tests/router/in_process.py
+++ b/tests/router/in_process.py
@@ -70,11 +70,14 @@
 class Fleet:
     """One router, some engines and a service with their sidecars, and a platform."""
 
-    def __init__(self, *, engines=1, resumes=False, filing_back_end="claims"):
+    def __init__(
+        self, *, engines=1, resumes=False, filing_back_end="claims", versions=None
+    ):
         filing = msgspec.structs.replace(FILING, back_ends=(filing_back_end,))
         self.profiles = (CHAT, filing)
         self.engine_names = [f"m{i + 1}" for i in range(engines)]
         self.resumes = resumes
+        self.versions = versions or {}
         self.platform = LocalPlatform()
         self.tasks = []
         self.upstream_addresses = {}
@@ -130,6 +133,7 @@
             sidecar_address=settings.address,
             zone="maule-a",
             resumes=self.resumes,
+            software_version=self.versions.get(name, ""),
         )
         await self._create(UPSTREAMS, name, msgspec.json.encode(upstream))
 
--- a/tests/router/test_path.py
+++ b/tests/router/test_path.py
@@ -114,6 +114,21 @@
         assert texts_of(resumed.body) == texts_of(complete.body)
         assert resumed.body.endswith(b"data: [DONE]\n\n")
 
+    def test_a_stream_does_not_resume_at_another_software_version(self):
+        """Guards against an answer whose parts come from two versions of an engine."""
+
+        async def scenario(fleet):
+            request = QUESTION | {"stream": True}
+            for name in fleet.engine_names:
+                await fleet.switch(name, truncate=3)
+            return await fleet.ask(CHAT_PATH, request)
+
+        versions = {"m1": "v1", "m2": "v2"}
+        answer = run_fleet(scenario, engines=2, resumes=True, versions=versions)
+        assert answer.body.count(b'"content"') == 3
+        last = answer.body.rsplit(b"event: error\ndata: ", 1)[1]
+        assert msgspec.json.decode(last)["outcome"] == "failed"
+
     def test_a_resumed_run_is_not_replayed_as_the_complete_answer(self):
         """Guards against a replay that contains only the end of an answer.
 
