A stream of a restarted upstream is not taken for one of its last version

An upstream may start again under its name with other software. Its entry is late by a moment, or by an outage of the platform, and Expect-Instance compares names only: a process recorded the old version for a stream that the new one began, and continued it at the old version, within the response and when it was taken up.

Both tests in TestRestartUnderTheSameName failed before: the stream went on at e2 (v1) though e1 had begun it as v2. When an entry names another version, origins that the process recorded there in the last 3 s, or since the platform was out of reach, are not certain any more; peers that hold them are told.

Open: a stream that goes on at such an upstream before its entry is here.

--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -69,6 +69,14 @@
     was_usable: bool
     usable: bool
     upstream: Upstream | None
+    previous: Upstream | None = None
+
+    @property
+    def has_new_version(self) -> bool:
+        """Whether the upstream started again under its name at another version."""
+        if self.upstream is None or self.previous is None:
+            return False
+        return self.upstream.version != self.previous.version
 
 
 class Directory:
@@ -298,6 +306,7 @@
                 was_usable=was_usable,
                 usable=entry.usable,
                 upstream=entry.upstream,
+                previous=known.upstream if known is not None else None,
             )
         ]
 
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -429,7 +429,9 @@
         self._job = replace(self._job, version=upstream.version)
         if self._accepted.route.resumable:
             origin = Origin(service=upstream.service, version=upstream.version)
-            await self._components.origins.record(self._stream_key(), origin)
+            await self._components.origins.record(
+                self._stream_key(), origin, upstream=upstream.name
+            )
 
     def _record_first_token(self, assignment: Assignment) -> None:
         if self._components.sweep is not None:
@@ -524,7 +526,10 @@
 
     def _lacks_version(self) -> bool:
         """Return whether a started stream has no upstream left to continue it."""
-        lacks = self._components.dispatcher.lacks_version(
+        components = self._components
+        is_ambiguous = components.origins.is_ambiguous(self._stream_key())
+        lacks = self._caller_response.started and is_ambiguous
+        lacks = lacks or components.dispatcher.lacks_version(
             self._job, self._tried_upstreams
         )
         if lacks:
@@ -533,6 +538,7 @@
                 request=self._accepted.call.request_id,
                 service=self._accepted.service.name,
                 version=self._job.version,
+                ambiguous=is_ambiguous,
                 tried=len(self._tried_upstreams),
                 events=self._caller_response.splitter.events,
             )
--- a/src/ragwortkeel/ingress/origin_exchange.py
+++ b/src/ragwortkeel/ingress/origin_exchange.py
@@ -7,9 +7,11 @@
 refused unless its service has had only one version.
 """
 
+from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from itertools import count
+from math import inf
 from time import monotonic
 
 import curio
@@ -38,6 +40,15 @@
 Streams that began in this time before the process is killed can't be taken up.
 """
 
+ENTRY_LAG_SECONDS = 3.0
+"""How long an entry may name the version of an upstream's last start.
+
+Outside of outages of the platform, entries are here within a second of a start.
+"""
+
+MAX_RECENT_ORIGINS = 2_000
+"""Own streams that an upstream's late entry can still make ambiguous."""
+
 MAX_PEERS_ASKED = 16
 """Peers that are asked for an origin: all in a fleet of that size."""
 
@@ -82,6 +93,15 @@
     followed_seconds: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class _RecentOrigin:
+    """An origin that this process recorded at a monotonic second."""
+
+    key: int
+    upstream: str
+    recorded_at: float
+
+
 @dataclass(kw_only=True)
 class _Lookup:
     """A question that peers have not all answered."""
@@ -118,7 +138,8 @@
         self._history = history
         self._links = links
         self._peer_count = peer_count
-        self._unsent: dict[int, Origin] = {}
+        self._recent: deque[_RecentOrigin] = deque(maxlen=MAX_RECENT_ORIGINS)
+        self._unsent: list[OriginNote] = []
         self._has_unsent = curio.Event()
         self._lookup_by_id: dict[int, _Lookup] = {}
         self._question_ids = count(1)
@@ -131,12 +152,46 @@
             self._has_unsent.clear()
             await self._send_notes()
 
-    async def record(self, key: int, origin: Origin) -> None:
+    async def record(self, key: int, origin: Origin, *, upstream: str) -> None:
         """Record where a stream begins, and tell peers."""
-        self._table.record(key, origin, now=monotonic())
-        self._unsent[key] = origin
+        now = monotonic()
+        recent = _RecentOrigin(key=key, upstream=upstream, recorded_at=now)
+        self._recent.append(recent)
+        note = OriginNote(key=key, service=origin.service, version=origin.version)
+        await self._record(note, now)
+
+    async def _record(self, note: OriginNote, now: float) -> None:
+        self._table.record(note.key, _origin_of(note), now=now)
+        self._unsent.append(note)
         await self._has_unsent.set()
 
+    async def record_new_version(self, upstream: str, *, in_outage: bool) -> int:
+        """Record that an upstream started again at another version.
+
+        The origins of streams that began there while its entry may have been late are
+        not certain from now on, here and at the peers.  Return how many.
+
+        Parameters
+        ----------
+        in_outage : bool
+            Whether the entry may be late by more than `ENTRY_LAG_SECONDS`.
+        """
+        now = monotonic()
+        since = -inf if in_outage else now - ENTRY_LAG_SECONDS
+        keys = {
+            recent.key
+            for recent in self._recent
+            if recent.upstream == upstream and recent.recorded_at >= since
+        }
+        for key in keys:
+            await self._record(OriginNote(key=key, service="", version=None), now)
+        return len(keys)
+
+    def is_ambiguous(self, key: int) -> bool:
+        """Return whether a stream has two origins, so that nothing may continue it."""
+        known = self._table.get(key)
+        return known is not None and known.origin is None
+
     async def find(self, key: int, *, service: str) -> Found | NotFound:
         """Return the origin of a stream that a caller takes up.
 
@@ -147,16 +202,16 @@
             age_seconds = monotonic() - known.recorded_at
             return Found(origin=known.origin, source="own", age_seconds=age_seconds)
         answer_by_peer, asked = await self._ask(key, service)
+        is_ambiguous = known is not None or any(
+            answer.is_ambiguous for answer in answer_by_peer.values()
+        )
         for peer, answer in answer_by_peer.items():
-            if answer.note is not None:
+            if answer.note is not None and not is_ambiguous:
                 origin = _origin_of(answer.note)
                 self._table.record(key, origin, now=monotonic())
                 age_seconds = answer.age_seconds
                 return Found(origin=origin, source=peer, age_seconds=age_seconds)
-        ambiguous = known is not None or any(
-            answer.is_ambiguous for answer in answer_by_peer.values()
-        )
-        return self._infer(service, answer_by_peer, asked, ambiguous=ambiguous)
+        return self._infer(service, answer_by_peer, asked, is_ambiguous=is_ambiguous)
 
     def receive_notes(self, message: OriginNotes) -> None:
         """Record the origins of streams that a peer has begun."""
@@ -197,7 +252,7 @@
         answer_by_peer: dict[str, OriginAnswer],
         asked: int,
         *,
-        ambiguous: bool,
+        is_ambiguous: bool,
     ) -> Found | NotFound:
         """Return the only version that the service has had lately, if it is certain.
 
@@ -210,7 +265,7 @@
             )
             for answer in answer_by_peer.values()
         ]
-        if not ambiguous and (answer_by_peer or not self._peer_count()):
+        if not is_ambiguous and (answer_by_peer or not self._peer_count()):
             version = sole_version(seen_by_process, seconds=self._table.keep_seconds)
             if version is not None:
                 origin = Origin(service=service, version=version)
@@ -243,20 +298,19 @@
         return lookup.answers, len(peers)
 
     async def _send_notes(self) -> None:
-        unsent, self._unsent = self._unsent, {}
+        unsent, self._unsent = self._unsent, []
         links = self._links()
         notes_by_peer: dict[str, list[OriginNote]] = {}
-        for key, origin in unsent.items():
-            for peer in nearest_peers(key, links, count=HOLDER_COUNT):
-                note = OriginNote(
-                    key=key, service=origin.service, version=origin.version
-                )
+        for note in unsent:
+            for peer in nearest_peers(note.key, links, count=HOLDER_COUNT):
                 notes_by_peer.setdefault(peer, []).append(note)
         for peer, notes in notes_by_peer.items():
             await links[peer].try_send(OriginNotes(notes=tuple(notes)))
 
 
-def _origin_of(note: OriginNote) -> Origin:
+def _origin_of(note: OriginNote) -> Origin | None:
+    if note.version is None:
+        return None
     return Origin(service=note.service, version=note.version)
 
 
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -16,6 +16,7 @@
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
     IngressConfiguration,
+    Upstream,
     decode_value,
 )
 from ragwortkeel.ingress.crashes import CrashDetector
@@ -619,6 +620,8 @@
                 cold_seconds=change.upstream.cold_seconds if change.upstream else None,
                 version=change.upstream.version if change.upstream else None,
             )
+            if change.has_new_version:
+                await self._record_new_version(change.upstream, change.previous.version)
             if change.upstream is None:
                 self._placement.discard_prefix_cache(change.name)
             else:
@@ -641,6 +644,19 @@
                 self._speed_tracker.retain(self._directory.upstream_by_name)
             await self._dispatcher.assign_queued()
 
+    async def _record_new_version(self, upstream: Upstream, was: str) -> None:
+        streams = await self._origins.record_new_version(
+            upstream.name,
+            in_outage=self._directory.outage_seconds_left(monotonic()) > 0.0,
+        )
+        log_info(
+            "upstream_restarted_at_version",
+            upstream=upstream.name,
+            was=was,
+            now=upstream.version,
+            streams=streams,
+        )
+
     async def _send_crashes(self) -> None:
         while self._crashes.unreported:
             crash = self._crashes.unreported.popleft()
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -672,11 +672,14 @@
 
 
 class OriginNote(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Service and software version that began a stream; see `policy.stream_origins`."""
+    """Service and software version that began a stream; see `policy.stream_origins`.
+
+    `version` is None if it is not certain.
+    """
 
     key: int
     service: str
-    version: str
+    version: str | None
 
 
 class OriginNotes(Message):
--- a/src/ragwortkeel/policy/stream_origins.py
+++ b/src/ragwortkeel/policy/stream_origins.py
@@ -120,8 +120,8 @@
         """Return the origin of a stream, or None if it is unknown."""
         return self._newer.get(key) or self._older.get(key)
 
-    def record(self, key: int, origin: Origin, *, now: float) -> None:
-        """Record an origin.
+    def record(self, key: int, origin: Origin | None, *, now: float) -> None:
+        """Record an origin, or None for a stream whose origin is not certain.
 
         A stream with two origins has none: it is unknown which events its caller has.
         """
--- a/tests/ingress/test_origin_exchange.py
+++ b/tests/ingress/test_origin_exchange.py
@@ -141,7 +141,7 @@
     async def main():
         task = await curio.spawn(exchange.run, daemon=True)
         for key in range(40):
-            await exchange.record(key, V1)
+            await exchange.record(key, V1, upstream="u1")
         await curio.sleep(0.1)
         await task.cancel()
 
--- a/tests/ingress/test_software_versions.py
+++ b/tests/ingress/test_software_versions.py
@@ -224,6 +224,53 @@
         assert (answer.status, reason_of(answer)) == (503, "version_unknown")
 
 
+class TestRestartUnderTheSameName:
+    """An upstream starts again at another version, and its entry is late."""
+
+    async def begin_at_e1(self, fleet, *, others):
+        """Begin a stream at e1, whose entry then states a later start as v2."""
+        await set_versions(fleet, others, state=UpstreamState.LEAVING)
+        await set_versions(fleet, {"e1": "v1"}, started_ms=1)
+        caller = await begin_stream(fleet, "begun")
+        assert upstream_of(fleet, "begun") == "e1"
+        await set_versions(fleet, {"e1": "v2"}, started_ms=2)
+        await set_versions(fleet, others, started_ms=2)
+        return caller
+
+    def test_a_stream_of_the_new_start_does_not_go_on_at_the_old_version(self):
+        """Guards against an origin that was read from the entry of the last start."""
+
+        async def scenario(fleet):
+            caller = await self.begin_at_e1(fleet, others={"e2": "v1", "e3": "v2"})
+            caller.close()
+            return await take_up(fleet, "begun", process=1), continued_at(fleet)
+
+        scripts = dict.fromkeys(("e1", "e2", "e3"), begin_and_wait)
+        answer, upstreams = run_ingress(scenario, scripts=scripts, processes=2)
+        assert upstreams == set()
+        assert (answer.status, reason_of(answer)) == (503, "version_unknown")
+
+    def test_it_does_not_go_on_within_its_response_either(self):
+        """Guards against a response that the old version continues."""
+        reset_now = curio.Event()
+
+        async def break_off_later(seen, sock):
+            await sock.sendall(stream_head(seen) + chunk(events(1, 2)))
+            await reset_now.wait()
+            await reset(sock)
+            return False
+
+        async def scenario(fleet):
+            caller = await self.begin_at_e1(fleet, others={"e2": "v1"})
+            await reset_now.set()
+            await curio.sleep(0.3)
+            caller.close()
+            return continued_at(fleet)
+
+        scripts = {"e1": break_off_later, "e2": stream_whole}
+        assert run_ingress(scenario, scripts=scripts) == set()
+
+
 def upstream_of(fleet, request_id):
     """Return the name of the upstream that ran the request."""
     [name] = [
--- a/tests/policy/test_stream_origins.py
+++ b/tests/policy/test_stream_origins.py
@@ -51,6 +51,13 @@
             table.record(1, origin, now=0.0)
         assert table.get(1).origin is None
 
+    def test_an_origin_that_is_not_certain_stays_so(self):
+        """Guards against a late message that makes an uncertain origin certain."""
+        table = OriginTable()
+        for origin in (None, V1):
+            table.record(1, origin, now=0.0)
+        assert table.get(1).origin is None
+
     def test_the_same_id_of_another_customer_is_another_stream(self):
         """Guards against a caller that names the stream of another customer."""
         keys = {stream_key(customer=name, request_id="r1") for name in ("a", "b")}
