Soak: two software versions, drafts that callers take up, restarts at a version

Engines now serve v1 and v2, releases and restarts under the same name bring others, drafts are cut by upstreams and by callers, and callers take them up at other processes with x-resumes. New checks: one version and no gap in a stream over all tries; streams go on at least half as often as new ones begin, while two engines of their version serve.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from random import Random
 from time import monotonic
 
@@ -12,7 +13,13 @@
 from ragwortkeel.http_client import HttpClient
 from ragwortkeel.ingress.names import HeaderNames
 from soak.history import Answer, History, Kind, Request
-from soak.upstreams import PROOF, own_body, stream_events
+from soak.upstreams import (
+    PROOF,
+    STREAM_EVENTS,
+    draft_events,
+    own_body,
+    stream_events,
+)
 
 HOST = "127.0.0.1"
 NAMES = HeaderNames()
@@ -23,6 +30,9 @@
 PROMPT_TOKENS = 400
 ANSWER_TOKENS = 100
 REVOKED_KEY_SHARE = 0.1
+MAX_TAKE_UPS = 3
+LEFT_DRAFT_SHARE = 0.15
+"""Share of requests for drafts whose caller loses its connection between events."""
 APP_HOST = "app.example"
 
 
@@ -100,8 +110,10 @@
         client = HttpClient(host=HOST, port=target.port)
         try:
             for _ in range(self._random.randrange(2 * MEAN_REQUESTS_PER_PROCESS)):
-                answer = await self._ask(client, target)
-                self._history.answers.append(answer)
+                route = self._random.choice(self._choices.routes)
+                answer = await self._ask(client, target, route)
+                if route.kind is Kind.DRAFT:
+                    await self._take_up(answer, route)
                 if not answer.status:
                     await curio.sleep(PAUSE_SECONDS)
                     return
@@ -109,10 +121,45 @@
         finally:
             await client.close()
 
-    async def _ask(self, client: HttpClient, target: Target) -> Answer:
+    async def _take_up(self, answer: Answer, route: Route) -> None:
+        """Take a broken stream up, at another process each time."""
+        first_id, last_id = "", 0
+        for _ in range(MAX_TAKE_UPS):
+            if answer.draft:
+                first_id = first_id or answer.request.request_id
+                last_id, _ = answer.draft[-1]
+            targets = self._targets()
+            if last_id in (0, STREAM_EVENTS) or not targets:
+                return
+            target = self._random.choice(targets)
+            client = HttpClient(host=HOST, port=target.port)
+            try:
+                answer = await self._ask(
+                    client,
+                    target,
+                    route,
+                    stream=answer.stream,
+                    resumes=first_id,
+                    after=last_id,
+                    key=(answer.request.key, answer.request.customer),
+                )
+            finally:
+                await client.close()
+
+    async def _ask(
+        self,
+        client: HttpClient,
+        target: Target,
+        route: Route,
+        *,
+        stream: str = "",
+        resumes: str = "",
+        after: int = 0,
+        key: tuple[str, str] | None = None,
+    ) -> Answer:
+        """Send one request and record how it ended."""
         self._sent += 1
-        route = self._random.choice(self._choices.routes)
-        key, customer = self._draw_key()
+        key, customer = key or self._draw_key()
         request = Request(
             request_id=f"c{self._number}-{self._sent}",
             kind=route.kind,
@@ -129,9 +176,16 @@
             NAMES.deadline: str(int(DEADLINE_SECONDS * 1000)),
             "authorization": f"Bearer {key}",
         }
-        if route.kind is Kind.CHAT:
+        is_stream = route.kind in (Kind.CHAT, Kind.DRAFT)
+        if is_stream:
             headers[NAMES.usage] = f"{PROMPT_TOKENS},{ANSWER_TOKENS}"
+        if after:
+            headers |= {NAMES.last_event: str(after), NAMES.resumes: resumes}
+        leaves_after = inf
+        if route.kind is Kind.DRAFT and self._random.random() < LEFT_DRAFT_SHARE:
+            leaves_after = self._random.randrange(1, STREAM_EVENTS)
         received = bytearray()
+        left = False
         status, is_own, problem, connected = 0, True, {}, True
         try:
             async with (
@@ -140,14 +194,18 @@
             ):
                 async for chunk in rv.chunks():
                     received += chunk
-            status = rv.status
+                    left = received.count(b"\n\n") >= leaves_after
+                    if left:
+                        break
+            status = 0 if left else rv.status
             problem = _problem(rv.headers, received)
             is_own = status != 200 or _is_own(request, rv.headers, bytes(received))
         except ConnectFailed:
             connected = False
         except (ExchangeBroken, curio.TaskTimeout):
             pass  # The answer has status 0, which the checks look at.
-        return Answer(
+        is_draft = route.kind is Kind.DRAFT and status in (0, 200)
+        answer = Answer(
             request=request,
             ended_at=monotonic(),
             status=status,
@@ -155,8 +213,14 @@
             reason=problem.get("reason", ""),
             is_own=is_own,
             connected=connected,
-            events=received.count(b"\n\n") if route.kind is Kind.CHAT else 0,
+            events=received.count(b"\n\n") if is_stream else 0,
+            stream=stream or request.request_id,
+            after=after,
+            draft=draft_events(bytes(received)) if is_draft else (),
+            left=left,
         )
+        self._history.answers.append(answer)
+        return answer
 
     def _draw_key(self) -> tuple[str, str]:
         keys = self._choices.keys
@@ -172,6 +236,8 @@
 
 
 def _is_own(request: Request, headers: dict[str, str], body: bytes) -> bool:
+    if request.kind is Kind.DRAFT:
+        return headers.get(NAMES.proof) == PROOF
     expected = own_body(request.request_id)
     if request.kind is Kind.CHAT:
         expected = stream_events(request.request_id)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -16,6 +16,8 @@
 """Bound on a confirmed change of the configuration."""
 DRAIN_SECONDS = 2.0
 """Bound on new requests to an upstream whose leaving was confirmed."""
+MIN_TAKE_UPS = 12
+"""Streams taken up in a run from which on their share is checked."""
 LOSS_GRACE_SECONDS = 0.2
 """A request that crosses the end of an idle connection fails within this time."""
 
@@ -62,13 +64,73 @@
             yield _violation("own whole answer", answer.ended_at, f"{answer}")
 
 
+def streams_keep_their_version(history: History) -> Iterator[Violation]:
+    """Find streams with events of two software versions, or with a gap or repeat."""
+    drafts: dict[str, list[Answer]] = {}
+    for answer in history.answers:
+        if answer.request.kind is Kind.DRAFT:
+            drafts.setdefault(answer.stream, []).append(answer)
+    for stream, answers in drafts.items():
+        answers.sort(key=lambda answer: answer.request.sent_at)
+        versions = {version for each in answers for _, version in each.draft}
+        if len(versions) > 1:
+            detail = f"{stream} has events of {sorted(versions)}"
+            yield _violation("one version", answers[-1].ended_at, detail)
+        for answer in answers:
+            ids = [event_id for event_id, _ in answer.draft]
+            if ids != list(range(answer.after + 1, answer.after + len(ids) + 1)):
+                detail = f"{stream}: {ids} follow {answer.after}"
+                yield _violation("order of events", answer.ended_at, detail)
+
+
+def streams_go_on(history: History) -> Iterator[Violation]:
+    """Find that far fewer streams go on than begin, at processes in touch.
+
+    A stream counts while two engines of its version have been ready for a while.
+    """
+    version_by_stream = {
+        answer.stream: answer.draft[0][1] for answer in history.answers if answer.draft
+    }
+    begun, gone_on = [], []
+    for answer in history.answers:
+        if answer.request.kind is not Kind.DRAFT or not _in_touch(
+            history, answer.request
+        ):
+            continue
+        if not answer.after:
+            begun.append(bool(answer.draft))
+        elif _engines(history, version_by_stream[answer.stream], answer) >= 2:
+            gone_on.append(bool(answer.draft))
+    if len(gone_on) < MIN_TAKE_UPS or not begun:
+        return
+    share, share_begun = sum(gone_on) / len(gone_on), sum(begun) / len(begun)
+    if share < share_begun / 2:
+        detail = f"{share:.2f} of {len(gone_on)} go on, {share_begun:.2f} begin"
+        yield _violation("streams go on", 0.0, detail)
+
+
+def _engines(history: History, version: str, answer: Answer) -> int:
+    """Return how many engines of the version were ready before and during a request."""
+    since = answer.request.sent_at - IN_FORCE_SECONDS
+    return len(
+        {
+            each.upstream
+            for each in history.serving
+            if each.version == version
+            and each.begins_at <= since
+            and each.ends_at >= answer.ended_at
+        }
+    )
+
+
 def budgets_hold(history: History) -> Iterator[Violation]:
     """Find budgets that were overspent, or whose ledger misses what was delivered."""
     ran = {run.request_id for run in history.runs}
     used: Counter[str] = Counter()
     for answer in history.answers:
         request = answer.request
-        if request.kind is Kind.CHAT and request.request_id in ran:
+        is_stream = request.kind in (Kind.CHAT, Kind.DRAFT)
+        if is_stream and request.request_id in ran:
             used[request.customer] += history.prompt_tokens
             used[request.customer] += answer.events * history.event_tokens
     for customer, prepaid in history.prepaid_by_customer.items():
@@ -140,11 +202,13 @@
     ran = {run.request_id: run for run in history.runs}
     for answer in history.answers:
         request = answer.request
-        if answer.status or not answer.connected:
+        if answer.status or not answer.connected or answer.left:
             continue
         run = ran.get(request.request_id)
         if run is not None and run.broken_by_upstream:
             continue
+        if request.request_id in history.cut_requests:
+            continue
         crossed = answer.ended_at - request.sent_at <= LOSS_GRACE_SECONDS
         if run is None and crossed:
             continue
@@ -235,6 +299,8 @@
     runs_at_most_once,
     refusals_are_true,
     answers_are_own,
+    streams_keep_their_version,
+    streams_go_on,
     budgets_hold,
     changes_are_in_force,
     changes_never_revert,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,11 @@
 from enum import StrEnum
 from random import Random
 
+VERSIONS = ("v1", "v2", "v3")
+"""Software versions of upstreams; the first two serve from the start."""
+
 MEAN_GAP_SECONDS = 1.3
+MEAN_RESTART_GAP_SECONDS = 8.0
 FIRST_FAULT_SECONDS = 3.0
 QUIET_END_SECONDS = 6.0
 """Time without new faults at the end of a run, in which everything recovers."""
@@ -95,6 +99,18 @@
     seconds: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class RestartUpstream:
+    """An engine goes down and starts again under its name, at another version.
+
+    Its entry is written when it accepts requests again, so that for a moment, or for
+    an outage of the platform, the old entry names the old version.
+    """
+
+    seconds: float
+    version: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class ChangeRoutes:
     """Routes are added; a large number makes the configuration large."""
@@ -121,6 +137,7 @@
     | DisturbPlatform
     | ReplaceUpstream
     | CrashUpstream
+    | RestartUpstream
     | ChangeRoutes
     | RemoveRoute
     | RevokeKey
@@ -143,7 +160,25 @@
     while at < seconds - QUIET_END_SECONDS:
         schedule.append(Scheduled(at=at, action=_draw_action(random, processes)))
         at += random.expovariate(1 / MEAN_GAP_SECONDS)
-    return schedule
+    schedule += _draw_restarts(seed, seconds)
+    return sorted(schedule, key=lambda scheduled: scheduled.at)
+
+
+def _draw_restarts(seed: int, seconds: float) -> list[Scheduled]:
+    """Return restarts of engines at other versions, drawn apart from the rest.
+
+    So the other actions of a seed are those of the soak before it had versions.
+    """
+    random = Random(f"versions {seed}")
+    restarts = []
+    at = FIRST_FAULT_SECONDS + random.expovariate(1 / MEAN_RESTART_GAP_SECONDS)
+    while at < seconds - QUIET_END_SECONDS:
+        action = RestartUpstream(
+            seconds=round(random.uniform(0.2, 2.0), 2), version=random.choice(VERSIONS)
+        )
+        restarts.append(Scheduled(at=at, action=action))
+        at += random.expovariate(1 / MEAN_RESTART_GAP_SECONDS)
+    return restarts
 
 
 def _draw_action(random: Random, processes: int) -> Action:
--- a/soak/history.py
+++ b/soak/history.py
@@ -14,6 +14,8 @@
     LOOKUP = "lookup"
     FILING = "filing"
     CHAT = "chat"
+    DRAFT = "draft"
+    """A stream that callers take up if it breaks off."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -56,6 +58,14 @@
         Whether the request may have been sent.
     events : int
         Events of a stream that were received.
+    stream : str
+        Id of the first request for a draft, over all requests that take it up.
+    after : int
+        Id of the last event of the draft that the caller had before.
+    draft : tuple of (int, str)
+        Ids of the events of a draft, and the software versions that wrote them.
+    left : bool
+        Whether the caller closed its connection itself.
     """
 
     request: Request
@@ -66,6 +76,20 @@
     is_own: bool = True
     connected: bool = True
     events: int = 0
+    stream: str = ""
+    after: int = 0
+    draft: tuple[tuple[int, str], ...] = ()
+    left: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class Serving:
+    """A time in which an engine of a version was ready."""
+
+    upstream: str
+    version: str
+    begins_at: float
+    ends_at: float = inf
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -135,6 +159,8 @@
     ----------
     up_since_by_start : dict of str to float
         When a start of a process, as ``PROCESS/NUMBER``, was first ready.
+    cut_requests : set of str
+        Requests that an upstream ran when it went down.
     changed : set of str
         Routes and API keys of changes that were sent, confirmed or not.
     problems : list of str
@@ -146,11 +172,13 @@
     event_tokens: int
     answers: list[Answer] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
+    serving: list[Serving] = field(default_factory=list)
     spans: list[Span] = field(default_factory=list)
     exits: list[Exit] = field(default_factory=list)
     changes: list[Change] = field(default_factory=list)
     up_since_by_start: dict[str, float] = field(default_factory=dict)
     spent_by_customer: dict[str, int] = field(default_factory=dict)
+    cut_requests: set[str] = field(default_factory=set)
     changed: set[str] = field(default_factory=set)
     problems: list[str] = field(default_factory=list)
 
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -36,11 +36,13 @@
     Kind.LOOKUP: Repeats.IDEMPOTENT,
     Kind.FILING: Repeats.ONCE,
     Kind.CHAT: Repeats.STREAM,
+    Kind.DRAFT: Repeats.STREAM,
 }
 BASE_ROUTES = (
     Route(name="lookup", path="/lookup/1", kind=Kind.LOOKUP),
     Route(name="filing", path="/filing/1", kind=Kind.FILING),
     Route(name="chat", path="/chat/1", kind=Kind.CHAT),
+    Route(name="draft", path="/draft/1", kind=Kind.DRAFT),
 )
 SERVICES = (
     Service(name="app", max_connections=96),
@@ -146,6 +148,7 @@
             slots=16,
             state=state,
             started_ms=upstream.started_ms,
+            version=upstream.version,
         )
         await self._write(UPSTREAMS_KIND, upstream.name, msgspec.json.encode(entry))
 
@@ -197,7 +200,7 @@
 
 
 def _configured(route: Route) -> ConfiguredRoute:
-    service = "pool" if route.kind is Kind.CHAT else "app"
+    service = "pool" if route.kind in (Kind.CHAT, Kind.DRAFT) else "app"
     return ConfiguredRoute(
         name=route.name,
         host=APP_HOST,
@@ -207,4 +210,5 @@
         timeout_seconds=ROUTE_SECONDS,
         objective_seconds=0.5,
         max_attempts=2,
+        resumable=route.kind is Kind.DRAFT,
     )
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,6 +2,8 @@
 
 import signal
 from collections.abc import Callable
+from dataclasses import replace
+from random import Random
 from time import monotonic
 
 import curio
@@ -16,6 +18,7 @@
 from ragwortkeel.platform_client import HttpPlatform
 from soak.callers import PROMPT_TOKENS, Caller, Target
 from soak.faults import (
+    VERSIONS,
     Action,
     ChangeRoutes,
     CrashUpstream,
@@ -27,11 +30,12 @@
     Reload,
     RemoveRoute,
     ReplaceUpstream,
+    RestartUpstream,
     RevokeKey,
     Stop,
     draw_schedule,
 )
-from soak.history import Exit, History, Span
+from soak.history import Exit, History, Serving, Span
 from soak.operator import Operator
 from soak.upstreams import RecordingUpstream
 from soak.ways import PlatformWay
@@ -41,7 +45,10 @@
 """The budget of the one is never used up; that of the other is, within a run."""
 
 CALLERS_PER_PROCESS = 4
-UPSTREAM_COUNT_BY_SERVICE = {"app": 3, "pool": 2}
+VERSIONS_BY_SERVICE = {
+    "app": ("v1", "v1", "v1"),
+    "pool": ("v1", "v2", "v1", "v2"),
+}
 STOP_DEADLINE_SECONDS = 8.0
 EXIT_MARGIN_SECONDS = 3.0
 PROBE_SECONDS = 0.25
@@ -224,6 +231,7 @@
         self, *, seed: int, seconds: float, processes: int, fleet: Fleet
     ) -> None:
         self._seed = seed
+        self._random = Random(f"releases {seed}")
         self._seconds = seconds
         self._fleet = fleet
         self._count = processes
@@ -249,9 +257,9 @@
         return self.history
 
     async def _start(self) -> None:
-        for service, count in UPSTREAM_COUNT_BY_SERVICE.items():
-            for _ in range(count):
-                await self._add_upstream(service)
+        for service, versions in VERSIONS_BY_SERVICE.items():
+            for version in versions:
+                await self._add_upstream(service, version)
         await self._operator.apply()
         ways = [
             PlatformWay(target_port=self._fleet.platform_port)
@@ -335,9 +343,14 @@
             case DisturbPlatform():
                 await self._disturb_platform(action)
             case ReplaceUpstream():
-                await self._replace_upstream()
+                await self._replace_upstream(self._random.choice(VERSIONS))
             case CrashUpstream(seconds=seconds):
-                await self._upstreams[0].crash(seconds)
+                upstream = self._upstreams[0]
+                self._record_serving(upstream, ready=False)
+                await upstream.crash(seconds)
+                self._record_serving(upstream, ready=True)
+            case RestartUpstream(seconds=seconds, version=version):
+                await self._restart_engine(seconds, version)
             case ChangeRoutes(count=count):
                 await self._operator.add_routes(count)
             case RemoveRoute():
@@ -391,10 +404,11 @@
         finally:
             await client.close()
 
-    async def _add_upstream(self, service: str) -> None:
+    async def _add_upstream(self, service: str, version: str) -> None:
         upstream = RecordingUpstream(
             name=f"u{self._upstream_count}",
             service=service,
+            version=version,
             history=self.history,
             seed=self._seed,
         )
@@ -402,12 +416,34 @@
         await upstream.start()
         await self._operator.register(upstream)
         self._upstreams.append(upstream)
+        self._record_serving(upstream, ready=True)
+
+    async def _restart_engine(self, seconds: float, version: str) -> None:
+        engine = next(each for each in self._upstreams if each.service == "pool")
+        self._record_serving(engine, ready=False)
+        await engine.crash(seconds, version=version)
+        await self._operator.register(engine)
+        self._record_serving(engine, ready=True)
+
+    def _record_serving(self, upstream: RecordingUpstream, *, ready: bool) -> None:
+        """Record that an engine is ready from now on, or that it is not."""
+        now, serving = monotonic(), self.history.serving
+        if upstream.service != "pool":
+            return
+        for index, each in enumerate(serving):
+            if each.upstream == upstream.name and each.ends_at > now:
+                serving[index] = replace(each, ends_at=now)
+        if ready:
+            serving.append(
+                Serving(upstream=upstream.name, version=upstream.version, begins_at=now)
+            )
 
-    async def _replace_upstream(self) -> None:
+    async def _replace_upstream(self, version: str) -> None:
         """Let the oldest upstream leave after its successor is ready."""
         old = self._upstreams.pop(0)
-        await self._add_upstream(old.service)
+        await self._add_upstream(old.service, version)
         old.leaving = True
+        self._record_serving(old, ready=False)
         await self._operator.announce_leaving(old)
         await curio.sleep(LEAVE_SECONDS)
         await old.stop()
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -21,6 +21,8 @@
 WORK_SECONDS = 0.02
 FAILED_SHARE = 0.01
 """Share of requests whose connection is reset after they began to run."""
+CUT_DRAFT_SHARE = 0.15
+"""Share of drafts whose connection is reset between two events."""
 
 
 def own_body(request_id: str) -> bytes:
@@ -33,19 +35,25 @@
 
     Attributes
     ----------
+    version : str
+        Version of its software, which its events name.
     leaving : bool
         Whether its answers announce that it leaves.
     """
 
-    def __init__(self, *, name: str, service: str, history: History, seed: int) -> None:
+    def __init__(
+        self, *, name: str, service: str, version: str, history: History, seed: int
+    ) -> None:
         self.name = name
         self.service = service
+        self.version = version
         self.leaving = False
         self.started_ms = 0
         self._history = history
         self._random = Random(f"{name} {seed}")
         self._crashed = False
         self._task_by_sock: dict[object, curio.Task] = {}
+        self._running_by_sock: dict[object, str] = {}
 
     async def start(self) -> None:
         """Listen at a free port."""
@@ -60,14 +68,19 @@
         await self._task.cancel()
         await self._reset_all()
 
-    async def crash(self, seconds: float) -> None:
-        """Reset all connections, and each new one for some seconds."""
+    async def crash(self, seconds: float, *, version: str = "") -> None:
+        """Reset all connections, and each new one for some seconds.
+
+        With a `version`, it comes back with that one.
+        """
         self._crashed = True
         await self._reset_all()
         await curio.sleep(seconds)
+        self.version = version or self.version
         self._crashed = False
 
     async def _reset_all(self) -> None:
+        self._history.cut_requests |= set(self._running_by_sock.values())
         for sock, task in list(self._task_by_sock.items()):
             _reset_on_close(sock)
             await task.cancel()
@@ -84,6 +97,7 @@
             pass  # The ingress closed the connection, or this upstream crashed.
         finally:
             del self._task_by_sock[sock]
+            self._running_by_sock.pop(sock, None)
 
     async def _serve_request(self, sock) -> bool:
         conn = h11.Connection(h11.SERVER)
@@ -117,19 +131,44 @@
             _reset_on_close(sock)
             return False
         fields.append((NAMES.proof, PROOF))
+        self._running_by_sock[sock] = request_id
         if head.target.startswith(b"/chat/"):
-            after = int(headers.get(NAMES.last_event, 0))
-            await self._stream(sock, conn, fields, request_id, after)
+            await self._stream(sock, conn, fields, f"{request_id}-", after=0)
+        elif head.target.startswith(b"/draft/"):
+            return await self._serve_draft(sock, conn, headers, fields)
         else:
             await curio.sleep(WORK_SECONDS)
             body = own_body(request_id)
             fields.append(("content-length", str(len(body))))
             data = conn.send(_response(200, fields)) + conn.send(h11.Data(data=body))
             await sock.sendall(data + conn.send(h11.EndOfMessage()))
+        del self._running_by_sock[sock]
         return True
 
+    async def _serve_draft(
+        self, sock, conn: h11.Connection, headers: dict[str, str], fields: list
+    ) -> bool:
+        """Send a draft whole or up to a cut; return whether the connection is open."""
+        after = int(headers.get(NAMES.last_event, 0))
+        cut_at = None
+        if self._random.random() < CUT_DRAFT_SHARE:
+            cut_at = self._random.randint(after + 1, STREAM_EVENTS)
+            self._history.cut_requests.add(headers[NAMES.request_id])
+        await self._stream(
+            sock, conn, fields, f"{self.version} ", after=after, cut_at=cut_at
+        )
+        self._running_by_sock.pop(sock, None)
+        return cut_at is None
+
     async def _stream(
-        self, sock, conn: h11.Connection, fields: list, request_id: str, after: int
+        self,
+        sock,
+        conn: h11.Connection,
+        fields: list,
+        prefix: str,
+        *,
+        after: int,
+        cut_at: int | None = None,
     ) -> None:
         fields += [
             ("content-type", "text/event-stream"),
@@ -138,7 +177,10 @@
         await sock.sendall(conn.send(_response(200, fields)))
         for number in range(after + 1, STREAM_EVENTS + 1):
             await curio.sleep(EVENT_SECONDS)
-            event = f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+            if number == cut_at:
+                _reset_on_close(sock)
+                return
+            event = f"id: {number}\ndata: {prefix}{number}\n\n".encode()
             await sock.sendall(conn.send(h11.Data(data=event)))
         await sock.sendall(conn.send(h11.EndOfMessage()))
 
@@ -151,6 +193,16 @@
     )
 
 
+def draft_events(body: bytes) -> tuple[tuple[int, str], ...]:
+    """Return the ids and versions of the complete events of a draft."""
+    events = []
+    for event in body.split(b"\n\n")[:-1]:
+        id_line, data_line = event.decode().split("\n")
+        version = data_line.removeprefix("data: ").split(" ")[0]
+        events.append((int(id_line.removeprefix("id: ")), version))
+    return tuple(events)
+
+
 def _response(status: int, fields: list) -> h11.Response:
     return h11.Response(status_code=status, headers=fields)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,9 +2,25 @@
 
 import pytest
 from soak.__main__ import run_seed
-from soak.checks import CALM_SECONDS, DRAIN_SECONDS, IN_FORCE_SECONDS, violations
+from soak.checks import (
+    CALM_SECONDS,
+    DRAIN_SECONDS,
+    IN_FORCE_SECONDS,
+    MIN_TAKE_UPS,
+    violations,
+)
 from soak.faults import QUIET_END_SECONDS, draw_schedule
-from soak.history import Answer, Change, Exit, History, Kind, Request, Run, Span
+from soak.history import (
+    Answer,
+    Change,
+    Exit,
+    History,
+    Kind,
+    Request,
+    Run,
+    Serving,
+    Span,
+)
 
 PROCESS = "ingress-0"
 READY_AT = 100.0
@@ -110,6 +126,74 @@
         assert broken(problems=["ingress-0 ended by itself"]) == ["run"]
 
 
+class TestStreams:
+    SERVING = [
+        Serving(upstream=name, version=version, begins_at=READY_AT)
+        for name, version in (("e1", "v1"), ("e2", "v1"), ("e3", "v2"))
+    ]
+
+    def part(self, number, *, stream="s", after=0, events=(), **fields):
+        """Return the answer to request `number` of a stream."""
+        sent = request(
+            Kind.DRAFT, request_id=f"{stream}-{number}", sent_at=SENT_AT + number
+        )
+        return answer(sent, stream=stream, after=after, draft=tuple(events), **fields)
+
+    def found(self, *answers, **fields):
+        runs = [run(each.request) for each in answers]
+        spent = {"large": 10**6}
+        return broken(
+            answers=list(answers),
+            runs=runs,
+            serving=self.SERVING,
+            prepaid_by_customer=spent,
+            spent_by_customer=spent,
+            **fields,
+        )
+
+    def test_a_stream_that_goes_on_at_its_version_breaks_nothing(self):
+        first = self.part(1, events=[(1, "v1")], status=0)
+        second = self.part(2, after=1, events=[(2, "v1"), (3, "v1")])
+        assert self.found(first, second) == []
+
+    def test_a_stream_with_events_of_two_versions_is_found(self):
+        first = self.part(1, events=[(1, "v1")], status=0)
+        second = self.part(2, after=1, events=[(2, "v2")])
+        assert self.found(first, second) == ["one version"]
+        within = self.part(1, events=[(1, "v1"), (2, "v2")])
+        assert self.found(within) == ["one version"]
+
+    @pytest.mark.parametrize("event_id", [1, 3])
+    def test_a_repeated_or_missing_event_is_found(self, event_id):
+        first = self.part(1, events=[(1, "v1")], status=0)
+        second = self.part(2, after=1, events=[(event_id, "v1")])
+        assert self.found(first, second) == ["order of events"]
+
+    @pytest.mark.parametrize(
+        ("version", "share", "promises"),
+        [
+            ("v1", 0.25, ["streams go on"]),
+            ("v1", 0.5, []),
+            ("v2", 0.25, []),
+        ],
+    )
+    def test_streams_that_do_not_go_on_are_found_while_two_engines_serve(
+        self, version, share, promises
+    ):
+        answers = []
+        for number in range(MIN_TAKE_UPS):
+            stream = f"s{number}"
+            begun = self.part(1, stream=stream, events=[(1, version)], status=0)
+            goes_on = number < share * MIN_TAKE_UPS
+            events = [(2, version)] if goes_on else []
+            status = 200 if goes_on else 503
+            taken_up = self.part(
+                2, stream=stream, after=1, events=events, status=status
+            )
+            answers += [begun, taken_up]
+        assert self.found(*answers) == promises
+
+
 class TestBudgets:
     @pytest.mark.parametrize(
         ("spent", "promises"), [(447, ["budget"]), (448, []), (1001, ["budget"])]
