--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -240,8 +240,11 @@
         match found:
             case Found(origin=origin, source=source):
                 outcome = _OUTCOME_BY_SOURCE.get(source, "peer")
-                error = None if origin.service == service else VERSION_UNAVAILABLE
                 self._job = replace(self._job, version=origin.version)
+                can_continue = origin.service == service and (
+                    not self._components.dispatcher.lacks_version(self._job)
+                )
+                error = None if can_continue else VERSION_UNAVAILABLE
             case NotFound():
                 outcome, error = "unknown", VERSION_UNKNOWN
         self._components.metrics.record_stream_taken_up(origin=outcome)
