An origin is not certain once the upstream's entry names another version

The origin was recorded with the version that u3 had when the request was sent, after the streams of u3 had been marked, and the stream, begun by v1, was taken up at v2.

The entry of the moment in which the first event is forwarded counts now. The new test failed before in the same way.

--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -186,6 +186,11 @@
             return False
         return not self._upstream_by_name(job).keys() - tried_upstreams
 
+    def has_other_version(self, upstream: Upstream) -> bool:
+        """Return whether an upstream has started again at another software version."""
+        current = self._directory.get(upstream.name)
+        return current is not None and current.version != upstream.version
+
     def record_replaced(self, upstream: str) -> None:
         """Stop using an upstream whose address now belongs to another instance."""
         if self._directory.record_replacement(upstream):
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -432,6 +432,8 @@
         self._job = replace(self._job, version=upstream.version)
         if self._accepted.route.resumable:
             origin = Origin(service=upstream.service, version=upstream.version)
+            if self._components.dispatcher.has_other_version(upstream):
+                origin = None
             await self._components.origins.record(
                 self._stream_key(), origin, upstream=upstream.name
             )
--- a/src/ragwortkeel/ingress/origin_exchange.py
+++ b/src/ragwortkeel/ingress/origin_exchange.py
@@ -152,13 +152,12 @@
             self._has_unsent.clear()
             await self._send_notes()
 
-    async def record(self, key: int, origin: Origin, *, upstream: str) -> None:
-        """Record where a stream begins, and tell peers."""
+    async def record(self, key: int, origin: Origin | None, *, upstream: str) -> None:
+        """Record where a stream begins, None if that is not certain, and tell peers."""
         now = monotonic()
         recent = _RecentOrigin(key=key, upstream=upstream, recorded_at=now)
         self._recent.append(recent)
-        note = OriginNote(key=key, service=origin.service, version=origin.version)
-        await self._record(note, now)
+        await self._record(_note(key, origin), now)
 
     async def _record(self, note: OriginNote, now: float) -> None:
         self._table.record(note.key, _origin_of(note), now=now)
@@ -184,7 +183,7 @@
             if recent.upstream == upstream and recent.recorded_at >= since
         }
         for key in keys:
-            await self._record(OriginNote(key=key, service="", version=None), now)
+            await self._record(_note(key, None), now)
         return len(keys)
 
     def is_ambiguous(self, key: int) -> bool:
@@ -226,7 +225,7 @@
         seen = self._seen(question.service, now)
         return OriginAnswer(
             question_id=question.question_id,
-            note=_note_of(question.key, known),
+            note=_known_note(question.key, known),
             is_ambiguous=known is not None and known.origin is None,
             age_seconds=0.0 if known is None else now - known.recorded_at,
             versions=tuple(sorted(seen.versions)),
@@ -314,8 +313,14 @@
     return Origin(service=note.service, version=note.version)
 
 
-def _note_of(key: int, known: KnownOrigin | None) -> OriginNote | None:
+def _note(key: int, origin: Origin | None) -> OriginNote:
+    if origin is None:
+        return OriginNote(key=key, service="", version=None)
+    return OriginNote(key=key, service=origin.service, version=origin.version)
+
+
+def _known_note(key: int, known: KnownOrigin | None) -> OriginNote | None:
+    """Return the origin of a stream if it is certain."""
     if known is None or known.origin is None:
         return None
-    origin = known.origin
-    return OriginNote(key=key, service=origin.service, version=origin.version)
+    return _note(key, known.origin)
--- a/tests/ingress/test_software_versions.py
+++ b/tests/ingress/test_software_versions.py
@@ -250,6 +250,31 @@
         assert upstreams == set()
         assert (answer.status, reason_of(answer)) == (503, "version_unknown")
 
+    def test_a_stream_whose_first_event_comes_after_the_entry_is_not_certain(self):
+        """Guards against the version that an upstream had when the request was sent."""
+        begin_now = curio.Event()
+
+        async def begin_later(seen, sock):
+            await begin_now.wait()
+            return await begin_and_wait(seen, sock)
+
+        async def scenario(fleet):
+            await set_versions(fleet, {"e2": "v1"}, state=UpstreamState.LEAVING)
+            await set_versions(fleet, {"e1": "v1"}, started_ms=1)
+            task = await curio.spawn(begin_stream, fleet, "begun")
+            while not fleet.seen()["e1"]:
+                await curio.sleep(0.01)
+            await set_versions(fleet, {"e1": "v2"}, started_ms=2)
+            await set_versions(fleet, {"e2": "v1"}, started_ms=2)
+            await begin_now.set()
+            (await task.join()).close()
+            return await take_up(fleet, "begun"), continued_at(fleet)
+
+        scripts = {"e1": begin_later, "e2": begin_and_wait}
+        answer, upstreams = run_ingress(scenario, scripts=scripts)
+        assert upstreams == set()
+        assert (answer.status, reason_of(answer)) == (503, "version_unknown")
+
     def test_it_does_not_go_on_within_its_response_either(self):
         """Guards against a response that the old version continues."""
         reset_now = curio.Event()
