Streams neither go on nor begin for certain at an upstream that was down

An upstream that refused a connection, or closed all idle ones before their time, may have started again. Until its entry is written anew, or for 3 s, and in an outage of the platform until after its end, no stream is continued there, and one that begins there has no certain origin.

Open: a process whose entries are late without its knowing, and that had no connection to the upstream when it went down.

--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -117,6 +117,9 @@
     ----------
     is_paused : callable
         Returns whether the upstream has asked for a pause, so that nothing may be sent.
+    may_continue : callable
+        Returns whether the upstream surely has the software version that the request
+        needs.
     checks_deadline : bool
         Whether a request whose time limit has passed is not sent.
     on_head : callable
@@ -146,6 +149,7 @@
         names: HeaderNames,
         connections: ConnectionPool,
         is_paused: Callable[[], bool],
+        may_continue: Callable[[], bool],
         on_head: Callable[[ResponseHead, float], None],
         on_first_event: Callable[[], None],
         on_stream_started: Callable[[], Awaitable[None]],
@@ -158,6 +162,7 @@
         self._names = names
         self._connections = connections
         self._is_paused = is_paused
+        self._may_continue = may_continue
         self._on_head = on_head
         self._on_first_event = on_first_event
         self._on_stream_started = on_stream_started
@@ -195,6 +200,10 @@
                 # The upstream rejected another request while this one was delayed.
                 reusable = True
                 return NotRun(reason=NotRunReason.PAUSED)
+            if not self._may_continue():
+                # The connection is new, since the upstream had closed the ones before.
+                reusable = True
+                return NotRun(reason=NotRunReason.MAY_HAVE_RESTARTED)
             if self._checks_deadline and monotonic() >= self._call.deadline:
                 reusable = True
                 return NotRun(reason=NotRunReason.TOO_LATE)
--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -31,6 +31,12 @@
 other 0.3 seconds are a margin.
 """
 
+ENTRY_LAG_SECONDS = 3.0
+"""How long an entry may describe the last start of an upstream that started again.
+
+Outside of outages of the platform, entries are here within a second of a start.
+"""
+
 
 @dataclass(frozen=True, kw_only=True)
 class Entry:
@@ -104,6 +110,7 @@
         self._region_by_zone = region_by_zone or {}
         self._entry_by_name: dict[str, Entry] = {}
         self._outage_until = 0.0
+        self._possible_restart_at: dict[str, float] = {}
 
     @property
     def upstream_by_name(self) -> dict[str, Upstream]:
@@ -165,6 +172,25 @@
         }
         return states == {UpstreamState.LEAVING}
 
+    def record_possible_restart(self, name: str, now: float) -> None:
+        """Record that an upstream was down, so that its entry may be out of date."""
+        if name in self._entry_by_name:
+            self._possible_restart_at[name] = now
+
+    def version_is_certain(self, name: str, now: float) -> bool:
+        """Return whether the upstream surely runs the version that its entry states.
+
+        After a possible restart its entry may be late, and in an outage of the platform
+        for as long as that lasts.
+        """
+        restart_at = self._possible_restart_at.get(name)
+        if restart_at is None:
+            return True
+        if now - restart_at < ENTRY_LAG_SECONDS or now < self._outage_until:
+            return False
+        del self._possible_restart_at[name]
+        return True
+
     def names_in_zones(self, zones: frozenset[str]) -> list[str]:
         """Return the names of the upstreams in these availability zones."""
         by_name = self.upstream_by_name
@@ -214,6 +240,8 @@
         known = self._entry_by_name.get(name)
         if known is not None and known.version > version:
             return []
+        if known is None or known.version < version:
+            self._possible_restart_at.pop(name, None)
         left_started_ms = known.left_started_ms if known is not None else None
         if left_started_ms is not None and upstream.started_ms <= left_started_ms:
             upstream = _as_leaving(upstream)
--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -186,10 +186,12 @@
             return False
         return not self._upstream_by_name(job).keys() - tried_upstreams
 
-    def has_other_version(self, upstream: Upstream) -> bool:
-        """Return whether an upstream has started again at another software version."""
+    def is_certain(self, upstream: Upstream) -> bool:
+        """Return whether an upstream surely runs the version of this entry of it."""
         current = self._directory.get(upstream.name)
-        return current is not None and current.version != upstream.version
+        if current is not None and current.version != upstream.version:
+            return False
+        return self._directory.version_is_certain(upstream.name, monotonic())
 
     def record_replaced(self, upstream: str) -> None:
         """Stop using an upstream whose address now belongs to another instance."""
@@ -355,10 +357,28 @@
             own_per_second=send_rate.per_second if send_rate else None,
         )
 
+    def may_continue_at(self, job: Job, upstream: Upstream) -> bool:
+        """Return whether an upstream surely has the version that the request needs."""
+        return job.version is None or self.is_certain(upstream)
+
+    def record_possible_restart(self, upstream: str) -> None:
+        """Continue no stream at an upstream until its entry is certain again."""
+        now = monotonic()
+        if self._directory.version_is_certain(upstream, now):
+            log_info("upstream_may_have_restarted", upstream=upstream)
+        self._directory.record_possible_restart(upstream, now)
+
     def _upstream_by_name(self, job: Job) -> dict[str, Upstream]:
-        return self._directory.usable(
+        usable = self._directory.usable(
             service=job.service, regions=job.regions, version=job.version
         )
+        if job.version is None:
+            return usable
+        return {
+            name: upstream
+            for name, upstream in usable.items()
+            if self.may_continue_at(job, upstream)
+        }
 
     def _usable(
         self, job: Job, tried_upstreams: frozenset[str] = frozenset()
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -380,6 +380,9 @@
             is_paused=lambda: components.placement.is_paused(
                 assignment.upstream, monotonic()
             ),
+            may_continue=lambda: components.dispatcher.may_continue_at(
+                assignment.job, assignment.upstream
+            ),
             on_head=receive_head,
             on_first_event=receive_event,
             on_stream_started=lambda: self._record_stream_started(assignment),
@@ -431,9 +434,9 @@
         upstream = assignment.upstream
         self._job = replace(self._job, version=upstream.version)
         if self._accepted.route.resumable:
-            origin = Origin(service=upstream.service, version=upstream.version)
-            if self._components.dispatcher.has_other_version(upstream):
-                origin = None
+            origin = None
+            if self._components.dispatcher.is_certain(upstream):
+                origin = Origin(service=upstream.service, version=upstream.version)
             await self._components.origins.record(
                 self._stream_key(), origin, upstream=upstream.name
             )
@@ -490,17 +493,16 @@
         was_sent = reason in (NotRunReason.FULL, NotRunReason.OTHER_INSTANCE)
         if reason in (NotRunReason.UNREACHABLE, NotRunReason.OTHER_INSTANCE):
             components.placement.record_failure(name, Failure.UNREACHABLE, monotonic())
+            components.dispatcher.record_possible_restart(name)
         if reason is NotRunReason.OTHER_INSTANCE:
             components.dispatcher.record_replaced(name)
         if was_sent:
             self._rejected_sends += 1
         self._tried_upstreams |= {name}
-        if (
-            self._rejected_sends > MAX_REJECTED_SENDS
-            or self._seconds_left() <= 0
-            or self._lacks_version()
-        ):
+        if self._rejected_sends > MAX_REJECTED_SENDS or self._seconds_left() <= 0:
             return BROKEN if self._may_have_run else OVERLOADED
+        if self._lacks_version():
+            return BROKEN if self._may_have_run else VERSION_UNAVAILABLE
         if not was_sent:
             # Nothing reached the upstream, so sending elsewhere is no repetition.
             self._log_retry(reason, allowed=True, charged=False)
--- a/src/ragwortkeel/ingress/origin_exchange.py
+++ b/src/ragwortkeel/ingress/origin_exchange.py
@@ -16,6 +16,7 @@
 
 import curio
 
+from ragwortkeel.ingress.directory import ENTRY_LAG_SECONDS
 from ragwortkeel.links import Link
 from ragwortkeel.messages import (
     OriginAnswer,
@@ -40,12 +41,6 @@
 Streams that began in this time before the process is killed can't be taken up.
 """
 
-ENTRY_LAG_SECONDS = 3.0
-"""How long an entry may name the version of an upstream's last start.
-
-Outside of outages of the platform, entries are here within a second of a start.
-"""
-
 MAX_RECENT_ORIGINS = 2_000
 """Own streams that an upstream's late entry can still make ambiguous."""
 
--- a/src/ragwortkeel/ingress/outcomes.py
+++ b/src/ragwortkeel/ingress/outcomes.py
@@ -15,6 +15,7 @@
     OTHER_INSTANCE = "other_instance"
     PAUSED = "paused"
     TOO_LATE = "too_late"
+    MAY_HAVE_RESTARTED = "may_have_restarted"
 
 
 class BrokenReason(StrEnum):
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -204,6 +204,17 @@
             return False
         return False
 
+    def is_closed(self) -> bool:
+        """Return whether the upstream has closed the idle connection."""
+        try:
+            return not self._sock._socket.recv(
+                1, _socket.MSG_PEEK | _socket.MSG_DONTWAIT
+            )
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     async def send(self, outgoing: UpstreamRequest) -> None:
         """Send the request."""
         if self._chunked is not None:
@@ -333,6 +344,9 @@
     ----------
     is_overloaded
         Returns whether the own instance is overloaded, so that connects take longer.
+    on_idle_closed
+        Called with the name of an upstream that closed all idle connections before
+        their time, as one does that has gone down.
     """
 
     def __init__(
@@ -342,8 +356,10 @@
         held: HeldBytes | None = None,
         counter: ByteCounter | None = None,
         is_overloaded: Callable[[], bool] = lambda: False,
+        on_idle_closed: Callable[[str], None] = lambda name: None,
     ) -> None:
         self.is_overloaded = is_overloaded
+        self._on_idle_closed = on_idle_closed
         self._id_header = id_header
         self._counter = counter
         self._held = held or HeldBytes()
@@ -368,6 +384,10 @@
             stale = fresh and connection.idle_seconds > FRESH_IDLE_SECONDS
             if not connection.expired and not stale and connection.is_quiet():
                 return connection
+            was_closed = not connection.expired and connection.is_closed()
+            # An upstream that goes down closes all of them.
+            if was_closed and not any(other.is_quiet() for other in idle):
+                self._on_idle_closed(upstream.name)
             await connection.close()
         seconds = (
             OVERLOADED_CONNECT_SECONDS if self.is_overloaded() else CONNECT_SECONDS
--- a/tests/ingress/test_directory.py
+++ b/tests/ingress/test_directory.py
@@ -1,9 +1,14 @@
 """Which upstreams are usable after late, expired and conflicting entries."""
 
+import pytest
 from tests.ingress.builders import upstream
 
 from ragwortkeel.ingress.configuration import UpstreamState
-from ragwortkeel.ingress.directory import OUTAGE_GRACE_SECONDS, Directory
+from ragwortkeel.ingress.directory import (
+    ENTRY_LAG_SECONDS,
+    OUTAGE_GRACE_SECONDS,
+    Directory,
+)
 
 
 def directory_with(*names):
@@ -156,3 +161,33 @@
         directory.record_replacement("u1")
         assert directory.usable(service="app") == {}
         assert directory.record_replacement("unknown") == []
+
+
+class TestPossibleRestarts:
+    """Whether an upstream surely runs the version that its entry states."""
+
+    def directory(self):
+        directory = Directory()
+        directory.merge_entry("u1", upstream("u1", version="v1"), version=5, now=0.0)
+        directory.record_possible_restart("u1", 10.0)
+        return directory
+
+    def test_an_entry_is_not_certain_moments_after_its_upstream_was_down(self):
+        """Guards against a stream that goes on at the next version of an upstream."""
+        directory = self.directory()
+        assert not directory.version_is_certain("u1", 10.0 + ENTRY_LAG_SECONDS - 0.1)
+        assert directory.version_is_certain("u1", 10.0 + ENTRY_LAG_SECONDS)
+
+    def test_it_is_not_certain_in_an_outage_of_the_platform(self):
+        """Guards against an entry that nobody could write for the whole outage."""
+        directory = self.directory()
+        directory.record_outage(30.0)
+        assert not directory.version_is_certain("u1", 30.0)
+        assert directory.version_is_certain("u1", 30.0 + OUTAGE_GRACE_SECONDS)
+
+    @pytest.mark.parametrize(("version", "is_certain"), [(5, False), (6, True)])
+    def test_it_is_certain_once_it_was_written_again(self, version, is_certain):
+        directory = self.directory()
+        entry = upstream("u1", version="v2", started_ms=9)
+        directory.merge_entry("u1", entry, version=version, now=10.2)
+        assert directory.version_is_certain("u1", 10.2) is is_certain
--- a/tests/ingress/test_software_versions.py
+++ b/tests/ingress/test_software_versions.py
@@ -275,6 +275,33 @@
         assert upstreams == set()
         assert (answer.status, reason_of(answer)) == (503, "version_unknown")
 
+    def test_a_stream_does_not_go_on_at_an_upstream_that_may_have_restarted(self):
+        """Guards against the new software of an upstream whose entry is still old.
+
+        It went down and came back, which shows by a connection that it has closed.
+        """
+
+        async def scenario(fleet):
+            versions = {"e1": "v1", "e2": "v1"}
+            await set_versions(fleet, versions | {"e3": "v2"}, started_ms=1)
+            (await begin_stream(fleet, "begun")).close()
+            await fleet.ask("/chat/1", last_event_id="2", x_resumes="begun")
+            left = upstream_of(fleet, f"r{fleet.request_count}")
+            other = ({"e1", "e2"} - {left}).pop()
+            await set_versions(
+                fleet, {other: "v1"}, started_ms=1, state=UpstreamState.LEAVING
+            )
+            server = fleet.upstreams[left]
+            while server.open_socks:
+                await server.open_socks.pop().close()
+            await curio.sleep(0.05)
+            return left, await take_up(fleet, "begun"), fleet.seen()[left]
+
+        scripts = dict.fromkeys(("e1", "e2", "e3"), begin_and_wait)
+        left, answer, received = run_ingress(scenario, scripts=scripts)
+        assert (answer.status, reason_of(answer)) == (503, "version_unavailable")
+        assert received[-1].headers["x-request-id"] != "r2"
+
     def test_it_does_not_go_on_within_its_response_either(self):
         """Guards against a response that the old version continues."""
         reset_now = curio.Event()
