--- a/soak/run.py
+++ b/soak/run.py
@@ -238,6 +238,7 @@
         self._tasks = curio.TaskGroup(wait=None)
         self._upstreams: list[RecordingUpstream] = []
         self._upstream_count = 0
+        self._restarting: set[str] = set()
         self.history = History(
             prepaid_by_customer=dict(PREPAID_BY_CUSTOMER),
             prompt_tokens=PROMPT_TOKENS,
@@ -420,9 +421,14 @@
 
     async def _restart_engine(self, seconds: float, version: str) -> None:
         engine = next(each for each in self._upstreams if each.service == "pool")
+        if engine.name in self._restarting:
+            # Its entry would name whichever of both versions is written last.
+            return
+        self._restarting.add(engine.name)
         self._record_serving(engine, ready=False)
         await engine.crash(seconds, version=version)
         await self._operator.register(engine)
+        self._restarting.discard(engine.name)
         self._record_serving(engine, ready=True)
 
     def _record_serving(self, upstream: RecordingUpstream, *, ready: bool) -> None:
