--- a/src/ragwortkeel/cli/report.py
+++ b/src/ragwortkeel/cli/report.py
@@ -31,6 +31,9 @@
 
 MAX_SHOWN_CUSTOMERS = 10
 
+_SOURCES_WITHOUT_PEER = frozenset({"own", "sole_version", "unknown"})
+"""Values of `source` in ``stream_taken_up`` that are no address of a peer."""
+
 MAX_REQUEST_LINES = 10_000
 """Maximum number of lines shown for one request; a normal request has five lines."""
 
@@ -70,6 +73,7 @@
     lacks_by_cause: dict[str, int]
     lacks_by_customer: dict[str, int]
     retries_by_service: dict[str, Retries]
+    taken_up_by_origin: dict[str, int]
     waited: Quantiles
     first_event: Quantiles
     platform_calls: dict[str, int]
@@ -147,6 +151,7 @@
         self._lacks: Counter[str] = Counter()
         self._lacks_by_customer: Counter[str] = Counter()
         self._retries = _RetryCounts()
+        self._taken_up: Counter[str] = Counter()
         self._calls: Counter[str] = Counter()
         self._sent: Counter[str] = Counter()
         self._waited = Durations()
@@ -168,6 +173,8 @@
                 self._add_run(line)
             case "refused" | "run_failed" | "tokens_lacking":
                 self._add_loss(line)
+            case "stream_taken_up" | "stream_not_continued":
+                self._taken_up[_origin(line)] += 1
             case "retry_decided":
                 self._retries.add(line)
             case "platform_calls":
@@ -195,6 +202,7 @@
             lacks_by_cause=dict(self._lacks.most_common()),
             lacks_by_customer=dict(customers),
             retries_by_service=self._retries.by_service(),
+            taken_up_by_origin=dict(self._taken_up.most_common()),
             waited=self._waited.quantiles(),
             first_event=self._first_event.quantiles(),
             platform_calls=dict(self._calls.most_common()),
@@ -239,6 +247,14 @@
         self._counts_by_span.setdefault(span, Counter())[outcome] += 1
 
 
+def _origin(line: DecisionLine) -> str:
+    """Return how the version that began a stream was known, or that it ended."""
+    if line.event == "stream_not_continued":
+        return "broken off, not continued"
+    source = line.fields.get("source", "unknown")
+    return source if source in _SOURCES_WITHOUT_PEER else "peer"
+
+
 def shortage_cause(line: DecisionLine) -> str:
     """Return why a process lacked tokens, from its `tokens_lacking` line."""
     needed = line.number("needed")
@@ -336,6 +352,7 @@
     for heading, counts in (
         ("refused", data.refused_by_reason),
         ("runs failed", data.failed_by_reason),
+        ("streams taken up, by origin", data.taken_up_by_origin),
         ("tokens lacking, by cause", data.lacks_by_cause),
         ("tokens lacking, by customer", data.lacks_by_customer),
         ("calls of the platform", data.platform_calls),
--- a/tests/cli/test_cli_report.py
+++ b/tests/cli/test_cli_report.py
@@ -154,3 +154,20 @@
     code, out, _ = terminal(f"report {logs[1]}")
     assert code == 0
     assert "most in ten seconds" in out
+
+
+def test_streams_are_counted_by_who_knew_their_origin(terminal, logs):
+    """Guards against a report that hides streams which could not go on."""
+    sources = ("own", "10.1.0.9:7780", "10.2.0.9:7780", "sole_version", "unknown")
+    lines = [f"timestamp=1 event=stream_taken_up source={each}" for each in sources]
+    lines.append("timestamp=2 event=stream_not_continued version=v1")
+    logs[1].write_text("\n".join(lines))
+    code, out, _ = terminal(f"report {logs[1]} --json")
+    assert code == 0
+    assert json.loads(out)["taken_up_by_origin"] == {
+        "own": 1,
+        "peer": 2,
+        "sole_version": 1,
+        "unknown": 1,
+        "broken off, not continued": 1,
+    }
