--- a/src/ragwortkeel/cli/report.py
+++ b/src/ragwortkeel/cli/report.py
@@ -177,14 +177,8 @@
                 self._taken_up[_origin(line)] += 1
             case "retry_decided":
                 self._retries.add(line)
-            case "platform_calls":
-                _add_counts(self._calls, line.fields.get("calls", ""))
-            case "link_traffic":
-                _add_counts(self._sent, line.fields.get("most_sent", ""))
-            case "loop_late":
-                self._late_loops += 1
-            case "log_lines_dropped":
-                self._dropped += int(line.number("count"))
+            case _:
+                self._add_process_event(line)
 
     def report(self) -> Report:
         """Return the report on all lines added."""
@@ -215,6 +209,17 @@
             ],
         )
 
+    def _add_process_event(self, line: DecisionLine) -> None:
+        match line.event:
+            case "platform_calls":
+                _add_counts(self._calls, line.fields.get("calls", ""))
+            case "link_traffic":
+                _add_counts(self._sent, line.fields.get("most_sent", ""))
+            case "loop_late":
+                self._late_loops += 1
+            case "log_lines_dropped":
+                self._dropped += int(line.number("count"))
+
     def _add_run(self, line: DecisionLine) -> None:
         if line.event == "dispatched":
             self._waited.add(line.number("waited"))
