No version is certain just after a process stood still

A process whose timers are over a second late treats all versions as uncertain for the second in which it reads the changes that it missed.

--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -37,6 +37,9 @@
 Outside of outages of the platform, entries are here within a second of a start.
 """
 
+CATCH_UP_SECONDS = 1.0
+"""Time after a freeze in which this process reads the changes that it missed."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class Entry:
@@ -111,6 +114,7 @@
         self._entry_by_name: dict[str, Entry] = {}
         self._outage_until = 0.0
         self._possible_restart_at: dict[str, float] = {}
+        self._catching_up_until = 0.0
 
     @property
     def upstream_by_name(self) -> dict[str, Upstream]:
@@ -177,12 +181,18 @@
         if name in self._entry_by_name:
             self._possible_restart_at[name] = now
 
+    def record_freeze(self, now: float) -> None:
+        """Record that this process stood still, so that all entries may be late."""
+        self._catching_up_until = now + CATCH_UP_SECONDS
+
     def version_is_certain(self, name: str, now: float) -> bool:
         """Return whether the upstream surely runs the version that its entry states.
 
         After a possible restart its entry may be late, and in an outage of the platform
         for as long as that lasts.
         """
+        if now < self._catching_up_until:
+            return False
         restart_at = self._possible_restart_at.get(name)
         if restart_at is None:
             return True
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -105,6 +105,9 @@
 """Delay of a timer above which a warning is logged: the process is frozen or lacks
 processor time, and its heartbeats are late as well."""
 
+FREEZE_SECONDS = 1.0
+"""Delay of a timer above which upstreams may have started again unnoticed."""
+
 BALANCER_NOTICE_SECONDS = 2.6
 """Time after the start of a planned stop in which new connections are accepted.
 
@@ -689,3 +692,5 @@
             late_seconds = monotonic() - due_at
             if late_seconds > LATE_TIMER_SECONDS:
                 log_warning("loop_late", seconds=round(late_seconds, 3))
+            if late_seconds > FREEZE_SECONDS:
+                self._directory.record_freeze(monotonic())
--- a/tests/ingress/test_directory.py
+++ b/tests/ingress/test_directory.py
@@ -5,6 +5,7 @@
 
 from ragwortkeel.ingress.configuration import UpstreamState
 from ragwortkeel.ingress.directory import (
+    CATCH_UP_SECONDS,
     ENTRY_LAG_SECONDS,
     OUTAGE_GRACE_SECONDS,
     Directory,
@@ -185,6 +186,13 @@
         assert not directory.version_is_certain("u1", 30.0)
         assert directory.version_is_certain("u1", 30.0 + OUTAGE_GRACE_SECONDS)
 
+    def test_no_entry_is_certain_just_after_this_process_stood_still(self):
+        """Guards against restarts that a frozen process has not read of yet."""
+        directory = directory_with("u1")
+        directory.record_freeze(20.0)
+        assert not directory.version_is_certain("u1", 20.0 + CATCH_UP_SECONDS / 2)
+        assert directory.version_is_certain("u1", 20.0 + CATCH_UP_SECONDS)
+
     @pytest.mark.parametrize(("version", "is_certain"), [(5, False), (6, True)])
     def test_it_is_certain_once_it_was_written_again(self, version, is_certain):
         directory = self.directory()
