Soak: relays that are killed, and three availability zones

Two relays run beside the ingress processes and are killed and started again, drawn apart from the other actions of a seed; processes and upstreams are in three zones. Not there yet: routers, faults of the links between processes, evacuations.

--- a/deployments/fleet.py
+++ b/deployments/fleet.py
@@ -226,6 +226,10 @@
         defaults = {"http": f"{HOST}:{free_port()}"}
         return self._daemon("ingress", name, defaults | settings)
 
+    def relay(self, name, **settings):
+        """Start a relay; a later start of the same name may reuse ports."""
+        return self._daemon("relay", name, settings)
+
     def ingresses(self, count):
         """Start ingress processes, each with the others as peers."""
         addresses = [f"{HOST}:{free_port()}" for _ in range(count)]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,8 @@
 
 MEAN_GAP_SECONDS = 1.3
 MEAN_RESTART_GAP_SECONDS = 8.0
+MEAN_RELAY_KILL_GAP_SECONDS = 10.0
+RELAY_COUNT = 2
 FIRST_FAULT_SECONDS = 3.0
 QUIET_END_SECONDS = 6.0
 """Time without new faults at the end of a run, in which everything recovers."""
@@ -111,6 +113,14 @@
     version: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class KillRelay:
+    """A relay is killed and starts again."""
+
+    relay: int
+    down_seconds: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class ChangeRoutes:
     """Routes are added; a large number makes the configuration large."""
@@ -138,6 +148,7 @@
     | ReplaceUpstream
     | CrashUpstream
     | RestartUpstream
+    | KillRelay
     | ChangeRoutes
     | RemoveRoute
     | RevokeKey
@@ -160,7 +171,7 @@
     while at < seconds - QUIET_END_SECONDS:
         schedule.append(Scheduled(at=at, action=_draw_action(random, processes)))
         at += random.expovariate(1 / MEAN_GAP_SECONDS)
-    schedule += _draw_restarts(seed, seconds)
+    schedule += _draw_restarts(seed, seconds) + _draw_relay_kills(seed, seconds)
     return sorted(schedule, key=lambda scheduled: scheduled.at)
 
 
@@ -181,6 +192,20 @@
     return restarts
 
 
+def _draw_relay_kills(seed: int, seconds: float) -> list[Scheduled]:
+    random = Random(f"relays {seed}")
+    kills = []
+    at = FIRST_FAULT_SECONDS + random.expovariate(1 / MEAN_RELAY_KILL_GAP_SECONDS)
+    while at < seconds - QUIET_END_SECONDS:
+        action = KillRelay(
+            relay=random.randrange(RELAY_COUNT),
+            down_seconds=round(random.uniform(0.2, 3.0), 2),
+        )
+        kills.append(Scheduled(at=at, action=action))
+        at += random.expovariate(1 / MEAN_RELAY_KILL_GAP_SECONDS)
+    return kills
+
+
 def _draw_action(random: Random, processes: int) -> Action:
     process = random.randrange(processes)
     span = round(random.uniform(0.5, 4.0), 2)
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -144,7 +144,7 @@
             service=upstream.service,
             host=HOST,
             port=upstream.port,
-            zone="zone-a",
+            zone=upstream.zone,
             slots=16,
             state=state,
             started_ms=upstream.started_ms,
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 from ragwortkeel.platform_client import HttpPlatform
 from soak.callers import PROMPT_TOKENS, Caller, Target
 from soak.faults import (
+    RELAY_COUNT,
     VERSIONS,
     Action,
     ChangeRoutes,
@@ -26,6 +27,7 @@
     DisturbWay,
     Freeze,
     Kill,
+    KillRelay,
     PlatformFault,
     Reload,
     RemoveRoute,
@@ -37,7 +39,7 @@
 )
 from soak.history import Exit, History, Serving, Span
 from soak.operator import Operator
-from soak.upstreams import RecordingUpstream
+from soak.upstreams import RecordingUpstream, zone_of
 from soak.ways import PlatformWay
 
 EVENT_TOKENS = 6
@@ -77,6 +79,7 @@
         self._http_port = free_port()
         self._metrics_port = free_port()
         self._link = LINK_BYTES_PER_SECOND * (10 if number == 0 else 1)
+        self._zone = zone_of(number)
         self._peers: list[str] = []
         self._program: Program | None = None
         self._expected_up = False
@@ -103,6 +106,7 @@
         self.start_number += 1
         self._program = self._fleet.ingress(
             self.name,
+            zone=self._zone,
             address=self.address,
             http=f"{HOST}:{self._http_port}",
             metrics=f"{HOST}:{self._metrics_port}",
@@ -218,6 +222,36 @@
         )
 
 
+class Relay:
+    """One relay over all its starts; it reaches the platform directly."""
+
+    def __init__(self, *, number: int, fleet: Fleet, peers: list[str]) -> None:
+        self._name = f"relay-{number}"
+        self._settings = {
+            "zone": zone_of(number),
+            "address": f"{HOST}:{free_port()}",
+            "metrics": f"{HOST}:{free_port()}",
+            "peers": peers,
+        }
+        self._fleet = fleet
+        self._program: Program | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        self._program = self._fleet.relay(self._name, **self._settings)
+
+    async def kill(self, down_seconds: float) -> None:
+        """Kill the process and start it again, unless it is down already."""
+        if self._program is None:
+            return
+        program, self._program = self._program, None
+        program.popen.kill()
+        while program.popen.poll() is None:
+            await curio.sleep(0.02)
+        await curio.sleep(down_seconds)
+        self.start()
+
+
 class Run:
     """The processes, callers and upstreams of one run.
 
@@ -275,6 +309,12 @@
             for number, way in enumerate(ways)
         ]
         peers = [process.address for process in self._processes]
+        self._relays = [
+            Relay(number=number, fleet=self._fleet, peers=peers)
+            for number in range(RELAY_COUNT)
+        ]
+        for relay in self._relays:
+            relay.start()
         for process in self._processes:
             process.begin(peers)
             await self._spawn(process.probe)
@@ -343,6 +383,21 @@
                 await self._processes[number].disturb_way(action)
             case DisturbPlatform():
                 await self._disturb_platform(action)
+            case ReplaceUpstream() | CrashUpstream() | RestartUpstream():
+                await self._disturb_upstream(action)
+            case KillRelay(relay=number, down_seconds=seconds):
+                await self._relays[number].kill(seconds)
+            case ChangeRoutes(count=count):
+                await self._operator.add_routes(count)
+            case RemoveRoute():
+                await self._operator.remove_route()
+            case RevokeKey():
+                await self._operator.revoke_key()
+
+    async def _disturb_upstream(
+        self, action: ReplaceUpstream | CrashUpstream | RestartUpstream
+    ) -> None:
+        match action:
             case ReplaceUpstream():
                 await self._replace_upstream(self._random.choice(VERSIONS))
             case CrashUpstream(seconds=seconds):
@@ -352,12 +407,6 @@
                 self._record_serving(upstream, ready=True)
             case RestartUpstream(seconds=seconds, version=version):
                 await self._restart_engine(seconds, version)
-            case ChangeRoutes(count=count):
-                await self._operator.add_routes(count)
-            case RemoveRoute():
-                await self._operator.remove_route()
-            case RevokeKey():
-                await self._operator.revoke_key()
 
     async def _disturb_process(self, action: Kill | Stop | Freeze | Reload) -> None:
         process = self._processes[action.process]
@@ -408,6 +457,7 @@
     async def _add_upstream(self, service: str, version: str) -> None:
         upstream = RecordingUpstream(
             name=f"u{self._upstream_count}",
+            zone=zone_of(self._upstream_count),
             service=service,
             version=version,
             history=self.history,
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -16,6 +16,7 @@
 HOST = "127.0.0.1"
 NAMES = HeaderNames()
 PROOF = "p1"
+ZONES = ("zone-a", "zone-b", "zone-c")
 STREAM_EVENTS = 8
 EVENT_SECONDS = 0.05
 WORK_SECONDS = 0.02
@@ -25,6 +26,11 @@
 """Share of drafts whose connection is reset between two events."""
 
 
+def zone_of(number: int) -> str:
+    """Return the availability zone of a process or an upstream."""
+    return ZONES[number % len(ZONES)]
+
+
 def own_body(request_id: str) -> bytes:
     """Return the body of the answer to a request that is no stream."""
     return f"answer to {request_id}".encode()
@@ -42,9 +48,17 @@
     """
 
     def __init__(
-        self, *, name: str, service: str, version: str, history: History, seed: int
+        self,
+        *,
+        name: str,
+        zone: str,
+        service: str,
+        version: str,
+        history: History,
+        seed: int,
     ) -> None:
         self.name = name
+        self.zone = zone
         self.service = service
         self.version = version
         self.leaving = False
