One version is no ground for processes that are cut off from the platform

Two processes that reach each other, but neither the platform nor the third one, agreed that a service had one version, while the third had begun streams at a new one. A process in an outage follows nothing, so another one has to, or all known processes have to answer. Found by reading; the test is of the decision.

--- a/src/ragwortkeel/ingress/origin_exchange.py
+++ b/src/ragwortkeel/ingress/origin_exchange.py
@@ -119,6 +119,8 @@
         Returns the links to ingress processes that are up, by address.
     peer_count : callable
         Returns how many other ingress processes are known, reachable or not.
+    is_current : callable
+        Returns whether this process follows the upstreams now.
     """
 
     def __init__(
@@ -128,11 +130,13 @@
         history: VersionHistory,
         links: Callable[[], Mapping[str, Link]],
         peer_count: Callable[[], int],
+        is_current: Callable[[], bool],
     ) -> None:
         self._table = table
         self._history = history
         self._links = links
         self._peer_count = peer_count
+        self._is_current = is_current
         self._recent: deque[_RecentOrigin] = deque(maxlen=MAX_RECENT_ORIGINS)
         self._unsent: list[OriginNote] = []
         self._has_unsent = curio.Event()
@@ -225,6 +229,7 @@
             age_seconds=0.0 if known is None else now - known.recorded_at,
             versions=tuple(sorted(seen.versions)),
             followed_seconds=seen.seconds,
+            is_current=seen.is_current,
         )
 
     async def receive_answer(self, peer: str, answer: OriginAnswer) -> None:
@@ -238,7 +243,12 @@
             await lookup.done.set()
 
     def _seen(self, service: str, now: float) -> SeenVersions:
-        return self._history.seen(service, seconds=self._table.keep_seconds, now=now)
+        return self._history.seen(
+            service,
+            seconds=self._table.keep_seconds,
+            now=now,
+            is_current=self._is_current(),
+        )
 
     def _infer(
         self,
@@ -255,12 +265,19 @@
         seen_by_process = [self._seen(service, monotonic())]
         seen_by_process += [
             SeenVersions(
-                versions=frozenset(answer.versions), seconds=answer.followed_seconds
+                versions=frozenset(answer.versions),
+                seconds=answer.followed_seconds,
+                is_current=answer.is_current,
             )
             for answer in answer_by_peer.values()
         ]
-        if not is_ambiguous and (answer_by_peer or not self._peer_count()):
-            version = sole_version(seen_by_process, seconds=self._table.keep_seconds)
+        is_whole_fleet = len(answer_by_peer) >= self._peer_count()
+        if not is_ambiguous and (answer_by_peer or is_whole_fleet):
+            version = sole_version(
+                seen_by_process,
+                seconds=self._table.keep_seconds,
+                is_whole_fleet=is_whole_fleet,
+            )
             if version is not None:
                 origin = Origin(service=service, version=version)
                 return Found(origin=origin, source="sole_version")
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -225,6 +225,7 @@
             history=self._versions,
             links=self._peers.ingress_links,
             peer_count=lambda: len(self._peers.ingress_addresses),
+            is_current=lambda: not self._directory.outage_seconds_left(monotonic()),
         )
         self._platform = RelayedPlatform(
             direct=self._counted, relays=self._peers.platform_relays
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -709,6 +709,8 @@
         Versions of the service that the sender has seen lately.
     followed_seconds : float
         Time for which the sender has followed the upstreams.
+    is_current : bool
+        Whether the sender follows them now; not in an outage of the platform.
     """
 
     question_id: int
@@ -717,6 +719,7 @@
     age_seconds: float = 0.0
     versions: tuple[str, ...] = ()
     followed_seconds: float = 0.0
+    is_current: bool = True
 
 
 ConfigurationMessage = (
--- a/src/ragwortkeel/policy/stream_origins.py
+++ b/src/ragwortkeel/policy/stream_origins.py
@@ -146,26 +146,35 @@
     seconds : float
         Time for which the process has followed the upstreams; infinite for a process
         that started with the whole fleet.
+    is_current : bool
+        Whether the process follows them now; not in an outage of the platform.
     """
 
     versions: frozenset[str]
     seconds: float
+    is_current: bool = True
 
 
 def sole_version(
-    seen_by_process: Iterable[SeenVersions], *, seconds: float
+    seen_by_process: Iterable[SeenVersions], *, seconds: float, is_whole_fleet: bool
 ) -> str | None:
     """Return the only version of the last `seconds`, None unless there was just one.
 
+    None of the processes may have seen another version, and one of them has to have
+    followed the upstreams for so long until now.  A process that is cut off from the
+    platform may have missed a version that others use, unless no other is left out.
+
     Parameters
     ----------
     seen_by_process : iterable of SeenVersions
-        What processes have seen; one of them has to have followed the upstreams for so
-        long, and none may have seen another version.
+        What processes have seen.
+    is_whole_fleet : bool
+        Whether these are all processes that may have begun the stream.
     """
     seen = list(seen_by_process)
     versions = frozenset().union(*(each.versions for each in seen))
-    if len(versions) != 1 or max(each.seconds for each in seen) < seconds:
+    witnesses = [each for each in seen if each.is_current or is_whole_fleet]
+    if len(versions) != 1 or not any(each.seconds >= seconds for each in witnesses):
         return None
     return next(iter(versions))
 
@@ -192,7 +201,9 @@
         self._gone_at |= dict.fromkeys(self._present - present, now)
         self._present = present
 
-    def seen(self, service: str, *, seconds: float, now: float) -> SeenVersions:
+    def seen(
+        self, service: str, *, seconds: float, now: float, is_current: bool = True
+    ) -> SeenVersions:
         """Return the versions of a service in the last `seconds`."""
         self._gone_at = {
             pair: gone_at
@@ -206,4 +217,5 @@
                 if name == service
             ),
             seconds=0.0 if self._since is None else now - self._since,
+            is_current=is_current,
         )
--- a/tests/ingress/test_origin_exchange.py
+++ b/tests/ingress/test_origin_exchange.py
@@ -41,7 +41,14 @@
         return True
 
 
-def new_exchange(answers=(), *, versions=("v1",), is_complete=True, peer_count=None):
+def new_exchange(
+    answers=(),
+    *,
+    versions=("v1",),
+    is_complete=True,
+    peer_count=None,
+    is_current=True,
+):
     """Return an exchange and its links, one for each answer; None for no answer."""
     links = {f"peer-{i}": FakeLink(f"peer-{i}", each) for i, each in enumerate(answers)}
     history = VersionHistory(is_complete=is_complete)
@@ -51,6 +58,7 @@
         history=history,
         links=lambda: links,
         peer_count=lambda: len(links) if peer_count is None else peer_count,
+        is_current=lambda: is_current,
     )
     for link in links.values():
         link.exchange = exchange
@@ -111,6 +119,18 @@
         exchange, _ = new_exchange(peer_count=2)
         assert isinstance(find(exchange), NotFound)
 
+    @pytest.mark.parametrize(
+        ("peer_is_current", "peer_count", "source"),
+        [(True, 2, "sole_version"), (False, 2, None), (False, 1, "sole_version")],
+    )
+    def test_half_a_fleet_that_is_cut_off_from_the_platform_is_not_certain(
+        self, peer_is_current, peer_count, source
+    ):
+        """Guards against a new version that only the other half has heard of."""
+        answer = UNKNOWN | {"is_current": peer_is_current}
+        exchange, _ = new_exchange([answer], peer_count=peer_count, is_current=False)
+        assert getattr(find(exchange), "source", None) == source
+
     def test_a_version_that_a_peer_has_seen_counts(self):
         """Guards against a process that has not yet heard of a new version."""
         answer = {"versions": ("v1", "v2"), "followed_seconds": 3.0}
--- a/tests/policy/test_stream_origins.py
+++ b/tests/policy/test_stream_origins.py
@@ -94,14 +94,14 @@
 class TestSoleVersion:
     def test_one_version_for_long_enough_is_certain(self):
         seen = [SeenVersions(versions=frozenset({"v1"}), seconds=60.0)]
-        assert sole_version(seen, seconds=60.0) == "v1"
+        assert sole_version(seen, seconds=60.0, is_whole_fleet=False) == "v1"
 
     def test_a_process_that_has_just_started_relies_on_a_peer(self):
         seen = [
             SeenVersions(versions=frozenset({"v1"}), seconds=0.5),
             SeenVersions(versions=frozenset({"v1"}), seconds=inf),
         ]
-        assert sole_version(seen, seconds=60.0) == "v1"
+        assert sole_version(seen, seconds=60.0, is_whole_fleet=False) == "v1"
 
     @pytest.mark.parametrize(
         "seen",
@@ -117,7 +117,7 @@
     )
     def test_otherwise_it_is_unknown(self, seen):
         """Guards against a guess after a restart of all processes or a release."""
-        assert sole_version(seen, seconds=60.0) is None
+        assert sole_version(seen, seconds=60.0, is_whole_fleet=False) is None
 
 
 class TestVersionHistory:
