--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -201,7 +201,6 @@
                 reusable = True
                 return NotRun(reason=NotRunReason.PAUSED)
             if not self._may_continue():
-                # The connection is new, since the upstream had closed the ones before.
                 reusable = True
                 return NotRun(reason=NotRunReason.MAY_HAVE_RESTARTED)
             if self._checks_deadline and monotonic() >= self._call.deadline:
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -493,7 +493,6 @@
         was_sent = reason in (NotRunReason.FULL, NotRunReason.OTHER_INSTANCE)
         if reason in (NotRunReason.UNREACHABLE, NotRunReason.OTHER_INSTANCE):
             components.placement.record_failure(name, Failure.UNREACHABLE, monotonic())
-            components.dispatcher.record_possible_restart(name)
         if reason is NotRunReason.OTHER_INSTANCE:
             components.dispatcher.record_replaced(name)
         if was_sent:
--- a/src/ragwortkeel/ingress/front_components.py
+++ b/src/ragwortkeel/ingress/front_components.py
@@ -80,4 +80,3 @@
         if await self.connections.refuses_connection(upstream):
             self.crashes.record_refused_connection(upstream)
             self.placement.record_failure(upstream.name, Failure.CRASHED, monotonic())
-            self.dispatcher.record_possible_restart(upstream.name)
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -204,17 +204,6 @@
             return False
         return False
 
-    def is_closed(self) -> bool:
-        """Return whether the upstream has closed the idle connection."""
-        try:
-            return not self._sock._socket.recv(
-                1, _socket.MSG_PEEK | _socket.MSG_DONTWAIT
-            )
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-
     async def send(self, outgoing: UpstreamRequest) -> None:
         """Send the request."""
         if self._chunked is not None:
@@ -344,9 +333,9 @@
     ----------
     is_overloaded
         Returns whether the own instance is overloaded, so that connects take longer.
-    on_idle_closed
-        Called with the name of an upstream that closed all idle connections before
-        their time, as one does that has gone down.
+    on_refused
+        Called with the name of an upstream that refused a connection, as one does that
+        is down.  A connection that times out or is reset shows nothing of the kind.
     """
 
     def __init__(
@@ -356,10 +345,10 @@
         held: HeldBytes | None = None,
         counter: ByteCounter | None = None,
         is_overloaded: Callable[[], bool] = lambda: False,
-        on_idle_closed: Callable[[str], None] = lambda name: None,
+        on_refused: Callable[[str], None] = lambda name: None,
     ) -> None:
         self.is_overloaded = is_overloaded
-        self._on_idle_closed = on_idle_closed
+        self._on_refused = on_refused
         self._id_header = id_header
         self._counter = counter
         self._held = held or HeldBytes()
@@ -384,10 +373,6 @@
             stale = fresh and connection.idle_seconds > FRESH_IDLE_SECONDS
             if not connection.expired and not stale and connection.is_quiet():
                 return connection
-            was_closed = not connection.expired and connection.is_closed()
-            # An upstream that goes down closes all of them.
-            if was_closed and not any(other.is_quiet() for other in idle):
-                self._on_idle_closed(upstream.name)
             await connection.close()
         seconds = (
             OVERLOADED_CONNECT_SECONDS if self.is_overloaded() else CONNECT_SECONDS
@@ -418,13 +403,17 @@
     async def _open(
         self, upstream: Upstream, *, connect_seconds: float = CONNECT_SECONDS
     ) -> UpstreamConnection:
-        return await UpstreamConnection.open(
-            upstream,
-            id_header=self._id_header,
-            held=self._held,
-            counter=self._counter,
-            connect_seconds=connect_seconds,
-        )
+        try:
+            return await UpstreamConnection.open(
+                upstream,
+                id_header=self._id_header,
+                held=self._held,
+                counter=self._counter,
+                connect_seconds=connect_seconds,
+            )
+        except ConnectRefused:
+            self._on_refused(upstream.name)
+            raise
 
     async def close_expired(self) -> None:
         """Close the connections that were idle for too long."""
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -262,7 +262,7 @@
             held=held,
             counter=counter,
             is_overloaded=lambda: bool(self._monitor and self._monitor.is_limiting),
-            on_idle_closed=self._dispatcher.record_possible_restart,
+            on_refused=self._dispatcher.record_possible_restart,
         )
         self._front = Front(
             components=FrontComponents(
