A silent upstream is not left if no other one can continue its stream

Since streams are bound to their version, one whose upstream paused for 1.5 s ended as broken where no other upstream had that version; before, another version continued it. The upstream may still go on, so the stream now waits for it, up to its time limit, and moves once another upstream of the version is there.

The new test failed before: the response broke off after two events.

--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -60,6 +60,9 @@
 prompts.
 """
 
+SILENCE_CHECK_SECONDS = 0.1
+"""Interval at which a silent upstream is left if another one can continue by then."""
+
 MISDIRECTED = 421
 
 
@@ -120,6 +123,8 @@
     may_continue : callable
         Returns whether the upstream surely has the software version that the request
         needs.
+    may_leave : callable
+        Returns whether another upstream may continue the stream of a silent one.
     checks_deadline : bool
         Whether a request whose time limit has passed is not sent.
     on_head : callable
@@ -150,6 +155,7 @@
         connections: ConnectionPool,
         is_paused: Callable[[], bool],
         may_continue: Callable[[], bool],
+        may_leave: Callable[[], bool],
         on_head: Callable[[ResponseHead, float], None],
         on_first_event: Callable[[], None],
         on_stream_started: Callable[[], Awaitable[None]],
@@ -163,6 +169,7 @@
         self._connections = connections
         self._is_paused = is_paused
         self._may_continue = may_continue
+        self._may_leave = may_leave
         self._on_head = on_head
         self._on_first_event = on_first_event
         self._on_stream_started = on_stream_started
@@ -296,10 +303,11 @@
             return await self._relay_events(connection, head)
         seconds = self._max_silence_seconds - self._silent_seconds()
         try:
-            async with curio.timeout_after(max(0.0, seconds)):
+            async with curio.timeout_after(max(SILENCE_CHECK_SECONDS, seconds)):
                 return await self._relay_events(connection, head)
         except curio.TaskTimeout:
-            if self._silent_seconds() >= self._max_silence_seconds:
+            is_silent = self._silent_seconds() >= self._max_silence_seconds
+            if is_silent and self._may_leave():
                 return Broken(reason=BrokenReason.SILENT)
             return None
 
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -383,6 +383,7 @@
             may_continue=lambda: components.dispatcher.may_continue_at(
                 assignment.job, assignment.upstream
             ),
+            may_leave=lambda: self._may_leave(assignment),
             on_head=receive_head,
             on_first_event=receive_event,
             on_stream_started=lambda: self._record_stream_started(assignment),
@@ -429,6 +430,11 @@
             after=round(monotonic() - self._accepted.arrived_at, 3),
         )
 
+    def _may_leave(self, assignment: Assignment) -> bool:
+        """Return whether another upstream may continue the stream of a silent one."""
+        tried = self._tried_upstreams | {assignment.upstream.name}
+        return not self._components.dispatcher.lacks_version(self._job, tried)
+
     async def _record_stream_started(self, assignment: Assignment) -> None:
         """Bind the stream to the version whose events its caller is about to get."""
         upstream = assignment.upstream
--- a/tests/ingress/test_software_versions.py
+++ b/tests/ingress/test_software_versions.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 from tests.ingress.in_process import (
+    END,
     KEY,
     SETTLED_SECONDS,
     chunk,
@@ -19,6 +20,7 @@
 )
 
 from ragwortkeel.exceptions import ExchangeBroken
+from ragwortkeel.ingress.attempt import MAX_SILENCE_SECONDS
 from ragwortkeel.ingress.configuration import UpstreamState
 
 STREAMS = 12
@@ -134,6 +136,22 @@
         assert upstreams == set()
         assert broken == len(begun) > 0
 
+    def test_a_silent_upstream_is_not_left_if_no_other_has_its_version(self):
+        """Guards against the end of a stream that its upstream would go on with."""
+
+        async def pause(seen, sock):
+            await sock.sendall(stream_head(seen) + chunk(events(1, 2)))
+            await curio.sleep(MAX_SILENCE_SECONDS + 1.0)
+            await sock.sendall(chunk(events(3, 5)) + END)
+            return True
+
+        async def scenario(fleet):
+            await set_versions(fleet, {"e1": "v1", "e2": "v2"})
+            return (await fleet.ask("/chat/1", x_deadline_ms="9000")).body
+
+        scripts = dict.fromkeys(("e1", "e2"), pause)
+        assert run_ingress(scenario, scripts=scripts) == events(1, 5)
+
 
 class TestTakenUpByTheCaller:
     VERSIONS = {"e1": "v1", "e2": "v1", "e3": "v2", "e4": "v2"}
