--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -91,6 +91,7 @@
 
     async def restart(self, seconds: float, *, version: str) -> None:
         """Go down, with nothing at the port, and come back at another version."""
+        self._record_cut_requests()
         await self._task.cancel()
         await self._sock.close()
         await self._reset_all()
@@ -101,8 +102,11 @@
             curio.network.run_server, self._sock, self._serve, daemon=True
         )
 
-    async def _reset_all(self) -> None:
+    def _record_cut_requests(self) -> None:
         self._history.cut_requests |= set(self._running_by_sock.values())
+
+    async def _reset_all(self) -> None:
+        self._record_cut_requests()
         for sock, task in list(self._task_by_sock.items()):
             _reset_on_close(sock)
             await task.cancel()
