--- a/tests/ingress/test_software_versions.py
+++ b/tests/ingress/test_software_versions.py
@@ -209,6 +209,18 @@
             pairs.append((self.VERSIONS[begun_at], self.VERSIONS[gone_on_at]))
         return pairs
 
+    def test_a_stream_goes_on_at_its_own_version_at_the_third_try(self):
+        """Guards against a version that is forgotten once a stream was taken up."""
+
+        async def scenario(fleet):
+            await curio.sleep(SETTLED_SECONDS)
+            begun_by_request = await self.begin_streams(fleet)
+            await self.take_up_all(fleet, begun_by_request, process=1)
+            return await self.take_up_all(fleet, begun_by_request, process=2)
+
+        pairs = run_ingress(scenario, scripts=self.SCRIPTS, processes=3)
+        assert [begun for begun, _ in pairs] == [gone_on for _, gone_on in pairs]
+
     def test_a_stream_whose_version_has_left_is_refused_at_once(self):
         """Guards against a wait, or another version, once a stream can't go on."""
 
