--- a/tests/ingress/test_software_versions.py
+++ b/tests/ingress/test_software_versions.py
@@ -7,6 +7,7 @@
 import curio
 import msgspec
 import pytest
+from deployments.ports import free_address
 from tests.ingress.in_process import (
     END,
     KEY,
@@ -240,6 +241,22 @@
         assert upstreams == set()
         assert (answer.status, reason_of(answer)) == (503, "version_unavailable")
 
+    def test_after_a_restart_of_all_processes_nothing_is_guessed(self):
+        """Guards against a guess after a loss of power, when nobody knows origins."""
+
+        async def scenario(fleet):
+            await set_versions(fleet, self.VERSIONS)
+            (await begin_stream(fleet, "begun")).close()
+            await fleet.tasks[0].cancel()
+            worker = await fleet.start_worker("again", free_address(), ())
+            while not fleet.is_ready(worker):
+                await curio.sleep(0.01)
+            return await take_up(fleet, "begun", process=1), continued_at(fleet)
+
+        answer, upstreams = run_ingress(scenario, scripts=self.SCRIPTS)
+        assert upstreams == set()
+        assert (answer.status, reason_of(answer)) == (503, "version_unknown")
+
     @pytest.mark.parametrize("resumes", ["never-begun", ""])
     def test_a_stream_of_unknown_version_is_refused_while_several_serve(self, resumes):
         """Guards against a guess at the version of a stream that nobody knows."""
