--- a/tests/ingress/in_process.py
+++ b/tests/ingress/in_process.py
@@ -33,6 +33,8 @@
 NAMES = HeaderNames()
 KEY = "key-1"
 SCENARIO_TIMEOUT_SECONDS = 20.0
+RESET_ON_CLOSE = b"\x01\0\0\0\0\0\0\0"
+"""Value of SO_LINGER with which a close resets the connection."""
 SETTLED_SECONDS = 1.5
 """Longer than the links need to come up and to exchange what each process knows."""
 ROUTES = (
@@ -104,16 +106,17 @@
     sock: object = None
     task: object = None
     open_socks: list = field(default_factory=list)
+    serving: list = field(default_factory=list)
 
-    async def start(self):
-        self.sock = curio.network.tcp_server_socket("127.0.0.1", 0)
+    async def start(self, port=0):
+        self.sock = curio.network.tcp_server_socket("127.0.0.1", port)
         self.port = self.sock.getsockname()[1]
         self.task = await curio.spawn(self._accept, daemon=True)
 
     async def stop(self):
         await self.task.cancel()
         await self.sock.close()
-        for sock in self.open_socks:
+        for sock in list(self.open_socks):
             await sock.close()
 
     async def _accept(self):
@@ -121,7 +124,22 @@
             sock, _ = await self.sock.accept()
             self.connections += 1
             self.open_socks.append(sock)
-            await curio.spawn(self._serve, sock, daemon=True)
+            self.serving.append(await curio.spawn(self._serve, sock, daemon=True))
+
+    async def crash(self):
+        """Refuse new connections and reset the open ones, as a killed process does.
+
+        The caller may be the script of one of them, whose connection is reset once it
+        returns False.
+        """
+        await self.task.cancel()
+        await self.sock.close()
+        for sock in self.open_socks:
+            sock.setsockopt(_socket.SOL_SOCKET, _socket.SO_LINGER, RESET_ON_CLOSE)
+        current = await curio.current_task()
+        for task in self.serving:
+            if task is not current:
+                await task.cancel(blocking=False)
 
     async def _serve(self, sock):
         try:
@@ -130,6 +148,7 @@
         except OSError:
             pass
         finally:
+            self.open_socks.remove(sock)
             await sock.close()
 
     async def _serve_request(self, sock):
@@ -197,8 +216,7 @@
 
 async def reset(sock):
     """Close the connection with a TCP reset."""
-    linger = b"\x01\0\0\0\0\0\0\0"
-    sock.setsockopt(_socket.SOL_SOCKET, _socket.SO_LINGER, linger)
+    sock.setsockopt(_socket.SOL_SOCKET, _socket.SO_LINGER, RESET_ON_CLOSE)
     await sock.close()
 
 
