Log which runs a crash of an upstream broke, and crashes heard from peers

The lines of the incident named crashes but not their suspects, so that a request in several crashes could be found only by joining run_failed lines by hand, and nothing said what a process had heard of a crash. upstream_crashed now names the runs, how long each had answered and the shared blocks of its prompt; crash_heard is new. No decision changes.

--- a/src/ragwortkeel/ingress/crashes.py
+++ b/src/ragwortkeel/ingress/crashes.py
@@ -7,8 +7,10 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from ragwortkeel.ingress.configuration import Upstream
+from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.policy.quarantine import Crash, Quarantine, Verdict
 
 SUSPICION_SECONDS = 3.0
@@ -22,6 +24,34 @@
 """Crashes kept until they are reported to peers, which is several times a second."""
 
 
+MAX_LOGGED_RUNS = 8
+"""Broken runs that the log line of a crash names."""
+
+MAX_LOGGED_CHARACTERS = 512
+"""Characters of the callers' block ids in a log line."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class BrokenRun:
+    """A run that an upstream broke off.
+
+    Attributes
+    ----------
+    blocks : tuple of str
+        Ids of the blocks of its prompt that other requests may share.
+    answered_seconds : float
+        Time from the first event of its answer to the break; 0 if there was none.
+    broken_at : float
+        Monotonic second of the break.
+    """
+
+    request_id: str
+    fingerprint: str
+    blocks: tuple[str, ...]
+    answered_seconds: float
+    broken_at: float
+
+
 class CrashDetector:
     """Detects crashes of upstreams and quarantines the requests that cause them.
 
@@ -42,7 +72,7 @@
         self.unreported: deque[Crash] = deque(maxlen=MAX_UNREPORTED_CRASHES)
         self._clock = clock
         self._quarantine = Quarantine()
-        self._broken_at_by_upstream: dict[str, dict[str, float]] = {}
+        self._broken_runs_by_upstream: dict[str, list[BrokenRun]] = {}
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether the request crashed too many upstreams to run again."""
@@ -52,31 +82,52 @@
         """Record a complete response, which clears the request of suspicion."""
         self._quarantine.record_finish(fingerprint)
 
-    def record_broken_run(self, upstream: Upstream, fingerprint: str) -> None:
-        """Record that a run of the request broke off."""
-        broken_at = self._broken_at_by_upstream.setdefault(upstream.name, {})
-        broken_at[fingerprint] = self._clock()
+    def record_broken_run(self, upstream: Upstream, run: BrokenRun) -> None:
+        """Record that the upstream broke off a run."""
+        self._broken_runs_by_upstream.setdefault(upstream.name, []).append(run)
 
     def record_refused_connection(self, upstream: Upstream) -> None:
         """Record that the upstream refuses connections, and detect a crash."""
         now = self._clock()
-        broken_at = self._broken_at_by_upstream.pop(upstream.name, {})
-        suspects = {
-            fingerprint
-            for fingerprint, at in broken_at.items()
-            if now - at < SUSPICION_SECONDS
-        }
-        if not suspects:
+        runs = [
+            run
+            for run in self._broken_runs_by_upstream.pop(upstream.name, [])
+            if now - run.broken_at < SUSPICION_SECONDS
+        ]
+        if not runs:
             return
+        suspects = {run.fingerprint for run in runs}
         # Processes that detect the same crash have to derive the same id.  An upstream
         # can't crash twice within `SUSPICION_SECONDS`.
         crash_id = (
             f"{upstream.name}/{upstream.started_ms}/{int(now / SUSPICION_SECONDS)}"
         )
         crash = Crash(crash_id=crash_id, fingerprints=frozenset(suspects))
+        _log_crash(crash_id, runs, now)
         if self._quarantine.record_crash(crash, now):
             self.unreported.append(crash)
 
     def receive_crash(self, crash: Crash) -> None:
         """Record a crash that a peer detected."""
-        self._quarantine.record_crash(crash, self._clock())
+        is_new = self._quarantine.record_crash(crash, self._clock())
+        log_info(
+            "crash_heard",
+            crash=crash.crash_id,
+            suspects=len(crash.fingerprints),
+            new=is_new,
+        )
+
+
+def _log_crash(crash_id: str, runs: list[BrokenRun], now: float) -> None:
+    """Log a crash with the runs that it broke, those that had answered least first."""
+    by_answered = sorted(runs, key=lambda run: run.answered_seconds)
+    named = by_answered[:MAX_LOGGED_RUNS]
+    log_warning(
+        "upstream_crashed",
+        crash=crash_id,
+        runs=len(runs),
+        requests=",".join(run.request_id for run in named),
+        answered=",".join(f"{run.answered_seconds:.3f}" for run in named),
+        blocks=";".join(",".join(run.blocks) for run in named)[:MAX_LOGGED_CHARACTERS],
+        age=round(now - runs[0].broken_at, 3),
+    )
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -13,6 +13,7 @@
     forwarded_fields,
 )
 from ragwortkeel.ingress.configuration import Customer, Route, Service
+from ragwortkeel.ingress.crashes import BrokenRun
 from ragwortkeel.ingress.dispatch import NotAssigned
 from ragwortkeel.ingress.error_responses import (
     BROKEN,
@@ -43,6 +44,7 @@
     StreamCompleted,
 )
 from ragwortkeel.ingress.placement import Assignment, Job
+from ragwortkeel.ingress.prefixes import shared_block_ids
 from ragwortkeel.ingress.speed_tracker import AnswerTimer
 from ragwortkeel.ingress.upstream_connection import ResponseHead
 from ragwortkeel.ingress.usage import Usage
@@ -133,6 +135,7 @@
         self._runs = 0
         self._rejected_sends = 0
         self._first_token_seconds: float | None = None
+        self._answered_since: float | None = None
         self._may_have_run = False
         self._complete = False
         self._job = accepted.job
@@ -367,8 +370,12 @@
                 assignment.upstream, head, sent_at=sent_at
             )
 
+        self._answered_since = None
+
         def receive_event() -> None:
             answer.receive_event()
+            if self._answered_since is None:
+                self._answered_since = monotonic()
             self._record_first_token(assignment)
 
         attempt = Attempt(
@@ -488,10 +495,21 @@
                 self._log_failure(assignment, reason, detail)
                 if reason is BrokenReason.CLOSED:
                     await components.check_for_crash(
-                        assignment.upstream, self._accepted.fingerprint
+                        assignment.upstream, self._broken_run()
                     )
                 return self._after_broken(name, reason)
 
+    def _broken_run(self) -> BrokenRun:
+        accepted, now = self._accepted, monotonic()
+        answered_since = self._answered_since
+        return BrokenRun(
+            request_id=accepted.call.request_id,
+            fingerprint=accepted.fingerprint,
+            blocks=shared_block_ids(accepted.job.prompt_blocks),
+            answered_seconds=0.0 if answered_since is None else now - answered_since,
+            broken_at=now,
+        )
+
     def _after_not_run(
         self, name: str, reason: NotRunReason
     ) -> ErrorResponse | _TryAgain:
--- a/src/ragwortkeel/ingress/front_components.py
+++ b/src/ragwortkeel/ingress/front_components.py
@@ -8,7 +8,7 @@
 from ragwortkeel.ingress.announcements import AnnouncementReader
 from ragwortkeel.ingress.budget_keeper import BudgetKeeper
 from ragwortkeel.ingress.configuration import Upstream
-from ragwortkeel.ingress.crashes import CrashDetector
+from ragwortkeel.ingress.crashes import BrokenRun, CrashDetector
 from ragwortkeel.ingress.dispatch import Dispatcher
 from ragwortkeel.ingress.error_responses import ErrorResponse
 from ragwortkeel.ingress.names import HeaderNames
@@ -71,9 +71,9 @@
             service="", outcome=answer.result, reason=answer.reason
         )
 
-    async def check_for_crash(self, upstream: Upstream, fingerprint: str) -> None:
+    async def check_for_crash(self, upstream: Upstream, run: BrokenRun) -> None:
         """Check in a separate task whether an upstream that broke off has crashed."""
-        self.crashes.record_broken_run(upstream, fingerprint)
+        self.crashes.record_broken_run(upstream, run)
         await curio.spawn(self._check_connection, upstream, daemon=True)
 
     async def _check_connection(self, upstream: Upstream) -> None:
--- a/src/ragwortkeel/ingress/prefixes.py
+++ b/src/ragwortkeel/ingress/prefixes.py
@@ -29,6 +29,15 @@
     tokens: int
 
 
+MAX_SHARED_BLOCKS = 64
+"""Blocks of one prompt that are told apart; callers may name any number."""
+
+
+def shared_block_ids(blocks: tuple[PromptBlock, ...]) -> tuple[str, ...]:
+    """Return the ids of the blocks that other prompts may share: all but the last."""
+    return tuple(block.block_id for block in blocks[:-1][:MAX_SHARED_BLOCKS])
+
+
 class PrefixCache:
     """The prompt blocks that one upstream is assumed to have cached.
 
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -665,7 +665,6 @@
     async def _send_crashes(self) -> None:
         while self._crashes.unreported:
             crash = self._crashes.unreported.popleft()
-            log_warning("upstream_crashed", crash=crash.crash_id)
             self.metrics.record_crash()
             fingerprints = tuple(sorted(crash.fingerprints))
             message = CrashSeen(crash_id=crash.crash_id, fingerprints=fingerprints)
--- a/tests/ingress/test_crashes.py
+++ b/tests/ingress/test_crashes.py
@@ -4,7 +4,7 @@
 from tests.ingress.builders import upstream
 from tests.ingress.in_process import answer_whole, reset, run_ingress
 
-from ragwortkeel.ingress.crashes import SUSPICION_SECONDS, CrashDetector
+from ragwortkeel.ingress.crashes import SUSPICION_SECONDS, BrokenRun, CrashDetector
 
 
 class Clock:
@@ -14,10 +14,20 @@
         return self.now
 
 
+def broken_run(fingerprint, *blocks, answered_seconds=0.0, broken_at=100.0):
+    return BrokenRun(
+        request_id=f"r-{fingerprint}",
+        fingerprint=fingerprint,
+        blocks=blocks,
+        answered_seconds=answered_seconds,
+        broken_at=broken_at,
+    )
+
+
 class TestCrashDetector:
     def crash(self, detector, name, *fingerprints):
         for fingerprint in fingerprints:
-            detector.record_broken_run(upstream(name), fingerprint)
+            detector.record_broken_run(upstream(name), broken_run(fingerprint))
         detector.record_refused_connection(upstream(name))
 
     def test_a_request_at_three_crashes_is_quarantined(self):
@@ -41,13 +51,13 @@
     def test_lost_answers_of_a_working_upstream_are_no_crashes(self):
         detector = CrashDetector(clock=Clock())
         for _ in range(5):
-            detector.record_broken_run(upstream("u1"), "body")
+            detector.record_broken_run(upstream("u1"), broken_run("body"))
         assert not detector.is_quarantined("body")
 
     def test_a_run_that_broke_long_before_the_crash_is_no_suspect(self):
         clock = Clock()
         detector = CrashDetector(clock=clock)
-        detector.record_broken_run(upstream("u1"), "body")
+        detector.record_broken_run(upstream("u1"), broken_run("body"))
         clock.now += SUSPICION_SECONDS
         detector.record_refused_connection(upstream("u1"))
         assert not detector.unreported
