Count a crash once, whichever processes detect it

Cause: the id held a count of three seconds of the process's own monotonic clock, which differs between machines and changes at a boundary, so three reports of one crash could count as three crashes. Ruled out: reports that name different instances; all name the same one.

The id is now the instance alone. Each process numbers later crashes of an instance that keeps its name by its own clock: reports within three seconds are about one crash.

--- a/src/ragwortkeel/ingress/crashes.py
+++ b/src/ragwortkeel/ingress/crashes.py
@@ -5,9 +5,9 @@
 runs become suspects (see `policy.quarantine`).
 """
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ragwortkeel.ingress.configuration import Upstream
 from ragwortkeel.logs import log_info, log_warning
@@ -24,6 +24,9 @@
 """Crashes kept until they are reported to peers, which is several times a second."""
 
 
+MAX_KNOWN_CRASHES = 1_000
+"""Crashed upstreams that are remembered."""
+
 MAX_LOGGED_RUNS = 8
 """Broken runs that the log line of a crash names."""
 
@@ -72,6 +75,7 @@
         self.unreported: deque[Crash] = deque(maxlen=MAX_UNREPORTED_CRASHES)
         self._clock = clock
         self._quarantine = Quarantine()
+        self._numbers = _CrashNumbers()
         self._broken_runs_by_upstream: dict[str, list[BrokenRun]] = {}
 
     def is_quarantined(self, fingerprint: str) -> bool:
@@ -97,19 +101,15 @@
         if not runs:
             return
         suspects = {run.fingerprint for run in runs}
-        # Processes that detect the same crash have to derive the same id.  An upstream
-        # can't crash twice within `SUSPICION_SECONDS`.
-        crash_id = (
-            f"{upstream.name}/{upstream.started_ms}/{int(now / SUSPICION_SECONDS)}"
-        )
+        crash_id = f"{upstream.name}/{upstream.started_ms}"
         crash = Crash(crash_id=crash_id, fingerprints=frozenset(suspects))
         _log_crash(crash_id, runs, now)
-        if self._quarantine.record_crash(crash, now):
+        if self._record(crash, now):
             self.unreported.append(crash)
 
     def receive_crash(self, crash: Crash) -> None:
         """Record a crash that a peer detected."""
-        is_new = self._quarantine.record_crash(crash, self._clock())
+        is_new = self._record(crash, self._clock())
         log_info(
             "crash_heard",
             crash=crash.crash_id,
@@ -117,6 +117,34 @@
             new=is_new,
         )
 
+    def _record(self, crash: Crash, now: float) -> bool:
+        number = self._numbers.number(crash.crash_id, now)
+        numbered_id = f"{crash.crash_id}/{number}"
+        return self._quarantine.record_crash(replace(crash, crash_id=numbered_id), now)
+
+
+class _CrashNumbers:
+    """Numbers the crashes of upstreams that start again under their names.
+
+    Reports of one crash arrive within `SUSPICION_SECONDS`, in which an upstream can't
+    crash twice.  Each process counts for itself, because its peers' clocks have nothing
+    in common with its own.
+    """
+
+    def __init__(self) -> None:
+        self._last_by_id: OrderedDict[str, tuple[int, float]] = OrderedDict()
+
+    def number(self, crash_id: str, now: float) -> int:
+        """Return the number of the crash that a report at monotonic `now` is about."""
+        number, since = self._last_by_id.get(crash_id, (0, now))
+        if now - since >= SUSPICION_SECONDS:
+            number, since = number + 1, now
+        self._last_by_id[crash_id] = number, since
+        self._last_by_id.move_to_end(crash_id)
+        while len(self._last_by_id) > MAX_KNOWN_CRASHES:
+            self._last_by_id.popitem(last=False)
+        return number
+
 
 def _log_crash(crash_id: str, runs: list[BrokenRun], now: float) -> None:
     """Log a crash with the runs that it broke, those that had answered least first."""
--- a/tests/ingress/test_crashes.py
+++ b/tests/ingress/test_crashes.py
@@ -63,6 +63,41 @@
         assert not detector.unreported
 
 
+class TestProcesses:
+    def test_a_crash_that_several_processes_detect_counts_once(self):
+        """Guards against a sound request that one crash puts into quarantine.
+
+        The monotonic clocks of machines have nothing in common.
+        """
+        detectors = []
+        for now in (100.0, 104.0, 7_000.3):
+            clock = Clock()
+            clock.now = now
+            detector = CrashDetector(clock=clock)
+            run = broken_run("sound", broken_at=now)
+            detector.record_broken_run(upstream("u1", started_ms=5), run)
+            detector.record_refused_connection(upstream("u1", started_ms=5))
+            detectors.append(detector)
+        crashes = [detector.unreported[0] for detector in detectors]
+        for detector in detectors:
+            for crash in crashes:
+                detector.receive_crash(crash)
+        assert not any(each.is_quarantined("sound") for each in detectors)
+
+    def test_later_crashes_of_an_upstream_that_keeps_its_name_count(self):
+        """Guards against crashes that are taken for one because of the name."""
+        clock = Clock()
+        detector, peer = CrashDetector(clock=clock), CrashDetector(clock=clock)
+        for _ in range(3):
+            run = broken_run("bad", broken_at=clock.now)
+            detector.record_broken_run(upstream("u1"), run)
+            detector.record_refused_connection(upstream("u1"))
+            peer.receive_crash(detector.unreported.popleft())
+            clock.now += 2 * SUSPICION_SECONDS
+        assert detector.is_quarantined("bad")
+        assert peer.is_quarantined("bad")
+
+
 class TestRequests:
     def test_a_crashing_request_is_refused_after_three_crashes(self):
         """Guards against one request that crashes all upstreams one after the other.
