Send a request with a suspect block to no second engine

Each request with a block that crashes engines crashed two, because a run that broke off is repeated at another engine at once. A request is no longer repeated if two unexplained crashes accuse a block of it that has not worked lately; its caller is told that it may have run. Sound requests keep their second run: their blocks have worked, or a crash or two beside a bad one do not add up.

--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -564,6 +564,9 @@
         route = self._accepted.route
         if not route.repeatable or self._runs >= route.max_attempts:
             return False
+        if self._components.crashes.is_suspect(self._blocks):
+            self._log_retry(f"suspect_{cause}", allowed=False, charged=False)
+            return False
         if self._lacks_version():
             return False
         return self._seconds_left() > 0 and self._spend_retry(cause)
--- a/tests/ingress/test_crashing_prompts.py
+++ b/tests/ingress/test_crashing_prompts.py
@@ -148,3 +148,22 @@
             "quarantined",
         )
         assert crashes == 0
+
+
+class TestSecondRuns:
+    def test_a_suspect_request_is_not_sent_to_a_second_engine(self):
+        """Guards against two crashes for each request, as long as nothing is proved."""
+
+        async def scenario(fleet, pool):
+            first = await _ask_with_bad_block(fleet, process=0)
+            await curio.sleep(0.2)
+            after_first = len(pool.bad_at)
+            second = await fleet.ask(
+                "/chat/1", body=b"other", x_prompt_parts="common:800,bad:400,other:9"
+            )
+            return (first.status, second.status), after_first, len(pool.bad_at)
+
+        pool = CrashingPool(written_events=0)
+        statuses, after_first, after_second = pool.run(scenario)
+        assert statuses == (502, 502)
+        assert (after_first, after_second) == (2, 3)
