Turn new connections away unread while this instance is full and peers have room

Callers of that node were read and refused, though its peers could have served them.

Ruled out: leaving the rotation, which moves the rush to the next node 2 s later; closing while peers are full, since callers would run in circles.

--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -85,6 +85,9 @@
     arrived_at
         Returns the monotonic second after which the events that tasks handle now
         arrived, if given.  Without it a request arrives when its head is read.
+    accepts
+        Called for each new connection with the number of those without a request so
+        far, if given.  Returns whether to read its requests; otherwise it is closed.
 
     Attributes
     ----------
@@ -120,6 +123,7 @@
         stall_seconds: float | None = None,
         held: HeldBytes | None = None,
         arrived_at: Callable[[], float] | None = None,
+        accepts: Callable[[int], bool] | None = None,
     ) -> None:
         self.host = host
         self.port = port
@@ -134,6 +138,7 @@
         self._stall_seconds = stall_seconds
         self._held = held or HeldBytes()
         self._arrived_at = arrived_at
+        self._accepts = accepts
         self._connections_before_request = 0
         self.closes_connections = False
         self._idle_by_socket: dict[object, _IdleConnection] = {}
@@ -261,6 +266,10 @@
                 await self._start_connection(curio.io.Socket(sock))
 
     async def _start_connection(self, sock) -> None:
+        waiting = self._connections_before_request
+        if self._accepts is not None and not self._accepts(waiting):
+            await sock.close()
+            return
         with suppress(OSError):
             sock.setsockopt(_socket.IPPROTO_TCP, _socket.TCP_NODELAY, 1)
         self._connections_before_request += 1
--- a/src/ragwortkeel/ingress/rotation_controller.py
+++ b/src/ragwortkeel/ingress/rotation_controller.py
@@ -109,15 +109,7 @@
 
     def _reports(self, now: float) -> list[PeerReport]:
         return [
-            PeerReport(
-                node=peer.node,
-                capacity=peer.status.capacity,
-                utilization=peer.status.utilization,
-                overloaded=peer.status.overloaded,
-                in_rotation=peer.status.in_rotation,
-                departure_utilization=peer.status.departure_utilization,
-                age_seconds=now - peer.received_at,
-            )
+            peer_report(peer, now)
             for peer in self._statuses(now)
             if peer.status.zone == self._zone
         ]
@@ -132,6 +124,19 @@
             log_info("rotation_left", **_log_fields(decision))
 
 
+def peer_report(peer: PeerStatus, now: float) -> PeerReport:
+    """Return what the last status of a peer says at a monotonic time."""
+    return PeerReport(
+        node=peer.node,
+        capacity=peer.status.capacity,
+        utilization=peer.status.utilization,
+        overloaded=peer.status.overloaded,
+        in_rotation=peer.status.in_rotation,
+        departure_utilization=peer.status.departure_utilization,
+        age_seconds=now - peer.received_at,
+    )
+
+
 def _log_fields(decision: Decision) -> dict[str, object]:
     zone = decision.zone
     ages = [peer.age_seconds for peer in zone.heard]
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -21,6 +21,7 @@
     Upstream,
     decode_value,
 )
+from ragwortkeel.ingress.connection_gate import ConnectionGate
 from ragwortkeel.ingress.crash_watch import CrashWatch
 from ragwortkeel.ingress.directory import Directory, DirectoryChange
 from ragwortkeel.ingress.dispatch import Dispatcher
@@ -251,6 +252,7 @@
         self.metrics.track_held_bytes(lambda: held.total)
         self._monitor: InstanceMonitor | None = None
         self._sweep: RequestSweep | None = None
+        gate: ConnectionGate | None = None
         if settings.capacity is not None:
             self._monitor = InstanceMonitor(
                 capacity=settings.capacity,
@@ -260,6 +262,12 @@
                 held_bytes=lambda: held.total,
             )
             self._sweep = RequestSweep(is_late=lambda: self._monitor.is_late)
+            gate = ConnectionGate(
+                zone=settings.zone,
+                monitor=self._monitor,
+                statuses=self._peer_statuses.current,
+                metrics=self.metrics,
+            )
         self._connections = ConnectionPool(
             id_header=names.request_id,
             held=held,
@@ -309,6 +317,7 @@
             refuse=self._front.refuse if self._monitor else None,
             counter=counter,
             arrived_at=self._monitor.arrived_at if self._monitor else None,
+            accepts=gate.accepts if gate else None,
         )
         self._status_report = StatusReport(
             settings=settings,
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -98,6 +98,11 @@
         self._crashes = self._counter(
             "ragwortkeel_upstream_crashes_total", "Crashes of upstreams heard of.", ()
         )
+        self._turned_away = self._counter(
+            "ragwortkeel_connections_turned_away_total",
+            "New connections closed unread while peers have room.",
+            (),
+        )
         self._refused_blocks = self._gauge(
             "ragwortkeel_refused_blocks",
             "Prompt blocks that are refused because they crash upstreams.",
@@ -226,6 +231,10 @@
         """Count a crash of an upstream that became known to this process."""
         self._crashes.inc()
 
+    def record_turned_away(self) -> None:
+        """Count a new connection that was closed before a request was read."""
+        self._turned_away.inc()
+
     def set_refused_blocks(self, count: int) -> None:
         """Set the number of prompt blocks that are refused."""
         self._refused_blocks.set(count)
--- a/tests/test_httpio.py
+++ b/tests/test_httpio.py
@@ -412,6 +412,27 @@
     return run(main)
 
 
+class TestTurnedAwayConnections:
+    def test_a_connection_that_is_not_accepted_is_closed_unread(self):
+        """Guards against callers that can't tell whether their request was read."""
+        accepts = iter([False, False, True])
+        handled = []
+
+        async def handler(request, responder):
+            handled.append(request.body)
+            await echo(request, responder)
+
+        async def scenario(server, client):
+            answers = [await exchange(server.port, post(b"x")) for _ in range(2)]
+            return answers, list(handled)
+
+        answers, seen = with_server(
+            scenario, handler=handler, accepts=lambda waiting: next(accepts)
+        )
+        assert set(answers) <= {b"", b"RESET"}
+        assert seen == []
+
+
 class TestClosingConnections:
     def test_kept_connection_gets_its_whole_answer_and_is_asked_to_close(self):
         """Guards against an answer that is cut off when the process leaves rotation."""
