ingress blocks, ingress release_block: what is refused, and its release

An operator who has mended an engine has to see which prompt blocks are refused, since when and by whose crashes, and to release one by one command.

--- a/src/ragwortkeel/cli/ingress.py
+++ b/src/ragwortkeel/cli/ingress.py
@@ -7,6 +7,7 @@
 from fire.decorators import SetParseFns
 
 from ragwortkeel.budget.shards import SHARDS_KIND, decode_shard
+from ragwortkeel.cli.blocks import block_rows, release_block
 from ragwortkeel.cli.objects import (
     Objects,
     VersionedObject,
@@ -125,6 +126,25 @@
         """Show which availability zones are evacuated, and since when."""
         return Plan(session=self._session, action=_evacuated_rows)
 
+    def blocks(self):
+        """Show which prompt blocks are refused, since when and by which crashes."""
+        return Plan(session=self._session, action=block_rows)
+
+    @SetParseFns(block=str)
+    def release_block(self, block):
+        """Let requests with a prompt block run again.
+
+        Parameters
+        ----------
+        block
+            Id of the block, as `ingress blocks` shows it.
+        """
+
+        async def action(platform):
+            return await release_block(platform, block)
+
+        return Plan(session=self._session, action=action)
+
     def budgets(self):
         """Show each customer's prepaid, spent and remaining tokens."""
         return Plan(session=self._session, action=_budgets)
--- a/tests/cli/test_cli_ingress.py
+++ b/tests/cli/test_cli_ingress.py
@@ -7,6 +7,7 @@
 
 from ragwortkeel.budget.ledger import Ledger
 from ragwortkeel.budget.shards import SHARDS_KIND, Shard, encode_shard
+from ragwortkeel.ingress.block_store import BLOCKS_KIND, StoredDecision, object_name
 from ragwortkeel.ingress.configuration import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -91,3 +92,27 @@
         terminal.platform.put(EVACUATIONS_KIND, "zone-b", b"[1,")
         assert "unknown" in terminal("ingress evacuations")[1]
         assert terminal("ingress take_back zone-b")[0] == 0
+
+
+class TestBlocks:
+    def test_a_refused_block_is_shown_and_released(self, terminal):
+        """Guards against blocks that stay refused after their engine is mended."""
+        assert terminal("ingress blocks")[1].startswith("no block")
+        refused = StoredDecision(
+            block="5c1e07a2", stamp=2**42, crashes=("u1/5/0",), requests=("f1", "f2")
+        )
+        name = object_name("5c1e07a2")
+        terminal.platform.put(BLOCKS_KIND, name, msgspec.json.encode(refused))
+        [row] = msgspec.json.decode(terminal("ingress blocks --json")[1])
+        assert (row["block"], row["refused"]) == ("5c1e07a2", True)
+        assert (row["crashes"], row["requests"]) == (["u1/5/0"], 2)
+        assert terminal("ingress release_block 5c1e07a2")[0] == 0
+        stored = terminal.platform.peek(BLOCKS_KIND, name).value
+        released = msgspec.json.decode(stored, type=StoredDecision)
+        assert not released.refused
+        assert released.stamp > refused.stamp
+
+    def test_a_block_that_is_not_refused_cannot_be_released(self, terminal):
+        code, _, errors = terminal("ingress release_block 5c1e07a2")
+        assert code == 1
+        assert "not refused" in errors[0]
