Soak: blocks that crash engines, rushes of new connections

Requests with a bad block, no two alike, come at 0.5, 4 or 15 a second to any process; an engine that begins one resets its connections, refuses new ones and is followed by another 2 s later. In a rush nine tenths of new connections go to one process, to another while that one is out, and callers open more. Three checks: at most three such requests reach engines 4 s after the fifth crash from processes in touch; sound streams with the same first block begin half as often as else; three quarters are served in a rush.

An engine to restart may be missing while all are down.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,6 +14,7 @@
 from ragwortkeel.ingress.names import HeaderNames
 from soak.history import Answer, History, Kind, Request
 from soak.upstreams import (
+    COMMON_BLOCK,
     PROOF,
     STREAM_EVENTS,
     draft_events,
@@ -78,6 +79,8 @@
     ----------
     targets : callable
         Returns the processes that the balancer would choose from.
+    mean_requests : callable
+        Returns the mean number of requests on one connection.
     """
 
     def __init__(
@@ -86,12 +89,14 @@
         number: int,
         seed: int,
         targets: Callable[[], list[Target]],
+        mean_requests: Callable[[], int] = lambda: MEAN_REQUESTS_PER_PROCESS,
         choices: Choices,
         history: History,
     ) -> None:
         self._number = number
         self._random = Random(f"caller {number} {seed}")
         self._targets = targets
+        self._mean_requests = mean_requests
         self._choices = choices
         self._history = history
         self._sent = 0
@@ -109,7 +114,7 @@
         """Use one process's connection until it is gone, or for some requests."""
         client = HttpClient(host=HOST, port=target.port)
         try:
-            for _ in range(self._random.randrange(2 * MEAN_REQUESTS_PER_PROCESS)):
+            for _ in range(self._random.randrange(2 * self._mean_requests())):
                 route = self._random.choice(self._choices.routes)
                 answer = await self._ask(client, target, route)
                 if route.kind is Kind.DRAFT:
@@ -179,6 +184,7 @@
         is_stream = route.kind in (Kind.CHAT, Kind.DRAFT)
         if is_stream:
             headers[NAMES.usage] = f"{PROMPT_TOKENS},{ANSWER_TOKENS}"
+            headers[NAMES.parts] = f"{COMMON_BLOCK}:100,{request.request_id}:300"
         if after:
             headers |= {NAMES.last_event: str(after), NAMES.resumes: resumes}
         leaves_after = inf
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -18,6 +18,10 @@
 """Bound on new requests to an upstream whose leaving was confirmed."""
 MIN_TAKE_UPS = 12
 """Streams taken up in a run from which on their share is checked."""
+CRASHES_TO_KNOW = 5
+MAX_LATE_ARRIVALS = 3
+MIN_COMPARED = 20
+"""Requests on each side from which on shares are compared."""
 LOSS_GRACE_SECONDS = 0.2
 """A request that crosses the end of an idle connection fails within this time."""
 
@@ -123,6 +127,80 @@
     )
 
 
+def crashing_blocks_are_refused(history: History) -> Iterator[Violation]:
+    """Find blocks that reach engines long after five engines crashed under them.
+
+    Processes that are not in touch may send what they do not know of.
+    """
+    for block, crashes in history.bad_crashes_by_block.items():
+        if len(crashes) < CRASHES_TO_KNOW:
+            continue
+        known_at = sorted(crashes)[CRASHES_TO_KNOW - 1]
+        late = [
+            arrival
+            for arrival in history.bad_arrivals
+            if arrival.block == block
+            and arrival.at > known_at + CALM_SECONDS
+            and _in_touch(history, arrival.request)
+        ]
+        if len(late) > MAX_LATE_ARRIVALS:
+            detail = f"{block}: {len(late)} arrivals, {len(crashes)} crashes"
+            yield _violation("crashing block", late[-1].at, detail)
+
+
+def sound_streams_begin(history: History) -> Iterator[Violation]:
+    """Find that sound streams begin rarely while a block that crashes engines comes."""
+    spans = []
+    for block, crashes in history.bad_crashes_by_block.items():
+        known_at = sorted(crashes)[:CRASHES_TO_KNOW][-1]
+        ends_at = history.bad_until_by_block.get(block, known_at)
+        spans.append((crashes[0], known_at + 2 * CALM_SECONDS, ends_at))
+    inside, outside = [], []
+    for answer in _counted_streams(history):
+        sent_at = answer.request.sent_at
+        if any(since <= sent_at <= until for _, since, until in spans):
+            inside.append(answer.events > 0)
+        elif not any(begins <= sent_at <= until for begins, _, until in spans):
+            outside.append(answer.events > 0)
+    yield from _compare("sound streams begin", inside, outside, least=0.5)
+
+
+def rushes_are_served(history: History) -> Iterator[Violation]:
+    """Find that requests are served rarely while one process gets most of them."""
+    inside, outside = [], []
+    for answer in _counted_streams(history):
+        sent_at, served = answer.request.sent_at, answer.status == 200
+        if any(
+            r.begins_at + CALM_SECONDS <= sent_at <= r.ends_at for r in history.rushes
+        ):
+            inside.append(served)
+        elif not any(r.begins_at <= sent_at <= r.ends_at for r in history.rushes):
+            outside.append(served)
+    yield from _compare("rushes are served", inside, outside, least=0.75)
+
+
+def _counted_streams(history: History) -> Iterator[Answer]:
+    """Return streams from processes in touch that budget and upstream allow."""
+    for answer in history.answers:
+        request = answer.request
+        if request.kind is not Kind.CHAT or answer.status in (401, 402):
+            continue
+        was_cut = request.request_id in history.cut_requests
+        if not was_cut and _in_touch(history, request):
+            yield answer
+
+
+def _compare(
+    promise: str, inside: list[bool], outside: list[bool], *, least: float
+) -> Iterator[Violation]:
+    if min(len(inside), len(outside)) < MIN_COMPARED:
+        return
+    share, usual = sum(inside) / len(inside), sum(outside) / len(outside)
+    if share < least * usual:
+        detail = f"{share:.2f} of {len(inside)}, {usual:.2f} of {len(outside)} else"
+        yield _violation(promise, 0.0, detail)
+
+
 def budgets_hold(history: History) -> Iterator[Violation]:
     """Find budgets that were overspent, or whose ledger misses what was delivered."""
     ran = {run.request_id for run in history.runs}
@@ -301,6 +379,9 @@
     answers_are_own,
     streams_keep_their_version,
     streams_go_on,
+    crashing_blocks_are_refused,
+    sound_streams_begin,
+    rushes_are_served,
     budgets_hold,
     changes_are_in_force,
     changes_never_revert,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,6 +14,8 @@
 MEAN_GAP_SECONDS = 1.3
 MEAN_RESTART_GAP_SECONDS = 8.0
 MEAN_RELAY_KILL_GAP_SECONDS = 10.0
+MEAN_CRASHING_PROMPTS_GAP_SECONDS = 12.0
+MEAN_RUSH_GAP_SECONDS = 12.0
 RELAY_COUNT = 2
 FIRST_FAULT_SECONDS = 3.0
 QUIET_END_SECONDS = 6.0
@@ -121,6 +123,26 @@
     down_seconds: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class SendCrashingPrompts:
+    """Requests come whose prompts hold a block that crashes each engine."""
+
+    block: str
+    seconds: float
+    per_second: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Rush:
+    """The balancer hands most new connections to one process.
+
+    Callers open more of them meanwhile.
+    """
+
+    process: int
+    seconds: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class ChangeRoutes:
     """Routes are added; a large number makes the configuration large."""
@@ -149,6 +171,8 @@
     | CrashUpstream
     | RestartUpstream
     | KillRelay
+    | SendCrashingPrompts
+    | Rush
     | ChangeRoutes
     | RemoveRoute
     | RevokeKey
@@ -172,6 +196,8 @@
         schedule.append(Scheduled(at=at, action=_draw_action(random, processes)))
         at += random.expovariate(1 / MEAN_GAP_SECONDS)
     schedule += _draw_restarts(seed, seconds) + _draw_relay_kills(seed, seconds)
+    schedule += _draw_crashing_prompts(seed, seconds)
+    schedule += _draw_rushes(seed, seconds, processes)
     return sorted(schedule, key=lambda scheduled: scheduled.at)
 
 
@@ -206,6 +232,46 @@
     return kills
 
 
+def _draw_crashing_prompts(seed: int, seconds: float) -> list[Scheduled]:
+    random = Random(f"crashing prompts {seed}")
+    times = _draw_times(random, seconds, mean_gap=MEAN_CRASHING_PROMPTS_GAP_SECONDS)
+    return [
+        Scheduled(
+            at=at,
+            action=SendCrashingPrompts(
+                block=f"bad-{number}",
+                seconds=round(random.uniform(4.0, 12.0), 2),
+                per_second=random.choice((0.5, 4.0, 15.0)),
+            ),
+        )
+        for number, at in enumerate(times)
+    ]
+
+
+def _draw_rushes(seed: int, seconds: float, processes: int) -> list[Scheduled]:
+    random = Random(f"rushes {seed}")
+    times = _draw_times(random, seconds, mean_gap=MEAN_RUSH_GAP_SECONDS)
+    return [
+        Scheduled(
+            at=at,
+            action=Rush(
+                process=random.randrange(processes),
+                seconds=round(random.uniform(3.0, 8.0), 2),
+            ),
+        )
+        for at in times
+    ]
+
+
+def _draw_times(random: Random, seconds: float, *, mean_gap: float) -> list[float]:
+    times = []
+    at = FIRST_FAULT_SECONDS + random.expovariate(1 / mean_gap)
+    while at < seconds - QUIET_END_SECONDS:
+        times.append(at)
+        at += random.expovariate(1 / mean_gap)
+    return times
+
+
 def _draw_action(random: Random, processes: int) -> Action:
     process = random.randrange(processes)
     span = round(random.uniform(0.5, 4.0), 2)
--- a/soak/history.py
+++ b/soak/history.py
@@ -102,6 +102,15 @@
     broken_by_upstream: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class BadArrival:
+    """A request with a block that crashes engines, as it reached one."""
+
+    block: str
+    request: Request
+    at: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class Span:
     """A time in which something was disturbed; `process` is empty for all of them."""
@@ -159,6 +168,12 @@
     ----------
     up_since_by_start : dict of str to float
         When a start of a process, as ``PROCESS/NUMBER``, was first ready.
+    bad_arrivals : list of BadArrival
+        Requests that crash engines.
+    bad_crashes_by_block, bad_until_by_block : dict
+        When engines crashed under each block, and until when requests with it came.
+    rushes : list of Span
+        Times in which one process got most new connections.
     cut_requests : set of str
         Requests that an upstream ran when it went down.
     changed : set of str
@@ -173,11 +188,15 @@
     answers: list[Answer] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     serving: list[Serving] = field(default_factory=list)
+    rushes: list[Span] = field(default_factory=list)
     spans: list[Span] = field(default_factory=list)
     exits: list[Exit] = field(default_factory=list)
     changes: list[Change] = field(default_factory=list)
     up_since_by_start: dict[str, float] = field(default_factory=dict)
     spent_by_customer: dict[str, int] = field(default_factory=dict)
+    bad_arrivals: list[BadArrival] = field(default_factory=list)
+    bad_crashes_by_block: dict[str, list[float]] = field(default_factory=dict)
+    bad_until_by_block: dict[str, float] = field(default_factory=dict)
     cut_requests: set[str] = field(default_factory=set)
     changed: set[str] = field(default_factory=set)
     problems: list[str] = field(default_factory=list)
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -129,6 +129,19 @@
         upstream.started_ms = int(time() * 1000)
         await self._write_entry(upstream, UpstreamState.READY)
 
+    async def remove(self, upstream: RecordingUpstream) -> None:
+        """Remove the entry of an upstream that has crashed."""
+        while True:
+            try:
+                stored = await self._platform.get(UPSTREAMS_KIND, upstream.name)
+                if stored is not None:
+                    await self._platform.delete(
+                        UPSTREAMS_KIND, upstream.name, stored.version
+                    )
+                return
+            except (PlatformError, OutcomeUnknown):
+                await curio.sleep(RETRY_SECONDS)
+
     async def announce_leaving(self, upstream: RecordingUpstream) -> None:
         """Write that an upstream leaves."""
         sent_at = monotonic()
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,7 +16,13 @@
 from ragwortkeel.http_client import HttpClient
 from ragwortkeel.ingress.ledger_store import SHARD_NAME
 from ragwortkeel.platform_client import HttpPlatform
-from soak.callers import PROMPT_TOKENS, Caller, Target
+from soak.bad_prompts import BadCallers
+from soak.callers import (
+    MEAN_REQUESTS_PER_PROCESS,
+    PROMPT_TOKENS,
+    Caller,
+    Target,
+)
 from soak.faults import (
     RELAY_COUNT,
     VERSIONS,
@@ -34,10 +40,12 @@
     ReplaceUpstream,
     RestartUpstream,
     RevokeKey,
+    Rush,
+    SendCrashingPrompts,
     Stop,
     draw_schedule,
 )
-from soak.history import Exit, History, Serving, Span
+from soak.history import BadArrival, Exit, History, Serving, Span
 from soak.operator import Operator
 from soak.upstreams import RecordingUpstream, zone_of
 from soak.ways import PlatformWay
@@ -61,6 +69,10 @@
 LINK_BYTES_PER_SECOND = 12_500_000
 MEMORY_BYTES = 500_000_000
 SETTLE_SECONDS = 1.0
+CRASHED_SECONDS = 2.0
+"""Time until another engine starts in place of a crashed one."""
+RUSH_FACTOR = 9
+MEAN_REQUESTS_IN_RUSH = 3
 
 
 class IngressProcess:
@@ -273,6 +285,11 @@
         self._upstreams: list[RecordingUpstream] = []
         self._upstream_count = 0
         self._restarting: set[str] = set()
+        self._down: set[RecordingUpstream] = set()
+        self._hot_process: int | None = None
+        self._bad_callers = BadCallers(
+            seed=seed, targets=self._targets, key=self._draw_valid_key
+        )
         self.history = History(
             prepaid_by_customer=dict(PREPAID_BY_CUSTOMER),
             prompt_tokens=PROMPT_TOKENS,
@@ -364,13 +381,27 @@
             self.history.spent_by_customer[name] = ledger.total_spent
 
     def _targets(self) -> list[Target]:
-        return [p.target for p in self._processes if p.target is not None]
+        """Return the processes in the rotation, by their shares of new connections."""
+        targets = [p.target for p in self._processes if p.target is not None]
+        if self._hot_process is None or not targets:
+            return targets
+        number = self._hot_process % self._count
+        hot = self._processes[number].target or targets[0]
+        return targets + [hot] * RUSH_FACTOR * len(targets)
+
+    def _mean_requests(self) -> int:
+        is_rush = self._hot_process is not None
+        return MEAN_REQUESTS_IN_RUSH if is_rush else MEAN_REQUESTS_PER_PROCESS
+
+    def _draw_valid_key(self) -> tuple[str, str]:
+        return self._random.choice(self._operator.choices.keys)
 
     def _caller(self, number: int) -> Caller:
         return Caller(
             number=number,
             seed=self._seed,
             targets=self._targets,
+            mean_requests=self._mean_requests,
             choices=self._operator.choices,
             history=self.history,
         )
@@ -387,6 +418,8 @@
                 await self._disturb_upstream(action)
             case KillRelay(relay=number, down_seconds=seconds):
                 await self._relays[number].kill(seconds)
+            case SendCrashingPrompts() | Rush():
+                await self._change_load(action)
             case ChangeRoutes(count=count):
                 await self._operator.add_routes(count)
             case RemoveRoute():
@@ -394,6 +427,47 @@
             case RevokeKey():
                 await self._operator.revoke_key()
 
+    async def _change_load(self, action: SendCrashingPrompts | Rush) -> None:
+        match action:
+            case SendCrashingPrompts(block=block):
+                await self._bad_callers.run(action)
+                self.history.bad_until_by_block[block] = monotonic()
+            case Rush(process=number, seconds=seconds):
+                if self._hot_process is not None:
+                    return
+                begins_at = monotonic()
+                self._hot_process = number
+                await curio.sleep(seconds)
+                self._hot_process = None
+                span = Span(
+                    process="", cause="", begins_at=begins_at, ends_at=monotonic()
+                )
+                self.history.rushes.append(span)
+
+    async def _receive_bad_block(
+        self, engine: RecordingUpstream, block: str, request_id: str
+    ) -> None:
+        """Crash an engine, and let another one start in its place later."""
+        now, history = monotonic(), self.history
+        request = self._bad_callers.request_by_id[request_id]
+        history.bad_arrivals.append(BadArrival(block=block, request=request, at=now))
+        if engine in self._down:
+            return
+        self._down.add(engine)
+        history.bad_crashes_by_block.setdefault(block, []).append(now)
+        await self._spawn(self._crash_engine, engine)
+
+    async def _crash_engine(self, engine: RecordingUpstream) -> None:
+        self._record_serving(engine, ready=False)
+        is_leaving = engine not in self._upstreams
+        if not is_leaving:
+            self._upstreams.remove(engine)
+        await engine.go_down()
+        await curio.sleep(CRASHED_SECONDS)
+        if not is_leaving:
+            await self._add_upstream(engine.service, engine.version)
+        await self._operator.remove(engine)
+
     async def _disturb_upstream(
         self, action: ReplaceUpstream | CrashUpstream | RestartUpstream
     ) -> None:
@@ -462,6 +536,7 @@
             version=version,
             history=self.history,
             seed=self._seed,
+            on_bad_block=self._receive_bad_block,
         )
         self._upstream_count += 1
         await upstream.start()
@@ -470,8 +545,9 @@
         self._record_serving(upstream, ready=True)
 
     async def _restart_engine(self, seconds: float, version: str) -> None:
-        engine = next(each for each in self._upstreams if each.service == "pool")
-        if engine.name in self._restarting:
+        engines = (each for each in self._upstreams if each.service == "pool")
+        engine = next(engines, None)
+        if engine is None or engine.name in self._restarting:
             # Its entry would name whichever of both versions is written last.
             return
         self._restarting.add(engine.name)
@@ -502,4 +578,5 @@
         self._record_serving(old, ready=False)
         await self._operator.announce_leaving(old)
         await curio.sleep(LEAVE_SECONDS)
-        await old.stop()
+        if old not in self._down:
+            await old.stop()
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -1,6 +1,7 @@
 """Upstreams that record what they run, with faults of their own."""
 
 import socket as _socket
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from random import Random
 from time import monotonic
@@ -17,6 +18,9 @@
 NAMES = HeaderNames()
 PROOF = "p1"
 ZONES = ("zone-a", "zone-b", "zone-c")
+BAD_BLOCK_PREFIX = "bad-"
+COMMON_BLOCK = "common"
+"""First block of all prompts, sound or not."""
 STREAM_EVENTS = 8
 EVENT_SECONDS = 0.05
 WORK_SECONDS = 0.02
@@ -45,6 +49,9 @@
         Version of its software, which its events name.
     leaving : bool
         Whether its answers announce that it leaves.
+    on_bad_block : callable
+        Called with the block and the request id when a request has a block that crashes
+        engines; restarts this one.
     """
 
     def __init__(
@@ -56,7 +63,9 @@
         version: str,
         history: History,
         seed: int,
+        on_bad_block: Callable[["RecordingUpstream", str, str], Awaitable[None]],
     ) -> None:
+        self._on_bad_block = on_bad_block
         self.name = name
         self.zone = zone
         self.service = service
@@ -82,6 +91,14 @@
         await self._task.cancel()
         await self._reset_all()
 
+    async def go_down(self) -> None:
+        """Reset all connections, with nothing at the port from then on."""
+        # Cancelling the server ends the tasks of its connections.
+        self._record_cut_requests()
+        await self._task.cancel()
+        await self._sock.close()
+        await self._reset_all()
+
     async def crash(self, seconds: float) -> None:
         """Reset all connections, and each new one for some seconds."""
         self._crashed = True
@@ -91,10 +108,7 @@
 
     async def restart(self, seconds: float, *, version: str) -> None:
         """Go down, with nothing at the port, and come back at another version."""
-        self._record_cut_requests()
-        await self._task.cancel()
-        await self._sock.close()
-        await self._reset_all()
+        await self.go_down()
         await curio.sleep(seconds)
         self.version = version
         self._sock = curio.network.tcp_server_socket(HOST, self.port)
@@ -145,6 +159,11 @@
             await sock.sendall(conn.send(_response(421, fields)))
             await sock.sendall(conn.send(h11.EndOfMessage()))
             return True
+        bad_block = _bad_block(headers)
+        if bad_block:
+            await self._on_bad_block(self, bad_block, request_id)
+            _reset_on_close(sock)
+            return False
         fails = self._random.random() < FAILED_SHARE
         run = Run(
             request_id=request_id,
@@ -211,6 +230,13 @@
         await sock.sendall(conn.send(h11.EndOfMessage()))
 
 
+def _bad_block(headers: dict[str, str]) -> str:
+    """Return the block of a prompt that crashes engines; empty if there is none."""
+    blocks = headers.get(NAMES.parts, "").split(",")
+    ids = [block.partition(":")[0] for block in blocks]
+    return next((each for each in ids if each.startswith(BAD_BLOCK_PREFIX)), "")
+
+
 def stream_events(request_id: str) -> bytes:
     """Return the whole body of the stream for a request."""
     return b"".join(
