Refuse no block on the word of processes that know little

A process decides only if all that answer have had 20 complete answers together; before, six crashes by three requests in two waves are needed, and a block refused so is tried after 3 s by a request without the other suspects, unless those have worked. Peers are asked again each half second, and say how many answers they had. A trial is not repeated at a second engine.

--- a/src/ragwortkeel/ingress/crash_watch.py
+++ b/src/ragwortkeel/ingress/crash_watch.py
@@ -133,18 +133,27 @@
         )
         await self._changed.set()
 
-    def answer(self, question: BlockQuestion) -> BlockAnswer | None:
-        """Return which of the blocks worked here, None if none did."""
-        seconds = self._detector.blocks.worked_here(question.blocks, monotonic())
-        return BlockAnswer(seconds_by_block=seconds) if seconds else None
+    def answer(self, question: BlockQuestion) -> BlockAnswer:
+        """Return which of the blocks worked here."""
+        blocks = self._detector.blocks
+        return BlockAnswer(
+            seconds_by_block=blocks.worked_here(question.blocks, monotonic()),
+            answers=blocks.own_answers,
+        )
 
-    async def receive_answer(self, answer: BlockAnswer) -> None:
-        """Receive which blocks worked at a peer."""
+    async def receive_answer(self, peer: str, answer: BlockAnswer) -> None:
+        """Receive which blocks worked at the peer of this address."""
         now = monotonic()
         self._detector.blocks.record_worked(
             {block: now - age for block, age in answer.seconds_by_block.items()}
         )
-        log_info("blocks_worked", blocks=",".join(answer.seconds_by_block))
+        self._detector.blocks.record_experience(peer, answer.answers, now)
+        log_info(
+            "blocks_answered",
+            peer=peer,
+            worked=",".join(answer.seconds_by_block),
+            answers=answer.answers,
+        )
         await self._changed.set()
 
     def decisions(self) -> tuple[BlockDecision, ...]:
@@ -189,7 +198,7 @@
             )
 
     async def _question_peers(self) -> None:
-        accused = self._detector.blocks.newly_accused(monotonic())
+        accused = self._detector.blocks.questions(monotonic())
         if accused:
             log_info("blocks_accused", blocks=",".join(accused))
             await self._send(BlockQuestion(blocks=accused))
--- a/src/ragwortkeel/ingress/peer_handler.py
+++ b/src/ragwortkeel/ingress/peer_handler.py
@@ -81,9 +81,9 @@
         """Receive a crash that a peer detected."""
 
     def block_answer(self, question: BlockQuestion) -> BlockAnswer | None:
-        """Return which accused prompt blocks worked here, None if none did."""
+        """Return which accused prompt blocks worked here; None at a relay."""
 
-    async def receive_block_answer(self, answer: BlockAnswer) -> None:
+    async def receive_block_answer(self, peer: str, answer: BlockAnswer) -> None:
         """Receive which accused prompt blocks worked at a peer."""
 
     def block_decisions(self) -> tuple[BlockDecision, ...]:
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -440,6 +440,10 @@
                 peer=peer, envelope=Envelope(message=OriginAnswer() as answer)
             ):
                 await self._handler.receive_origin_answer(peer, answer)
+            case Received(
+                peer=peer, envelope=Envelope(message=BlockAnswer() as answer)
+            ):
+                await self._handler.receive_block_answer(peer, answer)
             case Received(peer=peer, envelope=Envelope(message=Heartbeat() as beat)):
                 self.writers.record_leaving(peer, leaving=beat.leaving)
             case LinkDown(peer=peer):
@@ -564,7 +568,7 @@
                 | BlockQuestion()
             ):
                 return self._reply_to(message)
-            case CrashSeen() | OriginNotes() | BlockAnswer() | BlockDecisions():
+            case CrashSeen() | OriginNotes() | BlockDecisions():
                 await self._receive_news(message)
             case UpstreamChanges() as changes:
                 await self._handler.receive_upstream_changes(changes)
@@ -579,13 +583,11 @@
         return None
 
     async def _receive_news(
-        self, message: CrashSeen | OriginNotes | BlockAnswer | BlockDecisions
+        self, message: CrashSeen | OriginNotes | BlockDecisions
     ) -> None:
         match message:
             case CrashSeen() as crash:
                 await self._handler.receive_crash(crash)
-            case BlockAnswer() as answer:
-                await self._handler.receive_block_answer(answer)
             case BlockDecisions(decisions=decisions):
                 self._handler.receive_block_decisions(decisions)
             case OriginNotes() as notes:
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -143,7 +143,7 @@
     def block_answer(self, question: BlockQuestion) -> None:
         """Return None: a relay sends no prompts."""
 
-    async def receive_block_answer(self, answer: BlockAnswer) -> None:
+    async def receive_block_answer(self, peer: str, answer: BlockAnswer) -> None:
         """Discard the answer: a relay asks for no blocks."""
 
     def block_decisions(self) -> tuple[BlockDecision, ...]:
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -514,13 +514,13 @@
         """Record a crash that a peer detected."""
         await self._crashes.receive_crash(crash)
 
-    def block_answer(self, question: BlockQuestion) -> BlockAnswer | None:
+    def block_answer(self, question: BlockQuestion) -> BlockAnswer:
         """Return which of a peer's accused blocks worked here."""
         return self._crashes.answer(question)
 
-    async def receive_block_answer(self, answer: BlockAnswer) -> None:
+    async def receive_block_answer(self, peer: str, answer: BlockAnswer) -> None:
         """Record which accused blocks worked at a peer."""
-        await self._crashes.receive_answer(answer)
+        await self._crashes.receive_answer(peer, answer)
 
     def block_decisions(self) -> tuple[BlockDecision, ...]:
         """Return all decisions on prompt blocks."""
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -351,9 +351,19 @@
 
 
 class BlockAnswer(Message):
-    """Answer to a `BlockQuestion`: seconds since such an answer at the sender."""
+    """Answer to a `BlockQuestion`.
+
+    Attributes
+    ----------
+    seconds_by_block : dict of str to float
+        Seconds since the last such answer at the sender; a block without any is left
+        out.
+    answers : int
+        Number of complete answers that the sender has had.
+    """
 
     seconds_by_block: dict[str, float]
+    answers: int = 0
 
 
 class BlockDecision(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/src/ragwortkeel/policy/block_quarantine.py
+++ b/src/ragwortkeel/policy/block_quarantine.py
@@ -12,6 +12,8 @@
 - A crash that a refused block explains accuses no other block.
 - A block that has worked needs more crashes, spread over time: all engines of a service
   may lose power at once, before any of them completes another answer.
+- While the processes have had few answers, as after a start of all, sound blocks look
+  like bad ones.  Then more crashes are needed, and a refused block is tried again soon.
 """
 
 from collections import OrderedDict
@@ -39,6 +41,20 @@
 WAVE_SECONDS = 1.0
 """Crashes closer than this may have one common cause, such as a loss of power."""
 
+MIN_CRASHES_UNEXPERIENCED = 6
+MIN_REQUESTS_UNEXPERIENCED = 3
+MIN_WAVES_UNEXPERIENCED = 2
+"""What is needed while all processes have had fewer than `EXPERIENCED_ANSWERS`."""
+
+EXPERIENCED_ANSWERS = 20
+"""Complete answers after which blocks that many prompts share have worked."""
+
+EXPERIENCE_SECONDS = 10.0
+"""Time for which the answers that another process has reported count."""
+
+QUESTION_SECONDS = 0.5
+"""Time after which other processes are asked again about an accused block."""
+
 SUSPECT_CRASHES = 2
 """Crashes after which a request with the block is not sent to a second engine."""
 
@@ -58,6 +74,9 @@
 EARLY_TRIAL_SECONDS = 10.0
 """Time to the first trial of a block that was refused for crashes within one wave."""
 
+UNEXPERIENCED_TRIAL_SECONDS = 3.0
+"""Time to the first trial of a block that was refused without experience."""
+
 TRIAL_SECONDS = 600.0
 """Time between trials, each of which may cost one engine."""
 
@@ -126,6 +145,7 @@
     since: float
     trial_at: float = inf
     trial_request: str = ""
+    co_suspects: frozenset[str] = frozenset()
 
 
 class BlockQuarantine:
@@ -141,6 +161,9 @@
         self._worked_at_by_block: OrderedDict[str, float] = OrderedDict()
         self._own_worked_at_by_block: OrderedDict[str, float] = OrderedDict()
         self._accused_since_by_block: dict[str, float] = {}
+        self._asked_at_by_block: dict[str, float] = {}
+        self._own_answers = 0
+        self._answers_by_peer: dict[str, tuple[int, float]] = {}
         self._refused_by_block: OrderedDict[str, _Refused] = OrderedDict()
         self._released_by_block: OrderedDict[str, Decision] = OrderedDict()
         self._acquitted: list[tuple[str, str]] = []
@@ -182,6 +205,7 @@
     def record_answer(self, blocks: tuple[str, ...], now: float) -> list[Decision]:
         """Record a complete answer here; return the blocks that it releases."""
         released = []
+        self._own_answers += 1
         for block in blocks:
             _set_newest(self._own_worked_at_by_block, block, now, MAX_WORKED_BLOCKS)
             refused = self._refused_by_block.get(block)
@@ -214,38 +238,87 @@
             if seconds < WORKED_SECONDS
         }
 
-    def newly_accused(self, now: float) -> tuple[str, ...]:
-        """Return blocks that this process may refuse now for the first time."""
-        accused = {
-            block
-            for block, crash_ids in self._crash_ids_by_block.items()
-            if len(crash_ids) >= MIN_CRASHES
-            and any(block in self._crash_by_id[each].own_blocks for each in crash_ids)
-            and self._suffices(block, self.accusation(block), now)
+    @property
+    def own_answers(self) -> int:
+        """Number of complete answers here."""
+        return self._own_answers
+
+    def record_experience(self, peer: str, answers: int, now: float) -> None:
+        """Record how many complete answers another process has had."""
+        self._answers_by_peer = {
+            name: (count, at)
+            for name, (count, at) in self._answers_by_peer.items()
+            if now - at < EXPERIENCE_SECONDS
         }
-        for block in self._accused_since_by_block.keys() - accused:
-            del self._accused_since_by_block[block]
-        new = accused - self._accused_since_by_block.keys()
-        self._accused_since_by_block |= dict.fromkeys(new, now)
-        return tuple(sorted(new))
+        self._answers_by_peer[peer] = answers, now
+
+    def questions(self, now: float) -> tuple[str, ...]:
+        """Return the accused blocks that other processes are to be asked about."""
+        self._update_accused(now)
+        due = [
+            block
+            for block in self._accused_since_by_block
+            if now - self._asked_at_by_block.get(block, -inf) >= QUESTION_SECONDS
+        ]
+        self._asked_at_by_block |= dict.fromkeys(due, now)
+        return tuple(sorted(due))
 
     def seconds_until_finding(self, now: float) -> float | None:
-        """Return the time until `find` may refuse a block, None if none is accused."""
-        since = min(self._accused_since_by_block.values(), default=None)
-        return None if since is None else max(0.0, since + CONFIRM_SECONDS - now)
+        """Return the time until the next question or finding, None if none is due."""
+        due = [
+            since + CONFIRM_SECONDS
+            if now - since < CONFIRM_SECONDS
+            else self._asked_at_by_block.get(block, now) + QUESTION_SECONDS
+            for block, since in self._accused_since_by_block.items()
+        ]
+        return max(0.0, min(due) - now) if due else None
 
     def find(self, now: float, *, wall_ms: int) -> list[Finding]:
         """Refuse the accused blocks that nothing has cleared; return them."""
         findings = []
         while True:
-            self.newly_accused(now)
+            self._update_accused(now)
             block = self._most_accused()
             if block is None:
                 return findings
             if now - self._accused_since_by_block[block] < CONFIRM_SECONDS:
                 return findings
+            if not self._is_convincing(block, now):
+                return findings
             findings.append(self._refuse(block, now, wall_ms))
 
+    def _update_accused(self, now: float) -> None:
+        accused = {
+            block
+            for block, crash_ids in self._crash_ids_by_block.items()
+            if len(crash_ids) >= MIN_CRASHES
+            and any(block in self._crash_by_id[each].own_blocks for each in crash_ids)
+            and self._suffices(block, self.accusation(block), now)
+        }
+        for block in self._accused_since_by_block.keys() - accused:
+            del self._accused_since_by_block[block]
+            self._asked_at_by_block.pop(block, None)
+        new = accused - self._accused_since_by_block.keys()
+        self._accused_since_by_block |= dict.fromkeys(new, now)
+
+    def _is_experienced(self, now: float) -> bool:
+        answers = self._own_answers + sum(
+            count
+            for count, at in self._answers_by_peer.values()
+            if now - at < EXPERIENCE_SECONDS
+        )
+        return answers >= EXPERIENCED_ANSWERS
+
+    def _is_convincing(self, block: str, now: float) -> bool:
+        if self._is_experienced(now):
+            return True
+        accusation = self.accusation(block)
+        return (
+            len(accusation.crash_ids) >= MIN_CRASHES_UNEXPERIENCED
+            and len(accusation.requests) >= MIN_REQUESTS_UNEXPERIENCED
+            and accusation.waves >= MIN_WAVES_UNEXPERIENCED
+        )
+
     def merge(self, decision: Decision, now: float) -> bool:
         """Merge a decision of another process; return whether it changes anything."""
         refused = self._refused_by_block.get(decision.block)
@@ -279,17 +352,19 @@
         return (*refused, *self._released_by_block.values())
 
     def refused_block(
-        self, blocks: Iterable[str], *, request: str, now: float
+        self, blocks: tuple[str, ...], *, request: str, now: float
     ) -> str | None:
         """Return a refused block of a request, None if it may run.
 
-        The process that found a block tries one request with it from time to time.
+        The process that found a block tries one request with it from time to time,
+        which must not hold another block that may have been the cause.
         """
         for block in blocks:
             refused = self._refused_by_block.get(block)
             if refused is None or refused.trial_request == request:
                 continue
-            if refused.trial_at > now:
+            unproved = refused.co_suspects - self._worked_at_by_block.keys()
+            if refused.trial_at > now or not unproved.isdisjoint(blocks):
                 return block
             refused.trial_request = request
             refused.trial_at = now + TRIAL_SECONDS
@@ -298,7 +373,8 @@
     def is_suspect(self, blocks: Iterable[str], now: float) -> bool:
         """Return whether a second run of the request risks another engine."""
         return any(
-            len(self._crash_ids_by_block.get(block, ())) >= SUSPECT_CRASHES
+            block in self._refused_by_block
+            or len(self._crash_ids_by_block.get(block, ())) >= SUSPECT_CRASHES
             and not self._has_worked(block, now)
             for block in blocks
         )
@@ -372,14 +448,30 @@
 
     def _refuse(self, block: str, now: float, wall_ms: int) -> Finding:
         accusation = self.accusation(block)
+        co_suspects, worked = self._co_suspects(block), self._worked_at_by_block.keys()
         released = self._released_by_block.get(block)
         stamp = max(wall_ms, released.stamp + 1 if released else 0)
         decision = Decision(block=block, stamp=stamp)
         self.merge(decision, now)
-        trial_seconds = EARLY_TRIAL_SECONDS if accusation.waves == 1 else TRIAL_SECONDS
-        self._refused_by_block[block].trial_at = now + trial_seconds
+        refused = self._refused_by_block[block]
+        refused.co_suspects = co_suspects
+        if not self._is_experienced(now) and co_suspects - worked:
+            refused.trial_at = now + UNEXPERIENCED_TRIAL_SECONDS
+        elif accusation.waves == 1:
+            refused.trial_at = now + EARLY_TRIAL_SECONDS
+        else:
+            refused.trial_at = now + TRIAL_SECONDS
         return Finding(decision=decision, accusation=accusation)
 
+    def _co_suspects(self, block: str) -> frozenset[str]:
+        """Return other blocks that several of the same crashes accuse."""
+        crash_ids = self._crash_ids_by_block[block]
+        return frozenset(
+            other
+            for other, its_crash_ids in self._crash_ids_by_block.items()
+            if other != block and len(its_crash_ids & crash_ids) >= SUSPECT_CRASHES
+        )
+
     def _has_worked(self, block: str, now: float) -> bool:
         return now - self._worked_at_by_block.get(block, -inf) < WORKED_SECONDS
 
@@ -396,6 +488,7 @@
         if not crash_ids:
             self._crash_ids_by_block.pop(block, None)
             self._accused_since_by_block.pop(block, None)
+            self._asked_at_by_block.pop(block, None)
 
     def _explain(self, crash_id: str) -> None:
         crash = self._crash_by_id[crash_id]
