Split the evidence of crashes from the quarantine of blocks

policy.crash_evidence keeps crashes and says what they accuse; policy.block_quarantine decides by it.

--- a/src/ragwortkeel/ingress/block_store.py
+++ b/src/ragwortkeel/ingress/block_store.py
@@ -20,11 +20,8 @@
 )
 from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.platform import Platform, Stored
-from ragwortkeel.policy.block_quarantine import (
-    RETENTION_SECONDS,
-    Accusation,
-    Decision,
-)
+from ragwortkeel.policy.block_quarantine import RETENTION_SECONDS, Decision
+from ragwortkeel.policy.crash_evidence import Accusation
 
 BLOCKS_KIND = "refused-blocks"
 
--- a/src/ragwortkeel/policy/block_quarantine.py
+++ b/src/ragwortkeel/policy/block_quarantine.py
@@ -17,10 +17,12 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 from math import inf
 
+from ragwortkeel.policy.crash_evidence import Accusation, CrashEvidence
+
 MIN_CRASHES = 3
 """Crashes that a block needs to be refused."""
 
@@ -36,14 +38,11 @@
 """Crashes since its last complete answer that a block needs if it worked before."""
 
 MIN_WAVES_OF_WORKING = 3
-"""Groups, `WAVE_SECONDS` apart, in which these crashes need to lie."""
-
-WAVE_SECONDS = 1.0
-"""Crashes closer than this may have one common cause, such as a loss of power."""
+"""Waves of crashes in which these need to lie; see `Accusation.waves`."""
 
-MIN_CRASHES_UNEXPERIENCED = 6
-MIN_REQUESTS_UNEXPERIENCED = 3
-MIN_WAVES_UNEXPERIENCED = 2
+MIN_CRASHES_INEXPERIENCED = 6
+MIN_REQUESTS_INEXPERIENCED = 3
+MIN_WAVES_INEXPERIENCED = 2
 """What is needed while all processes have had fewer than `EXPERIENCED_ANSWERS`."""
 
 EXPERIENCED_ANSWERS = 20
@@ -61,9 +60,6 @@
 CONFIRM_SECONDS = 0.15
 """Time for the other processes to report the same crash, or that the block worked."""
 
-EVIDENCE_SECONDS = 3600.0
-"""Time for which a crash accuses blocks."""
-
 WORKED_SECONDS = 600.0
 """Time for which a block counts as having worked after a complete answer."""
 
@@ -74,40 +70,17 @@
 EARLY_TRIAL_SECONDS = 10.0
 """Time to the first trial of a block that was refused for crashes within one wave."""
 
-UNEXPERIENCED_TRIAL_SECONDS = 3.0
+INEXPERIENCED_TRIAL_SECONDS = 3.0
 """Time to the first trial of a block that was refused without experience."""
 
 TRIAL_SECONDS = 600.0
 """Time between trials, each of which may cost one engine."""
 
-MAX_CRASHES = 100
 MAX_WORKED_BLOCKS = 10_000
 MAX_REFUSED_BLOCKS = 256
 """Callers name blocks as they like; what is retained about them is bounded."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class Accusation:
-    """The unexplained crashes of one block.
-
-    Attributes
-    ----------
-    crash_ids : frozenset of str
-        The crashes.
-    requests : frozenset of str
-        Fingerprints of the requests with the block that they broke off.
-    waves : int
-        Number of groups of crashes that lie `WAVE_SECONDS` apart.
-    depth : int
-        Position of the block in its prompts, 0 first.
-    """
-
-    crash_ids: frozenset[str]
-    requests: frozenset[str]
-    waves: int
-    depth: int
-
-
 @dataclass(frozen=True, kw_only=True)
 class Decision:
     """Whether a block is refused, as exchanged between processes.
@@ -131,14 +104,6 @@
     accusation: Accusation
 
 
-@dataclass(kw_only=True)
-class _Crash:
-    at: float
-    blocks_by_request: dict[str, tuple[str, ...]] = field(default_factory=dict)
-    own_blocks: set[str] = field(default_factory=set)
-    explained: bool = False
-
-
 @dataclass(kw_only=True)
 class _Refused:
     decision: Decision
@@ -156,8 +121,7 @@
     """
 
     def __init__(self) -> None:
-        self._crash_by_id: OrderedDict[str, _Crash] = OrderedDict()
-        self._crash_ids_by_block: dict[str, set[str]] = {}
+        self._evidence = CrashEvidence()
         self._worked_at_by_block: OrderedDict[str, float] = OrderedDict()
         self._own_worked_at_by_block: OrderedDict[str, float] = OrderedDict()
         self._accused_since_by_block: dict[str, float] = {}
@@ -186,20 +150,17 @@
             Whether this process sent these requests.  Only one that sent a request
             with a block decides on it, so that a large fleet is not full of decisions.
         """
-        crash = self._crash_by_id.setdefault(crash_id, _Crash(at=now))
-        if own:
-            crash.own_blocks.update(*blocks_by_request.values())
-        new = blocks_by_request.keys() - crash.blocks_by_request.keys()
+        new = self._evidence.record(crash_id, blocks_by_request, now, own=own)
         for request in new:
             blocks = blocks_by_request[request]
-            crash.blocks_by_request[request] = blocks
             if self._holds_refused(blocks):
                 self._explain(crash_id)
-            elif crash.explained:
+            elif self._evidence.is_explained(crash_id):
                 self._acquitted.append((request, crash_id))
             else:
                 self._accuse(crash_id, blocks)
-        self._discard_old(now)
+        self._evidence.discard_old(now)
+        self._discard_old_decisions(now)
         return bool(new)
 
     def record_answer(self, blocks: tuple[str, ...], now: float) -> list[Decision]:
@@ -224,7 +185,7 @@
                 _set_newest(
                     self._worked_at_by_block, block, worked_at, MAX_WORKED_BLOCKS
                 )
-                self._acquit(block, until=worked_at)
+                self._evidence.clear(block, until=worked_at)
 
     def worked_here(self, blocks: Iterable[str], now: float) -> dict[str, float]:
         """Return how long ago those of the blocks that work had an answer here."""
@@ -290,10 +251,8 @@
     def _update_accused(self, now: float) -> None:
         accused = {
             block
-            for block, crash_ids in self._crash_ids_by_block.items()
-            if len(crash_ids) >= MIN_CRASHES
-            and any(block in self._crash_by_id[each].own_blocks for each in crash_ids)
-            and self._suffices(block, self.accusation(block), now)
+            for block in self._evidence.own_accused(min_crashes=MIN_CRASHES)
+            if self._suffices(block, now)
         }
         for block in self._accused_since_by_block.keys() - accused:
             del self._accused_since_by_block[block]
@@ -312,11 +271,11 @@
     def _is_convincing(self, block: str, now: float) -> bool:
         if self._is_experienced(now):
             return True
-        accusation = self.accusation(block)
+        accusation = self._evidence.accusation(block)
         return (
-            len(accusation.crash_ids) >= MIN_CRASHES_UNEXPERIENCED
-            and len(accusation.requests) >= MIN_REQUESTS_UNEXPERIENCED
-            and accusation.waves >= MIN_WAVES_UNEXPERIENCED
+            len(accusation.crash_ids) >= MIN_CRASHES_INEXPERIENCED
+            and len(accusation.requests) >= MIN_REQUESTS_INEXPERIENCED
+            and accusation.waves >= MIN_WAVES_INEXPERIENCED
         )
 
     def merge(self, decision: Decision, now: float) -> bool:
@@ -332,12 +291,12 @@
             _set_newest(
                 self._released_by_block, decision.block, decision, MAX_REFUSED_BLOCKS
             )
-            self._acquit(decision.block)
+            self._evidence.clear(decision.block)
             return True
         self._released_by_block.pop(decision.block, None)
         value = _Refused(decision=decision, since=now)
         _set_newest(self._refused_by_block, decision.block, value, MAX_REFUSED_BLOCKS)
-        for crash_id in list(self._crash_ids_by_block.get(decision.block, ())):
+        for crash_id in self._evidence.accusation(decision.block).crash_ids:
             self._explain(crash_id)
         return True
 
@@ -374,30 +333,13 @@
         """Return whether a second run of the request risks another engine."""
         return any(
             block in self._refused_by_block
-            or len(self._crash_ids_by_block.get(block, ())) >= SUSPECT_CRASHES
+            or self._evidence.count(block) >= SUSPECT_CRASHES
             and not self._has_worked(block, now)
             for block in blocks
         )
 
-    def accusation(self, block: str) -> Accusation:
-        """Return what accuses the block."""
-        crash_ids = self._crash_ids_by_block.get(block, set())
-        requests, times, depth = set(), [], 0
-        for crash_id in crash_ids:
-            crash = self._crash_by_id[crash_id]
-            times.append(crash.at)
-            for request, blocks in crash.blocks_by_request.items():
-                if block in blocks:
-                    requests.add(request)
-                    depth = max(depth, blocks.index(block))
-        return Accusation(
-            crash_ids=frozenset(crash_ids),
-            requests=frozenset(requests),
-            waves=_count_waves(times),
-            depth=depth,
-        )
-
-    def _suffices(self, block: str, accusation: Accusation, now: float) -> bool:
+    def _suffices(self, block: str, now: float) -> bool:
+        accusation = self._evidence.accusation(block)
         crashes, requests = len(accusation.crash_ids), len(accusation.requests)
         if self._has_worked(block, now):
             return (
@@ -420,117 +362,58 @@
         return next((block for block in accused if not self._is_covered(block)), None)
 
     def _is_covered(self, block: str) -> bool:
-        crash_ids = self._crash_ids_by_block[block]
-        crash = self._crash_by_id[next(iter(crash_ids))]
-        others = {
-            each for blocks in crash.blocks_by_request.values() for each in blocks
-        }
         weight = self._weight(block)
-        return any(
-            self._crash_ids_by_block.get(other, set()) >= crash_ids
-            and self._weight(other) > weight
-            for other in others
-        )
+        others = self._evidence.covering(block)
+        return any(self._weight(other) > weight for other in others)
 
     def _weight(self, block: str) -> tuple[float, bool, int]:
-        """Return how well the block explains crashes, comparable between blocks.
-
-        A sound block that many requests share is held by much of what a crash broke
-        off; of the bad one there are few, since the first of them crashed the engine.
-        """
-        score = 0.0
-        for crash_id in self._crash_ids_by_block.get(block, ()):
-            prompts = self._crash_by_id[crash_id].blocks_by_request.values()
-            holders = sum(block in blocks for blocks in prompts)
-            score += 1.0 - (holders - 1) / len(prompts)
-        depth = self.accusation(block).depth
-        return score, block not in self._worked_at_by_block, depth
+        return (
+            self._evidence.score(block),
+            block not in self._worked_at_by_block,
+            self._evidence.accusation(block).depth,
+        )
 
     def _refuse(self, block: str, now: float, wall_ms: int) -> Finding:
-        accusation = self.accusation(block)
-        co_suspects, worked = self._co_suspects(block), self._worked_at_by_block.keys()
+        accusation = self._evidence.accusation(block)
+        co_suspects = self._evidence.companions(block, min_crashes=SUSPECT_CRASHES)
         released = self._released_by_block.get(block)
         stamp = max(wall_ms, released.stamp + 1 if released else 0)
         decision = Decision(block=block, stamp=stamp)
         self.merge(decision, now)
         refused = self._refused_by_block[block]
         refused.co_suspects = co_suspects
-        if not self._is_experienced(now) and co_suspects - worked:
-            refused.trial_at = now + UNEXPERIENCED_TRIAL_SECONDS
+        has_unproved = bool(co_suspects - self._worked_at_by_block.keys())
+        if has_unproved and not self._is_experienced(now):
+            refused.trial_at = now + INEXPERIENCED_TRIAL_SECONDS
         elif accusation.waves == 1:
             refused.trial_at = now + EARLY_TRIAL_SECONDS
         else:
             refused.trial_at = now + TRIAL_SECONDS
         return Finding(decision=decision, accusation=accusation)
 
-    def _co_suspects(self, block: str) -> frozenset[str]:
-        """Return other blocks that several of the same crashes accuse."""
-        crash_ids = self._crash_ids_by_block[block]
-        return frozenset(
-            other
-            for other, its_crash_ids in self._crash_ids_by_block.items()
-            if other != block and len(its_crash_ids & crash_ids) >= SUSPECT_CRASHES
-        )
-
     def _has_worked(self, block: str, now: float) -> bool:
         return now - self._worked_at_by_block.get(block, -inf) < WORKED_SECONDS
 
     def _accuse(self, crash_id: str, blocks: tuple[str, ...]) -> None:
-        crash = self._crash_by_id[crash_id]
         for block in blocks:
-            if crash.at > self._worked_at_by_block.get(block, -inf):
-                self._crash_ids_by_block.setdefault(block, set()).add(crash_id)
-
-    def _acquit(self, block: str, *, until: float = inf) -> None:
-        """Withdraw the crashes up to a time from what accuses the block."""
-        crash_ids = self._crash_ids_by_block.get(block, set())
-        crash_ids -= {each for each in crash_ids if self._crash_by_id[each].at <= until}
-        if not crash_ids:
-            self._crash_ids_by_block.pop(block, None)
-            self._accused_since_by_block.pop(block, None)
-            self._asked_at_by_block.pop(block, None)
+            worked_at = self._worked_at_by_block.get(block, -inf)
+            self._evidence.accuse(crash_id, block, cleared_at=worked_at)
 
     def _explain(self, crash_id: str) -> None:
-        crash = self._crash_by_id[crash_id]
-        if crash.explained:
-            return
-        crash.explained = True
-        self._withdraw(crash_id, crash)
         self._acquitted += [
             (request, crash_id)
-            for request, blocks in crash.blocks_by_request.items()
+            for request, blocks in self._evidence.explain(crash_id).items()
             if not self._holds_refused(blocks)
         ]
 
     def _holds_refused(self, blocks: tuple[str, ...]) -> bool:
         return any(block in self._refused_by_block for block in blocks)
 
-    def _withdraw(self, crash_id: str, crash: _Crash) -> None:
-        """Let the crash accuse no block."""
-        for blocks in crash.blocks_by_request.values():
-            for block in blocks:
-                crash_ids = self._crash_ids_by_block.get(block)
-                if crash_ids is None:
-                    continue
-                crash_ids.discard(crash_id)
-                if not crash_ids:
-                    del self._crash_ids_by_block[block]
-                    self._accused_since_by_block.pop(block, None)
-
-    def _discard_old(self, now: float) -> None:
-        for crash_id, crash in self._oldest_crashes(now):
-            self._withdraw(crash_id, crash)
-            del self._crash_by_id[crash_id]
+    def _discard_old_decisions(self, now: float) -> None:
         for block, refused in list(self._refused_by_block.items()):
             if now - refused.since >= RETENTION_SECONDS:
                 del self._refused_by_block[block]
 
-    def _oldest_crashes(self, now: float) -> Iterator[tuple[str, _Crash]]:
-        excess = len(self._crash_by_id) - MAX_CRASHES
-        for index, (crash_id, crash) in enumerate(list(self._crash_by_id.items())):
-            if index < excess or now - crash.at >= EVIDENCE_SECONDS:
-                yield crash_id, crash
-
 
 def _set_newest(by_key: OrderedDict, key: str, value: object, max_size: int) -> None:
     by_key[key] = value
@@ -542,11 +425,3 @@
 def _rank(decision: Decision) -> tuple[int, bool]:
     """Return the order of two decisions on a block; a release wins a tie."""
     return decision.stamp, not decision.refused
-
-
-def _count_waves(times: list[float]) -> int:
-    waves, began_at = 0, -inf
-    for at in sorted(times):
-        if at - began_at >= WAVE_SECONDS:
-            waves, began_at = waves + 1, at
-    return waves
--- a/tests/ingress/test_block_store.py
+++ b/tests/ingress/test_block_store.py
@@ -15,7 +15,8 @@
     StoredDecision,
     object_name,
 )
-from ragwortkeel.policy.block_quarantine import RETENTION_SECONDS, Accusation, Decision
+from ragwortkeel.policy.block_quarantine import RETENTION_SECONDS, Decision
+from ragwortkeel.policy.crash_evidence import Accusation
 from ragwortkeel.standins.local_platform import LocalPlatform
 
 NOW_MS = int(time() * 1000)
--- a/tests/policy/test_block_quarantine.py
+++ b/tests/policy/test_block_quarantine.py
@@ -7,18 +7,17 @@
 from ragwortkeel.policy.block_quarantine import (
     CONFIRM_SECONDS,
     EARLY_TRIAL_SECONDS,
-    EVIDENCE_SECONDS,
     EXPERIENCED_ANSWERS,
-    MAX_CRASHES,
+    INEXPERIENCED_TRIAL_SECONDS,
     MAX_REFUSED_BLOCKS,
     MAX_WORKED_BLOCKS,
     MIN_CRASHES,
     QUESTION_SECONDS,
     TRIAL_SECONDS,
-    UNEXPERIENCED_TRIAL_SECONDS,
     BlockQuarantine,
     Decision,
 )
+from ragwortkeel.policy.crash_evidence import EVIDENCE_SECONDS, MAX_CRASHES
 
 
 def bad(number):
@@ -120,9 +119,9 @@
             quarantine.record_crash(f"c{number}", bad(number), 1.0)
         quarantine.record_answer(("bad",), now=2.0)
         quarantine.record_crash("c1", bad(7), 3.0)
-        assert not quarantine.accusation("bad").crash_ids
+        assert not quarantine._evidence.accusation("bad").crash_ids
         quarantine.record_crash("c2", bad(8), 3.0)
-        assert quarantine.accusation("bad").crash_ids == {"c2"}
+        assert quarantine._evidence.accusation("bad").crash_ids == {"c2"}
 
     def test_a_block_that_works_at_another_process_is_not_refused(self):
         """Guards against a process that has just started and accuses what works."""
@@ -204,7 +203,7 @@
         quarantine = BlockQuarantine()
         now = self.crash_all(quarantine, waves=2)
         assert find(quarantine, now) == ["common"]
-        later = now + 1.0 + UNEXPERIENCED_TRIAL_SECONDS
+        later = now + 1.0 + INEXPERIENCED_TRIAL_SECONDS
         assert is_refused(quarantine, "common", "bad", request="bad", now=later)
         assert not is_refused(quarantine, "common", "s1", request="r", now=later)
         quarantine.record_answer(("common", "s1"), later)
@@ -267,6 +266,6 @@
         for number in range(2 * MAX_REFUSED_BLOCKS):
             quarantine.merge(Decision(block=f"b{number}", stamp=1), now=3.0)
         assert len(quarantine.decisions()) == MAX_REFUSED_BLOCKS
-        assert len(quarantine._crash_by_id) <= MAX_CRASHES
-        assert len(quarantine._crash_ids_by_block) <= 2 * MAX_CRASHES
+        assert len(quarantine._evidence._crash_by_id) <= MAX_CRASHES
+        assert len(quarantine._evidence._crash_ids_by_block) <= 2 * MAX_CRASHES
         assert len(quarantine._worked_at_by_block) == MAX_WORKED_BLOCKS
