Leave tokens that were given back to the process that lacks them

Seen in a rush to one node with 1.6 times the traffic: requests were refused with budget_unreachable while in_ledger and held_elsewhere of their customer changed places every 0.05 s, 31,000 tokens at a time. An idle process gave its slice back when asked, and its next renewal took its equal share again before the process that waited could write. Ruled out: the cap (cap_room is above the need), an outage (reachable).

A process that gave tokens back takes none for 2 s unless requests wait there. Test: fails before (the ledger's rest falls by the share at once), passes now.

--- a/src/ragwortkeel/budget/account.py
+++ b/src/ragwortkeel/budget/account.py
@@ -96,6 +96,10 @@
 REFILL_FRACTION = 0.6
 """Fraction of its target below which a slice is filled up."""
 
+YIELD_SECONDS = 2.0
+"""Time for which tokens that were given back for another process are left to it, longer
+than its renewal takes at a slow platform."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class AccountReservation:
@@ -127,6 +131,7 @@
         self._customer = customer
         self._borrowed = 0
         self._recalled = 0
+        self._yields_until = float("-inf")
         self._meter = DemandMeter()
         self._selection_hash = _hash_fraction(f"{holder}/{customer}")
 
@@ -294,6 +299,8 @@
         wanted_tokens = tokens_to_take(ledger, router=holder, need=need)
         give_back = self._give_back(ledger, need)
         if self._recalled:
+            self._yields_until = now + YIELD_SECONDS
+        if self._recalled or (now < self._yields_until and not self.waiting_tokens):
             wanted_tokens = 0
         min_growth = self._min_growth(mean_request_tokens)
         cap = self._cap(need, headroom_seconds)
--- a/tests/budget/test_allowance.py
+++ b/tests/budget/test_allowance.py
@@ -1,5 +1,6 @@
 """Sizes of slices and caps of ingress processes."""
 
+from ragwortkeel.budget.account import YIELD_SECONDS
 from ragwortkeel.budget.allowance import (
     HEADROOM_RENEWALS,
     HEADROOM_SECONDS,
@@ -98,6 +99,25 @@
         assert shard.ledger_by_customer["surco"].rest == rest_before + recalled
         assert not account.returning
 
+    def test_tokens_given_back_are_left_to_the_process_that_lacks_them(self):
+        """Guards against tokens that go back and forth while a peer waits for them."""
+        allowances, shard = busy(0.5)
+        account = allowances.account("surco")
+        account.recall(account.free)
+        shard = allowances.renewed(shard, reading(20.0))
+        allowances.resolve(shard)
+        rest = shard.ledger_by_customer["surco"].rest
+        shard = allowances.renewed(shard, reading(20.0 + YIELD_SECONDS / 2))
+        allowances.resolve(shard)
+        assert shard.ledger_by_customer["surco"].rest == rest
+        account.waiting_tokens = 500
+        shard = allowances.renewed(shard, reading(20.1 + YIELD_SECONDS / 2))
+        allowances.resolve(shard)
+        assert account.reserve(500) is not None
+        account.waiting_tokens = 0
+        shard = allowances.renewed(shard, reading(20.2 + YIELD_SECONDS))
+        assert shard.ledger_by_customer["surco"].rest < rest - 500
+
     def test_an_older_configuration_does_not_undo_a_top_up(self):
         _, shard = busy(0.5)
         topped = shard.provisioned({"surco": 2 * PREPAID}, revision=3)
