--- a/src/ragwortkeel/ingress/crash_watch.py
+++ b/src/ragwortkeel/ingress/crash_watch.py
@@ -69,7 +69,6 @@
         self._store = store
         self._metrics = metrics
         self._checked: set[str] = set()
-        self._released: list[Decision] = []
         self._changed = curio.Event()
 
     async def run(self) -> None:
@@ -104,9 +103,8 @@
 
     async def record_answer(self, fingerprint: str, blocks: tuple[str, ...]) -> None:
         """Record a complete response of an upstream."""
-        released = self._detector.record_finished(fingerprint, blocks)
-        if released:
-            self._released += released
+        self._detector.record_finished(fingerprint, blocks)
+        if self._detector.released:
             await self._changed.set()
 
     async def record_broken_run(self, upstream: Upstream, run: BrokenRun) -> None:
@@ -205,7 +203,7 @@
 
     async def _decide(self) -> None:
         findings = self._detector.blocks.find(monotonic(), wall_ms=int(time() * 1000))
-        released, self._released = self._released, []
+        released, self._detector.released = self._detector.released, []
         self._detector.acquit()
         for finding in findings:
             _log_finding(finding)
--- a/src/ragwortkeel/ingress/crashes.py
+++ b/src/ragwortkeel/ingress/crashes.py
@@ -23,8 +23,7 @@
 """
 
 MAX_UNREPORTED_CRASHES = 100
-"""Crashes kept until they are reported to peers, which is several times a second."""
-
+"""Crashes kept until they are reported to peers, which is done at once."""
 
 ANSWERED_SECONDS = 1.0
 """Time for which a run has to answer to show that its prompt crashes no upstream; a
@@ -94,11 +93,14 @@
         What the crashes say of prompt blocks.
     unreported : deque of CrashReport
         Crashes detected here that have yet to be reported to peers.
+    released : list of Decision
+        Blocks released here that have yet to be reported to peers.
     """
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self.blocks = BlockQuarantine()
         self.unreported: deque[CrashReport] = deque(maxlen=MAX_UNREPORTED_CRASHES)
+        self.released: list[Decision] = []
         self._clock = clock
         self._quarantine = Quarantine()
         self._numbers = _CrashNumbers()
@@ -108,15 +110,10 @@
         """Return whether the request crashed too many upstreams to run again."""
         return self._quarantine.verdict(fingerprint) is Verdict.REFUSE
 
-    def record_finished(
-        self, fingerprint: str, blocks: tuple[str, ...] = ()
-    ) -> list[Decision]:
-        """Record a complete response, which clears the request of suspicion.
-
-        Return the blocks that are no longer refused for that reason.
-        """
+    def record_finished(self, fingerprint: str, blocks: tuple[str, ...] = ()) -> None:
+        """Record a complete response, which clears the request of suspicion."""
         self._quarantine.record_finish(fingerprint)
-        return self.blocks.record_answer(blocks, self._clock())
+        self.released += self.blocks.record_answer(blocks, self._clock())
 
     def record_broken_run(self, upstream: Upstream, run: BrokenRun) -> None:
         """Record that the upstream broke off a run."""
@@ -153,7 +150,7 @@
         )
         for run in runs:
             if run.answered_seconds >= ANSWERED_SECONDS:
-                self.blocks.record_answer(run.blocks, run.broken_at)
+                self.released += self.blocks.record_answer(run.blocks, run.broken_at)
         _log_crash(report.crash.crash_id, runs, now)
         if self._record(report, now, own=True):
             self.unreported.append(report)
--- a/src/ragwortkeel/policy/block_quarantine.py
+++ b/src/ragwortkeel/policy/block_quarantine.py
@@ -322,6 +322,8 @@
             refused = self._refused_by_block.get(block)
             if refused is None or refused.trial_request == request:
                 continue
+            if now - refused.since >= RETENTION_SECONDS:
+                continue
             unproved = refused.co_suspects - self._worked_at_by_block.keys()
             if refused.trial_at > now or not unproved.isdisjoint(blocks):
                 return block
--- a/tests/ingress/test_crashes.py
+++ b/tests/ingress/test_crashes.py
@@ -4,7 +4,13 @@
 from tests.ingress.builders import upstream
 from tests.ingress.in_process import answer_whole, reset, run_ingress
 
-from ragwortkeel.ingress.crashes import SUSPICION_SECONDS, BrokenRun, CrashDetector
+from ragwortkeel.ingress.crashes import (
+    ANSWERED_SECONDS,
+    SUSPICION_SECONDS,
+    BrokenRun,
+    CrashDetector,
+)
+from ragwortkeel.policy.block_quarantine import Decision
 
 
 class Clock:
@@ -63,6 +69,40 @@
         assert not detector.unreported
 
 
+class TestBlocks:
+    def crash(self, detector, number, *blocks, answered_seconds=0.0):
+        run = broken_run(f"f{number}", *blocks, answered_seconds=answered_seconds)
+        detector.record_broken_run(upstream(f"u{number}"), run)
+        detector.record_refused_connection(f"u{number}")
+
+    def test_a_run_that_answered_for_long_does_not_accuse_its_blocks(self):
+        """Guards against blame for streams that were cut in their middle."""
+        detector = CrashDetector(clock=Clock())
+        self.crash(detector, 1, "common", answered_seconds=ANSWERED_SECONDS)
+        assert not detector.unreported[0].blocks_by_fingerprint
+
+    def test_a_run_that_answered_for_long_releases_its_blocks_everywhere(self):
+        """Guards against a release that no other process hears of."""
+        detector = CrashDetector(clock=Clock())
+        detector.blocks.merge(Decision(block="common", stamp=1), now=99.0)
+        self.crash(detector, 1, "common", answered_seconds=ANSWERED_SECONDS)
+        (decision,) = detector.released
+        assert (decision.block, decision.refused) == ("common", False)
+
+    def test_sound_requests_beside_a_refused_block_are_not_quarantined(self):
+        """Guards against sound requests that are refused for their neighbours."""
+        detector = CrashDetector(clock=Clock())
+        for number in range(3):
+            sound, bad = broken_run("sound", "s1"), broken_run(f"f{number}", "bad")
+            detector.record_broken_run(upstream(f"u{number}"), sound)
+            detector.record_broken_run(upstream(f"u{number}"), bad)
+            detector.record_refused_connection(f"u{number}")
+        assert detector.is_quarantined("sound")
+        detector.blocks.merge(Decision(block="bad", stamp=1), now=100.0)
+        detector.acquit()
+        assert not detector.is_quarantined("sound")
+
+
 class TestProcesses:
     def test_a_crash_that_several_processes_detect_counts_once(self):
         """Guards against a sound request that one crash puts into quarantine.
--- a/tests/policy/test_block_quarantine.py
+++ b/tests/policy/test_block_quarantine.py
@@ -13,6 +13,7 @@
     MAX_WORKED_BLOCKS,
     MIN_CRASHES,
     QUESTION_SECONDS,
+    RETENTION_SECONDS,
     TRIAL_SECONDS,
     BlockQuarantine,
     Decision,
@@ -235,6 +236,13 @@
         assert not is_refused(finder, "bad")
         assert not is_refused(peer, "bad")
 
+    def test_a_block_is_refused_for_a_limited_time(self, finder):
+        peer = BlockQuarantine()
+        for decision in finder.decisions():
+            peer.merge(decision, now=2.0)
+        assert is_refused(peer, "bad", now=RETENTION_SECONDS)
+        assert not is_refused(peer, "bad", now=2.0 + RETENTION_SECONDS)
+
     def test_an_older_decision_changes_nothing(self, finder):
         (refused,) = finder.decisions()
         release = Decision(block="bad", stamp=refused.stamp + 1, refused=False)
