--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,14 +4,18 @@
 from soak.__main__ import run_seed
 from soak.checks import (
     CALM_SECONDS,
+    CRASHES_TO_KNOW,
     DRAIN_SECONDS,
     IN_FORCE_SECONDS,
+    MAX_LATE_ARRIVALS,
+    MIN_COMPARED,
     MIN_TAKE_UPS,
     violations,
 )
 from soak.faults import QUIET_END_SECONDS, draw_schedule
 from soak.history import (
     Answer,
+    BadArrival,
     Change,
     Exit,
     History,
@@ -194,6 +198,59 @@
         assert self.found(*answers) == promises
 
 
+class TestCrashingBlocks:
+    CRASHES = [SENT_AT + number for number in range(CRASHES_TO_KNOW)]
+
+    def found(self, arrivals, *, crashes=CRASHES, spans=(), **fields):
+        """Return what is found of so many arrivals long after the last crash."""
+        at = crashes[-1] + CALM_SECONDS + 1
+        arrived = BadArrival(block="bad", request=request(Kind.CHAT, sent_at=at), at=at)
+        return broken(
+            bad_arrivals=[arrived] * arrivals,
+            bad_crashes_by_block={"bad": crashes},
+            spans=list(spans),
+            **fields,
+        )
+
+    def test_a_block_that_goes_on_reaching_engines_is_found(self):
+        assert self.found(MAX_LATE_ARRIVALS + 1) == ["crashing block"]
+        assert self.found(MAX_LATE_ARRIVALS) == []
+
+    def test_processes_out_of_touch_and_few_crashes_are_allowed(self):
+        count = MAX_LATE_ARRIVALS + 1
+        frozen = disturbed("freeze", SENT_AT, self.CRASHES[-1] + 2)
+        assert self.found(count, spans=[frozen]) == []
+        assert self.found(count, crashes=self.CRASHES[:-1]) == []
+
+    @pytest.mark.parametrize(("events", "promises"), [(0, 1), (5, 0)])
+    def test_sound_streams_that_no_longer_begin_are_found(self, events, promises):
+        known_at = self.CRASHES[-1] + 2 * CALM_SECONDS
+        before = request(Kind.CHAT, sent_at=self.CRASHES[0] - 5)
+        during = request(Kind.CHAT, sent_at=known_at + 1)
+        answers = [answer(before, events=5)] * MIN_COMPARED
+        answers += [answer(during, 503, events=events)] * MIN_COMPARED
+        found = broken(
+            answers=answers,
+            bad_crashes_by_block={"bad": self.CRASHES},
+            bad_until_by_block={"bad": known_at + 2},
+        )
+        assert found == ["sound streams begin"] * promises
+
+
+class TestRushes:
+    @pytest.mark.parametrize(("served", "promises"), [(0.7, 1), (0.8, 0)])
+    def test_a_rush_that_is_not_served_is_found(self, served, promises):
+        rush = disturbed("", SENT_AT, SENT_AT + 9, "")
+        during = request(Kind.CHAT, sent_at=SENT_AT + CALM_SECONDS + 1)
+        answers = [answer(request(Kind.CHAT, sent_at=SENT_AT - 5))] * MIN_COMPARED
+        answers += [
+            answer(during, 200 if number < served * MIN_COMPARED else 503)
+            for number in range(MIN_COMPARED)
+        ]
+        found = broken(answers=answers, rushes=[rush])
+        assert found == ["rushes are served"] * promises
+
+
 class TestBudgets:
     @pytest.mark.parametrize(
         ("spent", "promises"), [(447, ["budget"]), (448, []), (1001, ["budget"])]
