Read stored decisions on blocks after a crash

A process whose links to its peers are down, but which reaches the platform, went on crashing engines for up to 20 s, or for good if it does not watch the platform. It now reads the decisions when it detects a crash, once a second at most.

--- a/src/ragwortkeel/ingress/block_store.py
+++ b/src/ragwortkeel/ingress/block_store.py
@@ -31,6 +31,9 @@
 REFRESH_SECONDS = 20.0
 """Interval at which a process that watches the platform reads operators' decisions."""
 
+MIN_READ_SECONDS = 1.0
+"""Shortest time between two reads; many engines may crash at once."""
+
 MAX_WRITE_ATTEMPTS = 20
 """Bounds the attempts at one write; peers know of the decision as well."""
 
@@ -77,6 +80,7 @@
         self._node = node
         self._is_watcher = is_watcher
         self._unwritten: curio.Queue = curio.Queue()
+        self._wants_read = curio.Event()
 
     async def save(self, decision: Decision, accusation: Accusation | None) -> None:
         """Write a decision soon, in the task of `write`."""
@@ -101,19 +105,29 @@
             else:
                 log_warning("block_not_stored", block=value.block)
 
+    async def request_read(self) -> None:
+        """Read the decisions soon; peers may have made some that were not heard."""
+        await self._wants_read.set()
+
     async def follow(self, merge: Callable[[Iterable[Decision]], None]) -> None:
-        """Pass on the stored decisions, at start and regularly, until cancelled."""
-        has_read = False
+        """Pass on the stored decisions, at start and later, until cancelled."""
         while True:
-            if has_read and not self._is_watcher():
-                await curio.sleep(REFRESH_SECONDS)
-                continue
             try:
                 merge(await self._read())
-                has_read = True
             except PlatformUnavailable as exc:
                 log_info("blocks_not_read", error=str(exc))
-            await curio.sleep(REFRESH_SECONDS if has_read else RETRY_SECONDS)
+                await curio.sleep(RETRY_SECONDS)
+                continue
+            await curio.sleep(MIN_READ_SECONDS)
+            await self._wait_for_read()
+
+    async def _wait_for_read(self) -> None:
+        while not self._wants_read.is_set():
+            async with curio.ignore_after(REFRESH_SECONDS):
+                await self._wants_read.wait()
+            if self._is_watcher():
+                break
+        self._wants_read.clear()
 
     async def _read(self) -> list[Decision]:
         listing = await self._platform.list(BLOCKS_KIND)
--- a/src/ragwortkeel/ingress/crash_watch.py
+++ b/src/ragwortkeel/ingress/crash_watch.py
@@ -185,6 +185,9 @@
         self._count_refused()
 
     async def _report_crashes(self) -> None:
+        if self._detector.unreported:
+            # A process whose links are down may reach the platform.
+            await self._store.request_read()
         while self._detector.unreported:
             report = self._detector.unreported.popleft()
             await self._send(
--- a/tests/ingress/test_crashing_prompts.py
+++ b/tests/ingress/test_crashing_prompts.py
@@ -127,6 +127,31 @@
         )
         assert crashes == 0
 
+    def test_a_process_without_links_learns_of_the_block_by_its_first_crash(self):
+        """Guards against crashes under a process that reaches the platform only."""
+
+        async def scenario(fleet, pool):
+            link = free_address()
+            await fleet.start_worker("alone", link, (link,))
+            alone = len(fleet.addresses) - 1
+            others = fleet.addresses[:alone]
+            whole, fleet.addresses = fleet.addresses, others
+            await _run(fleet, BAD_IN_THE_MIDDLE, seconds=1.0)
+            fleet.addresses = whole
+            await curio.sleep(RESTART_SECONDS)
+            await _ask_with_bad_block(fleet, process=alone)
+            await curio.sleep(0.5)
+            crashes = len(pool.crashed_at)
+            answer = await _ask_with_bad_block(fleet, process=alone)
+            return answer, len(pool.crashed_at) - crashes
+
+        answer, crashes = CrashingPool(written_events=0).run(scenario, processes=3)
+        assert (answer.status, msgspec.json.decode(answer.body)["reason"]) == (
+            503,
+            "quarantined",
+        )
+        assert crashes == 0
+
     def test_the_block_is_refused_after_a_restart_of_all_processes(self):
         """Guards against a loss of power after which no process knows of the block."""
 
