--- a/tests/ingress/test_crashing_prompts.py
+++ b/tests/ingress/test_crashing_prompts.py
@@ -81,6 +81,19 @@
         pool = CrashingPool(written_events=0)
         assert pool.run(scenario, processes=3) <= MAX_LATE_ARRIVALS
 
+    @pytest.mark.parametrize(
+        ("engines", "loads"), [(4, 1), (9, 8)], ids=["few engines", "32 a second"]
+    )
+    def test_a_block_is_found_while_hardly_an_engine_is_left(self, engines, loads):
+        """Guards against a search that needs answers from engines that all crash."""
+
+        async def scenario(fleet, pool):
+            await _run(fleet, *[BAD_IN_THE_MIDDLE] * loads)
+            return pool.late_arrivals()
+
+        pool = CrashingPool(size=engines)
+        assert pool.run(scenario, processes=3) <= MAX_LATE_ARRIVALS
+
     def test_two_blocks_that_crash_engines_are_both_found(self):
         """Guards against a search that ends at the first of two such blocks."""
 
