Reports of crashes are hashable again

A test of the sidecar puts reports into a set, and their new field was a dict, so the set raised TypeError. The field is a tuple of pairs now; what it says is the same. The test is as it was.

--- a/src/ragwortkeel/ingress/crash_watch.py
+++ b/src/ragwortkeel/ingress/crash_watch.py
@@ -125,9 +125,8 @@
     async def receive_crash(self, seen: CrashSeen) -> None:
         """Receive a crash that a peer detected."""
         crash = Crash(crash_id=seen.crash_id, fingerprints=frozenset(seen.fingerprints))
-        blocks = seen.blocks_by_fingerprint
         self._detector.receive_crash(
-            CrashReport(crash=crash, blocks_by_fingerprint=blocks)
+            CrashReport(crash=crash, blocks_by_fingerprint=dict(seen.prompts))
         )
         await self._changed.set()
 
@@ -194,7 +193,7 @@
                 CrashSeen(
                     crash_id=report.crash.crash_id,
                     fingerprints=tuple(sorted(report.crash.fingerprints)),
-                    blocks_by_fingerprint=dict(report.blocks_by_fingerprint),
+                    prompts=tuple(sorted(report.blocks_by_fingerprint.items())),
                 )
             )
 
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -334,14 +334,15 @@
 
     Attributes
     ----------
-    blocks_by_fingerprint : dict of str to tuple of str
-        Ids of the shared prompt blocks of these bodies, from ingress processes.
+    prompts : tuple of (str, tuple of str)
+        Fingerprints of bodies that were broken off near their start, each with the ids
+        of its shared prompt blocks; from ingress processes.
     """
 
     crash_id: str
     fingerprints: tuple[str, ...]
     alone: bool = False
-    blocks_by_fingerprint: dict[str, tuple[str, ...]] = {}
+    prompts: tuple[tuple[str, tuple[str, ...]], ...] = ()
 
 
 class BlockQuestion(Message):
