Log how and when a process learned of changes of upstreams' entries

upstream_changed has source, revision and age, upstream_removal_held is new, dispatched has entries and entries_age, and a gauge has the age between requests. No logic is changed.

--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -100,6 +100,8 @@
     ----------
     evacuated_zones : frozenset of str
         Availability zones whose upstreams get no new requests.
+    confirmed_revision : int
+        The platform's revision up to which all changes of entries are known.
 
     Examples
     --------
@@ -110,9 +112,11 @@
 
     def __init__(self, *, region_by_zone: Mapping[str, str] | None = None) -> None:
         self.evacuated_zones: frozenset[str] = frozenset()
+        self.confirmed_revision = 0
         self._region_by_zone = region_by_zone or {}
         self._entry_by_name: dict[str, Entry] = {}
         self._outage_until = 0.0
+        self._confirmed_at = float("-inf")
         self._possible_restart_at: dict[str, float] = {}
         self._catching_up_until = 0.0
 
@@ -213,6 +217,22 @@
             if entry.usable and entry.upstream.service == service
         }
 
+    def record_confirmation(self, *, revision: int, now: float) -> None:
+        """Record that all changes up to a revision of the platform are known."""
+        self.confirmed_revision = max(self.confirmed_revision, revision)
+        self._confirmed_at = now
+
+    def age_seconds(self, now: float) -> float:
+        """Return the seconds since the entries were last known to be complete."""
+        return now - self._confirmed_at
+
+    def removal_held_seconds(self, name: str, now: float) -> float:
+        """Return for how long an entry that the platform lacks is still used."""
+        entry = self._entry_by_name.get(name)
+        if entry is None or entry.expires_at is None:
+            return 0.0
+        return self.outage_seconds_left(now)
+
     def record_outage(
         self, now: float, *, seconds: float = OUTAGE_GRACE_SECONDS
     ) -> None:
--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -193,6 +193,14 @@
             return False
         return self._directory.version_is_certain(upstream.name, monotonic())
 
+    def entries_fields(self) -> dict[str, object]:
+        """Return what a log line says of the entries that an assignment is based on."""
+        age_seconds = self._directory.age_seconds(monotonic())
+        return {
+            "entries": self._directory.confirmed_revision,
+            "entries_age": round(age_seconds, 3),
+        }
+
     def record_replaced(self, upstream: str) -> None:
         """Stop using an upstream whose address now belongs to another instance."""
         if self._directory.record_replacement(upstream):
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -360,6 +360,7 @@
             waited=round(monotonic() - accepted.arrived_at, 3),
             configuration=accepted.revision,
             version=assignment.upstream.version,
+            **components.dispatcher.entries_fields(),
             **self._resumption_fields(),
         )
         answer = AnswerTimer(
--- a/src/ragwortkeel/ingress/following.py
+++ b/src/ragwortkeel/ingress/following.py
@@ -13,6 +13,8 @@
 """
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import StrEnum
 from time import monotonic
 
 import curio
@@ -62,8 +64,35 @@
 WATCHER_CHECK_SECONDS = 0.1
 """Interval at which a process that does not watch checks whether it has to."""
 
+
+class UpdateSource(StrEnum):
+    """How a process learned of changes of upstreams' entries."""
+
+    LISTING = "listing"
+    WATCH = "watch"
+    PEER = "peer"
+    GRACE_ENDED = "grace_ended"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Update:
+    """How and when changes of upstreams' entries became known.
+
+    Attributes
+    ----------
+    revision : int
+        The platform's revision of the newest change.
+    age_seconds : float
+        Seconds since the entries were known to be complete before.
+    """
+
+    source: UpdateSource
+    revision: int
+    age_seconds: float
+
+
 ConfigurationCallback = Callable[[IngressConfiguration, bytes], Awaitable[None]]
-DirectoryChangesCallback = Callable[[list[DirectoryChange]], Awaitable[None]]
+DirectoryChangesCallback = Callable[[list[DirectoryChange], Update], Awaitable[None]]
 UpstreamChangesCallback = Callable[[UpstreamChanges], Awaitable[None]]
 ZonesCallback = Callable[[EvacuatedZones], Awaitable[None]]
 
@@ -263,11 +292,13 @@
         now = monotonic()
         self._directory.record_outage(now, seconds=message.lapse_seconds)
         for change in map(decode_change, message.objects):
-            await self._merge_change(change.name, change.version, change.stored)
+            await self._merge_from(UpdateSource.PEER, change)
         is_complete = self._feed.record_forwarded(
             since=message.since, revision=message.revision
         )
-        if not is_complete:
+        if is_complete:
+            self._record_confirmation()
+        else:
             log_info(
                 "upstream_change_missing",
                 complete=self._feed.complete_revision,
@@ -277,7 +308,9 @@
 
     async def expire(self) -> None:
         """Delete the entries that were not written again after an outage."""
-        await self._apply(self._directory.expire(monotonic()))
+        now = monotonic()
+        update = self._update(UpdateSource.GRACE_ENDED, 0, now)
+        await self._apply(self._directory.expire(now), update)
 
     def _record_reachable(self, reachable: bool, error: str) -> None:
         now = monotonic()
@@ -310,6 +343,7 @@
     async def _handle_watched(self, changes: tuple[Change, ...], revision: int) -> None:
         newest = max((change.version for change in changes), default=0)
         since = self._feed.record_watch(revision=revision, newest=newest)
+        self._record_confirmation()
         if not changes or not self._is_watcher():
             return
         await self._forward(
@@ -327,25 +361,55 @@
             upstream = _decode_upstream(stored)
             if upstream is not None:
                 readable[name] = (stored.version, upstream)
-        changes = self._directory.merge_listing(
-            readable, revision=revision, now=monotonic()
-        )
+        now = monotonic()
+        update = self._update(UpdateSource.LISTING, revision, now)
+        changes = self._directory.merge_listing(readable, revision=revision, now=now)
         newest = max((stored.version for stored in by_name.values()), default=0)
         self._feed.record_listing(revision=revision, newest=newest)
-        await self._apply(changes)
+        self._record_confirmation()
+        await self._apply(changes, update)
 
     async def _merge_change(
         self, name: str, version: int, stored: Stored | None
     ) -> None:
-        upstream = None if stored is None else _decode_upstream(stored)
-        now = monotonic()
+        change = Change(name=name, version=version, stored=stored)
+        await self._merge_from(UpdateSource.WATCH, change)
+
+    async def _merge_from(self, source: UpdateSource, change: Change) -> None:
+        name, version, now = change.name, change.version, monotonic()
+        upstream = None if change.stored is None else _decode_upstream(change.stored)
+        update = self._update(source, version, now)
         if upstream is None:
-            changes = self._directory.record_deletion(name, version=version, now=now)
+            changes = self._record_deletion(name, version, now)
         else:
             changes = self._directory.merge_entry(
                 name, upstream, version=version, now=now
             )
-        await self._apply(changes)
+        await self._apply(changes, update)
+
+    def _record_deletion(
+        self, name: str, version: int, now: float
+    ) -> list[DirectoryChange]:
+        was_held = self._directory.removal_held_seconds(name, now) > 0.0
+        changes = self._directory.record_deletion(name, version=version, now=now)
+        held_seconds = self._directory.removal_held_seconds(name, now)
+        if held_seconds and not was_held:
+            log_info(
+                "upstream_removal_held",
+                upstream=name,
+                revision=version,
+                seconds=round(held_seconds, 3),
+            )
+        return changes
+
+    def _update(self, source: UpdateSource, revision: int, now: float) -> Update:
+        age_seconds = self._directory.age_seconds(now)
+        return Update(source=source, revision=revision, age_seconds=age_seconds)
+
+    def _record_confirmation(self) -> None:
+        self._directory.record_confirmation(
+            revision=self._feed.complete_revision, now=monotonic()
+        )
 
 
 class EvacuationFollower(_Follower):
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -31,6 +31,7 @@
 from ragwortkeel.ingress.following import (
     ConfigurationFollower,
     EvacuationFollower,
+    Update,
     UpstreamFollower,
 )
 from ragwortkeel.ingress.front import Front
@@ -655,7 +656,9 @@
         self.metrics.set_configuration_revision(revision=configuration.revision)
         await self._peers.announce_revision()
 
-    async def _apply_directory_changes(self, changes: list[DirectoryChange]) -> None:
+    async def _apply_directory_changes(
+        self, changes: list[DirectoryChange], update: Update
+    ) -> None:
         for change in changes:
             log_info(
                 "upstream_changed",
@@ -665,6 +668,9 @@
                 service=change.upstream.service if change.upstream else None,
                 cold_seconds=change.upstream.cold_seconds if change.upstream else None,
                 version=change.upstream.version if change.upstream else None,
+                source=update.source,
+                revision=update.revision,
+                age=round(update.age_seconds, 3),
             )
             if change.has_new_version:
                 await self._record_new_version(change.upstream, change.previous.version)
@@ -717,6 +723,7 @@
             processes = max(self._peers.ingress_count, holders)
             reserve = process_reserve(processes=processes, max_reserve=RETRY_RESERVE)
             self._retries.set_reserve(reserve)
+            self.metrics.set_entries_age(self._directory.age_seconds(monotonic()))
             self.metrics.set_load(
                 running=self._server.open_exchanges, queued=len(self._dispatcher.queue)
             )
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -141,6 +141,10 @@
             "ragwortkeel_configuration_revision_heard",
             "Highest configuration revision that a peer has in force.",
         )
+        self._entries_age = self._gauge(
+            "ragwortkeel_upstream_entries_age_seconds",
+            "Time since the upstreams' entries were last known to be complete.",
+        )
         self._zone_evacuated_since = self._gauge(
             "ragwortkeel_zone_evacuated_since_seconds",
             "Time of day at which an evacuation became known here; 0 for none.",
@@ -302,6 +306,10 @@
         """Set the highest configuration revision in force at a peer."""
         self._peer_revision.set(revision)
 
+    def set_entries_age(self, seconds: float) -> None:
+        """Set the time since the upstreams' entries were known to be complete."""
+        self._entries_age.set(seconds)
+
     def set_zone_evacuated_since(self, *, zone: str, since: float) -> None:
         """Set the time of an availability zone's evacuation; 0 once it has ended."""
         self._zone_evacuated_since.labels(zone).set(since)
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -92,7 +92,7 @@
 def test_changes_in_quick_succession_share_a_watch():
     """Guards against a call of each watcher for each of many changes."""
 
-    async def ignore(changes):
+    async def ignore(*changes):
         pass
 
     platform = ChangingPlatform(seconds=1.0)
@@ -120,7 +120,7 @@
     monkeypatch.setattr(following, "RETRY_DELAY_SECONDS", 0.0)
     monkeypatch.setattr(following, "BATCH_DELAY_SECONDS", 0.0)
 
-    async def ignore(changes):
+    async def ignore(*changes):
         pass
 
     follower = UpstreamFollower(
