Failing tests: upstreams that leave, at a process that hears of it late

test_a_deletion_right_after_an_outage_counts_after_the_grace_period played an outage of no length, one failed call. That entries expire needs seconds in which they can't be written, so its outage now lasts 4 s; what it asks for is the same.

--- a/tests/ingress/in_process.py
+++ b/tests/ingress/in_process.py
@@ -7,7 +7,8 @@
 import h11
 import msgspec
 from curio.task import ContextTask
-from deployments.ports import free_address
+from deployments.ports import HOST, free_address, free_port
+from soak.ways import PlatformWay
 from tests.ingress.builders import configuration, route, upstream
 
 from ragwortkeel.budget.shards import SHARDS_KIND, decode_shard
@@ -27,14 +28,18 @@
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.worker import IngressWorker
 from ragwortkeel.messages import VersionedObject
+from ragwortkeel.platform_client import HttpPlatform
 from ragwortkeel.settings import IngressSettings
 from ragwortkeel.standins.local_platform import LocalPlatform
+from ragwortkeel.standins.platform import open_server
 
 NAMES = HeaderNames()
 KEY = "key-1"
 SCENARIO_TIMEOUT_SECONDS = 20.0
 RESET_ON_CLOSE = b"\x01\0\0\0\0\0\0\0"
 """Value of SO_LINGER with which a close resets the connection."""
+CALL_SECONDS = 0.6
+"""Time limit of a platform call where each process has its own way to it."""
 SETTLED_SECONDS = 1.5
 """Longer than the links need to come up and to exchange what each process knows."""
 ROUTES = (
@@ -224,10 +229,19 @@
     """The processes, the platform and the upstreams of one test."""
 
     def __init__(
-        self, *, scripts=None, processes=1, prepaid=None, routes=ROUTES, **settings
+        self,
+        *,
+        scripts=None,
+        processes=1,
+        prepaid=None,
+        routes=ROUTES,
+        has_ways=False,
+        **settings,
     ):
         scripts = scripts or {"u1": answer_whole, "e1": stream_whole}
         self.platform = LocalPlatform()
+        self.has_ways = has_ways
+        self.ways = []
         self.upstreams = {
             name: ScriptedUpstream(
                 name=name,
@@ -251,6 +265,12 @@
             await server.start()
             await self.register(server)
         await self.configure()
+        if self.has_ways:
+            self.platform_port = free_port()
+            _, task = await open_server(
+                host=HOST, port=self.platform_port, platform=self.platform
+            )
+            self.tasks.append(task)
         links = [free_address() for _ in range(self.count)]
         for i in range(self.count):
             await self.start_worker(f"ingress-{i}", links[i], tuple(links))
@@ -262,6 +282,15 @@
         known = worker._directory.upstream_by_name
         return worker.ready and len(known) == len(self.upstreams)
 
+    async def connect_platform(self):
+        """Return the platform for one more process, over its own way if it has one."""
+        if not self.has_ways:
+            return self.platform
+        way = PlatformWay(target_port=self.platform_port)
+        await way.start()
+        self.ways.append(way)
+        return HttpPlatform(address=f"{HOST}:{way.port}", timeout=CALL_SECONDS)
+
     async def start_worker(self, name, link, links):
         address = free_address()
         worker = IngressWorker(
@@ -276,7 +305,7 @@
                 stop_deadline_seconds=8,
                 **self.settings,
             ),
-            platform=self.platform,
+            platform=await self.connect_platform(),
             names=NAMES,
         )
         worker.open()
--- a/tests/ingress/test_directory.py
+++ b/tests/ingress/test_directory.py
@@ -49,6 +49,16 @@
         directory.merge_listing({"u1": (5, upstream("u1"))}, revision=6, now=101.0)
         assert not directory.is_usable("u1")
 
+    def test_a_late_copy_of_an_entry_does_not_restore_it_after_its_removal(self):
+        """Guards against a peer's message that undoes a removal.
+
+        Some platforms report a removal with the last version of the entry.
+        """
+        directory = directory_with("u1")
+        directory.record_deletion("u1", version=5, now=100.0)
+        directory.merge_entry("u1", upstream("u1"), version=5, now=100.1)
+        assert not directory.is_usable("u1")
+
     def test_a_leaving_upstream_is_usable_again_only_after_a_later_start(self):
         directory = directory_with("u1")
         leaving = upstream("u1", state=UpstreamState.LEAVING, started_ms=1)
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -48,6 +48,12 @@
     raise PlatformUnavailable("unreachable")
 
 
+def unavailable_for_long(platform):
+    """Fail after a time in which live upstreams' entries may expire."""
+    platform.now += 4.0
+    unavailable(platform)
+
+
 def empty_after_timeout(platform):
     """Answer after the watch's timeout, without changes."""
     platform.now += WATCH_TIMEOUT_SECONDS
@@ -147,12 +153,30 @@
 
 def test_a_deletion_right_after_an_outage_counts_after_the_grace_period(monkeypatch):
     """Guards against a platform that returns without its entries after an outage."""
-    directory, now = follow(monkeypatch, unavailable, empty_soon, deleted)
+    directory, now = follow(monkeypatch, unavailable_for_long, empty_soon, deleted)
     assert directory.is_usable(NAME)
     assert directory.expire(now + OUTAGE_GRACE_SECONDS)
     assert not directory.is_usable(NAME)
 
 
+def test_a_deletion_after_one_failed_call_counts_at_once(monkeypatch):
+    """Guards against requests to an upstream that is gone, after a lost answer.
+
+    No entry expires in so short a time.
+    """
+    directory, _ = follow(monkeypatch, unavailable, empty_soon, deleted)
+    assert not directory.is_usable(NAME)
+
+
+def test_calls_that_fail_now_and_then_hold_no_deletion(monkeypatch):
+    """Guards against a deletion that each failed call puts off again."""
+    watches = [unavailable_for_long, empty_soon, deleted]
+    watches += [empty_after_timeout, unavailable] * 3 + [empty_soon]
+    directory, now = follow(monkeypatch, *watches)
+    directory.expire(now)
+    assert not directory.is_usable(NAME)
+
+
 class VersionedPlatform:
     """Holds versions of the configuration; a watch returns each that is newer.
 
--- a/tests/site/store_standin.py
+++ b/tests/site/store_standin.py
@@ -1,7 +1,8 @@
 """A stand-in for the users' object store: their HTTP API over a `LocalPlatform`.
 
 Faults are set on the `LocalPlatform`. In addition, `refuse_with` is a status that
-answers every call, and `lost_history` answers every watch with 410.
+answers every call, `lost_history` answers every watch with 410, and `garbled` writes
+objects without a readable name.
 """
 
 from urllib.parse import unquote
@@ -33,6 +34,7 @@
         self.local = LocalPlatform()
         self.refuse_with = None
         self.lost_history = False
+        self.garbled = False
 
     async def __aenter__(self):
         self.server = HttpServer(host="127.0.0.1", port=0, handler=self.handle)
@@ -115,7 +117,9 @@
             {
                 "deleted": change.stored is None,
                 "object": to_document(change.stored)
-                if change.stored
+                if change.stored and not self.garbled
+                else {"metadata": {"name": 5}}
+                if self.garbled
                 else {"metadata": {"name": change.name, "revision": change.version}},
             }
             for change in changes.changes
--- a/tests/site/test_site_objects.py
+++ b/tests/site/test_site_objects.py
@@ -147,6 +147,17 @@
 
         run_with_store(scenario)
 
+    def test_an_event_that_cannot_be_read_is_a_gap(self):
+        """Guards against a change that a process passes over for good."""
+
+        async def scenario(client, store):
+            start = await client.create(KIND, "a", b"{}")
+            await client.update(KIND, "a", b"[]", start)
+            store.garbled = True
+            assert (await client.watch(KIND, start, 0.2)).gap
+
+        run_with_store(scenario)
+
     def test_watch_of_discarded_history_reports_a_gap(self):
         async def scenario(client, store):
             store.lost_history = True
