A copy of an entry with its last version does not undo its removal

Callers were sent to an upstream that was gone when a copy of its entry came after the removal, as with messages of two peers. The directory let an entry of the same version replace a removal, and a platform may report a removal with the entry's last version. An entry that only lost its address to another instance is still restored by the same version, since nothing has removed it.

--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -57,12 +57,16 @@
     left_started_ms : int or None
         Start of the newest instance of that name that is known to leave, or to have
         left; kept when the entry is deleted.
+    removed : bool
+        Whether the platform has deleted the entry, as opposed to an upstream that was
+        replaced at its address.
     """
 
     version: int
     upstream: Upstream | None
     expires_at: float | None = None
     left_started_ms: int | None = None
+    removed: bool = False
 
     @property
     def usable(self) -> bool:
@@ -270,6 +274,9 @@
         known = self._entry_by_name.get(name)
         if known is not None and known.version > version:
             return []
+        if known is not None and known.removed and known.version == version:
+            # The platform may report a deletion with the entry's last version.
+            return []
         if known is None or known.version < version:
             self._possible_restart_at.pop(name, None)
         left_started_ms = known.left_started_ms if known is not None else None
@@ -315,10 +322,9 @@
             return []
         if now < self._outage_until and known.usable:
             expires_at = known.expires_at or self._outage_until
-            return self._set(
-                name, replace(known, version=version, expires_at=expires_at)
-            )
-        return self._set(name, _deleted(version, known))
+            held = replace(known, version=version, expires_at=expires_at, removed=True)
+            return self._set(name, held)
+        return self._set(name, _removed(version, known))
 
     def expire(self, now: float) -> list[DirectoryChange]:
         """Delete the entries that were not written again after an outage."""
@@ -328,7 +334,7 @@
                 continue
             if now < self._outage_until:
                 continue
-            changes += self._set(name, _deleted(entry.version, entry))
+            changes += self._set(name, _removed(entry.version, entry))
         return changes
 
     def _delete_older_at_address(self, upstream: Upstream) -> list[DirectoryChange]:
@@ -373,5 +379,9 @@
     return msgspec.structs.replace(upstream, state=UpstreamState.LEAVING)
 
 
+def _removed(version: int, entry: Entry) -> Entry:
+    return replace(_deleted(version, entry), removed=True)
+
+
 def _deleted(version: int, entry: Entry) -> Entry:
     return Entry(version=version, upstream=None, left_started_ms=entry.left_started_ms)
