Processes that watch the platform tell each other of changed entries

The process's watch was pending on a connection that delivered nothing, or at a relay whose answer did not come, and a process that watches was told nothing by its peers: changes were forwarded only to those that don't watch, and only those compared revisions. With up to six processes all watch, so such a fleet had no second source.

Now watchers forward what they read to each other, and each process reads what it lacks by a peer's report, beside its pending watch. A forwarded change names the last change known when its watch began; taken after the watch, a change that a peer had forwarded meanwhile made messages look as if they followed on it.

Feed.record_watch no longer returns a revision; its test asks the same of last_change_revision.

--- a/src/ragwortkeel/ingress/following.py
+++ b/src/ragwortkeel/ingress/following.py
@@ -1,8 +1,8 @@
 """Followers of the configuration, the upstreams' entries and the evacuations.
 
 Only some processes of a fleet watch the platform, see `ingress.watching`.  They forward
-changes of entries and evacuations to the others, which request a newer configuration
-from a peer.
+changes of entries and evacuations to each other and to the other processes, which
+request a newer configuration from a peer.
 
 Failures it guards against:
 
@@ -33,7 +33,7 @@
 from ragwortkeel.ingress.evacuations import evacuated_zones
 from ragwortkeel.ingress.relaying import decode_change, encode_change
 from ragwortkeel.ingress.watching import Feed
-from ragwortkeel.logs import log_info, log_warning
+from ragwortkeel.logs import log_debug, log_info, log_warning
 from ragwortkeel.messages import EvacuatedZones, UpstreamChanges
 from ragwortkeel.platform import Change, Platform, Stored
 
@@ -157,6 +157,7 @@
         return listing.revision
 
     async def _watch(self, revision: int, seconds: float) -> int | None:
+        since = self._last_change_revision()
         changes = await self._platform.watch(self._kind, revision, seconds)
         if changes.gap:
             log_info("history_lost", kind=self._kind, revision=revision)
@@ -164,18 +165,24 @@
         for change in changes.changes:
             await self._merge_change(change.name, change.version, change.stored)
         revision = max(revision, changes.revision)
-        await self._handle_watched(changes.changes, revision)
+        await self._handle_watched(changes.changes, revision=revision, since=since)
         if changes.changes and self._batches_changes:
             await curio.sleep(BATCH_DELAY_SECONDS)
         return revision
 
-    async def _wait_as_non_watcher(self, revision: int) -> int | None:
+    async def _wait_as_non_watcher(self, revision: int) -> int:
         """Wait for forwarded changes; return the revision to watch from."""
         await curio.sleep(WATCHER_CHECK_SECONDS)
         return revision
 
-    async def _handle_watched(self, changes: tuple[Change, ...], revision: int) -> None:
-        """Forward the changes that a watch returned."""
+    def _last_change_revision(self) -> int:
+        """Return the revision of the last change that is known, 0 if not tracked."""
+        return 0
+
+    async def _handle_watched(
+        self, changes: tuple[Change, ...], *, revision: int, since: int
+    ) -> None:
+        """Forward what a watch returned: all changes after `since` up to `revision`."""
 
     def _record_reachable(self, reachable: bool, error: str) -> None:
         if reachable == self._reachable:
@@ -306,6 +313,26 @@
                 revision=message.revision,
             )
 
+    async def read_missing(self) -> None:
+        """Read changes that a peer knows and this process lacks, until cancelled.
+
+        It does not wait for the pending watch, which may hang.
+        """
+        while True:
+            await curio.sleep(WATCHER_CHECK_SECONDS)
+            if not self._feed.is_lagging(monotonic()):
+                continue
+            # After an outage that this process did not notice, entries may be missing.
+            self._directory.record_outage(monotonic())
+            complete = self._feed.complete_revision
+            log_info("upstreams_behind", complete=complete)
+            try:
+                if await self._watch(complete, 0.0) is None:
+                    await self._list()
+            except PlatformUnavailable as exc:
+                log_debug("upstreams_not_read", error=str(exc))
+            await curio.sleep(RETRY_DELAY_SECONDS)
+
     async def expire(self) -> None:
         """Delete the entries that were not written again after an outage."""
         now = monotonic()
@@ -329,20 +356,18 @@
     async def _watch(self, revision: int, seconds: float) -> int | None:
         if not self._reachable:
             self._directory.record_outage(monotonic())
+        # Peers may have forwarded changes meanwhile.
+        revision = max(revision, self._feed.complete_revision)
         return await super()._watch(revision, seconds)
 
-    async def _wait_as_non_watcher(self, revision: int) -> int | None:
-        revision = await super()._wait_as_non_watcher(revision)
-        if not self._feed.is_lagging(monotonic()):
-            return max(revision, self._feed.complete_revision)
-        # After an outage that this process did not notice, entries may be missing.
-        self._directory.record_outage(monotonic())
-        log_info("upstreams_behind", complete=self._feed.complete_revision)
-        return await self._watch(revision, 0.0)
+    def _last_change_revision(self) -> int:
+        return self._feed.last_change_revision
 
-    async def _handle_watched(self, changes: tuple[Change, ...], revision: int) -> None:
+    async def _handle_watched(
+        self, changes: tuple[Change, ...], *, revision: int, since: int
+    ) -> None:
         newest = max((change.version for change in changes), default=0)
-        since = self._feed.record_watch(revision=revision, newest=newest)
+        self._feed.record_watch(revision=revision, newest=newest)
         self._record_confirmation()
         if not changes or not self._is_watcher():
             return
@@ -453,7 +478,9 @@
         else:
             self._zones.add(name)
 
-    async def _handle_watched(self, changes: tuple[Change, ...], revision: int) -> None:
+    async def _handle_watched(
+        self, changes: tuple[Change, ...], *, revision: int, since: int
+    ) -> None:
         if not changes:
             return
         evacuated = evacuated_zones(self._zones, revision)
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -241,13 +241,18 @@
         return self._address in self._current_watchers()
 
     async def forward_changes(self, changes: UpstreamChanges | EvacuatedZones) -> None:
-        """Send what a watch returned to the processes that don't watch."""
+        """Send what a watch returned to the other watchers, and maybe to all processes.
+
+        Watchers get it too, as their own watches may hang.
+        """
         watching = self._current_watchers()
-        if self._address not in watching[:FORWARDER_COUNT]:
+        if self._address not in watching:
             return
-        ingress_links = self._mesh.ingress_links()
-        others = ingress_links.keys() - set(watching)
-        await self._send(changes, [ingress_links[name] for name in others])
+        link_by_address = self._mesh.ingress_links()
+        receivers = link_by_address.keys()
+        if self._address not in watching[:FORWARDER_COUNT]:
+            receivers &= set(watching)
+        await self._send(changes, [link_by_address[name] for name in receivers])
 
     def _current_watchers(self) -> list[str]:
         return self._watcher_order.watchers(self._mesh.ingress_links())
--- a/src/ragwortkeel/ingress/watching.py
+++ b/src/ragwortkeel/ingress/watching.py
@@ -7,6 +7,10 @@
 fills a small link for seconds.  There is no election.  A process that reaches no peer
 watches the platform itself, and one that lacks a change which a peer knows reads it
 there.
+
+Failure it guards against: the watch of a process hangs, so that it uses entries that
+are out of date although its peers have newer ones.  So watchers forward changes to each
+other as well, and a process that lacks a change reads it beside its pending watch.
 """
 
 from collections.abc import Iterable, Mapping
@@ -20,7 +24,8 @@
 within the same second is unlikely."""
 
 FORWARDER_COUNT = 2
-"""Watchers, the first in the order, that forward changes to the other processes."""
+"""Watchers, the first in the order, that forward changes to all processes; the others
+forward them only to watchers."""
 
 LAG_GRACE_SECONDS = 0.5
 """How long a change may take from a watcher before it counts as missing."""
@@ -86,6 +91,8 @@
         Revision up to which every change is known here.
     newest_revision : int
         Revision of the newest change that is known here, which peers are sent.
+    last_change_revision : int
+        Revision of the last change up to which every change is known here.
 
     Examples
     --------
@@ -100,24 +107,22 @@
     def __init__(self) -> None:
         self.complete_revision = 0
         self.newest_revision = 0
-        self._last_change_revision = 0
+        self.last_change_revision = 0
         self._peer_revision = 0
         self._behind_since: float | None = None
 
     def record_listing(self, *, revision: int, newest: int) -> None:
         """Record a listing at a revision and the newest change in it."""
         self.complete_revision = max(self.complete_revision, revision)
-        self._last_change_revision = max(self._last_change_revision, revision)
+        self.last_change_revision = max(self.last_change_revision, revision)
         self.newest_revision = max(self.newest_revision, newest)
 
-    def record_watch(self, *, revision: int, newest: int) -> int:
-        """Record what a watch returned; return the revision that it continues from."""
-        since = self._last_change_revision
+    def record_watch(self, *, revision: int, newest: int) -> None:
+        """Record what a watch returned."""
         self.complete_revision = max(self.complete_revision, revision)
         if newest:
             self.newest_revision = max(self.newest_revision, newest)
-            self._last_change_revision = max(self._last_change_revision, newest)
-        return since
+            self.last_change_revision = max(self.last_change_revision, newest)
 
     def record_forwarded(self, *, since: int, revision: int) -> bool:
         """Record changes that a peer forwarded; return whether none is missing."""
@@ -126,7 +131,7 @@
             self.record_peer_revision(revision)
             return False
         self.complete_revision = max(self.complete_revision, revision)
-        self._last_change_revision = max(self._last_change_revision, revision)
+        self.last_change_revision = max(self.last_change_revision, revision)
         return True
 
     def record_peer_revision(self, newest: int) -> None:
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -390,6 +390,7 @@
             self._server.serve,
             self._configurations.run,
             self._upstreams.run,
+            self._upstreams.read_missing,
             self._evacuation_follower.run,
             self._budget_keeper.run,
             self._peers.run,
--- a/tests/ingress/test_watching.py
+++ b/tests/ingress/test_watching.py
@@ -122,12 +122,14 @@
         feed.record_watch(revision=14, newest=12)
         assert not feed.is_lagging(3.0)
 
-    def test_a_watch_returns_the_revision_that_its_changes_continue_from(self):
+    def test_it_knows_the_revision_that_the_changes_of_a_watch_continue_from(self):
         feed = Feed()
         feed.record_listing(revision=10, newest=9)
-        assert feed.record_watch(revision=20, newest=0) == 10
-        assert feed.record_watch(revision=24, newest=23) == 10
-        assert feed.record_watch(revision=30, newest=29) == 23
+        assert feed.last_change_revision == 10
+        feed.record_watch(revision=20, newest=0)
+        assert feed.last_change_revision == 10
+        feed.record_watch(revision=24, newest=23)
+        assert feed.last_change_revision == 23
 
     def test_older_changes_of_a_second_watcher_change_nothing(self):
         feed = Feed()
