A watch that hangs is left after a second and read again on a new connection

A process whose open connections to the platform had fallen silent used entries that were 3 s old and older: a watch waited for 3 s and then for the call's time limit, and the read after it went to relays (0.9 s each) or to an idle connection that was just as dead.

A watch of the entries now waits for 1 s. After a read without an answer the idle connections are closed, and a watch is read once more directly, on a new connection, before relays are tried. Costs 0.67 calls a second more for each process that watches, six at the most (docs/design/large-fleets.md).

--- a/src/ragwortkeel/exceptions.py
+++ b/src/ragwortkeel/exceptions.py
@@ -86,6 +86,10 @@
     """The platform did not accept the call, which changed nothing."""
 
 
+class ReadUnanswered(PlatformUnavailable):
+    """A read was sent, and its connection delivered no complete answer."""
+
+
 class OutcomeUnknown(PlatformError):
     """A write was sent but its answer was lost; it may have taken effect."""
 
--- a/src/ragwortkeel/ingress/following.py
+++ b/src/ragwortkeel/ingress/following.py
@@ -44,6 +44,14 @@
 Shorter waits cost more calls, which are paid for.
 """
 
+UPSTREAM_WATCH_TIMEOUT_SECONDS = 1.0
+"""How long a watch of the upstreams' entries waits for changes.
+
+With the delay after a batch, the time limit of a call and a second read, a change is
+known within 2 s although the watch hangs; an upstream that leaves may not get requests
+for longer.
+"""
+
 RETRY_DELAY_SECONDS = 0.4
 """Delay after a failed call."""
 
@@ -114,6 +122,8 @@
     _batches_changes = False
     """Whether changes are so frequent that `BATCH_DELAY_SECONDS` saves calls."""
 
+    _watch_timeout_seconds = WATCH_TIMEOUT_SECONDS
+
     def __init__(
         self, *, platform: Platform, kind: str, is_watcher: Callable[[], bool]
     ) -> None:
@@ -148,7 +158,7 @@
         It does not wait while the platform is unreachable, because an attempt that
         gets no answer ends only after its wait, and the platform may return before.
         """
-        return WATCH_TIMEOUT_SECONDS if self._reachable else 0.0
+        return self._watch_timeout_seconds if self._reachable else 0.0
 
     async def _list(self) -> int:
         listing = await self._platform.list(self._kind)
@@ -269,6 +279,7 @@
     """
 
     _batches_changes = True
+    _watch_timeout_seconds = UPSTREAM_WATCH_TIMEOUT_SECONDS
 
     def __init__(
         self,
--- a/src/ragwortkeel/ingress/relaying.py
+++ b/src/ragwortkeel/ingress/relaying.py
@@ -24,6 +24,7 @@
     ObjectNotFound,
     OutcomeUnknown,
     PlatformUnavailable,
+    ReadUnanswered,
     ValueRefused,
     VersionConflict,
 )
@@ -150,7 +151,7 @@
     async def watch(self, kind: str, revision: int, timeout: float) -> Changes:
         """Wait at most `timeout` seconds for changes after `revision`."""
         answer = await self._call(
-            lambda: _watch(self._direct, kind, revision, timeout),
+            lambda: self._watch_directly(kind, revision, timeout),
             operation=PlatformOperation.WATCH,
             kind=kind,
             version=revision,
@@ -159,6 +160,16 @@
         changes = tuple(decode_change(found) for found in answer.objects)
         return Changes(changes=changes, revision=answer.version, gap=answer.gap)
 
+    async def _watch_directly(
+        self, kind: str, revision: int, seconds: float
+    ) -> PlatformAnswer:
+        try:
+            return await _watch(self._direct, kind, revision, seconds)
+        except ReadUnanswered:
+            # The connection may have gone silent, or the platform may have cut off the
+            # watch, while new connections work.
+            return await _watch(self._direct, kind, revision, 0.0)
+
     async def live(self) -> dict[str, Instance]:
         """Return the list of instances, only by a direct call."""
         return await self._direct.live()
--- a/src/ragwortkeel/platform_calls.py
+++ b/src/ragwortkeel/platform_calls.py
@@ -17,6 +17,7 @@
     ObjectNotFound,
     OutcomeUnknown,
     PlatformUnavailable,
+    ReadUnanswered,
     ValueRefused,
     VersionConflict,
 )
@@ -91,8 +92,11 @@
         """Return the response to a read, if its status is one of `allowed`."""
         try:
             response = await self._request("GET", target, wait=wait)
-        except (ConnectFailed, ExchangeBroken) as exc:
+        except ConnectFailed as exc:
             raise self.unavailable_error(str(exc)) from exc
+        except ExchangeBroken as exc:
+            self._on_failure("unavailable")
+            raise ReadUnanswered(str(exc)) from exc
         if response.status not in allowed:
             raise self.unavailable_error(f"status {response.status}")
         return response
@@ -144,6 +148,8 @@
         except curio.TaskTimeout as exc:
             error = f"no response within {limit:.2f} s"
             self._record_failure(target, started_at, received, error)
+            # Idle connections may have gone silent with this one.
+            await self._client.close()
             raise ExchangeBroken(error) from exc
         except (ConnectFailed, ExchangeBroken) as exc:
             self._record_failure(target, started_at, received, str(exc))
