A failed call holds no removal of an entry back

Entries expire after three missed writes, so now only an outage of 2 s or more holds removals back, and its end is counted from that outage. Shorter ones still count as a time in which entries may be late, for the versions that streams go on at; peers are told of both.

--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -12,9 +12,12 @@
   instance than intended.  So an address belongs to that upstream of a service which
   started last.
 - The platform was unreachable and let entries expire: on its return nearly all
-  upstreams look deleted at once.  So entries that disappear around an outage stay
-  valid for `OUTAGE_GRACE_SECONDS` after its end, in which live upstreams write them
-  again.
+  upstreams look deleted at once.  So entries that disappear around an outage in which
+  they could expire stay valid for `OUTAGE_GRACE_SECONDS` after its end, in which live
+  upstreams write them again.
+- A call fails while the platform is well, and an upstream's entry is deleted: requests
+  sent there are cut when it exits.  So a deletion counts at once after an outage that
+  is too short for entries to expire.
 """
 
 from collections.abc import Mapping
@@ -120,6 +123,7 @@
         self._region_by_zone = region_by_zone or {}
         self._entry_by_name: dict[str, Entry] = {}
         self._outage_until = 0.0
+        self._grace_until = 0.0
         self._confirmed_at = float("-inf")
         self._possible_restart_at: dict[str, float] = {}
         self._catching_up_until = 0.0
@@ -235,18 +239,34 @@
         entry = self._entry_by_name.get(name)
         if entry is None or entry.expires_at is None:
             return 0.0
-        return self.outage_seconds_left(now)
+        return self.grace_seconds_left(now)
 
     def record_outage(
-        self, now: float, *, seconds: float = OUTAGE_GRACE_SECONDS
+        self,
+        now: float,
+        *,
+        seconds: float = OUTAGE_GRACE_SECONDS,
+        entries_expire: bool = True,
     ) -> None:
-        """Record that entries may be missing for `seconds` because of an outage."""
+        """Record that entries may be late for `seconds` because of an outage.
+
+        Parameters
+        ----------
+        entries_expire : bool
+            Whether entries of live upstreams may be missing as well.
+        """
         self._outage_until = max(self._outage_until, now + seconds)
+        if entries_expire:
+            self._grace_until = max(self._grace_until, now + seconds)
 
     def outage_seconds_left(self, now: float) -> float:
-        """Return for how many seconds entries may still be missing after an outage."""
+        """Return for how many seconds entries may still be late after an outage."""
         return max(0.0, self._outage_until - now)
 
+    def grace_seconds_left(self, now: float) -> float:
+        """Return for how many seconds entries may still be missing after an outage."""
+        return max(0.0, self._grace_until - now)
+
     def merge_listing(
         self,
         upstream_by_name: dict[str, tuple[int, Upstream]],
@@ -320,8 +340,8 @@
         known = self._entry_by_name.get(name)
         if known is None or known.upstream is None or known.version > version:
             return []
-        if now < self._outage_until and known.usable:
-            expires_at = known.expires_at or self._outage_until
+        if now < self._grace_until and known.usable:
+            expires_at = known.expires_at or self._grace_until
             held = replace(known, version=version, expires_at=expires_at, removed=True)
             return self._set(name, held)
         return self._set(name, _removed(version, known))
@@ -332,7 +352,7 @@
         for name, entry in list(self._entry_by_name.items()):
             if entry.expires_at is None:
                 continue
-            if now < self._outage_until:
+            if now < self._grace_until:
                 continue
             changes += self._set(name, _removed(entry.version, entry))
         return changes
--- a/src/ragwortkeel/ingress/following.py
+++ b/src/ragwortkeel/ingress/following.py
@@ -69,6 +69,13 @@
 nothing about the end of an outage.
 """
 
+MIN_EXPIRY_SECONDS = 2.0
+"""Shortest outage of the platform in which entries of live upstreams may expire.
+
+They expire after three intervals without a write, one of which may lie before the
+outage; upstreams write about once a second.
+"""
+
 WATCHER_CHECK_SECONDS = 0.1
 """Interval at which a process that does not watch checks whether it has to."""
 
@@ -295,6 +302,7 @@
         self._apply = apply
         self._forward = forward
         self._feed = Feed()
+        self._outage_began_at: float | None = None
 
     @property
     def newest_revision(self) -> int:
@@ -309,6 +317,9 @@
         """Merge changes from a process that watches."""
         now = monotonic()
         self._directory.record_outage(now, seconds=message.lapse_seconds)
+        self._directory.record_outage(
+            now, seconds=message.late_seconds, entries_expire=False
+        )
         for change in map(decode_change, message.objects):
             await self._merge_from(UpdateSource.PEER, change)
         is_complete = self._feed.record_forwarded(
@@ -333,8 +344,9 @@
             await curio.sleep(WATCHER_CHECK_SECONDS)
             if not self._feed.is_lagging(monotonic()):
                 continue
-            # After an outage that this process did not notice, entries may be missing.
-            self._directory.record_outage(monotonic())
+            # There may have been an outage that this process did not notice.
+            now = monotonic()
+            self._record_outage(now, seconds=self._feed.behind_seconds(now))
             complete = self._feed.complete_revision
             log_info("upstreams_behind", complete=complete)
             try:
@@ -353,20 +365,29 @@
     def _record_reachable(self, reachable: bool, error: str) -> None:
         now = monotonic()
         if not reachable:
-            self._directory.record_outage(now)
+            if self._outage_began_at is None:
+                self._outage_began_at = self._called_at
+            self._extend_outage(now)
         elif not self._reachable:
-            back_at = min(now, self._called_at + CALL_ACCEPT_SECONDS)
-            self._directory.record_outage(back_at)
+            self._extend_outage(min(now, self._called_at + CALL_ACCEPT_SECONDS))
+            self._outage_began_at = None
         super()._record_reachable(reachable, error)
 
+    def _extend_outage(self, now: float) -> None:
+        """Record that the platform was unreachable until now, if it was."""
+        if self._outage_began_at is not None:
+            self._record_outage(now, seconds=now - self._outage_began_at)
+
+    def _record_outage(self, now: float, *, seconds: float) -> None:
+        """Record an outage that has lasted so long."""
+        self._directory.record_outage(now, entries_expire=seconds >= MIN_EXPIRY_SECONDS)
+
     async def _list(self) -> int:
-        if not self._reachable:
-            self._directory.record_outage(monotonic())
+        self._extend_outage(monotonic())
         return await super()._list()
 
     async def _watch(self, revision: int, seconds: float) -> int | None:
-        if not self._reachable:
-            self._directory.record_outage(monotonic())
+        self._extend_outage(monotonic())
         # Peers may have forwarded changes meanwhile.
         revision = max(revision, self._feed.complete_revision)
         return await super()._watch(revision, seconds)
@@ -387,7 +408,8 @@
                 since=since,
                 revision=newest,
                 objects=tuple(encode_change(self._kind, entry) for entry in changes),
-                lapse_seconds=self._directory.outage_seconds_left(monotonic()),
+                lapse_seconds=self._directory.grace_seconds_left(monotonic()),
+                late_seconds=self._directory.outage_seconds_left(monotonic()),
             )
         )
 
--- a/src/ragwortkeel/ingress/watching.py
+++ b/src/ragwortkeel/ingress/watching.py
@@ -138,11 +138,15 @@
         """Record the revision of the newest change that a peer knows."""
         self._peer_revision = max(self._peer_revision, newest)
 
-    def is_lagging(self, now: float) -> bool:
-        """Return whether a change that a peer knows has been missing for too long."""
+    def behind_seconds(self, now: float) -> float:
+        """Return for how long a change that a peer knows has been missing here."""
         if self._peer_revision <= self.complete_revision:
             self._behind_since = None
-            return False
+            return 0.0
         if self._behind_since is None:
             self._behind_since = now
-        return now - self._behind_since >= LAG_GRACE_SECONDS
+        return now - self._behind_since
+
+    def is_lagging(self, now: float) -> bool:
+        """Return whether a change that a peer knows has been missing for too long."""
+        return self.behind_seconds(now) >= LAG_GRACE_SECONDS
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -591,12 +591,15 @@
         Changed entries, with `gone` for the deleted ones.
     lapse_seconds : float
         Time for which entries may be missing because of an outage of the platform.
+    late_seconds : float
+        Time for which entries may be late because of an outage, however short.
     """
 
     since: int
     revision: int
     objects: tuple[VersionedObject, ...]
     lapse_seconds: float = 0.0
+    late_seconds: float = 0.0
 
 
 class PartsCall(Message):
