An upstream that left during a cut gets nothing once the cut has ended

Callers' requests reached back ends whose entries had been removed while the ingress processes were cut off, up to 3.8 s after the end of the cut (3 s is when a machine counts as in touch again).

Two causes added up. The process heard late that the platform was back: its calls went to relays that did not answer, 0.9 s each, and the direct way was probed once a second. And it held removals back for 2.3 s from then on, as if the platform had been down: it counted the outage to the first call that succeeded, not to the last that failed.

Now a watcher probes each 0.3 s with a time limit of 0.4 s, a read leaves its relay as soon as a probe succeeds, and the outage ends with its last failed call. So what is held ends within 3 s: 0.4 + 0.3 s to the first success, and 2.3 s from the last failure, which is before it.

Processes that don't watch still probe each second, for the platform's limit of calls.

--- a/src/ragwortkeel/ingress/following.py
+++ b/src/ragwortkeel/ingress/following.py
@@ -62,13 +62,6 @@
 answer the watches of all watchers at once.
 """
 
-CALL_ACCEPT_SECONDS = 0.9
-"""Time in which the platform accepts a call that it answers, relayed or not.
-
-A watch may wait for seconds after it was accepted, so the time of its answer says
-nothing about the end of an outage.
-"""
-
 MIN_EXPIRY_SECONDS = 2.0
 """Shortest outage of the platform in which entries of live upstreams may expire.
 
@@ -303,6 +296,7 @@
         self._forward = forward
         self._feed = Feed()
         self._outage_began_at: float | None = None
+        self._outage_lasted_until = 0.0
 
     @property
     def newest_revision(self) -> int:
@@ -363,31 +357,31 @@
         await self._apply(self._directory.expire(now), update)
 
     def _record_reachable(self, reachable: bool, error: str) -> None:
-        now = monotonic()
-        if not reachable:
+        if reachable:
+            self._outage_began_at = None
+        else:
             if self._outage_began_at is None:
                 self._outage_began_at = self._called_at
-            self._extend_outage(now)
-        elif not self._reachable:
-            self._extend_outage(min(now, self._called_at + CALL_ACCEPT_SECONDS))
-            self._outage_began_at = None
+            self._outage_lasted_until = monotonic()
+            self._extend_outage()
         super()._record_reachable(reachable, error)
 
-    def _extend_outage(self, now: float) -> None:
-        """Record that the platform was unreachable until now, if it was."""
+    def _extend_outage(self) -> None:
+        """Record the outage that the calls before this one met, if there is one."""
         if self._outage_began_at is not None:
-            self._record_outage(now, seconds=now - self._outage_began_at)
+            seconds = monotonic() - self._outage_began_at
+            self._record_outage(self._outage_lasted_until, seconds=seconds)
 
     def _record_outage(self, now: float, *, seconds: float) -> None:
         """Record an outage that has lasted so long."""
         self._directory.record_outage(now, entries_expire=seconds >= MIN_EXPIRY_SECONDS)
 
     async def _list(self) -> int:
-        self._extend_outage(monotonic())
+        self._extend_outage()
         return await super()._list()
 
     async def _watch(self, revision: int, seconds: float) -> int | None:
-        self._extend_outage(monotonic())
+        self._extend_outage()
         # Peers may have forwarded changes meanwhile.
         revision = max(revision, self._feed.complete_revision)
         return await super()._watch(revision, seconds)
--- a/src/ragwortkeel/ingress/relaying.py
+++ b/src/ragwortkeel/ingress/relaying.py
@@ -46,8 +46,17 @@
 milliseconds.
 """
 
-PROBE_SECONDS = 1.0
-"""Interval of probes while direct calls fail; each one is a call that is paid for."""
+PROBE_SECONDS = 0.3
+"""Interval of a watcher's probes while direct calls fail.
+
+After a cut a process has to know within a second what it missed.
+"""
+
+NON_WATCHER_PROBE_SECONDS = 1.0
+"""Interval of the other processes' probes; each one is a call that is paid for."""
+
+PROBE_TIMEOUT_SECONDS = 0.4
+"""Time limit of a probe; a packet that was lost in a cut is repeated only later."""
 
 AVOID_SECONDS = 2.0
 """How long a relay that can't reach the platform is not used."""
@@ -88,14 +97,24 @@
         The platform, called directly.
     relays : callable
         Returns the links to peers that may relay, in order of preference.
+    is_watcher : callable
+        Returns whether this process watches the platform on behalf of others.
     """
 
-    def __init__(self, *, direct: Platform, relays: Callable[[], list[Relay]]) -> None:
+    def __init__(
+        self,
+        *,
+        direct: Platform,
+        relays: Callable[[], list[Relay]],
+        is_watcher: Callable[[], bool] = lambda: True,
+    ) -> None:
         self._direct = direct
         self._relays = relays
+        self._is_watcher = is_watcher
         self._call_ids = count(1)
         self._answer_by_id: dict[int, PlatformAnswer | None] = {}
         self._arrived_by_id: dict[int, curio.Event] = {}
+        self._read_ids: set[int] = set()
         self._avoided_until_by_relay: dict[str, float] = {}
         self._direct_failed = False
         self._probe_at = 0.0
@@ -184,18 +203,26 @@
     async def run(self) -> None:
         """Probe the platform while direct calls fail, until cancelled."""
         while True:
-            await curio.sleep(PROBE_SECONDS)
+            is_watcher = self._is_watcher()
+            await curio.sleep(
+                PROBE_SECONDS if is_watcher else NON_WATCHER_PROBE_SECONDS
+            )
             if self._direct_failed:
                 await self._probe_direct()
 
     async def _probe_direct(self) -> None:
         try:
-            # Any answer shows that the platform is reachable; no such object exists.
-            await self._direct.get("looks", "look")
-        except PlatformUnavailable:
+            async with curio.timeout_after(PROBE_TIMEOUT_SECONDS):
+                # Any answer shows that the platform is reachable; there is no such
+                # object.
+                await self._direct.get("looks", "look")
+        except (PlatformUnavailable, curio.TaskTimeout):
             return
         self._direct_failed = False
         log_info("dependency_regained", dependency="platform", way="direct")
+        for call_id, arrived in list(self._arrived_by_id.items()):
+            if call_id in self._read_ids:
+                await arrived.set()
 
     async def _call(
         self, direct: Callable[[], Awaitable[PlatformAnswer]], **fields
@@ -213,9 +240,14 @@
                 # A watch that waits at each peer would return long after the end of an
                 # outage of the platform.
                 fields |= {"seconds": 0.0}
-        return await self._call_through_peers(
-            PlatformCall(call_id=next(self._call_ids), **fields)
-        )
+        call = PlatformCall(call_id=next(self._call_ids), **fields)
+        try:
+            return await self._call_through_peers(call)
+        except PlatformUnavailable:
+            if self._direct_failed or call.operation not in _READS:
+                raise
+            # The platform was reached directly while relays did not answer.
+            return await direct()
 
     def _record_direct_failure(self, error: str) -> None:
         if not self._direct_failed:
@@ -235,12 +267,16 @@
             answer = await self._call_through(relay, call)
             if answer.error is not PlatformError.UNAVAILABLE:
                 return _raise_error(answer)
+            if not self._direct_failed and call.operation in _READS:
+                break
             self._avoided_until_by_relay[relay.name] = monotonic() + AVOID_SECONDS
         raise PlatformUnavailable("platform unreachable directly and through peers")
 
     async def _call_through(self, relay: Relay, call: PlatformCall) -> PlatformAnswer:
         """Return the relay's answer, or the error that its absence implies."""
         arrived = self._arrived_by_id[call.call_id] = curio.Event()
+        if call.operation in _READS:
+            self._read_ids.add(call.call_id)
         try:
             await relay.send(call)
             async with curio.ignore_after(ANSWER_TIMEOUT_SECONDS + call.seconds):
@@ -249,6 +285,7 @@
             return _error_answer(call, PlatformError.UNAVAILABLE)
         finally:
             del self._arrived_by_id[call.call_id]
+            self._read_ids.discard(call.call_id)
             answer = self._answer_by_id.pop(call.call_id, None)
         if answer is not None:
             return answer
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -233,7 +233,9 @@
             is_current=lambda: not self._directory.outage_seconds_left(monotonic()),
         )
         self._platform = RelayedPlatform(
-            direct=self._counted, relays=self._peers.platform_relays
+            direct=self._counted,
+            relays=self._peers.platform_relays,
+            is_watcher=self._peers.is_watcher,
         )
         self._fleet_time = FleetTime(peer_count=lambda: self._peers.clock_source_count)
         self._budget_keeper = BudgetKeeper(
--- a/tests/ingress/test_late_entries.py
+++ b/tests/ingress/test_late_entries.py
@@ -22,7 +22,14 @@
 WATCH_BEGINS_SECONDS = 0.4
 """Time after a change in which the next watch has begun."""
 
-ASK_SECONDS = 5.0
+IN_TOUCH_SECONDS = 3.0
+"""Time after a disturbance of its machine from which a process is bound."""
+
+CUT_SECONDS = 4.0
+PHASES = (0.0, 0.4, 1.2)
+"""Parts of the cut after the change, in seconds; calls are retried in between."""
+
+ASK_SECONDS = 4.0
 ASK_INTERVAL_SECONDS = 0.05
 ANNOUNCED_SECONDS = 4.0
 ASKED_AFTER_START = 12
@@ -123,6 +130,42 @@
     assert run_ingress(scenario, **options) <= DRAIN_SECONDS
 
 
+@pytest.mark.parametrize(
+    ("change", "processes", "phase"),
+    [
+        (leave, 3, 0.4),
+        *((remove, processes, phase) for processes in (1, 3) for phase in PHASES),
+    ],
+)
+def test_an_upstream_that_left_during_a_cut_gets_nothing_after_it(
+    change, processes, phase
+):
+    """Guards against requests to an upstream that left while nothing could be heard.
+
+    The platform is well and has confirmed it; only the processes were cut off.
+    """
+    recorder = RecordingUpstream()
+
+    async def scenario(fleet):
+        await curio.sleep(SETTLED_SECONDS)
+        for way in fleet.ways:
+            await way.disturb(Way.SILENT)
+        await curio.sleep(CUT_SECONDS)
+        await change(fleet, "u1")
+        await curio.sleep(phase)
+        for way in fleet.ways:
+            way.end_disturbance()
+        ended_at = monotonic()
+        while monotonic() - ended_at < ASK_SECONDS:
+            await fleet.ask("/lookup/1")
+            await curio.sleep(ASK_INTERVAL_SECONDS)
+        return max(recorder.arrived_at) - ended_at
+
+    scripts = {"u1": recorder, "u2": answer_whole}
+    options = {"scripts": scripts, "processes": processes, "has_ways": True}
+    assert run_ingress(scenario, **options) <= IN_TOUCH_SECONDS
+
+
 def lose_relayed_answers(worker):
     """Let a process answer no platform calls of its peers."""
     send_answer = worker._peers._send_answer
--- a/tests/ingress/test_relaying.py
+++ b/tests/ingress/test_relaying.py
@@ -192,6 +192,28 @@
         before, after = run_relayed(scenario, good)
         assert before == after == 1
 
+    def test_a_read_leaves_a_silent_relay_once_the_platform_is_reached(
+        self, monkeypatch
+    ):
+        """Guards against entries that stay out of date for seconds after a cut."""
+        monkeypatch.setattr(relaying, "PROBE_SECONDS", 0.05)
+
+        async def scenario(client, shared, direct, links):
+            version = await shared.create(KIND, "a", b"{}")
+            probing = await curio.spawn(client.run, daemon=True)
+            async with curio.ignore_after(0.05):
+                await client.get(KIND, "a")
+            reading = await curio.spawn(client.watch, KIND, 0, 5.0)
+            await curio.sleep(0.1)
+            direct.partitioned = False
+            direct.watch = shared.watch
+            async with curio.timeout_after(0.5):
+                changes = await reading.join()
+            await probing.cancel()
+            assert [change.version for change in changes.changes] == [version]
+
+        run_relayed(scenario, silent, silent)
+
     def test_the_call_after_a_write_without_an_answer_is_relayed(self):
         """Guards against callers that wait 0.5 s for tokens in a partition.
 
