A request is not sent to an upstream that began to leave during the connect

A request that was assigned while its upstream was ready was sent after the upstream's leaving had become known: the attempt checks again for pauses, blocks and versions once it has a connection, which takes up to 0.4 s, or 1.2 s at an overloaded instance, but not whether the upstream still takes requests. It goes to another upstream now, uncharged, as nothing was sent.

The checks before the first byte are one question now (Exchange._obstacle) in place of three callables that each attempt passed on.

--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -118,13 +118,8 @@
 
     Parameters
     ----------
-    is_paused : callable
-        Returns whether the upstream has asked for a pause, so that nothing may be sent.
-    is_quarantined : callable
-        Returns whether the request crashes upstreams, so that nothing may be sent.
-    may_continue : callable
-        Returns whether the upstream surely has the software version that the request
-        needs.
+    obstacle : callable
+        Returns why nothing may be sent to the upstream any more, None if it may.
     may_leave : callable
         Returns whether another upstream may continue the stream of a silent one.
     checks_deadline : bool
@@ -155,9 +150,7 @@
         caller_response: CallerResponse,
         names: HeaderNames,
         connections: ConnectionPool,
-        is_paused: Callable[[], bool],
-        is_quarantined: Callable[[], bool],
-        may_continue: Callable[[], bool],
+        obstacle: Callable[[], NotRunReason | None],
         may_leave: Callable[[], bool],
         on_head: Callable[[ResponseHead, float], None],
         on_first_event: Callable[[], None],
@@ -170,9 +163,7 @@
         self._caller_response = caller_response
         self._names = names
         self._connections = connections
-        self._is_paused = is_paused
-        self._is_quarantined = is_quarantined
-        self._may_continue = may_continue
+        self._obstacle = obstacle
         self._may_leave = may_leave
         self._on_head = on_head
         self._on_first_event = on_first_event
@@ -207,16 +198,11 @@
             if self._caller_response.responder.peer_disconnected():
                 reusable = True
                 raise CallerLeft(self._call.request_id)
-            if self._is_paused():
-                # The upstream rejected another request while this one was delayed.
+            # What forbids to send may have become known during the connect.
+            obstacle = self._obstacle()
+            if obstacle is not None:
                 reusable = True
-                return NotRun(reason=NotRunReason.PAUSED)
-            if self._is_quarantined():
-                reusable = True
-                return NotRun(reason=NotRunReason.QUARANTINED)
-            if not self._may_continue():
-                reusable = True
-                return NotRun(reason=NotRunReason.MAY_HAVE_RESTARTED)
+                return NotRun(reason=obstacle)
             if self._checks_deadline and monotonic() >= self._call.deadline:
                 reusable = True
                 return NotRun(reason=NotRunReason.TOO_LATE)
--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -186,6 +186,10 @@
             return False
         return not self._upstream_by_name(job).keys() - tried_upstreams
 
+    def accepts(self, upstream: Upstream) -> bool:
+        """Return whether new requests may still be sent to an upstream."""
+        return self._directory.is_usable(upstream.name)
+
     def is_certain(self, upstream: Upstream) -> bool:
         """Return whether an upstream surely runs the version of this entry of it."""
         current = self._directory.get(upstream.name)
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -389,13 +389,7 @@
             caller_response=self._caller_response,
             names=components.names,
             connections=components.connections,
-            is_paused=lambda: components.placement.is_paused(
-                assignment.upstream, monotonic()
-            ),
-            is_quarantined=self._is_quarantined,
-            may_continue=lambda: components.dispatcher.may_continue_at(
-                assignment.job, assignment.upstream
-            ),
+            obstacle=lambda: self._obstacle(assignment),
             may_leave=lambda: self._may_leave(assignment),
             on_head=receive_head,
             on_first_event=receive_event,
@@ -422,6 +416,19 @@
                 self._may_have_run = True
                 self._runs += 1
 
+    def _obstacle(self, assignment: Assignment) -> NotRunReason | None:
+        """Return why the request may not be sent to its upstream, None if it may."""
+        components, upstream = self._components, assignment.upstream
+        if not components.dispatcher.accepts(upstream):
+            return NotRunReason.LEAVING
+        if components.placement.is_paused(upstream, monotonic()):
+            return NotRunReason.PAUSED
+        if self._is_quarantined():
+            return NotRunReason.QUARANTINED
+        if not components.dispatcher.may_continue_at(assignment.job, upstream):
+            return NotRunReason.MAY_HAVE_RESTARTED
+        return None
+
     def _resumption_fields(self) -> dict[str, object]:
         """Return the log fields of a run that continues a stream; none for others."""
         last_id = self._caller_response.splitter.last_id
--- a/src/ragwortkeel/ingress/outcomes.py
+++ b/src/ragwortkeel/ingress/outcomes.py
@@ -17,6 +17,7 @@
     TOO_LATE = "too_late"
     MAY_HAVE_RESTARTED = "may_have_restarted"
     QUARANTINED = "quarantined"
+    LEAVING = "leaving"
 
 
 class BrokenReason(StrEnum):
