A process that starts is told of all upstreams that leave

A restarted process sent requests to an upstream that had announced its leaving some seconds before and was about to exit: peers repeated announcements for 2 s only, and only those made to themselves, while the platform's entry stayed ready. The state that a peer sends when a link comes up, and now and then, now has all leaving upstreams that it knows.

--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -137,6 +137,15 @@
             if entry.upstream is not None
         }
 
+    @property
+    def left_started_ms_by_name(self) -> dict[str, int]:
+        """The starts of the newest leaving instances whose entries are not deleted."""
+        return {
+            name: entry.left_started_ms
+            for name, entry in self._entry_by_name.items()
+            if entry.upstream is not None and entry.left_started_ms is not None
+        }
+
     def get(self, name: str) -> Upstream | None:
         """Return the upstream, or None if it is deleted or unknown."""
         entry = self._entry_by_name.get(name)
--- a/src/ragwortkeel/ingress/peer_handler.py
+++ b/src/ragwortkeel/ingress/peer_handler.py
@@ -104,6 +104,12 @@
         By upstream, the Unix millisecond at which the leaving instance started.
         """
 
+    def known_leaving(self) -> dict[str, int]:
+        """Return all upstreams that are known to leave, for a peer that may know none.
+
+        As `announced_leaving`, whoever said it and whenever.
+        """
+
     def merge_leaving(self, started_ms_by_upstream: dict[str, int]) -> None:
         """Merge which upstreams announced to a peer that they leave."""
 
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -392,6 +392,7 @@
         return msgspec.structs.replace(
             self._state(introduction, prompt_blocks),
             block_decisions=self._handler.block_decisions(),
+            leaving_by_upstream=self._handler.known_leaving(),
         )
 
     def _new_link(self, address: str, heartbeat: float, silence: float) -> Link:
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -164,6 +164,10 @@
         """Return no upstreams: a relay receives no answers of upstreams."""
         return {}
 
+    def known_leaving(self) -> dict[str, int]:
+        """Return no upstreams: a relay sends no requests to upstreams."""
+        return {}
+
     def merge_leaving(self, started_ms_by_upstream: dict[str, int]) -> None:
         """Discard which upstreams announced to a peer that they leave."""
 
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -547,6 +547,10 @@
         seconds = hold_seconds(self._peers.ingress_count)
         return self._leaving_tracker.recent(seconds=seconds)
 
+    def known_leaving(self) -> dict[str, int]:
+        """Return all upstreams that are known to leave."""
+        return self._directory.left_started_ms_by_name
+
     def merge_leaving(self, started_ms_by_upstream: dict[str, int]) -> None:
         """Merge which upstreams announced to a peer that they leave."""
         self._leaving_tracker.merge(started_ms_by_upstream)
