Soak: upstreams that leave without a word, cuts of all processes, time of arrival

Its check took the time at which a caller sent a request, so one that waited in a queue or a connect was not seen; a process counted as disturbed for 4 s where the users count 3, and for as long as a disturbance was switched on that harms only the connections open at its begin; upstreams always said that they leave; relays were killed but never stood still, and were never cut off together with the processes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,7 @@
     seeds: int = 1,
     seconds: float = 40.0,
     processes: int = 3,
+    share: float = 1.0,
     directory: str = "",
 ) -> None:
     """Play seeds one after the other.
@@ -37,6 +38,8 @@
         Length of one run, without its start and end.
     processes
         Ingress processes of a run.
+    share
+        Share of the faults that are played, other than cuts and upstreams that leave.
     directory
         Receives a folder with the logs of each seed; a temporary one if empty.
     """
@@ -47,7 +50,11 @@
         logs.mkdir(parents=True, exist_ok=True)
         print(f"seed {number}, logs in {logs}", flush=True)
         found = run_seed(
-            seed=number, seconds=seconds, processes=processes, directory=logs
+            seed=number,
+            seconds=seconds,
+            processes=processes,
+            directory=logs,
+            share=share,
         )
         if found:
             broken.append(number)
@@ -55,11 +62,24 @@
     sys.exit(1 if broken else 0)
 
 
-def run_seed(*, seed: int, seconds: float, processes: int, directory: Path) -> list:
+def run_seed(
+    *,
+    seed: int,
+    seconds: float,
+    processes: int,
+    directory: Path,
+    share: float = 1.0,
+) -> list:
     """Play one seed, print its outcome and return the violations."""
     fleet = Fleet(directory)
     try:
-        run = Run(seed=seed, seconds=seconds, processes=processes, fleet=fleet)
+        run = Run(
+            seed=seed,
+            seconds=seconds,
+            processes=processes,
+            fleet=fleet,
+            share=share,
+        )
         with curio.Kernel(taskcls=ContextTask) as kernel:
             history = kernel.run(run.run)
     finally:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,7 +15,10 @@
 IN_FORCE_SECONDS = 3.0
 """Bound on a confirmed change of the configuration."""
 DRAIN_SECONDS = 2.0
-"""Bound on new requests to an upstream whose leaving was confirmed."""
+"""From the confirmation that an upstream leaves to the last arrival there."""
+
+IN_TOUCH_SECONDS = 3.0
+"""Time without a disturbance after which a process is bound by `DRAIN_SECONDS`."""
 MIN_TAKE_UPS = 12
 """Streams taken up in a run from which on their share is checked."""
 CRASHES_TO_KNOW = 5
@@ -269,8 +272,8 @@
         request = request_by_id.get(run.request_id)
         if request is None or run.upstream not in left_at:
             continue
-        late = request.sent_at - left_at[run.upstream]
-        if late > DRAIN_SECONDS and _in_touch(history, request):
+        late = run.at - left_at[run.upstream]
+        if late > DRAIN_SECONDS and _is_bound(history, request, run.at):
             yield _violation("leaving upstream", run.at, f"{late:.2f} s: {request}")
 
 
@@ -339,6 +342,15 @@
     )
 
 
+def _is_bound(history: History, request: Request, at: float) -> bool:
+    """Return whether a process had been in touch when it sent a request on."""
+    up_since = history.up_since(request.process, request.start)
+    since = request.sent_at - IN_TOUCH_SECONDS
+    if up_since is None or since < up_since:
+        return False
+    return history.is_calm(request.process, since, at)
+
+
 def _settled_changes(history: History, request: Request) -> Iterator[Change]:
     for change in history.changes:
         if request.sent_at > change.confirmed_at + IN_FORCE_SECONDS:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,6 +16,9 @@
 MEAN_RELAY_KILL_GAP_SECONDS = 10.0
 MEAN_CRASHING_PROMPTS_GAP_SECONDS = 12.0
 MEAN_RUSH_GAP_SECONDS = 12.0
+MEAN_LEAVING_GAP_SECONDS = 4.0
+MEAN_CUT_GAP_SECONDS = 14.0
+MEAN_RELAY_FREEZE_GAP_SECONDS = 10.0
 RELAY_COUNT = 2
 FIRST_FAULT_SECONDS = 3.0
 QUIET_END_SECONDS = 6.0
@@ -96,6 +99,32 @@
     """An upstream leaves and another one takes its place."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class Leave:
+    """An upstream leaves and serves on for a while; another one takes its place.
+
+    Unless it says so, its entry is removed and nothing else tells of it.
+    """
+
+    says_so: bool
+    seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class CutOff:
+    """All processes are cut off from the platform and the relays, which are well."""
+
+    seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class FreezeRelay:
+    """A relay stands still while its connections stay open."""
+
+    relay: int
+    seconds: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class CrashUpstream:
     """An upstream resets its connections and accepts none for a while."""
@@ -168,6 +197,9 @@
     | DisturbWay
     | DisturbPlatform
     | ReplaceUpstream
+    | Leave
+    | CutOff
+    | FreezeRelay
     | CrashUpstream
     | RestartUpstream
     | KillRelay
@@ -187,8 +219,17 @@
     action: Action
 
 
-def draw_schedule(*, seed: int, seconds: float, processes: int) -> list[Scheduled]:
-    """Return the actions of a run."""
+def draw_schedule(
+    *, seed: int, seconds: float, processes: int, share: float = 1.0
+) -> list[Scheduled]:
+    """Return the actions of a run.
+
+    Parameters
+    ----------
+    share : float
+        Share of the actions that are played, other than cuts and upstreams that leave.
+        With fewer of them processes are in touch for longer, and so bound by more.
+    """
     random = Random(f"soak {seed}")
     schedule = []
     at = FIRST_FAULT_SECONDS
@@ -198,6 +239,10 @@
     schedule += _draw_restarts(seed, seconds) + _draw_relay_kills(seed, seconds)
     schedule += _draw_crashing_prompts(seed, seconds)
     schedule += _draw_rushes(seed, seconds, processes)
+    schedule += _draw_relay_freezes(seed, seconds)
+    played = Random(f"share {seed}")
+    schedule = [each for each in schedule if played.random() < share]
+    schedule += _draw_leavings(seed, seconds) + _draw_cuts(seed, seconds)
     return sorted(schedule, key=lambda scheduled: scheduled.at)
 
 
@@ -263,6 +308,45 @@
     ]
 
 
+def _draw_leavings(seed: int, seconds: float) -> list[Scheduled]:
+    random = Random(f"leavings {seed}")
+    times = _draw_times(random, seconds, mean_gap=MEAN_LEAVING_GAP_SECONDS)
+    return [
+        Scheduled(
+            at=at,
+            action=Leave(
+                says_so=random.random() < 0.5,
+                seconds=round(random.uniform(6.0, 14.0), 2),
+            ),
+        )
+        for at in times
+    ]
+
+
+def _draw_cuts(seed: int, seconds: float) -> list[Scheduled]:
+    random = Random(f"cuts {seed}")
+    times = _draw_times(random, seconds, mean_gap=MEAN_CUT_GAP_SECONDS)
+    return [
+        Scheduled(at=at, action=CutOff(seconds=round(random.uniform(2.0, 6.0), 2)))
+        for at in times
+    ]
+
+
+def _draw_relay_freezes(seed: int, seconds: float) -> list[Scheduled]:
+    random = Random(f"relay freezes {seed}")
+    times = _draw_times(random, seconds, mean_gap=MEAN_RELAY_FREEZE_GAP_SECONDS)
+    return [
+        Scheduled(
+            at=at,
+            action=FreezeRelay(
+                relay=random.randrange(RELAY_COUNT),
+                seconds=round(random.uniform(1.0, 5.0), 2),
+            ),
+        )
+        for at in times
+    ]
+
+
 def _draw_times(random: Random, seconds: float, *, mean_gap: float) -> list[float]:
     times = []
     at = FIRST_FAULT_SECONDS + random.expovariate(1 / mean_gap)
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -125,9 +125,13 @@
             await self._apply(adds=frozenset({new}), removes=frozenset({removed}))
 
     async def register(self, upstream: RecordingUpstream) -> None:
-        """Write the entry of an upstream that is ready."""
+        """Write the entry of an upstream that has started.
+
+        One that was leaving before goes on leaving.
+        """
         upstream.started_ms = int(time() * 1000)
-        await self._write_entry(upstream, UpstreamState.READY)
+        state = UpstreamState.LEAVING if upstream.leaving else UpstreamState.READY
+        await self._write_entry(upstream, state)
 
     async def remove(self, upstream: RecordingUpstream) -> None:
         """Remove the entry of an upstream that has crashed."""
@@ -142,6 +146,13 @@
             except (PlatformError, OutcomeUnknown):
                 await curio.sleep(RETRY_SECONDS)
 
+    async def remove_leaving(self, upstream: RecordingUpstream) -> None:
+        """Remove the entry of an upstream that leaves without a word."""
+        sent_at = monotonic()
+        await self.remove(upstream)
+        change = Change(sent_at=sent_at, confirmed_at=monotonic(), leaves=upstream.name)
+        self._history.changes.append(change)
+
     async def announce_leaving(self, upstream: RecordingUpstream) -> None:
         """Write that an upstream leaves."""
         sent_at = monotonic()
--- a/soak/run.py
+++ b/soak/run.py
@@ -29,11 +29,14 @@
     Action,
     ChangeRoutes,
     CrashUpstream,
+    CutOff,
     DisturbPlatform,
     DisturbWay,
     Freeze,
+    FreezeRelay,
     Kill,
     KillRelay,
+    Leave,
     PlatformFault,
     Reload,
     RemoveRoute,
@@ -43,6 +46,7 @@
     Rush,
     SendCrashingPrompts,
     Stop,
+    Way,
     draw_schedule,
 )
 from soak.history import BadArrival, Exit, History, Serving, Span
@@ -64,6 +68,8 @@
 PROBE_SECONDS = 0.25
 PROBE_TIMEOUT_SECONDS = 1.0
 MISSED_PROBES = 2
+MOMENTARY_WAYS = frozenset({Way.RESET, Way.SILENT_OPEN})
+"""Disturbances of the connections that are open when they begin, and of no others."""
 START_SECONDS = 30.0
 LEAVE_SECONDS = 6.0
 LINK_BYTES_PER_SECOND = 12_500_000
@@ -215,9 +221,12 @@
         """Disturb the connections to the platform."""
         begins_at = monotonic()
         await self._way.disturb(action.way)
+        if action.way in MOMENTARY_WAYS:
+            self._record(str(action.way), begins_at)
         await curio.sleep(action.seconds)
         self._way.end_disturbance()
-        self._record(str(action.way), begins_at)
+        if action.way not in MOMENTARY_WAYS:
+            self._record(str(action.way), begins_at)
 
     async def _wait_ended(self) -> None:
         while self._program.popen.poll() is None:
@@ -263,6 +272,16 @@
         await curio.sleep(down_seconds)
         self.start()
 
+    async def freeze(self, seconds: float) -> None:
+        """Let the process stand still, unless it is down."""
+        if self._program is None:
+            return
+        program = self._program
+        program.send(signal.SIGSTOP)
+        await curio.sleep(seconds)
+        if program.popen.poll() is None:
+            program.send(signal.SIGCONT)
+
 
 class Run:
     """The processes, callers and upstreams of one run.
@@ -271,12 +290,21 @@
     ----------
     fleet : Fleet
         Starts the processes; the caller closes it.
+    share : float
+        Share of the faults that are played, see `soak.faults.draw_schedule`.
     """
 
     def __init__(
-        self, *, seed: int, seconds: float, processes: int, fleet: Fleet
+        self,
+        *,
+        seed: int,
+        seconds: float,
+        processes: int,
+        fleet: Fleet,
+        share: float = 1.0,
     ) -> None:
         self._seed = seed
+        self._share = share
         self._random = Random(f"releases {seed}")
         self._seconds = seconds
         self._fleet = fleet
@@ -356,7 +384,10 @@
 
     async def _play(self) -> None:
         schedule = draw_schedule(
-            seed=self._seed, seconds=self._seconds, processes=self._count
+            seed=self._seed,
+            seconds=self._seconds,
+            processes=self._count,
+            share=self._share,
         )
         started_at = monotonic()
         for scheduled in schedule:
@@ -412,12 +443,12 @@
                 await self._disturb_process(action)
             case DisturbWay(process=number):
                 await self._processes[number].disturb_way(action)
-            case DisturbPlatform():
+            case DisturbPlatform() | CutOff():
                 await self._disturb_platform(action)
-            case ReplaceUpstream() | CrashUpstream() | RestartUpstream():
+            case ReplaceUpstream() | Leave() | CrashUpstream() | RestartUpstream():
                 await self._disturb_upstream(action)
-            case KillRelay(relay=number, down_seconds=seconds):
-                await self._relays[number].kill(seconds)
+            case KillRelay() | FreezeRelay():
+                await self._disturb_relay(action)
             case SendCrashingPrompts() | Rush():
                 await self._change_load(action)
             case ChangeRoutes(count=count):
@@ -427,6 +458,21 @@
             case RevokeKey():
                 await self._operator.revoke_key()
 
+    async def _disturb_relay(self, action: KillRelay | FreezeRelay) -> None:
+        match action:
+            case KillRelay(relay=number, down_seconds=seconds):
+                await self._relays[number].kill(seconds)
+            case FreezeRelay(relay=number, seconds=seconds):
+                await self._relays[number].freeze(seconds)
+
+    async def _cut_off(self, seconds: float) -> None:
+        async with curio.TaskGroup() as group:
+            for number, process in enumerate(self._processes):
+                cut = DisturbWay(process=number, way=Way.SILENT, seconds=seconds)
+                await group.spawn(process.disturb_way, cut)
+            for relay in self._relays:
+                await group.spawn(relay.freeze, seconds)
+
     async def _change_load(self, action: SendCrashingPrompts | Rush) -> None:
         match action:
             case SendCrashingPrompts(block=block):
@@ -469,11 +515,15 @@
         await self._operator.remove(engine)
 
     async def _disturb_upstream(
-        self, action: ReplaceUpstream | CrashUpstream | RestartUpstream
+        self, action: ReplaceUpstream | Leave | CrashUpstream | RestartUpstream
     ) -> None:
         match action:
             case ReplaceUpstream():
-                await self._replace_upstream(self._random.choice(VERSIONS))
+                leave = Leave(says_so=True, seconds=LEAVE_SECONDS)
+                await self._replace_upstream(self._random.choice(VERSIONS), leave)
+            case Leave():
+                # Drawn apart, so that replacements keep the versions of their seeds.
+                await self._replace_upstream(VERSIONS[0], action)
             case CrashUpstream(seconds=seconds):
                 upstream = self._upstreams[0]
                 self._record_serving(upstream, ready=False)
@@ -500,7 +550,14 @@
         finally:
             process.busy = False
 
-    async def _disturb_platform(self, action: DisturbPlatform) -> None:
+    async def _disturb_platform(self, action: DisturbPlatform | CutOff) -> None:
+        match action:
+            case CutOff(seconds=seconds):
+                await self._cut_off(seconds)
+            case DisturbPlatform():
+                await self._switch_fault(action)
+
+    async def _switch_fault(self, action: DisturbPlatform) -> None:
         switches = {
             PlatformFault.DOWN: {"down": True},
             PlatformFault.SLOW: {"slow_seconds": 0.25},
@@ -553,7 +610,8 @@
         self._restarting.add(engine.name)
         self._record_serving(engine, ready=False)
         await engine.restart(seconds, version=version)
-        await self._operator.register(engine)
+        if not engine.removed:
+            await self._operator.register(engine)
         self._restarting.discard(engine.name)
         self._record_serving(engine, ready=True)
 
@@ -570,13 +628,17 @@
                 Serving(upstream=upstream.name, version=upstream.version, begins_at=now)
             )
 
-    async def _replace_upstream(self, version: str) -> None:
+    async def _replace_upstream(self, version: str, leave: Leave) -> None:
         """Let the oldest upstream leave after its successor is ready."""
         old = self._upstreams.pop(0)
         await self._add_upstream(old.service, version)
-        old.leaving = True
+        old.leaving = leave.says_so
+        old.removed = not leave.says_so
         self._record_serving(old, ready=False)
-        await self._operator.announce_leaving(old)
-        await curio.sleep(LEAVE_SECONDS)
+        if leave.says_so:
+            await self._operator.announce_leaving(old)
+        else:
+            await self._operator.remove_leaving(old)
+        await curio.sleep(leave.seconds)
         if old not in self._down:
             await old.stop()
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -49,6 +49,8 @@
         Version of its software, which its events name.
     leaving : bool
         Whether its answers announce that it leaves.
+    removed : bool
+        Whether it leaves without a word, so that it writes no entry any more.
     on_bad_block : callable
         Called with the block and the request id when a request has a block that crashes
         engines; restarts this one.
@@ -71,6 +73,7 @@
         self.service = service
         self.version = version
         self.leaving = False
+        self.removed = False
         self.started_ms = 0
         self._history = history
         self._random = Random(f"{name} {seed}")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -325,8 +325,25 @@
         [(DRAIN_SECONDS + 0.1, ["leaving upstream"]), (DRAIN_SECONDS - 0.1, [])],
     )
     def test_a_request_to_an_upstream_that_left_is_found(self, late_seconds, promises):
-        changes = [change(SENT_AT - late_seconds, leaves="u1")]
-        assert broken(answers=[answer()], runs=[run()], changes=changes) == promises
+        arrived = run()
+        changes = [change(arrived.at - late_seconds, leaves="u1")]
+        assert broken(answers=[answer()], runs=[arrived], changes=changes) == promises
+
+    def test_the_time_of_arrival_counts(self):
+        """Guards against requests that wait in a queue or a connect unnoticed."""
+        arrived = run(at=SENT_AT + DRAIN_SECONDS)
+        changes = [change(SENT_AT - 0.1, leaves="u1")]
+        found = broken(answers=[answer()], runs=[arrived], changes=changes)
+        assert found == ["leaving upstream"]
+
+    @pytest.mark.parametrize(("calm_seconds", "found"), [(3.1, 1), (2.9, 0)])
+    def test_a_process_is_bound_once_it_is_in_touch(self, calm_seconds, found):
+        cut = disturbed("silent", SENT_AT - 9, SENT_AT - calm_seconds)
+        changes = [change(SENT_AT - 5, leaves="u1")]
+        broken_by = broken(
+            answers=[answer()], runs=[run()], changes=changes, spans=[cut]
+        )
+        assert broken_by == ["leaving upstream"] * found
 
 
 class TestPlannedStops:
