A watch of the configuration that hangs is left after a second as well

Peers help only once one of them has it.

test_a_silent_watch_does_not_hide_a_new_configuration failed before in both cases. test_large_configuration.py shortened the watch by a constant that is read only when the class is made, since in vain; it sets the class's time now.

--- a/src/ragwortkeel/ingress/following.py
+++ b/src/ragwortkeel/ingress/following.py
@@ -37,21 +37,18 @@
 from ragwortkeel.messages import EvacuatedZones, UpstreamChanges
 from ragwortkeel.platform import Change, Platform, Stored
 
-WATCH_TIMEOUT_SECONDS = 3.0
+WATCH_TIMEOUT_SECONDS = 1.0
 """How long a watch waits for changes.
 
-A watch without an answer is detected after this time plus the client's own timeout.
-Shorter waits cost more calls, which are paid for.
-"""
-
-UPSTREAM_WATCH_TIMEOUT_SECONDS = 1.0
-"""How long a watch of the upstreams' entries waits for changes.
-
 With the delay after a batch, the time limit of a call and a second read, a change is
-known within 2 s although the watch hangs; an upstream that leaves may not get requests
-for longer.
+known within 2 s although the watch hangs; that is the bound on requests to an upstream
+that leaves and on a new configuration.  Shorter waits cost more calls, which are paid
+for.
 """
 
+EVACUATION_WATCH_TIMEOUT_SECONDS = 3.0
+"""How long a watch of the evacuations waits, which peers' reports state as well."""
+
 RETRY_DELAY_SECONDS = 0.4
 """Delay after a failed call."""
 
@@ -279,7 +276,6 @@
     """
 
     _batches_changes = True
-    _watch_timeout_seconds = UPSTREAM_WATCH_TIMEOUT_SECONDS
 
     def __init__(
         self,
@@ -478,6 +474,8 @@
         Sends the set to the processes that don't watch.
     """
 
+    _watch_timeout_seconds = EVACUATION_WATCH_TIMEOUT_SECONDS
+
     def __init__(
         self,
         *,
--- a/tests/ingress/test_following.py
+++ b/tests/ingress/test_following.py
@@ -14,7 +14,7 @@
 from ragwortkeel.ingress.directory import OUTAGE_GRACE_SECONDS, Directory
 from ragwortkeel.ingress.following import (
     BATCH_DELAY_SECONDS,
-    UPSTREAM_WATCH_TIMEOUT_SECONDS,
+    WATCH_TIMEOUT_SECONDS,
     WATCHER_CHECK_SECONDS,
     ConfigurationFollower,
     UpstreamFollower,
@@ -62,11 +62,11 @@
 
 def empty_after_timeout(platform):
     """Answer after the watch's timeout, without changes."""
-    platform.now += UPSTREAM_WATCH_TIMEOUT_SECONDS
+    platform.now += WATCH_TIMEOUT_SECONDS
     return Changes(changes=(), revision=6, gap=False)
 
 
-WATCHES_IN_GRACE = ceil(OUTAGE_GRACE_SECONDS / UPSTREAM_WATCH_TIMEOUT_SECONDS)
+WATCHES_IN_GRACE = ceil(OUTAGE_GRACE_SECONDS / WATCH_TIMEOUT_SECONDS)
 """Watches without changes that last as long as entries may be missing."""
 
 
@@ -346,7 +346,7 @@
 
 def test_a_change_is_known_in_time_although_the_watch_hangs():
     """Guards against one of these times growing beyond the users' bound."""
-    hanging_watch = UPSTREAM_WATCH_TIMEOUT_SECONDS + MIN_TIMEOUT_SECONDS
+    hanging_watch = WATCH_TIMEOUT_SECONDS + MIN_TIMEOUT_SECONDS
     second_read = PLATFORM_ANSWER_SECONDS
     known = BATCH_DELAY_SECONDS + hanging_watch + second_read
     assert known < DRAIN_SECONDS
--- a/tests/ingress/test_late_entries.py
+++ b/tests/ingress/test_late_entries.py
@@ -1,4 +1,4 @@
-"""Upstreams that leave, at a process that hears of it late."""
+"""Upstreams that leave, and new configurations, at a process that hears of it late."""
 
 from time import monotonic
 
@@ -11,6 +11,7 @@
     answer_whole,
     plain,
     run_ingress,
+    wait_for_revision,
 )
 
 from ragwortkeel.ingress.configuration import UPSTREAMS_KIND, UpstreamState
@@ -19,6 +20,9 @@
 DRAIN_SECONDS = 2.0
 """The users' bound from the platform's confirmation to the last new request."""
 
+CONFIGURATION_SECONDS = 2.0
+"""The users' bound from the confirmation of a configuration until it is in force."""
+
 WATCH_BEGINS_SECONDS = 0.4
 """Time after a change in which the next watch has begun."""
 
@@ -95,6 +99,27 @@
     assert run_ingress(scenario, **options) <= DRAIN_SECONDS
 
 
+@pytest.mark.parametrize("processes", [1, 3])
+def test_a_silent_watch_does_not_hide_a_new_configuration(processes):
+    """Guards against routes and keys that hold on while a watch hangs."""
+
+    async def scenario(fleet):
+        await curio.sleep(SETTLED_SECONDS)
+        await fleet.configure()
+        for worker in fleet.workers:
+            await wait_for_revision(worker, fleet.revision)
+        for way in fleet.ways:
+            await way.disturb(Way.SILENT_OPEN)
+        await fleet.configure()
+        confirmed_at = monotonic()
+        for worker in fleet.workers:
+            await wait_for_revision(worker, fleet.revision)
+        return monotonic() - confirmed_at
+
+    seconds = run_ingress(scenario, processes=processes, has_ways=True)
+    assert seconds <= CONFIGURATION_SECONDS
+
+
 @pytest.mark.parametrize("change", [leave, remove])
 def test_peers_tell_of_a_leaving_upstream_although_they_all_watch(change):
     """Guards against a process whose peers know what its own watch does not bring.
--- a/tests/site/test_large_configuration.py
+++ b/tests/site/test_large_configuration.py
@@ -7,7 +7,6 @@
 from tests.site.store_standin import StoreStandin
 from tests.slow_link import SlowLink
 
-from ragwortkeel.ingress import following
 from ragwortkeel.ingress.following import ConfigurationFollower
 from ragwortkeel_site.objects import ObjectStore
 
@@ -54,7 +53,7 @@
     The answer with the change takes longer than the time that is left to the watch, and
     every later read of it times out as well.
     """
-    monkeypatch.setattr(following, "WATCH_TIMEOUT_SECONDS", WATCH_SECONDS)
+    monkeypatch.setattr(ConfigurationFollower, "_watch_timeout_seconds", WATCH_SECONDS)
     applied_at_by_revision = {}
 
     async def apply(configuration, value):
