A stream goes on only at an upstream whose entry was heard of after its restart

test_it_is_not_certain_while_nothing_is_heard_of_the_entries failed before. The two tests beside it say now when entries were confirmed; what they ask for is the same.

--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -209,15 +209,16 @@
     def version_is_certain(self, name: str, now: float) -> bool:
         """Return whether the upstream surely runs the version that its entry states.
 
-        After a possible restart its entry may be late, and in an outage of the platform
-        for as long as that lasts.
+        After a possible restart its entry may be late, and for as long as nothing is
+        heard of the entries or the platform is unreachable.
         """
         if now < self._catching_up_until:
             return False
         restart_at = self._possible_restart_at.get(name)
         if restart_at is None:
             return True
-        if now - restart_at < ENTRY_LAG_SECONDS or now < self._outage_until:
+        heard_until = min(now, self._confirmed_at)
+        if heard_until - restart_at < ENTRY_LAG_SECONDS or now < self._outage_until:
             return False
         del self._possible_restart_at[name]
         return True
--- a/tests/ingress/test_directory.py
+++ b/tests/ingress/test_directory.py
@@ -186,13 +186,23 @@
     def test_an_entry_is_not_certain_moments_after_its_upstream_was_down(self):
         """Guards against a stream that goes on at the next version of an upstream."""
         directory = self.directory()
-        assert not directory.version_is_certain("u1", 10.0 + ENTRY_LAG_SECONDS - 0.1)
-        assert directory.version_is_certain("u1", 10.0 + ENTRY_LAG_SECONDS)
+        known_at = 10.0 + ENTRY_LAG_SECONDS
+        directory.record_confirmation(revision=5, now=known_at - 0.1)
+        assert not directory.version_is_certain("u1", known_at - 0.1)
+        directory.record_confirmation(revision=5, now=known_at)
+        assert directory.version_is_certain("u1", known_at)
+
+    def test_it_is_not_certain_while_nothing_is_heard_of_the_entries(self):
+        """Guards against two versions in one stream, in a cut not yet noticed."""
+        directory = self.directory()
+        directory.record_confirmation(revision=5, now=10.0 + ENTRY_LAG_SECONDS / 2)
+        assert not directory.version_is_certain("u1", 10.0 + 2 * ENTRY_LAG_SECONDS)
 
     def test_it_is_not_certain_in_an_outage_of_the_platform(self):
         """Guards against an entry that nobody could write for the whole outage."""
         directory = self.directory()
         directory.record_outage(30.0)
+        directory.record_confirmation(revision=5, now=30.0)
         assert not directory.version_is_certain("u1", 30.0)
         assert directory.version_is_certain("u1", 30.0 + OUTAGE_GRACE_SECONDS)
 
