Log and count answers that are cut off apart from refusals

Cause: `refused status=502` was written both for a refusal that the caller got and for a stream that ended after some of its events, so a lost answer could not be told from a refused request. No decision changes.

--- a/src/ragwortkeel/cli/process_loads.py
+++ b/src/ragwortkeel/cli/process_loads.py
@@ -39,7 +39,8 @@
     Attributes
     ----------
     refused : int
-        Requests that were refused, except through a fault of their callers.
+        Requests that were refused, except through a fault of their callers, or whose
+        answers were cut off.
     late_loops, late_seconds : int, float
         Timers that fired late, and by how many seconds in total.
     waited_long : int
@@ -80,6 +81,8 @@
                 self._load(line).served += 1
             case "refused" if line.fields.get("reason") not in CALLER_FAULT_REASONS:
                 self._load(line).refused += 1
+            case "answer_cut_off":
+                self._load(line).refused += 1
             case "caller_left":
                 self._load(line).callers_left += 1
             case "loop_late":
--- a/src/ragwortkeel/cli/report.py
+++ b/src/ragwortkeel/cli/report.py
@@ -171,7 +171,7 @@
         match line.event:
             case "served" | "dispatched":
                 self._add_run(line)
-            case "refused" | "run_failed" | "tokens_lacking":
+            case "refused" | "answer_cut_off" | "run_failed" | "tokens_lacking":
                 self._add_loss(line)
             case "stream_taken_up" | "stream_not_continued":
                 self._taken_up[_origin(line)] += 1
@@ -235,6 +235,9 @@
                 self._refused[reason] += 1
                 if reason not in CALLER_FAULT_REASONS:
                     self._count(line, "refused")
+            case "answer_cut_off":
+                self._refused[f"{reason}, cut off"] += 1
+                self._count(line, "refused")
             case "run_failed":
                 self._failed[reason] += 1
                 self._count(line, "failed")
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -186,7 +186,10 @@
         """End the request at its sockets, because its time limit has passed."""
         sent = self._may_have_run or (self._attempt is not None and self._attempt.sent)
         error = TIMED_OUT if sent else INSTANCE_OVERLOADED
-        self._record_refusal(error)
+        if self._caller_response.started:
+            self._record_cut_off(error)
+        else:
+            self._record_refusal(error)
         end_with_error(self._responder, error)
         self._cut_off()
 
@@ -642,7 +645,7 @@
         if not self._caller_response.started:
             return error
         self._leave_sweep()
-        self._record_refusal(error)
+        self._record_cut_off(error)
         # What was received whole is still delivered if the time limit allows it.
         await self._responder.abort(max(ABORT_DRAIN_SECONDS, self._seconds_left()))
         return None
@@ -663,6 +666,16 @@
             revision=self._accepted.revision,
         )
 
+    def _record_cut_off(self, error: ErrorResponse) -> None:
+        self._components.record_cut_off(
+            self._accepted.call.request_id,
+            error,
+            route=self._accepted.route.name,
+            events=self._caller_response.splitter.events,
+            waited=monotonic() - self._accepted.arrived_at,
+            revision=self._accepted.revision,
+        )
+
     def _log_served(self, assignment: Assignment, *, status: int) -> None:
         accepted = self._accepted
         log_info(
--- a/src/ragwortkeel/ingress/front_components.py
+++ b/src/ragwortkeel/ingress/front_components.py
@@ -13,7 +13,7 @@
 from ragwortkeel.ingress.request_sweep import RequestSweep
 from ragwortkeel.ingress.speed_tracker import SpeedTracker
 from ragwortkeel.ingress.upstream_connection import ConnectionPool
-from ragwortkeel.logs import log_info
+from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.metrics import Metrics
 from ragwortkeel.policy.retries import RetryBudgets
 
@@ -65,3 +65,25 @@
         self.metrics.record_request(
             service="", outcome=answer.result, reason=answer.reason
         )
+
+    def record_cut_off(
+        self,
+        request_id: str,
+        error: ErrorResponse,
+        *,
+        route: str,
+        events: int,
+        waited: float,
+        revision: int | None,
+    ) -> None:
+        """Log and count an answer that had started and ends incomplete."""
+        log_warning(
+            "answer_cut_off",
+            request=request_id,
+            route=route,
+            reason=error.reason,
+            events=events,
+            waited=round(waited, 3),
+            configuration=revision,
+        )
+        self.metrics.record_request(service="", outcome="cut_off", reason=error.reason)
