--- a/tests/ingress/in_process.py
+++ b/tests/ingress/in_process.py
@@ -321,8 +321,9 @@
             await server.stop()
 
     async def register(self, server, **fields):
+        fields = {"slots": 6} | fields
         entry = upstream(
-            server.name, service=server.service, port=server.port, slots=6, **fields
+            server.name, service=server.service, port=server.port, **fields
         )
         await self.write(UPSTREAMS_KIND, server.name, msgspec.json.encode(entry))
 
