A stream leaves a silent upstream only for a run that is certain to begin

Callers saw their streams end after a few events, or a 502, while nothing was wrong but that an upstream had sent nothing for 1.5 s (3 s before its answer). Cause: the run was ended first, and attempts, suspicion, version, the retry budget, room and a connection were asked for after that; each may say no, and then nothing was left to answer. All streams of an upstream reach the limit in the same milliseconds, and a process saves up six retries at most, so most of them got that no. Change: what the next run needs (attempts, retry, assignment, open connection) is held before the silent one is left, in ingress/replacement.py; as long as something lacks, the stream stays and looks again each 0.1 s; what came meanwhile keeps it there; a retry that reached nobody is given back. The silence counts as a failure of the upstream as before, so that new requests go elsewhere, also while streams stay.

--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -61,7 +61,7 @@
 """
 
 SILENCE_CHECK_SECONDS = 0.1
-"""Interval at which a silent upstream is left if another one can continue by then."""
+"""Interval at which a replacement for a silent upstream is looked for."""
 
 MISDIRECTED = 421
 
@@ -120,8 +120,12 @@
     ----------
     obstacle : callable
         Returns why nothing may be sent to the upstream any more, None if it may.
-    may_leave : callable
-        Returns whether another upstream may continue the stream of a silent one.
+    secure_replacement : callable
+        Called with the connection to a silent upstream; returns whether all that a run
+        at another one needs is held.  The silent one is left only then, since it may
+        still answer.
+    connection : UpstreamConnection or None
+        An open connection to the upstream; None to take one from the pool.
     checks_deadline : bool
         Whether a request whose time limit has passed is not sent.
     on_head : callable
@@ -151,12 +155,13 @@
         names: HeaderNames,
         connections: ConnectionPool,
         obstacle: Callable[[], NotRunReason | None],
-        may_leave: Callable[[], bool],
+        secure_replacement: Callable[[UpstreamConnection], Awaitable[bool]],
         on_head: Callable[[ResponseHead, float], None],
         on_first_event: Callable[[], None],
         on_stream_started: Callable[[], Awaitable[None]],
         delivery_seconds: float = 0.0,
         checks_deadline: bool = False,
+        connection: UpstreamConnection | None = None,
     ) -> None:
         self._call = call
         self._assignment = assignment
@@ -164,11 +169,12 @@
         self._names = names
         self._connections = connections
         self._obstacle = obstacle
-        self._may_leave = may_leave
+        self._secure_replacement = secure_replacement
         self._on_head = on_head
         self._on_first_event = on_first_event
         self._on_stream_started = on_stream_started
         self._checks_deadline = checks_deadline
+        self._open_connection = connection
         self._connection: UpstreamConnection | None = None
         self._sent_at = 0.0
         self._reads = ReadSchedule(delivery_seconds=delivery_seconds)
@@ -188,7 +194,9 @@
         upstream = self._assignment.upstream
         fresh = not self._call.route.repeatable
         try:
-            connection = await self._connections.acquire(upstream, fresh=fresh)
+            connection = self._open_connection or await self._connections.acquire(
+                upstream, fresh=fresh
+            )
         except ConnectDelayed as exc:
             return NotRun(reason=NotRunReason.CONNECT_DELAYED, detail=str(exc))
         except ConnectFailed as exc:
@@ -269,11 +277,15 @@
         request_id = self._call.request_id
         if not self._call.route.resumable:
             return await connection.receive_head(request_id)
-        try:
-            async with curio.timeout_after(MAX_FIRST_SILENCE_SECONDS):
-                return await connection.receive_head(request_id)
-        except curio.TaskTimeout:
-            return Broken(reason=BrokenReason.SILENT)
+        seconds = MAX_FIRST_SILENCE_SECONDS
+        while True:
+            try:
+                async with curio.timeout_after(seconds):
+                    return await connection.receive_head(request_id)
+            except curio.TaskTimeout:
+                if await self._secure_replacement(connection):
+                    return Broken(reason=BrokenReason.SILENT)
+            seconds = SILENCE_CHECK_SECONDS
 
     async def _stream(
         self, connection: UpstreamConnection, head: ResponseHead
@@ -300,7 +312,7 @@
                 return await self._relay_events(connection, head)
         except curio.TaskTimeout:
             is_silent = self._silent_seconds() >= self._max_silence_seconds
-            if is_silent and self._may_leave():
+            if is_silent and await self._secure_replacement(connection):
                 return Broken(reason=BrokenReason.SILENT)
             return None
 
--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -149,16 +149,10 @@
             return self._not_assigned(job)
         if self.lacks_version(job, tried_upstreams):
             return self._not_assigned(job, lacks_version=True)
+        assignment = await self._assign_at_once(job, service, tried_upstreams)
+        if assignment is not None:
+            return assignment
         ahead = self.queue.queued_ahead(job)
-        if not ahead or not self.queue.waits_behind(job, tried_upstreams):
-            if ahead:
-                await self._assign_in_order(service.name)
-                ahead = self.queue.queued_ahead(job)
-            assignment = self._try_assign(job, service, tried_upstreams)
-            if assignment is not None:
-                if ahead:
-                    self._waits(service.name).record_dequeue(job.rank, monotonic())
-                return assignment
         is_first = not (ahead and self.queue.ranked_ahead(job))
         expected_start = monotonic() + self._estimated_wait_seconds(job)
         if not is_first and expected_start > latest_start:
@@ -169,6 +163,34 @@
             return self._not_assigned(job)
         return await self._wait(job, latest_start, tried_upstreams)
 
+    async def acquire_at_once(
+        self, job: Job, *, service: Service, tried_upstreams: frozenset[str]
+    ) -> Assignment | None:
+        """Assign the request unless it would be refused or have to wait.
+
+        `release` has to end the assignment.
+        """
+        self._service_by_name[service.name] = service
+        if self._directory.withholds_all(service=service.name, regions=job.regions):
+            return None
+        if self.lacks_version(job, tried_upstreams):
+            return None
+        return await self._assign_at_once(job, service, tried_upstreams)
+
+    async def _assign_at_once(
+        self, job: Job, service: Service, tried_upstreams: frozenset[str]
+    ) -> Assignment | None:
+        ahead = self.queue.queued_ahead(job)
+        if ahead:
+            if self.queue.waits_behind(job, tried_upstreams):
+                return None
+            await self._assign_in_order(service.name)
+            ahead = self.queue.queued_ahead(job)
+        assignment = self._try_assign(job, service, tried_upstreams)
+        if assignment is not None and ahead:
+            self._waits(service.name).record_dequeue(job.rank, monotonic())
+        return assignment
+
     async def release(self, assignment: Assignment) -> None:
         """End an assignment and assign queued requests to the freed upstream."""
         self._placement.release(assignment)
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -1,6 +1,7 @@
 """One request that matched a route, from its reservation to its final response."""
 
 from dataclasses import dataclass, replace
+from functools import partial
 from time import monotonic
 
 from ragwortkeel.budget.account import AccountReservation
@@ -45,8 +46,9 @@
 )
 from ragwortkeel.ingress.placement import Assignment, Job
 from ragwortkeel.ingress.prefixes import shared_block_ids
+from ragwortkeel.ingress.replacement import Lack, Replacement, Replacements
 from ragwortkeel.ingress.speed_tracker import AnswerTimer
-from ragwortkeel.ingress.upstream_connection import ResponseHead
+from ragwortkeel.ingress.upstream_connection import ResponseHead, UpstreamConnection
 from ragwortkeel.ingress.usage import Usage
 from ragwortkeel.logs import log_info
 from ragwortkeel.policy.facts import Failure
@@ -146,6 +148,15 @@
         self._tried_upstreams: frozenset[str] = frozenset()
         self._upstream_failure: tuple[Assignment, FullResponse] | None = None
         self._attempt: Attempt | None = None
+        self._replacements = Replacements(
+            dispatcher=components.dispatcher,
+            placement=components.placement,
+            connections=components.connections,
+            retries=self._retries,
+            obstacle=self._obstacle,
+        )
+        self._replacement: Replacement | None = None
+        self._lack: Lack | None = None
         self.deadline = accepted.call.deadline
 
     async def run(self) -> None:
@@ -163,6 +174,9 @@
             await self._run()
         finally:
             self._leave_sweep()
+            replacement = self._take_replacement()
+            if replacement is not None:
+                await self._replacements.drop(replacement)
 
     def _join_sweep(self) -> None:
         if self._components.sweep is not None:
@@ -294,11 +308,15 @@
     async def _run_until_answered(self) -> ErrorResponse | None:
         """Run at upstreams until a response is final; return an error left to send."""
         while True:
-            assignment = await self._acquire()
+            replacement = self._take_replacement()
+            connection = replacement.connection if replacement else None
+            assignment = (
+                replacement.assignment if replacement else await self._acquire()
+            )
             if isinstance(assignment, ErrorResponse):
                 return await self._give_up(assignment)
             try:
-                outcome = await self._run_at(assignment)
+                outcome = await self._run_at(assignment, connection)
             finally:
                 await self._components.dispatcher.release(assignment)
             done = await self._handle_outcome(assignment, outcome)
@@ -349,7 +367,9 @@
         )
         return with_retry_after(OVERLOADED, acquired.wait_seconds)
 
-    async def _run_at(self, assignment: Assignment) -> Outcome:
+    async def _run_at(
+        self, assignment: Assignment, connection: UpstreamConnection | None
+    ) -> Outcome:
         components, accepted = self._components, self._accepted
         log_info(
             "dispatched",
@@ -379,6 +399,7 @@
             )
 
         self._answered_since = None
+        self._lack = None
 
         def receive_event() -> None:
             answer.receive_event()
@@ -393,7 +414,8 @@
             names=components.names,
             connections=components.connections,
             obstacle=lambda: self._obstacle(assignment),
-            may_leave=lambda: self._may_leave(assignment),
+            secure_replacement=partial(self._secure_replacement, assignment),
+            connection=connection,
             on_head=receive_head,
             on_first_event=receive_event,
             on_stream_started=lambda: self._record_stream_started(assignment),
@@ -453,10 +475,63 @@
             after=round(monotonic() - self._accepted.arrived_at, 3),
         )
 
-    def _may_leave(self, assignment: Assignment) -> bool:
-        """Return whether another upstream may continue the stream of a silent one."""
-        tried = self._tried_upstreams | {assignment.upstream.name}
-        return not self._components.dispatcher.lacks_version(self._job, tried)
+    async def _secure_replacement(
+        self, assignment: Assignment, silent: UpstreamConnection
+    ) -> bool:
+        """Return whether a silent upstream may be left for one that is held."""
+        accepted, name = self._accepted, assignment.upstream.name
+        tried_upstreams = self._tried_upstreams | {name}
+        if self._lack is None:
+            # New requests go elsewhere also while this one stays.
+            self._components.placement.record_failure(name, Failure.ERROR, monotonic())
+        found = self._lack_besides_room(tried_upstreams)
+        if found is None:
+            found = await self._replacements.secure(
+                self._job,
+                service=accepted.service,
+                tried_upstreams=tried_upstreams,
+                silent=silent,
+            )
+        match found:
+            case Replacement():
+                self._replacement = found
+                self._log_retry(BrokenReason.SILENT, allowed=True, charged=True)
+                return True
+            case Lack() if found is not self._lack:
+                self._lack = found
+                self._log_silent_upstream_kept(assignment, found)
+        return False
+
+    def _lack_besides_room(self, tried_upstreams: frozenset[str]) -> Lack | None:
+        """Return what forbids another run of a stream, apart from room and retries."""
+        components = self._components
+        if self._runs + 1 >= self._accepted.route.max_attempts:
+            return Lack.ATTEMPTS
+        if components.crashes.is_suspect(self._blocks):
+            return Lack.SUSPECT
+        is_ambiguous = components.origins.is_ambiguous(self._stream_key())
+        if self._caller_response.started and is_ambiguous:
+            return Lack.VERSION
+        if components.dispatcher.lacks_version(self._job, tried_upstreams):
+            return Lack.VERSION
+        return None
+
+    def _take_replacement(self) -> Replacement | None:
+        replacement, self._replacement = self._replacement, None
+        return replacement
+
+    def _log_silent_upstream_kept(self, assignment: Assignment, lack: Lack) -> None:
+        log_info(
+            "silent_upstream_kept",
+            request=self._accepted.call.request_id,
+            upstream=assignment.upstream.name,
+            lacks=lack,
+            events=self._caller_response.splitter.events,
+            after=round(monotonic() - self._accepted.arrived_at, 3),
+        )
+        self._components.metrics.record_decision(
+            decision="silent_upstream_kept", reason=lack
+        )
 
     async def _record_stream_started(self, assignment: Assignment) -> None:
         """Bind the stream to the version whose events its caller is about to get."""
@@ -564,6 +639,8 @@
         self._tried_upstreams |= {name}
         if reason is BrokenReason.DEADLINE:
             return TIMED_OUT
+        if reason is BrokenReason.SILENT:
+            return _AGAIN
         self._components.placement.record_failure(name, Failure.ERROR, monotonic())
         return _AGAIN if self._may_run_again(reason) else BROKEN
 
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -141,6 +141,7 @@
         self._framed = True
         self._chunked: ChunkedBody | None = None
         self._first_data = b""
+        self._is_skipping = False
 
     @classmethod
     async def open(
@@ -233,8 +234,13 @@
             await self._buffer.drain()
 
     async def receive_head(self, request_id: str) -> ResponseHead:
-        """Return the head of this request's response, and skip other responses."""
+        """Return the head of this request's response, and skip other responses.
+
+        A call that was cancelled may be repeated.
+        """
         while True:
+            if self._is_skipping:
+                await self._skip_response()
             event = await next_event(self._sock, self._conn, self._counter)
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -249,7 +255,7 @@
                 return head
             if not echoed:
                 raise ExchangeBroken("response does not echo the request id")
-            await self._skip_response()
+            self._is_skipping = True
 
     @property
     def complete(self) -> bool:
@@ -310,6 +316,7 @@
         self._conn.send(h11.Request(method="GET", target="/", headers=[("host", "-")]))
         self._conn.send(h11.EndOfMessage())
         self._conn.receive_data(rest)
+        self._is_skipping = False
 
     def _has_chunked_body(self, head: ResponseHead) -> bool:
         bodiless = self._request.method == b"HEAD" or head.status in (204, 304)
--- a/src/ragwortkeel/policy/retries.py
+++ b/src/ragwortkeel/policy/retries.py
@@ -91,6 +91,11 @@
         """Retries that may be spent now; a fraction of one can't be spent."""
         return self._available_retries
 
+    @property
+    def has_retry(self) -> bool:
+        """Whether a retry may be spent now."""
+        return self._available_retries >= 1.0 - 1e-9
+
     def record_first_attempt(self) -> None:
         """Record one first attempt."""
         self._available_retries = min(
@@ -104,11 +109,15 @@
 
     def try_spend(self) -> bool:
         """Spend one retry; return whether one was available."""
-        if self._available_retries < 1.0 - 1e-9:
+        if not self.has_retry:
             return False
         self._available_retries -= 1.0
         return True
 
+    def refund(self) -> None:
+        """Return one spent retry that reached no upstream."""
+        self._available_retries = min(self._reserve, self._available_retries + 1.0)
+
 
 class RetryBudgets:
     """A retry budget per service, or per any other key of requests.
