Record whole requests that end unanswered, and answer faults of other connections

Callers saw connections close without an answer or a refusal, and no line or metric said so.

Cause: the server swallowed OSError, ExchangeBroken and LocalProtocolError of a handler, since those of the caller's own connection are normal. Errors of other connections, and of a response that h11 refuses, ended the caller's connection in the same silence, as did a handler that returned without a response. Change: `request_unanswered` and ragwortkeel_requests_unanswered_total for each whole request whose connection ends before its answer is complete, by who ended it; a caller that leaves gets a line at level debug only. Whether an error is the caller's is decided by the state of the caller's connection. Any other error gets a 500, or cuts the answer off visibly if it has begun. A response counts as started only when h11 has accepted its head, so that a malformed one can still be replaced by the 500. Measured: 5 tests of test_http_idle.py got a closed connection in place of the 500 before and pass now; the other 4 test lines and counts that did not exist.

--- a/src/ragwortkeel/http_responder.py
+++ b/src/ragwortkeel/http_responder.py
@@ -62,6 +62,8 @@
         head of the response is sent.
     ended : bool
         Whether `end` or `end_unanswered` has ended the exchange.
+    aborted : bool
+        Whether `abort` has ended the response.
     """
 
     def __init__(
@@ -80,6 +82,8 @@
         self.started = False
         self.closing: Callable[[], bool] = lambda: False
         self.ended = False
+        self.aborted = False
+        self._is_complete = False
         self._chunked = False
         self._held = held or HeldBytes()
         self._stall_seconds = stall_seconds
@@ -87,6 +91,11 @@
             sock=sock, held=self._held, peer="caller", counter=counter
         )
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the socket has accepted a complete response."""
+        return self._is_complete and not self._buffer.held_bytes
+
     def peer_disconnected(self) -> bool:
         """Return whether the peer has closed its side, checking the socket.
 
@@ -116,7 +125,7 @@
         else:
             fields = {"content-length": str(len(body))} | (headers or {})
         data = self._head(status, fields) + self._encode(body)
-        await self._write(data + self._conn.send(h11.EndOfMessage()))
+        await self._write(data + self._conn.send(h11.EndOfMessage()), last=True)
         await self.drain()
 
     async def refuse(self, status: int, body: bytes, headers: dict[str, str]) -> None:
@@ -126,7 +135,7 @@
         checks: status and headers must be valid as they are.
         """
         self._raise_if_ended()
-        await self._write(self._unchecked(status, body, headers))
+        await self._write(self._unchecked(status, body, headers), last=True)
         await self.drain()
 
     def end(self, status: int, body: bytes, headers: dict[str, str]) -> None:
@@ -172,7 +181,8 @@
 
         Never waits for the peer.  With `last` the end marker follows the chunk.
         """
-        await self._write(self._head(status, headers) + self._body(data, last))
+        head = self._head(status, headers)
+        await self._write(head + self._body(data, last), last=last)
 
     async def send(self, data: bytes) -> None:
         """Send a chunk of the body, or nothing for a HEAD request."""
@@ -184,12 +194,12 @@
 
         Never waits for the peer.  With `last` the end marker follows the chunk.
         """
-        await self._write(self._body(data, last))
+        await self._write(self._body(data, last), last=last)
 
     async def finish(self) -> None:
         """Send the end marker, by which the peer sees that the body is complete."""
         self._raise_if_ended()
-        await self._write(self._conn.send(h11.EndOfMessage()))
+        await self._write(self._conn.send(h11.EndOfMessage()), last=True)
         await self.drain()
 
     async def wait_for_room(self) -> None:
@@ -227,6 +237,7 @@
 
         What is held for the peer is sent first, for at most `drain_seconds`.
         """
+        self.aborted = True
         self._conn.send_failed()
         if self._buffer.held_bytes:
             with suppress(ExchangeBroken):
@@ -243,12 +254,13 @@
         self, status: int, headers: dict[str, str] | list[tuple[str, str]]
     ) -> bytes:
         self._raise_if_ended()
-        self.started = True
         pairs = list(headers.items() if isinstance(headers, dict) else headers)
         if self.closing():
             pairs.append(("connection", "close"))
         fields = [(k.encode(), v.encode("latin-1")) for k, v in pairs]
         data = self._conn.send(h11.Response(status_code=status, headers=fields))
+        # Only now, since h11 refuses a malformed head.
+        self.started = True
         lower = data.lower()
         self._chunked = _CHUNKED in lower
         is_framed = self._chunked or _LENGTH in lower
@@ -268,13 +280,14 @@
             return b"%x\r\n%b\r\n" % (len(data), data)
         return self._conn.send(h11.Data(data=data))
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, data: bytes, *, last: bool = False) -> None:
         if data:
             try:
                 await self._buffer.write(data)
             except ExchangeBroken:
                 await self.disconnected.set()
                 raise
+        self._is_complete = self._is_complete or last
 
     def _raise_if_ended(self) -> None:
         # Before h11, which has not seen the response of `end` and would report a fault.
@@ -286,5 +299,6 @@
         try:
             yield
         except ExchangeBroken:
+            self._is_complete = False
             await self.disconnected.set()
             raise
--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -2,7 +2,7 @@
 
 import socket as _socket
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 from math import ceil
 from time import monotonic
@@ -11,10 +11,10 @@
 import curio
 import h11
 
-from ragwortkeel.exceptions import BadRequest, ExchangeBroken
+from ragwortkeel.exceptions import BadRequest, CallerLeft, ExchangeBroken
 from ragwortkeel.http_events import READ_CHUNK_BYTES, join_headers, next_event
 from ragwortkeel.http_responder import Request, Responder
-from ragwortkeel.logs import log_error, log_warning
+from ragwortkeel.logs import CountedLine, log_debug, log_error, log_warning
 from ragwortkeel.send_buffer import HeldBytes
 from ragwortkeel.usage_counters import ByteCounter
 
@@ -40,6 +40,9 @@
 FIRST_REQUEST_SECONDS = 1.0
 """How long a planned stop waits for the first request on new connections."""
 
+UNANSWERED_LINE_SECONDS = 1.0
+MAX_LOGGED_CHARACTERS = 200
+
 PROBLEM_TYPE = "application/problem+json"
 
 
@@ -88,6 +91,9 @@
     accepts
         Called for each new connection with the number of those without a request so
         far, if given.  Returns whether to read its requests; otherwise it is closed.
+    on_unanswered
+        Called for each whole request whose connection ends without a complete answer,
+        with who ended it: ``peer`` or ``own``.  Not for answers that the handler ends.
 
     Attributes
     ----------
@@ -124,6 +130,7 @@
         held: HeldBytes | None = None,
         arrived_at: Callable[[], float] | None = None,
         accepts: Callable[[int], bool] | None = None,
+        on_unanswered: Callable[[str], None] = lambda ended_by: None,
     ) -> None:
         self.host = host
         self.port = port
@@ -139,6 +146,10 @@
         self._held = held or HeldBytes()
         self._arrived_at = arrived_at
         self._accepts = accepts
+        self._on_unanswered = on_unanswered
+        self._unanswered_line = CountedLine(
+            "request_unanswered", interval_seconds=UNANSWERED_LINE_SECONDS
+        )
         self._connections_before_request = 0
         self.closes_connections = False
         self._idle_by_socket: dict[object, _IdleConnection] = {}
@@ -288,8 +299,11 @@
         except BadRequest as exc:
             with suppress(OSError, ExchangeBroken):
                 await _refuse(sock, self._responder(sock, conn), exc)
-        except (OSError, ExchangeBroken, h11.LocalProtocolError):
+        except (OSError, ExchangeBroken):
+            # A whole request on the lost connection has been recorded.
             pass
+        except h11.LocalProtocolError as exc:
+            log_error("connection_failed", error=repr(exc))
         finally:
             await sock.close()
 
@@ -328,11 +342,46 @@
         stopping = self._stopping
         responder.closing = lambda: stopping or self.closes_connections
         try:
-            if not await self._call(self._refuse, request, responder):
-                await self._run_watched(sock, conn, request, responder)
+            with self._recording_unanswered(request, responder):
+                if not await self._call(self._refuse, request, responder):
+                    await self._run_watched(sock, conn, request, responder)
         finally:
             await responder.close_buffer()
 
+    @contextmanager
+    def _recording_unanswered(self, request: Request, responder: Responder):
+        """Record if the block ends, or fails, before the request is answered."""
+        read_at = monotonic()
+        error = "the handler returned"
+        try:
+            yield
+        except BaseException as exc:
+            error = repr(exc)
+            raise
+        finally:
+            # Whoever calls `end` or `abort` logs the reason.
+            is_ended = responder.ended or responder.aborted
+            if not responder.is_answered and not is_ended:
+                self._record_unanswered(
+                    target=request.target,
+                    stage="response" if responder.started else "handler",
+                    error=error,
+                    started=responder.started,
+                    after=round(monotonic() - read_at, 3),
+                    ended_by="peer" if responder.peer_disconnected() else "own",
+                )
+
+    def _record_unanswered(
+        self, *, target: str, ended_by: str, **fields: object
+    ) -> None:
+        self._on_unanswered(ended_by)
+        fields |= {"target": target[:MAX_LOGGED_CHARACTERS], "ended_by": ended_by}
+        if ended_by == "peer":
+            # Callers that leave are usual, and many may leave at once.
+            log_debug("request_unanswered", **fields)
+        else:
+            self._unanswered_line.record(**fields)
+
     async def _run_watched(
         self, sock, conn, request: Request, responder: Responder
     ) -> None:
@@ -350,6 +399,9 @@
         )
         try:
             await self._call(self._handler, request, responder)
+            if not responder.started and not responder.peer_disconnected():
+                log_error("handler_failed", path=request.path, error="no response")
+                await _report_fault(responder)
             # A ready response is delivered even if the peer reads it late.
             await responder.drain()
         finally:
@@ -366,9 +418,9 @@
             return False
         try:
             return await function(request, responder)
-        except (OSError, ExchangeBroken):
-            raise
         except Exception as exc:
+            if _is_loss_of_caller(exc, responder):
+                raise
             # The caller of a failed handler must receive an error, never a
             # response that looks complete; other connections must not be affected.
             log_error("handler_failed", path=request.path, error=repr(exc))
@@ -529,7 +581,24 @@
         await responder.abort()
         return
     body = b'{"outcome":"unknown","reason":"internal_error","status":500}'
-    await responder.respond(500, body, {"content-type": PROBLEM_TYPE})
+    headers = {"content-type": PROBLEM_TYPE}
+    try:
+        await responder.respond(500, body, headers)
+    except h11.LocalProtocolError:
+        # After a malformed response h11 sends nothing more.
+        await responder.refuse(500, body, headers)
+
+
+def _is_loss_of_caller(exc: Exception, responder: Responder) -> bool:
+    """Return whether a handler failed because its caller is lost."""
+    # Connections to others fail with the same errors.
+    match exc:
+        case CallerLeft():
+            return True
+        case OSError() | ExchangeBroken():
+            return responder.peer_disconnected()
+        case _:
+            return False
 
 
 async def _detect_disconnect(
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -321,6 +321,7 @@
             counter=counter,
             arrived_at=self._monitor.arrived_at if self._monitor else None,
             accepts=gate.accepts if gate else None,
+            on_unanswered=self.metrics.record_unanswered,
         )
         self._status_report = StatusReport(
             settings=settings,
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -103,6 +103,11 @@
             "New connections closed unread while peers have room.",
             (),
         )
+        self._unanswered = self._counter(
+            "ragwortkeel_requests_unanswered_total",
+            "Whole requests whose connections ended unanswered, by who ended them.",
+            ("cause",),
+        )
         self._refused_blocks = self._gauge(
             "ragwortkeel_refused_blocks",
             "Prompt blocks that are refused because they crash upstreams.",
@@ -239,6 +244,10 @@
         """Count a new connection that was closed before a request was read."""
         self._turned_away.inc()
 
+    def record_unanswered(self, ended_by: str) -> None:
+        """Count a whole request whose connection ended without a complete answer."""
+        self._unanswered.labels(ended_by).inc()
+
     def set_refused_blocks(self, count: int) -> None:
         """Set the number of prompt blocks that are refused."""
         self._refused_blocks.set(count)
--- /dev/null
+++ b/tests/test_http_idle.py
@@ -0,0 +1,127 @@
+"""Failures of the HTTP server that leave a whole request without an answer."""
+
+import curio
+import pytest
+from tests.test_httpio import echo, exchange, post, with_server
+
+from ragwortkeel import http_server
+from ragwortkeel.exceptions import CallerLeft, ExchangeBroken
+from ragwortkeel.metrics import Metrics
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    """Return the list of the lines of level warning about unanswered requests."""
+    found = []
+
+    class Line:
+        def __init__(self, event, **_):
+            self.event = event
+
+        def record(self, **fields):
+            found.append({"event": self.event} | fields)
+
+    monkeypatch.setattr(http_server, "CountedLine", Line)
+    return found
+
+
+class TestUnansweredRequests:
+    @pytest.mark.parametrize(
+        "error", [ExchangeBroken("an upstream's"), ConnectionResetError("a link's")]
+    )
+    def test_loss_of_another_connection_gives_500(self, error):
+        """Guards against a caller that gets no answer as another connection is lost."""
+
+        async def handler(request, responder):
+            if request.target == "/lost":
+                raise error
+            await echo(request, responder)
+
+        async def scenario(_, client):
+            return await client.request("GET", "/lost", timeout=5)
+
+        response = with_server(scenario, handler)
+        assert response.status == 500
+        assert b'"outcome":"unknown"' in response.body
+
+    @pytest.mark.parametrize("headers", [{"x-bad": "a\nb"}, {"x-bad": "\u2603"}, None])
+    def test_response_that_cannot_be_sent_gives_500(self, headers):
+        """Guards against a closed connection instead of an answer that h11 refuses."""
+
+        async def handler(request, responder):
+            if request.target == "/" or headers:
+                bad = {} if request.target == "/" else headers
+                await responder.respond(200, b"empty", bad)
+
+        async def scenario(_, client):
+            return await client.request("GET", "/malformed", timeout=5)
+
+        assert with_server(scenario, handler).status == 500
+
+    def test_response_without_an_end_is_logged_and_counted(self, lines):
+        """Guards against an answer cut off by a fault of our own without any trace."""
+        metrics = Metrics()
+
+        async def handler(request, responder):
+            if request.target != "/no-end":
+                return await echo(request, responder)
+            await responder.start(200, {})
+            return await responder.send(b"half")
+
+        async def scenario(server, _):
+            return await exchange(server.port, post(b"", target="/no-end"))
+
+        answer = with_server(scenario, handler, on_unanswered=metrics.record_unanswered)
+        assert not answer.endswith(b"0\r\n\r\n")
+        assert b'requests_unanswered_total{cause="own"} 1.0' in metrics.render()
+        (line,) = lines
+        assert line.pop("after") < 1.0
+        assert line == {
+            "event": "request_unanswered",
+            "target": "/no-end",
+            "stage": "response",
+            "error": "the handler returned",
+            "started": True,
+            "ended_by": "own",
+        }
+
+    @pytest.mark.parametrize("cancels", [True, False])
+    def test_caller_that_leaves_is_no_fault_of_the_server(self, lines, cancels):
+        """Guards against lines and counts of faults for callers that leave."""
+        causes = []
+
+        async def handler(request, responder):
+            if request.target != "/leave":
+                return await echo(request, responder)
+            await responder.disconnected.wait()
+            raise CallerLeft("left")
+
+        async def scenario(server, _):
+            sock = await curio.open_connection("127.0.0.1", server.port)
+            await sock.sendall(post(b"", target="/leave"))
+            await curio.sleep(0.05)
+            await sock.close()
+            while not causes:
+                await curio.sleep(0.01)
+
+        with_server(
+            scenario,
+            handler,
+            cancels_disconnected=cancels,
+            on_unanswered=causes.append,
+        )
+        assert causes == ["peer"]
+        assert lines == []
+
+    def test_answered_requests_are_not_recorded(self, lines):
+        """Guards against a count of lost requests that includes answered ones."""
+        causes = []
+
+        async def scenario(server, _):
+            sent = post(b"one", target="/crash") + post(b"two", target="/slow")
+            await exchange(server.port, sent + post(b"", "Connection: close"))
+            await exchange(server.port, post(b"", target="/abort"))
+
+        with_server(scenario, on_unanswered=causes.append)
+        assert causes == []
+        assert lines == []
