The idle limit in force counts for connections that wait already

Callers that took over a raised idle limit got no answer on connections that they reused within it.

Cause: a connection's timer was set from the limit as its wait began. After a raise it closed by the old limit, and after a cut it stayed open for the old one. Change: a timer that expires asks the limit in force and waits on for what is left; the server looks at the connections that have been idle longest twice a second, and closes those beyond a lowered limit. A head that has begun keeps its own timer for the 408. That check and `close_longest_idle` close by the same function, which looks for bytes that have arrived.

--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -36,6 +36,7 @@
 """How long a refused peer may continue to send before the connection closes."""
 
 ACCEPT_RETRY_SECONDS = 0.1
+IDLE_CHECK_SECONDS = 0.5
 STOP_POLL_SECONDS = 0.02
 FIRST_REQUEST_SECONDS = 1.0
 """How long a planned stop waits for the first request on new connections."""
@@ -53,10 +54,22 @@
 class _IdleConnection:
     """A connection without a request since the monotonic time `since`."""
 
+    sock: curio.io.Socket
     conn: h11.Connection
     since: float
     is_closed: bool = False
 
+    def close(self) -> bool:
+        """Close unless bytes of a request have arrived; return whether it closed."""
+        # Without a task switch between the check and the shutdown.
+        if self.is_closed or _has_received(self.sock, self.conn):
+            return False
+        self.is_closed = True
+        with suppress(OSError):
+            # Wakes the task that waits for a request.
+            self.sock._socket.shutdown(_socket.SHUT_RDWR)
+        return True
+
 
 class HttpServer:
     """A server that can stop accepting while open exchanges continue.
@@ -98,7 +111,8 @@
     Attributes
     ----------
     keep_alive_seconds, max_body_bytes
-        The parameters; may be changed while the server runs.
+        The parameters; may be changed while the server runs.  A changed
+        `keep_alive_seconds` counts for connections that wait already, too.
     closes_connections : bool
         Whether each response asks the peer to close its connection, so that the peer
         opens a new one; may be changed while the server runs.
@@ -174,7 +188,7 @@
         async with self._connections:
             self._acceptor = await curio.spawn(self._accept)
             try:
-                await curio.Event().wait()
+                await self._close_expired()
             finally:
                 await self._close_listener()
 
@@ -230,20 +244,25 @@
         idle_since = monotonic() - idle_seconds
         # Connections become idle in the order of the dictionary.
         found = [
-            (sock, idle)
-            for sock, idle in self._idle_by_socket.items()
+            idle
+            for idle in self._idle_by_socket.values()
             if idle.since <= idle_since and not idle.is_closed
         ]
         chosen = found[: ceil(fraction * len(self._idle_by_socket))]
-        closed = 0
-        # Without a task switch between the check and the shutdown.
-        for sock, idle in chosen:
-            if not _has_received(sock, idle.conn):
-                idle.is_closed = True
-                closed += 1
-                with suppress(OSError):
-                    sock._socket.shutdown(_socket.SHUT_RDWR)
-        return closed
+        return sum(idle.close() for idle in chosen)
+
+    async def _close_expired(self) -> None:
+        """Close idle connections that are beyond a limit lowered since they wait."""
+        while True:
+            await curio.sleep(IDLE_CHECK_SECONDS)
+            for idle in self._idle_by_socket.values():
+                if self._idle_seconds_left(idle) > 0.0:
+                    break
+                idle.close()
+
+    def _idle_seconds_left(self, idle: _IdleConnection) -> float:
+        """Return how long the limit in force allows a connection to wait."""
+        return idle.since + self.keep_alive_seconds - monotonic()
 
     async def _close_listener(self) -> None:
         # The accepting task has to end before the listener is closed; otherwise
@@ -429,17 +448,10 @@
 
     async def _read_head(self, sock, conn) -> h11.Request | None:
         """Return the head of the next request, or None if the peer sends none."""
-        idle = _IdleConnection(conn=conn, since=monotonic())
+        idle = _IdleConnection(sock=sock, conn=conn, since=monotonic())
         self._idle_by_socket[sock] = idle
         try:
-            async with curio.timeout_after(self.keep_alive_seconds):
-                event = await next_event(sock, conn, self._counter)
-        except curio.TaskTimeout:
-            if not conn.trailing_data[0]:
-                return None
-            raise BadRequest(
-                status=408, reason="head_too_slow", detail="the head came too slowly"
-            ) from None
+            event = await self._first_event(idle)
         except ExchangeBroken:
             return None
         finally:
@@ -449,6 +461,18 @@
             return None
         return event if isinstance(event, h11.Request) else None
 
+    async def _first_event(self, idle: _IdleConnection):
+        """Return the first event of the next request, None if it is not to come."""
+        # The limit may be raised during the wait.
+        while (seconds := self._idle_seconds_left(idle)) > 0.0:
+            async with curio.ignore_after(seconds):
+                return await next_event(idle.sock, idle.conn, self._counter)
+        if not idle.conn.trailing_data[0]:
+            return None
+        raise BadRequest(
+            status=408, reason="head_too_slow", detail="the head came too slowly"
+        )
+
     async def _read_request(
         self, sock, conn, head: h11.Request, arrived_at: float
     ) -> Request:
--- a/tests/test_http_idle.py
+++ b/tests/test_http_idle.py
@@ -125,3 +125,49 @@
         with_server(scenario, on_unanswered=causes.append)
         assert causes == []
         assert lines == []
+
+
+async def kept_connections(server, count):
+    """Return connections that have had one answer and wait for the next request."""
+    socks = []
+    for _ in range(count):
+        sock = await curio.open_connection("127.0.0.1", server.port)
+        await sock.sendall(post(b"first"))
+        assert (await sock.recv(999)).endswith(b"first")
+        socks.append(sock)
+    # Until the server waits for the next request on the last one.
+    await curio.sleep(0.02)
+    return socks
+
+
+async def received(sock):
+    """Return what has arrived at a caller; an end or a reset is empty."""
+    try:
+        return await sock.recv(999)
+    except OSError:
+        return b""
+
+
+class TestIdleLimit:
+    def test_a_raised_limit_counts_for_waiting_connections(self):
+        """Guards against a close by a limit that is no longer in force."""
+
+        async def scenario(server, _):
+            (sock,) = await kept_connections(server, 1)
+            server.keep_alive_seconds = 0.8
+            await curio.sleep(0.6)
+            await sock.sendall(post(b"second"))
+            return await received(sock)
+
+        assert with_server(scenario, keep_alive_seconds=0.2).endswith(b"second")
+
+    def test_a_lowered_limit_counts_for_waiting_connections(self):
+        """Guards against connections kept for long after the limit was lowered."""
+
+        async def scenario(server, _):
+            (sock,) = await kept_connections(server, 1)
+            server.keep_alive_seconds = 0.1
+            async with curio.timeout_after(2):
+                return await received(sock)
+
+        assert with_server(scenario, keep_alive_seconds=3600.0) == b""
