A frozen process reads what arrived within the idle limit before it closes

Callers whose requests had been sent on kept connections before the limit got no answer when the process went on after a freeze.

Cause: the event loop waits for bytes and time limits in one call. If the process is stopped in it, the call returns without events once its time is up; time limits then expire, and each connection was closed with its request unread. Change: before an idle connection is closed by its limit, what the system has received on it is read. A whole request is served; for a part of a head the answer is the 408.

--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -32,6 +32,9 @@
 READ_AT_ONCE_SECONDS = 0.002
 """A read that takes less has found its data there."""
 
+ARRIVED_READ_SECONDS = 0.05
+"""Time for reading what has arrived on a connection beyond its idle limit."""
+
 LINGER_SECONDS = 2.0
 """How long a refused peer may continue to send before the connection closes."""
 
@@ -463,15 +466,22 @@
 
     async def _first_event(self, idle: _IdleConnection):
         """Return the first event of the next request, None if it is not to come."""
-        # The limit may be raised during the wait.
-        while (seconds := self._idle_seconds_left(idle)) > 0.0:
+        while True:
+            seconds = max(self._idle_seconds_left(idle), ARRIVED_READ_SECONDS)
             async with curio.ignore_after(seconds):
                 return await next_event(idle.sock, idle.conn, self._counter)
-        if not idle.conn.trailing_data[0]:
-            return None
-        raise BadRequest(
-            status=408, reason="head_too_slow", detail="the head came too slowly"
-        )
+            # The limit may have been raised during the wait, and a process that was
+            # frozen has not read yet what arrived before the limit.
+            if self._idle_seconds_left(idle) > 0.0 or _has_unread(idle.sock):
+                continue
+            if idle.close():
+                return None
+            if idle.conn.trailing_data[0]:
+                raise BadRequest(
+                    status=408,
+                    reason="head_too_slow",
+                    detail="the head came too slowly",
+                )
 
     async def _read_request(
         self, sock, conn, head: h11.Request, arrived_at: float
@@ -528,8 +538,11 @@
 
 def _has_received(sock, conn: h11.Connection) -> bool:
     """Return whether bytes of a request have arrived, read or not, or an end."""
-    if conn.trailing_data[0]:
-        return True
+    return bool(conn.trailing_data[0]) or _has_unread(sock)
+
+
+def _has_unread(sock) -> bool:
+    """Return whether a read would not wait: for bytes, an end or an error."""
     try:
         sock._socket.recv(1, _socket.MSG_PEEK | _socket.MSG_DONTWAIT)
     except BlockingIOError:
--- a/tests/test_http_idle.py
+++ b/tests/test_http_idle.py
@@ -1,5 +1,9 @@
 """Failures of the HTTP server that leave a whole request without an answer."""
 
+import signal
+from contextlib import contextmanager
+from time import sleep
+
 import curio
 import pytest
 from tests.test_httpio import echo, exchange, post, with_server
@@ -148,6 +152,26 @@
         return b""
 
 
+@contextmanager
+def frozen(seconds, *, requests):
+    """Freeze the process while it waits for events, after bytes were sent to it.
+
+    Its event loop then finds that time limits have passed before it looks for bytes.
+    """
+
+    def freeze(*_):
+        for sock, sent in requests.items():
+            sock._socket.send(sent)
+        sleep(seconds)
+
+    was = signal.signal(signal.SIGALRM, freeze)
+    try:
+        signal.setitimer(signal.ITIMER_REAL, 0.05)
+        yield
+    finally:
+        signal.signal(signal.SIGALRM, was)
+
+
 class TestIdleLimit:
     def test_a_raised_limit_counts_for_waiting_connections(self):
         """Guards against a close by a limit that is no longer in force."""
@@ -171,3 +195,25 @@
                 return await received(sock)
 
         assert with_server(scenario, keep_alive_seconds=3600.0) == b""
+
+    def test_requests_that_came_within_the_limit_are_answered_by_a_frozen_process(self):
+        """Guards against requests that a frozen process finds and closes unread."""
+
+        async def scenario(server, _):
+            socks = await kept_connections(server, 20)
+            with frozen(0.4, requests={sock: post(b"second") for sock in socks}):
+                return [await received(sock) for sock in socks]
+
+        answers = with_server(scenario, keep_alive_seconds=0.2)
+        assert [a for a in answers if not a.endswith(b"second")] == []
+
+    def test_a_slow_head_is_refused_by_a_frozen_process(self):
+        """Guards against a head that holds its connection for longer than the limit."""
+
+        async def scenario(server, _):
+            (sock,) = await kept_connections(server, 1)
+            with frozen(0.4, requests={sock: post(b"second")[:20]}):
+                return await received(sock)
+
+        answer = with_server(scenario, keep_alive_seconds=0.2)
+        assert answer.startswith(b"HTTP/1.1 408")
