A planned stop leaves connections open on which a request has arrived

Callers whose requests lay unread on kept connections as a planned stop closed these got no answer, although the requests could run.

Cause: `close_idle` looked only at bytes that had been read. The shutdown did not drop those in the system's buffer, so that the request was read and run without a way back to its caller. The stop also counted open exchanges before such a request was read. Change: `close_idle` closes by the same function as the idle limit and `close_longest_idle`, which looks for unread bytes too, and returns when the exchanges of the others are open, after a second at the latest. A request that crosses the close never runs, and is recorded as `request_unanswered` in stage `closing`.

--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -217,15 +217,21 @@
             waited += STOP_POLL_SECONDS
 
     async def close_idle(self) -> None:
-        """Close the connections on which no request has started.
+        """Close the connections on which no bytes of a request have arrived.
 
         Otherwise a peer might send a request just before the end of a planned
-        stop, too late to complete.
+        stop, too late to complete.  On return, the exchanges of requests that have
+        arrived are open, or `FIRST_REQUEST_SECONDS` have passed.
         """
-        for sock, idle in list(self._idle_by_socket.items()):
-            if not idle.conn.trailing_data[0]:
-                with suppress(OSError):
-                    await sock.shutdown(_socket.SHUT_RDWR)
+        waiting = list(self._idle_by_socket.values())
+        received = [idle for idle in waiting if not idle.close()]
+        waited = 0.0
+        while (
+            any(self._idle_by_socket.get(idle.sock) is idle for idle in received)
+            and waited < FIRST_REQUEST_SECONDS
+        ):
+            await curio.sleep(STOP_POLL_SECONDS)
+            waited += STOP_POLL_SECONDS
 
     def close_longest_idle(self, *, idle_seconds: float, fraction: float) -> int:
         """Close some of the connections that have been idle for `idle_seconds`.
@@ -459,10 +465,20 @@
             return None
         finally:
             del self._idle_by_socket[sock]
+        if not isinstance(event, h11.Request):
+            return None
         # A request that crossed the shutdown can't be answered, so it must not run.
         if idle.is_closed:
+            self._record_unanswered(
+                target=event.target.decode("latin-1"),
+                stage="closing",
+                error="arrived after the idle connection was closed",
+                started=False,
+                after=0.0,
+                ended_by="own",
+            )
             return None
-        return event if isinstance(event, h11.Request) else None
+        return event
 
     async def _first_event(self, idle: _IdleConnection):
         """Return the first event of the next request, None if it is not to come."""
--- a/tests/test_http_idle.py
+++ b/tests/test_http_idle.py
@@ -217,3 +217,47 @@
 
         answer = with_server(scenario, keep_alive_seconds=0.2)
         assert answer.startswith(b"HTTP/1.1 408")
+
+
+class TestPlannedStop:
+    def test_a_request_that_has_arrived_is_answered(self):
+        """Guards against a stop that closes connections with unread requests."""
+
+        async def scenario(server, _):
+            idle, *socks = await kept_connections(server, 11)
+            for sock in socks:
+                sock._socket.send(post(b"second"))
+            await server.close_idle()
+            # The process may end as soon as no exchange is open.
+            while server.open_exchanges:
+                await curio.sleep(0.001)
+            for sock in socks:
+                sock._socket.setblocking(False)
+            answers = [sock._socket.recv(999) for sock in socks]
+            return await received(idle), answers
+
+        end, answers = with_server(scenario)
+        assert end == b""
+        assert [a for a in answers if not a.endswith(b"second")] == []
+
+    def test_a_request_that_crosses_the_close_does_not_run(self, lines, monkeypatch):
+        """Guards against requests that run although nobody can get their answers."""
+        # As if it arrived between the look for bytes and the close.
+        monkeypatch.setattr(http_server, "_has_received", lambda sock, conn: False)
+        handled = []
+        causes = []
+
+        async def handler(request, responder):
+            handled.append(request.target)
+            await echo(request, responder)
+
+        async def scenario(server, _):
+            (sock,) = await kept_connections(server, 1)
+            sock._socket.send(post(b"", target="/crossing"))
+            await server.close_idle()
+            return await received(sock)
+
+        assert with_server(scenario, handler, on_unanswered=causes.append) == b""
+        assert "/crossing" not in handled
+        assert [line["stage"] for line in lines] == ["closing"]
+        assert causes == ["own"]
