A planned stop closes the connections of answers that began before it

Cause: an answer whose head went out before the stop does not ask its caller to close. Its connection became idle after `close_idle` had run, and was open as the process ended, which loses a request sent just before. Change: when no exchange is open the stop closes such connections by the same function, and completes the requests that have arrived on them, up to its deadline.

--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -216,23 +216,35 @@
             await curio.sleep(STOP_POLL_SECONDS)
             waited += STOP_POLL_SECONDS
 
-    async def close_idle(self) -> None:
+    async def close_idle(self, *, wait_seconds: float = FIRST_REQUEST_SECONDS) -> None:
         """Close the connections on which no bytes of a request have arrived.
 
         Otherwise a peer might send a request just before the end of a planned
         stop, too late to complete.  On return, the exchanges of requests that have
-        arrived are open, or `FIRST_REQUEST_SECONDS` have passed.
+        arrived are open, or `wait_seconds` have passed.
         """
         waiting = list(self._idle_by_socket.values())
         received = [idle for idle in waiting if not idle.close()]
         waited = 0.0
         while (
             any(self._idle_by_socket.get(idle.sock) is idle for idle in received)
-            and waited < FIRST_REQUEST_SECONDS
+            and waited < wait_seconds
         ):
             await curio.sleep(STOP_POLL_SECONDS)
             waited += STOP_POLL_SECONDS
 
+    async def close_finished(self, *, deadline: float) -> None:
+        """Close the connections whose exchanges have ended since `close_idle`.
+
+        On return, the exchanges of requests that have arrived on them have ended, or
+        the monotonic time `deadline` has passed.
+        """
+        await self.close_idle(
+            wait_seconds=min(FIRST_REQUEST_SECONDS, deadline - monotonic())
+        )
+        while self.open_exchanges and monotonic() < deadline:
+            await curio.sleep(STOP_POLL_SECONDS)
+
     def close_longest_idle(self, *, idle_seconds: float, fraction: float) -> int:
         """Close some of the connections that have been idle for `idle_seconds`.
 
--- a/tests/test_http_idle.py
+++ b/tests/test_http_idle.py
@@ -6,10 +6,19 @@
 
 import curio
 import pytest
+from tests.ingress.in_process import (
+    END,
+    KEY,
+    chunk,
+    events,
+    run_ingress,
+    stream_head,
+)
 from tests.test_httpio import echo, exchange, post, with_server
 
 from ragwortkeel import http_server
 from ragwortkeel.exceptions import CallerLeft, ExchangeBroken
+from ragwortkeel.ingress import worker
 from ragwortkeel.metrics import Metrics
 
 
@@ -261,3 +270,36 @@
         assert "/crossing" not in handled
         assert [line["stage"] for line in lines] == ["closing"]
         assert causes == ["own"]
+
+    def test_connections_of_streams_from_before_the_stop_are_closed(self, monkeypatch):
+        """Guards against kept connections that are open as a stopped process ends."""
+        monkeypatch.setattr(worker, "BALANCER_NOTICE_SECONDS", 0.1)
+        fields = ("X-Request-Id: r1", f"Authorization: Bearer {KEY}")
+        request = post(b"", *fields, target="/review/1")
+        request = request.replace(b"Host: x", b"Host: app.example")
+
+        async def stream(seen, sock):
+            await sock.sendall(stream_head(seen) + chunk(events(1, 1)))
+            await curio.sleep(0.8)
+            await sock.sendall(chunk(events(2, 2)) + END)
+            return True
+
+        async def scenario(fleet):
+            host, port = fleet.addresses[0].split(":")
+            idle = await curio.open_connection(host, int(port))
+            reused = await curio.open_connection(host, int(port))
+            for sock in idle, reused:
+                await sock.sendall(request)
+                while b"200" not in await received(sock):
+                    pass
+            stopping = await curio.spawn(fleet.workers[0].stop)
+            for sock in idle, reused:
+                while not (await received(sock)).endswith(b"0\r\n\r\n"):
+                    pass
+            reused._socket.send(request)
+            await stopping.join()
+            return [sock._socket.recv(999) for sock in (idle, reused)]
+
+        end, refusal = run_ingress(scenario, scripts={"e1": stream})
+        assert end == b""
+        assert refusal.startswith(b"HTTP/1.1 503")
