--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -2,7 +2,7 @@
 
 import socket as _socket
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 from math import ceil
 from time import monotonic
@@ -11,10 +11,10 @@
 import curio
 import h11
 
-from ragwortkeel.exceptions import BadRequest, ExchangeBroken
+from ragwortkeel.exceptions import BadRequest, CallerLeft, ExchangeBroken
 from ragwortkeel.http_events import READ_CHUNK_BYTES, join_headers, next_event
 from ragwortkeel.http_responder import Request, Responder
-from ragwortkeel.logs import log_error, log_warning
+from ragwortkeel.logs import CountedLine, log_debug, log_error, log_warning
 from ragwortkeel.send_buffer import HeldBytes
 from ragwortkeel.usage_counters import ByteCounter
 
@@ -32,14 +32,21 @@
 READ_AT_ONCE_SECONDS = 0.002
 """A read that takes less has found its data there."""
 
+ARRIVED_READ_SECONDS = 0.05
+"""Time for reading what has arrived on a connection beyond its idle limit."""
+
 LINGER_SECONDS = 2.0
 """How long a refused peer may continue to send before the connection closes."""
 
 ACCEPT_RETRY_SECONDS = 0.1
+IDLE_CHECK_SECONDS = 0.5
 STOP_POLL_SECONDS = 0.02
 FIRST_REQUEST_SECONDS = 1.0
 """How long a planned stop waits for the first request on new connections."""
 
+UNANSWERED_LINE_SECONDS = 1.0
+MAX_LOGGED_CHARACTERS = 200
+
 PROBLEM_TYPE = "application/problem+json"
 
 
@@ -50,10 +57,22 @@
 class _IdleConnection:
     """A connection without a request since the monotonic time `since`."""
 
+    sock: curio.io.Socket
     conn: h11.Connection
     since: float
     is_closed: bool = False
 
+    def close(self) -> bool:
+        """Close unless bytes of a request have arrived; return whether it closed."""
+        # Without a task switch between the check and the shutdown.
+        if self.is_closed or _has_received(self.sock, self.conn):
+            return False
+        self.is_closed = True
+        with suppress(OSError):
+            # Wakes the task that waits for a request.
+            self.sock._socket.shutdown(_socket.SHUT_RDWR)
+        return True
+
 
 class HttpServer:
     """A server that can stop accepting while open exchanges continue.
@@ -88,11 +107,15 @@
     accepts
         Called for each new connection with the number of those without a request so
         far, if given.  Returns whether to read its requests; otherwise it is closed.
+    on_unanswered
+        Called for each whole request whose connection ends without a complete answer,
+        with who ended it: ``peer`` or ``own``.  Not for answers that the handler ends.
 
     Attributes
     ----------
     keep_alive_seconds, max_body_bytes
-        The parameters; may be changed while the server runs.
+        The parameters; may be changed while the server runs.  A changed
+        `keep_alive_seconds` counts for connections that wait already, too.
     closes_connections : bool
         Whether each response asks the peer to close its connection, so that the peer
         opens a new one; may be changed while the server runs.
@@ -124,6 +147,7 @@
         held: HeldBytes | None = None,
         arrived_at: Callable[[], float] | None = None,
         accepts: Callable[[int], bool] | None = None,
+        on_unanswered: Callable[[str], None] = lambda ended_by: None,
     ) -> None:
         self.host = host
         self.port = port
@@ -139,6 +163,10 @@
         self._held = held or HeldBytes()
         self._arrived_at = arrived_at
         self._accepts = accepts
+        self._on_unanswered = on_unanswered
+        self._unanswered_line = CountedLine(
+            "request_unanswered", interval_seconds=UNANSWERED_LINE_SECONDS
+        )
         self._connections_before_request = 0
         self.closes_connections = False
         self._idle_by_socket: dict[object, _IdleConnection] = {}
@@ -163,7 +191,7 @@
         async with self._connections:
             self._acceptor = await curio.spawn(self._accept)
             try:
-                await curio.Event().wait()
+                await self._close_expired()
             finally:
                 await self._close_listener()
 
@@ -188,16 +216,34 @@
             await curio.sleep(STOP_POLL_SECONDS)
             waited += STOP_POLL_SECONDS
 
-    async def close_idle(self) -> None:
-        """Close the connections on which no request has started.
+    async def close_idle(self, *, wait_seconds: float = FIRST_REQUEST_SECONDS) -> None:
+        """Close the connections on which no bytes of a request have arrived.
 
         Otherwise a peer might send a request just before the end of a planned
-        stop, too late to complete.
+        stop, too late to complete.  On return, the exchanges of requests that have
+        arrived are open, or `wait_seconds` have passed.
         """
-        for sock, idle in list(self._idle_by_socket.items()):
-            if not idle.conn.trailing_data[0]:
-                with suppress(OSError):
-                    await sock.shutdown(_socket.SHUT_RDWR)
+        waiting = list(self._idle_by_socket.values())
+        received = [idle for idle in waiting if not idle.close()]
+        waited = 0.0
+        while (
+            any(self._idle_by_socket.get(idle.sock) is idle for idle in received)
+            and waited < wait_seconds
+        ):
+            await curio.sleep(STOP_POLL_SECONDS)
+            waited += STOP_POLL_SECONDS
+
+    async def close_finished(self, *, deadline: float) -> None:
+        """Close the connections whose exchanges have ended since `close_idle`.
+
+        On return, the exchanges of requests that have arrived on them have ended, or
+        the monotonic time `deadline` has passed.
+        """
+        await self.close_idle(
+            wait_seconds=min(FIRST_REQUEST_SECONDS, deadline - monotonic())
+        )
+        while self.open_exchanges and monotonic() < deadline:
+            await curio.sleep(STOP_POLL_SECONDS)
 
     def close_longest_idle(self, *, idle_seconds: float, fraction: float) -> int:
         """Close some of the connections that have been idle for `idle_seconds`.
@@ -219,20 +265,25 @@
         idle_since = monotonic() - idle_seconds
         # Connections become idle in the order of the dictionary.
         found = [
-            (sock, idle)
-            for sock, idle in self._idle_by_socket.items()
+            idle
+            for idle in self._idle_by_socket.values()
             if idle.since <= idle_since and not idle.is_closed
         ]
         chosen = found[: ceil(fraction * len(self._idle_by_socket))]
-        closed = 0
-        # Without a task switch between the check and the shutdown.
-        for sock, idle in chosen:
-            if not _has_received(sock, idle.conn):
-                idle.is_closed = True
-                closed += 1
-                with suppress(OSError):
-                    sock._socket.shutdown(_socket.SHUT_RDWR)
-        return closed
+        return sum(idle.close() for idle in chosen)
+
+    async def _close_expired(self) -> None:
+        """Close idle connections that are beyond a limit lowered since they wait."""
+        while True:
+            await curio.sleep(IDLE_CHECK_SECONDS)
+            for idle in self._idle_by_socket.values():
+                if self._idle_seconds_left(idle) > 0.0:
+                    break
+                idle.close()
+
+    def _idle_seconds_left(self, idle: _IdleConnection) -> float:
+        """Return how long the limit in force allows a connection to wait."""
+        return idle.since + self.keep_alive_seconds - monotonic()
 
     async def _close_listener(self) -> None:
         # The accepting task has to end before the listener is closed; otherwise
@@ -288,8 +339,11 @@
         except BadRequest as exc:
             with suppress(OSError, ExchangeBroken):
                 await _refuse(sock, self._responder(sock, conn), exc)
-        except (OSError, ExchangeBroken, h11.LocalProtocolError):
+        except (OSError, ExchangeBroken):
+            # A whole request on the lost connection has been recorded.
             pass
+        except h11.LocalProtocolError as exc:
+            log_error("connection_failed", error=repr(exc))
         finally:
             await sock.close()
 
@@ -328,11 +382,46 @@
         stopping = self._stopping
         responder.closing = lambda: stopping or self.closes_connections
         try:
-            if not await self._call(self._refuse, request, responder):
-                await self._run_watched(sock, conn, request, responder)
+            with self._recording_unanswered(request, responder):
+                if not await self._call(self._refuse, request, responder):
+                    await self._run_watched(sock, conn, request, responder)
         finally:
             await responder.close_buffer()
 
+    @contextmanager
+    def _recording_unanswered(self, request: Request, responder: Responder):
+        """Record if the block ends, or fails, before the request is answered."""
+        read_at = monotonic()
+        error = "the handler returned"
+        try:
+            yield
+        except BaseException as exc:
+            error = repr(exc)
+            raise
+        finally:
+            # Whoever calls `end` or `abort` logs the reason.
+            is_ended = responder.ended or responder.aborted
+            if not responder.is_answered and not is_ended:
+                self._record_unanswered(
+                    target=request.target,
+                    stage="response" if responder.started else "handler",
+                    error=error,
+                    started=responder.started,
+                    after=round(monotonic() - read_at, 3),
+                    ended_by="peer" if responder.peer_disconnected() else "own",
+                )
+
+    def _record_unanswered(
+        self, *, target: str, ended_by: str, **fields: object
+    ) -> None:
+        self._on_unanswered(ended_by)
+        fields |= {"target": target[:MAX_LOGGED_CHARACTERS], "ended_by": ended_by}
+        if ended_by == "peer":
+            # Callers that leave are usual, and many may leave at once.
+            log_debug("request_unanswered", **fields)
+        else:
+            self._unanswered_line.record(**fields)
+
     async def _run_watched(
         self, sock, conn, request: Request, responder: Responder
     ) -> None:
@@ -350,6 +439,9 @@
         )
         try:
             await self._call(self._handler, request, responder)
+            if not responder.started and not responder.peer_disconnected():
+                log_error("handler_failed", path=request.path, error="no response")
+                await _report_fault(responder)
             # A ready response is delivered even if the peer reads it late.
             await responder.drain()
         finally:
@@ -366,9 +458,9 @@
             return False
         try:
             return await function(request, responder)
-        except (OSError, ExchangeBroken):
-            raise
         except Exception as exc:
+            if _is_loss_of_caller(exc, responder):
+                raise
             # The caller of a failed handler must receive an error, never a
             # response that looks complete; other connections must not be affected.
             log_error("handler_failed", path=request.path, error=repr(exc))
@@ -377,25 +469,47 @@
 
     async def _read_head(self, sock, conn) -> h11.Request | None:
         """Return the head of the next request, or None if the peer sends none."""
-        idle = _IdleConnection(conn=conn, since=monotonic())
+        idle = _IdleConnection(sock=sock, conn=conn, since=monotonic())
         self._idle_by_socket[sock] = idle
         try:
-            async with curio.timeout_after(self.keep_alive_seconds):
-                event = await next_event(sock, conn, self._counter)
-        except curio.TaskTimeout:
-            if not conn.trailing_data[0]:
-                return None
-            raise BadRequest(
-                status=408, reason="head_too_slow", detail="the head came too slowly"
-            ) from None
+            event = await self._first_event(idle)
         except ExchangeBroken:
             return None
         finally:
             del self._idle_by_socket[sock]
+        if not isinstance(event, h11.Request):
+            return None
         # A request that crossed the shutdown can't be answered, so it must not run.
         if idle.is_closed:
+            self._record_unanswered(
+                target=event.target.decode("latin-1"),
+                stage="closing",
+                error="arrived after the idle connection was closed",
+                started=False,
+                after=0.0,
+                ended_by="own",
+            )
             return None
-        return event if isinstance(event, h11.Request) else None
+        return event
+
+    async def _first_event(self, idle: _IdleConnection):
+        """Return the first event of the next request, None if it is not to come."""
+        while True:
+            seconds = max(self._idle_seconds_left(idle), ARRIVED_READ_SECONDS)
+            async with curio.ignore_after(seconds):
+                return await next_event(idle.sock, idle.conn, self._counter)
+            # The limit may have been raised during the wait, and a process that was
+            # frozen has not read yet what arrived before the limit.
+            if self._idle_seconds_left(idle) > 0.0 or _has_unread(idle.sock):
+                continue
+            if idle.close():
+                return None
+            if idle.conn.trailing_data[0]:
+                raise BadRequest(
+                    status=408,
+                    reason="head_too_slow",
+                    detail="the head came too slowly",
+                )
 
     async def _read_request(
         self, sock, conn, head: h11.Request, arrived_at: float
@@ -452,8 +566,11 @@
 
 def _has_received(sock, conn: h11.Connection) -> bool:
     """Return whether bytes of a request have arrived, read or not, or an end."""
-    if conn.trailing_data[0]:
-        return True
+    return bool(conn.trailing_data[0]) or _has_unread(sock)
+
+
+def _has_unread(sock) -> bool:
+    """Return whether a read would not wait: for bytes, an end or an error."""
     try:
         sock._socket.recv(1, _socket.MSG_PEEK | _socket.MSG_DONTWAIT)
     except BlockingIOError:
@@ -529,7 +646,24 @@
         await responder.abort()
         return
     body = b'{"outcome":"unknown","reason":"internal_error","status":500}'
-    await responder.respond(500, body, {"content-type": PROBLEM_TYPE})
+    headers = {"content-type": PROBLEM_TYPE}
+    try:
+        await responder.respond(500, body, headers)
+    except h11.LocalProtocolError:
+        # After a malformed response h11 sends nothing more.
+        await responder.refuse(500, body, headers)
+
+
+def _is_loss_of_caller(exc: Exception, responder: Responder) -> bool:
+    """Return whether a handler failed because its caller is lost."""
+    # Connections to others fail with the same errors.
+    match exc:
+        case CallerLeft():
+            return True
+        case OSError() | ExchangeBroken():
+            return responder.peer_disconnected()
+        case _:
+            return False
 
 
 async def _detect_disconnect(
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -321,6 +321,7 @@
             counter=counter,
             arrived_at=self._monitor.arrived_at if self._monitor else None,
             accepts=gate.accepts if gate else None,
+            on_unanswered=self.metrics.record_unanswered,
         )
         self._status_report = StatusReport(
             settings=settings,
@@ -422,6 +423,8 @@
         await self._server.close_idle()
         while self._server.open_exchanges and monotonic() < deadline:
             await curio.sleep(STOP_POLL_SECONDS)
+        # Answers that began before the stop have not asked for a close.
+        await self._server.close_finished(deadline=deadline)
         cut_count = self._server.open_exchanges
         returned = await self._budget_keeper.close()
         return Leftover(counts={"requests": cut_count, "slices": int(not returned)})
--- /dev/null
+++ b/tests/test_http_idle.py
@@ -0,0 +1,305 @@
+"""Failures of the HTTP server that leave a whole request without an answer."""
+
+import signal
+from contextlib import contextmanager
+from time import sleep
+
+import curio
+import pytest
+from tests.ingress.in_process import (
+    END,
+    KEY,
+    chunk,
+    events,
+    run_ingress,
+    stream_head,
+)
+from tests.test_httpio import echo, exchange, post, with_server
+
+from ragwortkeel import http_server
+from ragwortkeel.exceptions import CallerLeft, ExchangeBroken
+from ragwortkeel.ingress import worker
+from ragwortkeel.metrics import Metrics
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    """Return the list of the lines of level warning about unanswered requests."""
+    found = []
+
+    class Line:
+        def __init__(self, event, **_):
+            self.event = event
+
+        def record(self, **fields):
+            found.append({"event": self.event} | fields)
+
+    monkeypatch.setattr(http_server, "CountedLine", Line)
+    return found
+
+
+class TestUnansweredRequests:
+    @pytest.mark.parametrize(
+        "error", [ExchangeBroken("an upstream's"), ConnectionResetError("a link's")]
+    )
+    def test_loss_of_another_connection_gives_500(self, error):
+        """Guards against a caller that gets no answer as another connection is lost."""
+
+        async def handler(request, responder):
+            if request.target == "/lost":
+                raise error
+            await echo(request, responder)
+
+        async def scenario(_, client):
+            return await client.request("GET", "/lost", timeout=5)
+
+        response = with_server(scenario, handler)
+        assert response.status == 500
+        assert b'"outcome":"unknown"' in response.body
+
+    @pytest.mark.parametrize("headers", [{"x-bad": "a\nb"}, {"x-bad": "\u2603"}, None])
+    def test_response_that_cannot_be_sent_gives_500(self, headers):
+        """Guards against a closed connection instead of an answer that h11 refuses."""
+
+        async def handler(request, responder):
+            if request.target == "/" or headers:
+                bad = {} if request.target == "/" else headers
+                await responder.respond(200, b"empty", bad)
+
+        async def scenario(_, client):
+            return await client.request("GET", "/malformed", timeout=5)
+
+        assert with_server(scenario, handler).status == 500
+
+    def test_response_without_an_end_is_logged_and_counted(self, lines):
+        """Guards against an answer cut off by a fault of our own without any trace."""
+        metrics = Metrics()
+
+        async def handler(request, responder):
+            if request.target != "/no-end":
+                return await echo(request, responder)
+            await responder.start(200, {})
+            return await responder.send(b"half")
+
+        async def scenario(server, _):
+            return await exchange(server.port, post(b"", target="/no-end"))
+
+        answer = with_server(scenario, handler, on_unanswered=metrics.record_unanswered)
+        assert not answer.endswith(b"0\r\n\r\n")
+        assert b'requests_unanswered_total{cause="own"} 1.0' in metrics.render()
+        (line,) = lines
+        assert line.pop("after") < 1.0
+        assert line == {
+            "event": "request_unanswered",
+            "target": "/no-end",
+            "stage": "response",
+            "error": "the handler returned",
+            "started": True,
+            "ended_by": "own",
+        }
+
+    @pytest.mark.parametrize("cancels", [True, False])
+    def test_caller_that_leaves_is_no_fault_of_the_server(self, lines, cancels):
+        """Guards against lines and counts of faults for callers that leave."""
+        causes = []
+
+        async def handler(request, responder):
+            if request.target != "/leave":
+                return await echo(request, responder)
+            await responder.disconnected.wait()
+            raise CallerLeft("left")
+
+        async def scenario(server, _):
+            sock = await curio.open_connection("127.0.0.1", server.port)
+            await sock.sendall(post(b"", target="/leave"))
+            await curio.sleep(0.05)
+            await sock.close()
+            while not causes:
+                await curio.sleep(0.01)
+
+        with_server(
+            scenario,
+            handler,
+            cancels_disconnected=cancels,
+            on_unanswered=causes.append,
+        )
+        assert causes == ["peer"]
+        assert lines == []
+
+    def test_answered_requests_are_not_recorded(self, lines):
+        """Guards against a count of lost requests that includes answered ones."""
+        causes = []
+
+        async def scenario(server, _):
+            sent = post(b"one", target="/crash") + post(b"two", target="/slow")
+            await exchange(server.port, sent + post(b"", "Connection: close"))
+            await exchange(server.port, post(b"", target="/abort"))
+
+        with_server(scenario, on_unanswered=causes.append)
+        assert causes == []
+        assert lines == []
+
+
+async def kept_connections(server, count):
+    """Return connections that have had one answer and wait for the next request."""
+    socks = []
+    for _ in range(count):
+        sock = await curio.open_connection("127.0.0.1", server.port)
+        await sock.sendall(post(b"first"))
+        assert (await sock.recv(999)).endswith(b"first")
+        socks.append(sock)
+    # Until the server waits for the next request on the last one.
+    await curio.sleep(0.02)
+    return socks
+
+
+async def received(sock):
+    """Return what has arrived at a caller; an end or a reset is empty."""
+    try:
+        return await sock.recv(999)
+    except OSError:
+        return b""
+
+
+@contextmanager
+def frozen(seconds, *, requests):
+    """Freeze the process while it waits for events, after bytes were sent to it.
+
+    Its event loop then finds that time limits have passed before it looks for bytes.
+    """
+
+    def freeze(*_):
+        for sock, sent in requests.items():
+            sock._socket.send(sent)
+        sleep(seconds)
+
+    was = signal.signal(signal.SIGALRM, freeze)
+    try:
+        signal.setitimer(signal.ITIMER_REAL, 0.05)
+        yield
+    finally:
+        signal.signal(signal.SIGALRM, was)
+
+
+class TestIdleLimit:
+    def test_a_raised_limit_counts_for_waiting_connections(self):
+        """Guards against a close by a limit that is no longer in force."""
+
+        async def scenario(server, _):
+            (sock,) = await kept_connections(server, 1)
+            server.keep_alive_seconds = 0.8
+            await curio.sleep(0.6)
+            await sock.sendall(post(b"second"))
+            return await received(sock)
+
+        assert with_server(scenario, keep_alive_seconds=0.2).endswith(b"second")
+
+    def test_a_lowered_limit_counts_for_waiting_connections(self):
+        """Guards against connections kept for long after the limit was lowered."""
+
+        async def scenario(server, _):
+            (sock,) = await kept_connections(server, 1)
+            server.keep_alive_seconds = 0.1
+            async with curio.timeout_after(2):
+                return await received(sock)
+
+        assert with_server(scenario, keep_alive_seconds=3600.0) == b""
+
+    def test_requests_that_came_within_the_limit_are_answered_by_a_frozen_process(self):
+        """Guards against requests that a frozen process finds and closes unread."""
+
+        async def scenario(server, _):
+            socks = await kept_connections(server, 20)
+            with frozen(0.4, requests={sock: post(b"second") for sock in socks}):
+                return [await received(sock) for sock in socks]
+
+        answers = with_server(scenario, keep_alive_seconds=0.2)
+        assert [a for a in answers if not a.endswith(b"second")] == []
+
+    def test_a_slow_head_is_refused_by_a_frozen_process(self):
+        """Guards against a head that holds its connection for longer than the limit."""
+
+        async def scenario(server, _):
+            (sock,) = await kept_connections(server, 1)
+            with frozen(0.4, requests={sock: post(b"second")[:20]}):
+                return await received(sock)
+
+        answer = with_server(scenario, keep_alive_seconds=0.2)
+        assert answer.startswith(b"HTTP/1.1 408")
+
+
+class TestPlannedStop:
+    def test_a_request_that_has_arrived_is_answered(self):
+        """Guards against a stop that closes connections with unread requests."""
+
+        async def scenario(server, _):
+            idle, *socks = await kept_connections(server, 11)
+            for sock in socks:
+                sock._socket.send(post(b"second"))
+            await server.close_idle()
+            # The process may end as soon as no exchange is open.
+            while server.open_exchanges:
+                await curio.sleep(0.001)
+            for sock in socks:
+                sock._socket.setblocking(False)
+            answers = [sock._socket.recv(999) for sock in socks]
+            return await received(idle), answers
+
+        end, answers = with_server(scenario)
+        assert end == b""
+        assert [a for a in answers if not a.endswith(b"second")] == []
+
+    def test_a_request_that_crosses_the_close_does_not_run(self, lines, monkeypatch):
+        """Guards against requests that run although nobody can get their answers."""
+        # As if it arrived between the look for bytes and the close.
+        monkeypatch.setattr(http_server, "_has_received", lambda sock, conn: False)
+        handled = []
+        causes = []
+
+        async def handler(request, responder):
+            handled.append(request.target)
+            await echo(request, responder)
+
+        async def scenario(server, _):
+            (sock,) = await kept_connections(server, 1)
+            sock._socket.send(post(b"", target="/crossing"))
+            await server.close_idle()
+            return await received(sock)
+
+        assert with_server(scenario, handler, on_unanswered=causes.append) == b""
+        assert "/crossing" not in handled
+        assert [line["stage"] for line in lines] == ["closing"]
+        assert causes == ["own"]
+
+    def test_connections_of_streams_from_before_the_stop_are_closed(self, monkeypatch):
+        """Guards against kept connections that are open as a stopped process ends."""
+        monkeypatch.setattr(worker, "BALANCER_NOTICE_SECONDS", 0.1)
+        fields = ("X-Request-Id: r1", f"Authorization: Bearer {KEY}")
+        request = post(b"", *fields, target="/review/1")
+        request = request.replace(b"Host: x", b"Host: app.example")
+
+        async def stream(seen, sock):
+            await sock.sendall(stream_head(seen) + chunk(events(1, 1)))
+            await curio.sleep(0.8)
+            await sock.sendall(chunk(events(2, 2)) + END)
+            return True
+
+        async def scenario(fleet):
+            host, port = fleet.addresses[0].split(":")
+            idle = await curio.open_connection(host, int(port))
+            reused = await curio.open_connection(host, int(port))
+            for sock in idle, reused:
+                await sock.sendall(request)
+                while b"200" not in await received(sock):
+                    pass
+            stopping = await curio.spawn(fleet.workers[0].stop)
+            for sock in idle, reused:
+                while not (await received(sock)).endswith(b"0\r\n\r\n"):
+                    pass
+            reused._socket.send(request)
+            await stopping.join()
+            return [sock._socket.recv(999) for sock in (idle, reused)]
+
+        end, refusal = run_ingress(scenario, scripts={"e1": stream})
+        assert end == b""
+        assert refusal.startswith(b"HTTP/1.1 503")
