A run behind a lost link is given up only if another one may follow

Callers got 503 `no_upstream` or `retry_budget`, or a stream that ended with an error event, while their run went on at a sidecar that could not be heard for a while. Cause: 1 s after the link was lost (8 s for a stream that had begun) the router gave up the run, cancelled it if its request has no key, and only then asked whether attempts, the retry budget and another upstream allow a further run. All runs of a sidecar lose their link at the same time, and a router saves up five retries at most. Change: `Scheduler.leave` records the failed attempt only if the request is not refused for it; otherwise the run keeps its place, and the router asks again each 0.1 s until the link is back, the sidecar is replaced, its upstream is retired or the request's time is over. A stream that has begun is left only if an upstream can go on with it. A request whose sidecar is gone for good, with nowhere else to go, is now refused at its deadline or when its upstream is retired, not after 4.5 s. The tokens of the next run are still reserved after the decision.

--- a/src/ragwortkeel/policy/scheduler.py
+++ b/src/ragwortkeel/policy/scheduler.py
@@ -38,6 +38,9 @@
 that time."""
 
 
+_ISOLATING_VERDICTS = frozenset({Verdict.ALONE, Verdict.REFUSE})
+
+
 @dataclass(frozen=True, kw_only=True)
 class _Running:
     """A dispatched request that has not ended."""
@@ -203,6 +206,42 @@
         self._upstreams.record_failure(running.upstream, failure, now)
         return self._after_failure(running, failure, now)
 
+    def leave(self, request_id: str, failure: Failure, now: float) -> Decision | None:
+        """Record a failed attempt that may still end well, if another one may follow.
+
+        Returns
+        -------
+        Decision or None
+            As of `record_failure`; None if the request would be refused, or if no
+            upstream but its own serves its back ends.  Nothing is recorded then.
+        """
+        running = self._running_by_id.get(request_id)
+        if running is None or not self._may_follow(running, now):
+            return None
+        return self.record_failure(request_id, failure, now)
+
+    def _may_follow(self, running: _Running, now: float) -> bool:
+        """Return whether another attempt would be dispatched or queued."""
+        queued, request = running.queued, running.queued.request
+        if not request.repeatable or queued.attempt >= MAX_ATTEMPTS:
+            return False
+        if not self._retries.get(request.back_ends).has_retry:
+            return False
+        if self._quarantine.verdict(request.fingerprint) in _ISOLATING_VERDICTS:
+            return False
+        if not set(self._upstreams.serving(request.back_ends)) - {running.upstream}:
+            return False
+        if now > request.deadline:
+            return False
+        queue = self._queue(request.back_ends)
+        if not queue.length(request.service_class):
+            avoid = queued.tried_upstreams | {running.upstream}
+            if self._upstreams.choose_upstream(request, avoid=avoid, now=now):
+                return True
+        latest_start, _ = self._service_times.latest_start(request)
+        is_in_time = now + self._wait_seconds(queue, request, now) <= latest_start
+        return is_in_time and len(queue) < self._settings.max_queued_requests
+
     def _after_failure(
         self, running: _Running, failure: Failure, now: float
     ) -> Decision:
--- a/src/ragwortkeel/router/attempt.py
+++ b/src/ragwortkeel/router/attempt.py
@@ -37,6 +37,9 @@
 It covers two detections of a silent link and one reconnection.
 """
 
+LEAVE_CHECK_SECONDS = 0.1
+"""Interval at which a run without a link is asked to be left."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class Completed:
@@ -130,7 +133,10 @@
         return True
 
     async def follow(
-        self, *, link_wait_seconds: Callable[[], float] = lambda: RELINK_WAIT_SECONDS
+        self,
+        *,
+        link_wait_seconds: Callable[[], float] = lambda: RELINK_WAIT_SECONDS,
+        may_leave: Callable[[], bool] = lambda: True,
     ) -> AttemptEnd:
         """Follow the run and return its end; may be cancelled and called again.
 
@@ -138,11 +144,14 @@
         ----------
         link_wait_seconds : callable, optional
             Called when the link is lost; returns the seconds to wait for it.
+        may_leave : callable, optional
+            Called when that time is over, and repeatedly while the link stays lost;
+            returns whether to give the run up, which may still end well.
         """
         while True:
             event = await self._subscription.queue.get()
             if isinstance(event, LinkDown):
-                event = await self._await_link(link_wait_seconds())
+                event = await self._await_link(link_wait_seconds(), may_leave)
             if event is None or not self.may_continue:
                 return Lost()
             end = await self._handle_event(event)
@@ -204,16 +213,23 @@
             tokens=finished.tokens,
         )
 
-    async def _await_link(self, seconds: float) -> LinkUp | None:
-        """Wait for the link; return None if it is not restored in time."""
-        try:
-            async with curio.timeout_after(seconds):
-                while True:
-                    event = await self._subscription.queue.get()
-                    if isinstance(event, LinkUp):
-                        return event
-        except curio.TaskTimeout:
-            return None
+    async def _await_link(
+        self, seconds: float, may_leave: Callable[[], bool]
+    ) -> LinkUp | None:
+        """Wait for the link; return None if the run is given up before."""
+        while True:
+            try:
+                async with curio.timeout_after(seconds):
+                    while True:
+                        event = await self._subscription.queue.get()
+                        if isinstance(event, LinkUp):
+                            return event
+            except curio.TaskTimeout:
+                # The link may have come back while the timer was late.
+                is_lost = self._subscription.queue.empty()
+                if is_lost and (not self.may_continue or may_leave()):
+                    return None
+            seconds = LEAVE_CHECK_SECONDS
 
     async def _query_run(self) -> None:
         """Resume the run, or ensure that an unconfirmed dispatch never runs."""
--- a/src/ragwortkeel/router/dispatcher.py
+++ b/src/ragwortkeel/router/dispatcher.py
@@ -61,7 +61,7 @@
 
     async def admit(self, facts: RequestFacts) -> Assignment | Refusal:
         """Return the request's assignment to an upstream, or its final refusal."""
-        return await self._resolve(self._scheduler.offer(facts, self._clock()))
+        return await self.resolve(self._scheduler.offer(facts, self._clock()))
 
     async def retry(
         self, request_id: str, failure: Failure
@@ -75,7 +75,31 @@
         """
         self._observer.record_attempt_failure(request_id, failure)
         decision = self._scheduler.record_failure(request_id, failure, self._clock())
-        return None if decision is None else await self._resolve(decision)
+        return None if decision is None else await self.resolve(decision)
+
+    def leave(self, request_id: str, failure: Failure) -> Decision | None:
+        """Record a failed attempt unless the request would be refused.
+
+        Returns
+        -------
+        Decision or None
+            The decision to `resolve`; None if nothing was recorded.
+        """
+        decision = self._scheduler.leave(request_id, failure, self._clock())
+        if decision is None:
+            return None
+        self._observer.record_attempt_failure(request_id, failure)
+        if isinstance(decision, Queued):
+            self._queue_by_request_id[request_id] = curio.Queue()
+        return decision
+
+    async def resolve(self, decision: Decision) -> Assignment | Refusal:
+        """Return the assignment or final refusal that a decision leads to."""
+        started_at = self._clock()
+        if isinstance(decision, Queued):
+            decision = await self._wait_for_decision(decision)
+        self._observer.record_decision(decision, self._clock() - started_at)
+        return decision
 
     async def record_first_token(self, request_id: str) -> None:
         """Record that a request's answer has begun."""
@@ -126,17 +150,9 @@
         """Number of queued requests."""
         return len(self._queue_by_request_id)
 
-    async def _resolve(self, decision: Decision) -> Assignment | Refusal:
-        started_at = self._clock()
-        if isinstance(decision, Queued):
-            decision = await self._wait_for_decision(decision)
-        self._observer.record_decision(decision, self._clock() - started_at)
-        return decision
-
     async def _wait_for_decision(self, decision: Queued) -> Assignment | Refusal:
         request_id = decision.request.request_id
-        queue = curio.Queue()
-        self._queue_by_request_id[request_id] = queue
+        queue = self._queue_by_request_id.setdefault(request_id, curio.Queue())
         await self._queued_changed.set()
         try:
             return await queue.get()
--- a/src/ragwortkeel/router/exchange.py
+++ b/src/ragwortkeel/router/exchange.py
@@ -20,7 +20,7 @@
     Resume,
     RunState,
 )
-from ragwortkeel.policy.facts import Assignment, Failure, RequestFacts
+from ragwortkeel.policy.facts import Assignment, Decision, Failure, RequestFacts
 from ragwortkeel.policy.facts import Refusal as PolicyRefusal
 from ragwortkeel.router.attempt import (
     RELINK_WAIT_SECONDS,
@@ -95,6 +95,7 @@
         self.tokens = 0
         self._first_token_received = False
         self._started_at_version: str | None = None
+        self._next_decision: Decision | None = None
 
     async def run(self) -> Refusal | None:
         """Serve the call; return its refusal, or None if it was answered."""
@@ -163,13 +164,42 @@
                 await self._finish(end)
                 return None
             self._sink.restart()
-            decision = await self._components.dispatcher.retry(
-                self._facts.request_id, failure_of(end)
-            )
+            decision = await self._decide_after(end)
         if decision is None:
             return Refusal(outcome=Outcome.FAILED, reason=Reason.UPSTREAM_FAILED)
         return refusal_of(decision, may_have_run=self.may_have_run)
 
+    async def _decide_after(self, end: AttemptEnd) -> Assignment | PolicyRefusal | None:
+        dispatcher = self._components.dispatcher
+        decision, self._next_decision = self._next_decision, None
+        if decision is not None:
+            return await dispatcher.resolve(decision)
+        return await dispatcher.retry(self._facts.request_id, failure_of(end))
+
+    def _may_leave(self, attempt: Attempt) -> bool:
+        """Decide whether to give up a run whose link is lost.
+
+        The run may still end well, so another one has to be allowed first.
+        """
+        found = self._components.directory.upstream(attempt.upstream)
+        if found is None or found[0].retired:
+            return True
+        if self._sink.has_started and not self._is_resumable(attempt):
+            return False
+        self._next_decision = self._components.dispatcher.leave(
+            self._facts.request_id, Failure.UNREACHABLE
+        )
+        return self._next_decision is not None
+
+    def _is_resumable(self, attempt: Attempt) -> bool:
+        """Return whether another upstream can continue the answer."""
+        names = self._components.directory.upstreams_of(self._facts.back_ends)
+        return any(
+            self._can_resume(name)
+            for name in names
+            if name != attempt.upstream and self._components.pool.is_up(name)
+        )
+
     async def _finish(self, end: Completed) -> None:
         self.tokens = end.tokens
         await self._components.dispatcher.record_finish(self._facts.request_id)
@@ -212,7 +242,10 @@
         ran_before, self.may_have_run = self.may_have_run, True
         end: AttemptEnd | None = None
         try:
-            end = await attempt.follow(link_wait_seconds=self._link_wait_seconds)
+            end = await attempt.follow(
+                link_wait_seconds=self._link_wait_seconds,
+                may_leave=lambda: self._may_leave(attempt),
+            )
         finally:
             await self._close(reservation, attempt, end)
         if isinstance(end, Declined):
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -292,3 +292,49 @@
         assert refusal.reason is Reason.QUARANTINED
         again = made.offer(request("new-key", fingerprint="body-poison"), now=0.6)
         assert again.reason is Reason.QUARANTINED
+
+
+class TestLeave:
+    """A run that may still end well is left only for one that is not refused."""
+
+    def test_a_free_upstream_is_assigned(self):
+        made = scheduler(2)
+        first = made.offer(request("r1"), now=0.0)
+        second = made.leave("r1", Failure.UNREACHABLE, now=0.1)
+        assert (second.attempt, second.upstream != first.upstream) == (2, True)
+
+    def test_a_request_that_may_wait_is_queued(self):
+        made = scheduler(2, initial_limit=1)
+        made.offer(request("r1"), now=0.0)
+        made.offer(request("r2"), now=0.0)
+        assert isinstance(made.leave("r1", Failure.UNREACHABLE, now=0.1), Queued)
+
+    def test_nothing_changes_without_another_upstream(self):
+        made = scheduler(1)
+        made.offer(request("r1"), now=0.0)
+        assert made.leave("r1", Failure.UNREACHABLE, now=0.1) is None
+        assert made.record_disconnect("r1", now=0.2) == "m0"
+
+    def test_nothing_changes_without_retries(self):
+        """Guards against a run that is given up for a retry that another one spent."""
+        made = scheduler(3)
+        ids = [f"r{i}" for i in range(20)]
+        for each in ids:
+            made.offer(request(each), now=0.0)
+        left = [made.leave(each, Failure.UNREACHABLE, now=0.1) for each in ids]
+        stayed = [each for each, found in zip(ids, left, strict=True) if found is None]
+        assert stayed and len(stayed) >= 20 - RESERVE_RETRIES
+        assert all(made.record_disconnect(each, now=0.2) for each in stayed)
+
+    def test_nothing_changes_after_the_last_attempt(self):
+        made = scheduler(5)
+        made.offer(request("r1"), now=0.0)
+        for _ in range(MAX_ATTEMPTS - 1):
+            assert made.leave("r1", Failure.UNREACHABLE, now=0.1)
+        assert made.leave("r1", Failure.UNREACHABLE, now=0.1) is None
+        assert made.record_disconnect("r1", now=0.2)
+
+    def test_a_request_that_must_not_repeat_stays(self):
+        made = scheduler(2)
+        made.offer(filing("f1"), now=0.0)
+        assert made.leave("f1", Failure.UNREACHABLE, now=0.1) is None
--- a/tests/router/in_process.py
+++ b/tests/router/in_process.py
@@ -81,6 +81,7 @@
         self.platform = LocalPlatform()
         self.tasks = []
         self.upstream_addresses = {}
+        self.sidecars = {}
 
     async def start(self):
         for name in self.engine_names:
@@ -125,6 +126,7 @@
             settings=settings, incarnation=f"{name}-1", platform=self.platform
         )
         sidecar.open()
+        self.sidecars[name] = sidecar
         await self._spawn(sidecar.run)
         upstream = Upstream(
             name=name,
