The run at a silent upstream ends only once its replacement has begun

Callers got a cut answer, or a 502, if the replacement turned the stream away (503 not run) or reset the connection, as a server with too many does: the silent one had been closed by then. Cause: an assignment and an open connection do not show that a run begins. Change: the silent run keeps its connection and place until the replacement answers with more than a refusal, for 0.3 s at most; if the replacement turns the request away, the silent run goes on. Also from the review: assignments that are given back end a probe without a verdict, so that an ejected upstream is probed again (a probe that met a full upstream left it out for good before as well); no search for 0.1 s after one that found the service full; no connect while something forbids to send; a second silence of a run counts like the first; a failure in place of the rest of a stream is cut off and counted, not a fault of the handler; a process without descriptors stays at the silent upstream.

--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -131,6 +131,8 @@
     on_head : callable
         Called with the head of a response and the monotonic second at which the request
         was sent, unless another instance responded.
+    on_accepted : callable
+        Called when a response shows that the upstream runs the request.
     on_first_event : callable
         Called when the response shows that the prompt has been read, and again for
         each later chunk of a stream.
@@ -157,6 +159,7 @@
         obstacle: Callable[[], NotRunReason | None],
         secure_replacement: Callable[[UpstreamConnection], Awaitable[bool]],
         on_head: Callable[[ResponseHead, float], None],
+        on_accepted: Callable[[], None],
         on_first_event: Callable[[], None],
         on_stream_started: Callable[[], Awaitable[None]],
         delivery_seconds: float = 0.0,
@@ -171,6 +174,7 @@
         self._obstacle = obstacle
         self._secure_replacement = secure_replacement
         self._on_head = on_head
+        self._on_accepted = on_accepted
         self._on_first_event = on_first_event
         self._on_stream_started = on_stream_started
         self._checks_deadline = checks_deadline
@@ -180,11 +184,14 @@
         self._reads = ReadSchedule(delivery_seconds=delivery_seconds)
         self._max_silence_seconds = MAX_FIRST_SILENCE_SECONDS
         self._reading_since: float | None = None
+        self._stream_head: ResponseHead | None = None
         self.sent = False
 
     async def run(self) -> Outcome:
         """Run the request, then close the connection or return it to the pool.
 
+        The connection to a silent upstream stays open until `resume` or `close`.
+
         Raises
         ------
         CallerLeft
@@ -201,43 +208,79 @@
             return NotRun(reason=NotRunReason.CONNECT_DELAYED, detail=str(exc))
         except ConnectFailed as exc:
             return NotRun(reason=NotRunReason.UNREACHABLE, detail=str(exc))
-        reusable = False
-        try:
-            if self._caller_response.responder.peer_disconnected():
-                reusable = True
-                raise CallerLeft(self._call.request_id)
-            # What forbids to send may have become known during the connect.
-            obstacle = self._obstacle()
-            if obstacle is not None:
-                reusable = True
-                return NotRun(reason=obstacle)
-            if self._checks_deadline and monotonic() >= self._call.deadline:
-                reusable = True
-                return NotRun(reason=NotRunReason.TOO_LATE)
-            self._connection = connection
-            outcome = await self._exchange(connection)
-            reusable = not isinstance(outcome, Broken)
-            return outcome
-        finally:
-            self._connection = None
-            if reusable:
-                await self._connections.release(upstream, connection)
-            else:
-                await connection.close()
+        not_run = self._why_not_sent()
+        if not_run is not None:
+            await self._connections.release(upstream, connection)
+            match not_run:
+                case CallerLeft():
+                    raise not_run
+                case reason:
+                    return NotRun(reason=reason)
+        self._connection = connection
+        return await self._use(self._send)
+
+    async def resume(self) -> Outcome:
+        """Go on with the run at an upstream that was silent.
+
+        Raises
+        ------
+        CallerLeft
+            The connection to the caller is closed.
+        """
+        return await self._use(self._receive_more)
+
+    async def close(self) -> None:
+        """End the run at an upstream that was silent."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await connection.close()
 
     def cut_off(self) -> None:
         """Let the upstream stop at once, from another task."""
         if self._connection is not None:
             self._connection.cut_off()
 
-    async def _exchange(self, connection: UpstreamConnection) -> Outcome:
+    def _why_not_sent(self) -> NotRunReason | CallerLeft | None:
+        """Return what became known during the connect and forbids to send."""
+        if self._caller_response.responder.peer_disconnected():
+            return CallerLeft(self._call.request_id)
+        obstacle = self._obstacle()
+        if obstacle is not None:
+            return obstacle
+        if self._checks_deadline and monotonic() >= self._call.deadline:
+            return NotRunReason.TOO_LATE
+        return None
+
+    async def _use(
+        self, exchange: Callable[[UpstreamConnection], Awaitable[Outcome]]
+    ) -> Outcome:
+        """Use the connection; keep it open only if the upstream is silent."""
+        connection = self._connection
+        outcome: Outcome | None = None
+        try:
+            outcome = await self._within_deadline(exchange, connection)
+            return outcome
+        finally:
+            match outcome:
+                case Broken(reason=BrokenReason.SILENT):
+                    pass
+                case None | Broken():
+                    await self.close()
+                case _:
+                    self._connection = None
+                    await self._connections.release(
+                        self._assignment.upstream, connection
+                    )
+
+    async def _within_deadline(
+        self,
+        exchange: Callable[[UpstreamConnection], Awaitable[Outcome]],
+        connection: UpstreamConnection,
+    ) -> Outcome:
         seconds_left = self._call.deadline - monotonic()
         try:
             async with curio.timeout_after(max(0.001, seconds_left)):
-                self.sent = True
-                self._sent_at = monotonic()
-                await connection.send(self._upstream_request(seconds_left))
-                return await self._receive_response(connection)
+                return await exchange(connection)
         except curio.TaskTimeout:
             return Broken(reason=BrokenReason.DEADLINE)
         except ExchangeBroken as exc:
@@ -247,6 +290,18 @@
                 raise CallerLeft(self._call.request_id) from exc
             return Broken(reason=BrokenReason.CLOSED, detail=str(exc))
 
+    async def _send(self, connection: UpstreamConnection) -> Outcome:
+        self.sent = True
+        self._sent_at = monotonic()
+        seconds_left = self._call.deadline - self._sent_at
+        await connection.send(self._upstream_request(seconds_left))
+        return await self._receive_response(connection)
+
+    async def _receive_more(self, connection: UpstreamConnection) -> Outcome:
+        if self._stream_head is None:
+            return await self._receive_response(connection)
+        return await self._relay_stream(connection, self._stream_head)
+
     async def _receive_response(self, connection: UpstreamConnection) -> Outcome:
         head = await self._receive_head(connection)
         if isinstance(head, Broken):
@@ -256,6 +311,7 @@
         if head.status == MISDIRECTED or head.get(self._names.not_run):
             await _receive_body(connection)
             return _not_run(head)
+        self._on_accepted()
         if head.get("content-encoding"):
             return Broken(
                 reason=BrokenReason.SPOILED, detail="response has a content-encoding"
@@ -277,20 +333,25 @@
         request_id = self._call.request_id
         if not self._call.route.resumable:
             return await connection.receive_head(request_id)
-        seconds = MAX_FIRST_SILENCE_SECONDS
         while True:
+            seconds = self._sent_at + MAX_FIRST_SILENCE_SECONDS - monotonic()
             try:
-                async with curio.timeout_after(seconds):
+                async with curio.timeout_after(max(SILENCE_CHECK_SECONDS, seconds)):
                     return await connection.receive_head(request_id)
             except curio.TaskTimeout:
                 if await self._secure_replacement(connection):
                     return Broken(reason=BrokenReason.SILENT)
-            seconds = SILENCE_CHECK_SECONDS
 
     async def _stream(
         self, connection: UpstreamConnection, head: ResponseHead
     ) -> Outcome:
         self._caller_response.splitter.discard_partial_event()
+        self._stream_head = head
+        return await self._relay_stream(connection, head)
+
+    async def _relay_stream(
+        self, connection: UpstreamConnection, head: ResponseHead
+    ) -> Outcome:
         outcome = None
         while outcome is None:
             outcome = await self._relay_until_interrupted(connection, head)
--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -33,6 +33,9 @@
 Requests of other processes end too, and peers report their loads about as often.
 """
 
+FULL_RECHECK_SECONDS = 0.1
+"""Time after a failed search in which requests that must not wait are not assigned."""
+
 MAX_DISPATCH_DELAY_SECONDS = 2 * QUEUE_CHECK_SECONDS
 """Longest time from when a rate limit allows a queued request until it is sent.
 
@@ -109,6 +112,7 @@
         self._assigned_by_request_id: dict[str, curio.Event] = {}
         self._service_by_name: dict[str, Service] = {}
         self._waits_by_service: dict[str, QueueWaits] = {}
+        self._full_until_by_key: dict[tuple[str, str | None], float] = {}
 
     async def acquire(
         self,
@@ -168,14 +172,23 @@
     ) -> Assignment | None:
         """Assign the request unless it would be refused or have to wait.
 
-        `release` has to end the assignment.
+        Pattern of load: hundreds of streams look for room at a full service again and
+        again.  After a search that failed the next ones of the service and software
+        version fail at once for a moment.  `release` has to end the assignment.
         """
         self._service_by_name[service.name] = service
+        key = service.name, job.version
+        now = monotonic()
+        if now < self._full_until_by_key.get(key, 0.0):
+            return None
         if self._directory.withholds_all(service=service.name, regions=job.regions):
             return None
         if self.lacks_version(job, tried_upstreams):
             return None
-        return await self._assign_at_once(job, service, tried_upstreams)
+        assignment = await self._assign_at_once(job, service, tried_upstreams)
+        if assignment is None:
+            self._full_until_by_key[key] = now + FULL_RECHECK_SECONDS
+        return assignment
 
     async def _assign_at_once(
         self, job: Job, service: Service, tried_upstreams: frozenset[str]
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -1,9 +1,12 @@
 """One request that matched a route, from its reservation to its final response."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from functools import partial
 from time import monotonic
 
+import curio
+
 from ragwortkeel.budget.account import AccountReservation
 from ragwortkeel.exceptions import CallerLeft
 from ragwortkeel.http_responder import ABORT_DRAIN_SECONDS, Responder
@@ -67,6 +70,12 @@
 The rest has to be enough for its run.
 """
 
+MAX_OVERLAP_SECONDS = 0.3
+"""Time in which a replacement may turn the request away before the silent run ends.
+
+A full upstream answers at once.
+"""
+
 MAX_LOGGED_CHARACTERS = 64
 """Characters of the request id in a caller's `resumes` header that a line contains."""
 
@@ -116,6 +125,24 @@
 _OUTCOME_BY_SOURCE = {"own": "own", "sole_version": "sole_version"}
 
 
+@dataclass(kw_only=True, eq=False)
+class _Run:
+    """A run of the request at one upstream.
+
+    Attributes
+    ----------
+    is_left : bool
+        Whether a silent upstream was told to stop.
+    is_counted : bool
+        Whether the run counts among the attempts of the request.
+    """
+
+    assignment: Assignment
+    attempt: Attempt
+    is_left: bool = False
+    is_counted: bool = False
+
+
 class Exchange:
     """Reserves tokens for one accepted request, runs it and sends the response.
 
@@ -156,6 +183,8 @@
             obstacle=self._obstacle,
         )
         self._replacement: Replacement | None = None
+        self._open_runs: list[_Run] = []
+        self._silent_run: _Run | None = None
         self._lack: Lack | None = None
         self.deadline = accepted.call.deadline
 
@@ -307,25 +336,93 @@
 
     async def _run_until_answered(self) -> ErrorResponse | None:
         """Run at upstreams until a response is final; return an error left to send."""
-        while True:
-            replacement = self._take_replacement()
-            connection = replacement.connection if replacement else None
-            assignment = (
-                replacement.assignment if replacement else await self._acquire()
-            )
-            if isinstance(assignment, ErrorResponse):
-                return await self._give_up(assignment)
-            try:
-                outcome = await self._run_at(assignment, connection)
-            finally:
-                await self._components.dispatcher.release(assignment)
-            done = await self._handle_outcome(assignment, outcome)
-            if not isinstance(done, _TryAgain):
-                return await self._give_up(done) if done else None
-            self._join_sweep()
+        try:
+            while True:
+                run = await self._next_run()
+                if isinstance(run, ErrorResponse):
+                    return await self._give_up(run)
+                outcome = await self._follow(run, run.attempt.run)
+                if self._silent_run is not None:
+                    run, outcome = await self._choose_run(run, outcome)
+                if _is_silent(outcome):
+                    self._silent_run = run
+                else:
+                    await self._end_run(run)
+                done = await self._handle_outcome(run.assignment, outcome)
+                if not isinstance(done, _TryAgain):
+                    return await self._give_up(done) if done else None
+                self._join_sweep()
+        finally:
+            for run in tuple(self._open_runs):
+                await self._end_run(run)
+
+    async def _next_run(self) -> _Run | ErrorResponse:
+        """Return a run at the replacement of a silent upstream, or at any."""
+        replacement = self._take_replacement()
+        if replacement is not None:
+            return self._new_run(replacement.assignment, replacement.connection)
+        assignment = await self._acquire()
+        if isinstance(assignment, ErrorResponse):
+            return assignment
+        return self._new_run(assignment, None)
+
+    async def _choose_run(self, run: _Run, outcome: Outcome) -> tuple[_Run, Outcome]:
+        """Go on at the silent upstream if its replacement has not run the request.
+
+        Return the run that is kept, and its outcome.
+        """
+        silent, self._silent_run = self._silent_run, None
+        if silent.is_left or not _may_not_have_run(outcome):
+            await self._end_run(silent)
+            return run, outcome
+        await self._end_run(run)
+        await self._record_failed_replacement(run.assignment, outcome)
+        log_info(
+            "silent_upstream_resumed",
+            request=self._accepted.call.request_id,
+            upstream=silent.assignment.upstream.name,
+            instead_of=run.assignment.upstream.name,
+        )
+        return silent, await self._follow(silent, silent.attempt.resume)
+
+    async def _end_run(self, run: _Run) -> None:
+        """Close the connection of a run and give its place back."""
+        self._open_runs.remove(run)
+        await run.attempt.close()
+        await self._components.dispatcher.release(run.assignment)
+
+    async def _record_failed_replacement(
+        self, assignment: Assignment, outcome: NotRun | Broken
+    ) -> None:
+        name = assignment.upstream.name
+        self._tried_upstreams |= {name}
+        self._log_failure(assignment, outcome.reason, outcome.detail)
+        match outcome:
+            case NotRun(reason=reason):
+                self._record_not_run(name, reason)
+            case Broken():
+                self._components.placement.record_failure(
+                    name, Failure.ERROR, monotonic()
+                )
+                await self._components.crashes.record_broken_run(
+                    assignment.upstream, self._broken_run()
+                )
+
+    def _leave_silent_run(self) -> None:
+        """Let a silent upstream stop, as another one runs the request."""
+        if self._silent_run is not None:
+            self._silent_run.is_left = True
+            self._silent_run.attempt.cut_off()
+
+    async def _end_overlap(self, run: _Run) -> None:
+        await curio.sleep(MAX_OVERLAP_SECONDS)
+        async with curio.disable_cancellation():
+            if self._silent_run is run:
+                self._silent_run = None
+                await self._end_run(run)
 
     async def _give_up(self, error: ErrorResponse) -> ErrorResponse | None:
-        if self._upstream_failure is not None:
+        if self._upstream_failure is not None and not self._caller_response.started:
             # The upstream's response says more than one of the ingress would.
             await self._forward(*self._upstream_failure)
             return None
@@ -367,9 +464,9 @@
         )
         return with_retry_after(OVERLOADED, acquired.wait_seconds)
 
-    async def _run_at(
+    def _new_run(
         self, assignment: Assignment, connection: UpstreamConnection | None
-    ) -> Outcome:
+    ) -> _Run:
         components, accepted = self._components, self._accepted
         log_info(
             "dispatched",
@@ -402,6 +499,7 @@
         self._lack = None
 
         def receive_event() -> None:
+            self._lack = None
             answer.receive_event()
             if self._answered_since is None:
                 self._answered_since = monotonic()
@@ -417,15 +515,27 @@
             secure_replacement=partial(self._secure_replacement, assignment),
             connection=connection,
             on_head=receive_head,
+            on_accepted=self._leave_silent_run,
             on_first_event=receive_event,
             on_stream_started=lambda: self._record_stream_started(assignment),
             checks_deadline=components.sweep is not None,
             delivery_seconds=components.event_delivery_seconds,
         )
-        self._attempt = attempt
+        run = _Run(assignment=assignment, attempt=attempt)
+        self._open_runs.append(run)
+        return run
+
+    async def _follow(
+        self, run: _Run, follow: Callable[[], Awaitable[Outcome]]
+    ) -> Outcome:
+        """Run or resume an attempt, and note whether the request may have run."""
+        attempt = self._attempt = run.attempt
+        timer: curio.Task | None = None
+        if self._silent_run is not None:
+            timer = await curio.spawn(self._end_overlap, self._silent_run, daemon=True)
         outcome: Outcome | None = None
         try:
-            outcome = await attempt.run()
+            outcome = await follow()
             if isinstance(outcome, FullResponse | StreamCompleted):
                 # A ready answer is delivered even if it is late.
                 self._leave_sweep()
@@ -437,9 +547,11 @@
         finally:
             self._attempt = None
             # A request that is cancelled after sending may have run as well.
-            if attempt.sent and not isinstance(outcome, NotRun):
-                self._may_have_run = True
+            if attempt.sent and not run.is_counted and not isinstance(outcome, NotRun):
+                run.is_counted = self._may_have_run = True
                 self._runs += 1
+            if timer is not None:
+                await timer.cancel()
 
     def _obstacle(self, assignment: Assignment) -> NotRunReason | None:
         """Return why the request may not be sent to its upstream, None if it may."""
@@ -565,6 +677,10 @@
             # The sweep has ended the run, so its outcome says nothing of the upstream.
             raise CallerLeft(self._accepted.call.request_id)
         match outcome:
+            case FullResponse(head=head) if self._caller_response.started:
+                self._log_failure(assignment, "error", str(head.status))
+                self._tried_upstreams |= {name}
+                return _AGAIN if self._may_run_again("error") else BROKEN
             case FullResponse(head=head) as response:
                 if head.status >= SERVER_ERROR_STATUS and self._may_run_again("error"):
                     self._log_failure(assignment, "error", str(head.status))
@@ -611,12 +727,8 @@
     def _after_not_run(
         self, name: str, reason: NotRunReason
     ) -> ErrorResponse | _TryAgain:
-        components = self._components
         was_sent = reason in (NotRunReason.FULL, NotRunReason.OTHER_INSTANCE)
-        if reason in (NotRunReason.UNREACHABLE, NotRunReason.OTHER_INSTANCE):
-            components.placement.record_failure(name, Failure.UNREACHABLE, monotonic())
-        if reason is NotRunReason.OTHER_INSTANCE:
-            components.dispatcher.record_replaced(name)
+        self._record_not_run(name, reason)
         if was_sent:
             self._rejected_sends += 1
         self._tried_upstreams |= {name}
@@ -633,6 +745,15 @@
             return BROKEN if self._may_have_run else OVERLOADED
         return _AGAIN
 
+    def _record_not_run(self, name: str, reason: NotRunReason) -> None:
+        components = self._components
+        failure = Failure.TURNED_AWAY
+        if reason in (NotRunReason.UNREACHABLE, NotRunReason.OTHER_INSTANCE):
+            failure = Failure.UNREACHABLE
+        components.placement.record_failure(name, failure, monotonic())
+        if reason is NotRunReason.OTHER_INSTANCE:
+            components.dispatcher.record_replaced(name)
+
     def _after_broken(
         self, name: str, reason: BrokenReason
     ) -> ErrorResponse | _TryAgain:
@@ -781,6 +902,19 @@
         self._components.metrics.record_attempt_failure(failure=reason)
 
 
+def _is_silent(outcome: Outcome) -> bool:
+    return isinstance(outcome, Broken) and outcome.reason is BrokenReason.SILENT
+
+
+def _may_not_have_run(outcome: Outcome) -> bool:
+    """Return whether an upstream turned a request away or closed its connection."""
+    match outcome:
+        case NotRun() | Broken(reason=BrokenReason.CLOSED):
+            return True
+        case _:
+            return False
+
+
 def _origin_fields(found: Found | NotFound) -> dict[str, object]:
     """Return what a log line says of the origin of a stream."""
     match found:
--- a/src/ragwortkeel/ingress/replacement.py
+++ b/src/ragwortkeel/ingress/replacement.py
@@ -1,4 +1,4 @@
-"""What a stream needs before it leaves a silent upstream for another one.
+"""What a stream needs before it tries to leave a silent upstream for another one.
 
 Failure it guards against: an upstream is silent for a moment and goes on, but its
 streams have been ended, as no other upstream could run them.  All streams of an
@@ -96,19 +96,29 @@
             if not isinstance(rv, Replacement):
                 if rv is not Lack.RETRIES:
                     self._retries.refund()
-                await self._dispatcher.release(assignment)
+                await self._give_back(assignment)
         return rv
 
     async def drop(self, replacement: Replacement) -> None:
         """Give back a replacement that was not used."""
         self._retries.refund()
-        await self._dispatcher.release(replacement.assignment)
+        await self._give_back(replacement.assignment)
         await replacement.connection.close()
 
+    async def _give_back(self, assignment: Assignment) -> None:
+        # The assignment may have been the probe of an ejected upstream.
+        self._placement.record_failure(
+            assignment.upstream.name, Failure.TURNED_AWAY, monotonic()
+        )
+        await self._dispatcher.release(assignment)
+
     async def _connect(
         self, assignment: Assignment, silent: UpstreamConnection
     ) -> Replacement | Lack:
         upstream = assignment.upstream
+        lack = self._lack_now(assignment, silent)
+        if lack is not None:
+            return lack
         try:
             connection = await self._connections.acquire(upstream, fresh=True)
         except ConnectDelayed:
@@ -118,11 +128,15 @@
                 upstream.name, Failure.UNREACHABLE, monotonic()
             )
             return Lack.CONNECTION
-        # Both may have changed during the connect.
-        lack = None if silent.is_quiet() else Lack.ANSWERED
-        if self._obstacle(assignment) is not None:
-            lack = Lack.OBSTACLE
+        lack = self._lack_now(assignment, silent)
         if lack is None:
             return Replacement(assignment=assignment, connection=connection)
         await self._connections.release(upstream, connection)
         return lack
+
+    def _lack_now(
+        self, assignment: Assignment, silent: UpstreamConnection
+    ) -> Lack | None:
+        if not silent.is_quiet():
+            return Lack.ANSWERED
+        return Lack.OBSTACLE if self._obstacle(assignment) is not None else None
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -160,7 +160,11 @@
         ConnectFailed
             There is no connection, so the request was not sent.
         """
-        sock = curio.socket.socket(_socket.AF_INET, _socket.SOCK_STREAM)
+        try:
+            sock = curio.socket.socket(_socket.AF_INET, _socket.SOCK_STREAM)
+        except OSError as exc:
+            # The process is out of descriptors.
+            raise ConnectDelayed(f"{upstream.name}: {exc!r}") from exc
         connected = False
         try:
             _set_options(sock)
