--- a/tests/test_http_idle.py
+++ b/tests/test_http_idle.py
@@ -38,60 +38,76 @@
     return found
 
 
-class TestUnansweredRequests:
-    @pytest.mark.parametrize(
-        "error", [ExchangeBroken("an upstream's"), ConnectionResetError("a link's")]
-    )
-    def test_loss_of_another_connection_gives_500(self, error):
-        """Guards against a caller that gets no answer as another connection is lost."""
+def handler_with(fault):
+    """Return a handler that echoes, except for requests of the target ``/fault``."""
 
-        async def handler(request, responder):
-            if request.target == "/lost":
-                raise error
-            await echo(request, responder)
+    async def handler(request, responder):
+        await (fault if request.target == "/fault" else echo)(request, responder)
 
-        async def scenario(_, client):
-            return await client.request("GET", "/lost", timeout=5)
+    return handler
 
-        response = with_server(scenario, handler)
-        assert response.status == 500
-        assert b'"outcome":"unknown"' in response.body
 
-    @pytest.mark.parametrize("headers", [{"x-bad": "a\nb"}, {"x-bad": "\u2603"}, None])
-    def test_response_that_cannot_be_sent_gives_500(self, headers):
-        """Guards against a closed connection instead of an answer that h11 refuses."""
+async def lose_upstream(request, responder):
+    raise ExchangeBroken("an upstream's")
+
+
+async def lose_link(request, responder):
+    raise ConnectionResetError("a link's")
+
+
+async def send_malformed(request, responder):
+    await responder.respond(200, b"", {"x-bad": "a\nb"})
+
 
-        async def handler(request, responder):
-            if request.target == "/" or headers:
-                bad = {} if request.target == "/" else headers
-                await responder.respond(200, b"empty", bad)
+async def send_unencodable(request, responder):
+    await responder.respond(200, b"", {"x-bad": "\u2603"})
+
+
+async def send_nothing(request, responder):
+    pass
+
+
+async def send_half(request, responder):
+    await responder.start(200, {})
+    await responder.send(b"half")
+
+
+async def see_caller_leave(request, responder):
+    await responder.disconnected.wait()
+    raise CallerLeft("left")
+
+
+class TestUnansweredRequests:
+    @pytest.mark.parametrize(
+        "fault",
+        [lose_upstream, lose_link, send_malformed, send_unencodable, send_nothing],
+    )
+    def test_fault_before_the_response_gives_500(self, fault):
+        """Guards against a connection that closes without an answer."""
 
         async def scenario(_, client):
-            return await client.request("GET", "/malformed", timeout=5)
+            return await client.request("GET", "/fault", timeout=5)
 
-        assert with_server(scenario, handler).status == 500
+        response = with_server(scenario, handler_with(fault))
+        assert response.status == 500
+        assert b'"outcome":"unknown"' in response.body
 
     def test_response_without_an_end_is_logged_and_counted(self, lines):
         """Guards against an answer cut off by a fault of our own without any trace."""
         metrics = Metrics()
 
-        async def handler(request, responder):
-            if request.target != "/no-end":
-                return await echo(request, responder)
-            await responder.start(200, {})
-            return await responder.send(b"half")
-
         async def scenario(server, _):
-            return await exchange(server.port, post(b"", target="/no-end"))
+            return await exchange(server.port, post(b"", target="/fault"))
 
-        answer = with_server(scenario, handler, on_unanswered=metrics.record_unanswered)
+        record = metrics.record_unanswered
+        answer = with_server(scenario, handler_with(send_half), on_unanswered=record)
         assert not answer.endswith(b"0\r\n\r\n")
         assert b'requests_unanswered_total{cause="own"} 1.0' in metrics.render()
         (line,) = lines
         assert line.pop("after") < 1.0
         assert line == {
             "event": "request_unanswered",
-            "target": "/no-end",
+            "target": "/fault",
             "stage": "response",
             "error": "the handler returned",
             "started": True,
@@ -103,28 +119,17 @@
         """Guards against lines and counts of faults for callers that leave."""
         causes = []
 
-        async def handler(request, responder):
-            if request.target != "/leave":
-                return await echo(request, responder)
-            await responder.disconnected.wait()
-            raise CallerLeft("left")
-
         async def scenario(server, _):
             sock = await curio.open_connection("127.0.0.1", server.port)
-            await sock.sendall(post(b"", target="/leave"))
+            await sock.sendall(post(b"", target="/fault"))
             await curio.sleep(0.05)
             await sock.close()
             while not causes:
                 await curio.sleep(0.01)
 
-        with_server(
-            scenario,
-            handler,
-            cancels_disconnected=cancels,
-            on_unanswered=causes.append,
-        )
-        assert causes == ["peer"]
-        assert lines == []
+        settings = {"cancels_disconnected": cancels, "on_unanswered": causes.append}
+        with_server(scenario, handler_with(see_caller_leave), **settings)
+        assert (causes, lines) == (["peer"], [])
 
     def test_answered_requests_are_not_recorded(self, lines):
         """Guards against a count of lost requests that includes answered ones."""
@@ -136,8 +141,7 @@
             await exchange(server.port, post(b"", target="/abort"))
 
         with_server(scenario, on_unanswered=causes.append)
-        assert causes == []
-        assert lines == []
+        assert (causes, lines) == ([], [])
 
 
 async def kept_connections(server, count):
@@ -182,50 +186,38 @@
 
 
 class TestIdleLimit:
-    def test_a_raised_limit_counts_for_waiting_connections(self):
-        """Guards against a close by a limit that is no longer in force."""
+    @pytest.mark.parametrize(("was", "limit"), [(0.2, 0.8), (3600.0, 0.05)])
+    def test_the_limit_in_force_counts_for_waiting_connections(self, was, limit):
+        """Guards against a close, or none, by a limit that is no longer in force."""
 
         async def scenario(server, _):
             (sock,) = await kept_connections(server, 1)
-            server.keep_alive_seconds = 0.8
+            server.keep_alive_seconds = limit
             await curio.sleep(0.6)
+            if was > limit:
+                async with curio.timeout_after(2):
+                    return await received(sock)
             await sock.sendall(post(b"second"))
             return await received(sock)
 
-        assert with_server(scenario, keep_alive_seconds=0.2).endswith(b"second")
-
-    def test_a_lowered_limit_counts_for_waiting_connections(self):
-        """Guards against connections kept for long after the limit was lowered."""
-
-        async def scenario(server, _):
-            (sock,) = await kept_connections(server, 1)
-            server.keep_alive_seconds = 0.1
-            async with curio.timeout_after(2):
-                return await received(sock)
-
-        assert with_server(scenario, keep_alive_seconds=3600.0) == b""
+        answer = with_server(scenario, keep_alive_seconds=was)
+        assert answer == b"" if was > limit else answer.endswith(b"second")
 
-    def test_requests_that_came_within_the_limit_are_answered_by_a_frozen_process(self):
-        """Guards against requests that a frozen process finds and closes unread."""
+    @pytest.mark.parametrize(
+        ("sent", "count", "answered"),
+        [(post(b"q"), 20, b"HTTP/1.1 200"), (post(b"q")[:20], 1, b"HTTP/1.1 408")],
+        ids=["whole", "part"],
+    )
+    def test_a_frozen_process_reads_before_it_closes(self, sent, count, answered):
+        """Guards against requests that came within the limit and are closed unread."""
 
         async def scenario(server, _):
-            socks = await kept_connections(server, 20)
-            with frozen(0.4, requests={sock: post(b"second") for sock in socks}):
+            socks = await kept_connections(server, count)
+            with frozen(0.4, requests=dict.fromkeys(socks, sent)):
                 return [await received(sock) for sock in socks]
 
         answers = with_server(scenario, keep_alive_seconds=0.2)
-        assert [a for a in answers if not a.endswith(b"second")] == []
-
-    def test_a_slow_head_is_refused_by_a_frozen_process(self):
-        """Guards against a head that holds its connection for longer than the limit."""
-
-        async def scenario(server, _):
-            (sock,) = await kept_connections(server, 1)
-            with frozen(0.4, requests={sock: post(b"second")[:20]}):
-                return await received(sock)
-
-        answer = with_server(scenario, keep_alive_seconds=0.2)
-        assert answer.startswith(b"HTTP/1.1 408")
+        assert [a for a in answers if not a.startswith(answered)] == []
 
 
 class TestPlannedStop:
@@ -240,10 +232,7 @@
             # The process may end as soon as no exchange is open.
             while server.open_exchanges:
                 await curio.sleep(0.001)
-            for sock in socks:
-                sock._socket.setblocking(False)
-            answers = [sock._socket.recv(999) for sock in socks]
-            return await received(idle), answers
+            return await received(idle), [sock._socket.recv(999) for sock in socks]
 
         end, answers = with_server(scenario)
         assert end == b""
@@ -253,23 +242,21 @@
         """Guards against requests that run although nobody can get their answers."""
         # As if it arrived between the look for bytes and the close.
         monkeypatch.setattr(http_server, "_has_received", lambda sock, conn: False)
-        handled = []
-        causes = []
+        handled, causes = [], []
 
-        async def handler(request, responder):
-            handled.append(request.target)
-            await echo(request, responder)
+        async def fault(request, responder):
+            handled.append(request)
 
         async def scenario(server, _):
             (sock,) = await kept_connections(server, 1)
-            sock._socket.send(post(b"", target="/crossing"))
+            sock._socket.send(post(b"", target="/fault"))
             await server.close_idle()
             return await received(sock)
 
+        handler = handler_with(fault)
         assert with_server(scenario, handler, on_unanswered=causes.append) == b""
-        assert "/crossing" not in handled
         assert [line["stage"] for line in lines] == ["closing"]
-        assert causes == ["own"]
+        assert (handled, causes) == ([], ["own"])
 
     def test_connections_of_streams_from_before_the_stop_are_closed(self, monkeypatch):
         """Guards against kept connections that are open as a stopped process ends."""
