--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -237,12 +237,11 @@
         """Close the connections whose exchanges have ended since `close_idle`.
 
         On return, the exchanges of requests that have arrived on them have ended, or
-        the monotonic time `deadline` has passed.
+        the monotonic time `deadline` or `FIRST_REQUEST_SECONDS` have passed.
         """
-        await self.close_idle(
-            wait_seconds=min(FIRST_REQUEST_SECONDS, deadline - monotonic())
-        )
-        while self.open_exchanges and monotonic() < deadline:
+        ends_at = min(deadline, monotonic() + FIRST_REQUEST_SECONDS)
+        await self.close_idle(wait_seconds=ends_at - monotonic())
+        while self.open_exchanges and monotonic() < ends_at:
             await curio.sleep(STOP_POLL_SECONDS)
 
     def close_longest_idle(self, *, idle_seconds: float, fraction: float) -> int:
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -423,8 +423,9 @@
         await self._server.close_idle()
         while self._server.open_exchanges and monotonic() < deadline:
             await curio.sleep(STOP_POLL_SECONDS)
-        # Answers that began before the stop have not asked for a close.
-        await self._server.close_finished(deadline=deadline)
+        if not self._server.open_exchanges:
+            # Answers that began before the stop have not asked for a close.
+            await self._server.close_finished(deadline=deadline)
         cut_count = self._server.open_exchanges
         returned = await self._budget_keeper.close()
         return Leftover(counts={"requests": cut_count, "slices": int(not returned)})
