Soak: sound upstreams that are silent for a moment

Change: one upstream, or all of a service, sends nothing for 0.5 to 2.5 s and goes on: before an event, before a head, before a plain answer. Drawn apart from the other actions; it is in no span, so it excuses nothing.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,6 +27,7 @@
     processes: int = 3,
     share: float = 1.0,
     cuts: bool = True,
+    pauses: bool = True,
     directory: str = "",
 ) -> None:
     """Play seeds one after the other.
@@ -40,9 +41,11 @@
     processes
         Ingress processes of a run.
     share
-        Share of the faults that are played, other than those of `cuts`.
+        Share of the faults that are played, other than those of `cuts` and `pauses`.
     cuts
         Whether all processes are cut off at times and upstreams leave often.
+    pauses
+        Whether sound upstreams are silent for a moment at times.
     directory
         Receives a folder with the logs of each seed; a temporary one if empty.
     """
@@ -59,6 +62,7 @@
             directory=logs,
             share=share,
             cuts=cuts,
+            pauses=pauses,
         )
         if found:
             broken.append(number)
@@ -74,6 +78,7 @@
     directory: Path,
     share: float = 1.0,
     cuts: bool = True,
+    pauses: bool = True,
 ) -> list:
     """Play one seed, print its outcome and return the violations."""
     fleet = Fleet(directory)
@@ -85,6 +90,7 @@
             fleet=fleet,
             share=share,
             cuts=cuts,
+            pauses=pauses,
         )
         with curio.Kernel(taskcls=ContextTask) as kernel:
             history = kernel.run(run.run)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,10 @@
 MEAN_LEAVING_GAP_SECONDS = 4.0
 MEAN_CUT_GAP_SECONDS = 14.0
 MEAN_RELAY_FREEZE_GAP_SECONDS = 10.0
+MEAN_PAUSE_GAP_SECONDS = 3.0
+MIN_PAUSE_SECONDS = 0.5
+MAX_PAUSE_SECONDS = 2.5
+PAUSED_SERVICES = ("app", "pool")
 RELAY_COUNT = 2
 FIRST_FAULT_SECONDS = 3.0
 QUIET_END_SECONDS = 6.0
@@ -144,6 +148,23 @@
     version: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class PauseUpstreams:
+    """Sound upstreams of a service send nothing for a moment and go on.
+
+    Their connections stay open and new ones are accepted.
+
+    Attributes
+    ----------
+    number : int or None
+        Which of the service's upstreams, from the oldest on; None for all of them.
+    """
+
+    service: str
+    number: int | None
+    seconds: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class KillRelay:
     """A relay is killed and starts again."""
@@ -202,6 +223,7 @@
     | FreezeRelay
     | CrashUpstream
     | RestartUpstream
+    | PauseUpstreams
     | KillRelay
     | SendCrashingPrompts
     | Rush
@@ -226,17 +248,20 @@
     processes: int,
     share: float = 1.0,
     cuts: bool = True,
+    pauses: bool = True,
 ) -> list[Scheduled]:
     """Return the actions of a run.
 
     Parameters
     ----------
     share : float
-        Share of the actions that are played, other than those of `cuts`.  With fewer of
-        them processes are in touch for longer, and so bound by more.
+        Share of the actions that are played, other than those of `cuts` and `pauses`.
+        With fewer of them processes are in touch for longer, and so bound by more.
     cuts : bool
         Whether all processes are cut off at times, relays stand still, and upstreams
         leave often.
+    pauses : bool
+        Whether sound upstreams are silent for a moment at times.
     """
     random = Random(f"soak {seed}")
     schedule = []
@@ -252,6 +277,8 @@
     if cuts:
         schedule += _draw_leavings(seed, seconds) + _draw_cuts(seed, seconds)
         schedule += _draw_relay_freezes(seed, seconds)
+    if pauses:
+        schedule += _draw_pauses(seed, seconds)
     return sorted(schedule, key=lambda scheduled: scheduled.at)
 
 
@@ -356,6 +383,22 @@
     ]
 
 
+def _draw_pauses(seed: int, seconds: float) -> list[Scheduled]:
+    random = Random(f"pauses {seed}")
+    times = _draw_times(random, seconds, mean_gap=MEAN_PAUSE_GAP_SECONDS)
+    return [
+        Scheduled(
+            at=at,
+            action=PauseUpstreams(
+                service=random.choice(PAUSED_SERVICES),
+                number=random.choice((None, random.randrange(4))),
+                seconds=round(random.uniform(MIN_PAUSE_SECONDS, MAX_PAUSE_SECONDS), 2),
+            ),
+        )
+        for at in times
+    ]
+
+
 def _draw_times(random: Random, seconds: float, *, mean_gap: float) -> list[float]:
     times = []
     at = FIRST_FAULT_SECONDS + random.expovariate(1 / mean_gap)
--- a/soak/run.py
+++ b/soak/run.py
@@ -37,6 +37,7 @@
     Kill,
     KillRelay,
     Leave,
+    PauseUpstreams,
     PlatformFault,
     Reload,
     RemoveRoute,
@@ -290,7 +291,7 @@
     ----------
     fleet : Fleet
         Starts the processes; the caller closes it.
-    share, cuts : float, bool
+    share, cuts, pauses : float, bool, bool
         Which faults are played, see `soak.faults.draw_schedule`.
     """
 
@@ -303,10 +304,12 @@
         fleet: Fleet,
         share: float = 1.0,
         cuts: bool = True,
+        pauses: bool = True,
     ) -> None:
         self._seed = seed
         self._share = share
         self._cuts = cuts
+        self._pauses = pauses
         self._random = Random(f"releases {seed}")
         self._seconds = seconds
         self._fleet = fleet
@@ -391,6 +394,7 @@
             processes=self._count,
             share=self._share,
             cuts=self._cuts,
+            pauses=self._pauses,
         )
         started_at = monotonic()
         for scheduled in schedule:
@@ -450,10 +454,19 @@
                 await self._disturb_platform(action)
             case ReplaceUpstream() | Leave() | CrashUpstream() | RestartUpstream():
                 await self._disturb_upstream(action)
+            case PauseUpstreams():
+                self._pause_upstreams(action)
             case KillRelay() | FreezeRelay():
                 await self._disturb_relay(action)
             case SendCrashingPrompts() | Rush():
                 await self._change_load(action)
+            case ChangeRoutes() | RemoveRoute() | RevokeKey():
+                await self._change_configuration(action)
+
+    async def _change_configuration(
+        self, action: ChangeRoutes | RemoveRoute | RevokeKey
+    ) -> None:
+        match action:
             case ChangeRoutes(count=count):
                 await self._operator.add_routes(count)
             case RemoveRoute():
@@ -604,6 +617,13 @@
         self._upstreams.append(upstream)
         self._record_serving(upstream, ready=True)
 
+    def _pause_upstreams(self, action: PauseUpstreams) -> None:
+        paused = [each for each in self._upstreams if each.service == action.service]
+        if action.number is not None and paused:
+            paused = [paused[action.number % len(paused)]]
+        for upstream in paused:
+            upstream.pause(action.seconds)
+
     async def _restart_engine(self, seconds: float, version: str) -> None:
         engines = (each for each in self._upstreams if each.service == "pool")
         engine = next(engines, None)
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -78,6 +78,7 @@
         self._history = history
         self._random = Random(f"{name} {seed}")
         self._crashed = False
+        self._silent_until = 0.0
         self._task_by_sock: dict[object, curio.Task] = {}
         self._running_by_sock: dict[object, str] = {}
 
@@ -109,6 +110,14 @@
         await curio.sleep(seconds)
         self._crashed = False
 
+    def pause(self, seconds: float) -> None:
+        """Send nothing for some seconds, on open and new connections."""
+        self._silent_until = max(self._silent_until, monotonic() + seconds)
+
+    async def _wait_for_pause(self) -> None:
+        while (left := self._silent_until - monotonic()) > 0:
+            await curio.sleep(left)
+
     async def restart(self, seconds: float, *, version: str) -> None:
         """Go down, with nothing at the port, and come back at another version."""
         await self.go_down()
@@ -159,6 +168,7 @@
             fields.append((NAMES.leaving, "1"))
         if headers.get(NAMES.expect_instance) != self.name:
             fields += [(NAMES.not_run, "1"), ("content-length", "0")]
+            await self._wait_for_pause()
             await sock.sendall(conn.send(_response(421, fields)))
             await sock.sendall(conn.send(h11.EndOfMessage()))
             return True
@@ -186,6 +196,7 @@
             return await self._serve_draft(sock, conn, headers, fields)
         else:
             await curio.sleep(WORK_SECONDS)
+            await self._wait_for_pause()
             body = own_body(request_id)
             fields.append(("content-length", str(len(body))))
             data = conn.send(_response(200, fields)) + conn.send(h11.Data(data=body))
@@ -222,12 +233,14 @@
             ("content-type", "text/event-stream"),
             ("transfer-encoding", "chunked"),
         ]
+        await self._wait_for_pause()
         await sock.sendall(conn.send(_response(200, fields)))
         for number in range(after + 1, STREAM_EVENTS + 1):
             await curio.sleep(EVENT_SECONDS)
             if number == cut_at:
                 _reset_on_close(sock)
                 return
+            await self._wait_for_pause()
             event = f"id: {number}\ndata: {prefix}{number}\n\n".encode()
             await sock.sendall(conn.send(h11.Data(data=event)))
         await sock.sendall(conn.send(h11.EndOfMessage()))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,7 @@
     MIN_TAKE_UPS,
     violations,
 )
-from soak.faults import QUIET_END_SECONDS, draw_schedule
+from soak.faults import QUIET_END_SECONDS, PauseUpstreams, draw_schedule
 from soak.history import (
     Answer,
     BadArrival,
@@ -107,6 +107,15 @@
         schedule = draw_schedule(seed=7, seconds=60, processes=3)
         assert schedule[-1].at < 60 - QUIET_END_SECONDS
 
+    def test_pauses_leave_the_other_actions_of_a_seed_as_they_were(self):
+        with_pauses, without = (
+            draw_schedule(seed=7, seconds=60, processes=3, pauses=pauses)
+            for pauses in (True, False)
+        )
+        pauses = [one for one in with_pauses if isinstance(one.action, PauseUpstreams)]
+        assert pauses
+        assert [one for one in with_pauses if one not in pauses] == without
+
 
 class TestRunsAndAnswers:
     def test_a_served_request_breaks_nothing(self):
@@ -389,13 +398,23 @@
         The cause has a test of its own in `tests/ingress/test_renewals.py`.
         """
         found = run_seed(
-            seed=2, seconds=30.0, processes=3, directory=tmp_path, cuts=False
+            seed=2,
+            seconds=30.0,
+            processes=3,
+            directory=tmp_path,
+            cuts=False,
+            pauses=False,
         )
         assert found == []
 
     def test_a_run_with_cuts_and_leaving_upstreams_breaks_no_promise(self, tmp_path):
         """Guards against requests to upstreams that left during a cut."""
         found = run_seed(
-            seed=6100, seconds=60.0, processes=3, directory=tmp_path, share=0.0
+            seed=6100,
+            seconds=60.0,
+            processes=3,
+            directory=tmp_path,
+            share=0.0,
+            pauses=False,
         )
         assert found == []
