Soak: the idle limit is raised and lowered, and callers use what it allows

A connection that was idle for longer is not used again. Answers record how long their connection had been idle.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -45,7 +45,8 @@
     cuts
         Whether all processes are cut off at times and upstreams leave often.
     pauses
-        Whether sound upstreams are silent for a moment at times.
+        Whether sound upstreams are silent for a moment at times, and the limit of idle
+        connections changes, which callers use.
     directory
         Receives a folder with the logs of each seed; a temporary one if empty.
     """
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,7 @@
 from ragwortkeel.http_client import HttpClient
 from ragwortkeel.ingress.names import HeaderNames
 from soak.history import Answer, History, Kind, Request
+from soak.idle_limits import IdleLimits
 from soak.upstreams import (
     COMMON_BLOCK,
     PROOF,
@@ -35,6 +36,12 @@
 LEFT_DRAFT_SHARE = 0.15
 """Share of requests for drafts whose caller loses its connection between events."""
 APP_HOST = "app.example"
+IDLE_SHARE = 0.06
+"""Share of pauses between two requests that last as long as the idle limit allows."""
+MIN_IDLE_FRACTION = 0.6
+MAX_IDLE_FRACTION = 0.8
+MAX_IDLE_SECONDS = 4.0
+IDLE_POLL_SECONDS = 0.02
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -65,11 +72,14 @@
         With routes that are new or removed.
     keys, revoked_keys : list of (str, str)
         API keys, new ones too, each with its customer.
+    idle_limits : IdleLimits
+        How long connections may stay idle.
     """
 
     routes: list[Route]
     keys: list[tuple[str, str]]
     revoked_keys: list[tuple[str, str]]
+    idle_limits: IdleLimits
 
 
 class Caller:
@@ -81,6 +91,8 @@
         Returns the processes that the balancer would choose from.
     mean_requests : callable
         Returns the mean number of requests on one connection.
+    idles : bool
+        Whether connections are left idle for nearly as long as the limit at times.
     """
 
     def __init__(
@@ -92,8 +104,12 @@
         mean_requests: Callable[[], int] = lambda: MEAN_REQUESTS_PER_PROCESS,
         choices: Choices,
         history: History,
+        idles: bool = True,
     ) -> None:
         self._number = number
+        # Apart, so that callers that do not idle draw what they drew before.
+        self._idle_random = Random(f"idle caller {number} {seed}")
+        self._idles = idles
         self._random = Random(f"caller {number} {seed}")
         self._targets = targets
         self._mean_requests = mean_requests
@@ -113,19 +129,40 @@
     async def _use(self, target: Target) -> None:
         """Use one process's connection until it is gone, or for some requests."""
         client = HttpClient(host=HOST, port=target.port)
+        idle_since = None
         try:
             for _ in range(self._random.randrange(2 * self._mean_requests())):
                 route = self._random.choice(self._choices.routes)
-                answer = await self._ask(client, target, route)
+                if idle_since is not None and self._is_idle_too_long(idle_since):
+                    await client.close()
+                    idle_since = None
+                answer = await self._ask(client, target, route, idle_since=idle_since)
+                idle_since = monotonic()
                 if route.kind is Kind.DRAFT:
                     await self._take_up(answer, route)
                 if not answer.status:
                     await curio.sleep(PAUSE_SECONDS)
                     return
                 await curio.sleep(self._random.uniform(0, 2 * PAUSE_SECONDS))
+                if self._idles and self._idle_random.random() < IDLE_SHARE:
+                    await self._idle(idle_since)
         finally:
             await client.close()
 
+    async def _idle(self, since: float) -> None:
+        """Wait until the connection was idle for a large part of what is allowed."""
+        part = self._idle_random.uniform(MIN_IDLE_FRACTION, MAX_IDLE_FRACTION)
+        while True:
+            limit = self._choices.idle_limits.least_seconds(monotonic())
+            if monotonic() - since >= part * min(limit, MAX_IDLE_SECONDS):
+                return
+            await curio.sleep(IDLE_POLL_SECONDS)
+
+    def _is_idle_too_long(self, since: float) -> bool:
+        now = monotonic()
+        limit = self._choices.idle_limits.least_seconds(now)
+        return self._idles and now - since > MAX_IDLE_FRACTION * limit
+
     async def _take_up(self, answer: Answer, route: Route) -> None:
         """Take a broken stream up, at another process each time."""
         first_id, last_id = "", 0
@@ -161,6 +198,7 @@
         resumes: str = "",
         after: int = 0,
         key: tuple[str, str] | None = None,
+        idle_since: float | None = None,
     ) -> Answer:
         """Send one request and record how it ended."""
         self._sent += 1
@@ -224,6 +262,7 @@
             after=after,
             draft=draft_events(bytes(received)) if is_draft else (),
             left=left,
+            idle_seconds=None if idle_since is None else request.sent_at - idle_since,
         )
         self._history.answers.append(answer)
         return answer
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,6 +20,8 @@
 MEAN_CUT_GAP_SECONDS = 14.0
 MEAN_RELAY_FREEZE_GAP_SECONDS = 10.0
 MEAN_PAUSE_GAP_SECONDS = 3.0
+MEAN_IDLE_LIMIT_GAP_SECONDS = 6.0
+IDLE_LIMITS_SECONDS = (1.0, 2.0, 4.0)
 MIN_PAUSE_SECONDS = 0.5
 MAX_PAUSE_SECONDS = 2.5
 PAUSED_SERVICES = ("app", "pool")
@@ -210,6 +212,13 @@
     """An API key is taken away and a new one added."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class ChangeIdleLimit:
+    """The time that connections may stay idle is raised or lowered."""
+
+    seconds: float
+
+
 Action = (
     Kill
     | Stop
@@ -230,6 +239,7 @@
     | ChangeRoutes
     | RemoveRoute
     | RevokeKey
+    | ChangeIdleLimit
 )
 
 
@@ -261,7 +271,8 @@
         Whether all processes are cut off at times, relays stand still, and upstreams
         leave often.
     pauses : bool
-        Whether sound upstreams are silent for a moment at times.
+        Whether sound upstreams are silent for a moment at times, and the limit of idle
+        connections changes.
     """
     random = Random(f"soak {seed}")
     schedule = []
@@ -278,7 +289,7 @@
         schedule += _draw_leavings(seed, seconds) + _draw_cuts(seed, seconds)
         schedule += _draw_relay_freezes(seed, seconds)
     if pauses:
-        schedule += _draw_pauses(seed, seconds)
+        schedule += _draw_pauses(seed, seconds) + _draw_idle_limits(seed, seconds)
     return sorted(schedule, key=lambda scheduled: scheduled.at)
 
 
@@ -399,6 +410,17 @@
     ]
 
 
+def _draw_idle_limits(seed: int, seconds: float) -> list[Scheduled]:
+    random = Random(f"idle limits {seed}")
+    times = _draw_times(random, seconds, mean_gap=MEAN_IDLE_LIMIT_GAP_SECONDS)
+    return [
+        Scheduled(
+            at=at, action=ChangeIdleLimit(seconds=random.choice(IDLE_LIMITS_SECONDS))
+        )
+        for at in times
+    ]
+
+
 def _draw_times(random: Random, seconds: float, *, mean_gap: float) -> list[float]:
     times = []
     at = FIRST_FAULT_SECONDS + random.expovariate(1 / mean_gap)
--- a/soak/history.py
+++ b/soak/history.py
@@ -66,6 +66,8 @@
         Ids of the events of a draft, and the software versions that wrote them.
     left : bool
         Whether the caller closed its connection itself.
+    idle_seconds : float or None
+        How long the connection had been idle; None for the first request on it.
     """
 
     request: Request
@@ -80,6 +82,7 @@
     after: int = 0
     draft: tuple[tuple[int, str], ...] = ()
     left: bool = False
+    idle_seconds: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -13,6 +13,7 @@
     Customer,
     Engine,
     IngressConfiguration,
+    Limits,
     Repeats,
     Service,
     Split,
@@ -23,6 +24,7 @@
 from ragwortkeel.platform import Platform
 from soak.callers import APP_HOST, Choices, Route
 from soak.history import Change, History, Kind
+from soak.idle_limits import IdleLimits
 from soak.upstreams import HOST, RecordingUpstream
 
 RETRY_SECONDS = 0.3
@@ -64,7 +66,13 @@
     """
 
     def __init__(self, *, platform: Platform, history: History) -> None:
-        self.choices = Choices(routes=list(BASE_ROUTES), keys=[], revoked_keys=[])
+        self._limits = Limits()
+        self.choices = Choices(
+            routes=list(BASE_ROUTES),
+            keys=[],
+            revoked_keys=[],
+            idle_limits=IdleLimits(seconds=self._limits.idle_seconds),
+        )
         self._platform = platform
         self._history = history
         self._routes = list(BASE_ROUTES)
@@ -124,6 +132,14 @@
             self.choices.revoked_keys.append((removed, name))
             await self._apply(adds=frozenset({new}), removes=frozenset({removed}))
 
+    async def change_idle_limit(self, seconds: float) -> None:
+        """Change how long connections may stay idle."""
+        async with self._lock:
+            self._limits = Limits(idle_seconds=seconds)
+            self.choices.idle_limits.send(seconds)
+            await self._apply()
+            self.choices.idle_limits.confirm(monotonic())
+
     async def register(self, upstream: RecordingUpstream) -> None:
         """Write the entry of an upstream that has started.
 
@@ -187,6 +203,7 @@
             revision=self._revision,
             routes=tuple(_configured(route) for route in self._routes),
             services=SERVICES,
+            limits=self._limits,
             customers=tuple(
                 Customer(
                     name=name,
--- a/soak/run.py
+++ b/soak/run.py
@@ -27,6 +27,7 @@
     RELAY_COUNT,
     VERSIONS,
     Action,
+    ChangeIdleLimit,
     ChangeRoutes,
     CrashUpstream,
     CutOff,
@@ -441,6 +442,7 @@
             targets=self._targets,
             mean_requests=self._mean_requests,
             choices=self._operator.choices,
+            idles=self._pauses,
             history=self.history,
         )
 
@@ -460,11 +462,11 @@
                 await self._disturb_relay(action)
             case SendCrashingPrompts() | Rush():
                 await self._change_load(action)
-            case ChangeRoutes() | RemoveRoute() | RevokeKey():
+            case ChangeRoutes() | RemoveRoute() | RevokeKey() | ChangeIdleLimit():
                 await self._change_configuration(action)
 
     async def _change_configuration(
-        self, action: ChangeRoutes | RemoveRoute | RevokeKey
+        self, action: ChangeRoutes | RemoveRoute | RevokeKey | ChangeIdleLimit
     ) -> None:
         match action:
             case ChangeRoutes(count=count):
@@ -473,6 +475,8 @@
                 await self._operator.remove_route()
             case RevokeKey():
                 await self._operator.revoke_key()
+            case ChangeIdleLimit(seconds=seconds):
+                await self._operator.change_idle_limit(seconds)
 
     async def _disturb_relay(self, action: KillRelay | FreezeRelay) -> None:
         match action:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,12 @@
     MIN_TAKE_UPS,
     violations,
 )
-from soak.faults import QUIET_END_SECONDS, PauseUpstreams, draw_schedule
+from soak.faults import (
+    QUIET_END_SECONDS,
+    ChangeIdleLimit,
+    PauseUpstreams,
+    draw_schedule,
+)
 from soak.history import (
     Answer,
     BadArrival,
@@ -25,6 +30,7 @@
     Serving,
     Span,
 )
+from soak.idle_limits import CONFIGURATION_SECONDS, IdleLimits
 
 PROCESS = "ingress-0"
 READY_AT = 100.0
@@ -112,9 +118,27 @@
             draw_schedule(seed=7, seconds=60, processes=3, pauses=pauses)
             for pauses in (True, False)
         )
-        pauses = [one for one in with_pauses if isinstance(one.action, PauseUpstreams)]
-        assert pauses
-        assert [one for one in with_pauses if one not in pauses] == without
+        drawn_apart = (PauseUpstreams, ChangeIdleLimit)
+        kinds = {type(one.action) for one in with_pauses}
+        assert kinds.issuperset(drawn_apart)
+        others = [one for one in with_pauses if not isinstance(one.action, drawn_apart)]
+        assert others == without
+
+
+class TestIdleLimits:
+    @pytest.mark.parametrize(
+        ("limit", "unconfirmed", "early", "late"), [(1.0, 1, 1, 1), (8.0, 4, 4, 8)]
+    )
+    def test_the_smaller_limit_counts_until_a_change_is_in_force(
+        self, limit, unconfirmed, early, late
+    ):
+        """Guards against callers that use connections which may be closed."""
+        limits = IdleLimits(seconds=4.0)
+        limits.send(limit)
+        assert limits.least_seconds(SENT_AT) == unconfirmed
+        limits.confirm(SENT_AT)
+        assert limits.least_seconds(SENT_AT + CONFIGURATION_SECONDS - 0.1) == early
+        assert limits.least_seconds(SENT_AT + CONFIGURATION_SECONDS) == late
 
 
 class TestRunsAndAnswers:
