Soak: a check of answers that are cut, and more streams than retries

Change: `answers_are_not_cut` counts each request that was read and cut beside a planned stop, a reload or a new configuration, and more than three that were passed on at any time by processes in touch. What upstream, caller or time limit ended doesn't count; silence and a stream that its caller can take up do. Beside pauses ten more callers a process ask for streams. Reloads are recorded. A cut by a planned stop breaks two checks now, so the test of the first expects both.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -91,6 +91,10 @@
         Returns the processes that the balancer would choose from.
     mean_requests : callable
         Returns the mean number of requests on one connection.
+    kind : Kind or None
+        What all requests ask for; None for all kinds.
+    customer : str
+        Customer of all requests; empty for all customers.
     idles : bool
         Whether connections are left idle for nearly as long as the limit at times.
     """
@@ -104,6 +108,8 @@
         mean_requests: Callable[[], int] = lambda: MEAN_REQUESTS_PER_PROCESS,
         choices: Choices,
         history: History,
+        kind: Kind | None = None,
+        customer: str = "",
         idles: bool = True,
     ) -> None:
         self._number = number
@@ -115,6 +121,8 @@
         self._mean_requests = mean_requests
         self._choices = choices
         self._history = history
+        self._kind = kind
+        self._customer = customer
         self._sent = 0
 
     async def run(self) -> None:
@@ -132,7 +140,7 @@
         idle_since = None
         try:
             for _ in range(self._random.randrange(2 * self._mean_requests())):
-                route = self._random.choice(self._choices.routes)
+                route = self._draw_route()
                 if idle_since is not None and self._is_idle_too_long(idle_since):
                     await client.close()
                     idle_since = None
@@ -267,7 +275,16 @@
         self._history.answers.append(answer)
         return answer
 
+    def _draw_route(self) -> Route:
+        routes = self._choices.routes
+        if self._kind is not None:
+            routes = [route for route in routes if route.kind is self._kind]
+        return self._random.choice(routes)
+
     def _draw_key(self) -> tuple[str, str]:
+        if self._customer:
+            keys = [key for key in self._choices.keys if key[1] == self._customer]
+            return self._random.choice(keys)
         keys = self._choices.keys
         if self._choices.revoked_keys and self._random.random() < REVOKED_KEY_SHARE:
             keys = self._choices.revoked_keys
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,7 +4,7 @@
 `CALM_SECONDS` before.  The other promises hold at all times.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from signal import SIGTERM
@@ -25,6 +25,15 @@
 MAX_LATE_ARRIVALS = 3
 MIN_COMPARED = 20
 """Requests on each side from which on shares are compared."""
+BEFORE_REQUEST_SECONDS = 3.0
+"""Time before a request in which a disturbance excuses its cut."""
+RELOAD_SECONDS = 2.0
+CHANGE_SECONDS = 3.0
+"""From the confirmation of a change to the last cut that counts as beside it."""
+MAX_CUTS = 3
+MAX_CUT_FACTOR = 3.0
+USED_SHARE = 0.7
+"""Share of the time of a request after which its cut beside a change is no sign."""
 LOSS_GRACE_SECONDS = 0.2
 """A request that crosses the end of an idle connection fails within this time."""
 
@@ -297,6 +306,115 @@
             yield _violation("planned stop", answer.ended_at, f"{answer}")
 
 
+def answers_are_not_cut(history: History) -> Iterator[Violation]:
+    """Find requests that were read and whose connection ended without an answer.
+
+    A silent upstream excuses nothing.  Beside planned work each of them counts, at
+    other times more than some of those that were passed on.
+    """
+    ran = {run.request_id for run in history.runs}
+    cuts = list(_cut_answers(history))
+    for answer in cuts:
+        request = answer.request
+        crossed = answer.ended_at - request.sent_at <= LOSS_GRACE_SECONDS
+        if crossed and request.request_id not in ran:
+            continue
+        work = _planned_work(history, answer)
+        if work and not _is_disturbed(history, answer):
+            yield _violation(f"cut beside a {work}", answer.ended_at, f"{answer}")
+    passed_on = [
+        answer
+        for answer in cuts
+        if answer.request.request_id in ran
+        and answer.idle_seconds is not None
+        and _is_bound(history, answer.request, answer.ended_at)
+    ]
+    counted = list(_without_changes(history, passed_on))
+    if len(counted) > MAX_CUTS:
+        detail = f"{len(counted)} cuts, the last one: {counted[-1]}"
+        yield _violation("answers are cut", counted[-1].ended_at, detail)
+
+
+def _cut_answers(history: History) -> Iterator[Answer]:
+    """Return answers that ended early, neither by the caller nor by an upstream."""
+    broken = {run.request_id for run in history.runs if run.broken_by_upstream}
+    broken |= history.cut_requests
+    for answer in history.answers:
+        if answer.status or not answer.connected or answer.left:
+            continue
+        request = answer.request
+        used_seconds = answer.ended_at - request.sent_at
+        if request.request_id in broken or used_seconds >= history.time_limit_seconds:
+            continue
+        yield answer
+
+
+def _planned_work(history: History, answer: Answer) -> str:
+    """Return the planned work that a cut was beside; empty if there was none."""
+    request, ended_at = answer.request, answer.ended_at
+    for span in history.spans:
+        is_stop = span.cause == "stop" and span.process == request.process
+        if is_stop and span.begins_at <= ended_at <= span.ends_at:
+            return "stop"
+    for reload in history.reloads:
+        is_own = reload.process == request.process
+        sent_in_time = request.sent_at <= reload.begins_at + RELOAD_SECONDS
+        if is_own and sent_in_time and ended_at >= reload.begins_at:
+            return "reload"
+    return "change" if _is_beside_change(history, ended_at) else ""
+
+
+def _is_beside_change(history: History, at: float) -> bool:
+    return any(
+        change.sent_at <= at <= change.confirmed_at + CHANGE_SECONDS
+        for change in history.changes
+        if change.revision
+    )
+
+
+def _is_disturbed(history: History, answer: Answer) -> bool:
+    """Return whether something unplanned disturbed the process of a request."""
+    since = answer.request.sent_at - BEFORE_REQUEST_SECONDS
+    return any(
+        span.process in ("", answer.request.process)
+        and span.cause != "stop"
+        and span.begins_at <= answer.ended_at
+        and span.ends_at >= since
+        for span in history.spans
+    )
+
+
+def _without_changes(history: History, cuts: list[Answer]) -> Iterator[Answer]:
+    """Return cuts but those beside changes that are about as frequent at other times.
+
+    Beside a change, cuts of requests that have used most of their time count nowhere.
+    """
+    beside, others = defaultdict(list), defaultdict(list)
+    for answer in cuts:
+        process = answer.request.process
+        if not _is_beside_change(history, answer.ended_at):
+            others[process].append(answer)
+        elif (
+            answer.ended_at - answer.request.sent_at
+            < USED_SHARE * history.time_limit_seconds
+        ):
+            beside[process].append(answer)
+    requests_beside, requests_at_others = Counter(), Counter()
+    for answer in history.answers:
+        if _is_bound(history, answer.request, answer.ended_at):
+            is_beside = _is_beside_change(history, answer.ended_at)
+            counter = requests_beside if is_beside else requests_at_others
+            counter[answer.request.process] += 1
+    for found in others.values():
+        yield from found
+    for process, found in beside.items():
+        # Compared without a division, as there may be no requests at other times.
+        rate = len(found) * requests_at_others[process]
+        usual = len(others[process]) * requests_beside[process]
+        if rate > MAX_CUT_FACTOR * usual or not others[process]:
+            yield from found
+
+
 def planned_stops_leave_nothing(history: History) -> Iterator[Violation]:
     """Find planned stops that did not end in time, or left something undone.
 
@@ -400,6 +518,7 @@
     valid_requests_are_not_denied,
     leaving_upstreams_get_nothing,
     planned_stops_cut_nothing,
+    answers_are_not_cut,
     planned_stops_leave_nothing,
 )
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -179,6 +179,11 @@
         Times in which one process got most new connections.
     cut_requests : set of str
         Requests that an upstream ran when it went down.
+    reloads : list of Span
+        When a process was told to read its settings again.
+    time_limit_seconds : float
+        Time after which a request may end without an answer, by the callers' deadline
+        or the timeout of the routes.
     changed : set of str
         Routes and API keys of changes that were sent, confirmed or not.
     problems : list of str
@@ -200,6 +205,8 @@
     bad_arrivals: list[BadArrival] = field(default_factory=list)
     bad_crashes_by_block: dict[str, list[float]] = field(default_factory=dict)
     bad_until_by_block: dict[str, float] = field(default_factory=dict)
+    reloads: list[Span] = field(default_factory=list)
+    time_limit_seconds: float = inf
     cut_requests: set[str] = field(default_factory=set)
     changed: set[str] = field(default_factory=set)
     problems: list[str] = field(default_factory=list)
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 from ragwortkeel.platform_client import HttpPlatform
 from soak.bad_prompts import BadCallers
 from soak.callers import (
+    DEADLINE_SECONDS,
     MEAN_REQUESTS_PER_PROCESS,
     PROMPT_TOKENS,
     Caller,
@@ -51,16 +52,20 @@
     Way,
     draw_schedule,
 )
-from soak.history import BadArrival, Exit, History, Serving, Span
-from soak.operator import Operator
+from soak.history import BadArrival, Exit, History, Kind, Serving, Span
+from soak.operator import ROUTE_SECONDS, Operator
 from soak.upstreams import RecordingUpstream, zone_of
 from soak.ways import PlatformWay
 
 EVENT_TOKENS = 6
 PREPAID_BY_CUSTOMER = {"large": 100_000_000, "small": 60_000}
 """The budget of the one is never used up; that of the other is, within a run."""
+STREAM_CUSTOMER = "large"
 
 CALLERS_PER_PROCESS = 4
+STREAM_CALLERS_PER_PROCESS = 10
+"""Callers of streams beside pauses, so that more of them fall silent together than a
+process has retries."""
 VERSIONS_BY_SERVICE = {
     "app": ("v1", "v1", "v1"),
     "pool": ("v1", "v2", "v1", "v2"),
@@ -218,6 +223,10 @@
     def reload(self) -> None:
         """Tell the process to read its settings again."""
         self._program.send(signal.SIGHUP)
+        now = monotonic()
+        self._history.reloads.append(
+            Span(process=self.name, cause="reload", begins_at=now, ends_at=now)
+        )
 
     async def disturb_way(self, action: DisturbWay) -> None:
         """Disturb the connections to the platform."""
@@ -328,6 +337,7 @@
             prepaid_by_customer=dict(PREPAID_BY_CUSTOMER),
             prompt_tokens=PROMPT_TOKENS,
             event_tokens=EVENT_TOKENS,
+            time_limit_seconds=min(DEADLINE_SECONDS, ROUTE_SECONDS),
         )
 
     async def run(self) -> History:
@@ -376,6 +386,11 @@
             await self._spawn(self._caller(number).run)
             for number in range(self._count * CALLERS_PER_PROCESS)
         ]
+        if self._pauses:
+            self._callers += [
+                await self._spawn(self._stream_caller(number).run)
+                for number in range(self._count * STREAM_CALLERS_PER_PROCESS)
+            ]
 
     async def _spawn(self, function: Callable, *arguments: object) -> curio.Task:
         return await self._tasks.spawn(self._guard, function, *arguments, daemon=True)
@@ -435,7 +450,11 @@
     def _draw_valid_key(self) -> tuple[str, str]:
         return self._random.choice(self._operator.choices.keys)
 
-    def _caller(self, number: int) -> Caller:
+    def _stream_caller(self, number: int) -> Caller:
+        first = self._count * CALLERS_PER_PROCESS
+        return self._caller(first + number, kind=Kind.DRAFT, customer=STREAM_CUSTOMER)
+
+    def _caller(self, number: int, **fields: object) -> Caller:
         return Caller(
             number=number,
             seed=self._seed,
@@ -444,6 +463,7 @@
             choices=self._operator.choices,
             idles=self._pauses,
             history=self.history,
+            **fields,
         )
 
     async def _apply(self, action: Action) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,9 +7,11 @@
     CRASHES_TO_KNOW,
     DRAIN_SECONDS,
     IN_FORCE_SECONDS,
+    MAX_CUTS,
     MAX_LATE_ARRIVALS,
     MIN_COMPARED,
     MIN_TAKE_UPS,
+    USED_SHARE,
     violations,
 )
 from soak.faults import (
@@ -387,8 +389,9 @@
         return broken(answers=[failed], runs=list(runs), spans=list(spans))
 
     def test_a_request_that_a_stop_cut_is_found(self):
-        assert self.cut() == ["planned stop"]
-        assert self.cut(runs=[run()]) == ["planned stop"]
+        promises = ["planned stop", "cut beside a stop"]
+        assert self.cut() == promises
+        assert self.cut(runs=[run()]) == promises
 
     def test_what_did_not_arrive_or_an_upstream_broke_is_allowed(self):
         assert self.cut(connected=False) == []
@@ -415,6 +418,140 @@
         assert broken(exits=[end], spans=[outage]) == []
 
 
+class TestCutAnswers:
+    """Guards against answers that end unanswered while nothing is wrong."""
+
+    STOP = disturbed("stop", SENT_AT - 0.5, SENT_AT + 5)
+    RELOAD = disturbed("reload", SENT_AT + 0.5, SENT_AT + 0.5)
+    CHANGE = change(SENT_AT + 0.5, revision=2)
+    LIMIT_SECONDS = 3.0
+
+    def found(self, *answers, runs=None, **fields):
+        runs = [run(each.request) for each in answers] if runs is None else runs
+        found = broken(
+            answers=list(answers),
+            runs=runs,
+            time_limit_seconds=self.LIMIT_SECONDS,
+            **fields,
+        )
+        return [each for each in found if "cut" in each]
+
+    def cut(self, number=1, *, sent_at=SENT_AT, used_seconds=1.0, **fields):
+        sent = request(request_id=f"c1-{number}", sent_at=sent_at)
+        fields = {"idle_seconds": 0.2} | fields
+        return answer(sent, 0, ended_at=sent_at + used_seconds, **fields)
+
+    def series(self, count, **fields):
+        return [self.cut(number, **fields) for number in range(count)]
+
+    def test_a_cut_beside_planned_work_is_found(self):
+        cut = self.cut()
+        assert self.found(cut, spans=[self.STOP]) == ["cut beside a stop"]
+        assert self.found(cut, reloads=[self.RELOAD]) == ["cut beside a reload"]
+        assert self.found(cut, changes=[self.CHANGE]) == ["cut beside a change"]
+
+    def test_work_at_another_process_or_an_entry_is_none(self):
+        stop = disturbed("stop", SENT_AT - 0.5, SENT_AT + 5, "ingress-1")
+        reload = disturbed("reload", SENT_AT, SENT_AT, "ingress-1")
+        entry = change(SENT_AT + 0.5, leaves="u9")
+        cut = self.cut()
+        assert self.found(cut, spans=[stop], reloads=[reload], changes=[entry]) == []
+
+    @pytest.mark.parametrize(
+        ("late_seconds", "promises"), [(1.9, 1), (2.1, 0), (-0.9, 1), (-1.1, 0)]
+    )
+    def test_a_reload_counts_for_what_is_sent_until_two_seconds_later(
+        self, late_seconds, promises
+    ):
+        reload = disturbed("reload", SENT_AT - late_seconds, SENT_AT - late_seconds)
+        found = self.found(self.cut(), reloads=[reload])
+        assert found == ["cut beside a reload"] * promises
+
+    @pytest.mark.parametrize(
+        ("confirmed_seconds_before", "promises"),
+        [(2.9, 1), (3.1, 0), (-0.05, 1), (-0.15, 0)],
+    )
+    def test_a_change_counts_from_its_sending_until_it_is_in_force(
+        self, confirmed_seconds_before, promises
+    ):
+        cut = self.cut()
+        made = change(cut.ended_at - confirmed_seconds_before, revision=2)
+        assert self.found(cut, changes=[made]) == ["cut beside a change"] * promises
+
+    @pytest.mark.parametrize(
+        ("used_seconds", "passed_on", "promises"),
+        [(0.1, True, 1), (0.1, False, 0), (0.3, False, 1)],
+    )
+    def test_a_request_counts_once_it_is_passed_on_or_certainly_read(
+        self, used_seconds, passed_on, promises
+    ):
+        """A request may cross the end of its connection."""
+        cut = self.cut(used_seconds=used_seconds)
+        runs = [run(cut.request, SENT_AT)] if passed_on else []
+        found = self.found(cut, runs=runs, spans=[self.STOP])
+        assert found == ["cut beside a stop"] * promises
+
+    @pytest.mark.parametrize(("calm_seconds", "promises"), [(3.1, 1), (2.9, 0)])
+    @pytest.mark.parametrize("process", [PROCESS, ""])
+    def test_an_unplanned_disturbance_excuses_it(self, calm_seconds, promises, process):
+        frozen = disturbed("freeze", SENT_AT - 9, SENT_AT - calm_seconds, process)
+        found = self.found(self.cut(), spans=[frozen], reloads=[self.RELOAD])
+        assert found == ["cut beside a reload"] * promises
+
+    def test_another_stop_or_process_excuses_nothing(self):
+        others = [
+            disturbed("stop", SENT_AT - 4, SENT_AT - 2),
+            disturbed("kill", SENT_AT - 2, SENT_AT, "ingress-1"),
+        ]
+        found = self.found(self.cut(), spans=others, reloads=[self.RELOAD])
+        assert found == ["cut beside a reload"]
+
+    def test_what_upstream_caller_or_time_limit_ended_is_allowed(self):
+        cut, work = self.cut(), {"reloads": [self.RELOAD]}
+        reset = run(cut.request, broken_by_upstream=True)
+        assert self.found(cut, runs=[reset], **work) == []
+        went_down = {cut.request.request_id}
+        assert self.found(cut, cut_requests=went_down, **work) == []
+        assert self.found(self.cut(left=True), **work) == []
+        assert self.found(self.cut(connected=False), **work) == []
+        assert self.found(self.cut(used_seconds=self.LIMIT_SECONDS), **work) == []
+
+    @pytest.mark.parametrize(("count", "promises"), [(MAX_CUTS, 0), (MAX_CUTS + 1, 1)])
+    def test_more_than_a_few_cuts_at_any_time_are_found(self, count, promises):
+        found = self.found(*self.series(count))
+        assert found == ["answers are cut"] * promises
+
+    def test_only_what_was_passed_on_by_processes_in_touch_counts(self):
+        cuts = self.series(MAX_CUTS + 1)
+        assert self.found(*cuts, runs=[]) == []
+        frozen = disturbed("freeze", SENT_AT - 9, SENT_AT - 2)
+        assert self.found(*cuts, spans=[frozen]) == []
+        fresh = self.series(MAX_CUTS + 1, idle_seconds=None)
+        assert self.found(*fresh) == []
+
+    def beside(self, served_at_other_times, **fields):
+        """Return what is found of cuts beside a change and as many at other times."""
+        beside = self.series(MAX_CUTS, **fields)
+        others = [
+            self.cut(100 + number, sent_at=SENT_AT - 20) for number in range(MAX_CUTS)
+        ]
+        served = [
+            answer(request(request_id=f"c2-{number}", sent_at=SENT_AT - 20))
+            for number in range(served_at_other_times)
+        ]
+        found = self.found(*beside, *others, *served, changes=[self.CHANGE])
+        return found.count("answers are cut")
+
+    def test_cuts_beside_a_change_count_if_they_are_more_frequent(self):
+        assert self.beside(2 * MAX_CUTS + 1)
+        assert not self.beside(2 * MAX_CUTS)
+
+    def test_beside_a_change_a_request_that_used_its_time_does_not_count(self):
+        used_seconds = USED_SHARE * self.LIMIT_SECONDS
+        assert self.beside(4 * MAX_CUTS, used_seconds=used_seconds - 0.1)
+        assert not self.beside(4 * MAX_CUTS, used_seconds=used_seconds + 0.1)
+
+
 class TestRun:
     def test_a_run_of_a_seed_that_once_failed_breaks_no_promise(self, tmp_path):
         """Guards against a process that hangs if it is killed while peers want tokens.
