--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -579,3 +579,20 @@
             pauses=False,
         )
         assert found == []
+
+    def test_a_run_with_silent_upstreams_and_idle_limits_breaks_no_promise(
+        self, tmp_path
+    ):
+        """Guards against streams that end as their upstreams are silent for a moment.
+
+        The cause has tests of its own in `tests/ingress/test_silent_upstreams.py`.
+        """
+        found = run_seed(
+            seed=52373,
+            seconds=20.0,
+            processes=3,
+            directory=tmp_path,
+            share=0.0,
+            cuts=False,
+        )
+        assert found == []
