Soak: processes stop and reload beside pauses; the time limit ends requests in stops too

Change: a stop or a reload, one each 6 s, drawn apart and played with `--pauses`. The time limit is taken 0.05 s shorter.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -45,8 +45,8 @@
     cuts
         Whether all processes are cut off at times and upstreams leave often.
     pauses
-        Whether sound upstreams are silent for a moment at times, and the limit of idle
-        connections changes, which callers use.
+        Whether sound upstreams are silent for a moment at times, and work is planned
+        beside it: the limit of idle connections changes, processes stop and reload.
     directory
         Receives a folder with the logs of each seed; a temporary one if empty.
     """
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -34,6 +34,8 @@
 MAX_CUT_FACTOR = 3.0
 USED_SHARE = 0.7
 """Share of the time of a request after which its cut beside a change is no sign."""
+TIME_LIMIT_MARGIN_SECONDS = 0.05
+"""A process counts a request's time from when its event loop last woke."""
 LOSS_GRACE_SECONDS = 0.2
 """A request that crosses the end of an idle connection fails within this time."""
 
@@ -289,18 +291,11 @@
 def planned_stops_cut_nothing(history: History) -> Iterator[Violation]:
     """Find requests that a process had read and a planned stop cut."""
     stops = [span for span in history.spans if span.cause == "stop"]
-    ran = {run.request_id: run for run in history.runs}
-    for answer in history.answers:
+    ran = {run.request_id for run in history.runs}
+    for answer in _cut_answers(history):
         request = answer.request
-        if answer.status or not answer.connected or answer.left:
-            continue
-        run = ran.get(request.request_id)
-        if run is not None and run.broken_by_upstream:
-            continue
-        if request.request_id in history.cut_requests:
-            continue
         crossed = answer.ended_at - request.sent_at <= LOSS_GRACE_SECONDS
-        if run is None and crossed:
+        if request.request_id not in ran and crossed:
             continue
         if any(_cut_by(history, answer, stop) for stop in stops):
             yield _violation("planned stop", answer.ended_at, f"{answer}")
@@ -339,12 +334,13 @@
     """Return answers that ended early, neither by the caller nor by an upstream."""
     broken = {run.request_id for run in history.runs if run.broken_by_upstream}
     broken |= history.cut_requests
+    least_seconds = history.time_limit_seconds - TIME_LIMIT_MARGIN_SECONDS
     for answer in history.answers:
         if answer.status or not answer.connected or answer.left:
             continue
         request = answer.request
         used_seconds = answer.ended_at - request.sent_at
-        if request.request_id in broken or used_seconds >= history.time_limit_seconds:
+        if request.request_id in broken or used_seconds >= least_seconds:
             continue
         yield answer
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,7 @@
 MEAN_RELAY_FREEZE_GAP_SECONDS = 10.0
 MEAN_PAUSE_GAP_SECONDS = 3.0
 MEAN_IDLE_LIMIT_GAP_SECONDS = 6.0
+MEAN_PLANNED_WORK_GAP_SECONDS = 6.0
 IDLE_LIMITS_SECONDS = (1.0, 2.0, 4.0)
 MIN_PAUSE_SECONDS = 0.5
 MAX_PAUSE_SECONDS = 2.5
@@ -271,8 +272,8 @@
         Whether all processes are cut off at times, relays stand still, and upstreams
         leave often.
     pauses : bool
-        Whether sound upstreams are silent for a moment at times, and the limit of idle
-        connections changes.
+        Whether sound upstreams are silent for a moment at times, and work is planned
+        beside it: the limit of idle connections changes, processes stop and reload.
     """
     random = Random(f"soak {seed}")
     schedule = []
@@ -290,6 +291,7 @@
         schedule += _draw_relay_freezes(seed, seconds)
     if pauses:
         schedule += _draw_pauses(seed, seconds) + _draw_idle_limits(seed, seconds)
+        schedule += _draw_planned_work(seed, seconds, processes)
     return sorted(schedule, key=lambda scheduled: scheduled.at)
 
 
@@ -421,6 +423,18 @@
     ]
 
 
+def _draw_planned_work(seed: int, seconds: float, processes: int) -> list[Scheduled]:
+    random = Random(f"planned work {seed}")
+    times = _draw_times(random, seconds, mean_gap=MEAN_PLANNED_WORK_GAP_SECONDS)
+    return [
+        Scheduled(
+            at=at,
+            action=random.choice((Stop, Reload))(process=random.randrange(processes)),
+        )
+        for at in times
+    ]
+
+
 def _draw_times(random: Random, seconds: float, *, mean_gap: float) -> list[float]:
     times = []
     at = FIRST_FAULT_SECONDS + random.expovariate(1 / mean_gap)
