--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 from ragwortkeel.platform_client import HttpPlatform
 from soak.bad_prompts import BadCallers
 from soak.callers import (
+    DEADLINE_SECONDS,
     MEAN_REQUESTS_PER_PROCESS,
     PROMPT_TOKENS,
     Caller,
@@ -27,6 +28,7 @@
     RELAY_COUNT,
     VERSIONS,
     Action,
+    ChangeIdleLimit,
     ChangeRoutes,
     CrashUpstream,
     CutOff,
@@ -37,6 +39,7 @@
     Kill,
     KillRelay,
     Leave,
+    PauseUpstreams,
     PlatformFault,
     Reload,
     RemoveRoute,
@@ -49,16 +52,20 @@
     Way,
     draw_schedule,
 )
-from soak.history import BadArrival, Exit, History, Serving, Span
-from soak.operator import Operator
+from soak.history import BadArrival, Exit, History, Kind, Serving, Span
+from soak.operator import ROUTE_SECONDS, Operator
 from soak.upstreams import RecordingUpstream, zone_of
 from soak.ways import PlatformWay
 
 EVENT_TOKENS = 6
 PREPAID_BY_CUSTOMER = {"large": 100_000_000, "small": 60_000}
 """The budget of the one is never used up; that of the other is, within a run."""
+STREAM_CUSTOMER = "large"
 
 CALLERS_PER_PROCESS = 4
+STREAM_CALLERS_PER_PROCESS = 10
+"""Callers of streams beside pauses, so that more of them fall silent together than a
+process has retries."""
 VERSIONS_BY_SERVICE = {
     "app": ("v1", "v1", "v1"),
     "pool": ("v1", "v2", "v1", "v2"),
@@ -216,6 +223,10 @@
     def reload(self) -> None:
         """Tell the process to read its settings again."""
         self._program.send(signal.SIGHUP)
+        now = monotonic()
+        self._history.reloads.append(
+            Span(process=self.name, cause="reload", begins_at=now, ends_at=now)
+        )
 
     async def disturb_way(self, action: DisturbWay) -> None:
         """Disturb the connections to the platform."""
@@ -290,7 +301,7 @@
     ----------
     fleet : Fleet
         Starts the processes; the caller closes it.
-    share, cuts : float, bool
+    share, cuts, pauses : float, bool, bool
         Which faults are played, see `soak.faults.draw_schedule`.
     """
 
@@ -303,10 +314,12 @@
         fleet: Fleet,
         share: float = 1.0,
         cuts: bool = True,
+        pauses: bool = True,
     ) -> None:
         self._seed = seed
         self._share = share
         self._cuts = cuts
+        self._pauses = pauses
         self._random = Random(f"releases {seed}")
         self._seconds = seconds
         self._fleet = fleet
@@ -324,6 +337,7 @@
             prepaid_by_customer=dict(PREPAID_BY_CUSTOMER),
             prompt_tokens=PROMPT_TOKENS,
             event_tokens=EVENT_TOKENS,
+            time_limit_seconds=min(DEADLINE_SECONDS, ROUTE_SECONDS),
         )
 
     async def run(self) -> History:
@@ -372,6 +386,11 @@
             await self._spawn(self._caller(number).run)
             for number in range(self._count * CALLERS_PER_PROCESS)
         ]
+        if self._pauses:
+            self._callers += [
+                await self._spawn(self._stream_caller(number).run)
+                for number in range(self._count * STREAM_CALLERS_PER_PROCESS)
+            ]
 
     async def _spawn(self, function: Callable, *arguments: object) -> curio.Task:
         return await self._tasks.spawn(self._guard, function, *arguments, daemon=True)
@@ -391,6 +410,7 @@
             processes=self._count,
             share=self._share,
             cuts=self._cuts,
+            pauses=self._pauses,
         )
         started_at = monotonic()
         for scheduled in schedule:
@@ -430,14 +450,20 @@
     def _draw_valid_key(self) -> tuple[str, str]:
         return self._random.choice(self._operator.choices.keys)
 
-    def _caller(self, number: int) -> Caller:
+    def _stream_caller(self, number: int) -> Caller:
+        first = self._count * CALLERS_PER_PROCESS
+        return self._caller(first + number, kind=Kind.DRAFT, customer=STREAM_CUSTOMER)
+
+    def _caller(self, number: int, **fields: object) -> Caller:
         return Caller(
             number=number,
             seed=self._seed,
             targets=self._targets,
             mean_requests=self._mean_requests,
             choices=self._operator.choices,
+            idles=self._pauses,
             history=self.history,
+            **fields,
         )
 
     async def _apply(self, action: Action) -> None:
@@ -450,16 +476,27 @@
                 await self._disturb_platform(action)
             case ReplaceUpstream() | Leave() | CrashUpstream() | RestartUpstream():
                 await self._disturb_upstream(action)
+            case PauseUpstreams():
+                self._pause_upstreams(action)
             case KillRelay() | FreezeRelay():
                 await self._disturb_relay(action)
             case SendCrashingPrompts() | Rush():
                 await self._change_load(action)
+            case ChangeRoutes() | RemoveRoute() | RevokeKey() | ChangeIdleLimit():
+                await self._change_configuration(action)
+
+    async def _change_configuration(
+        self, action: ChangeRoutes | RemoveRoute | RevokeKey | ChangeIdleLimit
+    ) -> None:
+        match action:
             case ChangeRoutes(count=count):
                 await self._operator.add_routes(count)
             case RemoveRoute():
                 await self._operator.remove_route()
             case RevokeKey():
                 await self._operator.revoke_key()
+            case ChangeIdleLimit(seconds=seconds):
+                await self._operator.change_idle_limit(seconds)
 
     async def _disturb_relay(self, action: KillRelay | FreezeRelay) -> None:
         match action:
@@ -604,6 +641,13 @@
         self._upstreams.append(upstream)
         self._record_serving(upstream, ready=True)
 
+    def _pause_upstreams(self, action: PauseUpstreams) -> None:
+        paused = [each for each in self._upstreams if each.service == action.service]
+        if action.number is not None and paused:
+            paused = [paused[action.number % len(paused)]]
+        for upstream in paused:
+            upstream.pause(action.seconds)
+
     async def _restart_engine(self, seconds: float, version: str) -> None:
         engines = (each for each in self._upstreams if each.service == "pool")
         engine = next(engines, None)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,12 +7,22 @@
     CRASHES_TO_KNOW,
     DRAIN_SECONDS,
     IN_FORCE_SECONDS,
+    MAX_CUTS,
     MAX_LATE_ARRIVALS,
     MIN_COMPARED,
     MIN_TAKE_UPS,
+    TIME_LIMIT_MARGIN_SECONDS,
+    USED_SHARE,
     violations,
 )
-from soak.faults import QUIET_END_SECONDS, draw_schedule
+from soak.faults import (
+    QUIET_END_SECONDS,
+    ChangeIdleLimit,
+    PauseUpstreams,
+    Reload,
+    Stop,
+    draw_schedule,
+)
 from soak.history import (
     Answer,
     BadArrival,
@@ -25,6 +35,7 @@
     Serving,
     Span,
 )
+from soak.idle_limits import CONFIGURATION_SECONDS, IdleLimits
 
 PROCESS = "ingress-0"
 READY_AT = 100.0
@@ -107,6 +118,31 @@
         schedule = draw_schedule(seed=7, seconds=60, processes=3)
         assert schedule[-1].at < 60 - QUIET_END_SECONDS
 
+    def test_pauses_leave_the_other_actions_of_a_seed_as_they_were(self):
+        with_pauses, without = (
+            draw_schedule(seed=7, seconds=60, processes=3, pauses=pauses)
+            for pauses in (True, False)
+        )
+        kinds = {type(one.action) for one in with_pauses}
+        assert kinds.issuperset((PauseUpstreams, ChangeIdleLimit, Stop, Reload))
+        assert [one for one in with_pauses if one in without] == without
+
+
+class TestIdleLimits:
+    @pytest.mark.parametrize(
+        ("limit", "unconfirmed", "early", "late"), [(1.0, 1, 1, 1), (8.0, 4, 4, 8)]
+    )
+    def test_the_smaller_limit_counts_until_a_change_is_in_force(
+        self, limit, unconfirmed, early, late
+    ):
+        """Guards against callers that use connections which may be closed."""
+        limits = IdleLimits(seconds=4.0)
+        limits.send(limit)
+        assert limits.least_seconds(SENT_AT) == unconfirmed
+        limits.confirm(SENT_AT)
+        assert limits.least_seconds(SENT_AT + CONFIGURATION_SECONDS - 0.1) == early
+        assert limits.least_seconds(SENT_AT + CONFIGURATION_SECONDS) == late
+
 
 class TestRunsAndAnswers:
     def test_a_served_request_breaks_nothing(self):
@@ -354,8 +390,9 @@
         return broken(answers=[failed], runs=list(runs), spans=list(spans))
 
     def test_a_request_that_a_stop_cut_is_found(self):
-        assert self.cut() == ["planned stop"]
-        assert self.cut(runs=[run()]) == ["planned stop"]
+        promises = ["planned stop", "cut beside a stop"]
+        assert self.cut() == promises
+        assert self.cut(runs=[run()]) == promises
 
     def test_what_did_not_arrive_or_an_upstream_broke_is_allowed(self):
         assert self.cut(connected=False) == []
@@ -364,6 +401,13 @@
         crossed = disturbed("stop", SENT_AT, SENT_AT + 5)
         assert self.cut(spans=[crossed], ended_at=SENT_AT + 0.1) == []
 
+    @pytest.mark.parametrize(("used_seconds", "found"), [(2.9, 1), (3.0, 0)])
+    def test_a_request_may_reach_its_time_limit_in_a_stop(self, used_seconds, found):
+        """Streams of silent upstreams last that long."""
+        cut = answer(status=0, ended_at=SENT_AT + used_seconds)
+        promises = broken(answers=[cut], spans=[self.STOP], time_limit_seconds=3.0)
+        assert promises == ["planned stop", "cut beside a stop"] * found
+
     def test_another_disturbance_excuses_it(self):
         frozen = disturbed("freeze", SENT_AT - 1, SENT_AT)
         assert self.cut(spans=(self.STOP, frozen)) == []
@@ -382,6 +426,143 @@
         assert broken(exits=[end], spans=[outage]) == []
 
 
+class TestCutAnswers:
+    """Guards against answers that end unanswered while nothing is wrong."""
+
+    STOP = disturbed("stop", SENT_AT - 0.5, SENT_AT + 5)
+    RELOAD = disturbed("reload", SENT_AT + 0.5, SENT_AT + 0.5)
+    CHANGE = change(SENT_AT + 0.5, revision=2)
+    LIMIT_SECONDS = 3.0
+
+    def found(self, *answers, runs=None, **fields):
+        runs = [run(each.request) for each in answers] if runs is None else runs
+        found = broken(
+            answers=list(answers),
+            runs=runs,
+            time_limit_seconds=self.LIMIT_SECONDS,
+            **fields,
+        )
+        return [each for each in found if "cut" in each]
+
+    def cut(self, number=1, *, sent_at=SENT_AT, used_seconds=1.0, **fields):
+        sent = request(request_id=f"c1-{number}", sent_at=sent_at)
+        fields = {"idle_seconds": 0.2} | fields
+        return answer(sent, 0, ended_at=sent_at + used_seconds, **fields)
+
+    def series(self, count, **fields):
+        return [self.cut(number, **fields) for number in range(count)]
+
+    def test_a_cut_beside_planned_work_is_found(self):
+        cut = self.cut()
+        assert self.found(cut, spans=[self.STOP]) == ["cut beside a stop"]
+        assert self.found(cut, reloads=[self.RELOAD]) == ["cut beside a reload"]
+        assert self.found(cut, changes=[self.CHANGE]) == ["cut beside a change"]
+
+    def test_work_at_another_process_or_an_entry_is_none(self):
+        stop = disturbed("stop", SENT_AT - 0.5, SENT_AT + 5, "ingress-1")
+        reload = disturbed("reload", SENT_AT, SENT_AT, "ingress-1")
+        entry = change(SENT_AT + 0.5, leaves="u9")
+        cut = self.cut()
+        assert self.found(cut, spans=[stop], reloads=[reload], changes=[entry]) == []
+
+    @pytest.mark.parametrize(
+        ("late_seconds", "promises"), [(1.9, 1), (2.1, 0), (-0.9, 1), (-1.1, 0)]
+    )
+    def test_a_reload_counts_for_what_is_sent_until_two_seconds_later(
+        self, late_seconds, promises
+    ):
+        reload = disturbed("reload", SENT_AT - late_seconds, SENT_AT - late_seconds)
+        found = self.found(self.cut(), reloads=[reload])
+        assert found == ["cut beside a reload"] * promises
+
+    @pytest.mark.parametrize(
+        ("confirmed_seconds_before", "promises"),
+        [(2.9, 1), (3.1, 0), (-0.05, 1), (-0.15, 0)],
+    )
+    def test_a_change_counts_from_its_sending_until_it_is_in_force(
+        self, confirmed_seconds_before, promises
+    ):
+        cut = self.cut()
+        made = change(cut.ended_at - confirmed_seconds_before, revision=2)
+        assert self.found(cut, changes=[made]) == ["cut beside a change"] * promises
+
+    @pytest.mark.parametrize(
+        ("used_seconds", "passed_on", "promises"),
+        [(0.1, True, 1), (0.1, False, 0), (0.3, False, 1)],
+    )
+    def test_a_request_counts_once_it_is_passed_on_or_certainly_read(
+        self, used_seconds, passed_on, promises
+    ):
+        """A request may cross the end of its connection."""
+        cut = self.cut(used_seconds=used_seconds)
+        runs = [run(cut.request, SENT_AT)] if passed_on else []
+        found = self.found(cut, runs=runs, spans=[self.STOP])
+        assert found == ["cut beside a stop"] * promises
+
+    @pytest.mark.parametrize(("calm_seconds", "promises"), [(3.1, 1), (2.9, 0)])
+    @pytest.mark.parametrize("process", [PROCESS, ""])
+    def test_an_unplanned_disturbance_excuses_it(self, calm_seconds, promises, process):
+        frozen = disturbed("freeze", SENT_AT - 9, SENT_AT - calm_seconds, process)
+        found = self.found(self.cut(), spans=[frozen], reloads=[self.RELOAD])
+        assert found == ["cut beside a reload"] * promises
+
+    def test_another_stop_or_process_excuses_nothing(self):
+        others = [
+            disturbed("stop", SENT_AT - 4, SENT_AT - 2),
+            disturbed("kill", SENT_AT - 2, SENT_AT, "ingress-1"),
+        ]
+        found = self.found(self.cut(), spans=others, reloads=[self.RELOAD])
+        assert found == ["cut beside a reload"]
+
+    def test_what_upstream_caller_or_time_limit_ended_is_allowed(self):
+        cut, work = self.cut(), {"reloads": [self.RELOAD]}
+        reset = run(cut.request, broken_by_upstream=True)
+        assert self.found(cut, runs=[reset], **work) == []
+        went_down = {cut.request.request_id}
+        assert self.found(cut, cut_requests=went_down, **work) == []
+        assert self.found(self.cut(left=True), **work) == []
+        assert self.found(self.cut(connected=False), **work) == []
+        limit_seconds = self.LIMIT_SECONDS - TIME_LIMIT_MARGIN_SECONDS
+        assert self.found(self.cut(used_seconds=limit_seconds + 0.01), **work) == []
+        early = self.cut(used_seconds=limit_seconds - 0.01)
+        assert self.found(early, **work) == ["cut beside a reload"]
+
+    @pytest.mark.parametrize(("count", "promises"), [(MAX_CUTS, 0), (MAX_CUTS + 1, 1)])
+    def test_more_than_a_few_cuts_at_any_time_are_found(self, count, promises):
+        found = self.found(*self.series(count))
+        assert found == ["answers are cut"] * promises
+
+    def test_only_what_was_passed_on_by_processes_in_touch_counts(self):
+        cuts = self.series(MAX_CUTS + 1)
+        assert self.found(*cuts, runs=[]) == []
+        frozen = disturbed("freeze", SENT_AT - 9, SENT_AT - 2)
+        assert self.found(*cuts, spans=[frozen]) == []
+        fresh = self.series(MAX_CUTS + 1, idle_seconds=None)
+        assert self.found(*fresh) == []
+
+    def beside(self, served_at_other_times, **fields):
+        """Return what is found of cuts beside a change and as many at other times."""
+        beside = self.series(MAX_CUTS, **fields)
+        others = [
+            self.cut(100 + number, sent_at=SENT_AT - 20) for number in range(MAX_CUTS)
+        ]
+        served = [
+            answer(request(request_id=f"c2-{number}", sent_at=SENT_AT - 20))
+            for number in range(served_at_other_times)
+        ]
+        found = self.found(*beside, *others, *served, changes=[self.CHANGE])
+        return found.count("answers are cut")
+
+    def test_cuts_beside_a_change_count_if_they_are_more_frequent(self):
+        assert self.beside(2 * MAX_CUTS + 1)
+        assert not self.beside(2 * MAX_CUTS)
+
+    def test_beside_a_change_a_request_that_used_its_time_does_not_count(self):
+        used_seconds = USED_SHARE * self.LIMIT_SECONDS
+        assert self.beside(4 * MAX_CUTS, used_seconds=used_seconds - 0.1)
+        assert not self.beside(4 * MAX_CUTS, used_seconds=used_seconds + 0.1)
+
+
 class TestRun:
     def test_a_run_of_a_seed_that_once_failed_breaks_no_promise(self, tmp_path):
         """Guards against a process that hangs if it is killed while peers want tokens.
@@ -389,13 +570,40 @@
         The cause has a test of its own in `tests/ingress/test_renewals.py`.
         """
         found = run_seed(
-            seed=2, seconds=30.0, processes=3, directory=tmp_path, cuts=False
+            seed=2,
+            seconds=30.0,
+            processes=3,
+            directory=tmp_path,
+            cuts=False,
+            pauses=False,
         )
         assert found == []
 
     def test_a_run_with_cuts_and_leaving_upstreams_breaks_no_promise(self, tmp_path):
         """Guards against requests to upstreams that left during a cut."""
         found = run_seed(
-            seed=6100, seconds=60.0, processes=3, directory=tmp_path, share=0.0
+            seed=6100,
+            seconds=60.0,
+            processes=3,
+            directory=tmp_path,
+            share=0.0,
+            pauses=False,
+        )
+        assert found == []
+
+    def test_a_run_with_silent_upstreams_and_idle_limits_breaks_no_promise(
+        self, tmp_path
+    ):
+        """Guards against streams that end as their upstreams are silent for a moment.
+
+        The cause has tests of its own in `tests/ingress/test_silent_upstreams.py`.
+        """
+        found = run_seed(
+            seed=52373,
+            seconds=20.0,
+            processes=3,
+            directory=tmp_path,
+            share=0.0,
+            cuts=False,
         )
         assert found == []
