Failing test: a stream whose upstream gets a sidecar at another address

Callers' streams end with an error event when the entry of their upstream names another sidecar address, though the old sidecar goes on with the answer. Cause: SidecarPool.set_upstreams keeps the link to a removed upstream open as long as it has runs, but replaces the link of one with a new address at once; the pool keeps one link for each name, so the runs can't go on over the old one.

--- a/tests/router/test_silent_sidecars.py
+++ b/tests/router/test_silent_sidecars.py
@@ -6,6 +6,7 @@
 import curio
 import msgspec
 import pytest
+from deployments.ports import free_address
 from msgspec.structs import replace
 
 from ragwortkeel.configuration import UPSTREAMS, Upstream
@@ -181,3 +182,28 @@
         assert Counter(answer.status for answer in answers) == {200: 24}, answers[
             -1
         ].body
+
+
+class TestMovedSidecar:
+    def test_a_stream_outlasts_a_new_address_of_its_upstream(self):
+        """Guards against a stream that is cut off when its upstream gets a new sidecar.
+
+        The old sidecar still runs, and the new one doesn't answer yet.
+        """
+
+        async def scenario(fleet):
+            await fleet.switch("m1", slow=100.0)
+            request = QUESTION | {"stream": True}
+            asked = await curio.spawn(fleet.ask, CHAT_PATH, request)
+            await until(lambda: fleet.router.pool._subscriptions_by_nonce)
+            await curio.sleep(0.5)
+            stored = await fleet.platform.get(UPSTREAMS, "m1")
+            upstream = msgspec.json.decode(stored.value, type=Upstream)
+            moved = replace(upstream, sidecar_address=free_address())
+            await fleet.platform.update(
+                UPSTREAMS, "m1", msgspec.json.encode(moved), stored.version
+            )
+            return await asked.join()
+
+        answer = run_fleet(scenario)
+        assert answer.body.endswith(b"data: [DONE]\n\n"), answer.body[-300:]
