A filing behind a lost link is followed as long as its caller waits

Callers of a call that must not repeat got 409 `sidecar_gone`, outcome unknown, while the call had run and its answer came moments later. Cause: the router gave the run up 8 s after its link was lost, though nothing may run the call again, so there was nothing to give it up for. Change: the run is given up only in the last 2 s of the request's time, which are kept for asking the sidecar and recording the outcome. A filing whose sidecar is gone for good is therefore answered as unknown at its deadline, not after 11.5 s. Measured: test_a_filing_outlasts_the_silence failed before (409, the call ran once) and passes now; tests/router, tests/runs/test_intent.py and tests/processes/test_deaths.py pass (one run). Of five runs of tests/router/test_silent_sidecars.py after the change four passed; one failed, its report was not kept, and it is not traced (callers were left unjoined, so a test with many requests). Those two tests passed six more times.

--- a/src/ragwortkeel/router/filing_runs.py
+++ b/src/ragwortkeel/router/filing_runs.py
@@ -49,6 +49,9 @@
 A reachable sidecar answers in well under a millisecond.
 """
 
+RESOLVE_SECONDS = 2.0
+"""Time left to a request for finding and recording what became of a lost run."""
+
 
 class FilingRuns:
     """Runs one must-not-repeat call at the sidecars that its filing selects."""
@@ -149,7 +152,7 @@
     ) -> AttemptEnd:
         end = Declined(reason=RefusalReason.UPSTREAM_UNREACHABLE)
         if self._components.is_current(reservation) and await attempt.open(dispatch):
-            end = await attempt.follow()
+            end = await attempt.follow(may_leave=self._must_resolve)
         if isinstance(end, Lost) and attempt.may_continue:
             await self._components.settlement.follow_in_background(
                 reservation, attempt, self._call, cancel=False
@@ -159,6 +162,13 @@
         await self.start_recording(end, stored, attempt)
         return end
 
+    def _must_resolve(self) -> bool:
+        """Return whether a run without a link is given up.
+
+        Nothing may run the call again, so the run is followed as long as possible.
+        """
+        return self._components.clock() >= self._facts.deadline - RESOLVE_SECONDS
+
     async def start_recording(
         self, end: AttemptEnd, stored: StoredIntent, attempt: Attempt
     ) -> None:
--- a/tests/router/test_silent_sidecars.py
+++ b/tests/router/test_silent_sidecars.py
@@ -11,7 +11,7 @@
 
 from ragwortkeel.configuration import UPSTREAMS, Upstream
 from ragwortkeel.links import HEARTBEAT_SECONDS
-from ragwortkeel.router import exchange
+from ragwortkeel.router import attempt, exchange
 from ragwortkeel.router.calls import CHAT_PATH
 
 from .in_process import run_fleet, until
@@ -29,7 +29,8 @@
 @pytest.fixture(autouse=True)
 def short_waits(monkeypatch):
     monkeypatch.setattr(exchange, "RERUN_WAIT_SECONDS", SHORT_SILENCE_SECONDS)
-    monkeypatch.setattr(exchange, "RELINK_WAIT_SECONDS", SHORT_SILENCE_SECONDS)
+    for module in (attempt, exchange):
+        monkeypatch.setattr(module, "RELINK_WAIT_SECONDS", SHORT_SILENCE_SECONDS)
 
 
 async def watch_closely(fleet):
@@ -133,6 +134,24 @@
         assert msgspec.json.decode(answer.body)["usage"]
         assert runs == [1, 1]
 
+    def test_a_filing_outlasts_the_silence(self):
+        """Guards against an unknown outcome of a filing whose answer is on its way.
+
+        Nothing may run it again, so there is nothing to leave its run for.
+        """
+
+        async def scenario(fleet):
+            await watch_closely(fleet)
+            await fleet.switch("c1", slow=0.5)
+            path = "/v1/profiles/claim-filing/calls"
+            asked = await curio.spawn(fleet.ask, path, {"claim": 1})
+            await until(lambda: fleet.router.pool._subscriptions_by_nonce)
+            await fall_silent(fleet, ["c1"], seconds=LONG_SILENCE_SECONDS)
+            return await asked.join(), await fleet.runs("c1")
+
+        answer, runs = run_fleet(scenario)
+        assert (answer.status, runs) == (200, 1), answer.body
+
     def test_a_retired_upstream_is_not_waited_for(self):
         """Guards against callers who wait for a sidecar whose node is gone."""
 
