Give the runs of the silent-sidecar tests more time

The tests wait until all their requests run; with runs of 0.4 s the first may have ended by then on a busy machine.

--- a/tests/router/test_silent_sidecars.py
+++ b/tests/router/test_silent_sidecars.py
@@ -61,11 +61,11 @@
     """Return the answers to requests, most of whose runs fall silent meanwhile."""
     await watch_closely(fleet)
     for name in fleet.engine_names:
-        await fleet.switch(name, slow=20.0)
+        await fleet.switch(name, slow=60.0)
     asked = [await curio.spawn(fleet.ask, CHAT_PATH, request) for _ in range(requests)]
     readers_by_nonce = fleet.router.pool._subscriptions_by_nonce
     await until(lambda: len(readers_by_nonce) == requests)
-    await curio.sleep(0.1)
+    await curio.sleep(0.2)
     upstreams = Counter(reader.upstream for (reader,) in readers_by_nonce.values())
     ((busiest, _),) = upstreams.most_common(1)
     await fall_silent(fleet, [busiest], seconds=LONG_SILENCE_SECONDS)
