--- a/tests/router/test_silent_sidecars.py
+++ b/tests/router/test_silent_sidecars.py
@@ -1,15 +1,17 @@
 """Tests of requests whose sidecar sends nothing for a while and then goes on."""
 
+import time
 from collections import Counter
 
 import curio
 import msgspec
 import pytest
+from deployments.ports import free_address
 from msgspec.structs import replace
 
 from ragwortkeel.configuration import UPSTREAMS, Upstream
 from ragwortkeel.links import HEARTBEAT_SECONDS
-from ragwortkeel.router import exchange
+from ragwortkeel.router import attempt, exchange
 from ragwortkeel.router.calls import CHAT_PATH
 
 from .in_process import run_fleet, until
@@ -27,7 +29,8 @@
 @pytest.fixture(autouse=True)
 def short_waits(monkeypatch):
     monkeypatch.setattr(exchange, "RERUN_WAIT_SECONDS", SHORT_SILENCE_SECONDS)
-    monkeypatch.setattr(exchange, "RELINK_WAIT_SECONDS", SHORT_SILENCE_SECONDS)
+    for module in (attempt, exchange):
+        monkeypatch.setattr(module, "RELINK_WAIT_SECONDS", SHORT_SILENCE_SECONDS)
 
 
 async def watch_closely(fleet):
@@ -58,11 +61,11 @@
     """Return the answers to requests, most of whose runs fall silent meanwhile."""
     await watch_closely(fleet)
     for name in fleet.engine_names:
-        await fleet.switch(name, slow=20.0)
+        await fleet.switch(name, slow=60.0)
     asked = [await curio.spawn(fleet.ask, CHAT_PATH, request) for _ in range(requests)]
     readers_by_nonce = fleet.router.pool._subscriptions_by_nonce
     await until(lambda: len(readers_by_nonce) == requests)
-    await curio.sleep(0.1)
+    await curio.sleep(0.2)
     upstreams = Counter(reader.upstream for (reader,) in readers_by_nonce.values())
     ((busiest, _),) = upstreams.most_common(1)
     await fall_silent(fleet, [busiest], seconds=LONG_SILENCE_SECONDS)
@@ -131,6 +134,24 @@
         assert msgspec.json.decode(answer.body)["usage"]
         assert runs == [1, 1]
 
+    def test_a_filing_outlasts_the_silence(self):
+        """Guards against an unknown outcome of a filing whose answer is on its way.
+
+        Nothing may run it again, so there is nothing to leave its run for.
+        """
+
+        async def scenario(fleet):
+            await watch_closely(fleet)
+            await fleet.switch("c1", slow=0.5)
+            path = "/v1/profiles/claim-filing/calls"
+            asked = await curio.spawn(fleet.ask, path, {"claim": 1})
+            await until(lambda: fleet.router.pool._subscriptions_by_nonce)
+            await fall_silent(fleet, ["c1"], seconds=LONG_SILENCE_SECONDS)
+            return await asked.join(), await fleet.runs("c1")
+
+        answer, runs = run_fleet(scenario)
+        assert (answer.status, runs) == (200, 1), answer.body
+
     def test_a_retired_upstream_is_not_waited_for(self):
         """Guards against callers who wait for a sidecar whose node is gone."""
 
@@ -156,3 +177,52 @@
 
         answer = run_fleet(scenario)
         assert msgspec.json.decode(answer.body)["reason"] == "no_upstream"
+
+
+class TestPausedRouter:
+    def test_queued_requests_outlast_a_pause(self):
+        """Guards against refusals for lack of an upstream after a pause of the router.
+
+        The process doesn't run for longer than a sidecar may be silent.
+        """
+
+        async def scenario(fleet):
+            await watch_closely(fleet)
+            await fleet.switch("m1", slow=40.0)
+            asked = [
+                await curio.spawn(fleet.ask, CHAT_PATH, QUESTION) for _ in range(24)
+            ]
+            await until(lambda: fleet.router.dispatcher.queued_count)
+            await curio.sleep(0.1)
+            time.sleep(3 * SHORT_SILENCE_SECONDS)
+            return [await task.join() for task in asked]
+
+        answers = run_fleet(scenario)
+        assert Counter(answer.status for answer in answers) == {200: 24}, answers[
+            -1
+        ].body
+
+
+class TestMovedSidecar:
+    def test_a_stream_outlasts_a_new_address_of_its_upstream(self):
+        """Guards against a stream that is cut off when its upstream gets a new sidecar.
+
+        The old sidecar still runs, and the new one doesn't answer yet.
+        """
+
+        async def scenario(fleet):
+            await fleet.switch("m1", slow=100.0)
+            request = QUESTION | {"stream": True}
+            asked = await curio.spawn(fleet.ask, CHAT_PATH, request)
+            await until(lambda: fleet.router.pool._subscriptions_by_nonce)
+            await curio.sleep(0.5)
+            stored = await fleet.platform.get(UPSTREAMS, "m1")
+            upstream = msgspec.json.decode(stored.value, type=Upstream)
+            moved = replace(upstream, sidecar_address=free_address())
+            await fleet.platform.update(
+                UPSTREAMS, "m1", msgspec.json.encode(moved), stored.version
+            )
+            return await asked.join()
+
+        answer = run_fleet(scenario)
+        assert answer.body.endswith(b"data: [DONE]\n\n"), answer.body[-300:]
