A request that is turned away is recorded as no verdict, not as a failure

Cause: gave probes back by Placement.record_failure with TURNED_AWAY, which records no failure but broke test_a_late_connect_of_an_overloaded_instance_blames_no_upstream: it allows no call of it. Change: Placement.record_no_verdict, which ejections had already; same effect.

--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -746,13 +746,14 @@
         return _AGAIN
 
     def _record_not_run(self, name: str, reason: NotRunReason) -> None:
-        components = self._components
-        failure = Failure.TURNED_AWAY
-        if reason in (NotRunReason.UNREACHABLE, NotRunReason.OTHER_INSTANCE):
-            failure = Failure.UNREACHABLE
-        components.placement.record_failure(name, failure, monotonic())
+        placement, now = self._components.placement, monotonic()
+        match reason:
+            case NotRunReason.UNREACHABLE | NotRunReason.OTHER_INSTANCE:
+                placement.record_failure(name, Failure.UNREACHABLE, now)
+            case _:
+                placement.record_no_verdict(name, now)
         if reason is NotRunReason.OTHER_INSTANCE:
-            components.dispatcher.record_replaced(name)
+            self._components.dispatcher.record_replaced(name)
 
     def _after_broken(
         self, name: str, reason: BrokenReason
--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -330,6 +330,10 @@
             )
         return self.ejections.record_failure(upstream, failure, now)
 
+    def record_no_verdict(self, upstream: str, now: float) -> None:
+        """Record that an assigned request shows neither a failure nor a success."""
+        self.ejections.record_no_verdict(upstream, now)
+
     def record_success(self, upstream: str, now: float) -> None:
         """Record a response that the upstream itself sent."""
         record = self._record_by_upstream.get(upstream)
--- a/src/ragwortkeel/ingress/replacement.py
+++ b/src/ragwortkeel/ingress/replacement.py
@@ -107,9 +107,7 @@
 
     async def _give_back(self, assignment: Assignment) -> None:
         # The assignment may have been the probe of an ejected upstream.
-        self._placement.record_failure(
-            assignment.upstream.name, Failure.TURNED_AWAY, monotonic()
-        )
+        self._placement.record_no_verdict(assignment.upstream.name, monotonic())
         await self._dispatcher.release(assignment)
 
     async def _connect(
