--- a/tests/ingress/test_directory.py
+++ b/tests/ingress/test_directory.py
@@ -213,6 +213,13 @@
         assert not directory.version_is_certain("u1", 20.0 + CATCH_UP_SECONDS / 2)
         assert directory.version_is_certain("u1", 20.0 + CATCH_UP_SECONDS)
 
+    def test_no_entry_is_certain_after_a_freeze_before_entries_were_heard_of(self):
+        """Guards against restarts in a freeze that ends while the platform is away."""
+        directory = directory_with("u1")
+        directory.record_freeze(20.0)
+        directory.record_outage(20.0 + 2 * CATCH_UP_SECONDS)
+        assert not directory.version_is_certain("u1", 20.0 + 2 * CATCH_UP_SECONDS)
+
     @pytest.mark.parametrize(("version", "is_certain"), [(5, False), (6, True)])
     def test_it_is_certain_once_it_was_written_again(self, version, is_certain):
         directory = self.directory()
