--- a/review/1/case.py
+++ b/review/1/case.py
@@ -26,7 +26,7 @@
 FRONTS = 3
 FIRST_TOKENS = 4_000
 REQUEST_TOKENS = 2_450
-BURST_REQUESTS = 5
+BURST_REQUESTS = 4
 ANSWER_TOKENS = 6
 OUTAGE_SECONDS = 7.0
 KILL_AFTER_SECONDS = 0.1
@@ -99,7 +99,7 @@
     burst = asyncio.ensure_future(
         ask_all(record, fleet, "farm", REQUEST_TOKENS, each=BURST_REQUESTS)
     )
-    await asyncio.sleep(KILL_AFTER_SECONDS)
+    await asyncio.wait([burst], timeout=KILL_AFTER_SECONDS)
     if TROUBLE:
         for front in fleet.fronts:
             front.kill()
