--- a/review/harness.py
+++ b/review/harness.py
@@ -407,10 +407,13 @@
         self._settings = Path(fleet.folder) / f"{name}.conf"
         self._settings.write_text(fleet.settings(self, role), encoding="utf-8")
         self._process = None
-        self.exits = []
 
     def start(self):
         """Start the process with the command of the deploy file."""
+        if self._process is not None:
+            text = self._settings.read_text("utf-8")
+            text = text.replace("bootstrap=true", "bootstrap=false")
+            self._settings.write_text(text, encoding="utf-8")
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text("utf-8"))
         command = deploy["roles"][self._role]["run"].split(" ")
         kept = ("PATH", "HOME", "LANG")
