--- a/review/7/case.py
+++ b/review/7/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 import signal
 import time
 
@@ -10,6 +11,8 @@
 GRACE_SECONDS = 8.0
 STABLE_SECONDS = 3.0
 BACK_SECONDS = 2.0
+WORK_SECONDS = 0.1
+SOUND_CLIENTS = 6
 HEARTBEATS_TO_EXPIRY = 3
 BODY = b"the request that crashes its server"
 ATTEMPTS_BETWEEN = 4
@@ -49,7 +52,7 @@
             task = asyncio.create_task(self._come_back(server))
             self._tasks.add(task)
             raise ConnectionError("crashed")
-        await asyncio.sleep(0.045)
+        await asyncio.sleep(WORK_SECONDS)
         return b"x" * 800
 
     async def _come_back(self, server):
@@ -69,6 +72,18 @@
     return end
 
 
+async def press(site, number, ends, stop):
+    """Send sound requests, no two alike, one after the other."""
+    client = Client(site, site.fronts[number % len(site.fronts)])
+    while not stop.is_set():
+        body = random.randbytes(8).hex().encode()
+        headers = {"Deadline-Ms": "1500"}
+        _, end, _ = await client.request("/file/1", headers=headers, body=body)
+        ends.append((time.monotonic(), end))
+        await asyncio.sleep(0.1 if end == 200 else 0.5)
+    client.close()
+
+
 async def play(trouble):
     """Return 1 if the request reached servers too often, 0 if it did not."""
     site = Site(fronts=2, sides=1)
@@ -97,6 +112,19 @@
     await asyncio.sleep(STABLE_SECONDS)
     if await send(site, site.fronts[0], b"a sound request") != 200:
         return 2
+    ends, stop = [], asyncio.Event()
+    sound = [
+        asyncio.create_task(press(site, number, ends, stop))
+        for number in range(SOUND_CLIENTS)
+    ]
+    try:
+        return await _crash(site, pool, trouble, ends)
+    finally:
+        stop.set()
+        await asyncio.gather(*sound)
+
+
+async def _crash(site, pool, trouble, ends):
     await _attempt(site, ATTEMPTS_BETWEEN)
     if len(pool.arrivals) < 3:
         return 2
@@ -107,10 +135,13 @@
                 await _restart(site, front)
         await asyncio.sleep(STABLE_SECONDS + 0.5)
         await _attempt(site, ATTEMPTS_BETWEEN)
-    late = [each for each in pool.arrivals if each[0] > third_at + STABLE_SECONDS]
+    late_from = third_at + STABLE_SECONDS
+    late = [each for each in pool.arrivals if each[0] > late_from]
     record(
         "arrivals at servers", len(pool.arrivals), "after the third crash", len(late)
     )
+    failed = [end for at, end in ends if end == 502 and at > late_from]
+    record("sound requests that failed with 502 after that", len(failed))
     return 1 if len(late) > MOST_RETRIES else 0
 
 
--- a/review/7/harness.py
+++ b/review/7/harness.py
@@ -25,6 +25,7 @@
 HOST = "site.example"
 HEARTBEAT_SECONDS = 1.2
 BEGUN = time.monotonic()
+_processes = []
 
 
 def record(*words):
@@ -351,6 +352,7 @@
                 stdout=log,
                 stderr=log,
             )
+        _processes.append(self.process)
         record(self.name, "started", f"start {self.starts}")
 
     def kill(self, number=signal.SIGKILL):
@@ -580,8 +582,15 @@
     } | fields
 
 
+def _stop(number, frame):
+    """End the case; the processes that it started are ended on the way."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    raise SystemExit(2)
+
+
 def main(play):
     """Run a case within 115 seconds; exit with what it returns, 2 on any fault."""
+    signal.signal(signal.SIGTERM, _stop)
     (HERE / "record.txt").write_text("")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     code = 2
@@ -593,5 +602,9 @@
         record("the case failed:", repr(exc))
         raise
     finally:
+        for process in _processes:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
         record("exit code", code)
     sys.exit(code)
