--- a/review/6/harness.py
+++ b/review/6/harness.py
@@ -25,6 +25,7 @@
 HOST = "site.example"
 HEARTBEAT_SECONDS = 1.2
 BEGUN = time.monotonic()
+_processes = []
 
 
 def record(*words):
@@ -231,6 +232,7 @@
         self.born = int(time.time() * 1000)
         self.state = "ready"
         self._sequence = 0
+        self._writers = set()
 
     async def start(self, host, port):
         """Serve and write the entry until cancelled."""
@@ -253,12 +255,21 @@
             "born": self.born,
         }
 
+    def crash(self):
+        """Reset all connections and stop listening; the entry stays for a while."""
+        record(self.name, "crashes")
+        self._beats.cancel()
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _beat(self):
         while True:
             self.store.put("servers", self.name, self.entry())
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     async def _handle(self, reader, writer):
+        self._writers.add(writer)
         try:
             while True:
                 first, headers, body = await read_message(reader)
@@ -266,6 +277,7 @@
         except (Cut, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _serve(self, first, headers, body, reader, writer):
@@ -340,6 +352,7 @@
                 stdout=log,
                 stderr=log,
             )
+        _processes.append(self.process)
         record(self.name, "started", f"start {self.starts}")
 
     def kill(self, number=signal.SIGKILL):
@@ -569,8 +582,15 @@
     } | fields
 
 
+def _stop(number, frame):
+    """End the case; the processes that it started are ended on the way."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    raise SystemExit(2)
+
+
 def main(play):
     """Run a case within 115 seconds; exit with what it returns, 2 on any fault."""
+    signal.signal(signal.SIGTERM, _stop)
     (HERE / "record.txt").write_text("")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     code = 2
@@ -582,5 +602,9 @@
         record("the case failed:", repr(exc))
         raise
     finally:
+        for process in _processes:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
         record("exit code", code)
     sys.exit(code)
