--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,104 +1,215 @@
-"""Stops a process while a client holds an open connection that it has not used yet."""
+"""Kills two processes while the store turns some machines away; a third one ends."""
 
 import asyncio
-import signal
+import sys
 import time
 
-from harness import Client, Site, configuration, main, record, route
+from harness import (
+    REPOSITORY,
+    Client,
+    Site,
+    configuration,
+    main,
+    record,
+    route,
+)
 
-CLIENTS = 6
-SENT_AFTER_SECONDS = 3.2
-GRACE_SECONDS = 8.0
-EVENT_SECONDS = 0.058
-EVENTS = 120
+sys.path.insert(0, str(REPOSITORY / "src"))
+sys.path.insert(0, str(REPOSITORY / "target" / "deps"))
+from ragwortkeel.budget.write_order import Writer  # noqa: E402
+from ragwortkeel.ingress.mesh import rendezvous_order  # noqa: E402
+
+CLIENTS_PER_FRONT = 8
+WORK_SECONDS = 0.5
+DARK_SECONDS = 3.5
+TURNED_AWAY_SECONDS = 9.0
+TURNED_AWAY_SHARE = 0.33
+KEY = {"Authorization": "Bearer key-1", "Model": "m", "Prefix-Hash": "a1:100"}
+PREPAID = 200_000
+MOST_CUT = 3
+KILL_DELAYS = (0.35, 0.25, 0.45, 0.35)
+ROUND_SECONDS = 12.0
+
+
+async def work(request_id, headers, body):
+    """Run a plain request."""
+    await asyncio.sleep(WORK_SECONDS)
+    return b"x" * 800
 
 
 async def stream(request_id, headers, body):
-    """Run a short stream for the first request of a client, and a long one later."""
-    events = EVENTS if "long" in headers.get("model", "") else 2
-    return [
-        (EVENT_SECONDS, b"id: %d\ndata: x\n\n" % number)
-        for number in range(1, events + 1)
-    ]
+    """Run a stream of a few events."""
+    return [(0.02, b"id: %d\ndata: x\n\n" % number) for number in range(1, 5)]
+
+
+async def press(site, machine, ends, stop):
+    """Send one request after another on a kept connection."""
+    client = Client(site, machine)
+    number = 0
+    while not stop.is_set():
+        number += 1
+        path = "/file/1" if number % 2 else "/look/1"
+        if machine.process.poll() is not None:
+            client.close()
+            await asyncio.sleep(0.1)
+            continue
+        _, end, _ = await client.request(path, headers={"Deadline-Ms": "1500"})
+        ends.append((time.monotonic(), machine, end, client.on_connection))
+        if end == "no connection":
+            await asyncio.sleep(0.1)
+    client.close()
 
 
-async def ask(client, model):
-    """Send one stream that must not be repeated."""
-    headers = {"Model": model, "Token-Usage": "800,720", "Deadline-Ms": "15000"}
-    headers["Prefix-Hash"] = "a1:800"
-    _, end, _ = await client.request("/review/1", headers=headers, wait=15.0)
-    return end
+async def ask(site, machine, tokens):
+    """Send one stream of a tenant."""
+    client = Client(site, machine)
+    headers = KEY | {"Token-Usage": f"{tokens},24", "Deadline-Ms": "12000"}
+    result = await client.request("/chat/1", headers=headers, wait=12.0)
+    client.close()
+    return result
 
 
 async def play(trouble):
-    """Return 1 if a request was passed on and cut by the planned stop, 0 if none."""
-    site = Site(fronts=2, sides=1)
+    """Return 1 if a machine that nobody touched cut requests, 0 if none did."""
+    site = Site(fronts=3, sides=9)
+    store = site.store
     routes = [
-        route("r1", "/review/", "stream", "llm", timeoutMs=15000, public=True),
+        route("r1", "/file/", "non_idempotent", "app", public=True),
+        route("r2", "/look/", "idempotent", "app", public=True, maxAttempts=2),
+        route("r3", "/chat/", "stream", "llm", timeoutMs=12000),
     ]
-    engine = {"slots": 64, "kvCapacityTokens": 508_599, "stride": 6}
+    engine = {"slots": 64, "kvCapacityTokens": 500_000, "stride": 6}
     services = [
+        {"name": "app", "healthPath": "/health", "maxConnections": 96},
         {"name": "llm", "healthPath": "/health", "maxConnections": 360}
         | {"engine": engine},
     ]
-    site.store.put(
-        "config", "main", configuration(version=7, routes=routes, services=services)
-    )
+    tenants = [
+        {"name": "t1", "apiKeys": ["key-1"], "priority": 1, "prepaid": PREPAID},
+    ]
+    settings = {"routes": routes, "services": services, "tenants": tenants}
+    store.put("config", "main", configuration(version=7, **settings))
     await site.open()
     for number, zone in enumerate(site.zones):
-        await site.add_server(
-            name=f"i-llm{number}",
-            service="llm",
-            zone=zone,
-            slots=64,
-            work=stream,
-        )
+        app = {"service": "app", "slots": 16, "work": work}
+        await site.add_server(name=f"i-app{number}", zone=zone, **app)
+        llm = {"service": "llm", "slots": 64, "work": stream}
+        await site.add_server(name=f"i-llm{number}", zone=zone, **llm)
     try:
         return await _play(site, trouble)
     finally:
         site.close()
 
 
+class Watched:
+    """What the store sees of the ledgers, and the machines that it turns away."""
+
+    def __init__(self):
+        self.last_writer = None
+        self.reads = []
+        self.away = []
+        self.away_until = 0.0
+
+    def __call__(self, machine, method, kind, body):
+        """Return "silent" for a call that gets no answer, None for any other."""
+        if kind == "customer-ledgers" and method == "PUT":
+            self.last_writer = machine
+        if kind == "customer-ledgers" and method == "GET":
+            self.reads.append((time.monotonic(), machine))
+        if machine in self.away and time.monotonic() < self.away_until:
+            return "silent"
+        return None
+
+    async def wait_for_read(self, machine, since):
+        """Wait until a machine reads the ledgers, by itself or through a relay."""
+        while not any(at > since and each in self.away for at, each in self.reads):
+            await asyncio.sleep(0.01)
+            if time.monotonic() > since + 3:
+                record("no read of", machine.name)
+                return
+        record(machine.name, "reads the ledgers")
+
+
 async def _play(site, trouble):
+    watched = site.store.gate = Watched()
     for machine in site.machines:
         machine.start()
     for front in site.fronts:
         if not await site.wait_ready(front):
             return 2
-    front = site.fronts[0]
-    await asyncio.sleep(4.0)
-    clients = [Client(site, front) for _ in range(CLIENTS)]
-    firsts = await asyncio.gather(*(ask(client, "m-short") for client in clients))
-    if firsts != [200] * CLIENTS:
-        return 2
-    _, unused = await asyncio.open_connection(front.ip, site.base + 1)
-    record("client", "opens a connection to", front.name, "and sends nothing yet")
-    await asyncio.sleep(1.0)
+    ends, stop = [], asyncio.Event()
+    tasks = [
+        asyncio.create_task(press(site, front, ends, stop))
+        for front in site.fronts
+        for _ in range(CLIENTS_PER_FRONT)
+    ]
+    site.bootstrap = False
+    most_cut = 0
+    for delay in KILL_DELAYS:
+        cut = await _round(site, watched, ends, trouble, delay)
+        most_cut = max(most_cut, cut)
+        if most_cut > MOST_CUT:
+            break
+    stop.set()
+    await asyncio.gather(*tasks)
+    return 1 if most_cut > MOST_CUT else 0
+
+
+async def _round(site, watched, ends, trouble, delay):
+    """Return how many requests a machine cut that ran all the while."""
+    for _ in range(12):
+        await asyncio.gather(*(ask(site, front, 300) for front in site.fronts))
+        await asyncio.sleep(0.25)
+    # The machine that last wrote to the store under a condition is killed first.
+    leader = watched.last_writer
+    others = [front for front in site.fronts if front is not leader]
+    first, second = _in_write_order(site, others)
+    record("leader", leader.name, "next", first.name, "last", second.name)
+    await asyncio.sleep(2.0)
     begun = time.monotonic()
     if trouble:
-        front.kill(signal.SIGTERM)
-    await asyncio.sleep(SENT_AFTER_SECONDS)
-    asks = [asyncio.create_task(ask(client, "m-long")) for client in clients]
+        count = int(TURNED_AWAY_SHARE * len(site.machines)) - 1
+        watched.away = [first, *_relays(site, first)[:count]]
+        watched.away_until = begun + TURNED_AWAY_SECONDS
+        record("the store turns away", *(each.name for each in watched.away))
+        leader.kill()
+    asked = [asyncio.create_task(ask(site, first, 3000))]
+    await asyncio.sleep(0.15)
+    asked.append(asyncio.create_task(ask(site, second, 3000)))
     if trouble:
-        ending = asyncio.create_task(_end_after_grace(front, begun))
-    ends = await asyncio.gather(*asks)
-    if trouble:
-        await ending
-    unused.close()
-    runs = [run for server in site.servers for run in server.runs]
-    long_runs = [run for run in runs if run[2].get("model") == "m-long"]
-    record("ends", ends, "long runs at servers", len(long_runs))
-    record(front.name, "exit code", front.exit_code)
-    return 1 if "cut" in ends and long_runs else 0
-
-
-async def _end_after_grace(front, begun):
-    """Kill the process at the end of its grace period, as the platform does."""
-    while front.exit_code is None:
-        if time.monotonic() - begun >= GRACE_SECONDS:
-            front.kill()
-        await asyncio.sleep(0.02)
-    record(front.name, "has ended", f"{time.monotonic() - begun:.2f} s after SIGTERM")
+        await watched.wait_for_read(first, begun)
+        await asyncio.sleep(delay)
+        second.kill()
+        second.start()
+        await asyncio.sleep(max(0.0, begun + DARK_SECONDS - time.monotonic()))
+        leader.start()
+    await asyncio.sleep(max(0.0, begun + ROUND_SECONDS - time.monotonic()))
+    await asyncio.gather(*asked)
+    cut = [
+        end
+        for at, each, end, on in ends
+        if at > begun and each is first and end == "cut" and on > 1
+    ]
+    record(first.name, "exit code", first.exit_code, "requests cut", len(cut))
+    for line in first.log_lines("worker_failed"):
+        record(first.name, "logs", line[:600])
+    return len(cut)
+
+
+def _in_write_order(site, fronts):
+    """Return the machines in the order in which they write the ledgers."""
+
+    def key(front):
+        return Writer(name=f"{front.ip}:{site.base + 10}").sort_key
+
+    return sorted(fronts, key=key)
+
+
+def _relays(site, front):
+    """Return the relays in the order in which a front machine uses them."""
+    by_address = {f"{side.ip}:{site.base + 10}": side for side in site.sides}
+    order = rendezvous_order(f"{front.ip}:{site.base + 10}", by_address)
+    return [by_address[address] for address in order]
 
 
 if __name__ == "__main__":
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,168 +1,104 @@
-"""Restarts the front machines in turn while one request crashes servers."""
+"""Stops a process while a client holds an open connection that it has not used yet."""
 
 import asyncio
-import itertools
-import random
 import signal
 import time
 
-from harness import Client, Server, Site, configuration, main, record, route
+from harness import Client, Site, configuration, main, record, route
 
+CLIENTS = 6
+SENT_AFTER_SECONDS = 3.2
 GRACE_SECONDS = 8.0
-STABLE_SECONDS = 3.0
-BACK_SECONDS = 2.0
-WORK_SECONDS = 0.1
-SOUND_CLIENTS = 6
-HEARTBEATS_TO_EXPIRY = 3
-BODY = b"the request that crashes its server"
-ATTEMPTS_BETWEEN = 4
-MOST_RETRIES = 3
-RESTARTS = 2
+EVENT_SECONDS = 0.058
+EVENTS = 120
 
 
-class Pool:
-    """The servers of the service, which start again under a new id after a crash."""
-
-    def __init__(self, site):
-        self.site = site
-        self.arrivals = []
-        self._numbers = itertools.count(1)
-        self._tasks = set()
-
-    async def add(self, zone, address=None):
-        """Start a server, at the address of the one that crashed if there is one."""
-        name = f"i-app{next(self._numbers)}"
-        server = Server(
-            store=self.site.store,
-            name=name,
-            service="app",
-            zone=zone,
-            slots=6,
-            work=lambda *fields: self._work(server, *fields),
-        )
-        host, port = address or (next(self.site._ips), self.site.base + 5)
-        await server.start(host, port)
-        self.site.servers.append(server)
-
-    async def _work(self, server, request_id, headers, body):
-        if body == BODY:
-            self.arrivals.append((time.monotonic(), server.name, request_id))
-            await asyncio.sleep(0.005)
-            server.crash()
-            task = asyncio.create_task(self._come_back(server))
-            self._tasks.add(task)
-            raise ConnectionError("crashed")
-        await asyncio.sleep(WORK_SECONDS)
-        return b"x" * 800
-
-    async def _come_back(self, server):
-        await asyncio.sleep(BACK_SECONDS)
-        host, _, port = server.address.partition(":")
-        await self.add(server.zone, (host, int(port)))
-        await asyncio.sleep(HEARTBEATS_TO_EXPIRY * 1.2 - BACK_SECONDS)
-        self.site.store.delete("servers", server.name)
+async def stream(request_id, headers, body):
+    """Run a short stream for the first request of a client, and a long one later."""
+    events = EVENTS if "long" in headers.get("model", "") else 2
+    return [
+        (EVENT_SECONDS, b"id: %d\ndata: x\n\n" % number)
+        for number in range(1, events + 1)
+    ]
 
 
-async def send(site, front, body):
-    """Send a request that must not be repeated, on a new connection."""
-    client = Client(site, front)
-    headers = {"Deadline-Ms": "1500"}
-    _, end, _ = await client.request("/file/1", headers=headers, body=body, wait=2.0)
-    client.close()
+async def ask(client, model):
+    """Send one stream that must not be repeated."""
+    headers = {"Model": model, "Token-Usage": "800,720", "Deadline-Ms": "15000"}
+    headers["Prefix-Hash"] = "a1:800"
+    _, end, _ = await client.request("/review/1", headers=headers, wait=15.0)
     return end
 
 
-async def press(site, number, ends, stop):
-    """Send sound requests, no two alike, one after the other."""
-    client = Client(site, site.fronts[number % len(site.fronts)])
-    while not stop.is_set():
-        body = random.randbytes(8).hex().encode()
-        headers = {"Deadline-Ms": "1500"}
-        _, end, _ = await client.request("/file/1", headers=headers, body=body)
-        ends.append((time.monotonic(), end))
-        await asyncio.sleep(0.1 if end == 200 else 0.5)
-    client.close()
-
-
 async def play(trouble):
-    """Return 1 if the request reached servers too often, 0 if it did not."""
+    """Return 1 if a request was passed on and cut by the planned stop, 0 if none."""
     site = Site(fronts=2, sides=1)
-    routes = [route("r1", "/file/", "non_idempotent", "app", public=True)]
-    services = [{"name": "app", "healthPath": "/health", "maxConnections": 96}]
+    routes = [
+        route("r1", "/review/", "stream", "llm", timeoutMs=15000, public=True),
+    ]
+    engine = {"slots": 64, "kvCapacityTokens": 508_599, "stride": 6}
+    services = [
+        {"name": "llm", "healthPath": "/health", "maxConnections": 360}
+        | {"engine": engine},
+    ]
     site.store.put(
         "config", "main", configuration(version=7, routes=routes, services=services)
     )
     await site.open()
-    pool = Pool(site)
-    for zone in site.zones:
-        await pool.add(zone)
+    for number, zone in enumerate(site.zones):
+        await site.add_server(
+            name=f"i-llm{number}",
+            service="llm",
+            zone=zone,
+            slots=64,
+            work=stream,
+        )
     try:
-        return await _play(site, pool, trouble)
+        return await _play(site, trouble)
     finally:
         site.close()
 
 
-async def _play(site, pool, trouble):
+async def _play(site, trouble):
     for machine in site.machines:
         machine.start()
     for front in site.fronts:
         if not await site.wait_ready(front):
             return 2
-    site.bootstrap = False
-    await asyncio.sleep(STABLE_SECONDS)
-    if await send(site, site.fronts[0], b"a sound request") != 200:
-        return 2
-    ends, stop = [], asyncio.Event()
-    sound = [
-        asyncio.create_task(press(site, number, ends, stop))
-        for number in range(SOUND_CLIENTS)
-    ]
-    try:
-        return await _crash(site, pool, trouble, ends)
-    finally:
-        stop.set()
-        await asyncio.gather(*sound)
-
-
-async def _crash(site, pool, trouble, ends):
-    await _attempt(site, ATTEMPTS_BETWEEN)
-    if len(pool.arrivals) < 3:
+    front = site.fronts[0]
+    await asyncio.sleep(4.0)
+    clients = [Client(site, front) for _ in range(CLIENTS)]
+    firsts = await asyncio.gather(*(ask(client, "m-short") for client in clients))
+    if firsts != [200] * CLIENTS:
         return 2
-    third_at = pool.arrivals[2][0]
-    for _ in range(RESTARTS):
-        if trouble:
-            for front in site.fronts:
-                await _restart(site, front)
-        await asyncio.sleep(STABLE_SECONDS + 0.5)
-        await _attempt(site, ATTEMPTS_BETWEEN)
-    late_from = third_at + STABLE_SECONDS
-    late = [each for each in pool.arrivals if each[0] > late_from]
-    record(
-        "arrivals at servers", len(pool.arrivals), "after the third crash", len(late)
-    )
-    failed = [end for at, end in ends if end == 502 and at > late_from]
-    record("sound requests that failed with 502 after that", len(failed))
-    return 1 if len(late) > MOST_RETRIES else 0
-
-
-async def _attempt(site, count):
-    """Send the crashing request again and again, at one machine after the other."""
-    for number in range(count):
-        await send(site, site.fronts[number % len(site.fronts)], BODY)
-        await asyncio.sleep(BACK_SECONDS + 1.6)
-
-
-async def _restart(site, front):
-    """Stop a machine as planned and start it again."""
+    _, unused = await asyncio.open_connection(front.ip, site.base + 1)
+    record("client", "opens a connection to", front.name, "and sends nothing yet")
+    await asyncio.sleep(1.0)
     begun = time.monotonic()
-    front.kill(signal.SIGTERM)
+    if trouble:
+        front.kill(signal.SIGTERM)
+    await asyncio.sleep(SENT_AFTER_SECONDS)
+    asks = [asyncio.create_task(ask(client, "m-long")) for client in clients]
+    if trouble:
+        ending = asyncio.create_task(_end_after_grace(front, begun))
+    ends = await asyncio.gather(*asks)
+    if trouble:
+        await ending
+    unused.close()
+    runs = [run for server in site.servers for run in server.runs]
+    long_runs = [run for run in runs if run[2].get("model") == "m-long"]
+    record("ends", ends, "long runs at servers", len(long_runs))
+    record(front.name, "exit code", front.exit_code)
+    return 1 if "cut" in ends and long_runs else 0
+
+
+async def _end_after_grace(front, begun):
+    """Kill the process at the end of its grace period, as the platform does."""
     while front.exit_code is None:
         if time.monotonic() - begun >= GRACE_SECONDS:
             front.kill()
         await asyncio.sleep(0.02)
     record(front.name, "has ended", f"{time.monotonic() - begun:.2f} s after SIGTERM")
-    front.start()
-    await site.wait_ready(front)
 
 
 if __name__ == "__main__":
