A second SIGTERM does not cut a planned stop short

Cause: any second signal counted as an operator who has lost patience. Only SIGINT does now, as from a terminal; other signals during a stop are logged (`signal_during_stop`), and SIGHUP still reloads.

test_a_second_term_does_not_cut_a_planned_stop_short failed before (exit code 1).

--- a/src/ragwortkeel/process.py
+++ b/src/ragwortkeel/process.py
@@ -1,9 +1,10 @@
 """Frame of every daemon of the fleet: start, probes, reload, stop.
 
 SIGTERM or SIGINT begins a planned stop: the process reports that it is not ready,
-finishes the work in flight, makes its records durable and exits with 0.  A second
-signal, or the deadline, ends the stop at once; unfinished work is logged and the exit
-code is 1.
+finishes the work in flight, makes its records durable and exits with 0.  A SIGINT
+during the stop, as from an operator at a terminal, or the deadline ends it at once;
+unfinished work is logged and the exit code is 1.  A further SIGTERM changes nothing:
+supervisors and scripts repeat it, and SIGKILL is there for those that can't wait.
 """
 
 import signal
@@ -145,6 +146,13 @@
         while await signals.get() is signal.SIGHUP:
             self._reload_settings()
 
+    async def _interruption(self, signals) -> None:
+        """Wait for a signal that cuts a planned stop short."""
+        while (number := await signals.get()) is not signal.SIGINT:
+            log_info("signal_during_stop", node=self._name, signal=number.name)
+            if number is signal.SIGHUP:
+                self._reload_settings()
+
     def _reload_settings(self) -> None:
         log_info("settings_reload", node=self._name)
         try:
@@ -157,7 +165,9 @@
     async def _stop(self, signals) -> int:
         self._lifecycle.fire("stop")
         stop_task = await curio.spawn(self._worker.stop, daemon=True)
-        finished = await _ends_first(stop_task.wait, lambda: self._stop_signal(signals))
+        finished = await _ends_first(
+            stop_task.wait, lambda: self._interruption(signals)
+        )
         if not finished:
             await stop_task.cancel()
             log_warning("stop_cut_short", node=self._name)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,4 +1,4 @@
-"""Tests of a daemon's process: the reload of its settings."""
+"""Tests of a daemon's process: the reload of its settings, and its stop."""
 
 import os
 import signal
@@ -10,7 +10,7 @@
 from ragwortkeel.configuration_store import InForce
 from ragwortkeel.exceptions import SettingsError
 from ragwortkeel.metrics import Metrics
-from ragwortkeel.process import EXIT_CLEAN, Leftover, Process
+from ragwortkeel.process import EXIT_CLEAN, EXIT_FAILED, Leftover, Process
 from ragwortkeel.traces import Tracing
 
 
@@ -34,12 +34,18 @@
         return InForce(revision=0)
 
 
-def run_with_signals(*numbers, reload):
+class SlowlyStoppingWorker(IdleWorker):
+    async def stop(self):
+        await curio.sleep(0.5)
+        return Leftover(counts={})
+
+
+def run_with_signals(*numbers, reload=lambda: None, worker=IdleWorker):
     """Send signals and then TERM to a process; return its exit code."""
 
     async def main():
         process = Process(
-            worker=IdleWorker(),
+            worker=worker(),
             name="idle",
             metrics_address=free_address(),
             reload=reload,
@@ -72,3 +78,19 @@
             raise SettingsError(path="$", found="nothing", allowed="a file")
 
         assert run_with_signals(signal.SIGHUP, reload=refuse) == EXIT_CLEAN
+
+
+class TestStop:
+    def test_a_second_term_does_not_cut_a_planned_stop_short(self):
+        """Guards against answers that are cut off as a supervisor repeats SIGTERM."""
+        code = run_with_signals(
+            signal.SIGTERM, signal.SIGHUP, worker=SlowlyStoppingWorker
+        )
+        assert code == EXIT_CLEAN
+
+    def test_an_interrupt_cuts_a_planned_stop_short(self):
+        """Guards against a process that an operator at a terminal can't end."""
+        code = run_with_signals(
+            signal.SIGTERM, signal.SIGINT, worker=SlowlyStoppingWorker
+        )
+        assert code == EXIT_FAILED
