A planned stop has one plan, and every request obeys it

Cause: a stop had one deadline, and each wait before it a limit of its own. An unused connection postponed by up to 1 s when new requests were refused; a queued request might wait for half of its own time limit; nothing asked whether a run could end in time; and what was open at the end was closed without a word.

The points of a stop are computed at the signal now (`StopPlan`): until when requests are accepted, until when a run of an expected length may begin, when all is ended. Expected lengths come from the last runs of the service (`RunTimes`). Whatever a request waits for, it is ended at its sockets as soon as it can't begin in time (`OpenRequests`), with 503 `stopping` if no upstream had it, else with 502 `process_stopped`; only an answer that has started is cut off.

Logs: `stop_planned`, `ended_by_stop` with the stage of the request and when it arrived, `stopping_for` in `request_unanswered`.

--- a/benchmarks/guards_left_out.py
+++ b/benchmarks/guards_left_out.py
@@ -160,7 +160,7 @@
         "LOST",
         "a request that comes too late is refused",
         "ingress/front.py",
-        "if self.stopping:\n            return STOPPING",
+        "if self._is_refusing:\n            return STOPPING",
         "if False:\n            return STOPPING",
     ),
     _guard(
--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -173,7 +173,7 @@
         self._listener = None
         self._acceptor = None
         self._connections = curio.TaskGroup(wait=None)
-        self._stopping = False
+        self._stopping_since: float | None = None
 
     def open(self) -> None:
         """Bind the listening socket."""
@@ -201,7 +201,8 @@
         New connections are still accepted: a balancer that checks once a second
         continues to open them for a while, and a closed port would refuse them.
         """
-        self._stopping = True
+        if self._stopping_since is None:
+            self._stopping_since = monotonic()
 
     async def stop_accepting(self) -> None:
         """Refuse new connections; open exchanges continue.
@@ -209,7 +210,7 @@
         On return, the first requests on all connections accepted before have
         started, or `FIRST_REQUEST_SECONDS` have passed.
         """
-        self._stopping = True
+        self.begin_closing()
         await self._close_listener()
         waited = 0.0
         while self._connections_before_request and waited < FIRST_REQUEST_SECONDS:
@@ -378,7 +379,7 @@
         self, sock, conn, request: Request, responder: Responder
     ) -> None:
         responder.bodiless = request.method == "HEAD"
-        stopping = self._stopping
+        stopping = self._stopping_since is not None
         responder.closing = lambda: stopping or self.closes_connections
         try:
             with self._recording_unanswered(request, responder):
@@ -415,6 +416,9 @@
     ) -> None:
         self._on_unanswered(ended_by)
         fields |= {"target": target[:MAX_LOGGED_CHARACTERS], "ended_by": ended_by}
+        if self._stopping_since is not None:
+            stopping_seconds = monotonic() - self._stopping_since
+            fields["stopping_for"] = round(stopping_seconds, 3)
         if ended_by == "peer":
             # Callers that leave are usual, and many may leave at once.
             log_debug("request_unanswered", **fields)
--- a/src/ragwortkeel/ingress/error_responses.py
+++ b/src/ragwortkeel/ingress/error_responses.py
@@ -101,6 +101,8 @@
     result=Result.NOT_RUN,
     retry_after_seconds=0.1,
 )
+STOPPED = ErrorResponse(status=502, reason="process_stopped", result=Result.UNKNOWN)
+"""For a request that was sent to an upstream and not answered when its process ends."""
 TIMED_OUT = ErrorResponse(status=504, reason="timed_out", result=Result.UNKNOWN)
 BROKEN = ErrorResponse(status=502, reason="upstream_broke_off", result=Result.UNKNOWN)
 
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -27,6 +27,8 @@
     NO_UPSTREAM,
     OVERLOADED,
     QUARANTINED,
+    STOPPED,
+    STOPPING,
     TIMED_OUT,
     UPSTREAMS_WITHHELD,
     VERSION_UNAVAILABLE,
@@ -55,6 +57,7 @@
 from ragwortkeel.ingress.usage import Usage
 from ragwortkeel.logs import log_info
 from ragwortkeel.policy.facts import Failure
+from ragwortkeel.policy.stop_plan import StopPlan
 from ragwortkeel.policy.stream_origins import Origin, stream_key
 
 MAX_REJECTED_SENDS = 2
@@ -198,23 +201,15 @@
         """
         if self._components.sweep is not None:
             self._components.sweep.sweep_if_due()
-        self._join_sweep()
+        self._components.open_requests.add(self)
         try:
             await self._run()
         finally:
-            self._leave_sweep()
+            self._components.open_requests.discard(self)
             replacement = self._take_replacement()
             if replacement is not None:
                 await self._replacements.drop(replacement)
 
-    def _join_sweep(self) -> None:
-        if self._components.sweep is not None:
-            self._components.sweep.add(self)
-
-    def _leave_sweep(self) -> None:
-        if self._components.sweep is not None:
-            self._components.sweep.discard(self)
-
     def caller_has_left(self) -> bool:
         """Return whether the caller has closed its connection, checking the socket."""
         return self._responder.peer_disconnected()
@@ -227,8 +222,61 @@
 
     def end_late(self) -> None:
         """End the request at its sockets, because its time limit has passed."""
-        sent = self._may_have_run or (self._attempt is not None and self._attempt.sent)
-        error = TIMED_OUT if sent else INSTANCE_OVERLOADED
+        self._end(TIMED_OUT if self._was_sent else INSTANCE_OVERLOADED)
+
+    def may_begin(self, plan: StopPlan) -> bool:
+        """Return whether a stop leaves time for its run, or that has begun."""
+        return self._was_sent or self._fits_into(plan)
+
+    def _fits_into(self, plan: StopPlan) -> bool:
+        """Return whether a run that begins now can be expected to end in time."""
+        run_seconds = self._expected_run_seconds()
+        if run_seconds is None and self._may_have_run:
+            # Without another run it has failed for certain.
+            return True
+        return plan.may_begin(now=monotonic(), run_seconds=run_seconds)
+
+    def end_stopped(self, plan: StopPlan) -> None:
+        """End the request at its sockets, because the process stops."""
+        accepted = self._accepted
+        log_info(
+            "ended_by_stop",
+            request=accepted.call.request_id,
+            stage=self._stage(),
+            arrived=round(accepted.arrived_at - plan.began_at, 3),
+            events=self._caller_response.splitter.events,
+            expected=self._expected_run_seconds(),
+        )
+        self._end(STOPPED if self._was_sent else STOPPING)
+
+    @property
+    def _was_sent(self) -> bool:
+        """Whether an upstream may run, or may have run, the request."""
+        return self._may_have_run or (self._attempt is not None and self._attempt.sent)
+
+    def _stage(self) -> str:
+        if self._caller_response.started:
+            return "answering"
+        return "sent" if self._was_sent else "waiting"
+
+    def _expected_run_seconds(self) -> float | None:
+        return self._components.run_times.expected_seconds(
+            self._run_kind(), size=self._run_size()
+        )
+
+    def _run_kind(self) -> str:
+        return f"{self._accepted.service.name}/{self._accepted.route.repeats}"
+
+    def _run_size(self) -> int:
+        """Return the tokens that the answer lacks at most, 1 without a bound."""
+        usage, engine = self._accepted.usage, self._accepted.service.engine
+        if usage is None:
+            return 1
+        event_tokens = engine.event_tokens if engine else 1
+        received = self._caller_response.splitter.events * event_tokens
+        return max(1, usage.answer_tokens - received)
+
+    def _end(self, error: ErrorResponse) -> None:
         if self._caller_response.started:
             self._record_cut_off(error)
         else:
@@ -351,7 +399,7 @@
                 done = await self._handle_outcome(run.assignment, outcome)
                 if not isinstance(done, _TryAgain):
                     return await self._give_up(done) if done else None
-                self._join_sweep()
+                self._components.open_requests.add(self)
         finally:
             for run in tuple(self._open_runs):
                 await self._end_run(run)
@@ -436,6 +484,9 @@
 
     async def _acquire(self) -> Assignment | ErrorResponse:
         accepted, now = self._accepted, monotonic()
+        stop_plan = self._components.open_requests.stop_plan
+        if stop_plan is not None and not self._fits_into(stop_plan):
+            return BROKEN if self._may_have_run else STOPPING
         seconds_left = accepted.call.deadline - now
         acquired = await self._components.dispatcher.acquire(
             self._job,
@@ -534,11 +585,15 @@
         if self._silent_run is not None:
             timer = await curio.spawn(self._end_overlap, self._silent_run, daemon=True)
         outcome: Outcome | None = None
+        size, began_at = self._run_size(), monotonic()
         try:
             outcome = await follow()
             if isinstance(outcome, FullResponse | StreamCompleted):
                 # A ready answer is delivered even if it is late.
-                self._leave_sweep()
+                self._components.open_requests.discard(self)
+                self._components.run_times.record(
+                    self._run_kind(), size=size, seconds=monotonic() - began_at
+                )
             return outcome
         except CallerLeft:
             if not self._responder.ended:
@@ -843,7 +898,7 @@
         """
         if not self._caller_response.started:
             return error
-        self._leave_sweep()
+        self._components.open_requests.discard(self)
         self._record_cut_off(error)
         # What was received whole is still delivered if the time limit allows it.
         await self._responder.abort(max(ABORT_DRAIN_SECONDS, self._seconds_left()))
@@ -852,7 +907,7 @@
     async def _send_error(self, error: ErrorResponse) -> None:
         if self._responder.ended:
             raise CallerLeft(self._accepted.call.request_id)
-        self._leave_sweep()
+        self._components.open_requests.discard(self)
         self._record_refusal(error)
         await send_error(self._responder, error)
 
--- a/src/ragwortkeel/ingress/front.py
+++ b/src/ragwortkeel/ingress/front.py
@@ -55,8 +55,6 @@
     ----------
     table : RoutingTable or None
         The routes of the configuration in force, None before the first one.
-    stopping : bool
-        Whether new requests are refused, because a planned stop might cut them off.
     """
 
     def __init__(
@@ -67,7 +65,6 @@
         is_behind: Callable[[], bool] = lambda: False,
     ) -> None:
         self.table: RoutingTable | None = None
-        self.stopping = False
         self._components = components
         self._names = components.names
         self._monitor = monitor
@@ -82,7 +79,7 @@
         monitor, table = self._monitor, self.table
         if monitor is None or not monitor.is_limiting:
             return False
-        if table is None or self.stopping:
+        if table is None or self._is_refusing:
             return False
         match self._route(request):
             case Routed(route=route, customer=customer):
@@ -117,6 +114,12 @@
                 )
                 await send_error(responder, answer)
 
+    @property
+    def _is_refusing(self) -> bool:
+        """Whether new requests are refused, because a planned stop might cut them."""
+        plan = self._components.open_requests.stop_plan
+        return plan is not None and monotonic() >= plan.refuses_at
+
     async def _run(self, exchange: Exchange) -> None:
         if self._monitor is None:
             await exchange.run()
@@ -138,7 +141,7 @@
     def _accept(self, request: Request) -> AcceptedRequest | ErrorResponse:
         if self.table is None:
             return NO_CONFIGURATION
-        if self.stopping:
+        if self._is_refusing:
             return STOPPING
         match self._route(request):
             case NoRoute() | UnknownKey() if self._is_behind():
--- a/src/ragwortkeel/ingress/front_components.py
+++ b/src/ragwortkeel/ingress/front_components.py
@@ -1,6 +1,6 @@
 """The components that all requests of an ingress process share."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ragwortkeel.ingress.announcements import AnnouncementReader
 from ragwortkeel.ingress.budget_keeper import BudgetKeeper
@@ -8,6 +8,7 @@
 from ragwortkeel.ingress.dispatch import Dispatcher
 from ragwortkeel.ingress.error_responses import ErrorResponse
 from ragwortkeel.ingress.names import HeaderNames
+from ragwortkeel.ingress.open_requests import OpenRequests
 from ragwortkeel.ingress.origin_exchange import OriginExchange
 from ragwortkeel.ingress.placement import Placement
 from ragwortkeel.ingress.request_sweep import RequestSweep
@@ -16,6 +17,7 @@
 from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.metrics import Metrics
 from ragwortkeel.policy.retries import RetryBudgets
+from ragwortkeel.policy.run_times import RunTimes
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -24,6 +26,10 @@
 
     Attributes
     ----------
+    open_requests : OpenRequests
+        The requests without a final answer, and the plan of a stop.
+    run_times : RunTimes
+        Expected lengths of runs, by which a stop refuses what would be cut off.
     sweep : RequestSweep or None
         Ends requests on a late event loop; None leaves that to their own timers.
     """
@@ -41,6 +47,8 @@
     speeds: SpeedTracker | None = None
     event_delivery_seconds: float = 0.0
     sweep: RequestSweep | None = None
+    open_requests: OpenRequests = field(default_factory=OpenRequests)
+    run_times: RunTimes = field(default_factory=RunTimes)
 
     def record_refusal(
         self,
--- a/src/ragwortkeel/ingress/request_sweep.py
+++ b/src/ragwortkeel/ingress/request_sweep.py
@@ -10,10 +10,11 @@
 
 from collections.abc import Callable
 from time import monotonic
-from typing import Protocol
 
 import curio
 
+from ragwortkeel.ingress.open_requests import OpenRequests
+
 SWEEP_SECONDS = 0.1
 
 GRACE_SECONDS = 0.1
@@ -21,44 +22,25 @@
 loop is late.  The timer leaves the connection usable."""
 
 
-class SweptRequest(Protocol):
-    """A request that the sweep may end."""
-
-    deadline: float
-
-    def caller_has_left(self) -> bool:
-        """Return whether the caller has closed its connection, checking the socket."""
-
-    def end_left(self) -> None:
-        """End the request of a caller that has left."""
-
-    def end_late(self) -> None:
-        """End the request because its time limit has passed."""
-
-
 class RequestSweep:
-    """The requests that are open, and the sweep that ends some of them.
+    """The sweep that ends some of the open requests.
 
     Parameters
     ----------
+    open_requests : OpenRequests
+        The requests that it may end.
     is_late : callable
         Returns whether the event loop is late, so that the sweep has to check for
         callers that have left.
     """
 
-    def __init__(self, *, is_late: Callable[[], bool]) -> None:
+    def __init__(
+        self, *, open_requests: OpenRequests, is_late: Callable[[], bool]
+    ) -> None:
+        self._open_requests = open_requests
         self._is_late = is_late
-        self._open: dict[int, SweptRequest] = {}
         self._due_at = 0.0
 
-    def add(self, request: SweptRequest) -> None:
-        """Include a request."""
-        self._open[id(request)] = request
-
-    def discard(self, request: SweptRequest) -> None:
-        """Leave out a request that has ended or whose final answer is being sent."""
-        self._open.pop(id(request), None)
-
     def sweep_if_due(self) -> None:
         """Sweep unless the last sweep was a moment ago; cheap enough for each event."""
         now = monotonic()
@@ -67,12 +49,12 @@
         self._due_at = now + SWEEP_SECONDS
         is_late = self._is_late()
         ends_before = now if is_late else now - GRACE_SECONDS
-        for request in list(self._open.values()):
+        for request in self._open_requests:
             if request.deadline < ends_before:
-                self.discard(request)
+                self._open_requests.discard(request)
                 request.end_late()
             elif is_late and request.caller_has_left():
-                self.discard(request)
+                self._open_requests.discard(request)
                 request.end_left()
 
     async def run(self) -> None:
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -41,6 +41,7 @@
 from ragwortkeel.ingress.limit_tracker import LimitTracker
 from ragwortkeel.ingress.load_reports import hold_seconds, status_hold_seconds
 from ragwortkeel.ingress.names import HeaderNames
+from ragwortkeel.ingress.open_requests import OpenRequests
 from ragwortkeel.ingress.origin_exchange import OriginExchange
 from ragwortkeel.ingress.pause_tracker import PauseTracker
 from ragwortkeel.ingress.peer_statuses import PeerStatuses
@@ -80,6 +81,7 @@
 from ragwortkeel.platform_counts import CountedPlatform
 from ragwortkeel.policy.fleet_rates import FleetRates, sharing_among
 from ragwortkeel.policy.retries import RetryBudgets, process_reserve
+from ragwortkeel.policy.stop_plan import StopPlan
 from ragwortkeel.policy.stream_origins import (
     KEEP_SECONDS,
     OriginTable,
@@ -115,7 +117,7 @@
 """Delay of a timer above which upstreams may have started again unnoticed."""
 
 BALANCER_NOTICE_SECONDS = 2.6
-"""Time after the start of a planned stop in which new connections are accepted.
+"""Time after the start of a planned stop in which new requests are accepted.
 
 By then a balancer that probes once per second and needs two failed probes no longer
 sends requests here.
@@ -123,6 +125,9 @@
 
 STOP_POLL_SECONDS = 0.05
 
+CLOSING_SECONDS = 0.2
+"""Time for closing the connections of requests that the end of a stop ends."""
+
 STALL_SECONDS = 30.0
 """How long a caller may read nothing of a ready response before it is ended."""
 
@@ -255,6 +260,7 @@
         self.metrics.track_held_bytes(lambda: held.total)
         self._monitor: InstanceMonitor | None = None
         self._sweep: RequestSweep | None = None
+        self._open_requests = OpenRequests()
         gate: ConnectionGate | None = None
         if settings.capacity is not None:
             self._monitor = InstanceMonitor(
@@ -264,7 +270,10 @@
                 random=Random(incarnation),
                 held_bytes=lambda: held.total,
             )
-            self._sweep = RequestSweep(is_late=lambda: self._monitor.is_late)
+            self._sweep = RequestSweep(
+                open_requests=self._open_requests,
+                is_late=lambda: self._monitor.is_late,
+            )
             gate = ConnectionGate(
                 zone=settings.zone,
                 monitor=self._monitor,
@@ -305,6 +314,7 @@
                 speeds=self._speed_tracker,
                 event_delivery_seconds=settings.event_delivery_seconds,
                 sweep=self._sweep,
+                open_requests=self._open_requests,
             ),
             monitor=self._monitor,
             is_behind=lambda: self._peer_revision > self.revision(),
@@ -415,21 +425,44 @@
         """
         self._stopping = True
         self._server.begin_closing()
-        stop_started_at = monotonic()
-        deadline = stop_started_at + self._settings.stop_deadline_seconds
-        await curio.sleep(BALANCER_NOTICE_SECONDS)
-        await self._server.stop_accepting()
-        self._front.stopping = True
-        await self._server.close_idle()
-        while self._server.open_exchanges and monotonic() < deadline:
-            await curio.sleep(STOP_POLL_SECONDS)
-        if not self._server.open_exchanges:
-            # Answers that began before the stop have not asked for a close.
-            await self._server.close_finished(deadline=deadline)
+        plan = StopPlan.starting(
+            monotonic(),
+            seconds=self._settings.stop_deadline_seconds,
+            accepting_seconds=BALANCER_NOTICE_SECONDS,
+        )
+        self._open_requests.stop_plan = plan
+        log_info(
+            "stop_planned",
+            refuses_after=round(plan.refuses_at - plan.began_at, 3),
+            ends_after=round(plan.ends_at - plan.began_at, 3),
+            open=self._server.open_exchanges,
+            queued=len(self._dispatcher.queue),
+        )
+        refusing = await curio.spawn(self._open_requests.refuse_late_starts)
+        try:
+            await self._complete_requests(plan)
+        finally:
+            await refusing.cancel()
         cut_count = self._server.open_exchanges
+        self._open_requests.end_all()
+        await self._wait_for_exchanges(monotonic() + CLOSING_SECONDS)
         returned = await self._budget_keeper.close()
         return Leftover(counts={"requests": cut_count, "slices": int(not returned)})
 
+    async def _complete_requests(self, plan: StopPlan) -> None:
+        """Wait for open requests, at most until the end of the plan."""
+        await curio.sleep(max(0.0, plan.refuses_at - monotonic()))
+        async with curio.ignore_after(max(0.0, plan.ends_at - monotonic())):
+            await self._server.stop_accepting()
+            await self._server.close_idle()
+            await self._wait_for_exchanges(plan.ends_at)
+            # Answers that began before the stop have not asked for a close.
+            await self._server.close_finished(deadline=plan.ends_at)
+
+    async def _wait_for_exchanges(self, ends_at: float) -> None:
+        while self._server.open_exchanges and monotonic() < ends_at:
+            await curio.sleep(STOP_POLL_SECONDS)
+
     def in_force(self, kind: str, name: str) -> InForce:
         """Return the revision and version in force of an object."""
         return InForce(revision=self.revision(), version=self.revision() or None)
