Bytes of an upstream without end are given up at a bound

Callers then waited until their time limit, and an event without its end was held whole, joined anew with each read.

Cause: only plain answers (8 MB), heads (16 KB) and lines of chunked bodies had bounds. Bounded now: an event, and events without an id (1 MB); interim answers and answers to other requests before the one that is due (1 MB); documents and lines in the sidecar; responses of the HTTP client, as of the platform (32 MB, 32 interim ones). Bytes that complete no event count as silence of a stream. The client does not reuse a connection with bytes beyond the response.

--- a/src/ragwortkeel/http_client.py
+++ b/src/ragwortkeel/http_client.py
@@ -12,6 +12,10 @@
 from ragwortkeel.http_events import join_headers, next_event
 
 CONNECT_SECONDS = 2.0
+MAX_BODY_BYTES = 32 * 1024 * 1024
+"""Largest body that `HttpClient.request` holds; pages of the platform are smaller."""
+
+MAX_INTERIM_RESPONSES = 32
 MAX_IDLE_CONNECTIONS = 32
 
 
@@ -64,6 +68,23 @@
         """Return an iterator over the chunks of the body as they arrive."""
         return BodyPieces(sock=self._sock, conn=self._conn)
 
+    async def read(self, *, max_bytes: int) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        ExchangeBroken
+            It is larger than `max_bytes`, or ends early.
+        """
+        chunks = []
+        size = 0
+        async for chunk in self.chunks():
+            size += len(chunk)
+            if size > max_bytes:
+                raise ExchangeBroken(f"response body of over {max_bytes} bytes")
+            chunks.append(chunk)
+        return b"".join(chunks)
+
 
 class HttpClient:
     """A client of one server, with a small pool of idle connections.
@@ -107,10 +128,10 @@
             async with curio.timeout_after(timeout):
                 stream = self.stream(method, target, body=body, headers=headers)
                 async with stream as rv:
-                    chunks = [chunk async for chunk in rv.chunks()]
+                    content = await rv.read(max_bytes=MAX_BODY_BYTES)
         except curio.TaskTimeout as exc:
             raise ExchangeBroken(f"no response within {timeout} s") from exc
-        return Response(status=rv.status, headers=rv.headers, body=b"".join(chunks))
+        return Response(status=rv.status, headers=rv.headers, body=content)
 
     @asynccontextmanager
     async def stream(
@@ -128,7 +149,9 @@
         try:
             await self._send(sock, conn, method, target, body, headers or {})
             yield await self._read_head(sock, conn)
-            reusable = conn.our_state is h11.DONE and conn.their_state is h11.DONE
+            is_done = conn.our_state is h11.DONE and conn.their_state is h11.DONE
+            # Bytes beyond the response belong to no request.
+            reusable = is_done and not conn.trailing_data[0]
         finally:
             if reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
                 self._idle.append(sock)
@@ -187,7 +210,11 @@
 
     async def _read_head(self, sock, conn) -> StreamedResponse:
         event = await next_event(sock, conn)
+        interim_count = 0
         while isinstance(event, h11.InformationalResponse):
+            interim_count += 1
+            if interim_count > MAX_INTERIM_RESPONSES:
+                raise ExchangeBroken("too many interim responses")
             event = await next_event(sock, conn)
         if not isinstance(event, h11.Response):
             raise ExchangeBroken("server closed the connection without a response")
--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -378,7 +378,7 @@
             return None
 
     def _silent_seconds(self) -> float:
-        """Return how long the upstream has sent nothing while it was read from."""
+        """Return how long the upstream has sent no event while it was read from."""
         if self._reading_since is None:
             return 0.0
         return monotonic() - self._reading_since
@@ -390,21 +390,16 @@
 
         All its waits may be ended and begun again.
         """
-        caller = self._caller_response
-        responder, splitter = caller.responder, caller.splitter
+        splitter = self._caller_response.splitter
         while True:
-            await responder.wait_for_room()
-            wait_seconds = self._reads.seconds_until_read(monotonic())
-            if wait_seconds:
-                await curio.sleep(wait_seconds)
-            if self._reading_since is None:
-                self._reading_since = monotonic()
+            await self._wait_until_readable()
             chunk = await connection.receive_chunk()
-            self._reading_since = None
             if chunk is None:
                 return await self._finish(head, b"")
             events = splitter.feed(chunk)
             if events:
+                # Bytes that complete no event are silence to the caller.
+                self._reading_since = None
                 self._on_first_event()
             if splitter.order_error is not None:
                 await self._forward(head, events)
@@ -418,6 +413,19 @@
                     self._max_silence_seconds = MAX_SILENCE_SECONDS
                     return None
 
+    async def _wait_until_readable(self) -> None:
+        """Wait until the caller has room for more; this is no silence."""
+        began_at = monotonic()
+        await self._caller_response.responder.wait_for_room()
+        wait_seconds = self._reads.seconds_until_read(monotonic())
+        if wait_seconds:
+            await curio.sleep(wait_seconds)
+        now = monotonic()
+        if self._reading_since is None:
+            self._reading_since = now
+        else:
+            self._reading_since += now - began_at
+
     async def _forward(
         self, head: ResponseHead, events: bytes, *, last: bool = False
     ) -> None:
--- a/src/ragwortkeel/ingress/events.py
+++ b/src/ragwortkeel/ingress/events.py
@@ -2,11 +2,15 @@
 
 Failures it guards against: an upstream breaks off in the middle of an event, and the
 caller would receive an incomplete one; a resumed run repeats or omits an event, and the
-caller would receive it twice or miss it.
+caller would receive it twice or miss it; an upstream sends bytes without an event and
+without end, and they would fill the memory.
 """
 
 from ragwortkeel.exceptions import ExchangeBroken
 
+MAX_EVENT_BYTES = 1024 * 1024
+"""Largest event, and most bytes of events without an id between two that have one."""
+
 _EVENT_END = b"\n\n"
 _ID_FIELD = b"id:"
 
@@ -32,6 +36,7 @@
         self.events = 0
         self.order_error: ExchangeBroken | None = None
         self._buffer = b""
+        self._bytes_without_id = 0
 
     def feed(self, data: bytes) -> bytes:
         """Append data; return the events that are complete now and in order.
@@ -39,7 +44,8 @@
         Raises
         ------
         ExchangeBroken
-            The id of the first event is not the previous id plus 1.
+            The id of the first event is not the previous id plus 1, or there are more
+            than `MAX_EVENT_BYTES` without an event that has an id.
         """
         if self.order_error is not None:
             raise self.order_error
@@ -51,8 +57,10 @@
         end = data.rfind(_EVENT_END)
         if end < 0:
             self._buffer = data
+            self._check_size(len(data))
             return b""
         complete, self._buffer = data[: end + 2], data[end + 2 :]
+        self._check_size(len(self._buffer))
         position = 0
         for event in complete[:-2].split(_EVENT_END):
             error = self._check_order(event)
@@ -64,6 +72,10 @@
             position += len(event) + len(_EVENT_END)
         return complete
 
+    def _check_size(self, size: int) -> None:
+        if size > MAX_EVENT_BYTES:
+            raise ExchangeBroken(f"an event of over {MAX_EVENT_BYTES} bytes")
+
     @property
     def has_partial_event(self) -> bool:
         """Whether the data so far ends within an event."""
@@ -72,12 +84,17 @@
     def discard_partial_event(self) -> None:
         """Discard the incomplete event that a broken run left."""
         self._buffer = b""
+        self._bytes_without_id = 0
         self.order_error = None
 
     def _check_order(self, event: bytes) -> ExchangeBroken | None:
         event_id = _event_id(event)
         if event_id is None:
+            self._bytes_without_id += len(event) + len(_EVENT_END)
+            if self._bytes_without_id > MAX_EVENT_BYTES:
+                return ExchangeBroken(f"over {MAX_EVENT_BYTES} bytes without an id")
             return None
+        self._bytes_without_id = 0
         if self.last_id is not None and event_id != self.last_id + 1:
             return ExchangeBroken(f"event {event_id} follows event {self.last_id}")
         self.last_id = event_id
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -9,6 +9,8 @@
 - The upstream closes an idle connection while a request is on its way to it, so that it
   is unknown whether the request ran.  A request that must not run twice therefore only
   uses a connection that was in use a moment ago.
+- Interim responses, or responses to other requests, come without end where the response
+  is due.  Only so many bytes of them are skipped.
 """
 
 import socket as _socket
@@ -66,6 +68,13 @@
 The upstream states whole seconds and counts from its own last use.
 """
 
+MAX_SKIPPED_BYTES = 1024 * 1024
+"""Bytes of interim responses and of other requests' responses that are skipped before a
+response; a late response of usual size is smaller."""
+
+SKIPPED_HEAD_BYTES = 1024
+"""What the head of a skipped response counts as."""
+
 FRESH_IDLE_SECONDS = 1.0
 """Idle time after which a connection may be about to close.
 
@@ -142,6 +151,7 @@
         self._chunked: ChunkedBody | None = None
         self._first_data = b""
         self._is_skipping = False
+        self._skipped_bytes = 0
 
     @classmethod
     async def open(
@@ -233,6 +243,7 @@
         if outgoing.body:
             data += self._conn.send(h11.Data(data=outgoing.body))
         data += self._conn.send(h11.EndOfMessage())
+        self._skipped_bytes = 0
         await self._buffer.write(data)
         if self._buffer.held_bytes:
             await self._buffer.drain()
@@ -247,6 +258,7 @@
                 await self._skip_response()
             event = await next_event(self._sock, self._conn, self._counter)
             if isinstance(event, h11.InformationalResponse):
+                self._count_skipped(SKIPPED_HEAD_BYTES)
                 continue
             if not isinstance(event, h11.Response):
                 raise ExchangeBroken("connection closed before a response")
@@ -311,8 +323,9 @@
 
     async def _skip_response(self) -> None:
         """Read to the end of another request's response and expect the next one."""
-        while await self.receive_chunk() is not None:
-            pass
+        while (chunk := await self.receive_chunk()) is not None:
+            self._count_skipped(len(chunk))
+        self._count_skipped(SKIPPED_HEAD_BYTES)
         rest, _ = self._conn.trailing_data
         # h11 accepts one response per request, so a new h11 connection is given a
         # placeholder request, which is not sent.
@@ -322,6 +335,11 @@
         self._conn.receive_data(rest)
         self._is_skipping = False
 
+    def _count_skipped(self, size: int) -> None:
+        self._skipped_bytes += size
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            raise ExchangeBroken(f"over {MAX_SKIPPED_BYTES} bytes before the response")
+
     def _has_chunked_body(self, head: ResponseHead) -> bool:
         bodiless = self._request.method == b"HEAD" or head.status in (204, 304)
         return head.get("transfer-encoding").lower() == "chunked" and not bodiless
--- a/src/ragwortkeel/sidecar/upstream.py
+++ b/src/ragwortkeel/sidecar/upstream.py
@@ -41,6 +41,9 @@
 CANCEL_TIMEOUT_SECONDS = 2.0
 """Time for an engine to end a cancelled stream, which takes it one or two steps."""
 
+MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
+"""Largest answer that is no stream, which is held in memory."""
+
 OK = 200
 CONFLICT = 409
 TOO_MANY_REQUESTS = 429
@@ -155,8 +158,7 @@
                 await self.report_broken(FailureReason.TRUNCATED)
 
     async def _handle_refusal(self, response: StreamedResponse) -> None:
-        async for _ in response.chunks():
-            pass
+        await response.read(max_bytes=MAX_DOCUMENT_BYTES)
         pause_seconds = 0.0
         if response.status == UNAVAILABLE:
             pause_seconds = _pause_seconds(response)
@@ -185,7 +187,7 @@
             await self._report_completed(response.status, self._stream.token_count)
 
     async def _forward_document(self, response: StreamedResponse) -> None:
-        body = b"".join([chunk async for chunk in self._chunks(response)])
+        body = await self._document(response)
         if response.status == CONFLICT and is_stale_fencing_refusal(body):
             await self._report_declined(RefusalReason.WRONG_INCARNATION)
             return
@@ -198,6 +200,14 @@
         await self._report_chunk(body)
         await self._report_completed(response.status, usage.token_count)
 
+    async def _document(self, response: StreamedResponse) -> bytes:
+        body = bytearray()
+        async for chunk in self._chunks(response):
+            body += chunk
+            if len(body) > MAX_DOCUMENT_BYTES:
+                raise ExchangeBroken(f"an answer of over {MAX_DOCUMENT_BYTES} bytes")
+        return bytes(body)
+
     async def _report_started(self, response: StreamedResponse) -> None:
         content_type = response.headers.get("content-type", "application/json")
         started = AnswerStarted(
--- a/src/ragwortkeel/sidecar/usage.py
+++ b/src/ragwortkeel/sidecar/usage.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+from ragwortkeel.exceptions import ExchangeBroken
+
+MAX_LINE_BYTES = 1024 * 1024
 DATA_PREFIX = b"data:"
 DONE = b"[DONE]"
 CANCELLED = "cancelled"
@@ -110,8 +113,16 @@
         self._line = b""
 
     def feed(self, data: bytes) -> None:
-        """Parse the next bytes, which may end anywhere in a line."""
+        """Parse the next bytes, which may end anywhere in a line.
+
+        Raises
+        ------
+        ExchangeBroken
+            A line is longer than `MAX_LINE_BYTES`.
+        """
         *lines, self._line = (self._line + data).split(b"\n")
+        if len(self._line) > MAX_LINE_BYTES:
+            raise ExchangeBroken(f"a line of over {MAX_LINE_BYTES} bytes in a stream")
         for line in lines:
             self._parse_line(line.strip())
 
--- a/tests/sidecar/test_upstream.py
+++ b/tests/sidecar/test_upstream.py
@@ -40,6 +40,17 @@
     await responder.abort()
 
 
+def endless(content_type):
+    """Send a body of one line without end, until the connection is closed."""
+
+    async def behave(upstream, request, responder):
+        await responder.start(200, {"content-type": content_type})
+        while not responder.disconnected.is_set():
+            await responder.send(b"x" * 65536)
+
+    return behave
+
+
 async def abort(upstream, request, responder):
     await responder.abort()
 
@@ -102,6 +113,20 @@
         11,
     ),
     "engine crashes before the head": (abort, {}, RunBroken, FailureReason.CRASHED, 40),
+    "endless stream": (
+        endless("text/event-stream"),
+        {},
+        RunBroken,
+        FailureReason.CRASHED,
+        40,
+    ),
+    "endless document": (
+        endless("application/json"),
+        {},
+        RunBroken,
+        FailureReason.CRASHED,
+        40,
+    ),
     "cancelled by another client": (
         stream(event("a"), CANCELLED, USAGE, DONE),
         {},
--- a/tests/test_httpio.py
+++ b/tests/test_httpio.py
@@ -6,6 +6,7 @@
 import pytest
 from curio.task import ContextTask
 
+from ragwortkeel import http_client
 from ragwortkeel.exceptions import ConnectFailed, ExchangeBroken
 from ragwortkeel.httpio import HttpClient, HttpServer
 
@@ -514,6 +515,35 @@
         answer = with_raw_server(scenario, head + b"Content-Length: 2\r\n\r\nok")
         assert answer.body == b"ok"
 
+    def test_informational_responses_without_end_are_given_up(self):
+        """Guards against a server that keeps a caller waiting for its response."""
+
+        async def scenario(client):
+            with pytest.raises(ExchangeBroken, match="interim"):
+                await client.request("GET", "/", timeout=5)
+
+        with_raw_server(scenario, b"HTTP/1.1 103 Early Hints\r\n\r\n" * 1000)
+
+    def test_a_body_without_end_is_given_up(self, monkeypatch):
+        """Guards against a server whose response fills the memory."""
+        monkeypatch.setattr(http_client, "MAX_BODY_BYTES", 100_000)
+
+        async def scenario(client):
+            with pytest.raises(ExchangeBroken, match="over 100000 bytes"):
+                await client.request("GET", "/", timeout=5)
+
+        with_raw_server(scenario, b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 1_000_000)
+
+    def test_a_connection_with_bytes_beyond_the_response_is_not_reused(self):
+        """Guards against bytes of no response that the next one would begin with."""
+
+        async def scenario(client):
+            answer = await client.request("GET", "/", timeout=5)
+            return answer.body, len(client._idle)
+
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokrest"
+        assert with_raw_server(scenario, answer) == (b"ok", 0)
+
     def test_refused_connection_means_not_sent(self):
         async def main():
             client = HttpClient(host="127.0.0.1", port=1)
