Streams go on after all ingress processes ended at once

Cause: the origin of a stream was told to two other ingress processes only, all of which ended. What must outlive all processes of a kind can't be kept by that kind alone.

Relays, one on the instance of each upstream, keep the origins too: two of those that a process links to, chosen by the stream's key. A process that has just started asks its relays for what they keep and tells the other processes. A relay that stops says so, hands on what it keeps and completes the calls that it relays; the processes then choose another one. A peer that starts again while its link stays up is noticed by the start in its messages and greeted again, so that a fleet knows its relays a second after. What a relay kept counts as uncertain if the upstream's entry states another version, now or in its first entry read here.

Evidence: TestAllProcessesLost fails on the code before (no stream goes on).

--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -151,6 +151,11 @@
         entry = self._entry_by_name.get(name)
         return entry.upstream if entry else None
 
+    def version_of(self, name: str) -> str | None:
+        """Return the software version in an upstream's entry, None without an entry."""
+        upstream = self.get(name)
+        return upstream.version if upstream is not None else None
+
     def is_usable(self, name: str) -> bool:
         """Return whether the upstream is ready and its zone is not evacuated."""
         entry = self._entry_by_name.get(name)
--- a/src/ragwortkeel/ingress/origin_exchange.py
+++ b/src/ragwortkeel/ingress/origin_exchange.py
@@ -5,6 +5,9 @@
 batches; a process that lacks it asks up to `MAX_PEERS_ASKED` peers, beginning with
 those.  No guarantee depends on these messages: a stream whose origin stays unknown is
 refused unless its service has had only one version.
+
+Pattern of load: all ingress processes end at once and start again.  Relays are told the
+origins too, and a process that has just started asks them for what they keep.
 """
 
 from collections import deque
@@ -15,17 +18,22 @@
 from time import monotonic
 
 import curio
+import msgspec
 
 from ragwortkeel.ingress.directory import ENTRY_LAG_SECONDS
 from ragwortkeel.links import Link
+from ragwortkeel.logs import log_info
 from ragwortkeel.messages import (
     OriginAnswer,
     OriginNote,
     OriginNotes,
     OriginQuestion,
+    OriginsCall,
+    OriginsKept,
 )
 from ragwortkeel.policy.stream_origins import (
     HOLDER_COUNT,
+    RELAY_HOLDER_COUNT,
     KnownOrigin,
     Origin,
     OriginTable,
@@ -42,7 +50,8 @@
 """
 
 MAX_RECENT_ORIGINS = 2_000
-"""Own streams that an upstream's late entry can still make ambiguous."""
+"""Own streams that an upstream's late entry can still make ambiguous, and whose origins
+are told to a relay that comes up."""
 
 MAX_PEERS_ASKED = 16
 """Peers that are asked for an origin: all in a fleet of that size."""
@@ -121,6 +130,10 @@
         Returns how many other ingress processes are known, reachable or not.
     is_current : callable
         Returns whether this process follows the upstreams now.
+    relay_links : callable
+        Returns the links to relays that are up and don't stop, by address.
+    version_of : callable
+        Returns the software version of an upstream by its entry, None without one.
     """
 
     def __init__(
@@ -131,12 +144,18 @@
         links: Callable[[], Mapping[str, Link]],
         peer_count: Callable[[], int],
         is_current: Callable[[], bool],
+        relay_links: Callable[[], Mapping[str, Link]] = dict,
+        version_of: Callable[[str], str | None] = lambda name: None,
     ) -> None:
         self._table = table
         self._history = history
         self._links = links
         self._peer_count = peer_count
         self._is_current = is_current
+        self._relay_links = relay_links
+        self._version_of = version_of
+        self._relays: frozenset[str] = frozenset()
+        self._started_at = monotonic()
         self._recent: deque[_RecentOrigin] = deque(maxlen=MAX_RECENT_ORIGINS)
         self._unsent: list[OriginNote] = []
         self._has_unsent = curio.Event()
@@ -156,10 +175,10 @@
         now = monotonic()
         recent = _RecentOrigin(key=key, upstream=upstream, recorded_at=now)
         self._recent.append(recent)
-        await self._record(_note(key, origin), now)
+        await self._record(_note(key, origin, upstream=upstream), now)
 
     async def _record(self, note: OriginNote, now: float) -> None:
-        self._table.record(note.key, _origin_of(note), now=now)
+        self._table.record(note.key, origin_of(note), now=now, upstream=note.upstream)
         self._unsent.append(note)
         await self._has_unsent.set()
 
@@ -185,6 +204,79 @@
             await self._record(_note(key, None), now)
         return len(keys)
 
+    async def record_version(self, upstream: str, version: str) -> None:
+        """Record the version in the first entry of an upstream that is read here.
+
+        Streams that began there, by what relays kept, at another version are not
+        certain: it has started again meanwhile.
+        """
+        now = monotonic()
+        for recent in list(self._recent):
+            known = self._table.get(recent.key)
+            if recent.upstream != upstream or known is None or known.origin is None:
+                continue
+            if known.origin.version != version:
+                await self._record(_note(recent.key, None), now)
+
+    async def update_relays(self, *, started: str = "") -> None:
+        """Tell relays the origins of recent streams that they keep from now on.
+
+        Parameters
+        ----------
+        started : str
+            Address of a relay that came up, or started again and keeps nothing.  A
+            process that has just started asks it for what it keeps.
+        """
+        links = self._relay_links()
+        before = self._relays - {started}
+        self._relays = frozenset(links)
+        notes_by_relay: dict[str, list[OriginNote]] = {}
+        for note in self._recent_notes():
+            holders = nearest_peers(note.key, links, count=RELAY_HOLDER_COUNT)
+            former = nearest_peers(note.key, before, count=RELAY_HOLDER_COUNT)
+            for relay in set(holders) - set(former):
+                notes_by_relay.setdefault(relay, []).append(note)
+        for relay, notes in notes_by_relay.items():
+            await links[relay].try_send(OriginNotes(notes=tuple(notes)))
+        if notes_by_relay:
+            counts = [len(notes) for notes in notes_by_relay.values()]
+            log_info("origins_shared", relays=len(counts), origins=sum(counts))
+        is_young = monotonic() - self._started_at < self._table.keep_seconds
+        if started in links and is_young:
+            await links[started].try_send(OriginsCall())
+
+    def _recent_notes(self) -> list[OriginNote]:
+        known_by_key = {
+            recent.key: known
+            for recent in self._recent
+            if (known := self._table.get(recent.key)) is not None
+        }
+        now = monotonic()
+        return [kept_note(key, known, now) for key, known in known_by_key.items()]
+
+    async def receive_kept(self, message: OriginsKept) -> None:
+        """Receive the origins that a relay keeps, and tell other processes."""
+        now = monotonic()
+        new_count = 0
+        for note in message.notes:
+            origin = origin_of(note)
+            if origin is not None and note.upstream:
+                current = self._version_of(note.upstream)
+                # The upstream has started again, and it is unknown when.
+                origin = origin if current in (None, origin.version) else None
+            known = self._table.get(note.key)
+            if known is not None and known.origin in (None, origin):
+                continue
+            new_count += 1
+            recent = _RecentOrigin(
+                key=note.key,
+                upstream=note.upstream,
+                recorded_at=now - note.age_seconds,
+            )
+            self._recent.append(recent)
+            await self._record(_note(note.key, origin, upstream=note.upstream), now)
+        log_info("origins_received", kept=len(message.notes), new=new_count)
+
     def is_ambiguous(self, key: int) -> bool:
         """Return whether a stream has two origins, so that nothing may continue it."""
         known = self._table.get(key)
@@ -205,7 +297,7 @@
         )
         for peer, answer in answer_by_peer.items():
             if answer.note is not None and not is_ambiguous:
-                origin = _origin_of(answer.note)
+                origin = origin_of(answer.note)
                 self._table.record(key, origin, now=monotonic())
                 age_seconds = answer.age_seconds
                 return Found(origin=origin, source=peer, age_seconds=age_seconds)
@@ -215,7 +307,9 @@
         """Record the origins of streams that a peer has begun."""
         now = monotonic()
         for note in message.notes:
-            self._table.record(note.key, _origin_of(note), now=now)
+            self._table.record(
+                note.key, origin_of(note), now=now, upstream=note.upstream
+            )
 
     def answer(self, question: OriginQuestion) -> OriginAnswer:
         """Return what this process knows of a stream."""
@@ -310,25 +404,37 @@
 
     async def _send_notes(self) -> None:
         unsent, self._unsent = self._unsent, []
-        links = self._links()
+        ingress, relays = self._links(), self._relay_links()
         notes_by_peer: dict[str, list[OriginNote]] = {}
         for note in unsent:
-            for peer in nearest_peers(note.key, links, count=HOLDER_COUNT):
+            holders = nearest_peers(note.key, ingress, count=HOLDER_COUNT)
+            holders += nearest_peers(note.key, relays, count=RELAY_HOLDER_COUNT)
+            for peer in holders:
                 notes_by_peer.setdefault(peer, []).append(note)
+        links = {**ingress, **relays}
         for peer, notes in notes_by_peer.items():
             await links[peer].try_send(OriginNotes(notes=tuple(notes)))
 
 
-def _origin_of(note: OriginNote) -> Origin | None:
+def origin_of(note: OriginNote) -> Origin | None:
+    """Return the origin that a note states, None if it is not certain."""
     if note.version is None:
         return None
     return Origin(service=note.service, version=note.version)
 
 
-def _note(key: int, origin: Origin | None) -> OriginNote:
+def _note(key: int, origin: Origin | None, *, upstream: str = "") -> OriginNote:
     if origin is None:
-        return OriginNote(key=key, service="", version=None)
-    return OriginNote(key=key, service=origin.service, version=origin.version)
+        return OriginNote(key=key, service="", version=None, upstream=upstream)
+    return OriginNote(
+        key=key, service=origin.service, version=origin.version, upstream=upstream
+    )
+
+
+def kept_note(key: int, known: KnownOrigin, now: float) -> OriginNote:
+    """Return what is known of a stream, with its age at the monotonic time `now`."""
+    note = _note(key, known.origin, upstream=known.upstream)
+    return msgspec.structs.replace(note, age_seconds=now - known.recorded_at)
 
 
 def _known_note(key: int, known: KnownOrigin | None) -> OriginNote | None:
--- a/src/ragwortkeel/ingress/peer_handler.py
+++ b/src/ragwortkeel/ingress/peer_handler.py
@@ -18,6 +18,7 @@
     OriginAnswer,
     OriginNotes,
     OriginQuestion,
+    OriginsKept,
     PlatformAnswer,
     RenewalsWritten,
     TokenLoan,
@@ -152,6 +153,18 @@
     def receive_origins(self, message: OriginNotes) -> None:
         """Receive the origins of streams that a peer has begun."""
 
+    async def receive_relays_changed(self, *, started: str = "") -> None:
+        """Receive that the links to relays changed.
+
+        `started` is the address of one that came up or started again.
+        """
+
+    def kept_origins(self) -> OriginsKept | None:
+        """Return the origins that this process keeps for others, None for none."""
+
+    async def receive_kept_origins(self, message: OriginsKept) -> None:
+        """Receive the origins that a relay keeps."""
+
     def origin_answer(self, question: OriginQuestion) -> OriginAnswer | None:
         """Return what this process knows of a stream, None if it knows of none."""
 
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -61,6 +61,8 @@
     OriginAnswer,
     OriginNotes,
     OriginQuestion,
+    OriginsCall,
+    OriginsKept,
     PartsCall,
     PlatformAnswer,
     PlatformCall,
@@ -122,6 +124,8 @@
     ----------
     writers : Writers
         The processes that renew slices in the same ledgers.
+    open_calls : int
+        Platform calls and loans of peers that are not answered yet.
     """
 
     def __init__(
@@ -174,11 +178,14 @@
             is_leaving=lambda: handler.heartbeat().leaving,
         )
         self._requested_blocks = False
+        self._start_by_address: dict[str, str] = {}
+        self._leaving_relays: set[str] = set()
         self._queried_relays: set[str] = set()
         self._behind_event = curio.Event()
         self._random = Random(incarnation)
         self._catch_up = CatchUp(random=self._random)
         self._tasks = curio.TaskGroup(wait=None)
+        self.open_calls = 0
 
     def open(self) -> None:
         """Bind the socket that peers connect to."""
@@ -228,9 +235,18 @@
         """Return the links to ingress processes that are up, by address."""
         return self._mesh.ingress_links()
 
+    def relay_links(self) -> dict[str, Link]:
+        """Return the links to relays that are up and don't stop, by address."""
+        return {
+            address: link
+            for address, link in self._mesh.relay_links().items()
+            if address not in self._leaving_relays
+        }
+
     def platform_relays(self) -> list[Link]:
         """Return the links to peers that may relay platform calls, relays first."""
-        return self._mesh.platform_relays()
+        links = self._mesh.platform_relays()
+        return [link for link in links if link.name not in self._leaving_relays]
 
     async def announce_revision(self) -> None:
         """Send a message to some peers: every message carries the revision."""
@@ -433,11 +449,14 @@
             await self._record_revision(event.peer, event.envelope.revision)
             sender = event.envelope.sender.partition("/")[0]
             self.writers.record_address(node=sender, address=event.peer)
+            await self._record_start(event.peer, event.envelope.sender)
         match event:
             case LinkUp(peer=peer):
                 log_info("dependency_regained", dependency="peer", address=peer)
                 self._reports.discard(peer)
                 await self._greet(self._mesh.link_by_address[peer])
+                self._leaving_relays.discard(peer)
+                await self._report_relay(peer, started=peer)
             case Received(
                 peer=peer, envelope=Envelope(message=ClockAnswer() as answer)
             ):
@@ -452,12 +471,37 @@
                 await self._handler.receive_block_answer(peer, answer)
             case Received(peer=peer, envelope=Envelope(message=Heartbeat() as beat)):
                 self.writers.record_leaving(peer, leaving=beat.leaving)
+                await self._record_leaving_relay(peer, leaving=beat.leaving)
             case LinkDown(peer=peer):
                 self._catch_up.remove(peer)
+                self._start_by_address.pop(peer, None)
                 log_warning("dependency_lost", dependency="peer", address=peer)
+                await self._report_relay(peer)
             case Received(envelope=envelope):
                 await self._handle_message(envelope.message)
 
+    async def _record_start(self, peer: str, sender: str) -> None:
+        """Greet a peer that started again while its link stayed up."""
+        known = self._start_by_address.get(peer)
+        self._start_by_address[peer] = sender
+        if known in (None, sender):
+            return
+        log_info("peer_started_again", address=peer, was=known, now=sender)
+        await self._greet(self._mesh.link_by_address[peer])
+        self._leaving_relays.discard(peer)
+        await self._report_relay(peer, started=peer)
+
+    async def _record_leaving_relay(self, peer: str, *, leaving: bool) -> None:
+        if peer not in self._introductions.relays:
+            return
+        if leaving and peer not in self._leaving_relays:
+            self._leaving_relays.add(peer)
+            await self._report_relay(peer)
+
+    async def _report_relay(self, peer: str, *, started: str = "") -> None:
+        if peer in self._introductions.relays:
+            await self._handler.receive_relays_changed(started=started)
+
     async def _greet(self, link: Link) -> None:
         """Send a peer the known processes; request prompt blocks once after a start.
 
@@ -545,13 +589,18 @@
     async def _handle_slow_message(
         self, peer: str, message: PlatformCall | LoanRequest
     ) -> None:
-        match message:
-            case PlatformCall(operation=operation) as call:
-                answer = await execute_call(self._platform, call)
-                log_debug("relayed", peer=peer, operation=operation, error=answer.error)
-            case LoanRequest() as request:
-                answer = await self._handler.lend(request)
-        await self._send_answer(peer, answer)
+        self.open_calls += 1
+        try:
+            match message:
+                case PlatformCall(operation=operation) as call:
+                    answer = await execute_call(self._platform, call)
+                    error = answer.error
+                    log_debug("relayed", peer=peer, operation=operation, error=error)
+                case LoanRequest() as request:
+                    answer = await self._handler.lend(request)
+            await self._send_answer(peer, answer)
+        finally:
+            self.open_calls -= 1
 
     async def _send_answer(self, peer: str, answer) -> None:
         try:
@@ -571,10 +620,11 @@
                 | Heartbeat()
                 | ClockQuestion()
                 | OriginQuestion()
+                | OriginsCall()
                 | BlockQuestion()
             ):
                 return self._reply_to(message)
-            case CrashSeen() | OriginNotes() | BlockDecisions():
+            case CrashSeen() | OriginNotes() | OriginsKept() | BlockDecisions():
                 await self._receive_news(message)
             case UpstreamChanges() as changes:
                 await self._handler.receive_upstream_changes(changes)
@@ -589,7 +639,7 @@
         return None
 
     async def _receive_news(
-        self, message: CrashSeen | OriginNotes | BlockDecisions
+        self, message: CrashSeen | OriginNotes | OriginsKept | BlockDecisions
     ) -> None:
         match message:
             case CrashSeen() as crash:
@@ -598,15 +648,27 @@
                 self._handler.receive_block_decisions(decisions)
             case OriginNotes() as notes:
                 self._handler.receive_origins(notes)
+            case OriginsKept() as kept:
+                await self._handler.receive_kept_origins(kept)
 
     def _reply_to(
         self, message
-    ) -> IngressState | Heartbeat | ClockAnswer | OriginAnswer | BlockAnswer | None:
+    ) -> (
+        IngressState
+        | Heartbeat
+        | ClockAnswer
+        | OriginAnswer
+        | OriginsKept
+        | BlockAnswer
+        | None
+    ):
         match message:
             case BlockQuestion() as question:
                 return self._handler.block_answer(question)
             case OriginQuestion() as question:
                 return self._handler.origin_answer(question)
+            case OriginsCall():
+                return self._handler.kept_origins()
             case PartsCall():
                 return self._whole_state(
                     NO_INTRODUCTION, self._handler.all_prompt_blocks()
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -1,13 +1,18 @@
 """The relay daemon: it executes calls of the platform for ingress processes.
 
 It runs on instances that a partition is unlikely to affect, such as those beside the
-upstreams, and holds no state that other processes need.
+upstreams.  It keeps the origins of streams, in case all ingress processes end at once.
 """
 
 import secrets
+from time import monotonic
+
+import curio
 
 from ragwortkeel.budget.write_order import UNREACHABLE_LATENCY_CLASS
 from ragwortkeel.configuration_store import InForce
+from ragwortkeel.ingress.mesh import RELAY_HEARTBEAT_SECONDS
+from ragwortkeel.ingress.origin_exchange import kept_note, origin_of
 from ragwortkeel.ingress.peers import Peers
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.messages import (
@@ -25,6 +30,7 @@
     OriginAnswer,
     OriginNotes,
     OriginQuestion,
+    OriginsKept,
     PlatformAnswer,
     RenewalsWritten,
     TokenLoan,
@@ -34,11 +40,24 @@
 from ragwortkeel.metrics import Metrics
 from ragwortkeel.platform import Platform
 from ragwortkeel.platform_counts import CountedPlatform
+from ragwortkeel.policy.stream_origins import OriginTable
 from ragwortkeel.process import Leftover
 from ragwortkeel.settings import RelaySettings
 from ragwortkeel.tasks import run_together
 from ragwortkeel.traces import Tracing
 
+STOP_NOTICE_SECONDS = 1.2 * RELAY_HEARTBEAT_SECONDS
+"""Time in which ingress processes hear that a relay stops."""
+
+STOP_CALLS_SECONDS = 2.0
+"""How long a stop waits for calls that are relayed."""
+
+STOP_POLL_SECONDS = 0.05
+
+MAX_KEPT_ORIGINS = 5_000
+"""Origins in one message, about 0.3 MB: those of the last minute at 80 streams a
+second."""
+
 
 class RelayWorker:
     """Everything a relay process runs.
@@ -50,6 +69,7 @@
         self.metrics = Metrics()
         self.tracing = Tracing(node=settings.name)
         self.ready = True
+        self._origins = OriginTable()
         self._counted = CountedPlatform(platform=platform, metrics=self.metrics)
         self._peers = Peers(
             node=settings.name,
@@ -75,9 +95,16 @@
         await run_together(self._peers.run, self._counted.run)
 
     async def stop(self) -> Leftover:
-        """Stop; calls in progress remain unanswered, which their callers handle."""
+        """Hand on the origins, and complete the calls that are relayed."""
         self.ready = False
-        return Leftover(counts={})
+        kept = self.kept_origins()
+        for link in self._peers.ingress_links().values():
+            await link.try_send(kept)
+        await curio.sleep(STOP_NOTICE_SECONDS)
+        ends_at = monotonic() + STOP_CALLS_SECONDS
+        while self._peers.open_calls and monotonic() < ends_at:
+            await curio.sleep(STOP_POLL_SECONDS)
+        return Leftover(counts={"calls": self._peers.open_calls})
 
     def in_force(self, kind: str, name: str) -> InForce:
         """Return revision 0: a relay has no configuration in force."""
@@ -212,10 +239,29 @@
         """Discard an answer: a relay sends no calls through peers."""
 
     def receive_origins(self, message: OriginNotes) -> None:
-        """Discard the origins of a peer's streams."""
+        """Keep the origins of a peer's streams."""
+        now = monotonic()
+        for note in message.notes:
+            self._origins.record(
+                note.key, origin_of(note), now=now, upstream=note.upstream
+            )
+
+    async def receive_relays_changed(self, *, started: str = "") -> None:
+        """Do nothing: a relay links to no relay."""
+
+    def kept_origins(self) -> OriginsKept:
+        """Return the origins of the streams that began last."""
+        now = monotonic()
+        newest = self._origins.newest(MAX_KEPT_ORIGINS)
+        return OriginsKept(
+            notes=tuple(kept_note(key, known, now) for key, known in newest)
+        )
+
+    async def receive_kept_origins(self, message: OriginsKept) -> None:
+        """Discard them: relays send these to ingress processes."""
 
     def origin_answer(self, question: OriginQuestion) -> None:
-        """Return None: a relay knows of no streams."""
+        """Return None: a process that has started asks for all that a relay keeps."""
 
     async def receive_origin_answer(self, peer: str, answer: OriginAnswer) -> None:
         """Discard the answer: a relay asks for no origins."""
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -70,6 +70,7 @@
     OriginAnswer,
     OriginNotes,
     OriginQuestion,
+    OriginsKept,
     PlatformAnswer,
     RenewalsWritten,
     TokenLoan,
@@ -236,6 +237,8 @@
             links=self._peers.ingress_links,
             peer_count=lambda: len(self._peers.ingress_addresses),
             is_current=lambda: not self._directory.outage_seconds_left(monotonic()),
+            relay_links=self._peers.relay_links,
+            version_of=self._directory.version_of,
         )
         self._platform = RelayedPlatform(
             direct=self._counted,
@@ -663,6 +666,17 @@
         """Record the origins of streams that a peer has begun."""
         self._origins.receive_notes(message)
 
+    async def receive_relays_changed(self, *, started: str = "") -> None:
+        """Tell relays the origins that they keep from now on."""
+        await self._origins.update_relays(started=started)
+
+    def kept_origins(self) -> None:
+        """Return None: relays keep origins for others."""
+
+    async def receive_kept_origins(self, message: OriginsKept) -> None:
+        """Receive the origins that a relay keeps."""
+        await self._origins.receive_kept(message)
+
     def origin_answer(self, question: OriginQuestion) -> OriginAnswer:
         """Return what this process knows of a stream that a peer asks for."""
         return self._origins.answer(question)
@@ -718,6 +732,8 @@
             )
             if change.has_new_version:
                 await self._record_new_version(change.upstream, change.previous.version)
+            if change.previous is None and change.upstream is not None:
+                await self._origins.record_version(change.name, change.upstream.version)
             if change.upstream is None:
                 self._placement.discard_prefix_cache(change.name)
             else:
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -723,12 +723,21 @@
 class OriginNote(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Service and software version that began a stream; see `policy.stream_origins`.
 
-    `version` is None if it is not certain.
+    Attributes
+    ----------
+    version : str or None
+        None if it is not certain.
+    upstream : str
+        Name of the upstream that began it; empty if the sender does not know it.
+    age_seconds : float
+        Time since it was recorded; 0 for a new stream.
     """
 
     key: int
     service: str
     version: str | None
+    upstream: str = ""
+    age_seconds: float = 0.0
 
 
 class OriginNotes(Message):
@@ -737,6 +746,16 @@
     notes: tuple[OriginNote, ...]
 
 
+class OriginsCall(Message):
+    """Request to a relay for the origins that it keeps, from a process that started."""
+
+
+class OriginsKept(Message):
+    """Origins that a relay keeps; sent on request, and when it stops."""
+
+    notes: tuple[OriginNote, ...]
+
+
 class OriginQuestion(Message):
     """Question for the origin of a stream that a caller of the sender takes up."""
 
@@ -820,6 +839,8 @@
     | ClockQuestion
     | ClockAnswer
     | OriginNotes
+    | OriginsCall
+    | OriginsKept
     | OriginQuestion
     | OriginAnswer
 )
--- a/src/ragwortkeel/policy/stream_origins.py
+++ b/src/ragwortkeel/policy/stream_origins.py
@@ -6,7 +6,8 @@
 
 - The process that began a stream is gone: the origin of each stream is told to peers
   that its key selects.
-- Nobody knows the origin of a stream, as after a loss of power of all processes: it
+- All ingress processes are gone at once: relays keep the origins as well.
+- Nobody knows the origin of a stream, as after a loss of power of all instances: it
   goes on only if its service has had one version for longer than any stream lasts.  No
   known origin is no evidence of that by itself.
 """
@@ -24,7 +25,11 @@
 """Origins in one generation of the table, about 10 MB."""
 
 HOLDER_COUNT = 2
-"""Peers that are told the origin of a stream."""
+"""Ingress processes that are told the origin of a stream."""
+
+RELAY_HOLDER_COUNT = 2
+"""Relays that are told it.  They seldom end with the ingress processes, but in planned
+work one after the other, and each hands on what it keeps."""
 
 _KEY_BYTES = 8
 _MIXER = 0x9E3779B97F4A7C15
@@ -49,10 +54,13 @@
         None if different origins were recorded for the stream.
     recorded_at : float
         Monotonic second at which it was recorded.
+    upstream : str
+        Name of the upstream that began the stream; empty if it is unknown.
     """
 
     origin: Origin | None
     recorded_at: float
+    upstream: str = ""
 
 
 def stream_key(*, customer: str, request_id: str) -> int:
@@ -120,7 +128,16 @@
         """Return the origin of a stream, or None if it is unknown."""
         return self._newer.get(key) or self._older.get(key)
 
-    def record(self, key: int, origin: Origin | None, *, now: float) -> None:
+    def newest(self, count: int) -> list[tuple[int, KnownOrigin]]:
+        """Return up to `count` origins by key, those recorded last first."""
+        newer = list(reversed(self._newer.items()))
+        older = (pair for pair in reversed(self._older.items()))
+        newer += [pair for pair in older if pair[0] not in self._newer]
+        return newer[:count]
+
+    def record(
+        self, key: int, origin: Origin | None, *, now: float, upstream: str = ""
+    ) -> None:
         """Record an origin, or None for a stream whose origin is not certain.
 
         A stream with two origins has none: it is unknown which events its caller has.
@@ -132,8 +149,9 @@
             self._older, self._newer, self._rotated_at = self._newer, {}, now
         known = self.get(key)
         differs = known is not None and known.origin != origin
+        self._newer.pop(key, None)
         self._newer[key] = KnownOrigin(
-            origin=None if differs else origin, recorded_at=now
+            origin=None if differs else origin, recorded_at=now, upstream=upstream
         )
 
 
--- a/tests/ingress/in_process.py
+++ b/tests/ingress/in_process.py
@@ -257,6 +257,7 @@
         self.settings = settings
         self.workers = []
         self.addresses = []
+        self.links = ()
         self.tasks = []
         self.request_count = 0
 
@@ -271,9 +272,9 @@
                 host=HOST, port=self.platform_port, platform=self.platform
             )
             self.tasks.append(task)
-        links = [free_address() for _ in range(self.count)]
+        self.links = tuple(free_address() for _ in range(self.count))
         for i in range(self.count):
-            await self.start_worker(f"ingress-{i}", links[i], tuple(links))
+            await self.start_worker(f"ingress-{i}", self.links[i], self.links)
         while not all(self.is_ready(worker) for worker in self.workers):
             await curio.sleep(0.01)
 
--- a/tests/ingress/test_software_versions.py
+++ b/tests/ingress/test_software_versions.py
@@ -23,9 +23,13 @@
 from ragwortkeel.exceptions import ExchangeBroken
 from ragwortkeel.ingress.attempt import MAX_SILENCE_SECONDS
 from ragwortkeel.ingress.configuration import UpstreamState
+from ragwortkeel.ingress.relay_worker import RelayWorker
+from ragwortkeel.settings import RelaySettings
 
 STREAMS = 12
 READ_SECONDS = 5.0
+RELAY_SETTLED_SECONDS = 2.5
+"""Longer than two heartbeats of a relay's link and an exchange after them."""
 
 
 async def break_off(seen, sock):
@@ -271,6 +275,133 @@
         assert (answer.status, reason_of(answer)) == (503, "version_unknown")
 
 
+class TestAllProcessesLost:
+    """All ingress processes end at once, and start again at their addresses."""
+
+    VERSIONS = TestTakenUpByTheCaller.VERSIONS
+    SCRIPTS = TestTakenUpByTheCaller.SCRIPTS
+
+    async def start_relays(self, fleet, count):
+        """Start relays beside the fleet; return their tasks."""
+        tasks = []
+        for number in range(count):
+            relay = RelayWorker(
+                settings=RelaySettings(
+                    name=f"relay-{number}",
+                    zone="a",
+                    address=free_address(),
+                    metrics=free_address(),
+                    platform="127.0.0.1:9",
+                    peers=fleet.links,
+                ),
+                platform=fleet.platform,
+            )
+            relay.open()
+            tasks.append(await curio.spawn(relay.run, daemon=True))
+            self.relays.append(relay)
+        fleet.tasks += tasks
+        await curio.sleep(RELAY_SETTLED_SECONDS)
+        return tasks
+
+    async def end_all(self, fleet):
+        """End all ingress processes at once."""
+        for task, worker in zip(fleet.tasks, fleet.workers, strict=False):
+            await task.cancel()
+            await worker._peers._endpoint.close()
+        # The threads of zmq release the addresses a moment later.
+        async with curio.timeout_after(READ_SECONDS):
+            while not all(map(is_free, fleet.links)):
+                await curio.sleep(0.01)
+
+    async def restart_all(self, fleet):
+        """Start all ingress processes again."""
+        for number in range(fleet.count):
+            worker = await fleet.start_worker(
+                f"ingress-{number}", fleet.links[number], fleet.links
+            )
+            while not fleet.is_ready(worker):
+                await curio.sleep(0.01)
+        await curio.sleep(RELAY_SETTLED_SECONDS)
+
+    async def begin_all(self, fleet, count=STREAMS):
+        """Begin streams at both processes, which keep all upstreams busy."""
+        async with contextlib.AsyncExitStack() as stack:
+            for number in range(count):
+                caller = await begin_stream(fleet, f"b{number}", process=number % 2)
+                stack.enter_context(closing(caller))
+            await curio.sleep(0.1)
+
+    async def take_up_all(self, fleet, count=STREAMS):
+        """Take up all streams at the new processes; return pairs of versions."""
+        pairs = []
+        for number in range(count):
+            begun_at = upstream_of(fleet, f"b{number}")
+            answer = await take_up(fleet, f"b{number}", process=2 + number % 2)
+            gone_on_at = None
+            if answer.status == 200:
+                gone_on_at = upstream_of(fleet, f"r{fleet.request_count}")
+            pairs.append((self.VERSIONS[begun_at], self.VERSIONS.get(gone_on_at)))
+        return pairs
+
+    def run(self, scenario):
+        self.relays = []
+        return run_ingress(scenario, scripts=self.SCRIPTS, processes=2)
+
+    def test_streams_go_on_at_their_own_version(self):
+        """Guards against streams that nobody can continue once all processes died."""
+
+        async def scenario(fleet):
+            await self.start_relays(fleet, 2)
+            await set_versions(fleet, self.VERSIONS)
+            await self.begin_all(fleet)
+            await self.end_all(fleet)
+            await self.restart_all(fleet)
+            return await self.take_up_all(fleet)
+
+        pairs = self.run(scenario)
+        assert {begun for begun, _ in pairs} == {"v1", "v2"}
+        assert [begun for begun, _ in pairs] == [gone_on for _, gone_on in pairs]
+
+    def test_streams_go_on_after_the_relays_were_replaced_too(self):
+        """Guards against origins that leave with the relays of a release."""
+
+        async def scenario(fleet):
+            tasks = await self.start_relays(fleet, 2)
+            await set_versions(fleet, self.VERSIONS)
+            await self.begin_all(fleet)
+            await self.start_relays(fleet, 2)
+            for relay, task in zip(self.relays[:2], tasks, strict=True):
+                await relay.stop()
+                await task.cancel()
+            await self.end_all(fleet)
+            await self.restart_all(fleet)
+            return await self.take_up_all(fleet)
+
+        pairs = self.run(scenario)
+        assert [begun for begun, _ in pairs] == [gone_on for _, gone_on in pairs]
+
+    def test_a_stream_of_an_upstream_that_started_again_meanwhile_is_refused(self):
+        """Guards against an origin that the entry of an earlier start stated."""
+
+        async def scenario(fleet):
+            await self.start_relays(fleet, 1)
+            await set_versions(fleet, {"e2": "v2"}, state=UpstreamState.LEAVING)
+            await set_versions(fleet, {"e1": "v1", "e3": "v1", "e4": "v2"})
+            (await begin_stream(fleet, "begun")).close()
+            begun_at = upstream_of(fleet, "begun")
+            await curio.sleep(0.1)
+            await self.end_all(fleet)
+            await fleet.register(
+                fleet.upstreams[begun_at], version="v3", started_ms=2_000
+            )
+            await self.restart_all(fleet)
+            return await take_up(fleet, "begun", process=2), continued_at(fleet)
+
+        answer, upstreams = self.run(scenario)
+        assert upstreams == set()
+        assert (answer.status, reason_of(answer)) == (503, "version_unknown")
+
+
 class TestRestartUnderTheSameName:
     """An upstream starts again at another version, and its entry is late."""
 
@@ -384,6 +515,18 @@
         assert run_ingress(scenario, scripts=scripts) == set()
 
 
+def is_free(address):
+    """Return whether a process can bind the address."""
+    host, port = address.split(":")
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((host, int(port)))
+        except OSError:
+            return False
+    return True
+
+
 def upstream_of(fleet, request_id):
     """Return the name of the upstream that ran the request."""
     [name] = [
