A relay that stops hands its origins to a process that answers

A relay now sends what it keeps to each process that it hears after its stop began, waits for one for up to 5 s, and also sends it to a process that starts again while its link stays up.

--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -243,6 +243,11 @@
             if address not in self._leaving_relays
         }
 
+    def links_heard_since(self, moment: float) -> list[Link]:
+        """Return the links to ingress processes heard after a monotonic time."""
+        links = self._mesh.ingress_links().values()
+        return [link for link in links if link.last_received_at > moment]
+
     def platform_relays(self) -> list[Link]:
         """Return the links to peers that may relay platform calls, relays first."""
         links = self._mesh.platform_relays()
@@ -509,6 +514,9 @@
         """
         state = self._whole_state(self._introductions.snapshot())
         await self._send(state, [link])
+        kept = self._handler.kept_origins()
+        if kept is not None and kept.notes:
+            await self._send(kept, [link])
         await self._query_clocks([link])
         to_relay = link.name in self._introductions.relays
         if not (self._is_relay or self._requested_blocks or to_relay):
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -15,6 +15,7 @@
 from ragwortkeel.ingress.origin_exchange import kept_note, origin_of
 from ragwortkeel.ingress.peers import Peers
 from ragwortkeel.ingress.placement import Load
+from ragwortkeel.logs import log_info
 from ragwortkeel.messages import (
     AnnouncedLimit,
     BlockAnswer,
@@ -49,8 +50,9 @@
 STOP_NOTICE_SECONDS = 1.2 * RELAY_HEARTBEAT_SECONDS
 """Time in which ingress processes hear that a relay stops."""
 
-STOP_CALLS_SECONDS = 2.0
-"""How long a stop waits for calls that are relayed."""
+MAX_STOP_SECONDS = 5.0
+"""How long a stop waits for calls that are relayed, and for an ingress process that
+takes the origins; all of them may be starting again."""
 
 STOP_POLL_SECONDS = 0.05
 
@@ -69,6 +71,7 @@
         self.metrics = Metrics()
         self.tracing = Tracing(node=settings.name)
         self.ready = True
+        self._settings = settings
         self._origins = OriginTable()
         self._counted = CountedPlatform(platform=platform, metrics=self.metrics)
         self._peers = Peers(
@@ -97,13 +100,20 @@
     async def stop(self) -> Leftover:
         """Hand on the origins, and complete the calls that are relayed."""
         self.ready = False
-        kept = self.kept_origins()
-        for link in self._peers.ingress_links().values():
-            await link.try_send(kept)
-        await curio.sleep(STOP_NOTICE_SECONDS)
-        ends_at = monotonic() + STOP_CALLS_SECONDS
-        while self._peers.open_calls and monotonic() < ends_at:
+        kept, began_at = self.kept_origins(), monotonic()
+        seconds = min(MAX_STOP_SECONDS, self._settings.stop_deadline_seconds)
+        ends_at = began_at + seconds
+        told: set[str] = set()
+        while monotonic() < ends_at:
             await curio.sleep(STOP_POLL_SECONDS)
+            for link in self._peers.links_heard_since(began_at):
+                if link.name not in told and await link.try_send(kept):
+                    told.add(link.name)
+            is_noticed = monotonic() >= began_at + min(STOP_NOTICE_SECONDS, seconds / 2)
+            has_told = bool(told) or not kept.notes
+            if is_noticed and has_told and not self._peers.open_calls:
+                break
+        log_info("origins_handed_on", origins=len(kept.notes), processes=len(told))
         return Leftover(counts={"calls": self._peers.open_calls})
 
     def in_force(self, kind: str, name: str) -> InForce:
