Review: a stream is unknown once its upstream returns at another version

A stream begins at e1 (v1); 3.5 s later e1 leaves, its entry is deleted and written anew as v2. Its caller is refused with version_unknown although e2 still has v1.

Cause: after a deletion `DirectoryChange.previous` is None as for a first entry, and `OriginExchange.record_version` then takes every origin recorded for that upstream as uncertain, whoever recorded it and however long before.

--- a/tests/ingress/test_software_versions.py
+++ b/tests/ingress/test_software_versions.py
@@ -22,7 +22,8 @@
 
 from ragwortkeel.exceptions import ExchangeBroken
 from ragwortkeel.ingress.attempt import MAX_SILENCE_SECONDS
-from ragwortkeel.ingress.configuration import UpstreamState
+from ragwortkeel.ingress.configuration import UPSTREAMS_KIND, UpstreamState
+from ragwortkeel.ingress.directory import ENTRY_LAG_SECONDS
 from ragwortkeel.ingress.relay_worker import RelayWorker
 from ragwortkeel.settings import RelaySettings
 
@@ -453,6 +454,30 @@
         assert upstreams == set()
         assert (answer.status, reason_of(answer)) == (503, "version_unknown")
 
+    def test_a_stream_begun_long_before_its_upstream_came_back_goes_on(self):
+        """Guards against streams that a rolling release of upstreams makes unknown."""
+
+        async def scenario(fleet):
+            others = {"e2": "v1", "e3": "v2"}
+            await set_versions(fleet, others, started_ms=1, state=UpstreamState.LEAVING)
+            await set_versions(fleet, {"e1": "v1"}, started_ms=1)
+            (await begin_stream(fleet, "begun")).close()
+            assert upstream_of(fleet, "begun") == "e1"
+            await curio.sleep(ENTRY_LAG_SECONDS + 0.5)
+            await set_versions(fleet, {"e1": "v1"}, state=UpstreamState.LEAVING)
+            await set_versions(fleet, others, started_ms=2)
+            stored = await fleet.platform.get(UPSTREAMS_KIND, "e1")
+            await fleet.platform.delete(UPSTREAMS_KIND, "e1", stored.version)
+            while "e1" in fleet.workers[0]._directory.upstream_by_name:
+                await curio.sleep(0.01)
+            await set_versions(fleet, {"e1": "v2"}, started_ms=2)
+            return await take_up(fleet, "begun"), continued_at(fleet)
+
+        scripts = dict.fromkeys(("e1", "e2", "e3"), begin_and_wait)
+        answer, upstreams = run_ingress(scenario, scripts=scripts, processes=2)
+        assert (answer.status, answer.body) == (200, events(3, 5))
+        assert upstreams == {"e2"}
+
     def test_a_stream_does_not_go_on_at_an_upstream_that_was_down(self):
         """Guards against the new software of an upstream whose entry is still old."""
 
