Review: origins kept by a relay that no entry is compared with

A process that has just started may hear a relay before it reads the entries. Of 5,000 origins that the relay sends, newest first, 2,000 fit into `OriginExchange._recent`, so that the 3,000 newest are not compared with the first entry of their upstream: they stay certain although it has started again at another version meanwhile.

--- a/tests/ingress/test_origin_exchange.py
+++ b/tests/ingress/test_origin_exchange.py
@@ -12,7 +12,14 @@
     NotFound,
     OriginExchange,
 )
-from ragwortkeel.messages import OriginAnswer, OriginNote, OriginNotes, OriginQuestion
+from ragwortkeel.ingress.relay_worker import MAX_KEPT_ORIGINS
+from ragwortkeel.messages import (
+    OriginAnswer,
+    OriginNote,
+    OriginNotes,
+    OriginQuestion,
+    OriginsKept,
+)
 from ragwortkeel.policy.stream_origins import (
     HOLDER_COUNT,
     Origin,
@@ -179,3 +186,26 @@
     assert (known.question_id, known.note) == (3, NOTE)
     assert (unknown.question_id, unknown.note) == (4, None)
     assert unknown.versions == ("v1", "v2")
+
+
+class TestRestartOfAnUpstream:
+    """The entry of an upstream states another version than the one it had."""
+
+    def notes(self, count):
+        """Return notes of streams that began at e1 as v1."""
+        return tuple(
+            OriginNote(key=key, service="chat", version="v1", upstream="e1")
+            for key in range(count)
+        )
+
+    def test_none_of_the_origins_that_a_relay_kept_stays_certain(self):
+        """Guards against kept origins that no entry read later is compared with."""
+        exchange, _ = new_exchange(versions=("v1", "v2"))
+        notes = self.notes(MAX_KEPT_ORIGINS)
+
+        async def main():
+            await exchange.receive_kept(OriginsKept(notes=notes))
+            await exchange.record_version("e1", "v2")
+            return sum(not exchange.is_ambiguous(note.key) for note in notes)
+
+        assert curio.run(main) == 0
