Review: a holder keeps an origin that a late entry contradicts

An upstream starts again at another version; before its entry is read, a process begins a stream there, tells the holders the old version and is killed. When the entry is read, only streams of the reader's own lose their origin: the holder goes on to state the old version, and a caller that takes the stream up gets events of two versions.

--- a/tests/ingress/test_origin_exchange.py
+++ b/tests/ingress/test_origin_exchange.py
@@ -209,3 +209,14 @@
             return sum(not exchange.is_ambiguous(note.key) for note in notes)
 
         assert curio.run(main) == 0
+
+    def test_an_origin_of_a_process_that_has_ended_does_not_stay_certain(self):
+        """Guards against a late entry that only the ended process would have minded."""
+        exchange, _ = new_exchange(versions=("v1", "v2"))
+
+        async def main():
+            exchange.receive_notes(OriginNotes(notes=self.notes(1)))
+            await exchange.record_new_version("e1", in_outage=False)
+            return await exchange.find(0, service="chat")
+
+        assert isinstance(curio.run(main), NotFound)
