Review: a refusal whose body has no end counts as a run

An upstream answers 503 with `x-not-run` and a body without end. The head says that nothing has run, yet the request fails with 502, unknown, at its 8 MB, instead of running at the other upstream: 3 of 4 here. Its tokens are charged, and it counts as a run that broke its upstream. Cause: `Attempt._receive_response` reads the body first.

--- a/tests/ingress/test_endless_answers.py
+++ b/tests/ingress/test_endless_answers.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 from tests.ingress.in_process import (
+    answer_whole,
     chunk,
     events,
     run_ingress,
@@ -122,3 +123,20 @@
     body, seconds = run_ingress(scenario, scripts={"e1": trickle, "e2": trickle})
     assert body == events(1, 5)
     assert seconds < 2 * MAX_SILENCE_SECONDS
+
+
+def test_a_refusal_with_an_endless_body_has_run_nothing():
+    """Guards against requests that fail although no upstream has run them."""
+    refusal = CHUNKED.replace(b"200 OK", b"503 Full").replace(
+        b"x-upstream-proof: p1", b"x-not-run: 1"
+    )
+    script = Endless(refusal, chunk(b"x" * BLOCK))
+
+    async def scenario(fleet):
+        answers = [await fleet.ask("/filing/1") for _ in range(4)]
+        return [answer.status for answer in answers], len(fleet.seen()["u1"])
+
+    scripts = {"u1": script, "u2": answer_whole}
+    statuses, refusals = run_ingress(scenario, scripts=scripts)
+    assert refusals > 0
+    assert statuses == [200] * 4
