Review: numbers without end in what upstreams send

5,000 digits pass all bounds, but `int` converts 4,300 at most and raises ValueError. In `keep-alive: timeout=` a whole and signed answer becomes a 500 of our own; as the id of an event it ends a stream that another upstream would continue, as `handler_failed`.

--- a/tests/ingress/test_endless_answers.py
+++ b/tests/ingress/test_endless_answers.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 from tests.ingress.in_process import (
+    END,
     answer_whole,
     chunk,
     events,
@@ -67,6 +68,9 @@
     "events without an id": (STREAM, chunk(b": x\n\n" * 1000)),
 }
 
+LONG_NUMBER = b"9" * 5000
+"""More digits than `int` converts, and fewer bytes than any bound."""
+
 
 def ask_endless(path, name, script, **headers):
     """Return the answer, None if it broke off, and how long it took."""
@@ -140,3 +144,37 @@
     statuses, refusals = run_ingress(scenario, scripts=scripts)
     assert refusals > 0
     assert statuses == [200] * 4
+
+
+def test_a_number_without_end_in_a_head_is_no_fault_of_the_process():
+    """Guards against an answer that is lost for a header that nobody needs."""
+
+    async def answer(seen, sock):
+        head = NO_LENGTH.replace(b"%s", seen.headers["x-request-id"].encode())
+        head += b"keep-alive: timeout=" + LONG_NUMBER + b"\r\n"
+        await sock.sendall(head + b"content-length: 2\r\n\r\nok")
+        return False
+
+    async def scenario(fleet):
+        return await fleet.ask("/filing/1")
+
+    answer = run_ingress(scenario, scripts={"u1": answer})
+    assert (answer.status, answer.body) == (200, b"ok")
+
+
+def test_a_stream_with_an_id_without_end_goes_on_elsewhere():
+    """Guards against a stream that ends although another upstream would continue it."""
+
+    async def spoil(seen, sock):
+        if "last-event-id" in seen.headers:
+            return await stream_whole(seen, sock)
+        await sock.sendall(stream_head(seen) + chunk(events(1, 2)))
+        await curio.sleep(0.1)
+        await sock.sendall(chunk(b"id: " + LONG_NUMBER + b"\ndata: x\n\n") + END)
+        return False
+
+    async def scenario(fleet):
+        return (await fleet.ask("/chat/1")).body
+
+    scripts = {"e1": spoil, "e2": spoil}
+    assert run_ingress(scenario, scripts=scripts) == events(1, 5)
