Review: large answers are expected to take too long

Runs of 0.5 s and 0.02 s a token, 5 to 200 tokens, end within 4.5 s. Cause: seconds by token are averaged over runs, and the small ones have the most.

--- a/tests/policy/test_run_times.py
+++ b/tests/policy/test_run_times.py
@@ -1,5 +1,7 @@
 """Tests of the expected lengths of runs."""
 
+from random import Random
+
 from ragwortkeel.policy.run_times import MAX_KINDS, MIN_RUNS, RunTimes
 
 
@@ -31,6 +33,19 @@
         record_runs(times, "chat", [1.0, 3.0] * 30)
         assert times.expected_seconds("chat", size=100) > 3.0
 
+    def test_runs_of_all_sizes_are_expected_to_take_about_as_long_as_they_do(self):
+        """Guards against stops that refuse large requests which would end in time."""
+        random = Random(1)
+        times = RunTimes()
+        too_long = 0
+        for _ in range(1000):
+            size = random.randint(5, 200)
+            seconds = 0.5 + 0.02 * size
+            expected = times.expected_seconds("chat", size=size)
+            too_long += expected is not None and expected > 7.5
+            times.record("chat", size=size, seconds=seconds)
+        assert too_long < 10
+
     def test_the_number_of_kinds_is_bounded(self):
         times = RunTimes()
         for number in range(2 * MAX_KINDS):
