Review: a stop ends a stream that only has to change its upstream

A stream begins, then the process gets a stop of 3 s; 0.5 s later its upstream breaks it off. Another upstream would complete it at once. `Exchange._acquire` refuses the run, as 3.5 s are expected for a run like it, and the stream is cut off. Where no length is expected, the request goes on, since without another run it has failed for certain; that holds for both.

--- a/tests/ingress/test_stops.py
+++ b/tests/ingress/test_stops.py
@@ -13,8 +13,10 @@
     chunk,
     events,
     ledger,
+    reset,
     run_ingress,
     stream_head,
+    stream_whole,
 )
 
 from ragwortkeel.httpio import HttpClient
@@ -215,6 +217,32 @@
         assert not runs
         assert short.status == 200
 
+    def test_a_stream_that_an_upstream_breaks_off_in_a_stop_goes_on_elsewhere(self):
+        """Guards against a stop that ends streams because they may take too long."""
+
+        async def break_off(seen, sock):
+            if "last-event-id" in seen.headers:
+                return await stream_whole(seen, sock)
+            await sock.sendall(stream_head(seen) + chunk(events(1, 3)))
+            await curio.sleep(0.5)
+            await reset(sock)
+            return False
+
+        async def scenario(fleet):
+            asking = await curio.spawn(fleet.ask, "/chat/1")
+            while not any(fleet.seen().values()):
+                await curio.sleep(0.01)
+            times = fleet.workers[0]._front._components.run_times
+            for _ in range(5):
+                times.record("pool/stream", size=1, seconds=3.5)
+            stopping = await curio.spawn(stop_within, fleet, 3.0)
+            answer = await asking.join()
+            await stopping.join()
+            return answer.body
+
+        scripts = dict.fromkeys(("e1", "e2"), break_off)
+        assert run_ingress(scenario, scripts=scripts) == events(1, 5)
+
     def test_a_run_without_an_answer_at_the_end_is_answered_as_unknown(self):
         """Guards against callers that get neither an answer nor an error."""
 
