--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -586,9 +586,7 @@
             if isinstance(outcome, FullResponse | StreamCompleted):
                 # A ready answer is delivered even if it is late.
                 self._components.open_requests.discard(self)
-                self._components.run_times.record(
-                    self._run_kind(), size=size, seconds=monotonic() - began_at
-                )
+                self._record_run_time(outcome, size, monotonic() - began_at)
             return outcome
         except CallerLeft:
             if not self._responder.ended:
@@ -603,6 +601,18 @@
             if timer is not None:
                 await timer.cancel()
 
+    def _record_run_time(
+        self, outcome: FullResponse | StreamCompleted, size: int, seconds: float
+    ) -> None:
+        match outcome:
+            case FullResponse(head=head) if head.status >= ERROR_STATUS:
+                return
+        # How much a stream that was taken up lacked is not known.
+        if not self._accepted.call.last_event:
+            self._components.run_times.record(
+                self._run_kind(), size=size, seconds=seconds
+            )
+
     def _obstacle(self, assignment: Assignment) -> NotRunReason | None:
         """Return why the request may not be sent to its upstream, None if it may."""
         components, upstream = self._components, assignment.upstream
