Numbers of thousands of digits in heads and ids are no faults of the process

Found by the review: int() raises ValueError beyond 4,300 digits. A keep-alive timeout of that length gave its caller a 500, and an event id cut the stream off with handler_failed. Whole numbers of over 18 digits count as unreadable everywhere in the ingress; an event with such an id is out of order, so the stream goes on elsewhere.

--- a/src/ragwortkeel/http_events.py
+++ b/src/ragwortkeel/http_events.py
@@ -9,6 +9,9 @@
 
 READ_CHUNK_BYTES = 64 * 1024
 
+MAX_DIGITS = 18
+"""Most digits of a whole number; 64 bits hold it."""
+
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
 
@@ -59,6 +62,14 @@
     return by_name
 
 
+def whole_number(text: str | bytes) -> int | None:
+    """Return the whole number in a header or an id; None for anything else.
+
+    `int` fails beyond some thousand digits.
+    """
+    return int(text) if len(text) <= MAX_DIGITS and text.isdigit() else None
+
+
 def decimal_value(text: str) -> float | None:
     """Return the decimal number in a header; None for anything else."""
     return float(text) if _DECIMAL.fullmatch(text) else None
--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -19,6 +19,7 @@
     ConnectFailed,
     ExchangeBroken,
 )
+from ragwortkeel.http_events import whole_number
 from ragwortkeel.http_responder import Responder
 from ragwortkeel.ingress.configuration import Route
 from ragwortkeel.ingress.events import EventSplitter
@@ -104,8 +105,7 @@
 
     def __init__(self, *, responder: Responder, last_event: str) -> None:
         self.responder = responder
-        last_id = int(last_event) if last_event.isdecimal() else None
-        self.splitter = EventSplitter(last_id=last_id)
+        self.splitter = EventSplitter(last_id=whole_number(last_event))
 
     @property
     def started(self) -> bool:
--- a/src/ragwortkeel/ingress/events.py
+++ b/src/ragwortkeel/ingress/events.py
@@ -7,6 +7,7 @@
 """
 
 from ragwortkeel.exceptions import ExchangeBroken
+from ragwortkeel.http_events import MAX_DIGITS, whole_number
 
 MAX_EVENT_BYTES = 1024 * 1024
 """Largest event, and most bytes of events without an id between two that have one."""
@@ -88,7 +89,10 @@
         self.order_error = None
 
     def _check_order(self, event: bytes) -> ExchangeBroken | None:
-        event_id = _event_id(event)
+        text = _event_id(event)
+        event_id = whole_number(text)
+        if len(text) > MAX_DIGITS:
+            return ExchangeBroken(f"an event id of {len(text)} bytes")
         if event_id is None:
             self._bytes_without_id += len(event) + len(_EVENT_END)
             if self._bytes_without_id > MAX_EVENT_BYTES:
@@ -102,10 +106,10 @@
         return None
 
 
-def _event_id(event: bytes) -> int | None:
+def _event_id(event: bytes) -> bytes:
+    """Return the value of the first id field; empty if there is none."""
     start = 0 if event.startswith(_ID_FIELD) else event.find(b"\n" + _ID_FIELD) + 1
     if not start and not event.startswith(_ID_FIELD):
-        return None
+        return b""
     end = event.find(b"\n", start)
-    text = event[start + len(_ID_FIELD) : end if end >= 0 else None].strip()
-    return int(text) if text.isdigit() else None
+    return event[start + len(_ID_FIELD) : end if end >= 0 else None].strip()
--- a/src/ragwortkeel/ingress/front.py
+++ b/src/ragwortkeel/ingress/front.py
@@ -4,6 +4,7 @@
 from hashlib import blake2b
 from time import monotonic
 
+from ragwortkeel.http_events import whole_number
 from ragwortkeel.http_responder import Request, Responder
 from ragwortkeel.ingress.attempt import CallerRequest
 from ragwortkeel.ingress.configuration import Customer, Route
@@ -235,9 +236,8 @@
 
 
 def _deadline(text: str | None) -> float:
-    if text is None or not text.strip().isdecimal():
-        return DEFAULT_DEADLINE_SECONDS
-    return int(text) / 1000
+    milliseconds = whole_number(text.strip()) if text is not None else None
+    return DEFAULT_DEADLINE_SECONDS if milliseconds is None else milliseconds / 1000
 
 
 def _fingerprint(request: Request, customer: str) -> str:
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -28,7 +28,7 @@
     ConnectRefused,
     ExchangeBroken,
 )
-from ragwortkeel.http_events import READ_CHUNK_BYTES, next_event
+from ragwortkeel.http_events import READ_CHUNK_BYTES, next_event, whole_number
 from ragwortkeel.ingress.configuration import Upstream
 from ragwortkeel.send_buffer import HeldBytes, SendBuffer
 from ragwortkeel.usage_counters import ByteCounter
@@ -354,10 +354,9 @@
         self._framed = head.is_framed
         for item in head.get("keep-alive").split(","):
             name, _, value = item.strip().partition("=")
-            if name == "timeout" and value.isdecimal():
-                self._keep_alive_seconds = max(
-                    0.0, int(value) - KEEP_ALIVE_MARGIN_SECONDS
-                )
+            seconds = whole_number(value)
+            if name == "timeout" and seconds is not None:
+                self._keep_alive_seconds = max(0.0, seconds - KEEP_ALIVE_MARGIN_SECONDS)
 
 
 class ConnectionPool:
--- a/src/ragwortkeel/ingress/usage.py
+++ b/src/ragwortkeel/ingress/usage.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ragwortkeel.http_events import whole_number
 from ragwortkeel.ingress.prefixes import PromptBlock
 
 MAX_UNRECEIVED_EVENTS = 3
@@ -68,7 +69,7 @@
     blocks = []
     for item in text.split(","):
         block_id, _, tokens = item.strip().partition(":")
-        if not block_id or not tokens.isdecimal():
+        if not block_id or (count := whole_number(tokens)) is None:
             break
-        blocks.append(PromptBlock(block_id=block_id, tokens=int(tokens)))
+        blocks.append(PromptBlock(block_id=block_id, tokens=count))
     return tuple(blocks)
