A refusal counts by its head, however its body ends

Found by the review: a refusal that says that nothing ran was read to the end of its body first. Without an end the request counted as run: 502 unknown for 3 of 4 callers, and the tokens were charged. The body is read for 0.2 s at most, for the sake of the connection.

--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from time import monotonic
 
@@ -64,6 +65,9 @@
 SILENCE_CHECK_SECONDS = 0.1
 """Interval at which a replacement for a silent upstream is looked for."""
 
+REFUSAL_BODY_SECONDS = 0.2
+"""Time for the body of a refusal, which is short and follows its head."""
+
 MISDIRECTED = 421
 
 
@@ -309,7 +313,7 @@
         if head.status != MISDIRECTED:
             self._on_head(head, self._sent_at)
         if head.status == MISDIRECTED or head.get(self._names.not_run):
-            await _receive_body(connection)
+            await _receive_refusal(connection)
             return _not_run(head)
         self._on_accepted()
         if head.get("content-encoding"):
@@ -486,6 +490,14 @@
     return NotRun(reason=NotRunReason.FULL, detail=str(head.status))
 
 
+async def _receive_refusal(connection: UpstreamConnection) -> None:
+    """Read the body of a refusal, so that its connection can be used again."""
+    # The head has said that nothing ran, however the body ends.
+    with suppress(ExchangeBroken):
+        async with curio.ignore_after(REFUSAL_BODY_SECONDS):
+            await _receive_body(connection)
+
+
 async def _receive_body(connection: UpstreamConnection) -> bytes:
     chunks = []
     size = 0
