Only the first entry of an upstream makes kept origins uncertain

Found by the review: an entry that followed a deletion counted as the first one read here, so a stream became unknown when the upstream that had begun it 3.5 s before came back at another version, in each rolling release. A deleted entry is remembered, so its successor is a change like any other, whose bound in time holds.

--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -79,13 +79,20 @@
 
 @dataclass(frozen=True, kw_only=True)
 class DirectoryChange:
-    """A change of one upstream, for logs and for modules that keep state about it."""
+    """A change of one upstream, for logs and for modules that keep state about it.
+
+    Attributes
+    ----------
+    is_first : bool
+        Whether no entry of that name was known before, not even a deleted one.
+    """
 
     name: str
     was_usable: bool
     usable: bool
     upstream: Upstream | None
     previous: Upstream | None = None
+    is_first: bool = False
 
     @property
     def has_new_version(self) -> bool:
@@ -406,6 +413,7 @@
                 usable=entry.usable,
                 upstream=entry.upstream,
                 previous=known.upstream if known is not None else None,
+                is_first=known is None,
             )
         ]
 
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -732,7 +732,7 @@
             )
             if change.has_new_version:
                 await self._record_new_version(change.upstream, change.previous.version)
-            if change.previous is None and change.upstream is not None:
+            if change.is_first and change.upstream is not None:
                 await self._origins.record_version(change.name, change.upstream.version)
             if change.upstream is None:
                 self._placement.discard_prefix_cache(change.name)
