All known origins are compared with a new entry of their upstream

Found by the review: only the last 2,000 streams that a process had begun or was told by a relay were compared with an upstream's late entry. A relay tells up to 5,000, and of a process that has ended nobody compared any: holders went on to state a version that the stream does not have (ORDER). The table keeps the upstream of each origin, and notes, answers and kept origins carry it with their age; every process compares all that it knows.

--- a/src/ragwortkeel/ingress/origin_exchange.py
+++ b/src/ragwortkeel/ingress/origin_exchange.py
@@ -10,7 +10,6 @@
 origins too, and a process that has just started asks them for what they keep.
 """
 
-from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from itertools import count
@@ -49,9 +48,8 @@
 Streams that began in this time before the process is killed can't be taken up.
 """
 
-MAX_RECENT_ORIGINS = 2_000
-"""Own streams that an upstream's late entry can still make ambiguous, and whose origins
-are told to a relay that comes up."""
+MAX_SHARED_ORIGINS = 2_000
+"""Origins, the newest first, of which a relay that comes up is told its share."""
 
 MAX_PEERS_ASKED = 16
 """Peers that are asked for an origin: all in a fleet of that size."""
@@ -97,15 +95,6 @@
     followed_seconds: float
 
 
-@dataclass(frozen=True, kw_only=True)
-class _RecentOrigin:
-    """An origin that this process recorded at a monotonic second."""
-
-    key: int
-    upstream: str
-    recorded_at: float
-
-
 @dataclass(kw_only=True)
 class _Lookup:
     """A question that peers have not all answered."""
@@ -156,7 +145,6 @@
         self._version_of = version_of
         self._relays: frozenset[str] = frozenset()
         self._started_at = monotonic()
-        self._recent: deque[_RecentOrigin] = deque(maxlen=MAX_RECENT_ORIGINS)
         self._unsent: list[OriginNote] = []
         self._has_unsent = curio.Event()
         self._lookup_by_id: dict[int, _Lookup] = {}
@@ -172,13 +160,10 @@
 
     async def record(self, key: int, origin: Origin | None, *, upstream: str) -> None:
         """Record where a stream begins, None if that is not certain, and tell peers."""
-        now = monotonic()
-        recent = _RecentOrigin(key=key, upstream=upstream, recorded_at=now)
-        self._recent.append(recent)
-        await self._record(_note(key, origin, upstream=upstream), now)
+        await self._record(_note(key, origin, upstream=upstream), monotonic())
 
     async def _record(self, note: OriginNote, now: float) -> None:
-        self._table.record(note.key, origin_of(note), now=now, upstream=note.upstream)
+        record_note(self._table, note, now)
         self._unsent.append(note)
         await self._has_unsent.set()
 
@@ -186,7 +171,8 @@
         """Record that an upstream started again at another version.
 
         The origins of streams that began there while its entry may have been late are
-        not certain from now on, here and at the peers.  Return how many.
+        not certain from now on, here and at the peers, whichever process began them.
+        Return how many.
 
         Parameters
         ----------
@@ -195,14 +181,14 @@
         """
         now = monotonic()
         since = -inf if in_outage else now - ENTRY_LAG_SECONDS
-        keys = {
-            recent.key
-            for recent in self._recent
-            if recent.upstream == upstream and recent.recorded_at >= since
+        certain = {
+            key: known
+            for key, known in self._table.at_upstream(upstream, since=since).items()
+            if known.origin is not None
         }
-        for key in keys:
-            await self._record(_note(key, None), now)
-        return len(keys)
+        for key in certain:
+            await self._record(_note(key, None, upstream=upstream), now)
+        return len(certain)
 
     async def record_version(self, upstream: str, version: str) -> None:
         """Record the version in the first entry of an upstream that is read here.
@@ -211,12 +197,9 @@
         certain: it has started again meanwhile.
         """
         now = monotonic()
-        for recent in list(self._recent):
-            known = self._table.get(recent.key)
-            if recent.upstream != upstream or known is None or known.origin is None:
-                continue
-            if known.origin.version != version:
-                await self._record(_note(recent.key, None), now)
+        for key, known in self._table.at_upstream(upstream, since=-inf).items():
+            if known.origin is not None and known.origin.version != version:
+                await self._record(_note(key, None, upstream=upstream), now)
 
     async def update_relays(self, *, started: str = "") -> None:
         """Tell relays the origins of recent streams that they keep from now on.
@@ -231,7 +214,9 @@
         before = self._relays - {started}
         self._relays = frozenset(links)
         notes_by_relay: dict[str, list[OriginNote]] = {}
-        for note in self._recent_notes():
+        now = monotonic()
+        for key, known in self._table.newest(MAX_SHARED_ORIGINS):
+            note = kept_note(key, known, now)
             holders = nearest_peers(note.key, links, count=RELAY_HOLDER_COUNT)
             former = nearest_peers(note.key, before, count=RELAY_HOLDER_COUNT)
             for relay in set(holders) - set(former):
@@ -245,15 +230,6 @@
         if started in links and is_young:
             await links[started].try_send(OriginsCall())
 
-    def _recent_notes(self) -> list[OriginNote]:
-        known_by_key = {
-            recent.key: known
-            for recent in self._recent
-            if (known := self._table.get(recent.key)) is not None
-        }
-        now = monotonic()
-        return [kept_note(key, known, now) for key, known in known_by_key.items()]
-
     async def receive_kept(self, message: OriginsKept) -> None:
         """Receive the origins that a relay keeps, and tell other processes."""
         now = monotonic()
@@ -268,13 +244,9 @@
             if known is not None and known.origin in (None, origin):
                 continue
             new_count += 1
-            recent = _RecentOrigin(
-                key=note.key,
-                upstream=note.upstream,
-                recorded_at=now - note.age_seconds,
-            )
-            self._recent.append(recent)
-            await self._record(_note(note.key, origin, upstream=note.upstream), now)
+            if origin is None:
+                note = _note(note.key, None, upstream=note.upstream)
+            await self._record(note, now)
         log_info("origins_received", kept=len(message.notes), new=new_count)
 
     def is_ambiguous(self, key: int) -> bool:
@@ -298,7 +270,7 @@
         for peer, answer in answer_by_peer.items():
             if answer.note is not None and not is_ambiguous:
                 origin = origin_of(answer.note)
-                self._table.record(key, origin, now=monotonic())
+                record_note(self._table, answer.note, monotonic())
                 age_seconds = answer.age_seconds
                 return Found(origin=origin, source=peer, age_seconds=age_seconds)
         return self._infer(service, answer_by_peer, asked, is_ambiguous=is_ambiguous)
@@ -307,9 +279,7 @@
         """Record the origins of streams that a peer has begun."""
         now = monotonic()
         for note in message.notes:
-            self._table.record(
-                note.key, origin_of(note), now=now, upstream=note.upstream
-            )
+            record_note(self._table, note, now)
 
     def answer(self, question: OriginQuestion) -> OriginAnswer:
         """Return what this process knows of a stream."""
@@ -431,6 +401,17 @@
     )
 
 
+def record_note(table: OriginTable, note: OriginNote, now: float) -> None:
+    """Record in a table what a note says of a stream."""
+    table.record(
+        note.key,
+        origin_of(note),
+        now=now,
+        upstream=note.upstream,
+        age_seconds=note.age_seconds,
+    )
+
+
 def kept_note(key: int, known: KnownOrigin, now: float) -> OriginNote:
     """Return what is known of a stream, with its age at the monotonic time `now`."""
     note = _note(key, known.origin, upstream=known.upstream)
@@ -441,4 +422,4 @@
     """Return the origin of a stream if it is certain."""
     if known is None or known.origin is None:
         return None
-    return _note(key, known.origin)
+    return _note(key, known.origin, upstream=known.upstream)
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -12,7 +12,7 @@
 from ragwortkeel.budget.write_order import UNREACHABLE_LATENCY_CLASS
 from ragwortkeel.configuration_store import InForce
 from ragwortkeel.ingress.mesh import RELAY_HEARTBEAT_SECONDS
-from ragwortkeel.ingress.origin_exchange import kept_note, origin_of
+from ragwortkeel.ingress.origin_exchange import kept_note, record_note
 from ragwortkeel.ingress.peers import Peers
 from ragwortkeel.ingress.placement import Load
 from ragwortkeel.logs import log_info
@@ -252,9 +252,7 @@
         """Keep the origins of a peer's streams."""
         now = monotonic()
         for note in message.notes:
-            self._origins.record(
-                note.key, origin_of(note), now=now, upstream=note.upstream
-            )
+            record_note(self._origins, note, now)
 
     async def receive_relays_changed(self, *, started: str = "") -> None:
         """Do nothing: a relay links to no relay."""
--- a/src/ragwortkeel/policy/stream_origins.py
+++ b/src/ragwortkeel/policy/stream_origins.py
@@ -135,12 +135,36 @@
         newer += [pair for pair in older if pair[0] not in self._newer]
         return newer[:count]
 
+    def at_upstream(self, upstream: str, *, since: float) -> dict[int, KnownOrigin]:
+        """Return the origins of streams that began at an upstream, by key.
+
+        Only those that were recorded after the monotonic second `since`.
+        """
+        return {
+            key: known
+            for key, known in {**self._older, **self._newer}.items()
+            if known.upstream == upstream and known.recorded_at >= since
+        }
+
     def record(
-        self, key: int, origin: Origin | None, *, now: float, upstream: str = ""
+        self,
+        key: int,
+        origin: Origin | None,
+        *,
+        now: float,
+        upstream: str = "",
+        age_seconds: float = 0.0,
     ) -> None:
         """Record an origin, or None for a stream whose origin is not certain.
 
         A stream with two origins has none: it is unknown which events its caller has.
+
+        Parameters
+        ----------
+        upstream : str
+            Name of the upstream that began the stream; empty if it is unknown.
+        age_seconds : float
+            How long ago another process recorded it.
         """
         if (
             now - self._rotated_at >= self.keep_seconds
@@ -151,7 +175,9 @@
         differs = known is not None and known.origin != origin
         self._newer.pop(key, None)
         self._newer[key] = KnownOrigin(
-            origin=None if differs else origin, recorded_at=now, upstream=upstream
+            origin=None if differs else origin,
+            recorded_at=now - age_seconds,
+            upstream=upstream or (known.upstream if known is not None else ""),
         )
 
 
