Renewals of two starts of a process in one write end no process

Callers of a machine that nobody had touched lost their requests: its process ended with KeyError in success_reply, exit code 1. A peer had been killed and started again while the platform was slow for some machines, so one write held renewals of its earlier start and then the Start of its later one. The Start charges and closes the grants of the earlier start, and the reply to that looked them up.

A holder without a stamp in the written ledgers has been closed in the same write. Its renewals get the outcome UNKNOWN, after which a receiver changes nothing: NOT_DONE would be untrue, as they were written before the grants were closed.

--- a/src/ragwortkeel/budget/renewal_replies.py
+++ b/src/ragwortkeel/budget/renewal_replies.py
@@ -39,7 +39,14 @@
 def success_reply(
     shard: Shard, delegated: HandedRenewals, summary_by_customer: dict[str, Ledger]
 ) -> RenewalsWritten:
-    """Return the reply to renewals that were written, with the ledgers it needs."""
+    """Return the reply to renewals that were written, with the ledgers it needs.
+
+    A later start of the same process in the same write has charged and closed the
+    grants of the earlier one, which had ended by then.
+    """
+    if delegated.holder not in shard.stamp_by_holder:
+        log_info("renewals_superseded", holder=delegated.holder)
+        return failure_reply(delegated, WriteOutcome.UNKNOWN)
     grant_by_customer = {
         customer: shard.ledger_by_customer[customer].grants[delegated.holder]
         for customer in delegated.renewal_by_customer
--- /dev/null
+++ b/tests/ingress/test_restarted_peers.py
@@ -0,0 +1,75 @@
+"""Renewals and their outcomes across starts of the processes that exchange them."""
+
+import curio
+from tests.ingress.test_renewals import CUSTOMER, PATIENCE, Process
+
+from ragwortkeel.budget.allowance import Allowances
+from ragwortkeel.budget.clocks import read_clocks
+from ragwortkeel.budget.shards import SHARDS_KIND, decode_shard
+from ragwortkeel.ingress.ledger_store import SHARD_NAME
+from ragwortkeel.messages import WriteOutcome
+from ragwortkeel.standins.local_platform import LocalPlatform
+
+
+def run_writer(scenario):
+    """Run a scenario with one process that writes, and a start of another."""
+
+    async def main():
+        platform = LocalPlatform()
+        writer = Process(platform, name="a", rank=0)
+        await writer.start()
+        try:
+            async with curio.timeout_after(PATIENCE):
+                return await scenario(platform, writer)
+        finally:
+            await writer.task.cancel()
+
+    return curio.run(main)
+
+
+async def read_shard(platform):
+    """Return the ledgers as the platform stores them."""
+    return decode_shard((await platform.get(SHARDS_KIND, SHARD_NAME)).value)
+
+
+def started_again(shard, holder):
+    """Return the allowances and the renewals of a process's new start."""
+    allowances = Allowances(holder=holder, started=read_clocks())
+    allowances.resolve(shard)
+    allowances.account(CUSTOMER).waiting_tokens = 100
+    delegated = allowances.delegate_renewals(
+        read_clocks(), urgent=True, start=allowances.start(shard)
+    )
+    return allowances, delegated
+
+
+async def outcomes(writer, count):
+    """Wait for outcomes that the writer has sent; return them."""
+    while len(writer.peers.outcomes) < count and not writer.task.terminated:
+        await curio.sleep(0.01)
+    return [answer.outcome for answer in writer.peers.outcomes]
+
+
+def test_renewals_of_two_starts_of_a_process_in_one_write_end_no_process():
+    """Guards against a writer that ends as a peer was killed and started again."""
+
+    async def scenario(platform, writer):
+        first, delegated = started_again(await read_shard(platform), "b/1")
+        await writer.renewals.receive_renewals(delegated)
+        await outcomes(writer, 1)
+        shard = await read_shard(platform)
+        first.resolve(shard)
+        first.account(CUSTOMER).waiting_tokens = 5_000
+        late = first.delegate_renewals(read_clocks(), urgent=True)
+        _, delegated = started_again(shard, "b/2")
+        writer.peers.outcomes.clear()
+        await writer.renewals.receive_renewals(late)
+        await writer.renewals.receive_renewals(delegated)
+        found = await outcomes(writer, 2)
+        return found, await read_shard(platform), writer.task.terminated
+
+    found, shard, ended = run_writer(scenario)
+    assert not ended
+    assert found == [WriteOutcome.UNKNOWN, WriteOutcome.DONE]
+    assert shard.ledger_by_customer[CUSTOMER].grants.keys() >= {"b/2"}
+    assert "b/1" not in shard.stamp_by_holder
