A relay that answers a read with an error of a write is unavailable

The followers and the renewals catch the errors that a read can have. An answer of a peer with another one, such as exists or unknown, was raised as it stood and ended the process.

--- a/src/ragwortkeel/ingress/relaying.py
+++ b/src/ragwortkeel/ingress/relaying.py
@@ -266,7 +266,7 @@
         for relay in relays[:MAX_RELAYS_TRIED]:
             answer = await self._call_through(relay, call)
             if answer.error is not PlatformError.UNAVAILABLE:
-                return _raise_error(answer)
+                return _raise_error(call, answer)
             if not self._direct_failed and call.operation in _READS:
                 break
             self._avoided_until_by_relay[relay.name] = monotonic() + AVOID_SECONDS
@@ -404,7 +404,9 @@
     return PlatformAnswer(call_id=call.call_id, error=error)
 
 
-def _raise_error(answer: PlatformAnswer) -> PlatformAnswer:
+def _raise_error(call: PlatformCall, answer: PlatformAnswer) -> PlatformAnswer:
+    if answer.error is not PlatformError.NONE and call.operation in _READS:
+        raise PlatformUnavailable(f"a peer answered a read with {answer.error}")
     if answer.error is PlatformError.CONFLICT:
         current = _decode_stored(answer.objects[0]) if answer.objects else None
         raise VersionConflict("platform call through a peer", current=current)
