Ledgers that the platform refuses end no process

ValueRefused, for ledgers over 1 MB for example, was not caught where the ledgers are written: every process that wrote ended, one after the other. A stop whose write was refused, or found the object deleted, ended with an error. Any error of the platform client now counts as a failed renewal, with the line renewal_failed and a backoff; peers whose renewals were in the write learn that they were not written.

--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -269,9 +269,9 @@
                 shard = await self._ledgers.read(stale=False)
                 self._allowances.resolve(shard)
                 await self._ledgers.write(self._allowances.closed(shard))
-            except VersionConflict:
+            except _CONFLICTS:
                 await curio.sleep(backoff_seconds(refusals, self._random))
-            except (PlatformUnavailable, OutcomeUnknown) as exc:
+            except (ClientError, LedgerError, RouterSealed) as exc:
                 # The unspent tokens stay charged: safe, but customers have fewer.
                 log_warning("slices_not_returned", error=str(exc))
                 return False
@@ -450,7 +450,7 @@
             self._set_reachable(False, str(exc))
             self._backoff_until = monotonic() + RETRY_SECONDS
             return False
-        except LedgerError as exc:
+        except (ClientError, LedgerError) as exc:
             log_error("renewal_failed", error=repr(exc))
             self._backoff_until = monotonic() + RETRY_SECONDS
             return False
@@ -584,7 +584,7 @@
             backoff = backoff_seconds(self._refusals, self._random)
             self._backoff_until = monotonic() + backoff
             return WriteOutcome.NOT_DONE, Shard(), set()
-        except (LedgerError, RouterSealed) as exc:
+        except (ClientError, LedgerError, RouterSealed) as exc:
             log_error("renewal_failed", error=repr(exc))
             self._backoff_until = monotonic() + RETRY_SECONDS
             return WriteOutcome.NOT_DONE, Shard(), set()
