Outcomes of renewals name the start that delegated them

The outcome goes to the process of the holder's name, and so to its next start if it was killed meanwhile. Each start counts its nonces from 1: an outcome for an earlier start could settle a renewal of the later one that nobody had written, and its tokens were spent without a grant.

RenewalsWritten has the holder, and another start drops it. All other answers between processes go over the connection of the request, whose identity is the start that made it. An answer of an older build without a holder counts only while a delegation with its boot clock is open.

--- a/src/ragwortkeel/budget/renewal_replies.py
+++ b/src/ragwortkeel/budget/renewal_replies.py
@@ -54,6 +54,7 @@
     names = customers_to_report(delegated, shard)
     return RenewalsWritten(
         boot=delegated.stamp.boot,
+        holder=delegated.holder,
         outcome=WriteOutcome.DONE,
         revision=shard.revision,
         grant_by_customer=grant_by_customer,
@@ -63,4 +64,6 @@
 
 def failure_reply(delegated: HandedRenewals, outcome: WriteOutcome) -> RenewalsWritten:
     """Return the reply to renewals that were not written, with the reason."""
-    return RenewalsWritten(boot=delegated.stamp.boot, outcome=outcome)
+    return RenewalsWritten(
+        boot=delegated.stamp.boot, holder=delegated.holder, outcome=outcome
+    )
--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -310,6 +310,9 @@
 
     async def receive_renewals_written(self, answer: RenewalsWritten) -> None:
         """Receive the outcome of delegated renewals."""
+        if not self._is_addressee(answer):
+            log_info("outcome_of_another_start", holder=answer.holder)
+            return
         match answer.outcome:
             case WriteOutcome.UNKNOWN:
                 return
@@ -329,6 +332,12 @@
                 self._apply_outcome(answer)
         await self._changed.set()
 
+    def _is_addressee(self, answer: RenewalsWritten) -> bool:
+        """Return whether this start delegated the renewals that an answer is to."""
+        if answer.holder:
+            return answer.holder == self._allowances.holder
+        return self._attempts.get_delegated(answer.boot) is not None
+
     def _apply_outcome(self, answer: RenewalsWritten) -> None:
         now = monotonic()
         reading = self._attempts.get_delegated(answer.boot)
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -692,6 +692,8 @@
     ----------
     boot : float
         Boot clock in the stamp of the renewals that this message answers.
+    holder : str
+        Incarnation that delegated the renewals; empty from older builds.
     revision : int
         Revision of the configuration whose budgets the ledgers hold.
     grant_by_customer : dict of str to Grant
@@ -702,6 +704,7 @@
 
     boot: float
     outcome: WriteOutcome
+    holder: str = ""
     revision: int = 0
     grant_by_customer: dict[str, Grant] = {}
     summary_by_customer: dict[str, Ledger] = {}
--- a/tests/ingress/test_restarted_peers.py
+++ b/tests/ingress/test_restarted_peers.py
@@ -1,13 +1,14 @@
 """Renewals and their outcomes across starts of the processes that exchange them."""
 
 import curio
+import pytest
 from tests.ingress.test_renewals import CUSTOMER, PATIENCE, Process
 
 from ragwortkeel.budget.allowance import Allowances
 from ragwortkeel.budget.clocks import read_clocks
 from ragwortkeel.budget.shards import SHARDS_KIND, decode_shard
 from ragwortkeel.ingress.ledger_store import SHARD_NAME
-from ragwortkeel.messages import WriteOutcome
+from ragwortkeel.messages import RenewalsWritten, WriteOutcome
 from ragwortkeel.standins.local_platform import LocalPlatform
 
 
@@ -73,3 +74,52 @@
     assert found == [WriteOutcome.UNKNOWN, WriteOutcome.DONE]
     assert shard.ledger_by_customer[CUSTOMER].grants.keys() >= {"b/2"}
     assert "b/1" not in shard.stamp_by_holder
+
+
+class TestOutcomesOfAnotherStart:
+    """Both starts count their nonces from 1, so only the holder tells them apart."""
+
+    def answers(self, holder):
+        """Return a process's free tokens and reachability after an answer to `holder`.
+
+        The answer grants all tokens, with the nonce of a renewal that is pending here
+        and was not written.
+        """
+
+        async def scenario(platform, writer):
+            await writer.task.cancel()
+            account = writer.account
+            account.waiting_tokens = 90_000
+            shard = await read_shard(platform)
+            writer.allowances.resolve(shard)
+            delegated = writer.renewals.receive_renewal_call()
+            pending = delegated.renewal_by_customer[CUSTOMER]
+            ledger = shard.ledger_by_customer[CUSTOMER].renew(pending)
+            done = RenewalsWritten(
+                boot=delegated.stamp.boot - 1.0,
+                holder=holder,
+                outcome=WriteOutcome.DONE,
+                grant_by_customer={CUSTOMER: ledger.grants["a/1"]},
+                summary_by_customer={CUSTOMER: ledger},
+            )
+            down = RenewalsWritten(
+                boot=delegated.stamp.boot - 1.0,
+                holder=holder,
+                outcome=WriteOutcome.UNREACHABLE,
+            )
+            before = account.free
+            await writer.renewals.receive_renewals_written(done)
+            await writer.renewals.receive_renewals_written(down)
+            return account.free - before, writer.renewals.reachable
+
+        return run_writer(scenario)
+
+    @pytest.mark.parametrize("holder", ["a/0", ""], ids=["named", "older build"])
+    def test_they_change_nothing(self, holder):
+        """Guards against tokens that were granted to an earlier start of a process."""
+        assert self.answers(holder) == (0, True)
+
+    def test_the_same_answers_to_this_start_change_both(self):
+        tokens, reachable = self.answers("a/1")
+        assert tokens > 0
+        assert not reachable
