A process out of descriptors makes no connection, and goes on

HttpClient created its socket outside its try, so EMFILE left it as OSError. It is now ConnectFailed like any other connection that was not made, which every caller handles as an outage.

The new test failed before with OSError(24).

--- a/src/ragwortkeel/http_client.py
+++ b/src/ragwortkeel/http_client.py
@@ -166,7 +166,10 @@
     async def _connect(self):
         # curio.open_connection would resolve the host in a thread for each call.
         family = _socket.AF_INET6 if ":" in self.host else _socket.AF_INET
-        sock = curio.socket.socket(family, _socket.SOCK_STREAM)
+        try:
+            sock = curio.socket.socket(family, _socket.SOCK_STREAM)
+        except OSError as exc:
+            raise ConnectFailed(f"no socket: {exc!r}") from exc
         connected = False
         try:
             async with curio.timeout_after(self._connect_seconds):
--- a/tests/test_httpio.py
+++ b/tests/test_httpio.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP server and client, mainly of faults of peers."""
 
+import errno
 import socket
 
 import curio
@@ -552,6 +553,21 @@
 
         run(main)
 
+    def test_no_free_descriptor_means_not_sent(self, monkeypatch):
+        """Guards against the end of a process that has too many connections."""
+
+        def raise_emfile(*args):
+            raise OSError(errno.EMFILE, "Too many open files")
+
+        async def main():
+            monkeypatch.setattr(curio.socket, "socket", raise_emfile)
+            with pytest.raises(ConnectFailed, match="Too many open files"):
+                await HttpClient(host="127.0.0.1", port=1).request(
+                    "GET", "/", timeout=5
+                )
+
+        run(main)
+
     def test_request_without_response_times_out(self):
         async def scenario(_, client):
             with pytest.raises(ExchangeBroken):
