A peer whose identity is no text leaves the endpoint readable

An identity that is not UTF-8, as zmq makes up for a peer that sets none, ended the task that reads the messages of all peers: the process went on deaf. Identities are kept as text with escapes, so the answer finds its way back. The new test failed before with UnicodeDecodeError.

--- a/src/ragwortkeel/links.py
+++ b/src/ragwortkeel/links.py
@@ -198,7 +198,7 @@
             envelope = _decode_or_none(frames[-1])
             if envelope is not None:
                 self._traffic.record_received(envelope.message, len(frames[-1]))
-                return Received(peer=frames[0].decode(), envelope=envelope)
+                return Received(peer=_decode_identity(frames[0]), envelope=envelope)
 
     async def send(self, peer: str, message: AnyMessage) -> None:
         """Send to a peer that has sent a message; `LinkLost` if it is disconnected."""
@@ -206,7 +206,7 @@
             sender=self.incarnation, revision=self._revision(), message=message
         )
         data = encode(envelope)
-        await self._channel.send([peer.encode(), data])
+        await self._channel.send([peer.encode(errors="surrogateescape"), data])
         self._traffic.record_sent(message, len(data))
 
     async def close(self) -> None:
@@ -365,6 +365,11 @@
             await self._inbox.put(Received(peer=self.name, envelope=envelope))
 
 
+def _decode_identity(frame: bytes) -> str:
+    """Return a peer's identity as text; zmq's own identities are any bytes."""
+    return frame.decode(errors="surrogateescape")
+
+
 async def _sleep(seconds: float) -> float:
     """Sleep, and return by how many seconds the wake-up was late."""
     due_at = monotonic() + seconds
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,7 +8,7 @@
 
 from ragwortkeel.exceptions import LinkLost
 from ragwortkeel.links import Endpoint, Link, LinkDown, LinkUp, Received
-from ragwortkeel.messages import Cancel, Heartbeat
+from ragwortkeel.messages import Cancel, Envelope, Heartbeat, decode, encode
 
 FAST = {"heartbeat_seconds": 0.05, "silence_seconds": 0.3}
 SLOW = {"heartbeat_seconds": 30.0, "silence_seconds": 60.0}
@@ -166,3 +166,26 @@
             return received.envelope.message
 
         assert run(main) == Heartbeat()
+
+    def test_a_peer_whose_identity_is_no_text_gets_its_answer(self):
+        """Guards against a process that is deaf after a message of a foreign peer."""
+
+        async def main():
+            endpoint = open_endpoint()
+            client = zmq.Context.instance().socket(zmq.DEALER)
+            client.setsockopt(zmq.LINGER, 0)
+            client.setsockopt(zmq.IDENTITY, b"\xff\xfe/1")
+            client.connect(f"tcp://{endpoint.address}")
+            envelope = Envelope(sender="p/1", revision=0, message=Heartbeat())
+            client.send(encode(envelope))
+            async with curio.timeout_after(10):
+                received = await endpoint.receive()
+                await endpoint.send(received.peer, Heartbeat(running=7))
+                while not client.poll(0):
+                    await curio.sleep(0.01)
+            answer = decode(client.recv())
+            client.close()
+            await endpoint.close()
+            return answer.message
+
+        assert run(main) == Heartbeat(running=7)
