A link that can't be opened is tried again

The task of a link ended with ZMQError where a peer had named an address that is none, or where the process had no free descriptor: that link was never tried again. It now waits as after a silence, with the line link_not_opened. The new test failed before: the task had ended.

--- a/src/ragwortkeel/links.py
+++ b/src/ragwortkeel/links.py
@@ -20,7 +20,7 @@
 
 from ragwortkeel.exceptions import LinkLost
 from ragwortkeel.lifecycle import ChartName, Lifecycle
-from ragwortkeel.logs import log_debug
+from ragwortkeel.logs import log_debug, log_warning
 from ragwortkeel.messages import AnyMessage, Envelope, Heartbeat, decode, encode
 from ragwortkeel.traffic import Traffic
 
@@ -312,10 +312,14 @@
         return True
 
     async def _run_connection(self) -> None:
-        identity = f"{self.incarnation}/{next(_serials)}"
-        socket = _new_socket(zmq.DEALER, identity)
-        socket.connect(f"tcp://{self.address}")
-        self._channel = _Channel(socket)
+        try:
+            self._channel = _Channel(self._connect())
+        except zmq.ZMQError as exc:
+            # A peer names any address, and a process may be out of descriptors.
+            log_warning("link_not_opened", address=self.address, error=str(exc))
+            await curio.sleep(self._silence_seconds)
+            self._lifecycle.fire("silence")
+            return
         self._last_received_at = monotonic()
         heartbeats = await curio.spawn(self._send_heartbeats, daemon=True)
         reader = await curio.spawn(self._read, self._channel, daemon=True)
@@ -333,6 +337,15 @@
         if was_up:
             await self._inbox.put(LinkDown(peer=self.name))
 
+    def _connect(self) -> zmq.Socket:
+        rv = _new_socket(zmq.DEALER, f"{self.incarnation}/{next(_serials)}")
+        try:
+            rv.connect(f"tcp://{self.address}")
+        except zmq.ZMQError:
+            rv.close()
+            raise
+        return rv
+
     async def _send_heartbeats(self) -> None:
         """Send heartbeats until the peer has been silent for too long.
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -146,6 +146,24 @@
 
         assert run(main) == list(range(3000))
 
+    def test_a_link_to_no_address_goes_on(self):
+        """Guards against a link that is never tried again after one failure."""
+
+        async def main():
+            link = link_to("no address", curio.Queue())
+            task = await curio.spawn(link.run, daemon=True)
+            await curio.sleep(0.5)
+            endpoint = open_endpoint()
+            link.address = endpoint.address
+            async with curio.ignore_after(10):
+                await endpoint.receive()
+            ended = task.terminated
+            await task.cancel()
+            await endpoint.close()
+            return ended
+
+        assert not run(main)
+
 
 class TestEndpoint:
     def test_invalid_message_does_not_end_the_reader(self):
