Renewals with impossible numbers are refused

A peer's stamp with a clock that is not finite was written as null: JSON has no such number. From then on no process could read the ledgers, and all callers were refused until an operator replaced the object. A negative number of returned or requested tokens created tokens in the grant. Found by the fuzz of messages between processes.

apply_delegated refuses such renewals as void, which costs their sender only.

--- a/src/ragwortkeel/budget/delegation.py
+++ b/src/ragwortkeel/budget/delegation.py
@@ -11,6 +11,8 @@
 may be live.
 """
 
+from math import isfinite
+
 import msgspec
 
 from ragwortkeel.budget.clocks import Reading
@@ -21,6 +23,9 @@
 from ragwortkeel.exceptions import RenewalVoid
 from ragwortkeel.messages import HandedRenewals, Start
 
+MAX_TOKENS = 2**53
+"""Limit of a renewal's numbers, far above any budget."""
+
 
 def apply_delegated(shard: Shard, delegated: HandedRenewals) -> Shard:
     """Return the shard with the renewals that a peer delegated.
@@ -33,6 +38,8 @@
         A grant doesn't allow a renewal.
     """
     holder = delegated.holder
+    if not _has_possible_numbers(delegated):
+        raise RenewalVoid(holder=holder)
     last_stamp = shard.stamp_by_holder.get(holder)
     if last_stamp is None and delegated.start is None:
         raise RenewalVoid(holder=holder)
@@ -53,6 +60,29 @@
     )
 
 
+def _has_possible_numbers(delegated: HandedRenewals) -> bool:
+    """Return whether all clocks are finite and all counts of tokens are possible.
+
+    The ledgers would keep what one peer sends for all processes.  JSON has no numbers
+    that are not finite, and no process could read the ledgers with one.
+    """
+    stamp, start = delegated.stamp, delegated.start
+    clocks = [stamp.boot, stamp.wall, stamp.earliest]
+    if start is not None:
+        clocks += [start.boot, start.wall, start.latest]
+    tokens = [
+        number
+        for entry in delegated.renewal_by_customer.values()
+        for number in (
+            *(entry.want, entry.give_back, entry.cap, entry.growth, entry.demand),
+            *entry.settled.values(),
+        )
+    ]
+    return all(clock is None or isfinite(clock) for clock in clocks) and all(
+        0 <= number <= MAX_TOKENS for number in tokens
+    )
+
+
 def _with_predecessors_charged(shard: Shard, holder: str, start: Start) -> Shard:
     """Return the shard with the earlier starts of a process charged and closed."""
     started = Reading(
--- a/tests/budget/test_shards.py
+++ b/tests/budget/test_shards.py
@@ -1,14 +1,16 @@
 """Delegated renewals, which may be late or repeated, and the stored form of shards."""
 
+from contextlib import suppress
+
 import msgspec
 import pytest
 
 from ragwortkeel.budget.allowance import Allowances
-from ragwortkeel.budget.clocks import Reading
+from ragwortkeel.budget.clocks import Reading, Stamp
 from ragwortkeel.budget.delegation import apply_delegated
 from ragwortkeel.budget.grant import Grant
 from ragwortkeel.budget.shards import Shard, decode_shard, encode_shard
-from ragwortkeel.exceptions import LedgerUnreadable, RenewalVoid
+from ragwortkeel.exceptions import LedgerError, LedgerUnreadable, RenewalVoid
 from ragwortkeel.messages import RenewalsWritten, WriteOutcome
 
 CUSTOMER = "surco"
@@ -220,3 +222,48 @@
     def test_a_value_that_is_no_shard_raises(self, value):
         with pytest.raises(LedgerUnreadable):
             decode_shard(value)
+
+
+NAN, INFINITY = float("nan"), float("inf")
+
+
+@pytest.mark.parametrize(
+    "stamp",
+    [
+        Stamp(boot=NAN, wall=2.0),
+        Stamp(boot=2.0, wall=INFINITY),
+        Stamp(boot=2.0, wall=2.0, earliest=NAN),
+    ],
+    ids=["boot", "wall", "earliest"],
+)
+def test_a_stamp_that_is_no_number_is_refused(stamp):
+    """Guards against ledgers that no process can read any more.
+
+    JSON has no such numbers, so the stored stamp would be null.
+    """
+    allowances, shard = started()
+    delegated = msgspec.structs.replace(delegate(allowances, 2.0), stamp=stamp)
+    with pytest.raises(RenewalVoid):
+        apply_delegated(shard, delegated)
+
+
+class TestNumbersOfRenewals:
+    """A renewal whose numbers can't be true is refused, whoever delegated it."""
+
+    @pytest.mark.parametrize("field", ["give_back", "want", "cap", "growth", "demand"])
+    @pytest.mark.parametrize("number", [-1, -(2**63), 2**63 - 1])
+    def test_the_ledgers_stay_readable(self, field, number):
+        """Guards against tokens, or ledgers, that a peer's wrong number creates."""
+        allowances, shard = started()
+        delegated = delegate(allowances, 2.0)
+        renewal = msgspec.structs.replace(
+            delegated.renewal_by_customer[CUSTOMER], **{field: number}
+        )
+        delegated = msgspec.structs.replace(
+            delegated, renewal_by_customer={CUSTOMER: renewal}
+        )
+        with suppress(LedgerError):
+            shard = apply_delegated(shard, delegated)
+        found = decode_shard(encode_shard(shard)).ledger_by_customer[CUSTOMER]
+        assert 0 <= found.held <= found.prepaid
+        assert found.total_spent >= 0
