--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -269,9 +269,9 @@
                 shard = await self._ledgers.read(stale=False)
                 self._allowances.resolve(shard)
                 await self._ledgers.write(self._allowances.closed(shard))
-            except VersionConflict:
+            except _CONFLICTS:
                 await curio.sleep(backoff_seconds(refusals, self._random))
-            except (PlatformUnavailable, OutcomeUnknown) as exc:
+            except (ClientError, LedgerError, RouterSealed) as exc:
                 # The unspent tokens stay charged: safe, but customers have fewer.
                 log_warning("slices_not_returned", error=str(exc))
                 return False
@@ -310,6 +310,9 @@
 
     async def receive_renewals_written(self, answer: RenewalsWritten) -> None:
         """Receive the outcome of delegated renewals."""
+        if not self._is_addressee(answer):
+            log_info("outcome_of_another_start", holder=answer.holder)
+            return
         match answer.outcome:
             case WriteOutcome.UNKNOWN:
                 return
@@ -329,6 +332,12 @@
                 self._apply_outcome(answer)
         await self._changed.set()
 
+    def _is_addressee(self, answer: RenewalsWritten) -> bool:
+        """Return whether this start delegated the renewals that an answer is to."""
+        if answer.holder:
+            return answer.holder == self._allowances.holder
+        return self._attempts.get_delegated(answer.boot) is not None
+
     def _apply_outcome(self, answer: RenewalsWritten) -> None:
         now = monotonic()
         reading = self._attempts.get_delegated(answer.boot)
@@ -450,7 +459,7 @@
             self._set_reachable(False, str(exc))
             self._backoff_until = monotonic() + RETRY_SECONDS
             return False
-        except LedgerError as exc:
+        except (ClientError, LedgerError) as exc:
             log_error("renewal_failed", error=repr(exc))
             self._backoff_until = monotonic() + RETRY_SECONDS
             return False
@@ -584,7 +593,7 @@
             backoff = backoff_seconds(self._refusals, self._random)
             self._backoff_until = monotonic() + backoff
             return WriteOutcome.NOT_DONE, Shard(), set()
-        except (LedgerError, RouterSealed) as exc:
+        except (ClientError, LedgerError, RouterSealed) as exc:
             log_error("renewal_failed", error=repr(exc))
             self._backoff_until = monotonic() + RETRY_SECONDS
             return WriteOutcome.NOT_DONE, Shard(), set()
