A stamp ends the growth of all caps of its process

Cause: the cap on unreported spend grows in an outage. The first write after it renewed the process's stamp in the ledgers, from which a successor counts the growth, but not the cap of a customer that had spent nothing and so had no renewal due. Its account kept the growth of the outage (`Slice.grown`) until its next renewal.

Now `Allowances` restarts the growth of every account whenever it makes a stamp, in an own write or a delegation, and the account computes its limit from the seconds since then. `exposure.unreported_limit` is the one function for it, called by the process and by its successor.

Why this can't let more be spent: the seconds of a slice are never more than those since the latest write that may have taken effect, as they are set to 0 with each and counted anew only from the latest one that did not fail. An account that is not renewed has an exposure within its cap, or its renewal is due. The successor charges one token beyond the limit for rounding, as before at least.

--- a/src/ragwortkeel/budget/account.py
+++ b/src/ragwortkeel/budget/account.py
@@ -23,14 +23,6 @@
 DIRECT = "direct"
 """Name in the ledger for spend at upstreams without a sidecar."""
 
-GROWTH_DELAY_SECONDS = 5.5
-"""Seconds after the last write at which a cap begins to grow.
-
-A killed process restarts and records its start time within 2.5 s, and after a loss of
-power a jump of the time of day of 3 s is allowed for.  So an ordinary crash charges
-only the headroom of the cap.
-"""
-
 GROWTH_FACTOR = 1.5
 """Growth rate of a cap as a multiple of the demand.
 
@@ -165,12 +157,11 @@
     @property
     def cap_headroom(self) -> int:
         """Unreported spend that the cap still allows."""
-        cap = self.slice.cap + self.slice.grown
-        return max(0, cap - self.slice.exposure(DIRECT))
+        return max(0, self.slice.exposure_limit - self.slice.exposure(DIRECT))
 
     def grow(self, elapsed_seconds: float) -> None:
         """Set the growth of the cap by the seconds since the last attempt to write."""
-        self.slice.grown = int(self.slice.growth * growth_seconds(elapsed_seconds))
+        self.slice.unrenewed_seconds = elapsed_seconds
 
     def reserve(self, tokens: int) -> AccountReservation | None:
         """Reserve tokens, from loans first, as those can't be given back."""
@@ -371,8 +362,3 @@
     """Return a number from 0 to 1 that depends on the name only."""
     digest = blake2b(name.encode(), digest_size=4).digest()
     return int.from_bytes(digest) / 2**32
-
-
-def growth_seconds(seconds: float) -> float:
-    """Return how long a cap has been growing, from the seconds since its last write."""
-    return max(0.0, seconds - GROWTH_DELAY_SECONDS)
--- a/src/ragwortkeel/budget/allowance.py
+++ b/src/ragwortkeel/budget/allowance.py
@@ -151,6 +151,7 @@
 
     def renewed(self, shard: Shard, reading: Reading) -> Shard:
         """Return the shard with all due renewals and a new stamp of this process."""
+        self._restart_growth()
         ledgers = dict(shard.ledger_by_customer)
         mean_request_tokens = int(self._mean_request_tokens)
         for name, ledger in shard.ledger_by_customer.items():
@@ -178,6 +179,7 @@
         `start` lets the peer charge the predecessors of this process, if this process
         has not charged them yet.
         """
+        self._restart_growth()
         mean_request_tokens = int(self._mean_request_tokens)
         renewal_by_customer = {}
         wanted = []
@@ -273,6 +275,13 @@
         """Return the earlier starts of this process that hold grants or a stamp."""
         return find_predecessors(shard, holder=self.holder, started=self._started)
 
+    def _restart_growth(self) -> None:
+        """Restart the growth of all caps, as the next stamp does in the ledgers.
+
+        That includes caps that are not renewed with the stamp.
+        """
+        self.grow(0.0)
+
     def start(self, shard: Shard) -> Start:
         """Return what lets a peer charge the earlier starts of this process."""
         return Start(
--- a/src/ragwortkeel/budget/predecessors.py
+++ b/src/ragwortkeel/budget/predecessors.py
@@ -7,12 +7,12 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from math import ceil
 
 import msgspec
 
-from ragwortkeel.budget.account import DIRECT, growth_seconds
+from ragwortkeel.budget.account import DIRECT
 from ragwortkeel.budget.clocks import Reading, Stamp
+from ragwortkeel.budget.exposure import unreported_limit
 from ragwortkeel.budget.grant import Grant
 from ragwortkeel.budget.ledger import Ledger
 from ragwortkeel.budget.shards import Shard
@@ -23,6 +23,9 @@
 By then the cap has grown to the grant, and no clock has to be trusted for longer.
 """
 
+ROUNDING_TOKENS = 1
+"""Tokens charged beyond the limit, as seconds are sums of rounded readings."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class Predecessor:
@@ -110,7 +113,8 @@
         return ledger
     cap = grant.granted
     if age < LONGEST_AGE_SECONDS:
-        cap = min(cap, grant.cap + ceil(grant.growth * growth_seconds(age)))
+        limit = unreported_limit(cap=grant.cap, growth=grant.growth, seconds=age)
+        cap = min(cap, limit + ROUNDING_TOKENS)
     grants = ledger.grants | {holder: msgspec.structs.replace(grant, cap=cap)}
     ledger = msgspec.structs.replace(ledger, grants=grants)
     return ledger.seal(holder).write_off(router=holder, sidecar=DIRECT)
--- a/src/ragwortkeel/budget/slice.py
+++ b/src/ragwortkeel/budget/slice.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ragwortkeel.budget.exposure import unreported_limit
 from ragwortkeel.budget.grant import MAX_SIDECARS, Grant, Renewal
 from ragwortkeel.exceptions import BudgetExhausted, ExposureFull, SidecarNotNamed
 
@@ -40,8 +41,9 @@
     cap, growth : int
         Unsettled tokens allowed through a sidecar, and the tokens by which that cap
         grows each second after the last renewal was sent.
-    grown : int
-        Tokens by which the cap has grown; set by the owner, as the slice has no clock.
+    unrenewed_seconds : float
+        Seconds since the last write that may have taken effect; set by the owner, as
+        the slice has no clock.
     giving_back : int
         Tokens that the pending renewal gives back.
     pending : Renewal or None
@@ -56,7 +58,7 @@
         self.granted = 0
         self.cap = 0
         self.growth = 0
-        self.grown = 0
+        self.unrenewed_seconds = 0.0
         self.giving_back = 0
         self.pending: Renewal | None = None
         self.open_by_id: dict[int, Reservation] = {}
@@ -86,6 +88,13 @@
         """Tokens that can be reserved now."""
         return self.granted - self.giving_back - self.spent - self.reserved
 
+    @property
+    def exposure_limit(self) -> int:
+        """Unsettled tokens that are allowed through one sidecar now."""
+        return unreported_limit(
+            cap=self.cap, growth=self.growth, seconds=self.unrenewed_seconds
+        )
+
     @property
     def unsettled(self) -> int:
         """Spend that the ledger doesn't record yet."""
@@ -122,7 +131,7 @@
             raise self._refusal(BudgetExhausted)
         # After a crash of the router an unreachable sidecar may have run this much
         # without a report.  A seal charges the cap for it, so the cap must always hold.
-        if self.exposure(sidecar) + tokens > self.cap + self.grown:
+        if self.exposure(sidecar) + tokens > self.exposure_limit:
             raise self._refusal(ExposureFull)
         self._last_reservation_id += 1
         reservation = Reservation(
@@ -188,7 +197,7 @@
         # A lower cap must bind before the ledger records it.
         self.cap = min(self.cap, cap)
         self.growth = min(self.growth, growth)
-        self.grown = 0
+        self.unrenewed_seconds = 0.0
         self.pending = Renewal(
             router=self.router,
             nonce=nonce,
@@ -257,7 +266,7 @@
         if exposed > self.pending.cap:
             self.pending = msgspec.structs.replace(self.pending, cap=exposed)
         self.cap = min(self.cap, self.pending.cap)
-        self.grown = 0
+        self.unrenewed_seconds = 0.0
 
     def _exposures_after(self, settled: dict[str, int]) -> list[int]:
         """Return each sidecar's exposure once the ledger records these settlements.
--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -17,9 +17,9 @@
 
 import curio
 
-from ragwortkeel.budget.account import GROWTH_DELAY_SECONDS
 from ragwortkeel.budget.allowance import Allowances
 from ragwortkeel.budget.clocks import Reading
+from ragwortkeel.budget.exposure import GROWTH_DELAY_SECONDS
 from ragwortkeel.budget.renewal_replies import (
     apply_all_delegated,
     customers_to_report,
--- a/tests/budget/allowance_world.py
+++ b/tests/budget/allowance_world.py
@@ -117,9 +117,11 @@
         instance.allowances.record_demand(
             customer, tokens, instance.reading(self.now).monotonic
         )
-        self.grow(instance)
         account = instance.allowances.account(customer)
         reservation = account.reserve(tokens)
+        if reservation is None:
+            self.grow(instance)
+            reservation = account.reserve(tokens)
         if reservation is None:
             account.waiting_tokens = tokens
             return False
--- a/tests/budget/test_allowance_machine.py
+++ b/tests/budget/test_allowance_machine.py
@@ -8,6 +8,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from tests.budget.allowance_world import CUSTOMER, OTHER, AllowanceWorld
 
+from ragwortkeel.budget.exposure import GROWTH_DELAY_SECONDS
+
 FATES = ["done", "done", "done", "refused", "lost", "late"]
 customers = st.sampled_from([CUSTOMER, OTHER])
 indexes = st.integers(0, 2)
@@ -241,6 +243,39 @@
     assert over == at_once
 
 
+@pytest.mark.parametrize("delegates", [False, True])
+def test_a_stamp_ends_the_growth_of_caps_that_it_does_not_renew(delegates):
+    """Guards against an overspend by a customer without requests during an outage.
+
+    Its cap grows in the outage.  The first write after the outage has no renewal of it,
+    as it spent nothing, but a new stamp, from which a successor counts the growth.
+    """
+    world = AllowanceWorld(instances=1)
+    [instance] = world.instances
+    world.top_up(OTHER, 90_000)
+    for _ in range(2):
+        world.read_ledger(instance)
+        world.write_ledger(instance, "done")
+    account = instance.allowances.account(OTHER)
+    cap = account.cap_headroom
+    world.now += GROWTH_DELAY_SECONDS + 20.0
+    world.grow(instance)
+    assert account.cap_headroom > cap
+    world.read_ledger(instance)
+    if delegates:
+        world.delegate(instance, "done")
+    else:
+        world.write_ledger(instance, "done")
+    assert account.slice.pending is None
+    while world.reserve(instance, OTHER, 1):
+        pass
+    world.restart(instance, power_lost=False)
+    world.read_ledger(instance)
+    world.write_ledger(instance, "done")
+    charged = world.shard.ledger_by_customer[OTHER].spent
+    assert world.spent[OTHER] <= charged
+
+
 def test_a_kill_in_an_outage_costs_the_cap_though_the_ledger_is_read_late():
     """Guards against budgets that are charged completely after a kill in an outage.
 
