Entries are certain after a freeze once they were heard of

Cause: after a freeze nothing was certain for CATCH_UP_SECONDS, and everything after that, whether or not the process had heard of the entries meanwhile.

The second now has to be heard: the entries have to be known to be complete a second after the end of the freeze, outside of an outage. That is what the check after a refused connection asks for already, and both use it.

The test beside it asked that entries are certain a second after the freeze although nothing was heard of them, which is the fault itself. Its replacement asks for as much and more: not certain before the second is over, not certain a minute later without a confirmation, certain with a confirmation after the second. It failed before as well.

--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -41,7 +41,7 @@
 """
 
 CATCH_UP_SECONDS = 1.0
-"""Time after a freeze in which this process reads the changes that it missed."""
+"""How long after a freeze entries have to be heard of before they are certain."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -126,7 +126,7 @@
         self._grace_until = 0.0
         self._confirmed_at = float("-inf")
         self._possible_restart_at: dict[str, float] = {}
-        self._catching_up_until = 0.0
+        self._frozen_until: float | None = None
 
     @property
     def upstream_by_name(self) -> dict[str, Upstream]:
@@ -209,7 +209,7 @@
 
     def record_freeze(self, now: float) -> None:
         """Record that this process stood still, so that all entries may be late."""
-        self._catching_up_until = now + CATCH_UP_SECONDS
+        self._frozen_until = now
 
     def version_is_certain(self, name: str, now: float) -> bool:
         """Return whether the upstream surely runs the version that its entry states.
@@ -217,17 +217,30 @@
         After a possible restart its entry may be late, and for as long as nothing is
         heard of the entries or the platform is unreachable.
         """
-        if now < self._catching_up_until:
+        if self._is_catching_up(now):
             return False
         restart_at = self._possible_restart_at.get(name)
         if restart_at is None:
             return True
-        heard_until = min(now, self._confirmed_at)
-        if heard_until - restart_at < ENTRY_LAG_SECONDS or now < self._outage_until:
+        if not self._was_heard_after(restart_at, ENTRY_LAG_SECONDS, now):
             return False
         del self._possible_restart_at[name]
         return True
 
+    def _is_catching_up(self, now: float) -> bool:
+        """Return whether changes that were missed in a freeze may be unread."""
+        if self._frozen_until is None:
+            return False
+        if not self._was_heard_after(self._frozen_until, CATCH_UP_SECONDS, now):
+            return True
+        self._frozen_until = None
+        return False
+
+    def _was_heard_after(self, moment: float, seconds: float, now: float) -> bool:
+        """Return whether entries were complete `seconds` after a moment or later."""
+        heard_until = min(now, self._confirmed_at)
+        return heard_until - moment >= seconds and now >= self._outage_until
+
     def names_in_zones(self, zones: frozenset[str]) -> list[str]:
         """Return the names of the upstreams in these availability zones."""
         by_name = self.upstream_by_name
--- a/tests/ingress/test_directory.py
+++ b/tests/ingress/test_directory.py
@@ -210,8 +210,12 @@
         """Guards against restarts that a frozen process has not read of yet."""
         directory = directory_with("u1")
         directory.record_freeze(20.0)
-        assert not directory.version_is_certain("u1", 20.0 + CATCH_UP_SECONDS / 2)
-        assert directory.version_is_certain("u1", 20.0 + CATCH_UP_SECONDS)
+        known_at = 20.0 + CATCH_UP_SECONDS
+        directory.record_confirmation(revision=5, now=known_at - 0.1)
+        assert not directory.version_is_certain("u1", known_at - 0.1)
+        assert not directory.version_is_certain("u1", known_at + 60.0)
+        directory.record_confirmation(revision=5, now=known_at)
+        assert directory.version_is_certain("u1", known_at)
 
     def test_no_entry_is_certain_after_a_freeze_before_entries_were_heard_of(self):
         """Guards against restarts in a freeze that ends while the platform is away."""
