A message that can't be handled costs that message only

A failure in handling one message ended the task that handles all messages of peers, and the process went on deaf; a failure while a peer's loan or relayed call was executed was seen by nobody. Each message is now handled on its own: message_failed names the peer, the kind and the error, and ragwortkeel_messages_failed_total counts them.

--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -41,8 +41,8 @@
 from ragwortkeel.ingress.relaying import execute_call
 from ragwortkeel.ingress.watching import FORWARDER_COUNT, WatcherOrder
 from ragwortkeel.ingress.writers import Writers
-from ragwortkeel.links import Endpoint, Link, LinkDown, LinkUp, Received
-from ragwortkeel.logs import log_debug, log_info, log_warning
+from ragwortkeel.links import Endpoint, Link, LinkDown, LinkEvent, LinkUp, Received
+from ragwortkeel.logs import log_debug, log_error, log_info, log_warning
 from ragwortkeel.messages import (
     BlockAnswer,
     BlockDecisions,
@@ -225,7 +225,11 @@
             if not self._is_relay:
                 await self._tasks.spawn(self._request_configurations, daemon=True)
             while True:
-                await self._handle_link_event(await self._inbox.get())
+                event = await self._inbox.get()
+                try:
+                    await self._handle_link_event(event)
+                except Exception as exc:
+                    self._record_failure(event.peer, event, exc)
 
     def add_addresses(self, addresses: tuple[str, ...]) -> None:
         """Link to the peers at these addresses as well."""
@@ -581,18 +585,32 @@
         """Handle messages that peers send over their own links, and reply to them."""
         while True:
             received = await self._endpoint.receive()
-            await self._record_sender_revision(received.envelope)
-            message = received.envelope.message
-            if isinstance(message, HandedRenewals):
-                self.writers.record_identity(message.holder, received.peer)
-            if isinstance(message, PlatformCall | LoanRequest):
-                # These wait for the platform; later messages must not wait for them.
-                call = self._handle_slow_message, received.peer, message
-                await self._tasks.spawn(*call, daemon=True)
-                continue
-            answer = await self._handle_message(message)
-            if answer is not None:
-                await self._send_answer(received.peer, answer)
+            try:
+                await self._receive_message(received)
+            except Exception as exc:
+                self._record_failure(received.peer, received, exc)
+
+    async def _receive_message(self, received: Received) -> None:
+        await self._record_sender_revision(received.envelope)
+        message = received.envelope.message
+        if isinstance(message, HandedRenewals):
+            self.writers.record_identity(message.holder, received.peer)
+        if isinstance(message, PlatformCall | LoanRequest):
+            # These wait for the platform; later messages must not wait for them.
+            call = self._handle_slow_message, received.peer, message
+            await self._tasks.spawn(*call, daemon=True)
+            return
+        answer = await self._handle_message(message)
+        if answer is not None:
+            await self._send_answer(received.peer, answer)
+
+    def _record_failure(self, peer: str, event: LinkEvent, error: Exception) -> None:
+        """Log and count a failure to handle what one peer sent; only that is lost."""
+        kind = type(event).__name__
+        if isinstance(event, Received):
+            kind = type(event.envelope.message).__name__
+        log_error("message_failed", peer=peer, message=kind, error=repr(error))
+        self._metrics.record_message_failure(message=kind)
 
     async def _handle_slow_message(
         self, peer: str, message: PlatformCall | LoanRequest
@@ -607,6 +625,9 @@
                 case LoanRequest() as request:
                     answer = await self._handler.lend(request)
             await self._send_answer(peer, answer)
+        except Exception as exc:
+            envelope = Envelope(sender=peer, revision=0, message=message)
+            self._record_failure(peer, Received(peer=peer, envelope=envelope), exc)
         finally:
             self.open_calls -= 1
 
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -75,6 +75,11 @@
             "Bytes on links to other processes, by direction and kind of message.",
             ("direction", "message"),
         )
+        self._messages_failed = self._counter(
+            "ragwortkeel_messages_failed_total",
+            "Messages of other processes that could not be handled, by kind.",
+            ("message",),
+        )
         self._platform_errors = self._counter(
             "ragwortkeel_platform_errors_total",
             "Calls to the platform that failed, by error.",
@@ -292,6 +297,10 @@
         """Count a link that was lost because its peer, of that role, was silent."""
         self._links_lost.labels(peer).inc()
 
+    def record_message_failure(self, *, message: str) -> None:
+        """Count a message of that kind that could not be handled."""
+        self._messages_failed.labels(message).inc()
+
     def record_link_traffic(self, report: TrafficReport) -> None:
         """Add the bytes of a report on links."""
         for kind, size in report.sent_bytes_by_kind.items():
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -37,6 +37,10 @@
                 lambda m: m.record_link_lost(peer="sidecar"),
                 'ragwortkeel_links_lost_total{peer="sidecar"} 1.0',
             ),
+            (
+                lambda m: m.record_message_failure(message="TokenLoan"),
+                'ragwortkeel_messages_failed_total{message="TokenLoan"} 1.0',
+            ),
             (
                 lambda m: m.record_platform_failure(error="unavailable"),
                 'ragwortkeel_platform_errors_total{error="unavailable"} 1.0',
