An entry without all its fields names no upstream

After a kill of all processes no request was served beside incomplete entries: missing fields had defaults, so an entry of another writer with the address of a server counted as one that started later, and displaced it with each of its heartbeats.

The users' page says what an entry has; one that lacks any of it, has slots under 1 or over 100,000, a port outside of 1 to 65535, a host that is no IP address, an impossible start or over 64 KB is not used. A port outside of the range was an OverflowError at the connect, and 500 for callers; with a huge number of slots one entry got all requests.

--- a/tests/site/test_site_objects.py
+++ b/tests/site/test_site_objects.py
@@ -249,6 +249,29 @@
             SERVER | {"slots": "many"},
             SERVER | {"coldRemainingMs": "long"},
             {"service": "huvo11a"},
+            *(
+                {key: value for key, value in SERVER.items() if key != name}
+                for name in SERVER
+                if name not in ("born", "newField")
+            ),
+            *({**SERVER, name: {}} for name in SERVER if name != "newField"),
+            *(
+                SERVER | {"address": address}
+                for address in (
+                    "10.0.0.1:0",
+                    "10.0.0.1:65536",
+                    "10.0.0.1:-1",
+                    "10.0.0.1:99999999999999999999",
+                    "10.0.0.1:\u0663",
+                    "10.0.0.1: 80",
+                    ":8080",
+                    "10.0.0:8080",
+                    "no host:8080",
+                )
+            ),
+            *(SERVER | {"slots": slots} for slots in (0, -1, 2**40, 1.5, True)),
+            *(SERVER | {"born": born} for born in (-1, 2**62, "now", None)),
+            SERVER | {"newField": "x" * 70_000},
         ],
     )
     def test_invalid_server_becomes_null_and_the_others_are_decoded(self, spec):
