Grants of processes that are gone for good are closed by any process

A grant now bounds what its holder can spend without a renewal: its cap grows for GROWTH_SECONDS at most, which the grant states. So any process may close it by a conditional write that charges this bound. The store orders the close and the renewals; no clock decides whether it is safe, and a live holder that spends on stays within what was charged. It finds its grants closed, goes on as a new start, and settlements of its earlier reservations change nothing. The process that writes closes holders whose stamp did not change for 15 s of its own time; after an outage the time starts anew. Grants of earlier software state no bound and are left to their successors.

GoneHoldersMachine closes grants of live, suspended and lost processes at any moment, beside all faults of the machine for allowances; the tokens committed under a closed grant must stay within its charge, and no grant of an ended process may be left 19 s after. It finds the fault if caps grow on and if a stamp leaves growth as it was.

--- a/src/ragwortkeel/budget/account.py
+++ b/src/ragwortkeel/budget/account.py
@@ -195,6 +195,15 @@
             spent_of_slice = max(0, spent - reservation.borrowed)
             self.slice.settle(reservation.slice_reservation, spent=spent_of_slice)
 
+    def begin_again(self, holder: str) -> None:
+        """Hold nothing of the slice any more, under a new incarnation of the process.
+
+        Another process has closed the grant and charged for whatever was spent or is
+        reserved of it.  Loans were charged to their lenders and stay.
+        """
+        self.slice = Slice(profile=self._customer, router=holder)
+        self._recalled = 0
+
     def charge_open(self) -> None:
         """Charge open requests their reservations and refuse further reservations.
 
--- a/src/ragwortkeel/budget/allowance.py
+++ b/src/ragwortkeel/budget/allowance.py
@@ -8,8 +8,9 @@
 demand, and the successor charges what it can have grown to.  Both count on the safe
 side: the process from its last *attempt* to write and by its slowest clock, the
 successor up to its own start and by its fastest clock.  So a process that is suspended,
-disconnected or killed can't cause an overspend, and only its own successor closes its
-grants.
+disconnected or killed can't cause an overspend.  The growth has an end, so that other
+processes can close the grants of one that has no successor, see
+`budget.gone_holders`.
 
 A loan moves tokens between processes while the platform is unreachable.  The lender
 charges the loan as spent before it sends it, so a lost loan is stranded and never spent
@@ -90,6 +91,8 @@
 
     def __init__(self, *, holder: str, started: Reading) -> None:
         self.holder = holder
+        self._first_holder = holder
+        self._restarts = 0
         self._started = started
         self._account_by_customer: dict[str, Account] = {}
         self._nonces = count(1)
@@ -275,6 +278,27 @@
         """Return the earlier starts of this process that hold grants or a stamp."""
         return find_predecessors(shard, holder=self.holder, started=self._started)
 
+    def lost_grants(self, shard: Shard) -> bool:
+        """Return whether other processes have closed grants of this process."""
+        return any(
+            account.slice.in_ledger
+            and name in shard.ledger_by_customer
+            and self.holder not in shard.ledger_by_customer[name].grants
+            for name, account in self._account_by_customer.items()
+        )
+
+    def begin_again(self, reading: Reading) -> None:
+        """Go on as a new start of this process, which holds no tokens but loans.
+
+        Renewals of the earlier one that are still in transit can't be taken for those
+        of this one, and any grant that they make is charged as a predecessor's.
+        """
+        self._restarts += 1
+        self.holder = f"{self._first_holder}.{self._restarts}"
+        self._started = reading
+        for account in self._account_by_customer.values():
+            account.begin_again(self.holder)
+
     def _restart_growth(self) -> None:
         """Restart the growth of all caps, as the next stamp does in the ledgers.
 
--- a/src/ragwortkeel/budget/exposure.py
+++ b/src/ragwortkeel/budget/exposure.py
@@ -13,8 +13,17 @@
 only the headroom of the cap.
 """
 
+GROWTH_SECONDS = 4.5
+"""Seconds for which a cap grows at most.
 
-def unreported_limit(*, cap: int, growth: int, seconds: float) -> int:
+That covers an outage of 10 s, longer than an ordinary one.  Whoever
+closes the grant of a process that is gone charges all the growth.
+"""
+
+
+def unreported_limit(
+    *, cap: int, growth: int, seconds: float, growth_seconds: float | None
+) -> int:
     """Return the most tokens that can be spent or reserved without a report.
 
     Parameters
@@ -23,12 +32,20 @@
         As the last write recorded them: tokens, and tokens a second.
     seconds : float
         Seconds since the last write.
+    growth_seconds : float or None
+        Seconds for which the cap grows at most, as the last write recorded them; None
+        if it grows without end.
 
     Examples
     --------
-    >>> unreported_limit(cap=100, growth=10, seconds=5.0)
+    >>> unreported_limit(cap=100, growth=10, seconds=5.0, growth_seconds=3.0)
     100
-    >>> unreported_limit(cap=100, growth=10, seconds=7.5)
+    >>> unreported_limit(cap=100, growth=10, seconds=7.5, growth_seconds=3.0)
     120
+    >>> unreported_limit(cap=100, growth=10, seconds=60.0, growth_seconds=3.0)
+    130
     """
-    return cap + int(growth * max(0.0, seconds - GROWTH_DELAY_SECONDS))
+    growing_seconds = max(0.0, seconds - GROWTH_DELAY_SECONDS)
+    if growth_seconds is not None:
+        growing_seconds = min(growing_seconds, growth_seconds)
+    return cap + int(growth * growing_seconds)
--- a/src/ragwortkeel/budget/grant.py
+++ b/src/ragwortkeel/budget/grant.py
@@ -35,6 +35,9 @@
     growth : int
         Tokens by which the cap grows each second after this renewal; only for routers
         whose sealer can bound the age of the renewal.
+    growth_seconds : float or None
+        Seconds for which the cap grows at most; None if without end, as with earlier
+        software.
     demand : int
         Recent demand in tokens a minute, by which other routers size their slices.
     first : bool
@@ -50,6 +53,7 @@
     give_to: str = ""
     cap: int = 0
     growth: int = 0
+    growth_seconds: float | None = None
     demand: int = 0
     first: bool = False
 
@@ -76,6 +80,7 @@
     granted: int = 0
     cap: int = 0
     growth: int = 0
+    growth_seconds: float | None = None
     settled: dict[str, int] = {}
     folded: int = 0
     demand: int = 0
@@ -114,6 +119,7 @@
             granted=self.granted - renewal.give_back,
             cap=renewal.cap,
             growth=renewal.growth,
+            growth_seconds=renewal.growth_seconds,
             settled=settled,
             folded=folded,
             demand=renewal.demand,
--- a/src/ragwortkeel/budget/predecessors.py
+++ b/src/ragwortkeel/budget/predecessors.py
@@ -18,7 +18,8 @@
 from ragwortkeel.budget.shards import Shard
 
 LONGEST_AGE_SECONDS = 3600.0
-"""Age of the last write from which on the full grant is charged.
+"""Age of the last write from which on the full grant is charged, if its cap grows
+without end.
 
 By then the cap has grown to the grant, and no clock has to be trusted for longer.
 """
@@ -65,16 +66,27 @@
         holders |= ledger.grants.keys()
     starts = sorted(name for name in holders if is_predecessor(name, successor=holder))
     return [
-        Predecessor(
-            holder=name,
+        stopped_holder(
+            shard,
+            name,
             age_seconds=_age_seconds(shard.stamp_by_holder.get(name), started),
-            granted=_sum_tokens(shard, name, lambda grant: grant.granted),
-            reported=_sum_tokens(shard, name, lambda grant: grant.used),
         )
         for name in starts
     ]
 
 
+def stopped_holder(
+    shard: Shard, holder: str, *, age_seconds: float = float("inf")
+) -> Predecessor:
+    """Return a holder to close, by default one whose last write has no known age."""
+    return Predecessor(
+        holder=holder,
+        age_seconds=age_seconds,
+        granted=_sum_tokens(shard, holder, lambda grant: grant.granted),
+        reported=_sum_tokens(shard, holder, lambda grant: grant.used),
+    )
+
+
 def close_predecessors(shard: Shard, stopped: Iterable[Predecessor]) -> Shard:
     """Return the shard with the grants of these starts charged and closed."""
     for predecessor in stopped:
@@ -112,8 +124,13 @@
     if grant is None:
         return ledger
     cap = grant.granted
-    if age < LONGEST_AGE_SECONDS:
-        limit = unreported_limit(cap=grant.cap, growth=grant.growth, seconds=age)
+    if age < LONGEST_AGE_SECONDS or grant.growth_seconds is not None:
+        limit = unreported_limit(
+            cap=grant.cap,
+            growth=grant.growth,
+            seconds=age,
+            growth_seconds=grant.growth_seconds,
+        )
         cap = min(cap, limit + ROUNDING_TOKENS)
     grants = ledger.grants | {holder: msgspec.structs.replace(grant, cap=cap)}
     ledger = msgspec.structs.replace(ledger, grants=grants)
--- a/src/ragwortkeel/budget/slice.py
+++ b/src/ragwortkeel/budget/slice.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ragwortkeel.budget.exposure import unreported_limit
+from ragwortkeel.budget.exposure import GROWTH_SECONDS, unreported_limit
 from ragwortkeel.budget.grant import MAX_SIDECARS, Grant, Renewal
 from ragwortkeel.exceptions import BudgetExhausted, ExposureFull, SidecarNotNamed
 
@@ -92,7 +92,10 @@
     def exposure_limit(self) -> int:
         """Unsettled tokens that are allowed through one sidecar now."""
         return unreported_limit(
-            cap=self.cap, growth=self.growth, seconds=self.unrenewed_seconds
+            cap=self.cap,
+            growth=self.growth,
+            seconds=self.unrenewed_seconds,
+            growth_seconds=GROWTH_SECONDS,
         )
 
     @property
@@ -148,13 +151,15 @@
         return reservation
 
     def settle(self, reservation: Reservation, *, spent: int) -> bool:
-        """Replace a reservation by the tokens spent; return False if already settled.
+        """Replace a reservation by the tokens spent; return False if it is not open.
 
         Call it only once the spend is certain: the sidecar reported it, or reported
         that the attempt never ran, or was deleted, which costs the full reservation.
         """
-        if self.open_by_id.pop(reservation.reservation_id, None) is None:
+        # A reservation of an earlier incarnation may have the same number.
+        if self.open_by_id.get(reservation.reservation_id) != reservation:
             return False
+        del self.open_by_id[reservation.reservation_id]
         sidecar = reservation.sidecar
         self._reserved_by_sidecar[sidecar] -= reservation.tokens
         self._spent_by_sidecar[sidecar] = self._spent_by_sidecar.get(sidecar, 0) + spent
@@ -212,6 +217,7 @@
             give_to=give_to,
             cap=cap,
             growth=growth,
+            growth_seconds=GROWTH_SECONDS,
             demand=demand,
             first=not self.in_ledger,
         )
--- a/src/ragwortkeel/budget/write_attempts.py
+++ b/src/ragwortkeel/budget/write_attempts.py
@@ -49,6 +49,11 @@
             readings.append(self._last_success)
         return max(readings, key=lambda reading: reading.boot, default=None)
 
+    @property
+    def last_success(self) -> Reading | None:
+        """Clocks at the latest attempt known to have taken effect; None without any."""
+        return self._last_success
+
     @property
     def any_open(self) -> bool:
         """Whether the outcome of any attempt is open."""
--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -20,6 +20,7 @@
 from ragwortkeel.budget.allowance import Allowances
 from ragwortkeel.budget.clocks import Reading
 from ragwortkeel.budget.exposure import GROWTH_DELAY_SECONDS
+from ragwortkeel.budget.gone_holders import HolderWatch, close_gone
 from ragwortkeel.budget.renewal_replies import (
     apply_all_delegated,
     customers_to_report,
@@ -123,6 +124,12 @@
 demand that was never spent are charged.
 """
 
+CLOSED_DOUBT_SECONDS = 5.0
+"""Time without a renewal after which refused renewals may mean closed grants.
+
+Other processes close them only after longer, see `budget.gone_holders`.
+"""
+
 _CONFLICTS = (VersionConflict, AlreadyExists, ObjectNotFound)
 
 
@@ -201,6 +208,8 @@
         self._wrote_newest = False
         self._closing = False
         self._attempts = WriteAttempts()
+        self._watch = HolderWatch()
+        self._doubts_grants = False
         self._start_boots: set[float] = set()
         self._start_shard: Shard | None = None
         self._delegated_by_holder: dict[str, HandedRenewals] = {}
@@ -318,6 +327,7 @@
                 self._withdraw_renewals()
                 # A `Start` that lacks another start of this process is void.
                 self._start_shard = None
+                self._doubts_grants = self._may_have_lost_grants()
             case WriteOutcome.UNREACHABLE:
                 self._attempts.record_failure(answer.boot)
                 self._withdraw_renewals()
@@ -433,6 +443,11 @@
         if not self._may_delegate():
             await curio.sleep(GRANT_RETRY_SECONDS)
             return WriteOutcome.UNKNOWN
+        if self._doubts_grants and not await self._read_ledgers():
+            return WriteOutcome.UNREACHABLE
+        if not self._may_delegate():
+            # The ledgers show that this process has to start again.
+            return WriteOutcome.UNKNOWN
         outcome = await self._delegate()
         if outcome is not WriteOutcome.UNKNOWN:
             self._fallback.reset()
@@ -455,8 +470,25 @@
             self._backoff_until = monotonic() + RETRY_SECONDS
             return False
         self._allowances.resolve(self._start_shard)
+        self._doubts_grants = False
+        self._begin_again_if_closed(self._start_shard)
         return True
 
+    def _may_have_lost_grants(self) -> bool:
+        """Return whether other processes may have closed grants of this one."""
+        last = self._attempts.last_success
+        return last is None or self._clocks().boot - last.boot > CLOSED_DOUBT_SECONDS
+
+    def _begin_again_if_closed(self, shard: Shard) -> None:
+        """Go on as a new start of this process if its grants have been closed."""
+        if not self._may_have_lost_grants() or not self._allowances.lost_grants(shard):
+            return
+        log_warning("grants_closed", holder=self._allowances.holder)
+        self._allowances.begin_again(self._clocks())
+        self._attempts = WriteAttempts()
+        self._start_boots = set()
+        self.predecessors_charged = False
+
     async def _delegate(self) -> WriteOutcome:
         """Delegate to the first writer; return the outcome, if it arrives in time."""
         reading = self._clocks()
@@ -620,6 +652,7 @@
         allowances = self._allowances
         shard = await self._ledgers.read(use_own_write=self._wrote_newest)
         allowances.resolve(shard)
+        self._begin_again_if_closed(shard)
         self._start_shard = None if self.predecessors_charged else shard
         if self._ledgers.writes_superseded:
             self._attempts.record_own_failures()
@@ -637,6 +670,9 @@
             renewed = allowances.charge_predecessors(renewed)
         renewed = allowances.renewed(renewed, reading)
         renewed, refused = apply_all_delegated(renewed, delegated_by_holder)
+        before_closes = renewed
+        gone = self._watch.gone(renewed, holder=allowances.holder, reading=reading)
+        renewed = close_gone(renewed, gone)
         self._attempts.record_attempt(reading, delegated=False)
         begun = monotonic()
         try:
@@ -651,6 +687,13 @@
         allowances.resolve(renewed)
         if charges:
             self._log_predecessors(uncharged)
+        for holder in gone:
+            log_info(
+                "gone_holder_closed",
+                holder=holder,
+                unspent_before=_unspent(before_closes),
+                unspent_after=_unspent(renewed),
+            )
         self.predecessors_charged = self.predecessors_charged or charges
         self._attempts.record_success(reading.boot)
         self._wrote_newest = True
--- a/tests/budget/allowance_world.py
+++ b/tests/budget/allowance_world.py
@@ -1,10 +1,12 @@
 """Processes, instances and the platform for random walks over ingress budgets."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from ragwortkeel.budget.allowance import Allowances
 from ragwortkeel.budget.clocks import Reading
 from ragwortkeel.budget.delegation import apply_delegated
+from ragwortkeel.budget.gone_holders import HolderWatch, close_gone
 from ragwortkeel.budget.shards import Shard
 from ragwortkeel.exceptions import LedgerError, RenewalVoid, RouterSealed
 from ragwortkeel.messages import HandedRenewals, RenewalsWritten, WriteOutcome
@@ -22,6 +24,15 @@
     shard: Shard
 
 
+@dataclass
+class Closing:
+    """Grants of one customer that a write closed, and what it charged for them."""
+
+    customer: str
+    holders: set[str]
+    charged: int
+
+
 @dataclass
 class Instance:
     """An instance, its clocks and the process that runs on it."""
@@ -42,6 +53,7 @@
     delegated_boots: set = field(default_factory=set)
     delegated_starts: set = field(default_factory=set)
     seen_shard: Shard | None = None
+    watch: HolderWatch = field(default_factory=HolderWatch)
 
     def discard_messages_until(self, boot):
         """Discard messages up to this boot time, which can't be written any more."""
@@ -71,6 +83,16 @@
         self.delegated_boots = set()
         self.delegated_starts = set()
         self.seen_shard = None
+        self.watch = HolderWatch()
+
+    def begin_again(self, now):
+        """Abandon the grants, which another process has closed."""
+        self.allowances.begin_again(self.reading(now))
+        self.merged = False
+        self.clock_waits_left = 2
+        self.attempted_at = None
+        self.delegated_boots = set()
+        self.delegated_starts = set()
 
     def crash(self):
         self.allowances = None
@@ -101,6 +123,8 @@
         self.prepaid = dict(PREPAID)
         self.highest_prepaid = dict(PREPAID)
         self.spent = dict.fromkeys(PREPAID, 0)
+        self.committed = Counter()
+        self.closings: list[Closing] = []
         self.instances = [Instance(name=f"m{i}") for i in range(instances)]
         self.ignores_growth = ignores_growth
         self.counts_from_success = counts_from_success
@@ -128,8 +152,15 @@
         account.waiting_tokens = 0
         instance.open_reservations.append(reservation)
         self.spent[customer] += tokens
+        self.commit(reservation, tokens - reservation.borrowed)
         return True
 
+    def commit(self, reservation, tokens):
+        """Count tokens of a slice; negative ones are not spent after all."""
+        if reservation.slice_reservation is not None:
+            holder = reservation.slice_reservation.router
+            self.committed[holder, reservation.customer] += tokens
+
     def settle(self, instance, share):
         reservation = instance.open_reservations.pop()
         spent = int(reservation.tokens * share)
@@ -137,6 +168,8 @@
             reservation, spent=spent
         )
         self.spent[reservation.customer] -= reservation.tokens - spent
+        reserved = reservation.tokens - reservation.borrowed
+        self.commit(reservation, max(0, spent - reservation.borrowed) - reserved)
 
     def lend(self, lender, asker, customer, *, arrives):
         need = asker.allowances.account(customer).slice_need(0.0)
@@ -145,6 +178,7 @@
         self.grow(lender)
         reading = lender.reading(self.now)
         tokens = lender.allowances.account(customer).lend(need, reading.monotonic)
+        self.committed[lender.allowances.holder, customer] += tokens
         if arrives:
             asker.allowances.account(customer).borrow(tokens)
 
@@ -159,6 +193,8 @@
         instance.read = (self.version, self.shard or Shard())
         instance.seen_shard = self.shard
         instance.allowances.resolve(instance.read[1])
+        if instance.allowances.lost_grants(instance.read[1]):
+            instance.begin_again(self.now)
         outran = (
             self.version > instance.attempted_version and not instance.delegated_boots
         )
@@ -185,7 +221,14 @@
         instance.clock_waits_left -= 1
         if merges:
             renewed = instance.allowances.charge_predecessors(renewed)
-        renewed = instance.allowances.renewed(renewed, reading)
+        try:
+            renewed = instance.allowances.renewed(renewed, reading)
+        except RouterSealed:
+            return
+        gone = instance.watch.gone(
+            renewed, holder=instance.allowances.holder, reading=reading
+        )
+        renewed = close_gone(renewed, gone)
         if fate == "refused":
             return
         if not self.counts_from_success:
@@ -271,11 +314,25 @@
         self.apply(Write(version=version, shard=instance.allowances.closed(shard)))
         instance.crash()
 
+    def close_grants(self, name):
+        """Let any process close the grants of an instance, which may be live."""
+        shard = self.shard or Shard()
+        holders = [each for each in shard.stamp_by_holder if _is_on(each, name)]
+        self.apply(Write(version=self.version, shard=close_gone(shard, holders)))
+
     def apply(self, write):
         if write.version != self.version:
             return False
         self.version += 1
-        self.shard = write.shard
+        before, self.shard = self.shard or Shard(), write.shard
+        for customer, ledger in before.ledger_by_customer.items():
+            after = write.shard.ledger_by_customer[customer]
+            closed = ledger.grants.keys() - after.grants.keys()
+            if closed:
+                charged = after.spent - ledger.spent
+                self.closings.append(
+                    Closing(customer=customer, holders=closed, charged=charged)
+                )
         return True
 
     # Instances, clocks and operators.
@@ -298,11 +355,47 @@
 
     # Invariants.
 
+    def dead_grants(self):
+        """Return the grants of processes that have ended, as (customer, holder)."""
+        live = {instance.allowances.holder for instance in self.live()}
+        return {
+            (customer, holder)
+            for customer, ledger in (self.shard or Shard()).ledger_by_customer.items()
+            for holder in ledger.grants.keys() - live
+        }
+
     def check(self):
         for customer, spent in self.spent.items():
             assert spent <= self.prepaid[customer], (customer, spent)
-        for ledger in (self.shard or Shard()).ledger_by_customer.values():
+        for customer, ledger in (self.shard or Shard()).ledger_by_customer.items():
             assert ledger.held <= ledger.prepaid
+            for holder, grant in ledger.grants.items():
+                assert self.committed[holder, customer] <= grant.granted + sum(
+                    closing.charged
+                    for closing in self.closings
+                    if closing.customer == customer and holder in closing.holders
+                )
+        for closing in self.closings:
+            if self._is_last_of(closing):
+                committed = sum(
+                    self.committed[holder, closing.customer]
+                    for holder in closing.holders
+                )
+                assert committed <= closing.charged, closing
+
+    def _is_last_of(self, closing):
+        """Return whether these grants were never closed before or opened since."""
+        grants = self.shard.ledger_by_customer[closing.customer].grants
+        others = [each for each in self.closings if each is not closing]
+        return closing.holders.isdisjoint(grants) and all(
+            each.customer != closing.customer
+            or closing.holders.isdisjoint(each.holders)
+            for each in others
+        )
+
+
+def _is_on(holder, name):
+    return holder.partition("/")[0] == name
 
 
 def _trusting(allowances, shard, reading):
