A stream goes on only where its upstream shows that it did not restart

What callers saw: streams with events of two software versions.

Cause: versions were read from entries only, which are late by a moment or by an outage, and a process that tried no connection to the engine while it was down saw no sign of the restart.

An entry is a hint now. Before a continued stream is sent, after the connect, the upstream has to show that it is the start that the entry describes: by a connection that is open since that start was known, or by its report, whose `born` has to be that of the entry. Where that fails the request is not sent and goes to another upstream of its version. The path of the report is a new setting, `upstream_report_path`; without it entries decide as before. An open connection also ends the doubt after a refused connection or a freeze.

Failed before, with a check that always says yes: four of the five tests of TestLateEntry (test_a_stream_goes_on_after_all_connections_were_reset guards against too strict a check and passes either way).

Not covered: the origin of a stream that begins at the later start.

--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -120,6 +120,9 @@
     ----------
     obstacle : callable
         Returns why nothing may be sent to the upstream any more, None if it may.
+    confirm_version : callable
+        Returns whether the upstream that the connection leads to surely has the
+        software version that the request needs.
     secure_replacement : callable
         Called with the connection to a silent upstream; returns whether all that a run
         at another one needs is held.  The silent one is left only then, since it may
@@ -157,6 +160,7 @@
         names: HeaderNames,
         connections: ConnectionPool,
         obstacle: Callable[[], NotRunReason | None],
+        confirm_version: Callable[[], Awaitable[bool]],
         secure_replacement: Callable[[UpstreamConnection], Awaitable[bool]],
         on_head: Callable[[ResponseHead, float], None],
         on_accepted: Callable[[], None],
@@ -172,6 +176,7 @@
         self._names = names
         self._connections = connections
         self._obstacle = obstacle
+        self._confirm_version = confirm_version
         self._secure_replacement = secure_replacement
         self._on_head = on_head
         self._on_accepted = on_accepted
@@ -208,7 +213,7 @@
             return NotRun(reason=NotRunReason.CONNECT_DELAYED, detail=str(exc))
         except ConnectFailed as exc:
             return NotRun(reason=NotRunReason.UNREACHABLE, detail=str(exc))
-        not_run = self._why_not_sent()
+        not_run = await self._why_not_sent(connection)
         if not_run is not None:
             await self._connections.release(upstream, connection)
             match not_run:
@@ -240,8 +245,18 @@
         if self._connection is not None:
             self._connection.cut_off()
 
-    def _why_not_sent(self) -> NotRunReason | CallerLeft | None:
+    async def _why_not_sent(
+        self, connection: UpstreamConnection
+    ) -> NotRunReason | CallerLeft | None:
         """Return what became known during the connect and forbids to send."""
+        is_confirmed: bool | None = None
+        try:
+            is_confirmed = await self._confirm_version()
+        finally:
+            if is_confirmed is None:
+                await connection.close()
+        if not is_confirmed:
+            return NotRunReason.MAY_HAVE_RESTARTED
         if self._caller_response.responder.peer_disconnected():
             return CallerLeft(self._call.request_id)
         obstacle = self._obstacle()
--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -127,6 +127,7 @@
         self._confirmed_at = float("-inf")
         self._possible_restart_at: dict[str, float] = {}
         self._frozen_until: float | None = None
+        self._heard_until = float("-inf")
 
     @property
     def upstream_by_name(self) -> dict[str, Upstream]:
@@ -238,8 +239,14 @@
 
     def _was_heard_after(self, moment: float, seconds: float, now: float) -> bool:
         """Return whether entries were complete `seconds` after a moment or later."""
-        heard_until = min(now, self._confirmed_at)
-        return heard_until - moment >= seconds and now >= self._outage_until
+        confirmed_at = min(now, self._confirmed_at)
+        return confirmed_at - moment >= seconds and now >= self._outage_until
+
+    def heard_until(self, now: float) -> float:
+        """Return when all entries were last known, outside of outages and freezes."""
+        if now >= self._outage_until and not self._is_catching_up(now):
+            self._heard_until = self._confirmed_at
+        return self._heard_until
 
     def names_in_zones(self, zones: frozenset[str]) -> list[str]:
         """Return the names of the upstreams in these availability zones."""
--- a/src/ragwortkeel/ingress/dispatch.py
+++ b/src/ragwortkeel/ingress/dispatch.py
@@ -92,6 +92,9 @@
         Counts the reservations of upstreams.
     peer_running : callable
         Returns the running requests of customers at the peers; the default is none.
+    has_not_restarted : callable
+        Returns whether an upstream is known not to have started again since its entry
+        was written, whatever happened meanwhile.
     """
 
     def __init__(
@@ -101,7 +104,9 @@
         placement: Placement,
         metrics: Metrics | None = None,
         peer_running: Callable[[], Mapping[str, int]] = lambda: NO_REQUESTS,
+        has_not_restarted: Callable[[Upstream], bool] = lambda upstream: False,
     ) -> None:
+        self._has_not_restarted = has_not_restarted
         self.queue = RequestQueue(peer_running=peer_running)
         self._directory = directory
         self._placement = placement
@@ -230,7 +235,8 @@
         current = self._directory.get(upstream.name)
         if current is not None and current.version != upstream.version:
             return False
-        return self._directory.version_is_certain(upstream.name, monotonic())
+        is_certain = self._directory.version_is_certain(upstream.name, monotonic())
+        return is_certain or (current is not None and self._has_not_restarted(current))
 
     def entries_fields(self) -> dict[str, object]:
         """Return what a log line says of the entries that an assignment is based on."""
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -563,6 +563,7 @@
             names=components.names,
             connections=components.connections,
             obstacle=lambda: self._obstacle(assignment),
+            confirm_version=partial(self._confirm_version, assignment),
             secure_replacement=partial(self._secure_replacement, assignment),
             connection=connection,
             on_head=receive_head,
@@ -621,6 +622,12 @@
             return NotRunReason.MAY_HAVE_RESTARTED
         return None
 
+    async def _confirm_version(self, assignment: Assignment) -> bool:
+        """Return whether an upstream may get the request, by its software version."""
+        if assignment.job.version is None:
+            return True
+        return await self._components.starts.may_continue_at(assignment.upstream)
+
     def _resumption_fields(self) -> dict[str, object]:
         """Return the log fields of a run that continues a stream; none for others."""
         last_id = self._caller_response.splitter.last_id
--- a/src/ragwortkeel/ingress/front_components.py
+++ b/src/ragwortkeel/ingress/front_components.py
@@ -13,6 +13,7 @@
 from ragwortkeel.ingress.placement import Placement
 from ragwortkeel.ingress.request_sweep import RequestSweep
 from ragwortkeel.ingress.speed_tracker import SpeedTracker
+from ragwortkeel.ingress.start_checks import StartChecks
 from ragwortkeel.ingress.upstream_connection import ConnectionPool
 from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.metrics import Metrics
@@ -43,6 +44,7 @@
     retries: RetryBudgets
     announcements: AnnouncementReader
     origins: OriginExchange
+    starts: StartChecks
     metrics: Metrics
     speeds: SpeedTracker | None = None
     event_delivery_seconds: float = 0.0
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -17,6 +17,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from time import monotonic
+from weakref import WeakSet
 
 import curio
 import h11
@@ -127,6 +128,11 @@
         Name of the header in which upstreams echo the request id.
     held : HeldBytes
         Counts and bounds the bytes held for upstreams that read slowly.
+
+    Attributes
+    ----------
+    opened_at : float
+        Monotonic second at which it was opened.
     """
 
     def __init__(
@@ -147,6 +153,8 @@
         self._request: h11.Request | None = None
         self._keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self._used_at = monotonic()
+        self._closed = False
+        self.opened_at = self._used_at
         self._framed = True
         self._chunked: ChunkedBody | None = None
         self._first_data = b""
@@ -216,13 +224,20 @@
 
     def is_quiet(self) -> bool:
         """Return whether neither data nor a close arrived on the idle connection."""
+        return self._peek() is None
+
+    def is_open(self) -> bool:
+        """Return whether neither side has closed the connection, whatever arrived."""
+        return not self._closed and self._peek() != b""
+
+    def _peek(self) -> bytes | None:
+        """Return the next byte that arrived, None if none did, empty after a close."""
         try:
-            self._sock._socket.recv(1, _socket.MSG_PEEK | _socket.MSG_DONTWAIT)
+            return self._sock._socket.recv(1, _socket.MSG_PEEK | _socket.MSG_DONTWAIT)
         except BlockingIOError:
-            return True
+            return None
         except OSError:
-            return False
-        return False
+            return b""
 
     async def send(self, outgoing: UpstreamRequest) -> None:
         """Send the request."""
@@ -318,6 +333,7 @@
 
     async def close(self) -> None:
         """Close at once, so that the upstream stops working on the request."""
+        self._closed = True
         await self._buffer.close()
         await self._sock.close()
 
@@ -387,6 +403,7 @@
         self._counter = counter
         self._held = held or HeldBytes()
         self._idle_by_upstream: dict[tuple[str, int], list[UpstreamConnection]] = {}
+        self._open_by_upstream: dict[tuple[str, int], WeakSet[UpstreamConnection]] = {}
 
     async def acquire(self, upstream: Upstream, *, fresh: bool) -> UpstreamConnection:
         """Return an idle connection or open one.
@@ -423,6 +440,14 @@
             return
         await connection.close()
 
+    def has_open(self, upstream: Upstream, *, opened_until: float) -> bool:
+        """Return whether a connection that was opened until then is still open."""
+        key = upstream.name, upstream.started_ms
+        return any(
+            connection.opened_at <= opened_until and connection.is_open()
+            for connection in self._open_by_upstream.get(key, ())
+        )
+
     async def refuses_connection(self, upstream: Upstream) -> bool:
         """Return whether the upstream refuses connections."""
         try:
@@ -438,7 +463,7 @@
         self, upstream: Upstream, *, connect_seconds: float = CONNECT_SECONDS
     ) -> UpstreamConnection:
         try:
-            return await UpstreamConnection.open(
+            connection = await UpstreamConnection.open(
                 upstream,
                 id_header=self._id_header,
                 held=self._held,
@@ -449,6 +474,9 @@
             if self._on_refused is not None:
                 await self._on_refused(upstream.name)
             raise
+        key = upstream.name, upstream.started_ms
+        self._open_by_upstream.setdefault(key, WeakSet()).add(connection)
+        return connection
 
     async def close_expired(self) -> None:
         """Close the connections that were idle for too long."""
@@ -459,6 +487,9 @@
                 await connection.close()
             if not idle:
                 self._idle_by_upstream.pop(key, None)
+        for key, connections in list(self._open_by_upstream.items()):
+            if not connections:
+                self._open_by_upstream.pop(key, None)
 
 
 def _response_head(event: h11.Response) -> ResponseHead:
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -52,6 +52,7 @@
 from ragwortkeel.ingress.rotation_controller import RotationController
 from ragwortkeel.ingress.routing import RoutingTable
 from ragwortkeel.ingress.speed_tracker import SpeedTracker
+from ragwortkeel.ingress.start_checks import StartChecks
 from ragwortkeel.ingress.status_report import StatusReport
 from ragwortkeel.ingress.upstream_connection import ConnectionPool
 from ragwortkeel.logs import log_info, log_warning
@@ -214,6 +215,7 @@
             placement=self._placement,
             metrics=self.metrics,
             peer_running=self._fairness.peer_running,
+            has_not_restarted=lambda upstream: self._starts.is_shown(upstream),
         )
         self._counted = CountedPlatform(platform=platform, metrics=self.metrics)
         self._peers = Peers(
@@ -290,6 +292,11 @@
             is_overloaded=lambda: bool(self._monitor and self._monitor.is_limiting),
             on_refused=self._record_refused_connection,
         )
+        self._starts = StartChecks(
+            connections=self._connections,
+            directory=self._directory,
+            report_path=settings.upstream_report_path,
+        )
         self._block_store = BlockStore(
             platform=self._platform,
             node=settings.name,
@@ -313,6 +320,7 @@
                 retries=self._retries,
                 announcements=self._announcements,
                 origins=self._origins,
+                starts=self._starts,
                 metrics=self.metrics,
                 speeds=self._speed_tracker,
                 event_delivery_seconds=settings.event_delivery_seconds,
@@ -752,6 +760,7 @@
             self._leaving_tracker.retain(upstreams)
             self._pause_tracker.retain(upstreams)
             self._announcements.retain(upstreams)
+            self._starts.retain(by_name)
             if self._speed_tracker is not None:
                 self._speed_tracker.retain(self._directory.upstream_by_name)
             await self._dispatcher.assign_queued()
--- a/src/ragwortkeel/settings.py
+++ b/src/ragwortkeel/settings.py
@@ -178,6 +178,10 @@
     first_start : bool
         Whether the whole fleet starts for the first time, so that no stream has begun
         before.
+    upstream_report_path : str
+        Path at which each upstream states when it started, as ``born`` in a JSON
+        object; empty if they don't.  A stream then goes on only at an upstream that is
+        known not to have started again since its entry was written.
     """
 
     name: Name
@@ -195,6 +199,7 @@
     fleet_fairness: bool = False
     measures_upstreams: bool = False
     first_start: bool = False
+    upstream_report_path: str = ""
     stop_deadline_seconds: StopSeconds = 60.0
     log_level: LogLevel = LogLevel.INFO
 
--- a/tests/ingress/in_process.py
+++ b/tests/ingress/in_process.py
@@ -40,6 +40,7 @@
 """Value of SO_LINGER with which a close resets the connection."""
 CALL_SECONDS = 0.6
 """Time limit of a platform call where each process has its own way to it."""
+REPORT_PATH = "/report"
 SETTLED_SECONDS = 1.5
 """Longer than the links need to come up and to exchange what each process knows."""
 ROUTES = (
@@ -112,6 +113,8 @@
     task: object = None
     open_socks: list = field(default_factory=list)
     serving: list = field(default_factory=list)
+    started_ms: int = 0
+    reports: int = 0
 
     async def start(self, port=0):
         self.sock = curio.network.tcp_server_socket("127.0.0.1", port)
@@ -146,6 +149,12 @@
             if task is not current:
                 await task.cancel(blocking=False)
 
+    async def start_again(self, started_ms):
+        """Close all connections and listen at the same port, as a later start."""
+        await self.stop()
+        self.started_ms = started_ms
+        await self.start(self.port)
+
     async def _serve(self, sock):
         try:
             while await self._serve_request(sock):
@@ -170,10 +179,20 @@
             headers=join_headers(head.headers),
             body=body,
         )
+        if seen.target == REPORT_PATH:
+            self.reports += 1
+            await sock.sendall(report(self.started_ms))
+            return True
         self.seen.append(seen)
         return await self.script(seen, sock)
 
 
+def report(started_ms):
+    """Return the bytes of an upstream's report, which states its start."""
+    body = msgspec.json.encode({"born": started_ms, "running": 0})
+    return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body)
+
+
 def plain(seen, body=b"ok", *, status="200 OK", echo=None, proof=True, extra=""):
     """Return the bytes of a complete answer that is no stream."""
     lines = [f"HTTP/1.1 {status}", f"content-length: {len(body)}"]
@@ -322,7 +341,8 @@
             await server.stop()
 
     async def register(self, server, **fields):
-        fields = {"slots": 6} | fields
+        fields = {"slots": 6, "started_ms": server.started_ms} | fields
+        server.started_ms = fields["started_ms"]
         entry = upstream(
             server.name, service=server.service, port=server.port, **fields
         )
--- a/tests/ingress/test_software_versions.py
+++ b/tests/ingress/test_software_versions.py
@@ -11,6 +11,7 @@
 from tests.ingress.in_process import (
     END,
     KEY,
+    REPORT_PATH,
     SETTLED_SECONDS,
     chunk,
     events,
@@ -515,6 +516,119 @@
         assert run_ingress(scenario, scripts=scripts) == set()
 
 
+class TestLateEntry:
+    """An upstream starts again under its name, and its entry stays as it was."""
+
+    OPTIONS = {"upstream_report_path": REPORT_PATH}
+
+    async def begin_streams(self, fleet, count):
+        """Begin streams at e1; return their callers."""
+        await set_versions(fleet, {"e2": "v1"}, state=UpstreamState.LEAVING)
+        await set_versions(fleet, {"e1": "v1"}, started_ms=1)
+        callers = [await begin_stream(fleet, f"b{number}") for number in range(count)]
+        await set_versions(fleet, {"e2": "v1"}, started_ms=1)
+        return callers
+
+    async def stop_reading(self, callers):
+        for caller in callers:
+            caller.close()
+
+    def test_a_stream_does_not_go_on_at_the_later_start(self):
+        """Guards against events of a version that the entry does not name yet."""
+
+        async def scenario(fleet):
+            await self.stop_reading(await self.begin_streams(fleet, 1))
+            await fleet.upstreams["e2"].start_again(2)
+            await set_versions(fleet, {"e1": "v1"}, state=UpstreamState.LEAVING)
+            answers = [await take_up(fleet, "b0") for _ in range(2)]
+            return answers, continued_at(fleet)
+
+        scripts = dict.fromkeys(("e1", "e2"), begin_and_wait)
+        answers, upstreams = run_ingress(scenario, scripts=scripts, **self.OPTIONS)
+        assert upstreams == set()
+        reasons = [(each.status, reason_of(each)) for each in answers]
+        assert reasons == [(503, "version_unavailable")] * 2
+
+    def test_a_stream_goes_on_within_its_response_at_an_upstream_of_its_version(self):
+        """Guards against a continuation at the later start, or at none."""
+        reset_now = curio.Event()
+
+        async def break_off_later(seen, sock):
+            await sock.sendall(stream_head(seen) + chunk(events(1, 2)))
+            await reset_now.wait()
+            await reset(sock)
+            return False
+
+        async def scenario(fleet):
+            [caller] = await self.begin_streams(fleet, 1)
+            await set_versions(fleet, {"e3": "v1"}, started_ms=1)
+            await fleet.upstreams["e2"].start_again(2)
+            await reset_now.set()
+            await curio.sleep(0.5)
+            caller.close()
+            return continued_at(fleet)
+
+        scripts = {"e1": break_off_later, "e2": stream_whole, "e3": stream_whole}
+        options = {"scripts": scripts, **self.OPTIONS}
+        assert run_ingress(scenario, **options) == {"e3"}
+
+    def test_streams_that_break_off_together_share_one_report(self):
+        """Guards against a call for each stream of an upstream that crashed."""
+        reset_now = curio.Event()
+
+        async def break_off_later(seen, sock):
+            await sock.sendall(stream_head(seen) + chunk(events(1, 2)))
+            await reset_now.wait()
+            await reset(sock)
+            return False
+
+        async def scenario(fleet):
+            callers = await self.begin_streams(fleet, 3)
+            reported = fleet.upstreams["e2"].reports
+            await reset_now.set()
+            await curio.sleep(0.5)
+            await self.stop_reading(callers)
+            resumed = len(fleet.seen()["e2"])
+            return resumed, fleet.upstreams["e2"].reports - reported
+
+        scripts = {"e1": break_off_later, "e2": stream_whole}
+        assert run_ingress(scenario, scripts=scripts, **self.OPTIONS) == (3, 1)
+
+    def test_a_stream_goes_on_after_all_connections_were_reset(self):
+        """Guards against streams that are refused after a reset of an instance."""
+
+        async def scenario(fleet):
+            await set_versions(fleet, {"e1": "v1", "e2": "v2"}, started_ms=1)
+            statuses = []
+            for number in range(4):
+                (await begin_stream(fleet, f"b{number}")).close()
+                for server in fleet.upstreams.values():
+                    for sock in server.open_socks:
+                        sock._socket.shutdown(socket.SHUT_RDWR)
+                statuses.append((await take_up(fleet, f"b{number}")).status)
+            return statuses
+
+        scripts = {"e1": stream_whole, "e2": stream_whole}
+        assert run_ingress(scenario, scripts=scripts, **self.OPTIONS) == [200] * 4
+
+    def test_a_stream_goes_on_at_an_upstream_that_is_said_to_have_been_down(self):
+        """Guards against a refusal of what an upstream can surely continue."""
+
+        async def scenario(fleet):
+            await self.stop_reading(await self.begin_streams(fleet, 1))
+            await set_versions(fleet, {"e1": "v1"}, state=UpstreamState.LEAVING)
+            first = await take_up(fleet, "b0")
+            fleet.workers[0]._dispatcher.record_possible_restart("e2")
+            return first.status, (await take_up(fleet, "b0")).status
+
+        async def go_on(seen, sock):
+            await sock.sendall(stream_head(seen) + chunk(events(3, 5)) + END)
+            return True
+
+        scripts = {"e1": begin_and_wait, "e2": go_on}
+        assert run_ingress(scenario, scripts=scripts, **self.OPTIONS) == (200, 200)
+
+
 def is_free(address):
     """Return whether a process can bind the address."""
     host, port = address.split(":")
