A stream that begins at a later start has no certain origin

What callers saw: a stream that an engine began just after it had started again at another version, before its entry was written anew, went on at the version of the entry, within its response or when its caller took it up. The entry voided the origin only once it came, for streams of the 3 s before.

Cause: the origin of a stream was recorded by the entry of its upstream.

Before the first event of a resumable stream is forwarded, the upstream is checked as it is before a stream goes on there. If it is another start, the origin is recorded as not certain, here and at peers and relays. An upstream that shows nothing counts as unchanged, as before: a wrong entry is still found when the next one comes.

Failed before: test_a_stream_that_begins_at_the_later_start_is_not_taken_up at both processes, and test_a_stream_that_begins_at_the_later_start_ends_with_its_run.

--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -16,7 +16,7 @@
     CallerResponse,
     forwarded_fields,
 )
-from ragwortkeel.ingress.configuration import Customer, Route, Service
+from ragwortkeel.ingress.configuration import Customer, Route, Service, Upstream
 from ragwortkeel.ingress.crashes import BrokenRun
 from ragwortkeel.ingress.dispatch import NotAssigned
 from ragwortkeel.ingress.error_responses import (
@@ -53,6 +53,7 @@
 from ragwortkeel.ingress.prefixes import shared_block_ids
 from ragwortkeel.ingress.replacement import Lack, Replacement, Replacements
 from ragwortkeel.ingress.speed_tracker import AnswerTimer
+from ragwortkeel.ingress.start_checks import StartCheck
 from ragwortkeel.ingress.upstream_connection import ResponseHead, UpstreamConnection
 from ragwortkeel.ingress.usage import Usage
 from ragwortkeel.logs import log_info
@@ -713,12 +714,24 @@
         self._job = replace(self._job, version=upstream.version)
         if self._accepted.route.resumable:
             origin = None
-            if self._components.dispatcher.is_certain(upstream):
+            if await self._has_version_of_entry(upstream):
                 origin = Origin(service=upstream.service, version=upstream.version)
             await self._components.origins.record(
                 self._stream_key(), origin, upstream=upstream.name
             )
 
+    async def _has_version_of_entry(self, upstream: Upstream) -> bool:
+        """Return whether a stream that begins at an upstream is of its entry's version.
+
+        An upstream that does not tell its start counts as unchanged.
+        """
+        if not self._components.dispatcher.is_certain(upstream):
+            return False
+        start = await self._components.starts.check(upstream)
+        # Its entry may have been written anew meanwhile.
+        is_certain = self._components.dispatcher.is_certain(upstream)
+        return is_certain and start is not StartCheck.OTHER
+
     def _record_first_token(self, assignment: Assignment) -> None:
         if self._components.sweep is not None:
             self._components.sweep.sweep_if_due()
--- a/tests/ingress/test_software_versions.py
+++ b/tests/ingress/test_software_versions.py
@@ -572,6 +572,53 @@
         options = {"scripts": scripts, **self.OPTIONS}
         assert run_ingress(scenario, **options) == {"e3"}
 
+    async def begin_at_the_later_start(self, fleet):
+        """Begin a stream at e1, which started again; e2 is as its entry says."""
+        await set_versions(fleet, {"e2": "v1"}, state=UpstreamState.LEAVING)
+        await set_versions(fleet, {"e1": "v1"}, started_ms=1)
+        await fleet.upstreams["e1"].start_again(2)
+        caller = await begin_stream(fleet, "begun")
+        await set_versions(fleet, {"e2": "v1"}, started_ms=1)
+        return caller
+
+    @pytest.mark.parametrize("process", [0, 1])
+    def test_a_stream_that_begins_at_the_later_start_is_not_taken_up(self, process):
+        """Guards against an origin that was read from the entry of the last start."""
+
+        async def scenario(fleet):
+            await curio.sleep(SETTLED_SECONDS)
+            (await self.begin_at_the_later_start(fleet)).close()
+            await curio.sleep(0.1)
+            answer = await take_up(fleet, "begun", process=process)
+            return answer, continued_at(fleet)
+
+        scripts = dict.fromkeys(("e1", "e2"), begin_and_wait)
+        options = {"scripts": scripts, "processes": 2, **self.OPTIONS}
+        answer, upstreams = run_ingress(scenario, **options)
+        assert upstreams == set()
+        assert (answer.status, reason_of(answer)) == (503, "version_unknown")
+
+    def test_a_stream_that_begins_at_the_later_start_ends_with_its_run(self):
+        """Guards against events of the earlier start after those of the later one."""
+        reset_now = curio.Event()
+
+        async def break_off_later(seen, sock):
+            await sock.sendall(stream_head(seen) + chunk(events(1, 2)))
+            await reset_now.wait()
+            await reset(sock)
+            return False
+
+        async def scenario(fleet):
+            caller = await self.begin_at_the_later_start(fleet)
+            await reset_now.set()
+            await curio.sleep(0.5)
+            caller.close()
+            return continued_at(fleet)
+
+        scripts = {"e1": break_off_later, "e2": stream_whole}
+        options = {"scripts": scripts, **self.OPTIONS}
+        assert run_ingress(scenario, **options) == set()
+
     def test_streams_that_break_off_together_share_one_report(self):
         """Guards against a call for each stream of an upstream that crashed."""
         reset_now = curio.Event()
