--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -16,7 +16,7 @@
     CallerResponse,
     forwarded_fields,
 )
-from ragwortkeel.ingress.configuration import Customer, Route, Service
+from ragwortkeel.ingress.configuration import Customer, Route, Service, Upstream
 from ragwortkeel.ingress.crashes import BrokenRun
 from ragwortkeel.ingress.dispatch import NotAssigned
 from ragwortkeel.ingress.error_responses import (
@@ -53,6 +53,11 @@
 from ragwortkeel.ingress.prefixes import shared_block_ids
 from ragwortkeel.ingress.replacement import Lack, Replacement, Replacements
 from ragwortkeel.ingress.speed_tracker import AnswerTimer
+from ragwortkeel.ingress.start_checks import (
+    REPORT_SECONDS,
+    SHORT_WAIT_SECONDS,
+    StartCheck,
+)
 from ragwortkeel.ingress.upstream_connection import ResponseHead, UpstreamConnection
 from ragwortkeel.ingress.usage import Usage
 from ragwortkeel.logs import log_info
@@ -558,6 +563,7 @@
             names=components.names,
             connections=components.connections,
             obstacle=lambda: self._obstacle(assignment),
+            confirm_version=partial(self._confirm_version, assignment),
             secure_replacement=partial(self._secure_replacement, assignment),
             connection=connection,
             on_head=receive_head,
@@ -626,6 +632,17 @@
             return NotRunReason.MAY_HAVE_RESTARTED
         return None
 
+    async def _confirm_version(self, assignment: Assignment) -> bool:
+        """Return whether an upstream may get the request, by its software version."""
+        if assignment.job.version is None:
+            return True
+        # A silent upstream is left before a report that is late would come.
+        is_held = self._silent_run is not None
+        seconds = SHORT_WAIT_SECONDS if is_held else REPORT_SECONDS
+        return await self._components.starts.may_continue_at(
+            assignment.upstream, seconds=seconds
+        )
+
     def _resumption_fields(self) -> dict[str, object]:
         """Return the log fields of a run that continues a stream; none for others."""
         last_id = self._caller_response.splitter.last_id
@@ -711,12 +728,24 @@
         self._job = replace(self._job, version=upstream.version)
         if self._accepted.route.resumable:
             origin = None
-            if self._components.dispatcher.is_certain(upstream):
+            if await self._has_version_of_entry(upstream):
                 origin = Origin(service=upstream.service, version=upstream.version)
             await self._components.origins.record(
                 self._stream_key(), origin, upstream=upstream.name
             )
 
+    async def _has_version_of_entry(self, upstream: Upstream) -> bool:
+        """Return whether a stream that begins at an upstream is of its entry's version.
+
+        An upstream that does not tell its start counts as unchanged.
+        """
+        if not self._components.dispatcher.is_certain(upstream):
+            return False
+        start = await self._components.starts.check(upstream)
+        # Its entry may have been written anew meanwhile.
+        is_certain = self._components.dispatcher.is_certain(upstream)
+        return is_certain and start is not StartCheck.OTHER
+
     def _record_first_token(self, assignment: Assignment) -> None:
         if self._components.sweep is not None:
             self._components.sweep.sweep_if_due()
