--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,6 +28,7 @@
     share: float = 1.0,
     cuts: bool = True,
     pauses: bool = True,
+    stops: bool = True,
     directory: str = "",
 ) -> None:
     """Play seeds one after the other.
@@ -41,12 +42,15 @@
     processes
         Ingress processes of a run.
     share
-        Share of the faults that are played, other than those of `cuts` and `pauses`.
+        Share of the faults that are played, other than those of the switches below.
     cuts
         Whether all processes are cut off at times and upstreams leave often.
     pauses
         Whether sound upstreams are silent for a moment at times, and work is planned
         beside it: the limit of idle connections changes, processes stop and reload.
+    stops
+        Whether processes stop while callers do what makes that difficult, relays stop,
+        and all processes are killed at once at times.
     directory
         Receives a folder with the logs of each seed; a temporary one if empty.
     """
@@ -64,6 +68,7 @@
             share=share,
             cuts=cuts,
             pauses=pauses,
+            stops=stops,
         )
         if found:
             broken.append(number)
@@ -80,6 +85,7 @@
     share: float = 1.0,
     cuts: bool = True,
     pauses: bool = True,
+    stops: bool = True,
 ) -> list:
     """Play one seed, print its outcome and return the violations."""
     fleet = Fleet(directory)
@@ -92,6 +98,7 @@
             share=share,
             cuts=cuts,
             pauses=pauses,
+            stops=stops,
         )
         with curio.Kernel(taskcls=ContextTask) as kernel:
             history = kernel.run(run.run)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,10 +12,11 @@
 from ragwortkeel.exceptions import ConnectFailed, ExchangeBroken
 from ragwortkeel.http_client import HttpClient
 from ragwortkeel.ingress.names import HeaderNames
-from soak.history import Answer, History, Kind, Request
+from soak.history import STREAM_KINDS, Answer, History, Kind, Request
 from soak.idle_limits import IdleLimits
 from soak.upstreams import (
     COMMON_BLOCK,
+    LONG_EVENTS,
     PROOF,
     STREAM_EVENTS,
     draft_events,
@@ -26,13 +27,17 @@
 HOST = "127.0.0.1"
 NAMES = HeaderNames()
 DEADLINE_SECONDS = 4.0
+LONG_DEADLINE_SECONDS = 20.0
 MARGIN_SECONDS = 1.0
 PAUSE_SECONDS = 0.15
 MEAN_REQUESTS_PER_PROCESS = 25
 PROMPT_TOKENS = 400
 ANSWER_TOKENS = 100
+LONG_ANSWER_TOKENS = 600
 REVOKED_KEY_SHARE = 0.1
 MAX_TAKE_UPS = 3
+TAKE_UP_SECONDS = 8.0
+"""How long patient callers look for a process to take up a stream at."""
 LEFT_DRAFT_SHARE = 0.15
 """Share of requests for drafts whose caller loses its connection between events."""
 APP_HOST = "app.example"
@@ -97,6 +102,8 @@
         Customer of all requests; empty for all customers.
     idles : bool
         Whether connections are left idle for nearly as long as the limit at times.
+    patient : bool
+        Whether broken streams are taken up also once no process has been there.
     """
 
     def __init__(
@@ -111,11 +118,13 @@
         kind: Kind | None = None,
         customer: str = "",
         idles: bool = True,
+        patient: bool = False,
     ) -> None:
         self._number = number
         # Apart, so that callers that do not idle draw what they drew before.
         self._idle_random = Random(f"idle caller {number} {seed}")
         self._idles = idles
+        self._patient = patient
         self._random = Random(f"caller {number} {seed}")
         self._targets = targets
         self._mean_requests = mean_requests
@@ -144,7 +153,7 @@
                 if idle_since is not None and self._is_idle_too_long(idle_since):
                     await client.close()
                     idle_since = None
-                answer = await self._ask(client, target, route, idle_since=idle_since)
+                answer = await self.ask(client, target, route, idle_since=idle_since)
                 idle_since = monotonic()
                 if route.kind is Kind.DRAFT:
                     await self._take_up(answer, route)
@@ -174,17 +183,21 @@
     async def _take_up(self, answer: Answer, route: Route) -> None:
         """Take a broken stream up, at another process each time."""
         first_id, last_id = "", 0
-        for _ in range(MAX_TAKE_UPS):
+        tries = 0
+        gives_up_at = monotonic() + (TAKE_UP_SECONDS if self._patient else 0.0)
+        while tries < MAX_TAKE_UPS:
             if answer.draft:
                 first_id = first_id or answer.request.request_id
                 last_id, _ = answer.draft[-1]
-            targets = self._targets()
-            if last_id in (0, STREAM_EVENTS) or not targets:
+            if last_id in (0, STREAM_EVENTS):
+                return
+            targets = await self._await_targets(gives_up_at)
+            if not targets:
                 return
             target = self._random.choice(targets)
             client = HttpClient(host=HOST, port=target.port)
             try:
-                answer = await self._ask(
+                answer = await self.ask(
                     client,
                     target,
                     route,
@@ -195,8 +208,18 @@
                 )
             finally:
                 await client.close()
+            if self._patient and not answer.draft:
+                await curio.sleep(PAUSE_SECONDS)
+            if answer.connected or monotonic() >= gives_up_at:
+                tries += 1
+
+    async def _await_targets(self, until: float) -> list[Target]:
+        """Return the processes that are there, waiting for one until a time."""
+        while not (targets := self._targets()) and monotonic() < until:
+            await curio.sleep(PAUSE_SECONDS)
+        return targets
 
-    async def _ask(
+    async def ask(
         self,
         client: HttpClient,
         target: Target,
@@ -210,6 +233,8 @@
     ) -> Answer:
         """Send one request and record how it ended."""
         self._sent += 1
+        is_long = route.kind is Kind.LONG
+        deadline_seconds = LONG_DEADLINE_SECONDS if is_long else DEADLINE_SECONDS
         key, customer = key or self._draw_key()
         request = Request(
             request_id=f"c{self._number}-{self._sent}",
@@ -220,16 +245,18 @@
             key=key,
             customer=customer,
             sent_at=monotonic(),
+            time_limit_seconds=LONG_DEADLINE_SECONDS if is_long else None,
         )
         headers = {
             "host": APP_HOST,
             NAMES.request_id: request.request_id,
-            NAMES.deadline: str(int(DEADLINE_SECONDS * 1000)),
+            NAMES.deadline: str(int(deadline_seconds * 1000)),
             "authorization": f"Bearer {key}",
         }
-        is_stream = route.kind in (Kind.CHAT, Kind.DRAFT)
+        is_stream = route.kind in STREAM_KINDS
         if is_stream:
-            headers[NAMES.usage] = f"{PROMPT_TOKENS},{ANSWER_TOKENS}"
+            answer_tokens = LONG_ANSWER_TOKENS if is_long else ANSWER_TOKENS
+            headers[NAMES.usage] = f"{PROMPT_TOKENS},{answer_tokens}"
             headers[NAMES.parts] = f"{COMMON_BLOCK}:100,{request.request_id}:300"
         if after:
             headers |= {NAMES.last_event: str(after), NAMES.resumes: resumes}
@@ -241,7 +268,7 @@
         status, is_own, problem, connected = 0, True, {}, True
         try:
             async with (
-                curio.timeout_after(DEADLINE_SECONDS + MARGIN_SECONDS),
+                curio.timeout_after(deadline_seconds + MARGIN_SECONDS),
                 client.stream("POST", route.path, body=b"q", headers=headers) as rv,
             ):
                 async for chunk in rv.chunks():
@@ -303,4 +330,6 @@
     expected = own_body(request.request_id)
     if request.kind is Kind.CHAT:
         expected = stream_events(request.request_id)
+    if request.kind is Kind.LONG:
+        expected = stream_events(request.request_id, count=LONG_EVENTS)
     return headers.get(NAMES.proof) == PROOF and body == expected
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,21 +6,25 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from math import inf
 from signal import SIGTERM
 
-from soak.history import Answer, Change, History, Kind, Request
+from soak.bounds import (
+    CALM_SECONDS,
+    IN_FORCE_SECONDS,
+    MIN_TAKE_UPS,
+    Violation,
+    ready_engines,
+)
+from soak.history import STREAM_KINDS, Answer, Change, History, Kind, Request
+from soak.kill_checks import streams_go_on_after_a_kill
 
-CALM_SECONDS = 4.0
-IN_FORCE_SECONDS = 3.0
-"""Bound on a confirmed change of the configuration."""
+ENDED_BY_STOP = "process_stopped"
 DRAIN_SECONDS = 2.0
 """From the confirmation that an upstream leaves to the last arrival there."""
 
 IN_TOUCH_SECONDS = 3.0
 """Time without a disturbance after which a process is bound by `DRAIN_SECONDS`."""
-MIN_TAKE_UPS = 12
-"""Streams taken up in a run from which on their share is checked."""
 CRASHES_TO_KNOW = 5
 MAX_LATE_ARRIVALS = 3
 MIN_COMPARED = 20
@@ -36,19 +40,14 @@
 """Share of the time of a request after which its cut beside a change is no sign."""
 TIME_LIMIT_MARGIN_SECONDS = 0.05
 """A process counts a request's time from when its event loop last woke."""
+LAST_SHARE_OF_STOP = 1 / 6
+MAX_SENT_SECONDS = 3.0
+"""A planned stop may end a request that was sent up to so long after its begin, if its
+upstream is still at work in the last share of the stop."""
 LOSS_GRACE_SECONDS = 0.2
 """A request that crosses the end of an idle connection fails within this time."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class Violation:
-    """A promise that a run broke."""
-
-    promise: str
-    at: float
-    detail: str
-
-
 Check = Callable[[History], Iterator[Violation]]
 
 
@@ -130,15 +129,7 @@
 def _engines(history: History, version: str, answer: Answer) -> int:
     """Return how many engines of the version were ready before and during a request."""
     since = answer.request.sent_at - IN_FORCE_SECONDS
-    return len(
-        {
-            each.upstream
-            for each in history.serving
-            if each.version == version
-            and each.begins_at <= since
-            and each.ends_at >= answer.ended_at
-        }
-    )
+    return ready_engines(history, version, since, answer.ended_at)
 
 
 def crashing_blocks_are_refused(history: History) -> Iterator[Violation]:
@@ -221,7 +212,7 @@
     used: Counter[str] = Counter()
     for answer in history.answers:
         request = answer.request
-        is_stream = request.kind in (Kind.CHAT, Kind.DRAFT)
+        is_stream = request.kind in STREAM_KINDS
         if is_stream and request.request_id in ran:
             used[request.customer] += history.prompt_tokens
             used[request.customer] += answer.events * history.event_tokens
@@ -301,6 +292,42 @@
             yield _violation("planned stop", answer.ended_at, f"{answer}")
 
 
+def ends_of_stops_are_rare(history: History) -> Iterator[Violation]:
+    """Find requests that the end of a stop answered without a refusal or an answer.
+
+    Only those may be whose upstream would have gone on beyond the end of the stop.
+    """
+    for answer in history.answers:
+        ended = answer.status and answer.reason == ENDED_BY_STOP
+        if (
+            ended
+            and not _is_disturbed(history, answer)
+            and not _outlasts(history, answer)
+        ):
+            yield _violation("end of a stop", answer.ended_at, f"{answer}")
+
+
+def _outlasts(history: History, answer: Answer) -> bool:
+    """Return whether a stop may end a request whose upstream is still at work."""
+    request = answer.request
+    begun = [run.at for run in history.runs if run.request_id == request.request_id]
+    run_ended_at = history.run_ended_at_by_id.get(request.request_id, 0.0)
+    for stop in history.spans:
+        if stop.cause != "stop" or stop.process != request.process:
+            continue
+        if not stop.begins_at <= answer.ended_at <= stop.ends_at:
+            continue
+        last_share_at = (
+            stop.begins_at + (1 - LAST_SHARE_OF_STOP) * history.stop_deadline_seconds
+        )
+        in_time = request.sent_at <= stop.begins_at + MAX_SENT_SECONDS
+        has_begun = min(begun, default=inf) < last_share_at
+        at_work = has_begun and min(run_ended_at, answer.ended_at) >= last_share_at
+        if in_time and at_work:
+            return True
+    return False
+
+
 def answers_are_not_cut(history: History) -> Iterator[Violation]:
     """Find requests that were read and whose connection ended without an answer.
 
@@ -334,15 +361,17 @@
     """Return answers that ended early, neither by the caller nor by an upstream."""
     broken = {run.request_id for run in history.runs if run.broken_by_upstream}
     broken |= history.cut_requests
-    least_seconds = history.time_limit_seconds - TIME_LIMIT_MARGIN_SECONDS
     for answer in history.answers:
         if answer.status or not answer.connected or answer.left:
             continue
         request = answer.request
         used_seconds = answer.ended_at - request.sent_at
+        limit_seconds = request.time_limit_seconds or history.time_limit_seconds
+        least_seconds = limit_seconds - TIME_LIMIT_MARGIN_SECONDS
         if request.request_id in broken or used_seconds >= least_seconds:
             continue
-        yield answer
+        if not _outlasts(history, answer):
+            yield answer
 
 
 def _planned_work(history: History, answer: Answer) -> str:
@@ -505,6 +534,7 @@
     answers_are_own,
     streams_keep_their_version,
     streams_go_on,
+    streams_go_on_after_a_kill,
     crashing_blocks_are_refused,
     sound_streams_begin,
     rushes_are_served,
@@ -514,6 +544,7 @@
     valid_requests_are_not_denied,
     leaving_upstreams_get_nothing,
     planned_stops_cut_nothing,
+    ends_of_stops_are_rare,
     answers_are_not_cut,
     planned_stops_leave_nothing,
 )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from math import inf
 from random import Random
 
 VERSIONS = ("v1", "v2", "v3")
@@ -22,6 +23,12 @@
 MEAN_PAUSE_GAP_SECONDS = 3.0
 MEAN_IDLE_LIMIT_GAP_SECONDS = 6.0
 MEAN_PLANNED_WORK_GAP_SECONDS = 6.0
+MEAN_CROWDED_STOP_GAP_SECONDS = 7.0
+MEAN_KILL_OF_ALL_GAP_SECONDS = 12.0
+MEAN_RELAY_STOP_GAP_SECONDS = 8.0
+MIN_LATE_SECONDS = 2.4
+MAX_LATE_SECONDS = 3.6
+"""When a stopping process begins to refuse, and what a balancer is late at most."""
 IDLE_LIMITS_SECONDS = (1.0, 2.0, 4.0)
 MIN_PAUSE_SECONDS = 0.5
 MAX_PAUSE_SECONDS = 2.5
@@ -69,6 +76,62 @@
     process: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class UnusedConnection:
+    """A connection that is opened and used only later, or never.
+
+    Attributes
+    ----------
+    opened_at, used_at : float
+        Seconds after the SIGTERM; infinite if it is never used.
+    """
+
+    opened_at: float
+    used_at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class CrowdedStop:
+    """A process is stopped as planned while callers do what makes that difficult.
+
+    All times are seconds after the SIGTERM.
+
+    Attributes
+    ----------
+    waiting : tuple of float
+        When requests come for a service all of whose slots are taken; the first ones,
+        before the stop, take them.
+    late : tuple of float
+        When long streams are sent on kept connections.
+    unused : tuple of UnusedConnection
+        Connections whose first request is a long stream.
+    terms, reloads : tuple of float
+        When SIGTERM is sent again, and SIGHUP.
+    """
+
+    process: int
+    waiting: tuple[float, ...]
+    late: tuple[float, ...]
+    unused: tuple[UnusedConnection, ...]
+    terms: tuple[float, ...]
+    reloads: tuple[float, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class KillAll:
+    """All ingress processes are killed at once and start again; relays stay."""
+
+    down_seconds: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class StopRelay:
+    """A relay is stopped as planned and starts again."""
+
+    relay: int
+    down_seconds: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class Freeze:
     """A process stands still."""
@@ -223,6 +286,9 @@
 Action = (
     Kill
     | Stop
+    | CrowdedStop
+    | KillAll
+    | StopRelay
     | Freeze
     | Reload
     | DisturbWay
@@ -260,13 +326,14 @@
     share: float = 1.0,
     cuts: bool = True,
     pauses: bool = True,
+    stops: bool = True,
 ) -> list[Scheduled]:
     """Return the actions of a run.
 
     Parameters
     ----------
     share : float
-        Share of the actions that are played, other than those of `cuts` and `pauses`.
+        Share of the actions that are played, other than those of the switches below.
         With fewer of them processes are in touch for longer, and so bound by more.
     cuts : bool
         Whether all processes are cut off at times, relays stand still, and upstreams
@@ -274,6 +341,9 @@
     pauses : bool
         Whether sound upstreams are silent for a moment at times, and work is planned
         beside it: the limit of idle connections changes, processes stop and reload.
+    stops : bool
+        Whether processes stop while callers do what makes that difficult, relays stop,
+        and all processes are killed at once at times.
     """
     random = Random(f"soak {seed}")
     schedule = []
@@ -292,6 +362,10 @@
     if pauses:
         schedule += _draw_pauses(seed, seconds) + _draw_idle_limits(seed, seconds)
         schedule += _draw_planned_work(seed, seconds, processes)
+    if stops:
+        schedule += _draw_crowded_stops(seed, seconds, processes)
+        schedule += _draw_kills_of_all(seed, seconds)
+        schedule += _draw_relay_stops(seed, seconds)
     return sorted(schedule, key=lambda scheduled: scheduled.at)
 
 
@@ -435,6 +509,65 @@
     ]
 
 
+def _draw_crowded_stops(seed: int, seconds: float, processes: int) -> list[Scheduled]:
+    random = Random(f"crowded stops {seed}")
+    times = _draw_times(random, seconds, mean_gap=MEAN_CROWDED_STOP_GAP_SECONDS)
+    return [
+        Scheduled(at=at, action=_draw_crowded_stop(random, processes)) for at in times
+    ]
+
+
+def _draw_crowded_stop(random: Random, processes: int) -> CrowdedStop:
+    def draw(count: int, least: float, most: float) -> tuple[float, ...]:
+        return tuple(
+            sorted(round(random.uniform(least, most), 2) for _ in range(count))
+        )
+
+    unused = tuple(
+        UnusedConnection(
+            opened_at=round(random.uniform(-0.5, 2.3), 2),
+            used_at=random.choice(
+                (inf, round(random.uniform(MIN_LATE_SECONDS, MAX_LATE_SECONDS), 2))
+            ),
+        )
+        for _ in range(random.randrange(5))
+    )
+    return CrowdedStop(
+        process=random.randrange(processes),
+        waiting=draw(6, -0.5, -0.1) + draw(random.randrange(8), 0.0, 2.5),
+        late=draw(random.randrange(1, 7), MIN_LATE_SECONDS, MAX_LATE_SECONDS),
+        unused=unused,
+        terms=draw(random.randrange(2), 0.3, 3.0),
+        reloads=draw(random.randrange(4), -0.4, 3.0),
+    )
+
+
+def _draw_kills_of_all(seed: int, seconds: float) -> list[Scheduled]:
+    random = Random(f"kills of all {seed}")
+    times = _draw_times(random, seconds, mean_gap=MEAN_KILL_OF_ALL_GAP_SECONDS)
+    return [
+        Scheduled(
+            at=at, action=KillAll(down_seconds=round(random.uniform(0.0, 1.0), 2))
+        )
+        for at in times
+    ]
+
+
+def _draw_relay_stops(seed: int, seconds: float) -> list[Scheduled]:
+    random = Random(f"relay stops {seed}")
+    times = _draw_times(random, seconds, mean_gap=MEAN_RELAY_STOP_GAP_SECONDS)
+    return [
+        Scheduled(
+            at=at,
+            action=StopRelay(
+                relay=random.randrange(RELAY_COUNT),
+                down_seconds=round(random.uniform(0.0, 3.0), 2),
+            ),
+        )
+        for at in times
+    ]
+
+
 def _draw_times(random: Random, seconds: float, *, mean_gap: float) -> list[float]:
     times = []
     at = FIRST_FAULT_SECONDS + random.expovariate(1 / mean_gap)
--- a/soak/history.py
+++ b/soak/history.py
@@ -16,6 +16,11 @@
     CHAT = "chat"
     DRAFT = "draft"
     """A stream that callers take up if it breaks off."""
+    LONG = "long"
+    """A stream that lasts for most of a planned stop."""
+
+
+STREAM_KINDS = frozenset({Kind.CHAT, Kind.DRAFT, Kind.LONG})
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -30,6 +35,8 @@
         Number of that process's start, from 1 on.
     route, key : str
         Name of the route, and the API key.
+    time_limit_seconds : float or None
+        Its own time limit; None for that of the history.
     """
 
     request_id: str
@@ -40,6 +47,7 @@
     key: str
     customer: str
     sent_at: float
+    time_limit_seconds: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -184,6 +192,14 @@
     time_limit_seconds : float
         Time after which a request may end without an answer, by the callers' deadline
         or the timeout of the routes.
+    stop_deadline_seconds : float
+        Longest time of a planned stop.
+    run_ended_at_by_id : dict of str to float
+        When the runs of streams that aren't taken up ended, whole or broken off.
+    kills_of_all : list of Span
+        From the kill of all processes at once until all were started again.
+    relay_spans : list of Span
+        Times in which a relay stood still, was down or stopped.
     changed : set of str
         Routes and API keys of changes that were sent, confirmed or not.
     problems : list of str
@@ -207,6 +223,10 @@
     bad_until_by_block: dict[str, float] = field(default_factory=dict)
     reloads: list[Span] = field(default_factory=list)
     time_limit_seconds: float = inf
+    stop_deadline_seconds: float = inf
+    run_ended_at_by_id: dict[str, float] = field(default_factory=dict)
+    kills_of_all: list[Span] = field(default_factory=list)
+    relay_spans: list[Span] = field(default_factory=list)
     cut_requests: set[str] = field(default_factory=set)
     changed: set[str] = field(default_factory=set)
     problems: list[str] = field(default_factory=list)
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -29,6 +29,8 @@
 
 RETRY_SECONDS = 0.3
 ROUTE_SECONDS = 3.0
+LONG_ROUTE_SECONDS = 20.0
+"""Longer than a planned stop, so that only the stop itself ends a request in it."""
 MAX_ROUTES = 3_500
 """Routes whose configuration fits into one object of the platform."""
 USED_NEW_ROUTES = 3
@@ -39,6 +41,7 @@
     Kind.FILING: Repeats.ONCE,
     Kind.CHAT: Repeats.STREAM,
     Kind.DRAFT: Repeats.STREAM,
+    Kind.LONG: Repeats.STREAM,
 }
 BASE_ROUTES = (
     Route(name="lookup", path="/lookup/1", kind=Kind.LOOKUP),
@@ -46,6 +49,12 @@
     Route(name="chat", path="/chat/1", kind=Kind.CHAT),
     Route(name="draft", path="/draft/1", kind=Kind.DRAFT),
 )
+LONG_ROUTE = Route(name="long", path="/long/1", kind=Kind.LONG)
+SCARCE_ROUTE = Route(name="scarce", path="/scarce/1", kind=Kind.LONG)
+"""Its service has few slots, so that requests wait for them."""
+LONG_SLOTS = 64
+SCARCE_SLOTS = 4
+STOP_ROUTES = (LONG_ROUTE, SCARCE_ROUTE)
 SERVICES = (
     Service(name="app", max_connections=96),
     Service(
@@ -54,6 +63,14 @@
         engine=Engine(slots=16, memory_tokens=100_000, event_tokens=6),
     ),
 )
+STOP_SERVICES = tuple(
+    Service(
+        name=route.name,
+        max_connections=96,
+        engine=Engine(slots=slots, memory_tokens=100_000, event_tokens=6),
+    )
+    for route, slots in ((LONG_ROUTE, LONG_SLOTS), (SCARCE_ROUTE, SCARCE_SLOTS))
+)
 
 
 class Operator:
@@ -63,9 +80,13 @@
     ----------
     platform : Platform
         Reached without a proxy; fails only while the platform itself does.
+    stops : bool
+        Whether there are the routes and services of crowded stops.
     """
 
-    def __init__(self, *, platform: Platform, history: History) -> None:
+    def __init__(
+        self, *, platform: Platform, history: History, stops: bool = False
+    ) -> None:
         self._limits = Limits()
         self.choices = Choices(
             routes=list(BASE_ROUTES),
@@ -75,7 +96,8 @@
         )
         self._platform = platform
         self._history = history
-        self._routes = list(BASE_ROUTES)
+        self._routes = list(BASE_ROUTES + STOP_ROUTES if stops else BASE_ROUTES)
+        self._services = SERVICES + STOP_SERVICES if stops else SERVICES
         self._added: list[Route] = []
         self._keys_by_customer = {
             name: [f"{name}-key-0"] for name in history.prepaid_by_customer
@@ -185,7 +207,7 @@
             host=HOST,
             port=upstream.port,
             zone=upstream.zone,
-            slots=16,
+            slots=upstream.slots,
             state=state,
             started_ms=upstream.started_ms,
             version=upstream.version,
@@ -202,7 +224,7 @@
         configuration = IngressConfiguration(
             revision=self._revision,
             routes=tuple(_configured(route) for route in self._routes),
-            services=SERVICES,
+            services=self._services,
             limits=self._limits,
             customers=tuple(
                 Customer(
@@ -241,14 +263,15 @@
 
 
 def _configured(route: Route) -> ConfiguredRoute:
+    is_long = route.kind is Kind.LONG
     service = "pool" if route.kind in (Kind.CHAT, Kind.DRAFT) else "app"
     return ConfiguredRoute(
         name=route.name,
         host=APP_HOST,
         prefix=route.path.removesuffix("1"),
         repeats=_REPEATS_BY_KIND[route.kind],
-        splits=(Split(service=service),),
-        timeout_seconds=ROUTE_SECONDS,
+        splits=(Split(service=route.name if is_long else service),),
+        timeout_seconds=LONG_ROUTE_SECONDS if is_long else ROUTE_SECONDS,
         objective_seconds=0.5,
         max_attempts=2,
         resumable=route.kind is Kind.DRAFT,
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -17,6 +17,10 @@
 
 STOP_DEADLINE_SECONDS = 8.0
 EXIT_MARGIN_SECONDS = 3.0
+MAX_RELAY_FREEZE_SECONDS = 6.0
+RELAY_STOP_SECONDS = (
+    STOP_DEADLINE_SECONDS + MAX_RELAY_FREEZE_SECONDS + EXIT_MARGIN_SECONDS
+)
 PROBE_SECONDS = 0.25
 PROBE_TIMEOUT_SECONDS = 1.0
 MISSED_PROBES = 2
@@ -51,7 +55,7 @@
     def begin(self, peers: list[str]) -> None:
         """Start the process for the first time."""
         self._peers = [peer for peer in peers if peer != self.address]
-        self._start()
+        self.start()
 
     @property
     def target(self) -> Target | None:
@@ -65,7 +69,8 @@
         """Process id of the current start."""
         return self._program.popen.pid
 
-    def _start(self) -> None:
+    def start(self) -> None:
+        """Start the process, also again after it has ended."""
         self.start_number += 1
         self._program = self._fleet.ingress(
             self.name,
@@ -120,19 +125,19 @@
         self._program.popen.kill()
         await self._wait_ended()
         await curio.sleep(down_seconds)
-        self._start()
+        self.start()
         self._record("kill", begins_at)
 
     async def stop(self) -> None:
         """Stop the process as planned; start it again."""
         await self.end()
-        self._start()
+        self.start()
 
     async def end(self) -> None:
         """Stop the process as planned."""
         begins_at = monotonic()
         self._expected_up = False
-        self._program.send(signal.SIGTERM)
+        self.send_term()
         async with curio.ignore_after(STOP_DEADLINE_SECONDS + EXIT_MARGIN_SECONDS):
             await self._wait_ended()
         code = self._program.popen.poll()
@@ -150,6 +155,10 @@
             await self._wait_ended()
         self._record("stop", begins_at)
 
+    def send_term(self) -> None:
+        """Send SIGTERM, which a process that stops already ignores."""
+        self._program.send(signal.SIGTERM)
+
     async def freeze(self, seconds: float) -> None:
         """Let the process stand still."""
         begins_at = monotonic()
@@ -195,38 +204,85 @@
 class Relay:
     """One relay over all its starts; it reaches the platform directly."""
 
-    def __init__(self, *, number: int, fleet: Fleet, peers: list[str]) -> None:
+    def __init__(
+        self, *, number: int, fleet: Fleet, peers: list[str], history: History
+    ) -> None:
         self._name = f"relay-{number}"
+        self._history = history
+        self._start_number = 0
         self._settings = {
             "zone": zone_of(number),
             "address": f"{HOST}:{free_port()}",
             "metrics": f"{HOST}:{free_port()}",
             "peers": peers,
+            "stop_deadline_seconds": STOP_DEADLINE_SECONDS,
         }
         self._fleet = fleet
         self._program: Program | None = None
 
     def start(self) -> None:
         """Start the process."""
+        self._start_number += 1
         self._program = self._fleet.relay(self._name, **self._settings)
 
     async def kill(self, down_seconds: float) -> None:
         """Kill the process and start it again, unless it is down already."""
         if self._program is None:
             return
+        begins_at = monotonic()
         program, self._program = self._program, None
         program.popen.kill()
         while program.popen.poll() is None:
             await curio.sleep(0.02)
         await curio.sleep(down_seconds)
         self.start()
+        self._record("kill", begins_at)
+
+    async def stop(self, down_seconds: float) -> None:
+        """Stop the process as planned and start it again, unless it is down already."""
+        if self._program is None:
+            return
+        begins_at = monotonic()
+        program, self._program = self._program, None
+        # One that stands still gets the signal when it goes on.
+        program.send(signal.SIGTERM)
+        async with curio.ignore_after(RELAY_STOP_SECONDS):
+            while program.popen.poll() is None:
+                await curio.sleep(0.02)
+        code = program.popen.poll()
+        self._history.exits.append(
+            Exit(
+                process=self._name,
+                start=self._start_number,
+                stopped_at=begins_at,
+                ended_at=monotonic(),
+                code=code,
+            )
+        )
+        if code is None:
+            program.kill()
+        await curio.sleep(down_seconds)
+        self.start()
+        self._record("stop", begins_at)
 
     async def freeze(self, seconds: float) -> None:
         """Let the process stand still, unless it is down."""
         if self._program is None:
             return
+        begins_at = monotonic()
         program = self._program
         program.send(signal.SIGSTOP)
         await curio.sleep(seconds)
         if program.popen.poll() is None:
             program.send(signal.SIGCONT)
+        self._record("freeze", begins_at)
+
+    def _record(self, cause: str, begins_at: float) -> None:
+        self._history.relay_spans.append(
+            Span(
+                process=self._name,
+                cause=cause,
+                begins_at=begins_at,
+                ends_at=monotonic(),
+            )
+        )
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import replace
+from math import inf
 from random import Random
 from time import monotonic
 
@@ -21,19 +22,23 @@
     Caller,
     Target,
 )
+from soak.crowds import Crowd, LazyCaller
 from soak.faults import (
+    QUIET_END_SECONDS,
     RELAY_COUNT,
     VERSIONS,
     Action,
     ChangeIdleLimit,
     ChangeRoutes,
     CrashUpstream,
+    CrowdedStop,
     CutOff,
     DisturbPlatform,
     DisturbWay,
     Freeze,
     FreezeRelay,
     Kill,
+    KillAll,
     KillRelay,
     Leave,
     PauseUpstreams,
@@ -46,13 +51,19 @@
     Rush,
     SendCrashingPrompts,
     Stop,
+    StopRelay,
     Way,
     draw_schedule,
 )
 from soak.history import BadArrival, History, Kind, Serving, Span
-from soak.operator import ROUTE_SECONDS, Operator
-from soak.processes import PROBE_SECONDS, IngressProcess, Relay
-from soak.upstreams import RecordingUpstream, zone_of
+from soak.operator import BASE_ROUTES, ROUTE_SECONDS, STOP_SERVICES, Operator
+from soak.processes import (
+    PROBE_SECONDS,
+    STOP_DEADLINE_SECONDS,
+    IngressProcess,
+    Relay,
+)
+from soak.upstreams import SLOTS, RecordingUpstream, zone_of
 from soak.ways import PlatformWay
 
 EVENT_TOKENS = 6
@@ -64,6 +75,9 @@
 STREAM_CALLERS_PER_PROCESS = 10
 """Callers of streams beside pauses, so that more of them fall silent together than a
 process has retries."""
+LAZY_CALLERS_PER_PROCESS = 2
+LAZY_CALLER_NUMBER = 1_000
+CROWD_CALLER_NUMBER = 2_000
 VERSIONS_BY_SERVICE = {
     "app": ("v1", "v1", "v1"),
     "pool": ("v1", "v2", "v1", "v2"),
@@ -84,7 +98,7 @@
     ----------
     fleet : Fleet
         Starts the processes; the caller closes it.
-    share, cuts, pauses : float, bool, bool
+    share, cuts, pauses, stops : float, bool, bool, bool
         Which faults are played, see `soak.faults.draw_schedule`.
     """
 
@@ -98,11 +112,16 @@
         share: float = 1.0,
         cuts: bool = True,
         pauses: bool = True,
+        stops: bool = True,
     ) -> None:
         self._seed = seed
         self._share = share
         self._cuts = cuts
         self._pauses = pauses
+        self._stops = stops
+        self._crowd_count = 0
+        self._is_killing_all = False
+        self._quiet_at = inf
         self._random = Random(f"releases {seed}")
         self._seconds = seconds
         self._fleet = fleet
@@ -121,6 +140,7 @@
             prompt_tokens=PROMPT_TOKENS,
             event_tokens=EVENT_TOKENS,
             time_limit_seconds=min(DEADLINE_SECONDS, ROUTE_SECONDS),
+            stop_deadline_seconds=STOP_DEADLINE_SECONDS,
         )
 
     async def run(self) -> History:
@@ -128,7 +148,9 @@
         self._program = self._fleet.platform()
         address = f"{HOST}:{self._fleet.platform_port}"
         self._platform = HttpPlatform(address=address)
-        self._operator = Operator(platform=self._platform, history=self.history)
+        self._operator = Operator(
+            platform=self._platform, history=self.history, stops=self._stops
+        )
         async with self._tasks:
             await self._start()
             await self._play()
@@ -136,9 +158,7 @@
         return self.history
 
     async def _start(self) -> None:
-        for service, versions in VERSIONS_BY_SERVICE.items():
-            for version in versions:
-                await self._add_upstream(service, version)
+        await self._start_upstreams()
         await self._operator.apply()
         ways = [
             PlatformWay(target_port=self._fleet.platform_port)
@@ -154,7 +174,7 @@
         ]
         peers = [process.address for process in self._processes]
         self._relays = [
-            Relay(number=number, fleet=self._fleet, peers=peers)
+            Relay(number=number, fleet=self._fleet, peers=peers, history=self.history)
             for number in range(RELAY_COUNT)
         ]
         for relay in self._relays:
@@ -165,6 +185,20 @@
         async with curio.timeout_after(START_SECONDS):
             while len(self._targets()) < self._count:
                 await curio.sleep(PROBE_SECONDS)
+        await self._start_callers()
+
+    async def _start_upstreams(self) -> None:
+        for service, versions in VERSIONS_BY_SERVICE.items():
+            for version in versions:
+                await self._add_upstream(service, version)
+        if self._stops:
+            # Apart from those that leave, restart or crash.
+            for service in STOP_SERVICES:
+                await self._create_upstream(
+                    service.name, VERSIONS[0], slots=service.engine.slots
+                )
+
+    async def _start_callers(self) -> None:
         self._callers = [
             await self._spawn(self._caller(number).run)
             for number in range(self._count * CALLERS_PER_PROCESS)
@@ -174,6 +208,11 @@
                 await self._spawn(self._stream_caller(number).run)
                 for number in range(self._count * STREAM_CALLERS_PER_PROCESS)
             ]
+        if self._stops:
+            self._callers += [
+                await self._spawn(self._lazy_caller(number).run)
+                for number in range(self._count * LAZY_CALLERS_PER_PROCESS)
+            ]
 
     async def _spawn(self, function: Callable, *arguments: object) -> curio.Task:
         return await self._tasks.spawn(self._guard, function, *arguments, daemon=True)
@@ -194,8 +233,10 @@
             share=self._share,
             cuts=self._cuts,
             pauses=self._pauses,
+            stops=self._stops,
         )
         started_at = monotonic()
+        self._quiet_at = started_at + self._seconds - QUIET_END_SECONDS
         for scheduled in schedule:
             await curio.sleep(max(0.0, started_at + scheduled.at - monotonic()))
             await self._spawn(self._apply, scheduled.action)
@@ -237,6 +278,15 @@
         first = self._count * CALLERS_PER_PROCESS
         return self._caller(first + number, kind=Kind.DRAFT, customer=STREAM_CUSTOMER)
 
+    def _lazy_caller(self, number: int) -> LazyCaller:
+        return LazyCaller(
+            number=number,
+            seed=self._seed,
+            targets=self._targets,
+            caller=self._caller(LAZY_CALLER_NUMBER + number, customer=STREAM_CUSTOMER),
+            routes=BASE_ROUTES,
+        )
+
     def _caller(self, number: int, **fields: object) -> Caller:
         return Caller(
             number=number,
@@ -245,14 +295,17 @@
             mean_requests=self._mean_requests,
             choices=self._operator.choices,
             idles=self._pauses,
+            patient=self._stops,
             history=self.history,
             **fields,
         )
 
     async def _apply(self, action: Action) -> None:
         match action:
-            case Kill() | Stop() | Freeze() | Reload():
+            case Kill() | Stop() | CrowdedStop() | Freeze() | Reload():
                 await self._disturb_process(action)
+            case KillAll(down_seconds=seconds):
+                await self._kill_all(seconds)
             case DisturbWay(process=number):
                 await self._processes[number].disturb_way(action)
             case DisturbPlatform() | CutOff():
@@ -261,7 +314,7 @@
                 await self._disturb_upstream(action)
             case PauseUpstreams():
                 self._pause_upstreams(action)
-            case KillRelay() | FreezeRelay():
+            case KillRelay() | StopRelay() | FreezeRelay():
                 await self._disturb_relay(action)
             case SendCrashingPrompts() | Rush():
                 await self._change_load(action)
@@ -281,10 +334,12 @@
             case ChangeIdleLimit(seconds=seconds):
                 await self._operator.change_idle_limit(seconds)
 
-    async def _disturb_relay(self, action: KillRelay | FreezeRelay) -> None:
+    async def _disturb_relay(self, action: KillRelay | StopRelay | FreezeRelay) -> None:
         match action:
             case KillRelay(relay=number, down_seconds=seconds):
                 await self._relays[number].kill(seconds)
+            case StopRelay(relay=number, down_seconds=seconds):
+                await self._relays[number].stop(seconds)
             case FreezeRelay(relay=number, seconds=seconds):
                 await self._relays[number].freeze(seconds)
 
@@ -355,7 +410,52 @@
             case RestartUpstream(seconds=seconds, version=version):
                 await self._restart_engine(seconds, version)
 
-    async def _disturb_process(self, action: Kill | Stop | Freeze | Reload) -> None:
+    async def _kill_all(self, down_seconds: float) -> None:
+        """Kill all processes at once, when none of them is busy."""
+        if self._is_killing_all:
+            return
+        self._is_killing_all = True
+        claimed = []
+        try:
+            for process in self._processes:
+                while process.busy:
+                    await curio.sleep(PROBE_SECONDS)
+                process.busy = True
+                claimed.append(process)
+            if monotonic() < self._quiet_at:
+                begins_at = monotonic()
+                async with curio.TaskGroup() as group:
+                    for process in self._processes:
+                        await group.spawn(process.kill, down_seconds)
+                self.history.kills_of_all.append(
+                    Span(
+                        process="",
+                        cause="kill of all",
+                        begins_at=begins_at,
+                        ends_at=monotonic(),
+                    )
+                )
+        finally:
+            for process in claimed:
+                process.busy = False
+            self._is_killing_all = False
+
+    async def _stop_crowded(self, process: IngressProcess, action: CrowdedStop) -> None:
+        target = process.target
+        if target is None:
+            return
+        number = CROWD_CALLER_NUMBER + self._crowd_count
+        self._crowd_count += 1
+        crowd = Crowd(
+            action=action,
+            target=target,
+            caller=self._caller(number, customer=STREAM_CUSTOMER),
+        )
+        await crowd.play(process)
+
+    async def _disturb_process(
+        self, action: Kill | Stop | CrowdedStop | Freeze | Reload
+    ) -> None:
         process = self._processes[action.process]
         if process.busy:
             return
@@ -366,6 +466,8 @@
                     await process.kill(seconds)
                 case Stop():
                     await process.stop()
+                case CrowdedStop():
+                    await self._stop_crowded(process, action)
                 case Freeze(seconds=seconds):
                     await process.freeze(seconds)
                 case Reload():
@@ -409,6 +511,14 @@
             await client.close()
 
     async def _add_upstream(self, service: str, version: str) -> None:
+        upstream = await self._create_upstream(service, version)
+        self._upstreams.append(upstream)
+        self._record_serving(upstream, ready=True)
+
+    async def _create_upstream(
+        self, service: str, version: str, *, slots: int = SLOTS
+    ) -> RecordingUpstream:
+        """Start an upstream and write its entry."""
         upstream = RecordingUpstream(
             name=f"u{self._upstream_count}",
             zone=zone_of(self._upstream_count),
@@ -416,13 +526,13 @@
             version=version,
             history=self.history,
             seed=self._seed,
+            slots=slots,
             on_bad_block=self._receive_bad_block,
         )
         self._upstream_count += 1
         await upstream.start()
         await self._operator.register(upstream)
-        self._upstreams.append(upstream)
-        self._record_serving(upstream, ready=True)
+        return upstream
 
     def _pause_upstreams(self, action: PauseUpstreams) -> None:
         paused = [each for each in self._upstreams if each.service == action.service]
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -22,7 +22,10 @@
 COMMON_BLOCK = "common"
 """First block of all prompts, sound or not."""
 STREAM_EVENTS = 8
+LONG_EVENTS = 96
+LONG_PATHS = (b"/long/", b"/scarce/")
 EVENT_SECONDS = 0.05
+SLOTS = 16
 WORK_SECONDS = 0.02
 FAILED_SHARE = 0.01
 """Share of requests whose connection is reset after they began to run."""
@@ -49,6 +52,8 @@
         Version of its software, which its events name.
     leaving : bool
         Whether its answers announce that it leaves.
+    slots : int
+        Requests that it runs at once, by its entry.
     removed : bool
         Whether it leaves without a word, so that it writes no entry any more.
     on_bad_block : callable
@@ -65,6 +70,7 @@
         version: str,
         history: History,
         seed: int,
+        slots: int = SLOTS,
         on_bad_block: Callable[["RecordingUpstream", str, str], Awaitable[None]],
     ) -> None:
         self._on_bad_block = on_bad_block
@@ -75,6 +81,7 @@
         self.leaving = False
         self.removed = False
         self.started_ms = 0
+        self.slots = slots
         self._history = history
         self._random = Random(f"{name} {seed}")
         self._crashed = False
@@ -190,8 +197,9 @@
             return False
         fields.append((NAMES.proof, PROOF))
         self._running_by_sock[sock] = request_id
-        if head.target.startswith(b"/chat/"):
-            await self._stream(sock, conn, fields, f"{request_id}-", after=0)
+        if head.target.startswith((b"/chat/", *LONG_PATHS)):
+            is_long = head.target.startswith(LONG_PATHS)
+            await self._stream_whole(sock, conn, fields, request_id, is_long=is_long)
         elif head.target.startswith(b"/draft/"):
             return await self._serve_draft(sock, conn, headers, fields)
         else:
@@ -204,6 +212,23 @@
         del self._running_by_sock[sock]
         return True
 
+    async def _stream_whole(
+        self,
+        sock,
+        conn: h11.Connection,
+        fields: list,
+        request_id: str,
+        *,
+        is_long: bool,
+    ) -> None:
+        count = LONG_EVENTS if is_long else STREAM_EVENTS
+        try:
+            await self._stream(
+                sock, conn, fields, f"{request_id}-", after=0, count=count
+            )
+        finally:
+            self._history.run_ended_at_by_id[request_id] = monotonic()
+
     async def _serve_draft(
         self, sock, conn: h11.Connection, headers: dict[str, str], fields: list
     ) -> bool:
@@ -228,6 +253,7 @@
         *,
         after: int,
         cut_at: int | None = None,
+        count: int = STREAM_EVENTS,
     ) -> None:
         fields += [
             ("content-type", "text/event-stream"),
@@ -235,7 +261,7 @@
         ]
         await self._wait_for_pause()
         await sock.sendall(conn.send(_response(200, fields)))
-        for number in range(after + 1, STREAM_EVENTS + 1):
+        for number in range(after + 1, count + 1):
             await curio.sleep(EVENT_SECONDS)
             if number == cut_at:
                 _reset_on_close(sock)
@@ -253,11 +279,11 @@
     return next((each for each in ids if each.startswith(BAD_BLOCK_PREFIX)), "")
 
 
-def stream_events(request_id: str) -> bytes:
+def stream_events(request_id: str, *, count: int = STREAM_EVENTS) -> bytes:
     """Return the whole body of the stream for a request."""
     return b"".join(
         f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
-        for number in range(1, STREAM_EVENTS + 1)
+        for number in range(1, count + 1)
     )
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,9 +6,12 @@
     CALM_SECONDS,
     CRASHES_TO_KNOW,
     DRAIN_SECONDS,
+    ENDED_BY_STOP,
     IN_FORCE_SECONDS,
+    LAST_SHARE_OF_STOP,
     MAX_CUTS,
     MAX_LATE_ARRIVALS,
+    MAX_SENT_SECONDS,
     MIN_COMPARED,
     MIN_TAKE_UPS,
     TIME_LIMIT_MARGIN_SECONDS,
@@ -18,9 +21,12 @@
 from soak.faults import (
     QUIET_END_SECONDS,
     ChangeIdleLimit,
+    CrowdedStop,
+    KillAll,
     PauseUpstreams,
     Reload,
     Stop,
+    StopRelay,
     draw_schedule,
 )
 from soak.history import (
@@ -36,6 +42,7 @@
     Span,
 )
 from soak.idle_limits import CONFIGURATION_SECONDS, IdleLimits
+from soak.kill_checks import TAKE_UP_SECONDS
 
 PROCESS = "ingress-0"
 READY_AT = 100.0
@@ -127,6 +134,26 @@
         assert kinds.issuperset((PauseUpstreams, ChangeIdleLimit, Stop, Reload))
         assert [one for one in with_pauses if one in without] == without
 
+    def test_stops_leave_the_other_actions_of_a_seed_as_they_were(self):
+        with_stops, without = (
+            draw_schedule(seed=7, seconds=60, processes=3, stops=stops)
+            for stops in (True, False)
+        )
+        kinds = {type(one.action) for one in with_stops}
+        assert kinds.issuperset((CrowdedStop, KillAll, StopRelay))
+        assert [one for one in with_stops if one in without] == without
+
+    def test_crowded_stops_meet_late_waiting_and_unused_connections(self):
+        drawn = [
+            one.action
+            for one in draw_schedule(seed=7, seconds=200, processes=3)
+            if isinstance(one.action, CrowdedStop)
+        ]
+        assert all(one.late and min(one.waiting) < 0 for one in drawn)
+        assert any(one.unused for one in drawn)
+        assert any(max(one.waiting) > 0 for one in drawn)
+        assert any(one.terms for one in drawn) and any(one.reloads for one in drawn)
+
 
 class TestIdleLimits:
     @pytest.mark.parametrize(
@@ -234,6 +261,101 @@
         assert self.found(*answers) == promises
 
 
+class TestKillsOfAll:
+    """Guards against streams that nobody can take up once all processes ended."""
+
+    KILLED_AT = SENT_AT + 0.5
+    KILL = disturbed("kill of all", KILLED_AT, KILLED_AT + 1, "")
+    SERVING = TestStreams.SERVING
+
+    def found(self, share, *, version="v1", count=MIN_TAKE_UPS, kill=KILL, **fields):
+        """Return what is found if that share of the streams that were cut goes on."""
+        answers = []
+        for number in range(count):
+            draft = request(
+                Kind.DRAFT, request_id=f"s{number}", sent_at=self.KILLED_AT - 0.2
+            )
+            first = {"stream": f"s{number}", "ended_at": self.KILLED_AT + 0.1}
+            first |= {"draft": ((1, version), (2, version))} | fields.get("first", {})
+            answers.append(answer(draft, 0, **first))
+            goes_on = number < share * count
+            later = request(
+                Kind.DRAFT,
+                request_id=f"t{number}",
+                sent_at=kill.ends_at + fields.get("late_seconds", 0.5),
+                start=2,
+            )
+            answers.append(
+                answer(
+                    later,
+                    200 if goes_on else 503,
+                    stream=f"s{number}",
+                    after=2,
+                    draft=((3, version),) if goes_on else (),
+                )
+            )
+        fresh = request(Kind.DRAFT, sent_at=kill.ends_at + 1, start=2)
+        answers.append(answer(fresh, draft=((1, "v1"),)))
+        spent = {"large": 10**6}
+        names = ("spans", "relay_spans", "cut_requests")
+        found = broken(
+            answers=answers,
+            serving=self.SERVING,
+            kills_of_all=[kill],
+            up_since_by_start={
+                f"{PROCESS}/1": READY_AT,
+                f"{PROCESS}/2": fields.get("up_since", kill.begins_at + 0.4),
+            },
+            prepaid_by_customer=spent,
+            spent_by_customer=spent,
+            **{name: fields[name] for name in names if name in fields},
+        )
+        return [each for each in found if "kill" in each]
+
+    def test_streams_that_do_not_go_on_are_found_while_two_engines_serve(self):
+        assert self.found(0.25) == ["streams go on after a kill"]
+        assert self.found(0.5) == []
+        assert self.found(0.25, version="v2") == []
+        assert self.found(0.25, count=MIN_TAKE_UPS - 1) == []
+
+    def test_the_kill_itself_and_planned_stops_excuse_nothing(self):
+        spans = [
+            disturbed("kill", self.KILLED_AT, self.KILLED_AT + 0.9),
+            disturbed("stop", self.KILLED_AT + 2, self.KILLED_AT + 4),
+        ]
+        assert self.found(0.25, spans=spans) == ["streams go on after a kill"]
+
+    @pytest.mark.parametrize(("calm_seconds", "promises"), [(4.1, 1), (3.9, 0)])
+    @pytest.mark.parametrize("field", ["spans", "relay_spans"])
+    def test_another_disturbance_excuses_it(self, calm_seconds, promises, field):
+        ended_at = self.KILLED_AT - calm_seconds
+        span = disturbed("freeze", ended_at - 1, ended_at, "")
+        found = self.found(0.25, **{field: [span]})
+        assert found == ["streams go on after a kill"] * promises
+
+    @pytest.mark.parametrize(("relays", "promises"), [((0, 0), 1), ((0, 1), 0)])
+    def test_the_stop_of_one_relay_excuses_nothing(self, relays, promises):
+        """A relay that stops hands on what it keeps."""
+        spans = [
+            disturbed("stop", self.KILLED_AT - 2, self.KILLED_AT + 1, f"relay-{number}")
+            for number in relays
+        ]
+        found = self.found(0.25, relay_spans=spans)
+        assert found == ["streams go on after a kill"] * promises
+
+    def test_only_streams_that_the_kill_broke_off_count(self):
+        early = {"ended_at": self.KILLED_AT - 0.1}
+        assert self.found(0.25, first=early) == []
+        broken_before = {f"s{number}" for number in range(MIN_TAKE_UPS)}
+        assert self.found(0.25, cut_requests=broken_before) == []
+        late = {"late_seconds": TAKE_UP_SECONDS + 0.1}
+        assert self.found(0.25, **late) == []
+
+    def test_only_processes_that_started_after_the_kill_count(self):
+        """Guards against take-ups that reach a process as it is killed."""
+        assert self.found(0.25, up_since=self.KILLED_AT - 0.1) == []
+
+
 class TestCrashingBlocks:
     CRASHES = [SENT_AT + number for number in range(CRASHES_TO_KNOW)]
 
@@ -412,6 +534,78 @@
         frozen = disturbed("freeze", SENT_AT - 1, SENT_AT)
         assert self.cut(spans=(self.STOP, frozen)) == []
 
+    STOP_SECONDS = 8.0
+
+    def ended_long(
+        self,
+        status=0,
+        *,
+        sent_seconds=2.9,
+        used_seconds=5.0,
+        begun_seconds=0.1,
+        work_seconds=5.0,
+        **sent,
+    ):
+        """Return what is found of a long stream that a stop of 8 s ended.
+
+        `sent_seconds` count from the SIGTERM, the others from then on.
+        """
+        stop = disturbed("stop", SENT_AT, SENT_AT + self.STOP_SECONDS + 0.2)
+        long = request(
+            Kind.LONG,
+            sent_at=SENT_AT + sent_seconds,
+            **{"time_limit_seconds": 20} | sent,
+        )
+        reason = ENDED_BY_STOP if status else ""
+        ended = answer(
+            long, status, reason=reason, ended_at=long.sent_at + used_seconds
+        )
+        spent = {"large": 10**6}
+        is_run = work_seconds is not None
+        run_ended_at = {long.request_id: long.sent_at + (work_seconds or 0)}
+        return broken(
+            answers=[ended],
+            runs=[run(long, long.sent_at + begun_seconds)] if is_run else [],
+            run_ended_at_by_id=run_ended_at if is_run else {},
+            spans=[stop],
+            stop_deadline_seconds=self.STOP_SECONDS,
+            time_limit_seconds=3.0,
+            prepaid_by_customer=spent,
+            spent_by_customer=spent,
+        )
+
+    CUT = (0, ["planned stop", "cut beside a stop"])
+    ANSWERED = (502, ["end of a stop"])
+
+    @pytest.mark.parametrize(("status", "promises"), [CUT, ANSWERED])
+    def test_the_end_of_a_stop_may_end_only_what_is_at_work(self, status, promises):
+        """Guards against requests accepted later than they can be answered."""
+        last_share_at = self.STOP_SECONDS * (1 - LAST_SHARE_OF_STOP)
+        late = MAX_SENT_SECONDS + 0.1
+        idle = last_share_at - 2.9 - 0.1
+        assert self.ended_long(status) == []
+        assert self.ended_long(status, sent_seconds=late, used_seconds=4.8) == promises
+        assert self.ended_long(status, work_seconds=idle) == promises
+        assert self.ended_long(status, work_seconds=idle + 0.2) == []
+        assert self.ended_long(status, work_seconds=None) == promises
+        assert self.ended_long(status, begun_seconds=idle + 0.2) == promises
+
+    @pytest.mark.parametrize(("status", "promises"), [CUT, ANSWERED])
+    def test_a_stop_that_is_cut_short_is_found(self, status, promises):
+        """Guards against a second SIGTERM that ends a stop."""
+        found = self.ended_long(status, sent_seconds=0.3, used_seconds=0.7)
+        assert found == promises
+
+    def test_a_long_stream_has_its_own_time_limit(self):
+        _, promises = self.CUT
+        sent = {"sent_seconds": 0.1, "used_seconds": 4.0}
+        assert self.ended_long(**sent) == promises
+        assert self.ended_long(**sent, time_limit_seconds=4.0) == []
+
+    def test_a_refusal_in_a_stop_is_allowed(self):
+        refused = answer(request(Kind.LONG), 503, reason="stopping", outcome="not_run")
+        assert broken(answers=[refused], spans=[self.STOP]) == []
+
     @pytest.mark.parametrize(("code", "found"), [(0, 0), (1, 1), (None, 1), (-9, 1)])
     def test_a_stop_that_leaves_something_or_does_not_end_is_found(self, code, found):
         assert broken(exits=[ended(code)]) == ["planned stop"] * found
@@ -576,6 +770,7 @@
             directory=tmp_path,
             cuts=False,
             pauses=False,
+            stops=False,
         )
         assert found == []
 
@@ -588,6 +783,7 @@
             directory=tmp_path,
             share=0.0,
             pauses=False,
+            stops=False,
         )
         assert found == []
 
@@ -605,5 +801,23 @@
             directory=tmp_path,
             share=0.0,
             cuts=False,
+            stops=False,
+        )
+        assert found == []
+
+    def test_a_run_with_crowded_stops_and_kills_of_all_breaks_no_promise(
+        self, tmp_path
+    ):
+        """Guards against requests that a planned stop cuts, or never answers.
+
+        The causes have tests of their own in `tests/ingress/test_stops.py`.
+        """
+        found = run_seed(
+            seed=61005,
+            seconds=30.0,
+            processes=3,
+            directory=tmp_path,
+            share=0.0,
+            cuts=False,
         )
         assert found == []
