A router's stop obeys one plan

`Router.drain` slept for 1 s, then waited up to 1 s for first requests on new connections, and only then began to count `stop_deadline_seconds`: with an unused connection open, a stop of 3 s took 5.02 s, and what was open then was cut with no answer. A queued request waited to its own deadline, longer than the process lives.

The router computes the ingress's `StopPlan` at the signal: new requests are refused from the point on (at most half of the stop), all ends with the plan. A request that has been sent to no upstream is refused (503, not run) from then on, unless its deadline comes before the end; the router expects no lengths of runs, so the deadline is the one bound. At the end what is open gets `stopping`: `unknown` if it may have run, in an error event if the answer had begun, and its run is cancelled or followed as for a caller that left.

`gateway.stopping` follows from the plan, so that a test of filings sets a plan in place of the flag.

--- a/src/ragwortkeel/router/gateway.py
+++ b/src/ragwortkeel/router/gateway.py
@@ -1,7 +1,7 @@
 """Receives callers' HTTP requests and sends their answers or refusals."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from itertools import count
 
 import curio
@@ -11,6 +11,7 @@
 from ragwortkeel.httpio import Request, Responder
 from ragwortkeel.logs import log_error
 from ragwortkeel.policy.facts import RequestFacts
+from ragwortkeel.policy.stop_plan import StopPlan
 from ragwortkeel.router.calls import KEY_HEADER, Call, ChatCall, parse_call, profile_of
 from ragwortkeel.router.components import Components
 from ragwortkeel.router.exchange import Exchange
@@ -26,6 +27,30 @@
 The balancer sends the retry to another entry instance.
 """
 
+STOP_CHECK_SECONDS = 0.05
+
+
+@dataclass(kw_only=True)
+class _Open:
+    """A request that is being served.
+
+    Attributes
+    ----------
+    is_stopped : bool
+        Whether a planned stop ended it.
+    """
+
+    exchange: Exchange | FilingExchange
+    deadline: float
+    serving: curio.Task
+    is_stopped: bool = False
+
+    async def stop(self) -> None:
+        """End the request, because the process stops."""
+        if not (self.is_stopped or self.serving.terminated):
+            self.is_stopped = True
+            await self.serving.cancel(blocking=False)
+
 
 class Gateway:
     """Serves callers' HTTP requests.
@@ -42,8 +67,8 @@
 
     Attributes
     ----------
-    stopping : bool
-        Set during a planned stop; requests on open connections are then refused.
+    stop_plan : StopPlan or None
+        Set once the process stops.
 
     .. versionadded:: 0.1
     """
@@ -55,7 +80,8 @@
         observe: Callable[[EndedRequest], None],
         refresh: Callable[[str, str], Awaitable[bool]],
     ) -> None:
-        self.stopping = False
+        self.stop_plan: StopPlan | None = None
+        self._open_by_id: dict[str, _Open] = {}
         self._components = components
         self._observe = observe
         self._refresh = refresh
@@ -79,7 +105,7 @@
             facts = self._facts(call, profile)
             sink = self._new_sink(call, facts, responder)
             exchange = self._new_exchange(call, version, facts, sink)
-            refusal = await self._serve(exchange, profile, responder)
+            refusal = await self._serve(exchange, profile, facts, responder)
             if refusal is not None:
                 await sink.refuse(refusal)
         self._observe(
@@ -93,6 +119,35 @@
             )
         )
 
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop refuses new requests, also on open connections."""
+        plan = self.stop_plan
+        return plan is not None and self._components.clock() >= plan.refuses_at
+
+    async def refuse_late_starts(self) -> None:
+        """Refuse requests that may not end in a stop any more, until cancelled."""
+        while True:
+            for request in list(self._open_by_id.values()):
+                if not self._may_begin(request):
+                    await request.stop()
+            await curio.sleep(STOP_CHECK_SECONDS)
+
+    async def end_all(self) -> None:
+        """Answer what is open at the end of a stop with what is certain of it."""
+        for request in list(self._open_by_id.values()):
+            await request.stop()
+
+    def _may_begin(self, request: "_Open") -> bool:
+        """Return whether a request has begun to run, or still may.
+
+        Its deadline is the only bound on the length of its run.
+        """
+        plan = self.stop_plan
+        if request.exchange.may_have_run or request.deadline <= plan.ends_at:
+            return True
+        return plan.may_begin(now=self._components.clock(), run_seconds=None)
+
     async def _parse(self, request: Request) -> tuple[Call, Profile, int] | Refusal:
         name = profile_of(request)
         found = self._components.directory.profile(name)
@@ -160,9 +215,10 @@
         self,
         exchange: Exchange | FilingExchange,
         profile: Profile,
+        facts: RequestFacts,
         responder: Responder,
     ) -> Refusal | None:
-        """Run the request until it ends, its deadline passes or its caller leaves.
+        """Run the request to its end, unless a deadline, a stop or its caller ends it.
 
         Returns
         -------
@@ -175,9 +231,17 @@
                 curio.TaskGroup(wait=any) as group,
             ):
                 serving = await group.spawn(exchange.run)
+                opened = _Open(
+                    exchange=exchange, deadline=facts.deadline, serving=serving
+                )
+                self._open_by_id[facts.request_id] = opened
                 await group.spawn(responder.disconnected.wait)
         except curio.TaskTimeout:
             return _interrupted_refusal(exchange, Reason.DEADLINE)
+        finally:
+            self._open_by_id.pop(facts.request_id, None)
+        if opened.is_stopped:
+            return _interrupted_refusal(exchange, Reason.STOPPING)
         if group.completed is not serving:
             return None
         if serving.exception is not None:
--- a/src/ragwortkeel/router/router.py
+++ b/src/ragwortkeel/router/router.py
@@ -11,7 +11,7 @@
 from ragwortkeel.gossip import FromPeer, Gossip, MergeObjects
 from ragwortkeel.httpio import HttpServer
 from ragwortkeel.links import LinkDown, LinkUp, Received
-from ragwortkeel.logs import log_warning
+from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.membership import Membership
 from ragwortkeel.messages import (
     AnyMessage,
@@ -24,6 +24,7 @@
 from ragwortkeel.policy.facts import LoadReport, UpstreamFacts
 from ragwortkeel.policy.quarantine import Crash
 from ragwortkeel.policy.scheduler import Scheduler
+from ragwortkeel.policy.stop_plan import StopPlan
 from ragwortkeel.router.budgeting import Budgeting
 from ragwortkeel.router.components import Components
 from ragwortkeel.router.directory import Directory
@@ -47,6 +48,9 @@
 
 DRAIN_POLL_SECONDS = 0.05
 
+CLOSING_SECONDS = 0.2
+"""Time for sending the answers to requests that the end of a stop ends."""
+
 SIDECAR_PREFIX = "sidecar:"
 """Prefix of the names of gossip peers that are reached over sidecar links; the name
 of the upstream follows."""
@@ -206,21 +210,44 @@
         await curio.Event().wait()
 
     async def drain(self) -> int:
-        """Stop accepting requests and wait for open requests and runs.
+        """Complete open requests and runs as far as a planned stop has time.
 
-        Return how many are unfinished at the stop deadline of the settings.
+        Return how many are unfinished at the stop deadline of the settings; their
+        callers are told what is certain.
         """
         self.stopping = True
-        await curio.sleep(BALANCER_NOTICE_SECONDS)
-        self.gateway.stopping = True
-        await self._server.stop_accepting()
+        plan = StopPlan.starting(
+            monotonic(),
+            seconds=self.settings.stop_deadline_seconds,
+            accepting_seconds=BALANCER_NOTICE_SECONDS,
+        )
+        self.gateway.stop_plan = plan
+        log_info(
+            "stop_planned",
+            refuses_after=round(plan.refuses_at - plan.began_at, 3),
+            ends_after=round(plan.ends_at - plan.began_at, 3),
+            open=self._server.open_exchanges,
+            queued=self.dispatcher.queued_count,
+        )
+        refusing = await curio.spawn(self.gateway.refuse_late_starts)
         try:
-            async with curio.timeout_after(self.settings.stop_deadline_seconds):
-                while self._open_count():
-                    await curio.sleep(DRAIN_POLL_SECONDS)
-        except curio.TaskTimeout:
-            return self._open_count()
-        return 0
+            await self._complete_requests(plan)
+        finally:
+            await refusing.cancel()
+        unfinished = self._open_count()
+        await self.gateway.end_all()
+        async with curio.ignore_after(CLOSING_SECONDS):
+            while self._server.open_exchanges:
+                await curio.sleep(DRAIN_POLL_SECONDS)
+        return unfinished
+
+    async def _complete_requests(self, plan: StopPlan) -> None:
+        """Wait for open requests and runs, at most until the end of the plan."""
+        await curio.sleep(max(0.0, plan.refuses_at - monotonic()))
+        async with curio.ignore_after(max(0.0, plan.ends_at - monotonic())):
+            await self._server.stop_accepting()
+            while self._open_count():
+                await curio.sleep(DRAIN_POLL_SECONDS)
 
     def _open_count(self) -> int:
         return self._server.open_exchanges + self.settlement.open_runs
--- a/tests/router/in_process.py
+++ b/tests/router/in_process.py
@@ -71,13 +71,20 @@
     """One router, some engines and a service with their sidecars, and a platform."""
 
     def __init__(
-        self, *, engines=1, resumes=False, filing_back_end="claims", versions=None
+        self,
+        *,
+        engines=1,
+        resumes=False,
+        filing_back_end="claims",
+        versions=None,
+        stop_deadline_seconds=60.0,
     ):
         filing = msgspec.structs.replace(FILING, back_ends=(filing_back_end,))
         self.profiles = (CHAT, filing)
         self.engine_names = [f"m{i + 1}" for i in range(engines)]
         self.resumes = resumes
         self.versions = versions or {}
+        self.stop_deadline_seconds = stop_deadline_seconds
         self.platform = LocalPlatform()
         self.tasks = []
         self.upstream_addresses = {}
@@ -147,6 +154,7 @@
             http=free_address(),
             metrics=free_address(),
             platform=free_address(),
+            stop_deadline_seconds=self.stop_deadline_seconds,
         )
         self.router = Router(
             settings=settings,
--- a/tests/router/test_path.py
+++ b/tests/router/test_path.py
@@ -1,8 +1,11 @@
 """Tests of the path from caller to upstream and back, in one kernel."""
 
+from time import monotonic
+
 import msgspec
 import pytest
 
+from ragwortkeel.policy.stop_plan import StopPlan
 from ragwortkeel.router.calls import CHAT_PATH
 
 from .in_process import CHAT, FILING, PREPAID_TOKENS, run_fleet, until
@@ -233,7 +236,9 @@
         async def scenario(fleet):
             await fleet.ask(FILING_PATH, {"claim": 7}, idempotency_key="c")
             if cause == "stopping":
-                fleet.router.gateway.stopping = True
+                fleet.router.gateway.stop_plan = StopPlan.starting(
+                    monotonic(), seconds=60.0, accepting_seconds=0.0
+                )
             else:
                 await fleet.retire(FILING)
             named = await fleet.ask(FILING_PATH, {"claim": 7}, idempotency_key="c")
