A router's request may have run once its dispatch is being sent

Guards against `not_run` for a request that an engine runs.

`may_have_run` was set after the dispatch had been sent. A deadline, a stop or the end of a caller in between said `not_run`, and the reservation was neither settled nor followed. It is set before now, and the run is followed as after any other interruption.

The test, whose sending lasts, failed before: `not_run` with one run at the engine. How often that moment is met without the delay was not measured.

--- a/src/ragwortkeel/router/exchange.py
+++ b/src/ragwortkeel/router/exchange.py
@@ -235,17 +235,20 @@
     async def _run_attempt(
         self, attempt: Attempt, reservation: Reservation, dispatch: Dispatch
     ) -> AttemptEnd:
-        current = self._components.is_current(reservation)
-        if not current or not await attempt.open(dispatch):
+        if not self._components.is_current(reservation):
             await self._components.budgets.settle(reservation, 0)
             return Declined(reason=RefusalReason.UPSTREAM_UNREACHABLE)
+        # From here on, as a cancellation may come after the dispatch is sent.
         ran_before, self.may_have_run = self.may_have_run, True
         end: AttemptEnd | None = None
         try:
-            end = await attempt.follow(
-                link_wait_seconds=self._link_wait_seconds,
-                may_leave=lambda: self._may_leave(attempt),
-            )
+            if await attempt.open(dispatch):
+                end = await attempt.follow(
+                    link_wait_seconds=self._link_wait_seconds,
+                    may_leave=lambda: self._may_leave(attempt),
+                )
+            else:
+                end = Declined(reason=RefusalReason.UPSTREAM_UNREACHABLE)
         finally:
             await self._close(reservation, attempt, end)
         if isinstance(end, Declined):
--- a/tests/router/test_stops.py
+++ b/tests/router/test_stops.py
@@ -7,10 +7,11 @@
 import pytest
 
 from ragwortkeel.httpio import HttpClient
+from ragwortkeel.messages import Dispatch
 from ragwortkeel.router.calls import CHAT_PATH
 from ragwortkeel.router.router import BALANCER_NOTICE_SECONDS
 
-from .in_process import run_fleet, until
+from .in_process import CHAT, run_fleet, until
 
 QUESTION = {
     "model": "advisor-chat",
@@ -157,5 +158,34 @@
         assert problem_of(late)["outcome"] == "not_run"
 
 
+class TestOutcome:
+    def test_a_run_whose_dispatch_is_being_sent_may_have_run(self):
+        """Guards against `not_run` for a request that an engine runs."""
+
+        async def scenario(fleet):
+            pool = fleet.router.pool
+            send = pool.send
+
+            async def send_slowly(upstream, message):
+                await send(upstream, message)
+                if isinstance(message, Dispatch):
+                    await curio.sleep(10 * SHORT_STOP_SECONDS)
+
+            pool.send = send_slowly
+            asked = await curio.spawn(ask, fleet)
+            await curio.sleep(MARGIN_SECONDS)
+            await fleet.router.drain()
+            answer, _ = await asked.join()
+            await until(lambda: not fleet.router.settlement.open_runs)
+            return answer, await fleet.runs("m1"), fleet.row(CHAT).reserved
+
+        answer, runs, reserved = run_fleet(
+            scenario, stop_deadline_seconds=SHORT_STOP_SECONDS
+        )
+        assert runs == 1
+        assert problem_of(answer)["outcome"] == "unknown"
+        assert reserved == 0
+
+
 def _running(fleet):
     return fleet.router.pool._subscriptions_by_nonce
