--- a/tests/budget/test_gone_holders.py
+++ b/tests/budget/test_gone_holders.py
@@ -227,6 +227,7 @@
             settings=settings(
                 GoneHoldersMachine.TestCase.settings,
                 phases=[Phase.generate],
+                max_examples=2000,
                 report_multiple_bugs=False,
             ),
         )
