Streams of the soak keep their pace; what the soak found of stops

The stop's exit code would have been a false alarm of the check in a calm run. Each event now has its time from the first one on; a pause still moves all later ones. The streams are 4.9 s long.

--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -22,7 +22,7 @@
 COMMON_BLOCK = "common"
 """First block of all prompts, sound or not."""
 STREAM_EVENTS = 8
-LONG_EVENTS = 96
+LONG_EVENTS = 98
 LONG_PATHS = (b"/long/", b"/scarce/")
 EVENT_SECONDS = 0.05
 SLOTS = 16
@@ -261,8 +261,11 @@
         ]
         await self._wait_for_pause()
         await sock.sendall(conn.send(_response(200, fields)))
+        due_at = monotonic()
         for number in range(after + 1, count + 1):
-            await curio.sleep(EVENT_SECONDS)
+            # Late wakes don't add up, so that a long stream has a known length.
+            due_at = max(due_at + EVENT_SECONDS, monotonic())
+            await curio.sleep(max(0.0, due_at - monotonic()))
             if number == cut_at:
                 _reset_on_close(sock)
                 return
