--- a/tests/router/test_stops.py
+++ b/tests/router/test_stops.py
@@ -5,6 +5,7 @@
 import curio
 import msgspec
 import pytest
+from msgspec.structs import replace
 
 from ragwortkeel.httpio import HttpClient
 from ragwortkeel.messages import Dispatch
@@ -187,5 +188,27 @@
         assert reserved == 0
 
 
+class TestStoppedSidecar:
+    def test_a_run_that_the_end_of_its_stop_cuts_is_run_elsewhere(self):
+        """Guards against a request that is lost with the sidecar that ran it."""
+
+        async def scenario(fleet):
+            for name in fleet.engine_names:
+                await fleet.switch(name, slow=NEVER)
+            asked = await curio.spawn(ask, fleet)
+            await until(lambda: _running(fleet))
+            ((reader,),) = _running(fleet).values()
+            for name in fleet.engine_names:
+                if name != reader.upstream:
+                    await fleet.switch(name, slow=1.0)
+            sidecar = fleet.sidecars[reader.upstream]
+            sidecar._settings = replace(sidecar._settings, stop_deadline_seconds=1.0)
+            await sidecar.stop()
+            answer, _ = await asked.join()
+            return answer
+
+        assert run_fleet(scenario, engines=2).status == 200
+
+
 def _running(fleet):
     return fleet.router.pool._subscriptions_by_nonce
