A refuted claim of an upstream's address gives the address back

Callers of a service got 503 while an entry of another writer, complete and with a later start, claimed the address of its upstream. The address belongs to the upstream that started last, so the sound one was deleted. The first request was refused with 421 and deleted the claim as well; the sound one came back only with its next write, and the claim displaced it again with each of its own writes or the next listing. A claim that is leaving or in an evacuated zone gets no request, so nothing ever refuted it.

The displaced upstream is now kept beside its entry. An upstream that gets no requests displaces nothing. A later start at the address is a new claim; a displaced upstream that is deleted or said that it leaves stays so.

--- a/src/ragwortkeel/ingress/directory.py
+++ b/src/ragwortkeel/ingress/directory.py
@@ -11,6 +11,9 @@
   failure, and the old entries expire only seconds later: most requests reach another
   instance than intended.  So an address belongs to that upstream of a service which
   started last.
+- An entry of another writer claims the address of a sound upstream: nothing is sent
+  there any more.  So a claim that its first request refutes gives the address back and
+  displaces nothing from then on, and an upstream that gets no requests claims nothing.
 - The platform was unreachable and let entries expire: on its return nearly all
   upstreams look deleted at once.  So entries that disappear around an outage in which
   they could expire stay valid for `OUTAGE_GRACE_SECONDS` after its end, in which live
@@ -63,6 +66,8 @@
     removed : bool
         Whether the platform has deleted the entry, as opposed to an upstream that was
         replaced at its address.
+    displaced : Upstream or None
+        The upstream while another entry claims its address.
     """
 
     version: int
@@ -70,6 +75,12 @@
     expires_at: float | None = None
     left_started_ms: int | None = None
     removed: bool = False
+    displaced: Upstream | None = None
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the platform has the entry, as far as known."""
+        return self.upstream is not None or self.displaced is not None
 
     @property
     def usable(self) -> bool:
@@ -122,6 +133,8 @@
         self.confirmed_revision = 0
         self._region_by_zone = region_by_zone or {}
         self._entry_by_name: dict[str, Entry] = {}
+        self._refuted: list[Upstream] = []
+        self._refuted_by_name: dict[str, tuple[str, int, int]] = {}
         self._outage_until = 0.0
         self._grace_until = 0.0
         self._confirmed_at = float("-inf")
@@ -297,7 +310,7 @@
         for name, (version, upstream) in upstream_by_name.items():
             changes += self.merge_entry(name, upstream, version=version, now=now)
         for name, entry in list(self._entry_by_name.items()):
-            missing = entry.upstream is not None and name not in upstream_by_name
+            missing = entry.is_known and name not in upstream_by_name
             if missing and entry.version <= revision:
                 changes += self.record_deletion(name, version=revision, now=now)
         return changes
@@ -346,14 +359,24 @@
         known = self._entry_by_name.get(name)
         if known is None or known.upstream is None:
             return []
+        self._refuted_by_name[name] = _claim(known.upstream)
+        self._refuted.append(known.upstream)
         return self._set(name, _deleted(known.version, known))
 
+    def restore_displaced(self) -> list[DirectoryChange]:
+        """Use the upstreams again whose addresses were claimed by refuted entries."""
+        refuted, self._refuted = self._refuted, []
+        changes = []
+        for upstream in refuted:
+            changes += self._restore_displaced_by(upstream)
+        return changes
+
     def record_deletion(
         self, name: str, *, version: int, now: float
     ) -> list[DirectoryChange]:
         """Record that the platform no longer has the entry."""
         known = self._entry_by_name.get(name)
-        if known is None or known.upstream is None or known.version > version:
+        if known is None or not known.is_known or known.version > version:
             return []
         if now < self._grace_until and known.usable:
             expires_at = known.expires_at or self._grace_until
@@ -373,26 +396,55 @@
         return changes
 
     def _delete_older_at_address(self, upstream: Upstream) -> list[DirectoryChange]:
-        """Delete all upstreams at one address but the one that started last.
+        """Delete the upstreams at one address that started before a usable one.
 
         Only upstreams of the same service count: an entry of a service that is not
         configured may be anyone's and must not displace a working upstream.
         """
-        address = upstream.service, upstream.host, upstream.port
         at_address = [
             (name, entry)
             for name, entry in self._entry_by_name.items()
             if entry.upstream is not None
-            and (entry.upstream.service, entry.upstream.host, entry.upstream.port)
-            == address
+            and _address(entry.upstream) == _address(upstream)
+        ]
+        claims = [
+            entry.upstream.started_ms
+            for name, entry in at_address
+            if self.is_usable(name) and not self._is_refuted(entry.upstream, name)
         ]
-        latest_start = max(entry.upstream.started_ms for _, entry in at_address)
         changes = []
         for name, entry in at_address:
-            if entry.upstream.started_ms < latest_start:
-                changes += self._set(name, _deleted(entry.version, entry))
+            if entry.upstream.started_ms < max(claims, default=0):
+                displaced = replace(
+                    _deleted(entry.version, entry), displaced=entry.upstream
+                )
+                changes += self._set(name, displaced)
         return changes
 
+    def _is_refuted(self, upstream: Upstream, name: str) -> bool:
+        return self._refuted_by_name.get(name) == _claim(upstream)
+
+    def _restore_displaced_by(self, refuted: Upstream) -> list[DirectoryChange]:
+        """Use the upstream again that started last of those displaced at an address."""
+        displaced_by_name = {
+            name: entry.displaced
+            for name, entry in self._entry_by_name.items()
+            if entry.displaced is not None
+            and _address(entry.displaced) == _address(refuted)
+            and not self._is_refuted(entry.displaced, name)
+        }
+        if not displaced_by_name:
+            return []
+        name = max(
+            displaced_by_name, key=lambda name: displaced_by_name[name].started_ms
+        )
+        entry, upstream = self._entry_by_name[name], displaced_by_name[name]
+        left = entry.left_started_ms
+        if left is not None and upstream.started_ms <= left:
+            upstream = _as_leaving(upstream)
+        restored = replace(entry, upstream=upstream, displaced=None)
+        return self._set(name, restored) + self._delete_older_at_address(upstream)
+
     def _set(self, name: str, entry: Entry) -> list[DirectoryChange]:
         known = self._entry_by_name.get(name)
         self._entry_by_name[name] = entry
@@ -410,6 +462,15 @@
         ]
 
 
+def _address(upstream: Upstream) -> tuple[str, str, int]:
+    return upstream.service, upstream.host, upstream.port
+
+
+def _claim(upstream: Upstream) -> tuple[str, int, int]:
+    """Return what an entry claims: an address, by an instance of that start."""
+    return upstream.host, upstream.port, upstream.started_ms
+
+
 def _as_leaving(upstream: Upstream) -> Upstream:
     return msgspec.structs.replace(upstream, state=UpstreamState.LEAVING)
 
--- a/src/ragwortkeel/ingress/following.py
+++ b/src/ragwortkeel/ingress/following.py
@@ -77,6 +77,7 @@
     WATCH = "watch"
     PEER = "peer"
     GRACE_ENDED = "grace_ended"
+    CLAIM_REFUTED = "claim_refuted"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -347,10 +348,14 @@
             await curio.sleep(RETRY_DELAY_SECONDS)
 
     async def expire(self) -> None:
-        """Delete the entries that were not written again after an outage."""
+        """Delete entries not written again after an outage; restore displaced ones."""
         now = monotonic()
         update = self._update(UpdateSource.GRACE_ENDED, 0, now)
         await self._apply(self._directory.expire(now), update)
+        restored = self._directory.restore_displaced()
+        if restored:
+            update = self._update(UpdateSource.CLAIM_REFUTED, 0, now)
+            await self._apply(restored, update)
 
     def _record_reachable(self, reachable: bool, error: str) -> None:
         if reachable:
--- a/tests/ingress/test_directory.py
+++ b/tests/ingress/test_directory.py
@@ -174,6 +174,80 @@
         assert directory.record_replacement("unknown") == []
 
 
+class TestClaims:
+    """Entries that claim the address of an upstream which answers for itself."""
+
+    def directory(self, **fields):
+        """Return a directory with a sound upstream and a later claim of its address."""
+        directory = Directory()
+        sound = upstream("sound", started_ms=1000, version="v1")
+        directory.merge_entry("sound", sound, version=5, now=0.0)
+        claim = upstream("claim", started_ms=2000, **fields)
+        directory.merge_entry("claim", claim, version=6, now=1.0)
+        return directory, sound, claim
+
+    def test_a_refuted_claim_gives_the_address_back(self):
+        """Guards against a service without upstreams because of another writer."""
+        directory, _, _ = self.directory()
+        changes = directory.record_replacement("claim")
+        changes += directory.restore_displaced()
+        assert [(change.name, change.usable) for change in changes] == [
+            ("claim", False),
+            ("sound", True),
+        ]
+        assert directory.version_is_certain("sound", 2.0)
+        assert directory.version_of("sound") == "v1"
+
+    def test_a_refuted_claim_displaces_nothing_when_it_is_written_again(self):
+        directory, sound, claim = self.directory()
+        directory.record_replacement("claim")
+        directory.restore_displaced()
+        directory.merge_entry("claim", claim, version=7, now=2.0)
+        directory.merge_entry("sound", sound, version=8, now=2.1)
+        listing = {"claim": (7, claim), "sound": (8, sound)}
+        directory.merge_listing(listing, revision=8, now=2.2)
+        assert directory.is_usable("sound")
+
+    def test_a_later_start_at_the_address_displaces_again(self):
+        directory, _, _ = self.directory()
+        directory.record_replacement("claim")
+        directory.restore_displaced()
+        later = upstream("claim", started_ms=3000)
+        directory.merge_entry("claim", later, version=7, now=2.0)
+        assert set(directory.usable(service="app")) == {"claim"}
+
+    def test_a_claim_that_gets_no_requests_displaces_nothing(self):
+        """Guards against a claim that no request can refute."""
+        directory, sound, _ = self.directory(state=UpstreamState.LEAVING)
+        assert directory.is_usable("sound")
+        directory.merge_entry("sound", sound, version=7, now=2.0)
+        assert directory.is_usable("sound")
+
+    def test_a_claim_in_an_evacuated_zone_displaces_nothing(self):
+        directory = Directory()
+        directory.evacuated_zones = frozenset({"elsewhere"})
+        sound = upstream("sound", started_ms=1000)
+        directory.merge_entry("sound", sound, version=5, now=0.0)
+        claim = upstream("claim", started_ms=2000, zone="elsewhere")
+        directory.merge_entry("claim", claim, version=6, now=1.0)
+        assert directory.is_usable("sound")
+
+    def test_a_displaced_upstream_that_was_deleted_stays_so(self):
+        """Guards against requests for an instance that has left."""
+        directory, _, _ = self.directory()
+        directory.record_deletion("sound", version=7, now=100.0)
+        directory.record_replacement("claim")
+        directory.restore_displaced()
+        assert directory.usable(service="app") == {}
+
+    def test_a_displaced_upstream_that_leaves_gets_nothing_new(self):
+        directory, _, _ = self.directory()
+        directory.record_leaving("sound", started_ms=1000)
+        directory.record_replacement("claim")
+        directory.restore_displaced()
+        assert not directory.is_usable("sound")
+
+
 class TestPossibleRestarts:
     """Whether an upstream surely runs the version that its entry states."""
 
