--- a/tests/site/test_unreadable_objects.py
+++ b/tests/site/test_unreadable_objects.py
@@ -1,11 +1,13 @@
 """Answers of the store with objects that can't be read, among objects that can."""
 
+from random import Random
+
 import curio
 import msgspec
 import pytest
 from tests.site.test_site_objects import CONFIG, SERVER
 
-from ragwortkeel.exceptions import PlatformUnavailable
+from ragwortkeel.exceptions import OutcomeUnknown, PlatformUnavailable
 from ragwortkeel.httpio import HttpServer
 from ragwortkeel.ingress.configuration import (
     CONFIGURATION_KIND,
@@ -34,19 +36,24 @@
 KINDS = (CONFIGURATION_KIND, UPSTREAMS_KIND, EVACUATIONS_KIND, LEDGERS_KIND)
 
 
-def ask(answer, call):
-    """Return what `call(client)` returns while the store answers these bytes."""
+class _Store:
+    answer = b""
+
+    async def handle(self, request, responder):
+        await responder.respond(200, self.answer)
 
-    async def handle(request, responder):
-        await responder.respond(200, answer)
+
+def ask_often(call):
+    """Run `call(client, store)`; the store answers the bytes in its `answer`."""
 
     async def main():
-        server = HttpServer(host="127.0.0.1", port=0, handler=handle)
+        store = _Store()
+        server = HttpServer(host="127.0.0.1", port=0, handler=store.handle)
         server.open()
         task = await curio.spawn(server.serve, daemon=True)
         client = ObjectStore(address=f"127.0.0.1:{server.port}", timeout=2.0)
         try:
-            return await call(client)
+            return await call(client, store)
         finally:
             await client.close()
             await server.stop_accepting()
@@ -55,6 +62,16 @@
     return curio.run(main)
 
 
+def ask(answer, call):
+    """Return what `call(client)` returns while the store answers these bytes."""
+
+    async def call_with(client, store):
+        store.answer = answer
+        return await call(client)
+
+    return ask_often(call_with)
+
+
 def document(name, spec, revision=7):
     """Return the bytes of an object whose `spec` is any bytes."""
     metadata = msgspec.json.encode({"name": name, "revision": revision})
@@ -145,3 +162,67 @@
     listing = ask(answer, lambda client: client.list(UPSTREAMS_KIND))
     assert list(listing.by_name) == ["c"]
     assert decode_value(listing.by_name["c"].value, Upstream).zone == SERVER["zone"]
+
+
+class TestFuzz:
+    """Answers in which one object has random bytes, on each call and for each kind."""
+
+    COUNT = 300
+
+    def mutated(self, draw, kind):
+        """Return the bytes of a sound object with random changes within its value."""
+        spec = CONFIG if kind == CONFIGURATION_KIND else SERVER
+        spec = bytearray(msgspec.json.encode(spec))
+        for _ in range(draw.randint(1, 4)):
+            place = draw.randrange(1, len(spec) - 1)
+            match draw.randrange(4):
+                case 0:
+                    spec[place] = draw.choice(b'\x00\xff0-9"e.:,xt')
+                case 1:
+                    del spec[place]
+                case 2:
+                    spec[place:place] = draw.choice(list(BAD_VALUES.values()))
+                case _:
+                    del spec[place : place + draw.randint(1, 40)]
+        return document("b", bytes(spec))
+
+    @pytest.mark.parametrize("kind", KINDS)
+    @pytest.mark.parametrize("operation", ["list", "watch", "get", "write"])
+    def test_the_sound_rest_holds_or_the_answer_is_an_outage(self, kind, operation):
+        """Guards against an error of one object that no caller expects."""
+        draw = Random(f"{kind} {operation}")
+        sound = document("a", msgspec.json.encode(SERVER), 5)
+        kept = []
+
+        async def call(client, store):
+            for _ in range(self.COUNT):
+                bad = self.mutated(draw, kind)
+                store.answer = {
+                    "list": b'{"items":[' + sound + b"," + bad + b'],"at":9}',
+                    "watch": b'{"events":[{"object":'
+                    + sound
+                    + b'},{"object":'
+                    + bad
+                    + b'}],"at":9}',
+                }.get(operation, bad)
+                try:
+                    kept.append(await self.operate(client, operation, kind))
+                except (PlatformUnavailable, OutcomeUnknown):
+                    kept.append(None)
+
+        ask_often(call)
+        if operation in ("list", "watch"):
+            assert kept.count("a") > self.COUNT / 2
+
+    async def operate(self, client, operation, kind):
+        match operation:
+            case "list":
+                return "a" if "a" in (await client.list(kind)).by_name else "none"
+            case "watch":
+                changes = await client.watch(kind, 1, 0.1)
+                return "a" if changes.gap or changes.changes[0].name == "a" else "none"
+            case "get":
+                found = await client.get(kind, "b")
+                return found and found.name
+            case _:
+                return await client.update(kind, "b", b"{}", 1)
