A message that is nested deep is dropped like any garbage

decode raised RecursionError for a map with a field nested some thousand levels deep, which ended the reader of a link or of the endpoint: a few KB from any peer made a process deaf. It is a DecodeError now. The new case failed before.

--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -907,7 +907,10 @@
     """
     if data.startswith(_ZLIB_FIRST_BYTE):
         data = _inflate(data)
-    return _decoder.decode(data)
+    try:
+        return _decoder.decode(data)
+    except (UnicodeDecodeError, RecursionError) as exc:
+        raise msgspec.DecodeError(str(exc)) from exc
 
 
 def _inflate(data: bytes) -> bytes:
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -87,8 +87,18 @@
             zlib.compress(b"cut off" * 9)[:-5],
             zlib.compress(b"no envelope" * 99),
             zlib.compress(bytes(MAX_MESSAGE_BYTES + 1)),
+            b"\x81\xa1x" + b"\x91" * 20_000 + b"\xc0",
+            b"\x81\xa6sender\xa1\xff",
+        ],
+        ids=[
+            "empty",
+            "other bytes",
+            "cut off",
+            "no envelope",
+            "too large",
+            "nested deep",
+            "no text",
         ],
-        ids=["empty", "other bytes", "cut off", "no envelope", "too large"],
     )
     def test_garbage_is_refused(self, garbage):
         """Guard against foreign data that fills the memory or ends the reader."""
