Values nested deep or with huge numbers end no process

A process of the product's own platform ended by one object of another writer: decoders caught msgspec.DecodeError only, not RecursionError, and numbers of 400 digits passed and raised OverflowError where they were used (a port at the connect, a decision's time in the upkeep of blocks). All values are decoded with one error, and an upstream's port, slots and start and a decision's time are bounded.

--- a/src/ragwortkeel/budget/shards.py
+++ b/src/ragwortkeel/budget/shards.py
@@ -104,5 +104,10 @@
     """
     try:
         return _decoder.decode(zlib.decompress(_packed_decoder.decode(value).packed))
-    except (msgspec.DecodeError, zlib.error) as exc:
+    except (
+        msgspec.DecodeError,
+        zlib.error,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as exc:
         raise LedgerUnreadable(str(exc)) from exc
--- a/src/ragwortkeel/ingress/block_store.py
+++ b/src/ragwortkeel/ingress/block_store.py
@@ -13,11 +13,13 @@
 
 from ragwortkeel.exceptions import (
     AlreadyExists,
+    ConfigurationUnreadable,
     ObjectNotFound,
     OutcomeUnknown,
     PlatformUnavailable,
     VersionConflict,
 )
+from ragwortkeel.ingress.configuration import UnixMilliseconds, decode_value
 from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.platform import Platform, Stored
 from ragwortkeel.policy.block_quarantine import RETENTION_SECONDS, Decision
@@ -52,7 +54,7 @@
     """
 
     block: str
-    stamp: int
+    stamp: UnixMilliseconds
     refused: bool = True
     crashes: tuple[str, ...] = ()
     requests: tuple[str, ...] = ()
@@ -177,7 +179,7 @@
 
 def _decode_or_none(stored: Stored) -> StoredDecision | None:
     try:
-        return msgspec.json.decode(stored.value, type=StoredDecision)
-    except msgspec.DecodeError as exc:
+        return decode_value(stored.value, StoredDecision)
+    except ConfigurationUnreadable as exc:
         log_warning("object_unreadable", kind=BLOCKS_KIND, error=str(exc))
         return None
--- a/src/ragwortkeel/ingress/configuration.py
+++ b/src/ragwortkeel/ingress/configuration.py
@@ -19,6 +19,10 @@
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=0)]
+UnixMilliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+MAX_SLOTS = 100_000
+"""Slots that no upstream has; a huge number can't be part of a load's fraction."""
 
 
 class Repeats(StrEnum):
@@ -183,11 +187,11 @@
     name: str
     service: str
     host: str
-    port: int
+    port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
     zone: str
-    slots: Count
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
     state: UpstreamState
-    started_ms: int = msgspec.field(default=0, name="born")
+    started_ms: UnixMilliseconds = msgspec.field(default=0, name="born")
     cold_seconds: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     version: str = ""
 
@@ -205,5 +209,5 @@
     """
     try:
         return msgspec.json.decode(value, type=cls)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise ConfigurationUnreadable(str(exc)) from exc
