A report is waited for while an upstream is silent for a moment

Cause: a report had 0.25 s, also for streams that nothing else holds up.

It has 1 s now, less than callers wait. A stream whose silent upstream may still go on, and one that has just begun, still waits for 0.25 s.

Failed before: test_a_report_of_an_upstream_that_is_silent_for_a_moment_is_waited_for.

--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -53,7 +53,11 @@
 from ragwortkeel.ingress.prefixes import shared_block_ids
 from ragwortkeel.ingress.replacement import Lack, Replacement, Replacements
 from ragwortkeel.ingress.speed_tracker import AnswerTimer
-from ragwortkeel.ingress.start_checks import StartCheck
+from ragwortkeel.ingress.start_checks import (
+    REPORT_SECONDS,
+    SHORT_WAIT_SECONDS,
+    StartCheck,
+)
 from ragwortkeel.ingress.upstream_connection import ResponseHead, UpstreamConnection
 from ragwortkeel.ingress.usage import Usage
 from ragwortkeel.logs import log_info
@@ -627,7 +631,12 @@
         """Return whether an upstream may get the request, by its software version."""
         if assignment.job.version is None:
             return True
-        return await self._components.starts.may_continue_at(assignment.upstream)
+        # A silent upstream is left before a report that is late would come.
+        is_held = self._silent_run is not None
+        seconds = SHORT_WAIT_SECONDS if is_held else REPORT_SECONDS
+        return await self._components.starts.may_continue_at(
+            assignment.upstream, seconds=seconds
+        )
 
     def _resumption_fields(self) -> dict[str, object]:
         """Return the log fields of a run that continues a stream; none for others."""
--- a/src/ragwortkeel/ingress/start_checks.py
+++ b/src/ragwortkeel/ingress/start_checks.py
@@ -25,8 +25,15 @@
 from ragwortkeel.ingress.upstream_connection import ConnectionPool
 from ragwortkeel.logs import log_info
 
-REPORT_SECONDS = 0.25
-"""Time limit of a report: over a hundred round trips inside a region."""
+REPORT_SECONDS = 1.0
+"""Time limit of a report.
+
+An upstream may be silent for a moment, and callers wait longer than that for a stream.
+"""
+
+SHORT_WAIT_SECONDS = 0.25
+"""Longest wait for a report while a stream that goes on is held up, over a hundred
+round trips inside a region."""
 
 RECHECK_SECONDS = 0.5
 """Time after a check without a result in which the upstream is not asked again."""
@@ -79,10 +86,17 @@
         self._shown_at[start] = monotonic()
         return True
 
-    async def check(self, upstream: Upstream) -> StartCheck:
+    async def check(
+        self, upstream: Upstream, *, seconds: float = SHORT_WAIT_SECONDS
+    ) -> StartCheck:
         """Return whether an upstream is the start that its entry describes.
 
         The answer holds for connections that were open before the call.
+
+        Parameters
+        ----------
+        seconds : float
+            Longest time to wait for a report.
         """
         if self.is_shown(upstream):
             return StartCheck.SAME
@@ -96,17 +110,20 @@
             call = await curio.spawn(self._ask, upstream, daemon=True)
             self._call_by_start[start] = call
         # The call goes on for the others if the caller of this one leaves.
-        await call.wait()
-        return call.result
+        async with curio.ignore_after(seconds):
+            await call.wait()
+        return call.result if call.terminated else StartCheck.UNKNOWN
 
-    async def may_continue_at(self, upstream: Upstream) -> bool:
+    async def may_continue_at(
+        self, upstream: Upstream, *, seconds: float = REPORT_SECONDS
+    ) -> bool:
         """Return whether a stream of an upstream's version may go on there.
 
         Without reports the entry decides.
         """
         if not self._report_path:
             return True
-        return await self.check(upstream) is StartCheck.SAME
+        return await self.check(upstream, seconds=seconds) is StartCheck.SAME
 
     async def _ask(self, upstream: Upstream) -> StartCheck:
         start, sent_at = _start(upstream), monotonic()
--- a/tests/ingress/test_start_checks.py
+++ b/tests/ingress/test_start_checks.py
@@ -1,15 +1,23 @@
 """Whether upstreams are the starts that their entries describe."""
 
+from time import monotonic
+
 import curio
 import pytest
 from curio.task import ContextTask
 from tests.ingress.builders import upstream
-from tests.ingress.in_process import REPORT_PATH, ScriptedUpstream, answer_whole
+from tests.ingress.in_process import (
+    REPORT_PATH,
+    ScriptedUpstream,
+    answer_whole,
+    report,
+)
 
 from ragwortkeel.ingress.directory import ENTRY_LAG_SECONDS, Directory
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.start_checks import (
     REPORT_SECONDS,
+    SHORT_WAIT_SECONDS,
     StartCheck,
     StartChecks,
 )
@@ -96,18 +104,52 @@
 
         assert run(scenario) is StartCheck.UNKNOWN
 
-    def test_a_report_that_does_not_come_is_not_waited_for(self):
-        """Guards against streams that wait for an upstream that is silent."""
+    def test_a_report_of_an_upstream_that_is_silent_for_a_moment_is_waited_for(self):
+        """Guards against streams that are refused where they used to go on."""
+
+        async def scenario(world):
+            async def answer(sock):
+                await curio.sleep(REPORT_SECONDS / 2)
+                await sock.sendall(report(1))
+                return True
+
+            world.server._serve_request = answer
+            return await world.checks.may_continue_at(world.entry)
+
+        assert run(scenario) is True
+
+    @pytest.mark.parametrize("seconds", [SHORT_WAIT_SECONDS, REPORT_SECONDS])
+    def test_a_report_that_does_not_come_is_not_waited_for_longer(self, seconds):
+        """Guards against streams that wait for an upstream that stays silent."""
 
         async def scenario(world):
             async def answer(sock):
                 await curio.sleep(5.0)
 
             world.server._serve_request = answer
-            async with curio.timeout_after(2 * REPORT_SECONDS):
-                return [await world.checks.check(world.entry) for _ in range(3)]
+            began_at = monotonic()
+            result = await world.checks.check(world.entry, seconds=seconds)
+            return result, monotonic() - began_at
+
+        result, waited = run(scenario)
+        assert result is StartCheck.UNKNOWN
+        assert waited < seconds + 0.2
+
+    def test_an_upstream_without_a_report_is_not_asked_again_at_once(self):
+        """Guards against a call for each stream that looks for an upstream."""
+
+        async def scenario(world):
+            calls = []
+
+            async def answer(sock):
+                calls.append(sock)
+                return False
+
+            world.server._serve_request = answer
+            results = [await world.checks.check(world.entry) for _ in range(3)]
+            return results, len(calls)
 
-        assert run(scenario) == [StartCheck.UNKNOWN] * 3
+        assert run(scenario) == ([StartCheck.UNKNOWN] * 3, 1)
 
     def test_checks_at_the_same_time_share_a_report(self):
         async def scenario(world):
