--- a/tests/ingress/test_overloaded_instance.py
+++ b/tests/ingress/test_overloaded_instance.py
@@ -136,7 +136,7 @@
 class SilentUpstream:
     """An upstream in threads of its own that never answers."""
 
-    name, service, seen = "u1", "app", ()
+    name, service, seen, started_ms = "u1", "app", (), 0
 
     def __init__(self):
         self._listener = socket.create_server(("127.0.0.1", 0))
