Soak: upstreams report their starts

The engines of the soak restart under their names at other versions, and the ingress can ask them now which start they are in. Their entries state the time of the start, in place of that of the entry.

--- a/soak/operator.py
+++ b/soak/operator.py
@@ -1,6 +1,6 @@
 """The operator: the configuration, the upstreams' entries, and what callers know."""
 
-from time import monotonic, time
+from time import monotonic
 
 import curio
 import msgspec
@@ -145,7 +145,6 @@
 
         One that was leaving before goes on leaving.
         """
-        upstream.started_ms = int(time() * 1000)
         state = UpstreamState.LEAVING if upstream.leaving else UpstreamState.READY
         await self._write_entry(upstream, state)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -54,7 +54,7 @@
 )
 from soak.history import BadArrival, Exit, History, Kind, Serving, Span
 from soak.operator import ROUTE_SECONDS, Operator
-from soak.upstreams import RecordingUpstream, zone_of
+from soak.upstreams import REPORT_PATH, RecordingUpstream, zone_of
 from soak.ways import PlatformWay
 
 EVENT_TOKENS = 6
@@ -138,6 +138,7 @@
             platform=f"{HOST}:{self._way.port}",
             peers=self._peers,
             stop_deadline_seconds=STOP_DEADLINE_SECONDS,
+            upstream_report_path=REPORT_PATH,
             capacity={
                 "link_bytes_per_second": self._link,
                 "memory_bytes": MEMORY_BYTES,
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from random import Random
-from time import monotonic
+from time import monotonic, time
 
 import curio
 import h11
@@ -17,6 +17,8 @@
 HOST = "127.0.0.1"
 NAMES = HeaderNames()
 PROOF = "p1"
+REPORT_PATH = "/report"
+"""Where upstreams state their start."""
 ZONES = ("zone-a", "zone-b", "zone-c")
 BAD_BLOCK_PREFIX = "bad-"
 COMMON_BLOCK = "common"
@@ -74,7 +76,7 @@
         self.version = version
         self.leaving = False
         self.removed = False
-        self.started_ms = 0
+        self.started_ms = int(time() * 1000)
         self._history = history
         self._random = Random(f"{name} {seed}")
         self._crashed = False
@@ -123,6 +125,7 @@
         await self.go_down()
         await curio.sleep(seconds)
         self.version = version
+        self.started_ms = int(time() * 1000)
         self._sock = curio.network.tcp_server_socket(HOST, self.port)
         self._task = await curio.spawn(
             curio.network.run_server, self._sock, self._serve, daemon=True
@@ -161,6 +164,13 @@
                 pass
         except h11.RemoteProtocolError:
             return False
+        if head.target.decode() == REPORT_PATH:
+            await self._report(sock, conn)
+            return True
+        return await self._serve_run(sock, conn, head)
+
+    async def _serve_run(self, sock, conn: h11.Connection, head: h11.Request) -> bool:
+        """Run a request; return whether the connection is open."""
         headers = join_headers(head.headers)
         request_id = headers[NAMES.request_id]
         fields = [(NAMES.request_id, request_id)]
@@ -204,6 +214,14 @@
         del self._running_by_sock[sock]
         return True
 
+    async def _report(self, sock, conn: h11.Connection) -> None:
+        """State which start of the upstream this is."""
+        await self._wait_for_pause()
+        body = b'{"born":%d}' % self.started_ms
+        fields = [("content-length", str(len(body)))]
+        data = conn.send(_response(200, fields)) + conn.send(h11.Data(data=body))
+        await sock.sendall(data + conn.send(h11.EndOfMessage()))
+
     async def _serve_draft(
         self, sock, conn: h11.Connection, headers: dict[str, str], fields: list
     ) -> bool:
