--- a/soak/processes.py
+++ b/soak/processes.py
@@ -12,7 +12,7 @@
 from soak.callers import Target
 from soak.faults import DisturbWay, Way
 from soak.history import Exit, History, Span
-from soak.upstreams import zone_of
+from soak.upstreams import REPORT_PATH, zone_of
 from soak.ways import PlatformWay
 
 STOP_DEADLINE_SECONDS = 8.0
@@ -81,6 +81,7 @@
             platform=f"{HOST}:{self._way.port}",
             peers=self._peers,
             stop_deadline_seconds=STOP_DEADLINE_SECONDS,
+            upstream_report_path=REPORT_PATH,
             capacity={
                 "link_bytes_per_second": self._link,
                 "memory_bytes": MEMORY_BYTES,
