An entry that names no start decides by itself whether a stream goes on

Upstreams whose entries state no start could never show that they did not restart, so no stream went on at them. The test failed before. Found by reading the merge.

--- a/src/ragwortkeel/ingress/start_checks.py
+++ b/src/ragwortkeel/ingress/start_checks.py
@@ -119,9 +119,9 @@
     ) -> bool:
         """Return whether a stream of an upstream's version may go on there.
 
-        Without reports the entry decides.
+        Without reports, or if the entry names no start to compare with, it decides.
         """
-        if not self._report_path:
+        if not (self._report_path and upstream.started_ms):
             return True
         return await self.check(upstream, seconds=seconds) is StartCheck.SAME
 
--- a/tests/ingress/test_start_checks.py
+++ b/tests/ingress/test_start_checks.py
@@ -178,6 +178,15 @@
 
         assert run(scenario, report_path="") is True
 
+    def test_an_entry_that_names_no_start_decides(self):
+        """Guards against streams that no upstream may ever continue."""
+
+        async def scenario(world):
+            entry = upstream("e1", port=world.server.port, started_ms=0)
+            return await world.checks.may_continue_at(entry)
+
+        assert run(scenario) is True
+
 
 class TestOpenConnections:
     def test_an_open_connection_shows_that_nothing_restarted(self):
