The tests of stops send no signal to a process that has ended

test_an_interrupt_cuts_a_planned_stop_short sent a last SIGTERM after the process under test had ended and its handlers were gone, so it ended the whole test run silently (exit code 143, a run of all tests at 92%). The worker's stop is held until all signals are sent, and each test names its signals.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -34,26 +34,39 @@
         return InForce(revision=0)
 
 
-class SlowlyStoppingWorker(IdleWorker):
+class HeldWorker(IdleWorker):
+    """A worker whose stop waits until it is released."""
+
+    def __init__(self):
+        super().__init__()
+        self.released = curio.Event()
+
     async def stop(self):
-        await curio.sleep(0.5)
+        await self.released.wait()
         return Leftover(counts={})
 
 
-def run_with_signals(*numbers, reload=lambda: None, worker=IdleWorker):
-    """Send signals and then TERM to a process; return its exit code."""
+def run_with_signals(*numbers, reload=lambda: None, worker=None):
+    """Send signals to a process; return its exit code.
+
+    A held worker is released after the last one.
+    """
+    worker = worker or IdleWorker()
 
     async def main():
         process = Process(
-            worker=worker(),
+            worker=worker,
             name="idle",
             metrics_address=free_address(),
             reload=reload,
         )
         task = await curio.spawn(process.main)
-        for number in (*numbers, signal.SIGTERM):
+        for number in numbers:
             await curio.sleep(0.1)
             os.kill(os.getpid(), number)
+        if isinstance(worker, HeldWorker):
+            await curio.sleep(0.1)
+            await worker.released.set()
         return await task.join()
 
     with curio.Kernel(taskcls=ContextTask) as kernel:
@@ -68,7 +81,10 @@
         """
         reloads = []
         code = run_with_signals(
-            signal.SIGHUP, signal.SIGHUP, reload=lambda: reloads.append(1)
+            signal.SIGHUP,
+            signal.SIGHUP,
+            signal.SIGTERM,
+            reload=lambda: reloads.append(1),
         )
         assert code == EXIT_CLEAN
         assert len(reloads) == 2
@@ -77,20 +93,19 @@
         def refuse():
             raise SettingsError(path="$", found="nothing", allowed="a file")
 
-        assert run_with_signals(signal.SIGHUP, reload=refuse) == EXIT_CLEAN
+        code = run_with_signals(signal.SIGHUP, signal.SIGTERM, reload=refuse)
+        assert code == EXIT_CLEAN
 
 
 class TestStop:
     def test_a_second_term_does_not_cut_a_planned_stop_short(self):
         """Guards against answers that are cut off as a supervisor repeats SIGTERM."""
         code = run_with_signals(
-            signal.SIGTERM, signal.SIGHUP, worker=SlowlyStoppingWorker
+            signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, worker=HeldWorker()
         )
         assert code == EXIT_CLEAN
 
     def test_an_interrupt_cuts_a_planned_stop_short(self):
         """Guards against a process that an operator at a terminal can't end."""
-        code = run_with_signals(
-            signal.SIGTERM, signal.SIGINT, worker=SlowlyStoppingWorker
-        )
+        code = run_with_signals(signal.SIGTERM, signal.SIGINT, worker=HeldWorker())
         assert code == EXIT_FAILED
