An error in the renewals of one peer costs that peer only

Cause: the task that writes the ledgers also applies what peers delegate and builds the replies to them. It caught the errors that a grant or a stamp can raise, and any other error ended the task, and with it the process and all requests that it had passed on.

Now each peer's renewals and each reply are handled on their own: renewals_failed names the holder and the error. Renewals that fail are not part of the write, so NOT_DONE is true; if only the reply fails they were written, and UNKNOWN makes their sender read the ledgers. The replies to a write are built in one place, budget.renewal_replies.

--- a/src/ragwortkeel/budget/renewal_replies.py
+++ b/src/ragwortkeel/budget/renewal_replies.py
@@ -4,11 +4,13 @@
 dozens of processes twice a second, would fill the writer's link.
 """
 
+from collections.abc import Iterator
+
 from ragwortkeel.budget.delegation import apply_delegated
 from ragwortkeel.budget.ledger import Ledger
 from ragwortkeel.budget.shards import Shard
 from ragwortkeel.exceptions import LedgerError, RouterSealed
-from ragwortkeel.logs import log_info
+from ragwortkeel.logs import log_error, log_info
 from ragwortkeel.messages import HandedRenewals, RenewalsWritten, WriteOutcome
 
 
@@ -23,9 +25,36 @@
         except (LedgerError, RouterSealed) as exc:
             log_info("renewals_refused", holder=holder, error=str(exc))
             refused.add(holder)
+        except Exception as exc:
+            # What one peer sends costs neither this process nor its other peers.
+            log_error("renewals_failed", holder=holder, error=repr(exc))
+            refused.add(holder)
     return shard, refused
 
 
+def written_replies(
+    shard: Shard, delegated_by_holder: dict[str, HandedRenewals], refused: set[str]
+) -> Iterator[tuple[str, RenewalsWritten]]:
+    """Yield each holder and the reply to its renewals after a write that succeeded."""
+    names = {
+        name
+        for delegated in delegated_by_holder.values()
+        for name in customers_to_report(delegated, shard)
+    }
+    summary_by_customer = shard.summaries(names)
+    for holder, delegated in delegated_by_holder.items():
+        if holder in refused:
+            yield holder, failure_reply(delegated, WriteOutcome.NOT_DONE)
+            continue
+        try:
+            reply = success_reply(shard, delegated, summary_by_customer)
+        except Exception as exc:
+            # They were written, so only the ledgers can tell the holder what it has.
+            log_error("renewals_failed", holder=holder, error=repr(exc))
+            reply = failure_reply(delegated, WriteOutcome.UNKNOWN)
+        yield holder, reply
+
+
 def customers_to_report(delegated: HandedRenewals, shard: Shard) -> set[str]:
     """Return the customers whose ledgers the sender of the renewals needs."""
     if delegated.start is not None:
--- a/src/ragwortkeel/ingress/renewals.py
+++ b/src/ragwortkeel/ingress/renewals.py
@@ -23,9 +23,8 @@
 from ragwortkeel.budget.gone_holders import HolderWatch, close_gone
 from ragwortkeel.budget.renewal_replies import (
     apply_all_delegated,
-    customers_to_report,
     failure_reply,
-    success_reply,
+    written_replies,
 )
 from ragwortkeel.budget.shards import Shard
 from ragwortkeel.budget.write_attempts import WriteAttempts
@@ -584,24 +583,15 @@
         delegated_by_holder: dict[str, HandedRenewals],
         refused: set[str],
     ) -> None:
-        succeeded = outcome is WriteOutcome.DONE
-        summary_by_customer = {}
-        if succeeded:
-            all_renewals = delegated_by_holder.values()
-            names = {
-                name
-                for peer_renewals in all_renewals
-                for name in customers_to_report(peer_renewals, shard)
-            }
-            summary_by_customer = shard.summaries(names)
-        for holder, delegated in delegated_by_holder.items():
-            if holder in refused:
-                answer = failure_reply(delegated, WriteOutcome.NOT_DONE)
-            elif succeeded:
-                answer = success_reply(shard, delegated, summary_by_customer)
-            else:
-                answer = failure_reply(delegated, outcome)
-            await self._peers.send_outcome(holder, answer)
+        if outcome is WriteOutcome.DONE:
+            replies = written_replies(shard, delegated_by_holder, refused)
+        else:
+            replies = (
+                (holder, failure_reply(delegated, outcome))
+                for holder, delegated in delegated_by_holder.items()
+            )
+        for holder, reply in replies:
+            await self._peers.send_outcome(holder, reply)
 
     async def _try_write(
         self, delegated_by_holder: dict[str, HandedRenewals]
--- a/tests/ingress/test_restarted_peers.py
+++ b/tests/ingress/test_restarted_peers.py
@@ -4,6 +4,7 @@
 import pytest
 from tests.ingress.test_renewals import CUSTOMER, PATIENCE, Process
 
+from ragwortkeel.budget import renewal_replies
 from ragwortkeel.budget.allowance import Allowances
 from ragwortkeel.budget.clocks import read_clocks
 from ragwortkeel.budget.shards import SHARDS_KIND, decode_shard
@@ -76,6 +77,42 @@
     assert "b/1" not in shard.stamp_by_holder
 
 
+class TestFaultyRenewals:
+    @pytest.mark.parametrize(
+        ("step", "outcome"),
+        [
+            ("apply_delegated", WriteOutcome.NOT_DONE),
+            ("success_reply", WriteOutcome.UNKNOWN),
+        ],
+    )
+    def test_they_cost_their_sender_only(self, monkeypatch, step, outcome):
+        """Guards against a writer that ends by an error in the renewals of one peer."""
+        original = getattr(renewal_replies, step)
+
+        def fail_for_b(*args):
+            if any(getattr(value, "holder", "") == "b/1" for value in args):
+                raise KeyError("a fault")
+            return original(*args)
+
+        monkeypatch.setattr(renewal_replies, step, fail_for_b)
+
+        async def scenario(platform, writer):
+            shard = await read_shard(platform)
+            for holder in ("b/1", "c/1"):
+                _, delegated = started_again(shard, holder)
+                await writer.renewals.receive_renewals(delegated)
+            await outcomes(writer, 2)
+            found = {each.holder: each.outcome for each in writer.peers.outcomes}
+            stored = await read_shard(platform)
+            return found, stored.stamp_by_holder.keys(), writer.task.terminated
+
+        found, stored, ended = run_writer(scenario)
+        assert not ended
+        assert found == {"b/1": outcome, "c/1": WriteOutcome.DONE}
+        assert ("b/1" in stored) == (outcome is WriteOutcome.UNKNOWN)
+        assert "c/1" in stored
+
+
 class TestOutcomesOfAnotherStart:
     """Both starts count their nonces from 1, so only the holder tells them apart."""
 
