A decision on a prompt block that the platform refuses ends no process

Cause: the task that writes decisions knew no refused value (400, 413), and the one that reads them none for the removal of an old one. A task that ends by an error ends the process (run_together), with the requests that it has passed on.

A refused removal is logged.

Evidence: the new test ended the writer with ValueRefused before, and passes now.

--- a/src/ragwortkeel/ingress/block_store.py
+++ b/src/ragwortkeel/ingress/block_store.py
@@ -17,6 +17,7 @@
     ObjectNotFound,
     OutcomeUnknown,
     PlatformUnavailable,
+    ValueRefused,
     VersionConflict,
 )
 from ragwortkeel.ingress.configuration import UnixMilliseconds, decode_value
@@ -105,7 +106,7 @@
                     break
                 await curio.sleep(RETRY_SECONDS)
             else:
-                log_warning("block_not_stored", block=value.block)
+                log_warning("block_not_stored", block=value.block, error="no success")
 
     async def request_read(self) -> None:
         """Read the decisions soon; peers may have made some that were not heard."""
@@ -148,12 +149,17 @@
             return False
         try:
             await self._platform.delete(BLOCKS_KIND, stored.name, stored.version)
-        except (ObjectNotFound, OutcomeUnknown, VersionConflict) as exc:
+        except (
+            ObjectNotFound,
+            OutcomeUnknown,
+            ValueRefused,
+            VersionConflict,
+        ) as exc:
             log_info("old_block_not_deleted", block=value.block, error=str(exc))
         return True
 
     async def _try_write(self, value: StoredDecision) -> bool:
-        """Write a decision unless a later one is stored; return whether it is done."""
+        """Write a decision unless a later one is stored; return False to try again."""
         name, encoded = object_name(value.block), msgspec.json.encode(value)
         try:
             stored = await self._platform.get(BLOCKS_KIND, name)
@@ -164,6 +170,9 @@
                 if current is not None and current.stamp >= value.stamp:
                     return True
                 await self._platform.update(BLOCKS_KIND, name, encoded, stored.version)
+        except ValueRefused as exc:
+            log_warning("block_not_stored", block=value.block, error=str(exc))
+            return True
         except (
             AlreadyExists,
             ObjectNotFound,
--- a/tests/ingress/test_block_store.py
+++ b/tests/ingress/test_block_store.py
@@ -7,7 +7,7 @@
 import pytest
 from curio.task import ContextTask
 
-from ragwortkeel.exceptions import PlatformUnavailable
+from ragwortkeel.exceptions import PlatformUnavailable, ValueRefused
 from ragwortkeel.ingress.block_store import (
     BLOCKS_KIND,
     RETRY_SECONDS,
@@ -94,6 +94,41 @@
     assert run(scenario).block == "bad"
 
 
+class RefusingPlatform(LocalPlatform):
+    """A platform that refuses each create of a decision, and each delete, once."""
+
+    def __init__(self):
+        super().__init__()
+        self.refuses_create = self.refuses_delete = True
+
+    async def create(self, kind, name, value):
+        if self.refuses_create:
+            self.refuses_create = False
+            raise ValueRefused("status 400")
+        return await super().create(kind, name, value)
+
+    async def delete(self, kind, name, version):
+        if self.refuses_delete:
+            self.refuses_delete = False
+            raise ValueRefused("status 400")
+        await super().delete(kind, name, version)
+
+
+def test_a_refused_write_stops_neither_later_writes_nor_reads():
+    """Guards against a process that ends as the platform refuses one decision."""
+
+    async def scenario(store, platform):
+        stamp = NOW_MS - int(RETENTION_SECONDS * 1000) - 1
+        for decision in (Decision(block="refused", stamp=NOW_MS), REFUSED):
+            await store.save(decision, None)
+        await stored_decision(platform)
+        old = StoredDecision(block="old", stamp=stamp)
+        await platform.create(BLOCKS_KIND, "old", msgspec.json.encode(old))
+        return await first_read(store)
+
+    assert run(scenario, RefusingPlatform()) == [REFUSED]
+
+
 def test_a_later_decision_replaces_an_earlier_one_and_not_the_reverse():
     """Guards against a process that takes an operator's release back."""
 
