A refused write of a ledger does not end a customer's renewals at a router

What callers saw: once the platform refused one write of a ledger (400, 413), this router never renewed that customer's slice again; a router that stopped at that moment failed in its stop.

A refused write raises LedgerFull now, which the keeper handles as other refusals of a renewal, and a stop that can't return a slice says so.

Evidence: the new test failed before with ValueRefused out of return_slices, and passes now; the scenario of the file has a time limit of its own.

--- a/src/ragwortkeel/router/budget_account.py
+++ b/src/ragwortkeel/router/budget_account.py
@@ -28,11 +28,13 @@
     BudgetRefused,
     BudgetUnreachable,
     LedgerError,
+    LedgerFull,
     LedgerUnreadable,
     ObjectNotFound,
     OutcomeUnknown,
     PlatformUnavailable,
     RouterSealed,
+    ValueRefused,
     VersionConflict,
 )
 from ragwortkeel.platform import Platform
@@ -207,7 +209,7 @@
             try:
                 if await self._close_once():
                     return True
-            except PlatformUnavailable:
+            except (PlatformUnavailable, LedgerError):
                 return False
             except RouterSealed:
                 # Sealed, or closed by an earlier write whose answer was lost.
@@ -300,6 +302,9 @@
         except PlatformUnavailable:
             self.refresh.record_refused()
             raise
+        except ValueRefused as exc:
+            self.refresh.record_refused()
+            raise LedgerFull(f"{self.profile}: {exc}") from exc
         except (OutcomeUnknown, curio.CancelledError) as exc:
             # The write may still take effect.  The next read shows whether it did;
             # until then the tokens that it returns are not spent.
--- a/tests/router/test_budget_keeper.py
+++ b/tests/router/test_budget_keeper.py
@@ -8,12 +8,18 @@
 
 from ragwortkeel.budget.ledger import Ledger, decode_ledger, encode_ledger
 from ragwortkeel.configuration import LEDGERS, Spread
-from ragwortkeel.exceptions import BudgetExhausted, BudgetUnreachable, ExposureFull
+from ragwortkeel.exceptions import (
+    BudgetExhausted,
+    BudgetUnreachable,
+    ExposureFull,
+    ValueRefused,
+)
 from ragwortkeel.messages import SliceRequest, SliceTransfer
 from ragwortkeel.router.budget_account import BudgetTerms
-from ragwortkeel.router.budget_keeper import BudgetKeeper
+from ragwortkeel.router.budget_keeper import REFRESH_INTERVAL_SECONDS, BudgetKeeper
 from ragwortkeel.standins.local_platform import LocalPlatform
 
+PATIENCE = 20.0
 TERMS = BudgetTerms(spread=Spread.WIDE, ride_out_seconds=60.0, largest_request=10)
 
 
@@ -69,7 +75,8 @@
         keepers = [fleet.keeper(f"r{i}") for i in range(1, routers + 1)]
         tasks = [await curio.spawn(keeper.run) for keeper in keepers]
         try:
-            await scenario(fleet, *keepers)
+            async with curio.timeout_after(PATIENCE):
+                await scenario(fleet, *keepers)
         finally:
             for task in tasks:
                 await task.cancel()
@@ -123,6 +130,24 @@
 
         play(scenario)
 
+    def test_a_refused_write_of_the_ledger_does_not_end_the_renewals(self, monkeypatch):
+        """Guards against customers whose tokens are never renewed again."""
+
+        async def scenario(fleet, keeper):
+            await settle(keeper, await keeper.reserve("p", 10, "s1"), 10)
+
+            async def refuse(*args):
+                raise ValueRefused("status 413")
+
+            with monkeypatch.context() as patch:
+                patch.setattr(fleet.platform, "update", refuse)
+                await curio.sleep(2 * REFRESH_INTERVAL_SECONDS)
+                assert not await keeper.return_slices()
+            while not fleet.ledger.total_spent:
+                await curio.sleep(0.01)
+
+        play(scenario)
+
     @pytest.mark.parametrize(
         ("prepaid", "tokens", "error"),
         [(0, 10, BudgetExhausted), (9, 10, BudgetExhausted)],
