--- a/tests/ingress/test_stop_waits.py
+++ b/tests/ingress/test_stop_waits.py
@@ -6,16 +6,28 @@
 import curio
 import msgspec
 import pytest
+from deployments.ports import free_address
 from tests.ingress.in_process import KEY, plain, run_ingress, stream_whole
 from tests.ingress.test_stops import open_caller, stop_within
 
 from ragwortkeel.ingress import worker
+from ragwortkeel.ingress.relay_worker import RelayWorker
+from ragwortkeel.links import Link, Received
+from ragwortkeel.messages import (
+    PlatformAnswer,
+    PlatformCall,
+    PlatformError,
+    PlatformOperation,
+)
+from ragwortkeel.settings import RelaySettings
 
 NOTICE_SECONDS = 0.1
 PROMPT_SECONDS = 1.0
 """Most time until a waiting request is refused: it may not wait for the end of the stop
 or for its own time limit, which are both longer."""
 STOP_SECONDS = 4.0
+CALL_SECONDS = 4.0
+"""Duration of a relayed call, longer than a relay without calls takes to stop."""
 TOKENS = {"x_token_bound": "40,60", "x_prompt_parts": "p:40"}
 
 
@@ -106,7 +118,7 @@
         assert waited < PROMPT_SECONDS
 
     def test_tokens_that_a_slow_platform_grants_too_late_are_not_waited_for(self):
-        """Guards against requests that wait for a renewal longer than the stop lasts."""
+        """Guards against requests that wait for a renewal beyond the stop."""
 
         async def scenario(fleet):
             fleet.platform.switches.slow_seconds = 8.0
@@ -165,3 +177,76 @@
             return monotonic() - began_at
 
         assert run_ingress(scenario) < 1.6
+
+
+class TestRelayedCalls:
+    def test_a_relay_that_stops_completes_the_calls_that_it_relays(self):
+        """Guards against writes that are lost as the relay beside them is stopped."""
+
+        async def scenario(fleet):
+            relay, running = await start_relay(fleet)
+            inbox = curio.Queue()
+            link = await open_link(fleet, relay, inbox)
+            fleet.platform.switches.slow_seconds = CALL_SECONDS
+            await link.try_send(
+                PlatformCall(
+                    call_id=7,
+                    operation=PlatformOperation.CREATE,
+                    kind="notes",
+                    name="n",
+                    value=b"{}",
+                )
+            )
+            while not relay._peers.open_calls:
+                await curio.sleep(0.01)
+            leftover = await relay.stop()
+            answer = await next_answer(inbox)
+            await running.cancel()
+            return leftover, answer, await fleet.platform.get("notes", "n")
+
+        leftover, answer, stored = run_ingress(scenario)
+        assert leftover.is_clean
+        assert (answer.call_id, answer.error) == (7, PlatformError.NONE)
+        assert stored is not None
+
+
+async def start_relay(fleet):
+    """Start a relay beside the fleet; return it and its task."""
+    relay = RelayWorker(
+        settings=RelaySettings(
+            name="relay-0",
+            zone="a",
+            address=free_address(),
+            metrics=free_address(),
+            platform="127.0.0.1:9",
+            peers=fleet.links,
+        ),
+        platform=fleet.platform,
+    )
+    relay.open()
+    return relay, await curio.spawn(relay.run, daemon=True)
+
+
+async def open_link(fleet, relay, inbox):
+    """Return a link to the relay that is up; what it receives goes to the inbox."""
+    link = Link(
+        name="relay-0",
+        address=relay._settings.address,
+        incarnation="caller/1",
+        revision=lambda: 1,
+        inbox=inbox,
+    )
+    fleet.tasks.append(await curio.spawn(link.run, daemon=True))
+    while not link.up:
+        await curio.sleep(0.01)
+    return link
+
+
+async def next_answer(inbox):
+    """Return the next answer to a platform call."""
+    async with curio.timeout_after(5):
+        while True:
+            match await inbox.get():
+                case Received(envelope=envelope):
+                    if isinstance(envelope.message, PlatformAnswer):
+                        return envelope.message
