Restarts do not forget which requests crash upstreams

A request that had crashed three upstreams was refused, and after both machines were stopped and started in turn it crashed three more, and three more after the next turn; six late retries where the rule allows three.

Cause: a process tells its peers of a crash when it happens, and its suspects are in memory only, so a later start knows none. Peers now send their suspects with the state that a new link gets, with the ages of the first and the last crash; ids make repetition harmless, and what an answer has cleared stays cleared.

Crashes within 5 s count as unproven: such a request is told with two crashes, and tried again after 30 s. Another crash then refuses it for good, so a request that does crash upstreams gets one late retry more.

--- a/src/ragwortkeel/ingress/crash_watch.py
+++ b/src/ragwortkeel/ingress/crash_watch.py
@@ -1,7 +1,8 @@
 """Watches for crashes of upstreams, with the help of peers.
 
 A process reports each crash that it detects to all others, so that all count the same
-crashes.  The processes that accuse a block of a prompt ask the others whether prompts
+crashes, and tells those that start later which requests are suspect.  The processes
+that accuse a block of a prompt ask the others whether prompts
 with it were answered lately.  The first one that finds it guilty tells the others and
 stores its decision in the platform, for processes that start later.
 
@@ -27,11 +28,12 @@
     BlockDecisions,
     BlockQuestion,
     CrashSeen,
+    SuspectRequest,
 )
 from ragwortkeel.metrics import Metrics
 from ragwortkeel.policy.block_quarantine import Decision, Finding
 from ragwortkeel.policy.facts import Failure
-from ragwortkeel.policy.quarantine import Crash
+from ragwortkeel.policy.quarantine import Crash, Suspect
 
 CHECK_DELAYS_SECONDS = (0.0, 0.1, 0.4)
 """Delays before the checks of an upstream that broke off a run.
@@ -153,6 +155,34 @@
         )
         await self._changed.set()
 
+    def suspects(self) -> tuple[SuspectRequest, ...]:
+        """Return the suspect requests, for a peer that may have started later."""
+        now = monotonic()
+        return tuple(
+            SuspectRequest(
+                fingerprint=each.fingerprint,
+                crash_ids=each.crash_ids,
+                first_age_seconds=now - each.first_at,
+                last_age_seconds=now - each.seen_at,
+            )
+            for each in self._detector.suspects()
+        )
+
+    def receive_suspects(self, suspects: Iterable[SuspectRequest]) -> None:
+        """Merge the suspect requests of a peer."""
+        now = monotonic()
+        count = self._detector.merge_suspects(
+            Suspect(
+                fingerprint=each.fingerprint,
+                crash_ids=each.crash_ids,
+                first_at=now - each.first_age_seconds,
+                seen_at=now - max(0.0, each.last_age_seconds),
+            )
+            for each in suspects
+        )
+        if count:
+            log_info("suspects_heard", new=count)
+
     def decisions(self) -> tuple[BlockDecision, ...]:
         """Return all decisions, for a peer that may lack some."""
         return tuple(map(_wire, self._detector.blocks.decisions()))
--- a/src/ragwortkeel/ingress/crashes.py
+++ b/src/ragwortkeel/ingress/crashes.py
@@ -7,13 +7,13 @@
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from ragwortkeel.ingress.configuration import Upstream
 from ragwortkeel.logs import log_info, log_warning
 from ragwortkeel.policy.block_quarantine import BlockQuarantine, Decision
-from ragwortkeel.policy.quarantine import Crash, Quarantine, Verdict
+from ragwortkeel.policy.quarantine import Crash, Quarantine, Suspect, Verdict
 
 SUSPICION_SECONDS = 3.0
 """Longest time from a broken run to a refused connection that counts as a crash.
@@ -108,8 +108,18 @@
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether the request crashed too many upstreams to run again."""
+        if self._quarantine.allow_retry(fingerprint, self._clock()):
+            log_warning("quarantine_ended", fingerprint=fingerprint)
         return self._quarantine.verdict(fingerprint) is Verdict.REFUSE
 
+    def suspects(self) -> list[Suspect]:
+        """Return the requests that a process which starts later has to know."""
+        return self._quarantine.suspects()
+
+    def merge_suspects(self, suspects: Iterable[Suspect]) -> int:
+        """Add the suspects of a peer; return the number of those with news."""
+        return self._quarantine.merge(suspects, self._clock())
+
     def record_finished(self, fingerprint: str, blocks: tuple[str, ...] = ()) -> None:
         """Record a complete response, which clears the request of suspicion."""
         self._quarantine.record_finish(fingerprint)
--- a/src/ragwortkeel/ingress/peer_handler.py
+++ b/src/ragwortkeel/ingress/peer_handler.py
@@ -21,6 +21,7 @@
     OriginsKept,
     PlatformAnswer,
     RenewalsWritten,
+    SuspectRequest,
     TokenLoan,
     UpstreamChanges,
     VersionedObject,
@@ -93,6 +94,12 @@
     def receive_block_decisions(self, decisions: tuple[BlockDecision, ...]) -> None:
         """Receive a peer's decisions on prompt blocks."""
 
+    def suspect_requests(self) -> tuple[SuspectRequest, ...]:
+        """Return the requests that may crash upstreams."""
+
+    def receive_suspect_requests(self, suspects: tuple[SuspectRequest, ...]) -> None:
+        """Receive a peer's requests that may crash upstreams."""
+
     def announced_limits(self) -> dict[str, AnnouncedLimit]:
         """Return the rate limits that upstreams' answers announced lately."""
 
--- a/src/ragwortkeel/ingress/peers.py
+++ b/src/ragwortkeel/ingress/peers.py
@@ -417,6 +417,7 @@
         return msgspec.structs.replace(
             self._state(introduction, prompt_blocks),
             block_decisions=self._handler.block_decisions(),
+            suspects=self._handler.suspect_requests(),
             leaving_by_upstream=self._handler.known_leaving(),
         )
 
@@ -731,6 +732,7 @@
             state.node, state.status, hold_seconds=hold
         )
         self._handler.receive_block_decisions(state.block_decisions)
+        self._handler.receive_suspect_requests(state.suspects)
         for name, prompt_blocks in state.parts_by_upstream.items():
             self._handler.merge_prompt_blocks(name, prompt_blocks)
 
--- a/src/ragwortkeel/ingress/relay_worker.py
+++ b/src/ragwortkeel/ingress/relay_worker.py
@@ -34,6 +34,7 @@
     OriginsKept,
     PlatformAnswer,
     RenewalsWritten,
+    SuspectRequest,
     TokenLoan,
     UpstreamChanges,
     VersionedObject,
@@ -190,6 +191,13 @@
     def receive_block_decisions(self, decisions: tuple[BlockDecision, ...]) -> None:
         """Discard a peer's decisions on prompt blocks."""
 
+    def suspect_requests(self) -> tuple[SuspectRequest, ...]:
+        """Return no requests: a relay sends none to upstreams."""
+        return ()
+
+    def receive_suspect_requests(self, suspects: tuple[SuspectRequest, ...]) -> None:
+        """Discard a peer's suspect requests."""
+
     def announced_limits(self) -> dict[str, AnnouncedLimit]:
         """Return no limits: a relay receives no answers of upstreams."""
         return {}
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -74,6 +74,7 @@
     OriginsKept,
     PlatformAnswer,
     RenewalsWritten,
+    SuspectRequest,
     TokenLoan,
     UpstreamChanges,
     VersionedObject,
@@ -582,6 +583,14 @@
         """Merge a peer's decisions on prompt blocks."""
         self._crashes.receive_decisions(decisions)
 
+    def suspect_requests(self) -> tuple[SuspectRequest, ...]:
+        """Return the requests that may crash upstreams."""
+        return self._crashes.suspects()
+
+    def receive_suspect_requests(self, suspects: tuple[SuspectRequest, ...]) -> None:
+        """Merge a peer's requests that may crash upstreams."""
+        self._crashes.receive_suspects(suspects)
+
     def announced_limits(self) -> dict[str, AnnouncedLimit]:
         """Return the rate limits that upstreams' answers announced recently."""
         return self._limit_tracker.recent()
--- a/src/ragwortkeel/messages.py
+++ b/src/ragwortkeel/messages.py
@@ -375,6 +375,15 @@
     refused: bool = True
 
 
+class SuspectRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A request that may crash upstreams; see `policy.quarantine.Suspect`."""
+
+    fingerprint: str
+    crash_ids: tuple[str, ...]
+    first_age_seconds: float
+    last_age_seconds: float
+
+
 class BlockDecisions(Message):
     """Decisions on prompt blocks that the sender has made."""
 
@@ -570,6 +579,7 @@
     leaving_by_upstream: dict[str, int] = {}
     status: InstanceStatus | None = None
     block_decisions: tuple[BlockDecision, ...] = ()
+    suspects: tuple[SuspectRequest, ...] = ()
 
 
 class EvacuatedZones(Message):
--- a/src/ragwortkeel/policy/quarantine.py
+++ b/src/ragwortkeel/policy/quarantine.py
@@ -12,13 +12,20 @@
 thus never refused; at worst they wait for an isolated run.
 
 Processes exchange crashes, each under its own id, so that duplicates and reordering
-have no effect.
+have no effect.  A process that starts later is told the suspects that its peers know.
+
+Upstreams may all crash at once for another reason, and a request that is tried again
+at each of them then meets three crashes.  So crashes of one moment prove less than
+those over a longer time: such a request is tried once more later, and a later start is
+told one crash less.
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from enum import StrEnum
 from hashlib import blake2b
+from math import isfinite
 
 CRASHES_TO_ISOLATE = 2
 """Crashes after which a request runs alone.  An innocent request rarely shares two
@@ -33,6 +40,16 @@
 """Time for which a crash is retained: longer than callers retry one body, shorter than
 the time until a fixed engine version is deployed."""
 
+PROOF_SECONDS = 5.0
+"""Time between the first and the last crash of a request from which on they have no
+common cause but the request."""
+
+UNPROVEN_SECONDS = 30.0
+"""Time after which a request is tried again whose crashes were of one moment."""
+
+MAX_TOLD_SUSPECTS = 100
+"""Suspects that a later start is told, the newest first; 10 KB in one message."""
+
 MAX_FINGERPRINTS = 10_000
 """Fingerprints retained, about 5.6 MB; the least recently reported are discarded
 first."""
@@ -74,13 +91,35 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Suspicion:
-    """Recorded crashes of one fingerprint."""
+    """Recorded crashes of one fingerprint.
+
+    Attributes
+    ----------
+    first_at, seen_at : float
+        Seconds of the first and of the last of these crashes.
+    """
 
     crash_ids: frozenset[str] = frozenset()
     cleared_ids: frozenset[str] = frozenset()
     crashed_alone: bool = False
+    first_at: float = 0.0
     seen_at: float = 0.0
 
+    @property
+    def is_proven(self) -> bool:
+        """Whether the crashes are not all of one moment."""
+        return self.crashed_alone or self.seen_at - self.first_at >= PROOF_SECONDS
+
+
+@dataclass(frozen=True, kw_only=True)
+class Suspect:
+    """What one process tells another of a request that may crash upstreams."""
+
+    fingerprint: str
+    crash_ids: tuple[str, ...]
+    first_at: float
+    seen_at: float
+
 
 class Quarantine:
     """Bodies under suspicion, from the crashes reported so far.
@@ -132,6 +171,55 @@
             cleared_ids=suspicion.cleared_ids | {crash_id},
         )
 
+    def allow_retry(self, name: str, now: float) -> bool:
+        """Return whether a refused body is tried again, as its crashes prove little.
+
+        Another crash refuses it for good.
+        """
+        suspicion = self._suspicion_by_fingerprint.get(name)
+        if (
+            self.verdict(name) is not Verdict.REFUSE
+            or suspicion.is_proven
+            or now - suspicion.seen_at < UNPROVEN_SECONDS
+        ):
+            return False
+        left_out = sorted(suspicion.crash_ids)[CRASHES_TO_ISOLATE:]
+        self._suspicion_by_fingerprint[name] = replace(
+            suspicion,
+            crash_ids=suspicion.crash_ids - {*left_out},
+            cleared_ids=suspicion.cleared_ids | {*left_out},
+        )
+        return True
+
+    def suspects(self) -> list[Suspect]:
+        """Return the bodies that a later start has to know, the newest first."""
+        found = []
+        for name, suspicion in reversed(self._suspicion_by_fingerprint.items()):
+            if len(found) == MAX_TOLD_SUSPECTS:
+                break
+            count = CRASHES_TO_REFUSE if suspicion.is_proven else CRASHES_TO_ISOLATE
+            if len(suspicion.crash_ids) >= CRASHES_TO_ISOLATE:
+                found.append(
+                    Suspect(
+                        fingerprint=name,
+                        crash_ids=tuple(sorted(suspicion.crash_ids)[:count]),
+                        first_at=suspicion.first_at,
+                        seen_at=suspicion.seen_at,
+                    )
+                )
+        return found
+
+    def merge(self, suspects: Iterable[Suspect], now: float) -> int:
+        """Add what another process knows; return the number of bodies with news."""
+        recent = (
+            each
+            for each in suspects
+            if isfinite(each.first_at) and 0.0 <= now - each.seen_at < RETENTION_SECONDS
+        )
+        changed = sum(map(self._merge_one, recent))
+        self._discard_old(now)
+        return changed
+
     def verdict(self, name: str) -> Verdict:
         """Return how to handle a request with this fingerprint."""
         suspicion = self._suspicion_by_fingerprint.get(name)
@@ -154,11 +242,31 @@
             suspicion,
             crash_ids=suspicion.crash_ids | {crash.crash_id},
             crashed_alone=suspicion.crashed_alone or crash.alone,
+            first_at=suspicion.first_at if suspicion.crash_ids else now,
             seen_at=now,
         )
         self._suspicion_by_fingerprint.move_to_end(name)
         return True
 
+    def _merge_one(self, suspect: Suspect) -> bool:
+        known = self._suspicion_by_fingerprint.get(suspect.fingerprint, Suspicion())
+        told_ids = {*suspect.crash_ids[:CRASHES_TO_REFUSE]}
+        new_ids = told_ids - known.crash_ids - known.cleared_ids
+        if not new_ids:
+            return False
+        first_at, seen_at = suspect.first_at, suspect.seen_at
+        if known.crash_ids:
+            first_at = min(known.first_at, first_at)
+            seen_at = max(known.seen_at, seen_at)
+        self._suspicion_by_fingerprint[suspect.fingerprint] = replace(
+            known,
+            crash_ids=known.crash_ids | new_ids,
+            first_at=first_at,
+            seen_at=seen_at,
+        )
+        self._suspicion_by_fingerprint.move_to_end(suspect.fingerprint)
+        return True
+
     def _discard_old(self, now: float) -> None:
         while self._suspicion_by_fingerprint:
             oldest = next(iter(self._suspicion_by_fingerprint.values()))
--- a/tests/ingress/test_crashes.py
+++ b/tests/ingress/test_crashes.py
@@ -2,8 +2,14 @@
 
 import curio
 import pytest
+from deployments.ports import free_address
 from tests.ingress.builders import upstream
-from tests.ingress.in_process import answer_whole, reset, run_ingress
+from tests.ingress.in_process import (
+    SETTLED_SECONDS,
+    answer_whole,
+    reset,
+    run_ingress,
+)
 
 from ragwortkeel.ingress.crashes import (
     ANSWERED_SECONDS,
@@ -11,6 +17,7 @@
     BrokenRun,
     CrashDetector,
 )
+from ragwortkeel.policy import quarantine
 from ragwortkeel.policy.block_quarantine import Decision
 
 
@@ -183,3 +190,45 @@
         )
         assert statuses == [502, 502, 502, 503, 503, 503]
         assert arrivals == 3
+
+    def test_a_process_that_starts_later_refuses_the_request(self, monkeypatch):
+        """Guards against rolling restarts after which a request crashes more."""
+        monkeypatch.setattr(quarantine, "PROOF_SECONDS", 0.5)
+
+        async def scenario(fleet):
+            for _ in range(3):
+                await fleet.ask("/filing/1", body=b"poison")
+                await curio.sleep(0.4)
+            crashes = sum(map(len, fleet.seen().values()))
+            link = free_address()
+            await fleet.start_worker("late", link, (*fleet.links, link))
+            await curio.sleep(SETTLED_SECONDS)
+            statuses = []
+            for _ in range(2):
+                answer = await fleet.ask("/filing/1", process=-1, body=b"poison")
+                statuses.append(answer.status)
+                await curio.sleep(0.3)
+            sound = await fleet.ask("/filing/1", process=-1)
+            arrivals = sum(map(len, fleet.seen().values()))
+            return statuses, sound.status, crashes, arrivals
+
+        async def crash_on_poison(seen, sock):
+            if seen.body != b"poison":
+                return await answer_whole(seen, sock)
+            await fleet_of["fleet"].upstreams[seen.headers["x-for-instance"]].crash()
+            return False
+
+        fleet_of = {}
+
+        async def with_fleet(fleet):
+            fleet_of["fleet"] = fleet
+            return await scenario(fleet)
+
+        names = ["u1", "u2", "u3", "u4", "u5"]
+        statuses, sound, crashes, arrivals = run_ingress(
+            with_fleet, scripts=dict.fromkeys(names, crash_on_poison)
+        )
+        assert crashes == 3
+        assert statuses == [503, 503]
+        assert sound == 200
+        assert arrivals == crashes + 1
