An upstream whose probe lost its caller is probed again

What callers saw: an upstream that had been ejected got nothing any more, for as long as enough others were left, although it was sound. Cause: the first request after the backoff is the probe, and only its success or failure ends the state Probing; if its caller left, or its time ended before an outcome, nobody recorded that it had none.

An assignment says whether it is the probe, and the exchange records no verdict for a probe that ends without an outcome; then the next request is the probe.

--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -402,6 +402,9 @@
                 self._components.open_requests.add(self)
         finally:
             for run in tuple(self._open_runs):
+                if run.assignment.is_probe:
+                    name = run.assignment.upstream.name
+                    self._components.placement.record_no_verdict(name, monotonic())
                 await self._end_run(run)
 
     async def _next_run(self) -> _Run | ErrorResponse:
--- a/src/ragwortkeel/ingress/placement.py
+++ b/src/ragwortkeel/ingress/placement.py
@@ -100,6 +100,8 @@
         Known load of the upstream, of all processes, just before the assignment.
     prompt_read : bool
         Whether the first token was received, so that the prompt has been read.
+    is_probe : bool
+        Whether the upstream is ejected until this request succeeds there.
     """
 
     upstream: Upstream
@@ -107,6 +109,7 @@
     unread_tokens: int
     load: Load
     prompt_read: bool = False
+    is_probe: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -564,8 +567,14 @@
         if self._rate_limit(upstream, service, now) is not None:
             self._rates.record_sent(upstream.name)
         self._pauses.record_sent(_instance(upstream), now=now)
-        self.ejections.record_assignment(upstream.name, now)
-        return Assignment(upstream=upstream, job=job, unread_tokens=unread, load=load)
+        is_probe = self.ejections.record_assignment(upstream.name, now)
+        return Assignment(
+            upstream=upstream,
+            job=job,
+            unread_tokens=unread,
+            load=load,
+            is_probe=is_probe,
+        )
 
 
 def _instance(upstream: Upstream) -> Instance:
--- a/src/ragwortkeel/policy/ejection.py
+++ b/src/ragwortkeel/policy/ejection.py
@@ -121,13 +121,18 @@
             probe_by_name[name] = False
         return probe_by_name
 
-    def record_assignment(self, upstream: str, now: float) -> None:
-        """Record an assigned request; the first one after the backoff is the probe."""
+    def record_assignment(self, upstream: str, now: float) -> bool:
+        """Record an assigned request; return whether it is the probe.
+
+        That is the first one after the backoff.
+        """
         match self.health(upstream):
             case Ejected(until=until, ejections=ejections) if until <= now:
                 self._health_by_upstream[upstream] = Probing(
                     since=now, ejections=ejections
                 )
+                return True
+        return False
 
     def record_success(self, upstream: str) -> bool:
         """Record a success; return whether it ended the ejection."""
