--- a/tests/ingress/in_process.py
+++ b/tests/ingress/in_process.py
@@ -26,10 +26,11 @@
 )
 from ragwortkeel.ingress.ledger_store import SHARD_NAME
 from ragwortkeel.ingress.names import HeaderNames
+from ragwortkeel.ingress.relay_worker import RelayWorker
 from ragwortkeel.ingress.worker import IngressWorker
 from ragwortkeel.messages import VersionedObject
 from ragwortkeel.platform_client import HttpPlatform
-from ragwortkeel.settings import IngressSettings
+from ragwortkeel.settings import IngressSettings, RelaySettings
 from ragwortkeel.standins.local_platform import LocalPlatform
 from ragwortkeel.standins.platform import open_server
 
@@ -394,6 +395,23 @@
         return {name: server.seen for name, server in self.upstreams.items()}
 
 
+async def start_relay(fleet, name="relay-0"):
+    """Start a relay beside the fleet; return it and its task."""
+    relay = RelayWorker(
+        settings=RelaySettings(
+            name=name,
+            zone="a",
+            address=free_address(),
+            metrics=free_address(),
+            platform="127.0.0.1:9",
+            peers=fleet.links,
+        ),
+        platform=fleet.platform,
+    )
+    relay.open()
+    return relay, await curio.spawn(relay.run, daemon=True)
+
+
 def configuration_value(fleet, revision):
     """Return the fleet's configuration as the platform stores it."""
     value = configuration(
--- a/tests/ingress/test_software_versions.py
+++ b/tests/ingress/test_software_versions.py
@@ -17,6 +17,7 @@
     events,
     reset,
     run_ingress,
+    start_relay,
     stream_head,
     stream_whole,
 )
@@ -25,8 +26,6 @@
 from ragwortkeel.ingress.attempt import MAX_SILENCE_SECONDS
 from ragwortkeel.ingress.configuration import UPSTREAMS_KIND, UpstreamState
 from ragwortkeel.ingress.directory import ENTRY_LAG_SECONDS
-from ragwortkeel.ingress.relay_worker import RelayWorker
-from ragwortkeel.settings import RelaySettings
 
 STREAMS = 12
 READ_SECONDS = 5.0
@@ -287,19 +286,8 @@
         """Start relays beside the fleet; return their tasks."""
         tasks = []
         for number in range(count):
-            relay = RelayWorker(
-                settings=RelaySettings(
-                    name=f"relay-{number}",
-                    zone="a",
-                    address=free_address(),
-                    metrics=free_address(),
-                    platform="127.0.0.1:9",
-                    peers=fleet.links,
-                ),
-                platform=fleet.platform,
-            )
-            relay.open()
-            tasks.append(await curio.spawn(relay.run, daemon=True))
+            relay, task = await start_relay(fleet, f"relay-{number}")
+            tasks.append(task)
             self.relays.append(relay)
         fleet.tasks += tasks
         await curio.sleep(RELAY_SETTLED_SECONDS)
--- a/tests/ingress/test_stop_waits.py
+++ b/tests/ingress/test_stop_waits.py
@@ -6,12 +6,10 @@
 import curio
 import msgspec
 import pytest
-from deployments.ports import free_address
-from tests.ingress.in_process import KEY, plain, run_ingress, stream_whole
+from tests.ingress.in_process import KEY, plain, run_ingress, start_relay, stream_whole
 from tests.ingress.test_stops import open_caller, stop_within
 
 from ragwortkeel.ingress import worker
-from ragwortkeel.ingress.relay_worker import RelayWorker
 from ragwortkeel.links import Link, Received
 from ragwortkeel.messages import (
     PlatformAnswer,
@@ -19,7 +17,6 @@
     PlatformError,
     PlatformOperation,
 )
-from ragwortkeel.settings import RelaySettings
 
 NOTICE_SECONDS = 0.1
 PROMPT_SECONDS = 1.0
@@ -210,23 +207,6 @@
         assert stored is not None
 
 
-async def start_relay(fleet):
-    """Start a relay beside the fleet; return it and its task."""
-    relay = RelayWorker(
-        settings=RelaySettings(
-            name="relay-0",
-            zone="a",
-            address=free_address(),
-            metrics=free_address(),
-            platform="127.0.0.1:9",
-            peers=fleet.links,
-        ),
-        platform=fleet.platform,
-    )
-    relay.open()
-    return relay, await curio.spawn(relay.run, daemon=True)
-
-
 async def open_link(fleet, relay, inbox):
     """Return a link to the relay that is up; what it receives goes to the inbox."""
     link = Link(
