--- a/src/ragwortkeel/chunked_body.py
+++ b/src/ragwortkeel/chunked_body.py
@@ -1,10 +1,11 @@
-"""Parses the body of a chunked HTTP/1.1 response in whole blocks.
+"""Parses the body of a chunked HTTP/1.1 message in whole blocks.
 
 h11 makes an event of each chunk, which costs more than all other work on a small event
 of a stream.  The rules are the same as those of h11.
 
 Failures it guards against: a body that is cut off, a chunk whose size is wrong, and
-trailers that are malformed must never look like a complete body.
+trailers that are malformed must never look like a complete body; and a body in chunks
+of a few bytes must not occupy the event loop.
 """
 
 import re
@@ -14,6 +15,11 @@
 MAX_LINE_BYTES = 16 * 1024
 """Limit of a chunk's size line and of all trailers, as in h11."""
 
+MAX_RUN_CHUNK_BYTES = 16
+"""Largest chunks of which several at once are parsed, as their lines cost most."""
+
+FIRST_RUN_CHUNKS = 8
+
 _SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})(?:;.*)?[ \t]*")
 _TRAILER = re.compile(rb"[-!#$%&'*+.^_`|~0-9A-Za-z]+:[^\x00\r\n]*")
 _LINE_END = b"\r\n"
@@ -80,10 +86,48 @@
             if end < 0:
                 self._check_line(len(data) - position)
                 break
-            self._receive_line(data[position:end])
-            position = end + len(_LINE_END)
+            line_at, position = position, end + len(_LINE_END)
+            self._receive_line(data[line_at:end])
+            if 0 < self._missing_bytes <= MAX_RUN_CHUNK_BYTES:
+                position = self._parse_run(data, line_at, position, pieces)
         return position
 
+    def _parse_run(
+        self, data: bytes, line_at: int, position: int, pieces: list[bytes]
+    ) -> int:
+        """Append the data of equal chunks, of which the first begins at `line_at`.
+
+        The size line of that one ends at `position`.  Return how far was parsed; what
+        is not part of a run is left for `_parse`.
+        """
+        size = self._missing_bytes
+        line = data[line_at:position]
+        period = len(line) + size + len(_LINE_END)
+        count = FIRST_RUN_CHUNKS
+        begin = line_at
+        while (end := begin + count * period) <= len(data):
+            # Most chunks that are not part of a run differ from the next one.
+            if not data.startswith(line, begin + period):
+                break
+            # Column i holds byte i of each chunk.
+            columns = [data[begin + i : end : period] for i in range(period)]
+            content = columns[len(line) : len(line) + size]
+            framing = columns[: len(line)] + columns[len(line) + size :]
+            expected = [bytes([value]) * count for value in line + _LINE_END]
+            if framing != expected:
+                break
+            run = bytearray(count * size)
+            for offset, column in enumerate(content):
+                run[offset::size] = column
+            pieces.append(bytes(run))
+            begin = end
+            count *= 2
+        if begin == line_at:
+            return position
+        self._missing_bytes = 0
+        self._within_chunk = False
+        return begin
+
     def _receive_line(self, line: bytes) -> None:
         if self._trailer_bytes is not None:
             self._receive_trailer(line)
--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -11,8 +11,9 @@
 import curio
 import h11
 
+from ragwortkeel.caller_connection import CallerConnection
 from ragwortkeel.exceptions import BadRequest, CallerLeft, ExchangeBroken
-from ragwortkeel.http_events import READ_CHUNK_BYTES, join_headers, next_event
+from ragwortkeel.http_events import READ_CHUNK_BYTES, join_headers
 from ragwortkeel.http_responder import Request, Responder
 from ragwortkeel.logs import CountedLine, log_debug, log_error, log_warning
 from ragwortkeel.send_buffer import HeldBytes
@@ -57,20 +58,19 @@
 class _IdleConnection:
     """A connection without a request since the monotonic time `since`."""
 
-    sock: curio.io.Socket
-    conn: h11.Connection
+    caller: CallerConnection
     since: float
     is_closed: bool = False
 
     def close(self) -> bool:
         """Close unless bytes of a request have arrived; return whether it closed."""
         # Without a task switch between the check and the shutdown.
-        if self.is_closed or _has_received(self.sock, self.conn):
+        if self.is_closed or self.caller.has_received():
             return False
         self.is_closed = True
         with suppress(OSError):
             # Wakes the task that waits for a request.
-            self.sock._socket.shutdown(_socket.SHUT_RDWR)
+            self.caller.sock._socket.shutdown(_socket.SHUT_RDWR)
         return True
 
 
@@ -173,6 +173,7 @@
         self._listener = None
         self._acceptor = None
         self._connections = curio.TaskGroup(wait=None)
+        self._parsing = curio.Lock()
         self._stopping_since: float | None = None
 
     def open(self) -> None:
@@ -228,7 +229,7 @@
         received = [idle for idle in waiting if not idle.close()]
         waited = 0.0
         while (
-            any(self._idle_by_socket.get(idle.sock) is idle for idle in received)
+            any(self._idle_by_socket.get(idle.caller.sock) is idle for idle in received)
             and waited < wait_seconds
         ):
             await curio.sleep(STOP_POLL_SECONDS)
@@ -328,17 +329,19 @@
         await self._connections.spawn(self._connection, sock, accepted_at, daemon=True)
 
     async def _connection(self, sock, accepted_at: float | None) -> None:
-        conn = h11.Connection(h11.SERVER)
+        caller = CallerConnection(
+            sock=sock, counter=self._counter, parsing=self._parsing
+        )
         arrivals = _Arrivals(self._arrived_at, accepted_at)
         try:
-            head = await self._read_first_head(sock, conn)
-            while head and await self._exchange(sock, conn, head, arrivals.next()):
-                conn.start_next_cycle()
+            head = await self._read_first_head(caller)
+            while head and await self._exchange(caller, head, arrivals.next()):
+                caller.conn.start_next_cycle()
                 arrivals.begin_wait()
-                head = await self._read_head(sock, conn)
+                head = await self._read_head(caller)
         except BadRequest as exc:
             with suppress(OSError, ExchangeBroken):
-                await _refuse(sock, self._responder(sock, conn), exc)
+                await _refuse(caller, self._responder(caller), exc)
         except (OSError, ExchangeBroken):
             # A whole request on the lost connection has been recorded.
             pass
@@ -347,36 +350,39 @@
         finally:
             await sock.close()
 
-    def _responder(self, sock, conn: h11.Connection) -> Responder:
+    def _responder(self, caller: CallerConnection) -> Responder:
         return Responder(
-            sock=sock,
-            conn=conn,
+            sock=caller.sock,
+            conn=caller.conn,
             counter=self._counter,
             held=self._held,
             stall_seconds=self._stall_seconds,
         )
 
-    async def _read_first_head(self, sock, conn) -> h11.Request | None:
+    async def _read_first_head(self, caller: CallerConnection) -> h11.Request | None:
         try:
-            return await self._read_head(sock, conn)
+            return await self._read_head(caller)
         finally:
             self._connections_before_request -= 1
 
-    async def _exchange(self, sock, conn, head: h11.Request, arrived_at: float) -> bool:
+    async def _exchange(
+        self, caller: CallerConnection, head: h11.Request, arrived_at: float
+    ) -> bool:
         """Serve one request; return whether another may follow."""
-        responder = self._responder(sock, conn)
         self.open_exchanges += 1
         try:
-            request = await self._read_request(sock, conn, head, arrived_at)
-            await self._run_handler(sock, conn, request, responder)
+            request = await self._read_request(caller, head, arrived_at)
+            responder = self._responder(caller)
+            await self._run_handler(caller, request, responder)
         finally:
             self.open_exchanges -= 1
+        conn = caller.conn
         reusable = conn.our_state is h11.DONE and conn.their_state is h11.DONE
         is_lost = responder.ended or responder.disconnected.is_set()
         return reusable and not is_lost
 
     async def _run_handler(
-        self, sock, conn, request: Request, responder: Responder
+        self, caller: CallerConnection, request: Request, responder: Responder
     ) -> None:
         responder.bodiless = request.method == "HEAD"
         stopping = self._stopping_since is not None
@@ -384,7 +390,7 @@
         try:
             with self._recording_unanswered(request, responder):
                 if not await self._call(self._refuse, request, responder):
-                    await self._run_watched(sock, conn, request, responder)
+                    await self._run_watched(caller, request, responder)
         finally:
             await responder.close_buffer()
 
@@ -426,18 +432,16 @@
             self._unanswered_line.record(**fields)
 
     async def _run_watched(
-        self, sock, conn, request: Request, responder: Responder
+        self, caller: CallerConnection, request: Request, responder: Responder
     ) -> None:
         handler_task = (
             await curio.current_task() if self._cancels_disconnected else None
         )
         watcher = await curio.spawn(
             _detect_disconnect,
-            sock,
-            conn,
+            caller,
             responder,
             handler_task,
-            self._counter,
             daemon=True,
         )
         try:
@@ -470,16 +474,16 @@
             await _report_fault(responder)
             return True
 
-    async def _read_head(self, sock, conn) -> h11.Request | None:
+    async def _read_head(self, caller: CallerConnection) -> h11.Request | None:
         """Return the head of the next request, or None if the peer sends none."""
-        idle = _IdleConnection(sock=sock, conn=conn, since=monotonic())
-        self._idle_by_socket[sock] = idle
+        idle = _IdleConnection(caller=caller, since=monotonic())
+        self._idle_by_socket[caller.sock] = idle
         try:
             event = await self._first_event(idle)
         except ExchangeBroken:
             return None
         finally:
-            del self._idle_by_socket[sock]
+            del self._idle_by_socket[caller.sock]
         if not isinstance(event, h11.Request):
             return None
         # A request that crossed the shutdown can't be answered, so it must not run.
@@ -500,14 +504,14 @@
         while True:
             seconds = max(self._idle_seconds_left(idle), ARRIVED_READ_SECONDS)
             async with curio.ignore_after(seconds):
-                return await next_event(idle.sock, idle.conn, self._counter)
+                return await idle.caller.next_event()
             # The limit may have been raised during the wait, and a process that was
             # frozen has not read yet what arrived before the limit.
-            if self._idle_seconds_left(idle) > 0.0 or _has_unread(idle.sock):
+            if self._idle_seconds_left(idle) > 0.0 or idle.caller.has_unread():
                 continue
             if idle.close():
                 return None
-            if idle.conn.trailing_data[0]:
+            if idle.caller.conn.trailing_data[0]:
                 raise BadRequest(
                     status=408,
                     reason="head_too_slow",
@@ -515,14 +519,14 @@
                 )
 
     async def _read_request(
-        self, sock, conn, head: h11.Request, arrived_at: float
+        self, caller: CallerConnection, head: h11.Request, arrived_at: float
     ) -> Request:
         url = _split_target(head)
         headers = join_headers(head.headers)
         self._check_length(int(headers.get("content-length", "0")))
         try:
             async with curio.timeout_after(self._read_seconds):
-                body = await self._read_body(sock, conn)
+                body = await self._read_body(caller, head)
         except curio.TaskTimeout:
             raise BadRequest(
                 status=408, reason="body_too_slow", detail="the body came too slowly"
@@ -541,22 +545,13 @@
             arrived_at=arrived_at,
         )
 
-    async def _read_body(self, sock, conn) -> bytes:
-        chunks = []
-        size = 0
-        while True:
-            event = await next_event(sock, conn, self._counter)
-            match event:
-                case h11.Data(data=data):
-                    size += len(data)
-                    self._check_length(size)
-                    chunks.append(bytes(data))
-                case h11.EndOfMessage():
-                    return b"".join(chunks)
-                case _:
-                    raise BadRequest(
-                        status=400, reason="body_cut_off", detail="the body ended early"
-                    )
+    async def _read_body(self, caller: CallerConnection, head: h11.Request) -> bytes:
+        body = bytearray()
+        caller.begin_body(head)
+        while (piece := await caller.receive_piece()) is not None:
+            self._check_length(len(body) + len(piece))
+            body += piece
+        return bytes(body)
 
     def _check_length(self, length: int) -> None:
         if length > self.max_body_bytes:
@@ -567,22 +562,6 @@
             )
 
 
-def _has_received(sock, conn: h11.Connection) -> bool:
-    """Return whether bytes of a request have arrived, read or not, or an end."""
-    return bool(conn.trailing_data[0]) or _has_unread(sock)
-
-
-def _has_unread(sock) -> bool:
-    """Return whether a read would not wait: for bytes, an end or an error."""
-    try:
-        sock._socket.recv(1, _socket.MSG_PEEK | _socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    return True
-
-
 class _Arrivals:
     """When the heads of requests on one connection arrived, in monotonic seconds.
 
@@ -618,7 +597,9 @@
         raise BadRequest(status=400, reason="bad_target", detail=str(exc)) from exc
 
 
-async def _refuse(sock, responder: Responder, exc: BadRequest) -> None:
+async def _refuse(
+    caller: CallerConnection, responder: Responder, exc: BadRequest
+) -> None:
     body = b'{"outcome":"not_run","reason":"%s","status":%d,"title":"Bad request"}' % (
         exc.reason.encode(),
         exc.status,
@@ -628,7 +609,7 @@
         await responder.respond(exc.status, body, headers)
     finally:
         await responder.close_buffer()
-    await _linger(sock)
+    await _linger(caller.sock)
 
 
 async def _linger(sock) -> None:
@@ -670,21 +651,18 @@
 
 
 async def _detect_disconnect(
-    sock,
-    conn: h11.Connection,
+    caller: CallerConnection,
     responder: Responder,
     handler_task: curio.Task | None,
-    counter: ByteCounter,
 ) -> None:
     """Detect that the peer disconnects during its request; cancel the handler."""
     try:
-        while data := await sock.recv(READ_CHUNK_BYTES):
-            counter.record_received(len(data))
+        while data := await caller.receive():
             # h11 buffers a pipelined request until the next cycle.
-            conn.receive_data(data)
-            if len(conn.trailing_data[0]) > MAX_PIPELINED_BYTES:
+            caller.conn.receive_data(data)
+            if len(caller.conn.trailing_data[0]) > MAX_PIPELINED_BYTES:
                 return
-    except OSError:
+    except ExchangeBroken:
         pass
     await responder.disconnected.set()
     if handler_task is not None:
--- /dev/null
+++ b/tests/test_caller_connection.py
@@ -0,0 +1,172 @@
+"""Tests of reading requests from callers, in particular of fast and tiny pieces."""
+
+import socket
+from contextlib import suppress
+
+import curio
+import pytest
+from curio.task import ContextTask
+
+from ragwortkeel.http_events import READ_CHUNK_BYTES
+from ragwortkeel.http_server import HttpServer
+from ragwortkeel.usage_counters import ByteCounter
+
+MAX_BODY_BYTES = 1024 * 1024
+HEAD = b"POST /a HTTP/1.1\r\nhost: a\r\n"
+CHUNKED_HEAD = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+TINY_CHUNKS = b"1\r\na\r\n2\r\nbb\r\n" * 50_000
+PATIENCE_SECONDS = 20
+
+
+class Served:
+    """A server whose handler returns the body, and what it read in each turn."""
+
+    def __init__(self):
+        self.counter = ByteCounter()
+        self.read_by_turn = []
+        self.accepted_by_turn = []
+        self._accepted = 0
+        self.bodies = []
+        self.server = HttpServer(
+            host="127.0.0.1",
+            port=0,
+            handler=self._handle,
+            max_body_bytes=MAX_BODY_BYTES,
+            counter=self.counter,
+            accepts=self._accept,
+        )
+        self.server.open()
+
+    async def _handle(self, request, responder):
+        self.bodies.append(request.body)
+        await responder.respond(200, b"%d" % len(request.body))
+
+    def _accept(self, waiting):
+        self._accepted += 1
+        return True
+
+    async def watch_turns(self):
+        read, accepted = 0, 0
+        while True:
+            self.read_by_turn.append(self.counter.received_bytes - read)
+            self.accepted_by_turn.append(self._accepted - accepted)
+            read, accepted = self.counter.received_bytes, self._accepted
+            await curio.sleep(0)
+
+    async def wait_until_read(self):
+        """Wait until the server has read something, and reads nothing more."""
+        read = -1
+        while read < self.counter.received_bytes or not read:
+            read = self.counter.received_bytes
+            await curio.sleep(0.3)
+
+    def connect(self, data=b""):
+        """Connect, and send as much as the kernel takes before the server reads."""
+        sock = socket.create_connection(("127.0.0.1", self.server.port))
+        sock.setblocking(False)
+        view = memoryview(data)
+        with suppress(BlockingIOError):
+            while view:
+                view = view[sock.send(view) :]
+        return sock
+
+
+def serve(scenario, *, watched=False):
+    """Run a server, prepare the clients before it runs, and return its record."""
+
+    async def main():
+        served = Served()
+        clients = scenario(served)
+        task = await curio.spawn(served.server.serve, daemon=True)
+        if watched:
+            await curio.spawn(served.watch_turns, daemon=True)
+        answers = []
+        if watched:
+            await served.wait_until_read()
+        else:
+            answers = [await read_until_quiet(sock) for sock in clients]
+        for sock in clients:
+            sock.close()
+        await task.cancel()
+        return served, answers
+
+    with curio.Kernel(taskcls=ContextTask) as kernel:
+        return kernel.run(main)
+
+
+async def read_until_quiet(sock):
+    """Return what arrives until the peer closes or nothing comes for a while."""
+    wrapped = curio.io.Socket(sock)
+    data = b""
+    with suppress(OSError):
+        while True:
+            seconds = 0.3 if data else PATIENCE_SECONDS
+            async with curio.ignore_after(seconds) as read:
+                block = await wrapped.recv(READ_CHUNK_BYTES)
+            if read.expired or not block:
+                break
+            data += block
+    return data
+
+
+class TestChunkedBodies:
+    def test_requests_follow_chunked_bodies_on_one_connection(self):
+        """Guards against bytes of one request that end up in another."""
+        tiny = CHUNKED_HEAD + b"1\r\na\r\n" * 20 + b"0\r\nx-sum: 1\r\n\r\n"
+        large = CHUNKED_HEAD + b"8000\r\n" + b"b" * 0x8000 + b"\r\n0\r\n\r\n"
+        plain = HEAD + b"content-length: 3\r\n\r\nccc"
+        served, answers = serve(lambda served: [served.connect(tiny + large + plain)])
+        assert served.bodies == [b"a" * 20, b"b" * 0x8000, b"ccc"]
+        assert answers[0].count(b"HTTP/1.1 200 ") == 3
+
+    def test_a_caller_that_asks_for_the_close_gets_it_after_a_chunked_body(self):
+        head = HEAD + b"connection: close\r\ntransfer-encoding: chunked\r\n\r\n"
+        served, answers = serve(
+            lambda served: [served.connect(head + b"1\r\na\r\n0\r\n\r\n")]
+        )
+        assert served.bodies == [b"a"]
+        assert b"connection: close" in answers[0].lower()
+
+    def test_a_caller_that_waits_for_100_is_told_to_continue(self):
+        head = HEAD + b"expect: 100-continue\r\ntransfer-encoding: chunked\r\n\r\n"
+        _, answers = serve(lambda served: [served.connect(head)])
+        assert answers[0].startswith(b"HTTP/1.1 100 ")
+
+    @pytest.mark.parametrize(
+        ("body", "status"),
+        [
+            (b"2\r\nabc\r\n0\r\n\r\n", 400),
+            (b"x\r\n", 400),
+            (b"1\r\na\r\n" * 20 + b"2\r\nabc\r\n", 400),
+            (b"%x\r\n" % (MAX_BODY_BYTES + 1) + b"a" * (MAX_BODY_BYTES + 1), 413),
+        ],
+    )
+    def test_a_damaged_or_too_large_body_is_refused(self, body, status):
+        served, answers = serve(lambda served: [served.connect(CHUNKED_HEAD + body)])
+        assert answers[0].startswith(b"HTTP/1.1 %d " % status)
+        assert served.bodies == []
+
+
+class TestTurnsOfTheEventLoop:
+    @pytest.mark.parametrize(
+        "data",
+        [
+            CHUNKED_HEAD + TINY_CHUNKS,
+            CHUNKED_HEAD + b"4000\r\n%b\r\n" % bytes(0x4000) * 60,
+            HEAD + b"content-length: 1000000\r\n\r\n" + bytes(999_999),
+            HEAD + b"content-length: 9999999\r\n\r\n" + bytes(999_999),
+        ],
+        ids=["tiny chunks", "large chunks", "a length", "beyond the limit"],
+    )
+    def test_a_fast_sender_does_not_keep_the_loop(self, data):
+        """Guards against a process that hangs while bytes are there to read."""
+        served, _ = serve(lambda served: [served.connect(data)], watched=True)
+        assert max(served.read_by_turn) <= 2 * READ_CHUNK_BYTES
+
+    def test_tiny_chunks_of_several_callers_take_turns(self):
+        """Guards against turns that parse a block for each of many callers."""
+        data = CHUNKED_HEAD + TINY_CHUNKS
+        served, _ = serve(
+            lambda served: [served.connect(data) for _ in range(8)], watched=True
+        )
+        assert max(served.read_by_turn) <= 8 * READ_CHUNK_BYTES + READ_CHUNK_BYTES
--- a/tests/test_http_idle.py
+++ b/tests/test_http_idle.py
@@ -17,6 +17,7 @@
 from tests.test_httpio import echo, exchange, post, with_server
 
 from ragwortkeel import http_server
+from ragwortkeel.caller_connection import CallerConnection
 from ragwortkeel.exceptions import CallerLeft, ExchangeBroken
 from ragwortkeel.ingress import worker
 from ragwortkeel.metrics import Metrics
@@ -241,7 +242,7 @@
     def test_a_request_that_crosses_the_close_does_not_run(self, lines, monkeypatch):
         """Guards against requests that run although nobody can get their answers."""
         # As if it arrived between the look for bytes and the close.
-        monkeypatch.setattr(http_server, "_has_received", lambda sock, conn: False)
+        monkeypatch.setattr(CallerConnection, "has_received", lambda caller: False)
         handled, causes = [], []
 
         async def fault(request, responder):
