--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -1,5 +1,6 @@
 """The HTTP server: buffers requests, limits peers and calls a handler."""
 
+import itertools
 import socket as _socket
 from collections.abc import Awaitable, Callable
 from contextlib import contextmanager, suppress
@@ -40,6 +41,9 @@
 """How long a refused peer may continue to send before the connection closes."""
 
 ACCEPT_RETRY_SECONDS = 0.1
+ACCEPTED_AT_ONCE = 16
+"""Connections accepted in one turn of the event loop."""
+
 IDLE_CHECK_SECONDS = 0.5
 STOP_POLL_SECONDS = 0.02
 FIRST_REQUEST_SECONDS = 1.0
@@ -297,7 +301,10 @@
             self._listener = None
 
     async def _accept(self) -> None:
-        while True:
+        for count in itertools.count(1):
+            if count % ACCEPTED_AT_ONCE == 0:
+                # Accepting a connection of the backlog does not switch tasks.
+                await curio.sleep(0)
             try:
                 sock, _ = await self._listener.accept()
             except OSError as exc:
@@ -620,7 +627,8 @@
     try:
         async with curio.timeout_after(LINGER_SECONDS):
             while await sock.recv(READ_CHUNK_BYTES):
-                pass
+                # A read of bytes that have arrived does not check the time limit.
+                await curio.sleep(0)
     except curio.TaskTimeout:
         pass
 
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -8,7 +8,7 @@
 from curio.task import ContextTask
 
 from ragwortkeel.http_events import READ_CHUNK_BYTES
-from ragwortkeel.http_server import HttpServer
+from ragwortkeel.http_server import HttpServer, _linger
 from ragwortkeel.usage_counters import ByteCounter
 
 MAX_BODY_BYTES = 1024 * 1024
@@ -163,6 +163,28 @@
         served, _ = serve(lambda served: [served.connect(data)], watched=True)
         assert max(served.read_by_turn) <= 2 * READ_CHUNK_BYTES
 
+    def test_bytes_after_a_refusal_do_not_keep_the_loop(self):
+        """Guards against dropping what arrives without a look at the time limit."""
+        reads = 0
+
+        class Sending:
+            async def shutdown(self, how):
+                pass
+
+            async def recv(self, size):
+                nonlocal reads
+                reads += 1
+                return b"x" if reads < 10_000 else b""
+
+        async def main():
+            lingering = await curio.spawn(_linger, Sending())
+            await curio.sleep(0)
+            read_in_a_turn = reads
+            await lingering.cancel()
+            assert read_in_a_turn < 10
+
+        curio.run(main)
+
     def test_tiny_chunks_of_several_callers_take_turns(self):
         """Guards against turns that parse a block for each of many callers."""
         data = CHUNKED_HEAD + TINY_CHUNKS
@@ -170,3 +192,11 @@
             lambda served: [served.connect(data) for _ in range(8)], watched=True
         )
         assert max(served.read_by_turn) <= 8 * READ_CHUNK_BYTES + READ_CHUNK_BYTES
+
+    def test_new_connections_do_not_keep_the_loop(self):
+        """Guards against a backlog that is accepted without a look at anything else."""
+        served, _ = serve(
+            lambda served: [served.connect(b"GET") for _ in range(100)][:1],
+            watched=True,
+        )
+        assert max(served.accepted_by_turn) <= 32
