--- a/src/ragwortkeel/caller_connection.py
+++ b/src/ragwortkeel/caller_connection.py
@@ -1,25 +1,42 @@
 """The connection of one caller, from which the server reads requests.
 
 Failures it guards against: reading must not keep the event loop, however fast a caller
-sends and however small the chunks of a body are.
+sends and however small the chunks of a body are; and whatever is held of a caller
+counts, so that it can be ended when room is short.
 """
 
 import socket as _socket
+from contextlib import suppress
+from random import Random
 
 import curio
 import h11
+from curio.traps import _read_wait
 
 from ragwortkeel.chunked_body import ChunkedBody
-from ragwortkeel.exceptions import BadRequest, ExchangeBroken
-from ragwortkeel.http_events import READ_CHUNK_BYTES, next_event
+from ragwortkeel.exceptions import BadRequest, ExchangeBroken, NoRoom
+from ragwortkeel.http_events import next_event, parsed_event
+from ragwortkeel.policy.retry_delays import retry_delay
+from ragwortkeel.received_bytes import CallerBytes, ReceivedBytes
 from ragwortkeel.usage_counters import ByteCounter
 
+RETRY_SECONDS = 0.5
+"""Delay that callers are asked for when there is no room for their request."""
+
 CHUNKED_BLOCK_BYTES = 16 * 1024
 """Bytes of a chunked body that are parsed in one turn of the event loop."""
 
+MAX_PIPELINED_BYTES = 64 * 1024
+"""Bytes of pipelined requests read while one runs; more stay in the socket."""
+
+HEAD_BLOCK_BYTES = 16 * 1024
+PIPELINED_BLOCK_BYTES = 16 * 1024
+
 SMALL_BLOCK_BYTES = 2 * 1024
 """Smaller blocks of a chunked body are parsed without waiting for a turn."""
 
+_random = Random()
+
 
 class CallerConnection:
     """A connection that carries one request at a time.
@@ -33,14 +50,27 @@
     parsing : curio.Lock
         Held while a large block of a chunked body is parsed, so that a turn of the
         event loop parses one of them.
+    account : ReceivedBytes
+        Counts and bounds what is held of all callers.
 
     Attributes
     ----------
     conn : h11.Connection
         The state of the protocol; replaced at the end of a chunked body.
+    received : CallerBytes
+        What is held of this caller.
+    is_refused : bool
+        Whether a refusal of its incomplete request has been sent.
     """
 
-    def __init__(self, *, sock, counter: ByteCounter, parsing: curio.Lock) -> None:
+    def __init__(
+        self,
+        *,
+        sock,
+        counter: ByteCounter,
+        parsing: curio.Lock,
+        account: ReceivedBytes,
+    ) -> None:
         self.sock = sock
         self.conn = h11.Connection(h11.SERVER)
         self._counter = counter
@@ -49,13 +79,33 @@
         self._body: ChunkedBody | None = None
         self._unparsed = b""
         self._has_piece = False
+        self.is_refused = False
+        self._is_reading_body = False
+        self._content = bytearray()
+        self._pipelined_bytes = 0
+        self._account = account
+        self.received = CallerBytes(account=account, end=self._end)
+
+    def begin_wait(self) -> None:
+        """Begin to wait for a request."""
+        self._pipelined_bytes = 0
+        self.received.begin_wait(self._buffered_bytes)
 
-    async def next_event(self):
-        """Return the next h11 event; see `http_events.next_event`."""
-        return await next_event(self.sock, self.conn, self._counter)
+    @property
+    def _buffered_bytes(self) -> int:
+        """Bytes that h11 holds and has not parsed."""
+        return len(self.conn.trailing_data[0])
 
-    async def receive(self, max_bytes: int = READ_CHUNK_BYTES) -> bytes:
-        """Return what arrives next, empty at the end.
+    async def receive_head(self):
+        """Return the h11 event of the next head, or of the end of the connection."""
+        while (event := parsed_event(self.conn)) is h11.NEED_DATA:
+            data = await self.receive(HEAD_BLOCK_BYTES)
+            self.conn.receive_data(data)
+            self.received.grow(len(data))
+        return event
+
+    async def receive(self, max_bytes: int) -> bytes:
+        """Return at most `max_bytes` of what arrives next, nothing at the end.
 
         Raises
         ------
@@ -69,31 +119,107 @@
         self._counter.record_received(len(data))
         return data
 
-    def begin_body(self, head: h11.Request) -> None:
-        """Begin to read the body that follows a head."""
+    async def receive_body(self, head: h11.Request, *, max_bytes: int) -> bytes:
+        """Return the body that follows a head.
+
+        Raises
+        ------
+        BadRequest
+            The body ends early, violates the protocol, has over `max_bytes`, or there
+            is no room for it.
+        ExchangeBroken
+            The connection is lost.
+        """
+        self._begin_body(head)
+        try:
+            while (piece := await self._receive_piece()) is not None:
+                if len(self._content) + len(piece) > max_bytes:
+                    raise too_large(max_bytes)
+                self._content += piece
+                self.received.grow(len(piece))
+                self._raise_if_ended()
+            self.received.complete(len(self._content), self._buffered_bytes)
+            return bytes(self._content)
+        finally:
+            self._is_reading_body = False
+            self._content.clear()
+
+    async def receive_pipelined(self) -> bool:
+        """Keep what follows an open request; return whether the caller disconnects.
+
+        False means that the rest is left unread until the request has ended.
+
+        Raises
+        ------
+        ExchangeBroken
+            The connection is lost.
+        """
+        while True:
+            await _read_wait(self.sock._fileno)
+            is_full = self._pipelined_bytes > MAX_PIPELINED_BYTES
+            if (is_full or self._account.leaves_pipelined) and self._has_unread_bytes():
+                return False
+            data = await self.receive(PIPELINED_BLOCK_BYTES)
+            if not data:
+                return True
+            # h11 buffers a pipelined request until the next cycle.
+            self.conn.receive_data(data)
+            self._pipelined_bytes += len(data)
+            self.received.grow(len(data))
+
+    def _begin_body(self, head: h11.Request) -> None:
         self._head = head
         self._has_piece = False
+        self._is_reading_body = True
         is_chunked = (b"transfer-encoding", b"chunked") in head.headers
         self._body = ChunkedBody() if is_chunked else None
         self._unparsed = self.conn.trailing_data[0] if is_chunked else b""
 
-    async def receive_piece(self) -> bytes | None:
-        """Return the next piece of the body, which may be empty; None at its end.
+    def _end(self) -> None:
+        """End the connection, because there is no room for what it holds."""
+        self._content.clear()
+        raw = self.sock._socket
+        with suppress(OSError):
+            if self.is_refused or not self._is_reading_body:
+                self.conn = h11.Connection(h11.SERVER)
+                raw.shutdown(_socket.SHUT_RDWR)
+                return
+            # The task that reads the body may wait for more of it, and drops what
+            # still arrives: a reset could overtake the refusal.
+            self.is_refused = True
+            raw.send(_no_room_response())
+            raw.shutdown(_socket.SHUT_WR)
+
+    def begin_request(self, head: h11.Request, length: int) -> None:
+        """Begin a request whose head has been read and announces `length` bytes.
 
         Raises
         ------
-        BadRequest
-            The body ends early or violates the protocol.
-        ExchangeBroken
-            The connection is lost.
+        NoRoom
+            There can be no room for its body.
         """
+        self._is_reading_body = True
+        self.received.begin_request(len(head.headers), self._buffered_bytes)
+        if not self._account.can_hold(length):
+            self.received.is_ended = True
+            self._end()
+        self._raise_if_ended()
+
+    def _raise_if_ended(self) -> None:
+        if self.received.is_ended:
+            raise NoRoom(detail="other requests hold the memory for requests")
+
+    async def _receive_piece(self) -> bytes | None:
+        """Return the next piece of the body, which may be empty; None at its end."""
         if self._has_piece:
             # A read of bytes that have arrived does not switch to another task.
             await curio.sleep(0)
         self._has_piece = True
         if self._body is not None:
             return await self._receive_block(self._body)
-        match await self.next_event():
+        event = await next_event(self.sock, self.conn, self._counter)
+        self._raise_if_ended()
+        match event:
             case h11.Data(data=data):
                 return data
             case h11.EndOfMessage():
@@ -115,6 +241,15 @@
             return True
         return True
 
+    def _has_unread_bytes(self) -> bool:
+        """Return whether bytes wait in the socket, rather than an end or an error."""
+        try:
+            return bool(
+                self.sock._socket.recv(1, _socket.MSG_PEEK | _socket.MSG_DONTWAIT)
+            )
+        except OSError:
+            return False
+
     async def _receive_block(self, body: ChunkedBody) -> bytes | None:
         if body.complete:
             self._end_chunked_body(body.rest)
@@ -124,6 +259,7 @@
         if not block:
             await self._send_continue()
             block = await self.receive(CHUNKED_BLOCK_BYTES)
+        self._raise_if_ended()
         if not block:
             raise _cut_off()
         if len(block) <= SMALL_BLOCK_BYTES:
@@ -156,5 +292,24 @@
             pass
 
 
+def _no_room_response() -> bytes:
+    body = b'{"outcome":"not_run","reason":"no_room","status":503,"title":"no room"}'
+    lines = [
+        b"HTTP/1.1 503 ",
+        b"content-type: application/problem+json",
+        b"content-length: %d" % len(body),
+        b"retry-after: %g" % retry_delay(RETRY_SECONDS, _random),
+        b"connection: close",
+    ]
+    return b"\r\n".join((*lines, b"", body))
+
+
+def too_large(max_bytes: int) -> BadRequest:
+    """Return the error of a body that exceeds the limit."""
+    return BadRequest(
+        status=413, reason="body_too_large", detail=f"at most {max_bytes} bytes"
+    )
+
+
 def _cut_off() -> BadRequest:
     return BadRequest(status=400, reason="body_cut_off", detail="the body ended early")
--- a/src/ragwortkeel/exceptions.py
+++ b/src/ragwortkeel/exceptions.py
@@ -58,6 +58,13 @@
         self.detail = detail
 
 
+class NoRoom(BadRequest):
+    """There is no memory for a request, which was not read to its end."""
+
+    def __init__(self, *, detail: str) -> None:
+        super().__init__(status=503, reason="no_room", detail=detail)
+
+
 class ConnectFailed(HttpError):
     """No connection was established, so the request was certainly not sent."""
 
--- a/src/ragwortkeel/http_events.py
+++ b/src/ragwortkeel/http_events.py
@@ -27,13 +27,7 @@
     ExchangeBroken
         On the client for the same reason, and if reading from the connection fails.
     """
-    while True:
-        try:
-            event = conn.next_event()
-        except h11.RemoteProtocolError as exc:
-            raise _protocol_error(conn, exc) from exc
-        if event is not h11.NEED_DATA:
-            return event
+    while (event := parsed_event(conn)) is h11.NEED_DATA:
         if conn.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             await sock.sendall(conn.send(go_on))
@@ -44,6 +38,21 @@
         if counter is not None:
             counter.record_received(len(data))
         conn.receive_data(data)
+    return event
+
+
+def parsed_event(conn: h11.Connection):
+    """Return the next event of what was received, `h11.NEED_DATA` if there is none.
+
+    Raises
+    ------
+    BadRequest, ExchangeBroken
+        The peer violates the HTTP protocol, as in `next_event`.
+    """
+    try:
+        return conn.next_event()
+    except h11.RemoteProtocolError as exc:
+        raise _protocol_error(conn, exc) from exc
 
 
 def _protocol_error(conn: h11.Connection, exc: h11.RemoteProtocolError) -> Exception:
--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -12,11 +12,12 @@
 import curio
 import h11
 
-from ragwortkeel.caller_connection import CallerConnection
+from ragwortkeel.caller_connection import CallerConnection, too_large
 from ragwortkeel.exceptions import BadRequest, CallerLeft, ExchangeBroken
 from ragwortkeel.http_events import READ_CHUNK_BYTES, join_headers
 from ragwortkeel.http_responder import Request, Responder
 from ragwortkeel.logs import CountedLine, log_debug, log_error, log_warning
+from ragwortkeel.received_bytes import ReceivedBytes
 from ragwortkeel.send_buffer import HeldBytes
 from ragwortkeel.usage_counters import ByteCounter
 
@@ -28,9 +29,6 @@
 
 KEEP_ALIVE_SECONDS = 60.0
 LISTEN_BACKLOG = 1024
-MAX_PIPELINED_BYTES = 64 * 1024
-"""Bytes of pipelined requests read while one runs; more stay in the socket."""
-
 READ_AT_ONCE_SECONDS = 0.002
 """A read that takes less has found its data there."""
 
@@ -105,6 +103,8 @@
         Ends a connection whose peer reads nothing of a ready response for this time.
     held
         Counts and bounds the bytes held for peers that read slowly.
+    received
+        Counts and bounds the bytes held of peers' requests.
     arrived_at
         Returns the monotonic second after which the events that tasks handle now
         arrived, if given.  Without it a request arrives when its head is read.
@@ -149,6 +149,7 @@
         counter: ByteCounter | None = None,
         stall_seconds: float | None = None,
         held: HeldBytes | None = None,
+        received: ReceivedBytes | None = None,
         arrived_at: Callable[[], float] | None = None,
         accepts: Callable[[int], bool] | None = None,
         on_unanswered: Callable[[str], None] = lambda ended_by: None,
@@ -165,6 +166,7 @@
         self._counter = counter or ByteCounter()
         self._stall_seconds = stall_seconds
         self._held = held or HeldBytes()
+        self._received = received or ReceivedBytes()
         self._arrived_at = arrived_at
         self._accepts = accepts
         self._on_unanswered = on_unanswered
@@ -337,7 +339,10 @@
 
     async def _connection(self, sock, accepted_at: float | None) -> None:
         caller = CallerConnection(
-            sock=sock, counter=self._counter, parsing=self._parsing
+            sock=sock,
+            counter=self._counter,
+            parsing=self._parsing,
+            account=self._received,
         )
         arrivals = _Arrivals(self._arrived_at, accepted_at)
         try:
@@ -355,6 +360,7 @@
         except h11.LocalProtocolError as exc:
             log_error("connection_failed", error=repr(exc))
         finally:
+            caller.received.close()
             await sock.close()
 
     def _responder(self, caller: CallerConnection) -> Responder:
@@ -483,6 +489,7 @@
 
     async def _read_head(self, caller: CallerConnection) -> h11.Request | None:
         """Return the head of the next request, or None if the peer sends none."""
+        caller.begin_wait()
         idle = _IdleConnection(caller=caller, since=monotonic())
         self._idle_by_socket[caller.sock] = idle
         try:
@@ -494,7 +501,7 @@
         if not isinstance(event, h11.Request):
             return None
         # A request that crossed the shutdown can't be answered, so it must not run.
-        if idle.is_closed:
+        if idle.is_closed or caller.received.is_ended:
             self._record_unanswered(
                 target=event.target.decode("latin-1"),
                 stage="closing",
@@ -511,7 +518,7 @@
         while True:
             seconds = max(self._idle_seconds_left(idle), ARRIVED_READ_SECONDS)
             async with curio.ignore_after(seconds):
-                return await idle.caller.next_event()
+                return await idle.caller.receive_head()
             # The limit may have been raised during the wait, and a process that was
             # frozen has not read yet what arrived before the limit.
             if self._idle_seconds_left(idle) > 0.0 or idle.caller.has_unread():
@@ -530,10 +537,10 @@
     ) -> Request:
         url = _split_target(head)
         headers = join_headers(head.headers)
-        self._check_length(int(headers.get("content-length", "0")))
+        self._check_length(caller, head, int(headers.get("content-length", "0")))
         try:
             async with curio.timeout_after(self._read_seconds):
-                body = await self._read_body(caller, head)
+                body = await caller.receive_body(head, max_bytes=self.max_body_bytes)
         except curio.TaskTimeout:
             raise BadRequest(
                 status=408, reason="body_too_slow", detail="the body came too slowly"
@@ -552,21 +559,13 @@
             arrived_at=arrived_at,
         )
 
-    async def _read_body(self, caller: CallerConnection, head: h11.Request) -> bytes:
-        body = bytearray()
-        caller.begin_body(head)
-        while (piece := await caller.receive_piece()) is not None:
-            self._check_length(len(body) + len(piece))
-            body += piece
-        return bytes(body)
-
-    def _check_length(self, length: int) -> None:
+    def _check_length(
+        self, caller: CallerConnection, head: h11.Request, length: int
+    ) -> None:
+        """Refuse a body from its head if it is too large or there is no room."""
         if length > self.max_body_bytes:
-            raise BadRequest(
-                status=413,
-                reason="body_too_large",
-                detail=f"at most {self.max_body_bytes} bytes",
-            )
+            raise too_large(self.max_body_bytes)
+        caller.begin_request(head, length)
 
 
 class _Arrivals:
@@ -607,6 +606,14 @@
 async def _refuse(
     caller: CallerConnection, responder: Responder, exc: BadRequest
 ) -> None:
+    # What was read of the request is dropped.
+    caller.begin_wait()
+    if not caller.is_refused:
+        await _send_refusal(responder, exc)
+    await _linger(caller.sock)
+
+
+async def _send_refusal(responder: Responder, exc: BadRequest) -> None:
     body = b'{"outcome":"not_run","reason":"%s","status":%d,"title":"Bad request"}' % (
         exc.reason.encode(),
         exc.status,
@@ -616,7 +623,6 @@
         await responder.respond(exc.status, body, headers)
     finally:
         await responder.close_buffer()
-    await _linger(caller.sock)
 
 
 async def _linger(sock) -> None:
@@ -665,11 +671,8 @@
 ) -> None:
     """Detect that the peer disconnects during its request; cancel the handler."""
     try:
-        while data := await caller.receive():
-            # h11 buffers a pipelined request until the next cycle.
-            caller.conn.receive_data(data)
-            if len(caller.conn.trailing_data[0]) > MAX_PIPELINED_BYTES:
-                return
+        if not await caller.receive_pipelined():
+            return
     except ExchangeBroken:
         pass
     await responder.disconnected.set()
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -91,6 +91,11 @@
     VersionHistory,
 )
 from ragwortkeel.process import Leftover
+from ragwortkeel.received_bytes import (
+    DEFAULT_MAX_BYTES,
+    MEMORY_FRACTION,
+    ReceivedBytes,
+)
 from ragwortkeel.send_buffer import HeldBytes
 from ragwortkeel.settings import Address, IngressSettings, changed_fields
 from ragwortkeel.tasks import run_together
@@ -264,6 +269,11 @@
             on_ended=self.metrics.record_slow_reader_ended,
         )
         self.metrics.track_held_bytes(lambda: held.total)
+        received = ReceivedBytes(
+            max_bytes=_max_received_bytes(settings),
+            on_ended=self.metrics.record_caller_ended,
+        )
+        self.metrics.track_received_bytes(lambda: received.total)
         self._monitor: InstanceMonitor | None = None
         self._sweep: RequestSweep | None = None
         self._open_requests = OpenRequests()
@@ -339,6 +349,7 @@
             cancels_disconnected=True,
             stall_seconds=STALL_SECONDS,
             held=held,
+            received=received,
             refuse=self._front.refuse if self._monitor else None,
             counter=counter,
             arrived_at=self._monitor.arrived_at if self._monitor else None,
@@ -815,3 +826,9 @@
                 log_warning("loop_late", seconds=round(late_seconds, 3))
             if late_seconds > FREEZE_SECONDS:
                 self._directory.record_freeze(monotonic())
+
+
+def _max_received_bytes(settings: IngressSettings) -> int:
+    if settings.capacity is None:
+        return DEFAULT_MAX_BYTES
+    return int(settings.capacity.memory_bytes * MEMORY_FRACTION)
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -211,6 +211,14 @@
             "Connections ended because their peers read too slowly.",
             (),
         )
+        self._received_bytes = self._gauge(
+            "ragwortkeel_received_bytes", "Bytes held of callers' requests."
+        )
+        self._callers_ended = self._counter(
+            "ragwortkeel_callers_ended_total",
+            "Connections of incomplete requests ended to make room for others.",
+            (),
+        )
         self._slice_tokens = self._gauge(
             "ragwortkeel_slice_tokens", "Tokens of budget slices held and not spent."
         )
@@ -376,6 +384,14 @@
         """Count a connection that was ended because its peer read too slowly."""
         self._slow_readers.inc()
 
+    def track_received_bytes(self, received_bytes: Callable[[], int]) -> None:
+        """Report the bytes held of requests, which `received_bytes` returns."""
+        self._received_bytes.set_function(received_bytes)
+
+    def record_caller_ended(self) -> None:
+        """Count a connection that was ended to make room for other requests."""
+        self._callers_ended.inc()
+
     def set_slice_tokens(self, *, tokens: int) -> None:
         """Set the number of unspent tokens in slices."""
         self._slice_tokens.set(tokens)
--- a/src/ragwortkeel/probes.py
+++ b/src/ragwortkeel/probes.py
@@ -11,6 +11,7 @@
 
 from ragwortkeel.httpio import HttpServer, Request, Responder
 from ragwortkeel.metrics import CONTENT_TYPE, Metrics
+from ragwortkeel.received_bytes import ReceivedBytes
 from ragwortkeel.traces import Tracing
 
 JSON_TYPE = "application/json"
@@ -18,6 +19,9 @@
 MAX_BODY_BYTES = 1024
 """Limit of a request body.  No probe needs one."""
 
+MAX_RECEIVED_BYTES = 4 * 1024 * 1024
+"""Bound of what is held of all requests for probes."""
+
 
 class Readiness(msgspec.Struct, frozen=True, kw_only=True):
     """Whether this daemon accepts requests, and the state of its lifecycle."""
@@ -68,7 +72,11 @@
     def server(self, *, host: str, port: int) -> HttpServer:
         """Return an HTTP server for these probes, not yet open."""
         return HttpServer(
-            host=host, port=port, handler=self.handle, max_body_bytes=MAX_BODY_BYTES
+            host=host,
+            port=port,
+            handler=self.handle,
+            max_body_bytes=MAX_BODY_BYTES,
+            received=ReceivedBytes(max_bytes=MAX_RECEIVED_BYTES),
         )
 
     async def handle(self, request: Request, responder: Responder) -> None:
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -9,6 +9,7 @@
 
 from ragwortkeel.http_events import READ_CHUNK_BYTES
 from ragwortkeel.http_server import HttpServer, _linger
+from ragwortkeel.received_bytes import DEFAULT_MAX_BYTES, ReceivedBytes
 from ragwortkeel.usage_counters import ByteCounter
 
 MAX_BODY_BYTES = 1024 * 1024
@@ -21,7 +22,7 @@
 class Served:
     """A server whose handler returns the body, and what it read in each turn."""
 
-    def __init__(self):
+    def __init__(self, *, max_received_bytes=DEFAULT_MAX_BYTES):
         self.counter = ByteCounter()
         self.read_by_turn = []
         self.accepted_by_turn = []
@@ -33,6 +34,7 @@
             handler=self._handle,
             max_body_bytes=MAX_BODY_BYTES,
             counter=self.counter,
+            received=ReceivedBytes(max_bytes=max_received_bytes),
             accepts=self._accept,
         )
         self.server.open()
@@ -71,11 +73,11 @@
         return sock
 
 
-def serve(scenario, *, watched=False):
+def serve(scenario, *, watched=False, served=None, seconds=PATIENCE_SECONDS):
     """Run a server, prepare the clients before it runs, and return its record."""
+    served = served or Served()
 
     async def main():
-        served = Served()
         clients = scenario(served)
         task = await curio.spawn(served.server.serve, daemon=True)
         if watched:
@@ -84,7 +86,7 @@
         if watched:
             await served.wait_until_read()
         else:
-            answers = [await read_until_quiet(sock) for sock in clients]
+            answers = [await read_until_quiet(sock, seconds) for sock in clients]
         for sock in clients:
             sock.close()
         await task.cancel()
@@ -94,13 +96,13 @@
         return kernel.run(main)
 
 
-async def read_until_quiet(sock):
+async def read_until_quiet(sock, patience_seconds):
     """Return what arrives until the peer closes or nothing comes for a while."""
     wrapped = curio.io.Socket(sock)
     data = b""
     with suppress(OSError):
         while True:
-            seconds = 0.3 if data else PATIENCE_SECONDS
+            seconds = 0.3 if data else patience_seconds
             async with curio.ignore_after(seconds) as read:
                 block = await wrapped.recv(READ_CHUNK_BYTES)
             if read.expired or not block:
@@ -147,6 +149,37 @@
         assert served.bodies == []
 
 
+class TestRoom:
+    def test_a_request_without_room_is_told_that_it_did_not_run(self):
+        """Guards against a refusal that says less than what is known."""
+        served = Served(max_received_bytes=256 * 1024)
+        half = HEAD + b"content-length: 200000\r\n\r\n" + bytes(150_000)
+
+        def crowd(served):
+            return [served.connect(half) for _ in range(3)]
+
+        _, answers = serve(crowd, served=served, seconds=1.0)
+        refused = [answer for answer in answers if answer]
+        assert refused
+        for answer in refused:
+            assert answer.startswith(b"HTTP/1.1 503 ")
+            assert b"retry-after: " in answer
+            assert b'"outcome":"not_run"' in answer
+        assert served.bodies == []
+
+    def test_a_crowd_that_is_there_first_does_not_keep_others_out(self):
+        """Guards against incomplete bodies that hold the room until they expire."""
+        served = Served(max_received_bytes=256 * 1024)
+        half = HEAD + b"content-length: 200000\r\n\r\n" + bytes(150_000)
+        plain = HEAD + b"content-length: 100000\r\n\r\n" + bytes(100_000)
+
+        def crowd(served):
+            return [served.connect(half) for _ in range(3)] + [served.connect(plain)]
+
+        _, answers = serve(crowd, served=served, seconds=1.0)
+        assert answers[-1].startswith(b"HTTP/1.1 200 ")
+
+
 class TestTurnsOfTheEventLoop:
     @pytest.mark.parametrize(
         "data",
