--- a/src/ragwortkeel/caller_connection.py
+++ b/src/ragwortkeel/caller_connection.py
@@ -17,7 +17,7 @@
 from ragwortkeel.exceptions import BadRequest, ExchangeBroken, NoRoom
 from ragwortkeel.http_events import next_event, parsed_event
 from ragwortkeel.policy.retry_delays import retry_delay
-from ragwortkeel.received_bytes import CallerBytes, ReceivedBytes
+from ragwortkeel.received_bytes import CallerBytes, ReceivedBytes, Shortage
 from ragwortkeel.usage_counters import ByteCounter
 
 RETRY_SECONDS = 0.5
@@ -175,20 +175,22 @@
         self._body = ChunkedBody() if is_chunked else None
         self._unparsed = self.conn.trailing_data[0] if is_chunked else b""
 
-    def _end(self) -> None:
-        """End the connection, because there is no room for what it holds."""
+    def _end(self, cause: Shortage) -> bool:
+        """End the connection to make room; return whether it closes at once."""
         self._content.clear()
         raw = self.sock._socket
+        is_asked = self._is_reading_body and not self.is_refused
+        closes = cause is Shortage.DESCRIPTORS or not is_asked
         with suppress(OSError):
-            if self.is_refused or not self._is_reading_body:
-                self.conn = h11.Connection(h11.SERVER)
-                raw.shutdown(_socket.SHUT_RDWR)
-                return
-            # The task that reads the body may wait for more of it, and drops what
-            # still arrives: a reset could overtake the refusal.
-            self.is_refused = True
-            raw.send(_no_room_response())
-            raw.shutdown(_socket.SHUT_WR)
+            if is_asked:
+                self.is_refused = True
+                raw.send(_no_room_response())
+            # Without a shortage of descriptors the task that reads the body drops
+            # what still arrives: a reset could overtake the refusal.
+            raw.shutdown(_socket.SHUT_RDWR if closes else _socket.SHUT_WR)
+        if not self._is_reading_body:
+            self.conn = h11.Connection(h11.SERVER)
+        return closes
 
     def begin_request(self, head: h11.Request, length: int) -> None:
         """Begin a request whose head has been read and announces `length` bytes.
@@ -202,7 +204,7 @@
         self.received.begin_request(len(head.headers), self._buffered_bytes)
         if not self._account.can_hold(length):
             self.received.is_ended = True
-            self._end()
+            self._end(Shortage.MEMORY)
         self._raise_if_ended()
 
     def _raise_if_ended(self) -> None:
--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -313,6 +313,7 @@
                 # The process is out of descriptors, or the peer disconnected
                 # early.  Such an error must not stop the server from accepting.
                 log_warning("accept_failed", error=str(exc))
+                self._received.end_one()
                 await curio.sleep(ACCEPT_RETRY_SECONDS)
                 continue
             await self._start_connection(sock)
@@ -331,6 +332,10 @@
         if self._accepts is not None and not self._accepts(waiting):
             await sock.close()
             return
+        if not self._received.make_place():
+            log_debug("connection_refused", cause="descriptors")
+            await sock.close()
+            return
         with suppress(OSError):
             sock.setsockopt(_socket.IPPROTO_TCP, _socket.TCP_NODELAY, 1)
         self._connections_before_request += 1
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -1,7 +1,9 @@
 """The worker of an ingress process: creates, connects and runs its components."""
 
 import secrets
+from collections.abc import Callable
 from functools import partial
+from math import inf
 from random import Random
 from time import monotonic, time
 
@@ -92,9 +94,10 @@
 )
 from ragwortkeel.process import Leftover
 from ragwortkeel.received_bytes import (
-    DEFAULT_MAX_BYTES,
     MEMORY_FRACTION,
     ReceivedBytes,
+    Shortage,
+    max_connections,
 )
 from ragwortkeel.send_buffer import HeldBytes
 from ragwortkeel.settings import Address, IngressSettings, changed_fields
@@ -269,10 +272,7 @@
             on_ended=self.metrics.record_slow_reader_ended,
         )
         self.metrics.track_held_bytes(lambda: held.total)
-        received = ReceivedBytes(
-            max_bytes=_max_received_bytes(settings),
-            on_ended=self.metrics.record_caller_ended,
-        )
+        received = _received_bytes(settings, on_ended=self.metrics.record_caller_ended)
         self.metrics.track_received_bytes(lambda: received.total)
         self._monitor: InstanceMonitor | None = None
         self._sweep: RequestSweep | None = None
@@ -828,7 +828,15 @@
                 self._directory.record_freeze(monotonic())
 
 
-def _max_received_bytes(settings: IngressSettings) -> int:
-    if settings.capacity is None:
-        return DEFAULT_MAX_BYTES
-    return int(settings.capacity.memory_bytes * MEMORY_FRACTION)
+def _received_bytes(
+    settings: IngressSettings, *, on_ended: Callable[[Shortage], None]
+) -> ReceivedBytes:
+    """Return the account of callers' requests, with the bounds of the instance."""
+    capacity = settings.capacity
+    if capacity is None:
+        return ReceivedBytes(on_ended=on_ended)
+    return ReceivedBytes(
+        max_bytes=int(capacity.memory_bytes * MEMORY_FRACTION),
+        max_connections=partial(max_connections, capacity.max_descriptors or inf),
+        on_ended=on_ended,
+    )
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -216,8 +216,8 @@
         )
         self._callers_ended = self._counter(
             "ragwortkeel_callers_ended_total",
-            "Connections of incomplete requests ended to make room for others.",
-            (),
+            "Connections of incomplete requests ended to make room, by what is short.",
+            ("cause",),
         )
         self._slice_tokens = self._gauge(
             "ragwortkeel_slice_tokens", "Tokens of budget slices held and not spent."
@@ -388,9 +388,9 @@
         """Report the bytes held of requests, which `received_bytes` returns."""
         self._received_bytes.set_function(received_bytes)
 
-    def record_caller_ended(self) -> None:
+    def record_caller_ended(self, cause: str) -> None:
         """Count a connection that was ended to make room for other requests."""
-        self._callers_ended.inc()
+        self._callers_ended.labels(cause).inc()
 
     def set_slice_tokens(self, *, tokens: int) -> None:
         """Set the number of unspent tokens in slices."""
--- a/src/ragwortkeel/received_bytes.py
+++ b/src/ragwortkeel/received_bytes.py
@@ -1,8 +1,8 @@
-"""Bytes received from callers, from the first one until their request has ended.
+"""What callers' connections hold: bytes received, and descriptors.
 
 Failures it guards against: many callers, each within the limits of one request, must
-not use up the memory of the process together; and callers that send most of a large
-body and stop must not keep others out.
+not use up the memory or the descriptors of the process together; and callers that send
+part of a request and stop must not keep others out.
 
 Where room is short, the connection ends for which the product of bytes held and time
 held is largest: one that holds much and makes no progress goes before one that holds
@@ -10,6 +10,9 @@
 """
 
 from collections.abc import Callable
+from enum import StrEnum
+from math import inf
+from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit
 from time import monotonic
 
 from ragwortkeel.logs import CountedLine
@@ -28,6 +31,10 @@
 PIPELINED_FRACTION = 1 / 2
 """Part of the bound beyond which requests behind an open one are left unread."""
 
+DESCRIPTOR_FRACTION = 1 / 2
+"""Part of the descriptors that callers' connections may use; an open request needs one
+more for its upstream."""
+
 CONNECTION_BYTES = 8 * 1024
 """What a connection takes without a request, with its task and its parser."""
 
@@ -37,6 +44,30 @@
 LINE_SECONDS = 1.0
 
 
+class Shortage(StrEnum):
+    """Why a connection is ended."""
+
+    MEMORY = "memory"
+    DESCRIPTORS = "descriptors"
+
+
+def max_connections(max_descriptors: float = inf) -> float:
+    """Return how many connections of callers the limit of descriptors allows.
+
+    Parameters
+    ----------
+    max_descriptors : float
+        A stated limit; that of the system counts as well.
+    """
+    try:
+        limit = getrlimit(RLIMIT_NOFILE)[0]
+    except OSError:
+        limit = RLIM_INFINITY
+    if limit != RLIM_INFINITY:
+        max_descriptors = min(max_descriptors, limit)
+    return max_descriptors * DESCRIPTOR_FRACTION
+
+
 class ReceivedBytes:
     """The bytes that a process holds of its callers' requests, and their bound.
 
@@ -44,8 +75,10 @@
     ----------
     max_bytes : int
         Bound of all callers together.  A single large request may exceed it.
+    max_connections : callable
+        Returns the bound of the number of connections.
     on_ended : callable
-        Called for each connection that is ended.
+        Called for each connection that is ended, with the cause.
     clock : callable
         Returns monotonic seconds.
 
@@ -59,13 +92,15 @@
         self,
         *,
         max_bytes: int = DEFAULT_MAX_BYTES,
-        on_ended: Callable[[], None] = lambda: None,
+        max_connections: Callable[[], float] = max_connections,
+        on_ended: Callable[[Shortage], None] = lambda cause: None,
         clock: Callable[[], float] = monotonic,
     ) -> None:
         self.total = 0
         self.clock = clock
         self._max_bytes = max_bytes
         self._max_large_bytes = int(max_bytes * LARGE_FRACTION)
+        self._max_connections = max_connections
         self._on_ended = on_ended
         self._line = CountedLine("caller_ended", interval_seconds=LINE_SECONDS)
         self._callers: set[CallerBytes] = set()
@@ -84,6 +119,19 @@
         complete = sum(each.size for each in self._large if not each.may_end)
         return not complete or complete + length <= self._max_large_bytes
 
+    def make_place(self) -> bool:
+        """Return whether there is a place for a new connection; may end another."""
+        bound = self._max_connections()
+        if len(self._callers) < bound:
+            return True
+        open_count = sum(not each.is_closing for each in self._callers)
+        return open_count < bound or self.end_one()
+
+    def end_one(self) -> bool:
+        """Close an incomplete connection, as descriptors are short."""
+        found = {each for each in self._callers if not each.is_closing}
+        return self._end_costliest(found, Shortage.DESCRIPTORS)
+
     def add(self, caller: "CallerBytes") -> None:
         """Include a new connection."""
         self._callers.add(caller)
@@ -100,12 +148,13 @@
         if not grows:
             return
         while self._large_total > self._max_large_bytes and len(self._large) > 1:
-            if not self._end_costliest(self._large):
+            if not self._end_costliest(_not_ended(self._large), Shortage.MEMORY):
                 break
         while self.total > self._max_bytes:
             is_alone = self._large == {caller}
             exempt = {caller} if is_alone else set()
-            if not self._end_costliest(self._callers - exempt):
+            found = _not_ended(self._callers - exempt)
+            if not self._end_costliest(found, Shortage.MEMORY):
                 break
 
     def _set_size(self, caller: "CallerBytes", size: int) -> None:
@@ -118,14 +167,18 @@
             self._large.add(caller)
             self._large_total += size
 
-    def _end_costliest(self, callers: "set[CallerBytes]") -> bool:
+    def _end_costliest(self, callers: "set[CallerBytes]", cause: Shortage) -> bool:
         """End one of the callers; return whether there was one that may end."""
         now = self.clock()
-        found = [each for each in callers if each.may_end and not each.is_ended]
+        found = [each for each in callers if each.may_end]
         if not found:
             return False
-        costliest = max(found, key=lambda each: each.size * (now - each.since))
+        # One that was refused before and is still open is of no use to its caller.
+        costliest = max(
+            found, key=lambda each: (each.is_ended, each.size * (now - each.since))
+        )
         self._line.record(
+            cause=cause,
             held=costliest.size,
             seconds=round(now - costliest.since, 3),
             callers=len(self._callers),
@@ -133,13 +186,17 @@
             large=self._large_total,
             bound=self._max_bytes,
         )
-        self._on_ended()
+        self._on_ended(cause)
+        costliest.is_closing = costliest.end(cause)
         costliest.is_ended = True
         self._set_size(costliest, CONNECTION_BYTES)
-        costliest.end()
         return True
 
 
+def _not_ended(callers: "set[CallerBytes]") -> "set[CallerBytes]":
+    return {each for each in callers if not each.is_ended}
+
+
 class CallerBytes:
     """What is held of the requests of one connection.
 
@@ -148,7 +205,8 @@
     account : ReceivedBytes
         Where it counts.
     end : callable
-        Ends the connection, without waiting.
+        Called with the cause; ends the connection without waiting, and returns whether
+        it closes at once.
 
     Attributes
     ----------
@@ -161,13 +219,18 @@
         Whether the request is incomplete, so that nothing is lost by ending it.
     is_ended : bool
         Whether the account has ended the connection.
+    is_closing : bool
+        Whether it closes without waiting for the caller.
     """
 
-    def __init__(self, *, account: ReceivedBytes, end: Callable[[], None]) -> None:
+    def __init__(
+        self, *, account: ReceivedBytes, end: Callable[[Shortage], bool]
+    ) -> None:
         self.size = 0
         self.since = account.clock()
         self.may_end = True
         self.is_ended = False
+        self.is_closing = False
         self.end = end
         self._head_bytes = 0
         self._account = account
--- a/src/ragwortkeel/settings.py
+++ b/src/ragwortkeel/settings.py
@@ -31,6 +31,7 @@
 CallSeconds = Annotated[float, msgspec.Meta(gt=0, le=60)]
 Peers = Annotated[tuple[AddressText, ...], msgspec.Meta(max_length=MAX_PEERS)]
 PositiveRate = Annotated[float, msgspec.Meta(gt=0)]
+PositiveCount = Annotated[int, msgspec.Meta(gt=0)]
 PositiveBytes = Annotated[int, msgspec.Meta(gt=0)]
 DeliverySeconds = Annotated[float, msgspec.Meta(ge=0, le=60)]
 
@@ -139,10 +140,13 @@
         Bytes a second that the instance's link carries in each direction.
     memory_bytes : int
         Memory at which the process is killed.
+    max_descriptors : int or None
+        Descriptors that the process may open; None for the limit of the system.
     """
 
     link_bytes_per_second: PositiveRate
     memory_bytes: PositiveBytes
+    max_descriptors: PositiveCount | None = None
 
 
 class IngressSettings(_Settings):
--- a/tests/test_received_bytes.py
+++ b/tests/test_received_bytes.py
@@ -8,6 +8,7 @@
     LARGE_FRACTION,
     CallerBytes,
     ReceivedBytes,
+    Shortage,
 )
 
 MAX_BYTES = 1024 * 1024
@@ -28,11 +29,17 @@
 
     def __init__(self):
         self.clock = Clock()
-        self.account = ReceivedBytes(max_bytes=MAX_BYTES, clock=self.clock)
+        self.account = ReceivedBytes(
+            max_bytes=MAX_BYTES, max_connections=lambda: 5, clock=self.clock
+        )
         self.ended = []
 
     def caller(self, name, size, *, complete=False):
-        rv = CallerBytes(account=self.account, end=lambda: self.ended.append(name))
+        def end(cause):
+            self.ended.append(name)
+            return cause is Shortage.DESCRIPTORS
+
+        rv = CallerBytes(account=self.account, end=end)
         rv.begin_request(0, 0)
         rv.grow(size)
         if complete:
@@ -132,3 +139,30 @@
         for caller in callers:
             caller.close()
         assert world.account.total == 0
+
+
+class TestDescriptors:
+    def test_the_longest_wait_makes_place_for_a_new_connection(self, world):
+        """Guards against connections without a request that keep others out."""
+        for number in range(5):
+            assert world.account.make_place()
+            world.caller(f"c{number}", 0)
+            world.clock.now += 1.0
+        assert world.account.make_place()
+        assert world.ended == ["c0"]
+
+    def test_open_requests_are_not_ended_for_a_new_connection(self, world):
+        for number in range(5):
+            world.caller(f"c{number}", 100, complete=True)
+        assert not world.account.make_place()
+        assert world.ended == []
+
+    def test_a_refused_caller_that_stays_is_closed(self, world):
+        """Guards against refused callers that keep their descriptors."""
+        for number in range(4):
+            world.caller(f"c{number}", LARGE - CONNECTION_BYTES)
+            world.clock.now += 1.0
+        assert world.ended == ["c0"]
+        world.caller("c4", 0)
+        assert world.account.make_place()
+        assert world.ended == ["c0", "c0"]
