--- a/src/ragwortkeel/caller_connection.py
+++ b/src/ragwortkeel/caller_connection.py
@@ -138,6 +138,8 @@
                 self._content += piece
                 self.received.grow(len(piece))
                 self._raise_if_ended()
+            # It may have been ended while another task ran after the last piece.
+            self._raise_if_ended()
             self.received.complete(len(self._content), self._buffered_bytes)
             return bytes(self._content)
         finally:
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -2,11 +2,14 @@
 
 import socket
 from contextlib import suppress
+from functools import partial
 
 import curio
 import pytest
 from curio.task import ContextTask
 
+from ragwortkeel.caller_connection import CallerConnection
+from ragwortkeel.exceptions import NoRoom
 from ragwortkeel.http_events import READ_CHUNK_BYTES
 from ragwortkeel.http_server import HttpServer, _linger
 from ragwortkeel.received_bytes import DEFAULT_MAX_BYTES, ReceivedBytes
@@ -179,6 +182,37 @@
         _, answers = serve(crowd, served=served, seconds=1.0)
         assert answers[-1].startswith(b"HTTP/1.1 200 ")
 
+    def test_a_request_that_was_refused_never_runs(self):
+        """Guards against a body that is refused between its last byte and its end."""
+        data = CHUNKED_HEAD + b"1\r\na\r\n0\r\n\r\n"
+
+        class Sock:
+            _socket = socket.socketpair()[0]
+
+            async def recv(self, size):
+                return data
+
+        async def main():
+            account = ReceivedBytes()
+            caller = CallerConnection(
+                sock=Sock(),
+                counter=ByteCounter(),
+                parsing=curio.Lock(),
+                account=account,
+            )
+            head = await caller.receive_head()
+            caller.begin_request(head, 0)
+            reading = await curio.spawn(
+                partial(caller.receive_body, head, max_bytes=MAX_BODY_BYTES)
+            )
+            await curio.sleep(0)
+            assert account.end_one()
+            with pytest.raises(curio.TaskError) as raised:
+                await reading.join()
+            assert isinstance(raised.value.__cause__, NoRoom)
+
+        curio.run(main)
+
 
 class TestTurnsOfTheEventLoop:
     @pytest.mark.parametrize(
