--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -69,6 +69,9 @@
 The upstream states whole seconds and counts from its own last use.
 """
 
+MAX_COPIED_BYTES = 64 * 1024
+"""Largest body that is copied behind its head, to send both in one write."""
+
 MAX_SKIPPED_BYTES = 1024 * 1024
 """Bytes of interim responses and of other requests' responses that are skipped before a
 response; a late response of usual size is smaller."""
@@ -254,12 +257,18 @@
                 ("content-length", str(len(outgoing.body))),
             ],
         )
-        data = self._conn.send(self._request)
+        head = self._conn.send(self._request)
+        body = b""
         if outgoing.body:
-            data += self._conn.send(h11.Data(data=outgoing.body))
-        data += self._conn.send(h11.EndOfMessage())
+            body = self._conn.send(h11.Data(data=outgoing.body))
+        # A body with a length has no end marker.
+        self._conn.send(h11.EndOfMessage())
         self._skipped_bytes = 0
-        await self._buffer.write(data)
+        if len(body) > MAX_COPIED_BYTES:
+            await self._buffer.write(head)
+            await self._buffer.write(body)
+        else:
+            await self._buffer.write(head + body)
         if self._buffer.held_bytes:
             await self._buffer.drain()
 
