--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -1,5 +1,6 @@
 """Tests of reading requests from callers, in particular of fast and tiny pieces."""
 
+import errno
 import socket
 from contextlib import suppress
 from functools import partial
@@ -8,10 +9,12 @@
 import pytest
 from curio.task import ContextTask
 
+from ragwortkeel import caller_connection
 from ragwortkeel.caller_connection import CallerConnection
+from ragwortkeel.chunked_body import ChunkedBody
 from ragwortkeel.exceptions import NoRoom
 from ragwortkeel.http_events import READ_CHUNK_BYTES
-from ragwortkeel.http_server import HttpServer, _linger
+from ragwortkeel.http_server import ACCEPTED_AT_ONCE, HttpServer, _linger
 from ragwortkeel.received_bytes import DEFAULT_MAX_BYTES, ReceivedBytes
 from ragwortkeel.usage_counters import ByteCounter
 
@@ -25,7 +28,19 @@
 class Served:
     """A server whose handler returns the body, and what it read in each turn."""
 
-    def __init__(self, *, max_received_bytes=DEFAULT_MAX_BYTES):
+    def __init__(
+        self,
+        *,
+        max_received_bytes=DEFAULT_MAX_BYTES,
+        max_connections=10_000,
+        answers=True,
+        work=int,
+    ):
+        self._answers = answers
+        self._work = work
+        self._later = []
+        self.work_by_turn = []
+        self.open_by_turn = []
         self.counter = ByteCounter()
         self.read_by_turn = []
         self.accepted_by_turn = []
@@ -37,13 +52,17 @@
             handler=self._handle,
             max_body_bytes=MAX_BODY_BYTES,
             counter=self.counter,
-            received=ReceivedBytes(max_bytes=max_received_bytes),
+            received=ReceivedBytes(
+                max_bytes=max_received_bytes, max_connections=lambda: max_connections
+            ),
             accepts=self._accept,
         )
         self.server.open()
 
     async def _handle(self, request, responder):
         self.bodies.append(request.body)
+        if not self._answers:
+            await curio.sleep(PATIENCE_SECONDS)
         await responder.respond(200, b"%d" % len(request.body))
 
     def _accept(self, waiting):
@@ -51,13 +70,24 @@
         return True
 
     async def watch_turns(self):
-        read, accepted = 0, 0
+        read, accepted, work = 0, 0, 0
         while True:
             self.read_by_turn.append(self.counter.received_bytes - read)
             self.accepted_by_turn.append(self._accepted - accepted)
+            self.work_by_turn.append(self._work() - work)
+            self.open_by_turn.append(len(self.server._received._callers))
             read, accepted = self.counter.received_bytes, self._accepted
+            work = self._work()
             await curio.sleep(0)
 
+    def connect_later(self, data):
+        """Connect once the other clients' requests are open."""
+        self._later.append(data)
+
+    async def wait_until_open(self):
+        while not self.bodies:
+            await curio.sleep(0.01)
+
     async def wait_until_read(self):
         """Wait until the server has read something, and reads nothing more."""
         read = -1
@@ -85,6 +115,9 @@
         task = await curio.spawn(served.server.serve, daemon=True)
         if watched:
             await curio.spawn(served.watch_turns, daemon=True)
+        if served._later:
+            await served.wait_until_open()
+            clients += [served.connect(data) for data in served._later]
         answers = []
         if watched:
             await served.wait_until_read()
@@ -182,6 +215,56 @@
         _, answers = serve(crowd, served=served, seconds=1.0)
         assert answers[-1].startswith(b"HTTP/1.1 200 ")
 
+    def test_a_body_without_room_is_refused_before_it_is_sent(self):
+        """Guards against a body that is asked for and refused only then."""
+        served = Served(max_received_bytes=256 * 1024, answers=False)
+        whole = HEAD + b"content-length: 150000\r\n\r\n" + bytes(150_000)
+        begin = HEAD + b"expect: 100-continue\r\ncontent-length: 150000\r\n\r\n"
+
+        def crowd(served):
+            served.connect_later(begin)
+            return [served.connect(whole)]
+
+        _, answers = serve(crowd, served=served, seconds=1.0)
+        assert answers[-1].startswith(b"HTTP/1.1 503 ")
+
+    def test_connections_beyond_the_bound_take_the_place_of_others(self):
+        """Guards against connections that leave no descriptor for anything else."""
+        served = Served(max_connections=5)
+
+        def crowd(served):
+            return [served.connect(b"GET") for _ in range(20)]
+
+        serve(crowd, served=served, watched=True)
+        assert max(served.open_by_turn) <= 5 + ACCEPTED_AT_ONCE
+        assert served.open_by_turn[-1] <= 5
+
+    def test_a_process_without_descriptors_closes_a_connection(self):
+        """Guards against a crowd that stays while nothing can be accepted."""
+        served = Served()
+        listener = served.server._listener
+
+        class Full:
+            def __init__(self):
+                self.is_full = True
+
+            async def accept(self):
+                if served.server._received.total and self.is_full:
+                    self.is_full = False
+                    raise OSError(errno.EMFILE, "Too many open files")
+                return await listener.accept()
+
+            def __getattr__(self, name):
+                return getattr(listener, name)
+
+        served.server._listener = Full()
+
+        def crowd(served):
+            return [served.connect(b"GET") for _ in range(ACCEPTED_AT_ONCE + 1)]
+
+        serve(crowd, served=served, watched=True)
+        assert max(served.open_by_turn) > served.open_by_turn[-1]
+
     def test_a_request_that_was_refused_never_runs(self):
         """Guards against a body that is refused between its last byte and its end."""
         data = CHUNKED_HEAD + b"1\r\na\r\n0\r\n\r\n"
@@ -260,6 +343,25 @@
         )
         assert max(served.read_by_turn) <= 8 * READ_CHUNK_BYTES + READ_CHUNK_BYTES
 
+    def test_one_large_block_of_chunks_is_parsed_in_a_turn(self, monkeypatch):
+        """Guards against turns that are as long as the crowd is large."""
+        parsed = []
+
+        class Counted(ChunkedBody):
+            def feed(self, block):
+                parsed.append(len(block))
+                return super().feed(block)
+
+        monkeypatch.setattr(caller_connection, "ChunkedBody", Counted)
+        served = Served(work=lambda: len(parsed))
+        data = CHUNKED_HEAD + TINY_CHUNKS
+        serve(
+            lambda served: [served.connect(data) for _ in range(8)],
+            watched=True,
+            served=served,
+        )
+        assert max(served.work_by_turn) <= 1
+
     def test_new_connections_do_not_keep_the_loop(self):
         """Guards against a backlog that is accepted without a look at anything else."""
         served, _ = serve(
--- a/tests/test_chunked_body.py
+++ b/tests/test_chunked_body.py
@@ -48,6 +48,24 @@
             parsed, _ = feed_all([body[i : i + size] for i in range(0, 20_000, size)])
             assert not parsed.complete
 
+    @pytest.mark.parametrize("size", [1, 2, 16])
+    def test_equal_small_chunks_are_parsed_together(self, size, monkeypatch):
+        """Guards against a cost for each of a million chunks."""
+        lines = []
+        receive_line = ChunkedBody._receive_line
+
+        def count(body, line):
+            lines.append(line)
+            receive_line(body, line)
+
+        monkeypatch.setattr(ChunkedBody, "_receive_line", count)
+        data = bytes(range(256)) * size * 8
+        chunks = [data[i : i + size] for i in range(0, len(data), size)]
+        block = b"".join(b"%x\r\n%b\r\n" % (size, chunk) for chunk in chunks)
+        body, parsed = feed_all([block + b"0\r\n\r\n"])
+        assert (parsed, body.complete) == (data, True)
+        assert len(lines) < len(chunks) / 20
+
     def test_data_before_an_error_is_returned(self):
         body, data = feed_all([b"3\r\nabc\r\nzz\r\n"])
         assert (data, body.complete, str(body.error)) == (
