--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -78,7 +78,8 @@
             self.read_by_turn.append(self.counter.received_bytes - read)
             self.accepted_by_turn.append(self._accepted - accepted)
             self.work_by_turn.append(self._work() - work)
-            self.open_by_turn.append(len(self.server._received._callers))
+            callers = self.server._received._callers
+            self.open_by_turn.append(sum(not each.is_closing for each in callers))
             read, accepted = self.counter.received_bytes, self._accepted
             work = self._work()
             await curio.sleep(0)
