--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -232,6 +232,14 @@
         _, answers = serve(crowd, served=served, seconds=1.0)
         assert answers[-1].startswith(b"HTTP/1.1 503 ")
 
+    def test_bytes_behind_an_open_request_are_left_unread(self):
+        """Guards against pipelined bytes that take the room of other requests."""
+        served = Served(max_received_bytes=64 * 1024, answers=False)
+        whole = HEAD + b"content-length: 1\r\n\r\nq"
+        data = whole + whole * 4000
+        serve(lambda served: [served.connect(data)], served=served, watched=True)
+        assert served.counter.received_bytes <= 64 * 1024
+
     def test_connections_beyond_the_bound_take_the_place_of_others(self):
         """Guards against connections that leave no descriptor for anything else."""
         served = Served(max_connections=5)
