--- a/tests/site/test_site_settings.py
+++ b/tests/site/test_site_settings.py
@@ -40,6 +40,13 @@
         assert found.stop_deadline_seconds == 7.5
         assert found.region_by_zone == {"maule-a": "maule"}
 
+    def test_the_capacity_has_the_limits_of_the_machine(self):
+        lines = "limits.linkMbps=8\nlimits.memoryMb=300\n"
+        plain = ingress_settings(f"{TEXT}{lines}").capacity
+        assert (plain.memory_bytes, plain.max_descriptors) == (300_000_000, None)
+        limited = ingress_settings(f"{TEXT}{lines}limits.maxFds=4100\n").capacity
+        assert limited.max_descriptors == 4100
+
     @pytest.mark.parametrize(
         ("line", "first_start"), [("bootstrap=true", True), ("bootstrap=false", False)]
     )
