--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -483,7 +483,7 @@
         head = response.head
         fields = forwarded_fields(head)
         await self._responder.respond(head.status, response.body, fields)
-        self._log_served(assignment, status=head.status)
+        self._log_served(assignment, status=head.status, is_framed=head.is_framed)
 
     async def _acquire(self) -> Assignment | ErrorResponse:
         accepted, now = self._accepted, monotonic()
@@ -786,7 +786,7 @@
             case StreamCompleted(is_framed=is_framed):
                 self._complete = True
                 await self._record_success(assignment, is_answer=is_framed)
-                self._log_served(assignment, status=200)
+                self._log_served(assignment, status=200, is_framed=is_framed)
                 return None
             case NotRun(reason=reason, detail=detail):
                 self._log_failure(assignment, reason, detail)
@@ -967,13 +967,16 @@
             revision=self._accepted.revision,
         )
 
-    def _log_served(self, assignment: Assignment, *, status: int) -> None:
+    def _log_served(
+        self, assignment: Assignment, *, status: int, is_framed: bool
+    ) -> None:
         accepted = self._accepted
         log_info(
             "served",
             request=accepted.call.request_id,
             upstream=assignment.upstream.name,
             status=status,
+            framed=is_framed,
             events=self._caller_response.splitter.events,
             first=round(self._first_token_seconds or 0.0, 3),
             took=round(monotonic() - accepted.arrived_at, 3),
