A look at an upstream's connection does not hide its reset

Cause: a socket reports a reset once and reads as ended from then on. As each resumable stream begins, ConnectionPool.has_open peeks at all connections of its upstream, also those on which other requests wait. If the upstream crashed in that moment, the peek took the resets, and the tasks that read the answers saw an end. Answers without a length or chunks end with their connection, so they counted as complete.

The connection now keeps the error that a peek takes, and its end is refused. This holds for every reader of the connection, whichever task looks first.

--- a/src/ragwortkeel/http_events.py
+++ b/src/ragwortkeel/http_events.py
@@ -1,6 +1,7 @@
 """Reading of h11 events from a curio socket, for client and server."""
 
 import re
+from collections.abc import Callable
 
 import h11
 
@@ -15,10 +16,22 @@
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
 
-async def next_event(sock, conn: h11.Connection, counter: ByteCounter | None = None):
+async def next_event(
+    sock,
+    conn: h11.Connection,
+    counter: ByteCounter | None = None,
+    *,
+    check_end: Callable[[], None] | None = None,
+):
     """Return the next h11 event, reading from the socket as needed.
 
-    Bytes that are read are added to `counter`.
+    Parameters
+    ----------
+    counter : ByteCounter or None
+        Counts the bytes that are read.
+    check_end : callable or None
+        Called when the peer has ended its side, before that counts as the end of a
+        message; raises `ExchangeBroken` if the end was not orderly.
 
     Raises
     ------
@@ -37,6 +50,8 @@
             raise ExchangeBroken(str(exc)) from exc
         if counter is not None:
             counter.record_received(len(data))
+        if not data and check_end is not None:
+            check_end()
         conn.receive_data(data)
     return event
 
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -11,6 +11,9 @@
   uses a connection that was in use a moment ago.
 - Interim responses, or responses to other requests, come without end where the response
   is due.  Only so many bytes of them are skipped.
+- The upstream resets the connection within a response that ends with its connection,
+  and a look at the connection by another task takes the socket's error.  The error is
+  kept, so that the response does not look complete.
 """
 
 import socket as _socket
@@ -157,6 +160,7 @@
         self._keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self._used_at = monotonic()
         self._closed = False
+        self._socket_error = ""
         self.opened_at = self._used_at
         self._framed = True
         self._chunked: ChunkedBody | None = None
@@ -239,9 +243,15 @@
             return self._sock._socket.recv(1, _socket.MSG_PEEK | _socket.MSG_DONTWAIT)
         except BlockingIOError:
             return None
-        except OSError:
+        except OSError as exc:
+            # A socket reports an error once and reads as ended from then on.
+            self._socket_error = self._socket_error or str(exc)
             return b""
 
+    def _check_end(self) -> None:
+        if self._socket_error:
+            raise ExchangeBroken(self._socket_error)
+
     async def send(self, outgoing: UpstreamRequest) -> None:
         """Send the request."""
         if self._chunked is not None:
@@ -280,7 +290,7 @@
         while True:
             if self._is_skipping:
                 await self._skip_response()
-            event = await next_event(self._sock, self._conn, self._counter)
+            event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 self._count_skipped(SKIPPED_HEAD_BYTES)
                 continue
@@ -306,7 +316,7 @@
         """Return the next data of the body, which may be none; None at its end."""
         if self._chunked is not None:
             return await self._receive_block(self._chunked)
-        match await next_event(self._sock, self._conn, self._counter):
+        match await self._next_event():
             case h11.Data(data=data):
                 return bytes(data)
             case h11.EndOfMessage():
@@ -315,6 +325,11 @@
             case _:
                 raise ExchangeBroken("connection closed within a response")
 
+    async def _next_event(self):
+        return await next_event(
+            self._sock, self._conn, self._counter, check_end=self._check_end
+        )
+
     async def _receive_block(self, body: ChunkedBody) -> bytes | None:
         """Return the data of all chunks that one read returns."""
         if self._first_data:
