An answer that ends before its request was received is not complete

Cause: the end arrives before the reset, and the reading side asked neither whether an error followed nor whether the request had been received. A reset without an end before it was recognised already.

Where a peer ends its side, client code now checks the socket's error and the bytes that the peer's system has not acknowledged. An upstream that has received the request and ends its answer in order has acknowledged all of it.

--- a/src/ragwortkeel/http_client.py
+++ b/src/ragwortkeel/http_client.py
@@ -9,7 +9,7 @@
 import h11
 
 from ragwortkeel.exceptions import ConnectFailed, ExchangeBroken
-from ragwortkeel.http_events import join_headers, next_event
+from ragwortkeel.http_events import check_orderly_end, join_headers, next_event
 
 CONNECT_SECONDS = 2.0
 MAX_BODY_BYTES = 32 * 1024 * 1024
@@ -42,7 +42,7 @@
         return self
 
     async def __anext__(self) -> bytes:
-        match await next_event(self._sock, self._conn):
+        match await _next_event(self._sock, self._conn):
             case h11.Data(data=data):
                 return bytes(data)
             case h11.EndOfMessage():
@@ -212,16 +212,20 @@
             raise ExchangeBroken(str(exc)) from exc
 
     async def _read_head(self, sock, conn) -> StreamedResponse:
-        event = await next_event(sock, conn)
+        event = await _next_event(sock, conn)
         interim_count = 0
         while isinstance(event, h11.InformationalResponse):
             interim_count += 1
             if interim_count > MAX_INTERIM_RESPONSES:
                 raise ExchangeBroken("too many interim responses")
-            event = await next_event(sock, conn)
+            event = await _next_event(sock, conn)
         if not isinstance(event, h11.Response):
             raise ExchangeBroken("server closed the connection without a response")
         headers = join_headers(event.headers)
         return StreamedResponse(
             status=event.status_code, headers=headers, _sock=sock, _conn=conn
         )
+
+
+async def _next_event(sock, conn):
+    return await next_event(sock, conn, check_end=lambda: check_orderly_end(sock))
--- a/src/ragwortkeel/http_events.py
+++ b/src/ragwortkeel/http_events.py
@@ -1,7 +1,12 @@
 """Reading of h11 events from a curio socket, for client and server."""
 
 import re
+import socket as _socket
 from collections.abc import Callable
+from fcntl import ioctl
+from os import strerror
+from struct import Struct
+from termios import TIOCOUTQ
 
 import h11
 
@@ -13,6 +18,7 @@
 MAX_DIGITS = 18
 """Most digits of a whole number; 64 bits hold it."""
 
+_INT = Struct("i")
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
 
@@ -56,6 +62,34 @@
     return event
 
 
+def check_orderly_end(sock) -> None:
+    """Check that a server which has ended its side had received the request.
+
+    One that closes while bytes are on their way to it sends an end before the reset.
+
+    Raises
+    ------
+    ExchangeBroken
+        The connection was reset after the end, or is about to be.
+    """
+    raw = sock._socket
+    error = raw.getsockopt(_socket.SOL_SOCKET, _socket.SO_ERROR)
+    if error:
+        raise ExchangeBroken(f"reset after the end: {strerror(error)}")
+    if unacknowledged_bytes(raw):
+        raise ExchangeBroken("the server ended before it received the request")
+
+
+def unacknowledged_bytes(raw: _socket.socket) -> int:
+    """Return the bytes sent that the peer's system has not received, 0 if not known."""
+    try:
+        found = ioctl(raw.fileno(), TIOCOUTQ, bytes(_INT.size))
+    except OSError:
+        # Not every transport tells it.
+        return 0
+    return _INT.unpack(found)[0]
+
+
 def parsed_event(conn: h11.Connection):
     """Return the next event of what was received, `h11.NEED_DATA` if there is none.
 
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -32,7 +32,12 @@
     ConnectRefused,
     ExchangeBroken,
 )
-from ragwortkeel.http_events import READ_CHUNK_BYTES, next_event, whole_number
+from ragwortkeel.http_events import (
+    READ_CHUNK_BYTES,
+    check_orderly_end,
+    next_event,
+    whole_number,
+)
 from ragwortkeel.ingress.configuration import Upstream
 from ragwortkeel.send_buffer import HeldBytes, SendBuffer
 from ragwortkeel.usage_counters import ByteCounter
@@ -251,6 +256,7 @@
     def _check_end(self) -> None:
         if self._socket_error:
             raise ExchangeBroken(self._socket_error)
+        check_orderly_end(self._sock)
 
     async def send(self, outgoing: UpstreamRequest) -> None:
         """Send the request."""
--- a/tests/ingress/in_process.py
+++ b/tests/ingress/in_process.py
@@ -102,7 +102,8 @@
 class ScriptedUpstream:
     """A server that passes each request to `script(seen, sock)`.
 
-    The script writes raw bytes, so it can break any rule of the protocol.
+    The script writes raw bytes, so it can break any rule of the protocol.  It is called
+    before the body is read unless the upstream `reads_body`.
     """
 
     name: str
@@ -116,6 +117,7 @@
     serving: list = field(default_factory=list)
     started_ms: int = 0
     reports: int = 0
+    reads_body: bool = True
 
     async def start(self, port=0):
         self.sock = curio.network.tcp_server_socket("127.0.0.1", port)
@@ -172,7 +174,10 @@
         if not isinstance(head, h11.Request):
             return False
         body = b""
-        while isinstance(event := await next_event(sock, conn), h11.Data):
+        while self.reads_body:
+            event = await next_event(sock, conn)
+            if not isinstance(event, h11.Data):
+                break
             body += bytes(event.data)
         seen = ReceivedRequest(
             method=head.method.decode(),
--- a/tests/ingress/test_resets.py
+++ b/tests/ingress/test_resets.py
@@ -3,7 +3,9 @@
 import socket as _socket
 
 import curio
+import pytest
 from curio.task import ContextTask
+from deployments.ports import HOST
 from tests.ingress.builders import upstream
 from tests.ingress.in_process import (
     RESET_ON_CLOSE,
@@ -14,6 +16,7 @@
 )
 
 from ragwortkeel.exceptions import ExchangeBroken
+from ragwortkeel.httpio import HttpClient
 from ragwortkeel.ingress.directory import ENTRY_LAG_SECONDS
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.upstream_connection import ConnectionPool, UpstreamRequest
@@ -28,6 +31,7 @@
 WAITING = 4
 EVENTS = 5
 SETTLED_SECONDS = 0.05
+LONG_BYTES = 3_900_000
 HEARD_SECONDS = 1.0
 
 
@@ -114,3 +118,75 @@
         waiting = []
         answers = run_ingress(scenario, scripts={"e1": script, "u1": script})
         assert answers == [None] * (WAITING + 1)
+
+
+class TestLongUploads:
+    """An upstream answers before it has received the request, without a length."""
+
+    @staticmethod
+    def ask(path, close):
+        """Return the status of the answer to a long request."""
+
+        async def script(seen, sock):
+            await sock.sendall(unframed_head(seen) + b"part")
+            await close(sock)
+            return False
+
+        async def scenario(fleet):
+            fleet.upstreams["u1"].reads_body = False
+            answer = await fleet.ask(path, body=bytes(LONG_BYTES))
+            return answer.status
+
+        return run_ingress(scenario, scripts={"u1": script})
+
+    @pytest.mark.parametrize("path", ["/filing/1", "/lookup/1"])
+    @pytest.mark.parametrize("pause_seconds", [0.0, 0.05, 0.3])
+    def test_a_reset_within_the_upload(self, path, pause_seconds):
+        """Guards against part of an answer that its caller takes for the whole."""
+
+        async def close(sock):
+            await curio.sleep(pause_seconds)
+            await reset(sock)
+
+        assert self.ask(path, close) == 502
+
+    @pytest.mark.parametrize("path", ["/filing/1", "/lookup/1"])
+    @pytest.mark.parametrize("pause_seconds", [0.0, 0.05, 0.3])
+    def test_an_end_before_the_reset(self, path, pause_seconds):
+        """Guards against an end that hides the reset of a long request behind it."""
+
+        async def close(sock):
+            sock._socket.shutdown(_socket.SHUT_WR)
+            await curio.sleep(pause_seconds)
+            await reset(sock)
+
+        assert self.ask(path, close) == 502
+
+    def test_a_client_of_our_own(self):
+        """Guards against the same in calls to the platform and to engines."""
+
+        async def script(seen, sock):
+            await sock.sendall(unframed_head(seen) + b"part")
+            sock._socket.shutdown(_socket.SHUT_WR)
+            return False
+
+        async def main():
+            server = ScriptedUpstream(name="u1", script=script, reads_body=False)
+            await server.start()
+            client = HttpClient(host=HOST, port=server.port)
+            try:
+                await client.request(
+                    "POST",
+                    "/a",
+                    body=bytes(LONG_BYTES),
+                    headers={ID_HEADER: "r1"},
+                    timeout=5.0,
+                )
+            finally:
+                await server.stop()
+
+        with (
+            curio.Kernel(taskcls=ContextTask) as kernel,
+            pytest.raises(ExchangeBroken),
+        ):
+            kernel.run(main)
