A run without an event of its own does not complete a stream

A caller could get the first events of a stream as all of them (ORDER): its first run broke off, and the second upstream closed the connection of an answer without a length before it had sent an event, as one that crashes does.

Cause: the check that such an answer has an event asked whether the caller had any, which is true of every stream that goes on.

Evidence: the new test fails before: 200 with three of five events, marked as complete. Now the run is broken, as before a first event.

--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -194,6 +194,7 @@
         self._max_silence_seconds = MAX_FIRST_SILENCE_SECONDS
         self._reading_since: float | None = None
         self._stream_head: ResponseHead | None = None
+        self._has_events = False
         self.sent = False
 
     async def run(self) -> Outcome:
@@ -417,6 +418,7 @@
                 return await self._finish(head, b"")
             events = splitter.feed(chunk)
             if events:
+                self._has_events = True
                 # Bytes that complete no event are silence to the caller.
                 self._reading_since = None
                 self._on_first_event()
@@ -464,7 +466,7 @@
                 await self._forward(head, events)
             detail = "stream ended within an event"
             return Broken(reason=BrokenReason.CLOSED, detail=detail)
-        if not events and not is_framed and not self._caller_response.started:
+        if not is_framed and not self._has_events:
             detail = "stream ended before its first event"
             return Broken(reason=BrokenReason.CLOSED, detail=detail)
         await self._forward(head, events, last=True)
--- a/tests/ingress/test_unframed_answers.py
+++ b/tests/ingress/test_unframed_answers.py
@@ -100,3 +100,16 @@
     answer, tries = ask("/chat/1", cut_or_continue, names=["e1", "e2"])
     assert (answer.status, answer.body) == (200, events(1, 5))
     assert tries == 2
+
+
+def test_a_run_that_goes_on_and_ends_without_an_event_is_broken():
+    """Guards against a second upstream that crashes, whose end seems the stream's."""
+
+    async def cut_or_end(seen, sock):
+        is_first = "last-event-id" not in seen.headers
+        body = events(1, 3) + b"id: 4\nda" if is_first else b""
+        return await stream(body)(seen, sock)
+
+    answer, tries = ask("/chat/1", cut_or_end, names=["e1", "e2"])
+    assert answer is None
+    assert tries == 2
