A response with a damaged head is not an answer

Here h11 refuses a status below 100 and a name with a blank or a control byte inside. It joins a line that begins with a blank to the value before, so a damaged ' content-length: 2' left an answer without its length: the caller got the value with that line, and a body up to the connection's end. It also takes statuses of 600 and above, and other versions of HTTP than 1.

Both readers of responses, the one for upstreams and the client that calls the platform, engines and reports, now refuse these heads in the parser that they share.

--- a/src/ragwortkeel/http_events.py
+++ b/src/ragwortkeel/http_events.py
@@ -18,6 +18,11 @@
 MAX_DIGITS = 18
 """Most digits of a whole number; 64 bits hold it."""
 
+MAX_STATUS = 599
+
+_VERSIONS = (b"1.0", b"1.1")
+_HEAD_END = re.compile(rb"\n\r?\n")
+_CONTINUATION = re.compile(rb"\n[ \t]")
 _INT = Struct("i")
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
@@ -98,10 +103,32 @@
     BadRequest, ExchangeBroken
         The peer violates the HTTP protocol, as in `next_event`.
     """
+    if conn.our_role is h11.CLIENT and conn.their_state is h11.SEND_RESPONSE:
+        _check_head_lines(conn.trailing_data[0])
     try:
-        return conn.next_event()
+        event = conn.next_event()
     except h11.RemoteProtocolError as exc:
         raise _protocol_error(conn, exc) from exc
+    if isinstance(event, h11.Response):
+        _check_status_line(event)
+    return event
+
+
+def _check_head_lines(data: bytes) -> None:
+    """Raise `ExchangeBroken` if a line of a complete head begins with a blank.
+
+    h11 joins it to the value before, which hides a field whose name is damaged.
+    """
+    end = _HEAD_END.search(data)
+    if end is not None and _CONTINUATION.search(data, 0, end.end()):
+        raise ExchangeBroken("a line of the response's head begins with a blank")
+
+
+def _check_status_line(response: h11.Response) -> None:
+    if response.status_code > MAX_STATUS:
+        raise ExchangeBroken(f"no status: {response.status_code}")
+    if response.http_version not in _VERSIONS:
+        raise ExchangeBroken(f"no HTTP/1 response: {response.http_version!r}")
 
 
 def _protocol_error(conn: h11.Connection, exc: h11.RemoteProtocolError) -> Exception:
