One bounded account of what upstreams have sent

Cause: one answer was bounded by 8 MiB and one event by 1 MiB, their sum by nothing. Reading an answer that arrives fast did not switch tasks either, so one was read whole before another task could end it. An event that grows was joined anew with each block, which scattered the memory of many.

Where room is short, the incomplete answer that holds most ends, as the one that is least likely to be an ordinary one; complete answers are delivered. A run that ends for it is no evidence that its request crashes upstreams.

--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -22,6 +22,7 @@
 )
 from ragwortkeel.http_events import whole_number
 from ragwortkeel.http_responder import Responder
+from ragwortkeel.ingress.answer_bytes import HeldAnswer
 from ragwortkeel.ingress.configuration import Route
 from ragwortkeel.ingress.events import EventSplitter
 from ragwortkeel.ingress.names import HOP_BY_HOP, HeaderNames
@@ -68,6 +69,9 @@
 REFUSAL_BODY_SECONDS = 0.2
 """Time for the body of a refusal, which is short and follows its head."""
 
+LARGE_CHUNK_BYTES = 32 * 1024
+"""Data of one read after which other tasks run."""
+
 MISDIRECTED = 421
 
 
@@ -105,10 +109,19 @@
 
 
 class CallerResponse:
-    """The response that the caller receives, over all runs of its request."""
+    """The response that the caller receives, over all runs of its request.
 
-    def __init__(self, *, responder: Responder, last_event: str) -> None:
+    Attributes
+    ----------
+    held : HeldAnswer
+        Counts what was received for the caller and has not gone out.
+    """
+
+    def __init__(
+        self, *, responder: Responder, last_event: str, held: HeldAnswer
+    ) -> None:
         self.responder = responder
+        self.held = held
         self.splitter = EventSplitter(last_id=whole_number(last_event))
 
     @property
@@ -276,6 +289,8 @@
     ) -> Outcome:
         """Use the connection; keep it open only if the upstream is silent."""
         connection = self._connection
+        held = self._caller_response.held
+        held.begin(connection.cut_off)
         outcome: Outcome | None = None
         try:
             outcome = await self._within_deadline(exchange, connection)
@@ -285,6 +300,7 @@
                 case Broken(reason=BrokenReason.SILENT):
                     pass
                 case None | Broken():
+                    held.drop()
                     await self.close()
                 case _:
                     self._connection = None
@@ -308,6 +324,8 @@
             if responder.ended or responder.disconnected.is_set():
                 # The upstream is not to blame, and no other one should run it.
                 raise CallerLeft(self._call.request_id) from exc
+            if self._caller_response.held.is_ended:
+                return Broken(reason=BrokenReason.NO_ROOM, detail=str(exc))
             return Broken(reason=BrokenReason.CLOSED, detail=str(exc))
 
     async def _send(self, connection: UpstreamConnection) -> Outcome:
@@ -343,7 +361,9 @@
         streams = head.get("content-type").startswith(EVENT_STREAM)
         if streams and head.status < 300:
             return await self._stream(connection, head)
-        body = await _receive_body(connection)
+        held = self._caller_response.held
+        body = await _receive_body(connection, on_size=held.hold)
+        held.complete()
         self._on_first_event()
         return FullResponse(head=head, body=body)
 
@@ -411,12 +431,16 @@
         All its waits may be ended and begun again.
         """
         splitter = self._caller_response.splitter
+        chunk: bytes | None = b""
         while True:
+            if len(chunk) >= LARGE_CHUNK_BYTES:
+                await curio.sleep(0)
             await self._wait_until_readable()
             chunk = await connection.receive_chunk()
             if chunk is None:
                 return await self._finish(head, b"")
             events = splitter.feed(chunk)
+            self._caller_response.held.hold(splitter.buffered_bytes)
             if events:
                 self._has_events = True
                 # Bytes that complete no event are silence to the caller.
@@ -515,7 +539,10 @@
             await _receive_body(connection)
 
 
-async def _receive_body(connection: UpstreamConnection) -> bytes:
+async def _receive_body(
+    connection: UpstreamConnection, on_size: Callable[[int], None] = lambda size: None
+) -> bytes:
+    """Return the whole body; `on_size` is called with what is held of it."""
     chunks = []
     size = 0
     while (chunk := await connection.receive_chunk()) is not None:
@@ -523,4 +550,8 @@
         if size > MAX_RESPONSE_BYTES:
             raise ExchangeBroken("response is too large")
         chunks.append(chunk)
+        on_size(size)
+        if len(chunk) >= LARGE_CHUNK_BYTES:
+            # A read of bytes that have arrived does not switch to another task.
+            await curio.sleep(0)
     return b"".join(chunks)
--- a/src/ragwortkeel/ingress/events.py
+++ b/src/ragwortkeel/ingress/events.py
@@ -13,6 +13,8 @@
 """Largest event, and most bytes of events without an id between two that have one."""
 
 _EVENT_END = b"\n\n"
+_CRLF_EVENT_END = b"\n\r\n"
+_TAIL_BYTES = len(_CRLF_EVENT_END) - 1
 _ID_FIELD = b"id:"
 
 
@@ -28,6 +30,8 @@
     ----------
     events : int
         Complete events with an id so far, over all runs of the request.
+    buffered_bytes : int
+        Bytes of the event that is not complete yet.
     order_error : ExchangeBroken or None
         Set if an event after those that were returned is out of order.
     """
@@ -36,7 +40,9 @@
         self.last_id = last_id
         self.events = 0
         self.order_error: ExchangeBroken | None = None
-        self._buffer = b""
+        self.buffered_bytes = 0
+        self._parts: list[bytes] = []
+        self._tail = b""
         self._bytes_without_id = 0
 
     def feed(self, data: bytes) -> bytes:
@@ -50,18 +56,20 @@
         """
         if self.order_error is not None:
             raise self.order_error
-        if self._buffer:
-            data = self._buffer + data
+        if self._parts and not self._may_end(data):
+            return self._keep(data)
+        if self._parts:
+            data = b"".join([*self._parts, data])
+            self._drop_parts()
         if b"\r" in data:
             # After joining, as a block may end between the two.
             data = data.replace(b"\r\n", b"\n")
         end = data.rfind(_EVENT_END)
         if end < 0:
-            self._buffer = data
-            self._check_size(len(data))
-            return b""
-        complete, self._buffer = data[: end + 2], data[end + 2 :]
-        self._check_size(len(self._buffer))
+            return self._keep(data)
+        complete, rest = data[: end + 2], data[end + 2 :]
+        if rest:
+            self._keep(rest)
         position = 0
         for event in complete[:-2].split(_EVENT_END):
             error = self._check_order(event)
@@ -73,18 +81,33 @@
             position += len(event) + len(_EVENT_END)
         return complete
 
-    def _check_size(self, size: int) -> None:
-        if size > MAX_EVENT_BYTES:
+    def _may_end(self, data: bytes) -> bool:
+        """Return whether the incomplete event may end in the data that follow it."""
+        joint = self._tail + data
+        return _EVENT_END in joint or _CRLF_EVENT_END in joint
+
+    def _keep(self, data: bytes) -> bytes:
+        """Keep data of an incomplete event; return none."""
+        self._parts.append(data)
+        self._tail = (self._tail + data)[-_TAIL_BYTES:]
+        self.buffered_bytes += len(data)
+        if self.buffered_bytes > MAX_EVENT_BYTES:
             raise ExchangeBroken(f"an event of over {MAX_EVENT_BYTES} bytes")
+        return b""
+
+    def _drop_parts(self) -> None:
+        self._parts.clear()
+        self._tail = b""
+        self.buffered_bytes = 0
 
     @property
     def has_partial_event(self) -> bool:
         """Whether the data so far ends within an event."""
-        return bool(self._buffer.strip())
+        return any(part.strip() for part in self._parts)
 
     def discard_partial_event(self) -> None:
         """Discard the incomplete event that a broken run left."""
-        self._buffer = b""
+        self._drop_parts()
         self._bytes_without_id = 0
         self.order_error = None
 
--- a/src/ragwortkeel/ingress/exchange.py
+++ b/src/ragwortkeel/ingress/exchange.py
@@ -10,6 +10,7 @@
 from ragwortkeel.budget.account import AccountReservation
 from ragwortkeel.exceptions import CallerLeft
 from ragwortkeel.http_responder import ABORT_DRAIN_SECONDS, Responder
+from ragwortkeel.ingress.answer_bytes import HeldAnswer
 from ragwortkeel.ingress.attempt import (
     Attempt,
     CallerRequest,
@@ -169,8 +170,11 @@
         self._accepted = accepted
         self._responder = to
         self._retries = components.retries.get(accepted.service.name)
+        self._held_answer = HeldAnswer(
+            account=components.answers, request_id=accepted.call.request_id
+        )
         self._caller_response = CallerResponse(
-            responder=to, last_event=accepted.call.last_event
+            responder=to, last_event=accepted.call.last_event, held=self._held_answer
         )
         self._runs = 0
         self._rejected_sends = 0
@@ -211,6 +215,7 @@
             await self._run()
         finally:
             self._components.open_requests.discard(self)
+            self._held_answer.close()
             replacement = self._take_replacement()
             if replacement is not None:
                 await self._replacements.drop(replacement)
--- a/src/ragwortkeel/ingress/front_components.py
+++ b/src/ragwortkeel/ingress/front_components.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ragwortkeel.ingress.announcements import AnnouncementReader
+from ragwortkeel.ingress.answer_bytes import AnswerBytes
 from ragwortkeel.ingress.budget_keeper import BudgetKeeper
 from ragwortkeel.ingress.crash_watch import CrashWatch
 from ragwortkeel.ingress.dispatch import Dispatcher
@@ -31,6 +32,8 @@
         The requests without a final answer, and the plan of a stop.
     run_times : RunTimes
         Expected lengths of runs, by which a stop refuses what would be cut off.
+    answers : AnswerBytes
+        Counts and bounds what is held of upstreams' answers.
     sweep : RequestSweep or None
         Ends requests on a late event loop; None leaves that to their own timers.
     """
@@ -49,6 +52,7 @@
     speeds: SpeedTracker | None = None
     event_delivery_seconds: float = 0.0
     sweep: RequestSweep | None = None
+    answers: AnswerBytes = field(default_factory=AnswerBytes)
     open_requests: OpenRequests = field(default_factory=OpenRequests)
     run_times: RunTimes = field(default_factory=RunTimes)
 
--- a/src/ragwortkeel/ingress/outcomes.py
+++ b/src/ragwortkeel/ingress/outcomes.py
@@ -27,6 +27,7 @@
     DEADLINE = "deadline"
     SILENT = "silent"
     SPOILED = "spoiled"
+    NO_ROOM = "no_room"
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/ragwortkeel/ingress/upstream_connection.py
+++ b/src/ragwortkeel/ingress/upstream_connection.py
@@ -359,6 +359,7 @@
 
     def cut_off(self) -> None:
         """Shut the connection down from another task; its own task closes it."""
+        self._socket_error = self._socket_error or "the request has been ended"
         self._buffer.end("the request has been ended")
 
     async def close(self) -> None:
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -14,6 +14,8 @@
 from ragwortkeel.exceptions import ConfigurationUnreadable
 from ragwortkeel.http_server import HttpServer
 from ragwortkeel.ingress.announcements import AnnouncementReader
+from ragwortkeel.ingress.answer_bytes import MEMORY_FRACTION as ANSWER_MEMORY_FRACTION
+from ragwortkeel.ingress.answer_bytes import AnswerBytes
 from ragwortkeel.ingress.block_store import BlockStore
 from ragwortkeel.ingress.budget_keeper import BudgetKeeper
 from ragwortkeel.ingress.configuration import (
@@ -274,6 +276,8 @@
         self.metrics.track_held_bytes(lambda: held.total)
         received = _received_bytes(settings, on_ended=self.metrics.record_caller_ended)
         self.metrics.track_received_bytes(lambda: received.total)
+        answers = _answer_bytes(settings, on_ended=self.metrics.record_answer_ended)
+        self.metrics.track_answer_bytes(lambda: answers.total)
         self._monitor: InstanceMonitor | None = None
         self._sweep: RequestSweep | None = None
         self._open_requests = OpenRequests()
@@ -336,6 +340,7 @@
                 speeds=self._speed_tracker,
                 event_delivery_seconds=settings.event_delivery_seconds,
                 sweep=self._sweep,
+                answers=answers,
                 open_requests=self._open_requests,
             ),
             monitor=self._monitor,
@@ -840,3 +845,15 @@
         max_connections=partial(max_connections, capacity.max_descriptors or inf),
         on_ended=on_ended,
     )
+
+
+def _answer_bytes(
+    settings: IngressSettings, *, on_ended: Callable[[], None]
+) -> AnswerBytes:
+    """Return the account of upstreams' answers, with the bound of the instance."""
+    if settings.capacity is None:
+        return AnswerBytes(on_ended=on_ended)
+    memory_bytes = settings.capacity.memory_bytes
+    return AnswerBytes(
+        max_bytes=int(memory_bytes * ANSWER_MEMORY_FRACTION), on_ended=on_ended
+    )
--- a/src/ragwortkeel/metrics.py
+++ b/src/ragwortkeel/metrics.py
@@ -219,6 +219,14 @@
             "Connections of incomplete requests ended to make room, by what is short.",
             ("cause",),
         )
+        self._answer_bytes = self._gauge(
+            "ragwortkeel_answer_bytes", "Bytes held of upstreams' answers."
+        )
+        self._answers_ended = self._counter(
+            "ragwortkeel_answers_ended_total",
+            "Incomplete answers ended to make room for others.",
+            (),
+        )
         self._slice_tokens = self._gauge(
             "ragwortkeel_slice_tokens", "Tokens of budget slices held and not spent."
         )
@@ -392,6 +400,14 @@
         """Count a connection that was ended to make room for other requests."""
         self._callers_ended.labels(cause).inc()
 
+    def track_answer_bytes(self, answer_bytes: Callable[[], int]) -> None:
+        """Report the bytes held of answers, which `answer_bytes` returns."""
+        self._answer_bytes.set_function(answer_bytes)
+
+    def record_answer_ended(self) -> None:
+        """Count an incomplete answer that was ended to make room for others."""
+        self._answers_ended.inc()
+
     def set_slice_tokens(self, *, tokens: int) -> None:
         """Set the number of unspent tokens in slices."""
         self._slice_tokens.set(tokens)
--- a/tests/ingress/test_events.py
+++ b/tests/ingress/test_events.py
@@ -31,6 +31,16 @@
         assert splitter.feed(event(2)) == event(2)
         assert splitter.last_id == 2
 
+    @pytest.mark.parametrize("size", [1, 2, 3, 5, 64])
+    def test_blocks_of_any_size_give_the_same_events(self, size):
+        """Guards against an event end that is missed where two blocks meet."""
+        data = event(1) + event(2).replace(b"\n", b"\r\n") + b": a\r\n\n" + event(3)
+        splitter = EventSplitter()
+        blocks = [data[i : i + size] for i in range(0, len(data), size)]
+        found = b"".join(splitter.feed(block) for block in blocks)
+        assert found == data.replace(b"\r\n", b"\n")
+        assert (splitter.events, splitter.buffered_bytes) == (3, 0)
+
     @pytest.mark.parametrize("number", [1, 3, 4])
     def test_a_repeated_or_missing_event_breaks_the_run(self, number):
         splitter = EventSplitter(last_id=1)
