Reports of upstreams have a bound of their own

Cause: reports, loads and cancellations shared the bound of the platform's pages. Found by looking for unbounded answers wherever answers are read.

Evidence: the new test fails before, as 256 blocks of 64 KiB are all read. Such responses are given up beyond 64 KiB now.

--- a/src/ragwortkeel/http_client.py
+++ b/src/ragwortkeel/http_client.py
@@ -15,6 +15,9 @@
 MAX_BODY_BYTES = 32 * 1024 * 1024
 """Largest body that `HttpClient.request` holds; pages of the platform are smaller."""
 
+MAX_REPORT_BYTES = 64 * 1024
+"""Largest report of an upstream."""
+
 MAX_INTERIM_RESPONSES = 32
 MAX_IDLE_CONNECTIONS = 32
 
@@ -116,19 +119,29 @@
         body: bytes = b"",
         headers: dict[str, str] | None = None,
         timeout: float,
+        max_bytes: int | None = None,
     ) -> Response:
         """Send a request and return its complete response.
 
+        Parameters
+        ----------
+        timeout : float
+            Seconds for the whole exchange.
+        max_bytes : int or None
+            Largest body of the response; None for `MAX_BODY_BYTES`.
+
         Raises
         ------
         ConnectFailed, ExchangeBroken
             A timeout raises `ExchangeBroken`.
         """
+        if max_bytes is None:
+            max_bytes = MAX_BODY_BYTES
         try:
             async with curio.timeout_after(timeout):
                 stream = self.stream(method, target, body=body, headers=headers)
                 async with stream as rv:
-                    content = await rv.read(max_bytes=MAX_BODY_BYTES)
+                    content = await rv.read(max_bytes=max_bytes)
         except curio.TaskTimeout as exc:
             raise ExchangeBroken(f"no response within {timeout} s") from exc
         return Response(status=rv.status, headers=rv.headers, body=content)
--- a/src/ragwortkeel/ingress/start_checks.py
+++ b/src/ragwortkeel/ingress/start_checks.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from ragwortkeel.exceptions import ConnectFailed, ExchangeBroken
+from ragwortkeel.http_client import MAX_REPORT_BYTES
 from ragwortkeel.httpio import HttpClient
 from ragwortkeel.ingress.configuration import Upstream
 from ragwortkeel.ingress.directory import ENTRY_LAG_SECONDS, Directory
@@ -152,7 +153,10 @@
         client = HttpClient(host=upstream.host, port=upstream.port)
         try:
             response = await client.request(
-                "GET", self._report_path, timeout=REPORT_SECONDS
+                "GET",
+                self._report_path,
+                timeout=REPORT_SECONDS,
+                max_bytes=MAX_REPORT_BYTES,
             )
             if response.status != 200:
                 return StartCheck.UNKNOWN, str(response.status)
--- a/src/ragwortkeel/sidecar/load.py
+++ b/src/ragwortkeel/sidecar/load.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ragwortkeel.exceptions import ConnectFailed, ExchangeBroken
+from ragwortkeel.http_client import MAX_REPORT_BYTES
 from ragwortkeel.httpio import HttpClient
 
 POLL_INTERVAL_SECONDS = 0.5
@@ -50,7 +51,10 @@
     """Return the upstream's load report; what it does not say is as in `previous`."""
     try:
         response = await client.request(
-            "GET", "/load", timeout=RESPONSE_TIMEOUT_SECONDS
+            "GET",
+            "/load",
+            timeout=RESPONSE_TIMEOUT_SECONDS,
+            max_bytes=MAX_REPORT_BYTES,
         )
     except (ConnectFailed, ExchangeBroken):
         return previous
--- a/src/ragwortkeel/sidecar/upstream.py
+++ b/src/ragwortkeel/sidecar/upstream.py
@@ -10,6 +10,7 @@
 import curio
 
 from ragwortkeel.exceptions import ConnectFailed, ExchangeBroken
+from ragwortkeel.http_client import MAX_REPORT_BYTES
 from ragwortkeel.http_events import decimal_value
 from ragwortkeel.httpio import HttpClient, StreamedResponse
 from ragwortkeel.logs import log_warning
@@ -281,6 +282,7 @@
             f"/v1/cancel/{request_id}",
             headers=headers,
             timeout=CANCEL_TIMEOUT_SECONDS,
+            max_bytes=MAX_REPORT_BYTES,
         )
     except (ConnectFailed, ExchangeBroken):
         return
--- a/tests/ingress/test_start_checks.py
+++ b/tests/ingress/test_start_checks.py
@@ -13,6 +13,7 @@
     report,
 )
 
+from ragwortkeel.http_client import MAX_REPORT_BYTES
 from ragwortkeel.ingress.directory import ENTRY_LAG_SECONDS, Directory
 from ragwortkeel.ingress.names import HeaderNames
 from ragwortkeel.ingress.start_checks import (
@@ -24,6 +25,8 @@
 from ragwortkeel.ingress.upstream_connection import ConnectionPool
 
 MARGIN_SECONDS = 0.01
+ENDLESS_REPORT_BLOCKS = 256
+"""Half of what a client holds of a response without a bound of its own."""
 JSON = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b"
 
 
@@ -118,6 +121,29 @@
 
         assert run(scenario) is True
 
+    def test_a_report_without_end_is_given_up(self):
+        """Guards against reports that fill the memory until their time limit."""
+
+        async def scenario(world):
+            sent = []
+
+            async def answer(sock):
+                await sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+                for _ in range(ENDLESS_REPORT_BLOCKS):
+                    await sock.sendall(bytes(MAX_REPORT_BYTES))
+                    sent.append(sock)
+                    await curio.sleep(0.001)
+                return False
+
+            world.server._serve_request = answer
+            result = await world.checks.check(world.entry, seconds=REPORT_SECONDS)
+            await curio.sleep(0.05)
+            return result, len(sent)
+
+        result, sent = run(scenario)
+        assert result is StartCheck.UNKNOWN
+        assert sent < ENDLESS_REPORT_BLOCKS
+
     @pytest.mark.parametrize("seconds", [SHORT_WAIT_SECONDS, REPORT_SECONDS])
     def test_a_report_that_does_not_come_is_not_waited_for_longer(self, seconds):
         """Guards against streams that wait for an upstream that stays silent."""
