Heads are bounded by the configuration, in size and in time

Cause: nobody read these two limits. Heads ended at 16 KiB, the parser's own bound, and at the idle limit, counted from the last response.

The server now bounds a head by what the configuration states: larger ones get 431, as before, and one that has not ended the stated time (times 1.2, for the way) after its first bytes gets 408. Both hold on open connections too. Without a statement they are 16 KiB and 20 s. A process that was late reads what has arrived before it refuses.

--- a/src/ragwortkeel/caller_connection.py
+++ b/src/ragwortkeel/caller_connection.py
@@ -6,7 +6,9 @@
 """
 
 import socket as _socket
+from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from random import Random
 
 import curio
@@ -32,12 +34,38 @@
 HEAD_BLOCK_BYTES = 16 * 1024
 PIPELINED_BLOCK_BYTES = 16 * 1024
 
+ARRIVED_READ_SECONDS = 0.05
+"""Time for reading what has arrived on a connection beyond a time limit."""
+
+MAX_BUFFERED_HEAD_BYTES = 1024 * 1024
+"""What the parser holds of a head; the server's own limit is reached before."""
+
 SMALL_BLOCK_BYTES = 2 * 1024
 """Smaller blocks of a chunked body are parsed without waiting for a turn."""
 
 _random = Random()
 
 
+@dataclass(frozen=True, kw_only=True)
+class HeadLimits:
+    """Limits on the head of a request.
+
+    Attributes
+    ----------
+    max_bytes : int
+        Larger heads are refused with 431.
+    seconds : float
+        Time from the first bytes of a head to its end; slower ones are refused with
+        408.
+    """
+
+    max_bytes: int = 16 * 1024
+    seconds: float = 20.0
+
+
+DEFAULT_HEAD_LIMITS = HeadLimits()
+
+
 class CallerConnection:
     """A connection that carries one request at a time.
 
@@ -72,7 +100,7 @@
         account: ReceivedBytes,
     ) -> None:
         self.sock = sock
-        self.conn = h11.Connection(h11.SERVER)
+        self.conn = _new_connection()
         self._counter = counter
         self._parsing = parsing
         self._head: h11.Request | None = None
@@ -96,12 +124,63 @@
         """Bytes that h11 holds and has not parsed."""
         return len(self.conn.trailing_data[0])
 
-    async def receive_head(self):
-        """Return the h11 event of the next head, or of the end of the connection."""
-        while (event := parsed_event(self.conn)) is h11.NEED_DATA:
-            data = await self.receive(HEAD_BLOCK_BYTES)
-            self.conn.receive_data(data)
-            self.received.grow(len(data))
+    async def receive_head(self, limits: Callable[[], HeadLimits]):
+        """Return the h11 event of the next head, or of the end of the connection.
+
+        Parameters
+        ----------
+        limits : callable
+            Returns the limits in force.
+
+        Raises
+        ------
+        BadRequest
+            The head is too large or too slow, or violates the protocol.
+        ExchangeBroken
+            The connection is lost.
+        """
+        event = self._parsed_head(limits)
+        if event is h11.NEED_DATA and not self._buffered_bytes:
+            event = await self._receive_head_block(limits)
+        seconds = limit_seconds = limits().seconds
+        while event is h11.NEED_DATA:
+            async with curio.ignore_after(limit_seconds):
+                return await self._receive_rest_of_head(limits)
+            # A process that was late has not read yet what arrived in time.
+            if limit_seconds < seconds or not self.has_unread():
+                raise BadRequest(
+                    status=408,
+                    reason="head_too_slow",
+                    detail="the head came too slowly",
+                )
+            limit_seconds = min(ARRIVED_READ_SECONDS, seconds / 2)
+        return event
+
+    async def _receive_rest_of_head(self, limits: Callable[[], HeadLimits]):
+        while (event := await self._receive_head_block(limits)) is h11.NEED_DATA:
+            pass
+        return event
+
+    async def _receive_head_block(self, limits: Callable[[], HeadLimits]):
+        data = await self.receive(HEAD_BLOCK_BYTES)
+        self.conn.receive_data(data)
+        self.received.grow(len(data))
+        return self._parsed_head(limits)
+
+    def _parsed_head(self, limits: Callable[[], HeadLimits]):
+        before = self._buffered_bytes
+        event = parsed_event(self.conn)
+        match event:
+            case h11.Request():
+                size = before - self._buffered_bytes
+            case _:
+                size = before if event is h11.NEED_DATA else 0
+        if size > limits().max_bytes:
+            raise BadRequest(
+                status=431,
+                reason="bad_http",
+                detail=f"the head is larger than {limits().max_bytes} bytes",
+            )
         return event
 
     async def receive(self, max_bytes: int) -> bytes:
@@ -191,7 +270,7 @@
             # what still arrives: a reset could overtake the refusal.
             raw.shutdown(_socket.SHUT_RDWR if closes else _socket.SHUT_WR)
         if not self._is_reading_body:
-            self.conn = h11.Connection(h11.SERVER)
+            self.conn = _new_connection()
         return closes
 
     def begin_request(self, head: h11.Request, length: int) -> None:
@@ -290,7 +369,7 @@
             b"content-length: 0",
             *(b"%b: %b" % field for field in fields),
         ]
-        self.conn = h11.Connection(h11.SERVER)
+        self.conn = _new_connection()
         self.conn.receive_data(b"\r\n".join((*lines, b"", b"")) + rest + self._unparsed)
         while not isinstance(self.conn.next_event(), h11.EndOfMessage):
             pass
@@ -317,3 +396,7 @@
 
 def _cut_off() -> BadRequest:
     return BadRequest(status=400, reason="body_cut_off", detail="the body ended early")
+
+
+def _new_connection() -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_BUFFERED_HEAD_BYTES)
--- a/src/ragwortkeel/http_server.py
+++ b/src/ragwortkeel/http_server.py
@@ -12,7 +12,13 @@
 import curio
 import h11
 
-from ragwortkeel.caller_connection import CallerConnection, too_large
+from ragwortkeel.caller_connection import (
+    ARRIVED_READ_SECONDS,
+    DEFAULT_HEAD_LIMITS,
+    CallerConnection,
+    HeadLimits,
+    too_large,
+)
 from ragwortkeel.exceptions import BadRequest, CallerLeft, ExchangeBroken
 from ragwortkeel.http_events import READ_CHUNK_BYTES, join_headers
 from ragwortkeel.http_responder import Request, Responder
@@ -32,9 +38,6 @@
 READ_AT_ONCE_SECONDS = 0.002
 """A read that takes less has found its data there."""
 
-ARRIVED_READ_SECONDS = 0.05
-"""Time for reading what has arrived on a connection beyond its idle limit."""
-
 LINGER_SECONDS = 2.0
 """How long a refused peer may continue to send before the connection closes."""
 
@@ -88,10 +91,12 @@
         Called when a request is complete; may send its response in chunks.
     max_body_bytes
         Larger bodies are refused with 413 and never reach the handler.
+    head_limits
+        Limits on the heads of requests.
     read_seconds
         Maximum time for receiving the body of a request, in seconds.
     keep_alive_seconds
-        Maximum time for receiving the head of the next request, in seconds.
+        Maximum time for which a connection may wait for its next request, in seconds.
     cancels_disconnected
         Whether the handler is cancelled when its caller has closed the connection.
     refuse
@@ -117,7 +122,7 @@
 
     Attributes
     ----------
-    keep_alive_seconds, max_body_bytes
+    keep_alive_seconds, max_body_bytes, head_limits
         The parameters; may be changed while the server runs.  A changed
         `keep_alive_seconds` counts for connections that wait already, too.
     closes_connections : bool
@@ -142,6 +147,7 @@
         port: int,
         handler: Handler,
         max_body_bytes: int = MAX_BODY_BYTES,
+        head_limits: HeadLimits = DEFAULT_HEAD_LIMITS,
         read_seconds: float = REQUEST_READ_SECONDS,
         keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
         cancels_disconnected: bool = False,
@@ -159,6 +165,7 @@
         self.open_exchanges = 0
         self._handler = handler
         self.max_body_bytes = max_body_bytes
+        self.head_limits = head_limits
         self._read_seconds = read_seconds
         self.keep_alive_seconds = keep_alive_seconds
         self._cancels_disconnected = cancels_disconnected
@@ -523,7 +530,7 @@
         while True:
             seconds = max(self._idle_seconds_left(idle), ARRIVED_READ_SECONDS)
             async with curio.ignore_after(seconds):
-                return await idle.caller.receive_head()
+                return await idle.caller.receive_head(lambda: self.head_limits)
             # The limit may have been raised during the wait, and a process that was
             # frozen has not read yet what arrived before the limit.
             if self._idle_seconds_left(idle) > 0.0 or idle.caller.has_unread():
--- a/src/ragwortkeel/ingress/configuration.py
+++ b/src/ragwortkeel/ingress/configuration.py
@@ -143,10 +143,18 @@
 
 
 class Limits(msgspec.Struct, frozen=True, kw_only=True):
-    """Largest request body in bytes, and how long a connection may stay idle."""
+    """What a caller may send, and how long it may take or stay idle.
+
+    Attributes
+    ----------
+    head_seconds : float
+        Longest time from the first bytes of a request's head to its end.
+    """
 
     max_body_bytes: Count = 4 * 1024 * 1024
     idle_seconds: Positive = 60.0
+    max_head_bytes: Count = 16 * 1024
+    head_seconds: Positive = 20.0
 
 
 class IngressConfiguration(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/ragwortkeel/ingress/worker.py
+++ b/src/ragwortkeel/ingress/worker.py
@@ -10,6 +10,7 @@
 import curio
 
 from ragwortkeel.budget.clocks import read_clocks
+from ragwortkeel.caller_connection import HeadLimits
 from ragwortkeel.configuration_store import InForce
 from ragwortkeel.exceptions import ConfigurationUnreadable
 from ragwortkeel.http_server import HttpServer
@@ -148,6 +149,9 @@
 """How long upstreams of an availability zone count as cold when its evacuation ends,
 since their entries may not show yet that they became cold."""
 
+HEAD_TIMEOUT_FACTOR = 1.2
+"""A head may take its time limit times this factor, as it is delayed on its way."""
+
 IDLE_TIMEOUT_FACTOR = 1.2
 """A caller's idle connection stays open for the idle limit times this factor, so that
 no request arrives while it is being closed."""
@@ -744,6 +748,10 @@
         limits = configuration.limits
         self._server.keep_alive_seconds = limits.idle_seconds * IDLE_TIMEOUT_FACTOR
         self._server.max_body_bytes = limits.max_body_bytes
+        self._server.head_limits = HeadLimits(
+            max_bytes=limits.max_head_bytes,
+            seconds=limits.head_seconds * HEAD_TIMEOUT_FACTOR,
+        )
         self.metrics.set_configuration_revision(revision=configuration.revision)
         await self._peers.announce_revision()
 
--- a/tests/site/test_site_objects.py
+++ b/tests/site/test_site_objects.py
@@ -79,7 +79,12 @@
         },
         {"name": "old", "maxConnections": 96},
     ],
-    "limits": {"maxBodyBytes": 1000, "idleTimeoutMs": 15000},
+    "limits": {
+        "maxBodyBytes": 1000,
+        "idleTimeoutMs": 15000,
+        "maxHeaderBytes": 2000,
+        "headerTimeoutMs": 3000,
+    },
     "tenants": [
         {
             "name": "hule930",
@@ -301,6 +306,8 @@
         assert found.customers[0].keys == ("k1", "k2")
         assert found.customers[0].prepaid == 1365267
         assert found.limits.idle_seconds == 15.0
+        assert found.limits.max_head_bytes == 2000
+        assert found.limits.head_seconds == 3.0
         assert (first.homes, second.homes) == (("maule",), ())
         assert found.customers[0].homes == ()
         assert found.services[0].cold_seconds == 3.0
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -10,7 +10,7 @@
 from curio.task import ContextTask
 
 from ragwortkeel import caller_connection
-from ragwortkeel.caller_connection import CallerConnection
+from ragwortkeel.caller_connection import CallerConnection, HeadLimits
 from ragwortkeel.chunked_body import ChunkedBody
 from ragwortkeel.exceptions import NoRoom
 from ragwortkeel.http_events import READ_CHUNK_BYTES
@@ -294,7 +294,7 @@
                 parsing=curio.Lock(),
                 account=account,
             )
-            head = await caller.receive_head()
+            head = await caller.receive_head(HeadLimits)
             caller.begin_request(head, 0)
             reading = await curio.spawn(
                 partial(caller.receive_body, head, max_bytes=MAX_BODY_BYTES)
