--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -29,6 +29,7 @@
     cuts: bool = True,
     pauses: bool = True,
     stops: bool = True,
+    unframed: float = 0.0,
     directory: str = "",
 ) -> None:
     """Play seeds one after the other.
@@ -51,6 +52,8 @@
     stops
         Whether processes stop while callers do what makes that difficult, relays stop,
         and all processes are killed at once at times.
+    unframed
+        Share of streams that end with their connection, without a length or chunks.
     directory
         Receives a folder with the logs of each seed; a temporary one if empty.
     """
@@ -69,6 +72,7 @@
             cuts=cuts,
             pauses=pauses,
             stops=stops,
+            unframed=unframed,
         )
         if found:
             broken.append(number)
@@ -86,6 +90,7 @@
     cuts: bool = True,
     pauses: bool = True,
     stops: bool = True,
+    unframed: float = 0.0,
 ) -> list:
     """Play one seed, print its outcome and return the violations."""
     fleet = Fleet(directory)
@@ -99,6 +104,7 @@
             cuts=cuts,
             pauses=pauses,
             stops=stops,
+            unframed=unframed,
         )
         with curio.Kernel(taskcls=ContextTask) as kernel:
             history = kernel.run(run.run)
--- a/soak/run.py
+++ b/soak/run.py
@@ -98,7 +98,7 @@
     ----------
     fleet : Fleet
         Starts the processes; the caller closes it.
-    share, cuts, pauses, stops : float, bool, bool, bool
+    share, cuts, pauses, stops, unframed : float, bool, bool, bool, float
         Which faults are played, see `soak.faults.draw_schedule`.
     """
 
@@ -113,8 +113,10 @@
         cuts: bool = True,
         pauses: bool = True,
         stops: bool = True,
+        unframed: float = 0.0,
     ) -> None:
         self._seed = seed
+        self._unframed = unframed
         self._share = share
         self._cuts = cuts
         self._pauses = pauses
@@ -527,6 +529,7 @@
             history=self.history,
             seed=self._seed,
             slots=slots,
+            unframed=self._unframed,
             on_bad_block=self._receive_bad_block,
         )
         self._upstream_count += 1
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 from random import Random
 from time import monotonic, time
+from zlib import crc32
 
 import curio
 import h11
@@ -31,6 +32,7 @@
 WORK_SECONDS = 0.02
 FAILED_SHARE = 0.01
 """Share of requests whose connection is reset after they began to run."""
+HUNDRED = 100
 CUT_DRAFT_SHARE = 0.15
 """Share of drafts whose connection is reset between two events."""
 
@@ -56,6 +58,8 @@
         Whether its answers announce that it leaves.
     slots : int
         Requests that it runs at once, by its entry.
+    unframed : float
+        Share of streams that end with their connection, without a length or chunks.
     removed : bool
         Whether it leaves without a word, so that it writes no entry any more.
     on_bad_block : callable
@@ -73,6 +77,7 @@
         history: History,
         seed: int,
         slots: int = SLOTS,
+        unframed: float = 0.0,
         on_bad_block: Callable[["RecordingUpstream", str, str], Awaitable[None]],
     ) -> None:
         self._on_bad_block = on_bad_block
@@ -84,6 +89,7 @@
         self.removed = False
         self.started_ms = int(time() * 1000)
         self.slots = slots
+        self.unframed = unframed
         self._history = history
         self._random = Random(f"{name} {seed}")
         self._crashed = False
@@ -108,6 +114,10 @@
         """Reset all connections, with nothing at the port from then on."""
         # Cancelling the server ends the tasks of its connections.
         self._record_cut_requests()
+        if self.unframed:
+            # An orderly end would look like that of a whole stream.
+            for sock in self._task_by_sock:
+                _reset_on_close(sock)
         await self._task.cancel()
         await self._sock.close()
         await self._reset_all()
@@ -209,16 +219,19 @@
         self._running_by_sock[sock] = request_id
         if head.target.startswith((b"/chat/", *LONG_PATHS)):
             is_long = head.target.startswith(LONG_PATHS)
-            await self._stream_whole(sock, conn, fields, request_id, is_long=is_long)
-        elif head.target.startswith(b"/draft/"):
+            is_open = await self._stream_whole(
+                sock, conn, fields, request_id, is_long=is_long
+            )
+            self._running_by_sock.pop(sock, None)
+            return is_open
+        if head.target.startswith(b"/draft/"):
             return await self._serve_draft(sock, conn, headers, fields)
-        else:
-            await curio.sleep(WORK_SECONDS)
-            await self._wait_for_pause()
-            body = own_body(request_id)
-            fields.append(("content-length", str(len(body))))
-            data = conn.send(_response(200, fields)) + conn.send(h11.Data(data=body))
-            await sock.sendall(data + conn.send(h11.EndOfMessage()))
+        await curio.sleep(WORK_SECONDS)
+        await self._wait_for_pause()
+        body = own_body(request_id)
+        fields.append(("content-length", str(len(body))))
+        data = conn.send(_response(200, fields)) + conn.send(h11.Data(data=body))
+        await sock.sendall(data + conn.send(h11.EndOfMessage()))
         del self._running_by_sock[sock]
         return True
 
@@ -230,10 +243,11 @@
         request_id: str,
         *,
         is_long: bool,
-    ) -> None:
+    ) -> bool:
+        """Send a stream; return whether the connection is open."""
         count = LONG_EVENTS if is_long else STREAM_EVENTS
         try:
-            await self._stream(
+            return await self._stream(
                 sock, conn, fields, f"{request_id}-", after=0, count=count
             )
         finally:
@@ -256,11 +270,11 @@
         if self._random.random() < CUT_DRAFT_SHARE:
             cut_at = self._random.randint(after + 1, STREAM_EVENTS)
             self._history.cut_requests.add(headers[NAMES.request_id])
-        await self._stream(
+        is_open = await self._stream(
             sock, conn, fields, f"{self.version} ", after=after, cut_at=cut_at
         )
         self._running_by_sock.pop(sock, None)
-        return cut_at is None
+        return is_open
 
     async def _stream(
         self,
@@ -272,13 +286,17 @@
         after: int,
         cut_at: int | None = None,
         count: int = STREAM_EVENTS,
-    ) -> None:
-        fields += [
-            ("content-type", "text/event-stream"),
-            ("transfer-encoding", "chunked"),
-        ]
+    ) -> bool:
+        """Send events up to a cut or the end; return whether the connection is open."""
+        fields.append(("content-type", "text/event-stream"))
+        is_unframed = self._is_unframed(dict(fields)[NAMES.request_id])
+        if is_unframed:
+            head = _unframed_head(fields)
+        else:
+            fields.append(("transfer-encoding", "chunked"))
+            head = conn.send(_response(200, fields))
         await self._wait_for_pause()
-        await sock.sendall(conn.send(_response(200, fields)))
+        await sock.sendall(head)
         due_at = monotonic()
         for number in range(after + 1, count + 1):
             # Late wakes don't add up, so that a long stream has a known length.
@@ -286,11 +304,24 @@
             await curio.sleep(max(0.0, due_at - monotonic()))
             if number == cut_at:
                 _reset_on_close(sock)
-                return
+                return False
             await self._wait_for_pause()
             event = f"id: {number}\ndata: {prefix}{number}\n\n".encode()
-            await sock.sendall(conn.send(h11.Data(data=event)))
+            if not is_unframed:
+                event = conn.send(h11.Data(data=event))
+            await sock.sendall(event)
+        if is_unframed:
+            return False
         await sock.sendall(conn.send(h11.EndOfMessage()))
+        return True
+
+    def _is_unframed(self, request_id: str) -> bool:
+        return crc32(request_id.encode()) % HUNDRED < self.unframed * HUNDRED
+
+
+def _unframed_head(fields: list) -> bytes:
+    lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in fields)]
+    return "\r\n".join((*lines, "connection: close", "", "")).encode()
 
 
 def _bad_block(headers: dict[str, str]) -> str:
