A stream outlasts a new address of its upstream

Cause: the pool keeps one link a name, and closed it as soon as the entry had another address. A removed upstream keeps its link while runs are in flight; one that moved did not.

The link to the former address stays for the runs that it carries, beside the one to the new address: messages that name such a run go to the sidecar that has it, and what that sidecar says of its load no longer counts for the upstream. It is closed once its runs have ended.

--- a/src/ragwortkeel/router/attempt.py
+++ b/src/ragwortkeel/router/attempt.py
@@ -119,7 +119,7 @@
     @property
     def may_continue(self) -> bool:
         """Whether the sidecar incarnation that received the run may still be live."""
-        view = self._pool.views_by_upstream.get(self.upstream)
+        view = self._pool.view_of_run(self.nonce, self.upstream)
         return view is not None and view.incarnation == self.sidecar
 
     async def open(self, first: AnyMessage) -> bool:
--- a/src/ragwortkeel/router/sidecars.py
+++ b/src/ragwortkeel/router/sidecars.py
@@ -83,7 +83,8 @@
     views_by_upstream : dict of str to SidecarView
         Links that are open or being opened.
     removed_with_runs : set of str
-        Upstreams that are removed and still have runs in flight.
+        Upstreams that are removed, or have a new address, and still have runs in flight
+        at the sidecar that they had.
     other_events : curio.Queue
         `Received` events that belong to no run, and the `LinkUp` and `LinkDown`
         events of all links.
@@ -106,15 +107,17 @@
         self._on_crash = on_crash
         self._inbox: curio.Queue = curio.Queue()
         self._subscriptions_by_nonce: dict[str, list[Subscription]] = {}
+        self._replaced_view_by_nonce: dict[str, SidecarView] = {}
+        self._replaced_views: list[SidecarView] = []
         self._locate_queues_by_key: dict[tuple[str, str, str], curio.Queue] = {}
         self._seal_queues_by_key: dict[tuple[str, str], curio.Queue] = {}
 
     async def set_upstreams(self, upstreams_by_name: dict[str, Upstream]) -> None:
         """Open links to new upstreams and close links to removed upstreams.
 
-        A link to a removed upstream with runs in flight stays open and is
-        checked again by the next call, because closing it would interrupt the
-        answers.
+        A link to a removed upstream with runs in flight, or to the former address of
+        one, stays open and is checked again by the next call, because closing it would
+        interrupt the answers.
         """
         self.removed_with_runs.clear()
         for name, view in list(self.views_by_upstream.items()):
@@ -124,18 +127,51 @@
             if wanted is None and self._has_runs(name):
                 self.removed_with_runs.add(name)
                 continue
+            if wanted is not None and self._has_runs(name):
+                self._keep_replaced(name)
+                continue
             await self._remove(name)
+        await self._close_replaced()
         for name, upstream in upstreams_by_name.items():
             if name not in self.views_by_upstream:
                 await self._add(name, upstream.sidecar_address)
 
     def _has_runs(self, upstream: str) -> bool:
-        subscriptions = self._subscriptions_by_nonce.values()
-        return any(
-            reader.upstream == upstream
-            for readers in subscriptions
-            for reader in readers
-        )
+        return bool(self._runs_of(upstream))
+
+    def _runs_of(self, link_name: str) -> list[str]:
+        """Return the nonces of the runs that are followed over a link."""
+        return [
+            nonce
+            for nonce, readers in self._subscriptions_by_nonce.items()
+            for reader in readers[:1]
+            if self._link_name(reader) == link_name
+        ]
+
+    def _link_name(self, reader: Subscription) -> str:
+        view = self._replaced_view_by_nonce.get(reader.nonce)
+        return reader.upstream if view is None else view.link.name
+
+    def _keep_replaced(self, name: str) -> None:
+        """Keep a link for its runs, beside the link to the upstream's new address."""
+        view = self.views_by_upstream.pop(name)
+        self._replaced_view_by_nonce |= dict.fromkeys(self._runs_of(name), view)
+        view.link.name = f"{name} at {view.link.address}"
+        self._replaced_views.append(view)
+
+    async def _close_replaced(self) -> None:
+        """Close the links to former addresses that have no runs any more."""
+        for view in list(self._replaced_views):
+            if self._runs_of(view.link.name):
+                self.removed_with_runs.add(view.upstream)
+                continue
+            self._replaced_views.remove(view)
+            await view.task.cancel()
+
+    def view_of_run(self, nonce: str, upstream: str) -> SidecarView | None:
+        """Return the view of the sidecar that received a run of an upstream."""
+        replaced = self._replaced_view_by_nonce.get(nonce)
+        return replaced or self.views_by_upstream.get(upstream)
 
     def is_up(self, upstream: str) -> bool:
         """Return whether the sidecar is connected and its incarnation is known."""
@@ -143,14 +179,14 @@
         return view is not None and view.link.up and bool(view.incarnation)
 
     async def send(self, upstream: str, message: AnyMessage) -> None:
-        """Send a message to an upstream's sidecar.
+        """Send a message to an upstream's sidecar, or to that of the run it names.
 
         Raises
         ------
         LinkLost
             There is no connection to the sidecar.
         """
-        view = self.views_by_upstream.get(upstream)
+        view = self.view_of_run(getattr(message, "nonce", ""), upstream)
         if view is None:
             raise LinkLost(f"no link to the sidecar of {upstream}")
         await view.link.send(message)
@@ -168,6 +204,7 @@
             readers.remove(subscription)
         if not readers:
             self._subscriptions_by_nonce.pop(subscription.nonce, None)
+            self._replaced_view_by_nonce.pop(subscription.nonce, None)
 
     def upstream_of(self, incarnation: str) -> str | None:
         """Return the upstream whose connected sidecar has this incarnation."""
@@ -224,6 +261,8 @@
         """Close all links."""
         for name in list(self.views_by_upstream):
             await self._remove(name)
+        for view in self._replaced_views:
+            await view.task.cancel()
 
     async def _add(self, name: str, address: str) -> None:
         link = Link(
@@ -248,13 +287,13 @@
                 await self._deliver_message(event, envelope.message)
             case LinkUp() | LinkDown():
                 await self._deliver_to_runs(event.peer, event)
-                await self.other_events.put(event)
+                await self._put_other(event)
 
     async def _deliver_message(self, event: Received, message: AnyMessage) -> None:
         match message:
             case Heartbeat():
                 self._record_load(event.peer, message)
-                await self.other_events.put(event)
+                await self._put_other(event)
             case Sealed(router=router):
                 queue = self._seal_queues_by_key.get((event.peer, router))
                 if queue is not None:
@@ -274,14 +313,19 @@
                 for reader in self._subscriptions_by_nonce.get(message.nonce, ()):
                     await reader.queue.put(message)
                 if isinstance(message, Refused) and message.newer:
-                    await self.other_events.put(event)
+                    await self._put_other(event)
             case _:
-                await self.other_events.put(event)
+                await self._put_other(event)
+
+    async def _put_other(self, event: LinkEvent) -> None:
+        """Put an event on `other_events`, unless its link has been replaced."""
+        if event.peer not in (view.link.name for view in self._replaced_views):
+            await self.other_events.put(event)
 
-    async def _deliver_to_runs(self, upstream: str, event: LinkUp | LinkDown) -> None:
+    async def _deliver_to_runs(self, link_name: str, event: LinkUp | LinkDown) -> None:
         for readers in list(self._subscriptions_by_nonce.values()):
             for reader in readers:
-                if reader.upstream == upstream:
+                if self._link_name(reader) == link_name:
                     await reader.queue.put(event)
 
     def _record_sender(self, peer: str, incarnation: str) -> None:
--- a/tests/router/test_filings.py
+++ b/tests/router/test_filings.py
@@ -98,6 +98,9 @@
             for name, core in self._sidecars.core_by_upstream.items()
         }
 
+    def view_of_run(self, nonce, upstream):
+        return self.views_by_upstream.get(upstream)
+
     def upstream_of(self, incarnation):
         return incarnation.removeprefix("s-")
 
