Bodies of refusals count among the answers that are held

A server in trouble that refuses requests and then sends bodies without end used up the memory like one that answers so: 24 of them took 249 MB on a machine of 96 MB, as the body of a refusal is read to use its connection again and was in no account. The new case fails before and passes now.

An answer that ended with bytes behind its last event counted as incomplete until its exchange had ended. To make room, its connection could have been cut off within the next request on it. Found by reading the account afresh; answers of runs that ended well are complete now, whatever they were.

--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -303,6 +303,7 @@
                     held.drop()
                     await self.close()
                 case _:
+                    held.complete()
                     self._connection = None
                     await self._connections.release(
                         self._assignment.upstream, connection
@@ -347,7 +348,9 @@
         if head.status != MISDIRECTED:
             self._on_head(head, self._sent_at)
         if head.status == MISDIRECTED or head.get(self._names.not_run):
-            await _receive_refusal(connection)
+            held = self._caller_response.held
+            await _receive_refusal(connection, on_size=held.hold)
+            held.drop()
             return _not_run(head)
         self._on_accepted()
         if head.get("content-encoding"):
@@ -363,7 +366,6 @@
             return await self._stream(connection, head)
         held = self._caller_response.held
         body = await _receive_body(connection, on_size=held.hold)
-        held.complete()
         self._on_first_event()
         return FullResponse(head=head, body=body)
 
@@ -531,16 +533,18 @@
     return NotRun(reason=NotRunReason.FULL, detail=str(head.status))
 
 
-async def _receive_refusal(connection: UpstreamConnection) -> None:
+async def _receive_refusal(
+    connection: UpstreamConnection, on_size: Callable[[int], None]
+) -> None:
     """Read the body of a refusal, so that its connection can be used again."""
     # The head has said that nothing ran, however the body ends.
     with suppress(ExchangeBroken):
         async with curio.ignore_after(REFUSAL_BODY_SECONDS):
-            await _receive_body(connection)
+            await _receive_body(connection, on_size)
 
 
 async def _receive_body(
-    connection: UpstreamConnection, on_size: Callable[[int], None] = lambda size: None
+    connection: UpstreamConnection, on_size: Callable[[int], None]
 ) -> bytes:
     """Return the whole body; `on_size` is called with what is held of it."""
     chunks = []
--- a/tests/ingress/test_answer_bytes.py
+++ b/tests/ingress/test_answer_bytes.py
@@ -84,3 +84,14 @@
     answer.begin(lambda: None)
     answer.hold(10)
     assert (world.cut_off, world.account.total) == (["a"], 51)
+
+
+def test_what_a_complete_answer_leaves_over_ends_no_connection():
+    """Guards against a connection that is cut off within the next request on it."""
+    world = World()
+    ready = world.answer("ready", 1)
+    ready.complete()
+    world.answer("other", MAX_BYTES - 1).complete()
+    with pytest.raises(ExchangeBroken):
+        world.answer("late").hold(1)
+    assert world.cut_off == ["late"]
--- a/tests/processes/test_upstreams_outside_limits.py
+++ b/tests/processes/test_upstreams_outside_limits.py
@@ -172,8 +172,15 @@
         (CHUNKED, ONE_CHUNK, bytes(PIECE_BYTES)),
         (CHUNKED, b"", SMALL_CHUNK),
         ("x-a: b", b"", bytes(PIECE_BYTES)),
+        ("x-not-run: 1", b"", bytes(PIECE_BYTES)),
+    ],
+    ids=[
+        "with a length",
+        "in one chunk",
+        "in small chunks",
+        "without a length",
+        "of a refusal",
     ],
-    ids=["with a length", "in one chunk", "in small chunks", "without a length"],
 )
 def test_bodies_that_stop_short_of_their_end(fleet, field, begin, block):
     """Guards against incomplete answers that together exceed the memory."""
