A stream that is ended to make room loses no event

Events that had arrived before the account of answers ended a stream never reached its caller, and the run that went on began after them (ORDER).

Cause: what is held was recorded before the events of the same read were forwarded, and recording raises once the answer has been ended. The splitter had counted the events by then, so the next run was asked for those behind.

Evidence: the new test fails before: the caller gets events 1, 2 and 5 of five. Found by reading the account afresh. It is recorded after forwarding.

--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -442,7 +442,6 @@
             if chunk is None:
                 return await self._finish(head, b"")
             events = splitter.feed(chunk)
-            self._caller_response.held.hold(splitter.buffered_bytes)
             if events:
                 self._has_events = True
                 # Bytes that complete no event are silence to the caller.
@@ -456,9 +455,11 @@
             if events:
                 await self._forward(head, events)
                 self._reads.record_forwarded(len(chunk), monotonic())
-                if self._max_silence_seconds != MAX_SILENCE_SECONDS:
-                    self._max_silence_seconds = MAX_SILENCE_SECONDS
-                    return None
+            # Another run would go on after the events that were split off.
+            self._caller_response.held.hold(splitter.buffered_bytes)
+            if events and self._max_silence_seconds != MAX_SILENCE_SECONDS:
+                self._max_silence_seconds = MAX_SILENCE_SECONDS
+                return None
 
     async def _wait_until_readable(self) -> None:
         """Wait until the caller has room for more; this is no silence."""
--- a/tests/ingress/test_answer_bytes.py
+++ b/tests/ingress/test_answer_bytes.py
@@ -1,6 +1,14 @@
 """The account of the bytes of answers."""
 
+import curio
 import pytest
+from tests.ingress.in_process import (
+    chunk,
+    events,
+    run_ingress,
+    stream_head,
+    stream_whole,
+)
 
 from ragwortkeel.exceptions import ExchangeBroken
 from ragwortkeel.ingress.answer_bytes import AnswerBytes, HeldAnswer
@@ -95,3 +103,29 @@
     with pytest.raises(ExchangeBroken):
         world.answer("late").hold(1)
     assert world.cut_off == ["late"]
+
+
+def test_a_stream_whose_answer_is_ended_goes_on_without_a_gap():
+    """Guards against events that arrived before the end and never reach the caller."""
+    fleets = []
+
+    async def script(seen, sock):
+        if "last-event-id" in seen.headers:
+            return await stream_whole(seen, sock)
+        whole = events(1, 5)
+        await sock.sendall(stream_head(seen) + chunk(whole[: len(events(1, 3)) - 1]))
+        await curio.sleep(0.1)
+        # The process finds both when it reads next.
+        sock._socket.send(chunk(whole[len(events(1, 3)) - 1 : -1]))
+        account = fleets[0].workers[0]._front._components.answers
+        for answer in list(account._holding):
+            account._end(answer)
+        await curio.sleep(5)
+        return False
+
+    async def scenario(fleet):
+        fleets.append(fleet)
+        return await fleet.ask("/chat/1")
+
+    answer = run_ingress(scenario, scripts={"e1": script, "e2": script})
+    assert (answer.status, answer.body) == (200, events(1, 5))
