An event that is not complete yet counts for its slow reader

More than the bound of 256 KiB was held for a caller that reads nothing.

Cause: reading waits until there is room for one block of the upstream, but a block may also complete the event that the splitter holds, and all of it goes out at once.

The wait leaves room for the incomplete event as well.

--- a/src/ragwortkeel/http_responder.py
+++ b/src/ragwortkeel/http_responder.py
@@ -202,17 +202,21 @@
         await self._write(self._conn.send(h11.EndOfMessage()), last=True)
         await self.drain()
 
-    async def wait_for_room(self) -> None:
+    async def wait_for_room(self, next_bytes: int = READ_CHUNK_BYTES) -> None:
         """Wait until the bytes held for the peer are within their bound.
 
+        Parameters
+        ----------
+        next_bytes : int
+            Most bytes that are about to be sent, for which there has to be room.
+
         Raises
         ------
         ExchangeBroken
             The connection is lost.
         """
         if self._buffer.held_bytes:
-            # One more block of the upstream has to fit.
-            bound = self._held.max_connection_bytes - READ_CHUNK_BYTES
+            bound = self._held.max_connection_bytes - next_bytes
             async with self._noting_loss():
                 await self._buffer.wait_for_room(max(0, bound))
 
--- a/src/ragwortkeel/ingress/attempt.py
+++ b/src/ragwortkeel/ingress/attempt.py
@@ -20,7 +20,7 @@
     ConnectFailed,
     ExchangeBroken,
 )
-from ragwortkeel.http_events import whole_number
+from ragwortkeel.http_events import READ_CHUNK_BYTES, whole_number
 from ragwortkeel.http_responder import Responder
 from ragwortkeel.ingress.answer_bytes import HeldAnswer
 from ragwortkeel.ingress.configuration import Route
@@ -464,7 +464,11 @@
     async def _wait_until_readable(self) -> None:
         """Wait until the caller has room for more; this is no silence."""
         began_at = monotonic()
-        await self._caller_response.responder.wait_for_room()
+        # The next block may complete the event that is held so far.
+        partial_bytes = self._caller_response.splitter.buffered_bytes
+        await self._caller_response.responder.wait_for_room(
+            READ_CHUNK_BYTES + partial_bytes
+        )
         wait_seconds = self._reads.seconds_until_read(monotonic())
         if wait_seconds:
             await curio.sleep(wait_seconds)
--- a/tests/ingress/test_slow_readers.py
+++ b/tests/ingress/test_slow_readers.py
@@ -93,6 +93,41 @@
     assert held_after == 0
 
 
+def test_an_incomplete_event_counts_towards_the_bound():
+    """Guards against a block that completes an event and exceeds the bound with it."""
+    small_bytes, nearly_held, missing = 20_000, 150_000, 1000
+    fleets, sent = [], []
+
+    def sized(number, size):
+        return event(number)[: size - 2] + b"\n\n"
+
+    async def script(seen, sock):
+        await sock.sendall(stream_head(seen))
+        while held_bytes(fleets[0]) < nearly_held:
+            sent.append(sized(len(sent) + 1, small_bytes))
+            await sock.sendall(chunk(sent[-1]))
+            await curio.sleep(0.001)
+        sent.append(event(len(sent) + 1))
+        sent.append(event(len(sent) + 1))
+        await sock.sendall(chunk(sent[-2][:-missing]))
+        await curio.sleep(0.1)
+        await sock.sendall(chunk(sent[-2][-missing:] + sent[-1]) + END)
+        return True
+
+    async def scenario(fleet):
+        fleets.append(fleet)
+        sock = await slow_caller(fleet, "r1", deadline_ms=9000)
+        while not (sent and len(sent[-1]) == EVENT_BYTES):
+            await curio.sleep(0.01)
+        await curio.sleep(0.5)
+        held = held_bytes(fleet)
+        return held, await read_answer(sock)
+
+    held, answer = run_ingress(scenario, scripts={"e1": script}, capacity=CAPACITY)
+    assert 0 < held <= send_buffer.MAX_CONNECTION_BYTES
+    assert answer == (b"".join(sent), True)
+
+
 def test_a_time_limit_ends_a_request_whose_caller_reads_nothing():
     """Guards against a run that goes on while a write is blocked."""
     ended_at = []
